--- a/Makefile
+++ b/Makefile
@@ -47,18 +47,18 @@
 	@tools/install-deps
 
 build/rattanspindle: $(call obj,opt,$(CORE) $(IO) $(CMD))
-	$(CC) $(CFLAGS) -o $@ $^ $(LDFLAGS) $(PKG_LIBS)
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDFLAGS) $(PKG_LIBS)
 
 build/standin: $(call obj,opt,$(STANDIN) $(IO) $(CORE))
-	$(CC) $(CFLAGS) -o $@ $^ $(LDFLAGS) $(PKG_LIBS)
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDFLAGS) $(PKG_LIBS)
 
 build/opt/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) $(CPPFLAGS) $(WARN) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
+	@echo "CC $<"; $(CC) $(CFLAGS) $(CPPFLAGS) $(WARN) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
 build/san/%.o: %.c
 	@mkdir -p $(@D)
-	@$(CC) -O1 -g $(SAN) $(CPPFLAGS) $(WARN) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
+	@echo "CC $<"; $(CC) -O1 -g $(SAN) $(CPPFLAGS) $(WARN) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
 # The state charts are embedded by the assembler.
 build/opt/src/core/cht_data.o build/san/src/core/cht_data.o: $(CHARTS)
--- /dev/null
+++ b/src/core/cht_data.c
@@ -0,0 +1,46 @@
+/** @file
+ * The chart files, embedded by the assembler: no generator is needed.
+ *
+ * To add charts/NAME.ini: one CHT_EMBED line and one row in the table.
+ */
+#include "core/cht.h"
+
+#include <string.h>
+
+#define CHT_EMBED(name)                                                       \
+  __asm__(".section .rodata\n"                                                \
+          ".global cht_text_" #name "\n"                                      \
+          "cht_text_" #name ":\n"                                             \
+          ".incbin \"charts/" #name ".ini\"\n"                                \
+          ".byte 0\n"                                                         \
+          ".previous\n");                                                     \
+  extern const char cht_text_##name[]
+
+CHT_EMBED (node);
+
+static const struct
+{
+  const char *name;
+  const char *text;
+} _cht_texts[] = {
+  { "node", cht_text_node },
+};
+
+#define _CHT_TEXT_COUNT (sizeof _cht_texts / sizeof _cht_texts[0])
+
+const char *
+cht_text (const char *name)
+{
+  for (size_t i = 0; i < _CHT_TEXT_COUNT; i++)
+    {
+      if (strcmp (_cht_texts[i].name, name) == 0)
+        return _cht_texts[i].text;
+    }
+  return NULL;
+}
+
+const char *
+cht_text_name (size_t i)
+{
+  return i < _CHT_TEXT_COUNT ? _cht_texts[i].name : NULL;
+}
