--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -15,6 +15,7 @@
 /** Kinds of event. */
 typedef enum
 {
+  EV_START,         /**< the first event of a node's life */
   EV_TIMER,         /**< the instant of the last FX_TIMER has come */
   EV_REQUEST,       /**< a caller's (or operator's) whole request */
   EV_CALLER_GONE,   /**< the caller closed before the answer's end */
--- /dev/null
+++ b/src/io/drv.c
@@ -0,0 +1,456 @@
+#include "io/drv.h"
+
+#include "io/hcl.h"
+#include "io/hsv.h"
+#include "io/lnk.h"
+#include "io/pcl.h"
+
+#include <glib.h>
+#include <talloc.h>
+#include <time.h>
+
+/* An event waiting for its step. */
+typedef struct _drv_queued
+{
+  struct _drv_queued *next;
+  ev_t ev;
+} _drv_queued_t;
+
+/* A platform call in progress. */
+typedef struct
+{
+  uint64_t call;
+  fx_platform_op_t op;
+  const char *name;
+  int status;
+  http_headers_t headers;
+  GByteArray *body;
+} _drv_platform_t;
+
+struct drv
+{
+  drv_desc_t desc;
+  node_t *node;
+  hsv_t *hsv;
+  hcl_t *hcl;
+  lnk_t *lnk;
+  struct tevent_timer *timer;
+  struct tevent_immediate *step;
+  bool step_wanted;
+  _drv_queued_t *first;
+  _drv_queued_t **last;
+  GHashTable *platform; /**< call -> _drv_platform_t */
+  GHashTable *sources;  /**< caller -> upstream call, for flow control */
+  clk_ms_t now;
+  bool exiting;
+};
+
+clk_ms_t
+drv_now (void)
+{
+  struct timespec t;
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return (clk_ms_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
+/* -- events --------------------------------------------------------------- */
+
+static http_headers_t
+_drv_copy_headers (void *ctx, http_headers_t h)
+{
+  http_header_t *v = talloc_array (ctx, http_header_t, h.n);
+  for (size_t i = 0; i < h.n; i++)
+    v[i] = (http_header_t){ .name = talloc_strdup (v, h.v[i].name),
+                            .value = talloc_strdup (v, h.v[i].value) };
+  return (http_headers_t){ .v = v, .n = h.n };
+}
+
+static void
+_drv_copy_request (void *ctx, ev_request_t *r)
+{
+  r->method = talloc_strdup (ctx, r->method);
+  r->path = talloc_strdup (ctx, r->path);
+  r->query = talloc_strdup (ctx, r->query);
+  r->headers = _drv_copy_headers (ctx, r->headers);
+  r->body = buf_copy (ctx, r->body);
+}
+
+static void
+_drv_copy_upstream (void *ctx, ev_upstream_t *u)
+{
+  u->headers = _drv_copy_headers (ctx, u->headers);
+  u->data = buf_copy (ctx, u->data);
+  u->text = u->text == NULL ? NULL : talloc_strdup (ctx, u->text);
+}
+
+/* Make what EV borrows its own (platform replies are built in CTX). */
+static void
+_drv_copy_event (void *ctx, ev_t *ev)
+{
+  switch (ev->kind)
+    {
+    case EV_REQUEST:
+      _drv_copy_request (ctx, &ev->request);
+      break;
+    case EV_UPSTREAM_HEAD:
+    case EV_UPSTREAM_DATA:
+    case EV_UPSTREAM_END:
+    case EV_UPSTREAM_FAIL:
+      _drv_copy_upstream (ctx, &ev->upstream);
+      break;
+    case EV_PEER_UP:
+    case EV_PEER_DOWN:
+    case EV_PEER_MSG:
+      ev->peer.vm = talloc_strdup (ctx, ev->peer.vm);
+      ev->peer.msg.body = buf_copy (ctx, ev->peer.msg.body);
+      break;
+    case EV_START:
+    case EV_TIMER:
+    case EV_CALLER_GONE:
+    case EV_PLATFORM:
+    case EV_LEAVE:
+    case EV_NUM:
+      break;
+    }
+}
+
+static void _drv_want_step (drv_t *d);
+
+static _drv_queued_t *
+_drv_queue (drv_t *d, const ev_t *ev)
+{
+  _drv_queued_t *q = talloc_zero (d, _drv_queued_t);
+  q->ev = *ev;
+  _drv_copy_event (q, &q->ev);
+  *d->last = q;
+  d->last = &q->next;
+  _drv_want_step (d);
+  return q;
+}
+
+static void
+_drv_on_event (void *data, const ev_t *ev)
+{
+  drv_t *d = data;
+  if (ev->kind == EV_CALLER_GONE)
+    g_hash_table_remove (d->sources, &ev->caller);
+  _drv_queue (d, ev);
+}
+
+static void
+_drv_on_flow (void *data, uint64_t caller, bool full)
+{
+  drv_t *d = data;
+  const uint64_t *call = g_hash_table_lookup (d->sources, &caller);
+  if (call != NULL)
+    hcl_pause (d->hcl, HCL_UPSTREAM, *call, full);
+}
+
+/* -- platform calls ------------------------------------------------------- */
+
+static int
+_drv_platform_destroy (_drv_platform_t *p)
+{
+  g_byte_array_unref (p->body);
+  return 0;
+}
+
+static void
+_drv_platform_start (drv_t *d, const fx_platform_t *f)
+{
+  _drv_platform_t *p = talloc_zero (d, _drv_platform_t);
+  p->call = f->call;
+  p->op = f->op;
+  p->name = talloc_strdup (p, f->name == NULL ? "" : f->name);
+  p->body = g_byte_array_new ();
+  talloc_set_destructor (p, _drv_platform_destroy);
+  g_hash_table_insert (d->platform, &p->call, p);
+  hcl_call_t call = { .kind = HCL_PLATFORM,
+                      .id = f->call,
+                      .address = d->desc.set->platform };
+  void *ctx = talloc_new (p);
+  pcl_request (ctx, f, &call);
+  hcl_call (d->hcl, &call);
+  talloc_free (ctx);
+}
+
+static void
+_drv_platform_finish (drv_t *d, _drv_platform_t *p, const hcl_event_t *e)
+{
+  _drv_queued_t *q = _drv_queue (d, &(ev_t){ .kind = EV_PLATFORM });
+  ev_platform_t *reply = &q->ev.platform;
+  buf_t body
+      = buf_copy (q, (buf_t){ .p = (char *)p->body->data, .n = p->body->len });
+  if (e->what == EV_UPSTREAM_FAIL)
+    reply->code = pcl_failure (p->op, e->fail);
+  else
+    pcl_answer (q, p->op, talloc_strdup (q, p->name), p->status, p->headers,
+                body, reply);
+  reply->call = p->call;
+  g_hash_table_remove (d->platform, &p->call);
+  talloc_free (p);
+}
+
+static void
+_drv_on_platform (drv_t *d, const hcl_event_t *e)
+{
+  _drv_platform_t *p = g_hash_table_lookup (d->platform, &e->id);
+  if (p == NULL)
+    return;
+  switch (e->what)
+    {
+    case EV_UPSTREAM_HEAD:
+      p->status = e->status;
+      p->headers = _drv_copy_headers (p, e->headers);
+      break;
+    case EV_UPSTREAM_DATA:
+      g_byte_array_append (p->body, (const guint8 *)e->data.p,
+                           (guint)e->data.n);
+      break;
+    default:
+      _drv_platform_finish (d, p, e);
+      break;
+    }
+}
+
+static void
+_drv_on_client (void *data, const hcl_event_t *e)
+{
+  drv_t *d = data;
+  switch (e->kind)
+    {
+    case HCL_PLATFORM:
+      _drv_on_platform (d, e);
+      break;
+    case HCL_UPSTREAM:
+      _drv_queue (d, &(ev_t){ .kind = e->what,
+                              .upstream = { .call = e->id,
+                                            .status = e->status,
+                                            .headers = e->headers,
+                                            .data = e->data,
+                                            .fail = e->fail,
+                                            .text = e->text } });
+      break;
+    }
+}
+
+/* -- effects -------------------------------------------------------------- */
+
+static void
+_drv_on_timer (struct tevent_context *loop, struct tevent_timer *timer,
+               struct timeval now, void *data)
+{
+  (void)loop;
+  (void)timer;
+  (void)now;
+  drv_t *d = data;
+  d->timer = NULL;
+  _drv_queue (d, &(ev_t){ .kind = EV_TIMER });
+}
+
+static void
+_drv_set_timer (drv_t *d, clk_ms_t at)
+{
+  clk_ms_t ms = clk_max (0, at - drv_now ());
+  TALLOC_FREE (d->timer);
+  d->timer = tevent_add_timer (
+      d->desc.loop, d,
+      tevent_timeval_current_ofs ((uint32_t)(ms / 1000),
+                                  (uint32_t)(ms % 1000) * 1000),
+      _drv_on_timer, d);
+}
+
+static void
+_drv_upstream_call (drv_t *d, const fx_upstream_t *u)
+{
+  if (u->caller != 0)
+    g_hash_table_insert (d->sources, g_memdup2 (&u->caller, sizeof u->caller),
+                         g_memdup2 (&u->call, sizeof u->call));
+  hcl_call (d->hcl, &(hcl_call_t){ .kind = HCL_UPSTREAM,
+                                   .id = u->call,
+                                   .address = u->address,
+                                   .method = u->method,
+                                   .path = u->path,
+                                   .headers = u->headers,
+                                   .body = u->body,
+                                   .first_byte_ms = u->first_byte_ms,
+                                   .stall_ms = u->stall_ms,
+                                   .total_ms = u->total_ms,
+                                   .fresh_connection = u->fresh_connection });
+}
+
+static void
+_drv_act (drv_t *d, const fx_t *f)
+{
+  switch (f->kind)
+    {
+    case FX_TIMER:
+      _drv_set_timer (d, f->timer);
+      break;
+    case FX_REPLY_HEAD:
+      hsv_reply_head (d->hsv, f->reply.caller, f->reply.status,
+                      f->reply.headers);
+      break;
+    case FX_REPLY_DATA:
+      hsv_reply_data (d->hsv, f->reply.caller, f->reply.data);
+      break;
+    case FX_REPLY_END:
+      g_hash_table_remove (d->sources, &f->reply.caller);
+      hsv_reply_end (d->hsv, f->reply.caller);
+      break;
+    case FX_REPLY_ABORT:
+      g_hash_table_remove (d->sources, &f->reply.caller);
+      hsv_reply_abort (d->hsv, f->reply.caller);
+      break;
+    case FX_UPSTREAM_CALL:
+      _drv_upstream_call (d, &f->upstream);
+      break;
+    case FX_UPSTREAM_CANCEL:
+      hcl_cancel (d->hcl, HCL_UPSTREAM, f->upstream.call);
+      break;
+    case FX_PLATFORM:
+      _drv_platform_start (d, &f->platform);
+      break;
+    case FX_PEER_SEND:
+      lnk_send (d->lnk, f->peer.vm, &f->peer.msg);
+      break;
+    case FX_PEER_LINK:
+      lnk_keep (d->lnk, f->peer.vm, f->peer.address);
+      break;
+    case FX_PEER_UNLINK:
+      lnk_drop (d->lnk, f->peer.vm);
+      break;
+    case FX_EXIT:
+      d->exiting = true;
+      hsv_quiesce (d->hsv);
+      break;
+    case FX_NUM:
+      break;
+    }
+}
+
+static void
+_drv_step (drv_t *d, const ev_t *ev)
+{
+  d->now = clk_max (d->now, drv_now ());
+  const fx_list_t *fx = node_step (d->node, d->now, ev);
+  for (size_t i = 0; i < fx->count; i++)
+    _drv_act (d, &fx->v[i]);
+}
+
+static void
+_drv_on_step (struct tevent_context *loop, struct tevent_immediate *im,
+              void *data)
+{
+  (void)loop;
+  (void)im;
+  drv_t *d = data;
+  d->step_wanted = false;
+  while (d->first != NULL)
+    {
+      _drv_queued_t *q = d->first;
+      d->first = q->next;
+      if (d->first == NULL)
+        d->last = &d->first;
+      _drv_step (d, &q->ev);
+      talloc_free (q);
+    }
+}
+
+static void
+_drv_want_step (drv_t *d)
+{
+  if (d->step_wanted)
+    return;
+  d->step_wanted = true;
+  tevent_schedule_immediate (d->step, d->desc.loop, _drv_on_step, d);
+}
+
+/* -- public --------------------------------------------------------------- */
+
+static int
+_drv_destroy (drv_t *d)
+{
+  TALLOC_FREE (d->hsv);
+  TALLOC_FREE (d->hcl);
+  TALLOC_FREE (d->lnk);
+  g_hash_table_destroy (d->platform);
+  g_hash_table_destroy (d->sources);
+  return 0;
+}
+
+static bool
+_drv_open (drv_t *d, st_t *st)
+{
+  const set_t *set = d->desc.set;
+  d->hcl = hcl_setup (d, &(hcl_desc_t){ .loop = d->desc.loop,
+                                        .handler = _drv_on_client,
+                                        .data = d });
+  d->hsv = hsv_setup (d,
+                      &(hsv_desc_t){ .loop = d->desc.loop,
+                                     .listen = set->listen,
+                                     .handler = _drv_on_event,
+                                     .flow = _drv_on_flow,
+                                     .data = d },
+                      st);
+  if (d->hsv == NULL)
+    return false;
+  d->lnk = lnk_setup (d,
+                      &(lnk_desc_t){ .loop = d->desc.loop,
+                                     .vm = set->name,
+                                     .listen = set->peer_listen,
+                                     .secret = set->secret,
+                                     .handler = _drv_on_event,
+                                     .data = d },
+                      st);
+  return d->lnk != NULL;
+}
+
+drv_t *
+drv_setup (void *ctx, const drv_desc_t *desc, st_t *st)
+{
+  drv_t *d = talloc_zero (ctx, drv_t);
+  d->desc = *desc;
+  d->last = &d->first;
+  d->step = tevent_create_immediate (d);
+  d->platform = g_hash_table_new (g_int64_hash, g_int64_equal);
+  d->sources
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  talloc_set_destructor (d, _drv_destroy);
+  uint64_t started = (uint64_t)g_get_real_time ();
+  const set_t *set = desc->set;
+  d->node = node_setup (
+      d,
+      &(node_desc_t){ .vm = set->name,
+                      .data_centre = set->data_centre,
+                      .address = set->peer_listen,
+                      .incarnation = started,
+                      .seed = set->seed ? set->seed : (uint32_t)started,
+                      .operator_token_sha256 = set->operator_token_sha256 },
+      st);
+  if (d->node == NULL || !_drv_open (d, st))
+    {
+      talloc_free (d);
+      return NULL;
+    }
+  _drv_queue (d, &(ev_t){ .kind = EV_START });
+  return d;
+}
+
+void
+drv_shutdown (drv_t *d)
+{
+  talloc_free (d);
+}
+
+void
+drv_leave (drv_t *d)
+{
+  _drv_queue (d, &(ev_t){ .kind = EV_LEAVE });
+}
+
+bool
+drv_done (const drv_t *d)
+{
+  return d->exiting && hsv_open_count (d->hsv) == 0;
+}
--- /dev/null
+++ b/src/io/hcl.c
@@ -0,0 +1,430 @@
+#include "io/hcl.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define HCL_CONNECT_MS 1000L
+#define HCL_IDLE_CONNECTIONS 256L
+#define HCL_IDLE_AGE_S 20L  /**< an open connection older is not reused */
+#define HCL_PROBE_IDLE_S 5L /**< keep-alive probes */
+#define HCL_PROBE_EVERY_S 2L
+
+typedef struct _hcl_request _hcl_request_t;
+
+struct hcl
+{
+  hcl_desc_t desc;
+  CURLM *multi;
+  struct tevent_timer *timer;
+  GHashTable *requests; /**< _hcl_request_t by kind and id */
+};
+
+struct _hcl_request
+{
+  hcl_t *client;
+  hcl_kind_t kind;
+  uint64_t id;
+  CURL *easy;
+  struct curl_slist *head;
+  struct tevent_timer *wait; /**< first byte or stall */
+  struct tevent_timer *total;
+  clk_ms_t stall_ms;
+  http_header_t *headers; /**< of the answer */
+  size_t header_count;
+  bool headed;
+  bool paused;
+};
+
+/* A watched socket of libcurl's. */
+typedef struct
+{
+  hcl_t *client;
+  struct tevent_fd *fd;
+  int number;
+} _hcl_socket_t;
+
+/* -- table ---------------------------------------------------------------- */
+
+static guint
+_hcl_hash (gconstpointer key)
+{
+  const _hcl_request_t *r = key;
+  return (guint)(r->id * 2654435761U) ^ (guint)r->kind;
+}
+
+static gboolean
+_hcl_equal (gconstpointer a, gconstpointer b)
+{
+  const _hcl_request_t *x = a;
+  const _hcl_request_t *y = b;
+  return x->id == y->id && x->kind == y->kind;
+}
+
+static _hcl_request_t *
+_hcl_find (const hcl_t *c, hcl_kind_t kind, uint64_t id)
+{
+  _hcl_request_t key = { .kind = kind, .id = id };
+  return g_hash_table_lookup (c->requests, &key);
+}
+
+static int
+_hcl_request_destroy (_hcl_request_t *r)
+{
+  if (r->easy != NULL)
+    {
+      curl_multi_remove_handle (r->client->multi, r->easy);
+      curl_easy_cleanup (r->easy);
+    }
+  curl_slist_free_all (r->head);
+  return 0;
+}
+
+static void
+_hcl_remove (_hcl_request_t *r)
+{
+  g_hash_table_remove (r->client->requests, r);
+  talloc_free (r);
+}
+
+static void
+_hcl_emit (_hcl_request_t *r, const hcl_event_t *event)
+{
+  hcl_event_t e = *event;
+  e.kind = r->kind;
+  e.id = r->id;
+  r->client->desc.handler (r->client->desc.data, &e);
+}
+
+/* -- time limits ---------------------------------------------------------- */
+
+static void
+_hcl_timed_out (struct tevent_context *loop, struct tevent_timer *timer,
+                struct timeval now, void *data)
+{
+  (void)loop;
+  (void)timer;
+  (void)now;
+  _hcl_request_t *r = data;
+  hcl_event_t e
+      = { .what = EV_UPSTREAM_FAIL,
+          .fail = EV_FAIL_TIMEOUT,
+          .text = r->headed ? "the answer stalled" : "no answer in time" };
+  _hcl_emit (r, &e);
+  _hcl_remove (r);
+}
+
+static struct tevent_timer *
+_hcl_timer (_hcl_request_t *r, clk_ms_t ms)
+{
+  struct timeval at = tevent_timeval_current_ofs (
+      (uint32_t)(ms / 1000), (uint32_t)(ms % 1000) * 1000);
+  return tevent_add_timer (r->client->desc.loop, r, at, _hcl_timed_out, r);
+}
+
+static void
+_hcl_wait_again (_hcl_request_t *r)
+{
+  TALLOC_FREE (r->wait);
+  if (r->stall_ms > 0 && !r->paused)
+    r->wait = _hcl_timer (r, r->stall_ms);
+}
+
+/* -- libcurl's callbacks -------------------------------------------------- */
+
+static void
+_hcl_emit_head (_hcl_request_t *r)
+{
+  long status = 0;
+  curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
+  r->headed = true;
+  hcl_event_t e = { .what = EV_UPSTREAM_HEAD,
+                    .status = (int)status,
+                    .headers = { .v = r->headers, .n = r->header_count } };
+  _hcl_emit (r, &e);
+}
+
+static size_t
+_hcl_on_header (char *p, size_t size, size_t count, void *data)
+{
+  _hcl_request_t *r = data;
+  size_t n = size * count;
+  if (n >= 5 && strncmp (p, "HTTP/", 5) == 0)
+    {
+      TALLOC_FREE (r->headers);
+      r->header_count = 0;
+      return n;
+    }
+  char *colon = memchr (p, ':', n);
+  if (colon == NULL)
+    return n;
+  r->headers
+      = talloc_realloc (r, r->headers, http_header_t, r->header_count + 1);
+  http_header_t *h = &r->headers[r->header_count++];
+  h->name = talloc_strndup (r->headers, p, (size_t)(colon - p));
+  char *value
+      = talloc_strndup (r->headers, colon + 1, n - (size_t)(colon - p) - 1);
+  h->value = g_strstrip (value);
+  return n;
+}
+
+static size_t
+_hcl_on_body (char *p, size_t size, size_t count, void *data)
+{
+  _hcl_request_t *r = data;
+  size_t n = size * count;
+  if (r->paused)
+    return CURL_WRITEFUNC_PAUSE;
+  if (!r->headed)
+    _hcl_emit_head (r);
+  _hcl_wait_again (r);
+  hcl_event_t e = { .what = EV_UPSTREAM_DATA, .data = { .p = p, .n = n } };
+  _hcl_emit (r, &e);
+  return n;
+}
+
+static void
+_hcl_finish (_hcl_request_t *r, CURLcode code)
+{
+  hcl_event_t e = { .what = EV_UPSTREAM_END };
+  if (code == CURLE_OK && !r->headed)
+    _hcl_emit_head (r);
+  if (code != CURLE_OK)
+    {
+      long sent = 0;
+      curl_easy_getinfo (r->easy, CURLINFO_REQUEST_SIZE, &sent);
+      e.what = EV_UPSTREAM_FAIL;
+      e.fail = sent == 0 ? EV_FAIL_NOT_SENT : EV_FAIL_UNKNOWN;
+      e.text = curl_easy_strerror (code);
+    }
+  _hcl_emit (r, &e);
+  _hcl_remove (r);
+}
+
+static void
+_hcl_reap (hcl_t *c)
+{
+  int left = 0;
+  for (CURLMsg *m = curl_multi_info_read (c->multi, &left); m != NULL;
+       m = curl_multi_info_read (c->multi, &left))
+    {
+      if (m->msg != CURLMSG_DONE)
+        continue;
+      void *data = NULL;
+      curl_easy_getinfo (m->easy_handle, CURLINFO_PRIVATE, &data);
+      _hcl_finish (data, m->data.result);
+    }
+}
+
+static void
+_hcl_on_fd (struct tevent_context *loop, struct tevent_fd *fd, uint16_t flags,
+            void *data)
+{
+  (void)loop;
+  (void)fd;
+  _hcl_socket_t *s = data;
+  hcl_t *c = s->client;
+  int mask = ((flags & TEVENT_FD_READ) != 0 ? CURL_CSELECT_IN : 0)
+             | ((flags & TEVENT_FD_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+  int running = 0;
+  curl_multi_socket_action (c->multi, s->number, mask, &running);
+  _hcl_reap (c);
+}
+
+static int
+_hcl_on_socket (CURL *easy, curl_socket_t number, int what, void *data,
+                void *socket_data)
+{
+  (void)easy;
+  hcl_t *c = data;
+  _hcl_socket_t *s = socket_data;
+  if (what == CURL_POLL_REMOVE)
+    {
+      talloc_free (s);
+      curl_multi_assign (c->multi, number, NULL);
+      return 0;
+    }
+  uint16_t flags = 0;
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_READ;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_WRITE;
+  if (s == NULL)
+    {
+      s = talloc_zero (c, _hcl_socket_t);
+      s->client = c;
+      s->number = number;
+      s->fd = tevent_add_fd (c->desc.loop, s, number, flags, _hcl_on_fd, s);
+      curl_multi_assign (c->multi, number, s);
+    }
+  tevent_fd_set_flags (s->fd, flags);
+  return 0;
+}
+
+static void
+_hcl_on_timer (struct tevent_context *loop, struct tevent_timer *timer,
+               struct timeval now, void *data)
+{
+  (void)loop;
+  (void)timer;
+  (void)now;
+  hcl_t *c = data;
+  c->timer = NULL;
+  int running = 0;
+  curl_multi_socket_action (c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  _hcl_reap (c);
+}
+
+static int
+_hcl_set_timer (CURLM *multi, long ms, void *data)
+{
+  (void)multi;
+  hcl_t *c = data;
+  TALLOC_FREE (c->timer);
+  if (ms < 0)
+    return 0;
+  struct timeval at = tevent_timeval_current_ofs (
+      (uint32_t)(ms / 1000), (uint32_t)(ms % 1000) * 1000);
+  c->timer = tevent_add_timer (c->desc.loop, c, at, _hcl_on_timer, c);
+  return 0;
+}
+
+/* -- public --------------------------------------------------------------- */
+
+static int
+_hcl_destroy (hcl_t *c)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  g_hash_table_iter_init (&iter, c->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      g_hash_table_iter_remove (&iter);
+      talloc_free (value);
+    }
+  curl_multi_cleanup (c->multi);
+  g_hash_table_destroy (c->requests);
+  return 0;
+}
+
+hcl_t *
+hcl_setup (void *ctx, const hcl_desc_t *desc)
+{
+  hcl_t *c = talloc_zero (ctx, hcl_t);
+  c->desc = *desc;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  c->multi = curl_multi_init ();
+  c->requests = g_hash_table_new (_hcl_hash, _hcl_equal);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, _hcl_on_socket);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, _hcl_set_timer);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, HCL_IDLE_CONNECTIONS);
+  talloc_set_destructor (c, _hcl_destroy);
+  return c;
+}
+
+void
+hcl_shutdown (hcl_t *c)
+{
+  talloc_free (c);
+}
+
+static void
+_hcl_set_headers (_hcl_request_t *r, http_headers_t headers)
+{
+  for (size_t i = 0; i < headers.n; i++)
+    {
+      char *line = talloc_asprintf (r, "%s: %s", headers.v[i].name,
+                                    headers.v[i].value);
+      r->head = curl_slist_append (r->head, line);
+      talloc_free (line);
+    }
+  r->head = curl_slist_append (r->head, "Expect:");
+  curl_easy_setopt (r->easy, CURLOPT_HTTPHEADER, r->head);
+}
+
+static void
+_hcl_set_connection (_hcl_request_t *r, const hcl_call_t *call)
+{
+  CURL *e = r->easy;
+  curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (e, CURLOPT_PROXY, "");
+  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, HCL_CONNECT_MS);
+  curl_easy_setopt (e, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt (e, CURLOPT_TCP_KEEPIDLE, HCL_PROBE_IDLE_S);
+  curl_easy_setopt (e, CURLOPT_TCP_KEEPINTVL, HCL_PROBE_EVERY_S);
+  curl_easy_setopt (e, CURLOPT_MAXAGE_CONN, HCL_IDLE_AGE_S);
+  curl_easy_setopt (e, CURLOPT_FRESH_CONNECT,
+                    call->fresh_connection ? 1L : 0L);
+  curl_easy_setopt (e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+}
+
+static void
+_hcl_set_request (_hcl_request_t *r, const hcl_call_t *call)
+{
+  CURL *e = r->easy;
+  char *url = talloc_asprintf (r, "http://%s%s", call->address, call->path);
+  curl_easy_setopt (e, CURLOPT_URL, url);
+  talloc_free (url);
+  if (call->body.n > 0 || strcmp (call->method, "POST") == 0
+      || strcmp (call->method, "PUT") == 0)
+    {
+      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)call->body.n);
+      curl_easy_setopt (e, CURLOPT_COPYPOSTFIELDS,
+                        call->body.n > 0 ? call->body.p : "");
+    }
+  if (strcmp (call->method, "HEAD") == 0)
+    curl_easy_setopt (e, CURLOPT_NOBODY, 1L);
+  curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, call->method);
+  curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, _hcl_on_header);
+  curl_easy_setopt (e, CURLOPT_HEADERDATA, r);
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, _hcl_on_body);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, r);
+  curl_easy_setopt (e, CURLOPT_PRIVATE, r);
+}
+
+void
+hcl_call (hcl_t *c, const hcl_call_t *call)
+{
+  _hcl_request_t *r = talloc_zero (c, _hcl_request_t);
+  r->client = c;
+  r->kind = call->kind;
+  r->id = call->id;
+  r->stall_ms = call->stall_ms;
+  r->easy = curl_easy_init ();
+  talloc_set_destructor (r, _hcl_request_destroy);
+  _hcl_set_connection (r, call);
+  _hcl_set_request (r, call);
+  _hcl_set_headers (r, call->headers);
+  if (call->first_byte_ms > 0)
+    r->wait = _hcl_timer (r, call->first_byte_ms);
+  if (call->total_ms > 0)
+    r->total = _hcl_timer (r, call->total_ms);
+  g_hash_table_add (c->requests, r);
+  curl_multi_add_handle (c->multi, r->easy);
+}
+
+void
+hcl_cancel (hcl_t *c, hcl_kind_t kind, uint64_t id)
+{
+  _hcl_request_t *r = _hcl_find (c, kind, id);
+  if (r != NULL)
+    _hcl_remove (r);
+}
+
+void
+hcl_pause (hcl_t *c, hcl_kind_t kind, uint64_t id, bool paused)
+{
+  _hcl_request_t *r = _hcl_find (c, kind, id);
+  if (r == NULL || r->paused == paused)
+    return;
+  r->paused = paused;
+  if (r->headed)
+    _hcl_wait_again (r);
+  if (!paused)
+    curl_easy_pause (r->easy, CURLPAUSE_CONT);
+}
--- /dev/null
+++ b/src/io/hsv.c
@@ -0,0 +1,584 @@
+#include "io/hsv.h"
+
+#include "io/set.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#define HSV_CONNECTIONS_DEFAULT 8192U
+#define HSV_BODY_MAX_DEFAULT ((size_t)64 << 20)
+#define HSV_QUEUE_MAX_DEFAULT ((size_t)256 << 10)
+#define HSV_IDLE_S_DEFAULT 75U
+#define HSV_HEAD_MAX ((size_t)32 << 10) /**< bytes of a request's head */
+#define HSV_BLOCK ((size_t)16 << 10)    /**< bytes handed over at a time */
+#define HSV_SWEEP_US 200000 /**< between looks for closed callers */
+
+typedef struct
+{
+  hsv_t *server;
+  struct MHD_Connection *connection;
+  uint64_t caller; /**< 0 until the request is whole */
+  const char *method;
+  const char *path;
+  GByteArray *body;
+  GByteArray *queue; /**< answer's bytes not yet handed over */
+  size_t queue_at;   /**< bytes of the queue that were handed over */
+  int status;        /**< 0 until the answer's head is known */
+  http_header_t *headers;
+  size_t header_count;
+  bool too_large;
+  bool responding; /**< the response was queued with the library */
+  bool ended;
+  bool aborted;
+  bool suspended;
+  bool full;
+  bool gone; /**< EV_CALLER_GONE was sent */
+} _hsv_request_t;
+
+struct hsv
+{
+  hsv_desc_t desc;
+  struct MHD_Daemon *daemon;
+  struct tevent_fd *fd;
+  struct tevent_timer *timer;
+  struct tevent_timer *sweep;
+  struct tevent_immediate *run;
+  bool run_wanted;
+  GHashTable *requests; /**< caller -> _hsv_request_t */
+  uint64_t callers;
+};
+
+static void _hsv_want_run (hsv_t *s);
+
+/* -- requests ------------------------------------------------------------- */
+
+static int
+_hsv_request_destroy (_hsv_request_t *r)
+{
+  g_byte_array_unref (r->body);
+  g_byte_array_unref (r->queue);
+  return 0;
+}
+
+static _hsv_request_t *
+_hsv_request_new (hsv_t *s, struct MHD_Connection *connection,
+                  const char *method, const char *path)
+{
+  _hsv_request_t *r = talloc_zero (s, _hsv_request_t);
+  r->server = s;
+  r->connection = connection;
+  r->method = talloc_strdup (r, method);
+  r->path = talloc_strdup (r, path);
+  r->body = g_byte_array_new ();
+  r->queue = g_byte_array_new ();
+  talloc_set_destructor (r, _hsv_request_destroy);
+  return r;
+}
+
+static _hsv_request_t *
+_hsv_find (const hsv_t *s, uint64_t caller)
+{
+  return g_hash_table_lookup (s->requests, &caller);
+}
+
+static void
+_hsv_suspend (_hsv_request_t *r)
+{
+  if (r->suspended)
+    return;
+  r->suspended = true;
+  MHD_suspend_connection (r->connection);
+}
+
+static void
+_hsv_resume (_hsv_request_t *r)
+{
+  if (r->suspended)
+    {
+      r->suspended = false;
+      MHD_resume_connection (r->connection);
+    }
+  _hsv_want_run (r->server);
+}
+
+static void
+_hsv_note_gone (_hsv_request_t *r)
+{
+  if (r->gone || r->caller == 0 || r->ended || r->aborted)
+    return;
+  r->gone = true;
+  ev_t ev = { .kind = EV_CALLER_GONE, .caller = r->caller };
+  r->server->desc.handler (r->server->desc.data, &ev);
+}
+
+/* -- handing a request over ----------------------------------------------- */
+
+/* Collected headers or query parts. */
+typedef struct
+{
+  http_header_t *v;
+  size_t n;
+  char *query;
+} _hsv_values_t;
+
+static enum MHD_Result
+_hsv_collect_header (void *data, enum MHD_ValueKind kind, const char *name,
+                     const char *value)
+{
+  (void)kind;
+  _hsv_values_t *h = data;
+  h->v = talloc_realloc (NULL, h->v, http_header_t, h->n + 1);
+  h->v[h->n++] = (http_header_t){ .name = name, .value = value ? value : "" };
+  return MHD_YES;
+}
+
+static enum MHD_Result
+_hsv_collect_query (void *data, enum MHD_ValueKind kind, const char *name,
+                    const char *value)
+{
+  (void)kind;
+  _hsv_values_t *h = data;
+  char *n = g_uri_escape_string (name, NULL, false);
+  char *v = g_uri_escape_string (value ? value : "", NULL, false);
+  h->query = talloc_asprintf_append_buffer (
+      h->query, "%s%s=%s", h->query[0] == '\0' ? "" : "&", n, v);
+  g_free (n);
+  g_free (v);
+  return MHD_YES;
+}
+
+static void
+_hsv_hand_over (_hsv_request_t *r)
+{
+  hsv_t *s = r->server;
+  r->caller = ++s->callers;
+  g_hash_table_insert (s->requests, &r->caller, r);
+  _hsv_values_t values = { .query = talloc_strdup (NULL, "") };
+  MHD_get_connection_values (r->connection, MHD_HEADER_KIND,
+                             _hsv_collect_header, &values);
+  MHD_get_connection_values (r->connection, MHD_GET_ARGUMENT_KIND,
+                             _hsv_collect_query, &values);
+  ev_t ev = { .kind = EV_REQUEST,
+              .request = { .caller = r->caller,
+                           .method = r->method,
+                           .path = r->path,
+                           .query = values.query,
+                           .headers = { .v = values.v, .n = values.n },
+                           .body = { .p = (const char *)r->body->data,
+                                     .n = r->body->len } } };
+  s->desc.handler (s->desc.data, &ev);
+  talloc_free (values.v);
+  talloc_free (values.query);
+  g_byte_array_set_size (r->body, 0);
+}
+
+/* -- answering ------------------------------------------------------------ */
+
+static ssize_t
+_hsv_read_answer (void *data, uint64_t at, char *p, size_t max)
+{
+  (void)at;
+  _hsv_request_t *r = data;
+  size_t left = r->queue->len - r->queue_at;
+  if (left == 0 && r->aborted)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (left == 0 && r->ended)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (left == 0)
+    {
+      _hsv_suspend (r);
+      return 0;
+    }
+  size_t n = left < max ? left : max;
+  memcpy (p, r->queue->data + r->queue_at, n);
+  r->queue_at += n;
+  if (r->queue_at == r->queue->len)
+    {
+      g_byte_array_set_size (r->queue, 0);
+      r->queue_at = 0;
+    }
+  if (r->full && r->queue->len - r->queue_at < r->server->desc.queue_max / 2)
+    {
+      r->full = false;
+      r->server->desc.flow (r->server->desc.data, r->caller, false);
+    }
+  return (ssize_t)n;
+}
+
+static struct MHD_Response *
+_hsv_response (_hsv_request_t *r)
+{
+  if (r->ended && !r->aborted)
+    return MHD_create_response_from_buffer (r->queue->len, r->queue->data,
+                                            MHD_RESPMEM_MUST_COPY);
+  return MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, HSV_BLOCK,
+                                            _hsv_read_answer, r, NULL);
+}
+
+static enum MHD_Result
+_hsv_respond (_hsv_request_t *r)
+{
+  struct MHD_Response *response = _hsv_response (r);
+  if (response == NULL)
+    return MHD_NO;
+  for (size_t i = 0; i < r->header_count; i++)
+    MHD_add_response_header (response, r->headers[i].name,
+                             r->headers[i].value);
+  r->responding = true;
+  enum MHD_Result result
+      = MHD_queue_response (r->connection, (unsigned)r->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+_hsv_refuse_body (_hsv_request_t *r)
+{
+  static const char text[]
+      = "{\"error\":{\"code\":\"too-large\",\"message\":\"the request's body "
+        "is above the size cap\",\"run\":\"not-run\"}}";
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      sizeof text - 1, (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  enum MHD_Result result = MHD_queue_response (r->connection, 413, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* -- the library's callbacks ---------------------------------------------- */
+
+static enum MHD_Result
+_hsv_on_request (void *data, struct MHD_Connection *connection,
+                 const char *url, const char *method, const char *version,
+                 const char *upload, size_t *upload_size, void **request)
+{
+  (void)version;
+  hsv_t *s = data;
+  _hsv_request_t *r = *request;
+  if (r == NULL)
+    {
+      *request = _hsv_request_new (s, connection, method, url);
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      if (r->body->len + *upload_size > s->desc.body_max)
+        r->too_large = true;
+      else
+        g_byte_array_append (r->body, (const guint8 *)upload,
+                             (guint)*upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (r->too_large)
+    return _hsv_refuse_body (r);
+  if (r->aborted && r->status == 0)
+    return MHD_NO;
+  if (r->status != 0)
+    return _hsv_respond (r);
+  if (r->caller == 0)
+    _hsv_hand_over (r);
+  _hsv_suspend (r);
+  return MHD_YES;
+}
+
+static void
+_hsv_on_completed (void *data, struct MHD_Connection *connection,
+                   void **request, enum MHD_RequestTerminationCode code)
+{
+  (void)connection;
+  (void)code;
+  hsv_t *s = data;
+  _hsv_request_t *r = *request;
+  if (r == NULL)
+    return;
+  _hsv_note_gone (r);
+  if (r->caller != 0)
+    g_hash_table_remove (s->requests, &r->caller);
+  talloc_free (r);
+  *request = NULL;
+}
+
+static void _hsv_set_timer (hsv_t *s);
+
+static void
+_hsv_run (hsv_t *s)
+{
+  MHD_run (s->daemon);
+  _hsv_set_timer (s);
+}
+
+static void
+_hsv_on_fd (struct tevent_context *loop, struct tevent_fd *fd, uint16_t flags,
+            void *data)
+{
+  (void)loop;
+  (void)fd;
+  (void)flags;
+  _hsv_run (data);
+}
+
+static void
+_hsv_on_immediate (struct tevent_context *loop, struct tevent_immediate *im,
+                   void *data)
+{
+  (void)loop;
+  (void)im;
+  hsv_t *s = data;
+  s->run_wanted = false;
+  _hsv_run (s);
+}
+
+static void
+_hsv_want_run (hsv_t *s)
+{
+  if (s->run_wanted)
+    return;
+  s->run_wanted = true;
+  tevent_schedule_immediate (s->run, s->desc.loop, _hsv_on_immediate, s);
+}
+
+static void
+_hsv_on_timer (struct tevent_context *loop, struct tevent_timer *timer,
+               struct timeval now, void *data)
+{
+  (void)loop;
+  (void)timer;
+  (void)now;
+  hsv_t *s = data;
+  s->timer = NULL;
+  _hsv_run (s);
+}
+
+static void
+_hsv_set_timer (hsv_t *s)
+{
+  MHD_UNSIGNED_LONG_LONG ms = 0;
+  TALLOC_FREE (s->timer);
+  if (MHD_get_timeout (s->daemon, &ms) != MHD_YES)
+    return;
+  if (ms == 0)
+    {
+      _hsv_want_run (s);
+      return;
+    }
+  s->timer = tevent_add_timer (
+      s->desc.loop, s,
+      tevent_timeval_current_ofs ((uint32_t)(ms / 1000),
+                                  (uint32_t)(ms % 1000) * 1000),
+      _hsv_on_timer, s);
+}
+
+/* -- closed callers ------------------------------------------------------- */
+
+/* The library does not look at suspended connections, so we do. */
+static void
+_hsv_sweep_requests (hsv_t *s)
+{
+  guint n = g_hash_table_size (s->requests);
+  struct pollfd *fds = talloc_zero_array (s, struct pollfd, n + 1);
+  _hsv_request_t **of = talloc_zero_array (fds, _hsv_request_t *, n + 1);
+  GHashTableIter iter;
+  void *value = NULL;
+  nfds_t count = 0;
+  g_hash_table_iter_init (&iter, s->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      _hsv_request_t *r = value;
+      if (!r->suspended)
+        continue;
+      const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+          r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      of[count] = r;
+      fds[count++]
+          = (struct pollfd){ .fd = info->connect_fd, .events = POLLRDHUP };
+    }
+  if (poll (fds, count, 0) > 0)
+    {
+      for (nfds_t i = 0; i < count; i++)
+        {
+          if (fds[i].revents == 0)
+            continue;
+          _hsv_note_gone (of[i]);
+          of[i]->aborted = true;
+          _hsv_resume (of[i]);
+        }
+    }
+  talloc_free (fds);
+}
+
+static void
+_hsv_on_sweep (struct tevent_context *loop, struct tevent_timer *timer,
+               struct timeval now, void *data)
+{
+  (void)loop;
+  (void)timer;
+  (void)now;
+  hsv_t *s = data;
+  _hsv_sweep_requests (s);
+  s->sweep = tevent_add_timer (s->desc.loop, s,
+                               tevent_timeval_current_ofs (0, HSV_SWEEP_US),
+                               _hsv_on_sweep, s);
+}
+
+/* -- public --------------------------------------------------------------- */
+
+static int
+_hsv_destroy (hsv_t *s)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  g_hash_table_iter_init (&iter, s->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      _hsv_request_t *r = value;
+      r->aborted = true;
+      r->gone = true;
+      if (r->suspended)
+        MHD_resume_connection (r->connection);
+    }
+  talloc_free (s->fd);
+  MHD_stop_daemon (s->daemon);
+  g_hash_table_destroy (s->requests);
+  return 0;
+}
+
+static void
+_hsv_fill_defaults (hsv_desc_t *d)
+{
+  if (d->connections == 0)
+    d->connections = HSV_CONNECTIONS_DEFAULT;
+  if (d->body_max == 0)
+    d->body_max = HSV_BODY_MAX_DEFAULT;
+  if (d->queue_max == 0)
+    d->queue_max = HSV_QUEUE_MAX_DEFAULT;
+  if (d->idle_s == 0)
+    d->idle_s = HSV_IDLE_S_DEFAULT;
+}
+
+static bool
+_hsv_listen (hsv_t *s, st_t *st)
+{
+  char ip[64];
+  uint16_t port = 0;
+  if (!set_address_split (s->desc.listen, ip, &port))
+    {
+      (void)st_set (st, ST_INVALID, "listen '%s': expected IP:PORT",
+                    s->desc.listen);
+      return false;
+    }
+  struct sockaddr_in in = { .sin_family = AF_INET, .sin_port = htons (port) };
+  inet_pton (AF_INET, ip, &in.sin_addr);
+  s->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, port, NULL, NULL,
+      _hsv_on_request, s, MHD_OPTION_SOCK_ADDR, &in,
+      MHD_OPTION_NOTIFY_COMPLETED, _hsv_on_completed, s,
+      MHD_OPTION_CONNECTION_LIMIT, s->desc.connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, s->desc.idle_s,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, HSV_HEAD_MAX,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (s->daemon == NULL)
+    (void)st_set (st, ST_UNAVAILABLE, "cannot listen on %s", s->desc.listen);
+  return s->daemon != NULL;
+}
+
+hsv_t *
+hsv_setup (void *ctx, const hsv_desc_t *desc, st_t *st)
+{
+  hsv_t *s = talloc_zero (ctx, hsv_t);
+  s->desc = *desc;
+  _hsv_fill_defaults (&s->desc);
+  s->run = tevent_create_immediate (s);
+  if (!_hsv_listen (s, st))
+    {
+      talloc_free (s);
+      return NULL;
+    }
+  s->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
+  talloc_set_destructor (s, _hsv_destroy);
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  s->fd = tevent_add_fd (s->desc.loop, s, info->epoll_fd, TEVENT_FD_READ,
+                         _hsv_on_fd, s);
+  _hsv_on_sweep (s->desc.loop, NULL, (struct timeval){ 0 }, s);
+  _hsv_want_run (s);
+  return s;
+}
+
+void
+hsv_shutdown (hsv_t *s)
+{
+  talloc_free (s);
+}
+
+void
+hsv_quiesce (hsv_t *s)
+{
+  MHD_socket fd = MHD_quiesce_daemon (s->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+size_t
+hsv_open_count (const hsv_t *s)
+{
+  return g_hash_table_size (s->requests);
+}
+
+void
+hsv_reply_head (hsv_t *s, uint64_t caller, int status, http_headers_t headers)
+{
+  _hsv_request_t *r = _hsv_find (s, caller);
+  if (r == NULL || r->status != 0)
+    return;
+  r->status = status;
+  r->headers = talloc_array (r, http_header_t, headers.n);
+  r->header_count = headers.n;
+  for (size_t i = 0; i < headers.n; i++)
+    r->headers[i] = (http_header_t){
+      .name = talloc_strdup (r->headers, headers.v[i].name),
+      .value = talloc_strdup (r->headers, headers.v[i].value),
+    };
+  _hsv_resume (r);
+}
+
+void
+hsv_reply_data (hsv_t *s, uint64_t caller, buf_t data)
+{
+  _hsv_request_t *r = _hsv_find (s, caller);
+  if (r == NULL || r->ended || r->aborted)
+    return;
+  g_byte_array_append (r->queue, (const guint8 *)data.p, (guint)data.n);
+  if (!r->full && r->queue->len - r->queue_at > s->desc.queue_max)
+    {
+      r->full = true;
+      s->desc.flow (s->desc.data, caller, true);
+    }
+  _hsv_resume (r);
+}
+
+void
+hsv_reply_end (hsv_t *s, uint64_t caller)
+{
+  _hsv_request_t *r = _hsv_find (s, caller);
+  if (r == NULL)
+    return;
+  r->ended = true;
+  _hsv_resume (r);
+}
+
+void
+hsv_reply_abort (hsv_t *s, uint64_t caller)
+{
+  _hsv_request_t *r = _hsv_find (s, caller);
+  if (r == NULL)
+    return;
+  r->aborted = true;
+  _hsv_resume (r);
+}
--- /dev/null
+++ b/src/io/set.c
@@ -0,0 +1,221 @@
+#include "io/set.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define SET_SECRET_MIN 16 /**< characters */
+
+/* A load in progress. */
+typedef struct
+{
+  const char *file;
+  GKeyFile *ini;
+  set_t *set;
+  char *faults;
+} _set_load_t;
+
+static const char *const _set_keys[][2] = {
+  { "vm", "name" },          { "vm", "data_centre" },
+  { "vm", "listen" },        { "vm", "peer_listen" },
+  { "vm", "secret_file" },   { "vm", "operator_token_file" },
+  { "vm", "data_folder" },   { "vm", "seed" },
+  { "platform", "address" }, { "log", "level" },
+  { "log", "format" },
+};
+
+#define _SET_KEY_COUNT (sizeof _set_keys / sizeof _set_keys[0])
+
+bool
+set_address_split (const char *address, char ip[64], uint16_t *port)
+{
+  const char *colon = strrchr (address, ':');
+  if (colon == NULL || colon == address || colon - address >= 64)
+    return false;
+  memcpy (ip, address, (size_t)(colon - address));
+  ip[colon - address] = '\0';
+  char *end = NULL;
+  unsigned long n = strtoul (colon + 1, &end, 10);
+  if (colon[1] == '\0' || *end != '\0' || n == 0 || n > 65535)
+    return false;
+  *port = (uint16_t)n;
+  struct in_addr in;
+  return inet_pton (AF_INET, ip, &in) == 1;
+}
+
+static void
+_set_fault (_set_load_t *l, const char *section, const char *key,
+            const char *expected)
+{
+  l->faults
+      = talloc_asprintf_append_buffer (l->faults, "%s: [%s] %s: expected %s\n",
+                                       l->file, section, key, expected);
+}
+
+/* The value, owned by the settings; NULL when absent. */
+static const char *
+_set_get (_set_load_t *l, const char *section, const char *key)
+{
+  char *value = g_key_file_get_string (l->ini, section, key, NULL);
+  const char *copy
+      = value == NULL ? NULL : talloc_strdup (l->set, g_strstrip (value));
+  g_free (value);
+  return copy;
+}
+
+static const char *
+_set_need (_set_load_t *l, const char *section, const char *key,
+           const char *expected)
+{
+  const char *value = _set_get (l, section, key);
+  if (value == NULL || value[0] == '\0')
+    {
+      _set_fault (l, section, key, expected);
+      return "";
+    }
+  return value;
+}
+
+static const char *
+_set_need_address (_set_load_t *l, const char *section, const char *key)
+{
+  const char *value = _set_need (l, section, key, "IP:PORT");
+  char ip[64];
+  uint16_t port;
+  if (value[0] != '\0' && !set_address_split (value, ip, &port))
+    _set_fault (l, section, key, "IP:PORT, an IP number and a port");
+  return value;
+}
+
+/* First line of the file that KEY names; NULL when absent or not readable. */
+static const char *
+_set_file_line (_set_load_t *l, const char *key)
+{
+  const char *path = _set_get (l, "vm", key);
+  char *text = NULL;
+  if (path == NULL || !g_file_get_contents (path, &text, NULL, NULL))
+    return NULL;
+  text[strcspn (text, "\r\n")] = '\0';
+  const char *line = talloc_strdup (l->set, text);
+  g_free (text);
+  return line;
+}
+
+static void
+_set_read_secrets (_set_load_t *l)
+{
+  l->set->secret = _set_file_line (l, "secret_file");
+  if (l->set->secret == NULL || strlen (l->set->secret) < SET_SECRET_MIN)
+    _set_fault (l, "vm", "secret_file",
+                "a readable file whose first line has 16 characters or more");
+  if (_set_get (l, "vm", "operator_token_file") == NULL)
+    return;
+  const char *token = _set_file_line (l, "operator_token_file");
+  if (token == NULL || strlen (token) < SET_SECRET_MIN)
+    {
+      _set_fault (
+          l, "vm", "operator_token_file",
+          "a readable file whose first line has 16 characters or more");
+      return;
+    }
+  char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, token, -1);
+  l->set->operator_token_sha256 = talloc_strdup (l->set, hash);
+  g_free (hash);
+}
+
+static void
+_set_read_log (_set_load_t *l)
+{
+  const char *level = _set_get (l, "log", "level");
+  l->set->log_level = level == NULL ? "info" : level;
+  static const char *const levels[]
+      = { "debug", "info", "warning", "error", NULL };
+  if (!g_strv_contains (levels, l->set->log_level))
+    _set_fault (l, "log", "level", "debug, info, warning or error");
+  const char *format = _set_get (l, "log", "format");
+  l->set->log_json = format != NULL && strcmp (format, "json") == 0;
+  if (format != NULL && !l->set->log_json && strcmp (format, "text") != 0)
+    _set_fault (l, "log", "format", "text or json");
+}
+
+static void
+_set_read_seed (_set_load_t *l)
+{
+  const char *seed = _set_get (l, "vm", "seed");
+  if (seed == NULL)
+    return;
+  guint64 value = 0;
+  if (!g_ascii_string_to_unsigned (seed, 10, 1, UINT32_MAX, &value, NULL))
+    _set_fault (l, "vm", "seed", "a whole number from 1 to 4294967295");
+  l->set->seed = (uint32_t)value;
+}
+
+static bool
+_set_known (const char *section, const char *key)
+{
+  for (size_t i = 0; i < _SET_KEY_COUNT; i++)
+    {
+      if (strcmp (_set_keys[i][0], section) == 0
+          && strcmp (_set_keys[i][1], key) == 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+_set_refuse_unknown (_set_load_t *l)
+{
+  char **sections = g_key_file_get_groups (l->ini, NULL);
+  for (size_t s = 0; sections[s] != NULL; s++)
+    {
+      char **keys = g_key_file_get_keys (l->ini, sections[s], NULL, NULL);
+      for (size_t k = 0; keys != NULL && keys[k] != NULL; k++)
+        {
+          if (!_set_known (sections[s], keys[k]))
+            _set_fault (l, sections[s], keys[k], "no such key");
+        }
+      g_strfreev (keys);
+    }
+  g_strfreev (sections);
+}
+
+static void
+_set_read (_set_load_t *l)
+{
+  _set_refuse_unknown (l);
+  l->set->name = _set_need (l, "vm", "name", "the VM's name");
+  l->set->data_centre
+      = _set_need (l, "vm", "data_centre", "the data centre's name");
+  l->set->listen = _set_need_address (l, "vm", "listen");
+  l->set->peer_listen = _set_need_address (l, "vm", "peer_listen");
+  l->set->platform = _set_need_address (l, "platform", "address");
+  l->set->data_folder = _set_get (l, "vm", "data_folder");
+  _set_read_secrets (l);
+  _set_read_log (l);
+  _set_read_seed (l);
+}
+
+set_t *
+set_load (void *ctx, const char *file, char **faults)
+{
+  _set_load_t l = { .file = file,
+                    .ini = g_key_file_new (),
+                    .set = talloc_zero (ctx, set_t),
+                    .faults = talloc_strdup (ctx, "") };
+  GError *error = NULL;
+  if (g_key_file_load_from_file (l.ini, file, G_KEY_FILE_NONE, &error))
+    _set_read (&l);
+  else
+    l.faults = talloc_asprintf_append_buffer (l.faults, "%s: %s\n", file,
+                                              error->message);
+  g_clear_error (&error);
+  g_key_file_free (l.ini);
+  *faults = l.faults;
+  if (l.faults[0] == '\0')
+    return l.set;
+  talloc_free (l.set);
+  return NULL;
+}
--- /dev/null
+++ b/src/io/set.h
@@ -0,0 +1,45 @@
+/** @file
+ * A VM's own settings: an INI file read at start.
+ *
+ *   set_t *s = set_load (ctx, "vm.ini", &faults);
+ *   if (s == NULL) ... faults has one line for each fault
+ *
+ * [vm] name, data_centre, listen, peer_listen, secret_file,
+ *      operator_token_file, data_folder, seed
+ * [platform] address
+ * [log] level, format
+ *
+ * The operators' document is another file: see core/cfg.h.
+ */
+#ifndef RTS_SET_H
+#define RTS_SET_H
+
+#include "core/st.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Checked settings; strings belong to the struct. */
+typedef struct
+{
+  const char *name;
+  const char *data_centre;
+  const char *listen;                /**< callers and operators, "IP:PORT" */
+  const char *peer_listen;           /**< peers, "IP:PORT" */
+  const char *secret;                /**< the fleet's shared secret */
+  const char *operator_token_sha256; /**< NULL: no operator calls */
+  const char *data_folder;           /**< NULL: none */
+  const char *platform;              /**< "IP:PORT" */
+  const char *log_level;             /**< debug, info, warning or error */
+  bool log_json;
+  uint32_t seed; /**< 0: from the clock */
+} set_t;
+
+/** Read and check FILE.  NULL when anything is wrong; *FAULTS, owned by CTX,
+ * then names file, section, key and what was expected, one line each. */
+set_t *set_load (void *ctx, const char *file, char **faults);
+
+/** Split "IP:PORT"; false unless both are well formed. */
+bool set_address_split (const char *address, char ip[64], uint16_t *port);
+
+#endif
