Operators' document: strict parser, fault list, look-ups

The document decides who may call what, so a typo must not pass: GKeyFile merges doubled sections and keys silently, hence a line walk before it finds these and broken lines with their numbers. Values are read by a table of fields for each kind of section; every fault is listed with line, section, key, what was found and the expected value and unit.

--- a/src/core/cfg.h
+++ b/src/core/cfg.h
@@ -85,6 +85,9 @@
   clk_ms_t deadline_ms;
 } cfg_route_t;
 
+/** Look-up tables of a document; private to cfg. */
+typedef struct cfg_index cfg_index_t;
+
 /** A whole document; read-only once parsed. */
 typedef struct
 {
@@ -100,8 +103,72 @@
   size_t upstream_count;
   cfg_route_t *routes;
   size_t route_count;
+  cfg_index_t *index;
 } cfg_doc_t;
 
+/** Largest document, in bytes. */
+#define CFG_TEXT_MAX ((size_t)8 << 20)
+
+/** Most sections of a document. */
+#define CFG_SECTIONS_MAX 65536
+
+/** Largest section, in bytes. */
+#define CFG_SECTION_MAX 4096
+
+/** Most faults that are reported for one document. */
+#define CFG_FAULTS_MAX 100
+
+/** One thing that is wrong with a document. */
+typedef struct
+{
+  unsigned line;        /**< of the section or the line itself; 0: none */
+  const char *section;  /**< without brackets; "" for the whole document */
+  const char *key;      /**< "" for the section itself */
+  const char *found;    /**< what stands there; "" when it is missing */
+  const char *expected; /**< value and unit that were expected */
+} cfg_fault_t;
+
+/** All that is wrong with a document, up to CFG_FAULTS_MAX. */
+typedef struct
+{
+  cfg_fault_t *v;
+  size_t count;
+  size_t more; /**< further faults that were only counted */
+} cfg_faults_t;
+
+/** One section as text, without comments. */
+typedef struct
+{
+  const char *name; /**< "customer kvist-roster" */
+  const char *text; /**< header and "key = value" lines; no key: removed */
+  unsigned line;    /**< of the header */
+  bool empty;       /**< the header alone */
+} cfg_section_t;
+
+/** The sections of a text, in its order. */
+typedef struct
+{
+  cfg_section_t *v;
+  size_t count;
+} cfg_sections_t;
+
+/** Cut TEXT into sections owned by CTX; finds broken lines, doubled sections
+ * and doubled keys.  Values are not looked at.  FAULTS must be zeroed. */
+st_code_t cfg_sections_split (void *ctx, buf_t text, cfg_sections_t *sections,
+                              cfg_faults_t *faults);
+
+/** As cfg_doc_parse, with all faults in FAULTS (zeroed, owned by CTX, which
+ * also keeps the working memory when there are any). */
+st_code_t cfg_doc_check (void *ctx, buf_t text, cfg_doc_t **doc,
+                         cfg_faults_t *faults);
+
+/** One fault as a line without a newline, owned by CTX:
+ * "FILE:LINE: [section] key: found X, expected Y". */
+char *cfg_fault_format (void *ctx, const cfg_fault_t *fault, const char *file);
+
+/** Note one more fault, owned by CTX; strings are copied. */
+void cfg_fault_add (void *ctx, cfg_faults_t *faults, const cfg_fault_t *fault);
+
 /** Parse and validate TEXT.  On ST_OK *DOC is owned by CTX; otherwise *DOC is
  * untouched and ST says all that is wrong that fits. */
 st_code_t cfg_doc_parse (void *ctx, buf_t text, cfg_doc_t **doc, st_t *st);
@@ -111,6 +178,11 @@
                                          const char *name);
 const cfg_deployment_t *cfg_deployment_find (const cfg_doc_t *doc,
                                              const char *name);
+const cfg_data_centre_t *cfg_data_centre_find (const cfg_doc_t *doc,
+                                               const char *name);
+const cfg_upstream_t *cfg_upstream_find (const cfg_doc_t *doc,
+                                         const char *name);
+const cfg_key_t *cfg_key_find_name (const cfg_doc_t *doc, const char *name);
 
 /** The key whose hash is SHA256 (hex); NULL when there is none. */
 const cfg_key_t *cfg_key_find (const cfg_doc_t *doc, const char *sha256);
--- /dev/null
+++ b/src/core/cfg_fields.h
@@ -0,0 +1,68 @@
+/** @file
+ * The keys of each kind of section, and how their values are written;
+ * private to cfg.
+ */
+#ifndef RTS_CFG_FIELDS_H
+#define RTS_CFG_FIELDS_H
+
+#include "core/cfg_index.h"
+
+/** Longest route path and model name, in characters. */
+#define CFG_PATH_MAX 200
+
+/** Kinds of section. */
+#define CFG_KINDS 6
+
+/** How a value is written. */
+typedef enum
+{
+  CFG_TYPE_NAME,
+  CFG_TYPE_TEXT,
+  CFG_TYPE_RATE,
+  CFG_TYPE_NUMBER,
+  CFG_TYPE_COUNT,
+  CFG_TYPE_FLAG,
+  CFG_TYPE_KIND,
+  CFG_TYPE_DURATION,
+  CFG_TYPE_ADDRESS,
+  CFG_TYPE_SHA256,
+} cfg_type_t;
+
+/** One key of a section. */
+typedef struct
+{
+  const char *key;
+  cfg_type_t type;
+  size_t offset;
+  const char *fallback; /**< NULL: the key must be given */
+  double min;
+  double max;
+  const char *expected;
+  bool refers; /**< to something in the table below */
+  cfg_index_kind_t to;
+} cfg_field_t;
+
+/** One kind of section. */
+typedef struct
+{
+  const char *word;
+  const char *form;
+  const cfg_field_t *fields;
+  size_t size;
+  size_t array; /**< offset of the array in cfg_doc_t */
+  size_t count; /**< and of its length */
+  cfg_index_kind_t index;
+} cfg_kind_info_t;
+
+/** All kinds of section. */
+extern const cfg_kind_info_t cfg_kinds[CFG_KINDS];
+
+/** Whether S may name a section or a team. */
+bool cfg_name_valid (const char *s);
+
+/** Write the value S of FIELD into RECORD, strings owned by CTX; false when S
+ * is not valid. */
+bool cfg_field_set (void *ctx, const cfg_field_t *field, const char *s,
+                    char *record);
+
+#endif
--- /dev/null
+++ b/src/core/cfg_index.c
@@ -0,0 +1,143 @@
+#include "core/cfg_index.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Room for "METHOD PATH" while a route is looked up. */
+#define CFG_ROUTE_NAME_SIZE 300
+
+struct cfg_index
+{
+  GHashTable *table[CFG_INDEX_NUM]; /**< name -> position + 1 */
+};
+
+static int
+_cfg_index_destroy (cfg_index_t *index)
+{
+  for (int i = 0; i < CFG_INDEX_NUM; i++)
+    g_hash_table_destroy (index->table[i]);
+  return 0;
+}
+
+cfg_index_t *
+cfg_index_setup (cfg_doc_t *doc)
+{
+  cfg_index_t *index = talloc_zero (doc, cfg_index_t);
+  for (int i = 0; i < CFG_INDEX_NUM; i++)
+    index->table[i] = g_hash_table_new (g_str_hash, g_str_equal);
+  talloc_set_destructor (index, _cfg_index_destroy);
+  return index;
+}
+
+bool
+cfg_index_add (cfg_index_t *index, cfg_index_kind_t kind, const char *name,
+               size_t position)
+{
+  GHashTable *table = index->table[kind];
+  if (g_hash_table_contains (table, name))
+    return false;
+  g_hash_table_insert (table, (gpointer)(uintptr_t)name,
+                       GSIZE_TO_POINTER (position + 1));
+  return true;
+}
+
+bool
+cfg_index_get (const cfg_index_t *index, cfg_index_kind_t kind,
+               const char *name, size_t *position)
+{
+  size_t found
+      = GPOINTER_TO_SIZE (g_hash_table_lookup (index->table[kind], name));
+  if (found == 0)
+    return false;
+  *position = found - 1;
+  return true;
+}
+
+const cfg_data_centre_t *
+cfg_data_centre_find (const cfg_doc_t *doc, const char *name)
+{
+  size_t i;
+  return cfg_index_get (doc->index, CFG_INDEX_DATA_CENTRE, name, &i)
+             ? &doc->data_centres[i]
+             : NULL;
+}
+
+const cfg_customer_t *
+cfg_customer_find (const cfg_doc_t *doc, const char *name)
+{
+  size_t i;
+  return cfg_index_get (doc->index, CFG_INDEX_CUSTOMER, name, &i)
+             ? &doc->customers[i]
+             : NULL;
+}
+
+const cfg_deployment_t *
+cfg_deployment_find (const cfg_doc_t *doc, const char *name)
+{
+  size_t i;
+  return cfg_index_get (doc->index, CFG_INDEX_DEPLOYMENT, name, &i)
+             ? &doc->deployments[i]
+             : NULL;
+}
+
+const cfg_upstream_t *
+cfg_upstream_find (const cfg_doc_t *doc, const char *name)
+{
+  size_t i;
+  return cfg_index_get (doc->index, CFG_INDEX_UPSTREAM, name, &i)
+             ? &doc->upstreams[i]
+             : NULL;
+}
+
+const cfg_key_t *
+cfg_key_find (const cfg_doc_t *doc, const char *sha256)
+{
+  size_t i;
+  return cfg_index_get (doc->index, CFG_INDEX_SHA256, sha256, &i)
+             ? &doc->keys[i]
+             : NULL;
+}
+
+const cfg_key_t *
+cfg_key_find_name (const cfg_doc_t *doc, const char *name)
+{
+  size_t i;
+  return cfg_index_get (doc->index, CFG_INDEX_KEY, name, &i) ? &doc->keys[i]
+                                                             : NULL;
+}
+
+/* Cut NAME ("METHOD /a/b/c") back to the next shorter "METHOD /a/b" and put
+ * a slash-star behind it; false when nothing is left to cut. */
+static bool
+_cfg_route_widen (char *name, size_t method_length)
+{
+  char *path = name + method_length + 1;
+  size_t n = strlen (path);
+  if (g_str_has_suffix (path, "/*"))
+    path[n - 2] = '\0';
+  char *slash = strrchr (path, '/');
+  if (slash == NULL)
+    return false;
+  memcpy (slash, "/*", 3);
+  return true;
+}
+
+const cfg_route_t *
+cfg_route_find (const cfg_doc_t *doc, const char *method, const char *path)
+{
+  char name[CFG_ROUTE_NAME_SIZE];
+  int n = g_snprintf (name, sizeof name - 2, "%s %s", method, path);
+  if (n < 0 || (size_t)n >= sizeof name - 2)
+    return NULL;
+  size_t i;
+  if (cfg_index_get (doc->index, CFG_INDEX_ROUTE, name, &i)
+      && !g_str_has_suffix (path, "/*"))
+    return &doc->routes[i];
+  while (_cfg_route_widen (name, strlen (method)))
+    {
+      if (cfg_index_get (doc->index, CFG_INDEX_ROUTE, name, &i))
+        return &doc->routes[i];
+    }
+  return NULL;
+}
--- /dev/null
+++ b/src/core/cfg_split.c
@@ -0,0 +1,210 @@
+/* Sections as text: what GKeyFile does not tell, doubled sections and keys,
+ * is found here, and all faults with their lines. */
+#include "core/cfg.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+void
+cfg_fault_add (void *ctx, cfg_faults_t *faults, const cfg_fault_t *fault)
+{
+  if (faults->count == CFG_FAULTS_MAX)
+    {
+      faults->more++;
+      return;
+    }
+  faults->v = talloc_realloc (ctx, faults->v, cfg_fault_t, faults->count + 1);
+  cfg_fault_t *f = &faults->v[faults->count++];
+  *f = (cfg_fault_t){
+    .line = fault->line,
+    .section = talloc_strdup (ctx, fault->section ? fault->section : ""),
+    .key = talloc_strdup (ctx, fault->key ? fault->key : ""),
+    .found = talloc_strndup (ctx, fault->found ? fault->found : "", 80),
+    .expected = talloc_strdup (ctx, fault->expected),
+  };
+}
+
+char *
+cfg_fault_format (void *ctx, const cfg_fault_t *fault, const char *file)
+{
+  char *s = talloc_strdup (ctx, file);
+  if (fault->line > 0)
+    s = talloc_asprintf_append (s, ":%u", fault->line);
+  s = talloc_strdup_append (s, ": ");
+  if (fault->section[0] != '\0')
+    s = talloc_asprintf_append (s, "[%s] ", fault->section);
+  if (fault->key[0] != '\0')
+    s = talloc_asprintf_append (s, "%s: ", fault->key);
+  if (fault->found[0] != '\0')
+    s = talloc_asprintf_append (s, "found \"%s\", ", fault->found);
+  return talloc_asprintf_append (s, "expected %s", fault->expected);
+}
+
+/* A walk over the lines of a text. */
+typedef struct
+{
+  void *ctx;
+  cfg_sections_t *sections;
+  cfg_faults_t *faults;
+  GHashTable *names; /**< of sections */
+  GHashTable *keys;  /**< of the section being read */
+  unsigned line;
+  char *text; /**< of the section being read; NULL: before the first */
+  size_t room;
+} _cfg_walk_t;
+
+static void
+_cfg_walk_fault (_cfg_walk_t *w, const char *key, const char *found,
+                 const char *expected)
+{
+  const cfg_sections_t *s = w->sections;
+  const char *section = s->count == 0 ? "" : s->v[s->count - 1].name;
+  cfg_fault_add (w->ctx, w->faults,
+                 &(cfg_fault_t){ .line = w->line,
+                                 .section = section,
+                                 .key = key,
+                                 .found = found,
+                                 .expected = expected });
+}
+
+static void
+_cfg_walk_close (_cfg_walk_t *w)
+{
+  if (w->text == NULL)
+    return;
+  cfg_section_t *s = &w->sections->v[w->sections->count - 1];
+  s->text = w->text;
+  s->empty = g_hash_table_size (w->keys) == 0;
+  if (strlen (w->text) > CFG_SECTION_MAX)
+    _cfg_walk_fault (w, NULL, NULL, "a section of at most 4096 bytes");
+  g_hash_table_remove_all (w->keys);
+  w->text = NULL;
+}
+
+static char *
+_cfg_one_spaced (void *ctx, const char *s)
+{
+  char **words = g_strsplit_set (s, " \t", -1);
+  char *out = talloc_strdup (ctx, "");
+  for (size_t i = 0; words[i] != NULL; i++)
+    {
+      if (words[i][0] != '\0')
+        out = talloc_asprintf_append (out, "%s%s", out[0] ? " " : "",
+                                      words[i]);
+    }
+  g_strfreev (words);
+  return out;
+}
+
+static void
+_cfg_walk_header (_cfg_walk_t *w, char *line)
+{
+  _cfg_walk_close (w);
+  line[strlen (line) - 1] = '\0';
+  char *name = _cfg_one_spaced (w->ctx, line + 1);
+  cfg_sections_t *s = w->sections;
+  if (s->count == w->room)
+    {
+      w->room = w->room == 0 ? 64 : 2 * w->room;
+      s->v = talloc_realloc (w->ctx, s->v, cfg_section_t, w->room);
+    }
+  s->v[s->count++] = (cfg_section_t){ .name = name, .line = w->line };
+  w->text = talloc_asprintf (w->ctx, "[%s]\n", name);
+  if (name[0] == '\0' || strpbrk (name, "[]") != NULL)
+    _cfg_walk_fault (w, NULL, line, "a header like [customer NAME]");
+  if (!g_hash_table_add (w->names, name))
+    _cfg_walk_fault (w, NULL, name, "each section only once");
+}
+
+static void
+_cfg_walk_pair (_cfg_walk_t *w, char *line)
+{
+  char *equals = strchr (line, '=');
+  if (w->text == NULL)
+    {
+      _cfg_walk_fault (w, NULL, line, "a [section] header first");
+      return;
+    }
+  if (equals == NULL || equals == line)
+    {
+      _cfg_walk_fault (w, NULL, line, "a line like key = value");
+      return;
+    }
+  *equals = '\0';
+  char *key = g_strstrip (line);
+  const char *value = g_strstrip (equals + 1);
+  if (strpbrk (key, "[] \t") != NULL)
+    _cfg_walk_fault (w, NULL, key, "a key of letters and underscores");
+  if (!g_hash_table_add (w->keys, g_strdup (key)))
+    _cfg_walk_fault (w, key, value, "each key only once in a section");
+  w->text = talloc_asprintf_append_buffer (w->text, "%s = %s\n", key, value);
+}
+
+static void
+_cfg_walk_line (_cfg_walk_t *w, char *line)
+{
+  g_strstrip (line);
+  size_t n = strlen (line);
+  if (n == 0 || line[0] == '#')
+    return;
+  for (size_t i = 0; i < n; i++)
+    {
+      if ((unsigned char)line[i] < ' ' && line[i] != '\t')
+        {
+          _cfg_walk_fault (w, NULL, NULL, "text without control characters");
+          return;
+        }
+    }
+  if (line[0] == '[' && line[n - 1] == ']')
+    _cfg_walk_header (w, line);
+  else
+    _cfg_walk_pair (w, line);
+}
+
+static bool
+_cfg_text_usable (void *ctx, buf_t text, cfg_faults_t *faults)
+{
+  const char *expected = NULL;
+  if (text.n > CFG_TEXT_MAX)
+    expected = "a document of at most 8 MiB";
+  else if (text.n > 0 && !g_utf8_validate (text.p, (gssize)text.n, NULL))
+    expected = "UTF-8 text";
+  if (expected != NULL)
+    cfg_fault_add (ctx, faults, &(cfg_fault_t){ .expected = expected });
+  return expected == NULL;
+}
+
+st_code_t
+cfg_sections_split (void *ctx, buf_t text, cfg_sections_t *sections,
+                    cfg_faults_t *faults)
+{
+  *sections = (cfg_sections_t){ 0 };
+  if (!_cfg_text_usable (ctx, text, faults))
+    return ST_INVALID;
+  _cfg_walk_t w = {
+    .ctx = ctx,
+    .sections = sections,
+    .faults = faults,
+    .names = g_hash_table_new (g_str_hash, g_str_equal),
+    .keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+  };
+  const char *end = text.p + text.n;
+  for (const char *p = text.p; p < end && sections->count <= CFG_SECTIONS_MAX;)
+    {
+      const char *stop = memchr (p, '\n', (size_t)(end - p));
+      if (stop == NULL)
+        stop = end;
+      w.line++;
+      char *line = g_strndup (p, (size_t)(stop - p));
+      _cfg_walk_line (&w, line);
+      g_free (line);
+      p = stop + 1;
+    }
+  _cfg_walk_close (&w);
+  if (sections->count > CFG_SECTIONS_MAX)
+    _cfg_walk_fault (&w, NULL, NULL, "at most 65536 sections");
+  g_hash_table_destroy (w.names);
+  g_hash_table_destroy (w.keys);
+  return faults->count == 0 ? ST_OK : ST_INVALID;
+}
