--- a/src/core/cfg.c
+++ b/src/core/cfg.c
@@ -94,7 +94,7 @@
   char **array = (char **)((char *)doc + kind->array);
   size_t *count = (size_t *)((char *)doc + kind->count);
   size_t room = *array == NULL ? 0 : talloc_get_size (*array) / kind->size;
-  if (*count == room)
+  if (*array == NULL || *count == room)
     *array = talloc_realloc_size (doc, *array,
                                   (room == 0 ? 8 : 2 * room) * kind->size);
   char *record = *array + *count * kind->size;
--- a/src/core/cfg_fields.c
+++ b/src/core/cfg_fields.c
@@ -133,20 +133,47 @@
   { 0 },
 };
 
-#define CFG_KIND_INFO(w, f, n, i)                                             \
-  {                                                                           \
-    .word = w, .form = f, .fields = _cfg_##n##_fields,                        \
-    .size = sizeof (cfg_##n##_t), .array = offsetof (cfg_doc_t, n##s),        \
-    .count = offsetof (cfg_doc_t, n##_count), .index = i                      \
-  }
-
 const cfg_kind_info_t cfg_kinds[CFG_KINDS] = {
-  CFG_KIND_INFO ("data-centre", "[data-centre NAME]", data_centre,
-                 CFG_INDEX_DATA_CENTRE),
-  CFG_KIND_INFO ("customer", "[customer NAME]", customer, CFG_INDEX_CUSTOMER),
-  CFG_KIND_INFO ("key", "[key NAME]", key, CFG_INDEX_KEY),
-  CFG_KIND_INFO ("deployment", "[deployment NAME]", deployment,
-                 CFG_INDEX_DEPLOYMENT),
-  CFG_KIND_INFO ("upstream", "[upstream NAME]", upstream, CFG_INDEX_UPSTREAM),
-  CFG_KIND_INFO ("route", "[route METHOD PATH]", route, CFG_INDEX_ROUTE),
+  { .word = "data-centre",
+    .form = "[data-centre NAME]",
+    .fields = _cfg_data_centre_fields,
+    .size = sizeof (cfg_data_centre_t),
+    .array = offsetof (cfg_doc_t, data_centres),
+    .count = offsetof (cfg_doc_t, data_centre_count),
+    .index = CFG_INDEX_DATA_CENTRE },
+  { .word = "customer",
+    .form = "[customer NAME]",
+    .fields = _cfg_customer_fields,
+    .size = sizeof (cfg_customer_t),
+    .array = offsetof (cfg_doc_t, customers),
+    .count = offsetof (cfg_doc_t, customer_count),
+    .index = CFG_INDEX_CUSTOMER },
+  { .word = "key",
+    .form = "[key NAME]",
+    .fields = _cfg_key_fields,
+    .size = sizeof (cfg_key_t),
+    .array = offsetof (cfg_doc_t, keys),
+    .count = offsetof (cfg_doc_t, key_count),
+    .index = CFG_INDEX_KEY },
+  { .word = "deployment",
+    .form = "[deployment NAME]",
+    .fields = _cfg_deployment_fields,
+    .size = sizeof (cfg_deployment_t),
+    .array = offsetof (cfg_doc_t, deployments),
+    .count = offsetof (cfg_doc_t, deployment_count),
+    .index = CFG_INDEX_DEPLOYMENT },
+  { .word = "upstream",
+    .form = "[upstream NAME]",
+    .fields = _cfg_upstream_fields,
+    .size = sizeof (cfg_upstream_t),
+    .array = offsetof (cfg_doc_t, upstreams),
+    .count = offsetof (cfg_doc_t, upstream_count),
+    .index = CFG_INDEX_UPSTREAM },
+  { .word = "route",
+    .form = "[route METHOD PATH]",
+    .fields = _cfg_route_fields,
+    .size = sizeof (cfg_route_t),
+    .array = offsetof (cfg_doc_t, routes),
+    .count = offsetof (cfg_doc_t, route_count),
+    .index = CFG_INDEX_ROUTE },
 };
