Tests: one assertion that leaves the test, which the static analyser can follow

CUnit's fatal assertions jump out by longjmp; the analyser then reports null dereferences behind them. TST_NEED asserts the same and returns.

--- a/tests/test_cfg.c
+++ b/tests/test_cfg.c
@@ -56,18 +56,18 @@
 {
   void *ctx = talloc_new (NULL);
   const cfg_doc_t *doc = parse (ctx, good);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (doc);
+  TST_NEED (doc != NULL);
   const cfg_customer_t *c = cfg_customer_find (doc, "kvist-roster");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  TST_NEED (c != NULL);
   CU_ASSERT_DOUBLE_EQUAL (c->rate, 1.5, 1e-9);
   CU_ASSERT_EQUAL (c->burst, 80);
   CU_ASSERT_EQUAL (c->weight, 1);
   CU_ASSERT_STRING_EQUAL (c->owner, "accounts");
   const cfg_deployment_t *d = cfg_deployment_find (doc, "snit-llm");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (d);
+  TST_NEED (d != NULL);
   CU_ASSERT (d->kind == CFG_ENGINE && d->checks_fencing && d->slots == 8);
   const cfg_upstream_t *u = cfg_upstream_find (doc, "snit-1");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (u);
+  TST_NEED (u != NULL);
   CU_ASSERT (!u->leaving && strcmp (u->address, "127.0.0.1:7101") == 0);
   CU_ASSERT_STRING_EQUAL (cfg_key_find (doc, HASH_A)->name, "kvist-1");
   CU_ASSERT_STRING_EQUAL (cfg_key_find_name (doc, "kvist-1")->sha256, HASH_A);
@@ -80,13 +80,13 @@
 {
   void *ctx = talloc_new (NULL);
   const cfg_doc_t *doc = parse (ctx, good);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (doc);
+  TST_NEED (doc != NULL);
   const cfg_route_t *r = cfg_route_find (doc, "POST", "/v1/completions");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  TST_NEED (r != NULL);
   CU_ASSERT (r->idempotent && !r->open && r->deadline_ms == 250);
   CU_ASSERT_PTR_NULL (cfg_route_find (doc, "GET", "/v1/completions"));
   r = cfg_route_find (doc, "GET", "/notes/7/pins");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  TST_NEED (r != NULL);
   CU_ASSERT (r->open && r->deadline_ms == 30 * CLK_SECOND);
   CU_ASSERT_PTR_NULL (cfg_route_find (doc, "GET", "/notes"));
   CU_ASSERT_PTR_NULL (cfg_route_find (doc, "GET", ""));
@@ -231,7 +231,7 @@
         i % 3800, (unsigned)i);
   void *ctx = talloc_new (NULL);
   const cfg_doc_t *doc = parse (ctx, s->str);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (doc);
+  TST_NEED (doc != NULL);
   CU_ASSERT_EQUAL (doc->customer_count, 3800);
   char hash[65];
   g_snprintf (hash, sizeof hash, "%064x", 7999U);
@@ -249,7 +249,7 @@
   const char *text = "[customer  a]\n# note\n rate=1/s\n\n[key k]\n";
   CU_ASSERT_EQUAL (cfg_sections_split (ctx, buf_str (text), &s, &faults),
                    ST_OK);
-  CU_ASSERT_EQUAL_FATAL (s.count, 2);
+  TST_NEED (s.count == 2);
   CU_ASSERT_STRING_EQUAL (s.v[0].text, "[customer a]\nrate = 1/s\n");
   CU_ASSERT (!s.v[0].empty && s.v[1].empty);
   CU_ASSERT_EQUAL (s.v[1].line, 5);
--- a/tests/test_cht.c
+++ b/tests/test_cht.c
@@ -39,7 +39,7 @@
   cht_t *c = load (HEAD WAITING
                    "[leased]\nstore = done if fenced do publish; waiting\n",
                    &st);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  TST_NEED (c != NULL);
   CU_ASSERT_EQUAL (cht_initial (c), 0);
   cht_step_t step = cht_fire (c, 1, 1, 1);
   CU_ASSERT_EQUAL (step.next, 2);
--- a/tests/tst.h
+++ b/tests/tst.h
@@ -18,6 +18,17 @@
   void (*run) (void); /**< uses CUnit assertions */
 } tst_case_t;
 
+/** Assert CONDITION and leave the test when it does not hold.  CUnit's own
+ * fatal assertions jump, which the static analyser cannot follow. */
+#define TST_NEED(condition)                                                   \
+  do                                                                          \
+    {                                                                         \
+      CU_ASSERT (condition);                                                  \
+      if (!(condition))                                                       \
+        return;                                                               \
+    }                                                                         \
+  while (0)
+
 /** Run CASES (COUNT of them) as SUITE; returns the exit status of main. */
 int tst_run (const char *suite, const tst_case_t *cases, size_t count);
 
