--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 obj = $(patsubst %.c,build/$(1)/%.o,$(2))
 
-.PHONY: all check lint format tests demo soak measure install clean help deps
+.PHONY: all check lint format tests demo soak measure fuzz install clean help deps
 .SECONDARY:
 
 all: deps
@@ -71,6 +71,30 @@
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
 
+FUZZERS = $(patsubst tests/%.c,build/fuzz/%,$(wildcard tests/fuzz_*.c))
+FUZZ_RUNS = 20000
+FUZZ_SEED = 1
+
+build/fuzz/obj/%.o: %.c
+	@mkdir -p $(@D)
+	@clang -O1 -g -fsanitize=fuzzer-no-link,address,undefined $(CPPFLAGS) \
+	  -std=gnu11 $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
+
+build/fuzz/obj/src/core/cht_data.o: $(CHARTS)
+
+build/fuzz/%: build/fuzz/obj/tests/%.o \
+  $(patsubst %.c,build/fuzz/obj/%.o,$(CORE) src/io/frm.c)
+	@clang -fsanitize=fuzzer,address,undefined -o $@ $^ $(PKG_LIBS)
+
+# Fixed seed, fixed number of inputs: the same run every time.
+fuzz: $(FUZZERS)
+	@for f in $(FUZZERS); do \
+	  $$f -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=4096 -verbosity=0 \
+	    -artifact_prefix=build/fuzz/ >$$f.log 2>&1 \
+	    || { tail -n 60 $$f.log; exit 1; }; \
+	  echo "$$(basename $$f): $(FUZZ_RUNS) inputs, seed $(FUZZ_SEED)"; \
+	done
+
 TEST_PROGRAMS = $(patsubst %.c,build/%,$(TESTS))
 MEASURE_PROGRAMS = $(patsubst %.c,build/%,$(MEASURES))
 
@@ -97,8 +121,15 @@
 check: deps
 	@$(MAKE) --no-print-directory -j12 lint build/rattanspindle \
 	  build/standin $(TEST_PROGRAMS) $(MEASURE_PROGRAMS)
+	@$(MAKE) --no-print-directory -j12 $(FUZZERS)
+	@$(MAKE) --no-print-directory fuzz
 	@tools/run-tests $(TEST_PROGRAMS)
 
+measure: deps
+	@mkdir -p build/measure
+	@$(MAKE) --no-print-directory -j4 $(MEASURE_PROGRAMS)
+	@for p in $(MEASURE_PROGRAMS); do echo "== $$p"; $$p || exit 1; done
+
 install: all
 	install -d $(DESTDIR)$(bindir)
 	install -m 755 build/rattanspindle $(DESTDIR)$(bindir)
--- /dev/null
+++ b/tests/flt.c
@@ -0,0 +1,737 @@
+#include "flt.h"
+
+#include "core/inv.h"
+#include "flt_platform.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#define FLT_PEER_MS 1
+#define FLT_PLATFORM_MS 4
+#define FLT_UPSTREAM_MS 20
+#define FLT_LINK_MS 2
+#define FLT_SILENT_MS 2000 /* until a dead link is noticed */
+
+typedef struct
+{
+  char *name;
+  size_t data_centre;
+  node_t *node; /**< NULL: dead */
+  uint64_t incarnation;
+  clk_ms_t frozen_until;
+  bool *keeps;  /**< by VM: FX_PEER_LINK is in force */
+  bool *linked; /**< by VM: EV_PEER_UP was given */
+  bool exited;
+} _flt_vm_t;
+
+/* Something due for a VM's node. */
+typedef struct
+{
+  clk_ms_t at;
+  uint64_t seq;
+  size_t vm;
+  uint64_t incarnation;
+  size_t from;     /**< peer events: the other VM */
+  uint64_t cancel; /**< upstream events: dropped when the call is cancelled */
+  ev_t ev;
+} _flt_due_t;
+
+typedef struct
+{
+  size_t vm;
+  uint64_t incarnation;
+  uint64_t call;
+  char *name;
+  uint64_t revision;
+  clk_ms_t until;
+} _flt_watch_t;
+
+struct flt
+{
+  flt_desc_t desc;
+  GRand *rand;
+  clk_ms_t now;
+  uint64_t seq;
+  _flt_vm_t *vms;
+  size_t vm_count;
+  bool *cut; /**< by data centre */
+  GPtrArray *due;
+  fpl_t *platform;
+  flt_platform_t platform_mode;
+  uint64_t platform_calls;
+  GPtrArray *watches;
+  GHashTable *upstream_modes; /**< address -> mode */
+  GHashTable *runs;           /**< marker -> count */
+  GHashTable *cancelled;      /**< "vm/incarnation/call" */
+  GString *seen;              /**< all bytes that upstreams received */
+  GPtrArray *answers;
+};
+
+/* -- queue ---------------------------------------------------------------- */
+
+static _flt_due_t *
+_flt_push (flt_t *f, clk_ms_t delay, size_t vm, ev_kind_t kind)
+{
+  _flt_due_t *d = talloc_zero (f, _flt_due_t);
+  d->at = f->now + delay;
+  d->seq = f->seq++;
+  d->vm = vm;
+  d->incarnation = f->vms[vm].incarnation;
+  d->from = vm;
+  d->ev.kind = kind;
+  g_ptr_array_add (f->due, d);
+  return d;
+}
+
+static _flt_due_t *
+_flt_earliest (flt_t *f, guint *index)
+{
+  _flt_due_t *best = NULL;
+  for (guint i = 0; i < f->due->len; i++)
+    {
+      _flt_due_t *d = g_ptr_array_index (f->due, i);
+      if (best != NULL
+          && (d->at > best->at || (d->at == best->at && d->seq > best->seq)))
+        continue;
+      best = d;
+      *index = i;
+    }
+  return best;
+}
+
+/* -- reachability --------------------------------------------------------- */
+
+static bool
+_flt_reach (const flt_t *f, size_t a, size_t b)
+{
+  size_t x = f->vms[a].data_centre;
+  size_t y = f->vms[b].data_centre;
+  return x == y || (!f->cut[x] && !f->cut[y]);
+}
+
+static bool
+_flt_may_link (const flt_t *f, size_t a, size_t b)
+{
+  return a != b && f->vms[a].node != NULL && f->vms[b].node != NULL
+         && (f->vms[a].keeps[b] || f->vms[b].keeps[a]) && _flt_reach (f, a, b);
+}
+
+static void
+_flt_link_event (flt_t *f, size_t vm, size_t peer, clk_ms_t delay,
+                 ev_kind_t kind)
+{
+  _flt_due_t *d = _flt_push (f, delay, vm, kind);
+  d->from = peer;
+  d->ev.peer.vm = f->vms[peer].name;
+}
+
+/* Give both ends news when the link between A and B should come or go. */
+static void
+_flt_link_update (flt_t *f, size_t a, size_t b)
+{
+  bool may = _flt_may_link (f, a, b);
+  for (int side = 0; side < 2; side++)
+    {
+      size_t vm = side == 0 ? a : b;
+      size_t peer = side == 0 ? b : a;
+      _flt_vm_t *v = &f->vms[vm];
+      if (v->node == NULL || v->linked[peer] == may)
+        continue;
+      v->linked[peer] = may;
+      _flt_link_event (f, vm, peer, may ? FLT_LINK_MS : FLT_SILENT_MS,
+                       may ? EV_PEER_UP : EV_PEER_DOWN);
+    }
+}
+
+static void
+_flt_links_update (flt_t *f)
+{
+  for (size_t a = 0; a < f->vm_count; a++)
+    {
+      for (size_t b = a + 1; b < f->vm_count; b++)
+        _flt_link_update (f, a, b);
+    }
+}
+
+/* -- platform ------------------------------------------------------------- */
+
+static void
+_flt_platform_vms (flt_t *f, void *ctx, ev_platform_t *reply)
+{
+  ev_vm_t *vms = talloc_zero_array (ctx, ev_vm_t, f->vm_count);
+  for (size_t i = 0; i < f->vm_count; i++)
+    {
+      if (f->vms[i].node == NULL)
+        continue;
+      vms[reply->vm_count++] = (ev_vm_t){
+        .vm = f->vms[i].name,
+        .data_centre = talloc_asprintf (ctx, "dc-%zu", f->vms[i].data_centre),
+        .address = f->vms[i].name,
+      };
+    }
+  reply->vms = vms;
+}
+
+static bool
+_flt_is_write (fx_platform_op_t op)
+{
+  return op == FX_PLATFORM_PUT || op == FX_PLATFORM_DELETE;
+}
+
+/* Carry CALL out; false when a watch has to wait. */
+static bool
+_flt_platform_try (flt_t *f, size_t vm, const fx_platform_t *call)
+{
+  _flt_due_t *d = talloc_zero (f, _flt_due_t);
+  ev_platform_t reply = { 0 };
+  if (!fpl_call (f->platform, d, call, &reply))
+    {
+      talloc_free (d);
+      return false;
+    }
+  if (call->op == FX_PLATFORM_VMS)
+    _flt_platform_vms (f, d, &reply);
+  if (f->platform_mode == FLT_PLATFORM_LOSE && g_rand_boolean (f->rand))
+    reply
+        = (ev_platform_t){ .call = call->call,
+                           .code = _flt_is_write (call->op) ? ST_UNKNOWN
+                                                            : ST_UNAVAILABLE };
+  _flt_due_t *q = _flt_push (f, f->desc.platform_ms, vm, EV_PLATFORM);
+  talloc_steal (q, d);
+  q->ev.platform = reply;
+  return true;
+}
+
+static void
+_flt_platform_call (flt_t *f, size_t vm, const fx_platform_t *call)
+{
+  f->platform_calls++;
+  if (f->platform_mode == FLT_PLATFORM_DOWN || f->cut[f->vms[vm].data_centre])
+    {
+      _flt_due_t *d = _flt_push (f, f->desc.platform_ms, vm, EV_PLATFORM);
+      d->ev.platform
+          = (ev_platform_t){ .call = call->call, .code = ST_UNAVAILABLE };
+      return;
+    }
+  if (_flt_platform_try (f, vm, call))
+    return;
+  _flt_watch_t *w = talloc_zero (f, _flt_watch_t);
+  *w = (_flt_watch_t){ .vm = vm,
+                       .incarnation = f->vms[vm].incarnation,
+                       .call = call->call,
+                       .name = talloc_strdup (w, call->name),
+                       .revision = call->revision,
+                       .until = f->now + call->timeout_ms };
+  g_ptr_array_add (f->watches, w);
+}
+
+/* Answer the watches that have news or have waited long enough. */
+static void
+_flt_watches (flt_t *f)
+{
+  for (guint i = f->watches->len; i > 0; i--)
+    {
+      _flt_watch_t *w = g_ptr_array_index (f->watches, i - 1);
+      fx_platform_t call = { .call = w->call,
+                             .op = FX_PLATFORM_WATCH,
+                             .name = w->name,
+                             .revision = w->revision };
+      bool away = f->platform_mode == FLT_PLATFORM_DOWN
+                  || f->cut[f->vms[w->vm].data_centre];
+      bool gone = f->vms[w->vm].incarnation != w->incarnation;
+      if (!gone && !away && !_flt_platform_try (f, w->vm, &call)
+          && f->now < w->until)
+        continue;
+      if (!gone && (away || f->now >= w->until))
+        {
+          _flt_due_t *d = _flt_push (f, 0, w->vm, EV_PLATFORM);
+          d->ev.platform
+              = (ev_platform_t){ .call = w->call,
+                                 .code = away ? ST_UNAVAILABLE : ST_OK,
+                                 .revision = w->revision };
+        }
+      g_ptr_array_remove_index (f->watches, i - 1);
+      talloc_free (w);
+    }
+}
+
+/* -- upstreams ------------------------------------------------------------ */
+
+static char *
+_flt_call_name (void *ctx, const flt_t *f, size_t vm, uint64_t call)
+{
+  return talloc_asprintf (ctx, "%zu/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+                          vm, f->vms[vm].incarnation, call);
+}
+
+static void
+_flt_count_run (flt_t *f, const char *marker)
+{
+  if (marker == NULL || marker[0] == '\0')
+    return;
+  gpointer old = g_hash_table_lookup (f->runs, marker);
+  g_hash_table_replace (f->runs, g_strdup (marker),
+                        GUINT_TO_POINTER (GPOINTER_TO_UINT (old) + 1));
+}
+
+static void
+_flt_note_seen (flt_t *f, const fx_upstream_t *u)
+{
+  g_string_append_printf (f->seen, "%s %s\n", u->method, u->path);
+  for (size_t i = 0; i < u->headers.n; i++)
+    g_string_append_printf (f->seen, "%s: %s\n", u->headers.v[i].name,
+                            u->headers.v[i].value);
+  g_string_append_len (f->seen, u->body.p, (gssize)u->body.n);
+  g_string_append_c (f->seen, '\n');
+}
+
+static _flt_due_t *
+_flt_upstream_event (flt_t *f, size_t vm, uint64_t call, clk_ms_t delay,
+                     ev_kind_t kind)
+{
+  _flt_due_t *d = _flt_push (f, delay, vm, kind);
+  d->ev.upstream.call = call;
+  d->cancel = call;
+  return d;
+}
+
+static const char *
+_flt_upstream_body (void *ctx, const fx_upstream_t *u)
+{
+  if (g_str_has_prefix (u->path, "/load"))
+    return "{\"running\":0,\"waiting\":0,\"slots\":4,\"seq\":1,"
+           "\"leaving\":false}";
+  if (g_str_has_prefix (u->path, "/cache-events"))
+    return "{\"seq\":0,\"events\":[]}";
+  return talloc_asprintf (ctx, "{\"echo\":\"%s\"}", buf_to_str (ctx, u->body));
+}
+
+static void
+_flt_upstream_answer (flt_t *f, size_t vm, const fx_upstream_t *u, int status)
+{
+  static const http_header_t json
+      = { .name = "Content-Type", .value = "application/json" };
+  clk_ms_t ms = f->desc.upstream_ms;
+  _flt_due_t *head
+      = _flt_upstream_event (f, vm, u->call, ms, EV_UPSTREAM_HEAD);
+  head->ev.upstream.status = status;
+  head->ev.upstream.headers = (http_headers_t){ .v = &json, .n = 1 };
+  _flt_due_t *data
+      = _flt_upstream_event (f, vm, u->call, ms, EV_UPSTREAM_DATA);
+  data->ev.upstream.data
+      = buf_copy (data, buf_str (_flt_upstream_body (data, u)));
+}
+
+static void
+_flt_upstream_call (flt_t *f, size_t vm, const fx_upstream_t *u)
+{
+  flt_upstream_t mode
+      = GPOINTER_TO_INT (g_hash_table_lookup (f->upstream_modes, u->address));
+  _flt_note_seen (f, u);
+  if (mode != FLT_UPSTREAM_REFUSE && mode != FLT_UPSTREAM_SILENT)
+    {
+      _flt_count_run (f, http_header_find (u->headers, "Idempotency-Key"));
+      char *body = buf_to_str (f, u->body);
+      _flt_count_run (f, body);
+      talloc_free (body);
+    }
+  clk_ms_t ms = f->desc.upstream_ms;
+  _flt_due_t *end = NULL;
+  switch (mode)
+    {
+    case FLT_UPSTREAM_OK:
+      _flt_upstream_answer (f, vm, u, 200);
+      _flt_upstream_event (f, vm, u->call, ms + 1, EV_UPSTREAM_END);
+      break;
+    case FLT_UPSTREAM_CUT:
+      _flt_upstream_answer (f, vm, u, 200);
+      end = _flt_upstream_event (f, vm, u->call, ms + 1, EV_UPSTREAM_FAIL);
+      end->ev.upstream.fail = EV_FAIL_UNKNOWN;
+      break;
+    case FLT_UPSTREAM_REFUSE:
+      end = _flt_upstream_event (f, vm, u->call, 1, EV_UPSTREAM_FAIL);
+      end->ev.upstream.fail = EV_FAIL_NOT_SENT;
+      break;
+    case FLT_UPSTREAM_SILENT:
+      if (u->first_byte_ms == 0)
+        break;
+      end = _flt_upstream_event (f, vm, u->call, u->first_byte_ms,
+                                 EV_UPSTREAM_FAIL);
+      end->ev.upstream.fail = EV_FAIL_TIMEOUT;
+      break;
+    }
+}
+
+/* -- effects -------------------------------------------------------------- */
+
+static flt_answer_t *
+_flt_answer (const flt_t *f, uint64_t id)
+{
+  return g_ptr_array_index (f->answers, (guint)id - 1);
+}
+
+static void
+_flt_reply (flt_t *f, const fx_t *e)
+{
+  flt_answer_t *a = _flt_answer (f, e->reply.caller);
+  INV_CHECK (!a->ended && !a->aborted, "one-answer-a-request", "caller %llu",
+             (unsigned long long)e->reply.caller);
+  a->done = f->now;
+  if (e->kind == FX_REPLY_HEAD)
+    a->status = e->reply.status;
+  if (e->kind == FX_REPLY_DATA)
+    a->body = talloc_strndup_append_buffer (a->body, e->reply.data.p,
+                                            e->reply.data.n);
+  a->ended = e->kind == FX_REPLY_END;
+  a->aborted = e->kind == FX_REPLY_ABORT;
+}
+
+static size_t
+_flt_vm_index (const flt_t *f, const char *name)
+{
+  for (size_t i = 0; i < f->vm_count; i++)
+    {
+      if (strcmp (f->vms[i].name, name) == 0)
+        return i;
+    }
+  return f->vm_count;
+}
+
+static void
+_flt_peer_effect (flt_t *f, size_t vm, const fx_t *e)
+{
+  size_t peer = _flt_vm_index (f, e->peer.vm);
+  if (peer == f->vm_count)
+    return;
+  if (e->kind == FX_PEER_LINK || e->kind == FX_PEER_UNLINK)
+    {
+      f->vms[vm].keeps[peer] = e->kind == FX_PEER_LINK;
+      _flt_link_update (f, vm, peer);
+      return;
+    }
+  if (!f->vms[vm].linked[peer] || !_flt_reach (f, vm, peer)
+      || f->vms[peer].node == NULL)
+    return;
+  _flt_due_t *d
+      = _flt_push (f, FLT_LINK_MS + f->desc.peer_ms, peer, EV_PEER_MSG);
+  d->from = vm;
+  d->ev.peer.vm = f->vms[vm].name;
+  d->ev.peer.msg = e->peer.msg;
+  d->ev.peer.msg.body = buf_copy (d, e->peer.msg.body);
+}
+
+static void
+_flt_act (flt_t *f, size_t vm, const fx_t *e)
+{
+  switch (e->kind)
+    {
+    case FX_TIMER:
+      _flt_push (f, clk_max (0, e->timer - f->now), vm, EV_TIMER);
+      break;
+    case FX_REPLY_HEAD:
+    case FX_REPLY_DATA:
+    case FX_REPLY_END:
+    case FX_REPLY_ABORT:
+      _flt_reply (f, e);
+      break;
+    case FX_UPSTREAM_CALL:
+      _flt_upstream_call (f, vm, &e->upstream);
+      break;
+    case FX_UPSTREAM_CANCEL:
+      g_hash_table_add (f->cancelled, _flt_call_name (f->cancelled, f, vm,
+                                                      e->upstream.call));
+      break;
+    case FX_PLATFORM:
+      _flt_platform_call (f, vm, &e->platform);
+      break;
+    case FX_PEER_SEND:
+    case FX_PEER_LINK:
+    case FX_PEER_UNLINK:
+      _flt_peer_effect (f, vm, e);
+      break;
+    case FX_EXIT:
+      f->vms[vm].exited = true;
+      break;
+    case FX_NUM:
+      break;
+    }
+}
+
+static bool
+_flt_is_cancelled (flt_t *f, const _flt_due_t *d)
+{
+  if (d->cancel == 0)
+    return false;
+  char *name = _flt_call_name (f, f, d->vm, d->cancel);
+  bool found = g_hash_table_contains (f->cancelled, name);
+  talloc_free (name);
+  return found;
+}
+
+static void
+_flt_deliver (flt_t *f, const _flt_due_t *d)
+{
+  _flt_vm_t *vm = &f->vms[d->vm];
+  if (vm->node == NULL || vm->incarnation != d->incarnation)
+    return;
+  if (d->ev.kind == EV_PEER_MSG && !_flt_reach (f, d->vm, d->from))
+    return;
+  if (_flt_is_cancelled (f, d))
+    return;
+  const fx_list_t *fx = node_step (vm->node, f->now, &d->ev);
+  for (size_t i = 0; i < fx->count; i++)
+    _flt_act (f, d->vm, &fx->v[i]);
+}
+
+/* -- public --------------------------------------------------------------- */
+
+static int
+_flt_destroy (flt_t *f)
+{
+  g_rand_free (f->rand);
+  g_ptr_array_unref (f->due);
+  g_ptr_array_unref (f->watches);
+  g_ptr_array_unref (f->answers);
+  g_hash_table_destroy (f->upstream_modes);
+  g_hash_table_destroy (f->runs);
+  g_hash_table_destroy (f->cancelled);
+  g_string_free (f->seen, TRUE);
+  return 0;
+}
+
+static void
+_flt_fill_defaults (flt_desc_t *d)
+{
+  if (d->peer_ms == 0)
+    d->peer_ms = FLT_PEER_MS;
+  if (d->platform_ms == 0)
+    d->platform_ms = FLT_PLATFORM_MS;
+  if (d->upstream_ms == 0)
+    d->upstream_ms = FLT_UPSTREAM_MS;
+}
+
+flt_t *
+flt_setup (void *ctx, const flt_desc_t *desc)
+{
+  flt_t *f = talloc_zero (ctx, flt_t);
+  f->desc = *desc;
+  _flt_fill_defaults (&f->desc);
+  f->rand = g_rand_new_with_seed (desc->seed);
+  f->due = g_ptr_array_new ();
+  f->watches = g_ptr_array_new ();
+  f->answers = g_ptr_array_new ();
+  f->upstream_modes = g_hash_table_new (g_str_hash, g_str_equal);
+  f->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->cancelled = g_hash_table_new (g_str_hash, g_str_equal);
+  f->seen = g_string_new ("");
+  f->platform = fpl_setup (f);
+  f->cut = talloc_zero_array (f, bool, desc->data_centres);
+  f->vm_count = desc->data_centres * desc->vms;
+  f->vms = talloc_zero_array (f, _flt_vm_t, f->vm_count);
+  talloc_set_destructor (f, _flt_destroy);
+  if (desc->document != NULL)
+    flt_put (f, "config", desc->document);
+  for (size_t i = 0; i < f->vm_count; i++)
+    {
+      _flt_vm_t *vm = &f->vms[i];
+      vm->data_centre = i / desc->vms;
+      vm->name = talloc_asprintf (f, "dc-%zu-vm-%zu", vm->data_centre,
+                                  i % desc->vms);
+      vm->keeps = talloc_zero_array (f, bool, f->vm_count);
+      vm->linked = talloc_zero_array (f, bool, f->vm_count);
+      flt_start (f, i);
+    }
+  return f;
+}
+
+void
+flt_run (flt_t *f, clk_ms_t until)
+{
+  guint index = 0;
+  _flt_due_t *d = NULL;
+  while ((d = _flt_earliest (f, &index)) != NULL && d->at <= until)
+    {
+      f->now = clk_max (f->now, d->at);
+      if (f->vms[d->vm].frozen_until > f->now)
+        {
+          d->at = f->vms[d->vm].frozen_until;
+          continue;
+        }
+      g_ptr_array_remove_index (f->due, index);
+      _flt_deliver (f, d);
+      talloc_free (d);
+      _flt_watches (f);
+    }
+  f->now = until;
+}
+
+clk_ms_t
+flt_now (const flt_t *f)
+{
+  return f->now;
+}
+
+size_t
+flt_vm_count (const flt_t *f)
+{
+  return f->vm_count;
+}
+
+GRand *
+flt_rand (flt_t *f)
+{
+  return f->rand;
+}
+
+uint64_t
+flt_request (flt_t *f, size_t vm, const flt_request_t *req)
+{
+  flt_answer_t *a = talloc_zero (f, flt_answer_t);
+  a->body = talloc_strdup (a, "");
+  a->asked = f->now;
+  g_ptr_array_add (f->answers, a);
+  uint64_t id = f->answers->len;
+  _flt_due_t *d = _flt_push (f, 1, vm, EV_REQUEST);
+  http_header_t *h = talloc_zero_array (d, http_header_t, 3);
+  size_t n = 0;
+  h[n++] = (http_header_t){ "Content-Type", "application/json" };
+  if (req->key != NULL)
+    h[n++] = (http_header_t){ "Authorization",
+                              talloc_asprintf (d, "Bearer %s", req->key) };
+  if (req->idempotency_key != NULL)
+    h[n++] = (http_header_t){ "Idempotency-Key",
+                              talloc_strdup (d, req->idempotency_key) };
+  d->ev.request = (ev_request_t){
+    .caller = id,
+    .method = req->method,
+    .path = talloc_strdup (d, req->path),
+    .query = talloc_strdup (d, req->query == NULL ? "" : req->query),
+    .headers = { .v = h, .n = n },
+    .body = buf_copy (d, buf_str (req->body)),
+  };
+  a->lost = f->vms[vm].node == NULL;
+  return id;
+}
+
+void
+flt_caller_gone (flt_t *f, uint64_t id)
+{
+  for (size_t i = 0; i < f->vm_count; i++)
+    _flt_push (f, 0, i, EV_CALLER_GONE)->ev.caller = id;
+}
+
+const flt_answer_t *
+flt_answer (const flt_t *f, uint64_t id)
+{
+  return _flt_answer (f, id);
+}
+
+unsigned
+flt_runs (const flt_t *f, const char *marker)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (f->runs, marker));
+}
+
+bool
+flt_upstream_saw (const flt_t *f, const char *bytes)
+{
+  return strstr (f->seen->str, bytes) != NULL;
+}
+
+void
+flt_kill (flt_t *f, size_t vm)
+{
+  TALLOC_FREE (f->vms[vm].node);
+  for (size_t i = 0; i < f->vm_count; i++)
+    {
+      f->vms[vm].keeps[i] = false;
+      f->vms[vm].linked[i] = false;
+    }
+  _flt_links_update (f);
+}
+
+void
+flt_start (flt_t *f, size_t vm)
+{
+  _flt_vm_t *v = &f->vms[vm];
+  st_t st = { 0 };
+  char dc[32];
+  (void)snprintf (dc, sizeof dc, "dc-%zu", v->data_centre);
+  v->incarnation = ++f->seq;
+  v->frozen_until = 0;
+  v->exited = false;
+  v->node = node_setup (f,
+                        &(node_desc_t){ .vm = v->name,
+                                        .data_centre = dc,
+                                        .address = v->name,
+                                        .incarnation = v->incarnation,
+                                        .seed = g_rand_int (f->rand) },
+                        &st);
+  INV_CHECK (v->node != NULL, "node-starts", "%s", st.message);
+  _flt_push (f, 0, vm, EV_START);
+  _flt_links_update (f);
+}
+
+bool
+flt_alive (const flt_t *f, size_t vm)
+{
+  return f->vms[vm].node != NULL;
+}
+
+void
+flt_freeze (flt_t *f, size_t vm, clk_ms_t until)
+{
+  f->vms[vm].frozen_until = until;
+}
+
+void
+flt_leave (flt_t *f, size_t vm)
+{
+  _flt_push (f, 0, vm, EV_LEAVE);
+}
+
+bool
+flt_exited (const flt_t *f, size_t vm)
+{
+  return f->vms[vm].exited;
+}
+
+void
+flt_cut (flt_t *f, size_t data_centre, bool cut)
+{
+  f->cut[data_centre] = cut;
+  _flt_links_update (f);
+}
+
+void
+flt_platform (flt_t *f, flt_platform_t mode)
+{
+  f->platform_mode = mode;
+}
+
+void
+flt_upstream (flt_t *f, const char *address, flt_upstream_t mode)
+{
+  g_hash_table_replace (f->upstream_modes, talloc_strdup (f, address),
+                        GINT_TO_POINTER (mode));
+}
+
+void
+flt_put (flt_t *f, const char *name, const char *value)
+{
+  fpl_put (f->platform, name, buf_str (value));
+}
+
+uint64_t
+flt_platform_calls (const flt_t *f)
+{
+  return f->platform_calls;
+}
+
+double
+flt_counter (const flt_t *f, size_t vm, const char *name, const char *labels)
+{
+  return cnt_value (node_env (f->vms[vm].node)->cnt, name, labels);
+}
--- /dev/null
+++ b/tests/flt.h
@@ -0,0 +1,118 @@
+/** @file
+ * Several nodes under virtual time with small fakes at the seam: a platform,
+ * upstreams and links.  One seed gives one run.
+ *
+ *   flt_t *f = flt_setup (ctx, &(flt_desc_t){ .seed = 1, .data_centres = 3,
+ *                                             .vms = 2, .document = text });
+ *   flt_run (f, 2000);
+ *   uint64_t id = flt_request (f, 0, &(flt_request_t){ .method = "POST", ...
+ * }); flt_run (f, 4000); const flt_answer_t *a = flt_answer (f, id);
+ *
+ * Only what the tests need: links either carry a message after the latency or
+ * lose it, the platform keeps objects in a tree, upstreams echo.
+ */
+#ifndef RTS_FLT_H
+#define RTS_FLT_H
+
+#include "core/node.h"
+
+/** How the platform behaves. */
+typedef enum
+{
+  FLT_PLATFORM_OK,
+  FLT_PLATFORM_DOWN, /**< refuses at once, without effect */
+  FLT_PLATFORM_LOSE, /**< takes effect, then loses half of the answers */
+} flt_platform_t;
+
+/** How an upstream behaves. */
+typedef enum
+{
+  FLT_UPSTREAM_OK,
+  FLT_UPSTREAM_SILENT,
+  FLT_UPSTREAM_CUT, /**< runs, then breaks off in the middle */
+  FLT_UPSTREAM_REFUSE,
+} flt_upstream_t;
+
+/** How to set a fleet up. */
+typedef struct
+{
+  uint32_t seed;
+  size_t data_centres; /**< named dc-0, dc-1 ... */
+  size_t vms;          /**< in each; named dc-0-vm-0 ... */
+  const char *document;
+  clk_ms_t peer_ms;     /**< one way; default 1 */
+  clk_ms_t platform_ms; /**< there and back; default 4 */
+  clk_ms_t upstream_ms; /**< until the answer's head; default 20 */
+} flt_desc_t;
+
+/** A caller's request; strings are copied. */
+typedef struct
+{
+  const char *method;
+  const char *path;
+  const char *query;
+  const char *key;             /**< NULL: none */
+  const char *idempotency_key; /**< NULL: none */
+  const char *body;
+} flt_request_t;
+
+/** What the caller has seen. */
+typedef struct
+{
+  int status; /**< 0: nothing yet */
+  char *body;
+  bool ended;
+  bool aborted;
+  bool lost; /**< its VM died */
+  clk_ms_t asked;
+  clk_ms_t done;
+} flt_answer_t;
+
+typedef struct flt flt_t;
+
+flt_t *flt_setup (void *ctx, const flt_desc_t *desc);
+
+/** Let virtual time pass until UNTIL. */
+void flt_run (flt_t *f, clk_ms_t until);
+
+clk_ms_t flt_now (const flt_t *f);
+size_t flt_vm_count (const flt_t *f);
+GRand *flt_rand (flt_t *f);
+
+/** Send a request to a VM; its answer's number. */
+uint64_t flt_request (flt_t *f, size_t vm, const flt_request_t *req);
+void flt_caller_gone (flt_t *f, uint64_t id);
+const flt_answer_t *flt_answer (const flt_t *f, uint64_t id);
+
+/** Times that an upstream began to run a request with this Idempotency-Key
+ * or body marker. */
+unsigned flt_runs (const flt_t *f, const char *marker);
+
+/** Whether BYTES ever reached an upstream, in any position. */
+bool flt_upstream_saw (const flt_t *f, const char *bytes);
+
+void flt_kill (flt_t *f, size_t vm);
+void flt_start (flt_t *f, size_t vm);
+bool flt_alive (const flt_t *f, size_t vm);
+void flt_freeze (flt_t *f, size_t vm, clk_ms_t until);
+void flt_leave (flt_t *f, size_t vm);
+
+/** Whether the node of VM has asked to exit. */
+bool flt_exited (const flt_t *f, size_t vm);
+
+/** Cut a data centre off from the others and from the platform. */
+void flt_cut (flt_t *f, size_t data_centre, bool cut);
+void flt_platform (flt_t *f, flt_platform_t mode);
+void flt_upstream (flt_t *f, const char *address, flt_upstream_t mode);
+
+/** Write an object as somebody outside the fleet. */
+void flt_put (flt_t *f, const char *name, const char *value);
+
+/** Calls that the platform has had. */
+uint64_t flt_platform_calls (const flt_t *f);
+
+/** A counter of a VM's node. */
+double flt_counter (const flt_t *f, size_t vm, const char *name,
+                    const char *labels);
+
+#endif
--- /dev/null
+++ b/tests/flt_platform.c
@@ -0,0 +1,176 @@
+#include "flt_platform.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* One change; the last of a name is its state. */
+typedef struct
+{
+  char *name;
+  uint64_t version;
+  buf_t value;
+  bool deleted;
+} _fpl_change_t;
+
+struct fpl
+{
+  GTree *last; /**< name -> _fpl_change_t */
+  GPtrArray *log;
+  uint64_t revision;
+};
+
+static int
+_fpl_compare (const void *a, const void *b, void *data)
+{
+  (void)data;
+  return strcmp (a, b);
+}
+
+static int
+_fpl_destroy (fpl_t *p)
+{
+  g_tree_destroy (p->last);
+  g_ptr_array_unref (p->log);
+  return 0;
+}
+
+fpl_t *
+fpl_setup (void *ctx)
+{
+  fpl_t *p = talloc_zero (ctx, fpl_t);
+  p->last = g_tree_new_full (_fpl_compare, NULL, NULL, NULL);
+  p->log = g_ptr_array_new ();
+  talloc_set_destructor (p, _fpl_destroy);
+  return p;
+}
+
+static void
+_fpl_change (fpl_t *p, const char *name, buf_t value, bool deleted)
+{
+  _fpl_change_t *c = talloc_zero (p, _fpl_change_t);
+  c->name = talloc_strdup (c, name);
+  c->version = ++p->revision;
+  c->value = buf_copy (c, value);
+  c->deleted = deleted;
+  g_tree_replace (p->last, c->name, c);
+  g_ptr_array_add (p->log, c);
+}
+
+void
+fpl_put (fpl_t *p, const char *name, buf_t value)
+{
+  _fpl_change (p, name, value, false);
+}
+
+static ev_object_t
+_fpl_object (void *ctx, const _fpl_change_t *c)
+{
+  return (ev_object_t){ .name = talloc_strdup (ctx, c->name),
+                        .version = c->version,
+                        .value = buf_copy (ctx, c->value),
+                        .deleted = c->deleted };
+}
+
+static void
+_fpl_one (void *ctx, const char *name, const _fpl_change_t *c,
+          ev_platform_t *reply)
+{
+  ev_object_t *o = talloc_zero (ctx, ev_object_t);
+  if (c == NULL)
+    o->name = talloc_strdup (ctx, name);
+  else
+    *o = _fpl_object (ctx, c);
+  reply->objects = o;
+  reply->object_count = 1;
+}
+
+static void
+_fpl_write (fpl_t *p, void *ctx, const fx_platform_t *call,
+            ev_platform_t *reply)
+{
+  const _fpl_change_t *c = g_tree_lookup (p->last, call->name);
+  uint64_t version = c == NULL || c->deleted ? 0 : c->version;
+  bool del = call->op == FX_PLATFORM_DELETE;
+  if (version != call->if_version)
+    reply->code = ST_CONFLICT;
+  else if (del && version == 0)
+    reply->code = ST_NOT_FOUND;
+  else
+    _fpl_change (p, call->name, call->value, del);
+  _fpl_one (ctx, call->name, g_tree_lookup (p->last, call->name), reply);
+}
+
+/* A walk over the tree that collects live objects below a prefix. */
+typedef struct
+{
+  void *ctx;
+  const char *prefix;
+  ev_object_t *v;
+  size_t n;
+} _fpl_walk_t;
+
+static void
+_fpl_append (_fpl_walk_t *w, const _fpl_change_t *c)
+{
+  w->v = talloc_realloc (w->ctx, w->v, ev_object_t, w->n + 1);
+  w->v[w->n++] = _fpl_object (w->ctx, c);
+}
+
+static int
+_fpl_walk_one (void *key, void *value, void *data)
+{
+  (void)key;
+  _fpl_walk_t *w = data;
+  const _fpl_change_t *c = value;
+  if (!c->deleted && g_str_has_prefix (c->name, w->prefix))
+    _fpl_append (w, c);
+  return 0;
+}
+
+static size_t
+_fpl_watch (fpl_t *p, _fpl_walk_t *w, uint64_t after)
+{
+  for (guint i = 0; i < p->log->len; i++)
+    {
+      const _fpl_change_t *c = g_ptr_array_index (p->log, i);
+      if (c->version > after && g_str_has_prefix (c->name, w->prefix))
+        _fpl_append (w, c);
+    }
+  return w->n;
+}
+
+bool
+fpl_call (fpl_t *p, void *ctx, const fx_platform_t *call, ev_platform_t *reply)
+{
+  _fpl_walk_t w = { .ctx = ctx, .prefix = call->name };
+  const _fpl_change_t *c = NULL;
+  reply->call = call->call;
+  reply->code = ST_OK;
+  reply->revision = p->revision;
+  switch (call->op)
+    {
+    case FX_PLATFORM_GET:
+      c = g_tree_lookup (p->last, call->name);
+      if (c == NULL || c->deleted)
+        reply->code = ST_NOT_FOUND;
+      _fpl_one (ctx, call->name, c != NULL && c->deleted ? NULL : c, reply);
+      return true;
+    case FX_PLATFORM_PUT:
+    case FX_PLATFORM_DELETE:
+      _fpl_write (p, ctx, call, reply);
+      return true;
+    case FX_PLATFORM_LIST:
+      g_tree_foreach (p->last, _fpl_walk_one, &w);
+      break;
+    case FX_PLATFORM_WATCH:
+      if (_fpl_watch (p, &w, call->revision) == 0)
+        return false;
+      break;
+    case FX_PLATFORM_VMS:
+      break;
+    }
+  reply->objects = w.v;
+  reply->object_count = w.n;
+  return true;
+}
--- /dev/null
+++ b/tests/test_lnk.c
@@ -0,0 +1,213 @@
+/** @file
+ * Frames and peer links over real sockets: proof of the secret, garbage, half
+ * frames, oversize frames, a peer that falls silent.
+ */
+#include "io/frm.h"
+#include "io/lnk.h"
+#include "tst.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#define STEPS_MAX 20000 /* loop turns before a wait is given up */
+
+/* One end: what its handler has seen. */
+typedef struct
+{
+  lnk_t *links;
+  int up;
+  int down;
+  char got[64];
+} end_t;
+
+static void
+on_event (void *data, const ev_t *ev)
+{
+  end_t *e = data;
+  if (ev->kind == EV_PEER_UP)
+    e->up++;
+  if (ev->kind == EV_PEER_DOWN)
+    e->down++;
+  if (ev->kind == EV_PEER_MSG)
+    (void)snprintf (e->got, sizeof e->got, "%.*s", (int)ev->peer.msg.body.n,
+                    ev->peer.msg.body.p);
+}
+
+/* A port that was free a moment ago. */
+static uint16_t
+free_port (void)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in in
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t size = sizeof in;
+  (void)bind (fd, (struct sockaddr *)&in, sizeof in);
+  (void)getsockname (fd, (struct sockaddr *)&in, &size);
+  close (fd);
+  return ntohs (in.sin_port);
+}
+
+static void
+open_end (struct tevent_context *loop, end_t *e, const char *vm,
+          const char *address, const char *secret)
+{
+  st_t st = { 0 };
+  e->links = lnk_setup (loop,
+                        &(lnk_desc_t){ .loop = loop,
+                                       .vm = vm,
+                                       .listen = address,
+                                       .secret = secret,
+                                       .handler = on_event,
+                                       .data = e },
+                        &st);
+}
+
+static char *
+own_address (void *ctx)
+{
+  return talloc_asprintf (ctx, "127.0.0.1:%u", free_port ());
+}
+
+static bool
+wait_for (struct tevent_context *loop, const int *value)
+{
+  for (int i = 0; i < STEPS_MAX && *value == 0; i++)
+    (void)tevent_loop_once (loop);
+  return *value != 0;
+}
+
+static void
+test_links_prove_the_secret_and_carry_messages (void)
+{
+  struct tevent_context *loop = tevent_context_init (NULL);
+  end_t a = { 0 };
+  end_t b = { 0 };
+  char *at_a = own_address (loop);
+  open_end (loop, &a, "vm-a", at_a, "secret of sixteen");
+  char *at_b = own_address (loop);
+  open_end (loop, &b, "vm-b", at_b, "secret of sixteen");
+  TST_NEED (a.links != NULL && b.links != NULL);
+  lnk_keep (a.links, "vm-b", at_b);
+  lnk_keep (b.links, "vm-a", at_a);
+  CU_ASSERT (wait_for (loop, &a.up));
+  CU_ASSERT (wait_for (loop, &b.up));
+  lnk_send (a.links, "vm-b",
+            &(msg_t){ .kind = MSG_LIMIT_FIRST, .body = buf_str ("hello") });
+  for (int i = 0; i < STEPS_MAX && b.got[0] == '\0'; i++)
+    (void)tevent_loop_once (loop);
+  CU_ASSERT_STRING_EQUAL (b.got, "hello");
+  CU_ASSERT_EQUAL (a.up, 1);
+  CU_ASSERT_EQUAL (a.down, 0);
+  talloc_free (loop);
+}
+
+static void
+test_wrong_secret_opens_no_link (void)
+{
+  struct tevent_context *loop = tevent_context_init (NULL);
+  end_t a = { 0 };
+  end_t b = { 0 };
+  char *at_a = own_address (loop);
+  open_end (loop, &a, "vm-a", at_a, "secret of sixteen");
+  char *at_b = own_address (loop);
+  open_end (loop, &b, "vm-b", at_b, "another of sixteen");
+  TST_NEED (a.links != NULL && b.links != NULL);
+  lnk_keep (a.links, "vm-b", at_b);
+  for (int i = 0; i < 60; i++)
+    (void)tevent_loop_once (loop);
+  CU_ASSERT_EQUAL (a.up, 0);
+  CU_ASSERT_EQUAL (b.up, 0);
+  talloc_free (loop);
+}
+
+/* Connect as a raw client, send BYTES, and turn the loop until the other side
+ * closes (true) or the turns are over. */
+static bool
+closes_after (struct tevent_context *loop, const char *address,
+              const void *bytes, size_t n)
+{
+  struct sockaddr_in in
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  in.sin_port = htons ((uint16_t)atoi (strchr (address, ':') + 1));
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  (void)connect (fd, (struct sockaddr *)&in, sizeof in);
+  (void)send (fd, bytes, n, MSG_NOSIGNAL);
+  bool closed = false;
+  for (int i = 0; i < STEPS_MAX && !closed; i++)
+    {
+      char block[256];
+      (void)tevent_loop_once (loop);
+      ssize_t got = recv (fd, block, sizeof block, MSG_DONTWAIT);
+      closed = got == 0 || (got < 0 && errno == ECONNRESET);
+    }
+  close (fd);
+  return closed;
+}
+
+static void
+test_what_is_no_greeting_is_closed (void)
+{
+  struct tevent_context *loop = tevent_context_init (NULL);
+  end_t a = { 0 };
+  char *at_a = own_address (loop);
+  open_end (loop, &a, "vm-a", at_a, "secret of sixteen");
+  TST_NEED (a.links != NULL);
+  static const char garbage[] = "GET / HTTP/1.1\r\n\r\n";
+  CU_ASSERT (closes_after (loop, at_a, garbage, sizeof garbage - 1));
+  static const unsigned char oversize[] = { 0xff, 0xff, 0xff, 0xff };
+  CU_ASSERT (closes_after (loop, at_a, oversize, sizeof oversize));
+  static const unsigned char wrong[] = { 0, 0, 0, 2, 0xc1, 0xc1 };
+  CU_ASSERT (closes_after (loop, at_a, wrong, sizeof wrong));
+  buf_t early = frm_encode (loop, &(msg_t){ .kind = MSG_LIMIT_FIRST });
+  CU_ASSERT (closes_after (loop, at_a, early.p, early.n));
+  /* half a frame, then silence: closed by the heartbeat's bound */
+  static const unsigned char half[] = { 0, 0, 0, 9, 1 };
+  CU_ASSERT (closes_after (loop, at_a, half, sizeof half));
+  CU_ASSERT_EQUAL (a.up, 0);
+  talloc_free (loop);
+}
+
+static void
+test_frames_of_any_cut (void)
+{
+  void *ctx = talloc_new (NULL);
+  buf_t frame = frm_encode (
+      ctx, &(msg_t){ .kind = 300,
+                     .stamp = { .ms = 7, .count = 2 },
+                     .body = buf_str ("alteration: sleeve 2 cm") });
+  msg_t msg;
+  size_t used = 0;
+  for (size_t n = 0; n < frame.n; n++)
+    CU_ASSERT_EQUAL (
+        frm_decode (ctx, (buf_t){ .p = frame.p, .n = n }, &msg, &used),
+        ST_UNAVAILABLE);
+  CU_ASSERT_EQUAL (frm_decode (ctx, frame, &msg, &used), ST_OK);
+  CU_ASSERT_EQUAL (used, frame.n);
+  CU_ASSERT (buf_is (msg.body, "alteration: sleeve 2 cm"));
+  CU_ASSERT_EQUAL (msg.stamp.count, 2);
+  char *big = talloc_zero_size (ctx, MSG_BODY_MAX + 1);
+  CU_ASSERT_PTR_NULL (
+      frm_encode (ctx, &(msg_t){ .body = { .p = big, .n = MSG_BODY_MAX + 1 } })
+          .p);
+  talloc_free (ctx);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "links_prove_the_secret_and_carry_messages",
+      test_links_prove_the_secret_and_carry_messages },
+    { "wrong_secret_opens_no_link", test_wrong_secret_opens_no_link },
+    { "what_is_no_greeting_is_closed", test_what_is_no_greeting_is_closed },
+    { "frames_of_any_cut", test_frames_of_any_cut },
+  };
+  return tst_run ("lnk", cases, sizeof cases / sizeof cases[0]);
+}
