--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 TESTS = $(wildcard tests/test_*.c)
 TEST_LIB = $(filter-out $(TESTS) $(wildcard tests/fuzz_*.c),$(wildcard tests/*.c))
 MEASURES = $(wildcard tools/measure_*.c)
-MEASURE_LIB = $(filter-out $(MEASURES),$(wildcard tools/*.c))
+MEASURE_LIB = $(filter-out $(MEASURES),$(wildcard tools/*.c)) \
+  tests/flt.c tests/flt_platform.c
 
 obj = $(patsubst %.c,build/$(1)/%.o,$(2))
 
@@ -67,6 +68,8 @@
 	@mkdir -p $(@D)
 	@$(CC) $(SAN) -o $@ $^ $(CUNIT_LIBS) $(PKG_LIBS)
 
+build/opt/tools/%.o: CPPFLAGS += -Itests
+
 build/tools/%: build/opt/tools/%.o $(call obj,opt,$(MEASURE_LIB) $(CORE) $(IO))
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
@@ -111,7 +114,7 @@
 
 build/tidy/%.ok: %.c .clang-tidy $(ALL_H)
 	@mkdir -p $(@D)
-	@clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) $(PKG_CFLAGS) \
+	@clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) -Itests $(PKG_CFLAGS) \
 	  >$@.log 2>&1 || { cat $@.log; exit 1; }
 	@touch $@
 
--- a/tests/flt.c
+++ b/tests/flt.c
@@ -12,6 +12,8 @@
 #define FLT_PLATFORM_MS 4
 #define FLT_UPSTREAM_MS 20
 #define FLT_LINK_MS 2
+#define FLT_WATCH_MS 2     /* between looks at waiting watches */
+#define FLT_FRAME_BYTES 16 /* of a frame around its body */
 #define FLT_SILENT_MS 2000 /* until a dead link is noticed */
 
 typedef struct
@@ -24,13 +26,12 @@
   bool *keeps;  /**< by VM: FX_PEER_LINK is in force */
   bool *linked; /**< by VM: EV_PEER_UP was given */
   bool exited;
+  flt_traffic_t traffic;
 } _flt_vm_t;
 
 /* Something due for a VM's node. */
 typedef struct
 {
-  clk_ms_t at;
-  uint64_t seq;
   size_t vm;
   uint64_t incarnation;
   size_t from;     /**< peer events: the other VM */
@@ -56,12 +57,13 @@
   uint64_t seq;
   _flt_vm_t *vms;
   size_t vm_count;
-  bool *cut; /**< by data centre */
-  GPtrArray *due;
+  bool *cut;         /**< by data centre */
+  tmr_t *due;        /**< tag: the _flt_due_t */
+  GHashTable *index; /**< name -> VM + 1 */
   fpl_t *platform;
   flt_platform_t platform_mode;
-  uint64_t platform_calls;
   GPtrArray *watches;
+  clk_ms_t watch_at;          /**< next look at them */
   GHashTable *upstream_modes; /**< address -> mode */
   GHashTable *runs;           /**< marker -> count */
   GHashTable *cancelled;      /**< "vm/incarnation/call" */
@@ -75,32 +77,14 @@
 _flt_push (flt_t *f, clk_ms_t delay, size_t vm, ev_kind_t kind)
 {
   _flt_due_t *d = talloc_zero (f, _flt_due_t);
-  d->at = f->now + delay;
-  d->seq = f->seq++;
   d->vm = vm;
   d->incarnation = f->vms[vm].incarnation;
   d->from = vm;
   d->ev.kind = kind;
-  g_ptr_array_add (f->due, d);
+  tmr_arm (f->due, f->now + delay, MOD_NODE, (uint64_t)(uintptr_t)d);
   return d;
 }
 
-static _flt_due_t *
-_flt_earliest (flt_t *f, guint *index)
-{
-  _flt_due_t *best = NULL;
-  for (guint i = 0; i < f->due->len; i++)
-    {
-      _flt_due_t *d = g_ptr_array_index (f->due, i);
-      if (best != NULL
-          && (d->at > best->at || (d->at == best->at && d->seq > best->seq)))
-        continue;
-      best = d;
-      *index = i;
-    }
-  return best;
-}
-
 /* -- reachability --------------------------------------------------------- */
 
 static bool
@@ -207,7 +191,7 @@
 static void
 _flt_platform_call (flt_t *f, size_t vm, const fx_platform_t *call)
 {
-  f->platform_calls++;
+  f->vms[vm].traffic.platform_calls++;
   if (f->platform_mode == FLT_PLATFORM_DOWN || f->cut[f->vms[vm].data_centre])
     {
       _flt_due_t *d = _flt_push (f, f->desc.platform_ms, vm, EV_PLATFORM);
@@ -231,6 +215,7 @@
 static void
 _flt_watches (flt_t *f)
 {
+  f->watch_at = f->now + FLT_WATCH_MS;
   for (guint i = f->watches->len; i > 0; i--)
     {
       _flt_watch_t *w = g_ptr_array_index (f->watches, i - 1);
@@ -391,12 +376,8 @@
 static size_t
 _flt_vm_index (const flt_t *f, const char *name)
 {
-  for (size_t i = 0; i < f->vm_count; i++)
-    {
-      if (strcmp (f->vms[i].name, name) == 0)
-        return i;
-    }
-  return f->vm_count;
+  gpointer found = g_hash_table_lookup (f->index, name);
+  return found == NULL ? f->vm_count : GPOINTER_TO_SIZE (found) - 1;
 }
 
 static void
@@ -491,7 +472,7 @@
 _flt_destroy (flt_t *f)
 {
   g_rand_free (f->rand);
-  g_ptr_array_unref (f->due);
+  g_hash_table_destroy (f->index);
   g_ptr_array_unref (f->watches);
   g_ptr_array_unref (f->answers);
   g_hash_table_destroy (f->upstream_modes);
@@ -519,7 +500,8 @@
   f->desc = *desc;
   _flt_fill_defaults (&f->desc);
   f->rand = g_rand_new_with_seed (desc->seed);
-  f->due = g_ptr_array_new ();
+  f->due = tmr_setup (f);
+  f->index = g_hash_table_new (g_str_hash, g_str_equal);
   f->watches = g_ptr_array_new ();
   f->answers = g_ptr_array_new ();
   f->upstream_modes = g_hash_table_new (g_str_hash, g_str_equal);
@@ -539,6 +521,7 @@
       vm->data_centre = i / desc->vms;
       vm->name = talloc_asprintf (f, "dc-%zu-vm-%zu", vm->data_centre,
                                   i % desc->vms);
+      g_hash_table_insert (f->index, vm->name, GSIZE_TO_POINTER (i + 1));
       vm->keeps = talloc_zero_array (f, bool, f->vm_count);
       vm->linked = talloc_zero_array (f, bool, f->vm_count);
       flt_start (f, i);
@@ -549,20 +532,21 @@
 void
 flt_run (flt_t *f, clk_ms_t until)
 {
-  guint index = 0;
-  _flt_due_t *d = NULL;
-  while ((d = _flt_earliest (f, &index)) != NULL && d->at <= until)
+  tmr_due_t due;
+  while (tmr_pop (f->due, until, &due))
     {
-      f->now = clk_max (f->now, d->at);
-      if (f->vms[d->vm].frozen_until > f->now)
+      _flt_due_t *d = (_flt_due_t *)(uintptr_t)due.tag;
+      clk_ms_t thaw = f->vms[d->vm].frozen_until;
+      f->now = clk_max (f->now, due.at);
+      if (thaw > f->now)
         {
-          d->at = f->vms[d->vm].frozen_until;
+          tmr_arm (f->due, thaw, MOD_NODE, due.tag);
           continue;
         }
-      g_ptr_array_remove_index (f->due, index);
       _flt_deliver (f, d);
       talloc_free (d);
-      _flt_watches (f);
+      if (f->now >= f->watch_at)
+        _flt_watches (f);
     }
   f->now = until;
 }
@@ -724,10 +708,16 @@
   fpl_put (f->platform, name, buf_str (value));
 }
 
-uint64_t
-flt_platform_calls (const flt_t *f)
+flt_traffic_t
+flt_traffic (const flt_t *f, size_t vm)
+{
+  return f->vms[vm].traffic;
+}
+
+const node_t *
+flt_node (const flt_t *f, size_t vm)
 {
-  return f->platform_calls;
+  return f->vms[vm].node;
 }
 
 double
--- a/tests/flt.h
+++ b/tests/flt.h
@@ -68,6 +68,14 @@
   clk_ms_t done;
 } flt_answer_t;
 
+/** Messages to peers and calls to the platform. */
+typedef struct
+{
+  uint64_t messages;
+  uint64_t bytes; /**< with their frames */
+  uint64_t platform_calls;
+} flt_traffic_t;
+
 typedef struct flt flt_t;
 
 flt_t *flt_setup (void *ctx, const flt_desc_t *desc);
@@ -108,8 +116,11 @@
 /** Write an object as somebody outside the fleet. */
 void flt_put (flt_t *f, const char *name, const char *value);
 
-/** Calls that the platform has had. */
-uint64_t flt_platform_calls (const flt_t *f);
+/** What a VM has sent so far. */
+flt_traffic_t flt_traffic (const flt_t *f, size_t vm);
+
+/** The node of VM; NULL when it is dead. */
+const node_t *flt_node (const flt_t *f, size_t vm);
 
 /** A counter of a VM's node. */
 double flt_counter (const flt_t *f, size_t vm, const char *name,
