Limits: membership, ownership hints, mint rights and pooled buckets

Cause: a customer's rate and burst must hold over all VMs together without a consensus group, and a refusal is to come only when the fleet has no token.

Tokens are pooled by loans: near minter first, then all. Membership keeps a full mesh up to 16 VMs and a grid above.

--- /dev/null
+++ b/src/core/lim_bucket.c
@@ -0,0 +1,259 @@
+#include "core/lim_bucket.h"
+
+#include "core/inv.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+/* A loan given. */
+typedef struct
+{
+  char vm[64];
+  uint64_t seq;
+  int64_t amount;
+  clk_ms_t until;
+} lbk_given_t;
+
+/* A loan taken. */
+typedef struct
+{
+  char vm[64];
+  uint64_t seq;
+  int64_t left;
+  int64_t spent;
+  clk_ms_t until;
+  bool settle;
+} lbk_taken_t;
+
+struct lbk
+{
+  int64_t rate;
+  int64_t burst;
+  int64_t held;
+  int64_t lent;
+  int64_t remainder; /* thousandths of a millionth, below 1000 */
+  clk_ms_t filled_at;
+  lbk_given_t *given;
+  size_t given_count;
+  lbk_taken_t *taken;
+  size_t taken_count;
+};
+
+lbk_t *
+lbk_setup (void *ctx)
+{
+  return talloc_zero (ctx, lbk_t);
+}
+
+static void
+_lbk_clip (lbk_t *b)
+{
+  int64_t room = b->burst - b->lent;
+  if (room < 0)
+    room = 0;
+  if (b->held >= room)
+    {
+      b->held = room;
+      b->remainder = 0;
+    }
+}
+
+static void
+_lbk_mint (lbk_t *b, clk_ms_t now)
+{
+  if (now <= b->filled_at)
+    return;
+  clk_ms_t elapsed = now - b->filled_at;
+  b->filled_at = now;
+  if (b->rate == 0)
+    return;
+  /* Past this many milliseconds the bucket is full whatever it held. */
+  clk_ms_t full = b->burst * CLK_SECOND / b->rate + 1;
+  int64_t gained = b->rate * clk_min (elapsed, full) + b->remainder;
+  b->held += gained / CLK_SECOND;
+  b->remainder = gained % CLK_SECOND;
+  _lbk_clip (b);
+}
+
+/* Minting stands still while loans fill the bucket, so it is brought up to
+ * the end of each loan in turn, earliest first. */
+static void
+_lbk_expire_given (lbk_t *b, clk_ms_t now)
+{
+  for (;;)
+    {
+      size_t first = b->given_count;
+      for (size_t i = 0; i < b->given_count; i++)
+        if (b->given[i].until <= now
+            && (first == b->given_count
+                || b->given[i].until < b->given[first].until))
+          first = i;
+      if (first == b->given_count)
+        return;
+      _lbk_mint (b, b->given[first].until);
+      b->lent -= b->given[first].amount;
+      b->given[first] = b->given[--b->given_count];
+    }
+}
+
+void
+lbk_advance (lbk_t *b, clk_ms_t now)
+{
+  _lbk_expire_given (b, now);
+  _lbk_mint (b, now);
+  size_t kept = 0;
+  for (size_t i = 0; i < b->taken_count; i++)
+    if (now < b->taken[i].until)
+      b->taken[kept++] = b->taken[i];
+  b->taken_count = kept;
+  INV_CHECK (b->held >= 0 && b->lent >= 0, "limit-bucket-not-negative",
+             "held %ld lent %ld", (long)b->held, (long)b->lent);
+}
+
+void
+lbk_set_share (lbk_t *b, clk_ms_t now, int64_t rate, int64_t burst)
+{
+  lbk_advance (b, now);
+  b->rate = rate;
+  b->burst = burst;
+  _lbk_clip (b);
+}
+
+int64_t
+lbk_available (const lbk_t *b)
+{
+  int64_t sum = b->held;
+  for (size_t i = 0; i < b->taken_count; i++)
+    sum += b->taken[i].left;
+  return sum;
+}
+
+bool
+lbk_has_token (const lbk_t *b)
+{
+  return lbk_available (b) >= LBK_TOKEN;
+}
+
+int64_t
+lbk_held (const lbk_t *b)
+{
+  return b->held;
+}
+
+int64_t
+lbk_lent (const lbk_t *b)
+{
+  return b->lent;
+}
+
+int64_t
+lbk_burst (const lbk_t *b)
+{
+  return b->burst;
+}
+
+bool
+lbk_take (lbk_t *b, clk_ms_t now)
+{
+  lbk_advance (b, now);
+  if (!lbk_has_token (b))
+    return false;
+  int64_t need = LBK_TOKEN;
+  for (size_t i = 0; i < b->taken_count && need > 0; i++)
+    {
+      lbk_taken_t *t = &b->taken[i];
+      int64_t part = t->left < need ? t->left : need;
+      t->left -= part;
+      t->spent += part;
+      need -= part;
+    }
+  b->held -= need;
+  return true;
+}
+
+int64_t
+lbk_lend (lbk_t *b, clk_ms_t now, const char *vm, uint64_t seq, int64_t want,
+          clk_ms_t life)
+{
+  lbk_advance (b, now);
+  int64_t amount = want < b->held ? want : b->held;
+  if (amount <= 0 || b->given_count == LBK_LOANS_MAX)
+    return 0;
+  b->given = talloc_realloc (b, b->given, lbk_given_t, b->given_count + 1);
+  lbk_given_t *g = &b->given[b->given_count++];
+  *g = (lbk_given_t){ .seq = seq, .amount = amount, .until = now + life };
+  snprintf (g->vm, sizeof g->vm, "%s", vm);
+  b->held -= amount;
+  b->lent += amount;
+  return amount;
+}
+
+void
+lbk_settle (lbk_t *b, clk_ms_t now, const char *vm, uint64_t seq,
+            int64_t spent, int64_t returned)
+{
+  lbk_advance (b, now);
+  for (size_t i = 0; i < b->given_count; i++)
+    {
+      lbk_given_t *g = &b->given[i];
+      if (g->seq != seq || strcmp (g->vm, vm) != 0)
+        continue;
+      if (spent < 0 || returned < 0 || spent > g->amount
+          || returned > g->amount - spent)
+        return;
+      g->amount -= spent + returned;
+      b->lent -= spent + returned;
+      b->held += returned;
+      _lbk_clip (b);
+      if (g->amount == 0)
+        *g = b->given[--b->given_count];
+      return;
+    }
+}
+
+void
+lbk_borrow (lbk_t *b, const char *vm, uint64_t seq, int64_t amount,
+            clk_ms_t until, bool settle)
+{
+  if (amount <= 0 || b->taken_count == LBK_LOANS_MAX)
+    return;
+  b->taken = talloc_realloc (b, b->taken, lbk_taken_t, b->taken_count + 1);
+  lbk_taken_t *t = &b->taken[b->taken_count++];
+  *t = (lbk_taken_t){
+    .seq = seq, .left = amount, .until = until, .settle = settle
+  };
+  snprintf (t->vm, sizeof t->vm, "%s", vm);
+}
+
+bool
+lbk_settlement_pop (lbk_t *b, int64_t keep, lbk_settlement_t *s)
+{
+  int64_t borrowed = lbk_available (b) - b->held;
+  for (size_t i = b->taken_count; i-- > 0;)
+    {
+      lbk_taken_t *t = &b->taken[i];
+      bool surplus = t->left > 0 && borrowed - t->left >= keep;
+      if (t->left > 0 && !surplus)
+        continue;
+      lbk_taken_t gone = *t;
+      *t = b->taken[--b->taken_count];
+      if (!gone.settle && gone.left == 0)
+        continue;
+      *s = (lbk_settlement_t){ .seq = gone.seq,
+                               .spent = gone.spent,
+                               .returned = gone.left };
+      memcpy (s->vm, gone.vm, sizeof s->vm);
+      return true;
+    }
+  return false;
+}
+
+int64_t
+lbk_empty (lbk_t *b)
+{
+  int64_t held = b->held;
+  b->held = 0;
+  b->taken_count = 0;
+  return held;
+}
--- /dev/null
+++ b/src/core/own.c
@@ -0,0 +1,76 @@
+#include "core/own.h"
+
+#include <stdbool.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Spread the bits of H (the finalizer of splitmix64). */
+static uint64_t
+_own_mix (uint64_t h)
+{
+  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9U;
+  h = (h ^ (h >> 27)) * 0x94d049bb133111ebU;
+  return h ^ (h >> 31);
+}
+
+static uint64_t
+_own_hash_name (mod_t kind, const char *name)
+{
+  return XXH3_64bits_withSeed (name, strlen (name), (XXH64_hash_t)kind + 1);
+}
+
+uint64_t
+own_weight (const char *vm, mod_t kind, const char *name)
+{
+  return _own_mix (XXH3_64bits (vm, strlen (vm))
+                   ^ _own_hash_name (kind, name));
+}
+
+const char *
+own_pick (const char *const *vms, size_t n, mod_t kind, const char *name)
+{
+  const char *best = NULL;
+  own_rank (vms, n, kind, name, &best, 1);
+  return best;
+}
+
+/* Whether (WEIGHT, VM) goes before (OTHER_WEIGHT, OTHER). */
+static bool
+_own_before (uint64_t weight, const char *vm, uint64_t other_weight,
+             const char *other)
+{
+  if (weight != other_weight)
+    return weight > other_weight;
+  return strcmp (vm, other) < 0;
+}
+
+size_t
+own_rank (const char *const *vms, size_t n, mod_t kind, const char *name,
+          const char **out, size_t max)
+{
+  uint64_t weights[OWN_RANK_MAX];
+  uint64_t of_name = _own_hash_name (kind, name);
+  size_t count = 0;
+  if (max > OWN_RANK_MAX)
+    max = OWN_RANK_MAX;
+  for (size_t i = 0; i < n && max > 0; i++)
+    {
+      uint64_t weight
+          = _own_mix (XXH3_64bits (vms[i], strlen (vms[i])) ^ of_name);
+      size_t at = count;
+      while (at > 0
+             && _own_before (weight, vms[i], weights[at - 1], out[at - 1]))
+        at--;
+      if (at == max)
+        continue;
+      count += count < max;
+      for (size_t j = count - 1; j > at; j--)
+        {
+          out[j] = out[j - 1];
+          weights[j] = weights[j - 1];
+        }
+      out[at] = vms[i];
+      weights[at] = weight;
+    }
+  return count;
+}
--- /dev/null
+++ b/tests/test_own.c
@@ -0,0 +1,76 @@
+/* Rendezvous hashing. */
+#include "core/own.h"
+#include "tst.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const char *const vms[] = { "a-1", "a-2", "b-1", "b-2", "c-1", "c-2" };
+#define VMS (sizeof vms / sizeof vms[0])
+#define THINGS 600
+
+static void
+test_empty (void)
+{
+  CU_ASSERT_PTR_NULL (own_pick (vms, 0, MOD_LIMIT, "x"));
+}
+
+static void
+test_order_does_not_matter (void)
+{
+  const char *other[VMS];
+  for (size_t i = 0; i < VMS; i++)
+    other[i] = vms[VMS - 1 - i];
+  for (int i = 0; i < THINGS; i++)
+    {
+      char name[32];
+      snprintf (name, sizeof name, "thing-%d", i);
+      CU_ASSERT_STRING_EQUAL (own_pick (vms, VMS, MOD_LIMIT, name),
+                              own_pick (other, VMS, MOD_LIMIT, name));
+    }
+}
+
+static void
+test_only_the_lost_ones_move (void)
+{
+  int lost = 0;
+  for (int i = 0; i < THINGS; i++)
+    {
+      char name[32];
+      snprintf (name, sizeof name, "thing-%d", i);
+      const char *before = own_pick (vms, VMS, MOD_LIMIT, name);
+      const char *after = own_pick (vms, VMS - 1, MOD_LIMIT, name);
+      if (strcmp (before, vms[VMS - 1]) == 0)
+        lost++;
+      else
+        CU_ASSERT_STRING_EQUAL (before, after);
+    }
+  /* A sixth, within a half of it either way. */
+  CU_ASSERT (lost > THINGS / 12 && lost < THINGS / 4);
+}
+
+static void
+test_rank (void)
+{
+  const char *out[VMS + 1];
+  CU_ASSERT_EQUAL (own_rank (vms, VMS, MOD_LIMIT, "x", out, VMS + 1), VMS);
+  CU_ASSERT_STRING_EQUAL (out[0], own_pick (vms, VMS, MOD_LIMIT, "x"));
+  for (size_t i = 1; i < VMS; i++)
+    CU_ASSERT (own_weight (out[i - 1], MOD_LIMIT, "x")
+               >= own_weight (out[i], MOD_LIMIT, "x"));
+  const char *two[2];
+  CU_ASSERT_EQUAL (own_rank (vms, VMS, MOD_LIMIT, "x", two, 2), 2);
+  CU_ASSERT_STRING_EQUAL (two[1], out[1]);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "empty", test_empty },
+    { "order does not matter", test_order_does_not_matter },
+    { "only the lost ones move", test_only_the_lost_ones_move },
+    { "rank", test_rank },
+  };
+  return tst_run ("own", cases, sizeof cases / sizeof cases[0]);
+}
--- /dev/null
+++ b/tools/limnet.h
@@ -0,0 +1,733 @@
+/** @file
+ * Several VMs' membership and limits under virtual time: a list of messages
+ * in flight, a fake platform and the exact bucket, for tests and experiments.
+ *
+ *   net_t *n = net_setup (ctx, &(net_desc_t){ .vms = 6, .data_centres = 3 });
+ *   net_run (n, 10000);
+ *   net_request (n, vm, customer);
+ *
+ * Each admitted request is checked against one exact bucket: more than rate
+ * and burst in any window breaks limit-never-over.
+ */
+#ifndef RTS_LIMNET_H
+#define RTS_LIMNET_H
+
+#include "core/inv.h"
+#include "core/lim.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define NET_VMS_MAX 512
+#define NET_FREE __attribute__ ((unused))
+
+/** Kinds of thing in flight. */
+typedef enum
+{
+  NET_TIMER,
+  NET_MESSAGE,
+  NET_REPLY,
+  NET_LINK_UP,
+  NET_LINK_DOWN,
+} net_kind_t;
+
+/** Something in flight. */
+typedef struct
+{
+  clk_ms_t at;
+  uint64_t seq;
+  net_kind_t kind;
+  uint32_t to;
+  uint32_t from;
+  uint64_t life; /* of the receiver; an earlier one's things are dropped */
+  uint64_t from_life;
+  uint16_t message;
+  buf_t body; /* owned: talloc */
+  uint64_t call;
+  fx_platform_op_t op;
+  char *name;
+  uint64_t if_version;
+  bool lost;
+} net_item_t;
+
+/** A VM. */
+typedef struct
+{
+  char name[32];
+  char data_centre[16];
+  uint32_t zone;
+  env_t *env;
+  mbr_t *mbr;
+  lim_t *lim;
+  uint64_t life;
+  bool alive;
+  bool listed;
+  clk_ms_t frozen_until;
+  net_item_t *kept; /* came while frozen */
+  size_t kept_count;
+  clk_ms_t wake;
+  uint64_t bytes_out;
+} net_vm_t;
+
+/** A customer: what it may, and what it got. */
+typedef struct
+{
+  char name[24];
+  double rate;
+  double burst;
+  double offered; /* requests a second */
+  double exact;   /* bucket fed the same arrivals */
+  clk_ms_t exact_at;
+  double given; /* bucket that pays for what was admitted */
+  clk_ms_t given_at;
+  double lowest; /* of given */
+  uint64_t arrivals;
+  uint64_t admitted;
+  uint64_t exact_admitted;
+  uint64_t refused_inside; /* refused here, admitted by exact */
+} net_customer_t;
+
+/** A request that waits for its verdict. */
+typedef struct
+{
+  uint32_t customer;
+  bool exact;
+  clk_ms_t at;
+} net_pending_t;
+
+/** An object of the fake platform. */
+typedef struct
+{
+  char *name;
+  uint64_t version;
+  buf_t value;
+} net_object_t;
+
+/** How to set a net up. */
+typedef struct
+{
+  uint32_t vms;
+  uint32_t data_centres;
+  clk_ms_t delay_ms; /**< between data centres, one way */
+  uint32_t seed;
+  uint32_t customers;
+  double rate; /**< of an ordinary customer */
+  double burst_seconds;
+  double load;    /**< offered, as a part of the rate */
+  uint32_t large; /**< so many customers have ten times the rate */
+  lim_desc_t limits;
+} net_desc_t;
+
+/** The net. */
+typedef struct
+{
+  net_desc_t desc;
+  clk_ms_t now;
+  uint64_t seq;
+  GRand *rand;
+  net_item_t *heap;
+  size_t count;
+  size_t room;
+  net_vm_t *vms;
+  uint32_t vm_count;
+  uint8_t *open; /* links, vm_count squared */
+  net_customer_t *customers;
+  cfg_doc_t doc;
+  net_pending_t *pending;
+  size_t pending_count;
+  net_object_t *objects;
+  size_t object_count;
+  uint64_t version;
+  bool platform_away;
+  bool platform_unreachable[16]; /* by zone */
+  double lose_answers;           /* part of PUTs */
+  bool cut[16][16];              /* zones */
+  double lose_messages;
+  uint64_t platform_calls;
+  uint64_t reads;
+  uint64_t writes;
+  uint64_t messages;
+  uint64_t pending_total;
+  uint64_t wait_ms;
+  clk_ms_t wait_max;
+} net_t;
+
+/* ---- in flight ---- */
+
+static inline bool
+_net_before (const net_item_t *a, const net_item_t *b)
+{
+  return a->at != b->at ? a->at < b->at : a->seq < b->seq;
+}
+
+static inline void
+_net_push (net_t *n, net_item_t item)
+{
+  if (n->count == n->room)
+    {
+      n->room = n->room == 0 ? 1024 : 2 * n->room;
+      n->heap = talloc_realloc (n, n->heap, net_item_t, n->room);
+    }
+  item.seq = n->seq++;
+  size_t i = n->count++;
+  for (; i > 0 && _net_before (&item, &n->heap[(i - 1) / 2]); i = (i - 1) / 2)
+    n->heap[i] = n->heap[(i - 1) / 2];
+  n->heap[i] = item;
+}
+
+static inline net_item_t
+_net_pop (net_t *n)
+{
+  net_item_t top = n->heap[0];
+  net_item_t last = n->heap[--n->count];
+  size_t i = 0;
+  for (;;)
+    {
+      size_t child = 2 * i + 1;
+      if (child >= n->count)
+        break;
+      if (child + 1 < n->count
+          && _net_before (&n->heap[child + 1], &n->heap[child]))
+        child++;
+      if (!_net_before (&n->heap[child], &last))
+        break;
+      n->heap[i] = n->heap[child];
+      i = child;
+    }
+  n->heap[i] = last;
+  return top;
+}
+
+static inline uint8_t *
+_net_open (net_t *n, uint32_t a, uint32_t b)
+{
+  return &n->open[a * n->vm_count + b];
+}
+
+static inline uint32_t
+_net_find (net_t *n, const char *name)
+{
+  uint32_t i = 0;
+  if (name[0] == 'v')
+    i = (uint32_t)strtoul (name + 1, NULL, 10);
+  return i < n->vm_count ? i : 0;
+}
+
+static inline bool
+_net_reaches (const net_t *n, uint32_t a, uint32_t b)
+{
+  return !n->cut[n->vms[a].zone][n->vms[b].zone];
+}
+
+static inline clk_ms_t
+_net_delay (net_t *n, uint32_t a, uint32_t b)
+{
+  if (n->vms[a].zone != n->vms[b].zone)
+    return n->desc.delay_ms > 0 ? n->desc.delay_ms
+                                : g_rand_int_range (n->rand, 0, 2);
+  return g_rand_int_range (n->rand, 0, 2);
+}
+
+/* ---- the platform ---- */
+
+static inline void
+_net_platform_called (net_t *n, uint32_t vm, const fx_platform_t *call)
+{
+  n->platform_calls++;
+  if (call->op == FX_PLATFORM_PUT)
+    n->writes++;
+  else
+    n->reads++;
+  net_item_t item = { .kind = NET_REPLY,
+                      .to = vm,
+                      .life = n->vms[vm].life,
+                      .call = call->call,
+                      .op = call->op,
+                      .name = talloc_strdup (n, call->name),
+                      .if_version = call->if_version,
+                      .body = buf_copy (n, call->value) };
+  bool away = n->platform_away || n->platform_unreachable[n->vms[vm].zone];
+  item.lost = away;
+  item.at = n->now + (away ? call->timeout_ms : 2);
+  _net_push (n, item);
+}
+
+static inline net_object_t *
+_net_object (net_t *n, const char *name)
+{
+  for (size_t i = 0; i < n->object_count; i++)
+    if (strcmp (n->objects[i].name, name) == 0)
+      return &n->objects[i];
+  return NULL;
+}
+
+static inline st_code_t
+_net_put (net_t *n, const net_item_t *call)
+{
+  net_object_t *o = _net_object (n, call->name);
+  if ((o ? o->version : 0) != call->if_version)
+    return ST_CONFLICT;
+  if (o == NULL)
+    {
+      n->objects
+          = talloc_realloc (n, n->objects, net_object_t, n->object_count + 1);
+      o = &n->objects[n->object_count++];
+      *o = (net_object_t){ .name = talloc_strdup (n, call->name) };
+    }
+  o->version = ++n->version;
+  o->value = buf_copy (n, call->body);
+  return ST_OK;
+}
+
+static inline size_t
+_net_list (net_t *n, const char *prefix, ev_object_t *out)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < n->object_count; i++)
+    if (strncmp (n->objects[i].name, prefix, strlen (prefix)) == 0)
+      out[count++] = (ev_object_t){ .name = n->objects[i].name,
+                                    .version = n->objects[i].version,
+                                    .value = n->objects[i].value };
+  return count;
+}
+
+static inline size_t
+_net_vm_list (net_t *n, ev_vm_t *out)
+{
+  size_t count = 0;
+  for (uint32_t i = 0; i < n->vm_count; i++)
+    if (n->vms[i].listed)
+      out[count++] = (ev_vm_t){ .vm = n->vms[i].name,
+                                .data_centre = n->vms[i].data_centre,
+                                .address = "127.0.0.1:1" };
+  return count;
+}
+
+/* ---- events into a VM ---- */
+
+static void _net_drain (net_t *n, uint32_t vm);
+
+static inline void
+_net_dispatch_reply (net_t *n, net_vm_t *v, const ev_platform_t *reply,
+                     const plt_done_t *done)
+{
+  (void)n;
+  if (done->mod == MOD_MEMBER)
+    mbr_platform_replied (v->mbr, v->env, done, reply);
+  else if (done->mod == MOD_LIMIT)
+    lim_platform_replied (v->lim, v->env, done, reply);
+}
+
+static inline void
+_net_reply (net_t *n, net_vm_t *v, const net_item_t *call)
+{
+  ev_object_t objects[16];
+  ev_vm_t vms[NET_VMS_MAX];
+  ev_platform_t reply = { .call = call->call, .objects = objects, .vms = vms };
+  if (call->lost)
+    reply.code = ST_UNAVAILABLE;
+  else if (call->op == FX_PLATFORM_PUT)
+    {
+      reply.code = _net_put (n, call);
+      if (g_rand_double (n->rand) < n->lose_answers)
+        reply.code = ST_UNKNOWN;
+    }
+  else if (call->op == FX_PLATFORM_VMS)
+    reply.vm_count = _net_vm_list (n, vms);
+  else
+    {
+      reply.object_count = _net_list (n, call->name, objects);
+      if (call->op == FX_PLATFORM_GET && reply.object_count == 0)
+        reply.code = ST_NOT_FOUND;
+    }
+  plt_done_t done;
+  if (plt_reply (v->env, &reply, &done))
+    _net_dispatch_reply (n, v, &reply, &done);
+}
+
+static inline void
+_net_message (net_vm_t *v, const char *from, const msg_t *msg)
+{
+  if (msg->kind < MSG_LIMIT_FIRST)
+    mbr_message_received (v->mbr, v->env, from, msg);
+  else
+    lim_message_received (v->lim, v->env, from, msg);
+}
+
+static inline void
+_net_timers (net_vm_t *v)
+{
+  tmr_due_t due;
+  while (tmr_pop (v->env->tmr, v->env->now, &due))
+    if (due.mod == MOD_MEMBER)
+      mbr_timer_fired (v->mbr, v->env, due.tag);
+    else
+      lim_timer_fired (v->lim, v->env, due.tag);
+}
+
+static inline void
+_net_deliver (net_t *n, net_item_t *item)
+{
+  net_vm_t *v = &n->vms[item->to];
+  v->env->now = n->now;
+  const char *from = n->vms[item->from].name;
+  switch (item->kind)
+    {
+    case NET_TIMER:
+      v->wake = CLK_NEVER;
+      _net_timers (v);
+      break;
+    case NET_MESSAGE:
+      if (*_net_open (n, item->from, item->to)
+          && _net_reaches (n, item->from, item->to))
+        _net_message (v, from,
+                      &(msg_t){ .kind = item->message, .body = item->body });
+      break;
+    case NET_REPLY:
+      _net_reply (n, v, item);
+      break;
+    case NET_LINK_UP:
+      mbr_peer_up (v->mbr, v->env, from);
+      break;
+    case NET_LINK_DOWN:
+      mbr_peer_down (v->mbr, v->env, from);
+      break;
+    }
+  _net_drain (n, item->to);
+}
+
+/* ---- effects out of a VM ---- */
+
+static inline void
+_net_link (net_t *n, uint32_t a, uint32_t b)
+{
+  if (a == b || !n->vms[a].alive || !n->vms[b].alive || *_net_open (n, a, b)
+      || !_net_reaches (n, a, b))
+    return;
+  *_net_open (n, a, b) = 1;
+  *_net_open (n, b, a) = 1;
+  _net_push (n, (net_item_t){ .at = n->now + 3,
+                              .kind = NET_LINK_UP,
+                              .to = a,
+                              .from = b,
+                              .life = n->vms[a].life });
+  _net_push (n, (net_item_t){ .at = n->now + 3,
+                              .kind = NET_LINK_UP,
+                              .to = b,
+                              .from = a,
+                              .life = n->vms[b].life });
+}
+
+static inline void
+_net_send (net_t *n, uint32_t from, const fx_peer_t *peer)
+{
+  uint32_t to = _net_find (n, peer->vm);
+  net_vm_t *v = &n->vms[from];
+  /* Frame: length, kind, stamp. */
+  v->bytes_out += peer->msg.body.n + 20;
+  n->messages++;
+  if (!*_net_open (n, from, to) || !n->vms[to].alive
+      || !_net_reaches (n, from, to)
+      || g_rand_double (n->rand) < n->lose_messages)
+    return;
+  _net_push (n, (net_item_t){ .at = n->now + _net_delay (n, from, to),
+                              .kind = NET_MESSAGE,
+                              .to = to,
+                              .from = from,
+                              .life = n->vms[to].life,
+                              .message = peer->msg.kind,
+                              .body = buf_copy (n, peer->msg.body) });
+}
+
+static inline void
+_net_verdict (net_t *n, uint64_t tag, bool admitted)
+{
+  net_pending_t *p = &n->pending[tag];
+  net_customer_t *c = &n->customers[p->customer];
+  if (admitted)
+    {
+      c->admitted++;
+      c->given += (double)(n->now - c->given_at) * c->rate / CLK_SECOND;
+      c->given = c->given > c->burst ? c->burst : c->given;
+      c->given_at = n->now;
+      c->given -= 1;
+      c->lowest = c->given < c->lowest ? c->given : c->lowest;
+      INV_CHECK (c->given > -1e-6, "limit-never-over",
+                 "customer %s at %ld: %.6f below its rate and burst", c->name,
+                 (long)n->now, c->given);
+    }
+  else if (p->exact)
+    c->refused_inside++;
+}
+
+static inline void
+_net_answers (net_t *n, net_vm_t *v)
+{
+  lim_answer_t a;
+  while (lim_answer_pop (v->lim, &a))
+    {
+      clk_ms_t waited = n->now - n->pending[a.tag].at;
+      n->wait_ms += (uint64_t)waited;
+      n->wait_max = clk_max (n->wait_max, waited);
+      _net_verdict (n, a.tag, a.verdict == LIM_ADMITTED);
+    }
+}
+
+static inline void
+_net_effects (net_t *n, uint32_t vm)
+{
+  net_vm_t *v = &n->vms[vm];
+  for (size_t i = 0; i < v->env->fx->count; i++)
+    {
+      fx_t *f = &v->env->fx->v[i];
+      if (f->kind == FX_PLATFORM)
+        _net_platform_called (n, vm, &f->platform);
+      else if (f->kind == FX_PEER_SEND)
+        _net_send (n, vm, &f->peer);
+      else if (f->kind == FX_PEER_LINK)
+        _net_link (n, vm, _net_find (n, f->peer.vm));
+    }
+  fx_clear (v->env->fx);
+}
+
+static void
+_net_drain (net_t *n, uint32_t vm)
+{
+  net_vm_t *v = &n->vms[vm];
+  plt_done_t done;
+  mbr_relayed_t relayed;
+  bool more = true;
+  while (more)
+    {
+      more = false;
+      while (mbr_relayed_pop (v->mbr, &relayed))
+        {
+          _net_message (v, relayed.from, &relayed.msg);
+          more = true;
+        }
+      while (plt_refused_pop (v->env, &done))
+        {
+          _net_dispatch_reply (
+              n, v, &(ev_platform_t){ .code = ST_UNAVAILABLE }, &done);
+          more = true;
+        }
+    }
+  _net_answers (n, v);
+  _net_effects (n, vm);
+  clk_ms_t next = tmr_next (v->env->tmr);
+  if (next < v->wake)
+    {
+      v->wake = next;
+      _net_push (n, (net_item_t){ .at = clk_max (next, n->now),
+                                  .kind = NET_TIMER,
+                                  .to = vm,
+                                  .life = v->life });
+    }
+}
+
+/* ---- life of a VM ---- */
+
+static inline void
+net_start_vm (net_t *n, uint32_t vm)
+{
+  net_vm_t *v = &n->vms[vm];
+  v->life++;
+  v->alive = true;
+  v->listed = true;
+  v->wake = CLK_NEVER;
+  v->env = env_setup (n, &(env_desc_t){ .vm = v->name,
+                                        .data_centre = v->data_centre,
+                                        .address = "127.0.0.1:1",
+                                        .incarnation = v->life,
+                                        .seed = g_rand_int (n->rand) });
+  v->env->now = n->now;
+  v->mbr = mbr_setup (v->env, &(mbr_desc_t){ 0 });
+  lim_desc_t limits = n->desc.limits;
+  limits.members = v->mbr;
+  v->lim = lim_setup (v->env, &limits);
+  mbr_start (v->mbr, v->env);
+  lim_start (v->lim, v->env);
+  lim_config_changed (v->lim, v->env, &n->doc);
+  _net_drain (n, vm);
+  for (uint32_t i = 0; i < n->vm_count; i++)
+    if (i != vm && n->vms[i].alive && n->vms[i].mbr != NULL
+        && n->vm_count <= 16)
+      _net_link (n, i, vm);
+}
+
+/* Gone without a word; SEEN: its peers are told at once (a reset). */
+static inline void
+net_kill_vm (net_t *n, uint32_t vm, bool seen)
+{
+  net_vm_t *v = &n->vms[vm];
+  v->alive = false;
+  v->life++;
+  for (uint32_t i = 0; i < n->vm_count; i++)
+    {
+      if (*_net_open (n, i, vm) && seen && n->vms[i].alive)
+        _net_push (n, (net_item_t){ .at = n->now + 1,
+                                    .kind = NET_LINK_DOWN,
+                                    .to = i,
+                                    .from = vm,
+                                    .life = n->vms[i].life });
+      *_net_open (n, i, vm) = 0;
+      *_net_open (n, vm, i) = 0;
+    }
+  for (size_t i = 0; i < v->kept_count; i++)
+    talloc_free ((void *)(uintptr_t)v->kept[i].body.p);
+  v->kept_count = 0;
+  TALLOC_FREE (v->env);
+}
+
+static inline NET_FREE void
+net_freeze_vm (net_t *n, uint32_t vm, clk_ms_t until)
+{
+  n->vms[vm].frozen_until = until;
+}
+
+/* Cut zone A off from all others, and from the platform. */
+static inline NET_FREE void
+net_cut_zone (net_t *n, uint32_t zone, bool cut)
+{
+  for (uint32_t z = 0; z < n->desc.data_centres; z++)
+    if (z != zone)
+      n->cut[z][zone] = n->cut[zone][z] = cut;
+  n->platform_unreachable[zone] = cut;
+}
+
+/* ---- time ---- */
+
+static inline void
+_net_take (net_t *n, net_item_t *item)
+{
+  net_vm_t *v = &n->vms[item->to];
+  if (item->life == v->life && v->alive && n->now < v->frozen_until)
+    {
+      item->at = v->frozen_until;
+      _net_push (n, *item);
+      return;
+    }
+  if (item->life == v->life && v->alive)
+    _net_deliver (n, item);
+  else if (item->kind == NET_REPLY && !item->lost
+           && item->op == FX_PLATFORM_PUT)
+    _net_put (n, item); /* the writer died: the effect comes all the same */
+  talloc_free ((void *)(uintptr_t)item->body.p);
+  talloc_free (item->name);
+}
+
+/* Run until instant UNTIL. */
+static inline void
+net_run (net_t *n, clk_ms_t until)
+{
+  while (n->count > 0 && n->heap[0].at <= until)
+    {
+      net_item_t item = _net_pop (n);
+      n->now = clk_max (n->now, item.at);
+      _net_take (n, &item);
+    }
+  n->now = until;
+}
+
+/* ---- requests ---- */
+
+static inline bool
+_net_exact (net_t *n, net_customer_t *c)
+{
+  c->exact += (double)(n->now - c->exact_at) * c->rate / CLK_SECOND;
+  c->exact = c->exact > c->burst ? c->burst : c->exact;
+  c->exact_at = n->now;
+  if (c->exact < 1)
+    return false;
+  c->exact -= 1;
+  c->exact_admitted++;
+  return true;
+}
+
+static inline void
+net_request (net_t *n, uint32_t vm, uint32_t customer)
+{
+  net_vm_t *v = &n->vms[vm];
+  net_customer_t *c = &n->customers[customer];
+  if (!v->alive || n->now < v->frozen_until)
+    return;
+  v->env->now = n->now;
+  c->arrivals++;
+  uint64_t tag = n->pending_count;
+  if ((n->pending_count & (n->pending_count - 1)) == 0)
+    n->pending
+        = talloc_realloc (n, n->pending, net_pending_t,
+                          n->pending_count == 0 ? 2 : 2 * n->pending_count);
+  n->pending[n->pending_count++] = (net_pending_t){ .customer = customer,
+                                                    .exact = _net_exact (n, c),
+                                                    .at = n->now };
+  clk_ms_t retry = 0;
+  lim_verdict_t verdict
+      = lim_admit (v->lim, v->env, v->mbr, c->name, tag, &retry);
+  if (verdict == LIM_PENDING)
+    n->pending_total++;
+  else
+    _net_verdict (n, tag, verdict == LIM_ADMITTED);
+  _net_drain (n, vm);
+}
+
+/* ---- set-up ---- */
+
+static inline void
+_net_make_customers (net_t *n)
+{
+  uint32_t count = n->desc.customers;
+  n->customers = talloc_zero_array (n, net_customer_t, count);
+  cfg_customer_t *doc = talloc_zero_array (n, cfg_customer_t, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      net_customer_t *c = &n->customers[i];
+      snprintf (c->name, sizeof c->name, "customer-%u", i);
+      c->rate = i < n->desc.large ? 10 * n->desc.rate : n->desc.rate;
+      c->burst = c->rate * n->desc.burst_seconds;
+      c->burst = c->burst < 2 ? 2 : c->burst;
+      c->offered = c->rate * n->desc.load;
+      c->exact = c->given = c->lowest = c->burst;
+      doc[i] = (cfg_customer_t){ .name = c->name,
+                                 .rate = c->rate,
+                                 .burst = c->burst };
+    }
+  n->doc.customers = doc;
+  n->doc.customer_count = count;
+  n->doc.data_centre_count = n->desc.data_centres;
+}
+
+static inline int
+_net_destroy (net_t *n)
+{
+  g_rand_free (n->rand);
+  return 0;
+}
+
+static inline net_t *
+net_setup (void *ctx, const net_desc_t *desc)
+{
+  net_t *n = talloc_zero (ctx, net_t);
+  n->desc = *desc;
+  n->rand = g_rand_new_with_seed (desc->seed);
+  talloc_set_destructor (n, _net_destroy);
+  n->vm_count = desc->vms;
+  n->vms = talloc_zero_array (n, net_vm_t, desc->vms);
+  n->open = talloc_zero_array (n, uint8_t, (size_t)desc->vms * desc->vms);
+  _net_make_customers (n);
+  for (uint32_t i = 0; i < desc->vms; i++)
+    {
+      net_vm_t *v = &n->vms[i];
+      v->zone = i % desc->data_centres;
+      v->listed = true;
+      snprintf (v->name, sizeof v->name, "v%u", i);
+      snprintf (v->data_centre, sizeof v->data_centre, "dc%u", v->zone);
+    }
+  for (uint32_t i = 0; i < desc->vms; i++)
+    net_start_vm (n, i);
+  return n;
+}
+
+#endif
