--- /dev/null
+++ b/src/core/rte.c
@@ -0,0 +1,423 @@
+/** @file
+ * Setting up, the document's upstreams, and requests in flight.
+ */
+#include "core/rte.h"
+
+#include "core/inv.h"
+#include "core/rte_state.h"
+
+#include <jansson.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#define RTE_REPORT_MS_DEFAULT 200
+#define RTE_DISTANCE_MS_DEFAULT 4
+#define RTE_SUBSET_DEFAULT 24
+#define RTE_PREFIXES_DEFAULT 4096
+#define RTE_SUSPECT_MS_DEFAULT 500
+#define RTE_SUSPECT_MAX_MS_DEFAULT (15 * CLK_SECOND)
+/** What is assumed of a deployment before the first answers. */
+#define RTE_HIT_MS_FIRST 20.0
+#define RTE_MISS_MS_FIRST 80.0
+#define RTE_BUSY_MS_FIRST 1000.0
+/** Weight of one answer in what is learned. */
+#define RTE_LEARN 0.05
+#define RTE_SLOWNESS_LEARN 0.15
+#define RTE_SLOWNESS_MAX 50.0
+/** Failures are forgotten after this time without one. */
+#define RTE_QUIET_MS (30 * CLK_SECOND)
+
+static int
+_rte_destroy (rte_t *r)
+{
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    g_queue_clear (
+        &((rte_upstream_t *)tbl_get (r->upstreams, id))->unanswered);
+  g_hash_table_destroy (r->by_name);
+  g_hash_table_destroy (r->deployments);
+  return 0;
+}
+
+static void
+_rte_deployment_free (void *p)
+{
+  rte_deployment_t *d = p;
+  g_ptr_array_free (d->upstreams, TRUE);
+  talloc_free (d);
+}
+
+rte_t *
+rte_setup (void *ctx, env_t *env, const rte_desc_t *desc)
+{
+  rte_t *r = talloc_zero (ctx, rte_t);
+  r->desc = *desc;
+  if (r->desc.report_ms == 0)
+    r->desc.report_ms = RTE_REPORT_MS_DEFAULT;
+  if (r->desc.distance_ms == 0)
+    r->desc.distance_ms = RTE_DISTANCE_MS_DEFAULT;
+  if (r->desc.subset == 0)
+    r->desc.subset = RTE_SUBSET_DEFAULT;
+  if (r->desc.prefixes == 0)
+    r->desc.prefixes = RTE_PREFIXES_DEFAULT;
+  if (r->desc.suspect_ms == 0)
+    r->desc.suspect_ms = RTE_SUSPECT_MS_DEFAULT;
+  if (r->desc.suspect_max_ms == 0)
+    r->desc.suspect_max_ms = RTE_SUSPECT_MAX_MS_DEFAULT;
+  r->upstreams
+      = tbl_setup (r, &(tbl_desc_t){ .size = sizeof (rte_upstream_t) });
+  r->flights = tbl_setup (r, &(tbl_desc_t){ .size = sizeof (rte_flight_t) });
+  r->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  r->deployments = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                          _rte_deployment_free);
+  r->holders = rte_holders_setup (r, r->desc.prefixes);
+  talloc_set_destructor (r, _rte_destroy);
+  rte_members_set (
+      r, &(rte_member_t){ .vm = env->vm, .data_centre = env->data_centre }, 1);
+  return r;
+}
+
+void
+rte_shutdown (rte_t *r)
+{
+  talloc_free (r);
+}
+
+void
+rte_members_set (rte_t *r, const rte_member_t *members, size_t count)
+{
+  rte_member_t *copy = talloc_array (r, rte_member_t, count);
+  for (size_t i = 0; i < count; i++)
+    copy[i] = (rte_member_t){
+      .vm = talloc_strdup (copy, members[i].vm),
+      .data_centre = talloc_strdup (copy, members[i].data_centre),
+    };
+  talloc_free (r->members);
+  r->members = copy;
+  r->member_count = count;
+}
+
+static rte_deployment_t *
+_rte_deployment_get (rte_t *r, const char *name)
+{
+  rte_deployment_t *d = g_hash_table_lookup (r->deployments, name);
+  if (d != NULL)
+    return d;
+  d = talloc_zero (r, rte_deployment_t);
+  d->name = talloc_strdup (d, name);
+  d->upstreams = g_ptr_array_new ();
+  d->hit_ms = RTE_HIT_MS_FIRST;
+  d->miss_ms = RTE_MISS_MS_FIRST;
+  d->busy_ms = RTE_BUSY_MS_FIRST;
+  g_hash_table_insert (r->deployments, d->name, d);
+  return d;
+}
+
+static rte_upstream_t *
+_rte_upstream_get (rte_t *r, const cfg_upstream_t *c)
+{
+  rte_upstream_t *u = g_hash_table_lookup (r->by_name, c->name);
+  if (u != NULL && strcmp (u->address, c->address) == 0
+      && strcmp (u->deployment, c->deployment) == 0)
+    return u;
+  if (u != NULL)
+    g_hash_table_remove (r->by_name, u->name);
+  tbl_id_t id = tbl_alloc (r->upstreams);
+  u = tbl_get (r->upstreams, id);
+  u->id = id;
+  u->name = talloc_strdup (r, c->name);
+  u->address = talloc_strdup (r, c->address);
+  u->deployment = talloc_strdup (r, c->deployment);
+  u->data_centre = talloc_strdup (r, c->data_centre);
+  u->hash = XXH64 (u->name, strlen (u->name), 0);
+  u->slowness = 1;
+  g_queue_init (&u->unanswered);
+  g_hash_table_insert (r->by_name, u->name, u);
+  return u;
+}
+
+/** Free upstreams that are gone from the document and have no requests. */
+static void
+_rte_upstreams_sweep (rte_t *r)
+{
+  tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 });
+  while (id.id != 0)
+    {
+      rte_upstream_t *u = tbl_get (r->upstreams, id);
+      tbl_id_t next = tbl_next (r->upstreams, id);
+      if (!u->configured && u->online + u->batch == 0 && u->poll == NULL)
+        {
+          if (g_hash_table_lookup (r->by_name, u->name) == u)
+            g_hash_table_remove (r->by_name, u->name);
+          talloc_free (u->name);
+          talloc_free (u->address);
+          talloc_free (u->deployment);
+          talloc_free (u->data_centre);
+          tbl_free (r->upstreams, id);
+        }
+      id = next;
+    }
+}
+
+static uint64_t
+_rte_subset_score (const env_t *env, const rte_upstream_t *u)
+{
+  return XXH64 (env->vm, strlen (env->vm), u->hash);
+}
+
+/** Mark the upstreams of D that this VM uses: all, or the first by
+ * rendezvous hashing in each data centre. */
+static void
+_rte_subset_mark (const rte_t *r, const env_t *env, rte_deployment_t *d)
+{
+  for (guint i = 0; i < d->upstreams->len; i++)
+    {
+      rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
+      uint32_t before = 0;
+      for (guint j = 0; j < d->upstreams->len; j++)
+        {
+          const rte_upstream_t *v = g_ptr_array_index (d->upstreams, j);
+          if (v != u && strcmp (v->data_centre, u->data_centre) == 0
+              && _rte_subset_score (env, v) > _rte_subset_score (env, u))
+            before++;
+        }
+      u->used = before < r->desc.subset;
+    }
+}
+
+static uint32_t
+_rte_slots (const cfg_doc_t *doc, const char *deployment)
+{
+  for (size_t i = 0; i < doc->deployment_count; i++)
+    if (strcmp (doc->deployments[i].name, deployment) == 0)
+      return doc->deployments[i].slots;
+  return 0;
+}
+
+void
+rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc)
+{
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    ((rte_upstream_t *)tbl_get (r->upstreams, id))->configured = false;
+  GHashTableIter iter;
+  void *value;
+  g_hash_table_iter_init (&iter, r->deployments);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_set_size (((rte_deployment_t *)value)->upstreams, 0);
+  for (size_t i = 0; i < doc->upstream_count; i++)
+    {
+      const cfg_upstream_t *c = &doc->upstreams[i];
+      rte_upstream_t *u = _rte_upstream_get (r, c);
+      u->configured = true;
+      u->leaving = c->leaving;
+      u->near = strcmp (c->data_centre, env->data_centre) == 0;
+      u->slots = _rte_slots (doc, c->deployment);
+      g_ptr_array_add (_rte_deployment_get (r, c->deployment)->upstreams, u);
+    }
+  g_hash_table_iter_init (&iter, r->deployments);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    _rte_subset_mark (r, env, value);
+  _rte_upstreams_sweep (r);
+  if (!r->ticking)
+    {
+      r->ticking = true;
+      rte_report_tick (r, env);
+    }
+}
+
+void
+rte_timer_fired (rte_t *r, env_t *env, uint64_t tag)
+{
+  if (tag == 0)
+    rte_report_tick (r, env);
+}
+
+static rte_flight_t *
+_rte_flight (rte_t *r, uint64_t handle, rte_upstream_t **u)
+{
+  rte_flight_t *f = tbl_get (r->flights, (tbl_id_t){ .id = handle });
+  if (f != NULL)
+    *u = tbl_get (r->upstreams, f->upstream);
+  return f;
+}
+
+static void
+_rte_flight_answered (rte_flight_t *f, rte_upstream_t *u)
+{
+  if (f->unanswered != NULL)
+    g_queue_delete_link (&u->unanswered, f->unanswered);
+  f->unanswered = NULL;
+}
+
+static void
+_rte_flight_end (rte_t *r, rte_flight_t *f, rte_upstream_t *u)
+{
+  _rte_flight_answered (f, u);
+  uint32_t *count = f->batch ? &u->batch : &u->online;
+  INV_CHECK (*count > 0, "route-in-flight-counted", "upstream %s", u->name);
+  (*count)--;
+  tbl_free (r->flights, f->id);
+}
+
+void
+rte_started (rte_t *r, env_t *env, uint64_t handle)
+{
+  rte_upstream_t *u = NULL;
+  rte_flight_t *f = _rte_flight (r, handle, &u);
+  if (f != NULL)
+    f->sent_at = env->now;
+}
+
+static void
+_rte_learn (double *mean, double value)
+{
+  *mean += RTE_LEARN * (value - *mean);
+}
+
+static void
+_rte_slowness_note (rte_upstream_t *u, double ratio, clk_ms_t now)
+{
+  double before = rte_slowness (u, now);
+  u->slowness = before + RTE_SLOWNESS_LEARN * (ratio - before);
+  u->slowness = fmin (fmax (u->slowness, 0.5), RTE_SLOWNESS_MAX);
+  u->slowness_at = now;
+}
+
+/** An answer came: the upstream is well, or is again. */
+static void
+_rte_well (rte_upstream_t *u, clk_ms_t now)
+{
+  u->proving = false;
+  if (now - u->failed_at > RTE_QUIET_MS)
+    u->failures = 0;
+}
+
+void
+rte_first_byte (rte_t *r, env_t *env, uint64_t handle)
+{
+  rte_upstream_t *u = NULL;
+  rte_flight_t *f = _rte_flight (r, handle, &u);
+  if (f == NULL || f->unanswered == NULL)
+    return;
+  _rte_flight_answered (f, u);
+  f->first_at = env->now;
+  double took = (double)(env->now - f->sent_at);
+  double expected = fmax (f->expected_ms / rte_slowness (u, env->now), 1);
+  _rte_slowness_note (u, fmax (took, 1) / expected, env->now);
+  if (!f->queued)
+    {
+      rte_deployment_t *d = f->deployment;
+      double cap = 4 * (f->held ? d->hit_ms : d->miss_ms) + 20;
+      _rte_learn (f->held ? &d->hit_ms : &d->miss_ms, fmin (took, cap));
+      d->miss_ms = fmax (d->miss_ms, d->hit_ms);
+    }
+  _rte_well (u, env->now);
+  cnt_observe (env->cnt, "rts_route_first_byte_ms", "", took);
+}
+
+void
+rte_finished (rte_t *r, env_t *env, uint64_t handle)
+{
+  rte_upstream_t *u = NULL;
+  rte_flight_t *f = _rte_flight (r, handle, &u);
+  if (f == NULL)
+    return;
+  if (f->unanswered != NULL)
+    rte_first_byte (r, env, handle);
+  _rte_learn (
+      &f->deployment->busy_ms,
+      (double)(env->now - f->first_at)
+          + (f->held ? f->deployment->hit_ms : f->deployment->miss_ms));
+  _rte_flight_end (r, f, u);
+}
+
+void
+rte_failed (rte_t *r, env_t *env, uint64_t handle, rte_fail_t fail)
+{
+  rte_upstream_t *u = NULL;
+  rte_flight_t *f = _rte_flight (r, handle, &u);
+  if (f == NULL)
+    return;
+  bool began_before = f->sent_at < u->failed_at && env->now < u->suspect_until;
+  if (f->prefix != 0)
+    rte_holders_drop (r->holders, f->prefix, u->id);
+  _rte_flight_end (r, f, u);
+  if (fail == RTE_FAIL_CANCELLED)
+    return;
+  if (env->now - u->failed_at > RTE_QUIET_MS)
+    u->failures = 0;
+  u->failed_at = env->now;
+  u->proving = true;
+  /* Requests that fell with the first one are one failure, not many. */
+  if (began_before)
+    return;
+  unsigned doublings = u->failures < 10 ? u->failures : 10;
+  clk_ms_t away
+      = clk_min (r->desc.suspect_ms << doublings, r->desc.suspect_max_ms);
+  u->failures++;
+  u->suspect_until = env->now + env_jitter (env, away);
+  cnt_add (env->cnt, "rts_route_suspected_total", "", 1);
+  tln_record (env->tln, env->now, MOD_ROUTE, "suspect",
+              "upstream=%s failures=%u away_ms=%lld", u->name, u->failures,
+              (long long)away);
+}
+
+uint32_t
+rte_idle_slots (const rte_t *r, const env_t *env, const char *upstream)
+{
+  const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
+  if (u == NULL || !rte_usable (u, env->now)
+      || (u->state & RTE_BIT_REPORTED) == 0
+      || (u->state & RTE_BIT_SILENT) != 0)
+    return 0;
+  uint32_t load = rte_load (r, u, env->now);
+  return load < u->slots ? u->slots - load : 0;
+}
+
+bool
+rte_leaving (const rte_t *r, const char *upstream)
+{
+  const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
+  return u == NULL || !u->configured || u->leaving
+         || (u->state & RTE_BIT_LEAVING) != 0;
+}
+
+uint32_t
+rte_in_flight (const rte_t *r, const char *upstream)
+{
+  const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
+  return u == NULL ? 0 : u->online + u->batch;
+}
+
+char *
+rte_format (void *ctx, const rte_t *r, const env_t *env)
+{
+  json_t *all = json_array ();
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    {
+      const rte_upstream_t *u = tbl_get (r->upstreams, id);
+      if (!u->configured)
+        continue;
+      json_array_append_new (
+          all,
+          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f}",
+                     "upstream", u->name, "deployment", u->deployment,
+                     "data_centre", u->data_centre, "leaving",
+                     rte_leaving (r, u->name), "suspected",
+                     env->now < u->suspect_until || u->proving, "silent",
+                     (u->state & RTE_BIT_SILENT) != 0, "polled_here",
+                     u->poll != NULL, "in_flight", (int)(u->online + u->batch),
+                     "load", (int)rte_load (r, u, env->now), "slowness",
+                     rte_slowness (u, env->now)));
+    }
+  char *text = json_dumps (all, JSON_COMPACT);
+  char *copy = talloc_strdup (ctx, text);
+  free (text);
+  json_decref (all);
+  return copy;
+}
--- /dev/null
+++ b/src/core/rte.h
@@ -0,0 +1,147 @@
+/** @file
+ * Routing: the state of upstreams and the choice among them.
+ *
+ *   rte_pick_t pick;
+ *   if (rte_pick (r, env, &(rte_ask_t){ .deployment = "snit-llm",
+ *                                       .prefix = rte_prefix (prompt) },
+ *                 &pick))
+ *     ... send to pick.address, then
+ *   rte_first_byte (r, env, pick.handle);
+ *   rte_finished (r, env, pick.handle);      or rte_failed
+ *
+ * The choice is the least expected time to first byte: requests in the
+ * upstream as told by all VMs that use it, the own part kept up to date,
+ * the cost of a prompt prefix that is not cached there, and the distance.
+ * Each upstream has one poller, a VM of its data centre; a VM tells the
+ * poller how many requests it has there and gets the sum, the last load
+ * report and cache events in return, so that messages grow with what a VM
+ * uses and not with the fleet.
+ *
+ * Does not retry, queue or hold requests: see onl.h, rtb.h and fqu.h.
+ * docs/ROUTING.md gives the ways weighed and the figures.
+ */
+#ifndef RTS_RTE_H
+#define RTS_RTE_H
+
+#include "core/cfg.h"
+#include "core/env.h"
+#include "core/msg.h"
+
+/** Messages between VMs. */
+typedef enum
+{
+  /** VM to poller: u64 count of entries, then for each: str upstream,
+   * u64 requests in flight, u64 cache events seen. */
+  MSG_ROUTE_USE = MSG_ROUTE_FIRST,
+  /** Poller to VM, the answer: for each upstream of the use message: str
+   * upstream, u64 in flight of other VMs, u64 state bits, u64 report's age
+   * (ms), u64 running, u64 waiting, u64 slots, u64 cache events up to here,
+   * u64 count of events, then for each: u64 added, u64 prefix. */
+  MSG_ROUTE_REPORT = MSG_ROUTE_FIRST + 1,
+} rte_msg_t;
+
+/** How to set routing up; zeros mean the defaults. */
+typedef struct
+{
+  clk_ms_t report_ms;      /**< between load reports; default 200 */
+  clk_ms_t distance_ms;    /**< price of another data centre; default 4 */
+  uint32_t subset;         /**< most upstreams of a deployment that this VM
+                                uses, in each data centre; default 24 */
+  uint32_t prefixes;       /**< prefixes remembered; default 4,096 */
+  clk_ms_t suspect_ms;     /**< first time out of use after a failure;
+                                doubles; default 500 */
+  clk_ms_t suspect_max_ms; /**< default 15 s */
+} rte_desc_t;
+
+/** A VM that may be a poller. */
+typedef struct
+{
+  const char *vm;
+  const char *data_centre;
+} rte_member_t;
+
+/** What is asked for. */
+typedef struct
+{
+  const char *deployment;
+  uint64_t prefix;          /**< rte_prefix of the prompt; 0: none */
+  const char *only;         /**< this upstream and no other; NULL: any */
+  const char *const *avoid; /**< upstreams not to choose */
+  size_t avoid_count;
+  bool batch; /**< counted apart from online requests */
+} rte_ask_t;
+
+/** What was chosen; the strings live until the next configuration. */
+typedef struct
+{
+  uint64_t handle; /**< for rte_started and what follows */
+  const char *upstream;
+  const char *address;
+  clk_ms_t wait_ms; /**< expected time to first byte */
+} rte_pick_t;
+
+/** What a failure says about the upstream. */
+typedef enum
+{
+  RTE_FAIL_REFUSED,   /**< connection refused, or an error status */
+  RTE_FAIL_SILENT,    /**< nothing came in the time allowed */
+  RTE_FAIL_BROKEN,    /**< the answer broke off */
+  RTE_FAIL_CANCELLED, /**< this side gave up; says nothing about it */
+} rte_fail_t;
+
+typedef struct rte rte_t;
+
+/** New router owned by CTX; has no upstreams until rte_config_changed. */
+rte_t *rte_setup (void *ctx, env_t *env, const rte_desc_t *desc);
+
+/** Free it; handles are stale then. */
+void rte_shutdown (rte_t *r);
+
+/** The VMs that share the polling, this one included. */
+void rte_members_set (rte_t *r, const rte_member_t *members, size_t count);
+
+/** Hash of the first 256 bytes of a prompt; never 0. */
+uint64_t rte_prefix (buf_t prompt);
+
+/** Choose an upstream and count a request there.  False: none can be used
+ * now. */
+bool rte_pick (rte_t *r, env_t *env, const rte_ask_t *ask, rte_pick_t *pick);
+
+/** The request left this VM (its time counts from here, not from the pick).
+ * Stale handles are ignored, here and below. */
+void rte_started (rte_t *r, env_t *env, uint64_t handle);
+
+/** The first byte of the answer came. */
+void rte_first_byte (rte_t *r, env_t *env, uint64_t handle);
+
+/** The answer is whole; the handle is stale from here. */
+void rte_finished (rte_t *r, env_t *env, uint64_t handle);
+
+/** The request ended without a whole answer; the handle is stale. */
+void rte_failed (rte_t *r, env_t *env, uint64_t handle, rte_fail_t fail);
+
+/** Slots of UPSTREAM that nobody uses, as far as is known; 0 when it is
+ * unknown, leaving, suspected or has not reported. */
+uint32_t rte_idle_slots (const rte_t *r, const env_t *env,
+                         const char *upstream);
+
+/** Whether UPSTREAM must get nothing new. */
+bool rte_leaving (const rte_t *r, const char *upstream);
+
+/** Requests of this VM in flight at UPSTREAM. */
+uint32_t rte_in_flight (const rte_t *r, const char *upstream);
+
+/** Whether this VM polls UPSTREAM. */
+bool rte_polls (const rte_t *r, const env_t *env, const char *upstream);
+
+/** State of all upstreams in use as a JSON array, owned by CTX. */
+char *rte_format (void *ctx, const rte_t *r, const env_t *env);
+
+/* Hooks of the node. */
+void rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc);
+void rte_timer_fired (rte_t *r, env_t *env, uint64_t tag);
+void rte_message_received (rte_t *r, env_t *env, const char *vm,
+                           const msg_t *msg);
+void rte_upstream_event (rte_t *r, env_t *env, uint64_t tag, const ev_t *ev);
+
+#endif
--- /dev/null
+++ b/src/core/rte_choice.c
@@ -0,0 +1,231 @@
+/** @file
+ * The choice among the upstreams of a deployment.
+ */
+#include "core/inv.h"
+#include "core/rte_state.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/** A sum told by the poller is not used for longer than this. */
+#define RTE_OTHERS_MS (2 * CLK_SECOND)
+/** How fast an upstream's slowness is forgotten without new answers. */
+#define RTE_SLOWNESS_MS (10 * CLK_SECOND)
+/** An unanswered request counts as a sign of trouble from this age on. */
+#define RTE_LATE_FACTOR 2.0
+/** Part of a miss's cost that the prefix's first upstream is spared, so
+ * that VMs that know nothing of each other's choices agree on a home. */
+#define RTE_HOME_SHARE 0.5
+/** Below this difference two upstreams count as equal. */
+#define RTE_EQUAL_MS 1.0
+
+/** A candidate with what it would cost. */
+typedef struct
+{
+  rte_upstream_t *upstream;
+  double cost_ms;
+  double wait_ms;
+  bool held;
+  bool queued;
+} rte_candidate_t;
+
+uint32_t
+rte_load (const rte_t *r, const rte_upstream_t *u, clk_ms_t now)
+{
+  (void)r;
+  uint32_t own = u->online + u->batch;
+  if (u->others_at > 0 && now - u->others_at < RTE_OTHERS_MS)
+    return u->others + own;
+  if ((u->state & RTE_BIT_REPORTED) == 0)
+    return own;
+  uint32_t reported = u->running + u->waiting;
+  uint32_t others
+      = reported > u->own_at_report ? reported - u->own_at_report : 0;
+  return others + own;
+}
+
+double
+rte_slowness (const rte_upstream_t *u, clk_ms_t now)
+{
+  double age = (double)(now - u->slowness_at);
+  return 1 + (u->slowness - 1) * exp (-age / (double)RTE_SLOWNESS_MS);
+}
+
+bool
+rte_usable (const rte_upstream_t *u, clk_ms_t now)
+{
+  if (!u->configured || u->leaving || (u->state & RTE_BIT_LEAVING) != 0)
+    return false;
+  if (now < u->suspect_until)
+    return false;
+  /* After suspicion one request at a time shows whether it is well. */
+  return !u->proving || u->online + u->batch == 0;
+}
+
+static bool
+_rte_avoided (const rte_ask_t *ask, const rte_upstream_t *u)
+{
+  if (ask->only != NULL)
+    return strcmp (ask->only, u->name) != 0;
+  for (size_t i = 0; i < ask->avoid_count; i++)
+    if (strcmp (ask->avoid[i], u->name) == 0)
+      return true;
+  return false;
+}
+
+/** Expected wait before the prefill of a new request begins. */
+static double
+_rte_queue_ms (const rte_deployment_t *d, uint32_t load, uint32_t slots,
+               uint32_t unanswered)
+{
+  double mean_prefill = (d->hit_ms + d->miss_ms) / 2;
+  double prefills = load * mean_prefill / fmax (d->busy_ms, mean_prefill);
+  double prefill_wait = fmax (prefills, unanswered) * mean_prefill;
+  if (slots == 0 || load < slots)
+    return prefill_wait;
+  return prefill_wait + (load - slots + 1) * d->busy_ms / slots;
+}
+
+static rte_candidate_t
+_rte_cost (const rte_t *r, const env_t *env, const rte_deployment_t *d,
+           const rte_ask_t *ask, rte_upstream_t *u, const rte_upstream_t *home)
+{
+  rte_candidate_t c = { .upstream = u };
+  uint32_t load = rte_load (r, u, env->now);
+  c.queued = u->slots > 0 && load >= u->slots;
+  c.held = ask->prefix != 0
+           && rte_holders_has (r->holders, ask->prefix, u->id, env->now);
+  double queue = _rte_queue_ms (d, load, u->slots,
+                                g_queue_get_length ((GQueue *)&u->unanswered));
+  double prefill = c.held ? d->hit_ms : d->miss_ms;
+  c.wait_ms = (queue + prefill) * rte_slowness (u, env->now);
+  const rte_flight_t *oldest = g_queue_peek_head ((GQueue *)&u->unanswered);
+  if (oldest != NULL)
+    {
+      double age = (double)(env->now - oldest->sent_at);
+      if (age > RTE_LATE_FACTOR * oldest->expected_ms + d->miss_ms)
+        c.wait_ms = fmax (c.wait_ms, age);
+    }
+  if (!u->near)
+    c.wait_ms += (double)r->desc.distance_ms;
+  c.cost_ms = c.wait_ms;
+  if (u == home && !c.held)
+    c.cost_ms -= RTE_HOME_SHARE * (d->miss_ms - d->hit_ms);
+  if ((u->state & RTE_BIT_SILENT) != 0)
+    c.cost_ms += (double)r->desc.suspect_ms;
+  return c;
+}
+
+/** The usable upstream that rendezvous hashing gives to PREFIX first. */
+static rte_upstream_t *
+_rte_home (const rte_deployment_t *d, uint64_t prefix, clk_ms_t now)
+{
+  rte_upstream_t *home = NULL;
+  uint64_t best = 0;
+  if (prefix == 0)
+    return NULL;
+  for (guint i = 0; i < d->upstreams->len; i++)
+    {
+      rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
+      uint64_t pair[2] = { prefix, u->hash };
+      uint64_t score = XXH64 (pair, sizeof pair, 0);
+      if (u->used && rte_usable (u, now) && (home == NULL || score > best))
+        {
+          home = u;
+          best = score;
+        }
+    }
+  return home;
+}
+
+static rte_candidate_t
+_rte_choose (const rte_t *r, env_t *env, const rte_deployment_t *d,
+             const rte_ask_t *ask, bool suspects)
+{
+  rte_candidate_t best = { .upstream = NULL };
+  unsigned equal = 0;
+  const rte_upstream_t *home = _rte_home (d, ask->prefix, env->now);
+  for (guint i = 0; i < d->upstreams->len; i++)
+    {
+      rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
+      if ((!u->used && ask->only == NULL) || _rte_avoided (ask, u))
+        continue;
+      bool usable = rte_usable (u, env->now);
+      if (suspects)
+        usable = u->configured && !rte_leaving (r, u->name)
+                 && u->online + u->batch == 0;
+      if (!usable)
+        continue;
+      rte_candidate_t c = _rte_cost (r, env, d, ask, u, home);
+      if (best.upstream == NULL || c.cost_ms < best.cost_ms - RTE_EQUAL_MS)
+        {
+          best = c;
+          equal = 1;
+        }
+      else if (c.cost_ms < best.cost_ms + RTE_EQUAL_MS
+               && g_rand_int_range (env->rand, 0, (gint32)++equal) == 0)
+        best = c;
+    }
+  return best;
+}
+
+static uint64_t
+_rte_flight_begin (rte_t *r, const env_t *env, rte_deployment_t *d,
+                   const rte_ask_t *ask, const rte_candidate_t *c)
+{
+  tbl_id_t id = tbl_alloc (r->flights);
+  rte_flight_t *f = tbl_get (r->flights, id);
+  if (f == NULL)
+    return 0;
+  rte_upstream_t *u = c->upstream;
+  *f = (rte_flight_t){ .id = id,
+                       .upstream = u->id,
+                       .deployment = d,
+                       .sent_at = env->now,
+                       .expected_ms = c->wait_ms,
+                       .prefix = ask->prefix,
+                       .held = c->held,
+                       .batch = ask->batch,
+                       .queued = c->queued };
+  g_queue_push_tail (&u->unanswered, f);
+  f->unanswered = u->unanswered.tail;
+  if (ask->batch)
+    u->batch++;
+  else
+    u->online++;
+  if (ask->prefix != 0)
+    rte_holders_add (r->holders, ask->prefix, u->id, env->now);
+  return id.id;
+}
+
+bool
+rte_pick (rte_t *r, env_t *env, const rte_ask_t *ask, rte_pick_t *pick)
+{
+  rte_deployment_t *d = g_hash_table_lookup (r->deployments, ask->deployment);
+  if (d == NULL)
+    return false;
+  rte_candidate_t c = _rte_choose (r, env, d, ask, false);
+  if (c.upstream == NULL)
+    {
+      c = _rte_choose (r, env, d, ask, true);
+      cnt_add (env->cnt, "rts_route_suspects_tried_total", "", 1);
+    }
+  if (c.upstream == NULL)
+    {
+      cnt_add (env->cnt, "rts_route_none_total", "", 1);
+      return false;
+    }
+  rte_upstream_t *u = c.upstream;
+  INV_CHECK (!u->leaving && (u->state & RTE_BIT_LEAVING) == 0,
+             "route-leaving-gets-nothing", "upstream %s", u->name);
+  *pick = (rte_pick_t){ .handle = _rte_flight_begin (r, env, d, ask, &c),
+                        .upstream = u->name,
+                        .address = u->address,
+                        .wait_ms = (clk_ms_t)c.wait_ms };
+  if (!u->near)
+    cnt_add (env->cnt, "rts_route_far_total", "", 1);
+  cnt_add (env->cnt, "rts_route_picks_total",
+           c.held ? "prefix=\"held\"" : "prefix=\"new\"", 1);
+  return pick->handle != 0;
+}
--- /dev/null
+++ b/src/core/rte_state.h
@@ -0,0 +1,154 @@
+/** @file
+ * The state that the files of the router share; not for other modules.
+ */
+#ifndef RTS_RTE_STATE_H
+#define RTS_RTE_STATE_H
+
+#include "core/rte.h"
+#include "core/tbl.h"
+
+#include <glib.h>
+
+/** Bits of state in a report. */
+enum
+{
+  RTE_BIT_REPORTED = 1, /**< the upstream has reported */
+  RTE_BIT_LEAVING = 2,
+  RTE_BIT_SILENT = 4, /**< the poller gets no reports (any more) */
+};
+
+/** Cache events kept by a poller for the VMs that ask. */
+#define RTE_EVENTS_KEPT 256
+/** Cache events in one report message. */
+#define RTE_EVENTS_SENT 32
+/** Polls of one upstream without an answer before it counts as silent. */
+#define RTE_SILENT_POLLS 3
+
+/** One cache event, as a poller keeps it. */
+typedef struct
+{
+  uint64_t prefix;
+  bool added;
+} rte_event_t;
+
+/** What the poller of an upstream keeps for others. */
+typedef struct
+{
+  GHashTable *uses; /**< VM name to rte_use_t */
+  uint64_t load_call;
+  clk_ms_t load_at; /**< when that call was sent */
+  uint64_t cache_call;
+  clk_ms_t cache_at;
+  uint64_t cache_seq; /**< last sequence number of the upstream's events */
+  char *body;         /**< of the load answer in progress */
+  char *cache_body;
+  unsigned unanswered;  /**< polls in a row */
+  uint64_t event_count; /**< events ever kept */
+  rte_event_t events[RTE_EVENTS_KEPT];
+} rte_poll_t;
+
+/** Requests that a VM says it has in flight. */
+typedef struct
+{
+  uint32_t in_flight;
+  clk_ms_t at;
+} rte_use_t;
+
+/** One upstream. */
+typedef struct rte_upstream
+{
+  tbl_id_t id;
+  char *name;
+  char *address;
+  char *data_centre;
+  char *deployment;
+  uint64_t hash; /**< of its name */
+  uint32_t slots;
+  bool configured; /**< still in the document */
+  bool near;       /**< in this VM's data centre */
+  bool leaving;    /**< by the document */
+  bool used;       /**< in this VM's subset */
+
+  uint32_t online; /**< own requests in flight */
+  uint32_t batch;
+  GQueue unanswered; /**< rte_flight_t without a first byte, oldest first */
+
+  uint32_t others; /**< requests of other VMs, as the poller told */
+  clk_ms_t others_at;
+  uint32_t state;   /**< RTE_BIT_*, as last told */
+  uint32_t running; /**< last load report */
+  uint32_t waiting;
+  clk_ms_t report_at;
+  uint32_t own_at_report;
+  uint64_t seq; /**< of the load report */
+  uint64_t events_seen;
+
+  double slowness; /**< observed over expected time to first byte */
+  clk_ms_t slowness_at;
+  unsigned failures; /**< without a quiet time in between */
+  clk_ms_t failed_at;
+  clk_ms_t suspect_until;
+  bool proving; /**< suspected before, not one answer since */
+
+  rte_poll_t *poll; /**< NULL unless this VM polls it */
+} rte_upstream_t;
+
+/** The upstreams of one deployment, with what was learned on all of them. */
+typedef struct
+{
+  char *name;
+  GPtrArray *upstreams; /**< rte_upstream_t, in the document's order */
+  double hit_ms;        /**< to first byte, prefix cached, not queued */
+  double miss_ms;       /**< likewise, not cached */
+  double busy_ms;       /**< a request's time in a slot */
+} rte_deployment_t;
+
+/** One request in flight. */
+typedef struct
+{
+  tbl_id_t id;
+  tbl_id_t upstream;
+  rte_deployment_t *deployment;
+  GList *unanswered; /**< its link; NULL once answered */
+  clk_ms_t sent_at;
+  clk_ms_t first_at;
+  double expected_ms;
+  uint64_t prefix;
+  bool held; /**< the prefix was thought to be cached */
+  bool batch;
+  bool queued; /**< all slots were taken when it was sent */
+} rte_flight_t;
+
+typedef struct rte_holders rte_holders_t;
+
+struct rte
+{
+  rte_desc_t desc;
+  tbl_t *upstreams;
+  tbl_t *flights;
+  GHashTable *by_name;     /**< upstream name to rte_upstream_t */
+  GHashTable *deployments; /**< name to rte_deployment_t */
+  rte_member_t *members;
+  size_t member_count;
+  rte_holders_t *holders;
+  bool ticking;
+};
+
+/* rte_prefix.c: which upstreams are thought to hold which prefix. */
+rte_holders_t *rte_holders_setup (void *ctx, uint32_t max);
+void rte_holders_add (rte_holders_t *h, uint64_t prefix, tbl_id_t upstream,
+                      clk_ms_t now);
+void rte_holders_drop (rte_holders_t *h, uint64_t prefix, tbl_id_t upstream);
+bool rte_holders_has (const rte_holders_t *h, uint64_t prefix,
+                      tbl_id_t upstream, clk_ms_t now);
+
+/* rte_choice.c */
+uint32_t rte_load (const rte_t *r, const rte_upstream_t *u, clk_ms_t now);
+bool rte_usable (const rte_upstream_t *u, clk_ms_t now);
+double rte_slowness (const rte_upstream_t *u, clk_ms_t now);
+
+/* rte_report.c */
+void rte_poll_update (rte_t *r, env_t *env, rte_upstream_t *u);
+void rte_report_tick (rte_t *r, env_t *env);
+
+#endif
