--- /dev/null
+++ b/src/core/bat_item.c
@@ -0,0 +1,503 @@
+#include "core/bat_int.h"
+#include "core/inv.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define BAT_ANSWER_MAX ((size_t)256 << 10)
+#define BAT_REASON_BODY 200
+#define BAT_REFUSALS_MAX 200 /* about twenty minutes of back-off */
+#define BAT_STALL_MS (30 * CLK_SECOND)
+#define BAT_RATE_MS (5 * CLK_SECOND)
+#define BAT_RATE_SHARE 0.3
+
+/* -- states --------------------------------------------------------------- */
+
+void
+bat_item_fire (bat_t *b, bat_item_t *item, int event)
+{
+  cht_step_t step = cht_fire (b->item_chart, (int)item->state, event, 0);
+  item->state = (bat_item_state_t)step.next;
+}
+
+static void
+_bat_count_outcome (bat_counts_t *c, bat_end_t end)
+{
+  switch (end)
+    {
+    case BAT_DONE:
+      c->done++;
+      break;
+    case BAT_FAILED:
+      c->failed++;
+      break;
+    case BAT_CANCELLED:
+      c->cancelled++;
+      break;
+    }
+}
+
+static const char *const _bat_end_labels[] = {
+  [BAT_DONE] = "outcome=\"done\"",
+  [BAT_FAILED] = "outcome=\"failed\"",
+  [BAT_CANCELLED] = "outcome=\"cancelled\"",
+};
+
+static void
+_bat_count_rate (bat_t *b, env_t *env)
+{
+  b->rate_count++;
+  clk_ms_t span = env->now - b->rate_at;
+  if (span < BAT_RATE_MS)
+    return;
+  double now = (double)b->rate_count * CLK_SECOND / (double)span;
+  b->rate += BAT_RATE_SHARE * (now - b->rate);
+  b->rate_at = env->now;
+  b->rate_count = 0;
+}
+
+void
+bat_item_end (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i,
+              const bat_outcome_t *outcome)
+{
+  bat_item_t *item = &h->items[i];
+  bat_item_fire (b, item, BAT_ITEM_EV_END);
+  h->ended++;
+  bat_outcome_t o = *outcome;
+  o.n = h->first + i;
+  o.custom_id = item->in.custom_id;
+  char *line = bat_outcome_write (NULL, &o);
+  g_string_append (h->unsaved, line);
+  talloc_free (line);
+  _bat_count_outcome (&h->unsaved_counts, o.end);
+  cnt_add (env->cnt, "rts_batch_items_ended_total", _bat_end_labels[o.end], 1);
+  _bat_count_rate (b, env);
+}
+
+void
+bat_item_end_unknown (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i,
+                      const char *reason)
+{
+  char text[128];
+  g_snprintf (text, sizeof text, "outcome unknown, not repeated: %s", reason);
+  bat_item_end (b, env, h, i,
+                &(bat_outcome_t){ .end = BAT_FAILED, .reason = text });
+}
+
+/* -- sends ---------------------------------------------------------------- */
+
+static void
+_bat_send_free (bat_t *b, env_t *env, bat_send_t *s, bool reached)
+{
+  crd_give_back (b->desc.credits, env, s->self.id, reached);
+  g_string_free (s->body, TRUE);
+  tbl_free (b->sends, s->self);
+}
+
+/* Stop an item that is on its way; its state is the caller's business. */
+static void
+_bat_send_stop (bat_t *b, env_t *env, bat_item_t *item)
+{
+  bat_send_t *s = tbl_get (b->sends, item->send);
+  upc_cancel (env, s->call);
+  _bat_send_free (b, env, s, true);
+}
+
+void
+bat_item_stop_all (bat_t *b, env_t *env, bat_hold_t *h)
+{
+  for (uint32_t i = 0; i < h->item_count; i++)
+    {
+      if (h->items[i].state != BAT_ITEM_SENT)
+        continue;
+      _bat_send_stop (b, env, &h->items[i]);
+      bat_item_fire (b, &h->items[i], BAT_ITEM_EV_AGAIN);
+    }
+}
+
+void
+bat_item_stop_pausable (bat_t *b, env_t *env, bat_hold_t *h)
+{
+  for (uint32_t i = 0; i < h->item_count; i++)
+    {
+      bat_item_t *item = &h->items[i];
+      if (item->state != BAT_ITEM_SENT || !item->in.idempotent)
+        continue;
+      _bat_send_stop (b, env, item);
+      bat_item_fire (b, item, BAT_ITEM_EV_AGAIN);
+    }
+  h->next = 0;
+}
+
+void
+bat_item_cancel_all (bat_t *b, env_t *env, bat_hold_t *h)
+{
+  for (uint32_t i = 0; i < h->item_count; i++)
+    {
+      bat_item_t *item = &h->items[i];
+      bool sent = item->state == BAT_ITEM_SENT;
+      if (item->state == BAT_ITEM_ENDED)
+        continue;
+      if (sent)
+        _bat_send_stop (b, env, item);
+      if (sent && !item->in.idempotent)
+        bat_item_end_unknown (b, env, h, i, "cancelled while it ran");
+      else
+        bat_item_end (b, env, h, i, &(bat_outcome_t){ .end = BAT_CANCELLED });
+    }
+}
+
+void
+bat_item_pause (bat_t *b, env_t *env)
+{
+  uint64_t who;
+  while (crd_preempt_pop (b->desc.credits, &who))
+    {
+      bat_send_t *s = tbl_get (b->sends, (tbl_id_t){ .id = who });
+      if (s == NULL)
+        continue;
+      bat_hold_t *h = tbl_get (b->holds, s->hold);
+      bat_item_t *item = &h->items[s->item];
+      uint32_t at = s->item;
+      INV_CHECK (item->in.idempotent, "batch-pause-idempotent", "%s item %u",
+                 h->id, h->first + at);
+      _bat_send_stop (b, env, item);
+      bat_item_fire (b, item, BAT_ITEM_EV_AGAIN);
+      h->next = MIN (h->next, at);
+      cnt_add (env->cnt, "rts_batch_items_paused_total", "", 1);
+    }
+}
+
+/* -- starting ------------------------------------------------------------- */
+
+/* The next item that may start now; notes when it is an intent that lacks. */
+static bool
+_bat_item_ready (env_t *env, bat_hold_t *h, uint32_t *found)
+{
+  if (h->state != BAT_HOLD_RUNNING || h->rec.stop || env->now >= h->lease_until
+      || env->now < h->pause_until)
+    return false;
+  while (h->next < h->item_count && h->items[h->next].state == BAT_ITEM_ENDED)
+    h->next++;
+  for (uint32_t i = h->next; i < h->item_count; i++)
+    {
+      const bat_item_t *item = &h->items[i];
+      if (item->state != BAT_ITEM_WAITING)
+        continue;
+      if (item->not_before > env->now)
+        {
+          h->wake_at = clk_min (h->wake_at, item->not_before);
+          continue;
+        }
+      if (!item->in.idempotent && i >= h->rec.intent)
+        {
+          h->want_intent = true;
+          continue;
+        }
+      *found = i;
+      return true;
+    }
+  return false;
+}
+
+static void
+_bat_item_check_start (env_t *env, const bat_hold_t *h, uint32_t i)
+{
+  INV_CHECK (env->now < h->lease_until, "batch-send-under-lease",
+             "%s item %u: now %ld, lease until %ld", h->id, h->first + i,
+             (long)env->now, (long)h->lease_until);
+  INV_CHECK (h->state == BAT_HOLD_RUNNING && !h->rec.stop,
+             "batch-no-start-after-stop", "%s item %u", h->id, h->first + i);
+  INV_CHECK (h->items[i].in.idempotent || i < h->rec.intent,
+             "batch-intent-before-send", "%s item %u: intent %u", h->id,
+             h->first + i, h->rec.intent);
+}
+
+static void
+_bat_item_call (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i, bat_send_t *s,
+                const char *address)
+{
+  const bat_input_t *in = &h->items[i].in;
+  char name[BAT_ID_SIZE + 16];
+  g_snprintf (name, sizeof name, "%s-%u", h->id, h->first + i);
+  const http_header_t headers[] = {
+    { .name = "Content-Type", .value = "application/json" },
+    { .name = "X-Request-Id", .value = name },
+    { .name = "Idempotency-Key", .value = name },
+  };
+  s->call = upc_call (env, MOD_BATCH, s->self.id,
+                      &(fx_upstream_t){ .address = address,
+                                        .method = in->method,
+                                        .path = in->path,
+                                        .headers = { .v = headers, .n = 3 },
+                                        .body = buf_str (in->body),
+                                        .first_byte_ms = b->desc.item_ms,
+                                        .stall_ms = BAT_STALL_MS,
+                                        .total_ms = b->desc.item_ms,
+                                        .fresh_connection = !in->idempotent });
+}
+
+/* Start item I of H; false when there is no credit for it. */
+static bool
+_bat_item_start (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i)
+{
+  bat_item_t *item = &h->items[i];
+  const cfg_route_t *route
+      = cfg_route_find (b->doc, item->in.method, item->in.path);
+  if (route == NULL)
+    {
+      bat_item_end (b, env, h, i,
+                    &(bat_outcome_t){ .end = BAT_FAILED,
+                                      .reason = "its route was removed" });
+      return true;
+    }
+  tbl_id_t self = tbl_alloc (b->sends);
+  crd_credit_t credit;
+  const crd_ask_t ask = { .deployment = route->deployment,
+                          .who = self.id,
+                          .pausable = item->in.idempotent,
+                          .waiting = h->item_count - h->ended };
+  if (!crd_take (b->desc.credits, env, &ask, &credit))
+    {
+      tbl_free (b->sends, self);
+      return false;
+    }
+  _bat_item_check_start (env, h, i);
+  bat_send_t *s = tbl_get (b->sends, self);
+  *s = (bat_send_t){ .self = self,
+                     .hold = h->self,
+                     .item = i,
+                     .idempotent = item->in.idempotent,
+                     .body = g_string_new (NULL) };
+  item->send = self;
+  bat_item_fire (b, item, BAT_ITEM_EV_SEND);
+  _bat_item_call (b, env, h, i, s, credit.address);
+  sch_served (b->order, h->customer, bat_weight (b, h->customer), 1);
+  return true;
+}
+
+static size_t
+_bat_list_holds (bat_t *b, bat_hold_t **holds, sch_job_t *list)
+{
+  size_t n = 0;
+  for (tbl_id_t i = tbl_next (b->holds, (tbl_id_t){ 0 }); i.id != 0;
+       i = tbl_next (b->holds, i))
+    {
+      bat_hold_t *h = tbl_get (b->holds, i);
+      holds[n] = h;
+      h->wake_at = CLK_NEVER;
+      double left = h->item_count - h->ended;
+      list[n] = (sch_job_t){ .customer = h->customer,
+                             .weight = bat_weight (b, h->customer),
+                             .due = h->due,
+                             .need_ms
+                             = b->rate > 0 ? left * CLK_SECOND / b->rate : 0,
+                             .ready = true };
+      n++;
+    }
+  return n;
+}
+
+/* Start items in order until credits or sends run out. */
+static void
+_bat_start_items (bat_t *b, env_t *env, bat_hold_t **holds, sch_job_t *list,
+                  size_t n)
+{
+  while (tbl_count (b->sends) < b->desc.max_sends)
+    {
+      int best = sch_pick (b->order, env->now, list, n);
+      if (best < 0)
+        return;
+      uint32_t item = 0;
+      if (!_bat_item_ready (env, holds[best], &item)
+          || !_bat_item_start (b, env, holds[best], item))
+        list[best].ready = false;
+    }
+}
+
+void
+bat_pump (bat_t *b, env_t *env)
+{
+  uint32_t count = tbl_count (b->holds);
+  bat_item_pause (b, env);
+  if (b->doc == NULL || count == 0)
+    return;
+  sch_job_t *list = talloc_zero_array (NULL, sch_job_t, count);
+  bat_hold_t **holds = talloc_zero_array (list, bat_hold_t *, count);
+  size_t n = _bat_list_holds (b, holds, list);
+  _bat_start_items (b, env, holds, list, n);
+  for (size_t i = 0; i < n; i++)
+    {
+      bat_hold_t *h = holds[i];
+      clk_ms_t at = clk_max (h->wake_at, h->pause_until);
+      if (h->wake_at != CLK_NEVER || h->pause_until > env->now)
+        bat_hold_wake (b, env, h,
+                       h->wake_at == CLK_NEVER ? h->pause_until : at);
+    }
+  /* Steps last: one may end its hold and take other chunks. */
+  tbl_id_t *ids = talloc_array (list, tbl_id_t, n);
+  for (size_t i = 0; i < n; i++)
+    ids[i] = holds[i]->self;
+  for (size_t i = 0; i < n; i++)
+    {
+      bat_hold_t *h = tbl_get (b->holds, ids[i]);
+      if (h != NULL)
+        bat_hold_step (b, env, h);
+    }
+  talloc_free (list);
+}
+
+/* -- answers -------------------------------------------------------------- */
+
+static void
+_bat_item_again (bat_t *b, bat_hold_t *h, uint32_t i, clk_ms_t at)
+{
+  bat_item_t *item = &h->items[i];
+  bat_item_fire (b, item, BAT_ITEM_EV_AGAIN);
+  item->not_before = at;
+  h->next = MIN (h->next, i);
+}
+
+static void
+_bat_item_fail (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i, int status,
+                const char *reason)
+{
+  bat_item_end (b, env, h, i,
+                &(bat_outcome_t){
+                    .end = BAT_FAILED, .status = status, .reason = reason });
+}
+
+/* It may have run: repeat it only when that does no harm. */
+static void
+_bat_item_failed_try (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i,
+                      int status, const char *reason)
+{
+  bat_item_t *item = &h->items[i];
+  item->attempts++;
+  if (!item->in.idempotent && status == 0)
+    bat_item_end_unknown (b, env, h, i, reason);
+  else if (!item->in.idempotent || item->attempts >= b->desc.max_attempts)
+    _bat_item_fail (b, env, h, i, status, reason);
+  else
+    _bat_item_again (b, h, i, env->now + bat_backoff (env, item->attempts));
+}
+
+/* It was refused without an effect. */
+static void
+_bat_item_refused (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i, int status,
+                   clk_ms_t retry_after_ms, const char *reason)
+{
+  bat_item_t *item = &h->items[i];
+  item->refusals++;
+  if (item->refusals >= BAT_REFUSALS_MAX)
+    {
+      _bat_item_fail (b, env, h, i, status, reason);
+      return;
+    }
+  clk_ms_t wait = bat_backoff (env, item->refusals);
+  _bat_item_again (b, h, i, env->now + clk_max (wait, retry_after_ms));
+}
+
+static char *
+_bat_reason (void *ctx, int status, const GString *body)
+{
+  gchar *text = g_utf8_make_valid (body->str,
+                                   (gssize)MIN (body->len, BAT_REASON_BODY));
+  char *reason
+      = talloc_asprintf (ctx, "upstream answered %d: %s", status, text);
+  g_free (text);
+  return reason;
+}
+
+static void
+_bat_item_answered (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i,
+                    const bat_send_t *s)
+{
+  char *reason = _bat_reason (NULL, s->status, s->body);
+  bool success = s->status >= 200 && s->status < 300;
+  bool passing = s->status == 408 || s->status == 425 || s->status >= 500;
+  if (s->too_large)
+    _bat_item_fail (b, env, h, i, s->status, "answer larger than 256 KB");
+  else if (success)
+    bat_item_end (
+        b, env, h, i,
+        &(bat_outcome_t){ .end = BAT_DONE,
+                          .status = s->status,
+                          .body = { .p = s->body->str, .n = s->body->len } });
+  else if (s->status == 429 || (s->status == 503 && s->idempotent))
+    _bat_item_refused (b, env, h, i, s->status, s->retry_after_ms, reason);
+  else if (passing)
+    _bat_item_failed_try (b, env, h, i, s->status, reason);
+  else
+    _bat_item_fail (b, env, h, i, s->status, reason);
+  talloc_free (reason);
+}
+
+static void
+_bat_item_call_failed (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i,
+                       const ev_upstream_t *u)
+{
+  switch (u->fail)
+    {
+    case EV_FAIL_NOT_SENT:
+      h->pause_until = env->now + bat_backoff (env, h->items[i].not_sent++);
+      _bat_item_again (b, h, i, h->pause_until);
+      return;
+    case EV_FAIL_UNKNOWN:
+      _bat_item_failed_try (b, env, h, i, 0, "the connection broke");
+      return;
+    case EV_FAIL_TIMEOUT:
+      _bat_item_failed_try (b, env, h, i, 0, "no answer in time");
+      return;
+    }
+}
+
+static void
+_bat_item_head (bat_send_t *s, const ev_upstream_t *u)
+{
+  s->status = u->status;
+  const char *text = http_header_find (u->headers, "Retry-After");
+  if (text != NULL)
+    s->retry_after_ms = CLK_SECOND * (clk_ms_t)strtol (text, NULL, 10);
+  if (s->retry_after_ms > CLK_MINUTE)
+    s->retry_after_ms = CLK_MINUTE;
+}
+
+static void
+_bat_item_data (bat_send_t *s, buf_t data)
+{
+  if (s->body->len + data.n > BAT_ANSWER_MAX)
+    s->too_large = true;
+  else
+    g_string_append_len (s->body, data.p, (gssize)data.n);
+}
+
+void
+bat_upstream_event (bat_t *b, env_t *env, uint64_t tag, const ev_t *ev)
+{
+  bat_send_t *s = tbl_get (b->sends, (tbl_id_t){ .id = tag });
+  if (s == NULL)
+    return;
+  if (ev->kind == EV_UPSTREAM_HEAD)
+    {
+      _bat_item_head (s, &ev->upstream);
+      return;
+    }
+  if (ev->kind == EV_UPSTREAM_DATA)
+    {
+      _bat_item_data (s, ev->upstream.data);
+      return;
+    }
+  bat_hold_t *h = tbl_get (b->holds, s->hold);
+  INV_CHECK (h != NULL && h->items[s->item].send.id == tag,
+             "batch-answer-to-its-item", "send %lx", (unsigned long)tag);
+  bool failed = ev->kind == EV_UPSTREAM_FAIL;
+  if (failed)
+    _bat_item_call_failed (b, env, h, s->item, &ev->upstream);
+  else
+    _bat_item_answered (b, env, h, s->item, s);
+  bool reached = !failed || ev->upstream.fail != EV_FAIL_NOT_SENT;
+  _bat_send_free (b, env, s, reached);
+  bat_pump (b, env);
+}
--- /dev/null
+++ b/src/core/bat_load.c
@@ -0,0 +1,122 @@
+#include "core/bat_int.h"
+#include "core/inv.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* Fetch the items, or the next part of the earlier outcomes. */
+void
+bat_load_start (bat_t *b, env_t *env, bat_hold_t *h)
+{
+  if (h->state != BAT_HOLD_LOADING || h->load_flying)
+    return;
+  h->load_flying = true;
+  if (h->items != NULL)
+    {
+      bat_call (b, env, BAT_OP_HOLD_PARTS, h->self, h->parts_read,
+                &(plt_req_t){ .op = FX_PLATFORM_GET,
+                              .name = h->rec.parts[h->parts_read] });
+      return;
+    }
+  char *name = bat_name_items (NULL, h->id, h->digest, h->chunk);
+  bat_call (b, env, BAT_OP_HOLD_ITEMS, h->self, 0,
+            &(plt_req_t){ .op = FX_PLATFORM_GET, .name = name });
+  talloc_free (name);
+}
+
+static void
+_bat_load_items (bat_hold_t *h, buf_t text)
+{
+  uint32_t room = 0;
+  buf_t line;
+  while (bat_line_next (&text, &line))
+    {
+      if (h->item_count == room)
+        {
+          room = room == 0 ? 64 : 2 * room;
+          h->items = talloc_realloc (h->ctx, h->items, bat_item_t, room);
+        }
+      bat_item_t *item = &h->items[h->item_count++];
+      *item = (bat_item_t){ .state = BAT_ITEM_WAITING };
+      bool ok = bat_input_read (h->ctx, line, &item->in);
+      INV_CHECK (ok, "batch-items-readable", "%s/%u item %u", h->id, h->chunk,
+                 h->item_count - 1);
+    }
+}
+
+/* Outcomes that an earlier holder recorded stand. */
+static void
+_bat_load_part (bat_t *b, bat_hold_t *h, buf_t text)
+{
+  buf_t line;
+  while (bat_line_next (&text, &line))
+    {
+      uint32_t n;
+      bat_end_t end;
+      bool ok = bat_outcome_read (line, &n, &end) && n >= h->first
+                && n - h->first < h->item_count;
+      INV_CHECK (ok, "batch-outcome-readable", "%s/%u", h->id, h->chunk);
+      bat_item_t *item = &h->items[n - h->first];
+      INV_CHECK (item->state != BAT_ITEM_ENDED, "batch-one-outcome",
+                 "%s item %u has two", h->id, n);
+      bat_item_fire (b, item, BAT_ITEM_EV_END);
+      h->ended++;
+    }
+}
+
+/* Items that an earlier holder may have sent and that may not be repeated. */
+static void
+_bat_load_intent (bat_t *b, env_t *env, bat_hold_t *h)
+{
+  for (uint32_t i = 0; i < h->rec.intent && i < h->item_count; i++)
+    {
+      const bat_item_t *item = &h->items[i];
+      if (item->state == BAT_ITEM_WAITING && !item->in.idempotent)
+        bat_item_end_unknown (b, env, h, i,
+                              "may have run before its VM was lost");
+    }
+}
+
+static void
+_bat_load_done (bat_t *b, env_t *env, bat_hold_t *h)
+{
+  const bat_counts_t *c = &h->rec.counts;
+  INV_CHECK (h->ended == c->done + c->failed + c->cancelled,
+             "batch-parts-hold-counts", "%s/%u: %u outcomes in the parts",
+             h->id, h->chunk, h->ended);
+  _bat_load_intent (b, env, h);
+  h->loaded = true;
+  if (!bat_hold_fire (b, env, h, BAT_HOLD_EV_LOADED))
+    return;
+  if (!h->rec.stop || bat_hold_fire (b, env, h, BAT_HOLD_EV_STOP))
+    bat_hold_step (b, env, h);
+}
+
+void
+bat_load_replied (bat_t *b, env_t *env, const bat_op_t *op,
+                  const ev_platform_t *reply)
+{
+  bat_hold_t *h = tbl_get (b->holds, op->on);
+  if (h == NULL)
+    return;
+  h->load_flying = false;
+  if (h->state != BAT_HOLD_LOADING)
+    return;
+  if (reply->code != ST_OK || reply->object_count == 0)
+    {
+      bat_after (b, env, bat_backoff (env, h->load_tries++),
+                 BAT_OP_HOLD_LOAD_RETRY, h->self);
+      return;
+    }
+  if (op->kind == BAT_OP_HOLD_ITEMS)
+    _bat_load_items (h, reply->objects[0].value);
+  else
+    {
+      _bat_load_part (b, h, reply->objects[0].value);
+      h->parts_read++;
+    }
+  if (h->parts_read < h->rec.part_count)
+    bat_load_start (b, env, h);
+  else
+    _bat_load_done (b, env, h);
+}
--- /dev/null
+++ b/src/core/bat_submit.c
@@ -0,0 +1,408 @@
+#include "core/bat_int.h"
+#include "core/inv.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define BAT_PIECES_FLYING 8
+#define BAT_SUBMIT_PATIENCE_MS (10 * CLK_SECOND)
+#define BAT_RETRY_AFTER_MS (2 * CLK_SECOND)
+#define BAT_KEY_MAX 255
+
+static void
+_bat_submit_free (bat_t *b, bat_submit_t *s)
+{
+  talloc_free (s->ctx);
+  tbl_free (b->submits, s->self);
+}
+
+/* -- reading the request -------------------------------------------------- */
+
+/* Value of a query argument, owned by CTX. */
+static char *
+_bat_query (void *ctx, const char *query, const char *key)
+{
+  GHashTable *args
+      = query == NULL
+            ? NULL
+            : g_uri_parse_params (query, -1, "&", G_URI_PARAMS_NONE, NULL);
+  if (args == NULL)
+    return NULL;
+  const char *v = g_hash_table_lookup (args, key);
+  char *copy = v == NULL ? NULL : talloc_strdup (ctx, v);
+  g_hash_table_destroy (args);
+  return copy;
+}
+
+/* Read a due time: Unix seconds, "+SECONDS" from now, or ISO 8601. */
+static bool
+_bat_due_read (const char *text, clk_ms_t unix_now, clk_ms_t *due)
+{
+  gint64 seconds = 0;
+  const char *digits = text[0] == '+' ? text + 1 : text;
+  if (g_ascii_string_to_signed (digits, 10, 0, G_MAXINT32 * (gint64)1024,
+                                &seconds, NULL))
+    {
+      *due = seconds * CLK_SECOND + (text[0] == '+' ? unix_now : 0);
+      return true;
+    }
+  GTimeZone *utc = g_time_zone_new_utc ();
+  GDateTime *t = g_date_time_new_from_iso8601 (text, utc);
+  g_time_zone_unref (utc);
+  if (t == NULL)
+    return false;
+  *due = g_date_time_to_unix (t) * CLK_SECOND;
+  g_date_time_unref (t);
+  return true;
+}
+
+static st_code_t
+_bat_submit_due (bat_t *b, env_t *env, bat_submit_t *s,
+                 const ev_request_t *req, st_t *st)
+{
+  const char *text = http_header_find (req->headers, "Batch-Due");
+  if (text == NULL)
+    text = _bat_query (s->ctx, req->query, "due");
+  if (text == NULL)
+    return ST_OK;
+  if (_bat_due_read (text, env->now + b->desc.unix_offset_ms,
+                     &s->manifest.due))
+    return ST_OK;
+  return st_set (st, ST_INVALID,
+                 "due time '%.40s': expected Unix seconds, +SECONDS or "
+                 "ISO 8601",
+                 text);
+}
+
+static char *
+_bat_digest (void *ctx, buf_t body)
+{
+  gchar *hex = g_compute_checksum_for_data (G_CHECKSUM_SHA256,
+                                            (const guchar *)body.p, body.n);
+  char *copy = talloc_strdup (ctx, hex);
+  g_free (hex);
+  return copy;
+}
+
+static st_code_t
+_bat_submit_read (bat_t *b, env_t *env, bat_submit_t *s, const char *customer,
+                  const ev_request_t *req, st_t *st)
+{
+  const char *key = http_header_find (req->headers, "Idempotency-Key");
+  if (key == NULL || key[0] == '\0' || strlen (key) > BAT_KEY_MAX)
+    return st_set (st, ST_INVALID,
+                   "expected an Idempotency-Key header of 1 to %d "
+                   "characters, the same each time the job is sent",
+                   BAT_KEY_MAX);
+  char *id = talloc_array (s->ctx, char, BAT_ID_SIZE);
+  bat_id_make (customer, key, id);
+  s->manifest.id = id;
+  s->manifest.customer = talloc_strdup (s->ctx, customer);
+  s->manifest.digest = _bat_digest (s->ctx, req->body);
+  st_code_t code = _bat_submit_due (b, env, s, req, st);
+  if (code != ST_OK)
+    return code;
+  return bat_parse (b, s->ctx, req->body, &s->pieces, &s->manifest, st);
+}
+
+/* -- writing -------------------------------------------------------------- */
+
+static void
+_bat_submit_piece (bat_t *b, env_t *env, bat_submit_t *s, uint32_t i)
+{
+  bat_piece_t *p = &s->pieces[i];
+  p->flying = true;
+  s->flying++;
+  const bat_manifest_t *m = &s->manifest;
+  char *name = bat_name_items (NULL, m->id, m->digest, i);
+  bat_call (
+      b, env, BAT_OP_SUBMIT_ITEMS, s->self, i,
+      &(plt_req_t){ .op = FX_PLATFORM_PUT, .name = name, .value = p->text });
+  talloc_free (name);
+}
+
+static void
+_bat_submit_open (bat_t *b, env_t *env, bat_submit_t *s)
+{
+  s->at = BAT_OP_SUBMIT_OPEN;
+  const bat_manifest_t *m = &s->manifest;
+  char *name = bat_name_open (NULL, m->id);
+  char *value = bat_open_write (name, &(bat_open_t){ .customer = m->customer,
+                                                     .due = m->due,
+                                                     .items = m->items,
+                                                     .chunks = m->chunks });
+  bat_call (b, env, BAT_OP_SUBMIT_OPEN, s->self, 0,
+            &(plt_req_t){ .op = FX_PLATFORM_PUT,
+                          .name = name,
+                          .value = buf_str (value) });
+  talloc_free (name);
+}
+
+static void
+_bat_submit_manifest (bat_t *b, env_t *env, bat_submit_t *s)
+{
+  s->at = BAT_OP_SUBMIT_JOB;
+  INV_CHECK (s->stored == s->manifest.chunks, "batch-manifest-after-chunks",
+             "job %s: %u of %u chunks stored", s->manifest.id, s->stored,
+             s->manifest.chunks);
+  if (s->manifest.token == NULL)
+    s->manifest.token = bat_token (b, env, s->ctx);
+  char *name = bat_name_job (NULL, s->manifest.id);
+  char *value = bat_manifest_write (name, &s->manifest);
+  bat_call (b, env, BAT_OP_SUBMIT_JOB, s->self, 0,
+            &(plt_req_t){ .op = FX_PLATFORM_PUT,
+                          .name = name,
+                          .value = buf_str (value) });
+  talloc_free (name);
+}
+
+static void
+_bat_submit_find (bat_t *b, env_t *env, bat_submit_t *s)
+{
+  char *name = bat_name_job (NULL, s->manifest.id);
+  bat_call (b, env, BAT_OP_SUBMIT_FIND, s->self, 0,
+            &(plt_req_t){ .op = FX_PLATFORM_GET, .name = name });
+  talloc_free (name);
+}
+
+/* Start what comes next: pieces first, then the index, then the manifest. */
+static void
+_bat_submit_step (bat_t *b, env_t *env, bat_submit_t *s)
+{
+  if (s->at == BAT_OP_SUBMIT_FIND)
+    {
+      _bat_submit_find (b, env, s);
+      return;
+    }
+  for (uint32_t i = 0; i < s->manifest.chunks && s->flying < BAT_PIECES_FLYING;
+       i++)
+    {
+      if (i < s->next)
+        i = s->next;
+      if (i < s->manifest.chunks && !s->pieces[i].stored
+          && !s->pieces[i].flying)
+        _bat_submit_piece (b, env, s, i);
+    }
+  while (s->next < s->manifest.chunks && s->pieces[s->next].stored)
+    s->next++;
+  if (s->stored < s->manifest.chunks)
+    return;
+  if (s->at == BAT_OP_SUBMIT_JOB)
+    _bat_submit_manifest (b, env, s);
+  else
+    _bat_submit_open (b, env, s);
+}
+
+/* -- ends ----------------------------------------------------------------- */
+
+static void
+_bat_submit_give_up (bat_t *b, env_t *env, bat_submit_t *s)
+{
+  cnt_add (env->cnt, "rts_batch_jobs_refused_total", "reason=\"platform\"", 1);
+  bat_reply_error (env, s->caller, 503, "unavailable",
+                   s->maybe ? "unknown" : "not-run", BAT_RETRY_AFTER_MS,
+                   s->maybe ? "the job may have been accepted: send it again "
+                              "with the same Idempotency-Key"
+                            : "the platform cannot be reached; this request "
+                              "accepted nothing");
+  _bat_submit_free (b, s);
+}
+
+static void
+_bat_submit_again (bat_t *b, env_t *env, bat_submit_t *s)
+{
+  if (env->now - s->progress_at > BAT_SUBMIT_PATIENCE_MS)
+    {
+      _bat_submit_give_up (b, env, s);
+      return;
+    }
+  if (s->waiting)
+    return;
+  s->waiting = true;
+  bat_after (b, env, bat_backoff (env, s->tries++), BAT_OP_SUBMIT_RETRY,
+             s->self);
+}
+
+void
+bat_submit_retry (bat_t *b, env_t *env, tbl_id_t id)
+{
+  bat_submit_t *s = tbl_get (b->submits, id);
+  if (s == NULL)
+    return;
+  s->waiting = false;
+  _bat_submit_step (b, env, s);
+}
+
+static void
+_bat_submit_accepted (bat_t *b, env_t *env, bat_submit_t *s)
+{
+  const bat_manifest_t *m = &s->manifest;
+  cnt_add (env->cnt, "rts_batch_jobs_accepted_total", "", 1);
+  cnt_add (env->cnt, "rts_batch_items_accepted_total", "", m->items);
+  tln_record (env->tln, env->now, MOD_BATCH, "accept",
+              "job=%s customer=%s items=%u chunks=%u", m->id, m->customer,
+              m->items, m->chunks);
+  bat_reply_manifest (env, s->caller, 202, m);
+  bat_open_t open = { .customer = m->customer,
+                      .due = m->due,
+                      .items = m->items,
+                      .chunks = m->chunks };
+  bat_scan_tell (b, env, m->id, m->chunks, BAT_MSG_WORK);
+  if (!b->leaving)
+    bat_scan_job (b, env, m->id, &open);
+  _bat_submit_free (b, s);
+}
+
+/* The job is there already: the same one, or the key was used for another. */
+static void
+_bat_submit_same (bat_t *b, env_t *env, bat_submit_t *s,
+                  const ev_platform_t *reply)
+{
+  bat_manifest_t m;
+  if (reply->object_count == 0
+      || !bat_manifest_read (s->ctx, reply->objects[0].value, &m))
+    {
+      _bat_submit_again (b, env, s);
+      return;
+    }
+  if (strcmp (m.digest, s->manifest.digest) == 0)
+    {
+      cnt_add (env->cnt, "rts_batch_jobs_resent_total", "", 1);
+      bat_reply_manifest (env, s->caller, 200, &m);
+      if (m.state == BAT_JOB_RUNNING && !b->leaving)
+        bat_scan_job (b, env, m.id,
+                      &(bat_open_t){ .customer = m.customer,
+                                     .due = m.due,
+                                     .items = m.items,
+                                     .chunks = m.chunks });
+    }
+  else
+    bat_reply_error (env, s->caller, 409, "conflict", "not-run", 0,
+                     "this Idempotency-Key was used for another body");
+  _bat_submit_free (b, s);
+}
+
+/* -- replies -------------------------------------------------------------- */
+
+static void
+_bat_submit_found (bat_t *b, env_t *env, bat_submit_t *s,
+                   const ev_platform_t *reply)
+{
+  switch (reply->code)
+    {
+    case ST_OK:
+      _bat_submit_same (b, env, s, reply);
+      return;
+    case ST_NOT_FOUND:
+      s->at = BAT_OP_SUBMIT_ITEMS;
+      s->progress_at = env->now;
+      _bat_submit_step (b, env, s);
+      return;
+    default:
+      _bat_submit_again (b, env, s);
+      return;
+    }
+}
+
+/* A conflict means that the piece is there: its name holds the digest of the
+ * whole body, so it is the same piece. */
+static void
+_bat_submit_piece_done (bat_t *b, env_t *env, bat_submit_t *s, uint32_t i,
+                        st_code_t code)
+{
+  s->pieces[i].flying = false;
+  s->flying--;
+  if (code != ST_OK && code != ST_CONFLICT)
+    {
+      _bat_submit_again (b, env, s);
+      return;
+    }
+  s->pieces[i].stored = true;
+  s->stored++;
+  s->progress_at = env->now;
+  s->tries = 0;
+  if (!s->waiting)
+    _bat_submit_step (b, env, s);
+}
+
+static void
+_bat_submit_manifest_done (bat_t *b, env_t *env, bat_submit_t *s,
+                           const ev_platform_t *reply)
+{
+  switch (reply->code)
+    {
+    case ST_OK:
+      _bat_submit_accepted (b, env, s);
+      return;
+    case ST_CONFLICT: /* own lost answer, or the job sent twice */
+      s->at = BAT_OP_SUBMIT_FIND;
+      _bat_submit_find (b, env, s);
+      return;
+    case ST_UNKNOWN:
+      s->maybe = true;
+      _bat_submit_again (b, env, s);
+      return;
+    default:
+      _bat_submit_again (b, env, s);
+      return;
+    }
+}
+
+void
+bat_submit_replied (bat_t *b, env_t *env, const bat_op_t *op,
+                    const ev_platform_t *reply)
+{
+  bat_submit_t *s = tbl_get (b->submits, op->on);
+  if (s == NULL)
+    return;
+  switch (op->kind)
+    {
+    case BAT_OP_SUBMIT_FIND:
+      _bat_submit_found (b, env, s, reply);
+      break;
+    case BAT_OP_SUBMIT_ITEMS:
+      _bat_submit_piece_done (b, env, s, op->index, reply->code);
+      break;
+    case BAT_OP_SUBMIT_OPEN:
+      if (reply->code != ST_OK && reply->code != ST_CONFLICT)
+        {
+          _bat_submit_again (b, env, s);
+          break;
+        }
+      s->progress_at = env->now;
+      _bat_submit_manifest (b, env, s);
+      break;
+    default:
+      _bat_submit_manifest_done (b, env, s, reply);
+      break;
+    }
+}
+
+void
+bat_submit_start (bat_t *b, env_t *env, const char *customer,
+                  const ev_request_t *req)
+{
+  if (b->leaving)
+    {
+      bat_reply_error (env, req->caller, 503, "unavailable", "not-run",
+                       BAT_RETRY_AFTER_MS, "this VM is shutting down");
+      return;
+    }
+  tbl_id_t id = tbl_alloc (b->submits);
+  bat_submit_t *s = tbl_get (b->submits, id);
+  *s = (bat_submit_t){ .self = id,
+                       .ctx = talloc_new (b),
+                       .caller = req->caller,
+                       .at = BAT_OP_SUBMIT_FIND,
+                       .progress_at = env->now };
+  st_t st = { 0 };
+  st_code_t code = _bat_submit_read (b, env, s, customer, req, &st);
+  if (code != ST_OK)
+    {
+      bat_reply_error (env, req->caller, code == ST_TOO_LARGE ? 413 : 400,
+                       st_code_name (code), "not-run", 0, st.message);
+      _bat_submit_free (b, s);
+      return;
+    }
+  _bat_submit_step (b, env, s);
+}
--- a/src/core/cht_data.c
+++ b/src/core/cht_data.c
@@ -16,6 +16,9 @@
           ".previous\n");                                                     \
   extern const char cht_text_##name[]
 
+CHT_EMBED (chunk);
+CHT_EMBED (item);
+CHT_EMBED (job);
 CHT_EMBED (node);
 
 static const struct
@@ -23,6 +26,9 @@
   const char *name;
   const char *text;
 } _cht_texts[] = {
+  { "chunk", cht_text_chunk },
+  { "item", cht_text_item },
+  { "job", cht_text_job },
   { "node", cht_text_node },
 };
 
--- /dev/null
+++ b/src/core/crd.c
@@ -0,0 +1,533 @@
+#include "core/crd.h"
+
+#include "core/crd_int.h"
+#include "core/inv.h"
+#include "core/mpk.h"
+
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#define CRD_REPORT_MS_DEFAULT 200
+#define CRD_BURST_MS_DEFAULT 20
+#define CRD_MEMORY_MS_DEFAULT (30 * CLK_SECOND)
+#define CRD_SLOTS_DEFAULT 8
+#define CRD_WANT_MS CLK_SECOND
+#define CRD_URGENT_MS 5 /* least time between reports that do not wait */
+#define CRD_AVOID_MS CLK_SECOND
+
+enum
+{
+  _CRD_TAG_REPORT,
+  _CRD_TAG_LAPSE,
+};
+
+crd_t *
+crd_setup (void *ctx, const crd_desc_t *desc)
+{
+  crd_t *c = talloc_zero (ctx, crd_t);
+  c->desc = *desc;
+  if (c->desc.report_ms == 0)
+    c->desc.report_ms = CRD_REPORT_MS_DEFAULT;
+  if (c->desc.burst_ms == 0)
+    c->desc.burst_ms = CRD_BURST_MS_DEFAULT;
+  if (c->desc.memory_ms == 0)
+    c->desc.memory_ms = CRD_MEMORY_MS_DEFAULT;
+  if (c->desc.default_slots == 0)
+    c->desc.default_slots = CRD_SLOTS_DEFAULT;
+  return c;
+}
+
+void
+crd_shutdown (crd_t *c)
+{
+  talloc_free (c);
+}
+
+void
+crd_start (crd_t *c, env_t *env)
+{
+  c->started = true;
+  tmr_arm (env->tmr, env->now + env_jitter (env, c->desc.report_ms) / 4,
+           MOD_CREDIT, _CRD_TAG_REPORT);
+}
+
+bool
+crd_owns_message (uint16_t kind)
+{
+  return kind == CRD_MSG_REPORT || kind == CRD_MSG_GRANT;
+}
+
+static crd_upstream_t *
+_crd_find (const crd_t *c, const char *name)
+{
+  for (size_t i = 0; i < c->count; i++)
+    {
+      if (strcmp (c->upstreams[i].name, name) == 0)
+        return &c->upstreams[i];
+    }
+  return NULL;
+}
+
+crd_stat_t
+crd_stat (const crd_t *c, clk_ms_t now, const char *upstream)
+{
+  const crd_upstream_t *u = _crd_find (c, upstream);
+  if (u == NULL)
+    return (crd_stat_t){ 0 };
+  return (crd_stat_t){ .granted = now < u->granted_until ? u->granted : 0,
+                       .used = u->used,
+                       .reserve = crd_own_reserve (&u->own),
+                       .owner = u->own.count > 0 };
+}
+
+/* -- owners --------------------------------------------------------------- */
+
+static void
+_crd_choose_owner (const crd_t *c, crd_upstream_t *u)
+{
+  uint64_t best = 0;
+  u->owner = "";
+  for (size_t i = 0; i < c->vm_count; i++)
+    {
+      const ev_vm_t *vm = &c->vms[i];
+      if (vm->leaving || strcmp (vm->data_centre, u->data_centre) != 0)
+        continue;
+      uint64_t score = XXH64 (vm->vm, strlen (vm->vm),
+                              XXH64 (u->name, strlen (u->name), 1));
+      if (u->owner[0] != '\0' && score <= best)
+        continue;
+      best = score;
+      u->owner = vm->vm;
+    }
+}
+
+void
+crd_members_changed (crd_t *c, env_t *env, const ev_vm_t *vms, size_t count)
+{
+  (void)env;
+  ev_vm_t *copy = talloc_array (c, ev_vm_t, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      copy[i] = vms[i];
+      copy[i].vm = talloc_strdup (copy, vms[i].vm);
+      copy[i].data_centre = talloc_strdup (copy, vms[i].data_centre);
+      copy[i].address = NULL;
+    }
+  ev_vm_t *old = c->vms;
+  c->vms = copy;
+  c->vm_count = count;
+  for (size_t i = 0; i < c->count; i++)
+    _crd_choose_owner (c, &c->upstreams[i]);
+  talloc_free (old);
+}
+
+/* -- configuration -------------------------------------------------------- */
+
+static uint32_t
+_crd_slots (const crd_t *c, const cfg_doc_t *doc, const char *deployment)
+{
+  const cfg_deployment_t *d = cfg_deployment_find (doc, deployment);
+  return d == NULL || d->slots == 0 ? c->desc.default_slots : d->slots;
+}
+
+/* An upstream keeps its state over a change of configuration. */
+static crd_upstream_t
+_crd_upstream (const crd_t *c, const env_t *env, void *ctx,
+               const cfg_doc_t *doc, const cfg_upstream_t *from)
+{
+  crd_upstream_t *old = _crd_find (c, from->name);
+  crd_upstream_t u = { 0 };
+  if (old != NULL)
+    {
+      u = *old;
+      u.uses = talloc_steal (ctx, old->uses);
+      u.own.reporters = talloc_steal (ctx, old->own.reporters);
+      old->uses = NULL;
+    }
+  u.granter = talloc_strdup (ctx, u.granter == NULL ? "" : u.granter);
+  u.name = talloc_strdup (ctx, from->name);
+  u.address = talloc_strdup (ctx, from->address);
+  u.deployment = talloc_strdup (ctx, from->deployment);
+  u.data_centre = talloc_strdup (ctx, from->data_centre);
+  u.slots = _crd_slots (c, doc, from->deployment);
+  u.leaving = from->leaving;
+  u.local = strcmp (from->data_centre, env->data_centre) == 0;
+  return u;
+}
+
+static void
+_crd_preempt (crd_t *c, uint64_t who)
+{
+  c->preempt = talloc_realloc (c, c->preempt, uint64_t, c->preempt_count + 1);
+  c->preempt[c->preempt_count++] = who;
+}
+
+/* Items on upstreams that are no longer listed are asked back. */
+static void
+_crd_drop_unlisted (crd_t *c)
+{
+  for (size_t i = 0; i < c->count; i++)
+    {
+      const crd_upstream_t *u = &c->upstreams[i];
+      for (uint32_t k = 0; u->uses != NULL && k < u->used; k++)
+        {
+          if (u->uses[k].pausable && !u->uses[k].asked_back)
+            _crd_preempt (c, u->uses[k].who);
+        }
+    }
+}
+
+void
+crd_config_changed (crd_t *c, env_t *env, const cfg_doc_t *doc)
+{
+  void *ctx = talloc_new (c);
+  crd_upstream_t *list
+      = talloc_array (ctx, crd_upstream_t, doc->upstream_count);
+  for (size_t i = 0; i < doc->upstream_count; i++)
+    list[i] = _crd_upstream (c, env, ctx, doc, &doc->upstreams[i]);
+  _crd_drop_unlisted (c);
+  talloc_free (c->config_ctx);
+  c->config_ctx = ctx;
+  c->upstreams = list;
+  c->count = doc->upstream_count;
+  for (size_t i = 0; i < c->count; i++)
+    _crd_choose_owner (c, &c->upstreams[i]);
+}
+
+/* -- using credits -------------------------------------------------------- */
+
+static uint32_t
+_crd_allowed (const crd_upstream_t *u, clk_ms_t now)
+{
+  if (now >= u->granted_until || u->leaving)
+    return 0;
+  return u->granted > u->load.waiting ? u->granted - u->load.waiting : 0;
+}
+
+/* Ask the newest items back, as little work is lost with them. */
+static void
+_crd_enforce (crd_t *c, crd_upstream_t *u, clk_ms_t now)
+{
+  uint32_t allowed = _crd_allowed (u, now);
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < u->used; i++)
+    kept += !u->uses[i].asked_back;
+  for (uint32_t i = u->used; i > 0 && kept > allowed; i--)
+    {
+      crd_use_t *use = &u->uses[i - 1];
+      if (!use->pausable || use->asked_back)
+        continue;
+      use->asked_back = true;
+      _crd_preempt (c, use->who);
+      kept--;
+    }
+}
+
+bool
+crd_preempt_pop (crd_t *c, uint64_t *who)
+{
+  if (c->preempt_count == 0)
+    return false;
+  *who = c->preempt[--c->preempt_count];
+  return true;
+}
+
+static bool
+_crd_has_local (const crd_t *c, const char *deployment)
+{
+  for (size_t i = 0; i < c->count; i++)
+    {
+      if (c->upstreams[i].local
+          && strcmp (c->upstreams[i].deployment, deployment) == 0)
+        return true;
+    }
+  return false;
+}
+
+static bool
+_crd_serves (const crd_upstream_t *u, const char *deployment, bool local,
+             clk_ms_t now)
+{
+  return strcmp (u->deployment, deployment) == 0 && !u->leaving
+         && now >= u->avoid_until && (u->local || !local);
+}
+
+static void _crd_report_one (crd_t *c, env_t *env, crd_upstream_t *u);
+
+/* Note the wish on each upstream that could serve it. */
+static void
+_crd_want (crd_t *c, env_t *env, const crd_ask_t *ask, bool local)
+{
+  uint32_t n = 0;
+  for (size_t i = 0; i < c->count; i++)
+    n += _crd_serves (&c->upstreams[i], ask->deployment, local, env->now);
+  for (size_t i = 0; i < c->count; i++)
+    {
+      crd_upstream_t *u = &c->upstreams[i];
+      if (!_crd_serves (u, ask->deployment, local, env->now))
+        continue;
+      uint32_t want = (ask->waiting + n - 1) / n;
+      if (env->now >= u->want_until || want > u->want)
+        u->want = want < u->slots ? want : u->slots;
+      bool fresh = env->now >= u->want_until;
+      u->want_until = env->now + CRD_WANT_MS;
+      if (fresh && env->now - u->reported_at >= CRD_URGENT_MS)
+        _crd_report_one (c, env, u);
+    }
+}
+
+static crd_upstream_t *
+_crd_roomiest (crd_t *c, const env_t *env, const char *deployment, bool local)
+{
+  crd_upstream_t *best = NULL;
+  uint32_t room = 0;
+  for (size_t i = 0; i < c->count; i++)
+    {
+      crd_upstream_t *u = &c->upstreams[i];
+      uint32_t allowed = _crd_allowed (u, env->now);
+      if (!_crd_serves (u, deployment, local, env->now) || allowed <= u->used
+          || allowed - u->used <= room)
+        continue;
+      best = u;
+      room = allowed - u->used;
+    }
+  return best;
+}
+
+bool
+crd_take (crd_t *c, env_t *env, const crd_ask_t *ask, crd_credit_t *credit)
+{
+  bool local = _crd_has_local (c, ask->deployment);
+  crd_upstream_t *u = _crd_roomiest (c, env, ask->deployment, local);
+  if (u == NULL)
+    {
+      _crd_want (c, env, ask, local);
+      /* An owner that is this very VM has answered by now. */
+      u = _crd_roomiest (c, env, ask->deployment, local);
+    }
+  if (u == NULL)
+    return false;
+  INV_CHECK (env->now < u->granted_until && u->used < u->granted,
+             "credit-before-use", "%s: %u of %u used", u->name, u->used,
+             u->granted);
+  u->uses = talloc_realloc (c->config_ctx, u->uses, crd_use_t, u->used + 1);
+  u->uses[u->used++]
+      = (crd_use_t){ .who = ask->who, .pausable = ask->pausable };
+  *credit = (crd_credit_t){ .upstream = u->name, .address = u->address };
+  return true;
+}
+
+void
+crd_give_back (crd_t *c, env_t *env, uint64_t who, bool reached)
+{
+  for (size_t i = 0; i < c->count; i++)
+    {
+      crd_upstream_t *u = &c->upstreams[i];
+      for (uint32_t k = 0; k < u->used; k++)
+        {
+          if (u->uses[k].who != who)
+            continue;
+          memmove (&u->uses[k], &u->uses[k + 1],
+                   (u->used - k - 1) * sizeof (crd_use_t));
+          u->used--;
+          if (!reached)
+            u->avoid_until = env->now + env_jitter (env, CRD_AVOID_MS);
+          return;
+        }
+    }
+}
+
+void
+crd_granted (crd_t *c, env_t *env, crd_upstream_t *u, const char *vm,
+             uint32_t granted, clk_ms_t sent_at)
+{
+  if (strcmp (u->owner, vm) != 0)
+    return;
+  bool other = strcmp (u->granter, vm) != 0;
+  if (other && env->now < u->granted_until)
+    return;
+  if (other)
+    u->granter = talloc_strdup (c->config_ctx, vm);
+  u->granted = granted;
+  u->granted_until = sent_at + CRD_LIFE_MS;
+  _crd_enforce (c, u, env->now);
+  if (u->used > 0)
+    tmr_arm (env->tmr, u->granted_until, MOD_CREDIT, _CRD_TAG_LAPSE);
+}
+
+/* -- reports -------------------------------------------------------------- */
+
+static crd_report_t
+_crd_report (const crd_upstream_t *u, clk_ms_t now)
+{
+  return (crd_report_t){ .sent_at = now,
+                         .in_flight = u->load.in_flight,
+                         .waiting = u->load.waiting,
+                         .used = u->used,
+                         .want = now < u->want_until ? u->want : 0,
+                         .reported = u->load.reported,
+                         .running = u->load.running };
+}
+
+static void
+_crd_put_report (mpk_writer_t *w, const crd_upstream_t *u,
+                 const crd_report_t *r)
+{
+  mpk_put_str (w, buf_str (u->name));
+  mpk_put_uint (w, r->in_flight);
+  mpk_put_uint (w, r->waiting);
+  mpk_put_uint (w, r->used);
+  mpk_put_uint (w, r->want);
+  mpk_put_uint (w, r->reported ? (uint64_t)r->running + 1 : 0);
+}
+
+/* Whether U may be reported on: a VM whose owner has changed lets the old
+ * one's credits lapse first. */
+static bool
+_crd_may_report (const crd_upstream_t *u, clk_ms_t now)
+{
+  return u->owner[0] != '\0'
+         && (strcmp (u->granter, u->owner) == 0 || now >= u->granted_until);
+}
+
+static void
+_crd_report_to (crd_t *c, env_t *env, crd_upstream_t **list, size_t n)
+{
+  void *ctx = talloc_new (NULL);
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_int (&w, env->now);
+  const char *owner = list[0]->owner;
+  bool self = strcmp (owner, env->vm) == 0;
+  for (size_t i = 0; i < n; i++)
+    {
+      crd_upstream_t *u = list[i];
+      crd_report_t r = _crd_report (u, env->now);
+      u->reported_at = env->now;
+      u->silent = r.in_flight + r.waiting + r.used + r.want == 0;
+      if (self)
+        crd_own_report (c, env, u, env->vm, &r);
+      else
+        _crd_put_report (&w, u, &r);
+    }
+  buf_t body = mpk_done (&w);
+  if (!self)
+    fx_send (env->fx, owner, CRD_MSG_REPORT, body);
+  talloc_free (ctx);
+}
+
+static void
+_crd_report_one (crd_t *c, env_t *env, crd_upstream_t *u)
+{
+  if (c->started && _crd_may_report (u, env->now))
+    _crd_report_to (c, env, &u, 1);
+}
+
+/* Whether there is anything to say of U. */
+static bool
+_crd_is_used (const crd_upstream_t *u, clk_ms_t now)
+{
+  return u->load.in_flight + u->load.waiting + u->used > 0
+         || now < u->want_until || !u->silent;
+}
+
+/* One message to each owner that has something to hear. */
+static void
+_crd_report_all (crd_t *c, env_t *env)
+{
+  crd_upstream_t **list = talloc_array (NULL, crd_upstream_t *, c->count + 1);
+  bool *done = talloc_zero_array (list, bool, c->count + 1);
+  for (size_t i = 0; i < c->count; i++)
+    {
+      size_t n = 0;
+      for (size_t k = i; k < c->count; k++)
+        {
+          crd_upstream_t *u = &c->upstreams[k];
+          if (done[k] || !_crd_may_report (u, env->now)
+              || !_crd_is_used (u, env->now)
+              || (n > 0 && strcmp (list[0]->owner, u->owner) != 0))
+            continue;
+          done[k] = true;
+          list[n++] = u;
+        }
+      if (n > 0)
+        _crd_report_to (c, env, list, n);
+    }
+  talloc_free (list);
+}
+
+void
+crd_load_changed (crd_t *c, env_t *env, const crd_load_t *load)
+{
+  crd_upstream_t *u = _crd_find (c, load->upstream);
+  if (u == NULL)
+    return;
+  uint32_t before = u->load.in_flight + u->load.waiting;
+  uint32_t after = load->in_flight + load->waiting;
+  u->load = *load;
+  u->load.upstream = u->name;
+  _crd_enforce (c, u, env->now);
+  if (after > before || env->now - u->reported_at >= CRD_URGENT_MS)
+    _crd_report_one (c, env, u);
+}
+
+void
+crd_timer_fired (crd_t *c, env_t *env, uint64_t tag)
+{
+  for (size_t i = 0; i < c->count; i++)
+    _crd_enforce (c, &c->upstreams[i], env->now);
+  if (tag != _CRD_TAG_REPORT)
+    return;
+  tmr_arm (env->tmr, env->now + env_jitter (env, c->desc.report_ms),
+           MOD_CREDIT, _CRD_TAG_REPORT);
+  for (size_t i = 0; i < c->count; i++)
+    crd_own_tick (c, env, &c->upstreams[i]);
+  _crd_report_all (c, env);
+}
+
+/* -- messages ------------------------------------------------------------- */
+
+static void
+_crd_report_received (crd_t *c, env_t *env, const char *vm, mpk_reader_t *r)
+{
+  clk_ms_t sent_at = mpk_get_int (r);
+  while (mpk_more (r))
+    {
+      buf_t name = mpk_get_str (r);
+      crd_report_t report = { .sent_at = sent_at };
+      report.in_flight = (uint32_t)mpk_get_uint (r);
+      report.waiting = (uint32_t)mpk_get_uint (r);
+      report.used = (uint32_t)mpk_get_uint (r);
+      report.want = (uint32_t)mpk_get_uint (r);
+      uint64_t running = mpk_get_uint (r);
+      report.reported = running > 0;
+      report.running = running > 0 ? (uint32_t)(running - 1) : 0;
+      if (r->failed)
+        return;
+      crd_upstream_t *u = _crd_find (c, name.p);
+      if (u != NULL && strcmp (u->owner, env->vm) == 0)
+        crd_own_report (c, env, u, vm, &report);
+    }
+}
+
+void
+crd_message_received (crd_t *c, env_t *env, const char *vm, const msg_t *msg)
+{
+  void *ctx = talloc_new (NULL);
+  mpk_reader_t r = mpk_reader (ctx, msg->body);
+  if (msg->kind == CRD_MSG_REPORT)
+    _crd_report_received (c, env, vm, &r);
+  else
+    {
+      clk_ms_t sent_at = mpk_get_int (&r);
+      buf_t name = mpk_get_str (&r);
+      uint32_t granted = (uint32_t)mpk_get_uint (&r);
+      crd_upstream_t *u = mpk_end (&r) ? _crd_find (c, name.p) : NULL;
+      if (u != NULL && sent_at <= env->now)
+        crd_granted (c, env, u, vm, granted, sent_at);
+    }
+  if (!mpk_end (&r))
+    cnt_add (env->cnt, "rts_credit_bad_messages_total", "", 1);
+  talloc_free (ctx);
+}
--- /dev/null
+++ b/src/core/crd_int.h
@@ -0,0 +1,120 @@
+/** @file
+ * Shared insides of crd.c (a VM's own side) and crd_own.c (the owner's).
+ */
+#ifndef RTS_CRD_INT_H
+#define RTS_CRD_INT_H
+
+#include "core/crd.h"
+
+/** Message kinds. */
+enum
+{
+  /** int sent_at, then for each upstream: str name, uint in_flight, uint
+   * waiting, uint used, uint want, uint running + 1 (0: not known) */
+  CRD_MSG_REPORT = MSG_BATCH_FIRST + 8,
+  /** int sent_at of the report it answers, str upstream, uint credits */
+  CRD_MSG_GRANT,
+};
+
+#define CRD_HISTORY 64   /**< load samples kept for bursts and lags */
+#define CRD_BURST_AGES 6 /**< buckets in which bursts are remembered */
+
+/** What a VM says of its use of an upstream. */
+typedef struct
+{
+  clk_ms_t sent_at; /**< on the reporter's clock */
+  uint32_t in_flight;
+  uint32_t waiting;
+  uint32_t used;
+  uint32_t want;
+  bool reported;
+  uint32_t running;
+} crd_report_t;
+
+/** A reporter, as the owner sees it. */
+typedef struct
+{
+  char *vm;
+  crd_report_t report;
+  clk_ms_t seen_at;
+  uint32_t granted;
+  clk_ms_t granted_at;
+} crd_reporter_t;
+
+/** The owner's side of an upstream. */
+typedef struct
+{
+  crd_reporter_t *reporters;
+  size_t count;
+  struct
+  {
+    clk_ms_t at;
+    uint32_t online;
+    uint32_t known; /**< online and batch */
+  } history[CRD_HISTORY];
+  size_t history_next;
+  uint32_t burst[CRD_BURST_AGES];
+  clk_ms_t burst_at; /**< start of the youngest bucket */
+  uint32_t foreign;  /**< load of which the owner knows nothing */
+} crd_own_t;
+
+/** One item that uses a credit. */
+typedef struct
+{
+  uint64_t who;
+  bool pausable;
+  bool asked_back;
+} crd_use_t;
+
+/** One upstream. */
+typedef struct
+{
+  const char *name;
+  const char *address;
+  const char *deployment;
+  const char *data_centre;
+  uint32_t slots;
+  bool leaving;
+  bool local; /**< in this VM's data centre */
+  crd_load_t load;
+  crd_use_t *uses; /**< oldest first */
+  uint32_t used;
+  uint32_t want;
+  clk_ms_t want_until;
+  const char *owner;   /**< "" when nobody is */
+  const char *granter; /**< whose credits these are */
+  uint32_t granted;
+  clk_ms_t granted_until;
+  clk_ms_t avoid_until; /**< it could not be reached */
+  clk_ms_t reported_at;
+  bool silent; /**< the last report said that there is nothing */
+  crd_own_t own;
+} crd_upstream_t;
+
+struct crd
+{
+  crd_desc_t desc;
+  crd_upstream_t *upstreams;
+  size_t count;
+  void *config_ctx;
+  ev_vm_t *vms; /**< members, copied */
+  size_t vm_count;
+  uint64_t *preempt; /**< queue */
+  size_t preempt_count;
+  bool started;
+};
+
+/* crd.c */
+/** Use GRANTED credits of U by VM's word until UNTIL. */
+void crd_granted (crd_t *c, env_t *env, crd_upstream_t *u, const char *vm,
+                  uint32_t granted, clk_ms_t sent_at);
+
+/* crd_own.c */
+/** Note VM's report on U and hand out credits anew. */
+void crd_own_report (crd_t *c, env_t *env, crd_upstream_t *u, const char *vm,
+                     const crd_report_t *report);
+/** Forget reporters that fell silent. */
+void crd_own_tick (crd_t *c, env_t *env, crd_upstream_t *u);
+uint32_t crd_own_reserve (const crd_own_t *o);
+
+#endif
--- /dev/null
+++ b/src/core/crd_own.c
@@ -0,0 +1,240 @@
+#include "core/crd_int.h"
+#include "core/inv.h"
+#include "core/mpk.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define CRD_LAG_MS 1500 /* an upstream's own report may be this old */
+
+static bool
+_crd_is_fresh (const crd_reporter_t *r, clk_ms_t now)
+{
+  return now - r->seen_at < CRD_LIFE_MS;
+}
+
+static crd_reporter_t *
+_crd_reporter (crd_t *c, crd_own_t *o, const char *vm)
+{
+  for (size_t i = 0; i < o->count; i++)
+    {
+      if (strcmp (o->reporters[i].vm, vm) == 0)
+        return &o->reporters[i];
+    }
+  o->reporters = talloc_realloc (c->config_ctx, o->reporters, crd_reporter_t,
+                                 o->count + 1);
+  crd_reporter_t *r = &o->reporters[o->count++];
+  *r = (crd_reporter_t){ .vm = talloc_strdup (o->reporters, vm) };
+  return r;
+}
+
+/* -- load ----------------------------------------------------------------- */
+
+static uint32_t
+_crd_online (const crd_own_t *o)
+{
+  uint32_t n = 0;
+  for (size_t i = 0; i < o->count; i++)
+    {
+      const crd_report_t *r = &o->reporters[i].report;
+      n += r->in_flight > r->waiting ? r->in_flight : r->waiting;
+    }
+  return n;
+}
+
+static uint32_t
+_crd_batch (const crd_own_t *o)
+{
+  uint32_t n = 0;
+  for (size_t i = 0; i < o->count; i++)
+    n += o->reporters[i].report.used;
+  return n;
+}
+
+static void
+_crd_burst_note (const crd_t *c, crd_own_t *o, clk_ms_t now, uint32_t rise)
+{
+  clk_ms_t width = c->desc.memory_ms / CRD_BURST_AGES;
+  while (now - o->burst_at >= width)
+    {
+      memmove (&o->burst[1], &o->burst[0],
+               (CRD_BURST_AGES - 1) * sizeof o->burst[0]);
+      o->burst[0] = 0;
+      if (now - o->burst_at >= c->desc.memory_ms)
+        o->burst_at = now;
+      else
+        o->burst_at += width;
+    }
+  if (rise > o->burst[0])
+    o->burst[0] = rise;
+}
+
+uint32_t
+crd_own_reserve (const crd_own_t *o)
+{
+  uint32_t most = 1;
+  for (size_t i = 0; i < CRD_BURST_AGES; i++)
+    most = o->burst[i] > most ? o->burst[i] : most;
+  return most;
+}
+
+/* Keep a sample; the rise over the burst window is a burst. */
+static void
+_crd_sample (const crd_t *c, crd_own_t *o, clk_ms_t now)
+{
+  uint32_t online = _crd_online (o);
+  uint32_t least = online;
+  for (size_t i = 0; i < CRD_HISTORY; i++)
+    {
+      if (o->history[i].at > 0 && now - o->history[i].at <= c->desc.burst_ms
+          && o->history[i].online < least)
+        least = o->history[i].online;
+    }
+  _crd_burst_note (c, o, now, online - least);
+  o->history[o->history_next].at = now;
+  o->history[o->history_next].online = online;
+  o->history[o->history_next].known = online + _crd_batch (o);
+  o->history_next = (o->history_next + 1) % CRD_HISTORY;
+}
+
+/* Load above all that was known while the upstream's report may have been
+ * made belongs to VMs that report to somebody else.  A rise counts at once,
+ * of a fall only half: so two owners do not both take all of it. */
+static void
+_crd_foreign (crd_own_t *o, clk_ms_t now, uint32_t running)
+{
+  uint32_t known = _crd_online (o) + _crd_batch (o);
+  for (size_t i = 0; i < CRD_HISTORY; i++)
+    {
+      if (o->history[i].at > 0 && now - o->history[i].at <= CRD_LAG_MS
+          && o->history[i].known > known)
+        known = o->history[i].known;
+    }
+  uint32_t foreign = running > known ? running - known : 0;
+  if (foreign >= o->foreign)
+    o->foreign = foreign;
+  else
+    o->foreign = foreign + (o->foreign - foreign) / 2;
+}
+
+/* -- credits -------------------------------------------------------------- */
+
+/* Slots that batch may use altogether. */
+static uint32_t
+_crd_idle (const crd_upstream_t *u, clk_ms_t now)
+{
+  const crd_own_t *o = &u->own;
+  uint32_t taken = _crd_online (o) + crd_own_reserve (o) + o->foreign;
+  for (size_t i = 0; i < o->count; i++)
+    {
+      const crd_reporter_t *r = &o->reporters[i];
+      if (!_crd_is_fresh (r, now) && now - r->granted_at < CRD_LIFE_MS)
+        taken += r->granted;
+    }
+  return u->slots > taken ? u->slots - taken : 0;
+}
+
+/* Share IDLE between the fresh reporters, nobody more than it needs, as
+ * evenly as that allows. */
+static void
+_crd_share (const crd_own_t *o, clk_ms_t now, uint32_t idle, uint32_t *shares)
+{
+  bool more = true;
+  while (idle > 0 && more)
+    {
+      more = false;
+      for (size_t i = 0; i < o->count && idle > 0; i++)
+        {
+          const crd_reporter_t *r = &o->reporters[i];
+          uint32_t need = r->report.used + r->report.want;
+          if (!_crd_is_fresh (r, now) || shares[i] >= need)
+            continue;
+          shares[i]++;
+          idle--;
+          more = true;
+        }
+    }
+}
+
+static void
+_crd_send_grant (crd_t *c, env_t *env, crd_upstream_t *u, crd_reporter_t *r,
+                 uint32_t share)
+{
+  r->granted = share;
+  r->granted_at = env->now;
+  clk_ms_t sent_at = r->report.sent_at;
+  if (strcmp (r->vm, env->vm) == 0)
+    {
+      crd_granted (c, env, u, env->vm, share, sent_at);
+      return;
+    }
+  void *ctx = talloc_new (NULL);
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_int (&w, sent_at);
+  mpk_put_str (&w, buf_str (u->name));
+  mpk_put_uint (&w, share);
+  fx_send (env->fx, r->vm, CRD_MSG_GRANT, mpk_done (&w));
+  talloc_free (ctx);
+}
+
+/* Hand out anew: to the reporter TO in any case, to the others when their
+ * share has changed. */
+static void
+_crd_hand_out (crd_t *c, env_t *env, crd_upstream_t *u, const char *to)
+{
+  crd_own_t *o = &u->own;
+  uint32_t *shares = talloc_zero_array (NULL, uint32_t, o->count);
+  uint32_t idle = _crd_idle (u, env->now);
+  _crd_share (o, env->now, idle, shares);
+  uint32_t sum = 0;
+  for (size_t i = 0; i < o->count; i++)
+    sum += shares[i];
+  INV_CHECK (sum <= idle, "credits-fit-idle-slots", "%s: %u of %u", u->name,
+             sum, idle);
+  for (size_t i = 0; i < o->count; i++)
+    {
+      crd_reporter_t *r = &o->reporters[i];
+      bool asked = to != NULL && strcmp (r->vm, to) == 0;
+      if (_crd_is_fresh (r, env->now) && (asked || shares[i] != r->granted))
+        _crd_send_grant (c, env, u, r, shares[i]);
+    }
+  talloc_free (shares);
+}
+
+void
+crd_own_report (crd_t *c, env_t *env, crd_upstream_t *u, const char *vm,
+                const crd_report_t *report)
+{
+  crd_own_t *o = &u->own;
+  crd_reporter_t *r = _crd_reporter (c, o, vm);
+  if (report->sent_at < r->report.sent_at && _crd_is_fresh (r, env->now))
+    return; /* overtaken */
+  r->report = *report;
+  r->seen_at = env->now;
+  _crd_sample (c, o, env->now);
+  if (report->reported)
+    _crd_foreign (o, env->now, report->running);
+  _crd_hand_out (c, env, u, vm);
+}
+
+void
+crd_own_tick (crd_t *c, env_t *env, crd_upstream_t *u)
+{
+  crd_own_t *o = &u->own;
+  bool mine = strcmp (u->owner, env->vm) == 0;
+  size_t kept = 0;
+  for (size_t i = 0; i < o->count; i++)
+    {
+      crd_reporter_t *r = &o->reporters[i];
+      bool gone = env->now - r->seen_at >= 2 * CRD_LIFE_MS;
+      if (mine && !gone)
+        o->reporters[kept++] = *r;
+      else
+        talloc_free (r->vm);
+    }
+  bool changed = kept != o->count;
+  o->count = kept;
+  if (changed && kept > 0)
+    _crd_hand_out (c, env, u, NULL);
+}
--- /dev/null
+++ b/src/core/sch.h
@@ -0,0 +1,67 @@
+/** @file
+ * The order of batch work: which job's chunk or item comes next.
+ *
+ *   sch_t *s = sch_setup (ctx, &(sch_desc_t){ 0 });
+ *   int i = sch_pick (s, now, jobs, count);       -1: none is ready
+ *   sch_served (s, jobs[i].customer, jobs[i].weight, 1);
+ *
+ * A job whose slack (time to its due time less the time that its remaining
+ * items need at the rate given) is used up comes first, earliest due first.
+ * Otherwise the customer with the least service for its weight comes first,
+ * and of its jobs the one that is due earliest.  A job that can no longer be
+ * on time is not urgent, so that it delays nobody who still can be.
+ */
+#ifndef RTS_SCH_H
+#define RTS_SCH_H
+
+#include "core/clk.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/** Ways to order; all but the first serve comparisons. */
+typedef enum
+{
+  SCH_SLACK_FAIR, /**< earliest due with slack, weighted fairness */
+  SCH_FIRST_COME, /**< in the order of the list */
+  SCH_EARLIEST,   /**< earliest due time */
+} sch_way_t;
+
+/** How to set an order up. */
+typedef struct
+{
+  sch_way_t way;
+  clk_ms_t margin_ms; /**< slack that counts as used up; default 10 s */
+  double memory;      /**< service that a customer new to the list may be
+                           behind, per weight; default 64 items */
+} sch_desc_t;
+
+/** One job that wants service. */
+typedef struct
+{
+  const char *customer;
+  double weight;  /**< 0 counts as 1 */
+  clk_ms_t due;   /**< on the clock of now; 0: none */
+  double need_ms; /**< time its remaining items take at the whole rate that
+                       batch gets now */
+  bool ready;     /**< has something to start */
+} sch_job_t;
+
+typedef struct sch sch_t;
+
+/** New order owned by CTX. */
+sch_t *sch_setup (void *ctx, const sch_desc_t *desc);
+
+/** Free it. */
+void sch_shutdown (sch_t *s);
+
+/** Index of the job that comes next; -1 when none is ready. */
+int sch_pick (sch_t *s, clk_ms_t now, const sch_job_t *jobs, size_t count);
+
+/** CUSTOMER has been given ITEMS. */
+void sch_served (sch_t *s, const char *customer, double weight, double items);
+
+/** Service given to CUSTOMER, per weight. */
+double sch_service (const sch_t *s, const char *customer);
+
+#endif
