--- /dev/null
+++ b/src/core/rtb.c
@@ -0,0 +1,47 @@
+#include "core/rtb.h"
+
+/** Retries for each request. */
+#define RTB_PART 0.1
+/** Retries a second that are there without any requests. */
+#define RTB_FLOOR_PER_SECOND 1.0
+/** Most retries that can be saved up. */
+#define RTB_MAX 20.0
+/** Retries that a new budget holds. */
+#define RTB_FIRST 3.0
+
+static void
+_rtb_add (rtb_t *b, double tokens)
+{
+  b->tokens += tokens;
+  if (b->tokens > RTB_MAX)
+    b->tokens = RTB_MAX;
+}
+
+static void
+_rtb_fill (rtb_t *b, clk_ms_t now)
+{
+  if (!b->used)
+    b->tokens = RTB_FIRST;
+  else
+    _rtb_add (b, (double)(now - b->filled_at) * RTB_FLOOR_PER_SECOND
+                     / (double)CLK_SECOND);
+  b->used = true;
+  b->filled_at = now;
+}
+
+void
+rtb_request (rtb_t *b, clk_ms_t now)
+{
+  _rtb_fill (b, now);
+  _rtb_add (b, RTB_PART);
+}
+
+bool
+rtb_take (rtb_t *b, clk_ms_t now)
+{
+  _rtb_fill (b, now);
+  if (b->tokens < 1)
+    return false;
+  b->tokens -= 1;
+  return true;
+}
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -14,6 +14,7 @@
 #include <xxhash.h>
 
 #define RTE_REPORT_MS_DEFAULT 200
+#define RTE_EXCHANGE_MS_DEFAULT 100
 #define RTE_DISTANCE_MS_DEFAULT 4
 #define RTE_SUBSET_DEFAULT 24
 #define RTE_PREFIXES_DEFAULT 4096
@@ -27,6 +28,8 @@
 #define RTE_LEARN 0.05
 #define RTE_SLOWNESS_LEARN 0.15
 #define RTE_SLOWNESS_MAX 50.0
+/** An older report says nothing about now. */
+#define RTE_REPORT_OLD_MS (5 * CLK_SECOND)
 /** Failures are forgotten after this time without one. */
 #define RTE_QUIET_MS (30 * CLK_SECOND)
 
@@ -39,6 +42,7 @@
         &((rte_upstream_t *)tbl_get (r->upstreams, id))->unanswered);
   g_hash_table_destroy (r->by_name);
   g_hash_table_destroy (r->deployments);
+  g_queue_clear (&r->changed);
   return 0;
 }
 
@@ -51,12 +55,14 @@
 }
 
 rte_t *
-rte_setup (void *ctx, env_t *env, const rte_desc_t *desc)
+rte_setup (void *ctx, const rte_desc_t *desc)
 {
   rte_t *r = talloc_zero (ctx, rte_t);
   r->desc = *desc;
   if (r->desc.report_ms == 0)
     r->desc.report_ms = RTE_REPORT_MS_DEFAULT;
+  if (r->desc.exchange_ms == 0)
+    r->desc.exchange_ms = RTE_EXCHANGE_MS_DEFAULT;
   if (r->desc.distance_ms == 0)
     r->desc.distance_ms = RTE_DISTANCE_MS_DEFAULT;
   if (r->desc.subset == 0)
@@ -75,8 +81,7 @@
                                           _rte_deployment_free);
   r->holders = rte_holders_setup (r, r->desc.prefixes);
   talloc_set_destructor (r, _rte_destroy);
-  rte_members_set (
-      r, &(rte_member_t){ .vm = env->vm, .data_centre = env->data_centre }, 1);
+  g_queue_init (&r->changed);
   return r;
 }
 
@@ -86,20 +91,6 @@
   talloc_free (r);
 }
 
-void
-rte_members_set (rte_t *r, const rte_member_t *members, size_t count)
-{
-  rte_member_t *copy = talloc_array (r, rte_member_t, count);
-  for (size_t i = 0; i < count; i++)
-    copy[i] = (rte_member_t){
-      .vm = talloc_strdup (copy, members[i].vm),
-      .data_centre = talloc_strdup (copy, members[i].data_centre),
-    };
-  talloc_free (r->members);
-  r->members = copy;
-  r->member_count = count;
-}
-
 static rte_deployment_t *
 _rte_deployment_get (rte_t *r, const char *name)
 {
@@ -128,10 +119,11 @@
   tbl_id_t id = tbl_alloc (r->upstreams);
   u = tbl_get (r->upstreams, id);
   u->id = id;
-  u->name = talloc_strdup (r, c->name);
-  u->address = talloc_strdup (r, c->address);
-  u->deployment = talloc_strdup (r, c->deployment);
-  u->data_centre = talloc_strdup (r, c->data_centre);
+  u->strings = talloc_new (r);
+  u->name = talloc_strdup (u->strings, c->name);
+  u->address = talloc_strdup (u->strings, c->address);
+  u->deployment = talloc_strdup (u->strings, c->deployment);
+  u->data_centre = talloc_strdup (u->strings, c->data_centre);
   u->hash = XXH64 (u->name, strlen (u->name), 0);
   u->slowness = 1;
   g_queue_init (&u->unanswered);
@@ -152,10 +144,8 @@
         {
           if (g_hash_table_lookup (r->by_name, u->name) == u)
             g_hash_table_remove (r->by_name, u->name);
-          talloc_free (u->name);
-          talloc_free (u->address);
-          talloc_free (u->deployment);
-          talloc_free (u->data_centre);
+          g_queue_remove (&r->changed, u);
+          talloc_free (u->strings);
           tbl_free (r->upstreams, id);
         }
       id = next;
@@ -188,15 +178,6 @@
     }
 }
 
-static uint32_t
-_rte_slots (const cfg_doc_t *doc, const char *deployment)
-{
-  for (size_t i = 0; i < doc->deployment_count; i++)
-    if (strcmp (doc->deployments[i].name, deployment) == 0)
-      return doc->deployments[i].slots;
-  return 0;
-}
-
 void
 rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc)
 {
@@ -212,28 +193,35 @@
     {
       const cfg_upstream_t *c = &doc->upstreams[i];
       rte_upstream_t *u = _rte_upstream_get (r, c);
+      const cfg_deployment_t *dep = cfg_deployment_find (doc, c->deployment);
       u->configured = true;
       u->leaving = c->leaving;
       u->near = strcmp (c->data_centre, env->data_centre) == 0;
-      u->slots = _rte_slots (doc, c->deployment);
+      u->slots = dep != NULL ? dep->slots : 0;
       g_ptr_array_add (_rte_deployment_get (r, c->deployment)->upstreams, u);
     }
   g_hash_table_iter_init (&iter, r->deployments);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     _rte_subset_mark (r, env, value);
+  r->members_generation = 0;
+  rte_pollers_update (r, env);
   _rte_upstreams_sweep (r);
   if (!r->ticking)
     {
       r->ticking = true;
-      rte_report_tick (r, env);
+      rte_poll_tick (r, env);
+      rte_exchange_tick (r, env);
     }
 }
 
 void
 rte_timer_fired (rte_t *r, env_t *env, uint64_t tag)
 {
-  if (tag == 0)
-    rte_report_tick (r, env);
+  rte_pollers_update (r, env);
+  if (tag == RTE_TIMER_POLL)
+    rte_poll_tick (r, env);
+  else
+    rte_exchange_tick (r, env);
 }
 
 static rte_flight_t *
@@ -260,6 +248,8 @@
   uint32_t *count = f->batch ? &u->batch : &u->online;
   INV_CHECK (*count > 0, "route-in-flight-counted", "upstream %s", u->name);
   (*count)--;
+  u->queued -= f->queued;
+  rte_load_changed (r, u);
   tbl_free (r->flights, f->id);
 }
 
@@ -366,6 +356,35 @@
               (long long)away);
 }
 
+void
+rte_load_changed (rte_t *r, rte_upstream_t *u)
+{
+  if (u->changed)
+    return;
+  u->changed = true;
+  g_queue_push_tail (&r->changed, u);
+}
+
+bool
+rte_load_pop (rte_t *r, const env_t *env, rte_load_t *load)
+{
+  rte_upstream_t *u = g_queue_pop_head (&r->changed);
+  if (u == NULL)
+    return false;
+  u->changed = false;
+  bool fresh
+      = (u->state & (RTE_BIT_REPORTED | RTE_BIT_SILENT)) == RTE_BIT_REPORTED
+        && env->now - u->report_at < RTE_REPORT_OLD_MS;
+  *load = (rte_load_t){ .upstream = u->name,
+                        .online = u->online,
+                        .waiting = u->queued < u->unanswered.length
+                                       ? u->queued
+                                       : u->unanswered.length,
+                        .reported = fresh,
+                        .running = u->running };
+  return true;
+}
+
 uint32_t
 rte_idle_slots (const rte_t *r, const env_t *env, const char *upstream)
 {
@@ -374,7 +393,7 @@
       || (u->state & RTE_BIT_REPORTED) == 0
       || (u->state & RTE_BIT_SILENT) != 0)
     return 0;
-  uint32_t load = rte_load (r, u, env->now);
+  uint32_t load = rte_load (u, env->now);
   return load < u->slots ? u->slots - load : 0;
 }
 
@@ -412,7 +431,7 @@
                      env->now < u->suspect_until || u->proving, "silent",
                      (u->state & RTE_BIT_SILENT) != 0, "polled_here",
                      u->poll != NULL, "in_flight", (int)(u->online + u->batch),
-                     "load", (int)rte_load (r, u, env->now), "slowness",
+                     "load", (int)rte_load (u, env->now), "slowness",
                      rte_slowness (u, env->now)));
     }
   char *text = json_dumps (all, JSON_COMPACT);
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -25,6 +25,7 @@
 
 #include "core/cfg.h"
 #include "core/env.h"
+#include "core/mbr.h"
 #include "core/msg.h"
 
 /** Messages between VMs. */
@@ -34,16 +35,20 @@
    * u64 requests in flight, u64 cache events seen. */
   MSG_ROUTE_USE = MSG_ROUTE_FIRST,
   /** Poller to VM, the answer: for each upstream of the use message: str
-   * upstream, u64 in flight of other VMs, u64 state bits, u64 report's age
-   * (ms), u64 running, u64 waiting, u64 slots, u64 cache events up to here,
-   * u64 count of events, then for each: u64 added, u64 prefix. */
+   * upstream, u64 VMs that use it, u64 in flight of the others, u64 state
+   * bits, u64 report's age (ms), u64 running, u64 waiting, u64 slots, u64
+   * cache events up to here, u64 count of events, then for each: u64 added,
+   * u64 prefix. */
   MSG_ROUTE_REPORT = MSG_ROUTE_FIRST + 1,
 } rte_msg_t;
 
 /** How to set routing up; zeros mean the defaults. */
 typedef struct
 {
+  mbr_t *members;          /**< required; the pollers are among them */
   clk_ms_t report_ms;      /**< between load reports; default 200 */
+  clk_ms_t exchange_ms;    /**< between messages to a poller; default 100, more
+                                when there are many pollers */
   clk_ms_t distance_ms;    /**< price of another data centre; default 4 */
   uint32_t subset;         /**< most upstreams of a deployment that this VM
                                 uses, in each data centre; default 24 */
@@ -53,13 +58,6 @@
   clk_ms_t suspect_max_ms; /**< default 15 s */
 } rte_desc_t;
 
-/** A VM that may be a poller. */
-typedef struct
-{
-  const char *vm;
-  const char *data_centre;
-} rte_member_t;
-
 /** What is asked for. */
 typedef struct
 {
@@ -92,15 +90,13 @@
 typedef struct rte rte_t;
 
 /** New router owned by CTX; has no upstreams until rte_config_changed. */
-rte_t *rte_setup (void *ctx, env_t *env, const rte_desc_t *desc);
+rte_t *rte_setup (void *ctx, const rte_desc_t *desc);
 
 /** Free it; handles are stale then. */
 void rte_shutdown (rte_t *r);
 
-/** The VMs that share the polling, this one included. */
-void rte_members_set (rte_t *r, const rte_member_t *members, size_t count);
-
-/** Hash of the first 256 bytes of a prompt; never 0. */
+/** What engines call a prompt's prefix in their cache events: the first 64
+ * bits of the SHA-256 of its first 256 bytes; never 0. */
 uint64_t rte_prefix (buf_t prompt);
 
 /** Choose an upstream and count a request there.  False: none can be used
@@ -134,6 +130,20 @@
 /** Whether this VM polls UPSTREAM. */
 bool rte_polls (const rte_t *r, const env_t *env, const char *upstream);
 
+/** What other modules need to know of an upstream's load. */
+typedef struct
+{
+  const char *upstream;
+  uint32_t online;  /**< requests of this VM in flight */
+  uint32_t waiting; /**< of these, without a first byte and sent when no slot
+                         was free */
+  bool reported;    /**< the upstream reports its load, and does so now */
+  uint32_t running; /**< by its last report, of all VMs */
+} rte_load_t;
+
+/** Take one upstream whose load has changed; false: none. */
+bool rte_load_pop (rte_t *r, const env_t *env, rte_load_t *load);
+
 /** State of all upstreams in use as a JSON array, owned by CTX. */
 char *rte_format (void *ctx, const rte_t *r, const env_t *env);
 
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -10,13 +10,15 @@
 
 /** A sum told by the poller is not used for longer than this. */
 #define RTE_OTHERS_MS (2 * CLK_SECOND)
+/** Most other VMs that are taken to choose alike between two reports. */
+#define RTE_ALIKE_MAX 7
 /** How fast an upstream's slowness is forgotten without new answers. */
 #define RTE_SLOWNESS_MS (10 * CLK_SECOND)
 /** An unanswered request counts as a sign of trouble from this age on. */
 #define RTE_LATE_FACTOR 2.0
 /** Part of a miss's cost that the prefix's first upstream is spared, so
  * that VMs that know nothing of each other's choices agree on a home. */
-#define RTE_HOME_SHARE 0.5
+#define RTE_HOME_SHARE 0.25
 /** Below this difference two upstreams count as equal. */
 #define RTE_EQUAL_MS 1.0
 
@@ -31,12 +33,16 @@
 } rte_candidate_t;
 
 uint32_t
-rte_load (const rte_t *r, const rte_upstream_t *u, clk_ms_t now)
+rte_load (const rte_upstream_t *u, clk_ms_t now)
 {
-  (void)r;
   uint32_t own = u->online + u->batch;
   if (u->others_at > 0 && now - u->others_at < RTE_OTHERS_MS)
-    return u->others + own;
+    {
+      /* Other VMs had the same figures and have chosen likewise since. */
+      double alike = fmin (fmax (u->users, 1) - 1, RTE_ALIKE_MAX);
+      double drift = alike * ((double)own - (double)u->own_told);
+      return (uint32_t)fmax (u->others + drift, 0) + own;
+    }
   if ((u->state & RTE_BIT_REPORTED) == 0)
     return own;
   uint32_t reported = u->running + u->waiting;
@@ -92,7 +98,7 @@
            const rte_ask_t *ask, rte_upstream_t *u, const rte_upstream_t *home)
 {
   rte_candidate_t c = { .upstream = u };
-  uint32_t load = rte_load (r, u, env->now);
+  uint32_t load = rte_load (u, env->now);
   c.queued = u->slots > 0 && load >= u->slots;
   c.held = ask->prefix != 0
            && rte_holders_has (r->holders, ask->prefix, u->id, env->now);
@@ -194,6 +200,9 @@
     u->batch++;
   else
     u->online++;
+  u->queued += c->queued;
+  r->picked_at = env->now;
+  rte_load_changed (r, u);
   if (ask->prefix != 0)
     rte_holders_add (r->holders, ask->prefix, u->id, env->now);
   return id.id;
--- /dev/null
+++ b/src/core/rte_exchange.c
@@ -0,0 +1,257 @@
+/** @file
+ * Messages between the VMs that use an upstream and the one that polls it.
+ */
+#include "core/mpk.h"
+#include "core/rte_state.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/** A VM's count is forgotten by the poller after this. */
+#define RTE_USE_MS (3 * CLK_SECOND)
+/** Most upstreams in one use message. */
+#define RTE_USE_MAX 128
+/** Each poller more than a few makes the exchanges rarer by this. */
+#define RTE_POLLER_MS 14
+/** Period of a VM that has sent nothing for as long. */
+#define RTE_IDLE_MS ((clk_ms_t)700)
+
+/** Requests of VMs other than VM at U, as they have told. */
+static uint32_t
+_rte_others (const rte_upstream_t *u, const char *vm, clk_ms_t now)
+{
+  uint32_t sum = 0;
+  GHashTableIter iter;
+  void *name;
+  void *value;
+  g_hash_table_iter_init (&iter, u->poll->uses);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const rte_use_t *use = value;
+      if (now - use->at >= RTE_USE_MS)
+        g_hash_table_iter_remove (&iter);
+      else if (strcmp (name, vm) != 0)
+        sum += use->in_flight;
+    }
+  return sum;
+}
+
+static void
+_rte_use_send (rte_t *r, env_t *env, const GPtrArray *list)
+{
+  void *ctx = talloc_new (NULL);
+  const rte_upstream_t *first = g_ptr_array_index (list, 0);
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_uint (&w, list->len);
+  for (guint i = 0; i < list->len; i++)
+    {
+      const rte_upstream_t *u = g_ptr_array_index (list, i);
+      mpk_put_str (&w, buf_str (u->name));
+      mpk_put_uint (&w, u->online + u->batch);
+      mpk_put_uint (&w, u->events_seen);
+    }
+  mbr_send (r->desc.members, env, first->poller, MSG_ROUTE_USE, mpk_done (&w));
+  talloc_free (ctx);
+}
+
+static int
+_rte_by_poller (const void *a, const void *b)
+{
+  const rte_upstream_t *x = *(rte_upstream_t *const *)a;
+  const rte_upstream_t *y = *(rte_upstream_t *const *)b;
+  int order = strcmp (x->poller, y->poller);
+  return order != 0 ? order : strcmp (x->name, y->name);
+}
+
+/** Tell each poller what this VM has at the upstreams that it polls; how many
+ * pollers there were. */
+static size_t
+_rte_uses_send (rte_t *r, env_t *env)
+{
+  GPtrArray *all = g_ptr_array_new ();
+  GPtrArray *list = g_ptr_array_new ();
+  size_t pollers = 0;
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    {
+      rte_upstream_t *u = tbl_get (r->upstreams, id);
+      if (u->configured && u->used && u->poller != NULL && u->poll == NULL)
+        g_ptr_array_add (all, u);
+    }
+  g_ptr_array_sort (all, _rte_by_poller);
+  for (guint i = 0; i < all->len; i++)
+    {
+      const rte_upstream_t *u = g_ptr_array_index (all, i);
+      const rte_upstream_t *next
+          = i + 1 < all->len ? g_ptr_array_index (all, i + 1) : NULL;
+      if (list->len < RTE_USE_MAX)
+        g_ptr_array_add (list, (void *)u);
+      if (next != NULL && strcmp (next->poller, u->poller) == 0)
+        continue;
+      _rte_use_send (r, env, list);
+      g_ptr_array_set_size (list, 0);
+      pollers++;
+    }
+  g_ptr_array_free (list, TRUE);
+  g_ptr_array_free (all, TRUE);
+  return pollers;
+}
+
+/** Sums for the upstreams that this VM polls itself. */
+static void
+_rte_own_sums (rte_t *r, const env_t *env)
+{
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    {
+      rte_upstream_t *u = tbl_get (r->upstreams, id);
+      if (u->poll == NULL)
+        continue;
+      u->others = _rte_others (u, env->vm, env->now);
+      u->users = g_hash_table_size (u->poll->uses) + 1;
+      u->others_at = env->now;
+      u->own_told = u->online + u->batch;
+    }
+}
+
+void
+rte_exchange_tick (rte_t *r, env_t *env)
+{
+  _rte_own_sums (r, env);
+  size_t pollers = _rte_uses_send (r, env);
+  clk_ms_t period
+      = clk_max (r->desc.exchange_ms, (clk_ms_t)pollers * RTE_POLLER_MS);
+  /* Who sends nothing only needs to hear which upstreams leave. */
+  if (env->now - r->picked_at > RTE_IDLE_MS)
+    period = clk_max (period, RTE_IDLE_MS);
+  tmr_arm (env->tmr, env->now + env_jitter (env, period), MOD_ROUTE,
+           RTE_TIMER_EXCHANGE);
+}
+
+static void
+_rte_report_write (mpk_writer_t *w, const env_t *env, const rte_upstream_t *u,
+                   const char *vm, uint64_t seen)
+{
+  const rte_poll_t *p = u->poll;
+  uint64_t from = seen;
+  if (from > p->event_count)
+    from = p->event_count; /* the poller is another one than before */
+  if (p->event_count - from > RTE_EVENTS_SENT)
+    from = p->event_count - RTE_EVENTS_SENT;
+  mpk_put_str (w, buf_str (u->name));
+  uint32_t others = _rte_others (u, vm, env->now);
+  mpk_put_uint (w, g_hash_table_size (p->uses) + 1);
+  mpk_put_uint (w, others);
+  mpk_put_uint (w, u->state);
+  mpk_put_uint (w, (uint64_t)(env->now - u->report_at));
+  mpk_put_uint (w, u->running);
+  mpk_put_uint (w, u->waiting);
+  mpk_put_uint (w, u->slots);
+  mpk_put_uint (w, p->event_count);
+  mpk_put_uint (w, p->event_count - from);
+  for (uint64_t i = from; i < p->event_count; i++)
+    {
+      mpk_put_uint (w, p->events[i % RTE_EVENTS_KEPT].added);
+      mpk_put_uint (w, p->events[i % RTE_EVENTS_KEPT].prefix);
+    }
+}
+
+static bool
+_rte_use_received (rte_t *r, env_t *env, const char *vm, mpk_reader_t *in)
+{
+  mpk_writer_t w;
+  mpk_writer_init (&w, in->ctx);
+  uint64_t count = mpk_get_uint (in);
+  unsigned answered = 0;
+  for (uint64_t i = 0; i < count && i < RTE_USE_MAX && mpk_more (in); i++)
+    {
+      buf_t name = mpk_get_str (in);
+      uint64_t in_flight = mpk_get_uint (in);
+      uint64_t seen = mpk_get_uint (in);
+      rte_upstream_t *u
+          = name.p ? g_hash_table_lookup (r->by_name, name.p) : NULL;
+      if (u == NULL || u->poll == NULL || in_flight > UINT16_MAX)
+        continue;
+      rte_use_t *use = g_new (rte_use_t, 1);
+      *use = (rte_use_t){ .in_flight = (uint32_t)in_flight, .at = env->now };
+      g_hash_table_replace (u->poll->uses, g_strdup (vm), use);
+      _rte_report_write (&w, env, u, vm, seen);
+      answered++;
+    }
+  buf_t body = mpk_done (&w);
+  bool good = mpk_end (in);
+  if (good && answered > 0)
+    mbr_send (r->desc.members, env, vm, MSG_ROUTE_REPORT, body);
+  return good;
+}
+
+/** Take one upstream's part of a report; PASS false only reads over it. */
+static void
+_rte_report_read (rte_t *r, env_t *env, mpk_reader_t *in, bool pass)
+{
+  buf_t name = mpk_get_str (in);
+  uint64_t users = mpk_get_uint (in);
+  uint64_t others = mpk_get_uint (in);
+  uint64_t state = mpk_get_uint (in);
+  uint64_t age = mpk_get_uint (in);
+  uint64_t running = mpk_get_uint (in);
+  uint64_t waiting = mpk_get_uint (in);
+  uint64_t slots = mpk_get_uint (in);
+  uint64_t seen = mpk_get_uint (in);
+  uint64_t events = mpk_get_uint (in);
+  rte_upstream_t *u = name.p ? g_hash_table_lookup (r->by_name, name.p) : NULL;
+  bool take = pass && u != NULL && u->poll == NULL;
+  for (uint64_t i = 0; i < events && mpk_more (in); i++)
+    {
+      bool added = mpk_get_uint (in) != 0;
+      uint64_t prefix = mpk_get_uint (in);
+      if (take && prefix != 0)
+        rte_event_note (r, env, u, added, prefix);
+    }
+  if (!take)
+    return;
+  u->users = (uint32_t)users;
+  u->others = (uint32_t)others;
+  u->others_at = env->now;
+  u->state = (uint32_t)state;
+  u->running = (uint32_t)running;
+  u->waiting = (uint32_t)waiting;
+  u->report_at = env->now - (clk_ms_t)age;
+  u->own_at_report = u->online + u->batch;
+  u->own_told = u->own_at_report;
+  u->events_seen = seen;
+  rte_load_changed (r, u);
+  if (slots > 0)
+    u->slots = (uint32_t)slots;
+}
+
+static bool
+_rte_report_received (rte_t *r, env_t *env, const msg_t *msg, void *ctx)
+{
+  /* Read once to see that the whole body is good, then to take it. */
+  mpk_reader_t in = mpk_reader (ctx, msg->body);
+  while (mpk_more (&in))
+    _rte_report_read (r, env, &in, false);
+  if (!mpk_end (&in))
+    return false;
+  in = mpk_reader (ctx, msg->body);
+  while (mpk_more (&in))
+    _rte_report_read (r, env, &in, true);
+  return true;
+}
+
+void
+rte_message_received (rte_t *r, env_t *env, const char *vm, const msg_t *msg)
+{
+  void *ctx = talloc_new (NULL);
+  bool good = false;
+  mpk_reader_t in = mpk_reader (ctx, msg->body);
+  if (msg->kind == MSG_ROUTE_USE)
+    good = _rte_use_received (r, env, vm, &in);
+  else if (msg->kind == MSG_ROUTE_REPORT)
+    good = _rte_report_received (r, env, msg, ctx);
+  if (!good)
+    cnt_add (env->cnt, "rts_route_bad_messages_total", "", 1);
+  talloc_free (ctx);
+}
--- /dev/null
+++ b/src/core/rte_poll.c
@@ -0,0 +1,282 @@
+/** @file
+ * Polling the upstreams that this VM looks after: load and cache events.
+ *
+ * The poller of an upstream is a hint for speed, not a lease: two pollers
+ * cost a few calls more and split the sum until their lists agree.
+ */
+#include "core/rte_state.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/** Cache events are asked for at each Nth load report. */
+#define RTE_CACHE_EVERY 3
+/** Longest answer to a poll, in bytes. */
+#define RTE_BODY_MAX ((size_t)64 * 1024)
+
+/** Set in a call's tag besides the upstream's handle, whose generations do
+ * not come that far. */
+#define RTE_TAG_CACHE_BIT ((uint64_t)1 << 63)
+
+bool
+rte_polls (const rte_t *r, const env_t *env, const char *upstream)
+{
+  const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
+  return u != NULL && u->poller != NULL && strcmp (u->poller, env->vm) == 0;
+}
+
+static int
+_rte_poll_destroy (rte_poll_t *p)
+{
+  g_hash_table_destroy (p->uses);
+  return 0;
+}
+
+static void
+_rte_poll_begin (rte_t *r, rte_upstream_t *u)
+{
+  u->poll = talloc_zero (r, rte_poll_t);
+  u->poll->uses
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  talloc_set_destructor (u->poll, _rte_poll_destroy);
+}
+
+void
+rte_poll_stop (env_t *env, rte_upstream_t *u)
+{
+  upc_cancel (env, u->poll->load_call);
+  upc_cancel (env, u->poll->cache_call);
+  talloc_free (u->poll);
+  u->poll = NULL;
+}
+
+static const char *
+_rte_poller (const rte_t *r, const rte_upstream_t *u)
+{
+  return mbr_owner (r->desc.members, u->data_centre, MOD_ROUTE, u->name);
+}
+
+void
+rte_pollers_update (rte_t *r, env_t *env)
+{
+  uint64_t generation = mbr_generation (r->desc.members);
+  if (generation == r->members_generation)
+    return;
+  r->members_generation = generation;
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    {
+      rte_upstream_t *u = tbl_get (r->upstreams, id);
+      const char *poller = u->configured ? _rte_poller (r, u) : NULL;
+      bool mine = poller != NULL && strcmp (poller, env->vm) == 0;
+      talloc_free (u->poller);
+      u->poller = poller != NULL ? talloc_strdup (u->strings, poller) : NULL;
+      if (mine && u->poll == NULL)
+        _rte_poll_begin (r, u);
+      if (!mine && u->poll != NULL)
+        rte_poll_stop (env, u);
+    }
+}
+
+static void
+_rte_poll_load (rte_t *r, env_t *env, rte_upstream_t *u)
+{
+  rte_poll_t *p = u->poll;
+  /* One poll at a time; the call's own time-out ends a silent one. */
+  if (p->load_call != 0)
+    return;
+  p->load_at = env->now;
+  p->load_call
+      = upc_call (env, MOD_ROUTE, u->id.id,
+                  &(fx_upstream_t){ .address = u->address,
+                                    .method = "GET",
+                                    .path = "/load",
+                                    .first_byte_ms = 2 * r->desc.report_ms,
+                                    .stall_ms = 2 * r->desc.report_ms,
+                                    .total_ms = 2 * r->desc.report_ms,
+                                    .fresh_connection = p->unanswered > 0 });
+  if (p->unanswered < RTE_SILENT_POLLS)
+    return;
+  if ((u->state & RTE_BIT_SILENT) == 0)
+    tln_record (env->tln, env->now, MOD_ROUTE, "silent", "upstream=%s",
+                u->name);
+  u->state |= RTE_BIT_SILENT;
+}
+
+static void
+_rte_poll_cache (rte_t *r, env_t *env, rte_upstream_t *u)
+{
+  rte_poll_t *p = u->poll;
+  if (p->cache_call != 0
+      || env->now - p->cache_at < RTE_CACHE_EVERY * r->desc.report_ms)
+    return;
+  p->cache_at = env->now;
+  char *path = talloc_asprintf (NULL, "/cache-events?after=%llu",
+                                (unsigned long long)p->cache_seq);
+  p->cache_call = upc_call (env, MOD_ROUTE, u->id.id | RTE_TAG_CACHE_BIT,
+                            &(fx_upstream_t){ .address = u->address,
+                                              .method = "GET",
+                                              .path = path,
+                                              .first_byte_ms = CLK_SECOND,
+                                              .stall_ms = CLK_SECOND,
+                                              .total_ms = 2 * CLK_SECOND });
+  talloc_free (path);
+}
+
+void
+rte_poll_tick (rte_t *r, env_t *env)
+{
+  tmr_arm (env->tmr, env->now + env_jitter (env, r->desc.report_ms), MOD_ROUTE,
+           RTE_TIMER_POLL);
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    {
+      rte_upstream_t *u = tbl_get (r->upstreams, id);
+      if (u->poll == NULL)
+        continue;
+      _rte_poll_load (r, env, u);
+      _rte_poll_cache (r, env, u);
+    }
+}
+
+void
+rte_event_note (rte_t *r, const env_t *env, const rte_upstream_t *u,
+                bool added, uint64_t prefix)
+{
+  if (added)
+    rte_holders_add (r->holders, prefix, u->id, env->now);
+  else
+    rte_holders_drop (r->holders, prefix, u->id);
+}
+
+static bool
+_rte_load_take (rte_upstream_t *u, const char *body)
+{
+  json_t *o = json_loads (body, 0, NULL);
+  json_int_t running = -1;
+  json_int_t waiting = -1;
+  json_int_t slots = 0;
+  json_int_t seq = 0;
+  int leaving = 0;
+  int bad = json_unpack (o, "{s:I, s:I, s?I, s?I, s?b}", "running", &running,
+                         "waiting", &waiting, "slots", &slots, "seq", &seq,
+                         "leaving", &leaving);
+  json_decref (o);
+  if (bad != 0 || running < 0 || waiting < 0 || slots < 0 || seq < 0
+      || running > UINT16_MAX || waiting > UINT16_MAX || slots > UINT16_MAX)
+    return false;
+  u->state = RTE_BIT_REPORTED | (leaving ? RTE_BIT_LEAVING : 0);
+  u->running = (uint32_t)running;
+  u->waiting = (uint32_t)waiting;
+  if (slots > 0)
+    u->slots = (uint32_t)slots;
+  /* A lower number than before: the upstream restarted, its cache is gone. */
+  if ((uint64_t)seq < u->seq)
+    u->poll->cache_seq = 0;
+  u->seq = (uint64_t)seq;
+  u->report_at = u->poll->load_at;
+  u->own_at_report = u->online + u->batch;
+  return true;
+}
+
+static bool
+_rte_cache_take (rte_t *r, const env_t *env, rte_upstream_t *u,
+                 const char *body)
+{
+  json_t *o = json_loads (body, 0, NULL);
+  json_int_t seq = 0;
+  json_t *events = NULL;
+  if (json_unpack (o, "{s:I, s:o}", "seq", &seq, "events", &events) != 0
+      || !json_is_array (events) || seq < 0)
+    {
+      json_decref (o);
+      return false;
+    }
+  rte_poll_t *p = u->poll;
+  size_t i;
+  json_t *e;
+  json_array_foreach (events, i, e)
+  {
+    const char *op = NULL;
+    const char *hex = NULL;
+    if (json_unpack (e, "{s:s, s:s}", "op", &op, "prefix", &hex) != 0)
+      continue;
+    uint64_t prefix = strtoull (hex, NULL, 16);
+    bool added = strcmp (op, "add") == 0;
+    p->events[p->event_count++ % RTE_EVENTS_KEPT]
+        = (rte_event_t){ .prefix = prefix, .added = added };
+    rte_event_note (r, env, u, added, prefix);
+  }
+  p->cache_seq = (uint64_t)seq;
+  json_decref (o);
+  return true;
+}
+
+static void
+_rte_poll_ended (rte_t *r, env_t *env, rte_upstream_t *u, bool cache, bool ok)
+{
+  rte_poll_t *p = u->poll;
+  char **body = cache ? &p->cache_body : &p->body;
+  const char *text = *body != NULL ? *body : "";
+  if (ok)
+    ok = cache ? _rte_cache_take (r, env, u, text) : _rte_load_take (u, text);
+  if (!cache)
+    p->unanswered = ok ? 0 : p->unanswered + 1;
+  if (!ok)
+    cnt_add (env->cnt, "rts_route_polls_failed_total", "", 1);
+  talloc_free (*body);
+  *body = NULL;
+  if (cache)
+    p->cache_call = 0;
+  else
+    p->load_call = 0;
+}
+
+static void
+_rte_poll_data (rte_poll_t *p, bool cache, buf_t data)
+{
+  char **body = cache ? &p->cache_body : &p->body;
+  size_t have = *body != NULL ? strlen (*body) : 0;
+  if (have + data.n > RTE_BODY_MAX)
+    return;
+  *body = talloc_strndup_append_buffer (
+      *body != NULL ? *body : talloc_strdup (p, ""), data.p, data.n);
+}
+
+void
+rte_upstream_event (rte_t *r, env_t *env, uint64_t tag, const ev_t *ev)
+{
+  bool cache = (tag & RTE_TAG_CACHE_BIT) != 0;
+  tbl_id_t id = { .id = tag & ~RTE_TAG_CACHE_BIT };
+  rte_upstream_t *u = tbl_get (r->upstreams, id);
+  if (u == NULL || u->poll == NULL)
+    return;
+  uint64_t call = cache ? u->poll->cache_call : u->poll->load_call;
+  if (call != ev->upstream.call)
+    return;
+  switch (ev->kind)
+    {
+    case EV_UPSTREAM_HEAD:
+      if (ev->upstream.status == 200)
+        break;
+      upc_cancel (env, call);
+      /* A plain service need not report: not a fault, but unknown load. */
+      if (ev->upstream.status == 404 && !cache)
+        u->poll->unanswered = 0;
+      _rte_poll_ended (r, env, u, cache, false);
+      break;
+    case EV_UPSTREAM_DATA:
+      _rte_poll_data (u->poll, cache, ev->upstream.data);
+      break;
+    case EV_UPSTREAM_END:
+      _rte_poll_ended (r, env, u, cache, true);
+      break;
+    case EV_UPSTREAM_FAIL:
+      _rte_poll_ended (r, env, u, cache, false);
+      break;
+    default:
+      break;
+    }
+}
--- a/src/core/rte_prefix.c
+++ b/src/core/rte_prefix.c
@@ -5,7 +5,6 @@
 #include "core/rte_state.h"
 
 #include <talloc.h>
-#include <xxhash.h>
 
 #define RTE_PREFIX_BYTES 256
 #define RTE_HOLDERS_EACH 4
@@ -30,7 +29,15 @@
 rte_prefix (buf_t prompt)
 {
   size_t n = prompt.n < RTE_PREFIX_BYTES ? prompt.n : RTE_PREFIX_BYTES;
-  uint64_t hash = XXH64 (prompt.p, n, 0);
+  guint8 digest[32];
+  gsize size = sizeof digest;
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  g_checksum_update (sum, (const guchar *)prompt.p, (gssize)n);
+  g_checksum_get_digest (sum, digest, &size);
+  g_checksum_free (sum);
+  uint64_t hash = 0;
+  for (size_t i = 0; i < sizeof hash; i++)
+    hash = hash << 8 | digest[i];
   return hash == 0 ? 1 : hash;
 }
 
--- a/src/core/rte_state.h
+++ b/src/core/rte_state.h
@@ -58,6 +58,7 @@
 typedef struct rte_upstream
 {
   tbl_id_t id;
+  void *strings; /**< owns the strings below */
   char *name;
   char *address;
   char *data_centre;
@@ -73,7 +74,12 @@
   uint32_t batch;
   GQueue unanswered; /**< rte_flight_t without a first byte, oldest first */
 
-  uint32_t others; /**< requests of other VMs, as the poller told */
+  char *poller;      /**< VM that polls it; NULL: none known */
+  uint32_t own_told; /**< own requests in flight when others was told */
+  uint32_t queued;   /**< own requests in flight that found no free slot */
+  bool changed;      /**< in the queue of changed loads */
+  uint32_t others;   /**< requests of other VMs, as the poller told */
+  uint32_t users;    /**< VMs that use it, as the poller told */
   clk_ms_t others_at;
   uint32_t state;   /**< RTE_BIT_*, as last told */
   uint32_t running; /**< last load report */
@@ -126,11 +132,12 @@
   rte_desc_t desc;
   tbl_t *upstreams;
   tbl_t *flights;
-  GHashTable *by_name;     /**< upstream name to rte_upstream_t */
-  GHashTable *deployments; /**< name to rte_deployment_t */
-  rte_member_t *members;
-  size_t member_count;
+  GHashTable *by_name;         /**< upstream name to rte_upstream_t */
+  GHashTable *deployments;     /**< name to rte_deployment_t */
+  uint64_t members_generation; /**< that the pollers were found for */
+  GQueue changed;              /**< rte_upstream_t */
   rte_holders_t *holders;
+  clk_ms_t picked_at;
   bool ticking;
 };
 
@@ -142,13 +149,28 @@
 bool rte_holders_has (const rte_holders_t *h, uint64_t prefix,
                       tbl_id_t upstream, clk_ms_t now);
 
+/* rte.c */
+void rte_load_changed (rte_t *r, rte_upstream_t *u);
+
+/** What the router's timers are for. */
+enum
+{
+  RTE_TIMER_POLL,
+  RTE_TIMER_EXCHANGE,
+};
+
 /* rte_choice.c */
-uint32_t rte_load (const rte_t *r, const rte_upstream_t *u, clk_ms_t now);
+uint32_t rte_load (const rte_upstream_t *u, clk_ms_t now);
 bool rte_usable (const rte_upstream_t *u, clk_ms_t now);
 double rte_slowness (const rte_upstream_t *u, clk_ms_t now);
 
-/* rte_report.c */
-void rte_poll_update (rte_t *r, env_t *env, rte_upstream_t *u);
-void rte_report_tick (rte_t *r, env_t *env);
+/* rte_poll.c, rte_exchange.c */
+void rte_poll_tick (rte_t *r, env_t *env);
+void rte_poll_stop (env_t *env, rte_upstream_t *u);
+void rte_exchange_tick (rte_t *r, env_t *env);
+void rte_event_note (rte_t *r, const env_t *env, const rte_upstream_t *u,
+                     bool added, uint64_t prefix);
+/** Find the pollers again when the members have changed. */
+void rte_pollers_update (rte_t *r, env_t *env);
 
 #endif
--- a/tools/measure_routing.c
+++ b/tools/measure_routing.c
@@ -28,7 +28,7 @@
 #define HIT_MS 10.0
 #define MISS_MS 50.0
 #define DECODE_MS 1200.0
-#define HOP_MS 1
+#define HOP_MS ((clk_ms_t)1)
 #define SAMPLE_MS 100
 #define SAMPLES 128
 #define RUN_MS (90 * CLK_SECOND)
@@ -36,6 +36,7 @@
 #define FAULT_MS (30 * CLK_SECOND)
 #define FIRST_BYTE_MS (1 * CLK_SECOND)
 #define TRIES 4
+#define FRAME_BYTES 24
 #define EVENT_LOSS 0.05
 
 typedef enum
@@ -140,12 +141,14 @@
   tbl_t *letters;
   engine_t engine[ENGINES_MAX];
   env_t *env[ROUTERS_MAX];
+  mbr_t *members[ROUTERS_MAX];
   rte_t *rte[ROUTERS_MAX];
   GArray *took[CUSTOMERS];
   long hits;
   long starts;
   long lost;
   long samples;
+  double bytes; /**< of messages between VMs */
 } sim_t;
 
 static const double customer_weight[CUSTOMERS] = { 30, 20, 12, 4, 3, 2, 1, 1 };
@@ -287,6 +290,7 @@
       letter_t *l = tbl_get (s->letters, id);
       if (f->kind == FX_PEER_SEND)
         {
+          s->bytes += (double)f->peer.msg.body.n + FRAME_BYTES;
           l->router = atoi (f->peer.vm + 2);
           snprintf (l->from, sizeof l->from, "%s", env->vm);
           l->msg = f->peer.msg;
@@ -295,7 +299,7 @@
         }
       else if (f->kind == FX_UPSTREAM_CALL)
         {
-          int e = atoi (f->upstream.address);
+          int e = atoi (f->upstream.address + strlen ("10.0.0."));
           l->router = router;
           l->call = f->upstream.call;
           l->body = faulty (s, e, SILENT) ? NULL
@@ -445,7 +449,8 @@
   int rank = (int)(PREFIXES_EACH * u * u);
   bool shared = g_rand_double (s->rand) < SHARED_PART;
   uint64_t other = g_rand_int (s->rand);
-  q->prefix = shared ? (uint64_t)(1 + customer * PREFIXES_EACH + rank)
+  q->prefix = shared ? (uint64_t)(1 + (uint64_t)customer * PREFIXES_EACH
+                                  + (uint64_t)rank)
                      : (1ULL << 40) + other;
   request_send (s, q);
 }
@@ -497,7 +502,11 @@
         return;
     }
   if (kind == PEER || kind == POLL)
-    l = tbl_get (s->letters, (tbl_id_t){ .id = tag });
+    {
+      l = tbl_get (s->letters, (tbl_id_t){ .id = tag });
+      if (l == NULL)
+        return;
+    }
   switch (kind)
     {
     case ARRIVE:
@@ -525,7 +534,8 @@
       peer_arrive (s, l);
       break;
     default:
-      poll_arrive (s, l);
+      if (l != NULL)
+        poll_arrive (s, l);
       break;
     }
   if (l != NULL)
@@ -534,38 +544,59 @@
 
 /* A run. */
 
-static void
-set_up (sim_t *s)
+static const char *const centre[] = { "dc-a", "dc-b" };
+
+static cfg_doc_t *
+document (sim_t *s)
 {
-  static const char *const centre[] = { "dc-a", "dc-b" };
-  cfg_upstream_t up[ENGINES_MAX] = { 0 };
-  cfg_deployment_t dep
-      = { .name = "llm", .kind = CFG_ENGINE, .model = "", .slots = SLOTS };
-  rte_member_t member[ROUTERS_MAX];
+  char *text = talloc_asprintf (
+      s,
+      "[data-centre dc-a]\nowner = a\n[data-centre dc-b]\nowner = a\n"
+      "[deployment llm]\nowner = a\nkind = engine\nslots = %d\n",
+      SLOTS);
   for (int i = 0; i < s->run.engines; i++)
+    text = talloc_asprintf_append (text,
+                                   "[upstream e%d]\nowner = a\n"
+                                   "deployment = llm\ndata_centre = %s\n"
+                                   "address = 10.0.0.%d:80\n",
+                                   i, centre[i % 2], i);
+  cfg_doc_t *doc = NULL;
+  st_t st = { 0 };
+  if (cfg_doc_parse (s, buf_str (text), &doc, &st) != ST_OK)
     {
-      up[i] = (cfg_upstream_t){ .name = talloc_asprintf (s, "e%d", i),
-                                .deployment = "llm",
-                                .data_centre = centre[i % 2],
-                                .address = talloc_asprintf (s, "%d", i) };
-      s->engine[i].changes = g_array_new (FALSE, FALSE, sizeof (change_t));
+      fprintf (stderr, "%s\n", st.message);
+      exit (EXIT_FAILURE);
     }
-  cfg_doc_t doc = { .deployments = &dep,
-                    .deployment_count = 1,
-                    .upstreams = up,
-                    .upstream_count = (size_t)s->run.engines };
+  return doc;
+}
+
+static void
+set_up (sim_t *s)
+{
+  ev_vm_t vm[ROUTERS_MAX];
+  const cfg_doc_t *doc = document (s);
+  for (int i = 0; i < s->run.engines; i++)
+    s->engine[i].changes = g_array_new (FALSE, FALSE, sizeof (change_t));
   for (int i = 0; i < s->run.routers; i++)
-    member[i] = (rte_member_t){ .vm = talloc_asprintf (s, "vm%d", i),
-                                .data_centre = centre[i % 2] };
+    vm[i] = (ev_vm_t){ .vm = talloc_asprintf (s, "vm%d", i),
+                       .data_centre = centre[i % 2],
+                       .address = "" };
   for (int i = 0; i < s->run.routers; i++)
     {
-      s->env[i] = env_setup (
-          s, &(env_desc_t){ .vm = member[i].vm,
+      env_t *env = env_setup (
+          s, &(env_desc_t){ .vm = vm[i].vm,
                             .data_centre = centre[i % 2],
                             .seed = s->run.seed * 100 + (uint32_t)i });
-      s->rte[i] = rte_setup (s, s->env[i], &(rte_desc_t){ 0 });
-      rte_members_set (s->rte[i], member, (size_t)s->run.routers);
-      rte_config_changed (s->rte[i], s->env[i], &doc);
+      s->env[i] = env;
+      s->members[i] = mbr_setup (s, &(mbr_desc_t){ 0 });
+      ev_platform_t list = { .vms = vm, .vm_count = (size_t)s->run.routers };
+      mbr_platform_replied (s->members[i], env, &(plt_done_t){ 0 }, &list);
+      for (int j = 0; j < s->run.routers; j++)
+        if (j != i)
+          mbr_peer_up (s->members[i], env, vm[j].vm);
+      fx_clear (env->fx);
+      s->rte[i] = rte_setup (s, &(rte_desc_t){ .members = s->members[i] });
+      rte_config_changed (s->rte[i], env, doc);
     }
 }
 
@@ -581,7 +612,8 @@
     {
       s->env[i]->now = next;
       while (tmr_pop (s->env[i]->tmr, next, &due))
-        rte_timer_fired (s->rte[i], s->env[i], due.tag);
+        if (due.mod == MOD_ROUTE)
+          rte_timer_fired (s->rte[i], s->env[i], due.tag);
       carry_out (s, i);
     }
   while (tmr_pop (s->queue, next, &due))
@@ -632,6 +664,7 @@
   GArray *each[CUSTOMERS];
   double hits;
   double starts;
+  double bytes; /**< a second and VM */
   long lost;
 } result_t;
 
@@ -669,11 +702,12 @@
           policy_name[run->policy], quantile (r->all, 0.5),
           quantile (r->all, 0.95), quantile (r->all, 0.99), worst,
           100 * r->hits / r->starts);
-  fprintf (csv, "%d,%d,%ld,%.2f,%s,%s,%ld,%ld,%ld,%ld,%.3f,%ld\n",
+  fprintf (csv, "%d,%d,%ld,%.2f,%s,%s,%ld,%ld,%ld,%ld,%.3f,%ld,%.0f\n",
            run->engines, run->routers, (long)run->lag, run->utilisation,
            fault_name[run->fault], policy_name[run->policy],
            quantile (r->all, 0.5), quantile (r->all, 0.95),
-           quantile (r->all, 0.99), worst, r->hits / r->starts, r->lost);
+           quantile (r->all, 0.99), worst, r->hits / r->starts, r->lost,
+           r->bytes);
   fflush (stdout);
 }
 
@@ -696,6 +730,8 @@
       r.hits += (double)s->hits;
       r.starts += (double)s->starts;
       r.lost += s->lost;
+      r.bytes
+          += s->bytes / run.routers / ((double)RUN_MS / CLK_SECOND) / SEEDS;
       tear_down (s);
     }
   report (csv, &run, &r);
@@ -726,7 +762,7 @@
   if (csv == NULL)
     return EXIT_FAILURE;
   fputs ("replicas,vms,lag_ms,utilisation,fault,policy,p50_ms,p95_ms,p99_ms,"
-         "worst_customer_p99_ms,cache_hits,not_routed\n",
+         "worst_customer_p99_ms,cache_hits,not_routed,peer_bytes_s_vm\n",
          csv);
   puts ("| replicas | VMs | reports late | utilisation | fault | way | p50 |"
         " p95 | p99 | worst customer's p99 | cache hits |");
