Idempotency records: a non-idempotent request runs at most once

Cause: a request of a non-idempotent route can be doubled by a resend, by a VM lost after sending, or by a lost answer to the record's creation.

Change: idm makes the record if absent before the first byte, settles a lost answer by the writer's token, writes the outcome after, and lets only the writer say that a request did not run. A record whose creation is in doubt when the request is refused is filled with not-run, so that a late creation fails and the next request with that key can run.

--- /dev/null
+++ b/src/core/idm.c
@@ -0,0 +1,490 @@
+#include "core/idm.h"
+
+#include "core/idm_int.h"
+#include "core/inv.h"
+
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#define IDM_LIFE_MS_DEFAULT (24 * CLK_HOUR)
+#define IDM_SWEEP_MS_DEFAULT CLK_MINUTE
+#define IDM_MAX_DEFAULT 4096
+#define IDM_SETTLE_MS_DEFAULT (2 * CLK_SECOND)
+#define IDM_OUTCOME_MS_DEFAULT (10 * CLK_MINUTE)
+#define IDM_RETRY_FIRST_MS 25
+#define IDM_RETRY_MAX_MS (2 * CLK_SECOND)
+
+static int
+_idm_destroy (idm_t *i)
+{
+  g_hash_table_destroy (i->by_name);
+  g_queue_clear (&i->answers);
+  idm_sweep_shutdown (i);
+  return 0;
+}
+
+idm_t *
+idm_setup (void *ctx, const idm_desc_t *desc)
+{
+  idm_t *i = talloc_zero (ctx, idm_t);
+  i->desc = *desc;
+  if (i->desc.life_ms == 0)
+    i->desc.life_ms = IDM_LIFE_MS_DEFAULT;
+  if (i->desc.sweep_ms == 0)
+    i->desc.sweep_ms = IDM_SWEEP_MS_DEFAULT;
+  if (i->desc.max == 0)
+    i->desc.max = IDM_MAX_DEFAULT;
+  if (i->desc.settle_ms == 0)
+    i->desc.settle_ms = IDM_SETTLE_MS_DEFAULT;
+  if (i->desc.outcome_ms == 0)
+    i->desc.outcome_ms = IDM_OUTCOME_MS_DEFAULT;
+  i->entries = tbl_setup (
+      i, &(tbl_desc_t){ .size = sizeof (idm_entry_t), .max = i->desc.max });
+  i->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  g_queue_init (&i->answers);
+  talloc_set_destructor (i, _idm_destroy);
+  return i;
+}
+
+void
+idm_shutdown (idm_t *i)
+{
+  talloc_free (i);
+}
+
+uint64_t
+idm_fingerprint (const char *method, const char *path, buf_t body)
+{
+  uint64_t hash = XXH64 (method, strlen (method), 1);
+  hash = XXH64 (path, strlen (path), hash);
+  return XXH64 (body.p, body.n, hash);
+}
+
+bool
+idm_key_valid (const char *key)
+{
+  size_t n = 0;
+  for (; key[n] != '\0'; n++)
+    if (key[n] <= ' ' || key[n] > '~' || n >= IDM_KEY_MAX)
+      return false;
+  return n > 0;
+}
+
+uint32_t
+idm_pending (const idm_t *i)
+{
+  return i->outcomes;
+}
+
+/* -- verdicts ------------------------------------------------------------- */
+
+static idm_answer_t *
+_idm_answer (idm_t *i, uint64_t tag, idm_verdict_t verdict)
+{
+  idm_answer_t *a = talloc_zero (i, idm_answer_t);
+  a->tag = tag;
+  a->verdict = verdict;
+  g_queue_push_tail (&i->answers, a);
+  return a;
+}
+
+bool
+idm_answer_pop (idm_t *i, idm_answer_t *answer)
+{
+  talloc_free (i->popped);
+  i->popped = g_queue_pop_head (&i->answers);
+  if (i->popped == NULL)
+    return false;
+  *answer = *i->popped;
+  return true;
+}
+
+static void
+_idm_answer_record (idm_t *i, uint64_t tag, const idm_rec_t *rec,
+                    uint64_t fingerprint)
+{
+  if (rec->fingerprint != fingerprint)
+    {
+      _idm_answer (i, tag, IDM_REUSED);
+      return;
+    }
+  if (rec->state != IDM_REC_DONE)
+    {
+      _idm_answer (i, tag, IDM_UNKNOWN);
+      return;
+    }
+  idm_answer_t *a
+      = _idm_answer (i, tag, rec->whole ? IDM_REPLAY : IDM_TOO_LARGE);
+  a->status = rec->status;
+  a->type = rec->type != NULL ? talloc_strdup (a, rec->type) : NULL;
+  a->body = buf_copy (a, rec->body);
+}
+
+static void
+_idm_free (idm_t *i, idm_entry_t *e)
+{
+  if (e->state == IDM_WRITING)
+    i->outcomes--;
+  g_hash_table_remove (i->by_name, e->name);
+  talloc_free (e->strings);
+  tbl_free (i->entries, e->id);
+}
+
+/* -- platform calls ------------------------------------------------------- */
+
+static void
+_idm_get (const idm_entry_t *e, env_t *env)
+{
+  plt_call (env, &(plt_req_t){ .mod = MOD_IDEMPOTENT,
+                               .tag = e->id.id,
+                               .op = FX_PLATFORM_GET,
+                               .name = e->name });
+}
+
+static void
+_idm_put (const idm_entry_t *e, env_t *env)
+{
+  void *ctx = talloc_new (NULL);
+  plt_call (env, &(plt_req_t){ .mod = MOD_IDEMPOTENT,
+                               .tag = e->id.id,
+                               .op = FX_PLATFORM_PUT,
+                               .name = e->name,
+                               .if_version = e->version,
+                               .value = idm_rec_write (ctx, &e->rec) });
+  talloc_free (ctx);
+}
+
+static void
+_idm_read_later (idm_entry_t *e, env_t *env)
+{
+  e->backoff = e->backoff == 0 ? IDM_RETRY_FIRST_MS : 2 * e->backoff;
+  e->backoff = clk_min (e->backoff, IDM_RETRY_MAX_MS);
+  e->again_at = env->now + env_jitter (env, e->backoff);
+  tmr_arm (env->tmr, e->again_at, MOD_IDEMPOTENT, e->id.id);
+}
+
+/* -- asking --------------------------------------------------------------- */
+
+static void
+_idm_begin_again (idm_t *i, const idm_entry_t *e, const idm_ask_t *ask)
+{
+  if (e->rec.state == IDM_REC_NOT_RUN)
+    _idm_answer (i, ask->tag, IDM_REFUSED);
+  else
+    _idm_answer_record (i, ask->tag, &e->rec, ask->fingerprint);
+}
+
+st_code_t
+idm_begin (idm_t *i, env_t *env, const idm_ask_t *ask)
+{
+  char *name = idm_rec_name (NULL, ask->customer, ask->key);
+  const idm_entry_t *held = g_hash_table_lookup (i->by_name, name);
+  if (held != NULL)
+    {
+      /* The same request is in progress here. */
+      _idm_begin_again (i, held, ask);
+      talloc_free (name);
+      return ST_OK;
+    }
+  tbl_id_t id = tbl_alloc (i->entries);
+  idm_entry_t *e = tbl_get (i->entries, id);
+  if (e == NULL)
+    {
+      talloc_free (name);
+      return ST_EXHAUSTED;
+    }
+  void *strings = talloc_new (i);
+  *e = (idm_entry_t){
+    .id = id,
+    .strings = strings,
+    .name = talloc_steal (strings, name),
+    .tag = ask->tag,
+    .deadline = ask->deadline,
+    .settle_until = clk_min (ask->deadline, env->now + i->desc.settle_ms),
+    .state = IDM_CREATING,
+    .rec = { .state = IDM_REC_BEGUN,
+             .writer = talloc_asprintf (strings, "%s/%llx/%llu", env->vm,
+                                        (unsigned long long)env->incarnation,
+                                        (unsigned long long)++i->number),
+             .fingerprint = ask->fingerprint },
+  };
+  g_hash_table_insert (i->by_name, e->name, e);
+  _idm_put (e, env);
+  return ST_OK;
+}
+
+static void
+_idm_outcome_begin (idm_t *i, env_t *env, idm_entry_t *e)
+{
+  e->state = IDM_WRITING;
+  e->backoff = 0;
+  e->settle_until = env->now + i->desc.outcome_ms;
+  i->outcomes++;
+}
+
+/** Refuse: no record could be made that is known to stand. */
+static void
+_idm_refuse (idm_t *i, env_t *env, idm_entry_t *e, bool no_effect)
+{
+  cnt_add (env->cnt, "rts_idempotent_refused_total", "", 1);
+  _idm_answer (i, e->tag, IDM_REFUSED);
+  if (no_effect)
+    {
+      _idm_free (i, e);
+      return;
+    }
+  /* The creation may have had its effect: the record must not be left to
+   * say that the request may have run. */
+  e->rec.state = IDM_REC_NOT_RUN;
+  _idm_outcome_begin (i, env, e);
+  _idm_read_later (e, env);
+}
+
+static void
+_idm_grant (idm_t *i, env_t *env, idm_entry_t *e, uint64_t version)
+{
+  e->version = version;
+  e->state = IDM_GRANTED;
+  cnt_add (env->cnt, "rts_idempotent_records_total", "", 1);
+  _idm_answer (i, e->tag, IDM_RUN)->handle = e->id.id;
+}
+
+static void
+_idm_created (idm_t *i, env_t *env, idm_entry_t *e, const ev_platform_t *reply)
+{
+  switch (reply->code)
+    {
+    case ST_OK:
+      _idm_grant (i, env, e,
+                  reply->object_count > 0 ? reply->objects[0].version
+                                          : e->version + 1);
+      break;
+    case ST_UNAVAILABLE:
+      _idm_refuse (i, env, e, !e->ambiguous);
+      break;
+    default:
+      /* Somebody's record stands, perhaps one's own: look. */
+      e->ambiguous = e->ambiguous || reply->code == ST_UNKNOWN;
+      e->state = IDM_READING;
+      _idm_get (e, env);
+      break;
+    }
+}
+
+/** Another writer's record, or an older one of this VM. */
+static void
+_idm_found (idm_t *i, env_t *env, idm_entry_t *e, const idm_rec_t *rec,
+            uint64_t version)
+{
+  if (rec->state == IDM_REC_NOT_RUN)
+    {
+      e->version = version;
+      e->state = IDM_CREATING;
+      _idm_put (e, env);
+      return;
+    }
+  cnt_add (env->cnt, "rts_idempotent_found_total", "", 1);
+  _idm_answer_record (i, e->tag, rec, e->rec.fingerprint);
+  _idm_free (i, e);
+}
+
+static void
+_idm_read (idm_t *i, env_t *env, idm_entry_t *e, const ev_platform_t *reply)
+{
+  void *ctx = talloc_new (NULL);
+  idm_rec_t rec;
+  if (reply->code == ST_OK && reply->object_count > 0
+      && idm_rec_read (ctx, reply->objects[0].value, &rec) == ST_OK)
+    {
+      if (strcmp (rec.writer, e->rec.writer) == 0)
+        _idm_grant (i, env, e, reply->objects[0].version);
+      else
+        _idm_found (i, env, e, &rec, reply->objects[0].version);
+    }
+  else if (reply->code == ST_OK && reply->object_count > 0)
+    _idm_refuse (i, env, e, true);
+  else if (env->now >= e->settle_until)
+    _idm_refuse (i, env, e, !e->ambiguous);
+  else if (reply->code == ST_NOT_FOUND)
+    {
+      /* Not there (yet): the same token again does no harm. */
+      e->version = 0;
+      e->state = IDM_CREATING;
+      _idm_put (e, env);
+    }
+  else
+    _idm_read_later (e, env);
+  talloc_free (ctx);
+}
+
+/* -- sending -------------------------------------------------------------- */
+
+bool
+idm_may_send (idm_t *i, env_t *env, uint64_t handle)
+{
+  idm_entry_t *e = tbl_get (i->entries, (tbl_id_t){ .id = handle });
+  if (e == NULL)
+    return false;
+  INV_CHECK (e->state == IDM_GRANTED, "at-most-once",
+             "record %s, writer %s: to be sent in state %d", e->name,
+             e->rec.writer, (int)e->state);
+  /* A VM that was frozen wakes here: nobody waits for the request now. */
+  if (env->now >= e->deadline)
+    return false;
+  e->state = IDM_SENT;
+  return true;
+}
+
+void
+idm_unsent (idm_t *i, uint64_t handle)
+{
+  idm_entry_t *e = tbl_get (i->entries, (tbl_id_t){ .id = handle });
+  if (e != NULL && e->state == IDM_SENT)
+    e->state = IDM_GRANTED;
+}
+
+static void
+_idm_outcome (idm_t *i, env_t *env, idm_entry_t *e, idm_rec_state_t state)
+{
+  INV_CHECK (e->state == IDM_GRANTED || e->state == IDM_SENT,
+             "one-outcome-each", "record %s in state %d", e->name,
+             (int)e->state);
+  e->rec.state = state;
+  _idm_outcome_begin (i, env, e);
+  _idm_put (e, env);
+}
+
+void
+idm_done (idm_t *i, env_t *env, uint64_t handle, int status, const char *type,
+          buf_t body)
+{
+  idm_entry_t *e = tbl_get (i->entries, (tbl_id_t){ .id = handle });
+  if (e == NULL)
+    return;
+  e->rec.status = status;
+  e->rec.type = type != NULL ? talloc_strdup (e->strings, type) : NULL;
+  e->rec.whole = body.n <= IDM_BODY_MAX;
+  if (e->rec.whole)
+    e->rec.body = buf_copy (e->strings, body);
+  _idm_outcome (i, env, e, IDM_REC_DONE);
+}
+
+void
+idm_unknown (idm_t *i, env_t *env, uint64_t handle)
+{
+  idm_entry_t *e = tbl_get (i->entries, (tbl_id_t){ .id = handle });
+  if (e != NULL)
+    _idm_outcome (i, env, e, IDM_REC_UNKNOWN);
+}
+
+void
+idm_not_run (idm_t *i, env_t *env, uint64_t handle)
+{
+  idm_entry_t *e = tbl_get (i->entries, (tbl_id_t){ .id = handle });
+  if (e == NULL)
+    return;
+  /* Sent means that it may have run, whatever the caller believes. */
+  _idm_outcome (i, env, e,
+                e->state == IDM_SENT ? IDM_REC_UNKNOWN : IDM_REC_NOT_RUN);
+}
+
+/* -- the outcome ---------------------------------------------------------- */
+
+static void
+_idm_outcome_give_up (idm_t *i, env_t *env, idm_entry_t *e)
+{
+  cnt_add (env->cnt, "rts_idempotent_outcomes_lost_total", "", 1);
+  tln_record (env->tln, env->now, MOD_IDEMPOTENT, "outcome-lost", "%s",
+              e->name);
+  _idm_free (i, e);
+}
+
+static void
+_idm_outcome_read (idm_t *i, env_t *env, idm_entry_t *e,
+                   const ev_platform_t *reply)
+{
+  void *ctx = talloc_new (NULL);
+  idm_rec_t rec;
+  bool there = reply->code == ST_OK && reply->object_count > 0
+               && idm_rec_read (ctx, reply->objects[0].value, &rec) == ST_OK;
+  if (there && strcmp (rec.writer, e->rec.writer) == 0
+      && rec.state == IDM_REC_BEGUN)
+    {
+      e->version = reply->objects[0].version;
+      _idm_put (e, env);
+    }
+  else if (there)
+    /* Written, or taken over after not-run. */
+    _idm_free (i, e);
+  else if (reply->code == ST_NOT_FOUND)
+    {
+      /* Fill the place, so that a creation still under way fails. */
+      e->version = 0;
+      _idm_put (e, env);
+    }
+  else
+    _idm_read_later (e, env);
+  talloc_free (ctx);
+}
+
+static void
+_idm_outcome_replied (idm_t *i, env_t *env, idm_entry_t *e,
+                      fx_platform_op_t op, const ev_platform_t *reply)
+{
+  if (env->now >= e->settle_until && reply->code != ST_OK)
+    _idm_outcome_give_up (i, env, e);
+  else if (op == FX_PLATFORM_GET)
+    _idm_outcome_read (i, env, e, reply);
+  else if (reply->code == ST_OK)
+    _idm_free (i, e);
+  else
+    _idm_read_later (e, env);
+}
+
+/* -- hooks ---------------------------------------------------------------- */
+
+void
+idm_timer_fired (idm_t *i, env_t *env, uint64_t tag)
+{
+  if (tag == IDM_SWEEP_TAG)
+    {
+      idm_sweep_tick (i, env);
+      return;
+    }
+  idm_entry_t *e = tbl_get (i->entries, (tbl_id_t){ .id = tag });
+  if (e != NULL && env->now >= e->again_at
+      && (e->state == IDM_READING || e->state == IDM_WRITING))
+    _idm_get (e, env);
+}
+
+void
+idm_platform_replied (idm_t *i, env_t *env, const plt_done_t *done,
+                      const ev_platform_t *reply)
+{
+  if ((done->tag & IDM_SWEEP_TAG) != 0)
+    {
+      idm_sweep_replied (i, env, done, reply);
+      return;
+    }
+  idm_entry_t *e = tbl_get (i->entries, (tbl_id_t){ .id = done->tag });
+  if (e == NULL)
+    return;
+  switch (e->state)
+    {
+    case IDM_CREATING:
+      if (done->op == FX_PLATFORM_PUT)
+        _idm_created (i, env, e, reply);
+      break;
+    case IDM_READING:
+      if (done->op == FX_PLATFORM_GET)
+        _idm_read (i, env, e, reply);
+      break;
+    case IDM_WRITING:
+      _idm_outcome_replied (i, env, e, done->op, reply);
+      break;
+    case IDM_GRANTED:
+    case IDM_SENT:
+      break;
+    }
+}
