Stand-ins: platform, model engine and plain service

The product needs something to talk to in the demo and in process tests. One tevent loop around libmicrohttpd (srv), with faults ordered by POST /control: down, hang, slow, lose, refuse, cut, lie, garble, double, mute.

Ruled out: the daemon's own threads, since the state would need locks.

--- /dev/null
+++ b/standin/engine.c
@@ -0,0 +1,500 @@
+/** @file
+ * Stand-in for a model engine: continuous batching over a fixed number of
+ * slots, streams, a prefix cache, late load reports, orders.
+ *
+ * The text of an answer begins "answer H for ID": H is the start of the
+ * prompt's SHA-256 and ID the X-Request-Id, so that a crossed answer shows.
+ */
+#include "engine.h"
+#include "srv.h"
+#include "standin.h"
+
+#include <argp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define DEFAULT_MAX_TOKENS 16
+#define DEFAULT_SLOTS 4
+#define DEFAULT_TOKEN_MS 10
+#define DEFAULT_CACHE 64
+
+typedef struct
+{
+  srv_t *srv;
+  srv_desc_t desc;
+  const char *name;
+  uint32_t slots;
+  uint64_t token_ms;
+  uint64_t prefill_ms; /**< for 1000 characters */
+  uint32_t cache_prefixes;
+  uint64_t lag_ms;
+  bool checks_fencing;
+  bool leaving;
+  cache_t *cache;
+  report_t *report;
+  GQueue *waiting; /**< job_t, in order of arrival */
+  GList *jobs;     /**< job_t, all of them */
+  uint32_t running;
+  json_int_t total;
+  json_int_t fencing;
+  json_int_t orders;
+  char *model;
+  char *role;
+  json_t *by_request; /**< X-Request-Id -> calls */
+} engine_t;
+
+typedef enum
+{
+  JOB_WAITING,
+  JOB_RUNNING,
+  JOB_PAUSED,
+  JOB_DONE,
+} job_state_t;
+
+/** A completion. */
+typedef struct
+{
+  engine_t *engine;
+  srv_req_t *req;
+  job_state_t state;
+  bool chat;
+  bool stream;
+  bool prefilled;
+  char *id;
+  char *prompt;
+  char *sum;
+  char *text;
+  uint32_t tokens; /**< made so far */
+  uint32_t max_tokens;
+  struct tevent_timer *timer;
+} job_t;
+
+static void _engine_schedule (engine_t *e);
+
+static void
+_engine_report (engine_t *e)
+{
+  report_put (e->report, e->running, g_queue_get_length (e->waiting));
+}
+
+/** Take JOB out of its slot or queue. */
+static void
+_job_leave (job_t *job, job_state_t next)
+{
+  engine_t *e = job->engine;
+  if (job->state == JOB_RUNNING)
+    e->running--;
+  if (job->state == JOB_WAITING)
+    g_queue_remove (e->waiting, job);
+  TALLOC_FREE (job->timer);
+  job->state = next;
+  _engine_schedule (e);
+}
+
+static int
+_job_free (job_t *job)
+{
+  job->engine->jobs = g_list_remove (job->engine->jobs, job);
+  if (job->state != JOB_DONE)
+    _job_leave (job, JOB_DONE);
+  return 0;
+}
+
+/* Answers */
+
+/** Choice of a whole answer or of one streamed piece. */
+static json_t *
+_job_choice (const job_t *job, const char *text, bool last)
+{
+  json_t *finish = last ? json_string ("length") : json_null ();
+  if (!job->chat)
+    return json_pack ("{s:i, s:s, s:o}", "index", 0, "text", text,
+                      "finish_reason", finish);
+  return json_pack ("{s:i, s:{s:s, s:s}, s:o}", "index", 0,
+                    job->stream ? "delta" : "message", "role", "assistant",
+                    "content", text, "finish_reason", finish);
+}
+
+static json_t *
+_job_object (const job_t *job, const char *text, bool last)
+{
+  const char *kind = job->chat ? "chat.completion" : "text_completion";
+  return json_pack ("{s:s, s:s, s:s, s:s, s:[o]}", "id", job->id, "object",
+                    kind, "model", job->engine->model, "upstream",
+                    job->engine->name, "choices",
+                    _job_choice (job, text, last));
+}
+
+static void
+_job_piece (job_t *job, const char *text, bool last)
+{
+  json_t *object = _job_object (job, text, last);
+  char *dump = json_dumps (object, JSON_COMPACT);
+  size_t size = strlen (dump);
+  char *event = NULL;
+  if (job->req->fault == SRV_GARBLE)
+    dump[size / 2] = '\0';
+  event = talloc_asprintf (job, "data: %s\n\n", dump);
+  srv_stream_write (job->req, event, strlen (event));
+  talloc_free (event);
+  free (dump);
+  json_decref (object);
+}
+
+static void
+_job_finish (job_t *job)
+{
+  srv_req_t *req = job->req;
+  _job_leave (job, JOB_DONE);
+  if (job->stream)
+    {
+      srv_stream_write (req, "data: [DONE]\n\n", 14);
+      srv_stream_end (req);
+      return;
+    }
+  json_t *object = _job_object (job, job->text, true);
+  json_object_set_new (object, "usage",
+                       json_pack ("{s:i, s:i}", "prompt_tokens",
+                                  (int)(strlen (job->prompt) / 4),
+                                  "completion_tokens", (int)job->tokens));
+  srv_json (req, 200, object);
+}
+
+/** Token number I of JOB's answer. */
+static char *
+_job_token (const job_t *job, uint32_t i)
+{
+  if (i == 0)
+    return talloc_asprintf (NULL, "answer %s for %s", job->sum, job->id);
+  return talloc_asprintf (NULL, " %c%u", job->sum[i % 16], i);
+}
+
+static void
+_job_step (struct tevent_context *loop, struct tevent_timer *timer,
+           struct timeval now, void *data)
+{
+  job_t *job = data;
+  (void)loop;
+  (void)timer;
+  (void)now;
+  job->timer = NULL;
+  job->prefilled = true;
+  if (job->req->fault == SRV_CUT && job->tokens >= job->max_tokens / 2)
+    {
+      _job_leave (job, JOB_DONE);
+      srv_abort (job->req);
+      return;
+    }
+  char *token = _job_token (job, job->tokens);
+  job->tokens++;
+  job->text = talloc_strdup_append (job->text, token);
+  if (job->stream)
+    _job_piece (job, token, job->tokens == job->max_tokens);
+  talloc_free (token);
+  if (job->tokens >= job->max_tokens)
+    _job_finish (job);
+  else
+    job->timer = srv_after (job->engine->srv, job, job->engine->token_ms,
+                            _job_step, job);
+}
+
+/* Scheduling */
+
+static void
+_job_start (job_t *job)
+{
+  engine_t *e = job->engine;
+  uint64_t ms = e->token_ms;
+  if (!job->prefilled && !cache_use (e->cache, job->prompt))
+    ms += e->prefill_ms * strlen (job->prompt) / 1000;
+  job->state = JOB_RUNNING;
+  e->running++;
+  job->timer = srv_after (e->srv, job, ms, _job_step, job);
+}
+
+static void
+_engine_schedule (engine_t *e)
+{
+  while (e->running < e->slots && !g_queue_is_empty (e->waiting))
+    _job_start (g_queue_pop_head (e->waiting));
+  _engine_report (e);
+}
+
+static char *
+_prompt_get (void *ctx, const json_t *body)
+{
+  const char *prompt = json_string_value (json_object_get (body, "prompt"));
+  const json_t *messages = json_object_get (body, "messages");
+  char *text = prompt ? talloc_strdup (ctx, prompt) : NULL;
+  size_t i;
+  json_t *message;
+  json_array_foreach (messages, i, message)
+  {
+    const char *content
+        = json_string_value (json_object_get (message, "content"));
+    text = talloc_asprintf_append (text ? text : talloc_strdup (ctx, ""),
+                                   "%s%s", i ? "\n" : "",
+                                   content ? content : "");
+  }
+  return text;
+}
+
+static void
+_job_identify (job_t *job)
+{
+  engine_t *e = job->engine;
+  const char *id = srv_req_header (job->req, "X-Request-Id");
+  char *sum
+      = g_compute_checksum_for_string (G_CHECKSUM_SHA256, job->prompt, -1);
+  e->total++;
+  job->id
+      = id ? talloc_strdup (job, id)
+           : talloc_asprintf (job, "%s-%lld", e->name, (long long)e->total);
+  job->sum = talloc_strndup (job, sum, 16);
+  g_free (sum);
+  json_int_t n = json_integer_value (json_object_get (e->by_request, job->id));
+  json_object_set_new (e->by_request, job->id, json_integer (n + 1));
+}
+
+static void
+_engine_complete (engine_t *e, srv_req_t *req, bool chat)
+{
+  json_t *body
+      = json_loadb ((const char *)req->body->data, req->body->len, 0, NULL);
+  char *prompt = _prompt_get (req, body);
+  if (prompt == NULL)
+    {
+      json_decref (body);
+      srv_error (req, 400, "invalid", "prompt or messages is missing");
+      return;
+    }
+  json_int_t max = json_integer_value (json_object_get (body, "max_tokens"));
+  job_t *job = talloc_zero (req, job_t);
+  job->engine = e;
+  job->req = req;
+  job->chat = chat;
+  job->stream = json_is_true (json_object_get (body, "stream"));
+  job->prompt = prompt;
+  job->max_tokens = max > 0 ? (uint32_t)max : DEFAULT_MAX_TOKENS;
+  job->text = talloc_strdup (job, "");
+  json_decref (body);
+  _job_identify (job);
+  if (strstr (prompt, "impossible"))
+    {
+      srv_error (req, 422, "invalid", "the prompt is impossible");
+      return;
+    }
+  e->jobs = g_list_prepend (e->jobs, job);
+  talloc_set_destructor (job, _job_free);
+  if (job->stream)
+    srv_stream_begin (req, "text/event-stream");
+  g_queue_push_tail (e->waiting, job);
+  _engine_schedule (e);
+}
+
+static void
+_engine_pause (engine_t *e, srv_req_t *req, bool pause)
+{
+  json_t *body
+      = json_loadb ((const char *)req->body->data, req->body->len, 0, NULL);
+  const char *id = json_string_value (json_object_get (body, "id"));
+  int found = 0;
+  for (GList *l = e->jobs; l && id; l = l->next)
+    {
+      job_t *job = l->data;
+      if (strcmp (job->id, id) != 0 || job->state == JOB_DONE)
+        continue;
+      found++;
+      if (pause && job->state != JOB_PAUSED)
+        _job_leave (job, JOB_PAUSED);
+      else if (!pause && job->state == JOB_PAUSED)
+        {
+          job->state = JOB_WAITING;
+          g_queue_push_head (e->waiting, job);
+          _engine_schedule (e);
+        }
+    }
+  json_decref (body);
+  srv_json (req, found ? 200 : 404, json_pack ("{s:i}", "found", found));
+}
+
+/* Reports and orders */
+
+static json_t *
+_engine_load (engine_t *e, bool lie)
+{
+  json_t *load = report_get (e->report);
+  if (lie)
+    json_object_set_new (load, "running", json_integer (0));
+  if (lie)
+    json_object_set_new (load, "waiting", json_integer (0));
+  json_object_set_new (load, "slots", json_integer (e->slots));
+  json_object_set_new (load, "leaving", json_boolean (e->leaving));
+  return load;
+}
+
+static json_t *
+_engine_state (const engine_t *e)
+{
+  return json_pack ("{s:s, s:s, s:I, s:I}", "model", e->model, "role", e->role,
+                    "fencing", e->fencing, "orders", e->orders);
+}
+
+static void
+_engine_order (engine_t *e, srv_req_t *req)
+{
+  json_t *body
+      = json_loadb ((const char *)req->body->data, req->body->len, 0, NULL);
+  json_int_t fencing = json_integer_value (json_object_get (body, "fencing"));
+  const char *model = json_string_value (json_object_get (body, "model"));
+  const char *role = json_string_value (json_object_get (body, "role"));
+  bool stale = e->checks_fencing && fencing < e->fencing;
+  if (!stale && body)
+    {
+      e->fencing = fencing > e->fencing ? fencing : e->fencing;
+      e->orders++;
+      if (model)
+        e->model = talloc_strdup (e, model);
+      if (role)
+        e->role = talloc_strdup (e, role);
+    }
+  json_decref (body);
+  srv_json (req, stale ? 409 : 200, _engine_state (e));
+}
+
+static void
+_engine_handle (srv_req_t *req)
+{
+  engine_t *e = req->user;
+  const char *path = req->path;
+  if (strcmp (path, "/v1/completions") == 0)
+    _engine_complete (e, req, false);
+  else if (strcmp (path, "/v1/chat/completions") == 0)
+    _engine_complete (e, req, true);
+  else if (strcmp (path, "/v1/pause") == 0)
+    _engine_pause (e, req, true);
+  else if (strcmp (path, "/v1/resume") == 0)
+    _engine_pause (e, req, false);
+  else if (strcmp (path, "/load") == 0)
+    srv_json (req, 200, _engine_load (e, req->fault == SRV_LIE));
+  else if (strcmp (path, "/cache-events") == 0)
+    srv_json (req, 200,
+              cache_events (e->cache, srv_req_number (req, "after", 0)));
+  else if (strcmp (path, "/orders") == 0)
+    _engine_order (e, req);
+  else if (strcmp (path, "/state") == 0)
+    srv_json (req, 200, _engine_state (e));
+  else if (strcmp (path, "/counts") == 0)
+    srv_json (req, 200,
+              json_pack ("{s:I, s:i, s:i, s:O}", "total", e->total, "running",
+                         (int)e->running, "waiting",
+                         (int)g_queue_get_length (e->waiting), "by_request",
+                         e->by_request));
+  else
+    srv_error (req, 404, "not-found", path);
+}
+
+static void
+_engine_control (void *user, const json_t *order)
+{
+  engine_t *e = user;
+  const json_t *leaving = json_object_get (order, "leaving");
+  if (leaving)
+    e->leaving = json_is_true (leaving);
+}
+
+/* Arguments */
+
+enum
+{
+  KEY_PORT = 256,
+  KEY_NAME,
+  KEY_SLOTS,
+  KEY_TOKEN,
+  KEY_PREFILL,
+  KEY_CACHE,
+  KEY_LAG,
+  KEY_FENCING,
+  KEY_RECORD,
+};
+
+static const struct argp_option options[] = {
+  { "port", KEY_PORT, "P", 0, "port on 127.0.0.1 (0: any)", 0 },
+  { "name", KEY_NAME, "U", 0, "name of this upstream", 0 },
+  { "slots", KEY_SLOTS, "N", 0, "completions that run at a time (4)", 0 },
+  { "token-ms", KEY_TOKEN, "MS", 0, "time between tokens (10)", 0 },
+  { "prefill-ms-per-kchar", KEY_PREFILL, "MS", 0,
+    "prefill of 1000 characters of prompt (0)", 0 },
+  { "cache-prefixes", KEY_CACHE, "K", 0, "size of the prefix cache (64)", 0 },
+  { "report-lag-ms", KEY_LAG, "MS", 0, "how late reports are (0)", 0 },
+  { "fencing", KEY_FENCING, "yes|no", 0, "refuse old fencing numbers (yes)",
+    0 },
+  { "record", KEY_RECORD, "FILE", 0, "append each request received", 0 },
+  { 0 },
+};
+
+static error_t
+_engine_option (int key, char *arg, struct argp_state *state)
+{
+  engine_t *e = state->input;
+  switch (key)
+    {
+    case KEY_PORT:
+      e->desc.port = (uint16_t)strtoul (arg, NULL, 10);
+      return 0;
+    case KEY_NAME:
+      e->name = arg;
+      return 0;
+    case KEY_SLOTS:
+      e->slots = (uint32_t)strtoul (arg, NULL, 10);
+      return 0;
+    case KEY_TOKEN:
+      e->token_ms = strtoull (arg, NULL, 10);
+      return 0;
+    case KEY_PREFILL:
+      e->prefill_ms = strtoull (arg, NULL, 10);
+      return 0;
+    case KEY_CACHE:
+      e->cache_prefixes = (uint32_t)strtoul (arg, NULL, 10);
+      return 0;
+    case KEY_LAG:
+      e->lag_ms = strtoull (arg, NULL, 10);
+      return 0;
+    case KEY_FENCING:
+      e->checks_fencing = strcmp (arg, "no") != 0;
+      return 0;
+    case KEY_RECORD:
+      e->desc.record = arg;
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+engine_main (int argc, char **argv)
+{
+  static const struct argp argp
+      = { options, _engine_option, NULL, "Stand-in for a model engine.",
+          NULL,    NULL,           NULL };
+  engine_t *e = talloc_zero (NULL, engine_t);
+  e->name = "engine";
+  e->slots = DEFAULT_SLOTS;
+  e->token_ms = DEFAULT_TOKEN_MS;
+  e->cache_prefixes = DEFAULT_CACHE;
+  e->checks_fencing = true;
+  argp_parse (&argp, argc, argv, 0, NULL, e);
+  e->cache = cache_setup (e, e->cache_prefixes, e->lag_ms);
+  e->report = report_setup (e, e->lag_ms);
+  e->waiting = g_queue_new ();
+  e->by_request = json_object ();
+  e->model = talloc_strdup (e, "snit");
+  e->role = talloc_strdup (e, "both");
+  e->desc.handle = _engine_handle;
+  e->desc.control = _engine_control;
+  e->desc.user = e;
+  e->srv = srv_setup (e, &e->desc);
+  srv_run (e->srv);
+  return EXIT_SUCCESS;
+}
