--- /dev/null
+++ b/src/core/cfs_apply.c
@@ -0,0 +1,430 @@
+/* Changes by operators: new parts first, then the head by a conditional
+ * update, which makes all of the change take effect at once. */
+#include "core/cfs_private.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define CFS_BACKOFF_MS ((clk_ms_t)10)
+#define CFS_BACKOFF_MAX_SHIFT 5
+#define CFS_TOKEN_MAX 64
+#define CFS_PART_REPEATS 8 /**< writes whose answer was lost */
+#define CFS_GARBAGE_MS (30 * CLK_SECOND)
+#define CFS_GARBAGE_MAX 512
+#define CFS_GARBAGE_AT_A_TIME 4
+
+static void
+_cfs_task_finish (cfs_t *c, env_t *env, st_code_t code)
+{
+  cfs_task_t *t = c->task;
+  c->task = t->next;
+  t->next = NULL;
+  t->result.code = code;
+  cfs_task_t **end = &c->done;
+  while (*end != NULL)
+    end = &(*end)->next;
+  *end = t;
+  char labels[64];
+  g_snprintf (labels, sizeof labels, "outcome=\"%s\"", st_code_name (code));
+  cnt_add (env->cnt, "rts_config_applies_total", labels, 1);
+  cnt_add (env->cnt, "rts_config_apply_retries_total", "", t->result.retries);
+  tln_record (env->tln, env->now, MOD_CONFIG, "apply",
+              "outcome=%s version=%" G_GUINT64_FORMAT " retries=%u",
+              st_code_name (code), t->result.version, t->result.retries);
+}
+
+static void
+_cfs_task_fail (cfs_t *c, env_t *env, const char *text)
+{
+  cfs_task_t *t = c->task;
+  t->result.text = text;
+  _cfs_task_finish (c, env, t->unknown ? ST_UNKNOWN : ST_UNAVAILABLE);
+}
+
+/* Wait for the next try, longer each time. */
+static void
+_cfs_task_wait (cfs_t *c, env_t *env)
+{
+  cfs_task_t *t = c->task;
+  unsigned shift
+      = t->tries < CFS_BACKOFF_MAX_SHIFT ? t->tries : CFS_BACKOFF_MAX_SHIFT;
+  t->tries++;
+  t->step = CFS_APPLY_WAIT;
+  t->next_try = env->now + env_jitter (env, CFS_BACKOFF_MS << shift);
+  tmr_arm (env->tmr, t->next_try, MOD_CONFIG,
+           cfs_tag (CFS_TAG_APPLY, 0, t->seq));
+}
+
+/* Delete a part later; when too many wait, the platform keeps it. */
+static void
+_cfs_part_discard (cfs_t *c, env_t *env, const cfs_part_t *part)
+{
+  if (part->name[0] == '\0' || part->object_version == 0
+      || c->garbage_count == CFS_GARBAGE_MAX)
+    return;
+  if (c->garbage == NULL)
+    c->garbage = talloc_array (c, cfs_garbage_t, CFS_GARBAGE_MAX);
+  cfs_garbage_t *g = &c->garbage[c->garbage_count++];
+  *g = (cfs_garbage_t){ .due = env->now + CFS_GARBAGE_MS, .part = *part };
+  g->part.name = talloc_strdup (c, part->name);
+}
+
+void
+cfs_garbage_tick (cfs_t *c, env_t *env)
+{
+  size_t n = 0;
+  while (n < c->garbage_count && n < CFS_GARBAGE_AT_A_TIME
+         && c->garbage[n].due <= env->now)
+    {
+      const cfs_part_t *part = &c->garbage[n++].part;
+      plt_call (env, &(plt_req_t){ .mod = MOD_CONFIG,
+                                   .tag = cfs_tag (CFS_TAG_PART_DELETE, 0, 0),
+                                   .op = FX_PLATFORM_DELETE,
+                                   .name = part->name,
+                                   .if_version = part->object_version });
+      talloc_free ((void *)part->name);
+    }
+  c->garbage_count -= n;
+  if (n > 0)
+    memmove (c->garbage, c->garbage + n,
+             c->garbage_count * sizeof c->garbage[0]);
+}
+
+/* This try cannot succeed any more: its parts are of no use. */
+static void
+_cfs_task_again (cfs_t *c, env_t *env)
+{
+  cfs_task_t *t = c->task;
+  for (unsigned b = 0; !t->unknown && t->head != NULL && b < CFS_BUCKETS; b++)
+    {
+      if (t->written[b])
+        _cfs_part_discard (c, env, &t->head->parts[b]);
+    }
+  t->head = NULL;
+  cfs_head_forget (c);
+  _cfs_task_wait (c, env);
+}
+
+static void
+_cfs_head_token_add (cfs_head_t *h, const char *token)
+{
+  if (h->token_count == CFS_TOKENS_MAX)
+    {
+      memmove (h->tokens, h->tokens + 1,
+               (CFS_TOKENS_MAX - 1) * sizeof h->tokens[0]);
+      h->token_count--;
+    }
+  h->tokens[h->token_count++] = (cfs_token_t){
+    .token = talloc_strdup (h, token),
+    .version = h->version,
+  };
+}
+
+/* Value of group B as the change leaves it. */
+static buf_t
+_cfs_part_dump (cfs_t *c, const cfs_task_t *t, unsigned b)
+{
+  cfs_set_t *set = cfs_set_setup (t->attempt);
+  cfs_records_t old = cfs_set_in_bucket (set, c->set, b);
+  for (size_t i = 0; i < old.count; i++)
+    cfs_set_put (set, &old.v[i]);
+  for (size_t i = 0; i < t->effect.records.count; i++)
+    {
+      if (cfs_set_bucket (t->effect.records.v[i].name) == b)
+        cfs_set_put (set, &t->effect.records.v[i]);
+    }
+  cfs_records_t all = cfs_set_since (set, set, 0);
+  mpk_writer_t w;
+  mpk_writer_init (&w, t->attempt);
+  cfs_records_write (&w, &all);
+  cfs_set_shutdown (set);
+  return mpk_done (&w);
+}
+
+static void
+_cfs_head_write (cfs_t *c, env_t *env)
+{
+  cfs_task_t *t = c->task;
+  t->step = CFS_APPLY_HEAD;
+  plt_call (env, &(plt_req_t){ .mod = MOD_CONFIG,
+                               .tag = cfs_tag (CFS_TAG_HEAD_WRITE, 0, t->seq),
+                               .op = FX_PLATFORM_PUT,
+                               .name = CFS_HEAD_NAME,
+                               .if_version = t->head->object_version,
+                               .value = cfs_head_dump (t->attempt, t->head) });
+}
+
+/* Write the named part of group B; false when it is too large. */
+static bool
+_cfs_part_write (cfs_t *c, env_t *env, unsigned b)
+{
+  cfs_task_t *t = c->task;
+  buf_t value = _cfs_part_dump (c, t, b);
+  if (value.n > CFS_PART_MAX)
+    return false;
+  t->written[b] = true;
+  t->waiting++;
+  plt_call (env, &(plt_req_t){ .mod = MOD_CONFIG,
+                               .tag = cfs_tag (CFS_TAG_PART_WRITE, b, t->seq),
+                               .op = FX_PLATFORM_PUT,
+                               .name = t->head->parts[b].name,
+                               .value = value });
+  return true;
+}
+
+/* A name that no other try has, so that a part found there is its own. */
+static void
+_cfs_part_name (env_t *env, cfs_task_t *t, unsigned b)
+{
+  cfs_part_t *part = &t->head->parts[b];
+  part->object_version = 0;
+  part->name = talloc_asprintf (t->head,
+                                CFS_PART_PREFIX "%02u-%s-%" G_GUINT64_FORMAT
+                                                "-%" G_GUINT64_FORMAT,
+                                b, env->vm, env->incarnation, t->seq);
+}
+
+static void
+_cfs_task_write (cfs_t *c, env_t *env)
+{
+  cfs_task_t *t = c->task;
+  cfs_head_t *h = t->head = cfs_head_copy (t->attempt, c->head);
+  cfs_digests_t digests = cfs_set_digests (c->set, &t->effect.records);
+  bool touched[CFS_BUCKETS] = { false };
+  for (size_t i = 0; i < t->effect.records.count; i++)
+    touched[cfs_set_bucket (t->effect.records.v[i].name)] = true;
+  h->version = c->version + 1;
+  if (h->version > CFS_FLOOR_VERSIONS)
+    h->floor = h->version - CFS_FLOOR_VERSIONS;
+  h->writer = talloc_strdup (h, env->vm);
+  _cfs_head_token_add (h, t->change.token);
+  t->step = CFS_APPLY_PARTS;
+  t->part_code = ST_OK;
+  t->part_repeats = 0;
+  for (unsigned b = 0; b < CFS_BUCKETS; b++)
+    {
+      bool differs = h->parts[b].digest != digests.v[b];
+      h->parts[b].digest = digests.v[b];
+      if (!touched[b] && !differs)
+        continue;
+      _cfs_part_name (env, t, b);
+      if (!_cfs_part_write (c, env, b))
+        {
+          t->result.text = "a group of sections is above the size limit";
+          _cfs_task_finish (c, env, ST_TOO_LARGE);
+          return;
+        }
+    }
+}
+
+/* The head has been read and this VM is not behind it. */
+static void
+_cfs_task_try (cfs_t *c, env_t *env)
+{
+  cfs_task_t *t = c->task;
+  talloc_free (t->attempt);
+  t->attempt = talloc_new (t);
+  t->effect = (cfs_effect_t){ 0 };
+  t->head = NULL;
+  memset (t->written, 0, sizeof t->written);
+  t->waiting = 0;
+  t->seq = ++c->seq;
+  if (c->head->object_version > t->unknown_over)
+    t->unknown = false;
+  uint64_t before = cfs_head_token (c->head, t->change.token);
+  if (before > 0)
+    {
+      t->result.version = before;
+      t->result.text = "";
+      _cfs_task_finish (c, env, ST_OK);
+      return;
+    }
+  st_code_t code
+      = cfs_effect_find (t->attempt, c, &t->change, &t->effect, &t->result);
+  if (t->result.unchanged && !t->fresh)
+    {
+      /* Say so only of what the platform has now. */
+      cfs_head_forget (c);
+      cfs_store_read (c, env);
+    }
+  else if (code != ST_OK || t->result.unchanged)
+    _cfs_task_finish (c, env, t->unknown ? ST_UNKNOWN : code);
+  else
+    _cfs_task_write (c, env);
+}
+
+void
+cfs_task_poke (cfs_t *c, env_t *env)
+{
+  while (c->task != NULL && c->task->step == CFS_APPLY_WAIT
+         && env->now >= c->task->next_try)
+    {
+      cfs_task_t *t = c->task;
+      if (env->now >= t->deadline)
+        _cfs_task_fail (c, env, "the platform did not answer in time");
+      else if (c->head != NULL && t->change.base <= c->version)
+        _cfs_task_try (c, env);
+      else
+        {
+          if (c->fetch.ctx == NULL)
+            cfs_store_read (c, env);
+          return;
+        }
+      if (c->task == t && t->step == CFS_APPLY_WAIT)
+        return;
+    }
+}
+
+void
+cfs_task_head_read (cfs_t *c, env_t *env, st_code_t code)
+{
+  cfs_task_t *t = c->task;
+  if (t == NULL || t->step != CFS_APPLY_WAIT)
+    return;
+  if (code == ST_NOT_FOUND)
+    {
+      cfs_head_forget (c);
+      c->head = talloc_zero (c, cfs_head_t);
+      c->head->writer = "";
+      for (unsigned b = 0; b < CFS_BUCKETS; b++)
+        c->head->parts[b].name = "";
+    }
+  else if (code != ST_OK && !t->unknown)
+    _cfs_task_fail (c, env, "the platform cannot be reached");
+  else if (c->head == NULL)
+    _cfs_task_wait (c, env);
+  else if (t->change.base > c->version)
+    {
+      t->result.text = "the base version is not known: read again";
+      _cfs_task_finish (c, env, ST_STALE);
+    }
+  else
+    t->fresh = true;
+}
+
+static void
+_cfs_part_written (cfs_t *c, env_t *env, unsigned b,
+                   const ev_platform_t *reply)
+{
+  cfs_task_t *t = c->task;
+  if (reply->code == ST_OK && reply->object_count == 1)
+    t->head->parts[b].object_version = reply->objects[0].version;
+  else if (reply->code == ST_UNKNOWN && t->part_repeats++ < CFS_PART_REPEATS)
+    (void)_cfs_part_write (c, env, b);
+  else if (reply->code != ST_OK && reply->code != ST_CONFLICT)
+    t->part_code = reply->code;
+  if (--t->waiting > 0)
+    return;
+  if (t->part_code == ST_OK)
+    _cfs_head_write (c, env);
+  else if (t->part_code == ST_UNAVAILABLE && !t->unknown)
+    _cfs_task_fail (c, env, "the platform cannot be reached");
+  else
+    _cfs_task_again (c, env);
+}
+
+static void
+_cfs_task_commit (cfs_t *c, env_t *env, const ev_platform_t *reply)
+{
+  cfs_task_t *t = c->task;
+  cfs_head_t *old = talloc_steal (t, c->head);
+  c->head = NULL;
+  cfs_offer_t offer = { .version = t->head->version,
+                        .floor = t->head->floor,
+                        .writer = t->head->writer,
+                        .records = t->effect.records,
+                        .source = CFS_FROM_APPLY };
+  t->result.version = offer.version;
+  if (cfs_offer_adopt (c, env, &offer, t->effect.doc)
+      && reply->object_count == 1)
+    {
+      t->head->object_version = reply->objects[0].version;
+      c->head = talloc_steal (c, t->head);
+    }
+  for (unsigned b = 0; old != NULL && b < CFS_BUCKETS; b++)
+    {
+      if (t->written[b])
+        _cfs_part_discard (c, env, &old->parts[b]);
+    }
+  _cfs_task_finish (c, env, ST_OK);
+}
+
+static void
+_cfs_head_written (cfs_t *c, env_t *env, const ev_platform_t *reply)
+{
+  cfs_task_t *t = c->task;
+  switch (reply->code)
+    {
+    case ST_OK:
+      _cfs_task_commit (c, env, reply);
+      break;
+    case ST_CONFLICT:
+      t->result.retries++;
+      _cfs_task_again (c, env);
+      break;
+    case ST_UNAVAILABLE:
+      if (t->unknown)
+        _cfs_task_again (c, env);
+      else
+        _cfs_task_fail (c, env, "the platform cannot be reached");
+      break;
+    default:
+      t->unknown = true;
+      t->unknown_over = t->head->object_version;
+      _cfs_task_again (c, env);
+      break;
+    }
+}
+
+void
+cfs_task_replied (cfs_t *c, env_t *env, const plt_done_t *done,
+                  const ev_platform_t *reply)
+{
+  cfs_task_t *t = c->task;
+  if (t == NULL || t->seq != done->tag >> 16)
+    return;
+  unsigned b = (unsigned)(done->tag >> 8 & 0xff);
+  if ((done->tag & 0xff) == CFS_TAG_PART_WRITE)
+    _cfs_part_written (c, env, b, reply);
+  else
+    _cfs_head_written (c, env, reply);
+}
+
+uint64_t
+cfs_apply (cfs_t *c, env_t *env, const cfs_apply_t *change)
+{
+  size_t waiting = 0;
+  cfs_task_t **end = &c->task;
+  for (; *end != NULL; end = &(*end)->next)
+    waiting++;
+  if (waiting >= c->desc.applies)
+    return 0;
+  cfs_task_t *t = *end = talloc_zero (c, cfs_task_t);
+  t->change = *change;
+  t->change.text = buf_copy (t, change->text);
+  t->change.team = talloc_strdup (t, change->team);
+  t->deadline = env->now + c->desc.apply_ms;
+  t->result.id = ++c->task_id;
+  if (change->token == NULL || change->token[0] == '\0')
+    t->change.token
+        = talloc_asprintf (t, "%s-%" G_GUINT64_FORMAT, env->vm, t->result.id);
+  else
+    t->change.token = talloc_strndup (t, change->token, CFS_TOKEN_MAX);
+  t->result.text = "";
+  uint64_t id = t->result.id;
+  cfs_task_poke (c, env);
+  return id;
+}
+
+bool
+cfs_result_pop (cfs_t *c, void *ctx, cfs_result_t *result)
+{
+  cfs_task_t *t = c->done;
+  if (t == NULL)
+    return false;
+  c->done = t->next;
+  *result = t->result;
+  result->text = talloc_strdup (ctx, t->result.text);
+  talloc_free (t);
+  return true;
+}
--- /dev/null
+++ b/src/core/cfs_store.c
@@ -0,0 +1,325 @@
+/* Reading the configuration from the platform: the head, the parts that
+ * differ from what is in force, and the watch of the few VMs that keep one. */
+#include "core/cfs_private.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define CFS_FORMAT 1
+#define CFS_RETRY_MS ((clk_ms_t)500)
+#define CFS_RETRY_MAX_SHIFT 4
+#define CFS_ALONE_MS (5 * CLK_SECOND)
+
+buf_t
+cfs_head_dump (void *ctx, const cfs_head_t *head)
+{
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_uint (&w, CFS_FORMAT);
+  mpk_put_uint (&w, head->version);
+  mpk_put_uint (&w, head->floor);
+  mpk_put_str (&w, buf_str (head->writer));
+  mpk_put_uint (&w, head->token_count);
+  for (size_t i = 0; i < head->token_count; i++)
+    {
+      mpk_put_str (&w, buf_str (head->tokens[i].token));
+      mpk_put_uint (&w, head->tokens[i].version);
+    }
+  for (unsigned b = 0; b < CFS_BUCKETS; b++)
+    {
+      mpk_put_str (&w, buf_str (head->parts[b].name));
+      mpk_put_uint (&w, head->parts[b].object_version);
+      mpk_put_uint (&w, head->parts[b].digest);
+    }
+  return mpk_done (&w);
+}
+
+bool
+cfs_head_parse (void *ctx, const ev_object_t *object, cfs_head_t **head)
+{
+  cfs_head_t *h = talloc_zero (ctx, cfs_head_t);
+  mpk_reader_t r = mpk_reader (h, object->value);
+  bool known = mpk_get_uint (&r) == CFS_FORMAT;
+  h->version = mpk_get_uint (&r);
+  h->floor = mpk_get_uint (&r);
+  h->writer = mpk_get_str (&r).p;
+  h->token_count = mpk_get_uint (&r);
+  known = known && h->token_count <= CFS_TOKENS_MAX;
+  for (size_t i = 0; known && i < h->token_count; i++)
+    {
+      h->tokens[i].token = mpk_get_str (&r).p;
+      h->tokens[i].version = mpk_get_uint (&r);
+    }
+  for (unsigned b = 0; b < CFS_BUCKETS; b++)
+    {
+      h->parts[b].name = mpk_get_str (&r).p;
+      h->parts[b].object_version = mpk_get_uint (&r);
+      h->parts[b].digest = mpk_get_uint (&r);
+    }
+  h->object_version = object->version;
+  if (known && mpk_end (&r))
+    {
+      *head = h;
+      return true;
+    }
+  talloc_free (h);
+  return false;
+}
+
+cfs_head_t *
+cfs_head_copy (void *ctx, const cfs_head_t *head)
+{
+  cfs_head_t *h = talloc (ctx, cfs_head_t);
+  *h = *head;
+  h->writer = talloc_strdup (h, head->writer);
+  for (size_t i = 0; i < h->token_count; i++)
+    h->tokens[i].token = talloc_strdup (h, head->tokens[i].token);
+  for (unsigned b = 0; b < CFS_BUCKETS; b++)
+    h->parts[b].name = talloc_strdup (h, head->parts[b].name);
+  return h;
+}
+
+uint64_t
+cfs_head_token (const cfs_head_t *head, const char *token)
+{
+  for (size_t i = 0; i < head->token_count; i++)
+    {
+      if (strcmp (head->tokens[i].token, token) == 0)
+        return head->tokens[i].version;
+    }
+  return 0;
+}
+
+static void
+_cfs_fetch_stop (cfs_t *c)
+{
+  talloc_free (c->fetch.ctx);
+  c->fetch = (cfs_fetch_t){ 0 };
+}
+
+/* Jittered, doubling up to 8 s. */
+static void
+_cfs_read_later (cfs_t *c, env_t *env)
+{
+  unsigned shift = c->reads_failed;
+  if (shift > CFS_RETRY_MAX_SHIFT)
+    shift = CFS_RETRY_MAX_SHIFT;
+  c->reads_failed++;
+  c->read_at = env->now + env_jitter (env, CFS_RETRY_MS << shift);
+}
+
+static void
+_cfs_refetch_later (cfs_t *c, env_t *env)
+{
+  c->refetch = true;
+  _cfs_read_later (c, env);
+}
+
+static void
+_cfs_fetch_adopt (cfs_t *c, env_t *env)
+{
+  cfs_fetch_t *f = &c->fetch;
+  if (cfs_offer_adopt (c, env, &f->offer, NULL))
+    {
+      cfs_head_forget (c);
+      c->head = talloc_steal (c, f->head);
+    }
+  else if (f->head->version > c->version)
+    _cfs_refetch_later (c, env);
+  _cfs_fetch_stop (c);
+}
+
+static void
+_cfs_fetch_start (cfs_t *c, env_t *env, cfs_head_t *head)
+{
+  cfs_fetch_t *f = &c->fetch;
+  if (f->ctx != NULL && f->head->version >= head->version)
+    return;
+  _cfs_fetch_stop (c);
+  f->ctx = talloc_new (c);
+  f->head = talloc_steal (f->ctx, head);
+  f->seq = ++c->seq;
+  f->offer = (cfs_offer_t){ .version = head->version,
+                            .floor = head->floor,
+                            .writer = head->writer,
+                            .source = CFS_FROM_PLATFORM };
+  cfs_digests_t own = cfs_set_digests (c->set, NULL);
+  cfs_digests_t target;
+  for (unsigned b = 0; b < CFS_BUCKETS; b++)
+    {
+      target.v[b] = head->parts[b].digest;
+      f->offer.buckets[b] = target.v[b] != own.v[b];
+      if (!f->offer.buckets[b] || head->parts[b].name[0] == '\0')
+        continue;
+      f->waiting++;
+      plt_call (env,
+                &(plt_req_t){ .mod = MOD_CONFIG,
+                              .tag = cfs_tag (CFS_TAG_PART_READ, b, f->seq),
+                              .op = FX_PLATFORM_GET,
+                              .name = head->parts[b].name });
+    }
+  f->offer.digest = cfs_digests_sum (&target);
+  if (f->waiting == 0)
+    _cfs_fetch_adopt (c, env);
+}
+
+static void
+_cfs_part_read (cfs_t *c, env_t *env, const plt_done_t *done,
+                const ev_platform_t *reply)
+{
+  cfs_fetch_t *f = &c->fetch;
+  if (f->ctx == NULL || f->seq != done->tag >> 16)
+    return;
+  bool sound = reply->code == ST_OK && reply->object_count == 1;
+  if (sound)
+    {
+      mpk_reader_t r = mpk_reader (f->ctx, reply->objects[0].value);
+      cfs_records_t records = cfs_records_read (f->ctx, &r);
+      sound = mpk_end (&r);
+      cfs_records_append (f->ctx, &f->offer.records, &records);
+    }
+  if (!sound)
+    {
+      cnt_add (env->cnt, "rts_config_part_missing_total", "", 1);
+      _cfs_refetch_later (c, env);
+      _cfs_fetch_stop (c);
+      return;
+    }
+  if (--f->waiting == 0)
+    _cfs_fetch_adopt (c, env);
+}
+
+/* A head has been seen, by a read, a list or a watch; any may be stale. */
+static void
+_cfs_head_seen (cfs_t *c, env_t *env, const ev_object_t *object)
+{
+  cfs_head_t *head;
+  if (object->deleted || object->version == 0)
+    return;
+  if (!cfs_head_parse (c, object, &head))
+    {
+      cnt_add (env->cnt, "rts_config_head_unread_total", "", 1);
+      return;
+    }
+  if (head->version < c->version)
+    cnt_add (env->cnt, "rts_config_old_total", "source=\"platform\"", 1);
+  if (head->version <= c->version)
+    {
+      /* An old head is good enough to try a conditional update over it. */
+      cfs_head_forget (c);
+      c->head = head;
+    }
+  else
+    {
+      void *owner = talloc_new (c);
+      talloc_steal (owner, head);
+      _cfs_fetch_start (c, env, head);
+      talloc_free (owner);
+    }
+}
+
+void
+cfs_store_read (cfs_t *c, env_t *env)
+{
+  if (c->reading)
+    return;
+  c->reading = true;
+  plt_call (env, &(plt_req_t){ .mod = MOD_CONFIG,
+                               .tag = cfs_tag (CFS_TAG_READ, 0, 0),
+                               .op = FX_PLATFORM_GET,
+                               .name = CFS_HEAD_NAME });
+}
+
+static void
+_cfs_watch_start (cfs_t *c, env_t *env)
+{
+  bool listed = c->revision > 0;
+  c->watching = true;
+  plt_call (env,
+            &(plt_req_t){
+                .mod = MOD_CONFIG,
+                .tag = cfs_tag (listed ? CFS_TAG_WATCH : CFS_TAG_LIST, 0, 0),
+                .op = listed ? FX_PLATFORM_WATCH : FX_PLATFORM_LIST,
+                .name = CFS_HEAD_NAME,
+                .revision = c->revision });
+}
+
+static void
+_cfs_watch_replied (cfs_t *c, env_t *env, const ev_platform_t *reply)
+{
+  c->watching = false;
+  bool quiet = reply->code == ST_TIMEOUT && c->revision > 0;
+  if (reply->code != ST_OK && reply->code != ST_NOT_FOUND && !quiet)
+    {
+      c->revision = 0;
+      _cfs_read_later (c, env);
+      return;
+    }
+  c->reads_failed = 0;
+  if (!quiet && reply->revision > 0)
+    c->revision = reply->revision;
+  for (size_t i = 0; i < reply->object_count; i++)
+    {
+      if (strcmp (reply->objects[i].name, CFS_HEAD_NAME) == 0)
+        _cfs_head_seen (c, env, &reply->objects[i]);
+    }
+  /* A watch that ends without news waits for the next tick. */
+  if (spr_relays (c->spr) && reply->object_count > 0)
+    _cfs_watch_start (c, env);
+}
+
+static void
+_cfs_head_read (cfs_t *c, env_t *env, const ev_platform_t *reply)
+{
+  c->reading = false;
+  if (reply->code == ST_OK && reply->object_count == 1)
+    _cfs_head_seen (c, env, &reply->objects[0]);
+  if (reply->code == ST_OK || reply->code == ST_NOT_FOUND)
+    c->reads_failed = 0;
+  else
+    _cfs_read_later (c, env);
+  cfs_task_head_read (c, env, reply->code);
+}
+
+void
+cfs_store_replied (cfs_t *c, env_t *env, const plt_done_t *done,
+                   const ev_platform_t *reply)
+{
+  switch ((cfs_tag_t)(done->tag & 0xff))
+    {
+    case CFS_TAG_LIST:
+    case CFS_TAG_WATCH:
+      _cfs_watch_replied (c, env, reply);
+      break;
+    case CFS_TAG_READ:
+      _cfs_head_read (c, env, reply);
+      break;
+    case CFS_TAG_PART_READ:
+      _cfs_part_read (c, env, done, reply);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+cfs_store_tick (cfs_t *c, env_t *env)
+{
+  if (env->now < c->read_at)
+    return;
+  if (c->refetch)
+    {
+      c->refetch = false;
+      cfs_store_read (c, env);
+    }
+  if (spr_relays (c->spr))
+    {
+      if (!c->watching)
+        _cfs_watch_start (c, env);
+    }
+  else if (env->now - c->heard_at > CFS_ALONE_MS || c->version == 0)
+    {
+      c->read_at = env->now + env_jitter (env, CFS_ALONE_MS);
+      cfs_store_read (c, env);
+    }
+}
--- /dev/null
+++ b/src/core/key_store.c
@@ -0,0 +1,196 @@
+/* Withdrawals in the platform: one object each, created once and never
+ * changed, so that a write may be repeated and an answer lost after its
+ * effect does no harm. */
+#include "core/key_private.h"
+#include "core/mpk.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define KEY_PREFIX "keys/withdrawn/"
+#define KEY_RETRY_MS ((clk_ms_t)500)
+#define KEY_RETRY_MAX_SHIFT 4
+#define KEY_RELAY_MS (2 * CLK_SECOND) /**< the origin writes first */
+#define KEY_WRITES_AT_A_TIME 8
+
+static clk_ms_t
+_key_backoff (env_t *env, unsigned failed)
+{
+  unsigned shift = failed < KEY_RETRY_MAX_SHIFT ? failed : KEY_RETRY_MAX_SHIFT;
+  return env_jitter (env, KEY_RETRY_MS << shift);
+}
+
+/* Tag of a write: the first 60 bits of the hash; low 4 bits 0.  Reads have
+ * tag 1. */
+static uint64_t
+_key_tag (const char *sha256)
+{
+  char head[16];
+  g_strlcpy (head, sha256, sizeof head);
+  return g_ascii_strtoull (head, NULL, 16) << 4;
+}
+
+#define KEY_TAG_READ 1
+
+static void
+_key_write (key_set_t *k, env_t *env, key_withdrawal_t *w)
+{
+  void *tmp = talloc_new (NULL);
+  mpk_writer_t body;
+  mpk_writer_init (&body, tmp);
+  mpk_put_str (&body, buf_str (w->name));
+  mpk_put_str (&body, buf_str (w->origin));
+  w->write_at = env->now + _key_backoff (env, w->writes++);
+  k->writing++;
+  plt_call (env, &(plt_req_t){
+                     .mod = MOD_KEY,
+                     .tag = _key_tag (w->sha256),
+                     .op = FX_PLATFORM_PUT,
+                     .name = talloc_asprintf (tmp, KEY_PREFIX "%s", w->sha256),
+                     .value = mpk_done (&body) });
+  talloc_free (tmp);
+}
+
+/* Whether this VM writes W: the one that was asked, and the few that watch
+ * the platform in case that one is gone. */
+static bool
+_key_writes (const key_set_t *k, const env_t *env, const key_withdrawal_t *w)
+{
+  return strcmp (w->origin, env->vm) == 0 || spr_relays (k->desc.peers);
+}
+
+static void
+_key_writes_tick (key_set_t *k, env_t *env)
+{
+  key_withdrawal_t **at = &k->recent;
+  while (*at != NULL)
+    {
+      key_withdrawal_t *w = *at;
+      bool own = strcmp (w->origin, env->vm) == 0;
+      if (w->write_at == 0)
+        w->write_at = env->now + (own ? 0 : env_jitter (env, KEY_RELAY_MS));
+      bool writes = !w->stored && _key_writes (k, env, w);
+      if (writes && w->write_at <= env->now
+          && k->writing < KEY_WRITES_AT_A_TIME)
+        _key_write (k, env, w);
+      if (!writes && w->confirms_left == 0)
+        *at = w->next;
+      else
+        at = &w->next;
+    }
+}
+
+static void
+_key_read (key_set_t *k, env_t *env)
+{
+  bool watch = k->revision > 0;
+  k->watching = true;
+  plt_call (env,
+            &(plt_req_t){ .mod = MOD_KEY,
+                          .tag = KEY_TAG_READ,
+                          .op = watch ? FX_PLATFORM_WATCH : FX_PLATFORM_LIST,
+                          .name = KEY_PREFIX,
+                          .revision = k->revision });
+}
+
+/* A VM that begins to watch the platform writes what is missing there. */
+static void
+_key_relay_begin (key_set_t *k)
+{
+  k->recent = NULL;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, k->withdrawals);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      key_withdrawal_t *w = value;
+      if (w->stored && w->confirms_left == 0)
+        continue;
+      w->next = k->recent;
+      k->recent = w;
+    }
+}
+
+void
+key_store_tick (key_set_t *k, env_t *env)
+{
+  bool relay = spr_relays (k->desc.peers);
+  if (relay && !k->relay)
+    _key_relay_begin (k);
+  k->relay = relay;
+  _key_writes_tick (k, env);
+  if (!k->watching && env->now >= k->read_at
+      && (!k->listed || spr_relays (k->desc.peers)))
+    _key_read (k, env);
+}
+
+static void
+_key_object_read (key_set_t *k, env_t *env, const ev_object_t *object)
+{
+  size_t n = strlen (KEY_PREFIX);
+  if (object->deleted || strncmp (object->name, KEY_PREFIX, n) != 0)
+    return;
+  void *tmp = talloc_new (NULL);
+  mpk_reader_t r = mpk_reader (tmp, object->value);
+  key_withdrawal_t given = { .sha256 = object->name + n };
+  given.name = mpk_get_str (&r).p;
+  given.origin = mpk_get_str (&r).p;
+  key_withdrawal_t *w = key_withdrawal_find (k, given.sha256);
+  if (w == NULL && mpk_end (&r))
+    {
+      w = key_withdrawal_add (k, env, &given);
+      if (w != NULL && k->revision > 0)
+        key_spread_push (k, env, (const key_withdrawal_t *const *)&w, 1);
+    }
+  if (w != NULL)
+    w->stored = true;
+  talloc_free (tmp);
+}
+
+static void
+_key_read_replied (key_set_t *k, env_t *env, const ev_platform_t *reply)
+{
+  k->watching = false;
+  bool quiet = reply->code == ST_TIMEOUT && k->revision > 0;
+  if (reply->code != ST_OK && reply->code != ST_NOT_FOUND && !quiet)
+    {
+      k->revision = 0;
+      k->read_at = env->now + _key_backoff (env, k->reads_failed++);
+      return;
+    }
+  k->reads_failed = 0;
+  k->listed = true;
+  for (size_t i = 0; i < reply->object_count; i++)
+    _key_object_read (k, env, &reply->objects[i]);
+  if (!quiet && reply->revision > 0)
+    k->revision = reply->revision;
+  /* A watch that ends without news waits for the next tick. */
+  if (reply->object_count > 0 && spr_relays (k->desc.peers))
+    _key_read (k, env);
+}
+
+static void
+_key_written (key_set_t *k, env_t *env, const plt_done_t *done,
+              const ev_platform_t *reply)
+{
+  k->writing--;
+  for (key_withdrawal_t *w = k->recent; w != NULL; w = w->next)
+    {
+      if (_key_tag (w->sha256) != done->tag)
+        continue;
+      w->stored
+          = w->stored || reply->code == ST_OK || reply->code == ST_CONFLICT;
+      if (w->stored)
+        tln_record (env->tln, env->now, MOD_KEY, "stored", "key=%s", w->name);
+    }
+}
+
+void
+key_platform_replied (key_set_t *k, env_t *env, const plt_done_t *done,
+                      const ev_platform_t *reply)
+{
+  if (done->tag == KEY_TAG_READ)
+    _key_read_replied (k, env, reply);
+  else
+    _key_written (k, env, done, reply);
+}
--- /dev/null
+++ b/src/core/spr.c
@@ -0,0 +1,169 @@
+#include "core/spr.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+typedef struct
+{
+  const char *vm;
+  const char *data_centre;
+} _spr_vm_t;
+
+struct spr
+{
+  _spr_vm_t self;
+  void *list; /**< owns all that follows */
+  _spr_vm_t *ring;
+  size_t count;
+  size_t at; /**< of this VM */
+  const char **neighbour;
+  size_t neighbour_count;
+  const char **linked;
+  size_t linked_count;
+};
+
+spr_t *
+spr_setup (void *ctx, const char *vm, const char *data_centre)
+{
+  spr_t *s = talloc_zero (ctx, spr_t);
+  s->self.vm = talloc_strdup (s, vm);
+  s->self.data_centre = talloc_strdup (s, data_centre);
+  spr_update (s, NULL, 0);
+  return s;
+}
+
+void
+spr_shutdown (spr_t *s)
+{
+  talloc_free (s);
+}
+
+static int
+_spr_compare (const void *a, const void *b)
+{
+  return strcmp (((const _spr_vm_t *)a)->vm, ((const _spr_vm_t *)b)->vm);
+}
+
+static void
+_spr_ring_build (spr_t *s, const ev_vm_t *vms, size_t n)
+{
+  s->ring = talloc_array (s->list, _spr_vm_t, n + 1);
+  for (size_t i = 0; i < n; i++)
+    s->ring[i] = (_spr_vm_t){
+      .vm = talloc_strdup (s->list, vms[i].vm),
+      .data_centre = talloc_strdup (s->list, vms[i].data_centre),
+    };
+  s->ring[n] = s->self;
+  qsort (s->ring, n + 1, sizeof s->ring[0], _spr_compare);
+  s->count = 0;
+  for (size_t i = 0; i <= n; i++)
+    {
+      if (s->count == 0
+          || strcmp (s->ring[s->count - 1].vm, s->ring[i].vm) != 0)
+        s->ring[s->count++] = s->ring[i];
+    }
+  for (size_t i = 0; i < s->count; i++)
+    {
+      if (strcmp (s->ring[i].vm, s->self.vm) == 0)
+        s->at = i;
+    }
+}
+
+void
+spr_update (spr_t *s, const ev_vm_t *vms, size_t n)
+{
+  talloc_free (s->list);
+  s->list = talloc_new (s);
+  _spr_ring_build (s, vms, n);
+  s->neighbour = talloc_array (s->list, const char *, s->count);
+  s->neighbour_count = 0;
+  for (size_t step = 1; step < s->count;
+       step = s->count <= SPR_ALL_MAX ? step + 1 : 2 * step)
+    s->neighbour[s->neighbour_count++] = s->ring[(s->at + step) % s->count].vm;
+}
+
+void
+spr_link_add (spr_t *s, const char *vm)
+{
+  for (size_t i = 0; i < s->linked_count; i++)
+    {
+      if (strcmp (s->linked[i], vm) == 0)
+        return;
+    }
+  if (s->linked_count == SPR_ALL_MAX)
+    return;
+  s->linked = talloc_realloc (s, s->linked, const char *, s->linked_count + 1);
+  s->linked[s->linked_count++] = talloc_strdup (s, vm);
+}
+
+size_t
+spr_count (const spr_t *s)
+{
+  return s->count;
+}
+
+const char *
+spr_vm (const spr_t *s, size_t i)
+{
+  return s->ring[i].vm;
+}
+
+const char *
+spr_data_centre (const spr_t *s, size_t i)
+{
+  return s->ring[i].data_centre;
+}
+
+size_t
+spr_neighbour_count (const spr_t *s)
+{
+  return s->count > 1 ? s->neighbour_count : s->linked_count;
+}
+
+const char *
+spr_neighbour (const spr_t *s, size_t i)
+{
+  return s->count > 1 ? s->neighbour[i] : s->linked[i];
+}
+
+static uint64_t
+_spr_rank (const char *vm)
+{
+  return XXH3_64bits (vm, strlen (vm));
+}
+
+bool
+spr_relays (const spr_t *s)
+{
+  unsigned before = 0;
+  uint64_t own = _spr_rank (s->self.vm);
+  for (size_t i = 0; i < s->count; i++)
+    {
+      if (strcmp (s->ring[i].data_centre, s->self.data_centre) == 0
+          && _spr_rank (s->ring[i].vm) < own)
+        before++;
+    }
+  return before < SPR_RELAYS;
+}
+
+const char *
+spr_next_hop (const spr_t *s, const char *vm)
+{
+  size_t target = s->count;
+  for (size_t i = 0; i < s->count; i++)
+    {
+      if (strcmp (s->ring[i].vm, vm) == 0)
+        target = i;
+    }
+  if (target == s->count || target == s->at)
+    return NULL;
+  size_t distance = (target + s->count - s->at) % s->count;
+  size_t step = 1;
+  if (s->count <= SPR_ALL_MAX)
+    return s->ring[target].vm;
+  while (2 * step <= distance)
+    step *= 2;
+  return s->ring[(s->at + step) % s->count].vm;
+}
