--- a/src/core/bat_end.c
+++ b/src/core/bat_end.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #define BAT_END_FLYING 8
+#define BAT_END_TRIES_MAX 5 /* bounds the back-off, not the tries */
 #define BAT_END_PATIENCE_MS (5 * CLK_SECOND)
 #define BAT_END_RETRY_AFTER_MS (2 * CLK_SECOND)
 
--- a/src/core/bat_rec.c
+++ b/src/core/bat_rec.c
@@ -202,24 +202,24 @@
 }
 
 char *
-bat_open_write (void *ctx, const bat_open_t *p)
+bat_open_write (void *ctx, const bat_open_t *o)
 {
   return _bat_dump (ctx,
-                    json_pack ("{s:s, s:I, s:i, s:i}", "customer", p->customer,
-                               "due", (json_int_t)p->due, "items",
-                               (int)p->items, "chunks", (int)p->chunks));
+                    json_pack ("{s:s, s:I, s:i, s:i}", "customer", o->customer,
+                               "due", (json_int_t)o->due, "items",
+                               (int)o->items, "chunks", (int)o->chunks));
 }
 
 bool
-bat_open_read (void *ctx, buf_t value, bat_open_t *p)
+bat_open_read (void *ctx, buf_t value, bat_open_t *o)
 {
-  json_t *o = _bat_load (value);
-  *p = (bat_open_t){ .customer = _bat_get_str (ctx, o, "customer"),
-                     .due = _bat_get_int (o, "due"),
-                     .items = (uint32_t)_bat_get_int (o, "items"),
-                     .chunks = (uint32_t)_bat_get_int (o, "chunks") };
-  json_decref (o);
-  return p->customer != NULL && p->chunks > 0;
+  json_t *json = _bat_load (value);
+  *o = (bat_open_t){ .customer = _bat_get_str (ctx, json, "customer"),
+                     .due = _bat_get_int (json, "due"),
+                     .items = (uint32_t)_bat_get_int (json, "items"),
+                     .chunks = (uint32_t)_bat_get_int (json, "chunks") };
+  json_decref (json);
+  return o->customer != NULL && o->chunks > 0;
 }
 
 char *
@@ -308,17 +308,17 @@
 }
 
 char *
-bat_outcome_write (void *ctx, const bat_outcome_t *out)
+bat_outcome_write (void *ctx, const bat_outcome_t *o)
 {
-  json_t *o = json_pack ("{s:i, s:s*, s:s}", "n", (int)out->n, "custom_id",
-                         out->custom_id, "state", _bat_ends[out->end]);
-  if (out->status != 0)
-    json_object_set_new (o, "status", json_integer (out->status));
-  if (out->end == BAT_FAILED)
-    json_object_set_new (o, "reason", json_string (out->reason));
-  if (out->end == BAT_DONE)
-    _bat_put_body (o, out->body);
-  char *text = _bat_dump (ctx, o);
+  json_t *json = json_pack ("{s:i, s:s*, s:s}", "n", (int)o->n, "custom_id",
+                            o->custom_id, "state", _bat_ends[o->end]);
+  if (o->status != 0)
+    json_object_set_new (json, "status", json_integer (o->status));
+  if (o->end == BAT_FAILED)
+    json_object_set_new (json, "reason", json_string (o->reason));
+  if (o->end == BAT_DONE)
+    _bat_put_body (json, o->body);
+  char *text = _bat_dump (ctx, json);
   return talloc_strdup_append (text, "\n");
 }
 
--- a/src/core/bat_scan.c
+++ b/src/core/bat_scan.c
@@ -10,8 +10,9 @@
 #define BAT_HELPERS_MIN 4
 #define BAT_CHUNKS_PER_HELPER 8
 #define BAT_LAPSE_SLACK_MS 200
-#define BAT_LAPSE_DRIFT 50 /* clocks may differ in rate by one part in this   \
-                            */
+#define BAT_LAPSE_DRIFT                                                       \
+  50 /* clocks may differ in rate by one part in this                         \
+      */
 
 /* -- jobs ----------------------------------------------------------------- */
 
--- a/src/core/crd.c
+++ b/src/core/crd.c
@@ -262,7 +262,7 @@
   uint32_t n = 0;
   for (size_t i = 0; i < c->count; i++)
     n += _crd_serves (&c->upstreams[i], ask->deployment, local, env->now);
-  for (size_t i = 0; i < c->count; i++)
+  for (size_t i = 0; n > 0 && i < c->count; i++)
     {
       crd_upstream_t *u = &c->upstreams[i];
       if (!_crd_serves (u, ask->deployment, local, env->now))
