Configuration in force: versions by section, one head, peers

Whole-document versions make two teams that change different sections refuse each other; versions for each object without a head make a change of several sections, and references between sections, not atomic. Chosen: 64 groups of sections as objects that are written once under a new name, and one small head that names them; its conditional update is what makes a change take effect. A change is checked against the versions of the sections it touches and, when another writer won, checked and written again. The head keeps the last 64 commands' tokens, so that an answer lost after its effect is told from a write that never happened.

VMs tell neighbours (all up to 16, else 1, 2, 4, 8 ... places on) their version on each change and one of them each second; who is behind asks for the records above its version. Two VMs in each data centre watch the platform.

Seen failing on the way: a removed section came back from an old base, as digests left removed records out (same_section_from_old_base...); hence records of removed sections are kept and covered.

--- a/src/core/cfs.c
+++ b/src/core/cfs.c
@@ -29,7 +29,7 @@
     c->desc.apply_ms = CFS_APPLY_MS_DEFAULT;
   if (c->desc.applies == 0)
     c->desc.applies = CFS_APPLIES_DEFAULT;
-  c->spr = spr_setup (c, env->vm, env->data_centre);
+  c->spr = spr_setup (c, env->vm, env->data_centre, desc->members);
   c->set = cfs_set_setup (c);
   c->writer = talloc_strdup (c, "");
   c->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -98,9 +98,7 @@
              offer->version, c->version);
   for (size_t i = 0; i < records->count; i++)
     cfs_set_put (c->set, &records->v[i]);
-  cfs_set_prune (c->set, offer->floor);
   c->version = offer->version;
-  c->floor = offer->floor;
   talloc_free ((void *)c->writer);
   c->writer = talloc_strdup (c, offer->writer);
   cfs_head_forget (c);
@@ -128,8 +126,8 @@
       return false;
     }
   void *tmp = talloc_new (NULL);
-  cfs_records_t records = cfs_set_complete (tmp, c->set, &offer->records,
-                                            offer->buckets, offer->floor);
+  cfs_records_t records
+      = cfs_set_complete (tmp, c->set, &offer->records, offer->buckets);
   cfs_digests_t digests = cfs_set_digests (c->set, &records);
   if (doc == NULL && cfs_digests_sum (&digests) == offer->digest)
     doc = _cfs_offer_parse (tmp, c, &records);
--- a/src/core/cfs.h
+++ b/src/core/cfs.h
@@ -35,6 +35,7 @@
 /** How to set it up. */
 typedef struct
 {
+  mbr_t *members;    /**< carries messages; NULL: open links only */
   cfs_check_t check; /**< default: sections */
   clk_ms_t tick_ms;  /**< between exchanges of versions; default 1 s */
   clk_ms_t apply_ms; /**< longest time for a change; default 10 s */
@@ -57,7 +58,7 @@
 {
   uint64_t id;
   st_code_t code;   /**< OK; INVALID: text is the faults, a line each;
-                         CONFLICT: text is the diff; STALE: base too old;
+                         CONFLICT: text is the diff; STALE: base not known;
                          UNAVAILABLE: nothing was changed; UNKNOWN */
   uint64_t version; /**< OK: which has it in force */
   bool unchanged;   /**< OK: it was in force already */
--- a/src/core/cfs_apply.c
+++ b/src/core/cfs_apply.c
@@ -194,8 +194,6 @@
   for (size_t i = 0; i < t->effect.records.count; i++)
     touched[cfs_set_bucket (t->effect.records.v[i].name)] = true;
   h->version = c->version + 1;
-  if (h->version > CFS_FLOOR_VERSIONS)
-    h->floor = h->version - CFS_FLOOR_VERSIONS;
   h->writer = talloc_strdup (h, env->vm);
   _cfs_head_token_add (h, t->change.token);
   t->step = CFS_APPLY_PARTS;
@@ -291,7 +289,7 @@
     }
   else if (code != ST_OK && !t->unknown)
     _cfs_task_fail (c, env, "the platform cannot be reached");
-  else if (c->head == NULL)
+  else if (c->head == NULL || c->fetch.ctx != NULL)
     _cfs_task_wait (c, env);
   else if (t->change.base > c->version)
     {
@@ -330,7 +328,6 @@
   cfs_head_t *old = talloc_steal (t, c->head);
   c->head = NULL;
   cfs_offer_t offer = { .version = t->head->version,
-                        .floor = t->head->floor,
                         .writer = t->head->writer,
                         .records = t->effect.records,
                         .source = CFS_FROM_APPLY };
--- a/src/core/cfs_check.c
+++ b/src/core/cfs_check.c
@@ -15,7 +15,6 @@
   char *diff;            /**< of all that changes */
   char *conflicts;       /**< of what changed since the base */
   char *faults;
-  bool stale;
 } _cfs_check_t;
 
 /* Lines of A that B has not, each behind MARK. */
@@ -81,8 +80,6 @@
                                     version, k->change->base);
       k->conflicts = _cfs_section_diff (k->conflicts, old, name, text);
     }
-  if (old == NULL && k->change->base > 0 && k->change->base < k->c->floor)
-    k->stale = true;
   if (_cfs_foreign (text, k->change->team)
       || (old != NULL && _cfs_foreign (old->text, k->change->team)))
     k->faults = talloc_asprintf_append (
@@ -175,11 +172,6 @@
       result->text = k.conflicts;
       result->code = ST_CONFLICT;
     }
-  else if (k.stale)
-    {
-      result->text = "the base version is too old: read again";
-      result->code = ST_STALE;
-    }
   else if (_cfs_candidate_parse (&k, effect) != ST_OK || k.faults[0] != '\0')
     {
       result->text = k.faults;
--- a/src/core/cfs_peer.c
+++ b/src/core/cfs_peer.c
@@ -3,7 +3,7 @@
  * Bodies (mpk.h), in the order of their fields:
  *   VERSION  version, digest                 on a change and in turn
  *   WANT     have, to (0: any), chunk        asks for what is newer
- *   DELTA    from, to, floor, digest, writer, chunk, last (1: yes), records
+ *   DELTA    from, to, digest, writer, chunk, last (1: yes), records
  *   ACK      writer, vm, version, hops       vm has it; on towards the writer
  */
 #include "core/cfs_private.h"
@@ -30,9 +30,10 @@
 }
 
 static void
-_cfs_send (env_t *env, const char *vm, int kind, mpk_writer_t *w)
+_cfs_send (const cfs_t *c, env_t *env, const char *vm, int kind,
+           mpk_writer_t *w)
 {
-  fx_send (env->fx, vm, (uint16_t)kind, mpk_done (w));
+  spr_send (c->spr, env, vm, (uint16_t)kind, mpk_done (w));
 }
 
 void
@@ -43,7 +44,7 @@
   mpk_writer_init (&w, tmp);
   mpk_put_uint (&w, c->version);
   mpk_put_uint (&w, _cfs_digest (c));
-  _cfs_send (env, vm, CFS_MSG_VERSION, &w);
+  _cfs_send (c, env, vm, CFS_MSG_VERSION, &w);
   talloc_free (tmp);
 }
 
@@ -61,7 +62,7 @@
   mpk_put_str (&w, buf_str (vm));
   mpk_put_uint (&w, version);
   mpk_put_uint (&w, hops);
-  _cfs_send (env, next, CFS_MSG_ACK, &w);
+  _cfs_send (c, env, next, CFS_MSG_ACK, &w);
   talloc_free (tmp);
 }
 
@@ -107,7 +108,7 @@
   mpk_put_uint (&w, p->to);
   mpk_put_uint (&w, p->chunk);
   p->until = env->now + CFS_PULL_MS;
-  _cfs_send (env, p->vm, CFS_MSG_WANT, &w);
+  _cfs_send (c, env, p->vm, CFS_MSG_WANT, &w);
 }
 
 void
@@ -222,8 +223,6 @@
       cfs_peer_announce (c, env, vm);
       return;
     }
-  if (have < c->floor)
-    have = 0;
   void *tmp = talloc_new (NULL);
   cfs_records_t all = cfs_set_since (tmp, c->set, have);
   bool last;
@@ -232,13 +231,12 @@
   mpk_writer_init (&w, tmp);
   mpk_put_uint (&w, have);
   mpk_put_uint (&w, c->version);
-  mpk_put_uint (&w, c->floor);
   mpk_put_uint (&w, _cfs_digest (c));
   mpk_put_str (&w, buf_str (c->writer));
   mpk_put_uint (&w, chunk);
   mpk_put_uint (&w, last ? 1 : 0);
   cfs_records_write (&w, &part);
-  _cfs_send (env, vm, CFS_MSG_DELTA, &w);
+  _cfs_send (c, env, vm, CFS_MSG_DELTA, &w);
   talloc_free (tmp);
 }
 
@@ -261,7 +259,6 @@
   uint64_t from = mpk_get_uint (r);
   cfs_offer_t offer = { .source = CFS_FROM_PEER, .vm = vm };
   offer.version = mpk_get_uint (r);
-  offer.floor = mpk_get_uint (r);
   offer.digest = mpk_get_uint (r);
   offer.writer = mpk_get_str (r).p;
   uint64_t chunk = mpk_get_uint (r);
--- a/src/core/cfs_private.h
+++ b/src/core/cfs_private.h
@@ -16,9 +16,6 @@
 /** Tokens that the head remembers. */
 #define CFS_TOKENS_MAX 64
 
-/** Versions for which removed sections are remembered. */
-#define CFS_FLOOR_VERSIONS 1000
-
 /** Largest part, in bytes; the platform takes a megabyte. */
 #define CFS_PART_MAX ((size_t)1000000)
 
@@ -58,7 +55,6 @@
 {
   uint64_t version;
   uint64_t object_version;
-  uint64_t floor;
   const char *writer; /**< VM */
   cfs_token_t tokens[CFS_TOKENS_MAX];
   size_t token_count;
@@ -77,7 +73,6 @@
 typedef struct
 {
   uint64_t version;
-  uint64_t floor;
   uint64_t digest;    /**< of the result */
   const char *writer; /**< VM */
   cfs_records_t records;
@@ -141,8 +136,8 @@
   cfs_effect_t effect;
   cfs_head_t *head; /**< to be written */
   bool written[CFS_BUCKETS];
-  size_t waiting;      /**< parts */
-  st_code_t part_code; /**< first failure of a part */
+  size_t waiting;        /**< parts */
+  st_code_t part_code;   /**< first failure of a part */
   unsigned part_repeats; /**< parts written again */
 } cfs_task_t;
 
@@ -163,7 +158,6 @@
   cfg_doc_t *last_doc; /**< kept until the change has been seen */
   bool changed;
   uint64_t version;
-  uint64_t floor;
   const char *writer;
   cfs_head_t *head; /**< as last read; NULL: to be read */
   uint64_t seq;
--- a/src/core/cfs_set.c
+++ b/src/core/cfs_set.c
@@ -44,7 +44,7 @@
 static uint64_t
 _cfs_record_digest (const cfs_record_t *r)
 {
-  if (r == NULL || r->text[0] == '\0')
+  if (r == NULL || r->text == NULL)
     return 0;
   uint64_t name = XXH3_64bits (r->name, strlen (r->name));
   return XXH3_64bits_withSeed (r->text, strlen (r->text), name ^ r->version);
@@ -74,27 +74,15 @@
   cfs_record_t *old = g_hash_table_lookup (set->records, r->name);
   if (old != NULL)
     _cfs_set_drop (set, old);
+  if (r->text == NULL)
+    {
+      talloc_free (r);
+      return;
+    }
   g_hash_table_insert (set->records, (gpointer)r->name, r);
   set->digests.v[cfs_set_bucket (r->name)] ^= _cfs_record_digest (r);
 }
 
-static gboolean
-_cfs_record_pruned (void *key, void *value, void *data)
-{
-  (void)key;
-  cfs_record_t *r = value;
-  if (r->text[0] != '\0' || r->version > *(const uint64_t *)data)
-    return FALSE;
-  talloc_free (r);
-  return TRUE;
-}
-
-void
-cfs_set_prune (cfs_set_t *set, uint64_t floor)
-{
-  g_hash_table_foreach_remove (set->records, _cfs_record_pruned, &floor);
-}
-
 static int
 _cfs_record_compare (const void *a, const void *b)
 {
@@ -181,7 +169,10 @@
         g_string_append (text, all.v[i].text);
     }
   for (size_t i = 0; changes != NULL && i < changes->count; i++)
-    g_string_append (text, changes->v[i].text);
+    {
+      if (changes->v[i].text != NULL)
+        g_string_append (text, changes->v[i].text);
+    }
   buf_t out = buf_copy (ctx, (buf_t){ .p = text->str, .n = text->len });
   g_string_free (text, TRUE);
   g_hash_table_destroy (changed);
@@ -192,7 +183,7 @@
 cfs_records_t
 cfs_set_complete (void *ctx, const cfs_set_t *set,
                   const cfs_records_t *records,
-                  const bool buckets[CFS_BUCKETS], uint64_t floor)
+                  const bool buckets[CFS_BUCKETS])
 {
   cfs_records_t old = cfs_set_since (ctx, set, 0);
   cfs_records_t out = { .v = talloc_array (ctx, cfs_record_t,
@@ -205,8 +196,7 @@
       const cfs_record_t *r = &old.v[i];
       if (buckets[cfs_set_bucket (r->name)]
           && !g_hash_table_contains (given, r->name))
-        out.v[out.count++]
-            = (cfs_record_t){ .name = r->name, .text = "", .version = floor };
+        out.v[out.count++] = (cfs_record_t){ .name = r->name };
     }
   g_hash_table_destroy (given);
   return out;
--- a/src/core/cfs_set.h
+++ b/src/core/cfs_set.h
@@ -7,9 +7,9 @@
  *                                      .version = 7 });
  *   cfs_records_t news = cfs_set_since (ctx, set, 6);
  *
- * A removed section stays as a record without text until the floor passes
- * it, so that an old base is recognised and peers hear of the removal.
- * Digests cover the sections that are there, in CFS_BUCKETS groups.
+ * A removed section stays as a record without text, so that an old base is
+ * recognised and peers hear of the removal.  Digests cover all records, in
+ * CFS_BUCKETS groups.
  */
 #ifndef RTS_CFS_SET_H
 #define RTS_CFS_SET_H
@@ -26,7 +26,7 @@
 typedef struct
 {
   const char *name;
-  const char *text; /**< "": removed */
+  const char *text; /**< "": removed; NULL: to be forgotten */
   uint64_t version; /**< of the document that brought this text */
 } cfs_record_t;
 
@@ -60,9 +60,6 @@
 /** Store a copy of RECORD in place of the one of that name. */
 void cfs_set_put (cfs_set_t *set, const cfs_record_t *record);
 
-/** Forget removed sections of versions up to FLOOR. */
-void cfs_set_prune (cfs_set_t *set, uint64_t floor);
-
 /** Records, removed ones too, with versions above VERSION; they borrow their
  * strings until the set changes. */
 cfs_records_t cfs_set_since (void *ctx, const cfs_set_t *set,
@@ -84,12 +81,11 @@
 buf_t cfs_set_text (void *ctx, const cfs_set_t *set,
                     const cfs_records_t *changes, bool replace);
 
-/** RECORDS and a removal, at version FLOOR, of each section that stands in
- * one of the groups BUCKETS but is not among them. */
+/** RECORDS, and one without text for each section that stands in one of the
+ * groups BUCKETS but is not among them. */
 cfs_records_t cfs_set_complete (void *ctx, const cfs_set_t *set,
                                 const cfs_records_t *records,
-                                const bool buckets[CFS_BUCKETS],
-                                uint64_t floor);
+                                const bool buckets[CFS_BUCKETS]);
 
 /** Put MORE behind ALL, whose array CTX owns; strings are borrowed. */
 void cfs_records_append (void *ctx, cfs_records_t *all,
--- a/src/core/cfs_store.c
+++ b/src/core/cfs_store.c
@@ -17,7 +17,6 @@
   mpk_writer_init (&w, ctx);
   mpk_put_uint (&w, CFS_FORMAT);
   mpk_put_uint (&w, head->version);
-  mpk_put_uint (&w, head->floor);
   mpk_put_str (&w, buf_str (head->writer));
   mpk_put_uint (&w, head->token_count);
   for (size_t i = 0; i < head->token_count; i++)
@@ -41,7 +40,6 @@
   mpk_reader_t r = mpk_reader (h, object->value);
   bool known = mpk_get_uint (&r) == CFS_FORMAT;
   h->version = mpk_get_uint (&r);
-  h->floor = mpk_get_uint (&r);
   h->writer = mpk_get_str (&r).p;
   h->token_count = mpk_get_uint (&r);
   known = known && h->token_count <= CFS_TOKENS_MAX;
@@ -140,7 +138,6 @@
   f->head = talloc_steal (f->ctx, head);
   f->seq = ++c->seq;
   f->offer = (cfs_offer_t){ .version = head->version,
-                            .floor = head->floor,
                             .writer = head->writer,
                             .source = CFS_FROM_PLATFORM };
   cfs_digests_t own = cfs_set_digests (c->set, NULL);
@@ -211,6 +208,7 @@
     }
   else
     {
+      cfs_head_forget (c);
       void *owner = talloc_new (c);
       talloc_steal (owner, head);
       _cfs_fetch_start (c, env, head);
--- a/src/core/key_spread.c
+++ b/src/core/key_spread.c
@@ -44,13 +44,14 @@
 }
 
 static void
-_key_send (env_t *env, const char *vm, int kind, mpk_writer_t *w)
+_key_send (const key_set_t *k, env_t *env, const char *vm, int kind,
+           mpk_writer_t *w)
 {
-  fx_send (env->fx, vm, (uint16_t)kind, mpk_done (w));
+  spr_send (k->desc.peers, env, vm, (uint16_t)kind, mpk_done (w));
 }
 
 static void
-_key_withdrawals_send (env_t *env, const char *vm,
+_key_withdrawals_send (const key_set_t *k, env_t *env, const char *vm,
                        const key_withdrawal_t *const *v, size_t n)
 {
   void *tmp = talloc_new (NULL);
@@ -59,7 +60,7 @@
   mpk_put_uint (&w, n);
   for (size_t i = 0; i < n; i++)
     _key_withdrawal_write (&w, v[i]);
-  _key_send (env, vm, KEY_MSG_WITHDRAWN, &w);
+  _key_send (k, env, vm, KEY_MSG_WITHDRAWN, &w);
   talloc_free (tmp);
 }
 
@@ -72,7 +73,7 @@
     return;
   const spr_t *peers = k->desc.peers;
   for (size_t i = 0; i < spr_neighbour_count (peers); i++)
-    _key_withdrawals_send (env, spr_neighbour (peers, i), v, n);
+    _key_withdrawals_send (k, env, spr_neighbour (peers, i), v, n);
 }
 
 static void
@@ -103,7 +104,7 @@
   mpk_put_str (&w, buf_str (vm));
   mpk_put_str (&w, buf_str (sha256));
   mpk_put_uint (&w, hops);
-  _key_send (env, next, KEY_MSG_CONFIRM, &w);
+  _key_send (k, env, next, KEY_MSG_CONFIRM, &w);
   talloc_free (tmp);
 }
 
@@ -124,7 +125,7 @@
   mpk_writer_t w;
   mpk_writer_init (&w, tmp);
   mpk_put_uint (&w, _key_digest (k));
-  _key_send (env, vm, KEY_MSG_DIGEST, &w);
+  _key_send (k, env, vm, KEY_MSG_DIGEST, &w);
   talloc_free (tmp);
 }
 
@@ -137,7 +138,7 @@
   mpk_put_uint (&w, answer ? 1 : 0);
   for (unsigned b = 0; b < KEY_BUCKETS; b++)
     mpk_put_uint (&w, k->digests[b]);
-  _key_send (env, vm, KEY_MSG_BUCKETS, &w);
+  _key_send (k, env, vm, KEY_MSG_BUCKETS, &w);
   talloc_free (tmp);
 }
 
@@ -200,12 +201,12 @@
       v[n++] = value;
       if (n == KEY_SEND_MAX)
         {
-          _key_withdrawals_send (env, vm, v, n);
+          _key_withdrawals_send (k, env, vm, v, n);
           n = 0;
         }
     }
   if (n > 0)
-    _key_withdrawals_send (env, vm, v, n);
+    _key_withdrawals_send (k, env, vm, v, n);
 }
 
 static void
--- a/src/core/spr.c
+++ b/src/core/spr.c
@@ -14,10 +14,12 @@
 struct spr
 {
   _spr_vm_t self;
-  void *list; /**< owns all that follows */
+  mbr_t *members; /**< may be NULL */
+  void *list;     /**< owns all that follows */
   _spr_vm_t *ring;
   size_t count;
   size_t at; /**< of this VM */
+  bool relays;
   const char **neighbour;
   size_t neighbour_count;
   const char **linked;
@@ -25,9 +27,10 @@
 };
 
 spr_t *
-spr_setup (void *ctx, const char *vm, const char *data_centre)
+spr_setup (void *ctx, const char *vm, const char *data_centre, mbr_t *members)
 {
   spr_t *s = talloc_zero (ctx, spr_t);
+  s->members = members;
   s->self.vm = talloc_strdup (s, vm);
   s->self.data_centre = talloc_strdup (s, data_centre);
   spr_update (s, NULL, 0);
@@ -71,12 +74,33 @@
     }
 }
 
+static uint64_t
+_spr_rank (const char *vm)
+{
+  return XXH3_64bits (vm, strlen (vm));
+}
+
+static bool
+_spr_relays (const spr_t *s)
+{
+  unsigned before = 0;
+  uint64_t own = _spr_rank (s->self.vm);
+  for (size_t i = 0; i < s->count; i++)
+    {
+      if (strcmp (s->ring[i].data_centre, s->self.data_centre) == 0
+          && _spr_rank (s->ring[i].vm) < own)
+        before++;
+    }
+  return before < SPR_RELAYS;
+}
+
 void
 spr_update (spr_t *s, const ev_vm_t *vms, size_t n)
 {
   talloc_free (s->list);
   s->list = talloc_new (s);
   _spr_ring_build (s, vms, n);
+  s->relays = _spr_relays (s);
   s->neighbour = talloc_array (s->list, const char *, s->count);
   s->neighbour_count = 0;
   for (size_t step = 1; step < s->count;
@@ -128,42 +152,36 @@
   return s->count > 1 ? s->neighbour[i] : s->linked[i];
 }
 
-static uint64_t
-_spr_rank (const char *vm)
-{
-  return XXH3_64bits (vm, strlen (vm));
-}
-
 bool
 spr_relays (const spr_t *s)
 {
-  unsigned before = 0;
-  uint64_t own = _spr_rank (s->self.vm);
-  for (size_t i = 0; i < s->count; i++)
-    {
-      if (strcmp (s->ring[i].data_centre, s->self.data_centre) == 0
-          && _spr_rank (s->ring[i].vm) < own)
-        before++;
-    }
-  return before < SPR_RELAYS;
+  return s->relays;
 }
 
 const char *
 spr_next_hop (const spr_t *s, const char *vm)
 {
-  size_t target = s->count;
-  for (size_t i = 0; i < s->count; i++)
-    {
-      if (strcmp (s->ring[i].vm, vm) == 0)
-        target = i;
-    }
-  if (target == s->count || target == s->at)
+  const _spr_vm_t wanted = { .vm = vm };
+  const _spr_vm_t *found
+      = bsearch (&wanted, s->ring, s->count, sizeof wanted, _spr_compare);
+  size_t target = found == NULL ? s->at : (size_t)(found - s->ring);
+  if (target == s->at)
     return NULL;
   size_t distance = (target + s->count - s->at) % s->count;
   size_t step = 1;
-  if (s->count <= SPR_ALL_MAX)
+  if (s->members != NULL || s->count <= SPR_ALL_MAX)
     return s->ring[target].vm;
   while (2 * step <= distance)
     step *= 2;
   return s->ring[(s->at + step) % s->count].vm;
 }
+
+void
+spr_send (const spr_t *s, env_t *env, const char *vm, uint16_t kind,
+          buf_t body)
+{
+  if (s->members != NULL && s->count > 1)
+    mbr_send (s->members, env, vm, kind, body);
+  else
+    fx_send (env->fx, vm, kind, body);
+}
--- a/src/core/spr.h
+++ b/src/core/spr.h
@@ -1,7 +1,7 @@
 /** @file
  * Which peers a VM passes news on to, and which VMs watch the platform.
  *
- *   spr_t *s = spr_setup (ctx, "jy-vejle-1", "jy-vejle");
+ *   spr_t *s = spr_setup (ctx, "jy-vejle-1", "jy-vejle", members);
  *   spr_update (s, vms, vm_count);                    at each membership
  * change for (size_t i = 0; i < spr_neighbour_count (s); i++) send to
  * spr_neighbour (s, i); if (spr_relays (s)) ... watch the platform for the
@@ -10,12 +10,13 @@
  * The VMs stand on a ring by name.  In a small fleet everybody is a
  * neighbour; in a large one the neighbours are 1, 2, 4, 8 ... places on, so
  * that news reaches all n VMs in at most log2 (n) steps and nobody talks to
- * more than 2 log2 (n) others.  Does not send anything itself.
+ * more than 2 log2 (n) others.
  */
 #ifndef RTS_SPR_H
 #define RTS_SPR_H
 
 #include "core/ev.h"
+#include "core/mbr.h"
 
 /** Up to this size all VMs are each other's neighbours. */
 #define SPR_ALL_MAX 16
@@ -25,8 +26,10 @@
 
 typedef struct spr spr_t;
 
-/** New ring owned by CTX that holds only this VM. */
-spr_t *spr_setup (void *ctx, const char *vm, const char *data_centre);
+/** New ring owned by CTX that holds only this VM.  MEMBERS (may be NULL, then
+ * only open links are used) carries messages to VMs without a link. */
+spr_t *spr_setup (void *ctx, const char *vm, const char *data_centre,
+                  mbr_t *members);
 
 /** Free it. */
 void spr_shutdown (spr_t *s);
@@ -51,8 +54,13 @@
 /** Whether this VM watches the platform for its data centre. */
 bool spr_relays (const spr_t *s);
 
-/** The neighbour that is nearest to VM on the ring; NULL: VM is not on it or
- * is this VM. */
+/** Send to VM; may be lost. */
+void spr_send (const spr_t *s, env_t *env, const char *vm, uint16_t kind,
+               buf_t body);
+
+/** Where a message for VM goes next: to itself when there are MEMBERS, else
+ * to the neighbour that is nearest to it on the ring.  NULL: VM is not on the
+ * ring or is this VM. */
 const char *spr_next_hop (const spr_t *s, const char *vm);
 
 #endif
