Routing: an upstream's life as a chart; an answer to "all are full"

Cause: whether an upstream is suspected stood in two fields that had to be read together; and a caller that wants to hold requests back could not tell "no upstream can be used" from "all have enough".

Change: charts/upstream.ini (well, suspected, proving), interpreted in rte_life.c; rte_ask_t.hold and rte_pick_t.full.

--- a/src/core/cht_data.c
+++ b/src/core/cht_data.c
@@ -20,6 +20,8 @@
 CHT_EMBED (item);
 CHT_EMBED (job);
 CHT_EMBED (node);
+CHT_EMBED (request);
+CHT_EMBED (upstream);
 
 static const struct
 {
@@ -30,6 +32,8 @@
   { "item", cht_text_item },
   { "job", cht_text_job },
   { "node", cht_text_node },
+  { "request", cht_text_request },
+  { "upstream", cht_text_upstream },
 };
 
 #define _CHT_TEXT_COUNT (sizeof _cht_texts / sizeof _cht_texts[0])
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -15,6 +15,7 @@
 
 #define RTE_REPORT_MS_DEFAULT 200
 #define RTE_EXCHANGE_MS_DEFAULT 100
+#define RTE_QUEUE_DEFAULT 2
 #define RTE_DISTANCE_MS_DEFAULT 4
 #define RTE_SUBSET_DEFAULT 24
 #define RTE_PREFIXES_DEFAULT 4096
@@ -30,8 +31,6 @@
 #define RTE_SLOWNESS_MAX 50.0
 /** An older report says nothing about now. */
 #define RTE_REPORT_OLD_MS (5 * CLK_SECOND)
-/** Failures are forgotten after this time without one. */
-#define RTE_QUIET_MS (30 * CLK_SECOND)
 
 static int
 _rte_destroy (rte_t *r)
@@ -63,6 +62,8 @@
     r->desc.report_ms = RTE_REPORT_MS_DEFAULT;
   if (r->desc.exchange_ms == 0)
     r->desc.exchange_ms = RTE_EXCHANGE_MS_DEFAULT;
+  if (r->desc.queue == 0)
+    r->desc.queue = RTE_QUEUE_DEFAULT;
   if (r->desc.distance_ms == 0)
     r->desc.distance_ms = RTE_DISTANCE_MS_DEFAULT;
   if (r->desc.subset == 0)
@@ -79,6 +80,7 @@
   r->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   r->deployments = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                           _rte_deployment_free);
+  r->life = rte_life_setup (r);
   r->holders = rte_holders_setup (r, r->desc.prefixes);
   talloc_set_destructor (r, _rte_destroy);
   g_queue_init (&r->changed);
@@ -277,15 +279,6 @@
   u->slowness_at = now;
 }
 
-/** An answer came: the upstream is well, or is again. */
-static void
-_rte_well (rte_upstream_t *u, clk_ms_t now)
-{
-  u->proving = false;
-  if (now - u->failed_at > RTE_QUIET_MS)
-    u->failures = 0;
-}
-
 void
 rte_first_byte (rte_t *r, env_t *env, uint64_t handle)
 {
@@ -305,7 +298,7 @@
       _rte_learn (f->held ? &d->hit_ms : &d->miss_ms, fmin (took, cap));
       d->miss_ms = fmax (d->miss_ms, d->hit_ms);
     }
-  _rte_well (u, env->now);
+  rte_life_answer (r, u, env->now);
   cnt_observe (env->cnt, "rts_route_first_byte_ms", "", took);
 }
 
@@ -332,28 +325,11 @@
   rte_flight_t *f = _rte_flight (r, handle, &u);
   if (f == NULL)
     return;
-  bool began_before = f->sent_at < u->failed_at && env->now < u->suspect_until;
   if (f->prefix != 0)
     rte_holders_drop (r->holders, f->prefix, u->id);
   _rte_flight_end (r, f, u);
-  if (fail == RTE_FAIL_CANCELLED)
-    return;
-  if (env->now - u->failed_at > RTE_QUIET_MS)
-    u->failures = 0;
-  u->failed_at = env->now;
-  u->proving = true;
-  /* Requests that fell with the first one are one failure, not many. */
-  if (began_before)
-    return;
-  unsigned doublings = u->failures < 10 ? u->failures : 10;
-  clk_ms_t away
-      = clk_min (r->desc.suspect_ms << doublings, r->desc.suspect_max_ms);
-  u->failures++;
-  u->suspect_until = env->now + env_jitter (env, away);
-  cnt_add (env->cnt, "rts_route_suspected_total", "", 1);
-  tln_record (env->tln, env->now, MOD_ROUTE, "suspect",
-              "upstream=%s failures=%u away_ms=%lld", u->name, u->failures,
-              (long long)away);
+  if (fail != RTE_FAIL_CANCELLED)
+    rte_life_fail (r, env, u);
 }
 
 void
@@ -424,15 +400,14 @@
         continue;
       json_array_append_new (
           all,
-          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f}",
-                     "upstream", u->name, "deployment", u->deployment,
-                     "data_centre", u->data_centre, "leaving",
-                     rte_leaving (r, u->name), "suspected",
-                     env->now < u->suspect_until || u->proving, "silent",
-                     (u->state & RTE_BIT_SILENT) != 0, "polled_here",
-                     u->poll != NULL, "in_flight", (int)(u->online + u->batch),
-                     "load", (int)rte_load (u, env->now), "slowness",
-                     rte_slowness (u, env->now)));
+          json_pack (
+              "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f}", "upstream",
+              u->name, "deployment", u->deployment, "data_centre",
+              u->data_centre, "leaving", rte_leaving (r, u->name), "suspected",
+              u->life != RTE_WELL, "silent", (u->state & RTE_BIT_SILENT) != 0,
+              "polled_here", u->poll != NULL, "in_flight",
+              (int)(u->online + u->batch), "load", (int)rte_load (u, env->now),
+              "slowness", rte_slowness (u, env->now)));
     }
   char *text = json_dumps (all, JSON_COMPACT);
   char *copy = talloc_strdup (ctx, text);
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -49,6 +49,8 @@
   clk_ms_t report_ms;      /**< between load reports; default 200 */
   clk_ms_t exchange_ms;    /**< between messages to a poller; default 100, more
                                 when there are many pollers */
+  uint32_t queue;          /**< requests beyond its slots that an upstream may
+                                get in spite of rte_ask_t.hold; default 2 */
   clk_ms_t distance_ms;    /**< price of another data centre; default 4 */
   uint32_t subset;         /**< most upstreams of a deployment that this VM
                                 uses, in each data centre; default 24 */
@@ -67,11 +69,13 @@
   const char *const *avoid; /**< upstreams not to choose */
   size_t avoid_count;
   bool batch; /**< counted apart from online requests */
+  bool hold;  /**< choose none whose slots, and a few places more, are taken */
 } rte_ask_t;
 
 /** What was chosen; the strings live until the next configuration. */
 typedef struct
 {
+  bool full;       /**< rte_pick gave false only because of rte_ask_t.hold */
   uint64_t handle; /**< for rte_started and what follows */
   const char *upstream;
   const char *address;
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -63,10 +63,10 @@
 {
   if (!u->configured || u->leaving || (u->state & RTE_BIT_LEAVING) != 0)
     return false;
-  if (now < u->suspect_until)
-    return false;
+  if (u->life == RTE_WELL)
+    return true;
   /* After suspicion one request at a time shows whether it is well. */
-  return !u->proving || u->online + u->batch == 0;
+  return now >= u->suspect_until && u->online + u->batch == 0;
 }
 
 static bool
@@ -147,7 +147,7 @@
 
 static rte_candidate_t
 _rte_choose (const rte_t *r, env_t *env, const rte_deployment_t *d,
-             const rte_ask_t *ask, bool suspects)
+             const rte_ask_t *ask, bool suspects, bool *full)
 {
   rte_candidate_t best = { .upstream = NULL };
   unsigned equal = 0;
@@ -163,6 +163,12 @@
                  && u->online + u->batch == 0;
       if (!usable)
         continue;
+      if (ask->hold && u->slots > 0
+          && rte_load (u, env->now) >= u->slots + r->desc.queue)
+        {
+          *full = true;
+          continue;
+        }
       rte_candidate_t c = _rte_cost (r, env, d, ask, u, home);
       if (best.upstream == NULL || c.cost_ms < best.cost_ms - RTE_EQUAL_MS)
         {
@@ -200,6 +206,7 @@
     u->batch++;
   else
     u->online++;
+  rte_life_lapse (r, u, env->now);
   u->queued += c->queued;
   r->picked_at = env->now;
   rte_load_changed (r, u);
@@ -212,12 +219,19 @@
 rte_pick (rte_t *r, env_t *env, const rte_ask_t *ask, rte_pick_t *pick)
 {
   rte_deployment_t *d = g_hash_table_lookup (r->deployments, ask->deployment);
+  *pick = (rte_pick_t){ .full = false };
   if (d == NULL)
     return false;
-  rte_candidate_t c = _rte_choose (r, env, d, ask, false);
+  bool full = false;
+  rte_candidate_t c = _rte_choose (r, env, d, ask, false, &full);
+  if (c.upstream == NULL && full)
+    {
+      *pick = (rte_pick_t){ .full = true };
+      return false;
+    }
   if (c.upstream == NULL)
     {
-      c = _rte_choose (r, env, d, ask, true);
+      c = _rte_choose (r, env, d, ask, true, &full);
       cnt_add (env->cnt, "rts_route_suspects_tried_total", "", 1);
     }
   if (c.upstream == NULL)
--- /dev/null
+++ b/src/core/rte_life.c
@@ -0,0 +1,81 @@
+/** @file
+ * Whether an upstream is well, by the outcome of this VM's own requests
+ * (charts/upstream.ini).
+ */
+#include "core/inv.h"
+#include "core/rte_state.h"
+
+/** Failures are forgotten after this time without one. */
+#define RTE_QUIET_MS (30 * CLK_SECOND)
+#define RTE_DOUBLINGS_MAX 10
+
+enum
+{
+  RTE_DO_LEAVE_OUT,
+  RTE_DO_NUM
+};
+
+cht_t *
+rte_life_setup (void *ctx)
+{
+  static const char *const states[RTE_LIFE_NUM]
+      = { "well", "suspected", "proving" };
+  static const char *const events[RTE_EV_NUM] = { "answer", "fail", "lapse" };
+  static const char *const actions[RTE_DO_NUM] = { "leave-out" };
+  st_t st = { 0 };
+  cht_t *c = cht_setup (ctx,
+                        &(cht_desc_t){ .text = cht_text ("upstream"),
+                                       .states = states,
+                                       .state_count = RTE_LIFE_NUM,
+                                       .events = events,
+                                       .event_count = RTE_EV_NUM,
+                                       .actions = actions,
+                                       .action_count = RTE_DO_NUM },
+                        &st);
+  INV_CHECK (c != NULL, "chart-is-good", "upstream: %s", st.message);
+  return c;
+}
+
+static bool
+_rte_life_fire (const rte_t *r, rte_upstream_t *u, rte_life_ev_t event)
+{
+  cht_step_t step = cht_fire (r->life, (int)u->life, (int)event, 0);
+  u->life = (rte_life_t)step.next;
+  return step.action_count > 0;
+}
+
+void
+rte_life_lapse (const rte_t *r, rte_upstream_t *u, clk_ms_t now)
+{
+  if (now >= u->suspect_until)
+    (void)_rte_life_fire (r, u, RTE_EV_LAPSE);
+}
+
+void
+rte_life_answer (const rte_t *r, rte_upstream_t *u, clk_ms_t now)
+{
+  rte_life_lapse (r, u, now);
+  (void)_rte_life_fire (r, u, RTE_EV_ANSWER);
+}
+
+void
+rte_life_fail (const rte_t *r, env_t *env, rte_upstream_t *u)
+{
+  rte_life_lapse (r, u, env->now);
+  if (env->now - u->failed_at > RTE_QUIET_MS)
+    u->failures = 0;
+  u->failed_at = env->now;
+  /* Requests that fall with the first one are one failure, not many. */
+  if (!_rte_life_fire (r, u, RTE_EV_FAIL))
+    return;
+  unsigned doublings
+      = u->failures < RTE_DOUBLINGS_MAX ? u->failures : RTE_DOUBLINGS_MAX;
+  clk_ms_t away
+      = clk_min (r->desc.suspect_ms << doublings, r->desc.suspect_max_ms);
+  u->failures++;
+  u->suspect_until = env->now + env_jitter (env, away);
+  cnt_add (env->cnt, "rts_route_suspected_total", "", 1);
+  tln_record (env->tln, env->now, MOD_ROUTE, "suspect",
+              "upstream=%s failures=%u away_ms=%lld", u->name, u->failures,
+              (long long)away);
+}
--- a/src/core/rte_state.h
+++ b/src/core/rte_state.h
@@ -4,6 +4,7 @@
 #ifndef RTS_RTE_STATE_H
 #define RTS_RTE_STATE_H
 
+#include "core/cht.h"
 #include "core/rte.h"
 #include "core/tbl.h"
 
@@ -24,6 +25,24 @@
 /** Polls of one upstream without an answer before it counts as silent. */
 #define RTE_SILENT_POLLS 3
 
+/** States of charts/upstream.ini, in the order of the names in rte_life.c. */
+typedef enum
+{
+  RTE_WELL,
+  RTE_SUSPECTED,
+  RTE_PROVING,
+  RTE_LIFE_NUM
+} rte_life_t;
+
+/** Its events. */
+typedef enum
+{
+  RTE_EV_ANSWER,
+  RTE_EV_FAIL,
+  RTE_EV_LAPSE,
+  RTE_EV_NUM
+} rte_life_ev_t;
+
 /** One cache event, as a poller keeps it. */
 typedef struct
 {
@@ -94,7 +113,7 @@
   unsigned failures; /**< without a quiet time in between */
   clk_ms_t failed_at;
   clk_ms_t suspect_until;
-  bool proving; /**< suspected before, not one answer since */
+  rte_life_t life;
 
   rte_poll_t *poll; /**< NULL unless this VM polls it */
 } rte_upstream_t;
@@ -130,6 +149,7 @@
 struct rte
 {
   rte_desc_t desc;
+  const cht_t *life;
   tbl_t *upstreams;
   tbl_t *flights;
   GHashTable *by_name;         /**< upstream name to rte_upstream_t */
@@ -159,6 +179,12 @@
   RTE_TIMER_EXCHANGE,
 };
 
+/* rte_life.c: whether an upstream is well, by this VM's own requests. */
+cht_t *rte_life_setup (void *ctx);
+void rte_life_lapse (const rte_t *r, rte_upstream_t *u, clk_ms_t now);
+void rte_life_answer (const rte_t *r, rte_upstream_t *u, clk_ms_t now);
+void rte_life_fail (const rte_t *r, env_t *env, rte_upstream_t *u);
+
 /* rte_choice.c */
 uint32_t rte_load (const rte_upstream_t *u, clk_ms_t now);
 bool rte_usable (const rte_upstream_t *u, clk_ms_t now);
