--- a/src/core/key_spread.c
+++ b/src/core/key_spread.c
@@ -13,10 +13,10 @@
 #include <talloc.h>
 #include <xxhash.h>
 
-#define KEY_MSG_WITHDRAWN (MSG_CONFIG_FIRST + 8)
-#define KEY_MSG_DIGEST (MSG_CONFIG_FIRST + 9)
-#define KEY_MSG_BUCKETS (MSG_CONFIG_FIRST + 10)
-#define KEY_MSG_CONFIRM (MSG_CONFIG_FIRST + 11)
+#define KEY_MSG_WITHDRAWN (MSG_KEY_FIRST + 0)
+#define KEY_MSG_DIGEST (MSG_KEY_FIRST + 1)
+#define KEY_MSG_BUCKETS (MSG_KEY_FIRST + 2)
+#define KEY_MSG_CONFIRM (MSG_KEY_FIRST + 3)
 
 #define KEY_HOPS_MAX 16
 #define KEY_SEND_MAX 1000 /**< withdrawals in one message */
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -16,7 +16,8 @@
 /** Kinds of message, in blocks of 16 a module. */
 typedef enum
 {
-  MSG_CONFIG_FIRST = 16, /**< cfg, key: 16 to 31 */
+  MSG_CONFIG_FIRST = 16, /**< cfs: 16 to 23 */
+  MSG_KEY_FIRST = 24,    /**< key: 24 to 31 */
   MSG_MEMBER_FIRST = 32, /**< mbr: 32 to 47 */
   MSG_LIMIT_FIRST = 48,  /**< lim: 48 to 63 */
   MSG_ROUTE_FIRST = 64,  /**< rte: 64 to 79 */
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -23,6 +23,7 @@
   const char *address;     /**< of its peer port, "IP:PORT" */
   uint64_t incarnation;    /**< larger at each start of the same VM */
   uint32_t seed;
+  clk_ms_t unix_offset_ms; /**< Unix time less the driver's; for due times */
   const char *operator_token_sha256; /**< lower-case hex; NULL: no operators */
 } node_desc_t;
 
--- /dev/null
+++ b/src/core/node_mods.c
@@ -0,0 +1,371 @@
+#include "core/node_int.h"
+
+#include "core/inv.h"
+#include "core/rpl.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define NODE_BATCH_PATH "/v1/batches"
+
+/* -- life ----------------------------------------------------------------- */
+
+void
+node_mods_setup (node_t *n, const node_desc_t *desc)
+{
+  env_t *env = n->env;
+  n->mbr = mbr_setup (n, &(mbr_desc_t){ 0 });
+  n->cfs = cfs_setup (n, env, &(cfs_desc_t){ 0 });
+  n->keys = key_setup (n, &(key_desc_t){ .peers = cfs_peers (n->cfs) });
+  n->lim = lim_setup (n, &(lim_desc_t){ .members = n->mbr });
+  n->rte = rte_setup (n, &(rte_desc_t){ .members = n->mbr });
+  n->crd = crd_setup (n, &(crd_desc_t){ 0 });
+  n->bat
+      = bat_setup (n, &(bat_desc_t){ .credits = n->crd,
+                                     .unix_offset_ms = desc->unix_offset_ms });
+  n->onl = onl_setup (n);
+  n->opr = opr_setup (
+      n, &(opr_desc_t){ .token_sha256 = desc->operator_token_sha256,
+                        .config = n->cfs });
+}
+
+void
+node_mods_start (node_t *n)
+{
+  mbr_start (n->mbr, n->env);
+  cfs_start (n->cfs, n->env);
+  key_start (n->keys, n->env);
+  lim_start (n->lim, n->env);
+  crd_start (n->crd, n->env);
+  bat_start (n->bat, n->env);
+}
+
+void
+node_mods_leave (node_t *n)
+{
+  bat_leave (n->bat, n->env);
+  lim_leave (n->lim, n->env);
+}
+
+bool
+node_mods_left (const node_t *n)
+{
+  return onl_count (n->onl) == 0 && bat_left (n->bat);
+}
+
+/* -- dispatch ------------------------------------------------------------- */
+
+void
+node_mods_timer (node_t *n, const tmr_due_t *due)
+{
+  env_t *env = n->env;
+  switch (due->mod)
+    {
+    case MOD_CONFIG:
+      cfs_timer_fired (n->cfs, env, due->tag);
+      break;
+    case MOD_KEY:
+      key_timer_fired (n->keys, env, due->tag);
+      break;
+    case MOD_MEMBER:
+      mbr_timer_fired (n->mbr, env, due->tag);
+      break;
+    case MOD_LIMIT:
+      lim_timer_fired (n->lim, env, due->tag);
+      break;
+    case MOD_ONLINE:
+      onl_timer_fired (n->onl, env, due->tag);
+      break;
+    case MOD_ROUTE:
+      rte_timer_fired (n->rte, env, due->tag);
+      break;
+    case MOD_BATCH:
+      bat_timer_fired (n->bat, env, due->tag);
+      break;
+    case MOD_CREDIT:
+      crd_timer_fired (n->crd, env, due->tag);
+      break;
+    case MOD_NODE:
+    case MOD_PLATFORM:
+    case MOD_IDEMPOTENT:
+    case MOD_ORDER:
+    case MOD_NUM:
+      INV_CHECK (false, "timer-owner", "module %s", mod_name (due->mod));
+    }
+}
+
+void
+node_mods_platform (node_t *n, const plt_done_t *done,
+                    const ev_platform_t *reply)
+{
+  env_t *env = n->env;
+  switch (done->mod)
+    {
+    case MOD_CONFIG:
+      cfs_platform_replied (n->cfs, env, done, reply);
+      break;
+    case MOD_KEY:
+      key_platform_replied (n->keys, env, done, reply);
+      break;
+    case MOD_MEMBER:
+      mbr_platform_replied (n->mbr, env, done, reply);
+      break;
+    case MOD_LIMIT:
+      lim_platform_replied (n->lim, env, done, reply);
+      break;
+    case MOD_BATCH:
+      bat_platform_replied (n->bat, env, done, reply);
+      break;
+    case MOD_NODE:
+    case MOD_PLATFORM:
+    case MOD_ONLINE:
+    case MOD_ROUTE:
+    case MOD_IDEMPOTENT:
+    case MOD_CREDIT:
+    case MOD_ORDER:
+    case MOD_NUM:
+      INV_CHECK (false, "platform-reply-owner", "module %s",
+                 mod_name (done->mod));
+    }
+}
+
+/* The module whose block of kinds holds KIND; MOD_NUM for none. */
+static mod_t
+_node_message_mod (uint16_t kind)
+{
+  if (kind < MSG_CONFIG_FIRST || kind >= MSG_LAST)
+    return MOD_NUM;
+  if (kind < MSG_KEY_FIRST)
+    return MOD_CONFIG;
+  if (kind < MSG_MEMBER_FIRST)
+    return MOD_KEY;
+  if (kind < MSG_LIMIT_FIRST)
+    return MOD_MEMBER;
+  if (kind < MSG_ROUTE_FIRST)
+    return MOD_LIMIT;
+  if (kind < MSG_BATCH_FIRST)
+    return MOD_ROUTE;
+  return crd_owns_message (kind) ? MOD_CREDIT : MOD_BATCH;
+}
+
+void
+node_mods_message (node_t *n, const char *vm, const msg_t *msg)
+{
+  env_t *env = n->env;
+  switch (_node_message_mod (msg->kind))
+    {
+    case MOD_CONFIG:
+      cfs_message_received (n->cfs, env, vm, msg);
+      break;
+    case MOD_KEY:
+      key_message_received (n->keys, env, vm, msg);
+      break;
+    case MOD_MEMBER:
+      mbr_message_received (n->mbr, env, vm, msg);
+      break;
+    case MOD_LIMIT:
+      lim_message_received (n->lim, env, vm, msg);
+      break;
+    case MOD_ROUTE:
+      rte_message_received (n->rte, env, vm, msg);
+      break;
+    case MOD_CREDIT:
+      crd_message_received (n->crd, env, vm, msg);
+      break;
+    case MOD_BATCH:
+      bat_message_received (n->bat, env, vm, msg);
+      break;
+    default:
+      cnt_add (env->cnt, "rts_peer_messages_unknown_total", "", 1);
+      break;
+    }
+}
+
+void
+node_mods_upstream (node_t *n, const ev_t *ev)
+{
+  upc_who_t who;
+  if (!upc_event (n->env, ev, &who))
+    return;
+  switch (who.mod)
+    {
+    case MOD_ONLINE:
+      onl_upstream_event (n->onl, n->env, who.tag, ev);
+      break;
+    case MOD_ROUTE:
+      rte_upstream_event (n->rte, n->env, who.tag, ev);
+      break;
+    case MOD_BATCH:
+      bat_upstream_event (n->bat, n->env, who.tag, ev);
+      break;
+    default:
+      INV_CHECK (false, "upstream-call-owner", "module %s",
+                 mod_name (who.mod));
+    }
+}
+
+void
+node_mods_link (node_t *n, const char *vm, bool up)
+{
+  if (up)
+    {
+      g_hash_table_add (n->linked, g_strdup (vm));
+      mbr_peer_up (n->mbr, n->env, vm);
+      cfs_peer_up (n->cfs, n->env, vm);
+      key_peer_up (n->keys, n->env, vm);
+      return;
+    }
+  g_hash_table_remove (n->linked, vm);
+  mbr_peer_down (n->mbr, n->env, vm);
+}
+
+/* -- requests ------------------------------------------------------------- */
+
+static bool
+_node_is_batch (const char *path)
+{
+  size_t n = strlen (NODE_BATCH_PATH);
+  return strncmp (path, NODE_BATCH_PATH, n) == 0
+         && (path[n] == '\0' || path[n] == '/');
+}
+
+static void
+_node_batch (node_t *n, const ev_request_t *req)
+{
+  const cfg_doc_t *doc = cfs_doc (n->cfs);
+  void *tmp = talloc_new (n);
+  char *presented = key_extract (tmp, req->headers, req->query);
+  const cfg_key_t *key = doc == NULL || presented == NULL
+                             ? NULL
+                             : key_check (n->keys, n->env, doc, presented);
+  if (doc == NULL)
+    rpl_error (n->env, req->caller,
+               &(rpl_error_t){ .status = 503,
+                               .code = "no-configuration",
+                               .message = "no configuration is in force yet",
+                               .retry_after_ms = CLK_SECOND });
+  else if (key == NULL)
+    rpl_error (n->env, req->caller,
+               &(rpl_error_t){ .status = 401,
+                               .code = "unauthorized",
+                               .message = "expected a known key" });
+  else if (!bat_request (n->bat, n->env, key->customer, req))
+    rpl_error (n->env, req->caller,
+               &(rpl_error_t){ .status = 404,
+                               .code = "no-route",
+                               .message = "no such route" });
+  talloc_free (tmp);
+}
+
+void
+node_mods_request (node_t *n, const ev_request_t *req)
+{
+  if (strcmp (req->path, "/metrics") == 0)
+    {
+      char *text = cnt_format (NULL, n->env->cnt);
+      rpl_text (n->env, req->caller, 200, "text/plain; version=0.0.4",
+                buf_str (text));
+      talloc_free (text);
+    }
+  else if (opr_request (n->opr, n->env, req))
+    return;
+  else if (_node_is_batch (req->path))
+    _node_batch (n, req);
+  else
+    onl_request (n->onl, n->env, req);
+}
+
+void
+node_mods_caller_gone (node_t *n, uint64_t caller)
+{
+  onl_caller_gone (n->onl, n->env, caller);
+  bat_caller_gone (n->bat, n->env, caller);
+}
+
+/* -- between modules ------------------------------------------------------ */
+
+static void
+_node_members_changed (node_t *n)
+{
+  size_t count = mbr_vm_count (n->mbr);
+  ev_vm_t *vms = talloc_zero_array (n, ev_vm_t, count);
+  ev_vm_t *up = talloc_zero_array (vms, ev_vm_t, count);
+  size_t up_count = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      const mbr_vm_t *m = mbr_vm_get (n->mbr, i);
+      vms[i] = (ev_vm_t){ .vm = m->name,
+                          .data_centre = m->data_centre,
+                          .address = m->address,
+                          .leaving = m->leaving };
+      if (!m->up && !m->self)
+        continue;
+      up[up_count++] = vms[i];
+    }
+  cfs_peers_changed (n->cfs, n->env, vms, count);
+  crd_members_changed (n->crd, n->env, up, up_count);
+  bat_members_changed (n->bat, n->env, up, up_count);
+  talloc_free (vms);
+}
+
+static void
+_node_config_changed (node_t *n)
+{
+  const cfg_doc_t *doc = cfs_doc (n->cfs);
+  lim_config_changed (n->lim, n->env, doc);
+  rte_config_changed (n->rte, n->env, doc);
+  crd_config_changed (n->crd, n->env, doc);
+  bat_config_changed (n->bat, n->env, doc);
+  onl_config_changed (n->onl, n->env, doc);
+  tln_record (n->env->tln, n->env->now, MOD_CONFIG, "in-force", "version=%llu",
+              (unsigned long long)cfs_version (n->cfs));
+}
+
+static void
+_node_relayed (node_t *n)
+{
+  mbr_relayed_t relayed;
+  while (mbr_relayed_pop (n->mbr, &relayed))
+    node_mods_message (n, relayed.from, &relayed.msg);
+}
+
+static void
+_node_refused_calls (node_t *n)
+{
+  plt_done_t done;
+  while (plt_refused_pop (n->env, &done))
+    node_mods_platform (n, &done, &(ev_platform_t){ .code = ST_UNAVAILABLE });
+}
+
+/* Batch credits follow the online load of each upstream. */
+static void
+_node_loads (node_t *n)
+{
+  rte_load_t load;
+  while (rte_load_pop (n->rte, n->env, &load))
+    crd_load_changed (n->crd, n->env,
+                      &(crd_load_t){ .upstream = load.upstream,
+                                     .in_flight = load.online,
+                                     .waiting = load.waiting,
+                                     .reported = load.reported,
+                                     .running = load.running });
+}
+
+bool
+node_mods_drain (node_t *n)
+{
+  _node_refused_calls (n);
+  _node_relayed (n);
+  if (mbr_generation (n->mbr) != n->generation)
+    {
+      n->generation = mbr_generation (n->mbr);
+      _node_members_changed (n);
+    }
+  opr_drain (n->opr, n->env);
+  bool changed = cfs_changed (n->cfs);
+  if (changed)
+    _node_config_changed (n);
+  _node_loads (n);
+  bat_pump (n->bat, n->env);
+  return changed;
+}
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -425,6 +425,8 @@
                       .data_centre = set->data_centre,
                       .address = set->peer_listen,
                       .incarnation = started,
+                      .unix_offset_ms
+                      = (clk_ms_t)(started / 1000) - drv_now (),
                       .seed = set->seed ? set->seed : (uint32_t)started,
                       .operator_token_sha256 = set->operator_token_sha256 },
       st);
--- a/src/io/pcl.c
+++ b/src/io/pcl.c
@@ -65,6 +65,18 @@
   return talloc_strdup (ctx, value == NULL ? "" : value);
 }
 
+/* A listed value: base64, as values may be any bytes. */
+static buf_t
+_pcl_value (void *ctx, json_t *object)
+{
+  const char *text = json_string_value (json_object_get (object, "value"));
+  gsize n = 0;
+  guchar *bytes = g_base64_decode (text == NULL ? "" : text, &n);
+  buf_t value = buf_copy (ctx, (buf_t){ .p = (char *)bytes, .n = n });
+  g_free (bytes);
+  return value;
+}
+
 static void
 _pcl_objects (void *ctx, json_t *root, ev_platform_t *reply)
 {
@@ -74,13 +86,11 @@
   for (size_t i = 0; i < n; i++)
     {
       json_t *o = json_array_get (array, i);
-      json_t *value = json_object_get (o, "value");
       objects[i] = (ev_object_t){
         .name = _pcl_string (ctx, o, "name"),
         .version
         = (uint64_t)json_integer_value (json_object_get (o, "version")),
-        .value = buf_copy (ctx, (buf_t){ .p = json_string_value (value),
-                                         .n = json_string_length (value) }),
+        .value = _pcl_value (ctx, o),
         .deleted = json_is_true (json_object_get (o, "deleted")),
       };
     }
--- a/tests/flt.c
+++ b/tests/flt.c
@@ -12,6 +12,7 @@
 #define FLT_PLATFORM_MS 4
 #define FLT_UPSTREAM_MS 20
 #define FLT_LINK_MS 2
+#define FLT_FIRST_MS 5000  /* until the first document is in force */
 #define FLT_WATCH_MS 2     /* between looks at waiting watches */
 #define FLT_FRAME_BYTES 16 /* of a frame around its body */
 #define FLT_SILENT_MS 2000 /* until a dead link is noticed */
@@ -57,6 +58,7 @@
   uint64_t seq;
   _flt_vm_t *vms;
   size_t vm_count;
+  char *token_sha256;
   bool *cut;         /**< by data centre */
   tmr_t *due;        /**< tag: the _flt_due_t */
   GHashTable *index; /**< name -> VM + 1 */
@@ -395,8 +397,11 @@
   if (!f->vms[vm].linked[peer] || !_flt_reach (f, vm, peer)
       || f->vms[peer].node == NULL)
     return;
-  _flt_due_t *d
-      = _flt_push (f, FLT_LINK_MS + f->desc.peer_ms, peer, EV_PEER_MSG);
+  f->vms[vm].traffic.messages++;
+  size_t bytes = e->peer.msg.body.n + FLT_FRAME_BYTES;
+  f->vms[vm].traffic.bytes += bytes;
+  f->vms[vm].traffic.kind_bytes[e->peer.msg.kind % MSG_LAST] += bytes;
+  _flt_due_t *d = _flt_push (f, f->desc.peer_ms, peer, EV_PEER_MSG);
   d->from = vm;
   d->ev.peer.vm = f->vms[vm].name;
   d->ev.peer.msg = e->peer.msg;
@@ -493,6 +498,21 @@
     d->upstream_ms = FLT_UPSTREAM_MS;
 }
 
+/* Apply the document as an operator would, and wait for its answer. */
+static void
+_flt_first_document (flt_t *f)
+{
+  const flt_answer_t *a = NULL;
+  while (f->now < FLT_FIRST_MS && (a == NULL || a->status != 200))
+    {
+      uint64_t id = flt_apply (f, 0, f->desc.document);
+      flt_run (f, f->now + FLT_FIRST_MS / 10);
+      a = flt_answer (f, id);
+    }
+  INV_CHECK (a != NULL && a->status == 200, "first-document", "status %d: %s",
+             a == NULL ? 0 : a->status, a == NULL ? "" : a->body);
+}
+
 flt_t *
 flt_setup (void *ctx, const flt_desc_t *desc)
 {
@@ -509,12 +529,14 @@
   f->cancelled = g_hash_table_new (g_str_hash, g_str_equal);
   f->seen = g_string_new ("");
   f->platform = fpl_setup (f);
+  char *sha256 = g_compute_checksum_for_string (G_CHECKSUM_SHA256,
+                                                FLT_OPERATOR_TOKEN, -1);
+  f->token_sha256 = talloc_strdup (f, sha256);
+  g_free (sha256);
   f->cut = talloc_zero_array (f, bool, desc->data_centres);
   f->vm_count = desc->data_centres * desc->vms;
   f->vms = talloc_zero_array (f, _flt_vm_t, f->vm_count);
   talloc_set_destructor (f, _flt_destroy);
-  if (desc->document != NULL)
-    flt_put (f, "config", desc->document);
   for (size_t i = 0; i < f->vm_count; i++)
     {
       _flt_vm_t *vm = &f->vms[i];
@@ -526,6 +548,8 @@
       vm->linked = talloc_zero_array (f, bool, f->vm_count);
       flt_start (f, i);
     }
+  if (desc->document != NULL)
+    _flt_first_document (f);
   return f;
 }
 
@@ -599,6 +623,17 @@
   return id;
 }
 
+uint64_t
+flt_apply (flt_t *f, size_t vm, const char *document)
+{
+  return flt_request (f, vm,
+                      &(flt_request_t){ .method = "POST",
+                                        .path = "/v1/operator/config",
+                                        .query = "whole=yes",
+                                        .key = FLT_OPERATOR_TOKEN,
+                                        .body = document });
+}
+
 void
 flt_caller_gone (flt_t *f, uint64_t id)
 {
@@ -646,13 +681,15 @@
   v->incarnation = ++f->seq;
   v->frozen_until = 0;
   v->exited = false;
-  v->node = node_setup (f,
-                        &(node_desc_t){ .vm = v->name,
-                                        .data_centre = dc,
-                                        .address = v->name,
-                                        .incarnation = v->incarnation,
-                                        .seed = g_rand_int (f->rand) },
-                        &st);
+  v->node
+      = node_setup (f,
+                    &(node_desc_t){ .vm = v->name,
+                                    .data_centre = dc,
+                                    .address = v->name,
+                                    .incarnation = v->incarnation,
+                                    .seed = g_rand_int (f->rand),
+                                    .operator_token_sha256 = f->token_sha256 },
+                    &st);
   INV_CHECK (v->node != NULL, "node-starts", "%s", st.message);
   _flt_push (f, 0, vm, EV_START);
   _flt_links_update (f);
--- a/tests/flt.h
+++ b/tests/flt.h
@@ -16,6 +16,9 @@
 
 #include "core/node.h"
 
+/** The operators' token of every VM. */
+#define FLT_OPERATOR_TOKEN "operator-token-of-tests"
+
 /** How the platform behaves. */
 typedef enum
 {
@@ -73,6 +76,7 @@
 {
   uint64_t messages;
   uint64_t bytes; /**< with their frames */
+  uint64_t kind_bytes[MSG_LAST];
   uint64_t platform_calls;
 } flt_traffic_t;
 
@@ -90,6 +94,9 @@
 /** Send a request to a VM; its answer's number. */
 uint64_t flt_request (flt_t *f, size_t vm, const flt_request_t *req);
 void flt_caller_gone (flt_t *f, uint64_t id);
+
+/** Apply a whole document at a VM as an operator; the answer's number. */
+uint64_t flt_apply (flt_t *f, size_t vm, const char *document);
 const flt_answer_t *flt_answer (const flt_t *f, uint64_t id);
 
 /** Times that an upstream began to run a request with this Idempotency-Key
--- /dev/null
+++ b/tools/measure_capacity.c
@@ -0,0 +1,166 @@
+/** @file
+ * What control costs a node, from whole nodes under virtual time at several
+ * fleet sizes: bytes and messages to peers, platform calls, processor time,
+ * memory.  Idle fleet (heartbeats, membership, rights, reports) and a change
+ * of configuration.
+ *
+ * Writes build/measure/capacity.csv.
+ */
+#include "flt.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#define SETTLE_MS (20 * CLK_SECOND)
+#define SPAN_MS (30 * CLK_SECOND)
+#define DATA_CENTRES 4
+#define SPREAD_MS (12 * CLK_SECOND) /**< a change is in force everywhere */
+
+/* One size of fleet. */
+typedef struct
+{
+  size_t nodes;
+  size_t upstreams;
+  size_t customers;
+} scale_t;
+
+/* What was seen in SPAN_MS. */
+typedef struct
+{
+  double bytes;     /**< a second, a node on average */
+  double bytes_max; /**< the busiest node */
+  double messages;
+  double calls; /**< platform calls a second, whole fleet */
+  double cpu;   /**< share of a core, a node, with the harness */
+  double memory;
+  clk_ms_t spread; /**< until a change was in force everywhere */
+} cost_t;
+
+static char *
+document (void *ctx, const scale_t *s, unsigned edition)
+{
+  char *text = talloc_asprintf (
+      ctx,
+      "[deployment snit-llm]\nowner = ops\nkind = engine\nslots = 8\n"
+      "[route POST /v1/completions]\nowner = ops\n"
+      "deployment = snit-llm\nidempotent = yes\ndeadline = %u s\n",
+      20 + edition);
+  for (size_t i = 0; i < DATA_CENTRES; i++)
+    text = talloc_asprintf_append_buffer (
+        text, "[data-centre dc-%zu]\nowner = ops\n", i);
+  for (size_t i = 0; i < s->upstreams; i++)
+    text = talloc_asprintf_append_buffer (
+        text,
+        "[upstream u%zu]\nowner = ops\ndeployment = snit-llm\n"
+        "data_centre = dc-%zu\naddress = 10.0.%zu.%zu:9000\n",
+        i, i % DATA_CENTRES, i / 250, i % 250);
+  for (size_t i = 0; i < s->customers; i++)
+    text = talloc_asprintf_append_buffer (
+        text,
+        "[customer c%zu]\nowner = ops\nrate = 2/s\nburst = 8\n"
+        "[key k%zu]\nowner = ops\ncustomer = c%zu\nsha256 = %064zx\n",
+        i, i, i, i + 1);
+  return text;
+}
+
+static bool
+everywhere (const flt_t *f, double version)
+{
+  for (size_t i = 0; i < flt_vm_count (f); i++)
+    {
+      if (flt_counter (f, i, "rts_config_version", "") < version)
+        return false;
+    }
+  return true;
+}
+
+static clk_ms_t
+spread (flt_t *f, const scale_t *s)
+{
+  void *tmp = talloc_new (NULL);
+  double version = flt_counter (f, 0, "rts_config_version", "") + 1;
+  clk_ms_t from = flt_now (f);
+  (void)flt_apply (f, flt_vm_count (f) / 2, document (tmp, s, 1));
+  while (!everywhere (f, version) && flt_now (f) < from + 4 * SPREAD_MS)
+    flt_run (f, flt_now (f) + 20);
+  talloc_free (tmp);
+  return flt_now (f) - from;
+}
+
+static cost_t
+run (const scale_t *s)
+{
+  void *ctx = talloc_new (NULL);
+  size_t before = mallinfo2 ().uordblks;
+  flt_t *f
+      = flt_setup (ctx, &(flt_desc_t){ .seed = 1,
+                                       .data_centres = DATA_CENTRES,
+                                       .vms = s->nodes / DATA_CENTRES,
+                                       .document = document (ctx, s, 0) });
+  flt_run (f, flt_now (f) + SETTLE_MS);
+  size_t n = flt_vm_count (f);
+  flt_traffic_t *at = talloc_zero_array (ctx, flt_traffic_t, n);
+  for (size_t i = 0; i < n; i++)
+    at[i] = flt_traffic (f, i);
+  cost_t c
+      = { .memory = (double)(mallinfo2 ().uordblks - before) / (double)n };
+  clock_t clock_before = clock ();
+  flt_run (f, flt_now (f) + SPAN_MS);
+  c.cpu = (double)(clock () - clock_before) / CLOCKS_PER_SEC
+          / ((double)SPAN_MS / CLK_SECOND) / (double)n;
+  for (size_t i = 0; i < n; i++)
+    {
+      flt_traffic_t now = flt_traffic (f, i);
+      double seconds = (double)SPAN_MS / CLK_SECOND;
+      double bytes = (double)(now.bytes - at[i].bytes) / seconds;
+      c.bytes += bytes / (double)n;
+      c.bytes_max = bytes > c.bytes_max ? bytes : c.bytes_max;
+      c.messages
+          += (double)(now.messages - at[i].messages) / seconds / (double)n;
+      c.calls += (double)(now.platform_calls - at[i].platform_calls) / seconds;
+    }
+  c.spread = spread (f, s);
+  talloc_free (ctx);
+  return c;
+}
+
+int
+main (void)
+{
+  static const scale_t sizes[] = {
+    { 8, 20, 8 },
+    { 40, 140, 360 },
+    { 120, 430, 1080 },
+    { 420, 1500, 3800 },
+  };
+  FILE *csv = fopen ("build/measure/capacity.csv", "w");
+  if (csv == NULL)
+    {
+      perror ("build/measure/capacity.csv");
+      return EXIT_FAILURE;
+    }
+  fputs ("nodes,upstreams,customers,bytes_s,bytes_s_max,messages_s,"
+         "platform_calls_s,cpu_share,memory,spread_ms\n",
+         csv);
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      const scale_t *s = &sizes[i];
+      cost_t c = run (s);
+      printf ("%zu nodes, %zu upstreams, %zu customers: %.0f B/s a node "
+              "(most %.0f), %.1f messages/s, %.1f platform calls/s in all, "
+              "%.2f %% of a core, %.1f MB, change everywhere in %lld ms\n",
+              s->nodes, s->upstreams, s->customers, c.bytes, c.bytes_max,
+              c.messages, c.calls, 100 * c.cpu, c.memory / 1e6,
+              (long long)c.spread);
+      fprintf (csv, "%zu,%zu,%zu,%.0f,%.0f,%.2f,%.2f,%.5f,%.0f,%lld\n",
+               s->nodes, s->upstreams, s->customers, c.bytes, c.bytes_max,
+               c.messages, c.calls, c.cpu, c.memory, (long long)c.spread);
+      fflush (csv);
+    }
+  fclose (csv);
+  return EXIT_SUCCESS;
+}
