--- a/src/core/cfs_apply.c
+++ b/src/core/cfs_apply.c
@@ -134,11 +134,9 @@
         cfs_set_put (set, &t->effect.records.v[i]);
     }
   cfs_records_t all = cfs_set_since (set, set, 0);
-  mpk_writer_t w;
-  mpk_writer_init (&w, t->attempt);
-  cfs_records_write (&w, &all);
+  buf_t value = cfs_part_dump (t->attempt, &all);
   cfs_set_shutdown (set);
-  return mpk_done (&w);
+  return value;
 }
 
 static void
--- a/src/core/cfs_private.h
+++ b/src/core/cfs_private.h
@@ -199,10 +199,14 @@
 void cfs_store_read (cfs_t *c, env_t *env);
 void cfs_store_replied (cfs_t *c, env_t *env, const plt_done_t *done,
                         const ev_platform_t *reply);
+
+/* cfs_codec.c */
 bool cfs_head_parse (void *ctx, const ev_object_t *object, cfs_head_t **head);
 buf_t cfs_head_dump (void *ctx, const cfs_head_t *head);
 cfs_head_t *cfs_head_copy (void *ctx, const cfs_head_t *head);
 uint64_t cfs_head_token (const cfs_head_t *head, const char *token);
+buf_t cfs_part_dump (void *ctx, const cfs_records_t *records);
+bool cfs_part_parse (void *ctx, buf_t value, cfs_records_t *records);
 
 /* cfs_peer.c */
 void cfs_peer_tick (cfs_t *c, env_t *env);
--- a/src/core/cfs_store.c
+++ b/src/core/cfs_store.c
@@ -5,89 +5,10 @@
 #include <string.h>
 #include <talloc.h>
 
-#define CFS_FORMAT 1
 #define CFS_RETRY_MS ((clk_ms_t)500)
 #define CFS_RETRY_MAX_SHIFT 4
 #define CFS_ALONE_MS (5 * CLK_SECOND)
 
-buf_t
-cfs_head_dump (void *ctx, const cfs_head_t *head)
-{
-  mpk_writer_t w;
-  mpk_writer_init (&w, ctx);
-  mpk_put_uint (&w, CFS_FORMAT);
-  mpk_put_uint (&w, head->version);
-  mpk_put_str (&w, buf_str (head->writer));
-  mpk_put_uint (&w, head->token_count);
-  for (size_t i = 0; i < head->token_count; i++)
-    {
-      mpk_put_str (&w, buf_str (head->tokens[i].token));
-      mpk_put_uint (&w, head->tokens[i].version);
-    }
-  for (unsigned b = 0; b < CFS_BUCKETS; b++)
-    {
-      mpk_put_str (&w, buf_str (head->parts[b].name));
-      mpk_put_uint (&w, head->parts[b].object_version);
-      mpk_put_uint (&w, head->parts[b].digest);
-    }
-  return mpk_done (&w);
-}
-
-bool
-cfs_head_parse (void *ctx, const ev_object_t *object, cfs_head_t **head)
-{
-  cfs_head_t *h = talloc_zero (ctx, cfs_head_t);
-  mpk_reader_t r = mpk_reader (h, object->value);
-  bool known = mpk_get_uint (&r) == CFS_FORMAT;
-  h->version = mpk_get_uint (&r);
-  h->writer = mpk_get_str (&r).p;
-  h->token_count = mpk_get_uint (&r);
-  known = known && h->token_count <= CFS_TOKENS_MAX;
-  for (size_t i = 0; known && i < h->token_count; i++)
-    {
-      h->tokens[i].token = mpk_get_str (&r).p;
-      h->tokens[i].version = mpk_get_uint (&r);
-    }
-  for (unsigned b = 0; b < CFS_BUCKETS; b++)
-    {
-      h->parts[b].name = mpk_get_str (&r).p;
-      h->parts[b].object_version = mpk_get_uint (&r);
-      h->parts[b].digest = mpk_get_uint (&r);
-    }
-  h->object_version = object->version;
-  if (known && mpk_end (&r))
-    {
-      *head = h;
-      return true;
-    }
-  talloc_free (h);
-  return false;
-}
-
-cfs_head_t *
-cfs_head_copy (void *ctx, const cfs_head_t *head)
-{
-  cfs_head_t *h = talloc (ctx, cfs_head_t);
-  *h = *head;
-  h->writer = talloc_strdup (h, head->writer);
-  for (size_t i = 0; i < h->token_count; i++)
-    h->tokens[i].token = talloc_strdup (h, head->tokens[i].token);
-  for (unsigned b = 0; b < CFS_BUCKETS; b++)
-    h->parts[b].name = talloc_strdup (h, head->parts[b].name);
-  return h;
-}
-
-uint64_t
-cfs_head_token (const cfs_head_t *head, const char *token)
-{
-  for (size_t i = 0; i < head->token_count; i++)
-    {
-      if (strcmp (head->tokens[i].token, token) == 0)
-        return head->tokens[i].version;
-    }
-  return 0;
-}
-
 static void
 _cfs_fetch_stop (cfs_t *c)
 {
@@ -170,9 +91,8 @@
   bool sound = reply->code == ST_OK && reply->object_count == 1;
   if (sound)
     {
-      mpk_reader_t r = mpk_reader (f->ctx, reply->objects[0].value);
-      cfs_records_t records = cfs_records_read (f->ctx, &r);
-      sound = mpk_end (&r);
+      cfs_records_t records = { 0 };
+      sound = cfs_part_parse (f->ctx, reply->objects[0].value, &records);
       cfs_records_append (f->ctx, &f->offer.records, &records);
     }
   if (!sound)
--- a/src/core/key_store.c
+++ b/src/core/key_store.c
@@ -2,8 +2,9 @@
  * changed, so that a write may be repeated and an answer lost after its
  * effect does no harm. */
 #include "core/key_private.h"
-#include "core/mpk.h"
 
+#include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -36,10 +37,8 @@
 _key_write (key_set_t *k, env_t *env, key_withdrawal_t *w)
 {
   void *tmp = talloc_new (NULL);
-  mpk_writer_t body;
-  mpk_writer_init (&body, tmp);
-  mpk_put_str (&body, buf_str (w->name));
-  mpk_put_str (&body, buf_str (w->origin));
+  json_t *body = json_pack ("{s:s, s:s}", "key", w->name, "origin", w->origin);
+  char *text = json_dumps (body, JSON_COMPACT);
   w->write_at = env->now + _key_backoff (env, w->writes++);
   k->writing++;
   plt_call (env, &(plt_req_t){
@@ -47,7 +46,9 @@
                      .tag = _key_tag (w->sha256),
                      .op = FX_PLATFORM_PUT,
                      .name = talloc_asprintf (tmp, KEY_PREFIX "%s", w->sha256),
-                     .value = mpk_done (&body) });
+                     .value = buf_str (text) });
+  free (text);
+  json_decref (body);
   talloc_free (tmp);
 }
 
@@ -130,13 +131,16 @@
   size_t n = strlen (KEY_PREFIX);
   if (object->deleted || strncmp (object->name, KEY_PREFIX, n) != 0)
     return;
-  void *tmp = talloc_new (NULL);
-  mpk_reader_t r = mpk_reader (tmp, object->value);
-  key_withdrawal_t given = { .sha256 = object->name + n };
-  given.name = mpk_get_str (&r).p;
-  given.origin = mpk_get_str (&r).p;
+  json_t *body = json_loadb (object->value.p, object->value.n, 0, NULL);
+  const char *name = json_string_value (json_object_get (body, "key"));
+  const char *origin = json_string_value (json_object_get (body, "origin"));
+  key_withdrawal_t given = {
+    .sha256 = object->name + n,
+    .name = name == NULL ? "" : name,
+    .origin = origin == NULL ? "" : origin,
+  };
   key_withdrawal_t *w = key_withdrawal_find (k, given.sha256);
-  if (w == NULL && mpk_end (&r))
+  if (w == NULL)
     {
       w = key_withdrawal_add (k, env, &given);
       if (w != NULL && k->revision > 0)
@@ -144,7 +148,7 @@
     }
   if (w != NULL)
     w->stored = true;
-  talloc_free (tmp);
+  json_decref (body);
 }
 
 static void
--- a/tests/cfs_fleet.h
+++ b/tests/cfs_fleet.h
@@ -362,6 +362,9 @@
 fleet_put (fleet_t *f, const fleet_event_t *e)
 {
   fleet_object_t *o = g_hash_table_lookup (f->objects, e->name);
+  gsize size = 0;
+  const char *value = g_bytes_get_data (e->value, &size);
+  g_assert (g_utf8_validate (value, (gssize)size, NULL) && size <= 1000000);
   if ((o == NULL ? 0 : o->version) != e->call.if_version)
     {
       fleet_respond (f, fleet_answer (f, e, ST_CONFLICT));
--- a/tests/test_key.c
+++ b/tests/test_key.c
@@ -64,6 +64,8 @@
   fleet_vm_t *v = &f->vm[1];
   const cfg_key_t *key = key_check (v->key, v->env, cfs_doc (v->cfs), "s3");
   CU_ASSERT_PTR_NOT_NULL_FATAL (key);
+  if (key == NULL)
+    return;
   CU_ASSERT_STRING_EQUAL (key->name, "k3");
   CU_ASSERT_STRING_EQUAL (key->customer, "c");
   CU_ASSERT_FALSE (works (f, 1, "s10"));
