--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -14,5 +14,11 @@
 };
 
 int cmd_serve (int argc, char **argv);
+int cmd_config (int argc, char **argv);
+int cmd_key (int argc, char **argv);
+int cmd_customer (int argc, char **argv);
+int cmd_upstream (int argc, char **argv);
+int cmd_status (int argc, char **argv);
+int cmd_timeline (int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/cmd/status.c
@@ -0,0 +1,51 @@
+/** @file
+ * rattanspindle status: what each VM says of itself.
+ */
+#include "cmd/cli.h"
+#include "cmd/cmd.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <talloc.h>
+
+static const cli_usage_t _status_usage = {
+  .name = "status",
+  .doc = "Print the status of each VM given by --vm, one JSON object a line.\v"
+         "Exits with 69 when one of them does not answer.",
+};
+
+static int
+_status_one (cli_t *cli, size_t vm)
+{
+  cli_answer_t answer;
+  int status = cli_call (cli,
+                         &(cli_request_t){ .method = "GET",
+                                           .path = "/v1/operator/status",
+                                           .vm = vm },
+                         &answer);
+  if (status != CMD_OK)
+    return status;
+  char *text = json_dumps (answer.json, JSON_COMPACT);
+  printf ("%s\n", text == NULL ? "null" : text);
+  free (text);
+  return CMD_OK;
+}
+
+int
+cmd_status (int argc, char **argv)
+{
+  cli_args_t args;
+  if (!cli_args_parse (&args, &_status_usage, argc, argv))
+    return CMD_USAGE;
+  void *ctx = talloc_new (NULL);
+  cli_t *cli = cli_setup (ctx, &args);
+  int status = cli == NULL ? CMD_USAGE : CMD_OK;
+  for (size_t i = 1; cli != NULL && i <= cli_vm_count (cli); i++)
+    {
+      int one = _status_one (cli, i);
+      if (one != CMD_OK)
+        status = one;
+    }
+  talloc_free (ctx);
+  return status;
+}
--- /dev/null
+++ b/src/cmd/upstream.c
@@ -0,0 +1,92 @@
+/** @file
+ * rattanspindle upstream: list upstreams; let one leave or stay.
+ */
+#include "cmd/cli.h"
+#include "cmd/cmd.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#define UPSTREAM_WAIT_S 12.0
+
+static const struct argp_option _upstream_options[] = {
+  { "wait", 'W', "SECONDS", 0, "longest wait for all VMs (12)", 0 },
+  { 0 },
+};
+
+static const char *const _upstream_verbs[]
+    = { "list", "leave NAME", "stay NAME", NULL };
+
+static const cli_usage_t _upstream_usage = {
+  .name = "upstream",
+  .verbs = _upstream_verbs,
+  .options = _upstream_options,
+  .doc = "List the upstreams in force; let one leave, or stay after all.\v"
+         "A leaving upstream gets no new work; what runs there finishes.",
+};
+
+static int
+_upstream_list (cli_t *cli)
+{
+  cli_answer_t answer;
+  int status = cli_call (
+      cli,
+      &(cli_request_t){ .method = "GET", .path = "/v1/operator/upstreams" },
+      &answer);
+  const json_t *list = json_object_get (answer.json, "upstreams");
+  for (size_t i = 0; status == CMD_OK && i < json_array_size (list); i++)
+    {
+      const char *name = "";
+      const char *deployment = "";
+      const char *centre = "";
+      const char *address = "";
+      int leaving = 0;
+      (void)json_unpack (json_array_get (list, i), "{s:s, s:s, s:s, s:s, s:b}",
+                         "name", &name, "deployment", &deployment,
+                         "data_centre", &centre, "address", &address,
+                         "leaving", &leaving);
+      printf ("%-24s %-20s %-16s %-22s %s\n", name, deployment, centre,
+              address, leaving ? "leaving" : "in use");
+    }
+  return status;
+}
+
+static int
+_upstream_change (void *ctx, cli_t *cli, const cli_args_t *a)
+{
+  cli_answer_t answer;
+  char *path = talloc_asprintf (ctx, "/v1/operator/upstreams/%s/%s?token=%s",
+                                cli_escape (ctx, a->rest[0]), a->verb,
+                                cli_random_hex (ctx, 16));
+  int status = cli_call (
+      cli,
+      &(cli_request_t){ .method = "POST", .path = path, .repeatable = true },
+      &answer);
+  if (status != CMD_OK)
+    return status;
+  json_int_t version
+      = json_integer_value (json_object_get (answer.json, "version"));
+  return cli_report_wait (
+      cli, &answer,
+      talloc_asprintf (ctx, "/v1/operator/config/confirmed?version=%lld",
+                       (long long)version),
+      cli_seconds (a, 'W', UPSTREAM_WAIT_S));
+}
+
+int
+cmd_upstream (int argc, char **argv)
+{
+  cli_args_t args;
+  if (!cli_args_parse (&args, &_upstream_usage, argc, argv))
+    return CMD_USAGE;
+  void *ctx = talloc_new (NULL);
+  int status = CMD_USAGE;
+  cli_t *cli = cli_setup (ctx, &args);
+  if (cli != NULL)
+    status = strcmp (args.verb, "list") == 0
+                 ? _upstream_list (cli)
+                 : _upstream_change (ctx, cli, &args);
+  talloc_free (ctx);
+  return status;
+}
--- a/tests/test_opr.c
+++ b/tests/test_opr.c
@@ -174,6 +174,22 @@
   CU_ASSERT_EQUAL (post (d, "/v1/operator/config", "base=1&token=x", next),
                    200);
   CU_ASSERT_EQUAL (number (d, "version"), 2);
+  fleet_run (d->f, 2 * CLK_SECOND);
+  CU_ASSERT_EQUAL (get (d, "/v1/operator/config/confirmed", "version=2"), 200);
+  CU_ASSERT_EQUAL (number (d, "vms"), 3);
+  CU_ASSERT_EQUAL (number (d, "confirmed"), 3);
+  CU_ASSERT_EQUAL (get (d, "/v1/operator/config/confirmed", "version=3"), 200);
+  CU_ASSERT_EQUAL (number (d, "confirmed"), 0);
+  desk_close (d);
+}
+
+static void
+test_changes_refused_over_http (void)
+{
+  desk_t *d = desk_open (3);
+  const char *next = "[customer c]\nowner = t\nrate = 2/s\nburst = 1\n";
+  CU_ASSERT_EQUAL (post (d, "/v1/operator/config", "", CUSTOMER), 200);
+  CU_ASSERT_EQUAL (post (d, "/v1/operator/config", "base=1", next), 200);
   CU_ASSERT_EQUAL (post (d, "/v1/operator/config", "base=1", CUSTOMER), 409);
   CU_ASSERT_STRING_EQUAL (error (d, "code"), "conflict");
   CU_ASSERT_STRING_EQUAL (error (d, "run"), "not-run");
@@ -186,12 +202,6 @@
   CU_ASSERT_EQUAL (post (d, "/v1/operator/config", "base=9", next), 409);
   CU_ASSERT_STRING_EQUAL (error (d, "code"), "stale");
   CU_ASSERT_EQUAL (post (d, "/v1/operator/config", "base=-1", next), 400);
-  fleet_run (d->f, 2 * CLK_SECOND);
-  CU_ASSERT_EQUAL (get (d, "/v1/operator/config/confirmed", "version=2"), 200);
-  CU_ASSERT_EQUAL (number (d, "vms"), 3);
-  CU_ASSERT_EQUAL (number (d, "confirmed"), 3);
-  CU_ASSERT_EQUAL (get (d, "/v1/operator/config/confirmed", "version=3"), 200);
-  CU_ASSERT_EQUAL (number (d, "confirmed"), 0);
   fleet_platform_stop (d->f);
   fleet_run (d->f, 1 * CLK_SECOND);
   CU_ASSERT_EQUAL (post (d, "/v1/operator/config", "base=2", CUSTOMER), 503);
@@ -307,6 +317,7 @@
   static const tst_case_t cases[] = {
     { "only_with_the_token", test_only_with_the_token },
     { "config_over_http", test_config_over_http },
+    { "changes_refused_over_http", test_changes_refused_over_http },
     { "keys_over_http", test_keys_over_http },
     { "upstream_leaves", test_upstream_leaves },
     { "operator_gone_gets_no_answer", test_operator_gone_gets_no_answer },
