--- a/src/cmd/cli.c
+++ b/src/cmd/cli.c
@@ -281,12 +281,14 @@
   bool repeatable
       = request->repeatable || strcmp (request->method, "GET") == 0;
   CURLcode code = CURLE_COULDNT_CONNECT;
+  const char *last = "";
   *answer = (cli_answer_t){ 0 };
   for (size_t i = 0; cli->vms[i] != NULL; i++)
     {
       if (request->vm != 0 && request->vm != i + 1)
         continue;
-      code = _cli_send (cli, request, cli->vms[i], answer);
+      last = cli->vms[i];
+      code = _cli_send (cli, request, last, answer);
       if (code == CURLE_OK)
         return _cli_answered (cli, answer);
       if (!_cli_not_sent (code) && !repeatable)
@@ -296,7 +298,8 @@
           return CMD_UNREACHABLE;
         }
     }
-  cli_error ("no VM answers: %s (%s)", curl_easy_strerror (code),
+  cli_error ("no VM answers, last %s: %s (%s)", last,
+             curl_easy_strerror (code),
              _cli_not_sent (code) ? "not-run" : "unknown");
   return CMD_UNREACHABLE;
 }
