Membership in files by job; links of VMs that are not listed yet are kept

Also: the long list changes only after a difference has lasted ten minutes, as its next change waits two hours; and when all VMs that may change the lists have been gone longer than they may promise, another stands in.

--- a/src/core/lim_share.c
+++ b/src/core/lim_share.c
@@ -23,6 +23,10 @@
 /* VMs of a new fleet come within this time; then the lists are made. */
 #define LSH_FOUND_MS (3 * CLK_SECOND)
 
+/* A difference from the long list lasts so long before it is changed: the
+ * next change has to wait for the rights of this one. */
+#define LSH_LONG_STEADY_MS (10 * CLK_MINUTE)
+
 /* Clocks of two VMs drift apart by less than one in this. */
 #define LSH_DRIFT 50
 
@@ -86,8 +90,10 @@
   bool writing;
   uint64_t write_unknown; /* version whose replacement may be under way */
   clk_ms_t promised_until;
-  clk_ms_t change_due; /* since when a change is wanted; CLK_NEVER */
-  uint64_t round;      /* of promises asked for */
+  clk_ms_t change_due;   /* since when a change is wanted; CLK_NEVER */
+  clk_ms_t long_due;     /* likewise, of the long list */
+  clk_ms_t writers_gone; /* since when no writer is listed; CLK_NEVER */
+  uint64_t round;        /* of promises asked for */
   clk_ms_t round_sent;
   unsigned round_missing; /* bits of writers that have not answered */
 };
@@ -139,6 +145,8 @@
   if (d->suspect_ms == 0)
     d->suspect_ms = LSH_SUSPECT_DEFAULT;
   s->change_due = CLK_NEVER;
+  s->long_due = CLK_NEVER;
+  s->writers_gone = CLK_NEVER;
   return s;
 }
 
@@ -422,12 +430,24 @@
   talloc_free ((void *)(uintptr_t)body.p);
 }
 
+/* Whether the platform said within the long life that this VM is there: a
+ * VM that is not counts as gone, and others may replace the lists. */
+static bool
+_lsh_is_listed (const lsh_t *s, const env_t *env)
+{
+  const mbr_vm_t *self = mbr_vm_find (s->desc.members, env->vm);
+  clk_ms_t at = mbr_listed_at (s->desc.members);
+  return self != NULL && self->listed && at != CLK_NEVER
+         && env->now < at + s->desc.long_life_ms;
+}
+
 /* This VM will not replace the lists for a right's life from now on; false
  * when a replacement of its own may be under way. */
 static bool
 _lsh_promise (lsh_t *s, env_t *env)
 {
-  if (s->writing || s->write_unknown == s->lists->version)
+  if (s->writing || s->write_unknown == s->lists->version
+      || !_lsh_is_listed (s, env))
     return false;
   s->promised_until = env->now + _lsh_with_drift (s->desc.short_life_ms);
   return true;
@@ -599,6 +619,15 @@
   return changes;
 }
 
+static bool
+_lsh_differs (const lsh_lists_t *lists, const bool *wanted, uint8_t bit)
+{
+  for (size_t i = 0; i < lists->count; i++)
+    if (wanted[i] != ((lists->in[i] & bit) != 0))
+      return true;
+  return false;
+}
+
 static lsh_lists_t *
 _lsh_copy (lsh_t *s)
 {
@@ -631,14 +660,20 @@
       before += (next->in[i] & LSH_IN_SHORT) != 0;
       kept += (next->in[i] & LSH_IN_SHORT) && wanted[i];
     }
+  bool most = 2 * kept >= before || before == 0;
   bool changed = false;
-  if (2 * kept >= before && _lsh_short_is_settled (s, env->now)
+  if (most && _lsh_short_is_settled (s, env->now)
       && _lsh_turn_list (next, wanted, LSH_IN_SHORT, LSH_IN_SHORT_OLD) > 0)
     {
       next->short_no++;
       changed = true;
     }
-  if (2 * kept >= before && _lsh_long_is_settled (s, env->now)
+  if (!most || !_lsh_differs (next, wanted, LSH_IN_LONG))
+    s->long_due = CLK_NEVER;
+  else
+    s->long_due = clk_min (s->long_due, env->now);
+  if (s->long_due != CLK_NEVER && env->now >= s->long_due + LSH_LONG_STEADY_MS
+      && _lsh_long_is_settled (s, env->now)
       && _lsh_turn_list (next, wanted, LSH_IN_LONG, LSH_IN_LONG_OLD) > 0)
     {
       next->long_no++;
@@ -650,11 +685,36 @@
   return NULL;
 }
 
+/* Note since when no VM that may replace the lists is listed. */
+static void
+_lsh_note_writers (lsh_t *s, const env_t *env)
+{
+  const char *writers[LSH_WRITERS_MAX];
+  size_t n = _lsh_writers (s->lists, writers);
+  bool any = false;
+  for (size_t i = 0; i < n; i++)
+    {
+      const mbr_vm_t *vm = mbr_vm_find (s->desc.members, writers[i]);
+      any = any || (vm != NULL && vm->listed);
+    }
+  s->writers_gone = any ? CLK_NEVER : clk_min (s->writers_gone, env->now);
+}
+
+/* Once all writers have been gone for longer than they may promise, any VM
+ * stands in for them. */
+static bool
+_lsh_stands_in (const lsh_t *s, const env_t *env)
+{
+  return s->writers_gone != CLK_NEVER
+         && env->now
+                >= s->writers_gone + _lsh_settled (s, s->desc.long_life_ms);
+}
+
 static bool
 _lsh_may_write (const lsh_t *s, const env_t *env, size_t index)
 {
   clk_ms_t quiet = _lsh_with_drift (s->desc.short_life_ms);
-  return index < LSH_WRITERS_MAX && !s->writing
+  return (index < LSH_WRITERS_MAX || _lsh_stands_in (s, env)) && !s->writing
          && s->write_unknown != s->lists->version
          && env->now >= s->promised_until
          /* Promises of an earlier start of this VM are over. */
@@ -667,6 +727,7 @@
 {
   if (s->lists == NULL)
     return;
+  _lsh_note_writers (s, env);
   size_t index = _lsh_writer_index (s->lists, env->vm);
   if (!_lsh_may_write (s, env, index))
     return;
@@ -768,7 +829,7 @@
 _lsh_read_absent (lsh_t *s, env_t *env)
 {
   if (s->lists != NULL || s->writing || s->data_centres == 0
-      || mbr_listed_at (s->desc.members) == 0
+      || mbr_listed_at (s->desc.members) == CLK_NEVER
       || env->now < s->born + LSH_FOUND_MS)
     return;
   plt_call (env, &(plt_req_t){ .mod = MOD_LIMIT,
--- a/src/core/mbr.h
+++ b/src/core/mbr.h
@@ -30,7 +30,8 @@
   MSG_MEMBER_STATE,    /**< name, up: what the sender knows of a VM */
   MSG_MEMBER_RELAY,    /**< to, from, hops left, kind, body */
   MSG_MEMBER_LIST_ASK, /**< empty: send me the list */
-  MSG_MEMBER_LIST,     /**< name, data centre, address, leaving; repeated */
+  MSG_MEMBER_LIST,     /**< age; name, data centre, address, leaving,
+                           repeated */
 } mbr_msg_t;
 
 /** How to set membership up. */
@@ -51,6 +52,7 @@
   bool up; /**< answers, as far as is known */
   bool leaving;
   bool self;
+  bool listed;         /**< in the newest list; this VM is kept without */
   clk_ms_t down_since; /**< CLK_NEVER while up */
 } mbr_vm_t;
 
@@ -112,7 +114,8 @@
 /** Grows whenever any answer above may have changed. */
 uint64_t mbr_generation (const mbr_t *m);
 
-/** When the platform last gave the list; 0: never. */
+/** When the platform last gave the list, here or to the peer that it came
+ * from; CLK_NEVER: never. */
 clk_ms_t mbr_listed_at (const mbr_t *m);
 
 /** Links that this VM keeps. */
--- /dev/null
+++ b/src/core/mbr_priv.h
@@ -0,0 +1,72 @@
+/** @file
+ * Membership's state, shared by mbr.c (the list and who answers), mbr_link.c
+ * (which links to keep) and mbr_relay.c (messages over other VMs), mbr_vm.c
+ * (questions).
+ *
+ * Nothing else includes this.
+ */
+#ifndef RTS_MBR_PRIV_H
+#define RTS_MBR_PRIV_H
+
+#include "core/mbr.h"
+#include "core/mpk.h"
+
+#include <string.h>
+
+/* A VM of the list. */
+typedef struct
+{
+  mbr_vm_t vm;
+  uint32_t row;
+  uint32_t column;
+  bool wanted; /* a link is kept */
+  bool open;   /* a link is open */
+  bool silent; /* open, but nothing was heard for too long */
+  bool reported_down;
+  clk_ms_t heard_at;
+} mbr_entry_t;
+
+struct mbr
+{
+  mbr_desc_t desc;
+  mbr_entry_t **v; /* ordered by name */
+  size_t count;
+  size_t sorted; /* of these, in order; new ones follow */
+  mbr_entry_t *self;
+  uint64_t generation;
+  clk_ms_t poll_ms;
+  clk_ms_t listed_at;
+  bool have_list;
+  GHashTable *unlisted; /* names of VMs with an open link that are not known */
+  mbr_relayed_t *relayed;
+  size_t relayed_first;
+  size_t relayed_count;
+};
+
+/** The VM of that name; NULL: not in the list. */
+mbr_entry_t *mbr_entry_find (const mbr_t *m, const char *name);
+
+/** Whether A and B are in the same data centre. */
+static inline bool
+mbr_entry_near (const mbr_entry_t *a, const mbr_entry_t *b)
+{
+  return strcmp (a->vm.data_centre, b->vm.data_centre) == 0;
+}
+
+/** Work out anew whether E answers. */
+void mbr_entry_update (mbr_t *m, env_t *env, mbr_entry_t *e);
+
+/** Whether the fleet is too large for links between all VMs. */
+bool mbr_is_grid (const mbr_t *m);
+
+/** Choose the links to keep for the list as it is now. */
+void mbr_links_choose (mbr_t *m, env_t *env);
+
+/** Keep a link to E, or drop it. */
+void mbr_link_want (env_t *env, mbr_entry_t *e, bool wanted);
+
+/** MSG_MEMBER_RELAY has come from VM. */
+void mbr_relay_received (mbr_t *m, env_t *env, const char *vm,
+                         mpk_reader_t *r);
+
+#endif
--- a/tools/limnet.h
+++ b/tools/limnet.h
@@ -118,6 +118,7 @@
   double load;    /**< offered, as a part of the rate */
   uint32_t large; /**< so many customers have ten times the rate */
   lim_desc_t limits;
+  bool one_list; /**< VMs do not tell data centres apart */
 } net_desc_t;
 
 /** The net. */
@@ -376,6 +377,8 @@
   switch (item->kind)
     {
     case NET_TIMER:
+      if (item->at < v->wake)
+        return;
       v->wake = CLK_NEVER;
       _net_timers (v);
       break;
@@ -696,7 +699,7 @@
     }
   n->doc.customers = doc;
   n->doc.customer_count = count;
-  n->doc.data_centre_count = n->desc.data_centres;
+  n->doc.data_centre_count = n->desc.one_list ? 1 : n->desc.data_centres;
 }
 
 static inline int
@@ -723,7 +726,8 @@
       v->zone = i % desc->data_centres;
       v->listed = true;
       snprintf (v->name, sizeof v->name, "v%u", i);
-      snprintf (v->data_centre, sizeof v->data_centre, "dc%u", v->zone);
+      snprintf (v->data_centre, sizeof v->data_centre, "dc%u",
+                desc->one_list ? 0 : v->zone);
     }
   for (uint32_t i = 0; i < desc->vms; i++)
     net_start_vm (n, i);
