--- a/src/core/bat_end.c
+++ b/src/core/bat_end.c
@@ -57,7 +57,9 @@
   if (f->waiting)
     return;
   f->waiting = true;
-  bat_after (b, env, bat_backoff (env, MIN (f->tries++, 4U)), BAT_OP_END_RETRY,
+  if (f->tries < BAT_END_TRIES_MAX)
+    f->tries++;
+  bat_after (b, env, bat_backoff (env, f->tries - 1), BAT_OP_END_RETRY,
              f->self);
 }
 
--- a/src/core/bat_scan.c
+++ b/src/core/bat_scan.c
@@ -237,16 +237,20 @@
 _bat_job_found (bat_t *b, env_t *env, bat_job_t *job,
                 const ev_platform_t *reply)
 {
-  talloc_free (job->manifest_ctx);
-  job->manifest_ctx = talloc_new (job->ctx);
-  if (reply->code != ST_OK || reply->object_count == 0
-      || !bat_manifest_read (job->manifest_ctx, reply->objects[0].value,
-                             &job->manifest)
-      || job->manifest.chunks != job->open.chunks)
+  void *ctx = talloc_new (job->ctx);
+  bat_manifest_t m;
+  bool ok = reply->code == ST_OK && reply->object_count > 0
+            && bat_manifest_read (ctx, reply->objects[0].value, &m)
+            && m.chunks == job->open.chunks;
+  if (!ok)
     {
+      talloc_free (ctx);
       _bat_look_done (b, env, job);
       return;
     }
+  talloc_free (job->manifest_ctx);
+  job->manifest_ctx = ctx;
+  job->manifest = m;
   job->accepted = true;
   if (job->manifest.state != BAT_JOB_RUNNING)
     bat_end_start (b, env, job->id);
