--- a/standin/engine.h
+++ b/standin/engine.h
@@ -14,8 +14,8 @@
 /** Cache of CAPACITY prompt prefixes; its events are seen after LAG_MS. */
 cache_t *cache_setup (void *ctx, uint32_t capacity, uint64_t lag_ms);
 
-/** Look PROMPT's prefix up and make it the newest; false when it was not
- * there. */
+/** Look PROMPT's prefix (XXH64 of its first 256 bytes) up and make it the
+ * newest; false when it was not there. */
 bool cache_use (cache_t *c, const char *prompt);
 
 /** {"seq", "events"} after AFTER; now and then one is missing. */
--- a/standin/engine_state.c
+++ b/standin/engine_state.c
@@ -1,8 +1,10 @@
 #include "engine.h"
 #include "srv.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 #define PREFIX_CHARS 256
 #define EVENT_NUM 1024
@@ -48,10 +50,8 @@
 bool
 cache_use (cache_t *c, const char *prompt)
 {
-  size_t size = strnlen (prompt, PREFIX_CHARS);
-  char *sum = g_compute_checksum_for_data (G_CHECKSUM_SHA256,
-                                           (const guchar *)prompt, size);
-  sum[16] = '\0';
+  char *sum = g_strdup_printf (
+      "%016" PRIx64, XXH64 (prompt, strnlen (prompt, PREFIX_CHARS), 0));
   GList *found = g_queue_find_custom (c->prefixes, sum, (GCompareFunc)strcmp);
   if (found)
     {
--- a/standin/main.c
+++ b/standin/main.c
@@ -14,6 +14,7 @@
   { "platform", platform_main, "object API with versions, watches, VM list" },
   { "engine", engine_main, "model engine: streams, batching, prefix cache" },
   { "plain", plain_main, "plain service that counts its calls" },
+  { "load", load_main, "open-loop load with latency quantiles" },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof commands[0])
--- a/standin/plain.c
+++ b/standin/plain.c
@@ -60,6 +60,13 @@
                            p->by_key, "by_request", p->by_request));
       return;
     }
+  if (strcmp (req->path, "/load") == 0
+      || strcmp (req->path, "/cache-events") == 0)
+    {
+      /* Polls for reports, which a plain service does not have. */
+      srv_error (req, 404, "not-found", req->path);
+      return;
+    }
   p->total++;
   _count (p->by_key, srv_req_header (req, "Idempotency-Key"));
   _count (p->by_request, srv_req_header (req, "X-Request-Id"));
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -7,5 +7,6 @@
 int platform_main (int argc, char **argv);
 int engine_main (int argc, char **argv);
 int plain_main (int argc, char **argv);
+int load_main (int argc, char **argv);
 
 #endif
