--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 obj = $(patsubst %.c,build/$(1)/%.o,$(2))
 
-.PHONY: all check lint format tests demo soak measure fuzz install clean help deps
+.PHONY: all check lint format tests demo process-tests soak measure fuzz install clean help deps
 .SECONDARY:
 
 all: deps
@@ -38,6 +38,7 @@
 	@echo "make          build/rattanspindle and build/standin"
 	@echo "make check    all that CI runs"
 	@echo "make demo     both deployments on this machine, with a VM killed"
+	@echo "make process-tests  VMs killed and frozen, upstreams and platform failing"
 	@echo "make lint     clang-format and clang-tidy"
 	@echo "make format   apply clang-format"
 	@echo "make soak     long randomised runs"
@@ -128,6 +129,12 @@
 	@$(MAKE) --no-print-directory fuzz
 	@tools/run-tests $(TEST_PROGRAMS)
 
+demo: all
+	@tools/demo
+
+process-tests: all
+	@tools/process-tests
+
 measure: deps
 	@mkdir -p build/measure
 	@$(MAKE) --no-print-directory -j4 $(MEASURE_PROGRAMS)
--- /dev/null
+++ b/tools/fleet.sh
@@ -0,0 +1,256 @@
+# shellcheck shell=bash
+# Functions that run a fleet on this machine: the stand-ins that a document
+# names and the VMs of its data centres.  Sourced by tools/demo and
+# tools/process-tests; needs bash.
+#
+#   fleet_begin                        a folder, and the end of all on exit
+#   fleet_start examples/kvistgaard.ini 2
+#   fleet_apply                        the document in force on every VM
+#   fleet_kill VM KILL                 a signal, by process id
+#   fleet_end
+#
+# Every process is known by its name in fleet_pid and ended by its id.
+# FLEET_KEEP=1 keeps the folder.
+
+fleet_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+fleet_bin=$fleet_root/build
+fleet_wait_s=${FLEET_WAIT_S:-30}
+declare -A fleet_pid fleet_address fleet_centre
+fleet_vms=()
+fleet_upstreams=()
+fleet_dir=
+
+fleet_begin ()
+{
+  fleet_dir=$(mktemp -d "${TMPDIR:-/tmp}/rattanspindle.XXXXXX")
+  fleet_port=$((20000 + RANDOM % 10000))
+  fleet_vms=() fleet_upstreams=()
+  fleet_pid=() fleet_address=() fleet_centre=()
+  trap fleet_end EXIT
+  trap 'exit 130' INT TERM
+}
+
+# Signal NAME's process; the id is kept until fleet_gone.
+fleet_kill ()
+{
+  kill -s "$2" "${fleet_pid[$1]}"
+}
+
+# Wait for NAME's process to end; its exit status is the result.
+fleet_gone ()
+{
+  local status=0
+  wait "${fleet_pid[$1]}" 2>/dev/null || status=$?
+  unset "fleet_pid[$1]"
+  return "$status"
+}
+
+fleet_end ()
+{
+  local name
+  for name in "${!fleet_pid[@]}"; do
+    kill -s CONT "${fleet_pid[$name]}" 2>/dev/null
+    kill -s KILL "${fleet_pid[$name]}" 2>/dev/null
+  done
+  for name in "${!fleet_pid[@]}"; do
+    fleet_gone "$name"
+  done
+  if [ -n "$fleet_dir" ] && [ "${FLEET_KEEP:-0}" = 0 ]; then
+    rm -rf "$fleet_dir"
+  fi
+  fleet_dir=
+}
+
+# Run COMMAND until it succeeds; false after fleet_wait_s seconds.
+fleet_until ()
+{
+  local end=$((SECONDS + fleet_wait_s))
+  while ! "$@"; do
+    [ "$SECONDS" -lt "$end" ] || return 1
+    sleep 0.05
+  done
+}
+
+# Set REPLY to a port that nothing listens on.
+fleet_pick_port ()
+{
+  while :; do
+    fleet_port=$((fleet_port + 1))
+    (exec 3<>"/dev/tcp/127.0.0.1/$fleet_port") 2>/dev/null || break
+  done
+  REPLY=$fleet_port
+}
+
+# Start stand-in NAME with its ARGUMENTS; its address goes to fleet_address.
+fleet_standin ()
+{
+  local name=$1
+  shift
+  "$fleet_bin/standin" "$@" --port 0 --record "$fleet_dir/$name.received" \
+    >"$fleet_dir/$name.log" 2>&1 &
+  fleet_pid[$name]=$!
+  fleet_until grep -q '^listening on ' "$fleet_dir/$name.log" || return 1
+  fleet_address[$name]=$(sed -n 's/^listening on //p' "$fleet_dir/$name.log")
+}
+
+# Value of KEY in SECTION of the document FILE.
+fleet_value ()
+{
+  sed -n "/^\\[$2\\]\$/,/^\$/s/^$3 *= *//p" "$1"
+}
+
+fleet_names ()
+{
+  sed -n "s/^\\[$2 \\(.*\\)\\]\$/\\1/p" "$1"
+}
+
+# The document with the addresses of this run: $fleet_dir/document.ini.
+fleet_start_upstreams ()
+{
+  local doc=$1 name old kind
+  cp "$doc" "$fleet_dir/document.ini"
+  for name in $(fleet_names "$doc" upstream); do
+    old=$(fleet_value "$doc" "upstream $name" address)
+    kind=$(fleet_value "$doc" \
+      "deployment $(fleet_value "$doc" "upstream $name" deployment)" kind)
+    if [ "$kind" = engine ]; then
+      fleet_standin "$name" engine --name "$name" --slots 8 --token-ms 5 \
+        --report-lag-ms 100 || return 1
+    else
+      fleet_standin "$name" plain --name "$name" || return 1
+    fi
+    fleet_upstreams+=("$name")
+    sed -i "s/^address = $old\$/address = ${fleet_address[$name]}/" \
+      "$fleet_dir/document.ini"
+  done
+}
+
+# Write VM NAME's settings.
+fleet_settings ()
+{
+  cat >"$fleet_dir/$1.ini" <<END
+[vm]
+name = $1
+data_centre = ${fleet_centre[$1]}
+listen = ${fleet_address[$1]}
+peer_listen = $2
+secret_file = $fleet_dir/secret
+operator_token_file = $fleet_dir/token
+
+[platform]
+address = ${fleet_address[platform]}
+
+[log]
+level = info
+format = text
+END
+}
+
+# Start VM NAME, which has settings, and wait until it answers.
+fleet_vm ()
+{
+  "$fleet_bin/rattanspindle" serve --settings "$fleet_dir/$1.ini" \
+    >>"$fleet_dir/$1.log" 2>&1 &
+  fleet_pid[$1]=$!
+  fleet_until fleet_answers "$1"
+}
+
+fleet_answers ()
+{
+  kill -0 "${fleet_pid[$1]}" || return 0
+  curl -s -m 2 -o "$fleet_dir/$1.metrics" \
+    "http://${fleet_address[$1]}/metrics"
+}
+
+# Start the platform, the upstreams of DOC and PER_CENTRE VMs in each of its
+# data centres.
+fleet_start ()
+{
+  local doc=$1 per_centre=$2 centre i vm
+  local -a list=()
+  local -A peer
+  printf 'secret-of-this-run-%s\n' "$RANDOM$RANDOM$RANDOM" >"$fleet_dir/secret"
+  printf 'operator-token-of-this-run-%s\n' "$RANDOM$RANDOM" >"$fleet_dir/token"
+  for centre in $(fleet_names "$doc" data-centre); do
+    for ((i = 1; i <= per_centre; i++)); do
+      vm=$centre-$i
+      fleet_vms+=("$vm")
+      fleet_centre[$vm]=$centre
+      fleet_pick_port
+      fleet_address[$vm]=127.0.0.1:$REPLY
+      fleet_pick_port
+      peer[$vm]=127.0.0.1:$REPLY
+      list+=(--vm "$vm,$centre,${peer[$vm]}")
+    done
+  done
+  fleet_standin platform platform "${list[@]}" || return 1
+  fleet_start_upstreams "$doc" || return 1
+  for vm in "${fleet_vms[@]}"; do
+    fleet_settings "$vm" "${peer[$vm]}"
+    fleet_vm "$vm" || return 1
+  done
+}
+
+# Call VM: fleet_curl VM PATH [CURL-ARGUMENT...].
+fleet_curl ()
+{
+  local vm=$1 path=$2
+  shift 2
+  curl -s -m "$fleet_wait_s" "$@" "http://${fleet_address[$vm]}$path"
+}
+
+# Order a stand-in to misbehave: fleet_control NAME JSON.
+fleet_control ()
+{
+  curl -s -m 5 -o /dev/null -d "$2" "http://${fleet_address[$1]}/control"
+}
+
+fleet_counts ()
+{
+  curl -s -m 5 "http://${fleet_address[$1]}/counts"
+}
+
+fleet_in_force ()
+{
+  [ "$(fleet_curl "$1" /public/ready -m 3 -o /dev/null -w '%{http_code}')" \
+    = 200 ]
+}
+
+# Put the document in force and wait until every VM serves by it.
+fleet_apply ()
+{
+  local vm
+  fleet_until fleet_apply_once || return 1
+  for vm in "${fleet_vms[@]}"; do
+    fleet_until fleet_in_force "$vm" || return 1
+  done
+}
+
+fleet_apply_once ()
+{
+  local status
+  status=$(fleet_curl "${fleet_vms[0]}" /v1/operator/config -X POST \
+    -H "Authorization: Bearer $(cat "$fleet_dir/token")" \
+    --data-binary "@$fleet_dir/document.ini" \
+    -o "$fleet_dir/apply.answer" -w '%{http_code}')
+  [ "$status" = 200 ]
+}
+
+# First 16 digits of TEXT's SHA-256, as an engine's answer quotes it.
+fleet_sum ()
+{
+  local sum
+  sum=$(printf '%s' "$1" | sha256sum)
+  echo "${sum:0:16}"
+}
+
+# How often stand-ins of kind plain have run calls with Idempotency-Key KEY.
+fleet_runs ()
+{
+  local name n sum=0
+  for name in "${fleet_upstreams[@]}"; do
+    n=$(fleet_counts "$name" | grep -o "\"$1\": *[0-9]*" | head -n 1)
+    sum=$((sum + ${n##*[: ]}))
+  done
+  echo "$sum"
+}
