--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -41,6 +41,7 @@
   key_set_t *keys;
   lim_t *lim;
   rte_t *rte;
+  idm_t *idm;
   crd_t *crd;
   bat_t *bat;
   onl_t *onl;
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -23,7 +23,12 @@
   n->bat
       = bat_setup (n, &(bat_desc_t){ .credits = n->crd,
                                      .unix_offset_ms = desc->unix_offset_ms });
-  n->onl = onl_setup (n);
+  n->idm = idm_setup (n, &(idm_desc_t){ .members = n->mbr });
+  n->onl = onl_setup (n, &(onl_desc_t){ .members = n->mbr,
+                                        .limits = n->lim,
+                                        .keys = n->keys,
+                                        .routes = n->rte,
+                                        .records = n->idm });
   n->opr = opr_setup (
       n, &(opr_desc_t){ .token_sha256 = desc->operator_token_sha256,
                         .config = n->cfs });
@@ -36,6 +41,7 @@
   cfs_start (n->cfs, n->env);
   key_start (n->keys, n->env);
   lim_start (n->lim, n->env);
+  idm_start (n->idm, n->env);
   crd_start (n->crd, n->env);
   bat_start (n->bat, n->env);
 }
@@ -44,13 +50,14 @@
 node_mods_leave (node_t *n)
 {
   bat_leave (n->bat, n->env);
+  onl_leave (n->onl, n->env);
   lim_leave (n->lim, n->env);
 }
 
 bool
 node_mods_left (const node_t *n)
 {
-  return onl_count (n->onl) == 0 && bat_left (n->bat);
+  return onl_left (n->onl, n->env) && bat_left (n->bat);
 }
 
 /* -- dispatch ------------------------------------------------------------- */
@@ -85,9 +92,11 @@
     case MOD_CREDIT:
       crd_timer_fired (n->crd, env, due->tag);
       break;
+    case MOD_IDEMPOTENT:
+      idm_timer_fired (n->idm, env, due->tag);
+      break;
     case MOD_NODE:
     case MOD_PLATFORM:
-    case MOD_IDEMPOTENT:
     case MOD_ORDER:
     case MOD_NUM:
       INV_CHECK (false, "timer-owner", "module %s", mod_name (due->mod));
@@ -116,11 +125,13 @@
     case MOD_BATCH:
       bat_platform_replied (n->bat, env, done, reply);
       break;
+    case MOD_IDEMPOTENT:
+      idm_platform_replied (n->idm, env, done, reply);
+      break;
     case MOD_NODE:
     case MOD_PLATFORM:
     case MOD_ONLINE:
     case MOD_ROUTE:
-    case MOD_IDEMPOTENT:
     case MOD_CREDIT:
     case MOD_ORDER:
     case MOD_NUM:
@@ -365,6 +376,7 @@
   bool changed = cfs_changed (n->cfs);
   if (changed)
     _node_config_changed (n);
+  onl_pump (n->onl, n->env);
   _node_loads (n);
   bat_pump (n->bat, n->env);
   return changed;
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -1,50 +1,83 @@
 #include "core/onl.h"
 
-#include "core/rpl.h"
-#include "core/tbl.h"
+#include "core/inv.h"
+#include "core/onl_int.h"
 
-#include <glib.h>
-#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
-#define ONL_STALL_MS (10 * CLK_SECOND)
+#define ONL_QUEUE_MS_DEFAULT (5 * CLK_SECOND)
+#define ONL_LEAVE_MS_DEFAULT (2 * CLK_SECOND)
+#define ONL_REQUESTS_MAX 20000
 
-typedef struct
+typedef enum
 {
-  uint64_t caller;
-  uint64_t call;
-  clk_ms_t deadline;
-  clk_ms_t started;
-  size_t upstream; /**< index in the document */
-  bool idempotent;
-  bool headed; /**< the answer's head was passed on */
-} _onl_request_t;
+  _ONL_DO_RECORD,
+  _ONL_DO_QUEUE,
+  _ONL_DO_SEND,
+  _ONL_DO_CLOSE,
+  _ONL_DO_NUM
+} _onl_action_t;
 
-struct onl
+/* -- set up --------------------------------------------------------------- */
+
+static cht_t *
+_onl_chart (void *ctx)
 {
-  const cfg_doc_t *doc;
-  tbl_t *requests;
-  GHashTable *by_caller; /**< caller -> handle */
-  uint32_t *in_flight;   /**< per upstream of the document */
-  uint64_t sequence;
-};
+  static const char *const states[ONL_STATE_NUM]
+      = { "admitting", "recording", "queued", "sent", "answering", "ended" };
+  static const char *const events[ONL_EV_NUM]
+      = { "admitted", "granted", "picked", "head", "retry", "end" };
+  static const char *const guards[] = { "needs-record" };
+  static const char *const actions[_ONL_DO_NUM]
+      = { "record", "queue", "send", "close" };
+  st_t st = { 0 };
+  cht_t *c = cht_setup (ctx,
+                        &(cht_desc_t){ .text = cht_text ("request"),
+                                       .states = states,
+                                       .state_count = ONL_STATE_NUM,
+                                       .events = events,
+                                       .event_count = ONL_EV_NUM,
+                                       .guards = guards,
+                                       .guard_count = 1,
+                                       .actions = actions,
+                                       .action_count = _ONL_DO_NUM },
+                        &st);
+  INV_CHECK (c != NULL, "chart-is-good", "request: %s", st.message);
+  return c;
+}
 
 static int
 _onl_destroy (onl_t *o)
 {
+  for (tbl_id_t id = tbl_next (o->requests, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (o->requests, id))
+    {
+      const onl_request_t *r = tbl_get (o->requests, id);
+      if (r->answer.held != NULL)
+        g_byte_array_free (r->answer.held, TRUE);
+    }
   g_hash_table_destroy (o->by_caller);
+  g_hash_table_destroy (o->deployments);
   return 0;
 }
 
 onl_t *
-onl_setup (void *ctx)
+onl_setup (void *ctx, const onl_desc_t *desc)
 {
   onl_t *o = talloc_zero (ctx, onl_t);
-  o->requests = tbl_setup (
-      o, &(tbl_desc_t){ .size = sizeof (_onl_request_t), .max = 20000 });
+  o->desc = *desc;
+  if (o->desc.queue_ms == 0)
+    o->desc.queue_ms = ONL_QUEUE_MS_DEFAULT;
+  if (o->desc.leave_ms == 0)
+    o->desc.leave_ms = ONL_LEAVE_MS_DEFAULT;
+  o->chart = _onl_chart (o);
+  o->requests = tbl_setup (o, &(tbl_desc_t){ .size = sizeof (onl_request_t),
+                                             .max = ONL_REQUESTS_MAX });
   o->by_caller
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  o->deployments = g_hash_table_new (g_str_hash, g_str_equal);
+  o->leaving_since = CLK_NEVER;
   talloc_set_destructor (o, _onl_destroy);
   return o;
 }
@@ -60,8 +93,6 @@
 {
   (void)env;
   o->doc = doc;
-  talloc_free (o->in_flight);
-  o->in_flight = talloc_zero_array (o, uint32_t, doc->upstream_count);
 }
 
 uint32_t
@@ -70,241 +101,216 @@
   return tbl_count (o->requests);
 }
 
-/* -- admission ------------------------------------------------------------ */
-
-static const cfg_key_t *
-_onl_key (const onl_t *o, const ev_request_t *req)
+onl_request_t *
+onl_get (const onl_t *o, uint64_t handle)
 {
-  const char *value = http_header_find (req->headers, "Authorization");
-  if (value == NULL || strncmp (value, "Bearer ", 7) != 0)
-    return NULL;
-  char *hash
-      = g_compute_checksum_for_string (G_CHECKSUM_SHA256, value + 7, -1);
-  const cfg_key_t *key = cfg_key_find (o->doc, hash);
-  g_free (hash);
-  return key;
+  return tbl_get (o->requests, (tbl_id_t){ .id = handle });
 }
 
-/* Fill in the refusal for REQ; NULL when it is admitted to *ROUTE. */
-static const rpl_error_t *
-_onl_refusal (const onl_t *o, const ev_request_t *req,
-              const cfg_route_t **route)
+/* -- chart ---------------------------------------------------------------- */
+
+static void
+_onl_close (onl_t *o, onl_request_t *r)
 {
-  static const rpl_error_t no_config
-      = { .status = 503,
-          .code = "no-configuration",
-          .message = "no configuration is in force yet",
-          .retry_after_ms = 1 * CLK_SECOND };
-  static const rpl_error_t no_route
-      = { .status = 404, .code = "no-route", .message = "no such route" };
-  static const rpl_error_t no_key
-      = { .status = 401,
-          .code = "unauthorized",
-          .message = "expected 'Authorization: Bearer KEY' with a known key" };
-  static const rpl_error_t not_built
-      = { .status = 501,
-          .code = "not-built",
-          .message = "non-idempotent routes are not built yet" };
-  if (o->doc == NULL)
-    return &no_config;
-  *route = cfg_route_find (o->doc, req->method, req->path);
-  if (*route == NULL)
-    return &no_route;
-  if (!(*route)->open && _onl_key (o, req) == NULL)
-    return &no_key;
-  if (!(*route)->idempotent)
-    return &not_built;
-  return NULL;
+  INV_CHECK (r->record == 0, "record-has-outcome", "request %s",
+             r->request_id);
+  if (r->caller != 0)
+    g_hash_table_remove (o->by_caller, &r->caller);
+  if (r->answer.held != NULL)
+    g_byte_array_free (r->answer.held, TRUE);
+  r->answer.held = NULL;
+  talloc_free (r->pool);
+  tbl_free (o->requests, r->id);
 }
 
-/* Least own requests in progress; the own data centre's first. */
-static bool
-_onl_pick (const onl_t *o, const env_t *env, const char *deployment,
-           size_t *upstream)
+static void
+_onl_act (onl_t *o, env_t *env, onl_request_t *r, _onl_action_t action)
 {
-  bool found = false;
-  uint64_t best = UINT64_MAX;
-  for (size_t i = 0; i < o->doc->upstream_count; i++)
+  switch (action)
     {
-      const cfg_upstream_t *u = &o->doc->upstreams[i];
-      if (u->leaving || strcmp (u->deployment, deployment) != 0)
-        continue;
-      bool away = strcmp (u->data_centre, env->data_centre) != 0;
-      uint64_t cost = o->in_flight[i] + (away ? 1U << 16 : 0);
-      if (cost >= best)
-        continue;
-      best = cost;
-      *upstream = i;
-      found = true;
+    case _ONL_DO_RECORD:
+      onl_record (o, env, r);
+      break;
+    case _ONL_DO_QUEUE:
+      onl_queue (o, env, r);
+      break;
+    case _ONL_DO_SEND:
+      onl_send (o, env, r);
+      break;
+    case _ONL_DO_CLOSE:
+      _onl_close (o, r);
+      break;
+    case _ONL_DO_NUM:
+      break;
     }
-  return found;
 }
 
-static void
-_onl_send (onl_t *o, env_t *env, tbl_id_t id, const cfg_route_t *route,
-           const ev_request_t *req)
+void
+onl_fire (onl_t *o, env_t *env, onl_request_t *r, onl_event_t event)
 {
-  _onl_request_t *r = tbl_get (o->requests, id);
-  char request_id[64];
-  (void)snprintf (request_id, sizeof request_id, "%s-%llx-%llu", env->vm,
-                  (unsigned long long)env->incarnation,
-                  (unsigned long long)++o->sequence);
-  const char *type = http_header_find (req->headers, "Content-Type");
-  http_header_t headers[] = {
-    { .name = "X-Request-Id", .value = request_id },
-    { .name = "Content-Type", .value = type ? type : "application/json" },
-  };
-  o->in_flight[r->upstream]++;
-  r->call = upc_call (env, MOD_ONLINE, id.id,
-                      &(fx_upstream_t){
-                          .address = o->doc->upstreams[r->upstream].address,
-                          .method = req->method,
-                          .path = req->path,
-                          .headers = { .v = headers, .n = 2 },
-                          .body = req->body,
-                          .caller = req->caller,
-                          .first_byte_ms = route->deadline_ms,
-                          .stall_ms = ONL_STALL_MS,
-                      });
+  uint32_t guards = r->idempotent ? 0 : 1;
+  cht_step_t step = cht_fire (o->chart, (int)r->state, (int)event, guards);
+  r->state = (onl_state_t)step.next;
+  /* The last action may free R, so each step has one. */
+  if (step.action_count > 0)
+    _onl_act (o, env, r, (_onl_action_t)step.actions[0]);
 }
 
+/* -- ends ----------------------------------------------------------------- */
+
+/** Give up the try that runs, if any. */
 static void
-_onl_close (onl_t *o, tbl_id_t id)
+_onl_stop (onl_t *o, env_t *env, onl_request_t *r, rte_fail_t fail)
 {
-  _onl_request_t *r = tbl_get (o->requests, id);
-  o->in_flight[r->upstream]--;
-  g_hash_table_remove (o->by_caller, &r->caller);
-  tbl_free (o->requests, id);
+  if (r->state == ONL_QUEUED)
+    (void)fqu_remove (r->deployment->queue, r->id.id);
+  if (r->call == 0)
+    return;
+  upc_cancel (env, r->call);
+  r->call = 0;
+  r->may_have_run = true;
+  rte_failed (o->desc.routes, env, r->pick.handle, fail);
 }
 
 void
-onl_request (onl_t *o, env_t *env, const ev_request_t *req)
+onl_record_close (onl_t *o, env_t *env, onl_request_t *r)
 {
-  const cfg_route_t *route = NULL;
-  const rpl_error_t *refusal = _onl_refusal (o, req, &route);
-  static const rpl_error_t no_upstream = { .status = 503,
-                                           .code = "no-upstream",
-                                           .message = "no upstream takes work",
-                                           .retry_after_ms = CLK_SECOND };
-  size_t upstream = 0;
-  if (refusal == NULL && !_onl_pick (o, env, route->deployment, &upstream))
-    refusal = &no_upstream;
-  tbl_id_t id = { 0 };
-  if (refusal == NULL)
-    id = tbl_alloc (o->requests);
-  if (refusal == NULL && id.id == 0)
-    refusal = &no_upstream;
-  if (refusal != NULL)
-    {
-      cnt_add (env->cnt, "rts_online_refused_total", "", 1);
-      rpl_error (env, req->caller, refusal);
-      return;
-    }
-  *(_onl_request_t *)tbl_get (o->requests, id)
-      = (_onl_request_t){ .caller = req->caller,
-                          .started = env->now,
-                          .deadline = env->now + route->deadline_ms,
-                          .upstream = upstream,
-                          .idempotent = route->idempotent };
-  g_hash_table_insert (o->by_caller, g_memdup2 (&req->caller, 8),
-                       g_memdup2 (&id.id, 8));
-  cnt_add (env->cnt, "rts_online_requests_total", "", 1);
-  tmr_arm (env->tmr, env->now + route->deadline_ms, MOD_ONLINE, id.id);
-  _onl_send (o, env, id, route, req);
+  if (r->record == 0)
+    return;
+  if (r->may_have_run)
+    idm_unknown (o->desc.records, env, r->record);
+  else
+    idm_not_run (o->desc.records, env, r->record);
+  r->record = 0;
 }
 
-/* -- progress ------------------------------------------------------------- */
+void
+onl_refuse (onl_t *o, env_t *env, onl_request_t *r, const rpl_error_t *e)
+{
+  rpl_error_t error = *e;
+  char labels[64];
+  error.run = r->may_have_run ? RPL_UNKNOWN : RPL_NOT_RUN;
+  g_snprintf (labels, sizeof labels, "code=\"%s\"", e->code);
+  cnt_add (env->cnt, "rts_online_refused_total", labels, 1);
+  tln_record (env->tln, env->now, MOD_ONLINE, "refused",
+              "request=%s code=%s run=%s", r->request_id, e->code,
+              rpl_run_name (error.run));
+  if (r->caller != 0)
+    rpl_error (env, r->caller, &error);
+  onl_record_close (o, env, r);
+  onl_fire (o, env, r, ONL_EV_END);
+}
+
+void
+onl_caller_gone (onl_t *o, env_t *env, uint64_t caller)
+{
+  const uint64_t *found = g_hash_table_lookup (o->by_caller, &caller);
+  if (found == NULL)
+    return;
+  onl_request_t *r = onl_get (o, *found);
+  g_hash_table_remove (o->by_caller, &caller);
+  r->caller = 0;
+  cnt_add (env->cnt, "rts_online_caller_gone_total", "", 1);
+  /* Its record is to say how it went on: let it finish. */
+  if (r->record != 0 && r->call != 0)
+    return;
+  _onl_stop (o, env, r, RTE_FAIL_CANCELLED);
+  onl_record_close (o, env, r);
+  onl_fire (o, env, r, ONL_EV_END);
+  onl_pump (o, env);
+}
 
+/** End the request for a reason of this side's. */
 static void
-_onl_fail (onl_t *o, env_t *env, tbl_id_t id, const rpl_error_t *error)
+_onl_give_up (onl_t *o, env_t *env, onl_request_t *r, rte_fail_t fail,
+              const rpl_error_t *e)
 {
-  const _onl_request_t *r = tbl_get (o->requests, id);
-  tln_record (env->tln, env->now, MOD_ONLINE, "failed", "%s", error->code);
-  if (r->headed)
-    fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_ABORT,
-                               .reply = { .caller = r->caller } });
+  _onl_stop (o, env, r, fail);
+  if (r->delivered)
+    onl_abort (o, env, r, e->message);
   else
-    rpl_error (env, r->caller, error);
-  _onl_close (o, id);
+    onl_refuse (o, env, r, e);
 }
 
 static void
-_onl_head (env_t *env, _onl_request_t *r, const ev_upstream_t *up)
+_onl_deadline (onl_t *o, env_t *env, onl_request_t *r)
 {
-  const char *type = http_header_find (up->headers, "Content-Type");
-  http_header_t header = { .name = "Content-Type",
-                           .value = type ? type : "application/octet-stream" };
-  r->headed = true;
-  cnt_observe (env->cnt, "rts_online_first_byte_ms", "",
-               (double)(env->now - r->started));
-  fx_push (env->fx,
-           &(fx_t){ .kind = FX_REPLY_HEAD,
-                    .reply = { .caller = r->caller,
-                               .status = up->status,
-                               .headers = { .v = &header, .n = 1 } } });
+  /* A stream that flows is not cut; stalls end it. */
+  if (r->delivered || env->now < r->deadline)
+    return;
+  _onl_give_up (o, env, r,
+                r->state == ONL_SENT ? RTE_FAIL_SILENT : RTE_FAIL_CANCELLED,
+                &(rpl_error_t){ .status = 504,
+                                .code = "deadline",
+                                .message = "no answer within the deadline",
+                                .retry_after_ms = CLK_SECOND });
 }
 
-void
-onl_upstream_event (onl_t *o, env_t *env, uint64_t tag, const ev_t *ev)
+static void
+_onl_key_withdrawn (onl_t *o, env_t *env, const char *key)
 {
-  tbl_id_t id = { .id = tag };
-  _onl_request_t *r = tbl_get (o->requests, id);
-  if (r == NULL)
-    return;
-  switch (ev->kind)
+  static const rpl_error_t withdrawn = { .status = 401,
+                                         .code = "key-withdrawn",
+                                         .message = "the key was withdrawn" };
+  tbl_id_t id = tbl_next (o->requests, (tbl_id_t){ 0 });
+  while (id.id != 0)
     {
-    case EV_UPSTREAM_HEAD:
-      _onl_head (env, r, &ev->upstream);
-      break;
-    case EV_UPSTREAM_DATA:
-      fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_DATA,
-                                 .reply = { .caller = r->caller,
-                                            .data = ev->upstream.data } });
-      break;
-    case EV_UPSTREAM_END:
-      fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_END,
-                                 .reply = { .caller = r->caller } });
-      _onl_close (o, id);
-      break;
-    case EV_UPSTREAM_FAIL:
-      _onl_fail (o, env, id,
-                 &(rpl_error_t){ .status = 502,
-                                 .code = "upstream-failed",
-                                 .message = "the upstream did not answer",
-                                 .run = ev->upstream.fail == EV_FAIL_NOT_SENT
-                                            ? RPL_NOT_RUN
-                                            : RPL_UNKNOWN,
-                                 .retry_after_ms = CLK_SECOND });
-      break;
-    default:
-      break;
+      onl_request_t *r = tbl_get (o->requests, id);
+      if (r->key[0] != '\0' && strcmp (r->key, key) == 0)
+        _onl_give_up (o, env, r, RTE_FAIL_CANCELLED, &withdrawn);
+      id = tbl_next (o->requests, id);
     }
 }
 
+/* -- hooks ---------------------------------------------------------------- */
+
 void
-onl_caller_gone (onl_t *o, env_t *env, uint64_t caller)
+onl_timer_fired (onl_t *o, env_t *env, uint64_t tag)
 {
-  const uint64_t *found = g_hash_table_lookup (o->by_caller, &caller);
-  if (found == NULL)
-    return;
-  tbl_id_t id = { .id = *found };
-  const _onl_request_t *r = tbl_get (o->requests, id);
-  upc_cancel (env, r->call);
-  _onl_close (o, id);
+  if (tag == ONL_TICK_TAG)
+    o->ticking = false;
+  onl_request_t *r = tag == ONL_TICK_TAG ? NULL : onl_get (o, tag);
+  if (r != NULL)
+    _onl_deadline (o, env, r);
+  onl_pump (o, env);
 }
 
 void
-onl_timer_fired (onl_t *o, env_t *env, uint64_t tag)
+onl_pump (onl_t *o, env_t *env)
+{
+  lim_answer_t limit;
+  while (lim_answer_pop (o->desc.limits, &limit))
+    {
+      onl_request_t *r = onl_get (o, limit.tag);
+      if (r == NULL || r->state != ONL_ADMITTING)
+        continue;
+      if (limit.verdict == LIM_ADMITTED)
+        onl_admitted (o, env, r);
+      else
+        onl_limit_refused (o, env, r, limit.retry_after);
+    }
+  idm_answer_t record;
+  while (idm_answer_pop (o->desc.records, &record))
+    onl_recorded (o, env, &record);
+  const char *key;
+  while (key_withdrawn_pop (o->desc.keys, &key))
+    _onl_key_withdrawn (o, env, key);
+  onl_dispatch (o, env);
+}
+
+void
+onl_leave (onl_t *o, env_t *env)
 {
-  tbl_id_t id = { .id = tag };
-  const _onl_request_t *r = tbl_get (o->requests, id);
-  if (r == NULL || r->headed || env->now < r->deadline)
+  if (o->leaving_since != CLK_NEVER)
     return;
-  upc_cancel (env, r->call);
-  _onl_fail (o, env, id,
-             &(rpl_error_t){ .status = 504,
-                             .code = "deadline",
-                             .message = "no answer within the deadline",
-                             .run = RPL_UNKNOWN,
-                             .retry_after_ms = CLK_SECOND });
+  o->leaving_since = env->now;
+  tmr_arm (env->tmr, env->now + o->desc.leave_ms, MOD_ONLINE, 0);
+}
+
+bool
+onl_left (const onl_t *o, const env_t *env)
+{
+  return o->leaving_since != CLK_NEVER
+         && env->now >= o->leaving_since + o->desc.leave_ms
+         && onl_count (o) == 0 && idm_pending (o->desc.records) == 0;
 }
--- /dev/null
+++ b/src/core/onl_admit.c
@@ -0,0 +1,315 @@
+/** @file
+ * Admission: key, route, rate, record.
+ */
+#include "core/inv.h"
+#include "core/onl_int.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define ONL_PROMPT_MAX ((size_t)1 << 20)
+
+static const rpl_error_t no_config
+    = { .status = 503,
+        .code = "no-configuration",
+        .message = "no configuration is in force yet",
+        .retry_after_ms = 1 * CLK_SECOND };
+static const rpl_error_t no_route
+    = { .status = 404, .code = "no-route", .message = "no such route" };
+static const rpl_error_t no_key
+    = { .status = 401,
+        .code = "unauthorized",
+        .message = "expected 'Authorization: Bearer KEY' with a known key" };
+static const rpl_error_t leaving
+    = { .status = 503,
+        .code = "leaving",
+        .message = "this VM is leaving; ask again",
+        .retry_after_ms = 1 * CLK_SECOND };
+static const rpl_error_t no_idempotency_key
+    = { .status = 400,
+        .code = "idempotency-key-required",
+        .message = "this route needs an Idempotency-Key header of 1 to 128 "
+                   "printable characters, new for each request and the same "
+                   "when a request is sent again" };
+static const rpl_error_t too_many
+    = { .status = 503,
+        .code = "overloaded",
+        .message = "too many requests in progress",
+        .retry_after_ms = 1 * CLK_SECOND };
+
+/** What admission has found out about a request before it has a handle. */
+typedef struct
+{
+  const cfg_route_t *route;
+  const cfg_key_t *key; /**< NULL on open routes */
+  const char *idempotency_key;
+} _onl_found_t;
+
+/** Fill in FOUND; the refusal, or NULL. */
+static const rpl_error_t *
+_onl_check (const onl_t *o, env_t *env, const ev_request_t *req,
+            const char *presented, _onl_found_t *found)
+{
+  if (o->doc == NULL)
+    return &no_config;
+  if (o->leaving_since != CLK_NEVER
+      && env->now >= o->leaving_since + o->desc.leave_ms)
+    return &leaving;
+  found->route = cfg_route_find (o->doc, req->method, req->path);
+  if (found->route == NULL || !found->route->open)
+    {
+      /* Only who has a key learns which routes there are. */
+      if (presented != NULL)
+        found->key = key_check (o->desc.keys, env, o->doc, presented);
+      if (found->key == NULL)
+        return &no_key;
+    }
+  if (found->route == NULL)
+    return &no_route;
+  if (found->route->idempotent)
+    return NULL;
+  found->idempotency_key = http_header_find (req->headers, "Idempotency-Key");
+  if (found->idempotency_key == NULL
+      || !idm_key_valid (found->idempotency_key))
+    return &no_idempotency_key;
+  return NULL;
+}
+
+static onl_deployment_t *
+_onl_deployment (onl_t *o, const char *name)
+{
+  onl_deployment_t *d = g_hash_table_lookup (o->deployments, name);
+  if (d != NULL)
+    return d;
+  d = talloc_zero (o, onl_deployment_t);
+  d->name = talloc_strdup (d, name);
+  d->queue = fqu_setup (d, &(fqu_desc_t){ 0 });
+  g_hash_table_insert (o->deployments, d->name, d);
+  return d;
+}
+
+static char *
+_onl_target (void *ctx, const ev_request_t *req, const char *presented)
+{
+  void *tmp = talloc_new (NULL);
+  const char *query = key_strip_query (tmp, req->query, presented);
+  char *target = talloc_asprintf (ctx, "%s%s%s", req->path,
+                                  query[0] != '\0' ? "?" : "", query);
+  talloc_free (tmp);
+  return target;
+}
+
+/** Copy what the request needs later. */
+static void
+_onl_fill (onl_t *o, const env_t *env, onl_request_t *r,
+           const ev_request_t *req, const char *presented,
+           const _onl_found_t *found)
+{
+  void *pool = talloc_new (o);
+  const char *customer = found->key != NULL ? found->key->customer : "";
+  const cfg_customer_t *c = cfg_customer_find (o->doc, customer);
+  const cfg_deployment_t *d
+      = cfg_deployment_find (o->doc, found->route->deployment);
+  INV_CHECK (d != NULL, "route-has-deployment", "%s",
+             found->route->deployment);
+  r->pool = pool;
+  r->state = (onl_state_t)cht_initial (o->chart);
+  r->caller = req->caller;
+  r->request_id = talloc_asprintf (pool, "%s-%llx-%llu", env->vm,
+                                   (unsigned long long)env->incarnation,
+                                   (unsigned long long)++o->sequence);
+  r->key = talloc_strdup (pool, found->key != NULL ? found->key->name : "");
+  r->customer = talloc_strdup (pool, customer);
+  r->weight = c != NULL ? c->weight : 1;
+  r->deployment = _onl_deployment (o, d->name);
+  r->engine = d->kind == CFG_ENGINE;
+  r->idempotent = found->route->idempotent;
+  r->method = talloc_strdup (pool, req->method);
+  r->target = _onl_target (pool, req, presented);
+  r->headers = onl_request_headers (
+      pool, key_strip_headers (pool, req->headers, presented), r->request_id);
+  r->body = buf_copy (pool, req->body);
+  r->arrived = env->now;
+  r->deadline = env->now + found->route->deadline_ms;
+  if (r->engine && req->body.n > 0 && req->body.n <= ONL_PROMPT_MAX)
+    r->prefix = onl_prompt_prefix (req->body, &r->stream);
+  if (found->idempotency_key != NULL)
+    {
+      r->idempotency_key = talloc_strdup (pool, found->idempotency_key);
+      r->fingerprint = idm_fingerprint (r->method, r->target, r->body);
+    }
+}
+
+static void
+_onl_admit (onl_t *o, env_t *env, onl_request_t *r)
+{
+  clk_ms_t retry_after = 0;
+  if (r->customer[0] == '\0')
+    {
+      onl_admitted (o, env, r);
+      return;
+    }
+  switch (lim_admit (o->desc.limits, env, o->desc.members, r->customer,
+                     r->id.id, &retry_after))
+    {
+    case LIM_ADMITTED:
+      onl_admitted (o, env, r);
+      break;
+    case LIM_REFUSED:
+      onl_limit_refused (o, env, r, retry_after);
+      break;
+    case LIM_PENDING:
+      break;
+    }
+}
+
+void
+onl_request (onl_t *o, env_t *env, const ev_request_t *req)
+{
+  void *tmp = talloc_new (NULL);
+  const char *presented = key_extract (tmp, req->headers, req->query);
+  _onl_found_t found = { 0 };
+  const rpl_error_t *refusal = _onl_check (o, env, req, presented, &found);
+  tbl_id_t id = { 0 };
+  if (refusal == NULL)
+    id = tbl_alloc (o->requests);
+  if (refusal == NULL && id.id == 0)
+    refusal = &too_many;
+  if (refusal != NULL)
+    {
+      char labels[64];
+      g_snprintf (labels, sizeof labels, "code=\"%s\"", refusal->code);
+      cnt_add (env->cnt, "rts_online_refused_total", labels, 1);
+      rpl_error (env, req->caller, refusal);
+      talloc_free (tmp);
+      return;
+    }
+  onl_request_t *r = tbl_get (o->requests, id);
+  r->id = id;
+  _onl_fill (o, env, r, req, presented, &found);
+  talloc_free (tmp);
+  g_hash_table_insert (o->by_caller, g_memdup2 (&r->caller, 8),
+                       g_memdup2 (&id.id, 8));
+  cnt_add (env->cnt, "rts_online_requests_total", "", 1);
+  tmr_arm (env->tmr, r->deadline, MOD_ONLINE, id.id);
+  _onl_admit (o, env, r);
+  onl_pump (o, env);
+}
+
+void
+onl_admitted (onl_t *o, env_t *env, onl_request_t *r)
+{
+  onl_fire (o, env, r, ONL_EV_ADMITTED);
+}
+
+void
+onl_limit_refused (onl_t *o, env_t *env, onl_request_t *r,
+                   clk_ms_t retry_after)
+{
+  onl_refuse (o, env, r,
+              &(rpl_error_t){ .status = 429,
+                              .code = "rate-limited",
+                              .message = "over the customer's rate",
+                              .run = RPL_NOT_RUN,
+                              .retry_after_ms = clk_max (retry_after, 1) });
+}
+
+void
+onl_record (onl_t *o, env_t *env, onl_request_t *r)
+{
+  st_code_t code = idm_begin (o->desc.records, env,
+                              &(idm_ask_t){ .customer = r->customer,
+                                            .key = r->idempotency_key,
+                                            .fingerprint = r->fingerprint,
+                                            .deadline = r->deadline,
+                                            .tag = r->id.id });
+  if (code != ST_OK)
+    onl_refuse (o, env, r, &too_many);
+}
+
+static void
+_onl_replay (onl_t *o, env_t *env, onl_request_t *r,
+             const idm_answer_t *answer)
+{
+  http_header_t headers[] = {
+    { .name = "Content-Type",
+      .value = answer->type ? answer->type : "application/octet-stream" },
+    { .name = "X-Request-Id", .value = r->request_id },
+    { .name = "Idempotent-Replay", .value = "true" },
+  };
+  cnt_add (env->cnt, "rts_online_replayed_total", "", 1);
+  if (r->caller != 0)
+    {
+      fx_push (env->fx,
+               &(fx_t){ .kind = FX_REPLY_HEAD,
+                        .reply = { .caller = r->caller,
+                                   .status = answer->status,
+                                   .headers = { .v = headers, .n = 3 } } });
+      fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_DATA,
+                                 .reply = { .caller = r->caller,
+                                            .data = answer->body } });
+      fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_END,
+                                 .reply = { .caller = r->caller } });
+    }
+  onl_fire (o, env, r, ONL_EV_END);
+}
+
+/** The refusal for a verdict other than run and replay. */
+static rpl_error_t
+_onl_record_refusal (idm_verdict_t verdict)
+{
+  switch (verdict)
+    {
+    case IDM_TOO_LARGE:
+      return (rpl_error_t){ .status = 409,
+                            .code = "answer-not-kept",
+                            .message = "it ran before; its answer was too "
+                                       "large to be kept",
+                            .run = RPL_UNKNOWN };
+    case IDM_REUSED:
+      return (rpl_error_t){ .status = 422,
+                            .code = "idempotency-key-reused",
+                            .message = "this Idempotency-Key was used for "
+                                       "another request" };
+    case IDM_REFUSED:
+      return (rpl_error_t){ .status = 503,
+                            .code = "no-record",
+                            .message = "no record can be made now",
+                            .retry_after_ms = CLK_SECOND };
+    default:
+      return (rpl_error_t){ .status = 409,
+                            .code = "outcome-unknown",
+                            .message = "it began before and has no outcome "
+                                       "yet; it is not run again",
+                            .run = RPL_UNKNOWN,
+                            .retry_after_ms = CLK_SECOND };
+    }
+}
+
+void
+onl_recorded (onl_t *o, env_t *env, const idm_answer_t *answer)
+{
+  onl_request_t *r = onl_get (o, answer->tag);
+  if (r == NULL || r->state != ONL_RECORDING)
+    {
+      /* Given up meanwhile: it will not be sent. */
+      if (answer->verdict == IDM_RUN)
+        idm_not_run (o->desc.records, env, answer->handle);
+      return;
+    }
+  if (answer->verdict == IDM_RUN)
+    {
+      r->record = answer->handle;
+      onl_fire (o, env, r, ONL_EV_GRANTED);
+      return;
+    }
+  if (answer->verdict == IDM_REPLAY)
+    {
+      _onl_replay (o, env, r, answer);
+      return;
+    }
+  rpl_error_t e = _onl_record_refusal (answer->verdict);
+  /* That the earlier request may have run does not follow from this one. */
+  r->may_have_run = e.run == RPL_UNKNOWN;
+  onl_refuse (o, env, r, &e);
+}
--- /dev/null
+++ b/src/core/onl_answer.c
@@ -0,0 +1,319 @@
+/** @file
+ * An upstream's answer on its way to the caller: checked, held or streamed,
+ * whole or marked as broken.
+ */
+#include "core/onl_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define ONL_STREAM_END "data: [DONE]"
+
+static void
+_onl_reply (const onl_request_t *r, env_t *env, fx_kind_t kind, buf_t data)
+{
+  if (r->caller != 0)
+    fx_push (env->fx,
+             &(fx_t){ .kind = kind,
+                      .reply = { .caller = r->caller, .data = data } });
+}
+
+static void
+_onl_held_free (onl_request_t *r)
+{
+  if (r->answer.held != NULL)
+    g_byte_array_free (r->answer.held, TRUE);
+  r->answer.held = NULL;
+}
+
+static buf_t
+_onl_held (const onl_request_t *r)
+{
+  const GByteArray *held = r->answer.held;
+  if (held == NULL)
+    return (buf_t){ 0 };
+  return (buf_t){ .p = (const char *)held->data, .n = held->len };
+}
+
+/** Begin to deliver: from here on the request is not sent again. */
+static void
+_onl_deliver_head (env_t *env, onl_request_t *r)
+{
+  r->delivered = true;
+  cnt_observe (env->cnt, "rts_online_first_byte_ms", "",
+               (double)(env->now - r->arrived));
+  if (r->caller != 0)
+    fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_HEAD,
+                               .reply = { .caller = r->caller,
+                                          .status = r->answer.status,
+                                          .headers = r->answer.headers } });
+}
+
+/** The try is over and its answer is not to be used. */
+static void
+_onl_try_end (onl_t *o, env_t *env, onl_request_t *r, rte_fail_t fail)
+{
+  rte_failed (o->desc.routes, env, r->pick.handle, fail);
+  upc_cancel (env, r->call);
+  r->call = 0;
+  _onl_held_free (r);
+}
+
+static void
+_onl_stream_error (const onl_request_t *r, env_t *env, const char *why)
+{
+  char *text = talloc_asprintf (
+      NULL,
+      "event: error\ndata: {\"error\":{\"code\":\"broken-stream\","
+      "\"message\":\"%s\",\"run\":\"unknown\"}}\n\n",
+      why);
+  _onl_reply (r, env, FX_REPLY_DATA, buf_str (text));
+  talloc_free (text);
+}
+
+void
+onl_abort (onl_t *o, env_t *env, onl_request_t *r, const char *why)
+{
+  cnt_add (env->cnt, "rts_online_broken_total", "", 1);
+  tln_record (env->tln, env->now, MOD_ONLINE, "broken", "request=%s: %s",
+              r->request_id, why);
+  if (r->answer.stream)
+    _onl_stream_error (r, env, why);
+  _onl_reply (r, env, FX_REPLY_ABORT, (buf_t){ 0 });
+  onl_record_close (o, env, r);
+  onl_fire (o, env, r, ONL_EV_END);
+}
+
+/** The answer is not, or will not be, whole. */
+static void
+_onl_break (onl_t *o, env_t *env, onl_request_t *r, const char *why)
+{
+  r->may_have_run = true;
+  _onl_try_end (o, env, r, RTE_FAIL_BROKEN);
+  if (r->delivered)
+    {
+      onl_abort (o, env, r, why);
+      return;
+    }
+  if (onl_retry (o, env, r, true))
+    return;
+  onl_refuse (o, env, r,
+              &(rpl_error_t){ .status = 502,
+                              .code = "upstream-broken",
+                              .message = why,
+                              .run = RPL_UNKNOWN,
+                              .retry_after_ms = CLK_SECOND });
+}
+
+/* -- progress ------------------------------------------------------------- */
+
+/** A status by which an upstream, or what stands before it, says that it
+ * could not serve the request now. */
+static bool
+_onl_status_is_refusal (int status)
+{
+  return status == 502 || status == 503 || status == 504;
+}
+
+static int64_t
+_onl_length (const onl_request_t *r, http_headers_t headers)
+{
+  const char *text = http_header_find (headers, "Content-Length");
+  if (text == NULL || strcmp (r->method, "HEAD") == 0)
+    return -1;
+  char *end = NULL;
+  long long n = strtoll (text, &end, 10);
+  return end != text && *end == '\0' && n >= 0 ? n : -1;
+}
+
+static void
+_onl_head (onl_t *o, env_t *env, onl_request_t *r, const ev_upstream_t *up)
+{
+  const char *id = http_header_find (up->headers, "X-Request-Id");
+  if (r->state != ONL_SENT)
+    {
+      _onl_break (o, env, r, "a second answer began");
+      return;
+    }
+  if (id != NULL && strcmp (id, r->request_id) != 0)
+    {
+      cnt_add (env->cnt, "rts_online_crossed_total", "", 1);
+      _onl_break (o, env, r, "the answer belongs to another request");
+      return;
+    }
+  rte_first_byte (o->desc.routes, env, r->pick.handle);
+  if (_onl_status_is_refusal (up->status) && r->idempotent)
+    {
+      uint64_t flight = r->pick.handle;
+      uint64_t call = r->call;
+      r->may_have_run = true;
+      r->call = 0;
+      if (onl_retry (o, env, r, true))
+        {
+          rte_failed (o->desc.routes, env, flight, RTE_FAIL_REFUSED);
+          upc_cancel (env, call);
+          return;
+        }
+      r->call = call;
+    }
+  r->answer.status = up->status;
+  r->answer.headers = onl_answer_headers (r->pool, up->headers, r->request_id);
+  r->answer.stream
+      = onl_header_is (up->headers, "Content-Type", "text/event-stream");
+  r->answer.length = _onl_length (r, up->headers);
+  r->answer.held = r->answer.stream ? NULL : g_byte_array_new ();
+  onl_fire (o, env, r, ONL_EV_HEAD);
+  if (r->answer.stream)
+    _onl_deliver_head (env, r);
+}
+
+/** Keep the last bytes of a stream, without the line ends behind them. */
+static void
+_onl_tail_note (onl_answer_t *a, buf_t data)
+{
+  char all[2 * ONL_TAIL_SIZE];
+  size_t n = data.n < ONL_TAIL_SIZE ? data.n : ONL_TAIL_SIZE;
+  size_t kept
+      = a->tail_size + n <= ONL_TAIL_SIZE ? a->tail_size : ONL_TAIL_SIZE - n;
+  if (n == 0)
+    return;
+  memcpy (all, a->tail + a->tail_size - kept, kept);
+  memcpy (all + kept, data.p + data.n - n, n);
+  a->tail_size = kept + n;
+  memcpy (a->tail, all, a->tail_size);
+}
+
+static bool
+_onl_stream_is_whole (const onl_answer_t *a)
+{
+  size_t n = a->tail_size;
+  while (n > 0 && (a->tail[n - 1] == '\n' || a->tail[n - 1] == '\r'))
+    n--;
+  size_t want = strlen (ONL_STREAM_END);
+  return n >= want && memcmp (a->tail + n - want, ONL_STREAM_END, want) == 0;
+}
+
+static void
+_onl_data (onl_t *o, env_t *env, onl_request_t *r, buf_t data)
+{
+  onl_answer_t *a = &r->answer;
+  if (r->state != ONL_ANSWERING)
+    {
+      _onl_break (o, env, r, "data came before the head");
+      return;
+    }
+  a->got += data.n;
+  if (a->length >= 0 && a->got > (uint64_t)a->length)
+    {
+      _onl_break (o, env, r, "more came than was announced");
+      return;
+    }
+  if (a->held != NULL && a->held->len + data.n <= ONL_HOLD_MAX)
+    {
+      g_byte_array_append (a->held, (const guint8 *)data.p, (guint)data.n);
+      return;
+    }
+  if (a->held != NULL)
+    {
+      _onl_deliver_head (env, r);
+      _onl_reply (r, env, FX_REPLY_DATA, _onl_held (r));
+      _onl_held_free (r);
+    }
+  _onl_tail_note (a, data);
+  _onl_reply (r, env, FX_REPLY_DATA, data);
+}
+
+static void
+_onl_done (onl_t *o, env_t *env, onl_request_t *r)
+{
+  rte_finished (o->desc.routes, env, r->pick.handle);
+  r->call = 0;
+  buf_t body = _onl_held (r);
+  bool whole = r->answer.held != NULL;
+  if (!r->delivered)
+    {
+      _onl_deliver_head (env, r);
+      if (body.n > 0)
+        _onl_reply (r, env, FX_REPLY_DATA, body);
+    }
+  if (r->record != 0)
+    {
+      /* An answer that was not held was too large to be recorded. */
+      buf_t kept = whole ? body : (buf_t){ .p = "", .n = IDM_BODY_MAX + 1 };
+      idm_done (o->desc.records, env, r->record, r->answer.status,
+                http_header_find (r->answer.headers, "Content-Type"), kept);
+      r->record = 0;
+    }
+  _onl_reply (r, env, FX_REPLY_END, (buf_t){ 0 });
+  cnt_add (env->cnt, "rts_online_answered_total", "", 1);
+  onl_fire (o, env, r, ONL_EV_END);
+}
+
+static void
+_onl_end (onl_t *o, env_t *env, onl_request_t *r)
+{
+  const onl_answer_t *a = &r->answer;
+  if (r->state != ONL_ANSWERING)
+    _onl_break (o, env, r, "it ended before the head");
+  else if (a->length >= 0 && a->got != (uint64_t)a->length && a->status != 204
+           && a->status != 304)
+    _onl_break (o, env, r, "less came than was announced");
+  else if (a->stream && r->engine && !_onl_stream_is_whole (a))
+    _onl_break (o, env, r, "the stream ended before its last event");
+  else
+    _onl_done (o, env, r);
+}
+
+static void
+_onl_fail (onl_t *o, env_t *env, onl_request_t *r, const ev_upstream_t *up)
+{
+  bool ran = up->fail != EV_FAIL_NOT_SENT || r->state != ONL_SENT;
+  if (r->state == ONL_ANSWERING)
+    {
+      _onl_break (o, env, r, "the upstream's answer broke off");
+      return;
+    }
+  r->may_have_run = r->may_have_run || ran;
+  _onl_try_end (o, env, r,
+                up->fail == EV_FAIL_TIMEOUT ? RTE_FAIL_SILENT
+                                            : RTE_FAIL_REFUSED);
+  if (!ran && r->record != 0)
+    idm_unsent (o->desc.records, r->record);
+  if (onl_retry (o, env, r, ran))
+    return;
+  bool timeout = up->fail == EV_FAIL_TIMEOUT;
+  onl_refuse (
+      o, env, r,
+      &(rpl_error_t){ .status = timeout ? 504 : 502,
+                      .code = timeout ? "upstream-silent" : "upstream-failed",
+                      .message = "the upstream did not answer",
+                      .retry_after_ms = CLK_SECOND });
+}
+
+void
+onl_upstream_event (onl_t *o, env_t *env, uint64_t tag, const ev_t *ev)
+{
+  onl_request_t *r = onl_get (o, tag);
+  /* A request has one call at a time; an earlier one says nothing now. */
+  if (r == NULL || r->call != ev->upstream.call)
+    return;
+  switch (ev->kind)
+    {
+    case EV_UPSTREAM_HEAD:
+      _onl_head (o, env, r, &ev->upstream);
+      break;
+    case EV_UPSTREAM_DATA:
+      _onl_data (o, env, r, ev->upstream.data);
+      break;
+    case EV_UPSTREAM_END:
+      _onl_end (o, env, r);
+      break;
+    case EV_UPSTREAM_FAIL:
+      _onl_fail (o, env, r, &ev->upstream);
+      break;
+    default:
+      break;
+    }
+  onl_pump (o, env);
+}
--- /dev/null
+++ b/src/core/onl_send.c
@@ -0,0 +1,198 @@
+/** @file
+ * Queueing, sending and sending again.
+ */
+#include "core/inv.h"
+#include "core/onl_int.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define ONL_STALL_MS (10 * CLK_SECOND)
+/** Left for the upstream when a request leaves the queue at its latest. */
+#define ONL_RESERVE_MS 500
+/** Between looks at queues that hold requests. */
+#define ONL_TICK_MS 20
+/** A try is given up for another one after a part of the time left, but not
+ * before this. */
+#define ONL_TRY_MS_MIN (1 * CLK_SECOND)
+/** A stream's first byte is late after this many times the expected wait. */
+#define ONL_LATE_FACTOR 8
+
+static void
+_onl_tick_arm (onl_t *o, env_t *env)
+{
+  if (o->ticking)
+    return;
+  o->ticking = true;
+  tmr_arm (env->tmr, env->now + ONL_TICK_MS, MOD_ONLINE, ONL_TICK_TAG);
+}
+
+static void
+_onl_overloaded (onl_t *o, env_t *env, onl_request_t *r, clk_ms_t retry_after)
+{
+  onl_refuse (o, env, r,
+              &(rpl_error_t){ .status = 503,
+                              .code = "overloaded",
+                              .message = "it would not be served in time",
+                              .retry_after_ms = retry_after });
+}
+
+void
+onl_queue (onl_t *o, env_t *env, onl_request_t *r)
+{
+  clk_ms_t reserve = clk_min ((r->deadline - r->arrived) / 4, ONL_RESERVE_MS);
+  clk_ms_t retry_after = 0;
+  fqu_item_t item = {
+    .customer = r->customer,
+    .weight = r->weight,
+    .latest = clk_min (r->deadline - reserve, env->now + o->desc.queue_ms),
+    .tag = r->id.id,
+  };
+  if (fqu_push (r->deployment->queue, env->now, &item, &retry_after) != ST_OK)
+    _onl_overloaded (o, env, r, retry_after);
+}
+
+/** Time that this try may take until its first byte. */
+static clk_ms_t
+_onl_first_byte_ms (const onl_request_t *r, const env_t *env)
+{
+  clk_ms_t left = clk_max (r->deadline - env->now, 1);
+  if (!r->idempotent || r->tries == ONL_TRIES)
+    return left;
+  clk_ms_t part = left / 2;
+  if (r->stream)
+    part = clk_min (part, ONL_LATE_FACTOR * r->pick.wait_ms);
+  return clk_min (left, clk_max (part, ONL_TRY_MS_MIN));
+}
+
+void
+onl_send (onl_t *o, env_t *env, onl_request_t *r)
+{
+  r->tried[r->tries++] = talloc_strdup (r->pool, r->pick.upstream);
+  r->answer = (onl_answer_t){ .length = -1 };
+  r->call = upc_call (env, MOD_ONLINE, r->id.id,
+                      &(fx_upstream_t){
+                          .address = r->pick.address,
+                          .method = r->method,
+                          .path = r->target,
+                          .headers = r->headers,
+                          .body = r->body,
+                          .caller = r->caller,
+                          .first_byte_ms = _onl_first_byte_ms (r, env),
+                          .stall_ms = ONL_STALL_MS,
+                          .fresh_connection = r->tries > 1,
+                      });
+  if (r->call == 0)
+    {
+      rte_failed (o->desc.routes, env, r->pick.handle, RTE_FAIL_CANCELLED);
+      if (r->record != 0)
+        idm_unsent (o->desc.records, r->record);
+      _onl_overloaded (o, env, r, CLK_SECOND);
+      return;
+    }
+  rte_started (o->desc.routes, env, r->pick.handle);
+  if (r->tries == 1)
+    rtb_request (&r->deployment->budget, env->now);
+  cnt_add (env->cnt, "rts_online_tries_total", "", 1);
+}
+
+static bool
+_onl_pick (onl_t *o, env_t *env, onl_request_t *r)
+{
+  rte_ask_t ask = { .deployment = r->deployment->name,
+                    .prefix = r->prefix,
+                    .avoid = r->tried,
+                    .avoid_count = r->tries,
+                    .hold = true };
+  return rte_pick (o->desc.routes, env, &ask, &r->pick);
+}
+
+static void
+_onl_no_upstream (onl_t *o, env_t *env, onl_request_t *r)
+{
+  onl_refuse (
+      o, env, r,
+      &(rpl_error_t){ .status = r->tries > 0 ? 502 : 503,
+                      .code = r->tries > 0 ? "upstream-failed" : "no-upstream",
+                      .message = "no upstream takes work now",
+                      .retry_after_ms = CLK_SECOND });
+}
+
+/** Send the request that has left its queue.  False: all upstreams have
+ * enough. */
+static bool
+_onl_leave_queue (onl_t *o, env_t *env, onl_request_t *r)
+{
+  if (!_onl_pick (o, env, r))
+    {
+      if (r->pick.full)
+        return false;
+      _onl_no_upstream (o, env, r);
+      return true;
+    }
+  if (r->record != 0 && !idm_may_send (o->desc.records, env, r->record))
+    {
+      rte_failed (o->desc.routes, env, r->pick.handle, RTE_FAIL_CANCELLED);
+      onl_refuse (o, env, r,
+                  &(rpl_error_t){ .status = 504,
+                                  .code = "deadline",
+                                  .message = "the deadline passed" });
+      return true;
+    }
+  onl_fire (o, env, r, ONL_EV_PICKED);
+  return true;
+}
+
+static void
+_onl_dispatch_one (onl_t *o, env_t *env, onl_deployment_t *d)
+{
+  uint64_t tag = 0;
+  clk_ms_t retry_after = 0;
+  while (fqu_pop (d->queue, env->now, &tag))
+    {
+      onl_request_t *r = onl_get (o, tag);
+      INV_CHECK (r != NULL && r->state == ONL_QUEUED,
+                 "queued-request-is-waiting", "deployment %s", d->name);
+      if (_onl_leave_queue (o, env, r))
+        continue;
+      fqu_unpop (d->queue, tag);
+      break;
+    }
+  while (fqu_late_pop (d->queue, env->now, &tag, &retry_after))
+    _onl_overloaded (o, env, onl_get (o, tag), retry_after);
+  if (fqu_count (d->queue) > 0)
+    _onl_tick_arm (o, env);
+}
+
+void
+onl_dispatch (onl_t *o, env_t *env)
+{
+  GHashTableIter iter;
+  void *value;
+  g_hash_table_iter_init (&iter, o->deployments);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      onl_deployment_t *d = value;
+      if (fqu_count (d->queue) > 0)
+        _onl_dispatch_one (o, env, d);
+    }
+}
+
+bool
+onl_retry (onl_t *o, env_t *env, onl_request_t *r, bool ran)
+{
+  if (r->delivered || r->tries >= ONL_TRIES || env->now >= r->deadline)
+    return false;
+  if (ran && !r->idempotent)
+    return false;
+  if (!rtb_take (&r->deployment->budget, env->now))
+    {
+      cnt_add (env->cnt, "rts_online_retries_refused_total", "", 1);
+      return false;
+    }
+  cnt_add (env->cnt, "rts_online_retries_total", "", 1);
+  tln_record (env->tln, env->now, MOD_ONLINE, "retry", "request=%s after=%s",
+              r->request_id, r->tried[r->tries - 1]);
+  onl_fire (o, env, r, ONL_EV_RETRY);
+  return true;
+}
--- /dev/null
+++ b/tests/onlnet.c
@@ -0,0 +1,622 @@
+#include "onlnet.h"
+
+#include "core/inv.h"
+#include "flt_platform.h"
+#include "tst.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define VMS_MAX 4
+#define UPSTREAMS 5 /* 0 to 2: engines; 3, 4: plain */
+#define REQUESTS_MAX 20000
+#define ORDERS_MAX 4096
+#define CLOSE_SLACK_MS 200
+
+static const char document[]
+    = "[data-centre a]\nowner = t\n"
+      "[deployment llm]\nowner = t\nkind = engine\nslots = %d\n"
+      "[deployment cloth]\nowner = t\nkind = plain\nslots = %d\n"
+      "[upstream e0]\nowner = t\ndeployment = llm\ndata_centre = a\n"
+      "address = 10.0.0.0:80\n"
+      "[upstream e1]\nowner = t\ndeployment = llm\ndata_centre = a\n"
+      "address = 10.0.0.1:80\n"
+      "[upstream e2]\nowner = t\ndeployment = llm\ndata_centre = a\n"
+      "address = 10.0.0.2:80\n"
+      "[upstream p0]\nowner = t\ndeployment = cloth\ndata_centre = a\n"
+      "address = 10.0.0.3:80\n"
+      "[upstream p1]\nowner = t\ndeployment = cloth\ndata_centre = a\n"
+      "address = 10.0.0.4:80\n"
+      "[route POST /v1/completions]\nowner = t\ndeployment = llm\n"
+      "open = yes\nidempotent = yes\ndeadline = 10 s\n"
+      "[route POST /orders]\nowner = t\ndeployment = cloth\nopen = yes\n"
+      "deadline = 5 s\n";
+
+typedef struct
+{
+  env_t *env;
+  mbr_t *members;
+  spr_t *ring;
+  key_set_t *keys;
+  lim_t *limits;
+  rte_t *routes;
+  idm_t *records;
+  onl_t *onl;
+  uint64_t incarnation;
+} vm_t;
+
+typedef enum
+{
+  ASKED,
+  CLOSED,
+  UPSTREAM,
+  PLATFORM,
+} kind_t;
+
+typedef struct
+{
+  kind_t kind;
+  int vm;
+  uint64_t incarnation;
+  uint64_t request;
+  ev_t ev;
+  http_header_t headers[3];
+} due_t;
+
+typedef struct
+{
+  onn_answer_t answer;
+  onn_ask_t ask;
+  int vm;
+} request_t;
+
+struct onn
+{
+  onn_desc_t desc;
+  clk_ms_t now;
+  tmr_t *queue;
+  GRand *rand;
+  fpl_t *platform;
+  cfg_doc_t *doc;
+  vm_t vm[VMS_MAX];
+  bool has_faults[UPSTREAMS];
+  onn_faults_t faults[UPSTREAMS];
+  request_t request[REQUESTS_MAX];
+  uint64_t requests;
+  unsigned order_runs[ORDERS_MAX];
+  unsigned received[UPSTREAMS];
+};
+
+static bool
+chance (onn_t *n, double p)
+{
+  return p > 0 && g_rand_double (n->rand) < p;
+}
+
+static due_t *
+later (onn_t *n, clk_ms_t delay, kind_t kind, int vm)
+{
+  due_t *d = talloc_zero (n, due_t);
+  d->kind = kind;
+  d->vm = vm;
+  d->incarnation = n->vm[vm].incarnation;
+  tmr_arm (n->queue, n->now + delay, MOD_NODE, (uint64_t)(uintptr_t)d);
+  return d;
+}
+
+/* -- VMs ------------------------------------------------------------------ */
+
+static void
+vm_start (onn_t *n, int i)
+{
+  vm_t *v = &n->vm[i];
+  char name[16];
+  (void)snprintf (name, sizeof name, "vm-%d", i);
+  talloc_free (v->onl);
+  talloc_free (v->records);
+  talloc_free (v->routes);
+  talloc_free (v->limits);
+  talloc_free (v->keys);
+  talloc_free (v->ring);
+  talloc_free (v->members);
+  talloc_free (v->env);
+  v->incarnation++;
+  v->env = env_setup (n, &(env_desc_t){ .vm = name,
+                                        .data_centre = "a",
+                                        .incarnation = v->incarnation,
+                                        .seed = g_rand_int (n->rand) });
+  v->env->now = n->now;
+  v->members = mbr_setup (n, &(mbr_desc_t){ 0 });
+  ev_vm_t self = { .vm = name, .data_centre = "a", .address = "" };
+  mbr_platform_replied (v->members, v->env, &(plt_done_t){ 0 },
+                        &(ev_platform_t){ .vms = &self, .vm_count = 1 });
+  v->ring = spr_setup (n, name, "a", v->members);
+  v->keys = key_setup (n, &(key_desc_t){ .peers = v->ring });
+  v->limits = lim_setup (n, &(lim_desc_t){ .members = v->members });
+  v->routes = rte_setup (n, &(rte_desc_t){ .members = v->members });
+  v->records = idm_setup (n, &(idm_desc_t){ 0 });
+  v->onl = onl_setup (n, &(onl_desc_t){ .members = v->members,
+                                        .limits = v->limits,
+                                        .keys = v->keys,
+                                        .routes = v->routes,
+                                        .records = v->records });
+  rte_config_changed (v->routes, v->env, n->doc);
+  onl_config_changed (v->onl, v->env, n->doc);
+}
+
+onn_t *
+onn_setup (const onn_desc_t *desc)
+{
+  onn_t *n = talloc_zero (NULL, onn_t);
+  n->desc = *desc;
+  if (n->desc.vms == 0)
+    n->desc.vms = 1;
+  if (n->desc.slots == 0)
+    n->desc.slots = 8;
+  if (n->desc.work_ms == 0)
+    n->desc.work_ms = 60;
+  n->rand = g_rand_new_with_seed (desc->seed);
+  n->queue = tmr_setup (n);
+  n->platform = fpl_setup (n);
+  char *text = talloc_asprintf (n, document, n->desc.slots, n->desc.slots);
+  st_t st = { 0 };
+  (void)cfg_doc_parse (n, buf_str (text), &n->doc, &st);
+  INV_CHECK (n->doc != NULL, "test-document", "%s", st.message);
+  for (int i = 0; i < n->desc.vms; i++)
+    vm_start (n, i);
+  return n;
+}
+
+void
+onn_shutdown (onn_t *n)
+{
+  for (uint64_t i = 1; i <= n->requests; i++)
+    g_string_free (n->request[i].answer.body, TRUE);
+  g_rand_free (n->rand);
+  talloc_free (n);
+}
+
+void
+onn_kill (onn_t *n, int vm)
+{
+  for (uint64_t i = 1; i <= n->requests; i++)
+    {
+      onn_answer_t *a = &n->request[i].answer;
+      if (n->request[i].vm == vm && !a->ended && !a->aborted)
+        a->lost = true;
+    }
+  vm_start (n, vm);
+}
+
+/* -- upstreams ------------------------------------------------------------ */
+
+static int
+header_number (http_headers_t headers, const char *name)
+{
+  const char *value = http_header_find (headers, name);
+  return value != NULL ? atoi (value) : 0;
+}
+
+static due_t *
+upstream_event (onn_t *n, clk_ms_t delay, int vm, uint64_t call,
+                ev_kind_t kind)
+{
+  due_t *d = later (n, delay, UPSTREAM, vm);
+  d->ev.kind = kind;
+  d->ev.upstream.call = call;
+  return d;
+}
+
+static void
+upstream_data (onn_t *n, clk_ms_t delay, int vm, uint64_t call, buf_t data)
+{
+  due_t *d = upstream_event (n, delay, vm, call, EV_UPSTREAM_DATA);
+  d->ev.upstream.data = buf_copy (d, data);
+}
+
+/** The whole body that belongs to request number ID. */
+static char *
+body_of (void *ctx, const onn_t *n, uint64_t id)
+{
+  const onn_ask_t *ask = &n->request[id].ask;
+  if (strcmp (ask->path, "/orders") == 0)
+    return talloc_asprintf (ctx, "cut order %d", ask->order);
+  if (ask->stream)
+    return talloc_asprintf (
+        ctx, "data: answer to %llu\n\ndata: more\n\ndata: [DONE]\n\n",
+        (unsigned long long)id);
+  return talloc_asprintf (ctx, "answer to %llu", (unsigned long long)id);
+}
+
+/** Send an answer for request ID to CALL; PART of its body, then END. */
+static clk_ms_t
+upstream_answer (onn_t *n, clk_ms_t delay, int vm, uint64_t call, uint64_t id,
+                 const char *request_id, double part, ev_kind_t end)
+{
+  char *body = body_of (n, n, id);
+  size_t size = strlen (body);
+  size_t sent = (size_t)(part * (double)size);
+  due_t *head = upstream_event (n, delay, vm, call, EV_UPSTREAM_HEAD);
+  bool stream = n->request[id].ask.stream;
+  head->headers[0]
+      = (http_header_t){ "Content-Type",
+                         stream ? "text/event-stream" : "text/plain" };
+  head->headers[1]
+      = (http_header_t){ "X-Request-Id", talloc_strdup (head, request_id) };
+  head->headers[2] = (http_header_t){ "Content-Length",
+                                      talloc_asprintf (head, "%zu", size) };
+  head->ev.upstream.status = 200;
+  head->ev.upstream.headers
+      = (http_headers_t){ .v = head->headers, .n = stream ? 2 : 3 };
+  upstream_data (n, delay + 2, vm, call, (buf_t){ .p = body, .n = sent / 2 });
+  upstream_data (n, delay + 4, vm, call,
+                 (buf_t){ .p = body + sent / 2, .n = sent - sent / 2 });
+  due_t *last = upstream_event (n, delay + 6, vm, call, end);
+  last->ev.upstream.fail = EV_FAIL_UNKNOWN;
+  last->ev.upstream.text = "cut";
+  return delay + 7;
+}
+
+static void
+upstream_run (onn_t *n, int vm, const fx_upstream_t *call, int upstream)
+{
+  const onn_faults_t *f
+      = n->has_faults[upstream] ? &n->faults[upstream] : &n->desc.faults;
+  uint64_t id = (uint64_t)header_number (call->headers, "X-Attempt");
+  const char *request_id = http_header_find (call->headers, "X-Request-Id");
+  request_t *r = &n->request[id];
+  n->received[upstream]++;
+  r->answer.received++;
+  if (strcmp (call->path, "/orders") == 0)
+    n->order_runs[r->ask.order]++;
+  clk_ms_t work = 5
+                  + (clk_ms_t)(-log (1 - g_rand_double (n->rand))
+                               * (double)n->desc.work_ms);
+  uint64_t other = 1 + g_rand_int (n->rand) % n->requests;
+  if (chance (n, f->silent) || work > call->first_byte_ms)
+    upstream_event (n, call->first_byte_ms, vm, call->call, EV_UPSTREAM_FAIL)
+        ->ev.upstream.fail
+        = EV_FAIL_TIMEOUT;
+  else if (chance (n, f->cut))
+    (void)upstream_answer (n, work, vm, call->call, id, request_id, 0.5,
+                           EV_UPSTREAM_FAIL);
+  else if (chance (n, f->brief))
+    (void)upstream_answer (n, work, vm, call->call, id, request_id, 0.5,
+                           EV_UPSTREAM_END);
+  else if (chance (n, f->crossed) && other != id)
+    (void)upstream_answer (n, work, vm, call->call, other, "another-1", 1,
+                           EV_UPSTREAM_END);
+  else if (chance (n, f->busy))
+    {
+      upstream_event (n, work, vm, call->call, EV_UPSTREAM_HEAD)
+          ->ev.upstream.status
+          = 503;
+      (void)upstream_event (n, work, vm, call->call, EV_UPSTREAM_END);
+    }
+  else
+    {
+      work = upstream_answer (n, work, vm, call->call, id, request_id, 1,
+                              EV_UPSTREAM_END);
+      if (chance (n, f->twice))
+        (void)upstream_answer (n, work, vm, call->call, id, request_id, 1,
+                               EV_UPSTREAM_END);
+    }
+}
+
+static void
+upstream_call (onn_t *n, int vm, const fx_upstream_t *call)
+{
+  int upstream = atoi (call->address + strlen ("10.0.0."));
+  const onn_faults_t *f
+      = n->has_faults[upstream] ? &n->faults[upstream] : &n->desc.faults;
+  if (strcmp (call->method, "GET") == 0)
+    {
+      upstream_event (n, 2, vm, call->call, EV_UPSTREAM_HEAD)
+          ->ev.upstream.status
+          = 404;
+      return;
+    }
+  if (chance (n, f->refuse))
+    upstream_event (n, 1, vm, call->call, EV_UPSTREAM_FAIL)->ev.upstream.fail
+        = EV_FAIL_NOT_SENT;
+  else
+    upstream_run (n, vm, call, upstream);
+}
+
+/* -- platform ------------------------------------------------------------- */
+
+static void
+platform_call (onn_t *n, int vm, const fx_platform_t *call)
+{
+  due_t *d = later (n, 4, PLATFORM, vm);
+  d->ev.platform.call = call->call;
+  d->ev.platform.code = ST_UNAVAILABLE;
+  if (chance (n, n->desc.faults.platform_down))
+    return;
+  (void)fpl_call (n->platform, d, call, &d->ev.platform);
+  if (chance (n, n->desc.faults.platform_lost))
+    d->ev.platform = (ev_platform_t){ .call = call->call, .code = ST_UNKNOWN };
+}
+
+/* -- callers -------------------------------------------------------------- */
+
+static void
+caller_told (onn_t *n, const fx_t *f)
+{
+  onn_answer_t *a = &n->request[f->reply.caller].answer;
+  CU_ASSERT_FALSE (a->ended || a->aborted);
+  switch (f->kind)
+    {
+    case FX_REPLY_HEAD:
+      CU_ASSERT_EQUAL (a->status, 0);
+      a->status = f->reply.status;
+      break;
+    case FX_REPLY_DATA:
+      CU_ASSERT (a->status != 0);
+      g_string_append_len (a->body, f->reply.data.p, (gssize)f->reply.data.n);
+      break;
+    case FX_REPLY_END:
+      a->ended = true;
+      break;
+    default:
+      a->aborted = true;
+      break;
+    }
+  a->done = n->now;
+  if (a->ended && strstr (a->body->str, "\"run\":\"not-run\"") != NULL)
+    a->not_run = true;
+}
+
+static void
+request_send (onn_t *n, const due_t *d)
+{
+  request_t *r = &n->request[d->request];
+  char attempt[24];
+  char order[24];
+  (void)snprintf (attempt, sizeof attempt, "%llu",
+                  (unsigned long long)d->request);
+  (void)snprintf (order, sizeof order, "order-%d", r->ask.order);
+  http_header_t headers[] = {
+    { .name = "X-Attempt", .value = attempt },
+    { .name = "Idempotency-Key", .value = order },
+    { .name = "Content-Length", .value = "9" },
+  };
+  const char *body = r->ask.stream ? "{\"prompt\":\"measure\",\"stream\":true}"
+                                   : "{\"prompt\":\"measure\"}";
+  onl_request (n->vm[d->vm].onl, n->vm[d->vm].env,
+               &(ev_request_t){ .caller = d->request,
+                                .method = "POST",
+                                .path = r->ask.path,
+                                .query = "",
+                                .headers = { .v = headers, .n = 3 },
+                                .body = buf_str (body) });
+}
+
+uint64_t
+onn_ask (onn_t *n, int vm, const onn_ask_t *ask)
+{
+  uint64_t id = ++n->requests;
+  INV_CHECK (id < REQUESTS_MAX, "test-requests", "too many");
+  request_t *r = &n->request[id];
+  r->ask = *ask;
+  r->vm = vm;
+  r->answer.asked = n->now;
+  r->answer.body = g_string_new (NULL);
+  due_t *d = later (n, 0, ASKED, vm);
+  d->incarnation = 0;
+  d->request = id;
+  if (chance (n, n->desc.faults.gone))
+    {
+      due_t *close = later (n, g_rand_int_range (n->rand, 1, 200), CLOSED, vm);
+      close->request = id;
+    }
+  return id;
+}
+
+/* -- running -------------------------------------------------------------- */
+
+static void
+caller_closes (onn_t *n, const due_t *d)
+{
+  onn_answer_t *a = &n->request[d->request].answer;
+  if (a->ended || a->aborted || a->lost)
+    return;
+  a->closed = true;
+  onl_caller_gone (n->vm[d->vm].onl, n->vm[d->vm].env, d->request);
+}
+
+static void
+handle (onn_t *n, due_t *d)
+{
+  vm_t *v = &n->vm[d->vm];
+  upc_who_t who;
+  plt_done_t done;
+  if (d->incarnation != 0 && d->incarnation != v->incarnation)
+    return;
+  switch (d->kind)
+    {
+    case ASKED:
+      request_send (n, d);
+      break;
+    case CLOSED:
+      caller_closes (n, d);
+      break;
+    case UPSTREAM:
+      if (!upc_event (v->env, &d->ev, &who))
+        break;
+      if (who.mod == MOD_ROUTE)
+        rte_upstream_event (v->routes, v->env, who.tag, &d->ev);
+      else
+        onl_upstream_event (v->onl, v->env, who.tag, &d->ev);
+      break;
+    case PLATFORM:
+      if (plt_reply (v->env, &d->ev.platform, &done)
+          && done.mod == MOD_IDEMPOTENT)
+        idm_platform_replied (v->records, v->env, &done, &d->ev.platform);
+      break;
+    }
+}
+
+static void
+carry_out (onn_t *n, int vm, const fx_t *f)
+{
+  if (f->kind == FX_UPSTREAM_CALL)
+    upstream_call (n, vm, &f->upstream);
+  else if (f->kind == FX_PLATFORM)
+    platform_call (n, vm, &f->platform);
+  else if (f->kind >= FX_REPLY_HEAD && f->kind <= FX_REPLY_ABORT)
+    caller_told (n, f);
+  /* Cancelled calls go on: their answers come late and find nobody. */
+}
+
+static void
+vm_turn (onn_t *n, int i)
+{
+  vm_t *v = &n->vm[i];
+  tmr_due_t due;
+  plt_done_t done;
+  while (tmr_pop (v->env->tmr, n->now, &due))
+    {
+      if (due.mod == MOD_ROUTE)
+        rte_timer_fired (v->routes, v->env, due.tag);
+      if (due.mod == MOD_ONLINE)
+        onl_timer_fired (v->onl, v->env, due.tag);
+      if (due.mod == MOD_IDEMPOTENT)
+        idm_timer_fired (v->records, v->env, due.tag);
+    }
+  while (plt_refused_pop (v->env, &done))
+    if (done.mod == MOD_IDEMPOTENT)
+      idm_platform_replied (v->records, v->env, &done,
+                            &(ev_platform_t){ .code = ST_UNAVAILABLE });
+  onl_pump (v->onl, v->env);
+  for (size_t k = 0; k < v->env->fx->count; k++)
+    carry_out (n, i, &v->env->fx->v[k]);
+  fx_clear (v->env->fx);
+}
+
+void
+onn_run (onn_t *n, clk_ms_t until)
+{
+  for (;;)
+    {
+      clk_ms_t next = tmr_next (n->queue);
+      for (int i = 0; i < n->desc.vms; i++)
+        next = clk_min (next, tmr_next (n->vm[i].env->tmr));
+      if (next > until)
+        break;
+      n->now = clk_max (n->now, next);
+      for (int i = 0; i < n->desc.vms; i++)
+        n->vm[i].env->now = n->now;
+      tmr_due_t due;
+      while (tmr_pop (n->queue, n->now, &due))
+        {
+          due_t *d = (due_t *)(uintptr_t)due.tag;
+          handle (n, d);
+          talloc_free (d);
+        }
+      for (int i = 0; i < n->desc.vms; i++)
+        vm_turn (n, i);
+      if (n->desc.faults.kill > 0 && chance (n, n->desc.faults.kill / 500))
+        onn_kill (n, g_rand_int_range (n->rand, 0, n->desc.vms));
+    }
+  n->now = until;
+}
+
+/* -- what is seen --------------------------------------------------------- */
+
+void
+onn_faults (onn_t *n, const onn_faults_t *faults)
+{
+  n->desc.faults = *faults;
+}
+
+void
+onn_upstream_faults (onn_t *n, int upstream, const onn_faults_t *faults)
+{
+  n->has_faults[upstream] = true;
+  n->faults[upstream] = *faults;
+}
+
+clk_ms_t
+onn_now (const onn_t *n)
+{
+  return n->now;
+}
+
+GRand *
+onn_rand (onn_t *n)
+{
+  return n->rand;
+}
+
+const onn_answer_t *
+onn_answer (const onn_t *n, uint64_t id)
+{
+  return &n->request[id].answer;
+}
+
+uint64_t
+onn_count (const onn_t *n)
+{
+  return n->requests;
+}
+
+unsigned
+onn_order_runs (const onn_t *n, int order)
+{
+  return n->order_runs[order];
+}
+
+unsigned
+onn_received (const onn_t *n, int i)
+{
+  return n->received[i];
+}
+
+onl_t *
+onn_onl (onn_t *n, int vm)
+{
+  return n->vm[vm].onl;
+}
+
+env_t *
+onn_env (onn_t *n, int vm)
+{
+  return n->vm[vm].env;
+}
+
+static void
+check_one (const onn_t *n, uint64_t id)
+{
+  const request_t *r = &n->request[id];
+  const onn_answer_t *a = &r->answer;
+  bool order = strcmp (r->ask.path, "/orders") == 0;
+  clk_ms_t deadline = order ? 5000 : 10000;
+  if (a->not_run)
+    CU_ASSERT_EQUAL (a->received, 0);
+  if (a->lost || a->closed)
+    return;
+  CU_ASSERT (a->ended != a->aborted);
+  CU_ASSERT (a->done - a->asked <= deadline + CLOSE_SLACK_MS);
+  if (a->aborted)
+    /* Marked as broken; a stream says so itself before. */
+    CU_ASSERT (!r->ask.stream
+               || strstr (a->body->str, "event: error") != NULL);
+  if (!a->ended || a->status != 200)
+    return;
+  char *whole = body_of (NULL, n, id);
+  CU_ASSERT_STRING_EQUAL (a->body->str, whole);
+  talloc_free (whole);
+}
+
+void
+onn_check (const onn_t *n)
+{
+  for (uint64_t id = 1; id <= n->requests; id++)
+    check_one (n, id);
+  for (int i = 0; i < ORDERS_MAX; i++)
+    CU_ASSERT (n->order_runs[i] <= 1);
+}
--- /dev/null
+++ b/tests/test_onl.c
@@ -0,0 +1,347 @@
+/** @file
+ * Online requests under upstreams, platform and VMs that fail.
+ */
+#include "onlnet.h"
+#include "tst.h"
+
+#include <string.h>
+#include <talloc.h>
+
+static const onn_ask_t completion = { .path = "/v1/completions" };
+static const onn_ask_t stream = { .path = "/v1/completions", .stream = true };
+
+/** Requests every few milliseconds until UNTIL, of all kinds, and orders that
+ * are sent again to any VM. */
+static void
+load (onn_t *n, int vms, clk_ms_t until)
+{
+  GRand *rand = onn_rand (n);
+  for (clk_ms_t t = onn_now (n); t < until; t += 1 + g_rand_int (rand) % 20)
+    {
+      onn_run (n, t);
+      onn_ask_t ask = completion;
+      double kind = g_rand_double (rand);
+      if (kind < 0.3)
+        ask = stream;
+      if (kind > 0.6)
+        ask = (onn_ask_t){ .path = "/orders",
+                           .order = g_rand_int_range (rand, 0, 200) };
+      (void)onn_ask (n, g_rand_int_range (rand, 0, vms), &ask);
+    }
+}
+
+typedef struct
+{
+  unsigned ok;
+  unsigned aborted;
+  unsigned not_run;
+  unsigned errors;
+} tally_t;
+
+static tally_t
+tally (const onn_t *n)
+{
+  tally_t t = { 0 };
+  for (uint64_t id = 1; id <= onn_count (n); id++)
+    {
+      const onn_answer_t *a = onn_answer (n, id);
+      t.ok += a->ended && a->status == 200;
+      t.aborted += a->aborted;
+      t.not_run += a->not_run;
+      t.errors += a->ended && a->status != 200;
+    }
+  return t;
+}
+
+static tally_t
+seeds (uint32_t first, uint32_t count, onn_faults_t faults)
+{
+  tally_t sum = { 0 };
+  for (uint32_t seed = first; seed < first + count; seed++)
+    {
+      onn_t *n = onn_setup (
+          &(onn_desc_t){ .seed = seed, .vms = 3, .faults = faults });
+      load (n, 3, 4 * CLK_SECOND);
+      onn_run (n, 30 * CLK_SECOND);
+      onn_check (n);
+      tally_t t = tally (n);
+      sum.ok += t.ok;
+      sum.aborted += t.aborted;
+      sum.not_run += t.not_run;
+      sum.errors += t.errors;
+      onn_shutdown (n);
+    }
+  return sum;
+}
+
+static void
+test_calm_answers_everything (void)
+{
+  tally_t t = seeds (1, 2, (onn_faults_t){ 0 });
+  CU_ASSERT (t.ok > 500);
+  CU_ASSERT_EQUAL (t.aborted, 0);
+  /* Only orders that are resent while they run. */
+  CU_ASSERT (t.errors < t.ok / 20);
+}
+
+static void
+test_cut_answers (void)
+{
+  tally_t t = seeds (10, 6, (onn_faults_t){ .cut = 0.2 });
+  CU_ASSERT (t.ok > 0 && t.aborted > 0);
+}
+
+static void
+test_answers_that_end_early_as_if_whole (void)
+{
+  tally_t t = seeds (20, 6, (onn_faults_t){ .brief = 0.2 });
+  CU_ASSERT (t.ok > 0 && t.aborted > 0);
+}
+
+static void
+test_crossed_answers (void)
+{
+  tally_t t = seeds (30, 6, (onn_faults_t){ .crossed = 0.2 });
+  CU_ASSERT (t.ok > 0 && t.errors > 0);
+}
+
+static void
+test_doubled_answers (void)
+{
+  tally_t t = seeds (40, 6, (onn_faults_t){ .twice = 0.5 });
+  CU_ASSERT (t.ok > 0);
+  CU_ASSERT_EQUAL (t.aborted, 0);
+}
+
+static void
+test_refused_connections_are_not_run (void)
+{
+  tally_t t = seeds (50, 6, (onn_faults_t){ .refuse = 0.5 });
+  CU_ASSERT (t.ok > 0 && t.not_run > 0);
+}
+
+static void
+test_silent_connections (void)
+{
+  tally_t t = seeds (60, 6, (onn_faults_t){ .silent = 0.1 });
+  CU_ASSERT (t.ok > 0 && t.errors > 0);
+}
+
+static void
+test_upstreams_that_are_busy (void)
+{
+  (void)seeds (70, 4, (onn_faults_t){ .busy = 0.3 });
+}
+
+static void
+test_platform_loses_answers_and_refuses (void)
+{
+  tally_t t = seeds (
+      80, 6, (onn_faults_t){ .platform_lost = 0.2, .platform_down = 0.1 });
+  CU_ASSERT (t.ok > 0 && t.not_run > 0);
+}
+
+static void
+test_vms_are_killed (void)
+{
+  (void)seeds (90, 10, (onn_faults_t){ .kill = 2, .platform_lost = 0.1 });
+}
+
+static void
+test_everything_at_once (void)
+{
+  tally_t t = seeds (100, 20,
+                     (onn_faults_t){ .refuse = 0.05,
+                                     .silent = 0.03,
+                                     .cut = 0.05,
+                                     .brief = 0.05,
+                                     .crossed = 0.05,
+                                     .twice = 0.05,
+                                     .busy = 0.05,
+                                     .kill = 0.5,
+                                     .platform_lost = 0.1,
+                                     .platform_down = 0.05,
+                                     .gone = 0.1 });
+  CU_ASSERT (t.ok > 0 && t.not_run > 0 && t.aborted > 0 && t.errors > 0);
+}
+
+static void
+test_one_silent_upstream_is_left_out (void)
+{
+  onn_t *n = onn_setup (&(onn_desc_t){ .seed = 5 });
+  onn_upstream_faults (n, 0, &(onn_faults_t){ .silent = 1 });
+  for (clk_ms_t t = 0; t < 20 * CLK_SECOND; t += 50)
+    {
+      onn_run (n, t);
+      (void)onn_ask (n, 0, &stream);
+    }
+  onn_run (n, CLK_MINUTE);
+  onn_check (n);
+  tally_t t = tally (n);
+  CU_ASSERT_EQUAL (t.ok, onn_count (n));
+  /* Tried now and then to see whether it is well. */
+  CU_ASSERT (onn_received (n, 0) < 20);
+  onn_shutdown (n);
+}
+
+static void
+test_overload_is_refused_early_and_not_run (void)
+{
+  /* 48 slots and places of 1 s each before 300 requests a second. */
+  onn_t *n
+      = onn_setup (&(onn_desc_t){ .seed = 6, .slots = 8, .work_ms = 1000 });
+  for (clk_ms_t t = 0; t < 10 * CLK_SECOND; t += 10)
+    {
+      onn_run (n, t);
+      (void)onn_ask (n, 0, &completion);
+      (void)onn_ask (n, 0, &completion);
+      (void)onn_ask (n, 0, &completion);
+    }
+  onn_run (n, CLK_MINUTE);
+  onn_check (n);
+  tally_t t = tally (n);
+  CU_ASSERT (t.ok > 200);
+  CU_ASSERT (t.not_run > 1000);
+  unsigned at_once = 0;
+  for (uint64_t id = 1; id <= onn_count (n); id++)
+    {
+      const onn_answer_t *a = onn_answer (n, id);
+      /* What no upstream received is said not to have run. */
+      if (a->ended && a->status != 200 && a->received == 0)
+        CU_ASSERT (a->not_run);
+      at_once += a->not_run && a->done - a->asked < 100;
+      /* Nobody waits for the deadline only to be refused. */
+      CU_ASSERT (!a->not_run || a->done - a->asked < 6000);
+    }
+  CU_ASSERT (at_once > t.not_run * 8 / 10);
+  onn_shutdown (n);
+}
+
+static void
+test_leaving_finishes_what_runs (void)
+{
+  onn_t *n = onn_setup (&(onn_desc_t){ .seed = 7, .work_ms = 800 });
+  for (int i = 0; i < 10; i++)
+    (void)onn_ask (n, 0, i % 2 ? &completion : &stream);
+  onn_run (n, 20);
+  onl_leave (onn_onl (n, 0), onn_env (n, 0));
+  CU_ASSERT_FALSE (onl_left (onn_onl (n, 0), onn_env (n, 0)));
+  /* Balancers do not know yet. */
+  uint64_t early = onn_ask (n, 0, &completion);
+  onn_run (n, 3 * CLK_SECOND);
+  uint64_t late = onn_ask (n, 0, &completion);
+  onn_run (n, 20 * CLK_SECOND);
+  onn_check (n);
+  CU_ASSERT_EQUAL (onn_answer (n, early)->status, 200);
+  CU_ASSERT_EQUAL (onn_answer (n, late)->status, 503);
+  CU_ASSERT (onn_answer (n, late)->not_run);
+  CU_ASSERT_EQUAL (tally (n).ok, 11);
+  CU_ASSERT (onl_left (onn_onl (n, 0), onn_env (n, 0)));
+  onn_shutdown (n);
+}
+
+static void
+test_order_resent_to_another_vm_is_replayed (void)
+{
+  onn_t *n = onn_setup (&(onn_desc_t){ .seed = 8, .vms = 2 });
+  onn_ask_t order = { .path = "/orders", .order = 1 };
+  uint64_t first = onn_ask (n, 0, &order);
+  onn_run (n, 2 * CLK_SECOND);
+  uint64_t again = onn_ask (n, 1, &order);
+  onn_run (n, 4 * CLK_SECOND);
+  onn_check (n);
+  CU_ASSERT_EQUAL (onn_answer (n, first)->status, 200);
+  CU_ASSERT_EQUAL (onn_answer (n, again)->status, 200);
+  CU_ASSERT_EQUAL (onn_answer (n, again)->received, 0);
+  CU_ASSERT_EQUAL (onn_order_runs (n, 1), 1);
+  onn_shutdown (n);
+}
+
+static void
+test_order_of_a_killed_vm_is_unknown_and_never_runs_again (void)
+{
+  onn_t *n = onn_setup (&(onn_desc_t){ .seed = 9, .vms = 2, .work_ms = 2000 });
+  onn_upstream_faults (n, 3, &(onn_faults_t){ .silent = 1 });
+  onn_upstream_faults (n, 4, &(onn_faults_t){ .silent = 1 });
+  onn_ask_t order = { .path = "/orders", .order = 1 };
+  (void)onn_ask (n, 0, &order);
+  onn_run (n, 100);
+  CU_ASSERT_EQUAL (onn_order_runs (n, 1), 1);
+  onn_kill (n, 0);
+  for (int i = 0; i < 5; i++)
+    {
+      uint64_t again = onn_ask (n, i % 2, &order);
+      onn_run (n, onn_now (n) + CLK_SECOND);
+      CU_ASSERT_EQUAL (onn_answer (n, again)->status, 409);
+      CU_ASSERT_FALSE (onn_answer (n, again)->not_run);
+    }
+  CU_ASSERT_EQUAL (onn_order_runs (n, 1), 1);
+  onn_check (n);
+  onn_shutdown (n);
+}
+
+static void
+test_order_without_a_record_is_refused (void)
+{
+  onn_t *n = onn_setup (
+      &(onn_desc_t){ .seed = 10, .faults = { .platform_down = 1 } });
+  uint64_t id = onn_ask (n, 0, &(onn_ask_t){ .path = "/orders", .order = 1 });
+  onn_run (n, 100);
+  CU_ASSERT_EQUAL (onn_answer (n, id)->status, 503);
+  CU_ASSERT (onn_answer (n, id)->not_run);
+  CU_ASSERT_EQUAL (onn_order_runs (n, 1), 0);
+  onn_check (n);
+  onn_shutdown (n);
+}
+
+static void
+test_order_goes_on_when_its_caller_closes (void)
+{
+  onn_t *n = onn_setup (&(onn_desc_t){ .seed = 11, .vms = 2, .work_ms = 500 });
+  onn_ask_t order = { .path = "/orders", .order = 3 };
+  uint64_t first = onn_ask (n, 0, &order);
+  onn_run (n, 20);
+  onl_caller_gone (onn_onl (n, 0), onn_env (n, 0), first);
+  onn_run (n, 5 * CLK_SECOND);
+  uint64_t again = onn_ask (n, 1, &order);
+  onn_run (n, 10 * CLK_SECOND);
+  CU_ASSERT_EQUAL (onn_answer (n, first)->status, 0);
+  CU_ASSERT_EQUAL (onn_answer (n, again)->status, 200);
+  CU_ASSERT_EQUAL (onn_order_runs (n, 3), 1);
+  onn_shutdown (n);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "calm_answers_everything", test_calm_answers_everything },
+    { "cut_answers", test_cut_answers },
+    { "answers_that_end_early_as_if_whole",
+      test_answers_that_end_early_as_if_whole },
+    { "crossed_answers", test_crossed_answers },
+    { "doubled_answers", test_doubled_answers },
+    { "refused_connections_are_not_run",
+      test_refused_connections_are_not_run },
+    { "silent_connections", test_silent_connections },
+    { "upstreams_that_are_busy", test_upstreams_that_are_busy },
+    { "platform_loses_answers_and_refuses",
+      test_platform_loses_answers_and_refuses },
+    { "vms_are_killed", test_vms_are_killed },
+    { "everything_at_once", test_everything_at_once },
+    { "one_silent_upstream_is_left_out",
+      test_one_silent_upstream_is_left_out },
+    { "overload_is_refused_early_and_not_run",
+      test_overload_is_refused_early_and_not_run },
+    { "leaving_finishes_what_runs", test_leaving_finishes_what_runs },
+    { "order_resent_to_another_vm_is_replayed",
+      test_order_resent_to_another_vm_is_replayed },
+    { "order_of_a_killed_vm_is_unknown_and_never_runs_again",
+      test_order_of_a_killed_vm_is_unknown_and_never_runs_again },
+    { "order_without_a_record_is_refused",
+      test_order_without_a_record_is_refused },
+    { "order_goes_on_when_its_caller_closes",
+      test_order_goes_on_when_its_caller_closes },
+  };
+  return tst_run ("onl", cases, sizeof cases / sizeof cases[0]);
+}
