--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -51,7 +51,6 @@
 {
   bat_leave (n->bat, n->env);
   onl_leave (n->onl, n->env);
-  lim_leave (n->lim, n->env);
 }
 
 bool
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -269,7 +269,9 @@
 {
   if (tag == ONL_TICK_TAG)
     o->ticking = false;
-  onl_request_t *r = tag == ONL_TICK_TAG ? NULL : onl_get (o, tag);
+  if (tag == ONL_LEAVE_TAG)
+    lim_leave (o->desc.limits, env);
+  onl_request_t *r = tag < ONL_LEAVE_TAG ? onl_get (o, tag) : NULL;
   if (r != NULL)
     _onl_deadline (o, env, r);
   onl_pump (o, env);
@@ -304,7 +306,8 @@
   if (o->leaving_since != CLK_NEVER)
     return;
   o->leaving_since = env->now;
-  tmr_arm (env->tmr, env->now + o->desc.leave_ms, MOD_ONLINE, 0);
+  /* Until then requests are admitted, so the limits stay. */
+  tmr_arm (env->tmr, env->now + o->desc.leave_ms, MOD_ONLINE, ONL_LEAVE_TAG);
 }
 
 bool
--- a/src/core/onl.h
+++ b/src/core/onl.h
@@ -68,7 +68,8 @@
 /** Take what the other modules have answered, and send what can be sent. */
 void onl_pump (onl_t *o, env_t *env);
 
-/** Graceful shutdown: finish what runs, take no more after a while. */
+/** Graceful shutdown: finish what runs, take no more after a while, and then
+ * hand the limits over (lim_leave). */
 void onl_leave (onl_t *o, env_t *env);
 
 /** Whether a graceful shutdown need not wait any longer. */
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -22,6 +22,9 @@
 /** Tag of the timer for the queues; requests' handles stay below it. */
 #define ONL_TICK_TAG ((uint64_t)1 << 63)
 
+/** Tag of the timer after which a leaving VM takes no more requests. */
+#define ONL_LEAVE_TAG ((uint64_t)1 << 62)
+
 /** Bytes at the end of a stream that show whether it is whole. */
 #define ONL_TAIL_SIZE 16
 
--- /dev/null
+++ b/tests/test_onl_node.c
@@ -0,0 +1,318 @@
+/** @file
+ * Online requests through whole nodes: keys, rates, records, kills, freezes,
+ * platform outages, withdrawals.
+ */
+#include "flt.h"
+#include "tst.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* SHA-256 of "key-a" and "key-b" are worked out by document (). */
+static char *
+document (void *ctx)
+{
+  char *a = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "key-a", -1);
+  char *b = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "key-b", -1);
+  char *text = talloc_asprintf (
+      ctx,
+      "[data-centre dc-0]\nowner = t\n[data-centre dc-1]\nowner = t\n"
+      "[customer large]\nowner = t\nrate = 200/s\nburst = 400\n"
+      "[customer small]\nowner = t\nrate = 5/s\nburst = 10\n"
+      "[key ka]\nowner = t\ncustomer = large\nsha256 = %s\n"
+      "[key kb]\nowner = t\ncustomer = small\nsha256 = %s\n"
+      "[deployment llm]\nowner = t\nkind = plain\nslots = 8\n"
+      "[deployment cloth]\nowner = t\nkind = plain\nslots = 8\n"
+      "[upstream e0]\nowner = t\ndeployment = llm\ndata_centre = dc-0\n"
+      "address = 10.0.0.1:80\n"
+      "[upstream e1]\nowner = t\ndeployment = llm\ndata_centre = dc-1\n"
+      "address = 10.0.0.2:80\n"
+      "[upstream p0]\nowner = t\ndeployment = cloth\ndata_centre = dc-0\n"
+      "address = 10.0.0.3:80\n"
+      "[route POST /ask]\nowner = t\ndeployment = llm\nidempotent = yes\n"
+      "deadline = 5 s\n"
+      "[route POST /orders]\nowner = t\ndeployment = cloth\n"
+      "deadline = 3 s\n",
+      a, b);
+  g_free (a);
+  g_free (b);
+  return text;
+}
+
+static flt_t *
+fleet (uint32_t seed)
+{
+  char *text = document (NULL);
+  flt_t *f = flt_setup (
+      NULL, &(flt_desc_t){
+                .seed = seed, .data_centres = 2, .vms = 2, .document = text });
+  talloc_free (text);
+  /* Buckets start empty. */
+  flt_run (f, flt_now (f) + 10 * CLK_SECOND);
+  return f;
+}
+
+static uint64_t
+ask (flt_t *f, size_t vm, const char *key, const char *body)
+{
+  return flt_request (f, vm,
+                      &(flt_request_t){ .method = "POST",
+                                        .path = "/ask",
+                                        .query = "",
+                                        .key = key,
+                                        .body = body });
+}
+
+static uint64_t
+order (flt_t *f, size_t vm, const char *idempotency_key)
+{
+  return flt_request (f, vm,
+                      &(flt_request_t){ .method = "POST",
+                                        .path = "/orders",
+                                        .query = "",
+                                        .key = "key-a",
+                                        .idempotency_key = idempotency_key,
+                                        .body = "cut" });
+}
+
+static void
+wait (flt_t *f, clk_ms_t ms)
+{
+  flt_run (f, flt_now (f) + ms);
+}
+
+static bool
+says (const flt_answer_t *a, const char *text)
+{
+  return a->body != NULL && strstr (a->body, text) != NULL;
+}
+
+static void
+test_key_rate_and_route (void)
+{
+  flt_t *f = fleet (1);
+  uint64_t good = ask (f, 0, "key-a", "one");
+  uint64_t unknown = ask (f, 1, "key-x", "two");
+  uint64_t none = ask (f, 2, NULL, "three");
+  uint64_t keyless = order (f, 3, NULL);
+  wait (f, CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_answer (f, good)->status, 200);
+  CU_ASSERT (says (flt_answer (f, good), "one"));
+  CU_ASSERT_EQUAL (flt_answer (f, unknown)->status, 401);
+  CU_ASSERT_EQUAL (flt_answer (f, none)->status, 401);
+  CU_ASSERT_EQUAL (flt_answer (f, keyless)->status, 400);
+  CU_ASSERT_EQUAL (flt_runs (f, "two"), 0);
+  CU_ASSERT_EQUAL (flt_runs (f, "three"), 0);
+  CU_ASSERT_FALSE (flt_upstream_saw (f, "key-a"));
+  talloc_free (f);
+}
+
+static void
+test_over_the_rate_is_refused_and_not_run (void)
+{
+  flt_t *f = fleet (2);
+  uint64_t id[100];
+  char body[32];
+  unsigned ok = 0;
+  for (int i = 0; i < 100; i++)
+    {
+      g_snprintf (body, sizeof body, "small-%d.", i);
+      id[i] = ask (f, (size_t)i % 4, "key-b", body);
+    }
+  wait (f, 2 * CLK_SECOND);
+  for (int i = 0; i < 100; i++)
+    {
+      const flt_answer_t *a = flt_answer (f, id[i]);
+      g_snprintf (body, sizeof body, "small-%d.", i);
+      ok += a->status == 200;
+      CU_ASSERT (a->status == 200 || a->status == 429);
+      if (a->status == 429)
+        {
+          CU_ASSERT (says (a, "not-run"));
+          CU_ASSERT_EQUAL (flt_runs (f, body), 0);
+        }
+    }
+  /* Burst 10, and 5 a second for the two that passed. */
+  CU_ASSERT (ok >= 5 && ok <= 20);
+  talloc_free (f);
+}
+
+static void
+test_order_resent_elsewhere_runs_once (void)
+{
+  flt_t *f = fleet (3);
+  uint64_t first = order (f, 0, "o-1");
+  wait (f, CLK_SECOND);
+  uint64_t again = order (f, 3, "o-1");
+  wait (f, CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_answer (f, first)->status, 200);
+  CU_ASSERT_EQUAL (flt_answer (f, again)->status, 200);
+  CU_ASSERT_STRING_EQUAL (flt_answer (f, first)->body,
+                          flt_answer (f, again)->body);
+  CU_ASSERT_EQUAL (flt_runs (f, "o-1"), 1);
+  talloc_free (f);
+}
+
+static void
+test_platform_away_refuses_orders_and_serves_the_rest (void)
+{
+  flt_t *f = fleet (4);
+  flt_platform (f, FLT_PLATFORM_DOWN);
+  wait (f, 5 * CLK_SECOND);
+  uint64_t o = order (f, 0, "o-2");
+  uint64_t a = ask (f, 1, "key-a", "still");
+  wait (f, CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_answer (f, o)->status, 503);
+  CU_ASSERT (says (flt_answer (f, o), "not-run"));
+  CU_ASSERT_EQUAL (flt_runs (f, "o-2"), 0);
+  CU_ASSERT_EQUAL (flt_answer (f, a)->status, 200);
+  flt_platform (f, FLT_PLATFORM_OK);
+  wait (f, 10 * CLK_SECOND);
+  uint64_t again = order (f, 2, "o-2");
+  wait (f, 2 * CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_answer (f, again)->status, 200);
+  CU_ASSERT_EQUAL (flt_runs (f, "o-2"), 1);
+  talloc_free (f);
+}
+
+/** Orders at random VMs, resent, while VMs are killed, started and frozen
+ * and the platform loses answers; what ran is counted. */
+static void
+orders_under_faults (uint32_t seed)
+{
+  flt_t *f = fleet (seed);
+  GRand *rand = flt_rand (f);
+  char key[32];
+  uint64_t id[240];
+  unsigned kills[4] = { 0 };
+  unsigned kills_before[240];
+  size_t at[240];
+  for (int i = 0; i < 240; i++)
+    {
+      size_t vm = (size_t)g_rand_int_range (rand, 0, 4);
+      g_snprintf (key, sizeof key, "o%u-%d.", seed, i % 60);
+      while (!flt_alive (f, vm))
+        vm = (vm + 1) % 4;
+      id[i] = order (f, vm, key);
+      at[i] = vm;
+      kills_before[i] = kills[vm];
+      wait (f, g_rand_int_range (rand, 1, 60));
+      size_t victim = (size_t)g_rand_int_range (rand, 1, 4);
+      double what = g_rand_double (rand);
+      if (what < 0.03 && flt_alive (f, victim))
+        {
+          flt_kill (f, victim);
+          kills[victim]++;
+        }
+      else if (what < 0.10 && !flt_alive (f, victim))
+        flt_start (f, victim);
+      else if (what < 0.13 && flt_alive (f, victim))
+        flt_freeze (f, victim,
+                    flt_now (f) + g_rand_int_range (rand, 10, 6000));
+      if (i % 60 == 20)
+        flt_platform (f, FLT_PLATFORM_LOSE);
+      if (i % 60 == 40)
+        flt_platform (f, FLT_PLATFORM_OK);
+    }
+  flt_platform (f, FLT_PLATFORM_OK);
+  wait (f, 20 * CLK_SECOND);
+  unsigned ok = 0;
+  for (int i = 0; i < 240; i++)
+    {
+      const flt_answer_t *a = flt_answer (f, id[i]);
+      g_snprintf (key, sizeof key, "o%u-%d.", seed, i % 60);
+      CU_ASSERT (flt_runs (f, key) <= 1);
+      CU_ASSERT (a->ended || a->aborted || kills[at[i]] > kills_before[i]);
+      ok += a->status == 200;
+      if (a->status == 200)
+        CU_ASSERT_EQUAL (flt_runs (f, key), 1);
+    }
+  CU_ASSERT (ok > 20);
+  talloc_free (f);
+}
+
+static void
+test_orders_under_kills_freezes_and_lost_answers (void)
+{
+  for (uint32_t seed = 20; seed < 28; seed++)
+    orders_under_faults (seed);
+}
+
+static void
+test_frozen_between_record_and_send (void)
+{
+  flt_t *f = fleet (5);
+  uint64_t first = order (f, 1, "o-3");
+  /* The record is made, the node sleeps past the deadline. */
+  wait (f, 2);
+  flt_freeze (f, 1, flt_now (f) + 20 * CLK_SECOND);
+  wait (f, 4 * CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_runs (f, "o-3"), 0);
+  uint64_t second = order (f, 2, "o-3");
+  wait (f, CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_answer (f, second)->status, 409);
+  CU_ASSERT_FALSE (says (flt_answer (f, second), "not-run"));
+  wait (f, 30 * CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_runs (f, "o-3"), 0);
+  CU_ASSERT (says (flt_answer (f, first), "not-run"));
+  /* It did not run, and the next one with the key may. */
+  uint64_t third = order (f, 2, "o-3");
+  wait (f, 2 * CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_answer (f, third)->status, 200);
+  CU_ASSERT_EQUAL (flt_runs (f, "o-3"), 1);
+  talloc_free (f);
+}
+
+static void
+test_upstreams_of_the_other_data_centre_take_over (void)
+{
+  flt_t *f = fleet (6);
+  flt_upstream (f, "10.0.0.1:80", FLT_UPSTREAM_REFUSE);
+  uint64_t id[40];
+  for (int i = 0; i < 40; i++)
+    {
+      id[i] = ask (f, (size_t)i % 4, "key-a", "over");
+      wait (f, 50);
+    }
+  wait (f, 2 * CLK_SECOND);
+  for (int i = 0; i < 40; i++)
+    CU_ASSERT_EQUAL (flt_answer (f, id[i])->status, 200);
+  talloc_free (f);
+}
+
+static void
+test_leaving_vm_finishes_and_exits (void)
+{
+  flt_t *f = fleet (7);
+  uint64_t running = ask (f, 0, "key-a", "running");
+  wait (f, 2);
+  flt_leave (f, 0);
+  uint64_t late = ask (f, 0, "key-a", "late");
+  wait (f, 10 * CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_answer (f, running)->status, 200);
+  CU_ASSERT_EQUAL (flt_answer (f, late)->status, 200);
+  CU_ASSERT (flt_exited (f, 0));
+  talloc_free (f);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "key_rate_and_route", test_key_rate_and_route },
+    { "over_the_rate_is_refused_and_not_run",
+      test_over_the_rate_is_refused_and_not_run },
+    { "order_resent_elsewhere_runs_once",
+      test_order_resent_elsewhere_runs_once },
+    { "platform_away_refuses_orders_and_serves_the_rest",
+      test_platform_away_refuses_orders_and_serves_the_rest },
+    { "orders_under_kills_freezes_and_lost_answers",
+      test_orders_under_kills_freezes_and_lost_answers },
+    { "frozen_between_record_and_send", test_frozen_between_record_and_send },
+    { "upstreams_of_the_other_data_centre_take_over",
+      test_upstreams_of_the_other_data_centre_take_over },
+    { "leaving_vm_finishes_and_exits", test_leaving_vm_finishes_and_exits },
+  };
+  return tst_run ("onl_node", cases, sizeof cases / sizeof cases[0]);
+}
