Node wired: membership, configuration, keys, limits, routing, credits, batch, operators

node_mods hands timers, platform replies, messages and upstream events to the module that asked, and drains what the modules have for each other.

--- a/Makefile
+++ b/Makefile
@@ -82,12 +82,13 @@
 build/fuzz/obj/%.o: %.c
 	@mkdir -p $(@D)
 	@clang -O1 -g -fsanitize=fuzzer-no-link,address,undefined $(CPPFLAGS) \
-	  -std=gnu11 $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
+	  -Itests -std=gnu11 $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
 build/fuzz/obj/src/core/cht_data.o: $(CHARTS)
 
 build/fuzz/%: build/fuzz/obj/tests/%.o \
-  $(patsubst %.c,build/fuzz/obj/%.o,$(CORE) src/io/frm.c)
+  $(patsubst %.c,build/fuzz/obj/%.o,$(CORE) src/io/frm.c tests/flt.c \
+    tests/flt_platform.c)
 	@clang -fsanitize=fuzzer,address,undefined -o $@ $^ $(PKG_LIBS)
 
 # Fixed seed, fixed number of inputs: the same run every time.
@@ -110,7 +111,7 @@
 
 lint: deps
 	@clang-format --dry-run -Werror $(ALL_C) $(ALL_H)
-	@$(MAKE) --no-print-directory $(TIDY)
+	@$(MAKE) --no-print-directory -k $(TIDY)
 	@echo "lint: clean"
 
 build/tidy/%.ok: %.c .clang-tidy $(ALL_H)
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -14,6 +14,12 @@
   const char *summary;
 } _commands[] = {
   { "serve", cmd_serve, "run one VM of the fleet" },
+  { "config", cmd_config, "check, apply, show or compare the document" },
+  { "key", cmd_key, "issue, withdraw or list callers' keys" },
+  { "customer", cmd_customer, "list or show customers" },
+  { "upstream", cmd_upstream, "list upstreams, take one out of use" },
+  { "status", cmd_status, "state of each VM" },
+  { "timeline", cmd_timeline, "events of all VMs in causal order" },
 };
 
 #define _COMMAND_COUNT (sizeof _commands / sizeof _commands[0])
--- a/src/core/cht_data.c
+++ b/src/core/cht_data.c
@@ -28,12 +28,9 @@
   const char *name;
   const char *text;
 } _cht_texts[] = {
-  { "chunk", cht_text_chunk },
-  { "item", cht_text_item },
-  { "job", cht_text_job },
-  { "node", cht_text_node },
-  { "request", cht_text_request },
-  { "upstream", cht_text_upstream },
+  { "chunk", cht_text_chunk },     { "item", cht_text_item },
+  { "job", cht_text_job },         { "node", cht_text_node },
+  { "request", cht_text_request }, { "upstream", cht_text_upstream },
 };
 
 #define _CHT_TEXT_COUNT (sizeof _cht_texts / sizeof _cht_texts[0])
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -8,6 +8,42 @@
 
 #define NODE_BATCH_PATH "/v1/batches"
 
+/* -- status --------------------------------------------------------------- */
+
+static json_t *
+_node_status_vms (const node_t *n)
+{
+  json_t *vms = json_array ();
+  for (size_t i = 0; i < mbr_vm_count (n->mbr); i++)
+    {
+      const mbr_vm_t *m = mbr_vm_get (n->mbr, i);
+      json_array_append_new (
+          vms, json_pack ("{s:s, s:s, s:b, s:b}", "vm", m->name, "data_centre",
+                          m->data_centre, "up", m->up || m->self, "leaving",
+                          m->leaving));
+    }
+  return vms;
+}
+
+/* What the modules have to say to GET /v1/operator/status. */
+static void
+_node_status_add (void *data, json_t *status)
+{
+  const node_t *n = data;
+  bat_stat_t batch = bat_stat (n->bat);
+  char *upstreams = rte_format (NULL, n->rte, n->env);
+  json_object_set_new (status, "vms", _node_status_vms (n));
+  json_object_set_new (status, "online_requests",
+                       json_integer (onl_count (n->onl)));
+  json_object_set_new (status, "batch",
+                       json_pack ("{s:I, s:I, s:I}", "jobs",
+                                  (json_int_t)batch.jobs, "chunks_held",
+                                  (json_int_t)batch.holds, "items_running",
+                                  (json_int_t)batch.sends));
+  json_object_set_new (status, "upstreams", json_loads (upstreams, 0, NULL));
+  talloc_free (upstreams);
+}
+
 /* -- life ----------------------------------------------------------------- */
 
 void
@@ -25,8 +61,11 @@
                                      .unix_offset_ms = desc->unix_offset_ms });
   n->onl = onl_setup (n);
   n->opr = opr_setup (
-      n, &(opr_desc_t){ .token_sha256 = desc->operator_token_sha256,
-                        .config = n->cfs });
+      n, &(opr_desc_t){ .cfs = n->cfs,
+                        .key = n->keys,
+                        .token_sha256 = desc->operator_token_sha256,
+                        .status_add = _node_status_add,
+                        .data = n });
 }
 
 void
@@ -43,6 +82,7 @@
 void
 node_mods_leave (node_t *n)
 {
+  opr_leave (n->opr);
   bat_leave (n->bat, n->env);
   lim_leave (n->lim, n->env);
 }
@@ -260,16 +300,9 @@
 void
 node_mods_request (node_t *n, const ev_request_t *req)
 {
-  if (strcmp (req->path, "/metrics") == 0)
-    {
-      char *text = cnt_format (NULL, n->env->cnt);
-      rpl_text (n->env, req->caller, 200, "text/plain; version=0.0.4",
-                buf_str (text));
-      talloc_free (text);
-    }
-  else if (opr_request (n->opr, n->env, req))
+  if (opr_request (n->opr, n->env, req))
     return;
-  else if (_node_is_batch (req->path))
+  if (_node_is_batch (req->path))
     _node_batch (n, req);
   else
     onl_request (n->onl, n->env, req);
@@ -278,6 +311,7 @@
 void
 node_mods_caller_gone (node_t *n, uint64_t caller)
 {
+  opr_caller_gone (n->opr, caller);
   onl_caller_gone (n->onl, n->env, caller);
   bat_caller_gone (n->bat, n->env, caller);
 }
--- a/tests/fuzz_request.c
+++ b/tests/fuzz_request.c
@@ -4,50 +4,30 @@
  * The input's first lines are method, path, query and key; the rest is the
  * body.
  */
-#include "core/node.h"
+#include "flt.h"
 
-#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
+#define STEP_MS 2
+#define FRESH_AFTER 200 /* inputs between new nodes */
+
 #define DOCUMENT                                                              \
-  "[data-centre north]\nowner = ops\n"                                        \
+  "[data-centre dc-0]\nowner = ops\n"                                         \
   "[customer c]\nowner = ops\nrate = 40/s\nburst = 80\n"                      \
+  "[key k]\nowner = ops\ncustomer = c\nsha256 = " KEY_SHA256 "\n"             \
   "[deployment echo]\nowner = ops\nkind = engine\nslots = 4\n"                \
   "[upstream echo-1]\nowner = ops\ndeployment = echo\n"                       \
-  "data_centre = north\naddress = 127.0.0.1:1\n"                              \
+  "data_centre = dc-0\naddress = 127.0.0.1:1\n"                               \
   "[route POST /v1/completions]\nowner = ops\ndeployment = echo\n"            \
   "open = yes\nidempotent = yes\n"                                            \
   "[route POST /orders]\nowner = ops\ndeployment = echo\nopen = yes\n"
 
-int LLVMFuzzerTestOneInput (const unsigned char *data, size_t size);
+/* SHA-256 of "operator", a caller's key here. */
+#define KEY_SHA256                                                            \
+  "06e55b633481f7bb072957eabcf110c972e86691c3cfedabe088024bffe42f23"
 
-static node_t *
-start (void)
-{
-  st_t st = { 0 };
-  node_t *n = node_setup (NULL,
-                          &(node_desc_t){ .vm = "north-1",
-                                          .data_centre = "north",
-                                          .operator_token_sha256 = "00" },
-                          &st);
-  const fx_list_t *fx = node_step (n, 0, &(ev_t){ .kind = EV_START });
-  ev_object_t object
-      = { .name = "config", .version = 1, .value = buf_str (DOCUMENT) };
-  ev_t reply = { .kind = EV_TIMER };
-  for (size_t i = 0; i < fx->count; i++)
-    {
-      if (fx->v[i].kind == FX_PLATFORM
-          && fx->v[i].platform.op == FX_PLATFORM_GET)
-        reply = (ev_t){ .kind = EV_PLATFORM,
-                        .platform = { .call = fx->v[i].platform.call,
-                                      .code = ST_OK,
-                                      .objects = &object,
-                                      .object_count = 1 } };
-    }
-  (void)node_step (n, 1, &reply);
-  return n;
-}
+int LLVMFuzzerTestOneInput (const unsigned char *data, size_t size);
 
 /* Take a line off *REST, without its end. */
 static char *
@@ -65,23 +45,36 @@
 int
 LLVMFuzzerTestOneInput (const unsigned char *data, size_t size)
 {
-  static node_t *node;
-  static uint64_t caller;
-  static clk_ms_t now = 10;
-  if (node == NULL)
-    node = start ();
+  static const char *const paths[]
+      = { "/v1/completions", "/orders", "/v1/batches", "/v1/operator/config",
+          "/v1/operator/keys/issue" };
+  static flt_t *f;
+  static unsigned inputs;
+  if (inputs++ % FRESH_AFTER == 0)
+    {
+      talloc_free (f);
+      f = flt_setup (NULL, &(flt_desc_t){ .seed = 1,
+                                          .data_centres = 1,
+                                          .vms = 1,
+                                          .document = DOCUMENT });
+    }
   void *ctx = talloc_new (NULL);
   buf_t rest = { .p = (const char *)data, .n = size };
-  ev_t ev = { .kind = EV_REQUEST, .request = { .caller = ++caller } };
-  ev.request.method = line (ctx, &rest);
-  ev.request.path = line (ctx, &rest);
-  ev.request.query = line (ctx, &rest);
-  http_header_t header = { "Authorization", line (ctx, &rest) };
-  ev.request.headers = (http_headers_t){ .v = &header, .n = 1 };
-  ev.request.body = rest;
-  (void)node_step (node, now++, &ev);
-  (void)node_step (node, now,
-                   &(ev_t){ .kind = EV_CALLER_GONE, .caller = caller });
+  unsigned pick = size == 0 ? 0 : data[0];
+  const char *method = line (ctx, &rest);
+  const char *path = line (ctx, &rest);
+  const char *query = line (ctx, &rest);
+  char *body = buf_to_str (ctx, rest);
+  const flt_request_t requests[] = {
+    { method, path, query, "operator", "id-1", body },
+    { "POST", paths[pick % 5], query, "operator", path, body },
+    { "POST", paths[pick % 5], query, FLT_OPERATOR_TOKEN, NULL, body },
+  };
+  for (size_t i = 0; i < sizeof requests / sizeof requests[0]; i++)
+    {
+      (void)flt_request (f, 0, &requests[i]);
+      flt_run (f, flt_now (f) + STEP_MS);
+    }
   talloc_free (ctx);
   return 0;
 }
--- a/tests/test_seam.c
+++ b/tests/test_seam.c
@@ -2,6 +2,7 @@
  * The example of docs/SEAM.md, run: a driver without any I/O.
  */
 #include "core/node.h"
+#include "flt_platform.h"
 #include "tst.h"
 
 #include <talloc.h>
@@ -14,77 +15,91 @@
   "[route GET /ping]\nowner = ops\ndeployment = echo\nopen = yes\n"           \
   "idempotent = yes\n"
 
-/* What the driver keeps of the effects. */
+/* SHA-256 of "operator". */
+#define OPERATOR                                                              \
+  "06e55b633481f7bb072957eabcf110c972e86691c3cfedabe088024bffe42f23"
+
+/* The driver: a fake platform and what it keeps of the effects. */
 typedef struct
 {
+  node_t *node;
+  fpl_t *platform;
+  clk_ms_t now;
   uint64_t call;
   int status;
   bool ended;
 } example_t;
 
-/* Answer a call to the platform at once: one object, the document. */
-static ev_t
-example_platform (const fx_platform_t *p, ev_object_t *object)
-{
-  *object = (ev_object_t){ .name = p->name,
-                           .version = 1,
-                           .value = buf_str (DOCUMENT) };
-  bool get = p->op == FX_PLATFORM_GET;
-  return (ev_t){ .kind = EV_PLATFORM,
-                 .platform = { .call = p->call,
-                               .code = get ? ST_OK : ST_UNAVAILABLE,
-                               .objects = object,
-                               .object_count = get ? 1 : 0 } };
-}
-
-/* Step the node, then everything that its effects bring at once. */
+/* Step the node, then answer each of its platform calls at once. */
 static void
-example_step (node_t *n, clk_ms_t now, const ev_t *ev, example_t *seen)
+example_step (example_t *x, const ev_t *ev)
 {
-  ev_object_t object;
-  ev_t next = { .kind = EV_NUM };
-  const fx_list_t *fx = node_step (n, now, ev);
+  void *ctx = talloc_new (x->platform);
+  const fx_list_t *fx = node_step (x->node, x->now, ev);
+  ev_t *replies = talloc_zero_array (ctx, ev_t, fx->count);
+  size_t reply_count = 0;
   for (size_t i = 0; i < fx->count; i++)
     {
       const fx_t *f = &fx->v[i];
-      if (f->kind == FX_PLATFORM)
-        next = example_platform (&f->platform, &object);
+      ev_t *reply = &replies[reply_count];
+      reply->kind = EV_PLATFORM;
+      if (f->kind == FX_PLATFORM
+          && fpl_call (x->platform, ctx, &f->platform, &reply->platform))
+        reply_count++;
       if (f->kind == FX_UPSTREAM_CALL)
-        seen->call = f->upstream.call;
+        x->call = f->upstream.call;
       if (f->kind == FX_REPLY_HEAD)
-        seen->status = f->reply.status;
-      if (f->kind == FX_REPLY_END)
-        seen->ended = true;
+        x->status = f->reply.status;
+      x->ended = x->ended || f->kind == FX_REPLY_END;
     }
-  if (next.kind != EV_NUM)
-    example_step (n, now, &next, seen);
+  for (size_t i = 0; i < reply_count; i++)
+    example_step (x, &replies[i]);
+  talloc_free (ctx);
+}
+
+static void
+example_request (example_t *x, uint64_t caller, const char *method,
+                 const char *path, const char *key, const char *body)
+{
+  http_header_t authorization = { "Authorization", key };
+  x->status = 0;
+  x->ended = false;
+  example_step (x, &(ev_t){ .kind = EV_REQUEST,
+                            .request = { .caller = caller,
+                                         .method = method,
+                                         .path = path,
+                                         .query = "",
+                                         .headers = { &authorization, 1 },
+                                         .body = buf_str (body) } });
 }
 
 static void
 test_example_of_the_seam (void)
 {
   st_t st = { 0 };
-  node_t *n = node_setup (
-      NULL, &(node_desc_t){ .vm = "north-1", .data_centre = "north" }, &st);
-  TST_NEED (n != NULL);
-  example_t seen = { 0 };
-  example_step (n, 0, &(ev_t){ .kind = EV_START }, &seen);
-  example_step (
-      n, 5,
-      &(ev_t){
-          .kind = EV_REQUEST,
-          .request
-          = { .caller = 1, .method = "GET", .path = "/ping", .query = "" } },
-      &seen);
-  TST_NEED (seen.call != 0);
+  example_t x = { .platform = fpl_setup (NULL) };
+  x.node = node_setup (NULL,
+                       &(node_desc_t){ .vm = "north-1",
+                                       .data_centre = "north",
+                                       .operator_token_sha256 = OPERATOR },
+                       &st);
+  TST_NEED (x.node != NULL);
+  example_step (&x, &(ev_t){ .kind = EV_START });
+  example_request (&x, 1, "POST", "/v1/operator/config", "Bearer operator",
+                   DOCUMENT);
+  CU_ASSERT_EQUAL (x.status, 200);
+  x.now = 5;
+  example_request (&x, 2, "GET", "/ping", "", "");
+  TST_NEED (x.call != 0 && x.status == 0);
   ev_t head = { .kind = EV_UPSTREAM_HEAD,
-                .upstream = { .call = seen.call, .status = 200 } };
-  example_step (n, 9, &head, &seen);
-  ev_t end = { .kind = EV_UPSTREAM_END, .upstream = { .call = seen.call } };
-  example_step (n, 9, &end, &seen);
-  CU_ASSERT_EQUAL (seen.status, 200);
-  CU_ASSERT (seen.ended);
-  node_shutdown (n);
+                .upstream = { .call = x.call, .status = 200 } };
+  example_step (&x, &head);
+  ev_t end = { .kind = EV_UPSTREAM_END, .upstream = { .call = x.call } };
+  example_step (&x, &end);
+  CU_ASSERT_EQUAL (x.status, 200);
+  CU_ASSERT (x.ended);
+  node_shutdown (x.node);
+  talloc_free (x.platform);
 }
 
 int
--- a/tools/measure_limits.c
+++ b/tools/measure_limits.c
@@ -158,8 +158,8 @@
     return 1;
   for (;;)
     {
-      uint32_t vm = (uint32_t)g_rand_int_range (r->rand, 0,
-                                                (gint32)r->n->vm_count);
+      uint32_t vm
+          = (uint32_t)g_rand_int_range (r->rand, 0, (gint32)r->n->vm_count);
       const net_vm_t *v = &r->n->vms[vm];
       if (v->alive && r->n->now >= v->frozen_until)
         return vm;
@@ -292,8 +292,7 @@
 {
   if (c->offered <= c->rate)
     return c->refused_inside;
-  return c->exact_admitted > c->admitted ? c->exact_admitted - c->admitted
-                                         : 0;
+  return c->exact_admitted > c->admitted ? c->exact_admitted - c->admitted : 0;
 }
 
 static void
@@ -317,8 +316,8 @@
   for (uint32_t i = 0; i < n->vm_count; i++)
     {
       bytes += n->vms[i].bytes_out;
-      bytes_max = n->vms[i].bytes_out > bytes_max ? n->vms[i].bytes_out
-                                                  : bytes_max;
+      bytes_max
+          = n->vms[i].bytes_out > bytes_max ? n->vms[i].bytes_out : bytes_max;
     }
   double seconds = (double)(n->now - WARM_MS) / CLK_SECOND;
   printf ("| %s | %s | %s | %lu | 0 | %.3f | %.3f | %.0f | %.0f | %.1f | "
--- a/tools/measure_nodes.c
+++ b/tools/measure_nodes.c
@@ -1,9 +1,10 @@
 /** @file
- * Memory of idle nodes in one process: bytes a node at several fleet sizes.
+ * Memory of idle nodes in one process: bytes a node, with the fakes around
+ * it, for several counts of nodes.
  *
  * Writes build/measure/nodes.csv.
  */
-#include "core/node.h"
+#include "flt.h"
 
 #include <malloc.h>
 #include <stdio.h>
@@ -17,7 +18,7 @@
 document (void *ctx)
 {
   char *text = talloc_strdup (
-      ctx, "[data-centre north]\nowner = ops\n"
+      ctx, "[data-centre dc-0]\nowner = ops\n"
            "[deployment snit-llm]\nowner = ops\nkind = engine\nslots = 8\n"
            "[route POST /v1/completions]\nowner = ops\n"
            "deployment = snit-llm\nidempotent = yes\n");
@@ -25,7 +26,7 @@
     text = talloc_asprintf_append_buffer (
         text,
         "[upstream snit-%d]\nowner = ops\ndeployment = snit-llm\n"
-        "data_centre = north\naddress = 127.0.0.1:%d\n",
+        "data_centre = dc-0\naddress = 127.0.0.1:%d\n",
         i, 9000 + i);
   for (int i = 0; i < CUSTOMERS; i++)
     text = talloc_asprintf_append_buffer (
@@ -36,49 +37,16 @@
   return text;
 }
 
-static void
-start (node_t *n, const char *text)
-{
-  const fx_list_t *fx = node_step (n, 0, &(ev_t){ .kind = EV_START });
-  ev_object_t object
-      = { .name = "config", .version = 1, .value = buf_str (text) };
-  ev_t reply = { .kind = EV_NUM };
-  for (size_t i = 0; i < fx->count; i++)
-    {
-      if (fx->v[i].kind == FX_PLATFORM
-          && fx->v[i].platform.op == FX_PLATFORM_GET)
-        reply = (ev_t){ .kind = EV_PLATFORM,
-                        .platform = { .call = fx->v[i].platform.call,
-                                      .code = ST_OK,
-                                      .objects = &object,
-                                      .object_count = 1 } };
-    }
-  if (reply.kind == EV_PLATFORM)
-    (void)node_step (n, 4, &reply);
-}
-
 static size_t
 bytes_for (size_t nodes, const char *text)
 {
   size_t before = mallinfo2 ().uordblks;
   void *ctx = talloc_new (NULL);
   for (size_t i = 0; i < nodes; i++)
-    {
-      st_t st = { 0 };
-      char *name = talloc_asprintf (ctx, "vm-%zu", i);
-      node_t *n = node_setup (ctx,
-                              &(node_desc_t){ .vm = name,
-                                              .data_centre = "north",
-                                              .incarnation = 1,
-                                              .seed = (uint32_t)i },
-                              &st);
-      if (n == NULL)
-        {
-          fprintf (stderr, "%s\n", st.message);
-          exit (EXIT_FAILURE);
-        }
-      start (n, text);
-    }
+    (void)flt_setup (ctx, &(flt_desc_t){ .seed = (uint32_t)i,
+                                         .data_centres = 1,
+                                         .vms = 1,
+                                         .document = text });
   size_t bytes = mallinfo2 ().uordblks - before;
   talloc_free (ctx);
   return bytes;
