--- a/src/core/cfg.c
+++ b/src/core/cfg.c
@@ -45,22 +45,36 @@
     }
 }
 
+static bool
+_cfg_key_known (const cfg_kind_info_t *kind, const char *key)
+{
+  for (const cfg_field_t *f = kind->fields; f->key != NULL; f++)
+    {
+      if (strcmp (f->key, key) == 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+_cfg_unknown_key_fault (_cfg_parse_t *p, const cfg_kind_info_t *kind,
+                        const char *key)
+{
+  char *list = talloc_strdup (p->ctx, "one of:");
+  for (const cfg_field_t *f = kind->fields; f->key != NULL; f++)
+    list = talloc_asprintf_append (list, " %s", f->key);
+  _cfg_fault (p, key, "an unknown key", list);
+  talloc_free (list);
+}
+
 static void
 _cfg_unknown_keys_find (_cfg_parse_t *p, const cfg_kind_info_t *kind)
 {
   char **keys = g_key_file_get_keys (p->file, p->section->name, NULL, NULL);
   for (size_t i = 0; keys != NULL && keys[i] != NULL; i++)
     {
-      bool known = false;
-      char *list = talloc_strdup (p->ctx, "one of:");
-      for (const cfg_field_t *f = kind->fields; f->key != NULL; f++)
-        {
-          known = known || strcmp (f->key, keys[i]) == 0;
-          list = talloc_asprintf_append (list, " %s", f->key);
-        }
-      if (!known)
-        _cfg_fault (p, keys[i], "an unknown key", list);
-      talloc_free (list);
+      if (!_cfg_key_known (kind, keys[i]))
+        _cfg_unknown_key_fault (p, kind, keys[i]);
     }
   g_strfreev (keys);
 }
--- a/src/core/cfg_split.c
+++ b/src/core/cfg_split.c
@@ -50,7 +50,8 @@
   GHashTable *names; /**< of sections */
   GHashTable *keys;  /**< of the section being read */
   unsigned line;
-  char *text; /**< of the section being read; NULL: before the first */
+  GString *text; /**< of the section being read */
+  bool inside;   /**< a header has been read */
   size_t room;
 } _cfg_walk_t;
 
@@ -71,29 +72,34 @@
 static void
 _cfg_walk_close (_cfg_walk_t *w)
 {
-  if (w->text == NULL)
+  if (!w->inside)
     return;
   cfg_section_t *s = &w->sections->v[w->sections->count - 1];
-  s->text = w->text;
+  s->text = talloc_strndup (w->ctx, w->text->str, w->text->len);
   s->empty = g_hash_table_size (w->keys) == 0;
-  if (strlen (w->text) > CFG_SECTION_MAX)
+  if (w->text->len > CFG_SECTION_MAX)
     _cfg_walk_fault (w, NULL, NULL, "a section of at most 4096 bytes");
   g_hash_table_remove_all (w->keys);
-  w->text = NULL;
+  w->inside = false;
 }
 
+/* S with one blank between its words and none around them. */
 static char *
 _cfg_one_spaced (void *ctx, const char *s)
 {
-  char **words = g_strsplit_set (s, " \t", -1);
-  char *out = talloc_strdup (ctx, "");
-  for (size_t i = 0; words[i] != NULL; i++)
+  char *out = talloc_array (ctx, char, strlen (s) + 1);
+  size_t n = 0;
+  for (; *s != '\0'; s++)
     {
-      if (words[i][0] != '\0')
-        out = talloc_asprintf_append (out, "%s%s", out[0] ? " " : "",
-                                      words[i]);
+      bool blank = *s == ' ' || *s == '\t';
+      if (!blank)
+        out[n++] = *s;
+      else if (n > 0 && out[n - 1] != ' ')
+        out[n++] = ' ';
     }
-  g_strfreev (words);
+  if (n > 0 && out[n - 1] == ' ')
+    n--;
+  out[n] = '\0';
   return out;
 }
 
@@ -110,7 +116,8 @@
       s->v = talloc_realloc (w->ctx, s->v, cfg_section_t, w->room);
     }
   s->v[s->count++] = (cfg_section_t){ .name = name, .line = w->line };
-  w->text = talloc_asprintf (w->ctx, "[%s]\n", name);
+  w->inside = true;
+  g_string_printf (w->text, "[%s]\n", name);
   if (name[0] == '\0' || strpbrk (name, "[]") != NULL)
     _cfg_walk_fault (w, NULL, line, "a header like [customer NAME]");
   if (!g_hash_table_add (w->names, name))
@@ -121,7 +128,7 @@
 _cfg_walk_pair (_cfg_walk_t *w, char *line)
 {
   char *equals = strchr (line, '=');
-  if (w->text == NULL)
+  if (!w->inside)
     {
       _cfg_walk_fault (w, NULL, line, "a [section] header first");
       return;
@@ -138,7 +145,10 @@
     _cfg_walk_fault (w, NULL, key, "a key of letters and underscores");
   if (!g_hash_table_add (w->keys, g_strdup (key)))
     _cfg_walk_fault (w, key, value, "each key only once in a section");
-  w->text = talloc_asprintf_append_buffer (w->text, "%s = %s\n", key, value);
+  g_string_append (w->text, key);
+  g_string_append (w->text, " = ");
+  g_string_append (w->text, value);
+  g_string_append_c (w->text, '\n');
 }
 
 static void
@@ -186,6 +196,7 @@
     .ctx = ctx,
     .sections = sections,
     .faults = faults,
+    .text = g_string_new (""),
     .names = g_hash_table_new (g_str_hash, g_str_equal),
     .keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
   };
@@ -204,6 +215,7 @@
   _cfg_walk_close (&w);
   if (sections->count > CFG_SECTIONS_MAX)
     _cfg_walk_fault (&w, NULL, NULL, "at most 65536 sections");
+  g_string_free (w.text, TRUE);
   g_hash_table_destroy (w.names);
   g_hash_table_destroy (w.keys);
   return faults->count == 0 ? ST_OK : ST_INVALID;
--- a/src/core/cfs.c
+++ b/src/core/cfs.c
@@ -169,6 +169,9 @@
       if (c->best_vm != NULL)
         cfs_peer_pull (c, env, c->best_vm);
       break;
+    case CFS_TAG_LATE:
+      cfs_store_late (c, env);
+      break;
     case CFS_TAG_APPLY:
       cfs_task_poke (c, env);
       break;
--- a/src/core/cfs_apply.c
+++ b/src/core/cfs_apply.c
@@ -6,7 +6,7 @@
 #include <talloc.h>
 
 #define CFS_BACKOFF_MS ((clk_ms_t)10)
-#define CFS_BACKOFF_MAX_SHIFT 5
+#define CFS_BACKOFF_MAX_SHIFT 2
 #define CFS_TOKEN_MAX 64
 #define CFS_PART_REPEATS 8 /**< writes whose answer was lost */
 #define CFS_GARBAGE_MS (30 * CLK_SECOND)
--- a/src/core/cfs_private.h
+++ b/src/core/cfs_private.h
@@ -25,6 +25,7 @@
 {
   CFS_TAG_TICK,
   CFS_TAG_GATHERED, /**< peers had time to say their versions */
+  CFS_TAG_LATE,     /**< peers had time to bring what a watch told of */
   CFS_TAG_APPLY,    /**< next try of the change in progress */
   CFS_TAG_LIST,     /**< head and revision, to watch from */
   CFS_TAG_WATCH,
@@ -160,6 +161,7 @@
   uint64_t version;
   const char *writer;
   cfs_head_t *head; /**< as last read; NULL: to be read */
+  cfs_head_t *late; /**< newer one that a watch told of */
   uint64_t seq;
   uint64_t revision; /**< of the watch */
   bool watching;
@@ -197,6 +199,7 @@
 /* cfs_store.c */
 void cfs_store_tick (cfs_t *c, env_t *env);
 void cfs_store_read (cfs_t *c, env_t *env);
+void cfs_store_late (cfs_t *c, env_t *env);
 void cfs_store_replied (cfs_t *c, env_t *env, const plt_done_t *done,
                         const ev_platform_t *reply);
 
--- a/src/core/cfs_store.c
+++ b/src/core/cfs_store.c
@@ -7,6 +7,7 @@
 
 #define CFS_RETRY_MS ((clk_ms_t)500)
 #define CFS_RETRY_MAX_SHIFT 4
+#define CFS_LATE_MS ((clk_ms_t)200)
 #define CFS_ALONE_MS (5 * CLK_SECOND)
 
 static void
@@ -108,7 +109,7 @@
 
 /* A head has been seen, by a read, a list or a watch; any may be stale. */
 static void
-_cfs_head_seen (cfs_t *c, env_t *env, const ev_object_t *object)
+_cfs_head_seen (cfs_t *c, env_t *env, const ev_object_t *object, bool watched)
 {
   cfs_head_t *head;
   if (object->deleted || object->version == 0)
@@ -129,13 +130,31 @@
   else
     {
       cfs_head_forget (c);
-      void *owner = talloc_new (c);
-      talloc_steal (owner, head);
-      _cfs_fetch_start (c, env, head);
-      talloc_free (owner);
+      talloc_free (c->late);
+      c->late = head;
+      /* A peer is likely to bring it before the platform is asked. */
+      if (watched && spr_neighbour_count (c->spr) > 0)
+        tmr_arm (env->tmr, env->now + CFS_LATE_MS, MOD_CONFIG,
+                 cfs_tag (CFS_TAG_LATE, 0, 0));
+      else
+        cfs_store_late (c, env);
     }
 }
 
+void
+cfs_store_late (cfs_t *c, env_t *env)
+{
+  cfs_head_t *head = c->late;
+  c->late = NULL;
+  if (head == NULL)
+    return;
+  void *owner = talloc_new (c);
+  talloc_steal (owner, head);
+  if (head->version > c->version)
+    _cfs_fetch_start (c, env, head);
+  talloc_free (owner);
+}
+
 void
 cfs_store_read (cfs_t *c, env_t *env)
 {
@@ -179,7 +198,7 @@
   for (size_t i = 0; i < reply->object_count; i++)
     {
       if (strcmp (reply->objects[i].name, CFS_HEAD_NAME) == 0)
-        _cfs_head_seen (c, env, &reply->objects[i]);
+        _cfs_head_seen (c, env, &reply->objects[i], true);
     }
   /* A watch that ends without news waits for the next tick. */
   if (spr_relays (c->spr) && reply->object_count > 0)
@@ -191,7 +210,7 @@
 {
   c->reading = false;
   if (reply->code == ST_OK && reply->object_count == 1)
-    _cfs_head_seen (c, env, &reply->objects[0]);
+    _cfs_head_seen (c, env, &reply->objects[0], false);
   if (reply->code == ST_OK || reply->code == ST_NOT_FOUND)
     c->reads_failed = 0;
   else
