Keys: a withdrawal can be asked again on another VM, which then reports

The VM that was asked may be lost before it could say who has confirmed. Each asking counts, the highest wins, and VMs confirm to the one that was asked last.

--- a/src/core/key.c
+++ b/src/core/key.c
@@ -70,6 +70,21 @@
          && strspn (s, "0123456789abcdef") == KEY_HASH_SIZE;
 }
 
+void
+key_withdrawal_ask (key_set_t *k, key_withdrawal_t *w, const char *origin,
+                    uint64_t asked)
+{
+  talloc_free ((void *)w->origin);
+  w->origin = talloc_strdup (w, origin);
+  w->asked = asked;
+  w->confirms_left = KEY_CONFIRM_REPEATS + 1;
+  if (w->recent)
+    return;
+  w->recent = true;
+  w->next = k->recent;
+  k->recent = w;
+}
+
 key_withdrawal_t *
 key_withdrawal_add (key_set_t *k, env_t *env, const key_withdrawal_t *given)
 {
@@ -82,10 +97,7 @@
   key_withdrawal_t *w = talloc_zero (k, key_withdrawal_t);
   w->sha256 = talloc_strdup (w, given->sha256);
   w->name = talloc_strdup (w, given->name);
-  w->origin = talloc_strdup (w, given->origin);
-  w->confirms_left = KEY_CONFIRM_REPEATS + 1;
-  w->next = k->recent;
-  k->recent = w;
+  key_withdrawal_ask (k, w, given->origin, given->asked);
   g_hash_table_insert (k->withdrawals, (gpointer)w->sha256, w);
   k->digests[key_withdrawal_bucket (w)] ^= key_withdrawal_digest (w);
   w->next_pop = NULL;
@@ -137,6 +149,25 @@
   return g_hash_table_contains (k->withdrawals, sha256);
 }
 
+/* Collect confirmations of W, in place of the oldest that they were collected
+ * of. */
+static void
+_key_collect (key_set_t *k, key_withdrawal_t *w)
+{
+  if (w->collects)
+    return;
+  key_withdrawal_t **slot = &k->asked[k->asked_next++ % KEY_ASKED_MAX];
+  if (*slot != NULL)
+    {
+      talloc_free ((*slot)->confirmed);
+      (*slot)->confirmed = NULL;
+      (*slot)->confirmed_count = 0;
+      (*slot)->collects = false;
+    }
+  *slot = w;
+  w->collects = true;
+}
+
 st_code_t
 key_withdraw (key_set_t *k, env_t *env, const cfg_doc_t *doc, const char *name,
               const char **sha256)
@@ -152,14 +183,15 @@
     .origin = env->vm,
   };
   key_withdrawal_t *w = key_withdrawal_find (k, given.sha256);
+  if (w != NULL)
+    key_withdrawal_ask (k, w, env->vm, w->asked + 1);
+  else
+    w = key_withdrawal_add (k, env, &given);
   if (w == NULL)
-    {
-      w = key_withdrawal_add (k, env, &given);
-      if (w == NULL)
-        return ST_EXHAUSTED;
-      key_spread_push (k, env, (const key_withdrawal_t *const *)&w, 1);
-      key_store_tick (k, env);
-    }
+    return ST_EXHAUSTED;
+  _key_collect (k, w);
+  key_spread_push (k, env, (const key_withdrawal_t *const *)&w, 1);
+  key_store_tick (k, env);
   *sha256 = w->sha256;
   return ST_OK;
 }
--- a/src/core/key_private.h
+++ b/src/core/key_private.h
@@ -10,12 +10,18 @@
 /** Groups of withdrawals that VMs compare digests of. */
 #define KEY_BUCKETS 64
 
+/** Withdrawals whose confirmations a VM collects. */
+#define KEY_ASKED_MAX 64
+
 /** One withdrawal. */
 typedef struct key_withdrawal
 {
   const char *sha256;
   const char *name;       /**< of the key; "" when no document had it */
-  const char *origin;     /**< VM that was asked */
+  const char *origin;     /**< VM that was asked last: it gets confirmations */
+  uint64_t asked;         /**< how often operators have asked */
+  bool collects;          /**< this VM collects confirmations */
+  bool recent;            /**< among the recent ones */
   bool stored;            /**< the platform holds it */
   unsigned confirms_left; /**< to be sent to the origin */
   clk_ms_t write_at;      /**< next write to the platform; 0: not set */
@@ -41,7 +47,9 @@
   uint64_t revision;
   clk_ms_t read_at;
   unsigned reads_failed;
-  unsigned writing; /**< in progress */
+  unsigned writing;                       /**< in progress */
+  key_withdrawal_t *asked[KEY_ASKED_MAX]; /**< whose confirmations it holds */
+  size_t asked_next;
 };
 
 key_withdrawal_t *key_withdrawal_find (const key_set_t *k, const char *sha256);
@@ -52,6 +60,10 @@
 key_withdrawal_t *key_withdrawal_add (key_set_t *k, env_t *env,
                                       const key_withdrawal_t *given);
 
+/** Operators have asked ASKED times, last on ORIGIN: confirm to that VM. */
+void key_withdrawal_ask (key_set_t *k, key_withdrawal_t *w, const char *origin,
+                         uint64_t asked);
+
 /* key_spread.c */
 void key_spread_tick (key_set_t *k, env_t *env);
 void key_spread_push (key_set_t *k, env_t *env,
--- a/src/core/key_spread.c
+++ b/src/core/key_spread.c
@@ -1,7 +1,7 @@
 /* Passing withdrawals on from VM to VM.
  *
  * Bodies (mpk.h), in the order of their fields:
- *   WITHDRAWN  count, then sha256, name, origin of each
+ *   WITHDRAWN  count, then sha256, name, origin, asked of each
  *   DIGEST     digest of all                                       in turn
  *   BUCKETS    answer (1: send yours too), digest of each group
  *   CONFIRM    origin, vm, sha256, hops       vm holds it; on to the origin
@@ -41,6 +41,7 @@
   mpk_put_str (w, buf_str (withdrawal->sha256));
   mpk_put_str (w, buf_str (withdrawal->name));
   mpk_put_str (w, buf_str (withdrawal->origin));
+  mpk_put_uint (w, withdrawal->asked);
 }
 
 static void
@@ -79,6 +80,8 @@
 static void
 _key_confirm_note (key_withdrawal_t *w, const char *vm)
 {
+  if (!w->collects)
+    return;
   if (w->confirmed == NULL)
     w->confirmed = talloc_zero_array (w, const char *, 1);
   if (g_strv_contains ((const char *const *)w->confirmed, vm)
@@ -153,6 +156,19 @@
     _key_confirm (k, env, w);
 }
 
+/* Take over what a peer says of a withdrawal; NULL: it was known. */
+static key_withdrawal_t *
+_key_withdrawal_take (key_set_t *k, env_t *env, const key_withdrawal_t *given)
+{
+  key_withdrawal_t *w = key_withdrawal_find (k, given->sha256);
+  if (w == NULL)
+    return key_withdrawal_add (k, env, given);
+  if (given->asked <= w->asked)
+    return NULL;
+  key_withdrawal_ask (k, w, given->origin, given->asked);
+  return w;
+}
+
 static void
 _key_withdrawn_received (key_set_t *k, env_t *env, mpk_reader_t *r)
 {
@@ -164,9 +180,10 @@
       key_withdrawal_t given = { .sha256 = mpk_get_str (r).p };
       given.name = mpk_get_str (r).p;
       given.origin = mpk_get_str (r).p;
-      if (r->failed || key_withdrawn (k, given.sha256))
+      given.asked = mpk_get_uint (r);
+      if (r->failed)
         continue;
-      key_withdrawal_t *w = key_withdrawal_add (k, env, &given);
+      key_withdrawal_t *w = _key_withdrawal_take (k, env, &given);
       if (w == NULL)
         continue;
       _key_confirm (k, env, w);
--- a/src/core/key_store.c
+++ b/src/core/key_store.c
@@ -75,7 +75,10 @@
           && k->writing < KEY_WRITES_AT_A_TIME)
         _key_write (k, env, w);
       if (!writes && w->confirms_left == 0)
-        *at = w->next;
+        {
+          w->recent = false;
+          *at = w->next;
+        }
       else
         at = &w->next;
     }
@@ -105,7 +108,8 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       key_withdrawal_t *w = value;
-      if (w->stored && w->confirms_left == 0)
+      w->recent = !w->stored || w->confirms_left > 0;
+      if (!w->recent)
         continue;
       w->next = k->recent;
       k->recent = w;
--- a/tests/test_key.c
+++ b/tests/test_key.c
@@ -181,6 +181,34 @@
     }
 }
 
+/* The VM that was asked is lost: asked again, another one reports. */
+static void
+test_withdrawal_asked_again (void)
+{
+  fleet_t *f = fleet (6, 2);
+  const char *sha256 = withdraw (f, 1, "k1");
+  fleet_run (f, 10 * CLK_SECOND);
+  fleet_stop (f, 1);
+  CU_ASSERT_FALSE (key_confirmed_by (f->vm[2].key, sha256, f->vm[3].name));
+  (void)withdraw (f, 2, "k1");
+  fleet_run (f, 2 * CLK_SECOND);
+  for (unsigned i = 0; i < 6; i++)
+    CU_ASSERT_EQUAL (key_confirmed_by (f->vm[2].key, sha256, f->vm[i].name),
+                     i != 1);
+  CU_ASSERT_EQUAL (key_withdrawn_count (f->vm[2].key), 1);
+  /* Confirmations are kept of the last ones only. */
+  char hash[KEY_HASH_SIZE + 1];
+  for (int i = 0; i < 100; i++)
+    {
+      key_hash (talloc_asprintf (f, "gone-%d", i), hash);
+      (void)withdraw (f, 2, hash);
+    }
+  fleet_run (f, 2 * CLK_SECOND);
+  CU_ASSERT_FALSE (key_confirmed_by (f->vm[2].key, sha256, f->vm[3].name));
+  CU_ASSERT (key_confirmed_by (f->vm[2].key, hash, f->vm[3].name));
+  fleet_shutdown (f);
+}
+
 /* Only the platform joins two halves of the fleet. */
 static void
 test_withdrawal_over_the_platform (void)
@@ -504,6 +532,7 @@
       test_withdrawal_reaches_all_within_2_s },
     { "withdrawal_during_outage", test_withdrawal_during_outage },
     { "withdrawal_across_partition", test_withdrawal_across_partition },
+    { "withdrawal_asked_again", test_withdrawal_asked_again },
     { "withdrawal_over_the_platform", test_withdrawal_over_the_platform },
     { "unknown_keys_leave_nothing", test_unknown_keys_leave_nothing },
     { "garbage_messages_are_dropped", test_garbage_messages_are_dropped },
