--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -217,16 +217,6 @@
 
 /* ---- whom to ask ---- */
 
-static bool
-_lim_seen_before (const mbr_t *m, size_t i)
-{
-  const char *data_centre = mbr_vm_get (m, i)->data_centre;
-  for (size_t j = 0; j < i; j++)
-    if (strcmp (mbr_vm_get (m, j)->data_centre, data_centre) == 0)
-      return true;
-  return false;
-}
-
 static void
 _lim_add_sources (lim_customer_t *c, const mbr_t *m, const env_t *env,
                   const char *data_centre)
@@ -250,11 +240,10 @@
     c->sources = talloc_array (c, const char *, LIM_SOURCES_MAX);
   _lim_add_sources (c, m, env, env->data_centre);
   c->near_count = c->source_count;
-  for (size_t i = 0; i < mbr_vm_count (m); i++)
+  for (size_t i = 0; i < mbr_data_centre_count (m); i++)
     {
-      const char *data_centre = mbr_vm_get (m, i)->data_centre;
-      if (strcmp (data_centre, env->data_centre) != 0
-          && !_lim_seen_before (m, i))
+      const char *data_centre = mbr_data_centre_get (m, i);
+      if (strcmp (data_centre, env->data_centre) != 0)
         _lim_add_sources (c, m, env, data_centre);
     }
 }
--- /dev/null
+++ b/src/core/lse.c
@@ -0,0 +1,657 @@
+#include "core/lse.h"
+
+#include "core/inv.h"
+#include "core/mpk.h"
+#include "core/tbl.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define LSE_TERM_MS_DEFAULT (30 * CLK_SECOND)
+#define LSE_RETRY_MS_DEFAULT (1 * CLK_SECOND)
+#define LSE_LOOK_MS_DEFAULT (5 * CLK_SECOND)
+
+/* Clocks of two VMs drift apart by less than one in this. */
+#define LSE_DRIFT 50
+
+#define LSE_SESSION_PREFIX "lease-session/"
+#define LSE_OBJECT_PREFIX "lease/"
+
+/* What a timer or call is for; the lease's index stands above. */
+enum
+{
+  LSE_SESSION_READ = 1,
+  LSE_SESSION_WRITE,
+  LSE_LEASE_READ,
+  LSE_HOLDER_READ,
+  LSE_HOLDER_REVOKE,
+  LSE_LEASE_TAKE,
+  LSE_LEASE_FREE,
+  LSE_STEP_BITS = 4,
+};
+
+/* A session object: a VM renews it with a new number each time. */
+typedef struct
+{
+  uint64_t version;
+  uint64_t generation; /* grows with each new session of the VM */
+  uint64_t incarnation;
+  uint64_t number;
+  bool revoked;
+} lse_session_t;
+
+/* A lease object. */
+typedef struct
+{
+  uint64_t version;
+  buf_t holder; /* VM; empty: nobody */
+  uint64_t generation;
+  uint64_t fence;
+} lse_object_t;
+
+/* A lease that is or was wanted here. */
+typedef struct
+{
+  size_t index;
+  char *name;
+  char *object;
+  bool wanted;
+  bool busy;      /* a call or timer is under way */
+  bool taken;     /* the object names this VM's session */
+  bool told_held; /* by lse_change_pop */
+  bool uncertain; /* a write of the object may still be under way */
+  uint64_t version;
+  uint64_t generation; /* of the session it was taken in */
+  uint64_t fence;
+  char *holder; /* another VM that stands in the object */
+  uint64_t holder_generation;
+  uint64_t holder_version; /* of its session, unchanged since */
+  clk_ms_t holder_since;
+} lse_lease_t;
+
+struct lse
+{
+  lse_desc_t desc;
+  char *session_object;
+  bool started;
+  bool live; /* a session of this VM's stands in the platform */
+
+  lse_session_t session; /* as last written or read */
+  uint64_t number;       /* of the last write sent */
+  uint64_t generation;   /* of that write */
+  clk_ms_t write_sent;
+  clk_ms_t valid_until;
+  lse_lease_t **leases;
+  size_t count;
+  GHashTable *by_name; /* to lse_lease_t */
+  bool changed;        /* since lse_change_pop found nothing */
+  bool told_valid;
+};
+
+static int
+_lse_destroy (lse_t *l)
+{
+  g_hash_table_destroy (l->by_name);
+  return 0;
+}
+
+lse_t *
+lse_setup (void *ctx, const lse_desc_t *desc)
+{
+  lse_t *l = talloc_zero (ctx, lse_t);
+  l->desc = *desc;
+  if (l->desc.term_ms == 0)
+    l->desc.term_ms = LSE_TERM_MS_DEFAULT;
+  if (l->desc.retry_ms == 0)
+    l->desc.retry_ms = LSE_RETRY_MS_DEFAULT;
+  if (l->desc.look_ms == 0)
+    l->desc.look_ms = LSE_LOOK_MS_DEFAULT;
+  l->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  talloc_set_destructor (l, _lse_destroy);
+  return l;
+}
+
+void
+lse_shutdown (lse_t *l)
+{
+  talloc_free (l);
+}
+
+/* ---- objects ---- */
+
+static buf_t
+_lse_session_encode (void *ctx, const lse_session_t *s)
+{
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_uint (&w, s->generation);
+  mpk_put_uint (&w, s->incarnation);
+  mpk_put_uint (&w, s->number);
+  mpk_put_uint (&w, s->revoked);
+  return mpk_done (&w);
+}
+
+static lse_session_t
+_lse_session_decode (void *ctx, const ev_platform_t *reply)
+{
+  lse_session_t s = { 0 };
+  if (reply->code != ST_OK || reply->object_count != 1)
+    return s;
+  mpk_reader_t r = mpk_reader (ctx, reply->objects[0].value);
+  s.version = reply->objects[0].version;
+  s.generation = mpk_get_uint (&r);
+  s.incarnation = mpk_get_uint (&r);
+  s.number = mpk_get_uint (&r);
+  s.revoked = mpk_get_uint (&r) != 0;
+  return s;
+}
+
+static lse_object_t
+_lse_object_decode (void *ctx, const ev_platform_t *reply)
+{
+  lse_object_t o = { .holder = buf_str ("") };
+  if (reply->code != ST_OK || reply->object_count != 1)
+    return o;
+  mpk_reader_t r = mpk_reader (ctx, reply->objects[0].value);
+  o.version = reply->objects[0].version;
+  o.holder = mpk_get_str (&r);
+  o.generation = mpk_get_uint (&r);
+  o.fence = mpk_get_uint (&r);
+  return o;
+}
+
+static uint64_t
+_lse_tag (size_t lease, unsigned step)
+{
+  return LSE_TAG | ((uint64_t)lease << LSE_STEP_BITS) | step;
+}
+
+static void
+_lse_call (lse_t *l, env_t *env, uint64_t tag, fx_platform_op_t op,
+           const char *name, uint64_t if_version, buf_t value)
+{
+  (void)l;
+  plt_call (env, &(plt_req_t){ .mod = MOD_MEMBER,
+                               .tag = tag,
+                               .op = op,
+                               .name = name,
+                               .if_version = if_version,
+                               .value = value });
+}
+
+static void
+_lse_arm (env_t *env, clk_ms_t wait, uint64_t tag)
+{
+  tmr_arm (env->tmr, env->now + env_jitter (env, wait), MOD_MEMBER, tag);
+}
+
+/* ---- this VM's session ---- */
+
+static void
+_lse_session_read (lse_t *l, env_t *env)
+{
+
+  _lse_call (l, env, _lse_tag (0, LSE_SESSION_READ), FX_PLATFORM_GET,
+             l->session_object, 0, (buf_t){ 0 });
+}
+
+/* Renew the session, or begin a new one when the last is over. */
+static void
+_lse_session_write (lse_t *l, env_t *env)
+{
+  lse_session_t next = l->session;
+  if (!l->live)
+    next.generation++;
+  next.incarnation = env->incarnation;
+  next.number = ++l->number;
+  next.revoked = false;
+  l->generation = next.generation;
+  l->write_sent = env->now;
+
+  buf_t value = _lse_session_encode (l, &next);
+  _lse_call (l, env, _lse_tag (0, LSE_SESSION_WRITE), FX_PLATFORM_PUT,
+             l->session_object, l->session.version, value);
+  talloc_free ((void *)(uintptr_t)value.p);
+  cnt_add (env->cnt, "rts_lease_renewals_total", "", 1);
+}
+
+static void _lse_wake_leases (lse_t *l, env_t *env);
+
+/* The last write stands in the platform as VERSION. */
+static void
+_lse_session_written (lse_t *l, env_t *env, uint64_t version)
+{
+  bool renewed = l->live && env->now < l->valid_until;
+  l->session.version = version;
+  l->session.generation = l->generation;
+  l->session.number = l->number;
+  l->session.incarnation = env->incarnation;
+  l->session.revoked = false;
+  l->live = true;
+  l->valid_until = l->write_sent + l->desc.term_ms;
+  if (!renewed)
+    _lse_wake_leases (l, env);
+  _lse_arm (env, l->desc.term_ms / 3, _lse_tag (0, LSE_SESSION_WRITE));
+}
+
+static void
+_lse_session_read_replied (lse_t *l, env_t *env, const ev_platform_t *reply)
+{
+  if (reply->code != ST_OK && reply->code != ST_NOT_FOUND)
+    {
+      _lse_arm (env, l->desc.retry_ms, _lse_tag (0, LSE_SESSION_READ));
+      return;
+    }
+  void *ctx = talloc_new (l);
+  lse_session_t s = _lse_session_decode (ctx, reply);
+  talloc_free (ctx);
+  bool own = s.incarnation == env->incarnation && !s.revoked;
+  if (own && s.number == l->number && s.generation == l->generation)
+    {
+      _lse_session_written (l, env, s.version);
+      return;
+    }
+  /* Revoked, of an earlier start, or the write has had no effect yet: then
+   * the next one supersedes it. */
+  l->live = l->live && own && s.generation == l->session.generation;
+  l->session = s;
+  _lse_session_write (l, env);
+}
+
+static void
+_lse_session_write_replied (lse_t *l, env_t *env, const ev_platform_t *reply)
+{
+  switch (reply->code)
+    {
+    case ST_OK:
+      if (reply->object_count == 1)
+        {
+          _lse_session_written (l, env, reply->objects[0].version);
+          return;
+        }
+      break;
+    case ST_CONFLICT:
+      _lse_session_read (l, env);
+      return;
+    default:
+      break;
+    }
+  _lse_arm (env, l->desc.retry_ms, _lse_tag (0, LSE_SESSION_READ));
+}
+
+static bool
+_lse_session_valid (const lse_t *l, const env_t *env)
+{
+  return l->live && env->now < l->valid_until;
+}
+
+/* ---- one lease ---- */
+
+static bool
+_lse_is_held (const lse_t *l, const env_t *env, const lse_lease_t *x)
+{
+  return x->wanted && x->taken && x->generation == l->session.generation
+         && _lse_session_valid (l, env);
+}
+
+static void
+_lse_lease_read (lse_t *l, env_t *env, size_t i)
+{
+  lse_lease_t *x = l->leases[i];
+  x->busy = true;
+  _lse_call (l, env, _lse_tag (i, LSE_LEASE_READ), FX_PLATFORM_GET, x->object,
+             0, (buf_t){ 0 });
+}
+
+static void
+_lse_lease_later (lse_t *l, env_t *env, size_t i, clk_ms_t wait)
+{
+  l->leases[i]->busy = true;
+  _lse_arm (env, wait, _lse_tag (i, LSE_LEASE_READ));
+}
+
+static void
+_lse_lease_write (lse_t *l, env_t *env, size_t i, unsigned step,
+                  const char *holder, uint64_t fence)
+{
+  lse_lease_t *x = l->leases[i];
+  mpk_writer_t w;
+  mpk_writer_init (&w, l);
+  mpk_put_str (&w, buf_str (holder));
+  mpk_put_uint (&w, l->session.generation);
+  mpk_put_uint (&w, fence);
+  buf_t value = mpk_done (&w);
+  x->busy = true;
+  x->generation = l->session.generation;
+  _lse_call (l, env, _lse_tag (i, step), FX_PLATFORM_PUT, x->object,
+             x->version, value);
+  talloc_free ((void *)(uintptr_t)value.p);
+}
+
+static void
+_lse_lease_take (lse_t *l, env_t *env, size_t i)
+{
+  _lse_lease_write (l, env, i, LSE_LEASE_TAKE, env->vm,
+                    l->leases[i]->fence + 1);
+}
+
+/* Nobody holds the lease when its object says so or the holder's session
+ * is another by now; else look at that session. */
+static void
+_lse_lease_seen (lse_t *l, env_t *env, size_t i, const lse_object_t *o)
+{
+  lse_lease_t *x = l->leases[i];
+  bool own = buf_is (o->holder, env->vm);
+  /* A take that may still come is kept out by another write. */
+  bool late = x->uncertain && o->version == x->version;
+  x->uncertain = false;
+  x->version = o->version;
+  x->fence = o->fence;
+  x->taken = own && o->generation == l->session.generation && l->live;
+  x->generation = o->generation;
+  if (!x->wanted)
+    {
+      x->taken = false;
+      if (own || late)
+        _lse_lease_write (l, env, i, LSE_LEASE_FREE, "", o->fence);
+      return;
+    }
+  if (x->taken)
+    return;
+  if (!_lse_session_valid (l, env))
+    return; /* goes on with the session */
+  if (o->holder.n == 0 || own)
+    {
+      _lse_lease_take (l, env, i);
+      return;
+    }
+  talloc_free (x->holder);
+  x->holder = buf_to_str (x, o->holder);
+  x->holder_generation = o->generation;
+  x->busy = true;
+  char *session = talloc_asprintf (l, LSE_SESSION_PREFIX "%s", x->holder);
+  _lse_call (l, env, _lse_tag (i, LSE_HOLDER_READ), FX_PLATFORM_GET, session,
+             0, (buf_t){ 0 });
+  talloc_free (session);
+}
+
+/* Whether the holder's session S has certainly ended; a session that stays
+ * the same for a whole term has lapsed, and is revoked first. */
+static bool
+_lse_holder_is_gone (const lse_lease_t *x, const lse_session_t *s)
+{
+  return s->version == 0 || s->generation != x->holder_generation
+         || s->revoked;
+}
+
+static void
+_lse_holder_revoke (lse_t *l, env_t *env, size_t i, lse_session_t s)
+{
+  s.revoked = true;
+  buf_t value = _lse_session_encode (l, &s);
+  char *session
+      = talloc_asprintf (l, LSE_SESSION_PREFIX "%s", l->leases[i]->holder);
+  l->leases[i]->busy = true;
+  _lse_call (l, env, _lse_tag (i, LSE_HOLDER_REVOKE), FX_PLATFORM_PUT, session,
+             s.version, value);
+  talloc_free (session);
+  talloc_free ((void *)(uintptr_t)value.p);
+  tln_record (env->tln, env->now, MOD_MEMBER, "lease-revoke", "vm=%s",
+              l->leases[i]->holder);
+  cnt_add (env->cnt, "rts_lease_revocations_total", "", 1);
+}
+
+static void
+_lse_holder_read_replied (lse_t *l, env_t *env, size_t i,
+                          const ev_platform_t *reply)
+{
+  lse_lease_t *x = l->leases[i];
+  if (reply->code != ST_OK && reply->code != ST_NOT_FOUND)
+    {
+      _lse_lease_later (l, env, i, l->desc.retry_ms);
+      return;
+    }
+  void *ctx = talloc_new (l);
+  lse_session_t s = _lse_session_decode (ctx, reply);
+  talloc_free (ctx);
+  clk_ms_t term = l->desc.term_ms + l->desc.term_ms / LSE_DRIFT;
+  if (!x->wanted || !_lse_session_valid (l, env))
+    return;
+  if (_lse_holder_is_gone (x, &s))
+    {
+      _lse_lease_take (l, env, i);
+      return;
+    }
+  if (s.version != x->holder_version)
+    {
+      x->holder_version = s.version;
+      x->holder_since = env->now;
+    }
+  if (env->now >= x->holder_since + term)
+    _lse_holder_revoke (l, env, i, s);
+  else
+    _lse_lease_later (l, env, i, l->desc.look_ms);
+}
+
+static void
+_lse_lease_read_replied (lse_t *l, env_t *env, size_t i,
+                         const ev_platform_t *reply)
+{
+  if (reply->code != ST_OK && reply->code != ST_NOT_FOUND)
+    {
+      _lse_lease_later (l, env, i, l->desc.retry_ms);
+      return;
+    }
+  void *ctx = talloc_new (l);
+  lse_object_t o = _lse_object_decode (ctx, reply);
+  _lse_lease_seen (l, env, i, &o);
+  talloc_free (ctx);
+}
+
+static void
+_lse_take_replied (lse_t *l, env_t *env, size_t i, const ev_platform_t *reply)
+{
+  lse_lease_t *x = l->leases[i];
+  if (reply->code != ST_OK || reply->object_count != 1)
+    {
+      x->uncertain = reply->code == ST_UNKNOWN;
+      _lse_lease_later (l, env, i,
+                        reply->code == ST_CONFLICT ? 1 : l->desc.retry_ms);
+      return;
+    }
+  x->version = reply->objects[0].version;
+  x->fence++;
+  x->taken = true;
+  tln_record (env->tln, env->now, MOD_MEMBER, "lease-taken",
+              "name=%s fence=%lu", x->name, (unsigned long)x->fence);
+  if (!x->wanted || x->generation != l->session.generation)
+    _lse_lease_read (l, env, i);
+}
+
+/* Whatever came of it, the object says what is to be done next. */
+static void
+_lse_free_replied (lse_t *l, env_t *env, size_t i, const ev_platform_t *reply)
+{
+  lse_lease_t *x = l->leases[i];
+  x->taken = false;
+  if (reply->code != ST_OK)
+    _lse_lease_later (l, env, i, l->desc.retry_ms);
+  else if (x->wanted)
+    _lse_lease_read (l, env, i);
+}
+
+/* ---- hooks ---- */
+
+static void
+_lse_wake_leases (lse_t *l, env_t *env)
+{
+  for (size_t i = 0; i < l->count; i++)
+    if (l->leases[i]->wanted && !l->leases[i]->busy)
+      _lse_lease_read (l, env, i);
+}
+
+void
+lse_timer_fired (lse_t *l, env_t *env, uint64_t tag)
+{
+  unsigned step = tag & ((1U << LSE_STEP_BITS) - 1);
+  size_t i = (size_t)((tag & ~LSE_TAG) >> LSE_STEP_BITS);
+  switch (step)
+    {
+    case LSE_SESSION_READ:
+      _lse_session_read (l, env);
+      break;
+    case LSE_SESSION_WRITE:
+      _lse_session_write (l, env);
+      break;
+    case LSE_LEASE_READ:
+      if (i < l->count)
+        _lse_lease_read (l, env, i);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+_lse_lease_replied (lse_t *l, env_t *env, size_t i, unsigned step,
+                    const ev_platform_t *reply)
+{
+  if (i >= l->count)
+    return;
+  l->leases[i]->busy = false;
+  switch (step)
+    {
+    case LSE_LEASE_READ:
+      _lse_lease_read_replied (l, env, i, reply);
+      break;
+    case LSE_HOLDER_READ:
+      _lse_holder_read_replied (l, env, i, reply);
+      break;
+    case LSE_HOLDER_REVOKE:
+      _lse_lease_later (l, env, i, 1);
+      break;
+    case LSE_LEASE_TAKE:
+      _lse_take_replied (l, env, i, reply);
+      break;
+    case LSE_LEASE_FREE:
+      _lse_free_replied (l, env, i, reply);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+lse_platform_replied (lse_t *l, env_t *env, const plt_done_t *done,
+                      const ev_platform_t *reply)
+{
+  l->changed = true;
+  unsigned step = done->tag & ((1U << LSE_STEP_BITS) - 1);
+  size_t i = (size_t)((done->tag & ~LSE_TAG) >> LSE_STEP_BITS);
+  if (step == LSE_SESSION_READ)
+    _lse_session_read_replied (l, env, reply);
+  else if (step == LSE_SESSION_WRITE)
+    _lse_session_write_replied (l, env, reply);
+  else
+    _lse_lease_replied (l, env, i, step, reply);
+}
+
+/* ---- callers ---- */
+
+static lse_lease_t *
+_lse_find (const lse_t *l, const char *name)
+{
+  return g_hash_table_lookup (l->by_name, name);
+}
+
+/* A place for a new lease: one that nothing refers to any more, or another. */
+static lse_lease_t *
+_lse_place (lse_t *l)
+{
+  for (size_t i = 0; i < l->count; i++)
+    {
+      lse_lease_t *x = l->leases[i];
+      if (x->wanted || x->busy || x->taken || x->told_held)
+        continue;
+      g_hash_table_remove (l->by_name, x->name);
+      talloc_free_children (x);
+      *x = (lse_lease_t){ .index = i };
+      return x;
+    }
+  lse_lease_t *x = talloc_zero (l, lse_lease_t);
+  l->leases = talloc_realloc (l, l->leases, lse_lease_t *, l->count + 1);
+  x->index = l->count++;
+  l->leases[x->index] = x;
+  return x;
+}
+
+void
+lse_want (lse_t *l, env_t *env, const char *name)
+{
+  lse_lease_t *x = _lse_find (l, name);
+  if (x == NULL)
+    {
+      x = _lse_place (l);
+      x->name = talloc_strdup (x, name);
+      x->object = talloc_asprintf (x, LSE_OBJECT_PREFIX "%s", name);
+      g_hash_table_insert (l->by_name, x->name, x);
+    }
+  if (x->wanted)
+    return;
+  x->wanted = true;
+  if (!l->started)
+    {
+      l->started = true;
+      l->session_object
+          = talloc_asprintf (l, LSE_SESSION_PREFIX "%s", env->vm);
+      _lse_session_read (l, env);
+    }
+  else if (_lse_session_valid (l, env) && !x->busy)
+    _lse_lease_read (l, env, x->index);
+}
+
+void
+lse_release (lse_t *l, env_t *env, const char *name)
+{
+  lse_lease_t *x = _lse_find (l, name);
+  if (x == NULL || !x->wanted)
+    return;
+  x->wanted = false;
+  l->changed = true;
+  if (!x->busy)
+    _lse_lease_read (l, env, x->index);
+}
+
+bool
+lse_held (const lse_t *l, const env_t *env, const char *name, uint64_t *fence)
+{
+  const lse_lease_t *x = _lse_find (l, name);
+  if (x == NULL || !_lse_is_held (l, env, x))
+    return false;
+  if (fence != NULL)
+    *fence = x->fence;
+  return true;
+}
+
+bool
+lse_change_pop (lse_t *l, env_t *env, lse_change_t *change)
+{
+  bool valid = _lse_session_valid (l, env);
+  if (!l->changed && valid == l->told_valid)
+    return false;
+  for (size_t i = 0; i < l->count; i++)
+    {
+      lse_lease_t *x = l->leases[i];
+      bool held = _lse_is_held (l, env, x);
+      if (held == x->told_held)
+        continue;
+      x->told_held = held;
+      *change = (lse_change_t){ .name = x->name,
+                                .held = held,
+                                .fence = held ? x->fence : 0 };
+      return true;
+    }
+  l->changed = false;
+  l->told_valid = valid;
+  return false;
+}
--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -46,6 +46,7 @@
     m->desc.full_mesh_max = MBR_FULL_MESH_DEFAULT;
   m->poll_ms = m->desc.poll_ms;
   m->generation = 1;
+  m->derived = talloc_zero (m, mbr_derived_t);
   m->listed_at = CLK_NEVER;
   m->unlisted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   talloc_set_destructor (m, _mbr_destroy);
@@ -144,16 +145,40 @@
   m->sorted = m->count;
 }
 
+/* The entry of the I-th VM of a list: mostly the one that it was last time. */
+static mbr_entry_t *
+_mbr_find_listed (mbr_t *m, const char *name, size_t i)
+{
+  if (i < m->order_count && strcmp (m->order[i]->vm.name, name) == 0)
+    return m->order[i];
+  mbr_entry_t *e = mbr_entry_find (m, name);
+  for (size_t j = m->sorted; j < m->count && e == NULL; j++)
+    if (strcmp (m->v[j]->vm.name, name) == 0)
+      e = m->v[j];
+  return e;
+}
+
+static void
+_mbr_note_order (mbr_t *m, const ev_vm_t *vms, size_t count)
+{
+  m->order = talloc_realloc (m, m->order, mbr_entry_t *, count);
+  m->order_count = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      mbr_entry_t *e = vms[i].vm ? mbr_entry_find (m, vms[i].vm) : NULL;
+      if (e == NULL)
+        return;
+      m->order[m->order_count++] = e;
+    }
+}
+
 static bool
-_mbr_take_vm (mbr_t *m, env_t *env, const ev_vm_t *vm)
+_mbr_take_vm (mbr_t *m, env_t *env, const ev_vm_t *vm, size_t i)
 {
   if (vm->vm == NULL || vm->vm[0] == '\0' || vm->data_centre == NULL)
     return false;
   bool changed = false;
-  mbr_entry_t *e = mbr_entry_find (m, vm->vm);
-  for (size_t i = m->sorted; i < m->count && e == NULL; i++)
-    if (strcmp (m->v[i]->vm.name, vm->vm) == 0)
-      e = m->v[i];
+  mbr_entry_t *e = _mbr_find_listed (m, vm->vm, i);
   if (e == NULL)
     {
       e = _mbr_add (m, env, vm);
@@ -181,7 +206,7 @@
   for (size_t i = 0; i < m->count; i++)
     m->v[i]->vm.listed = false;
   for (size_t i = 0; i < count; i++)
-    if (_mbr_take_vm (m, env, &vms[i]))
+    if (_mbr_take_vm (m, env, &vms[i], i))
       changed = true;
   size_t before = m->count;
   _mbr_remove_unlisted (m, env);
@@ -189,6 +214,7 @@
   m->have_list = true;
   if (!changed)
     return false;
+  _mbr_note_order (m, vms, count);
   mbr_links_choose (m, env);
   return true;
 }
@@ -274,6 +300,7 @@
       if (e->silent || env->now - e->heard_at <= MBR_PINGS_MISSED * period)
         continue;
       e->silent = true;
+      m->generation++;
       mbr_entry_update (m, env, e);
       _mbr_tell_state (m, env, e, NULL);
     }
@@ -309,6 +336,7 @@
   if (!e->silent)
     return;
   e->silent = false;
+  m->generation++;
   mbr_entry_update (m, env, e);
   _mbr_tell_state (m, env, e, NULL);
 }
@@ -325,6 +353,7 @@
     return;
   e->open = true;
   e->silent = false;
+  m->generation++;
   e->reported_down = false;
   e->heard_at = env->now;
   mbr_entry_update (m, env, e);
@@ -340,6 +369,7 @@
     return;
   e->open = false;
   e->silent = false;
+  m->generation++;
   e->reported_down = true;
   mbr_entry_update (m, env, e);
   _mbr_tell_state (m, env, e, NULL);
--- a/src/core/mbr.h
+++ b/src/core/mbr.h
@@ -102,6 +102,10 @@
 /** By name; NULL when it is not in the list. */
 const mbr_vm_t *mbr_vm_find (const mbr_t *m, const char *name);
 
+/** Data centres of the list; the name lives until the list changes. */
+size_t mbr_data_centre_count (const mbr_t *m);
+const char *mbr_data_centre_get (const mbr_t *m, size_t i);
+
 /** The VM that looks after NAME in DATA_CENTRE: a hint for speed only.
  * NULL when no VM of it is known to be up. */
 const char *mbr_owner (const mbr_t *m, const char *data_centre, mod_t kind,
--- a/src/core/mbr_priv.h
+++ b/src/core/mbr_priv.h
@@ -26,14 +26,35 @@
   clk_ms_t heard_at;
 } mbr_entry_t;
 
+/* A data centre's VMs that are up and staying. */
+typedef struct
+{
+  const char *name;
+  const char **vms;
+  size_t count;
+} mbr_zone_t;
+
+/* What is worked out from the list; of one generation. */
+typedef struct
+{
+  uint64_t generation;
+  mbr_zone_t *zones;
+  size_t zone_count;
+  mbr_entry_t **links; /* open and not silent */
+  size_t link_count;
+} mbr_derived_t;
+
 struct mbr
 {
   mbr_desc_t desc;
   mbr_entry_t **v; /* ordered by name */
   size_t count;
-  size_t sorted; /* of these, in order; new ones follow */
+  size_t sorted;       /* of these, in order; new ones follow */
+  mbr_entry_t **order; /* as in the newest list */
+  size_t order_count;
   mbr_entry_t *self;
   uint64_t generation;
+  mbr_derived_t *derived;
   clk_ms_t poll_ms;
   clk_ms_t listed_at;
   bool have_list;
@@ -46,6 +67,9 @@
 /** The VM of that name; NULL: not in the list. */
 mbr_entry_t *mbr_entry_find (const mbr_t *m, const char *name);
 
+/** What is worked out from the list, up to date. */
+const mbr_derived_t *mbr_derived (const mbr_t *m);
+
 /** Whether A and B are in the same data centre. */
 static inline bool
 mbr_entry_near (const mbr_entry_t *a, const mbr_entry_t *b)
--- a/src/core/mbr_relay.c
+++ b/src/core/mbr_relay.c
@@ -23,13 +23,14 @@
 _mbr_next_hop (const mbr_t *m, env_t *env, const mbr_entry_t *to,
                const char *except)
 {
+  const mbr_derived_t *d = mbr_derived (m);
   const mbr_entry_t *best = NULL;
   int best_rank = 0;
   uint32_t equals = 0;
-  for (size_t i = 0; i < m->count; i++)
+  for (size_t i = 0; i < d->link_count; i++)
     {
-      const mbr_entry_t *e = m->v[i];
-      if (!e->open || e->silent || strcmp (e->vm.name, except) == 0)
+      const mbr_entry_t *e = d->links[i];
+      if (strcmp (e->vm.name, except) == 0)
         continue;
       int rank = 1;
       if (_mbr_is_better_hop (e, to))
--- a/src/core/mbr_vm.c
+++ b/src/core/mbr_vm.c
@@ -41,21 +41,68 @@
   return e ? &e->vm : NULL;
 }
 
-size_t
-mbr_rank (const mbr_t *m, const char *data_centre, mod_t kind,
-          const char *name, const char **out, size_t max)
+static mbr_zone_t *
+_mbr_zone (mbr_derived_t *d, const char *name)
 {
-  const char **vms = talloc_array (NULL, const char *, m->count + 1);
-  size_t n = 0;
+  for (size_t i = 0; i < d->zone_count; i++)
+    if (strcmp (d->zones[i].name, name) == 0)
+      return &d->zones[i];
+  return NULL;
+}
+
+static mbr_zone_t *
+_mbr_zone_add (const mbr_t *m, mbr_derived_t *d, const char *name)
+{
+  d->zones = talloc_realloc (d, d->zones, mbr_zone_t, d->zone_count + 1);
+  mbr_zone_t *z = &d->zones[d->zone_count++];
+  *z = (mbr_zone_t){ .name = talloc_strdup (d, name) };
+  z->vms = talloc_array (d, const char *, m->count);
+  return z;
+}
+
+const mbr_derived_t *
+mbr_derived (const mbr_t *m)
+{
+  mbr_derived_t *d = m->derived;
+  if (d->generation == m->generation)
+    return d;
+  talloc_free_children (d);
+  *d = (mbr_derived_t){ .generation = m->generation };
+  d->links = talloc_array (d, mbr_entry_t *, m->count);
   for (size_t i = 0; i < m->count; i++)
     {
-      const mbr_vm_t *vm = &m->v[i]->vm;
-      if (vm->up && !vm->leaving && strcmp (vm->data_centre, data_centre) == 0)
-        vms[n++] = vm->name;
+      mbr_entry_t *e = m->v[i];
+      if (e->open && !e->silent)
+        d->links[d->link_count++] = e;
+      mbr_zone_t *z = _mbr_zone (d, e->vm.data_centre);
+      if (z == NULL)
+        z = _mbr_zone_add (m, d, e->vm.data_centre);
+      if (e->vm.up && !e->vm.leaving)
+        z->vms[z->count++] = e->vm.name;
     }
-  size_t count = own_rank (vms, n, kind, name, out, max);
-  talloc_free (vms);
-  return count;
+  return d;
+}
+
+size_t
+mbr_data_centre_count (const mbr_t *m)
+{
+  return mbr_derived (m)->zone_count;
+}
+
+const char *
+mbr_data_centre_get (const mbr_t *m, size_t i)
+{
+  const mbr_derived_t *d = mbr_derived (m);
+  return i < d->zone_count ? d->zones[i].name : NULL;
+}
+
+size_t
+mbr_rank (const mbr_t *m, const char *data_centre, mod_t kind,
+          const char *name, const char **out, size_t max)
+{
+  (void)mbr_derived (m);
+  const mbr_zone_t *z = _mbr_zone (m->derived, data_centre);
+  return z ? own_rank (z->vms, z->count, kind, name, out, max) : 0;
 }
 
 const char *
--- /dev/null
+++ b/tests/test_lse.c
@@ -0,0 +1,518 @@
+/* Leases: never two holders, growing fencing numbers, and takeover, with a
+ * fake platform that delays calls and loses them or their answers. */
+#include "core/lse.h"
+#include "tst.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#define VMS 4
+#define LEASES 3
+#define OBJECTS_MAX 32
+#define CALLS_MAX 512
+#define TERM_MS (30 * CLK_SECOND)
+
+/* A call on its way: its effect comes at one instant, its answer later. */
+typedef struct
+{
+  clk_ms_t effect_at;
+  clk_ms_t answer_at;
+  bool effected;
+  bool lost;        /* has no effect */
+  bool answer_lost; /* the caller hears ST_UNKNOWN */
+  int vm;
+  uint64_t life;
+  fx_platform_op_t op;
+  uint64_t call;
+  uint64_t if_version;
+  char name[64];
+  char value[128];
+  size_t value_size;
+  st_code_t code;
+  uint64_t version; /* of the answer */
+} call_t;
+
+typedef struct
+{
+  char name[64];
+  char value[128];
+  size_t value_size;
+  uint64_t version;
+} object_t;
+
+typedef struct
+{
+  env_t *env;
+  lse_t *lse;
+  uint64_t life;
+  bool alive;
+  clk_ms_t frozen_until;
+} vm_t;
+
+typedef struct
+{
+  clk_ms_t now;
+  GRand *rand;
+  vm_t vms[VMS];
+  object_t objects[OBJECTS_MAX];
+  size_t object_count;
+  uint64_t version;
+  call_t calls[CALLS_MAX];
+  size_t call_count;
+  double lose;        /* part of calls that have no effect, caller unsure */
+  double lose_answer; /* part of calls whose answer is lost */
+  bool away;
+  uint64_t fence[LEASES]; /* highest seen */
+  int holder[LEASES];
+  int changes; /* of holders */
+  int doubled;
+  int fence_back;
+} world_t;
+
+static const char *const lease_names[LEASES] = { "a", "b", "c" };
+
+static void
+_start (world_t *w, int i)
+{
+  vm_t *v = &w->vms[i];
+  char name[8];
+  snprintf (name, sizeof name, "vm-%d", i);
+  v->life++;
+  v->alive = true;
+  v->frozen_until = 0;
+  v->env = env_setup (NULL, &(env_desc_t){ .vm = name,
+                                           .data_centre = "dc",
+                                           .incarnation = v->life,
+                                           .seed = (uint32_t)i + 1 });
+  v->env->now = w->now;
+  v->lse = lse_setup (v->env, &(lse_desc_t){ .term_ms = TERM_MS });
+}
+
+static void
+_stop (world_t *w, int i)
+{
+  w->vms[i].alive = false;
+  w->vms[i].life++;
+  TALLOC_FREE (w->vms[i].env);
+}
+
+static world_t *
+_world (uint32_t seed)
+{
+  world_t *w = talloc_zero (NULL, world_t);
+  w->rand = g_rand_new_with_seed (seed);
+  w->now = 1000;
+  for (int i = 0; i < LEASES; i++)
+    w->holder[i] = -1;
+  for (int i = 0; i < VMS; i++)
+    _start (w, i);
+  return w;
+}
+
+static void
+_world_free (world_t *w)
+{
+  for (int i = 0; i < VMS; i++)
+    if (w->vms[i].alive)
+      _stop (w, i);
+  g_rand_free (w->rand);
+  talloc_free (w);
+}
+
+static object_t *
+_object (world_t *w, const char *name)
+{
+  for (size_t i = 0; i < w->object_count; i++)
+    if (strcmp (w->objects[i].name, name) == 0)
+      return &w->objects[i];
+  object_t *o = &w->objects[w->object_count++];
+  snprintf (o->name, sizeof o->name, "%s", name);
+  return o;
+}
+
+static void
+_effect (world_t *w, call_t *c)
+{
+  c->effected = true;
+  object_t *o = _object (w, c->name);
+  if (c->op == FX_PLATFORM_PUT && o->version != c->if_version)
+    c->code = ST_CONFLICT;
+  else if (c->op == FX_PLATFORM_PUT)
+    {
+      o->version = ++w->version;
+      memcpy (o->value, c->value, c->value_size);
+      o->value_size = c->value_size;
+    }
+  else if (o->version == 0)
+    c->code = ST_NOT_FOUND;
+  memcpy (c->value, o->value, o->value_size);
+  c->value_size = o->value_size;
+  c->version = o->version;
+}
+
+static void
+_answer (world_t *w, call_t c)
+{
+  vm_t *v = &w->vms[c.vm];
+  v->env->now = w->now;
+  if (c.lost || c.answer_lost)
+    c.code = c.op == FX_PLATFORM_PUT ? ST_UNKNOWN : ST_UNAVAILABLE;
+  ev_object_t o = { .name = c.name,
+                    .version = c.version,
+                    .value = { c.value, c.value_size } };
+  ev_platform_t reply = { .call = c.call,
+                          .code = c.code,
+                          .objects = &o,
+                          .object_count = c.code == ST_OK };
+  plt_done_t done;
+  if (plt_reply (v->env, &reply, &done))
+    lse_platform_replied (v->lse, v->env, &done, &reply);
+}
+
+static void
+_send (world_t *w, int i, const fx_platform_t *f)
+{
+  if (w->call_count == CALLS_MAX)
+    return;
+  call_t *c = &w->calls[w->call_count++];
+  *c = (call_t){ .vm = i,
+                 .life = w->vms[i].life,
+                 .op = f->op,
+                 .call = f->call,
+                 .if_version = f->if_version,
+                 .value_size = f->value.n };
+  snprintf (c->name, sizeof c->name, "%s", f->name);
+  memcpy (c->value, f->value.p ? f->value.p : "", f->value.n);
+  c->lost = w->away || g_rand_double (w->rand) < w->lose;
+  c->answer_lost = g_rand_double (w->rand) < w->lose_answer;
+  c->effect_at = w->now + g_rand_int_range (w->rand, 1, 5);
+  c->answer_at = c->effect_at + g_rand_int_range (w->rand, 1, 5);
+  /* Some effects come long after the caller has given up. */
+  if (c->answer_lost && g_rand_double (w->rand) < 0.3)
+    c->effect_at += 3 * CLK_SECOND;
+  if (c->lost || c->answer_lost)
+    c->answer_at = w->now + 2 * CLK_SECOND;
+}
+
+static bool
+_awake (const world_t *w, int i)
+{
+  return w->vms[i].alive && w->now >= w->vms[i].frozen_until;
+}
+
+static void
+_drain (world_t *w, int i)
+{
+  vm_t *v = &w->vms[i];
+  plt_done_t done;
+  while (plt_refused_pop (v->env, &done))
+    lse_platform_replied (v->lse, v->env, &done,
+                          &(ev_platform_t){ .code = ST_UNAVAILABLE });
+  for (size_t k = 0; k < v->env->fx->count; k++)
+    if (v->env->fx->v[k].kind == FX_PLATFORM)
+      _send (w, i, &v->env->fx->v[k].platform);
+  fx_clear (v->env->fx);
+  lse_change_t change;
+  while (lse_change_pop (v->lse, v->env, &change))
+    w->changes++;
+}
+
+/* A VM that looked at its lease now, frozen or not, would see this. */
+static void
+_check (world_t *w)
+{
+  for (int k = 0; k < LEASES; k++)
+    {
+      int holders = 0;
+      for (int i = 0; i < VMS; i++)
+        {
+          vm_t *v = &w->vms[i];
+          uint64_t fence = 0;
+          if (!v->alive)
+            continue;
+          env_t at = *v->env;
+          at.now = w->now;
+          if (!lse_held (v->lse, &at, lease_names[k], &fence))
+            continue;
+          holders++;
+          bool other = w->holder[k] != i;
+          if (fence < w->fence[k] || (other && fence == w->fence[k]))
+            w->fence_back++;
+          w->fence[k] = fence;
+          w->holder[k] = i;
+        }
+      w->doubled += holders > 1;
+    }
+}
+
+static void
+_step (world_t *w)
+{
+  w->now++;
+  for (size_t k = 0; k < w->call_count; k++)
+    if (!w->calls[k].effected && !w->calls[k].lost
+        && w->now >= w->calls[k].effect_at)
+      _effect (w, &w->calls[k]);
+  for (size_t k = 0; k < w->call_count;)
+    {
+      call_t c = w->calls[k];
+      bool gone = !w->vms[c.vm].alive || w->vms[c.vm].life != c.life;
+      bool due = w->now >= c.answer_at && w->now >= c.effect_at;
+      /* An answer that is late by its effect was given up at its time. */
+      if (c.answer_lost && !c.effected && w->now >= c.answer_at && !gone
+          && _awake (w, c.vm) && c.call != 0)
+        {
+          w->calls[k].call = 0;
+          _answer (w, c);
+          _drain (w, c.vm);
+          continue;
+        }
+      if (!due || (!gone && !_awake (w, c.vm)))
+        {
+          k++;
+          continue;
+        }
+      w->calls[k] = w->calls[--w->call_count];
+      if (!gone && c.call != 0)
+        {
+          _answer (w, c);
+          _drain (w, c.vm);
+        }
+    }
+  for (int i = 0; i < VMS; i++)
+    {
+      tmr_due_t due;
+      if (!_awake (w, i))
+        continue;
+      w->vms[i].env->now = w->now;
+      while (tmr_pop (w->vms[i].env->tmr, w->now, &due))
+        lse_timer_fired (w->vms[i].lse, w->vms[i].env, due.tag);
+      _drain (w, i);
+    }
+  _check (w);
+}
+
+static void
+_run (world_t *w, clk_ms_t ms)
+{
+  for (clk_ms_t end = w->now + ms; w->now < end;)
+    _step (w);
+}
+
+static void
+_want (world_t *w, int i, int lease)
+{
+  w->vms[i].env->now = w->now;
+  lse_want (w->vms[i].lse, w->vms[i].env, lease_names[lease]);
+  _drain (w, i);
+}
+
+static bool
+_holds (world_t *w, int i, int lease)
+{
+  w->vms[i].env->now = w->now;
+  return w->vms[i].alive
+         && lse_held (w->vms[i].lse, w->vms[i].env, lease_names[lease], NULL);
+}
+
+static void
+_expect_sound (const world_t *w)
+{
+  CU_ASSERT_EQUAL (w->doubled, 0);
+  CU_ASSERT_EQUAL (w->fence_back, 0);
+}
+
+static void
+test_take_and_release (void)
+{
+  world_t *w = _world (1);
+  _want (w, 0, 0);
+  _run (w, 100);
+  CU_ASSERT (_holds (w, 0, 0));
+  _want (w, 1, 0);
+  _run (w, 2 * TERM_MS);
+  CU_ASSERT (_holds (w, 0, 0));
+  CU_ASSERT_FALSE (_holds (w, 1, 0));
+  lse_release (w->vms[0].lse, w->vms[0].env, lease_names[0]);
+  CU_ASSERT_FALSE (_holds (w, 0, 0));
+  _drain (w, 0);
+  _run (w, 10 * CLK_SECOND);
+  CU_ASSERT (_holds (w, 1, 0));
+  _expect_sound (w);
+  _world_free (w);
+}
+
+static void
+test_lost_holder (void)
+{
+  world_t *w = _world (2);
+  _want (w, 0, 0);
+  _run (w, 100);
+  _want (w, 1, 0);
+  _stop (w, 0);
+  /* Not before the old term is over. */
+  _run (w, TERM_MS - CLK_SECOND);
+  CU_ASSERT_FALSE (_holds (w, 1, 0));
+  _run (w, 20 * CLK_SECOND);
+  CU_ASSERT (_holds (w, 1, 0));
+  CU_ASSERT (w->fence[0] >= 2);
+  _expect_sound (w);
+  _world_free (w);
+}
+
+static void
+test_frozen_holder_wakes (void)
+{
+  world_t *w = _world (3);
+  _want (w, 0, 0);
+  _run (w, 100);
+  _want (w, 1, 0);
+  w->vms[0].frozen_until = w->now + 3 * TERM_MS;
+  _run (w, 3 * TERM_MS);
+  CU_ASSERT (_holds (w, 1, 0));
+  CU_ASSERT_FALSE (_holds (w, 0, 0));
+  _run (w, 10 * CLK_SECOND);
+  CU_ASSERT (_holds (w, 1, 0));
+  CU_ASSERT_FALSE (_holds (w, 0, 0));
+  _expect_sound (w);
+  _world_free (w);
+}
+
+/* Frozen longer than its term, but nobody wanted the lease: it goes on. */
+static void
+test_lapse_without_taker (void)
+{
+  world_t *w = _world (4);
+  _want (w, 0, 0);
+  _run (w, 100);
+  w->vms[0].frozen_until = w->now + 2 * TERM_MS;
+  _run (w, 2 * TERM_MS - 1);
+  CU_ASSERT_FALSE (_holds (w, 0, 0));
+  _run (w, 10 * CLK_SECOND);
+  CU_ASSERT (_holds (w, 0, 0));
+  CU_ASSERT_EQUAL (w->fence[0], 1);
+  _expect_sound (w);
+  _world_free (w);
+}
+
+static void
+test_restarted_holder (void)
+{
+  world_t *w = _world (5);
+  _want (w, 0, 0);
+  _run (w, 100);
+  _stop (w, 0);
+  _start (w, 0);
+  _want (w, 0, 0);
+  _run (w, 10 * CLK_SECOND);
+  CU_ASSERT (_holds (w, 0, 0));
+  CU_ASSERT_EQUAL (w->fence[0], 2);
+  _expect_sound (w);
+  _world_free (w);
+}
+
+static void
+test_platform_away (void)
+{
+  world_t *w = _world (6);
+  _want (w, 0, 0);
+  _run (w, 100);
+  w->away = true;
+  _run (w, TERM_MS + CLK_SECOND);
+  CU_ASSERT_FALSE (_holds (w, 0, 0));
+  w->away = false;
+  _run (w, 20 * CLK_SECOND);
+  CU_ASSERT (_holds (w, 0, 0));
+  _expect_sound (w);
+  _world_free (w);
+}
+
+/* One write at most for each renewal, whatever the number of leases. */
+static void
+test_cheap_renewals (void)
+{
+  world_t *w = _world (7);
+  for (int k = 0; k < LEASES; k++)
+    _want (w, 0, k);
+  _run (w, CLK_SECOND);
+  uint64_t before = w->version;
+  _run (w, 10 * TERM_MS);
+  CU_ASSERT (w->version - before <= 10 * 4);
+  for (int k = 0; k < LEASES; k++)
+    CU_ASSERT (_holds (w, 0, k));
+  _world_free (w);
+}
+
+static void
+_random_fault (world_t *w)
+{
+  int i = g_rand_int_range (w->rand, 0, VMS);
+  switch (g_rand_int_range (w->rand, 0, 6))
+    {
+    case 0:
+      w->vms[i].frozen_until
+          = w->now + g_rand_int_range (w->rand, 100, 3 * TERM_MS);
+      break;
+    case 1:
+      if (w->vms[i].alive)
+        _stop (w, i);
+      else
+        _start (w, i);
+      break;
+    case 2:
+      w->away = !w->away;
+      break;
+    case 3:
+      if (_awake (w, i))
+        {
+          w->vms[i].env->now = w->now;
+          lse_release (w->vms[i].lse, w->vms[i].env,
+                       lease_names[g_rand_int_range (w->rand, 0, LEASES)]);
+          _drain (w, i);
+        }
+      break;
+    default:
+      break;
+    }
+  for (int k = 0; k < VMS; k++)
+    if (_awake (w, k))
+      _want (w, k, g_rand_int_range (w->rand, 0, LEASES));
+}
+
+static void
+test_random_faults (void)
+{
+  int changes = 0;
+  for (uint32_t seed = 100; seed < 112; seed++)
+    {
+      world_t *w = _world (seed);
+      w->lose = 0.05;
+      w->lose_answer = 0.15;
+      for (int k = 0; k < 25; k++)
+        {
+          _random_fault (w);
+          _run (w, g_rand_int_range (w->rand, 1000, 20000));
+        }
+      _expect_sound (w);
+      changes += w->changes;
+      _world_free (w);
+    }
+  CU_ASSERT (changes > 100);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "take and release", test_take_and_release },
+    { "lost holder", test_lost_holder },
+    { "frozen holder wakes", test_frozen_holder_wakes },
+    { "lapse without taker", test_lapse_without_taker },
+    { "restarted holder", test_restarted_holder },
+    { "platform away", test_platform_away },
+    { "cheap renewals", test_cheap_renewals },
+    { "random faults", test_random_faults },
+  };
+  return tst_run ("lse", cases, sizeof cases / sizeof cases[0]);
+}
