--- a/src/core/bat_end.c
+++ b/src/core/bat_end.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #define BAT_END_FLYING 8
+#define BAT_END_TRIES_MAX 5 /* bounds the back-off, not the tries */
 #define BAT_END_PATIENCE_MS (5 * CLK_SECOND)
 #define BAT_END_RETRY_AFTER_MS (2 * CLK_SECOND)
 
@@ -56,7 +57,9 @@
   if (f->waiting)
     return;
   f->waiting = true;
-  bat_after (b, env, bat_backoff (env, MIN (f->tries++, 4U)), BAT_OP_END_RETRY,
+  if (f->tries < BAT_END_TRIES_MAX)
+    f->tries++;
+  bat_after (b, env, bat_backoff (env, f->tries - 1), BAT_OP_END_RETRY,
              f->self);
 }
 
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -14,6 +14,8 @@
 #include <xxhash.h>
 
 #define RTE_REPORT_MS_DEFAULT 200
+#define RTE_EXCHANGE_MS_DEFAULT 100
+#define RTE_QUEUE_DEFAULT 2
 #define RTE_DISTANCE_MS_DEFAULT 4
 #define RTE_SUBSET_DEFAULT 24
 #define RTE_PREFIXES_DEFAULT 4096
@@ -27,8 +29,8 @@
 #define RTE_LEARN 0.05
 #define RTE_SLOWNESS_LEARN 0.15
 #define RTE_SLOWNESS_MAX 50.0
-/** Failures are forgotten after this time without one. */
-#define RTE_QUIET_MS (30 * CLK_SECOND)
+/** An older report says nothing about now. */
+#define RTE_REPORT_OLD_MS (5 * CLK_SECOND)
 
 static int
 _rte_destroy (rte_t *r)
@@ -39,6 +41,7 @@
         &((rte_upstream_t *)tbl_get (r->upstreams, id))->unanswered);
   g_hash_table_destroy (r->by_name);
   g_hash_table_destroy (r->deployments);
+  g_queue_clear (&r->changed);
   return 0;
 }
 
@@ -51,12 +54,16 @@
 }
 
 rte_t *
-rte_setup (void *ctx, env_t *env, const rte_desc_t *desc)
+rte_setup (void *ctx, const rte_desc_t *desc)
 {
   rte_t *r = talloc_zero (ctx, rte_t);
   r->desc = *desc;
   if (r->desc.report_ms == 0)
     r->desc.report_ms = RTE_REPORT_MS_DEFAULT;
+  if (r->desc.exchange_ms == 0)
+    r->desc.exchange_ms = RTE_EXCHANGE_MS_DEFAULT;
+  if (r->desc.queue == 0)
+    r->desc.queue = RTE_QUEUE_DEFAULT;
   if (r->desc.distance_ms == 0)
     r->desc.distance_ms = RTE_DISTANCE_MS_DEFAULT;
   if (r->desc.subset == 0)
@@ -73,10 +80,10 @@
   r->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   r->deployments = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                           _rte_deployment_free);
+  r->life = rte_life_setup (r);
   r->holders = rte_holders_setup (r, r->desc.prefixes);
   talloc_set_destructor (r, _rte_destroy);
-  rte_members_set (
-      r, &(rte_member_t){ .vm = env->vm, .data_centre = env->data_centre }, 1);
+  g_queue_init (&r->changed);
   return r;
 }
 
@@ -86,20 +93,6 @@
   talloc_free (r);
 }
 
-void
-rte_members_set (rte_t *r, const rte_member_t *members, size_t count)
-{
-  rte_member_t *copy = talloc_array (r, rte_member_t, count);
-  for (size_t i = 0; i < count; i++)
-    copy[i] = (rte_member_t){
-      .vm = talloc_strdup (copy, members[i].vm),
-      .data_centre = talloc_strdup (copy, members[i].data_centre),
-    };
-  talloc_free (r->members);
-  r->members = copy;
-  r->member_count = count;
-}
-
 static rte_deployment_t *
 _rte_deployment_get (rte_t *r, const char *name)
 {
@@ -128,10 +121,11 @@
   tbl_id_t id = tbl_alloc (r->upstreams);
   u = tbl_get (r->upstreams, id);
   u->id = id;
-  u->name = talloc_strdup (r, c->name);
-  u->address = talloc_strdup (r, c->address);
-  u->deployment = talloc_strdup (r, c->deployment);
-  u->data_centre = talloc_strdup (r, c->data_centre);
+  u->strings = talloc_new (r);
+  u->name = talloc_strdup (u->strings, c->name);
+  u->address = talloc_strdup (u->strings, c->address);
+  u->deployment = talloc_strdup (u->strings, c->deployment);
+  u->data_centre = talloc_strdup (u->strings, c->data_centre);
   u->hash = XXH64 (u->name, strlen (u->name), 0);
   u->slowness = 1;
   g_queue_init (&u->unanswered);
@@ -152,10 +146,8 @@
         {
           if (g_hash_table_lookup (r->by_name, u->name) == u)
             g_hash_table_remove (r->by_name, u->name);
-          talloc_free (u->name);
-          talloc_free (u->address);
-          talloc_free (u->deployment);
-          talloc_free (u->data_centre);
+          g_queue_remove (&r->changed, u);
+          talloc_free (u->strings);
           tbl_free (r->upstreams, id);
         }
       id = next;
@@ -188,15 +180,6 @@
     }
 }
 
-static uint32_t
-_rte_slots (const cfg_doc_t *doc, const char *deployment)
-{
-  for (size_t i = 0; i < doc->deployment_count; i++)
-    if (strcmp (doc->deployments[i].name, deployment) == 0)
-      return doc->deployments[i].slots;
-  return 0;
-}
-
 void
 rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc)
 {
@@ -212,28 +195,35 @@
     {
       const cfg_upstream_t *c = &doc->upstreams[i];
       rte_upstream_t *u = _rte_upstream_get (r, c);
+      const cfg_deployment_t *dep = cfg_deployment_find (doc, c->deployment);
       u->configured = true;
       u->leaving = c->leaving;
       u->near = strcmp (c->data_centre, env->data_centre) == 0;
-      u->slots = _rte_slots (doc, c->deployment);
+      u->slots = dep != NULL ? dep->slots : 0;
       g_ptr_array_add (_rte_deployment_get (r, c->deployment)->upstreams, u);
     }
   g_hash_table_iter_init (&iter, r->deployments);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     _rte_subset_mark (r, env, value);
+  r->members_generation = 0;
+  rte_pollers_update (r, env);
   _rte_upstreams_sweep (r);
   if (!r->ticking)
     {
       r->ticking = true;
-      rte_report_tick (r, env);
+      rte_poll_tick (r, env);
+      rte_exchange_tick (r, env);
     }
 }
 
 void
 rte_timer_fired (rte_t *r, env_t *env, uint64_t tag)
 {
-  if (tag == 0)
-    rte_report_tick (r, env);
+  rte_pollers_update (r, env);
+  if (tag == RTE_TIMER_POLL)
+    rte_poll_tick (r, env);
+  else
+    rte_exchange_tick (r, env);
 }
 
 static rte_flight_t *
@@ -260,6 +250,8 @@
   uint32_t *count = f->batch ? &u->batch : &u->online;
   INV_CHECK (*count > 0, "route-in-flight-counted", "upstream %s", u->name);
   (*count)--;
+  u->queued -= f->queued;
+  rte_load_changed (r, u);
   tbl_free (r->flights, f->id);
 }
 
@@ -287,15 +279,6 @@
   u->slowness_at = now;
 }
 
-/** An answer came: the upstream is well, or is again. */
-static void
-_rte_well (rte_upstream_t *u, clk_ms_t now)
-{
-  u->proving = false;
-  if (now - u->failed_at > RTE_QUIET_MS)
-    u->failures = 0;
-}
-
 void
 rte_first_byte (rte_t *r, env_t *env, uint64_t handle)
 {
@@ -315,7 +298,7 @@
       _rte_learn (f->held ? &d->hit_ms : &d->miss_ms, fmin (took, cap));
       d->miss_ms = fmax (d->miss_ms, d->hit_ms);
     }
-  _rte_well (u, env->now);
+  rte_life_answer (r, u, env->now);
   cnt_observe (env->cnt, "rts_route_first_byte_ms", "", took);
 }
 
@@ -342,28 +325,40 @@
   rte_flight_t *f = _rte_flight (r, handle, &u);
   if (f == NULL)
     return;
-  bool began_before = f->sent_at < u->failed_at && env->now < u->suspect_until;
   if (f->prefix != 0)
     rte_holders_drop (r->holders, f->prefix, u->id);
   _rte_flight_end (r, f, u);
-  if (fail == RTE_FAIL_CANCELLED)
-    return;
-  if (env->now - u->failed_at > RTE_QUIET_MS)
-    u->failures = 0;
-  u->failed_at = env->now;
-  u->proving = true;
-  /* Requests that fell with the first one are one failure, not many. */
-  if (began_before)
+  if (fail != RTE_FAIL_CANCELLED)
+    rte_life_fail (r, env, u);
+}
+
+void
+rte_load_changed (rte_t *r, rte_upstream_t *u)
+{
+  if (u->changed)
     return;
-  unsigned doublings = u->failures < 10 ? u->failures : 10;
-  clk_ms_t away
-      = clk_min (r->desc.suspect_ms << doublings, r->desc.suspect_max_ms);
-  u->failures++;
-  u->suspect_until = env->now + env_jitter (env, away);
-  cnt_add (env->cnt, "rts_route_suspected_total", "", 1);
-  tln_record (env->tln, env->now, MOD_ROUTE, "suspect",
-              "upstream=%s failures=%u away_ms=%lld", u->name, u->failures,
-              (long long)away);
+  u->changed = true;
+  g_queue_push_tail (&r->changed, u);
+}
+
+bool
+rte_load_pop (rte_t *r, const env_t *env, rte_load_t *load)
+{
+  rte_upstream_t *u = g_queue_pop_head (&r->changed);
+  if (u == NULL)
+    return false;
+  u->changed = false;
+  bool fresh
+      = (u->state & (RTE_BIT_REPORTED | RTE_BIT_SILENT)) == RTE_BIT_REPORTED
+        && env->now - u->report_at < RTE_REPORT_OLD_MS;
+  *load = (rte_load_t){ .upstream = u->name,
+                        .online = u->online,
+                        .waiting = u->queued < u->unanswered.length
+                                       ? u->queued
+                                       : u->unanswered.length,
+                        .reported = fresh,
+                        .running = u->running };
+  return true;
 }
 
 uint32_t
@@ -374,7 +369,7 @@
       || (u->state & RTE_BIT_REPORTED) == 0
       || (u->state & RTE_BIT_SILENT) != 0)
     return 0;
-  uint32_t load = rte_load (r, u, env->now);
+  uint32_t load = rte_load (u, env->now);
   return load < u->slots ? u->slots - load : 0;
 }
 
@@ -405,15 +400,14 @@
         continue;
       json_array_append_new (
           all,
-          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f}",
-                     "upstream", u->name, "deployment", u->deployment,
-                     "data_centre", u->data_centre, "leaving",
-                     rte_leaving (r, u->name), "suspected",
-                     env->now < u->suspect_until || u->proving, "silent",
-                     (u->state & RTE_BIT_SILENT) != 0, "polled_here",
-                     u->poll != NULL, "in_flight", (int)(u->online + u->batch),
-                     "load", (int)rte_load (r, u, env->now), "slowness",
-                     rte_slowness (u, env->now)));
+          json_pack (
+              "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f}", "upstream",
+              u->name, "deployment", u->deployment, "data_centre",
+              u->data_centre, "leaving", rte_leaving (r, u->name), "suspected",
+              u->life != RTE_WELL, "silent", (u->state & RTE_BIT_SILENT) != 0,
+              "polled_here", u->poll != NULL, "in_flight",
+              (int)(u->online + u->batch), "load", (int)rte_load (u, env->now),
+              "slowness", rte_slowness (u, env->now)));
     }
   char *text = json_dumps (all, JSON_COMPACT);
   char *copy = talloc_strdup (ctx, text);
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -10,13 +10,15 @@
 
 /** A sum told by the poller is not used for longer than this. */
 #define RTE_OTHERS_MS (2 * CLK_SECOND)
+/** Most other VMs that are taken to choose alike between two reports. */
+#define RTE_ALIKE_MAX 7
 /** How fast an upstream's slowness is forgotten without new answers. */
 #define RTE_SLOWNESS_MS (10 * CLK_SECOND)
 /** An unanswered request counts as a sign of trouble from this age on. */
 #define RTE_LATE_FACTOR 2.0
 /** Part of a miss's cost that the prefix's first upstream is spared, so
  * that VMs that know nothing of each other's choices agree on a home. */
-#define RTE_HOME_SHARE 0.5
+#define RTE_HOME_SHARE 0.25
 /** Below this difference two upstreams count as equal. */
 #define RTE_EQUAL_MS 1.0
 
@@ -31,12 +33,16 @@
 } rte_candidate_t;
 
 uint32_t
-rte_load (const rte_t *r, const rte_upstream_t *u, clk_ms_t now)
+rte_load (const rte_upstream_t *u, clk_ms_t now)
 {
-  (void)r;
   uint32_t own = u->online + u->batch;
   if (u->others_at > 0 && now - u->others_at < RTE_OTHERS_MS)
-    return u->others + own;
+    {
+      /* Other VMs had the same figures and have chosen likewise since. */
+      double alike = fmin (fmax (u->users, 1) - 1, RTE_ALIKE_MAX);
+      double drift = alike * ((double)own - (double)u->own_told);
+      return (uint32_t)fmax (u->others + drift, 0) + own;
+    }
   if ((u->state & RTE_BIT_REPORTED) == 0)
     return own;
   uint32_t reported = u->running + u->waiting;
@@ -57,10 +63,10 @@
 {
   if (!u->configured || u->leaving || (u->state & RTE_BIT_LEAVING) != 0)
     return false;
-  if (now < u->suspect_until)
-    return false;
+  if (u->life == RTE_WELL)
+    return true;
   /* After suspicion one request at a time shows whether it is well. */
-  return !u->proving || u->online + u->batch == 0;
+  return now >= u->suspect_until && u->online + u->batch == 0;
 }
 
 static bool
@@ -92,7 +98,7 @@
            const rte_ask_t *ask, rte_upstream_t *u, const rte_upstream_t *home)
 {
   rte_candidate_t c = { .upstream = u };
-  uint32_t load = rte_load (r, u, env->now);
+  uint32_t load = rte_load (u, env->now);
   c.queued = u->slots > 0 && load >= u->slots;
   c.held = ask->prefix != 0
            && rte_holders_has (r->holders, ask->prefix, u->id, env->now);
@@ -141,7 +147,7 @@
 
 static rte_candidate_t
 _rte_choose (const rte_t *r, env_t *env, const rte_deployment_t *d,
-             const rte_ask_t *ask, bool suspects)
+             const rte_ask_t *ask, bool suspects, bool *full)
 {
   rte_candidate_t best = { .upstream = NULL };
   unsigned equal = 0;
@@ -157,6 +163,12 @@
                  && u->online + u->batch == 0;
       if (!usable)
         continue;
+      if (ask->hold && u->slots > 0
+          && rte_load (u, env->now) >= u->slots + r->desc.queue)
+        {
+          *full = true;
+          continue;
+        }
       rte_candidate_t c = _rte_cost (r, env, d, ask, u, home);
       if (best.upstream == NULL || c.cost_ms < best.cost_ms - RTE_EQUAL_MS)
         {
@@ -194,6 +206,10 @@
     u->batch++;
   else
     u->online++;
+  rte_life_lapse (r, u, env->now);
+  u->queued += c->queued;
+  r->picked_at = env->now;
+  rte_load_changed (r, u);
   if (ask->prefix != 0)
     rte_holders_add (r->holders, ask->prefix, u->id, env->now);
   return id.id;
@@ -203,12 +219,19 @@
 rte_pick (rte_t *r, env_t *env, const rte_ask_t *ask, rte_pick_t *pick)
 {
   rte_deployment_t *d = g_hash_table_lookup (r->deployments, ask->deployment);
+  *pick = (rte_pick_t){ .full = false };
   if (d == NULL)
     return false;
-  rte_candidate_t c = _rte_choose (r, env, d, ask, false);
+  bool full = false;
+  rte_candidate_t c = _rte_choose (r, env, d, ask, false, &full);
+  if (c.upstream == NULL && full)
+    {
+      *pick = (rte_pick_t){ .full = true };
+      return false;
+    }
   if (c.upstream == NULL)
     {
-      c = _rte_choose (r, env, d, ask, true);
+      c = _rte_choose (r, env, d, ask, true, &full);
       cnt_add (env->cnt, "rts_route_suspects_tried_total", "", 1);
     }
   if (c.upstream == NULL)
--- a/src/core/rte_state.h
+++ b/src/core/rte_state.h
@@ -4,6 +4,7 @@
 #ifndef RTS_RTE_STATE_H
 #define RTS_RTE_STATE_H
 
+#include "core/cht.h"
 #include "core/rte.h"
 #include "core/tbl.h"
 
@@ -24,6 +25,24 @@
 /** Polls of one upstream without an answer before it counts as silent. */
 #define RTE_SILENT_POLLS 3
 
+/** States of charts/upstream.ini, in the order of the names in rte_life.c. */
+typedef enum
+{
+  RTE_WELL,
+  RTE_SUSPECTED,
+  RTE_PROVING,
+  RTE_LIFE_NUM
+} rte_life_t;
+
+/** Its events. */
+typedef enum
+{
+  RTE_EV_ANSWER,
+  RTE_EV_FAIL,
+  RTE_EV_LAPSE,
+  RTE_EV_NUM
+} rte_life_ev_t;
+
 /** One cache event, as a poller keeps it. */
 typedef struct
 {
@@ -58,6 +77,7 @@
 typedef struct rte_upstream
 {
   tbl_id_t id;
+  void *strings; /**< owns the strings below */
   char *name;
   char *address;
   char *data_centre;
@@ -73,7 +93,12 @@
   uint32_t batch;
   GQueue unanswered; /**< rte_flight_t without a first byte, oldest first */
 
-  uint32_t others; /**< requests of other VMs, as the poller told */
+  char *poller;      /**< VM that polls it; NULL: none known */
+  uint32_t own_told; /**< own requests in flight when others was told */
+  uint32_t queued;   /**< own requests in flight that found no free slot */
+  bool changed;      /**< in the queue of changed loads */
+  uint32_t others;   /**< requests of other VMs, as the poller told */
+  uint32_t users;    /**< VMs that use it, as the poller told */
   clk_ms_t others_at;
   uint32_t state;   /**< RTE_BIT_*, as last told */
   uint32_t running; /**< last load report */
@@ -88,7 +113,7 @@
   unsigned failures; /**< without a quiet time in between */
   clk_ms_t failed_at;
   clk_ms_t suspect_until;
-  bool proving; /**< suspected before, not one answer since */
+  rte_life_t life;
 
   rte_poll_t *poll; /**< NULL unless this VM polls it */
 } rte_upstream_t;
@@ -124,13 +149,15 @@
 struct rte
 {
   rte_desc_t desc;
+  const cht_t *life;
   tbl_t *upstreams;
   tbl_t *flights;
-  GHashTable *by_name;     /**< upstream name to rte_upstream_t */
-  GHashTable *deployments; /**< name to rte_deployment_t */
-  rte_member_t *members;
-  size_t member_count;
+  GHashTable *by_name;         /**< upstream name to rte_upstream_t */
+  GHashTable *deployments;     /**< name to rte_deployment_t */
+  uint64_t members_generation; /**< that the pollers were found for */
+  GQueue changed;              /**< rte_upstream_t */
   rte_holders_t *holders;
+  clk_ms_t picked_at;
   bool ticking;
 };
 
@@ -142,13 +169,34 @@
 bool rte_holders_has (const rte_holders_t *h, uint64_t prefix,
                       tbl_id_t upstream, clk_ms_t now);
 
+/* rte.c */
+void rte_load_changed (rte_t *r, rte_upstream_t *u);
+
+/** What the router's timers are for. */
+enum
+{
+  RTE_TIMER_POLL,
+  RTE_TIMER_EXCHANGE,
+};
+
+/* rte_life.c: whether an upstream is well, by this VM's own requests. */
+cht_t *rte_life_setup (void *ctx);
+void rte_life_lapse (const rte_t *r, rte_upstream_t *u, clk_ms_t now);
+void rte_life_answer (const rte_t *r, rte_upstream_t *u, clk_ms_t now);
+void rte_life_fail (const rte_t *r, env_t *env, rte_upstream_t *u);
+
 /* rte_choice.c */
-uint32_t rte_load (const rte_t *r, const rte_upstream_t *u, clk_ms_t now);
+uint32_t rte_load (const rte_upstream_t *u, clk_ms_t now);
 bool rte_usable (const rte_upstream_t *u, clk_ms_t now);
 double rte_slowness (const rte_upstream_t *u, clk_ms_t now);
 
-/* rte_report.c */
-void rte_poll_update (rte_t *r, env_t *env, rte_upstream_t *u);
-void rte_report_tick (rte_t *r, env_t *env);
+/* rte_poll.c, rte_exchange.c */
+void rte_poll_tick (rte_t *r, env_t *env);
+void rte_poll_stop (env_t *env, rte_upstream_t *u);
+void rte_exchange_tick (rte_t *r, env_t *env);
+void rte_event_note (rte_t *r, const env_t *env, const rte_upstream_t *u,
+                     bool added, uint64_t prefix);
+/** Find the pollers again when the members have changed. */
+void rte_pollers_update (rte_t *r, env_t *env);
 
 #endif
