--- a/src/core/lse.c
+++ b/src/core/lse.c
@@ -1,8 +1,7 @@
 #include "core/lse.h"
 
-#include "core/inv.h"
+#include "core/lse_session.h"
 #include "core/mpk.h"
-#include "core/tbl.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -14,15 +13,12 @@
 /* Clocks of two VMs drift apart by less than one in this. */
 #define LSE_DRIFT 50
 
-#define LSE_SESSION_PREFIX "lease-session/"
 #define LSE_OBJECT_PREFIX "lease/"
 
 /* What a timer or call is for; the lease's index stands above. */
 enum
 {
-  LSE_SESSION_READ = 1,
-  LSE_SESSION_WRITE,
-  LSE_LEASE_READ,
+  LSE_LEASE_READ = LSS_WRITE + 1,
   LSE_HOLDER_READ,
   LSE_HOLDER_REVOKE,
   LSE_LEASE_TAKE,
@@ -30,16 +26,6 @@
   LSE_STEP_BITS = 4,
 };
 
-/* A session object: a VM renews it with a new number each time. */
-typedef struct
-{
-  uint64_t version;
-  uint64_t generation; /* grows with each new session of the VM */
-  uint64_t incarnation;
-  uint64_t number;
-  bool revoked;
-} lse_session_t;
-
 /* A lease object. */
 typedef struct
 {
@@ -72,15 +58,7 @@
 struct lse
 {
   lse_desc_t desc;
-  char *session_object;
-  bool started;
-  bool live; /* a session of this VM's stands in the platform */
-
-  lse_session_t session; /* as last written or read */
-  uint64_t number;       /* of the last write sent */
-  uint64_t generation;   /* of that write */
-  clk_ms_t write_sent;
-  clk_ms_t valid_until;
+  lss_t *session;
   lse_lease_t **leases;
   size_t count;
   GHashTable *by_name; /* to lse_lease_t */
@@ -106,6 +84,7 @@
     l->desc.retry_ms = LSE_RETRY_MS_DEFAULT;
   if (l->desc.look_ms == 0)
     l->desc.look_ms = LSE_LOOK_MS_DEFAULT;
+  l->session = lss_setup (l, l->desc.term_ms, l->desc.retry_ms);
   l->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   talloc_set_destructor (l, _lse_destroy);
   return l;
@@ -119,33 +98,6 @@
 
 /* ---- objects ---- */
 
-static buf_t
-_lse_session_encode (void *ctx, const lse_session_t *s)
-{
-  mpk_writer_t w;
-  mpk_writer_init (&w, ctx);
-  mpk_put_uint (&w, s->generation);
-  mpk_put_uint (&w, s->incarnation);
-  mpk_put_uint (&w, s->number);
-  mpk_put_uint (&w, s->revoked);
-  return mpk_done (&w);
-}
-
-static lse_session_t
-_lse_session_decode (void *ctx, const ev_platform_t *reply)
-{
-  lse_session_t s = { 0 };
-  if (reply->code != ST_OK || reply->object_count != 1)
-    return s;
-  mpk_reader_t r = mpk_reader (ctx, reply->objects[0].value);
-  s.version = reply->objects[0].version;
-  s.generation = mpk_get_uint (&r);
-  s.incarnation = mpk_get_uint (&r);
-  s.number = mpk_get_uint (&r);
-  s.revoked = mpk_get_uint (&r) != 0;
-  return s;
-}
-
 static lse_object_t
 _lse_object_decode (void *ctx, const ev_platform_t *reply)
 {
@@ -185,113 +137,13 @@
   tmr_arm (env->tmr, env->now + env_jitter (env, wait), MOD_MEMBER, tag);
 }
 
-/* ---- this VM's session ---- */
-
-static void
-_lse_session_read (lse_t *l, env_t *env)
-{
-
-  _lse_call (l, env, _lse_tag (0, LSE_SESSION_READ), FX_PLATFORM_GET,
-             l->session_object, 0, (buf_t){ 0 });
-}
-
-/* Renew the session, or begin a new one when the last is over. */
-static void
-_lse_session_write (lse_t *l, env_t *env)
-{
-  lse_session_t next = l->session;
-  if (!l->live)
-    next.generation++;
-  next.incarnation = env->incarnation;
-  next.number = ++l->number;
-  next.revoked = false;
-  l->generation = next.generation;
-  l->write_sent = env->now;
-
-  buf_t value = _lse_session_encode (l, &next);
-  _lse_call (l, env, _lse_tag (0, LSE_SESSION_WRITE), FX_PLATFORM_PUT,
-             l->session_object, l->session.version, value);
-  talloc_free ((void *)(uintptr_t)value.p);
-  cnt_add (env->cnt, "rts_lease_renewals_total", "", 1);
-}
-
-static void _lse_wake_leases (lse_t *l, env_t *env);
-
-/* The last write stands in the platform as VERSION. */
-static void
-_lse_session_written (lse_t *l, env_t *env, uint64_t version)
-{
-  bool renewed = l->live && env->now < l->valid_until;
-  l->session.version = version;
-  l->session.generation = l->generation;
-  l->session.number = l->number;
-  l->session.incarnation = env->incarnation;
-  l->session.revoked = false;
-  l->live = true;
-  l->valid_until = l->write_sent + l->desc.term_ms;
-  if (!renewed)
-    _lse_wake_leases (l, env);
-  _lse_arm (env, l->desc.term_ms / 3, _lse_tag (0, LSE_SESSION_WRITE));
-}
-
-static void
-_lse_session_read_replied (lse_t *l, env_t *env, const ev_platform_t *reply)
-{
-  if (reply->code != ST_OK && reply->code != ST_NOT_FOUND)
-    {
-      _lse_arm (env, l->desc.retry_ms, _lse_tag (0, LSE_SESSION_READ));
-      return;
-    }
-  void *ctx = talloc_new (l);
-  lse_session_t s = _lse_session_decode (ctx, reply);
-  talloc_free (ctx);
-  bool own = s.incarnation == env->incarnation && !s.revoked;
-  if (own && s.number == l->number && s.generation == l->generation)
-    {
-      _lse_session_written (l, env, s.version);
-      return;
-    }
-  /* Revoked, of an earlier start, or the write has had no effect yet: then
-   * the next one supersedes it. */
-  l->live = l->live && own && s.generation == l->session.generation;
-  l->session = s;
-  _lse_session_write (l, env);
-}
-
-static void
-_lse_session_write_replied (lse_t *l, env_t *env, const ev_platform_t *reply)
-{
-  switch (reply->code)
-    {
-    case ST_OK:
-      if (reply->object_count == 1)
-        {
-          _lse_session_written (l, env, reply->objects[0].version);
-          return;
-        }
-      break;
-    case ST_CONFLICT:
-      _lse_session_read (l, env);
-      return;
-    default:
-      break;
-    }
-  _lse_arm (env, l->desc.retry_ms, _lse_tag (0, LSE_SESSION_READ));
-}
-
-static bool
-_lse_session_valid (const lse_t *l, const env_t *env)
-{
-  return l->live && env->now < l->valid_until;
-}
-
 /* ---- one lease ---- */
 
 static bool
 _lse_is_held (const lse_t *l, const env_t *env, const lse_lease_t *x)
 {
-  return x->wanted && x->taken && x->generation == l->session.generation
-         && _lse_session_valid (l, env);
+  return x->wanted && x->taken && lss_is_own (l->session, x->generation)
+         && lss_is_valid (l->session, env);
 }
 
 static void
@@ -318,11 +170,11 @@
   mpk_writer_t w;
   mpk_writer_init (&w, l);
   mpk_put_str (&w, buf_str (holder));
-  mpk_put_uint (&w, l->session.generation);
+  mpk_put_uint (&w, lss_generation (l->session));
   mpk_put_uint (&w, fence);
   buf_t value = mpk_done (&w);
   x->busy = true;
-  x->generation = l->session.generation;
+  x->generation = lss_generation (l->session);
   _lse_call (l, env, _lse_tag (i, step), FX_PLATFORM_PUT, x->object,
              x->version, value);
   talloc_free ((void *)(uintptr_t)value.p);
@@ -347,7 +199,7 @@
   x->uncertain = false;
   x->version = o->version;
   x->fence = o->fence;
-  x->taken = own && o->generation == l->session.generation && l->live;
+  x->taken = own && lss_is_own (l->session, o->generation);
   x->generation = o->generation;
   if (!x->wanted)
     {
@@ -358,7 +210,7 @@
     }
   if (x->taken)
     return;
-  if (!_lse_session_valid (l, env))
+  if (!lss_is_valid (l->session, env))
     return; /* goes on with the session */
   if (o->holder.n == 0 || own)
     {
@@ -369,7 +221,7 @@
   x->holder = buf_to_str (x, o->holder);
   x->holder_generation = o->generation;
   x->busy = true;
-  char *session = talloc_asprintf (l, LSE_SESSION_PREFIX "%s", x->holder);
+  char *session = lss_object_name (l, x->holder);
   _lse_call (l, env, _lse_tag (i, LSE_HOLDER_READ), FX_PLATFORM_GET, session,
              0, (buf_t){ 0 });
   talloc_free (session);
@@ -378,19 +230,18 @@
 /* Whether the holder's session S has certainly ended; a session that stays
  * the same for a whole term has lapsed, and is revoked first. */
 static bool
-_lse_holder_is_gone (const lse_lease_t *x, const lse_session_t *s)
+_lse_holder_is_gone (const lse_lease_t *x, const lss_object_t *s)
 {
   return s->version == 0 || s->generation != x->holder_generation
          || s->revoked;
 }
 
 static void
-_lse_holder_revoke (lse_t *l, env_t *env, size_t i, lse_session_t s)
+_lse_holder_revoke (lse_t *l, env_t *env, size_t i, lss_object_t s)
 {
   s.revoked = true;
-  buf_t value = _lse_session_encode (l, &s);
-  char *session
-      = talloc_asprintf (l, LSE_SESSION_PREFIX "%s", l->leases[i]->holder);
+  buf_t value = lss_object_encode (l, &s);
+  char *session = lss_object_name (l, l->leases[i]->holder);
   l->leases[i]->busy = true;
   _lse_call (l, env, _lse_tag (i, LSE_HOLDER_REVOKE), FX_PLATFORM_PUT, session,
              s.version, value);
@@ -411,11 +262,9 @@
       _lse_lease_later (l, env, i, l->desc.retry_ms);
       return;
     }
-  void *ctx = talloc_new (l);
-  lse_session_t s = _lse_session_decode (ctx, reply);
-  talloc_free (ctx);
+  lss_object_t s = lss_object_decode (reply);
   clk_ms_t term = l->desc.term_ms + l->desc.term_ms / LSE_DRIFT;
-  if (!x->wanted || !_lse_session_valid (l, env))
+  if (!x->wanted || !lss_is_valid (l->session, env))
     return;
   if (_lse_holder_is_gone (x, &s))
     {
@@ -464,7 +313,7 @@
   x->taken = true;
   tln_record (env->tln, env->now, MOD_MEMBER, "lease-taken",
               "name=%s fence=%lu", x->name, (unsigned long)x->fence);
-  if (!x->wanted || x->generation != l->session.generation)
+  if (!x->wanted || !lss_is_own (l->session, x->generation))
     _lse_lease_read (l, env, i);
 }
 
@@ -495,21 +344,10 @@
 {
   unsigned step = tag & ((1U << LSE_STEP_BITS) - 1);
   size_t i = (size_t)((tag & ~LSE_TAG) >> LSE_STEP_BITS);
-  switch (step)
-    {
-    case LSE_SESSION_READ:
-      _lse_session_read (l, env);
-      break;
-    case LSE_SESSION_WRITE:
-      _lse_session_write (l, env);
-      break;
-    case LSE_LEASE_READ:
-      if (i < l->count)
-        _lse_lease_read (l, env, i);
-      break;
-    default:
-      break;
-    }
+  if (step <= LSS_WRITE)
+    lss_timer_fired (l->session, env, step);
+  else if (step == LSE_LEASE_READ && i < l->count)
+    _lse_lease_read (l, env, i);
 }
 
 static void
@@ -548,12 +386,10 @@
   l->changed = true;
   unsigned step = done->tag & ((1U << LSE_STEP_BITS) - 1);
   size_t i = (size_t)((done->tag & ~LSE_TAG) >> LSE_STEP_BITS);
-  if (step == LSE_SESSION_READ)
-    _lse_session_read_replied (l, env, reply);
-  else if (step == LSE_SESSION_WRITE)
-    _lse_session_write_replied (l, env, reply);
-  else
+  if (step > LSS_WRITE)
     _lse_lease_replied (l, env, i, step, reply);
+  else if (lss_platform_replied (l->session, env, step, reply))
+    _lse_wake_leases (l, env);
 }
 
 /* ---- callers ---- */
@@ -599,14 +435,8 @@
   if (x->wanted)
     return;
   x->wanted = true;
-  if (!l->started)
-    {
-      l->started = true;
-      l->session_object
-          = talloc_asprintf (l, LSE_SESSION_PREFIX "%s", env->vm);
-      _lse_session_read (l, env);
-    }
-  else if (_lse_session_valid (l, env) && !x->busy)
+  lss_start (l->session, env);
+  if (lss_is_valid (l->session, env) && !x->busy)
     _lse_lease_read (l, env, x->index);
 }
 
@@ -636,7 +466,7 @@
 bool
 lse_change_pop (lse_t *l, env_t *env, lse_change_t *change)
 {
-  bool valid = _lse_session_valid (l, env);
+  bool valid = lss_is_valid (l->session, env);
   if (!l->changed && valid == l->told_valid)
     return false;
   for (size_t i = 0; i < l->count; i++)
--- a/tests/test_lse.c
+++ b/tests/test_lse.c
@@ -63,6 +63,7 @@
   double lose;        /* part of calls that have no effect, caller unsure */
   double lose_answer; /* part of calls whose answer is lost */
   bool away;
+  int cut_vm;             /* its calls are lost; -1: none */
   uint64_t fence[LEASES]; /* highest seen */
   int holder[LEASES];
   int changes; /* of holders */
@@ -103,6 +104,7 @@
   world_t *w = talloc_zero (NULL, world_t);
   w->rand = g_rand_new_with_seed (seed);
   w->now = 1000;
+  w->cut_vm = -1;
   for (int i = 0; i < LEASES; i++)
     w->holder[i] = -1;
   for (int i = 0; i < VMS; i++)
@@ -184,7 +186,7 @@
                  .value_size = f->value.n };
   snprintf (c->name, sizeof c->name, "%s", f->name);
   memcpy (c->value, f->value.p ? f->value.p : "", f->value.n);
-  c->lost = w->away || g_rand_double (w->rand) < w->lose;
+  c->lost = w->away || w->cut_vm == i || g_rand_double (w->rand) < w->lose;
   c->answer_lost = g_rand_double (w->rand) < w->lose_answer;
   c->effect_at = w->now + g_rand_int_range (w->rand, 1, 5);
   c->answer_at = c->effect_at + g_rand_int_range (w->rand, 1, 5);
@@ -444,6 +446,60 @@
   _world_free (w);
 }
 
+/* Step until a PUT of NAME by VM I is on its way. */
+static call_t *
+_until_put (world_t *w, int i, const char *name)
+{
+  for (int k = 0; k < 2 * TERM_MS; k++)
+    {
+      for (size_t c = 0; c < w->call_count; c++)
+        if (w->calls[c].vm == i && w->calls[c].op == FX_PLATFORM_PUT
+            && strcmp (w->calls[c].name, name) == 0 && !w->calls[c].effected)
+          return &w->calls[c];
+      _step (w);
+    }
+  return NULL;
+}
+
+/* The answer to a renewal is read 20 s late: the term counts from before the
+ * renewal was sent, not from then. */
+static void
+test_answer_read_late (void)
+{
+  world_t *w = _world (8);
+  _want (w, 0, 0);
+  _run (w, 100);
+  _want (w, 1, 0);
+  CU_ASSERT_PTR_NOT_NULL (_until_put (w, 0, "lease-session/vm-0"));
+  w->vms[0].frozen_until = w->now + 20 * CLK_SECOND;
+  w->cut_vm = 0;
+  _run (w, 2 * TERM_MS);
+  CU_ASSERT (_holds (w, 1, 0));
+  _expect_sound (w);
+  _world_free (w);
+}
+
+/* A take that was given up has its effect afterwards: it must not keep the
+ * lease from others. */
+static void
+test_take_comes_late (void)
+{
+  world_t *w = _world (9);
+  _want (w, 0, 0);
+  call_t *c = _until_put (w, 0, "lease/a");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  c->answer_lost = true;
+  c->effect_at = w->now + 8 * CLK_SECOND;
+  c->answer_at = w->now + 2 * CLK_SECOND;
+  lse_release (w->vms[0].lse, w->vms[0].env, lease_names[0]);
+  _run (w, 20 * CLK_SECOND);
+  _want (w, 1, 0);
+  _run (w, 10 * CLK_SECOND);
+  CU_ASSERT (_holds (w, 1, 0));
+  _expect_sound (w);
+  _world_free (w);
+}
+
 static void
 _random_fault (world_t *w)
 {
@@ -512,6 +568,8 @@
     { "restarted holder", test_restarted_holder },
     { "platform away", test_platform_away },
     { "cheap renewals", test_cheap_renewals },
+    { "answer read late", test_answer_read_late },
+    { "take comes late", test_take_comes_late },
     { "random faults", test_random_faults },
   };
   return tst_run ("lse", cases, sizeof cases / sizeof cases[0]);
