Batch: one fault at each call of a holder; cancel past a holder out of reach

Kill before and after, freeze before and after, or a lost answer at every platform and upstream call that a VM makes for a job of orders and repeatable items.

--- a/tests/batbed.c
+++ b/tests/batbed.c
@@ -28,6 +28,7 @@
   uint64_t incarnation;
   fx_t fx; /* PLATFORM, UPSTREAM, MESSAGE */
   st_code_t code;
+  bool lose; /* the answer */
   bool late; /* the VM has been told UNKNOWN already */
   ev_object_t *objects;
   size_t count;
@@ -76,6 +77,14 @@
   GHashTable *forbidden;
   batbed_totals_t totals;
   bool healed;
+  uint32_t fault_vm;
+  unsigned fault_in; /* calls until the fault; 0: none */
+  batbed_fault_t fault;
+  clk_ms_t fault_ms;
+  bool fault_done;
+  bool lose_next;
+  bool kill_soon; /* fault_vm, once its effects are out */
+  clk_ms_t delay_next;
   bool trace;
 };
 
@@ -342,13 +351,14 @@
 static void
 _bed_platform_call (batbed_t *bed, uint32_t vm, const fx_platform_t *p)
 {
-  clk_ms_t there = _bed_delay (bed, bed->desc.platform_ms);
+  clk_ms_t there = _bed_delay (bed, bed->desc.platform_ms) + bed->delay_next;
   if (_bed_chance (bed, bed->desc.slow_ms > 0 ? 0.02 : 0))
     there += _bed_delay (bed, bed->desc.slow_ms);
   _bed_event_t *e = _bed_event (bed, bed->now + there, _BED_PLATFORM, vm);
   e->fx = (fx_t){ .kind = FX_PLATFORM, .platform = *p };
   e->fx.platform.name = talloc_strdup (e, p->name);
   e->fx.platform.value = buf_copy (e, p->value);
+  e->lose = bed->lose_next;
   bool write = p->op == FX_PLATFORM_PUT || p->op == FX_PLATFORM_DELETE;
   if (there >= p->timeout_ms)
     {
@@ -432,9 +442,64 @@
   _bed_add (bed, e);
 }
 
+/* The fault that was arranged for the Nth call, if this is it; false: the
+ * call does not go out. */
+static bool
+_bed_meet_fault (batbed_t *bed, uint32_t vm, const fx_t *f)
+{
+  bed->lose_next = false;
+  bed->delay_next = 0;
+  if (bed->fault_in == 0 || vm != bed->fault_vm
+      || (f->kind != FX_PLATFORM && f->kind != FX_UPSTREAM_CALL)
+      || --bed->fault_in > 0)
+    return true;
+  bed->fault_done = true;
+  switch (bed->fault)
+    {
+    case BATBED_KILL_BEFORE:
+      bed->kill_soon = true;
+      return false;
+    case BATBED_KILL_AFTER:
+      bed->kill_soon = true;
+      break;
+    case BATBED_FREEZE_FIRST:
+      bed->delay_next = bed->fault_ms;
+      batbed_freeze (bed, vm, bed->fault_ms);
+      break;
+    case BATBED_FREEZE:
+      batbed_freeze (bed, vm, bed->fault_ms);
+      break;
+    default:
+      bed->lose_next = f->kind == FX_PLATFORM;
+      if (!bed->lose_next)
+        batbed_cut (bed, vm, bed->fault_ms);
+      break;
+    }
+  return true;
+}
+
+void
+batbed_fault_at (batbed_t *bed, uint32_t vm, unsigned nth,
+                 batbed_fault_t fault, clk_ms_t duration)
+{
+  bed->fault_vm = vm;
+  bed->fault_in = nth;
+  bed->fault = fault;
+  bed->fault_ms = duration;
+  bed->fault_done = false;
+}
+
+bool
+batbed_fault_done (const batbed_t *bed)
+{
+  return bed->fault_done;
+}
+
 static void
 _bed_effect (batbed_t *bed, uint32_t vm, const fx_t *f)
 {
+  if (!_bed_meet_fault (bed, vm, f))
+    return;
   switch (f->kind)
     {
     case FX_PLATFORM:
@@ -470,9 +535,13 @@
   while (plt_refused_pop (vm->env, &done))
     bat_platform_replied (vm->bat, vm->env, &done,
                           &(ev_platform_t){ .code = ST_UNAVAILABLE });
-  for (size_t k = 0; k < vm->env->fx->count; k++)
+  for (size_t k = 0; k < vm->env->fx->count && !bed->kill_soon; k++)
     _bed_effect (bed, i, &vm->env->fx->v[k]);
   fx_clear (vm->env->fx);
+  if (!bed->kill_soon)
+    return;
+  bed->kill_soon = false;
+  batbed_kill (bed, i);
 }
 
 /* -- the platform --------------------------------------------------------- */
@@ -589,7 +658,7 @@
         _bed_write (bed, p, r);
       else
         _bed_read (bed, p, r);
-      if (write && _bed_chance (bed, bed->desc.lose_answer))
+      if (write && (e->lose || _bed_chance (bed, bed->desc.lose_answer)))
         {
           r->code = ST_UNKNOWN;
           r->count = 0;
@@ -685,13 +754,15 @@
   size_t n = 0;
   for (uint32_t i = 0; i < bed->desc.vms; i++)
     {
-      if (bed->vm[i].up || &bed->vm[i] == vm)
+      bool listed = bed->vm[i].up && !_bed_is_cut (bed, i);
+      if (listed || &bed->vm[i] == vm)
         list[n++] = (ev_vm_t){ .vm = bed->vm[i].name, .data_centre = "dc" };
     }
   crd_members_changed (vm->crd, vm->env, list, n);
   bat_members_changed (vm->bat, vm->env, list, n);
 }
 
+/* Each VM sees the list after a delay of its own. */
 static void
 _bed_members_soon (batbed_t *bed, clk_ms_t delay)
 {
@@ -764,7 +835,7 @@
 {
   tmr_due_t due;
   vm->env->now = bed->now;
-  while (tmr_pop (vm->env->tmr, bed->now, &due))
+  while (vm->up && tmr_pop (vm->env->tmr, bed->now, &due))
     {
       if (due.mod == MOD_CREDIT)
         crd_timer_fired (vm->crd, vm->env, due.tag);
@@ -906,6 +977,9 @@
 batbed_cut (batbed_t *bed, uint32_t vm, clk_ms_t duration)
 {
   bed->vm[vm].cut_until = bed->now + duration;
+  _bed_members_soon (bed, BED_LIST_LAG_MS);
+  for (uint32_t i = 0; i < bed->desc.vms; i++)
+    _bed_add (bed, _bed_event (bed, bed->now + duration + 1, _BED_MEMBERS, i));
 }
 
 void
--- a/tests/batbed.h
+++ b/tests/batbed.h
@@ -86,6 +86,22 @@
 void batbed_cut (batbed_t *bed, uint32_t vm, clk_ms_t duration);
 /** The platform answers nobody for DURATION. */
 void batbed_outage (batbed_t *bed, clk_ms_t duration);
+/** What happens at the Nth call (to the platform or an upstream) of a VM. */
+typedef enum
+{
+  BATBED_KILL_BEFORE,  /**< the VM is lost, the call with it */
+  BATBED_KILL_AFTER,   /**< the VM is lost, the call goes out */
+  BATBED_FREEZE,       /**< the call goes out, then the VM freezes */
+  BATBED_FREEZE_FIRST, /**< it freezes, the call goes out on waking */
+  BATBED_LOSE_ANSWER,  /**< a write's answer is lost; else the VM is cut off */
+  BATBED_FAULT_NUM
+} batbed_fault_t;
+/** Arrange for FAULT at the NTH call of VM from now; 0: none.  It lasts
+ * DURATION where it lasts. */
+void batbed_fault_at (batbed_t *bed, uint32_t vm, unsigned nth,
+                      batbed_fault_t fault, clk_ms_t duration);
+/** Whether that call has come. */
+bool batbed_fault_done (const batbed_t *bed);
 /** Graceful shutdown of a VM. */
 void batbed_leave (batbed_t *bed, uint32_t index);
 bool batbed_is_up (const batbed_t *bed, uint32_t vm);
