--- a/src/core/crd.h
+++ b/src/core/crd.h
@@ -49,7 +49,7 @@
   uint32_t in_flight; /**< online requests sent and not ended */
   uint32_t waiting;   /**< of these, or held back: without a slot */
   bool reported;      /**< the upstream has said what it runs */
-  uint32_t running;   /**< by its last report, of everybody */
+  uint32_t running;   /**< and queued there, of everybody, by its report */
 } crd_load_t;
 
 /** Request for a credit. */
--- a/src/core/crd_int.h
+++ b/src/core/crd_int.h
@@ -54,8 +54,9 @@
   } history[CRD_HISTORY];
   size_t history_next;
   uint32_t burst[CRD_BURST_AGES];
-  clk_ms_t burst_at; /**< start of the youngest bucket */
-  uint32_t foreign;  /**< load of which the owner knows nothing */
+  clk_ms_t burst_at;       /**< start of the youngest bucket */
+  uint32_t foreign;        /**< load of which the owner knows nothing */
+  uint32_t foreign_online; /**< the known online load at that time */
 } crd_own_t;
 
 /** One item that uses a credit. */
--- a/src/core/crd_own.c
+++ b/src/core/crd_own.c
@@ -115,6 +115,7 @@
     o->foreign = foreign;
   else
     o->foreign = foreign + (o->foreign - foreign) / 2;
+  o->foreign_online = _crd_online (o);
 }
 
 /* -- credits -------------------------------------------------------------- */
@@ -124,7 +125,11 @@
 _crd_idle (const crd_upstream_t *u, clk_ms_t now)
 {
   const crd_own_t *o = &u->own;
-  uint32_t taken = _crd_online (o) + crd_own_reserve (o) + o->foreign;
+  uint32_t online = _crd_online (o);
+  uint32_t taken = online + crd_own_reserve (o) + o->foreign;
+  /* Load that is not known has risen as the known one has since. */
+  if (o->foreign > 0 && online > o->foreign_online)
+    taken += online - o->foreign_online;
   for (size_t i = 0; i < o->count; i++)
     {
       const crd_reporter_t *r = &o->reporters[i];
--- /dev/null
+++ b/tools/batbed.c
@@ -0,0 +1,1 @@
+../tests/batbed.c
--- /dev/null
+++ b/tools/batbed.h
@@ -0,0 +1,1 @@
+../tests/batbed.h
--- /dev/null
+++ b/tools/mb_order.c
@@ -0,0 +1,185 @@
+/** @file
+ * Order: one pool of slots serves batch items in the order that sch.h gives.
+ *
+ * `mixed`: eight customers; one has a job of 340,000 items with a due time
+ * that leaves a quarter of the capacity to spare; beside it ten jobs of ten
+ * items come in over the run, due 30 s after they come.
+ * `crowded`: the same, and one customer sends a job of 10,000 items, due in
+ * 60 s, every 20 s for 300 s: more than the whole capacity, so that not all
+ * can be on time.
+ */
+#include "core/sch.h"
+#include "mb.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define SLOTS 200
+#define ITEM_MS 500 /* 400 items a second in all */
+#define BIG_ITEMS 340000
+#define SMALL_JOBS 10
+#define SMALL_ITEMS 10
+#define SMALL_DUE_MS (30 * CLK_SECOND)
+#define CROWD_JOBS 15
+#define CROWD_ITEMS 10000
+#define CROWD_DUE_MS (60 * CLK_SECOND)
+#define CROWD_EVERY_MS (20 * CLK_SECOND)
+#define CROWD_FROM_MS (100 * CLK_SECOND)
+#define TICK_MS 10
+#define JOBS_MAX (1 + SMALL_JOBS + CROWD_JOBS)
+
+typedef struct
+{
+  char customer[16];
+  clk_ms_t from;
+  clk_ms_t due;
+  uint32_t items;
+  uint32_t started;
+  clk_ms_t ended;
+} job_t;
+
+typedef struct
+{
+  job_t jobs[JOBS_MAX];
+  size_t count;
+} work_t;
+
+static void
+add (work_t *w, const char *customer, clk_ms_t from, clk_ms_t due,
+     uint32_t items)
+{
+  job_t *j = &w->jobs[w->count++];
+  *j = (job_t){ .from = from, .due = due, .items = items };
+  g_strlcpy (j->customer, customer, sizeof j->customer);
+}
+
+static work_t
+make_work (bool crowded)
+{
+  work_t w = { 0 };
+  clk_ms_t alone = (clk_ms_t)BIG_ITEMS * ITEM_MS / SLOTS;
+  add (&w, "large", 0, alone * 5 / 4, BIG_ITEMS);
+  for (int i = 0; i < SMALL_JOBS; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "small-%d", i % 6);
+      clk_ms_t from = 5 * CLK_SECOND + i * 60 * CLK_SECOND;
+      add (&w, name, from, from + SMALL_DUE_MS, SMALL_ITEMS);
+    }
+  for (int i = 0; crowded && i < CROWD_JOBS; i++)
+    {
+      clk_ms_t from = CROWD_FROM_MS + i * CROWD_EVERY_MS;
+      add (&w, "crowd", from, from + CROWD_DUE_MS, CROWD_ITEMS);
+    }
+  return w;
+}
+
+/* Give each free slot of this tick to the job that comes next. */
+static void
+serve (work_t *w, sch_t *s, clk_ms_t now, int free_slots)
+{
+  sch_job_t list[JOBS_MAX];
+  double rate = (double)SLOTS / ITEM_MS;
+  for (size_t i = 0; i < w->count; i++)
+    {
+      const job_t *j = &w->jobs[i];
+      list[i]
+          = (sch_job_t){ .customer = j->customer,
+                         .weight = 1,
+                         .due = j->due,
+                         .need_ms = (j->items - j->started) / rate,
+                         .ready = now >= j->from && j->started < j->items };
+    }
+  for (; free_slots > 0; free_slots--)
+    {
+      int i = sch_pick (s, now, list, w->count);
+      if (i < 0)
+        return;
+      job_t *j = &w->jobs[i];
+      sch_served (s, j->customer, 1, 1);
+      j->started++;
+      list[i].ready = j->started < j->items;
+      if (!list[i].ready)
+        j->ended = now + ITEM_MS;
+    }
+}
+
+static void
+run (work_t *w, sch_way_t way)
+{
+  sch_t *s = sch_setup (NULL, &(sch_desc_t){ .way = way });
+  /* Slots free up evenly: this many a tick. */
+  int each = SLOTS * TICK_MS / ITEM_MS;
+  bool busy = true;
+  for (clk_ms_t now = 0; busy; now += TICK_MS)
+    {
+      serve (w, s, now, each);
+      busy = false;
+      for (size_t i = 0; i < w->count; i++)
+        busy = busy || w->jobs[i].started < w->jobs[i].items;
+    }
+  sch_shutdown (s);
+}
+
+static double
+late_s (const job_t *j)
+{
+  return j->ended > j->due ? (double)(j->ended - j->due) / CLK_SECOND : 0;
+}
+
+static void
+print (FILE *csv, const char *mix, const char *way, const work_t *w)
+{
+  unsigned late = 0;
+  double small = 0;
+  double small_time = 0;
+  double crowd = 0;
+  const job_t *worst = &w->jobs[0];
+  for (size_t i = 0; i < w->count; i++)
+    {
+      const job_t *j = &w->jobs[i];
+      late += late_s (j) > 0;
+      if (late_s (j) > late_s (worst))
+        worst = j;
+      if (strncmp (j->customer, "small", 5) == 0)
+        {
+          small = MAX (small, late_s (j));
+          small_time
+              = MAX (small_time, (double)(j->ended - j->from) / CLK_SECOND);
+        }
+      else if (strcmp (j->customer, "crowd") == 0)
+        crowd = MAX (crowd, late_s (j));
+    }
+  const char *name = late == 0 ? "-" : worst->customer;
+  printf ("| %s | %s | %u of %zu | %.1f | %.1f | %.1f | %.1f | %s |\n", mix,
+          way, late, w->count, late_s (&w->jobs[0]), small, small_time, crowd,
+          name);
+  fprintf (csv, "order,%s,%s,%u,%zu,%.1f,%.1f,%.1f,%.1f,%s\n", mix, way, late,
+           w->count, late_s (&w->jobs[0]), small, small_time, crowd, name);
+}
+
+void
+mb_order_run (FILE *csv)
+{
+  static const struct
+  {
+    sch_way_t way;
+    const char *name;
+  } ways[] = {
+    { SCH_FIRST_COME, "first come" },
+    { SCH_EARLIEST, "earliest due" },
+    { SCH_SLACK_FAIR, "slack and fair" },
+  };
+  printf ("| mix | order | late jobs | large job late, s | small jobs: "
+          "latest, s | longest, s | crowd: latest, s | worst-served |\n"
+          "|---|---|---|---|---|---|---|---|\n");
+  for (int crowded = 0; crowded < 2; crowded++)
+    {
+      for (size_t i = 0; i < G_N_ELEMENTS (ways); i++)
+        {
+          work_t w = make_work (crowded == 1);
+          run (&w, ways[i].way);
+          print (csv, crowded ? "crowded" : "mixed", ways[i].name, &w);
+        }
+    }
+}
--- a/tools/mb_yield.c
+++ b/tools/mb_yield.c
@@ -19,7 +19,6 @@
 
 #define VMS 8
 #define ENGINES 8
-#define SLOTS 32
 #define PREFILL_MS 50
 #define ONLINE_MEAN_MS 2000
 #define BATCH_MEAN_MS 1000
@@ -30,7 +29,7 @@
 #define BURST_TO (80 * CLK_SECOND)
 #define LOW_LOAD 0.2
 #define HIGH_LOAD 1.2
-#define SENDS_PER_VM (ENGINES * SLOTS / VMS)
+#define WAITING 128 /* items that wait, as each VM says */
 #define SEEDS 5
 #define FAULT_MS (10 * CLK_SECOND)
 #define FAULT_LEAD_MS (5 * CLK_SECOND) /* before the burst */
@@ -115,6 +114,7 @@
 typedef struct
 {
   way_t way;
+  uint32_t slots; /* of an engine */
   clk_ms_t now;
   uint64_t seq;
   GRand *arrivals; /* the same for every way */
@@ -128,6 +128,7 @@
   GArray *first_byte; /* of online requests, ms */
   double online_busy; /* slot-milliseconds */
   double batch_busy;
+  double batch_useful; /* of items that ended whole */
   uint64_t batch_done;
   uint64_t paused;
 } sim_t;
@@ -190,7 +191,7 @@
 engine_next (sim_t *s, uint32_t engine)
 {
   engine_t *e = &s->engine[engine];
-  while (e->running < SLOTS && !g_queue_is_empty (&e->queue))
+  while (e->running < s->slots && !g_queue_is_empty (&e->queue))
     {
       uint64_t i = GPOINTER_TO_SIZE (g_queue_pop_head (&e->queue));
       if (!req_at (s, i)->over)
@@ -211,7 +212,10 @@
       s->engine[r->engine].running--;
       double busy = (double)(s->now - r->started);
       if (r->batch)
-        s->batch_busy += busy;
+        {
+          s->batch_busy += busy;
+          s->batch_useful += whole ? busy : 0;
+        }
       else
         s->online_busy += busy;
     }
@@ -247,7 +251,7 @@
 static bool
 split_take (sim_t *s, uint32_t *engine)
 {
-  uint32_t most = s->way == WAY_SPLIT ? SLOTS / 2 : SLOTS;
+  uint32_t most = s->way == WAY_SPLIT ? s->slots / 2 : s->slots;
   uint32_t best = UINT32_MAX;
   for (uint32_t e = 0; e < ENGINES; e++)
     {
@@ -266,10 +270,9 @@
 credit_take (vm_t *vm, uint64_t who, uint32_t *engine)
 {
   crd_credit_t credit;
-  const crd_ask_t ask = { .deployment = "llm",
-                          .who = who,
-                          .pausable = true,
-                          .waiting = 4 * SENDS_PER_VM };
+  const crd_ask_t ask = {
+    .deployment = "llm", .who = who, .pausable = true, .waiting = WAITING
+  };
   if (!crd_take (vm->crd, vm->env, &ask, &credit))
     return false;
   *engine = engine_of (credit.upstream);
@@ -370,7 +373,7 @@
 static void
 next_arrival (sim_t *s)
 {
-  double capacity = (double)ENGINES * SLOTS / (ONLINE_MEAN_MS + PREFILL_MS);
+  double capacity = (double)ENGINES * s->slots / (ONLINE_MEAN_MS + PREFILL_MS);
   double gap = 1 / (capacity * load_at (s->now));
   /* finer than a millisecond on average, so drawn as a real number */
   static const double tiny = 1e-9;
@@ -520,7 +523,8 @@
 {
   for (uint32_t e = 0; e < ENGINES; e++)
     {
-      s->engine[e].reported = s->engine[e].running;
+      s->engine[e].reported
+          = s->engine[e].running + g_queue_get_length (&s->engine[e].queue);
       for (uint32_t v = 0; v < VMS; v++)
         {
           if (s->vm[v].frozen_until <= s->now)
@@ -628,13 +632,13 @@
 /* -- set-up and figures --------------------------------------------------- */
 
 static cfg_doc_t *
-make_doc (void *ctx)
+make_doc (void *ctx, uint32_t slots)
 {
   char *text = talloc_asprintf (ctx,
                                 "[data-centre dc]\nowner = t\n"
                                 "[deployment llm]\nowner = t\n"
-                                "kind = engine\nslots = %d\n",
-                                SLOTS);
+                                "kind = engine\nslots = %u\n",
+                                slots);
   for (int e = 0; e < ENGINES; e++)
     text = talloc_asprintf_append (text,
                                    "[upstream e-%d]\nowner = t\n"
@@ -668,17 +672,18 @@
 }
 
 static sim_t *
-run (way_t way, uint32_t seed)
+run (way_t way, uint32_t slots, uint32_t seed)
 {
   sim_t *s = talloc_zero (NULL, sim_t);
   s->way = way;
+  s->slots = slots;
   s->now = 1;
   s->arrivals = g_rand_new_with_seed (seed);
   s->rand = g_rand_new_with_seed (seed + 1000);
   s->events = g_tree_new_full (event_compare, NULL, free_event, NULL);
   s->reqs = g_array_new (FALSE, TRUE, sizeof (req_t));
   s->first_byte = g_array_new (FALSE, FALSE, sizeof (double));
-  s->doc = make_doc (s);
+  s->doc = make_doc (s, s->slots);
   for (uint32_t i = 0; i < VMS; i++)
     start_vm (s, i, seed);
   next_arrival (s);
@@ -717,6 +722,7 @@
   GArray *first_byte;
   double online_busy;
   double batch_busy;
+  double batch_useful;
   uint64_t batch_done;
   uint64_t paused;
 } sum_t;
@@ -730,16 +736,17 @@
 }
 
 static sum_t
-run_seeds (way_t way)
+run_seeds (way_t way, uint32_t slots)
 {
   sum_t sum = { .first_byte = g_array_new (FALSE, FALSE, sizeof (double)) };
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
     {
-      sim_t *s = run (way, seed);
+      sim_t *s = run (way, slots, seed);
       g_array_append_vals (sum.first_byte, s->first_byte->data,
                            s->first_byte->len);
       sum.online_busy += s->online_busy;
       sum.batch_busy += s->batch_busy;
+      sum.batch_useful += s->batch_useful;
       sum.batch_done += s->batch_done;
       sum.paused += s->paused;
       finish (s);
@@ -749,37 +756,43 @@
 }
 
 static void
-print_way (FILE *csv, way_t way, const sum_t *sum, double idle)
+print_way (FILE *csv, way_t way, uint32_t slots, const sum_t *sum, double idle)
 {
   double seconds = (double)RUN_MS * SEEDS / CLK_SECOND;
-  double useful = (double)sum->batch_done * (BATCH_MEAN_MS + PREFILL_MS);
+  double useful = 100 * sum->batch_useful / idle;
   double used = 100 * sum->batch_busy / idle;
   double rate = (double)sum->batch_done / seconds;
   double pauses = (double)sum->paused / seconds;
-  printf ("| %s | %.1f | %.1f | %.1f | %.1f | %.0f | %.0f | %.0f | %.0f |\n",
-          way_names[way], rate, used, 100 * useful / idle, pauses,
-          quantile (sum, 0.5), quantile (sum, 0.95), quantile (sum, 0.99),
-          quantile (sum, 1));
-  fprintf (csv, "yield,%s,%.2f,%.2f,%.2f,%.2f,%.0f,%.0f,%.0f,%.0f\n",
-           way_names[way], rate, used, 100 * useful / idle, pauses,
-           quantile (sum, 0.5), quantile (sum, 0.95), quantile (sum, 0.99),
-           quantile (sum, 1));
+  printf (
+      "| %u | %s | %.1f | %.1f | %.1f | %.1f | %.0f | %.0f | %.0f | %.0f |\n",
+      slots, way_names[way], rate, used, useful, pauses, quantile (sum, 0.5),
+      quantile (sum, 0.95), quantile (sum, 0.99), quantile (sum, 1));
+  fprintf (csv, "yield,%u,%s,%.2f,%.2f,%.2f,%.2f,%.0f,%.0f,%.0f,%.0f\n", slots,
+           way_names[way], rate, used, useful, pauses, quantile (sum, 0.5),
+           quantile (sum, 0.95), quantile (sum, 0.99), quantile (sum, 1));
 }
 
-void
-mb_yield_run (FILE *csv)
+static void
+run_ways (FILE *csv, uint32_t slots, way_t last)
 {
-  printf ("| way | items/s | idle slot time used, %% | by items that ended, "
-          "%% | paused/s | first byte p50, ms | p95 | p99 | worst |\n"
-          "|---|---|---|---|---|---|---|---|---|\n");
   double idle = 0;
-  for (way_t way = WAY_NONE; way < WAY_NUM; way++)
+  for (way_t way = WAY_NONE; way <= last; way++)
     {
-      fprintf (stderr, "yield: %s\n", way_names[way]);
-      sum_t sum = run_seeds (way);
+      fprintf (stderr, "yield: %u slots, %s\n", slots, way_names[way]);
+      sum_t sum = run_seeds (way, slots);
       if (way == WAY_NONE)
-        idle = (double)RUN_MS * SEEDS * ENGINES * SLOTS - sum.online_busy;
-      print_way (csv, way, &sum, idle);
+        idle = (double)RUN_MS * SEEDS * ENGINES * slots - sum.online_busy;
+      print_way (csv, way, slots, &sum, idle);
       g_array_free (sum.first_byte, TRUE);
     }
 }
+
+void
+mb_yield_run (FILE *csv)
+{
+  printf ("| slots | way | items/s | idle slot time used, %% | by items that "
+          "ended, %% | paused/s | first byte p50, ms | p95 | p99 | worst |\n"
+          "|---|---|---|---|---|---|---|---|---|---|\n");
+  run_ways (csv, 32, WAY_TWO_OWNERS);
+  run_ways (csv, 8, WAY_CREDITS);
+}
--- a/tools/measure_batch.c
+++ b/tools/measure_batch.c
@@ -23,7 +23,11 @@
       perror (CSV_DIRECTORY "/batch.csv");
       return EXIT_FAILURE;
     }
+  if (only[0] == '\0' || strcmp (only, "calls") == 0)
+    mb_calls_run (csv);
   if (only[0] == '\0' || strcmp (only, "yield") == 0)
     mb_yield_run (csv);
+  if (only[0] == '\0' || strcmp (only, "order") == 0)
+    mb_order_run (csv);
   return fclose (csv) == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
