Stand-ins repeat X-Request-Id in the answer; test of late answers

test_answer_twice, on a trial of the whole node: a completion was answered with the second copy of an earlier /load answer that lay in a kept connection. The header gives the product something to compare.

--- a/standin/srv.c
+++ b/standin/srv.c
@@ -373,6 +373,9 @@
       s->desc.handle (req);
       return;
     }
+  const char *id = srv_req_header (req, "X-Request-Id");
+  if (id)
+    srv_header (req, "X-Request-Id", id);
   _srv_record (req);
   _srv_fault_take (req);
   if (req->fault == SRV_HANG && !s->desc.hang_runs)
@@ -471,11 +474,16 @@
 _srv_send_again (const srv_req_t *req)
 {
   const GByteArray *out = req->state->out;
+  const GPtrArray *headers = req->state->headers;
   char *head = talloc_asprintf (NULL,
                                 "HTTP/1.1 %u OK\r\n"
-                                "Content-Type: application/json\r\n"
-                                "Content-Length: %u\r\n\r\n",
+                                "Content-Length: %u\r\n",
                                 req->state->status, out->len);
+  for (guint i = 0; i + 1 < headers->len; i += 2)
+    head = talloc_asprintf_append (head, "%s: %s\r\n",
+                                   (char *)headers->pdata[i],
+                                   (char *)headers->pdata[i + 1]);
+  head = talloc_strdup_append (head, "\r\n");
   if (send (req->state->fd, head, strlen (head), MSG_NOSIGNAL) > 0)
     (void)!send (req->state->fd, out->data, out->len, MSG_NOSIGNAL);
   talloc_free (head);
--- a/tests/process/upstream.sh
+++ b/tests/process/upstream.sh
@@ -22,6 +22,25 @@
   fleet_until complete_row "$a" 5 || fail "the refusing engine still gets work"
 }
 
+# Answers that come after the deadline reach nobody.
+test_engine_late ()
+{
+  local i
+  fleet_control llm-north '{"mode":"slow","delay_ms":6000}'
+  fleet_control llm-south '{"mode":"slow","delay_ms":6000}'
+  complete "$a" late || fail "no answer"
+  [ "$REPLY" != 200 ] || fail "answered after the deadline"
+  fleet_control llm-north '{"mode":"ok"}'
+  fleet_control llm-south '{"mode":"ok"}'
+  for ((i = 0; i < 20; i++)); do
+    complete "$a" "late $i" || fail "no answer"
+    [ "$REPLY" != 200 ] \
+      || grep -q "answer $(fleet_sum "late $i") for" "$fleet_dir/answer" \
+      || fail "another request's answer: $(cat "$fleet_dir/answer")"
+  done
+  fleet_until complete_row "$a" 5 || fail "not served afterwards"
+}
+
 test_stream_cut ()
 {
   fleet_control llm-north '{"mode":"cut"}'
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -250,7 +250,8 @@
   local name n sum=0
   for name in "${fleet_upstreams[@]}"; do
     n=$(fleet_counts "$name" | grep -o "\"$1\": *[0-9]*" | head -n 1)
-    sum=$((sum + ${n##*[: ]}))
+    n=${n##*[: ]}
+    sum=$((sum + ${n:-0}))
   done
   echo "$sum"
 }
