Online requests: an order whose key is withdrawn completes its record

Cause: docs/operations/keys.md promises that a non-idempotent call that may have reached its upstream is let finish; it was cancelled and recorded as unknown. Change: its caller is answered 401, run unknown, and the request goes on without a caller.

--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -246,6 +246,23 @@
                                 .retry_after_ms = CLK_SECOND });
 }
 
+/** Answer the caller, and let the request go on for its record's sake. */
+static void
+_onl_detach (onl_t *o, env_t *env, onl_request_t *r, const rpl_error_t *e)
+{
+  rpl_error_t error = *e;
+  error.run = RPL_UNKNOWN;
+  if (r->caller == 0)
+    return;
+  if (r->delivered)
+    fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_ABORT,
+                               .reply = { .caller = r->caller } });
+  else
+    rpl_error (env, r->caller, &error);
+  g_hash_table_remove (o->by_caller, &r->caller);
+  r->caller = 0;
+}
+
 static void
 _onl_key_withdrawn (onl_t *o, env_t *env, const char *key)
 {
@@ -256,7 +273,10 @@
   while (id.id != 0)
     {
       onl_request_t *r = tbl_get (o->requests, id);
-      if (r->key[0] != '\0' && strcmp (r->key, key) == 0)
+      bool meant = r->key[0] != '\0' && strcmp (r->key, key) == 0;
+      if (meant && r->record != 0 && r->call != 0)
+        _onl_detach (o, env, r, &withdrawn);
+      else if (meant)
         _onl_give_up (o, env, r, RTE_FAIL_CANCELLED, &withdrawn);
       id = tbl_next (o->requests, id);
     }
--- a/tests/test_onl_node.c
+++ b/tests/test_onl_node.c
@@ -15,12 +15,14 @@
 {
   char *a = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "key-a", -1);
   char *b = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "key-b", -1);
+  char *c = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "key-c", -1);
   char *text = talloc_asprintf (
       ctx,
       "[data-centre dc-0]\nowner = t\n[data-centre dc-1]\nowner = t\n"
       "[customer large]\nowner = t\nrate = 200/s\nburst = 400\n"
       "[customer small]\nowner = t\nrate = 5/s\nburst = 10\n"
       "[key ka]\nowner = t\ncustomer = large\nsha256 = %s\n"
+      "[key kc]\nowner = t\ncustomer = large\nsha256 = %s\n"
       "[key kb]\nowner = t\ncustomer = small\nsha256 = %s\n"
       "[deployment llm]\nowner = t\nkind = plain\nslots = 8\n"
       "[deployment cloth]\nowner = t\nkind = plain\nslots = 8\n"
@@ -34,25 +36,34 @@
       "deadline = 5 s\n"
       "[route POST /orders]\nowner = t\ndeployment = cloth\n"
       "deadline = 3 s\n",
-      a, b);
+      a, c, b);
   g_free (a);
+  g_free (c);
   g_free (b);
   return text;
 }
 
 static flt_t *
-fleet (uint32_t seed)
+fleet_of (uint32_t seed, clk_ms_t upstream_ms)
 {
   char *text = document (NULL);
-  flt_t *f = flt_setup (
-      NULL, &(flt_desc_t){
-                .seed = seed, .data_centres = 2, .vms = 2, .document = text });
+  flt_t *f = flt_setup (NULL, &(flt_desc_t){ .seed = seed,
+                                             .data_centres = 2,
+                                             .vms = 2,
+                                             .upstream_ms = upstream_ms,
+                                             .document = text });
   talloc_free (text);
   /* Buckets start empty. */
   flt_run (f, flt_now (f) + 10 * CLK_SECOND);
   return f;
 }
 
+static flt_t *
+fleet (uint32_t seed)
+{
+  return fleet_of (seed, 20);
+}
+
 static uint64_t
 ask (flt_t *f, size_t vm, const char *key, const char *body)
 {
@@ -65,17 +76,23 @@
 }
 
 static uint64_t
-order (flt_t *f, size_t vm, const char *idempotency_key)
+order_by (flt_t *f, size_t vm, const char *key, const char *idempotency_key)
 {
   return flt_request (f, vm,
                       &(flt_request_t){ .method = "POST",
                                         .path = "/orders",
                                         .query = "",
-                                        .key = "key-a",
+                                        .key = key,
                                         .idempotency_key = idempotency_key,
                                         .body = "cut" });
 }
 
+static uint64_t
+order (flt_t *f, size_t vm, const char *idempotency_key)
+{
+  return order_by (f, vm, "key-a", idempotency_key);
+}
+
 static void
 wait (flt_t *f, clk_ms_t ms)
 {
@@ -281,6 +298,38 @@
   talloc_free (f);
 }
 
+static void
+test_order_of_a_withdrawn_key_completes_its_record (void)
+{
+  flt_t *f = fleet_of (8, 300);
+  uint64_t running = order (f, 0, "o-4");
+  wait (f, 100);
+  CU_ASSERT_EQUAL (flt_runs (f, "o-4"), 1);
+  uint64_t asked
+      = flt_request (f, 0,
+                     &(flt_request_t){ .method = "POST",
+                                       .path = "/v1/operator/keys/withdraw",
+                                       .query = "",
+                                       .key = FLT_OPERATOR_TOKEN,
+                                       .body = "{\"name\":\"ka\"}" });
+  wait (f, 20);
+  CU_ASSERT_EQUAL (flt_answer (f, running)->status, 401);
+  CU_ASSERT (says (flt_answer (f, running), "unknown"));
+  wait (f, 2 * CLK_SECOND);
+  CU_ASSERT_EQUAL (flt_answer (f, asked)->status, 200);
+  for (size_t vm = 0; vm < 4; vm++)
+    {
+      uint64_t next = order (f, vm, "o-5");
+      uint64_t other = order_by (f, vm, "key-c", "o-4");
+      wait (f, CLK_SECOND);
+      CU_ASSERT_EQUAL (flt_answer (f, next)->status, 401);
+      CU_ASSERT_EQUAL (flt_answer (f, other)->status, 200);
+    }
+  CU_ASSERT_EQUAL (flt_runs (f, "o-4"), 1);
+  CU_ASSERT_EQUAL (flt_runs (f, "o-5"), 0);
+  talloc_free (f);
+}
+
 static void
 test_leaving_vm_finishes_and_exits (void)
 {
@@ -312,6 +361,8 @@
     { "frozen_between_record_and_send", test_frozen_between_record_and_send },
     { "upstreams_of_the_other_data_centre_take_over",
       test_upstreams_of_the_other_data_centre_take_over },
+    { "order_of_a_withdrawn_key_completes_its_record",
+      test_order_of_a_withdrawn_key_completes_its_record },
     { "leaving_vm_finishes_and_exits", test_leaving_vm_finishes_and_exits },
   };
   return tst_run ("onl_node", cases, sizeof cases / sizeof cases[0]);
