Readiness waits for mint rights; time line in Unix time

Cause: the demo was refused 'rate-limited' in its first seconds: a fresh fleet has no lists of mint rights for about 4 s. /readyz now says no until they are seen, and the demo waits for it.

--- a/src/core/env.c
+++ b/src/core/env.c
@@ -23,7 +23,8 @@
   env->upc = upc_setup (env);
   env->rand = g_rand_new_with_seed (desc->seed);
   env->cnt = cnt_setup (env);
-  env->tln = tln_setup (env, &(tln_desc_t){ 0 });
+  env->tln = tln_setup (
+      env, &(tln_desc_t){ .unix_offset_ms = desc->unix_offset_ms });
   talloc_set_destructor (env, _env_destroy);
   return env;
 }
--- a/src/core/env.h
+++ b/src/core/env.h
@@ -25,6 +25,7 @@
   const char *address;     /**< of its peer port, "IP:PORT" */
   uint64_t incarnation;    /**< larger at each start of the same VM */
   uint32_t seed;           /**< of the random numbers */
+  clk_ms_t unix_offset_ms; /**< Unix time less the node's, for people */
 } env_desc_t;
 
 /** The surroundings of a module. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -67,6 +67,7 @@
                                         .data_centre = desc->data_centre,
                                         .address = desc->address,
                                         .incarnation = desc->incarnation,
+                                        .unix_offset_ms = desc->unix_offset_ms,
                                         .seed = desc->seed });
   n->timer_at = CLK_NEVER;
   n->linked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -44,6 +44,14 @@
   talloc_free (upstreams);
 }
 
+/* Without the lists of mint rights every customer is over its rate. */
+static bool
+_node_ready (void *data)
+{
+  const node_t *n = data;
+  return lsh_version (lim_shares (n->lim)) > 0;
+}
+
 /* -- life ----------------------------------------------------------------- */
 
 void
@@ -70,6 +78,7 @@
                         .key = n->keys,
                         .token_sha256 = desc->operator_token_sha256,
                         .status_add = _node_status_add,
+                        .ready = _node_ready,
                         .data = n });
 }
 
--- a/src/core/opr.c
+++ b/src/core/opr.c
@@ -421,7 +421,8 @@
 static bool
 _opr_open_request (opr_t *o, env_t *env, const ev_request_t *req)
 {
-  bool ready = cfs_doc (o->desc.cfs) != NULL && !o->leaving;
+  bool ready = cfs_doc (o->desc.cfs) != NULL && !o->leaving
+               && (o->desc.ready == NULL || o->desc.ready (o->desc.data));
   const char *type = "text/plain; version=0.0.4";
   if (strcmp (req->path, "/metrics") == 0)
     {
--- a/src/core/opr.h
+++ b/src/core/opr.h
@@ -46,7 +46,9 @@
   const char *token_sha256; /**< lower-case hex; NULL: no operators */
   /** Adds what other modules have to say to GET status; may be NULL. */
   void (*status_add) (void *data, json_t *status);
-  void *data; /**< for status_add */
+  /** Whether the other modules can serve callers; NULL: always. */
+  bool (*ready) (void *data);
+  void *data; /**< for status_add and ready */
 } opr_desc_t;
 
 typedef struct opr opr_t;
--- a/src/core/tln.c
+++ b/src/core/tln.c
@@ -17,6 +17,7 @@
   size_t count; /**< records held */
   size_t first; /**< index of the oldest */
   tln_stamp_t last;
+  clk_ms_t unix_offset_ms;
 };
 
 tln_t *
@@ -24,6 +25,7 @@
 {
   tln_t *t = talloc_zero (ctx, tln_t);
   t->size = desc->records == 0 ? TLN_RECORDS_DEFAULT : desc->records;
+  t->unix_offset_ms = desc->unix_offset_ms;
   return t;
 }
 
@@ -36,8 +38,9 @@
 tln_stamp_t
 tln_stamp_send (tln_t *t, clk_ms_t now)
 {
-  if (now > t->last.ms)
-    t->last = (tln_stamp_t){ .ms = now };
+  clk_ms_t unix_ms = now + t->unix_offset_ms;
+  if (unix_ms > t->last.ms)
+    t->last = (tln_stamp_t){ .ms = unix_ms };
   else
     t->last.count++;
   return t->last;
--- a/src/core/tln.h
+++ b/src/core/tln.h
@@ -38,7 +38,9 @@
 /** How to set a time line up. */
 typedef struct
 {
-  size_t records; /**< ring size; default 512 */
+  size_t records;          /**< ring size; default 512 */
+  clk_ms_t unix_offset_ms; /**< Unix time less the node's; makes the stamps of
+                                VMs comparable to a person */
 } tln_desc_t;
 
 typedef struct tln tln_t;
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -212,7 +212,7 @@
 
 fleet_in_force ()
 {
-  [ "$(fleet_curl "$1" /public/ready -m 3 -o /dev/null -w '%{http_code}')" \
+  [ "$(fleet_curl "$1" /readyz -m 3 -o /dev/null -w '%{http_code}')" \
     = 200 ]
 }
 
