--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -58,6 +58,14 @@
   bool open;  /* the round waits for it */
 } lim_ask_t;
 
+/* Another VM that may hold tokens, and what it said last. */
+typedef struct
+{
+  const char *vm;
+  int64_t level;
+  clk_ms_t level_at; /* CLK_NEVER: it has said nothing */
+} lim_source_t;
+
 typedef struct
 {
   char *name;
@@ -79,7 +87,7 @@
   uint64_t sources_of; /* membership generation */
   size_t near_count;   /* the first ones of sources are near */
   size_t source_count;
-  const char **sources;
+  lim_source_t *sources;
   uint64_t seen; /* in the configuration of this number */
 } lim_customer_t;
 
@@ -94,6 +102,7 @@
   uint64_t seq;
   uint64_t config; /* grows with each document */
   bool leaving;
+  bool minted; /* had a right to since it started */
   lim_answer_t *answers;
   size_t answer_first;
   size_t answer_count;
@@ -166,8 +175,15 @@
   clk_ms_t since;
   if (!lsh_step (l->shares, env, &since))
     return;
+  bool fill = !l->minted && lsh_rights (l->shares) != 0
+              && lsh_is_new_fleet (l->shares);
+  l->minted = l->minted || lsh_rights (l->shares) != 0;
   for (size_t i = 0; i < l->customer_count; i++)
-    _lim_apply_share (l, env, l->customers[i], since);
+    {
+      _lim_apply_share (l, env, l->customers[i], since);
+      if (fill)
+        lbk_fill (l->customers[i]->bucket);
+    }
 }
 
 static lim_customer_t *
@@ -225,7 +241,8 @@
   size_t n = mbr_rank (m, data_centre, MOD_LIMIT, c->name, vms, 2);
   for (size_t i = 0; i < n && c->source_count < LIM_SOURCES_MAX; i++)
     if (strcmp (vms[i], env->vm) != 0)
-      c->sources[c->source_count++] = vms[i];
+      c->sources[c->source_count++]
+          = (lim_source_t){ .vm = vms[i], .level_at = CLK_NEVER };
 }
 
 static void
@@ -237,7 +254,7 @@
   c->sources_of = mbr_generation (m);
   c->source_count = 0;
   if (c->sources == NULL)
-    c->sources = talloc_array (c, const char *, LIM_SOURCES_MAX);
+    c->sources = talloc_array (c, lim_source_t, LIM_SOURCES_MAX);
   _lim_add_sources (c, m, env, env->data_centre);
   c->near_count = c->source_count;
   for (size_t i = 0; i < mbr_data_centre_count (m); i++)
@@ -470,16 +487,52 @@
   return available < wanted ? wanted - available : 0;
 }
 
-/* Ask one near minter, at random, so that all of them are used alike. */
+/* What source I holds by now, if it mints an even part; a VM that has said
+ * nothing counts as full, so that it is asked. */
+static int64_t
+_lim_source_level (const lim_customer_t *c, size_t i, clk_ms_t now)
+{
+  const lim_source_t *source = &c->sources[i];
+  double minters = (double)c->source_count + 1;
+  double full = c->burst / minters * (double)LBK_TOKEN;
+  if (source->level_at == CLK_NEVER)
+    return (int64_t)full;
+  double minted = (double)(now - source->level_at) / CLK_SECOND * c->rate
+                  / minters * (double)LBK_TOKEN;
+  double level = (double)source->level + minted;
+  return (int64_t)(level < full ? level : full);
+}
+
+/* The fullest of the first COUNT sources as far as is known; ties at random,
+ * so that all are used alike.  COUNT: none can be asked. */
+static size_t
+_lim_fullest (lim_t *l, env_t *env, const lim_customer_t *c, size_t count)
+{
+  size_t best = count;
+  int64_t best_level = -1;
+  gint32 equals = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (_lim_is_skipped (l, env, c->sources[i].vm))
+        continue;
+      int64_t level = _lim_source_level (c, i, env->now);
+      if (level < best_level)
+        continue;
+      equals = level > best_level ? 1 : equals + 1;
+      best_level = level;
+      if (equals == 1 || g_rand_int_range (env->rand, 0, equals) == 0)
+        best = i;
+    }
+  return best;
+}
+
 static void
 _lim_ask_near (lim_t *l, env_t *env, lim_customer_t *c)
 {
   c->stage = LIM_ASKING_NEAR;
-  if (c->near_count == 0)
-    return;
-  size_t i = (size_t)g_rand_int_range (env->rand, 0, (gint32)c->near_count);
-  if (!_lim_is_skipped (l, env, c->sources[i]))
-    _lim_ask (l, env, c, c->sources[i], _lim_missing (c), _lim_extra (c),
+  size_t i = _lim_fullest (l, env, c, c->near_count);
+  if (i < c->near_count)
+    _lim_ask (l, env, c, c->sources[i].vm, _lim_missing (c), _lim_extra (c),
               true);
 }
 
@@ -488,13 +541,13 @@
 {
   c->stage = LIM_ASKING_ALL;
   for (size_t i = 0; i < c->source_count; i++)
-    if (!_lim_is_skipped (l, env, c->sources[i])
-        && !_lim_is_asked (c, c->sources[i]))
-      _lim_ask (l, env, c, c->sources[i], _lim_missing (c), 0, true);
+    if (!_lim_is_skipped (l, env, c->sources[i].vm)
+        && !_lim_is_asked (c, c->sources[i].vm))
+      _lim_ask (l, env, c, c->sources[i].vm, _lim_missing (c), 0, true);
 }
 
-/* While there still is something here: even out with another minter, so that
- * no bucket is full while others are empty. */
+/* While there still is something here: even out with the fullest minter, so
+ * that no bucket is full while others are empty. */
 static void
 _lim_balance (lim_t *l, env_t *env, lim_customer_t *c)
 {
@@ -503,14 +556,12 @@
       || env->now < c->balance_at || env->now < c->denied_until)
     return;
   _lim_find_sources (l, env, c);
-  if (c->source_count == 0)
-    return;
   c->balance_wait
       = clk_min (2 * c->balance_wait + LIM_BALANCE_MS, LIM_BALANCE_MAX_MS);
   c->balance_at = env->now + c->balance_wait;
-  size_t i = (size_t)g_rand_int_range (env->rand, 0, (gint32)c->source_count);
-  if (!_lim_is_skipped (l, env, c->sources[i]))
-    _lim_ask (l, env, c, c->sources[i], 0, extra, false);
+  size_t i = _lim_fullest (l, env, c, c->source_count);
+  if (i < c->source_count)
+    _lim_ask (l, env, c, c->sources[i].vm, 0, extra, false);
 }
 
 /* Go on with C's round after a grant, a timeout or its beginning. */
@@ -690,6 +741,7 @@
   mpk_put_uint (&w, seq);
   mpk_put_int (&w, amount);
   mpk_put_uint (&w, c != NULL && _lim_wants_settling (c));
+  mpk_put_int (&w, c != NULL ? lbk_held (c->bucket) : 0);
   buf_t body = mpk_done (&w);
   mbr_send (l->desc.members, env, vm, MSG_LIMIT_GRANT, body);
   talloc_free ((void *)(uintptr_t)body.p);
@@ -704,6 +756,18 @@
   return NULL;
 }
 
+static void
+_lim_note_level (lim_customer_t *c, const env_t *env, const char *vm,
+                 int64_t level)
+{
+  for (size_t i = 0; i < c->source_count; i++)
+    if (strcmp (c->sources[i].vm, vm) == 0)
+      {
+        c->sources[i].level = level;
+        c->sources[i].level_at = env->now;
+      }
+}
+
 static void
 _lim_granted (lim_t *l, env_t *env, const char *vm, mpk_reader_t *r)
 {
@@ -711,6 +775,7 @@
   uint64_t seq = mpk_get_uint (r);
   int64_t amount = mpk_get_int (r);
   bool settle = mpk_get_uint (r) != 0;
+  int64_t level = mpk_get_int (r);
   lim_customer_t *c = mpk_end (r) ? _lim_find (l, name.p) : NULL;
   lim_ask_t *ask = c ? _lim_ask_find (c, seq) : NULL;
   if (ask == NULL || strcmp (ask->vm, vm) != 0)
@@ -724,7 +789,8 @@
     lbk_receive (c->bucket, env->now, seq, amount);
   else if (env->now < until)
     lbk_borrow (c->bucket, vm, seq, amount, until, settle);
-  if (done.ahead && amount >= LBK_TOKEN)
+  _lim_note_level (c, env, vm, level);
+  if (done.ahead && 8 * amount >= _lim_wanted (c))
     c->balance_at = c->balance_wait = 0;
   if (c->stage != LIM_IDLE)
     _lim_advance_round (l, env, c);
@@ -813,7 +879,7 @@
       mpk_put_str (&w, buf_str (c->name));
       mpk_put_int (&w, lbk_held (c->bucket));
       buf_t body = mpk_done (&w);
-      mbr_send (l->desc.members, env, c->sources[0], MSG_LIMIT_OFFER, body);
+      mbr_send (l->desc.members, env, c->sources[0].vm, MSG_LIMIT_OFFER, body);
       talloc_free ((void *)(uintptr_t)body.p);
     }
 }
--- a/src/core/lim_bucket.c
+++ b/src/core/lim_bucket.c
@@ -320,11 +320,8 @@
   return false;
 }
 
-int64_t
-lbk_empty (lbk_t *b)
+void
+lbk_fill (lbk_t *b)
 {
-  int64_t held = b->held;
-  b->held = 0;
-  b->taken_count = 0;
-  return held;
+  b->held = _lbk_limit (b);
 }
--- a/src/core/lim_bucket.h
+++ b/src/core/lim_bucket.h
@@ -99,7 +99,7 @@
  * than what is borrowed, also unspent loans beyond KEEP.  False: none. */
 bool lbk_settlement_pop (lbk_t *b, int64_t keep, lbk_settlement_t *s);
 
-/** Drop everything that is held and borrowed; returns what was held. */
-int64_t lbk_empty (lbk_t *b);
+/** Fill it; only when nothing of it can have been spent or lent before. */
+void lbk_fill (lbk_t *b);
 
 #endif
--- a/src/core/lim_share.c
+++ b/src/core/lim_share.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#define LSH_SHORT_LIFE_DEFAULT (12 * CLK_SECOND)
+#define LSH_SHORT_LIFE_DEFAULT (6 * CLK_SECOND)
 #define LSH_LONG_LIFE_DEFAULT (2 * CLK_HOUR)
 #define LSH_GUARD_DEFAULT (2 * CLK_SECOND)
 #define LSH_LONG_PERCENT_DEFAULT 25
@@ -18,11 +18,14 @@
 #define LSH_WRITERS_MAX 3
 
 /* A later writer lets the earlier ones go first for so long each. */
-#define LSH_WRITER_TURN (3 * CLK_SECOND)
+#define LSH_WRITER_TURN (1 * CLK_SECOND)
 
 /* VMs of a new fleet come within this time; then the lists are made. */
 #define LSH_FOUND_MS (3 * CLK_SECOND)
 
+/* Between two reads while they are about to be made. */
+#define LSH_FOUND_POLL_MS (CLK_SECOND / 2)
+
 /* A difference from the long list lasts so long before it is changed: the
  * next change has to wait for the rights of this one. */
 #define LSH_LONG_STEADY_MS (10 * CLK_MINUTE)
@@ -82,6 +85,7 @@
   unsigned rights;
   uint64_t turn;      /* grows with the lists; part of lsh_step's answer */
   uint64_t step_turn; /* as of the last lsh_step */
+  bool saw_absent;    /* no lists yet when this VM started */
   clk_ms_t poll_at;   /* the next read */
   clk_ms_t read_sent;
   bool reading;
@@ -407,6 +411,13 @@
   return s->rights;
 }
 
+bool
+lsh_is_new_fleet (const lsh_t *s)
+{
+  return s->saw_absent && s->lists != NULL && s->lists->short_no == 1
+         && s->lists->long_no == 1;
+}
+
 uint64_t
 lsh_version (const lsh_t *s)
 {
@@ -798,8 +809,10 @@
 static void
 _lsh_arm_next_poll (lsh_t *s, env_t *env)
 {
-  clk_ms_t wait = s->desc.short_life_ms / 3;
-  if (s->lists == NULL || s->read_failed)
+  clk_ms_t wait = s->desc.short_life_ms * 2 / 5;
+  if (s->lists == NULL && s->data_centres > 0 && !s->read_failed)
+    wait = LSH_FOUND_POLL_MS;
+  else if (s->lists == NULL || s->read_failed)
     wait = wait / 2;
   _lsh_arm_poll (s, env, env->now + env_jitter (env, wait));
 }
@@ -851,7 +864,10 @@
       _lsh_confirm (s, s->read_sent, true);
     }
   else if (reply->code == ST_NOT_FOUND)
-    _lsh_read_absent (s, env);
+    {
+      s->saw_absent = s->lists == NULL;
+      _lsh_read_absent (s, env);
+    }
   else if (s->read_failed)
     _lsh_ask_promises (s, env);
   _lsh_arm_next_poll (s, env);
--- a/src/core/lim_share.h
+++ b/src/core/lim_share.h
@@ -47,7 +47,7 @@
 typedef struct
 {
   mbr_t *members;         /**< required */
-  clk_ms_t short_life_ms; /**< of a right; default 12 s */
+  clk_ms_t short_life_ms; /**< of a right; default 6 s */
   clk_ms_t long_life_ms;  /**< default 2 h */
   clk_ms_t guard_ms;      /**< longest life of a loan; default 2 s */
   unsigned long_percent;  /**< of the part by the long list; default 25 */
@@ -95,6 +95,10 @@
 /** Rights as of the last lsh_step (lsh_right_t, or-ed). */
 unsigned lsh_rights (const lsh_t *s);
 
+/** Whether nobody has ever minted by lists before these, and this VM saw so:
+ * then a bucket may start full. */
+bool lsh_is_new_fleet (const lsh_t *s);
+
 /** Version of the newest lists; 0: none seen. */
 uint64_t lsh_version (const lsh_t *s);
 
--- a/src/core/mbr.h
+++ b/src/core/mbr.h
@@ -39,7 +39,7 @@
 {
   clk_ms_t poll_ms;      /**< of the list when it changes; default 2 s */
   clk_ms_t poll_slow_ms; /**< when it does not; default 15 s */
-  clk_ms_t ping_ms;     /**< heartbeat on a link; default 1 s, 3 s in a grid */
+  clk_ms_t ping_ms; /**< heartbeat on a link; default 500 ms, 3 s in a grid */
   size_t full_mesh_max; /**< most VMs with all links; default 16 */
 } mbr_desc_t;
 
