--- /dev/null
+++ b/src/core/lim_change.c
@@ -0,0 +1,181 @@
+#include "core/lim_share_priv.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* A later writer lets the earlier ones go first for so long each. */
+#define LSH_WRITER_TURN (1 * CLK_SECOND)
+
+/* A difference from the long list lasts so long before it is changed: the
+ * next change has to wait for the rights of this one. */
+#define LSH_LONG_STEADY_MS (10 * CLK_MINUTE)
+
+static void
+_lsh_write (lsh_t *s, env_t *env, const lli_t *lists, uint64_t if_version)
+{
+  buf_t value = lli_encode (s, lists);
+  s->writing = true;
+  cnt_add (env->cnt, "rts_limit_shares_writes_total", "", 1);
+  plt_call (env, &(plt_req_t){ .mod = MOD_LIMIT,
+                               .tag = LSH_TAG | LSH_CALL_WRITE,
+                               .op = FX_PLATFORM_PUT,
+                               .name = s->object,
+                               .if_version = if_version,
+                               .value = value });
+  talloc_free ((void *)(uintptr_t)value.p);
+}
+
+static bool
+_lsh_is_here (const mbr_vm_t *vm, const env_t *env)
+{
+  return vm != NULL && strcmp (vm->data_centre, env->data_centre) == 0
+         && !vm->leaving;
+}
+
+/* Whether VM should divide the part: it is listed and answers, or has not
+ * been silent for long. */
+static bool
+_lsh_should_mint (const lsh_t *s, const env_t *env, const char *name)
+{
+  const mbr_vm_t *vm = mbr_vm_find (s->desc.members, name);
+  if (!_lsh_is_here (vm, env))
+    return false;
+  return vm->up || env->now - vm->down_since < s->desc.suspect_ms;
+}
+
+/* The lists as they should be, owned by S; NULL when nothing is to change.
+ * VMs that are silent are not taken off when they are more than half: then
+ * it is likelier this VM that is cut off. */
+static lli_t *
+_lsh_wanted_lists (lsh_t *s, env_t *env)
+{
+  lli_t *next = lli_copy (s, s->lists);
+  for (size_t i = 0; i < mbr_vm_count (s->desc.members); i++)
+    {
+      const mbr_vm_t *vm = mbr_vm_get (s->desc.members, i);
+      if (_lsh_is_here (vm, env) && vm->up
+          && lli_index (next, vm->name) == next->count)
+        lli_append (next, vm->name, 0);
+    }
+  bool wanted[LLI_VMS_MAX];
+  size_t kept = 0;
+  size_t before = 0;
+  for (size_t i = 0; i < next->count; i++)
+    {
+      wanted[i] = _lsh_should_mint (s, env, next->vms[i]);
+      before += (next->in[i] & LLI_IN_SHORT) != 0;
+      kept += (next->in[i] & LLI_IN_SHORT) && wanted[i];
+    }
+  bool most = 2 * kept >= before || before == 0;
+  bool changed = false;
+  if (most && lsh_short_is_settled (s, env->now)
+      && lli_turn (next, wanted, LLI_IN_SHORT, LLI_IN_SHORT_OLD) > 0)
+    {
+      next->short_no++;
+      changed = true;
+    }
+  if (!most || !lli_differs (next, wanted, LLI_IN_LONG))
+    s->long_due = CLK_NEVER;
+  else
+    s->long_due = clk_min (s->long_due, env->now);
+  if (s->long_due != CLK_NEVER && env->now >= s->long_due + LSH_LONG_STEADY_MS
+      && lsh_long_is_settled (s, env->now)
+      && lli_turn (next, wanted, LLI_IN_LONG, LLI_IN_LONG_OLD) > 0)
+    {
+      next->long_no++;
+      changed = true;
+    }
+  if (changed)
+    return next;
+  talloc_free (next);
+  return NULL;
+}
+
+/* Note since when no VM that may replace the lists is listed. */
+static void
+_lsh_note_writers (lsh_t *s, const env_t *env)
+{
+  const char *writers[LLI_WRITERS_MAX];
+  size_t n = lli_writers (s->lists, writers);
+  bool any = false;
+  for (size_t i = 0; i < n; i++)
+    {
+      const mbr_vm_t *vm = mbr_vm_find (s->desc.members, writers[i]);
+      any = any || (vm != NULL && vm->listed);
+    }
+  s->writers_gone = any ? CLK_NEVER : clk_min (s->writers_gone, env->now);
+}
+
+/* Once all writers have been gone for longer than they may promise, any VM
+ * stands in for them. */
+static bool
+_lsh_stands_in (const lsh_t *s, const env_t *env)
+{
+  return s->writers_gone != CLK_NEVER
+         && env->now
+                >= s->writers_gone + lsh_settled_ms (s, s->desc.long_life_ms);
+}
+
+static bool
+_lsh_may_write (const lsh_t *s, const env_t *env, size_t index)
+{
+  clk_ms_t quiet = lsh_with_drift (s->desc.short_life_ms);
+  return (index < LLI_WRITERS_MAX || _lsh_stands_in (s, env)) && !s->writing
+         && s->write_unknown != s->lists->version
+         && env->now >= s->promised_until
+         /* Promises of an earlier start of this VM are over. */
+         && env->now >= s->born + quiet
+         && env->now < s->read_ok + s->desc.short_life_ms;
+}
+
+void
+lsh_change_check (lsh_t *s, env_t *env)
+{
+  if (s->lists == NULL)
+    return;
+  _lsh_note_writers (s, env);
+  size_t index = lli_writer_index (s->lists, env->vm);
+  if (!_lsh_may_write (s, env, index))
+    return;
+  lli_t *next = _lsh_wanted_lists (s, env);
+  if (next == NULL)
+    {
+      s->change_due = CLK_NEVER;
+      return;
+    }
+  s->change_due = clk_min (s->change_due, env->now);
+  if (env->now >= s->change_due + (clk_ms_t)index * LSH_WRITER_TURN)
+    _lsh_write (s, env, next, s->lists->version);
+  talloc_free (next);
+}
+
+/* The first lists of a data centre: the VMs known by now, and what the other
+ * data centres leave of the whole. */
+void
+lsh_change_found (lsh_t *s, env_t *env, const ev_platform_t *survey)
+{
+  uint64_t taken = 0;
+  for (size_t i = 0; i < survey->object_count; i++)
+    {
+      const ev_object_t *o = &survey->objects[i];
+      lli_t *other = lli_decode (s, o->version, o->value);
+      taken += other ? other->parts : LSH_WHOLE;
+      talloc_free (other);
+    }
+  uint64_t parts = LSH_WHOLE / s->data_centres;
+  uint64_t left = taken < LSH_WHOLE ? LSH_WHOLE - taken : 0;
+  lli_t *lists = talloc_zero (s, lli_t);
+  lists->parts = (uint32_t)(parts < left ? parts : left);
+  lists->short_no = 1;
+  lists->long_no = 1;
+  lists->vms = talloc_array (lists, const char *, LLI_VMS_MAX);
+  lists->in = talloc_array (lists, uint8_t, LLI_VMS_MAX);
+  for (size_t i = 0; i < mbr_vm_count (s->desc.members); i++)
+    {
+      const mbr_vm_t *vm = mbr_vm_get (s->desc.members, i);
+      if (_lsh_is_here (vm, env))
+        lli_append (lists, vm->name, LLI_IN_SHORT | LLI_IN_LONG);
+    }
+  _lsh_write (s, env, lists, 0);
+  talloc_free (lists);
+}
--- /dev/null
+++ b/src/core/lim_lists.c
@@ -0,0 +1,137 @@
+#include "core/lim_lists.h"
+
+#include "core/lim_share.h"
+#include "core/mpk.h"
+#include "core/own.h"
+
+#include <string.h>
+#include <talloc.h>
+
+buf_t
+lli_encode (void *ctx, const lli_t *lists)
+{
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_uint (&w, lists->parts);
+  mpk_put_uint (&w, lists->short_no);
+  mpk_put_uint (&w, lists->long_no);
+  for (size_t i = 0; i < lists->count; i++)
+    {
+      mpk_put_str (&w, buf_str (lists->vms[i]));
+      mpk_put_uint (&w, lists->in[i]);
+    }
+  return mpk_done (&w);
+}
+
+lli_t *
+lli_decode (void *ctx, uint64_t version, buf_t value)
+{
+  lli_t *lists = talloc_zero (ctx, lli_t);
+  lists->version = version;
+  lists->vms = talloc_array (lists, const char *, LLI_VMS_MAX);
+  lists->in = talloc_array (lists, uint8_t, LLI_VMS_MAX);
+  mpk_reader_t r = mpk_reader (lists, value);
+  lists->parts = (uint32_t)mpk_get_uint (&r);
+  lists->short_no = mpk_get_uint (&r);
+  lists->long_no = mpk_get_uint (&r);
+  while (mpk_more (&r) && lists->count < LLI_VMS_MAX)
+    {
+      lists->vms[lists->count] = mpk_get_str (&r).p;
+      lists->in[lists->count++] = (uint8_t)mpk_get_uint (&r);
+    }
+  if (mpk_end (&r) && lists->parts <= LSH_WHOLE)
+    return lists;
+  talloc_free (lists);
+  return NULL;
+}
+
+size_t
+lli_index (const lli_t *lists, const char *vm)
+{
+  size_t i = 0;
+  while (i < lists->count && strcmp (lists->vms[i], vm) != 0)
+    i++;
+  return i;
+}
+
+size_t
+lli_writers (const lli_t *lists, const char **out)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < lists->count && n < LLI_WRITERS_MAX; i++)
+    if (lists->in[i] & LLI_IN_SHORT)
+      out[n++] = lists->vms[i];
+  return n;
+}
+
+size_t
+lli_writer_index (const lli_t *lists, const char *vm)
+{
+  const char *writers[LLI_WRITERS_MAX];
+  size_t n = lli_writers (lists, writers);
+  for (size_t i = 0; i < n; i++)
+    if (strcmp (writers[i], vm) == 0)
+      return i;
+  return LLI_WRITERS_MAX;
+}
+
+lli_t *
+lli_copy (void *ctx, const lli_t *lists)
+{
+  buf_t value = lli_encode (ctx, lists);
+  lli_t *copy = lli_decode (ctx, lists->version, value);
+  talloc_free ((void *)(uintptr_t)value.p);
+  return copy;
+}
+
+void
+lli_append (lli_t *lists, const char *vm, uint8_t in)
+{
+  if (lists->count == LLI_VMS_MAX)
+    return;
+  lists->vms[lists->count] = vm;
+  lists->in[lists->count++] = in;
+}
+
+uint32_t
+lli_part (const lli_t *lists, const char *vm, const char *customer,
+          unsigned minters, uint8_t bit, uint32_t whole)
+{
+  const char *vms[LLI_VMS_MAX];
+  size_t n = 0;
+  for (size_t i = 0; i < lists->count; i++)
+    if (lists->in[i] & bit)
+      vms[n++] = lists->vms[i];
+  const char *first[LLI_MINTERS_MAX];
+  size_t k = own_rank (vms, n, MOD_LIMIT, customer, first, minters);
+  for (size_t i = 0; i < k; i++)
+    if (strcmp (first[i], vm) == 0)
+      return whole / (uint32_t)k;
+  return 0;
+}
+
+size_t
+lli_turn (lli_t *lists, const bool *wanted, uint8_t bit, uint8_t old_bit)
+{
+  size_t changes = 0;
+  for (size_t i = 0; i < lists->count; i++)
+    {
+      bool was = (lists->in[i] & bit) != 0;
+      changes += was != wanted[i];
+      lists->in[i] &= (uint8_t) ~(bit | old_bit);
+      if (was)
+        lists->in[i] |= old_bit;
+      if (wanted[i])
+        lists->in[i] |= bit;
+    }
+  return changes;
+}
+
+bool
+lli_differs (const lli_t *lists, const bool *wanted, uint8_t bit)
+{
+  for (size_t i = 0; i < lists->count; i++)
+    if (wanted[i] != ((lists->in[i] & bit) != 0))
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/core/lim_share_priv.h
@@ -0,0 +1,89 @@
+/** @file
+ * State of mint rights, shared by lim_share.c (rights, reads, promises) and
+ * lim_change.c (changing the lists).
+ *
+ * Nothing else includes this.
+ */
+#ifndef RTS_LIM_SHARE_PRIV_H
+#define RTS_LIM_SHARE_PRIV_H
+
+#include "core/lim_lists.h"
+#include "core/lim_share.h"
+
+/* Clocks of two VMs drift apart by less than one in this. */
+#define LSH_DRIFT 50
+
+/* Objects of data centres: prefix and name. */
+#define LSH_OBJECT_PREFIX "limit/shares/"
+
+enum
+{
+  LSH_CALL_READ = 1,
+  LSH_CALL_SURVEY, /* all data centres' parts, before the first list */
+  LSH_CALL_WRITE,
+};
+
+struct lsh
+{
+  lsh_desc_t desc;
+  size_t data_centres;
+  char *object;
+  clk_ms_t born;
+  lli_t *lists;
+  clk_ms_t short_seen; /* when this short list was first seen */
+  clk_ms_t long_seen;
+  clk_ms_t short_until; /* rights confirmed until */
+  clk_ms_t long_until;
+  unsigned rights;
+  uint64_t turn;      /* grows with the lists; part of lsh_step's answer */
+  uint64_t step_turn; /* as of the last lsh_step */
+  bool saw_absent;    /* no lists yet when this VM started */
+  clk_ms_t poll_at;   /* the next read */
+  clk_ms_t read_sent;
+  bool reading;
+  bool read_failed; /* the last time */
+  clk_ms_t read_ok; /* when the last good read was sent */
+  bool writing;
+  uint64_t write_unknown; /* version whose replacement may be under way */
+  clk_ms_t promised_until;
+  clk_ms_t change_due;   /* since when a change is wanted; CLK_NEVER */
+  clk_ms_t long_due;     /* likewise, of the long list */
+  clk_ms_t writers_gone; /* since when no writer is listed; CLK_NEVER */
+  uint64_t round;        /* of promises asked for */
+  clk_ms_t round_sent;
+  unsigned round_missing; /* bits of writers that have not answered */
+};
+
+static inline clk_ms_t
+lsh_with_drift (clk_ms_t d)
+{
+  return d + d / LSH_DRIFT;
+}
+
+/* A list's rights all end within this time of its replacement, and so do
+ * loans made under them. */
+static inline clk_ms_t
+lsh_settled_ms (const lsh_t *s, clk_ms_t life)
+{
+  return lsh_with_drift (life + s->desc.guard_ms);
+}
+
+static inline bool
+lsh_short_is_settled (const lsh_t *s, clk_ms_t now)
+{
+  return now >= s->short_seen + lsh_settled_ms (s, s->desc.short_life_ms);
+}
+
+static inline bool
+lsh_long_is_settled (const lsh_t *s, clk_ms_t now)
+{
+  return now >= s->long_seen + lsh_settled_ms (s, s->desc.long_life_ms);
+}
+
+/** Replace the lists if this VM may and they are not as they should be. */
+void lsh_change_check (lsh_t *s, env_t *env);
+
+/** Make the first lists; SURVEY: what the other data centres have. */
+void lsh_change_found (lsh_t *s, env_t *env, const ev_platform_t *survey);
+
+#endif
