--- a/src/core/lim_change.c
+++ b/src/core/lim_change.c
@@ -169,6 +169,7 @@
   lists->short_no = 1;
   lists->long_no = 1;
   lists->vms = talloc_array (lists, const char *, LLI_VMS_MAX);
+  lists->hashes = talloc_array (lists, uint64_t, LLI_VMS_MAX);
   lists->in = talloc_array (lists, uint8_t, LLI_VMS_MAX);
   for (size_t i = 0; i < mbr_vm_count (s->desc.members); i++)
     {
--- a/src/core/lim_lists.c
+++ b/src/core/lim_lists.c
@@ -29,6 +29,7 @@
   lli_t *lists = talloc_zero (ctx, lli_t);
   lists->version = version;
   lists->vms = talloc_array (lists, const char *, LLI_VMS_MAX);
+  lists->hashes = talloc_array (lists, uint64_t, LLI_VMS_MAX);
   lists->in = talloc_array (lists, uint8_t, LLI_VMS_MAX);
   mpk_reader_t r = mpk_reader (lists, value);
   lists->parts = (uint32_t)mpk_get_uint (&r);
@@ -36,8 +37,10 @@
   lists->long_no = mpk_get_uint (&r);
   while (mpk_more (&r) && lists->count < LLI_VMS_MAX)
     {
-      lists->vms[lists->count] = mpk_get_str (&r).p;
-      lists->in[lists->count++] = (uint8_t)mpk_get_uint (&r);
+      const char *vm = mpk_get_str (&r).p;
+      uint8_t in = (uint8_t)mpk_get_uint (&r);
+      if (!r.failed)
+        lli_append (lists, vm, in);
     }
   if (mpk_end (&r) && lists->parts <= LSH_WHOLE)
     return lists;
@@ -90,6 +93,7 @@
   if (lists->count == LLI_VMS_MAX)
     return;
   lists->vms[lists->count] = vm;
+  lists->hashes[lists->count] = own_hash_vm (vm);
   lists->in[lists->count++] = in;
 }
 
@@ -97,17 +101,25 @@
 lli_part (const lli_t *lists, const char *vm, const char *customer,
           unsigned minters, uint8_t bit, uint32_t whole)
 {
-  const char *vms[LLI_VMS_MAX];
-  size_t n = 0;
+  size_t self = lli_index (lists, vm);
+  if (self == lists->count || !(lists->in[self] & bit))
+    return 0;
+  uint64_t thing = own_hash_thing (MOD_LIMIT, customer);
+  uint64_t weight = own_weight_hashed (lists->hashes[self], thing);
+  uint32_t listed = 0;
+  uint32_t before = 0;
   for (size_t i = 0; i < lists->count; i++)
-    if (lists->in[i] & bit)
-      vms[n++] = lists->vms[i];
-  const char *first[LLI_MINTERS_MAX];
-  size_t k = own_rank (vms, n, MOD_LIMIT, customer, first, minters);
-  for (size_t i = 0; i < k; i++)
-    if (strcmp (first[i], vm) == 0)
-      return whole / (uint32_t)k;
-  return 0;
+    {
+      if (!(lists->in[i] & bit))
+        continue;
+      uint64_t other = own_weight_hashed (lists->hashes[i], thing);
+      listed++;
+      before += other > weight
+                || (other == weight && strcmp (lists->vms[i], vm) < 0);
+      if (before == minters)
+        return 0;
+    }
+  return whole / (listed < minters ? listed : minters);
 }
 
 size_t
--- a/src/core/lim_lists.h
+++ b/src/core/lim_lists.h
@@ -41,6 +41,7 @@
   uint64_t long_no;
   size_t count;
   const char **vms;
+  uint64_t *hashes; /**< own_hash_vm of each */
   uint8_t *in;
 } lli_t;
 
--- a/src/core/own.c
+++ b/src/core/own.c
@@ -13,17 +13,28 @@
   return h ^ (h >> 31);
 }
 
-static uint64_t
-_own_hash_name (mod_t kind, const char *name)
+uint64_t
+own_hash_vm (const char *vm)
+{
+  return XXH3_64bits (vm, strlen (vm));
+}
+
+uint64_t
+own_hash_thing (mod_t kind, const char *name)
 {
   return XXH3_64bits_withSeed (name, strlen (name), (XXH64_hash_t)kind + 1);
 }
 
+uint64_t
+own_weight_hashed (uint64_t vm, uint64_t thing)
+{
+  return _own_mix (vm ^ thing);
+}
+
 uint64_t
 own_weight (const char *vm, mod_t kind, const char *name)
 {
-  return _own_mix (XXH3_64bits (vm, strlen (vm))
-                   ^ _own_hash_name (kind, name));
+  return own_weight_hashed (own_hash_vm (vm), own_hash_thing (kind, name));
 }
 
 const char *
@@ -49,14 +60,13 @@
           const char **out, size_t max)
 {
   uint64_t weights[OWN_RANK_MAX];
-  uint64_t of_name = _own_hash_name (kind, name);
+  uint64_t thing = own_hash_thing (kind, name);
   size_t count = 0;
   if (max > OWN_RANK_MAX)
     max = OWN_RANK_MAX;
   for (size_t i = 0; i < n && max > 0; i++)
     {
-      uint64_t weight
-          = _own_mix (XXH3_64bits (vms[i], strlen (vms[i])) ^ of_name);
+      uint64_t weight = own_weight_hashed (own_hash_vm (vms[i]), thing);
       size_t at = count;
       while (at > 0
              && _own_before (weight, vms[i], weights[at - 1], out[at - 1]))
--- a/src/core/own.h
+++ b/src/core/own.h
@@ -19,6 +19,14 @@
 /** Most VMs that own_rank gives. */
 #define OWN_RANK_MAX 32
 
+/** Hash of a VM's name, and of a thing's: for many questions about the same
+ * VMs. */
+uint64_t own_hash_vm (const char *vm);
+uint64_t own_hash_thing (mod_t kind, const char *name);
+
+/** As own_weight, from the two hashes. */
+uint64_t own_weight_hashed (uint64_t vm, uint64_t thing);
+
 /** Weight of VM for thing NAME of KIND; the largest weight owns it. */
 uint64_t own_weight (const char *vm, mod_t kind, const char *name);
 
