--- a/src/core/crd_own.c
+++ b/src/core/crd_own.c
@@ -55,15 +55,16 @@
 _crd_burst_note (const crd_t *c, crd_own_t *o, clk_ms_t now, uint32_t rise)
 {
   clk_ms_t width = c->desc.memory_ms / CRD_BURST_AGES;
-  while (now - o->burst_at >= width)
+  if (now - o->burst_at >= c->desc.memory_ms)
+    {
+      memset (o->burst, 0, sizeof o->burst);
+      o->burst_at = now;
+    }
+  for (; now - o->burst_at >= width; o->burst_at += width)
     {
       memmove (&o->burst[1], &o->burst[0],
                (CRD_BURST_AGES - 1) * sizeof o->burst[0]);
       o->burst[0] = 0;
-      if (now - o->burst_at >= c->desc.memory_ms)
-        o->burst_at = now;
-      else
-        o->burst_at += width;
     }
   if (rise > o->burst[0])
     o->burst[0] = rise;
@@ -115,6 +116,7 @@
     o->foreign = foreign;
   else
     o->foreign = foreign + (o->foreign - foreign) / 2;
+  o->foreign_online = _crd_online (o);
 }
 
 /* -- credits -------------------------------------------------------------- */
@@ -124,7 +126,11 @@
 _crd_idle (const crd_upstream_t *u, clk_ms_t now)
 {
   const crd_own_t *o = &u->own;
-  uint32_t taken = _crd_online (o) + crd_own_reserve (o) + o->foreign;
+  uint32_t online = _crd_online (o);
+  uint32_t taken = online + crd_own_reserve (o) + o->foreign;
+  /* Load that is not known has risen as the known one has since. */
+  if (o->foreign > 0 && online > o->foreign_online)
+    taken += online - o->foreign_online;
   for (size_t i = 0; i < o->count; i++)
     {
       const crd_reporter_t *r = &o->reporters[i];
