--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -18,6 +18,7 @@
 int cmd_key (int argc, char **argv);
 int cmd_customer (int argc, char **argv);
 int cmd_upstream (int argc, char **argv);
+int cmd_batch (int argc, char **argv);
 int cmd_status (int argc, char **argv);
 int cmd_timeline (int argc, char **argv);
 
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -17,6 +17,7 @@
   { "config", cmd_config, "check, apply, show or compare the document" },
   { "key", cmd_key, "issue, withdraw or list callers' keys" },
   { "customer", cmd_customer, "list or show customers" },
+  { "batch", cmd_batch, "submit, follow, read and cancel batch jobs" },
   { "upstream", cmd_upstream, "list upstreams, take one out of use" },
   { "status", cmd_status, "state of each VM" },
   { "timeline", cmd_timeline, "events of all VMs in causal order" },
