--- a/src/core/bat_int.h
+++ b/src/core/bat_int.h
@@ -2,8 +2,10 @@
  * Shared insides of the batch module's files (bat*.c); nobody else's.
  *
  * bat.c dispatches, bat_submit.c accepts jobs, bat_scan.c finds work,
- * bat_hold.c looks after one leased chunk and its record, bat_item.c runs
- * items, bat_end.c cancels and completes, bat_http.c answers callers.
+ * bat_hold.c looks after one leased chunk, bat_write.c writes its record,
+ * bat_load.c reads what a new holder needs, bat_item.c starts items,
+ * bat_answer.c decides what came of them, bat_end.c cancels and completes,
+ * bat_http.c answers callers.
  *
  * Every platform call and timer carries the handle of a bat_op_t that says
  * what it belongs to, so a reply to something that is gone finds nothing.
@@ -366,12 +368,33 @@
 /** Wake H at AT. */
 void bat_hold_wake (bat_t *b, env_t *env, bat_hold_t *h, clk_ms_t at);
 
+/* bat_write.c: the one write of a hold that may be in progress */
+/** Begin a write that replaces the record by one in STATE: it takes all that
+ * is unsaved with it, in a part of its own. */
+void bat_write_begin (bat_t *b, env_t *env, bat_hold_t *h,
+                      bat_chunk_state_t state, uint32_t intent);
+/** (Re)send the record, the part, or the question whose record is there. */
+void bat_write_record (bat_t *b, env_t *env, bat_hold_t *h);
+void bat_write_part (bat_t *b, env_t *env, bat_hold_t *h);
+void bat_write_read (bat_t *b, env_t *env, bat_hold_t *h);
+/** The record is in the platform at VERSION. */
+void bat_write_ok (bat_t *b, env_t *env, bat_hold_t *h, uint64_t version);
+/** A conflict was met and O read: whose record is it? */
+void bat_write_judge (bat_t *b, env_t *env, bat_hold_t *h,
+                      const ev_object_t *o);
+/** Somebody else's record is there: the hold ends. */
+void bat_hold_fenced (bat_t *b, env_t *env, bat_hold_t *h);
+/** Keep a copy of REC that lives as long as H. */
+void bat_hold_adopt (bat_hold_t *h, const bat_chunk_t *rec, uint64_t version);
+
 /* bat_load.c: what a new holder reads first */
 void bat_load_start (bat_t *b, env_t *env, bat_hold_t *h);
 void bat_load_replied (bat_t *b, env_t *env, const bat_op_t *op,
                        const ev_platform_t *reply);
 
 /* bat_item.c */
+/** Forget a send; REACHED false: no connection to its upstream opened. */
+void bat_send_free (bat_t *b, env_t *env, bat_send_t *s, bool reached);
 /** Preempt what crd.h wants back. */
 void bat_item_pause (bat_t *b, env_t *env);
 void bat_item_end (bat_t *b, env_t *env, bat_hold_t *h, uint32_t item,
--- a/src/core/bat_item.c
+++ b/src/core/bat_item.c
@@ -1,13 +1,9 @@
 #include "core/bat_int.h"
 #include "core/inv.h"
 
-#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
-#define BAT_ANSWER_MAX ((size_t)256 << 10)
-#define BAT_REASON_BODY 200
-#define BAT_REFUSALS_MAX 200 /* about twenty minutes of back-off */
 #define BAT_STALL_MS (30 * CLK_SECOND)
 #define BAT_RATE_MS (5 * CLK_SECOND)
 #define BAT_RATE_SHARE 0.3
@@ -87,8 +83,8 @@
 
 /* -- sends ---------------------------------------------------------------- */
 
-static void
-_bat_send_free (bat_t *b, env_t *env, bat_send_t *s, bool reached)
+void
+bat_send_free (bat_t *b, env_t *env, bat_send_t *s, bool reached)
 {
   crd_give_back (b->desc.credits, env, s->self.id, reached);
   g_string_free (s->body, TRUE);
@@ -101,7 +97,7 @@
 {
   bat_send_t *s = tbl_get (b->sends, item->send);
   upc_cancel (env, s->call);
-  _bat_send_free (b, env, s, true);
+  bat_send_free (b, env, s, true);
 }
 
 void
@@ -347,157 +343,3 @@
     }
   talloc_free (list);
 }
-
-/* -- answers -------------------------------------------------------------- */
-
-static void
-_bat_item_again (bat_t *b, bat_hold_t *h, uint32_t i, clk_ms_t at)
-{
-  bat_item_t *item = &h->items[i];
-  bat_item_fire (b, item, BAT_ITEM_EV_AGAIN);
-  item->not_before = at;
-  h->next = MIN (h->next, i);
-}
-
-static void
-_bat_item_fail (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i, int status,
-                const char *reason)
-{
-  bat_item_end (b, env, h, i,
-                &(bat_outcome_t){
-                    .end = BAT_FAILED, .status = status, .reason = reason });
-}
-
-/* It may have run: repeat it only when that does no harm. */
-static void
-_bat_item_failed_try (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i,
-                      int status, const char *reason)
-{
-  bat_item_t *item = &h->items[i];
-  item->attempts++;
-  if (!item->in.idempotent && status == 0)
-    bat_item_end_unknown (b, env, h, i, reason);
-  else if (!item->in.idempotent || item->attempts >= b->desc.max_attempts)
-    _bat_item_fail (b, env, h, i, status, reason);
-  else
-    _bat_item_again (b, h, i, env->now + bat_backoff (env, item->attempts));
-}
-
-/* It was refused without an effect. */
-static void
-_bat_item_refused (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i, int status,
-                   clk_ms_t retry_after_ms, const char *reason)
-{
-  bat_item_t *item = &h->items[i];
-  item->refusals++;
-  if (item->refusals >= BAT_REFUSALS_MAX)
-    {
-      _bat_item_fail (b, env, h, i, status, reason);
-      return;
-    }
-  clk_ms_t wait = bat_backoff (env, item->refusals);
-  _bat_item_again (b, h, i, env->now + clk_max (wait, retry_after_ms));
-}
-
-static char *
-_bat_reason (void *ctx, int status, const GString *body)
-{
-  gchar *text = g_utf8_make_valid (body->str,
-                                   (gssize)MIN (body->len, BAT_REASON_BODY));
-  char *reason
-      = talloc_asprintf (ctx, "upstream answered %d: %s", status, text);
-  g_free (text);
-  return reason;
-}
-
-static void
-_bat_item_answered (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i,
-                    const bat_send_t *s)
-{
-  char *reason = _bat_reason (NULL, s->status, s->body);
-  bool success = s->status >= 200 && s->status < 300;
-  bool passing = s->status == 408 || s->status == 425 || s->status >= 500;
-  if (s->too_large)
-    _bat_item_fail (b, env, h, i, s->status, "answer larger than 256 KB");
-  else if (success)
-    bat_item_end (
-        b, env, h, i,
-        &(bat_outcome_t){ .end = BAT_DONE,
-                          .status = s->status,
-                          .body = { .p = s->body->str, .n = s->body->len } });
-  else if (s->status == 429 || (s->status == 503 && s->idempotent))
-    _bat_item_refused (b, env, h, i, s->status, s->retry_after_ms, reason);
-  else if (passing)
-    _bat_item_failed_try (b, env, h, i, s->status, reason);
-  else
-    _bat_item_fail (b, env, h, i, s->status, reason);
-  talloc_free (reason);
-}
-
-static void
-_bat_item_call_failed (bat_t *b, env_t *env, bat_hold_t *h, uint32_t i,
-                       const ev_upstream_t *u)
-{
-  switch (u->fail)
-    {
-    case EV_FAIL_NOT_SENT:
-      h->pause_until = env->now + bat_backoff (env, h->items[i].not_sent++);
-      _bat_item_again (b, h, i, h->pause_until);
-      return;
-    case EV_FAIL_UNKNOWN:
-      _bat_item_failed_try (b, env, h, i, 0, "the connection broke");
-      return;
-    case EV_FAIL_TIMEOUT:
-      _bat_item_failed_try (b, env, h, i, 0, "no answer in time");
-      return;
-    }
-}
-
-static void
-_bat_item_head (bat_send_t *s, const ev_upstream_t *u)
-{
-  s->status = u->status;
-  const char *text = http_header_find (u->headers, "Retry-After");
-  if (text != NULL)
-    s->retry_after_ms = CLK_SECOND * (clk_ms_t)strtol (text, NULL, 10);
-  if (s->retry_after_ms > CLK_MINUTE)
-    s->retry_after_ms = CLK_MINUTE;
-}
-
-static void
-_bat_item_data (bat_send_t *s, buf_t data)
-{
-  if (s->body->len + data.n > BAT_ANSWER_MAX)
-    s->too_large = true;
-  else
-    g_string_append_len (s->body, data.p, (gssize)data.n);
-}
-
-void
-bat_upstream_event (bat_t *b, env_t *env, uint64_t tag, const ev_t *ev)
-{
-  bat_send_t *s = tbl_get (b->sends, (tbl_id_t){ .id = tag });
-  if (s == NULL)
-    return;
-  if (ev->kind == EV_UPSTREAM_HEAD)
-    {
-      _bat_item_head (s, &ev->upstream);
-      return;
-    }
-  if (ev->kind == EV_UPSTREAM_DATA)
-    {
-      _bat_item_data (s, ev->upstream.data);
-      return;
-    }
-  bat_hold_t *h = tbl_get (b->holds, s->hold);
-  INV_CHECK (h != NULL && h->items[s->item].send.id == tag,
-             "batch-answer-to-its-item", "send %lx", (unsigned long)tag);
-  bool failed = ev->kind == EV_UPSTREAM_FAIL;
-  if (failed)
-    _bat_item_call_failed (b, env, h, s->item, &ev->upstream);
-  else
-    _bat_item_answered (b, env, h, s->item, s);
-  bool reached = !failed || ev->upstream.fail != EV_FAIL_NOT_SENT;
-  _bat_send_free (b, env, s, reached);
-  bat_pump (b, env);
-}
--- a/src/core/crd_int.h
+++ b/src/core/crd_int.h
@@ -1,5 +1,6 @@
 /** @file
- * Shared insides of crd.c (a VM's own side) and crd_own.c (the owner's).
+ * Shared insides of crd.c (using credits), crd_report.c (a VM's reports) and
+ * crd_own.c (the owner's side).
  */
 #ifndef RTS_CRD_INT_H
 #define RTS_CRD_INT_H
@@ -16,6 +17,14 @@
   CRD_MSG_GRANT,
 };
 
+/** Timers. */
+enum
+{
+  CRD_TAG_REPORT,
+  CRD_TAG_LAPSE,
+};
+
+#define CRD_URGENT_MS 5  /* least time between reports that do not wait */
 #define CRD_HISTORY 64   /**< load samples kept for bursts and lags */
 #define CRD_BURST_AGES 6 /**< buckets in which bursts are remembered */
 
@@ -106,10 +115,17 @@
 };
 
 /* crd.c */
+crd_upstream_t *crd_find (const crd_t *c, const char *name);
+/** Ask items back until no more use credits than are valid. */
+void crd_enforce (crd_t *c, crd_upstream_t *u, clk_ms_t now);
 /** Use GRANTED credits of U by VM's word until UNTIL. */
 void crd_granted (crd_t *c, env_t *env, crd_upstream_t *u, const char *vm,
                   uint32_t granted, clk_ms_t sent_at);
 
+/* crd_report.c */
+/** Tell U's owner of this VM's load on it now. */
+void crd_report_one (crd_t *c, env_t *env, crd_upstream_t *u);
+
 /* crd_own.c */
 /** Note VM's report on U and hand out credits anew. */
 void crd_own_report (crd_t *c, env_t *env, crd_upstream_t *u, const char *vm,
--- /dev/null
+++ b/tests/batbed_faults.c
@@ -0,0 +1,116 @@
+#include "batbed_int.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* -- faults --------------------------------------------------------------- */
+
+void
+batbed_kill (batbed_t *bed, uint32_t vm)
+{
+  if (!bed->vm[vm].up)
+    return;
+  bed_stop_vm (&bed->vm[vm]);
+  bed_members_soon (bed, BED_LIST_LAG_MS);
+}
+
+void
+batbed_restart (batbed_t *bed, uint32_t vm)
+{
+  if (bed->vm[vm].up)
+    return;
+  bed_start (bed, vm);
+  bed_members_soon (bed, BED_LIST_LAG_MS);
+}
+
+void
+batbed_freeze (batbed_t *bed, uint32_t vm, clk_ms_t duration)
+{
+  bed->vm[vm].frozen_until = bed->now + duration;
+}
+
+void
+batbed_cut (batbed_t *bed, uint32_t vm, clk_ms_t duration)
+{
+  bed->vm[vm].cut_until = bed->now + duration;
+  bed_members_soon (bed, BED_LIST_LAG_MS);
+  for (uint32_t i = 0; i < bed->desc.vms; i++)
+    bed_add (bed, bed_event (bed, bed->now + duration + 1, BED_MEMBERS, i));
+}
+
+void
+batbed_outage (batbed_t *bed, clk_ms_t duration)
+{
+  bed->outage_until = bed->now + duration;
+}
+
+void
+batbed_leave (batbed_t *bed, uint32_t index)
+{
+  bed_vm_t *vm = &bed->vm[index];
+  if (!vm->up)
+    return;
+  vm->env->now = bed->now;
+  bat_leave (vm->bat, vm->env);
+  bed_drain (bed, vm);
+}
+
+void
+batbed_heal (batbed_t *bed)
+{
+  bed->healed = true;
+  bed->outage_until = 0;
+  for (uint32_t i = 0; i < bed->desc.vms; i++)
+    {
+      bed->vm[i].cut_until = 0;
+      bed->vm[i].frozen_until
+          = clk_min (bed->vm[i].frozen_until, bed->now + CLK_SECOND);
+      batbed_restart (bed, i);
+    }
+}
+
+void
+batbed_forbid (batbed_t *bed, const char *job)
+{
+  g_hash_table_add (bed->forbidden, g_strdup (job));
+}
+
+typedef struct
+{
+  const char *prefix;
+  bool found;
+} _bed_has_t;
+
+static gboolean
+_bed_has_one (void *name, void *object, void *data)
+{
+  (void)object;
+  _bed_has_t *h = data;
+  h->found = strncmp (name, h->prefix, strlen (h->prefix)) == 0;
+  return h->found;
+}
+
+bool
+batbed_has (const batbed_t *bed, const char *prefix)
+{
+  _bed_has_t h = { .prefix = prefix };
+  g_tree_foreach (bed->objects, _bed_has_one, &h);
+  return h.found;
+}
+
+void
+batbed_fault_at (batbed_t *bed, uint32_t vm, unsigned nth,
+                 batbed_fault_t fault, clk_ms_t duration)
+{
+  bed->fault_vm = vm;
+  bed->fault_in = nth;
+  bed->fault = fault;
+  bed->fault_ms = duration;
+  bed->fault_done = false;
+}
+
+bool
+batbed_fault_done (const batbed_t *bed)
+{
+  return bed->fault_done;
+}
--- /dev/null
+++ b/tools/batbed_faults.c
@@ -0,0 +1,1 @@
+../tests/batbed_faults.c
--- /dev/null
+++ b/tools/batbed_int.h
@@ -0,0 +1,1 @@
+../tests/batbed_int.h
--- /dev/null
+++ b/tools/batbed_world.c
@@ -0,0 +1,1 @@
+../tests/batbed_world.c
