Process tests: jobs that stand still while their holder is lost or frozen

The engine can be told to hold after N completions, so that a kill hits a chunk with items in flight each time; before, the job was often over by then.

--- a/standin/engine.c
+++ b/standin/engine.c
@@ -31,6 +31,8 @@
   uint64_t lag_ms;
   bool checks_fencing;
   bool leaving;
+  bool hold; /**< no progress once hold_left completions ended */
+  json_int_t hold_left;
   cache_t *cache;
   report_t *report;
   GQueue *waiting; /**< job_t, in order of arrival */
@@ -142,10 +144,17 @@
   json_decref (object);
 }
 
+static bool
+_engine_held (const engine_t *e)
+{
+  return e->hold && e->hold_left <= 0;
+}
+
 static void
 _job_finish (job_t *job)
 {
   srv_req_t *req = job->req;
+  job->engine->hold_left--;
   _job_leave (job, JOB_DONE);
   if (job->stream)
     {
@@ -180,6 +189,12 @@
   (void)now;
   job->timer = NULL;
   job->prefilled = true;
+  if (_engine_held (job->engine))
+    {
+      job->timer = srv_after (job->engine->srv, job, job->engine->token_ms,
+                              _job_step, job);
+      return;
+    }
   if (job->req->fault == SRV_CUT && job->tokens >= job->max_tokens / 2)
     {
       _job_leave (job, JOB_DONE);
@@ -387,8 +402,9 @@
     srv_json (req, 200, _engine_state (e));
   else if (strcmp (path, "/counts") == 0)
     srv_json (req, 200,
-              json_pack ("{s:I, s:i, s:i, s:O}", "total", e->total, "running",
-                         (int)e->running, "waiting",
+              json_pack ("{s:I, s:b, s:i, s:i, s:O}", "total", e->total,
+                         "held", (int)(_engine_held (e) && e->running > 0),
+                         "running", (int)e->running, "waiting",
                          (int)g_queue_get_length (e->waiting), "by_request",
                          e->by_request));
   else
@@ -402,6 +418,12 @@
   const json_t *leaving = json_object_get (order, "leaving");
   if (leaving)
     e->leaving = json_is_true (leaving);
+  const json_t *hold = json_object_get (order, "hold_after");
+  if (hold)
+    {
+      e->hold = json_is_integer (hold);
+      e->hold_left = json_integer_value (hold);
+    }
 }
 
 /* Arguments */
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -15,6 +15,7 @@
 fleet_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 fleet_bin=$fleet_root/build
 fleet_wait_s=${FLEET_WAIT_S:-30}
+fleet_poll_s=0.05
 declare -A fleet_pid fleet_address fleet_centre
 fleet_vms=()
 fleet_upstreams=()
@@ -67,7 +68,7 @@
   local end=$((SECONDS + fleet_wait_s))
   while ! "$@"; do
     [ "$SECONDS" -lt "$end" ] || return 1
-    sleep 0.05
+    sleep "$fleet_poll_s"
   done
 }
 
@@ -89,7 +90,7 @@
   "$fleet_bin/standin" "$@" --port 0 --record "$fleet_dir/$name.received" \
     >"$fleet_dir/$name.log" 2>&1 &
   fleet_pid[$name]=$!
-  fleet_until grep -q '^listening on ' "$fleet_dir/$name.log" || return 1
+  fleet_until grep -qs '^listening on ' "$fleet_dir/$name.log" || return 1
   fleet_address[$name]=$(sed -n 's/^listening on //p' "$fleet_dir/$name.log")
 }
 
