--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -8,6 +8,42 @@
 
 #define NODE_BATCH_PATH "/v1/batches"
 
+/* -- status --------------------------------------------------------------- */
+
+static json_t *
+_node_status_vms (const node_t *n)
+{
+  json_t *vms = json_array ();
+  for (size_t i = 0; i < mbr_vm_count (n->mbr); i++)
+    {
+      const mbr_vm_t *m = mbr_vm_get (n->mbr, i);
+      json_array_append_new (
+          vms, json_pack ("{s:s, s:s, s:b, s:b}", "vm", m->name, "data_centre",
+                          m->data_centre, "up", m->up || m->self, "leaving",
+                          m->leaving));
+    }
+  return vms;
+}
+
+/* What the modules have to say to GET /v1/operator/status. */
+static void
+_node_status_add (void *data, json_t *status)
+{
+  const node_t *n = data;
+  bat_stat_t batch = bat_stat (n->bat);
+  char *upstreams = rte_format (NULL, n->rte, n->env);
+  json_object_set_new (status, "vms", _node_status_vms (n));
+  json_object_set_new (status, "online_requests",
+                       json_integer (onl_count (n->onl)));
+  json_object_set_new (status, "batch",
+                       json_pack ("{s:I, s:I, s:I}", "jobs",
+                                  (json_int_t)batch.jobs, "chunks_held",
+                                  (json_int_t)batch.holds, "items_running",
+                                  (json_int_t)batch.sends));
+  json_object_set_new (status, "upstreams", json_loads (upstreams, 0, NULL));
+  talloc_free (upstreams);
+}
+
 /* -- life ----------------------------------------------------------------- */
 
 void
@@ -23,10 +59,18 @@
   n->bat
       = bat_setup (n, &(bat_desc_t){ .credits = n->crd,
                                      .unix_offset_ms = desc->unix_offset_ms });
-  n->onl = onl_setup (n);
+  n->idm = idm_setup (n, &(idm_desc_t){ .members = n->mbr });
+  n->onl = onl_setup (n, &(onl_desc_t){ .members = n->mbr,
+                                        .limits = n->lim,
+                                        .keys = n->keys,
+                                        .routes = n->rte,
+                                        .records = n->idm });
   n->opr = opr_setup (
-      n, &(opr_desc_t){ .token_sha256 = desc->operator_token_sha256,
-                        .config = n->cfs });
+      n, &(opr_desc_t){ .cfs = n->cfs,
+                        .key = n->keys,
+                        .token_sha256 = desc->operator_token_sha256,
+                        .status_add = _node_status_add,
+                        .data = n });
 }
 
 void
@@ -36,6 +80,7 @@
   cfs_start (n->cfs, n->env);
   key_start (n->keys, n->env);
   lim_start (n->lim, n->env);
+  idm_start (n->idm, n->env);
   crd_start (n->crd, n->env);
   bat_start (n->bat, n->env);
 }
@@ -43,14 +88,16 @@
 void
 node_mods_leave (node_t *n)
 {
+  opr_leave (n->opr);
   bat_leave (n->bat, n->env);
+  onl_leave (n->onl, n->env);
   lim_leave (n->lim, n->env);
 }
 
 bool
 node_mods_left (const node_t *n)
 {
-  return onl_count (n->onl) == 0 && bat_left (n->bat);
+  return onl_left (n->onl, n->env) && bat_left (n->bat);
 }
 
 /* -- dispatch ------------------------------------------------------------- */
@@ -85,9 +132,11 @@
     case MOD_CREDIT:
       crd_timer_fired (n->crd, env, due->tag);
       break;
+    case MOD_IDEMPOTENT:
+      idm_timer_fired (n->idm, env, due->tag);
+      break;
     case MOD_NODE:
     case MOD_PLATFORM:
-    case MOD_IDEMPOTENT:
     case MOD_ORDER:
     case MOD_NUM:
       INV_CHECK (false, "timer-owner", "module %s", mod_name (due->mod));
@@ -116,11 +165,13 @@
     case MOD_BATCH:
       bat_platform_replied (n->bat, env, done, reply);
       break;
+    case MOD_IDEMPOTENT:
+      idm_platform_replied (n->idm, env, done, reply);
+      break;
     case MOD_NODE:
     case MOD_PLATFORM:
     case MOD_ONLINE:
     case MOD_ROUTE:
-    case MOD_IDEMPOTENT:
     case MOD_CREDIT:
     case MOD_ORDER:
     case MOD_NUM:
@@ -260,16 +311,9 @@
 void
 node_mods_request (node_t *n, const ev_request_t *req)
 {
-  if (strcmp (req->path, "/metrics") == 0)
-    {
-      char *text = cnt_format (NULL, n->env->cnt);
-      rpl_text (n->env, req->caller, 200, "text/plain; version=0.0.4",
-                buf_str (text));
-      talloc_free (text);
-    }
-  else if (opr_request (n->opr, n->env, req))
+  if (opr_request (n->opr, n->env, req))
     return;
-  else if (_node_is_batch (req->path))
+  if (_node_is_batch (req->path))
     _node_batch (n, req);
   else
     onl_request (n->onl, n->env, req);
@@ -278,6 +322,7 @@
 void
 node_mods_caller_gone (node_t *n, uint64_t caller)
 {
+  opr_caller_gone (n->opr, caller);
   onl_caller_gone (n->onl, n->env, caller);
   bat_caller_gone (n->bat, n->env, caller);
 }
@@ -365,6 +410,7 @@
   bool changed = cfs_changed (n->cfs);
   if (changed)
     _node_config_changed (n);
+  onl_pump (n->onl, n->env);
   _node_loads (n);
   bat_pump (n->bat, n->env);
   return changed;
