--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,463 @@
+/** @file
+ * Randomised runs of whole nodes: three data centres of two VMs, callers of
+ * every kind, and faults drawn from the seed (kills and restarts, freezes,
+ * data centres cut off, the platform away or losing answers, upstreams that
+ * fall silent, break off or refuse).  Afterwards calm, then everything that
+ * must always hold is checked.
+ *
+ *   build/tests/test_fleet [--seeds COUNT] [--from SEED]
+ */
+#include "core/inv.h"
+#include "flt.h"
+#include "tst.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define SEEDS_DEFAULT 6
+#define CHAOS_MS (25 * CLK_SECOND)
+#define CALM_MS (60 * CLK_SECOND)
+#define WARM_MS (8 * CLK_SECOND)
+#define REQUEST_MS 40    /* between requests, on average */
+#define FAULT_MS 1500    /* between faults, on average */
+#define DEADLINE_MS 4000 /* of the routes */
+#define LATE_MS 1000     /* for an answer's own way */
+#define JOB_ITEMS 60
+#define UPSTREAMS 6
+#define ORDERS_RATE 5
+#define ORDERS_BURST 10
+
+#define KEY_ONLINE "key-of-the-tailors"
+#define KEY_ORDERS "key-of-the-workshop"
+#define KEY_GONE "key-to-be-withdrawn"
+
+typedef enum
+{
+  ASK_COMPLETION,
+  ASK_ORDER,
+  ASK_KIND_NUM
+} ask_kind_t;
+
+/* A request and what it asked for. */
+typedef struct
+{
+  ask_kind_t kind;
+  uint64_t id;
+  char *marker;
+} ask_t;
+
+/* One run. */
+typedef struct
+{
+  uint32_t seed;
+  flt_t *fleet;
+  GRand *rand; /* of the test, apart from the fleet's */
+  ask_t *asks;
+  size_t ask_count;
+  clk_ms_t began;
+  uint64_t job; /* the answer to the job's submission */
+  char *job_id;
+  bool down[6]; /* killed, to be started again */
+} run_t;
+
+static uint32_t from_seed = 1;
+static uint32_t seeds = SEEDS_DEFAULT;
+
+/* -- document ------------------------------------------------------------- */
+
+static void
+add_key (char **text, const char *name, const char *customer, const char *key)
+{
+  char *sha256 = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+  *text = talloc_asprintf_append_buffer (
+      *text, "[key %s]\nowner = ops\ncustomer = %s\nsha256 = %s\n", name,
+      customer, sha256);
+  g_free (sha256);
+}
+
+static char *
+document (void *ctx)
+{
+  char *text = talloc_asprintf (
+      ctx,
+      "[customer tailors]\nowner = ops\nrate = 200/s\nburst = 200\n"
+      "[customer workshop]\nowner = ops\nrate = %d/s\nburst = %d\n"
+      "[deployment snit]\nowner = ops\nkind = engine\nslots = 8\n"
+      "[deployment cloth]\nowner = ops\nkind = plain\nslots = 8\n"
+      "[route POST /v1/completions]\nowner = ops\ndeployment = snit\n"
+      "idempotent = yes\ndeadline = %d ms\n"
+      "[route POST /orders]\nowner = ops\ndeployment = cloth\n"
+      "deadline = %d ms\n",
+      ORDERS_RATE, ORDERS_BURST, DEADLINE_MS, DEADLINE_MS);
+  for (int i = 0; i < 3; i++)
+    text = talloc_asprintf_append_buffer (
+        text, "[data-centre dc-%d]\nowner = ops\n", i);
+  for (int i = 0; i < UPSTREAMS; i++)
+    text = talloc_asprintf_append_buffer (
+        text,
+        "[upstream u%d]\nowner = ops\ndeployment = %s\n"
+        "data_centre = dc-%d\naddress = 10.0.0.%d:80\n",
+        i, i < 3 ? "snit" : "cloth", i % 3, i + 1);
+  add_key (&text, "tailors-1", "tailors", KEY_ONLINE);
+  add_key (&text, "workshop-1", "workshop", KEY_ORDERS);
+  add_key (&text, "gone-1", "tailors", KEY_GONE);
+  return text;
+}
+
+/* -- load and faults ------------------------------------------------------ */
+
+static size_t
+any_vm (run_t *r)
+{
+  return (size_t)g_rand_int_range (r->rand, 0, 6);
+}
+
+static void
+ask (run_t *r)
+{
+  ask_kind_t kind
+      = g_rand_int_range (r->rand, 0, 4) == 0 ? ASK_ORDER : ASK_COMPLETION;
+  r->asks = talloc_realloc (r->fleet, r->asks, ask_t, r->ask_count + 1);
+  ask_t *a = &r->asks[r->ask_count];
+  a->kind = kind;
+  a->marker
+      = talloc_asprintf (r->fleet, "marker-%u-%zu", r->seed, r->ask_count++);
+  bool order = kind == ASK_ORDER;
+  char *body = talloc_asprintf (r->fleet, "{\"prompt\":\"%s\"}", a->marker);
+  a->id = flt_request (
+      r->fleet, any_vm (r),
+      &(flt_request_t){ .method = "POST",
+                        .path = order ? "/orders" : "/v1/completions",
+                        .key = order ? KEY_ORDERS : KEY_ONLINE,
+                        .idempotency_key = order ? a->marker : NULL,
+                        .body = body });
+}
+
+static void
+kill_or_start (run_t *r)
+{
+  size_t vm = any_vm (r);
+  if (r->down[vm])
+    flt_start (r->fleet, vm);
+  else
+    flt_kill (r->fleet, vm);
+  r->down[vm] = !r->down[vm];
+}
+
+static void
+fault (run_t *r)
+{
+  clk_ms_t now = flt_now (r->fleet);
+  char address[32];
+  (void)snprintf (address, sizeof address, "10.0.0.%d:80",
+                  g_rand_int_range (r->rand, 0, UPSTREAMS) + 1);
+  switch (g_rand_int_range (r->rand, 0, 6))
+    {
+    case 0:
+    case 1:
+      kill_or_start (r);
+      break;
+    case 2:
+      flt_freeze (r->fleet, any_vm (r),
+                  now + g_rand_int_range (r->rand, 100, 9000));
+      break;
+    case 3:
+      flt_cut (r->fleet, (size_t)g_rand_int_range (r->rand, 0, 3),
+               g_rand_boolean (r->rand));
+      break;
+    case 4:
+      flt_platform (r->fleet,
+                    (flt_platform_t)g_rand_int_range (r->rand, 0, 3));
+      break;
+    default:
+      flt_upstream (r->fleet, address,
+                    (flt_upstream_t)g_rand_int_range (r->rand, 0, 4));
+      break;
+    }
+}
+
+static void
+heal (run_t *r)
+{
+  flt_platform (r->fleet, FLT_PLATFORM_OK);
+  for (size_t i = 0; i < 3; i++)
+    flt_cut (r->fleet, i, false);
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      char address[32];
+      (void)snprintf (address, sizeof address, "10.0.0.%d:80", i + 1);
+      flt_upstream (r->fleet, address, FLT_UPSTREAM_OK);
+    }
+  for (size_t i = 0; i < 6; i++)
+    {
+      if (r->down[i])
+        flt_start (r->fleet, i);
+      r->down[i] = false;
+    }
+}
+
+static clk_ms_t
+next_after (run_t *r, int mean)
+{
+  return flt_now (r->fleet) + g_rand_int_range (r->rand, 1, 2 * mean);
+}
+
+static void
+chaos (run_t *r, clk_ms_t until)
+{
+  clk_ms_t next_ask = next_after (r, REQUEST_MS);
+  clk_ms_t next_fault = next_after (r, FAULT_MS);
+  while (flt_now (r->fleet) < until)
+    {
+      flt_run (r->fleet, clk_min (next_ask, next_fault));
+      if (flt_now (r->fleet) >= next_ask)
+        {
+          ask (r);
+          next_ask = next_after (r, REQUEST_MS);
+        }
+      if (flt_now (r->fleet) >= next_fault)
+        {
+          fault (r);
+          next_fault = next_after (r, FAULT_MS);
+        }
+    }
+}
+
+/* -- jobs ----------------------------------------------------------------- */
+
+static uint64_t
+job_call (run_t *r, size_t vm, const char *method, const char *path,
+          const char *body)
+{
+  return flt_request (r->fleet, vm,
+                      &(flt_request_t){ .method = method,
+                                        .path = path,
+                                        .key = KEY_ONLINE,
+                                        .idempotency_key = "lot-1",
+                                        .body = body });
+}
+
+static void
+submit_job (run_t *r)
+{
+  char *lines = talloc_strdup (r->fleet, "");
+  for (int i = 0; i < JOB_ITEMS; i++)
+    lines = talloc_asprintf_append_buffer (
+        lines,
+        "{\"custom_id\":\"i%d\",\"method\":\"POST\","
+        "\"url\":\"/v1/completions\",\"body\":{\"prompt\":\"item %d\"}}\n",
+        i, i);
+  for (int tries = 0; tries < 20; tries++)
+    {
+      r->job = job_call (r, any_vm (r), "POST", "/v1/batches", lines);
+      flt_run (r->fleet, flt_now (r->fleet) + CLK_SECOND);
+      const flt_answer_t *a = flt_answer (r->fleet, r->job);
+      const char *id = strstr (a->body, "\"id\":\"");
+      if (a->status < 300 && id != NULL)
+        {
+          r->job_id
+              = talloc_strndup (r->fleet, id + 6, strcspn (id + 6, "\""));
+          return;
+        }
+    }
+}
+
+static const char *
+job_results (run_t *r, size_t vm)
+{
+  char *path = talloc_asprintf (r->fleet, "/v1/batches/%s/results", r->job_id);
+  uint64_t id = job_call (r, vm, "GET", path, "");
+  flt_run (r->fleet, flt_now (r->fleet) + 2 * CLK_SECOND);
+  return flt_answer (r->fleet, id)->body;
+}
+
+static unsigned
+occurrences (const char *text, const char *word)
+{
+  unsigned n = 0;
+  for (const char *at = strstr (text, word); at != NULL;
+       at = strstr (at + 1, word))
+    n++;
+  return n;
+}
+
+static void
+check_job (run_t *r)
+{
+  INV_CHECK (r->job_id != NULL, "job-accepted", "seed %u: %s", r->seed,
+             flt_answer (r->fleet, r->job)->body);
+  const char *results = job_results (r, 0);
+  INV_CHECK (occurrences (results, "\"state\":\"done\"") == JOB_ITEMS,
+             "each-item-done-once", "seed %u: %s", r->seed, results);
+  for (int i = 0; i < JOB_ITEMS; i++)
+    {
+      char word[32];
+      (void)snprintf (word, sizeof word, "\"custom_id\":\"i%d\"", i);
+      INV_CHECK (occurrences (results, word) == 1, "each-item-once",
+                 "seed %u: item %d", r->seed, i);
+    }
+  INV_CHECK (strcmp (results, job_results (r, 5)) == 0,
+             "results-read-the-same", "seed %u", r->seed);
+}
+
+/* -- what must hold ------------------------------------------------------- */
+
+static void
+check_ask (const run_t *r, const ask_t *ask_made)
+{
+  const flt_answer_t *a = flt_answer (r->fleet, ask_made->id);
+  char *body = talloc_asprintf (NULL, "{\"prompt\":\"%s\"}", ask_made->marker);
+  unsigned runs = flt_runs (r->fleet, body);
+  talloc_free (body);
+  if (ask_made->kind == ASK_ORDER)
+    INV_CHECK (runs <= 1, "at-most-once", "seed %u: %s ran %u times", r->seed,
+               ask_made->marker, runs);
+  if (a->status == 200 && a->ended)
+    INV_CHECK (runs >= 1 && strstr (a->body, ask_made->marker) != NULL
+                   && g_str_has_suffix (a->body, "\"}\"}"),
+               "whole-own-answer", "seed %u: %s got %s", r->seed,
+               ask_made->marker, a->body);
+  if (strstr (a->body, "\"run\":\"not-run\"") != NULL)
+    INV_CHECK (runs == 0, "not-run-is-true", "seed %u: %s ran %u times: %s",
+               r->seed, ask_made->marker, runs, a->body);
+}
+
+/* Orders that ran stay within rate and burst over the whole run. */
+static void
+check_rate (const run_t *r)
+{
+  unsigned ran = 0;
+  for (size_t i = 0; i < r->ask_count; i++)
+    {
+      if (r->asks[i].kind == ASK_ORDER)
+        ran += flt_runs (r->fleet, r->asks[i].marker);
+    }
+  double most
+      = ORDERS_BURST + ORDERS_RATE * (double)(flt_now (r->fleet)) / CLK_SECOND;
+  INV_CHECK (ran <= most, "never-above-rate", "seed %u: %u ran, at most %.0f",
+             r->seed, ran, most);
+}
+
+static void
+check_calm (run_t *r)
+{
+  unsigned served = 0;
+  for (size_t i = 0; i < 6; i++)
+    {
+      uint64_t id
+          = flt_request (r->fleet, i,
+                         &(flt_request_t){ .method = "POST",
+                                           .path = "/v1/completions",
+                                           .key = KEY_ONLINE,
+                                           .body = "{\"prompt\":\"calm\"}" });
+      flt_run (r->fleet, flt_now (r->fleet) + 2 * CLK_SECOND);
+      served += flt_answer (r->fleet, id)->status == 200;
+    }
+  INV_CHECK (served == 6, "served-after-the-faults", "seed %u: %u of 6 VMs",
+             r->seed, served);
+}
+
+static void
+check_withdrawal (run_t *r)
+{
+  uint64_t id
+      = flt_request (r->fleet, 2,
+                     &(flt_request_t){ .method = "POST",
+                                       .path = "/v1/operator/keys/withdraw",
+                                       .key = FLT_OPERATOR_TOKEN,
+                                       .body = "{\"name\":\"gone-1\"}" });
+  flt_run (r->fleet, flt_now (r->fleet) + 2 * CLK_SECOND);
+  INV_CHECK (flt_answer (r->fleet, id)->status == 200, "withdrawal-taken",
+             "seed %u: %s", r->seed, flt_answer (r->fleet, id)->body);
+  for (size_t i = 0; i < 6; i++)
+    {
+      id = flt_request (r->fleet, i,
+                        &(flt_request_t){ .method = "POST",
+                                          .path = "/v1/completions",
+                                          .key = KEY_GONE,
+                                          .body = "{\"prompt\":\"gone\"}" });
+      flt_run (r->fleet, flt_now (r->fleet) + CLK_SECOND);
+      INV_CHECK (flt_answer (r->fleet, id)->status == 401,
+                 "withdrawn-key-is-refused", "seed %u: VM %zu says %d",
+                 r->seed, i, flt_answer (r->fleet, id)->status);
+    }
+}
+
+static void
+check_leave (run_t *r)
+{
+  flt_leave (r->fleet, 0);
+  flt_run (r->fleet, flt_now (r->fleet) + 30 * CLK_SECOND);
+  INV_CHECK (flt_exited (r->fleet, 0), "graceful-shutdown-ends", "seed %u",
+             r->seed);
+}
+
+static void
+check_all (run_t *r)
+{
+  for (size_t i = 0; i < r->ask_count; i++)
+    check_ask (r, &r->asks[i]);
+  check_rate (r);
+  check_calm (r);
+  check_job (r);
+  check_withdrawal (r);
+  INV_CHECK (!flt_upstream_saw (r->fleet, KEY_ONLINE)
+                 && !flt_upstream_saw (r->fleet, KEY_ORDERS)
+                 && !flt_upstream_saw (r->fleet, KEY_GONE),
+             "no-key-reaches-an-upstream", "seed %u", r->seed);
+  check_leave (r);
+}
+
+static void
+run_seed (uint32_t seed)
+{
+  void *ctx = talloc_new (NULL);
+  run_t r = { .seed = seed, .rand = g_rand_new_with_seed (seed) };
+  r.fleet = flt_setup (ctx, &(flt_desc_t){ .seed = seed,
+                                           .data_centres = 3,
+                                           .vms = 2,
+                                           .document = document (ctx) });
+  flt_run (r.fleet, WARM_MS);
+  submit_job (&r);
+  r.began = flt_now (r.fleet);
+  chaos (&r, r.began + CHAOS_MS);
+  heal (&r);
+  if (r.job_id == NULL)
+    submit_job (&r);
+  flt_run (r.fleet, flt_now (r.fleet) + CALM_MS);
+  check_all (&r);
+  g_rand_free (r.rand);
+  talloc_free (ctx);
+}
+
+static void
+test_everything_holds_under_random_faults (void)
+{
+  for (uint32_t i = 0; i < seeds; i++)
+    {
+      printf ("seed %u\n", from_seed + i);
+      fflush (stdout);
+      run_seed (from_seed + i);
+    }
+  CU_PASS ("no invariant was broken");
+}
+
+int
+main (int argc, char **argv)
+{
+  static const tst_case_t cases[] = {
+    { "everything_holds_under_random_faults",
+      test_everything_holds_under_random_faults },
+  };
+  for (int i = 1; i + 1 < argc; i += 2)
+    {
+      uint32_t value = (uint32_t)strtoul (argv[i + 1], NULL, 10);
+      if (strcmp (argv[i], "--seeds") == 0)
+        seeds = value;
+      if (strcmp (argv[i], "--from") == 0)
+        from_seed = value;
+    }
+  return tst_run ("fleet", cases, sizeof cases / sizeof cases[0]);
+}
