Limits at size: most of a customer's rate at its home data centre; tests of membership

Cause: with 420 VMs an even part of a bucket of 8 tokens is below one token, so nearly each request asked seven VMs (23 KB/s a VM) and up to 12 % of a customer's requests were refused wrongly (90 s at 80 %). Ruled out: one minter a data centre in place of two (15 KB/s, 1.8 %). Change: in a fleet of more than 16 VMs the lists say which data centre is a customer's home; the others keep 40 % of an even part, for when they are cut off. Small fleets stay even.

--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -181,6 +181,7 @@
   for (size_t i = 0; i < l->customer_count; i++)
     {
       _lim_apply_share (l, env, l->customers[i], since);
+      l->customers[i]->sources_of = 0;
       if (fill)
         lbk_fill (l->customers[i]->bucket);
     }
@@ -214,7 +215,12 @@
 void
 lim_config_changed (lim_t *l, env_t *env, const cfg_doc_t *doc)
 {
-  lsh_set_data_centres (l->shares, doc->data_centre_count);
+  const char **names
+      = talloc_array (l, const char *, doc->data_centre_count + 1);
+  for (size_t i = 0; i < doc->data_centre_count; i++)
+    names[i] = doc->data_centres[i].name;
+  lsh_set_data_centres (l->shares, names, doc->data_centre_count);
+  talloc_free (names);
   _lim_sync (l, env);
   l->config++;
   for (size_t i = 0; i < doc->customer_count; i++)
@@ -255,12 +261,15 @@
   c->source_count = 0;
   if (c->sources == NULL)
     c->sources = talloc_array (c, lim_source_t, LIM_SOURCES_MAX);
-  _lim_add_sources (c, m, env, env->data_centre);
+  const char *first = lsh_home (l->shares, c->name);
+  if (first == NULL)
+    first = env->data_centre;
+  _lim_add_sources (c, m, env, first);
   c->near_count = c->source_count;
   for (size_t i = 0; i < mbr_data_centre_count (m); i++)
     {
       const char *data_centre = mbr_data_centre_get (m, i);
-      if (strcmp (data_centre, env->data_centre) != 0)
+      if (strcmp (data_centre, first) != 0)
         _lim_add_sources (c, m, env, data_centre);
     }
 }
--- a/src/core/lim_change.c
+++ b/src/core/lim_change.c
@@ -3,6 +3,13 @@
 #include <string.h>
 #include <talloc.h>
 
+/* Up to so many VMs the data centres divide the whole evenly. */
+#define LSH_EVEN_VMS_MAX 16
+
+/* Above, a data centre keeps so much of an even part of a customer that is
+ * at home elsewhere. */
+#define LSH_AWAY_PERCENT 40
+
 /* A later writer lets the earlier ones go first for so long each. */
 #define LSH_WRITER_TURN (1 * CLK_SECOND)
 
@@ -149,28 +156,60 @@
   talloc_free (next);
 }
 
-/* The first lists of a data centre: the VMs known by now, and what the other
- * data centres leave of the whole. */
-void
-lsh_change_found (lsh_t *s, env_t *env, const ev_platform_t *survey)
+/* How the data centres of the document divide the whole: evenly, or in a
+ * large fleet with most of it at the customer's home. */
+static void
+_lsh_divide (const lsh_t *s, lli_t *lists)
+{
+  uint32_t count = (uint32_t)s->data_centre_count;
+  for (uint32_t i = 0; i < count; i++)
+    lists->data_centres[i] = s->data_centres[i];
+  lists->data_centre_count = count;
+  lists->away = LSH_WHOLE / count;
+  if (mbr_vm_count (s->desc.members) > LSH_EVEN_VMS_MAX)
+    lists->away = lists->away / 100 * LSH_AWAY_PERCENT;
+  lists->home = LSH_WHOLE - (count - 1) * lists->away;
+  if (mbr_vm_count (s->desc.members) <= LSH_EVEN_VMS_MAX)
+    lists->home = lists->away;
+}
+
+/* Go by what other data centres have: the same division, or what it leaves. */
+static void
+_lsh_fit_division (const lsh_t *s, lli_t *lists, const ev_platform_t *survey)
 {
   uint64_t taken = 0;
+  bool same = true;
   for (size_t i = 0; i < survey->object_count; i++)
     {
       const ev_object_t *o = &survey->objects[i];
-      lli_t *other = lli_decode (s, o->version, o->value);
-      taken += other ? other->parts : LSH_WHOLE;
-      talloc_free (other);
+      lli_t *other = lli_decode (lists, o->version, o->value);
+      if (other != NULL && taken == 0 && same)
+        {
+          lists->home = other->home;
+          lists->away = other->away;
+        }
+      same = same && other != NULL && lli_same_division (lists, other);
+      uint32_t most = LSH_WHOLE;
+      if (other != NULL)
+        most = other->home > other->away ? other->home : other->away;
+      taken += most;
     }
-  uint64_t parts = LSH_WHOLE / s->data_centres;
+  if (same)
+    return;
   uint64_t left = taken < LSH_WHOLE ? LSH_WHOLE - taken : 0;
-  lli_t *lists = talloc_zero (s, lli_t);
-  lists->parts = (uint32_t)(parts < left ? parts : left);
+  uint64_t even = LSH_WHOLE / s->data_centre_count;
+  lists->home = lists->away = (uint32_t)(left < even ? left : even);
+}
+
+/* The first lists of a data centre: the VMs known by now. */
+void
+lsh_change_found (lsh_t *s, env_t *env, const ev_platform_t *survey)
+{
+  lli_t *lists = lli_setup (s);
   lists->short_no = 1;
   lists->long_no = 1;
-  lists->vms = talloc_array (lists, const char *, LLI_VMS_MAX);
-  lists->hashes = talloc_array (lists, uint64_t, LLI_VMS_MAX);
-  lists->in = talloc_array (lists, uint8_t, LLI_VMS_MAX);
+  _lsh_divide (s, lists);
+  _lsh_fit_division (s, lists, survey);
   for (size_t i = 0; i < mbr_vm_count (s->desc.members); i++)
     {
       const mbr_vm_t *vm = mbr_vm_get (s->desc.members, i);
--- a/src/core/lim_lists.c
+++ b/src/core/lim_lists.c
@@ -12,7 +12,11 @@
 {
   mpk_writer_t w;
   mpk_writer_init (&w, ctx);
-  mpk_put_uint (&w, lists->parts);
+  mpk_put_uint (&w, lists->home);
+  mpk_put_uint (&w, lists->away);
+  mpk_put_uint (&w, lists->data_centre_count);
+  for (size_t i = 0; i < lists->data_centre_count; i++)
+    mpk_put_str (&w, buf_str (lists->data_centres[i]));
   mpk_put_uint (&w, lists->short_no);
   mpk_put_uint (&w, lists->long_no);
   for (size_t i = 0; i < lists->count; i++)
@@ -24,15 +28,34 @@
 }
 
 lli_t *
-lli_decode (void *ctx, uint64_t version, buf_t value)
+lli_setup (void *ctx)
 {
   lli_t *lists = talloc_zero (ctx, lli_t);
-  lists->version = version;
   lists->vms = talloc_array (lists, const char *, LLI_VMS_MAX);
   lists->hashes = talloc_array (lists, uint64_t, LLI_VMS_MAX);
   lists->in = talloc_array (lists, uint8_t, LLI_VMS_MAX);
+  return lists;
+}
+
+static void
+_lli_decode_data_centres (lli_t *lists, mpk_reader_t *r)
+{
+  uint64_t count = mpk_get_uint (r);
+  if (count > LLI_DATA_CENTRES_MAX)
+    r->failed = true;
+  for (uint64_t i = 0; i < count && !r->failed; i++)
+    lists->data_centres[lists->data_centre_count++] = mpk_get_str (r).p;
+}
+
+lli_t *
+lli_decode (void *ctx, uint64_t version, buf_t value)
+{
+  lli_t *lists = lli_setup (ctx);
+  lists->version = version;
   mpk_reader_t r = mpk_reader (lists, value);
-  lists->parts = (uint32_t)mpk_get_uint (&r);
+  lists->home = (uint32_t)mpk_get_uint (&r);
+  lists->away = (uint32_t)mpk_get_uint (&r);
+  _lli_decode_data_centres (lists, &r);
   lists->short_no = mpk_get_uint (&r);
   lists->long_no = mpk_get_uint (&r);
   while (mpk_more (&r) && lists->count < LLI_VMS_MAX)
@@ -42,7 +65,7 @@
       if (!r.failed)
         lli_append (lists, vm, in);
     }
-  if (mpk_end (&r) && lists->parts <= LSH_WHOLE)
+  if (mpk_end (&r) && lists->home <= LSH_WHOLE && lists->away <= LSH_WHOLE)
     return lists;
   talloc_free (lists);
   return NULL;
@@ -78,6 +101,27 @@
   return LLI_WRITERS_MAX;
 }
 
+const char *
+lli_home (const lli_t *lists, const char *customer)
+{
+  if (lists->home == lists->away)
+    return NULL;
+  return own_pick (lists->data_centres, lists->data_centre_count, MOD_LIMIT,
+                   customer);
+}
+
+bool
+lli_same_division (const lli_t *a, const lli_t *b)
+{
+  if (a->home != b->home || a->away != b->away
+      || a->data_centre_count != b->data_centre_count)
+    return false;
+  for (size_t i = 0; i < a->data_centre_count; i++)
+    if (strcmp (a->data_centres[i], b->data_centres[i]) != 0)
+      return false;
+  return true;
+}
+
 lli_t *
 lli_copy (void *ctx, const lli_t *lists)
 {
--- a/src/core/lim_lists.h
+++ b/src/core/lim_lists.h
@@ -12,11 +12,15 @@
 
 #include "core/buf.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** VMs that may change the lists: the first ones of the short list. */
 #define LLI_WRITERS_MAX 3
 
+/** Data centres of a fleet. */
+#define LLI_DATA_CENTRES_MAX 32
+
 /** VMs of a data centre. */
 #define LLI_VMS_MAX 1024
 
@@ -36,7 +40,10 @@
 typedef struct
 {
   uint64_t version;
-  uint32_t parts;    /**< of the whole */
+  uint32_t home; /**< part of the whole of a customer at home here */
+  uint32_t away; /**< of any other customer */
+  size_t data_centre_count;
+  const char *data_centres[LLI_DATA_CENTRES_MAX]; /**< that divide the whole */
   uint64_t short_no; /**< grows with each change of the short list */
   uint64_t long_no;
   size_t count;
@@ -51,6 +58,15 @@
 /** The lists in VALUE, owned by CTX; NULL when it is not an object's. */
 lli_t *lli_decode (void *ctx, uint64_t version, buf_t value);
 
+/** New empty lists owned by CTX. */
+lli_t *lli_setup (void *ctx);
+
+/** The data centre that CUSTOMER is at home in; NULL: all are alike. */
+const char *lli_home (const lli_t *lists, const char *customer);
+
+/** Whether A and B divide the whole between data centres alike. */
+bool lli_same_division (const lli_t *a, const lli_t *b);
+
 /** A copy owned by CTX. */
 lli_t *lli_copy (void *ctx, const lli_t *lists);
 
--- a/src/core/lim_share.c
+++ b/src/core/lim_share.c
@@ -56,9 +56,15 @@
 }
 
 void
-lsh_set_data_centres (lsh_t *s, size_t count)
+lsh_set_data_centres (lsh_t *s, const char *const *names, size_t count)
 {
-  s->data_centres = count;
+  if (count > LLI_DATA_CENTRES_MAX)
+    count = LLI_DATA_CENTRES_MAX;
+  talloc_free (s->data_centres);
+  s->data_centres = talloc_array (s, const char *, count);
+  s->data_centre_count = count;
+  for (size_t i = 0; i < count; i++)
+    s->data_centres[i] = talloc_strdup (s->data_centres, names[i]);
 }
 
 void
@@ -201,11 +207,14 @@
   uint32_t parts = 0;
   if (s->lists == NULL)
     return 0;
-  uint32_t by_long = s->lists->parts / 100 * s->desc.long_percent;
+  const char *home = lli_home (s->lists, customer);
+  bool at_home = home != NULL && strcmp (home, env->data_centre) == 0;
+  uint32_t part = at_home ? s->lists->home : s->lists->away;
+  uint32_t by_long = part / 100 * s->desc.long_percent;
   if (s->rights & LSH_SHORT)
     parts += _lsh_smaller_part (s, env->vm, customer, LLI_IN_SHORT,
                                 LLI_IN_SHORT_OLD, s->rights & LSH_SHORT_NEW,
-                                s->lists->parts - by_long);
+                                part - by_long);
   if (s->rights & LSH_LONG)
     parts += _lsh_smaller_part (s, env->vm, customer, LLI_IN_LONG,
                                 LLI_IN_LONG_OLD, s->rights & LSH_LONG_NEW,
@@ -213,6 +222,12 @@
   return parts;
 }
 
+const char *
+lsh_home (const lsh_t *s, const char *customer)
+{
+  return s->lists ? lli_home (s->lists, customer) : NULL;
+}
+
 unsigned
 lsh_rights (const lsh_t *s)
 {
@@ -398,7 +413,7 @@
 _lsh_arm_next_poll (lsh_t *s, env_t *env)
 {
   clk_ms_t wait = s->desc.short_life_ms * 2 / 5;
-  if (s->lists == NULL && s->data_centres > 0 && !s->read_failed)
+  if (s->lists == NULL && s->data_centre_count > 0 && !s->read_failed)
     wait = LSH_FOUND_POLL_MS;
   else if (s->lists == NULL || s->read_failed)
     wait = wait / 2;
@@ -429,7 +444,7 @@
 static void
 _lsh_read_absent (lsh_t *s, env_t *env)
 {
-  if (s->lists != NULL || s->writing || s->data_centres == 0
+  if (s->lists != NULL || s->writing || s->data_centre_count == 0
       || mbr_listed_at (s->desc.members) == CLK_NEVER
       || env->now < s->born + LSH_FOUND_MS)
     return;
--- a/src/core/lim_share.h
+++ b/src/core/lim_share.h
@@ -7,7 +7,9 @@
  *   parts = lsh_parts (s, "kvist-roster");       of LSH_WHOLE
  *
  * The parts of all VMs sum to at most LSH_WHOLE at every instant, whatever
- * any of them believes.  Each data centre has a fixed part of the whole.  An
+ * any of them believes.  Each data centre has a fixed part of the whole: the
+ * same in a small fleet, while in a large one, where an even part would be
+ * less than a token, most is at the customer's home.  An
  * object of the platform lists the VMs that divide it: a customer's part is
  * divided between the first few of them by rendezvous hashing.  A right
  * counts from before the read that confirmed it and ends by itself; a new
@@ -73,11 +75,15 @@
 /** Free it. */
 void lsh_shutdown (lsh_t *s);
 
-/** Begin; DATA_CENTRES: how many divide the whole when none does yet. */
+/** Begin. */
 void lsh_start (lsh_t *s, env_t *env);
 
-/** How many data centres the operators' document has. */
-void lsh_set_data_centres (lsh_t *s, size_t count);
+/** The data centres of the operators' document (copied); they divide the
+ * whole when none does yet. */
+void lsh_set_data_centres (lsh_t *s, const char *const *names, size_t count);
+
+/** The data centre that has most of CUSTOMER's rate; NULL: all alike. */
+const char *lsh_home (const lsh_t *s, const char *customer);
 
 void lsh_timer_fired (lsh_t *s, env_t *env, uint64_t tag);
 void lsh_platform_replied (lsh_t *s, env_t *env, const plt_done_t *done,
--- a/src/core/lim_share_priv.h
+++ b/src/core/lim_share_priv.h
@@ -26,7 +26,8 @@
 struct lsh
 {
   lsh_desc_t desc;
-  size_t data_centres;
+  size_t data_centre_count; /* as in the operators' document */
+  const char **data_centres;
   char *object;
   clk_ms_t born;
   lli_t *lists;
--- /dev/null
+++ b/tests/test_mbr.c
@@ -0,0 +1,203 @@
+/* Membership: the list, who answers, links and messages over other VMs. */
+#include "../tools/limnet.h"
+#include "tst.h"
+
+#define LARGE 128
+
+static net_desc_t
+_desc (uint32_t vms, uint32_t data_centres)
+{
+  return (net_desc_t){ .vms = vms,
+                       .data_centres = data_centres,
+                       .delay_ms = 1,
+                       .seed = 1,
+                       .customers = 1,
+                       .rate = 10,
+                       .burst_seconds = 2,
+                       .load = 0.5 };
+}
+
+static void
+test_full_mesh (void)
+{
+  net_desc_t desc = _desc (8, 4);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 5000);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      const mbr_t *m = n->vms[i].mbr;
+      CU_ASSERT_EQUAL (mbr_vm_count (m), 8);
+      CU_ASSERT_EQUAL (mbr_link_count (m), 7);
+      CU_ASSERT_STRING_EQUAL (
+          mbr_owner (m, "dc1", MOD_LIMIT, "x"),
+          mbr_owner (n->vms[0].mbr, "dc1", MOD_LIMIT, "x"));
+    }
+  CU_ASSERT_PTR_NULL (mbr_owner (n->vms[0].mbr, "nowhere", MOD_LIMIT, "x"));
+  talloc_free (n);
+}
+
+static void
+test_lost_vm (void)
+{
+  net_desc_t desc = _desc (8, 4);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 5000);
+  net_kill_vm (n, 1, false);
+  net_run (n, 9000);
+  const mbr_vm_t *v = mbr_vm_find (n->vms[0].mbr, "v1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (v);
+  CU_ASSERT_FALSE (v->up);
+  CU_ASSERT (v->down_since < 9000);
+  CU_ASSERT_STRING_EQUAL (mbr_owner (n->vms[0].mbr, "dc1", MOD_LIMIT, "x"),
+                          "v5");
+  n->vms[1].listed = false;
+  net_run (n, 40000);
+  CU_ASSERT_PTR_NULL (mbr_vm_find (n->vms[0].mbr, "v1"));
+  net_start_vm (n, 1);
+  net_run (n, 80000);
+  v = mbr_vm_find (n->vms[0].mbr, "v1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (v);
+  CU_ASSERT (v->up);
+  talloc_free (n);
+}
+
+static void
+test_frozen_vm_comes_back (void)
+{
+  net_desc_t desc = _desc (6, 3);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 5000);
+  net_freeze_vm (n, 2, 15000);
+  net_run (n, 10000);
+  CU_ASSERT_FALSE (mbr_vm_find (n->vms[0].mbr, "v2")->up);
+  net_run (n, 17000);
+  CU_ASSERT (mbr_vm_find (n->vms[0].mbr, "v2")->up);
+  CU_ASSERT (mbr_vm_find (n->vms[2].mbr, "v0")->up);
+  talloc_free (n);
+}
+
+static void
+test_list_kept_in_outage (void)
+{
+  net_desc_t desc = _desc (6, 3);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 5000);
+  n->platform_away = true;
+  net_run (n, 5 * CLK_MINUTE);
+  for (uint32_t i = 0; i < 6; i++)
+    CU_ASSERT_EQUAL (mbr_vm_count (n->vms[i].mbr), 6);
+  talloc_free (n);
+}
+
+/* A VM that starts while the platform is away has its list from a peer. */
+static void
+test_start_in_outage (void)
+{
+  net_desc_t desc = _desc (6, 3);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 5000);
+  n->platform_away = true;
+  net_kill_vm (n, 3, true);
+  net_run (n, 8000);
+  net_start_vm (n, 3);
+  net_run (n, 20000);
+  CU_ASSERT_EQUAL (mbr_vm_count (n->vms[3].mbr), 6);
+  CU_ASSERT (mbr_vm_find (n->vms[3].mbr, "v0")->up);
+  CU_ASSERT (mbr_vm_find (n->vms[0].mbr, "v3")->up);
+  CU_ASSERT (mbr_listed_at (n->vms[3].mbr) <= 5000);
+  talloc_free (n);
+}
+
+static void
+test_leaving_owns_nothing (void)
+{
+  net_desc_t desc = _desc (6, 3);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 5000);
+  net_vm_t *v = &n->vms[0];
+  ev_vm_t vms[] = {
+    { .vm = "v0", .data_centre = "dc0", .address = "a" },
+    { .vm = "v3", .data_centre = "dc0", .address = "a", .leaving = true },
+    { .vm = "", .data_centre = "dc0" },
+    { .vm = NULL },
+  };
+  mbr_platform_replied (v->mbr, v->env, &(plt_done_t){ .mod = MOD_MEMBER },
+                        &(ev_platform_t){ .vms = vms, .vm_count = 4 });
+  CU_ASSERT_EQUAL (mbr_vm_count (v->mbr), 2);
+  CU_ASSERT_STRING_EQUAL (mbr_owner (v->mbr, "dc0", MOD_LIMIT, "x"), "v0");
+  CU_ASSERT_STRING_EQUAL (mbr_owner (v->mbr, "dc0", MOD_LIMIT, "y"), "v0");
+  talloc_free (n);
+}
+
+static void
+test_bad_messages (void)
+{
+  net_desc_t desc = _desc (6, 3);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 5000);
+  net_vm_t *v = &n->vms[0];
+  for (uint16_t kind = MSG_MEMBER_FIRST; kind < MSG_LIMIT_FIRST + 16; kind++)
+    {
+      msg_t msg = { .kind = kind, .body = buf_str ("\xc1garbage") };
+      _net_message (v, "v1", &msg);
+      msg.body = (buf_t){ 0 };
+      _net_message (v, "nobody", &msg);
+    }
+  CU_ASSERT_EQUAL (mbr_vm_count (v->mbr), 6);
+  net_run (n, 6000);
+  talloc_free (n);
+}
+
+/* Bounded links, and every VM is reached from every other over them. */
+static void
+test_grid (void)
+{
+  net_desc_t desc = _desc (LARGE, 4);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 4000);
+  size_t most = 0;
+  for (uint32_t i = 0; i < LARGE; i++)
+    {
+      size_t links = mbr_link_count (n->vms[i].mbr);
+      most = links > most ? links : most;
+    }
+  CU_ASSERT (most < 60);
+  uint64_t before = 0;
+  uint64_t after = 0;
+  for (uint32_t i = 0; i < LARGE; i++)
+    before += (uint64_t)cnt_value (n->vms[i].env->cnt,
+                                   "rts_member_unreachable_total", "");
+  for (uint32_t i = 0; i < 500; i++)
+    {
+      uint32_t from = (i * 7) % LARGE;
+      char to[16];
+      snprintf (to, sizeof to, "v%u", (i * 31 + 5) % LARGE);
+      n->vms[from].env->now = n->now;
+      mbr_send (n->vms[from].mbr, n->vms[from].env, to, MSG_MEMBER_PING,
+                (buf_t){ 0 });
+      _net_drain (n, from);
+    }
+  net_run (n, 4100);
+  for (uint32_t i = 0; i < LARGE; i++)
+    after += (uint64_t)cnt_value (n->vms[i].env->cnt,
+                                  "rts_member_unreachable_total", "");
+  /* Some cells of the grid are empty: up to 2 % may not find a way. */
+  CU_ASSERT (after - before <= 10);
+  talloc_free (n);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "full mesh", test_full_mesh },
+    { "lost vm", test_lost_vm },
+    { "frozen vm comes back", test_frozen_vm_comes_back },
+    { "list kept in outage", test_list_kept_in_outage },
+    { "start in outage", test_start_in_outage },
+    { "leaving owns nothing", test_leaving_owns_nothing },
+    { "bad messages", test_bad_messages },
+    { "grid", test_grid },
+  };
+  return tst_run ("mbr", cases, sizeof cases / sizeof cases[0]);
+}
--- a/tools/limnet.h
+++ b/tools/limnet.h
@@ -699,6 +699,11 @@
     }
   n->doc.customers = doc;
   n->doc.customer_count = count;
+  uint32_t centres = n->desc.one_list ? 1 : n->desc.data_centres;
+  cfg_data_centre_t *dcs = talloc_zero_array (n, cfg_data_centre_t, centres);
+  for (uint32_t i = 0; i < centres; i++)
+    dcs[i].name = talloc_asprintf (dcs, "dc%u", i);
+  n->doc.data_centres = dcs;
   n->doc.data_centre_count = n->desc.one_list ? 1 : n->desc.data_centres;
 }
 
