--- a/src/core/idm.c
+++ b/src/core/idm.c
@@ -126,7 +126,8 @@
 {
   if (e->state == IDM_WRITING)
     i->outcomes--;
-  g_hash_table_remove (i->by_name, e->name);
+  if (g_hash_table_lookup (i->by_name, e->name) == e)
+    g_hash_table_remove (i->by_name, e->name);
   talloc_free (e->strings);
   tbl_free (i->entries, e->id);
 }
@@ -214,6 +215,48 @@
   return ST_OK;
 }
 
+st_code_t
+idm_look (idm_t *i, env_t *env, const idm_ask_t *ask)
+{
+  char *name = idm_rec_name (NULL, ask->customer, ask->key);
+  const idm_entry_t *held = g_hash_table_lookup (i->by_name, name);
+  tbl_id_t id = held == NULL ? tbl_alloc (i->entries) : (tbl_id_t){ 0 };
+  idm_entry_t *e = tbl_get (i->entries, id);
+  if (held != NULL)
+    _idm_begin_again (i, held, ask);
+  if (e == NULL)
+    {
+      talloc_free (name);
+      return held != NULL ? ST_OK : ST_EXHAUSTED;
+    }
+  void *strings = talloc_new (i);
+  *e = (idm_entry_t){ .id = id,
+                      .strings = strings,
+                      .name = talloc_steal (strings, name),
+                      .tag = ask->tag,
+                      .state = IDM_LOOKING,
+                      .rec = { .fingerprint = ask->fingerprint } };
+  _idm_get (e, env);
+  return ST_OK;
+}
+
+static void
+_idm_looked (idm_t *i, idm_entry_t *e, const ev_platform_t *reply)
+{
+  void *ctx = talloc_new (NULL);
+  idm_rec_t rec = { 0 };
+  bool there = reply->code == ST_OK && reply->object_count > 0
+               && idm_rec_read (ctx, reply->objects[0].value, &rec) == ST_OK;
+  if (reply->code == ST_NOT_FOUND || (there && rec.state == IDM_REC_NOT_RUN))
+    _idm_answer (i, e->tag, IDM_ABSENT);
+  else if (there)
+    _idm_answer_record (i, e->tag, &rec, e->rec.fingerprint);
+  else
+    _idm_answer (i, e->tag, IDM_REFUSED);
+  _idm_free (i, e);
+  talloc_free (ctx);
+}
+
 static void
 _idm_outcome_begin (idm_t *i, env_t *env, idm_entry_t *e)
 {
@@ -476,6 +519,9 @@
       if (done->op == FX_PLATFORM_PUT)
         _idm_created (i, env, e, reply);
       break;
+    case IDM_LOOKING:
+      _idm_looked (i, e, reply);
+      break;
     case IDM_READING:
       if (done->op == FX_PLATFORM_GET)
         _idm_read (i, env, e, reply);
--- a/src/core/idm.h
+++ b/src/core/idm.h
@@ -51,7 +51,9 @@
   IDM_TOO_LARGE, /**< it ran before; the answer was too large to record */
   IDM_UNKNOWN,   /**< it began before, and no outcome is recorded (yet) */
   IDM_REUSED,    /**< the key was used for another request; not run */
-  IDM_REFUSED,   /**< no record could be made; not run */
+  IDM_REFUSED,   /**< no record could be made or read; this request does not
+                      run, an earlier one with its key may have */
+  IDM_ABSENT,    /**< idm_look: nothing ran under this key */
 } idm_verdict_t;
 
 /** A request. */
@@ -97,6 +99,10 @@
  * EXHAUSTED: too many at a time; not run. */
 st_code_t idm_begin (idm_t *i, env_t *env, const idm_ask_t *ask);
 
+/** Look whether a request ran before, without making a record: the verdict is
+ * IDM_ABSENT, or one of idm_begin's other than IDM_RUN. */
+st_code_t idm_look (idm_t *i, env_t *env, const idm_ask_t *ask);
+
 /** Take the next verdict; false: none. */
 bool idm_answer_pop (idm_t *i, idm_answer_t *answer);
 
--- a/src/core/idm_int.h
+++ b/src/core/idm_int.h
@@ -17,6 +17,7 @@
 typedef enum
 {
   IDM_CREATING, /**< the creation is under way */
+  IDM_LOOKING,  /**< a record is read, none is to be made */
   IDM_READING,  /**< it was not plain whether it succeeded */
   IDM_GRANTED,  /**< the record stands and nothing was sent */
   IDM_SENT,     /**< bytes may have left this VM */
--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -578,11 +578,9 @@
 _lim_advance_round (lim_t *l, env_t *env, lim_customer_t *c)
 {
   _lim_serve (l, env, c);
+  _lim_find_sources (l, env, c);
   if (c->waiter_count > 0 && c->stage == LIM_IDLE)
-    {
-      _lim_find_sources (l, env, c);
-      _lim_ask_near (l, env, c);
-    }
+    _lim_ask_near (l, env, c);
   if (c->waiter_count > 0 && c->stage == LIM_ASKING_NEAR
       && !_lim_round_waits (c))
     _lim_ask_all (l, env, c);
@@ -798,6 +796,7 @@
     lbk_receive (c->bucket, env->now, seq, amount);
   else if (env->now < until)
     lbk_borrow (c->bucket, vm, seq, amount, until, settle);
+  _lim_find_sources (l, env, c);
   _lim_note_level (c, env, vm, level);
   if (done.ahead && 8 * amount >= _lim_wanted (c))
     c->balance_at = c->balance_wait = 0;
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -13,6 +13,7 @@
 typedef enum
 {
   _ONL_DO_RECORD,
+  _ONL_DO_LOOK,
   _ONL_DO_QUEUE,
   _ONL_DO_SEND,
   _ONL_DO_CLOSE,
@@ -25,12 +26,13 @@
 _onl_chart (void *ctx)
 {
   static const char *const states[ONL_STATE_NUM]
-      = { "admitting", "recording", "queued", "sent", "answering", "ended" };
+      = { "admitting", "looking",   "recording", "queued",
+          "sent",      "answering", "ended" };
   static const char *const events[ONL_EV_NUM]
-      = { "admitted", "granted", "picked", "head", "retry", "end" };
+      = { "admitted", "limited", "granted", "picked", "head", "retry", "end" };
   static const char *const guards[] = { "needs-record" };
   static const char *const actions[_ONL_DO_NUM]
-      = { "record", "queue", "send", "close" };
+      = { "record", "look", "queue", "send", "close" };
   st_t st = { 0 };
   cht_t *c = cht_setup (ctx,
                         &(cht_desc_t){ .text = cht_text ("request"),
@@ -131,6 +133,9 @@
     case _ONL_DO_RECORD:
       onl_record (o, env, r);
       break;
+    case _ONL_DO_LOOK:
+      onl_look (o, env, r);
+      break;
     case _ONL_DO_QUEUE:
       onl_queue (o, env, r);
       break;
--- a/src/core/onl_admit.c
+++ b/src/core/onl_admit.c
@@ -52,10 +52,10 @@
 {
   if (o->doc == NULL)
     return &no_config;
+  found->route = cfg_route_find (o->doc, req->method, req->path);
   if (o->leaving_since != CLK_NEVER
       && env->now >= o->leaving_since + o->desc.leave_ms)
     return &leaving;
-  found->route = cfg_route_find (o->doc, req->method, req->path);
   if (found->route == NULL || !found->route->open)
     {
       /* Only who has a key learns which routes there are. */
@@ -136,6 +136,8 @@
   if (found->idempotency_key != NULL)
     {
       r->idempotency_key = talloc_strdup (pool, found->idempotency_key);
+      /* Until its record is known: an earlier one may have run. */
+      r->may_have_run = true;
       r->fingerprint = idm_fingerprint (r->method, r->target, r->body);
     }
 }
@@ -163,6 +165,15 @@
     }
 }
 
+/* Whether an earlier request with the same key may have run, for all that is
+ * known before its record is read. */
+static bool
+_onl_is_keyed (const ev_request_t *req, const _onl_found_t *found)
+{
+  const char *key = http_header_find (req->headers, "Idempotency-Key");
+  return key != NULL && (found->route == NULL || !found->route->idempotent);
+}
+
 void
 onl_request (onl_t *o, env_t *env, const ev_request_t *req)
 {
@@ -180,7 +191,10 @@
       char labels[64];
       g_snprintf (labels, sizeof labels, "code=\"%s\"", refusal->code);
       cnt_add (env->cnt, "rts_online_refused_total", labels, 1);
-      rpl_error (env, req->caller, refusal);
+      rpl_error_t error = *refusal;
+      if (_onl_is_keyed (req, &found))
+        error.run = RPL_UNKNOWN;
+      rpl_error (env, req->caller, &error);
       talloc_free (tmp);
       return;
     }
@@ -202,16 +216,38 @@
   onl_fire (o, env, r, ONL_EV_ADMITTED);
 }
 
-void
-onl_limit_refused (onl_t *o, env_t *env, onl_request_t *r,
-                   clk_ms_t retry_after)
+static void
+_onl_refuse_limited (onl_t *o, env_t *env, onl_request_t *r)
 {
   onl_refuse (o, env, r,
               &(rpl_error_t){ .status = 429,
                               .code = "rate-limited",
                               .message = "over the customer's rate",
-                              .run = RPL_NOT_RUN,
-                              .retry_after_ms = clk_max (retry_after, 1) });
+                              .retry_after_ms = clk_max (r->retry_after, 1) });
+}
+
+void
+onl_limit_refused (onl_t *o, env_t *env, onl_request_t *r,
+                   clk_ms_t retry_after)
+{
+  r->retry_after = retry_after;
+  if (r->idempotency_key == NULL)
+    _onl_refuse_limited (o, env, r);
+  else
+    onl_fire (o, env, r, ONL_EV_LIMITED);
+}
+
+/* "not-run" must also be true of an earlier request with the same key. */
+void
+onl_look (onl_t *o, env_t *env, onl_request_t *r)
+{
+  st_code_t code = idm_look (o->desc.records, env,
+                             &(idm_ask_t){ .customer = r->customer,
+                                           .key = r->idempotency_key,
+                                           .fingerprint = r->fingerprint,
+                                           .tag = r->id.id });
+  if (code != ST_OK)
+    _onl_refuse_limited (o, env, r);
 }
 
 void
@@ -274,7 +310,10 @@
     case IDM_REFUSED:
       return (rpl_error_t){ .status = 503,
                             .code = "no-record",
-                            .message = "no record can be made now",
+                            .message = "no record can be made or read now; "
+                                       "this request does not run, an "
+                                       "earlier one with its key may have",
+                            .run = RPL_UNKNOWN,
                             .retry_after_ms = CLK_SECOND };
     default:
       return (rpl_error_t){ .status = 409,
@@ -290,7 +329,14 @@
 onl_recorded (onl_t *o, env_t *env, const idm_answer_t *answer)
 {
   onl_request_t *r = onl_get (o, answer->tag);
-  if (r == NULL || r->state != ONL_RECORDING)
+  if (r != NULL && r->state == ONL_LOOKING
+      && (answer->verdict == IDM_ABSENT || answer->verdict == IDM_REFUSED))
+    {
+      r->may_have_run = answer->verdict != IDM_ABSENT;
+      _onl_refuse_limited (o, env, r);
+      return;
+    }
+  if (r == NULL || (r->state != ONL_RECORDING && r->state != ONL_LOOKING))
     {
       /* Given up meanwhile: it will not be sent. */
       if (answer->verdict == IDM_RUN)
@@ -300,6 +346,7 @@
   if (answer->verdict == IDM_RUN)
     {
       r->record = answer->handle;
+      r->may_have_run = false;
       onl_fire (o, env, r, ONL_EV_GRANTED);
       return;
     }
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -32,6 +32,7 @@
 typedef enum
 {
   ONL_ADMITTING,
+  ONL_LOOKING,
   ONL_RECORDING,
   ONL_QUEUED,
   ONL_SENT,
@@ -44,6 +45,7 @@
 typedef enum
 {
   ONL_EV_ADMITTED,
+  ONL_EV_LIMITED,
   ONL_EV_GRANTED,
   ONL_EV_PICKED,
   ONL_EV_HEAD,
@@ -98,7 +100,8 @@
   clk_ms_t arrived;
   clk_ms_t deadline;
 
-  uint64_t record; /**< handle of idm; 0: none */
+  uint64_t record;      /**< handle of idm; 0: none */
+  clk_ms_t retry_after; /**< when over its rate */
   bool may_have_run;
   bool delivered; /**< bytes of an answer went to the caller */
 
@@ -135,6 +138,7 @@
 /* onl_admit.c */
 void onl_admitted (onl_t *o, env_t *env, onl_request_t *r);
 void onl_record (onl_t *o, env_t *env, onl_request_t *r);
+void onl_look (onl_t *o, env_t *env, onl_request_t *r);
 void onl_recorded (onl_t *o, env_t *env, const idm_answer_t *answer);
 void onl_limit_refused (onl_t *o, env_t *env, onl_request_t *r,
                         clk_ms_t retry_after);
