--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -18,7 +18,7 @@
 
 /* Time between two requests ahead of demand; doubles while they bring less
  * than a token. */
-#define LIM_BALANCE_MS 50
+#define LIM_BALANCE_MS 100
 #define LIM_BALANCE_MAX_MS (2 * CLK_SECOND)
 
 /* Room is kept so long for tokens that were asked for. */
@@ -318,6 +318,15 @@
   return tokens < 1 ? 0 : (int64_t)(tokens * (double)LBK_TOKEN);
 }
 
+/* What a VM likes to have: a minter a full bucket, another what demand takes
+ * before a loan is over. */
+static int64_t
+_lim_wanted (const lim_customer_t *c)
+{
+  int64_t burst = lbk_burst (c->bucket);
+  return burst > 0 ? burst : _lim_ahead (c);
+}
+
 /* ---- messages out ---- */
 
 static lim_ask_t *
@@ -359,6 +368,7 @@
   mpk_put_int (&w, need);
   mpk_put_int (&w, extra);
   mpk_put_int (&w, lbk_available (c->bucket));
+  mpk_put_int (&w, _lim_wanted (c));
   mpk_put_int (&w, ask->loan ? l->desc.loan_ms : 0);
   buf_t body = mpk_done (&w);
   mbr_send (l->desc.members, env, vm, MSG_LIMIT_ASK, body);
@@ -479,15 +489,6 @@
   return (int64_t)c->waiter_count * LBK_TOKEN - lbk_available (c->bucket);
 }
 
-/* What a VM likes to have: a minter a full bucket, another what demand takes
- * before a loan is over. */
-static int64_t
-_lim_wanted (const lim_customer_t *c)
-{
-  int64_t burst = lbk_burst (c->bucket);
-  return burst > 0 ? burst : _lim_ahead (c);
-}
-
 static int64_t
 _lim_extra (const lim_customer_t *c)
 {
@@ -704,6 +705,19 @@
   return c->waiter_count == 0 || strcmp (vm, env->vm) < 0;
 }
 
+/* How much, after NEED, makes this bucket and one that holds LEVEL of FULL
+ * filled alike. */
+static int64_t
+_lim_even (const lim_customer_t *c, int64_t need, int64_t level, int64_t full)
+{
+  double held = (double)(lbk_held (c->bucket) - need);
+  double burst = (double)lbk_burst (c->bucket);
+  double sum = burst + (double)full;
+  if (full <= 0 || level < 0 || sum <= 0)
+    return 0;
+  return (int64_t)((held * (double)full - (double)level * burst) / sum);
+}
+
 static int64_t
 _lim_lend (lim_t *l, env_t *env, lim_customer_t *c, const char *vm,
            mpk_reader_t *r)
@@ -712,12 +726,13 @@
   int64_t need = mpk_get_int (r);
   int64_t extra = mpk_get_int (r);
   int64_t level = mpk_get_int (r);
+  int64_t full = mpk_get_int (r);
   clk_ms_t life = mpk_get_int (r);
   if (!mpk_end (r) || c == NULL || life < 0 || life > l->desc.loan_ms
       || !_lim_may_lend (c, env, vm))
     return 0;
   lbk_advance (c->bucket, env->now);
-  int64_t even = (lbk_held (c->bucket) - need - level) / 2;
+  int64_t even = _lim_even (c, need, level, full);
   int64_t more = extra < even ? extra : even;
   int64_t want = need + (more > 0 ? more : 0);
   if (life == 0)
@@ -754,6 +769,8 @@
   buf_t body = mpk_done (&w);
   mbr_send (l->desc.members, env, vm, MSG_LIMIT_GRANT, body);
   talloc_free ((void *)(uintptr_t)body.p);
+  if (amount > 0)
+    _lim_balance (l, env, c);
 }
 
 static lim_ask_t *
@@ -799,7 +816,7 @@
   else if (env->now < until)
     lbk_borrow (c->bucket, vm, seq, amount, until, settle);
   _lim_note_level (c, env, vm, level);
-  if (done.ahead && 8 * amount >= _lim_wanted (c))
+  if (done.ahead && 4 * amount >= _lim_wanted (c))
     c->balance_at = c->balance_wait = 0;
   if (c->stage != LIM_IDLE)
     _lim_advance_round (l, env, c);
--- a/src/core/lim.h
+++ b/src/core/lim.h
@@ -27,7 +27,7 @@
 typedef enum
 {
   MSG_LIMIT_ASK = MSG_LIMIT_FIRST, /**< customer, number, need, extra, level,
-                                        life */
+                                      full, life */
   MSG_LIMIT_GRANT,  /**< customer, number, amount, whether to settle, level */
   MSG_LIMIT_SETTLE, /**< customer, number, spent, returned */
   MSG_LIMIT_OFFER,  /**< customer, amount: the sender is leaving */
