--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#define LIM_LOAN_MS_DEFAULT (2 * CLK_SECOND)
+#define LIM_LOAN_MS_DEFAULT (1 * CLK_SECOND)
 #define LIM_ASK_MS_DEFAULT 40
 #define LIM_WAITERS_MAX_DEFAULT 1024
 
@@ -14,11 +14,11 @@
 #define LIM_DRIFT 50
 
 /* Borrowed ahead: what the customer's demand here takes in this time. */
-#define LIM_AHEAD_MS (1 * CLK_SECOND)
+#define LIM_AHEAD_MS 500
 
 /* Time between two requests ahead of demand; doubles while they bring less
  * than a token. */
-#define LIM_BALANCE_MS 100
+#define LIM_BALANCE_MS 50
 #define LIM_BALANCE_MAX_MS (2 * CLK_SECOND)
 
 /* Room is kept so long for tokens that were asked for. */
@@ -36,7 +36,7 @@
 
 #define LIM_SOURCES_MAX 32
 #define LIM_ASKS_MAX 128
-#define LIM_GUARD_MS_DEFAULT (2 * CLK_SECOND)
+#define LIM_GUARD_MS_DEFAULT (1 * CLK_SECOND)
 #define LIM_NAME_SIZE 64
 
 /* Where a round of asking is. */
@@ -816,7 +816,7 @@
   else if (env->now < until)
     lbk_borrow (c->bucket, vm, seq, amount, until, settle);
   _lim_note_level (c, env, vm, level);
-  if (done.ahead && 4 * amount >= _lim_wanted (c))
+  if (done.ahead && 8 * amount >= _lim_wanted (c))
     c->balance_at = c->balance_wait = 0;
   if (c->stage != LIM_IDLE)
     _lim_advance_round (l, env, c);
--- a/src/core/lim.h
+++ b/src/core/lim.h
@@ -45,7 +45,7 @@
 typedef struct
 {
   mbr_t *members;     /**< required */
-  clk_ms_t loan_ms;   /**< life of a loan; default 2 s */
+  clk_ms_t loan_ms;   /**< life of a loan; default 1 s */
   clk_ms_t ask_ms;    /**< longest wait for a grant, twice; default 40 ms */
   size_t waiters_max; /**< pending requests of a customer; default 1,024 */
   lsh_desc_t shares;  /**< its members are set here */
