--- a/src/core/cfs_apply.c
+++ b/src/core/cfs_apply.c
@@ -330,8 +330,8 @@
                         .records = t->effect.records,
                         .source = CFS_FROM_APPLY };
   t->result.version = offer.version;
-  if (cfs_offer_adopt (c, env, &offer, t->effect.doc)
-      && reply->object_count == 1)
+  bool adopted = cfs_offer_adopt (c, env, &offer, t->effect.doc);
+  if (adopted && reply->object_count == 1)
     {
       t->head->object_version = reply->objects[0].version;
       c->head = talloc_steal (c, t->head);
@@ -341,7 +341,10 @@
       if (t->written[b])
         _cfs_part_discard (c, env, &old->parts[b]);
     }
-  _cfs_task_finish (c, env, ST_OK);
+  /* The platform came back from an older copy than the fleet has. */
+  if (!adopted)
+    t->result.text = "the platform is behind the fleet: apply again";
+  _cfs_task_finish (c, env, adopted ? ST_OK : ST_UNKNOWN);
 }
 
 static void
