Batch: an unreadable object rests its chunk instead of stopping the VM

An object that somebody else overwrote broke an invariant on every VM that took the chunk, one after the other: bad input must not. It is counted and the chunk rests for a lease's term (test_bat spoilt_chunk_stops_nobody_else aborts without the change).

--- a/src/core/bat_load.c
+++ b/src/core/bat_load.c
@@ -24,7 +24,7 @@
   talloc_free (name);
 }
 
-static void
+static bool
 _bat_load_items (bat_hold_t *h, buf_t text)
 {
   uint32_t room = 0;
@@ -38,14 +38,14 @@
         }
       bat_item_t *item = &h->items[h->item_count++];
       *item = (bat_item_t){ .state = BAT_ITEM_WAITING };
-      bool ok = bat_input_read (h->ctx, line, &item->in);
-      INV_CHECK (ok, "batch-items-readable", "%s/%u item %u", h->id, h->chunk,
-                 h->item_count - 1);
+      if (!bat_input_read (h->ctx, line, &item->in))
+        return false;
     }
+  return h->item_count > 0;
 }
 
 /* Outcomes that an earlier holder recorded stand. */
-static void
+static bool
 _bat_load_part (bat_t *b, bat_hold_t *h, buf_t text)
 {
   buf_t line;
@@ -53,15 +53,16 @@
     {
       uint32_t n;
       bat_end_t end;
-      bool ok = bat_outcome_read (line, &n, &end) && n >= h->first
-                && n - h->first < h->item_count;
-      INV_CHECK (ok, "batch-outcome-readable", "%s/%u", h->id, h->chunk);
+      if (!bat_outcome_read (line, &n, &end) || n < h->first
+          || n - h->first >= h->item_count)
+        return false;
       bat_item_t *item = &h->items[n - h->first];
       INV_CHECK (item->state != BAT_ITEM_ENDED, "batch-one-outcome",
                  "%s item %u has two", h->id, n);
       bat_item_fire (b, item, BAT_ITEM_EV_END);
       h->ended++;
     }
+  return true;
 }
 
 /* Items that an earlier holder may have sent and that may not be repeated. */
@@ -92,6 +93,17 @@
     bat_hold_step (b, env, h);
 }
 
+/* Somebody else's bytes stand where ours should: leave the chunk alone until
+ * its lease has lapsed, and say so. */
+static void
+_bat_load_unreadable (bat_t *b, env_t *env, bat_hold_t *h)
+{
+  cnt_add (env->cnt, "rts_batch_unreadable_total", "", 1);
+  tln_record (env->tln, env->now, MOD_BATCH, "unreadable", "job=%s chunk=%u",
+              h->id, h->chunk);
+  (void)bat_hold_fire (b, env, h, BAT_HOLD_EV_FENCED);
+}
+
 void
 bat_load_replied (bat_t *b, env_t *env, const bat_op_t *op,
                   const ev_platform_t *reply)
@@ -108,13 +120,15 @@
                  BAT_OP_HOLD_LOAD_RETRY, h->self);
       return;
     }
-  if (op->kind == BAT_OP_HOLD_ITEMS)
-    _bat_load_items (h, reply->objects[0].value);
-  else
+  buf_t value = reply->objects[0].value;
+  bool items = op->kind == BAT_OP_HOLD_ITEMS;
+  bool ok = items ? _bat_load_items (h, value) : _bat_load_part (b, h, value);
+  if (!ok)
     {
-      _bat_load_part (b, h, reply->objects[0].value);
-      h->parts_read++;
+      _bat_load_unreadable (b, env, h);
+      return;
     }
+  h->parts_read += !items;
   if (h->parts_read < h->rec.part_count)
     bat_load_start (b, env, h);
   else
--- a/src/core/crd.c
+++ b/src/core/crd.c
@@ -12,6 +12,7 @@
 #define CRD_BURST_MS_DEFAULT 20
 #define CRD_MEMORY_MS_DEFAULT (30 * CLK_SECOND)
 #define CRD_SLOTS_DEFAULT 8
+#define CRD_USERS 4 /* VMs of a data centre that use one upstream */
 #define CRD_WANT_MS CLK_SECOND
 #define CRD_AVOID_MS CLK_SECOND
 
@@ -76,29 +77,40 @@
 
 /* -- owners --------------------------------------------------------------- */
 
+static uint64_t
+_crd_score (const crd_upstream_t *u, const char *vm)
+{
+  return XXH64 (vm, strlen (vm), XXH64 (u->name, strlen (u->name), 1));
+}
+
+/* The first VM of the upstream's data centre owns it; of this VM's data
+ * centre the first few may use it. */
 static void
-_crd_choose_owner (const crd_t *c, crd_upstream_t *u)
+_crd_choose_owner (const crd_t *c, const env_t *env, crd_upstream_t *u)
 {
   uint64_t best = 0;
+  uint64_t own = _crd_score (u, env->vm);
+  uint32_t rank = 0;
   u->owner = "";
   for (size_t i = 0; i < c->vm_count; i++)
     {
       const ev_vm_t *vm = &c->vms[i];
-      if (vm->leaving || strcmp (vm->data_centre, u->data_centre) != 0)
+      uint64_t score = _crd_score (u, vm->vm);
+      if (vm->leaving)
         continue;
-      uint64_t score = XXH64 (vm->vm, strlen (vm->vm),
-                              XXH64 (u->name, strlen (u->name), 1));
-      if (u->owner[0] != '\0' && score <= best)
+      rank += strcmp (vm->data_centre, env->data_centre) == 0 && score > own;
+      if (strcmp (vm->data_centre, u->data_centre) != 0
+          || (u->owner[0] != '\0' && score <= best))
         continue;
       best = score;
       u->owner = vm->vm;
     }
+  u->user = rank < CRD_USERS;
 }
 
 void
 crd_members_changed (crd_t *c, env_t *env, const ev_vm_t *vms, size_t count)
 {
-  (void)env;
   ev_vm_t *copy = talloc_array (c, ev_vm_t, count);
   for (size_t i = 0; i < count; i++)
     {
@@ -111,7 +123,7 @@
   c->vms = copy;
   c->vm_count = count;
   for (size_t i = 0; i < c->count; i++)
-    _crd_choose_owner (c, &c->upstreams[i]);
+    _crd_choose_owner (c, env, &c->upstreams[i]);
   talloc_free (old);
 }
 
@@ -185,7 +197,7 @@
   c->upstreams = list;
   c->count = doc->upstream_count;
   for (size_t i = 0; i < c->count; i++)
-    _crd_choose_owner (c, &c->upstreams[i]);
+    _crd_choose_owner (c, env, &c->upstreams[i]);
 }
 
 /* -- using credits -------------------------------------------------------- */
@@ -242,7 +254,7 @@
 _crd_serves (const crd_upstream_t *u, const char *deployment, bool local,
              clk_ms_t now)
 {
-  return strcmp (u->deployment, deployment) == 0 && !u->leaving
+  return strcmp (u->deployment, deployment) == 0 && !u->leaving && u->user
          && now >= u->avoid_until && (u->local || !local);
 }
 
--- a/src/core/crd.h
+++ b/src/core/crd.h
@@ -14,6 +14,10 @@
  * of the size of the bursts it has seen.  A credit ends CRD_LIFE_MS after
  * the report that it answers was sent.  Without an owner there are none.
  *
+ * Of a data centre's VMs only the first CRD_USERS by rendezvous hashing use an
+ * upstream for batch items, so that reports grow with upstreams, not with
+ * upstreams times VMs.
+ *
  * Two owners stay harmless: a VM uses credits of one owner at a time and
  * lets them lapse before it turns to another; an owner takes what the
  * upstream itself reports above the load it knows as foreign, and of a
--- a/src/core/crd_int.h
+++ b/src/core/crd_int.h
@@ -85,6 +85,7 @@
   const char *data_centre;
   uint32_t slots;
   bool leaving;
+  bool user;  /**< this VM may use it: bounds what an owner hears */
   bool local; /**< in this VM's data centre */
   crd_load_t load;
   crd_use_t *uses; /**< oldest first */
--- a/tests/batbed.h
+++ b/tests/batbed.h
@@ -113,6 +113,8 @@
 void batbed_forbid (batbed_t *bed, const char *job);
 /** Whether an object whose name begins with PREFIX is in the platform. */
 bool batbed_has (const batbed_t *bed, const char *prefix);
+/** Overwrite the object whose name begins with PREFIX. */
+void batbed_spoil (batbed_t *bed, const char *prefix);
 /** Print each step on standard error. */
 void batbed_trace (batbed_t *bed);
 
--- a/tests/batbed_faults.c
+++ b/tests/batbed_faults.c
@@ -114,3 +114,18 @@
 {
   return bed->fault_done;
 }
+
+static gboolean
+_bed_spoil_one (void *name, void *object, void *data)
+{
+  bed_object_t *o = object;
+  if (strncmp (name, data, strlen (data)) == 0)
+    o->value = buf_str (talloc_strdup (o, "not ours\n"));
+  return FALSE;
+}
+
+void
+batbed_spoil (batbed_t *bed, const char *prefix)
+{
+  g_tree_foreach (bed->objects, _bed_spoil_one, (void *)prefix);
+}
--- a/tests/test_bat.c
+++ b/tests/test_bat.c
@@ -268,6 +268,34 @@
   batbed_shutdown (bed);
 }
 
+static void
+test_spoilt_chunk_stops_nobody_else (void)
+{
+  batbed_t *bed = batbed_setup (
+      &(batbed_desc_t){ .seed = 9,
+                        .vms = 2,
+                        .item_ms = 500,
+                        .bat = { .chunk_items = 10, .max_holds = 1 } });
+  batbed_run (bed, 2 * CLK_SECOND);
+  char *body = _lines (bed, "/v1/completions", "hello", 40);
+  (void)batbed_request (bed, 0, "acme", "POST", "/v1/batches", "k", body);
+  char id[BAT_ID_SIZE];
+  bat_id_make ("acme", "k", id);
+  char *job = bat_name_job (bed, id);
+  while (!batbed_has (bed, job))
+    batbed_run (bed, 1);
+  char *prefix = talloc_asprintf (bed, "batch/items/%s/", id);
+  batbed_spoil (bed, prefix);
+  (void)batbed_request (bed, 0, "acme", "POST", "/v1/batches", "other", body);
+  batbed_run (bed, CLK_MINUTE);
+  json_t *o;
+  bat_id_make ("acme", "other", id);
+  (void)_get (bed, 1, "acme", id, "", &o, NULL);
+  CU_ASSERT_STRING_EQUAL (_member (o, "state"), "complete");
+  json_decref (o);
+  batbed_shutdown (bed);
+}
+
 int
 main (void)
 {
@@ -281,6 +309,7 @@
     { "bad_jobs_are_refused", test_bad_jobs_are_refused },
     { "outage_refuses_new_jobs", test_outage_refuses_new_jobs },
     { "graceful_shutdown_hands_over", test_graceful_shutdown_hands_over },
+    { "spoilt_chunk_stops_nobody_else", test_spoilt_chunk_stops_nobody_else },
   };
   return tst_run ("bat", cases, sizeof cases / sizeof cases[0]);
 }
--- a/tools/mb_model.c
+++ b/tools/mb_model.c
@@ -449,6 +449,8 @@
       {
         double wait = (double)(s->now + LINK_MS - req_at (s, e->req)->sent);
         g_array_append_val (s->first_byte, wait);
+        if (s->now < BURST_FROM)
+          g_array_append_val (s->first_byte_low, wait);
         break;
       }
     case EV_DONE:
@@ -580,6 +582,7 @@
   s->events = g_tree_new_full (event_compare, NULL, free_event, NULL);
   s->reqs = g_array_new (FALSE, TRUE, sizeof (req_t));
   s->first_byte = g_array_new (FALSE, FALSE, sizeof (double));
+  s->first_byte_low = g_array_new (FALSE, FALSE, sizeof (double));
   s->doc = make_doc (s, s->slots);
   for (uint32_t i = 0; i < VMS; i++)
     start_vm (s, i, seed);
@@ -600,6 +603,7 @@
   g_tree_destroy (s->events);
   g_array_free (s->reqs, TRUE);
   g_array_free (s->first_byte, TRUE);
+  g_array_free (s->first_byte_low, TRUE);
   g_rand_free (s->arrivals);
   g_rand_free (s->rand);
   talloc_free (s);
--- a/tools/mb_model.h
+++ b/tools/mb_model.h
@@ -92,8 +92,9 @@
   vm_t vm[VMS];
   cfg_doc_t *doc;
   uint32_t split_used[ENGINES];
-  GArray *first_byte; /* of online requests, ms */
-  double online_busy; /* slot-milliseconds */
+  GArray *first_byte;     /* of online requests, ms */
+  GArray *first_byte_low; /* of those before the burst */
+  double online_busy;     /* slot-milliseconds */
   double batch_busy;
   double batch_useful; /* of items that ended whole */
   uint64_t batch_done;
--- a/tools/mb_yield.c
+++ b/tools/mb_yield.c
@@ -30,6 +30,7 @@
 typedef struct
 {
   GArray *first_byte;
+  GArray *first_byte_low; /* before the burst */
   double online_busy;
   double batch_busy;
   double batch_useful;
@@ -38,22 +39,26 @@
 } sum_t;
 
 static double
-quantile (const sum_t *sum, double q)
+quantile (const GArray *values, double q)
 {
-  guint n = sum->first_byte->len;
+  guint n = values->len;
   guint i = (guint)(q * (double)(n - 1));
-  return g_array_index (sum->first_byte, double, i);
+  return g_array_index (values, double, i);
 }
 
 static sum_t
 run_seeds (mb_way_t way, uint32_t slots)
 {
-  sum_t sum = { .first_byte = g_array_new (FALSE, FALSE, sizeof (double)) };
+  sum_t sum
+      = { .first_byte = g_array_new (FALSE, FALSE, sizeof (double)),
+          .first_byte_low = g_array_new (FALSE, FALSE, sizeof (double)) };
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
     {
       mb_model_t *s = mb_model_run (way, slots, seed);
       g_array_append_vals (sum.first_byte, s->first_byte->data,
                            s->first_byte->len);
+      g_array_append_vals (sum.first_byte_low, s->first_byte_low->data,
+                           s->first_byte_low->len);
       sum.online_busy += s->online_busy;
       sum.batch_busy += s->batch_busy;
       sum.batch_useful += s->batch_useful;
@@ -62,6 +67,7 @@
       mb_model_finish (s);
     }
   g_array_sort (sum.first_byte, double_compare);
+  g_array_sort (sum.first_byte_low, double_compare);
   return sum;
 }
 
@@ -74,13 +80,19 @@
   double used = 100 * sum->batch_busy / idle;
   double rate = (double)sum->batch_done / seconds;
   double pauses = (double)sum->paused / seconds;
-  printf (
-      "| %u | %s | %.1f | %.1f | %.1f | %.1f | %.0f | %.0f | %.0f | %.0f |\n",
-      slots, way_names[way], rate, used, useful, pauses, quantile (sum, 0.5),
-      quantile (sum, 0.95), quantile (sum, 0.99), quantile (sum, 1));
-  fprintf (csv, "yield,%u,%s,%.2f,%.2f,%.2f,%.2f,%.0f,%.0f,%.0f,%.0f\n", slots,
-           way_names[way], rate, used, useful, pauses, quantile (sum, 0.5),
-           quantile (sum, 0.95), quantile (sum, 0.99), quantile (sum, 1));
+  printf ("| %u | %s | %.1f | %.1f | %.1f | %.1f | %.0f | %.0f | %.0f | %.0f "
+          "| %.0f | %.0f |\n",
+          slots, way_names[way], rate, used, useful, pauses,
+          quantile (sum->first_byte, 0.5), quantile (sum->first_byte, 0.95),
+          quantile (sum->first_byte, 0.99), quantile (sum->first_byte, 1),
+          quantile (sum->first_byte_low, 0.99),
+          quantile (sum->first_byte_low, 1));
+  fprintf (
+      csv, "yield,%u,%s,%.2f,%.2f,%.2f,%.2f,%.0f,%.0f,%.0f,%.0f,%.0f,%.0f\n",
+      slots, way_names[way], rate, used, useful, pauses,
+      quantile (sum->first_byte, 0.5), quantile (sum->first_byte, 0.95),
+      quantile (sum->first_byte, 0.99), quantile (sum->first_byte, 1),
+      quantile (sum->first_byte_low, 0.99), quantile (sum->first_byte_low, 1));
 }
 
 static void
@@ -95,6 +107,7 @@
         idle = (double)RUN_MS * SEEDS * ENGINES * slots - sum.online_busy;
       print_way (csv, way, slots, &sum, idle);
       g_array_free (sum.first_byte, TRUE);
+      g_array_free (sum.first_byte_low, TRUE);
     }
 }
 
@@ -102,8 +115,9 @@
 mb_yield_run (FILE *csv)
 {
   printf ("| slots | way | items/s | idle slot time used, %% | by items that "
-          "ended, %% | paused/s | first byte p50, ms | p95 | p99 | worst |\n"
-          "|---|---|---|---|---|---|---|---|---|---|\n");
+          "ended, %% | paused/s | first byte p50, ms | p95 | p99 | worst | "
+          "p99 before the burst | worst |\n"
+          "|---|---|---|---|---|---|---|---|---|---|---|---|\n");
   run_ways (csv, 32, WAY_TWO_OWNERS);
   run_ways (csv, 8, WAY_CREDITS);
 }
