--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -100,7 +100,6 @@
   opr_leave (n->opr);
   bat_leave (n->bat, n->env);
   onl_leave (n->onl, n->env);
-  lim_leave (n->lim, n->env);
 }
 
 bool
