--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -237,6 +237,24 @@
   [ "$status" = 200 ]
 }
 
+fleet_admits_once ()
+{
+  [ "$(fleet_curl "$1" /v1/completions -o "$fleet_dir/admit.answer" \
+    -H "Authorization: Bearer demo-key-$2" -w '%{http_code}' \
+    -d '{"prompt":"first","max_tokens":1}')" = 200 ]
+}
+
+# Wait until every VM has got rights to admit these customers' requests.
+fleet_admits ()
+{
+  local vm customer
+  for customer in "$@"; do
+    for vm in "${fleet_vms[@]}"; do
+      fleet_until fleet_admits_once "$vm" "$customer" || return 1
+    done
+  done
+}
+
 # First 16 digits of TEXT's SHA-256, as an engine's answer quotes it.
 fleet_sum ()
 {
