--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -24,7 +24,7 @@
 fleet_begin ()
 {
   fleet_dir=$(mktemp -d "${TMPDIR:-/tmp}/rattanspindle.XXXXXX")
-  fleet_port=$((20000 + RANDOM % 10000))
+  fleet_port=$((20000 + BASHPID * 37 % 10000))
   fleet_vms=() fleet_upstreams=()
   fleet_pid=() fleet_address=() fleet_centre=()
   trap fleet_end EXIT
