--- a/src/core/lim_share.h
+++ b/src/core/lim_share.h
@@ -7,7 +7,9 @@
  *   parts = lsh_parts (s, "kvist-roster");       of LSH_WHOLE
  *
  * The parts of all VMs sum to at most LSH_WHOLE at every instant, whatever
- * any of them believes.  Each data centre has a fixed part of the whole.  An
+ * any of them believes.  Each data centre has a fixed part of the whole: the
+ * same in a small fleet, while in a large one, where an even part would be
+ * less than a token, most is at the customer's home.  An
  * object of the platform lists the VMs that divide it: a customer's part is
  * divided between the first few of them by rendezvous hashing.  A right
  * counts from before the read that confirmed it and ends by itself; a new
@@ -47,7 +49,7 @@
 typedef struct
 {
   mbr_t *members;         /**< required */
-  clk_ms_t short_life_ms; /**< of a right; default 12 s */
+  clk_ms_t short_life_ms; /**< of a right; default 6 s */
   clk_ms_t long_life_ms;  /**< default 2 h */
   clk_ms_t guard_ms;      /**< longest life of a loan; default 2 s */
   unsigned long_percent;  /**< of the part by the long list; default 25 */
@@ -73,11 +75,15 @@
 /** Free it. */
 void lsh_shutdown (lsh_t *s);
 
-/** Begin; DATA_CENTRES: how many divide the whole when none does yet. */
+/** Begin. */
 void lsh_start (lsh_t *s, env_t *env);
 
-/** How many data centres the operators' document has. */
-void lsh_set_data_centres (lsh_t *s, size_t count);
+/** The data centres of the operators' document (copied); they divide the
+ * whole when none does yet. */
+void lsh_set_data_centres (lsh_t *s, const char *const *names, size_t count);
+
+/** The data centre that has most of CUSTOMER's rate; NULL: all alike. */
+const char *lsh_home (const lsh_t *s, const char *customer);
 
 void lsh_timer_fired (lsh_t *s, env_t *env, uint64_t tag);
 void lsh_platform_replied (lsh_t *s, env_t *env, const plt_done_t *done,
@@ -95,6 +101,10 @@
 /** Rights as of the last lsh_step (lsh_right_t, or-ed). */
 unsigned lsh_rights (const lsh_t *s);
 
+/** Whether nobody has ever minted by lists before these, and this VM saw so:
+ * then a bucket may start full. */
+bool lsh_is_new_fleet (const lsh_t *s);
+
 /** Version of the newest lists; 0: none seen. */
 uint64_t lsh_version (const lsh_t *s);
 
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -6,13 +6,14 @@
 #include <string.h>
 #include <talloc.h>
 
-#define ONL_QUEUE_MS_DEFAULT (5 * CLK_SECOND)
+#define ONL_QUEUE_MS_DEFAULT (2 * CLK_SECOND)
 #define ONL_LEAVE_MS_DEFAULT (2 * CLK_SECOND)
 #define ONL_REQUESTS_MAX 20000
 
 typedef enum
 {
   _ONL_DO_RECORD,
+  _ONL_DO_LOOK,
   _ONL_DO_QUEUE,
   _ONL_DO_SEND,
   _ONL_DO_CLOSE,
@@ -25,12 +26,13 @@
 _onl_chart (void *ctx)
 {
   static const char *const states[ONL_STATE_NUM]
-      = { "admitting", "recording", "queued", "sent", "answering", "ended" };
+      = { "admitting", "looking",   "recording", "queued",
+          "sent",      "answering", "ended" };
   static const char *const events[ONL_EV_NUM]
-      = { "admitted", "granted", "picked", "head", "retry", "end" };
+      = { "admitted", "limited", "granted", "picked", "head", "retry", "end" };
   static const char *const guards[] = { "needs-record" };
   static const char *const actions[_ONL_DO_NUM]
-      = { "record", "queue", "send", "close" };
+      = { "record", "look", "queue", "send", "close" };
   st_t st = { 0 };
   cht_t *c = cht_setup (ctx,
                         &(cht_desc_t){ .text = cht_text ("request"),
@@ -131,6 +133,9 @@
     case _ONL_DO_RECORD:
       onl_record (o, env, r);
       break;
+    case _ONL_DO_LOOK:
+      onl_look (o, env, r);
+      break;
     case _ONL_DO_QUEUE:
       onl_queue (o, env, r);
       break;
@@ -246,6 +251,23 @@
                                 .retry_after_ms = CLK_SECOND });
 }
 
+/** Answer the caller, and let the request go on for its record's sake. */
+static void
+_onl_detach (onl_t *o, env_t *env, onl_request_t *r, const rpl_error_t *e)
+{
+  rpl_error_t error = *e;
+  error.run = RPL_UNKNOWN;
+  if (r->caller == 0)
+    return;
+  if (r->delivered)
+    fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_ABORT,
+                               .reply = { .caller = r->caller } });
+  else
+    rpl_error (env, r->caller, &error);
+  g_hash_table_remove (o->by_caller, &r->caller);
+  r->caller = 0;
+}
+
 static void
 _onl_key_withdrawn (onl_t *o, env_t *env, const char *key)
 {
@@ -256,7 +278,10 @@
   while (id.id != 0)
     {
       onl_request_t *r = tbl_get (o->requests, id);
-      if (r->key[0] != '\0' && strcmp (r->key, key) == 0)
+      bool meant = r->key[0] != '\0' && strcmp (r->key, key) == 0;
+      if (meant && r->record != 0 && r->call != 0)
+        _onl_detach (o, env, r, &withdrawn);
+      else if (meant)
         _onl_give_up (o, env, r, RTE_FAIL_CANCELLED, &withdrawn);
       id = tbl_next (o->requests, id);
     }
@@ -269,7 +294,9 @@
 {
   if (tag == ONL_TICK_TAG)
     o->ticking = false;
-  onl_request_t *r = tag == ONL_TICK_TAG ? NULL : onl_get (o, tag);
+  if (tag == ONL_LEAVE_TAG)
+    lim_leave (o->desc.limits, env);
+  onl_request_t *r = tag < ONL_LEAVE_TAG ? onl_get (o, tag) : NULL;
   if (r != NULL)
     _onl_deadline (o, env, r);
   onl_pump (o, env);
@@ -304,7 +331,8 @@
   if (o->leaving_since != CLK_NEVER)
     return;
   o->leaving_since = env->now;
-  tmr_arm (env->tmr, env->now + o->desc.leave_ms, MOD_ONLINE, 0);
+  /* Until then requests are admitted, so the limits stay. */
+  tmr_arm (env->tmr, env->now + o->desc.leave_ms, MOD_ONLINE, ONL_LEAVE_TAG);
 }
 
 bool
