--- a/src/core/crd.c
+++ b/src/core/crd.c
@@ -71,7 +71,7 @@
     return (crd_stat_t){ 0 };
   return (crd_stat_t){ .granted = now < u->granted_until ? u->granted : 0,
                        .used = u->used,
-                       .reserve = crd_own_reserve (&u->own),
+                       .reserve = crd_own_reserve (c, &u->own),
                        .owner = u->own.count > 0 };
 }
 
--- a/src/core/crd.h
+++ b/src/core/crd.h
@@ -43,6 +43,8 @@
   clk_ms_t report_ms;     /**< between load reports; default 200 ms */
   clk_ms_t burst_ms;      /**< a burst is a rise within this; default 20 ms */
   clk_ms_t memory_ms;     /**< how long a burst is remembered; default 30 s */
+  bool reserve_less;      /**< one slot less in reserve: a request may then
+                               wait until a batch item is cancelled */
   uint32_t default_slots; /**< of an upstream without a figure; default 8 */
 } crd_desc_t;
 
--- a/src/core/crd_int.h
+++ b/src/core/crd_int.h
@@ -133,6 +133,6 @@
                      const crd_report_t *report);
 /** Forget reporters that fell silent. */
 void crd_own_tick (crd_t *c, env_t *env, crd_upstream_t *u);
-uint32_t crd_own_reserve (const crd_own_t *o);
+uint32_t crd_own_reserve (const crd_t *c, const crd_own_t *o);
 
 #endif
--- a/src/core/crd_own.c
+++ b/src/core/crd_own.c
@@ -71,12 +71,12 @@
 }
 
 uint32_t
-crd_own_reserve (const crd_own_t *o)
+crd_own_reserve (const crd_t *c, const crd_own_t *o)
 {
   uint32_t most = 1;
   for (size_t i = 0; i < CRD_BURST_AGES; i++)
     most = o->burst[i] > most ? o->burst[i] : most;
-  return most;
+  return c->desc.reserve_less ? most - 1 : most;
 }
 
 /* Keep a sample; the rise over the burst window is a burst. */
@@ -123,11 +123,11 @@
 
 /* Slots that batch may use altogether. */
 static uint32_t
-_crd_idle (const crd_upstream_t *u, clk_ms_t now)
+_crd_idle (const crd_t *c, const crd_upstream_t *u, clk_ms_t now)
 {
   const crd_own_t *o = &u->own;
   uint32_t online = _crd_online (o);
-  uint32_t taken = online + crd_own_reserve (o) + o->foreign;
+  uint32_t taken = online + crd_own_reserve (c, o) + o->foreign;
   /* Load that is not known has risen as the known one has since. */
   if (o->foreign > 0 && online > o->foreign_online)
     taken += online - o->foreign_online;
@@ -191,7 +191,7 @@
 {
   crd_own_t *o = &u->own;
   uint32_t *shares = talloc_zero_array (NULL, uint32_t, o->count);
-  uint32_t idle = _crd_idle (u, env->now);
+  uint32_t idle = _crd_idle (c, u, env->now);
   _crd_share (o, env->now, idle, shares);
   uint32_t sum = 0;
   for (size_t i = 0; i < o->count; i++)
--- a/tools/mb_model.c
+++ b/tools/mb_model.c
@@ -564,7 +564,8 @@
                                          .data_centre = "dc",
                                          .seed = seed * 100 + i });
   vm->env->now = s->now;
-  vm->crd = crd_setup (s, &(crd_desc_t){ 0 });
+  vm->crd = crd_setup (
+      s, &(crd_desc_t){ .reserve_less = s->way == WAY_RESERVE_LESS });
   members (s, i, UINT32_MAX);
   crd_config_changed (vm->crd, vm->env, s->doc);
   crd_start (vm->crd, vm->env);
@@ -588,7 +589,7 @@
     start_vm (s, i, seed);
   next_arrival (s);
   sample (s);
-  if (way > WAY_CREDITS)
+  if (way > WAY_CREDITS && way != WAY_RESERVE_LESS)
     push (s, BURST_FROM - FAULT_LEAD_MS, EV_FAULT, 0, 0);
   while (step (s))
     ;
--- a/tools/mb_model.h
+++ b/tools/mb_model.h
@@ -21,6 +21,7 @@
   WAY_OWNER_LOST,
   WAY_OWNER_FROZEN,
   WAY_TWO_OWNERS,
+  WAY_RESERVE_LESS,
   WAY_NUM
 } mb_way_t;
 
--- a/tools/mb_yield.c
+++ b/tools/mb_yield.c
@@ -16,6 +16,7 @@
   "credits, owner lost for 10 s",
   "credits, owner frozen for 10 s",
   "credits, two owners",
+  "credits, one less in reserve",
 };
 
 static int
@@ -96,19 +97,15 @@
 }
 
 static void
-run_ways (FILE *csv, uint32_t slots, mb_way_t last)
+run_way (FILE *csv, uint32_t slots, mb_way_t way, double *idle)
 {
-  double idle = 0;
-  for (mb_way_t way = WAY_NONE; way <= last; way++)
-    {
-      fprintf (stderr, "yield: %u slots, %s\n", slots, way_names[way]);
-      sum_t sum = run_seeds (way, slots);
-      if (way == WAY_NONE)
-        idle = (double)RUN_MS * SEEDS * ENGINES * slots - sum.online_busy;
-      print_way (csv, way, slots, &sum, idle);
-      g_array_free (sum.first_byte, TRUE);
-      g_array_free (sum.first_byte_low, TRUE);
-    }
+  fprintf (stderr, "yield: %u slots, %s\n", slots, way_names[way]);
+  sum_t sum = run_seeds (way, slots);
+  if (way == WAY_NONE)
+    *idle = (double)RUN_MS * SEEDS * ENGINES * slots - sum.online_busy;
+  print_way (csv, way, slots, &sum, *idle);
+  g_array_free (sum.first_byte, TRUE);
+  g_array_free (sum.first_byte_low, TRUE);
 }
 
 void
@@ -118,6 +115,10 @@
           "ended, %% | paused/s | first byte p50, ms | p95 | p99 | worst | "
           "p99 before the burst | worst |\n"
           "|---|---|---|---|---|---|---|---|---|---|---|---|\n");
-  run_ways (csv, 32, WAY_TWO_OWNERS);
-  run_ways (csv, 8, WAY_CREDITS);
+  double idle = 0;
+  for (mb_way_t way = WAY_NONE; way < WAY_NUM; way++)
+    run_way (csv, 32, way, &idle);
+  for (mb_way_t way = WAY_NONE; way <= WAY_CREDITS; way++)
+    run_way (csv, 8, way, &idle);
+  run_way (csv, 8, WAY_RESERVE_LESS, &idle);
 }
