--- a/tests/cfs_fleet.h
+++ b/tests/cfs_fleet.h
@@ -550,7 +550,7 @@
     {
       msg_t msg = { .kind = e->msg };
       msg.body.p = g_bytes_get_data (e->value, &msg.body.n);
-      if (msg.kind < MSG_CONFIG_FIRST + 8)
+      if (msg.kind < MSG_KEY_FIRST)
         cfs_message_received (v->cfs, v->env, e->name, &msg);
       else
         key_message_received (v->key, v->env, e->name, &msg);
--- a/tests/test_key.c
+++ b/tests/test_key.c
@@ -259,7 +259,7 @@
     {
       for (size_t i = 0; i < sizeof bytes; i++)
         bytes[i] = (char)g_rand_int_range (f->rand, 0, n % 2 ? 256 : 8);
-      msg_t msg = { .kind = (uint16_t)(MSG_CONFIG_FIRST + 8 + n % 6),
+      msg_t msg = { .kind = (uint16_t)(MSG_KEY_FIRST + n % 6),
                     .body = { .p = bytes, .n = n % sizeof bytes } };
       key_message_received (v->key, v->env, f->vm[0].name, &msg);
       fleet_effects (f, 1);
