--- a/src/core/lim_change.c
+++ b/src/core/lim_change.c
@@ -162,6 +162,8 @@
 _lsh_divide (const lsh_t *s, lli_t *lists)
 {
   uint32_t count = (uint32_t)s->data_centre_count;
+  if (count == 0)
+    return;
   for (uint32_t i = 0; i < count; i++)
     lists->data_centres[i] = s->data_centres[i];
   lists->data_centre_count = count;
@@ -175,7 +177,7 @@
 
 /* Go by what other data centres have: the same division, or what it leaves. */
 static void
-_lsh_fit_division (const lsh_t *s, lli_t *lists, const ev_platform_t *survey)
+_lsh_fit_division (lli_t *lists, const ev_platform_t *survey)
 {
   uint64_t taken = 0;
   bool same = true;
@@ -197,7 +199,7 @@
   if (same)
     return;
   uint64_t left = taken < LSH_WHOLE ? LSH_WHOLE - taken : 0;
-  uint64_t even = LSH_WHOLE / s->data_centre_count;
+  uint64_t even = lists->away;
   lists->home = lists->away = (uint32_t)(left < even ? left : even);
 }
 
@@ -209,7 +211,7 @@
   lists->short_no = 1;
   lists->long_no = 1;
   _lsh_divide (s, lists);
-  _lsh_fit_division (s, lists, survey);
+  _lsh_fit_division (lists, survey);
   for (size_t i = 0; i < mbr_vm_count (s->desc.members); i++)
     {
       const mbr_vm_t *vm = mbr_vm_get (s->desc.members, i);
--- a/src/core/lim_lists.c
+++ b/src/core/lim_lists.c
@@ -163,7 +163,8 @@
       if (before == minters)
         return 0;
     }
-  return whole / (listed < minters ? listed : minters);
+  uint32_t divided = listed < minters ? listed : minters;
+  return divided > 0 ? whole / divided : 0;
 }
 
 size_t
--- /dev/null
+++ b/src/core/lim_peer.c
@@ -0,0 +1,247 @@
+#include "core/lim_priv.h"
+#include "core/mpk.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+/* A lender's clock may run faster than a borrower's by one in this. */
+#define LIM_DRIFT 50
+
+/* Room is kept so long for tokens that were asked for. */
+#define LIM_RESERVE_MS 200
+
+static lim_ask_t *
+_lim_ask_add (lim_t *l, env_t *env, lim_customer_t *c, const char *vm,
+              bool open)
+{
+  c->asks = talloc_realloc (c, c->asks, lim_ask_t, c->ask_count + 1);
+  lim_ask_t *ask = &c->asks[c->ask_count++];
+  *ask = (lim_ask_t){ .seq = ++l->seq, .sent_at = env->now, .open = open };
+  snprintf (ask->vm, sizeof ask->vm, "%s", vm);
+  tmr_arm (env->tmr, env->now + l->desc.ask_ms, MOD_LIMIT, c->index);
+  cnt_add (env->cnt, "rts_limit_asks_total", "", 1);
+  return ask;
+}
+
+/* Ask VM for NEED, and for as much more as makes the two alike, up to EXTRA:
+ * for good when there is room here, else on loan.  OPEN: the round waits. */
+void
+lim_ask (lim_t *l, env_t *env, lim_customer_t *c, const char *vm, int64_t need,
+         int64_t extra, bool open)
+{
+  if (c->ask_count == LIM_ASKS_MAX || (need <= 0 && extra <= 0))
+    return;
+  lim_ask_t *ask = _lim_ask_add (l, env, c, vm, open);
+  /* Half of the room, as minting goes on meanwhile. */
+  int64_t room = lbk_room (c->bucket) / 2;
+  ask->loan = room < need || room <= 0;
+  if (!ask->loan)
+    {
+      extra = extra < room - need ? extra : room - need;
+      lbk_reserve (c->bucket, ask->seq, need + extra,
+                   env->now + LIM_RESERVE_MS);
+    }
+  ask->ahead = extra > 0;
+  mpk_writer_t w;
+  mpk_writer_init (&w, l);
+  mpk_put_str (&w, buf_str (c->name));
+  mpk_put_uint (&w, ask->seq);
+  mpk_put_int (&w, need);
+  mpk_put_int (&w, extra);
+  mpk_put_int (&w, lbk_available (c->bucket));
+  mpk_put_int (&w, lim_wanted (c));
+  mpk_put_int (&w, ask->loan ? l->desc.loan_ms : 0);
+  buf_t body = mpk_done (&w);
+  mbr_send (l->desc.members, env, vm, MSG_LIMIT_ASK, body);
+  talloc_free ((void *)(uintptr_t)body.p);
+}
+
+void
+lim_settle (lim_t *l, env_t *env, lim_customer_t *c, int64_t keep)
+{
+  lbk_settlement_t s;
+  while (lbk_settlement_pop (c->bucket, keep, &s))
+    {
+      mpk_writer_t w;
+      mpk_writer_init (&w, l);
+      mpk_put_str (&w, buf_str (c->name));
+      mpk_put_uint (&w, s.seq);
+      mpk_put_int (&w, s.spent);
+      mpk_put_int (&w, s.returned);
+      buf_t body = mpk_done (&w);
+      mbr_send (l->desc.members, env, s.vm, MSG_LIMIT_SETTLE, body);
+      talloc_free ((void *)(uintptr_t)body.p);
+    }
+}
+
+/* ---- messages in ---- */
+
+/* Two VMs that both wait for the same customer would only swap what little
+ * they hold: then the first by name gets it. */
+static bool
+_lim_may_lend (const lim_customer_t *c, const env_t *env, const char *vm)
+{
+  return c->waiter_count == 0 || strcmp (vm, env->vm) < 0;
+}
+
+/* How much, after NEED, makes this bucket and one that holds LEVEL of FULL
+ * filled alike. */
+static int64_t
+_lim_even (const lim_customer_t *c, int64_t need, int64_t level, int64_t full)
+{
+  double held = (double)(lbk_held (c->bucket) - need);
+  double burst = (double)lbk_burst (c->bucket);
+  double sum = burst + (double)full;
+  if (full <= 0 || level < 0 || sum <= 0)
+    return 0;
+  return (int64_t)((held * (double)full - (double)level * burst) / sum);
+}
+
+static int64_t
+_lim_lend (lim_t *l, env_t *env, lim_customer_t *c, const char *vm,
+           mpk_reader_t *r)
+{
+  uint64_t seq = mpk_get_uint (r);
+  int64_t need = mpk_get_int (r);
+  int64_t extra = mpk_get_int (r);
+  int64_t level = mpk_get_int (r);
+  int64_t full = mpk_get_int (r);
+  clk_ms_t life = mpk_get_int (r);
+  if (!mpk_end (r) || c == NULL || life < 0 || life > l->desc.loan_ms
+      || !_lim_may_lend (c, env, vm))
+    return 0;
+  lbk_advance (c->bucket, env->now);
+  int64_t even = _lim_even (c, need, level, full);
+  int64_t more = extra < even ? extra : even;
+  int64_t want = need + (more > 0 ? more : 0);
+  if (life == 0)
+    return lbk_give (c->bucket, env->now, want);
+  return lbk_lend (c->bucket, env->now, vm, seq, want,
+                   life + life / LIM_DRIFT + 1);
+}
+
+/* Whether loans fill C's bucket so far that it matters which are spent. */
+static bool
+_lim_wants_settling (const lim_customer_t *c)
+{
+  int64_t lent = lbk_lent (c->bucket);
+  return 4 * (lent + lbk_held (c->bucket)) > 3 * lbk_burst (c->bucket);
+}
+
+static void
+_lim_asked (lim_t *l, env_t *env, const char *vm, mpk_reader_t *r)
+{
+  buf_t name = mpk_get_str (r);
+  mpk_reader_t peek = *r;
+  uint64_t seq = mpk_get_uint (&peek);
+  lim_customer_t *c = name.p ? lim_customer_find (l, name.p) : NULL;
+  int64_t amount = _lim_lend (l, env, c, vm, r);
+  if (r->failed)
+    return;
+  mpk_writer_t w;
+  mpk_writer_init (&w, l);
+  mpk_put_str (&w, name);
+  mpk_put_uint (&w, seq);
+  mpk_put_int (&w, amount);
+  mpk_put_uint (&w, c != NULL && _lim_wants_settling (c));
+  mpk_put_int (&w, c != NULL ? lbk_held (c->bucket) : 0);
+  buf_t body = mpk_done (&w);
+  mbr_send (l->desc.members, env, vm, MSG_LIMIT_GRANT, body);
+  talloc_free ((void *)(uintptr_t)body.p);
+  if (amount > 0)
+    lim_balance (l, env, c);
+}
+
+static lim_ask_t *
+_lim_ask_find (lim_customer_t *c, uint64_t seq)
+{
+  for (size_t i = 0; i < c->ask_count; i++)
+    if (c->asks[i].seq == seq)
+      return &c->asks[i];
+  return NULL;
+}
+
+static void
+_lim_granted (lim_t *l, env_t *env, const char *vm, mpk_reader_t *r)
+{
+  buf_t name = mpk_get_str (r);
+  uint64_t seq = mpk_get_uint (r);
+  int64_t amount = mpk_get_int (r);
+  bool settle = mpk_get_uint (r) != 0;
+  int64_t level = mpk_get_int (r);
+  lim_customer_t *c = mpk_end (r) ? lim_customer_find (l, name.p) : NULL;
+  lim_ask_t *ask = c ? _lim_ask_find (c, seq) : NULL;
+  if (ask == NULL || strcmp (ask->vm, vm) != 0)
+    return;
+  lim_ask_t done = *ask;
+  *ask = c->asks[--c->ask_count];
+  g_hash_table_remove (l->skipped, vm);
+  lbk_advance (c->bucket, env->now);
+  clk_ms_t until = done.sent_at + l->desc.loan_ms;
+  if (!done.loan)
+    lbk_receive (c->bucket, env->now, seq, amount);
+  else if (env->now < until)
+    lbk_borrow (c->bucket, vm, seq, amount, until, settle);
+  lim_source_note_level (c, env, vm, level);
+  if (done.ahead && 8 * amount >= lim_wanted (c))
+    c->balance_at = c->balance_wait = 0;
+  if (c->stage != LIM_IDLE)
+    lim_round_advance (l, env, c);
+  else
+    lim_settle (l, env, c, 2 * lim_ahead (c));
+}
+
+static void
+_lim_settled (lim_t *l, env_t *env, const char *vm, mpk_reader_t *r)
+{
+  buf_t name = mpk_get_str (r);
+  uint64_t seq = mpk_get_uint (r);
+  int64_t spent = mpk_get_int (r);
+  int64_t returned = mpk_get_int (r);
+  lim_customer_t *c = mpk_end (r) ? lim_customer_find (l, name.p) : NULL;
+  if (c != NULL)
+    lbk_settle (c->bucket, env->now, vm, seq, spent, returned);
+}
+
+/* A leaving VM holds tokens: borrow them for as long as it is certainly not
+ * minting again. */
+static void
+_lim_offered (lim_t *l, env_t *env, const char *vm, mpk_reader_t *r)
+{
+  buf_t name = mpk_get_str (r);
+  int64_t amount = mpk_get_int (r);
+  lim_customer_t *c = mpk_end (r) ? lim_customer_find (l, name.p) : NULL;
+  if (c != NULL && !l->leaving)
+    lim_ask (l, env, c, vm, amount, 0, false);
+}
+
+void
+lim_message_received (lim_t *l, env_t *env, const char *vm, const msg_t *msg)
+{
+  lim_sync (l, env);
+  void *ctx = talloc_new (l);
+  mpk_reader_t r = mpk_reader (ctx, msg->body);
+  switch (msg->kind)
+    {
+    case MSG_LIMIT_ASK:
+      _lim_asked (l, env, vm, &r);
+      break;
+    case MSG_LIMIT_GRANT:
+      _lim_granted (l, env, vm, &r);
+      break;
+    case MSG_LIMIT_SETTLE:
+      _lim_settled (l, env, vm, &r);
+      break;
+    case MSG_LIMIT_OFFER:
+      _lim_offered (l, env, vm, &r);
+      break;
+    default:
+      lsh_message_received (l->shares, env, vm, msg);
+      lim_sync (l, env);
+      break;
+    }
+  if (r.failed)
+    cnt_add (env->cnt, "rts_limit_bad_messages_total", "", 1);
+  talloc_free (ctx);
+}
