--- a/src/core/lim_share.c
+++ b/src/core/lim_share.c
@@ -107,8 +107,8 @@
 }
 
 /* Whether VALUE at VERSION is now what this VM goes by. */
-static bool
-_lsh_take (lsh_t *s, env_t *env, uint64_t version, buf_t value)
+bool
+lsh_lists_take (lsh_t *s, env_t *env, uint64_t version, buf_t value)
 {
   uint64_t known = s->lists ? s->lists->version : 0;
   if (version < known)
@@ -128,8 +128,8 @@
   return true;
 }
 
-static void
-_lsh_confirm (lsh_t *s, clk_ms_t sent, bool by_platform)
+void
+lsh_right_confirm (lsh_t *s, clk_ms_t sent, bool by_platform)
 {
   s->short_until = clk_max (s->short_until, sent + s->desc.short_life_ms);
   clk_ms_t long_life
@@ -247,147 +247,6 @@
   return s->lists ? s->lists->version : 0;
 }
 
-/* ---- promises ---- */
-
-static void
-_lsh_send (lsh_t *s, env_t *env, const char *vm, uint16_t kind, uint64_t a,
-           uint64_t b, int64_t c)
-{
-  mpk_writer_t w;
-  mpk_writer_init (&w, s);
-  mpk_put_uint (&w, a);
-  mpk_put_uint (&w, b);
-  if (c >= 0)
-    mpk_put_uint (&w, (uint64_t)c);
-  buf_t body = mpk_done (&w);
-  mbr_send (s->desc.members, env, vm, kind, body);
-  talloc_free ((void *)(uintptr_t)body.p);
-}
-
-/* Whether the platform said within the long life that this VM is there: a
- * VM that is not counts as gone, and others may replace the lists. */
-static bool
-_lsh_is_listed (const lsh_t *s, const env_t *env)
-{
-  const mbr_vm_t *self = mbr_vm_find (s->desc.members, env->vm);
-  clk_ms_t at = mbr_listed_at (s->desc.members);
-  return self != NULL && self->listed && at != CLK_NEVER
-         && env->now < at + s->desc.long_life_ms;
-}
-
-/* This VM will not replace the lists for a right's life from now on; false
- * when a replacement of its own may be under way. */
-static bool
-_lsh_promise (lsh_t *s, env_t *env)
-{
-  if (s->writing || s->write_unknown == s->lists->version
-      || !_lsh_is_listed (s, env))
-    return false;
-  s->promised_until = env->now + lsh_with_drift (s->desc.short_life_ms);
-  return true;
-}
-
-static void
-_lsh_ask_promises (lsh_t *s, env_t *env)
-{
-  if (s->lists == NULL || s->desc.no_promises)
-    return;
-  const char *writers[LLI_WRITERS_MAX];
-  size_t n = lli_writers (s->lists, writers);
-  s->round++;
-  s->round_sent = env->now;
-  s->round_missing = 0;
-  for (size_t i = 0; i < n; i++)
-    if (strcmp (writers[i], env->vm) != 0)
-      {
-        s->round_missing |= 1U << i;
-        _lsh_send (s, env, writers[i], MSG_LIMIT_PROMISE_ASK, s->round,
-                   s->lists->version, -1);
-      }
-    else if (!_lsh_promise (s, env))
-      s->round_missing |= 1U << LLI_WRITERS_MAX;
-  if (n > 0 && s->round_missing == 0)
-    _lsh_confirm (s, env->now, false);
-}
-
-static void
-_lsh_send_lists (lsh_t *s, env_t *env, const char *vm)
-{
-  buf_t value = lli_encode (s, s->lists);
-  mpk_writer_t w;
-  mpk_writer_init (&w, s);
-  mpk_put_uint (&w, s->lists->version);
-  mpk_put_str (&w, value);
-  buf_t body = mpk_done (&w);
-  mbr_send (s->desc.members, env, vm, MSG_LIMIT_SHARES, body);
-  talloc_free ((void *)(uintptr_t)body.p);
-  talloc_free ((void *)(uintptr_t)value.p);
-}
-
-static void
-_lsh_promise_asked (lsh_t *s, env_t *env, const char *vm, mpk_reader_t *r)
-{
-  uint64_t round = mpk_get_uint (r);
-  uint64_t version = mpk_get_uint (r);
-  if (!mpk_end (r) || s->lists == NULL)
-    return;
-  if (s->lists->version > version)
-    _lsh_send_lists (s, env, vm);
-  bool given = s->lists->version == version
-               && lli_writer_index (s->lists, env->vm) < LLI_WRITERS_MAX
-               && _lsh_promise (s, env);
-  _lsh_send (s, env, vm, MSG_LIMIT_PROMISE, round, s->lists->version, given);
-}
-
-static void
-_lsh_promise_received (lsh_t *s, env_t *env, const char *vm, mpk_reader_t *r)
-{
-  uint64_t round = mpk_get_uint (r);
-  uint64_t version = mpk_get_uint (r);
-  bool given = mpk_get_uint (r) != 0;
-  if (!mpk_end (r) || s->lists == NULL)
-    return;
-  if (version < s->lists->version)
-    _lsh_send_lists (s, env, vm);
-  if (!given || round != s->round || version != s->lists->version
-      || s->round_missing == 0)
-    return;
-  size_t i = lli_writer_index (s->lists, vm);
-  if (i == LLI_WRITERS_MAX)
-    return;
-  s->round_missing &= ~(1U << i);
-  if (s->round_missing == 0)
-    _lsh_confirm (s, s->round_sent, false);
-}
-
-void
-lsh_message_received (lsh_t *s, env_t *env, const char *vm, const msg_t *msg)
-{
-  void *ctx = talloc_new (s);
-  mpk_reader_t r = mpk_reader (ctx, msg->body);
-  switch (msg->kind)
-    {
-    case MSG_LIMIT_PROMISE_ASK:
-      _lsh_promise_asked (s, env, vm, &r);
-      break;
-    case MSG_LIMIT_PROMISE:
-      _lsh_promise_received (s, env, vm, &r);
-      break;
-    case MSG_LIMIT_SHARES:
-      {
-        uint64_t version = mpk_get_uint (&r);
-        buf_t value = mpk_get_str (&r);
-        if (mpk_end (&r))
-          _lsh_take (s, env, version, value);
-        break;
-      }
-    default:
-      cnt_add (env->cnt, "rts_limit_bad_messages_total", "", 1);
-      break;
-    }
-  talloc_free (ctx);
-}
-
 /* ---- platform ---- */
 
 static void
@@ -460,11 +319,11 @@
   s->reading = false;
   s->read_failed = reply->code == ST_UNAVAILABLE || reply->code == ST_UNKNOWN;
   if (reply->code == ST_OK && reply->object_count == 1
-      && _lsh_take (s, env, reply->objects[0].version,
-                    reply->objects[0].value))
+      && lsh_lists_take (s, env, reply->objects[0].version,
+                         reply->objects[0].value))
     {
       s->read_ok = s->read_sent;
-      _lsh_confirm (s, s->read_sent, true);
+      lsh_right_confirm (s, s->read_sent, true);
     }
   else if (reply->code == ST_NOT_FOUND)
     {
@@ -472,7 +331,7 @@
       _lsh_read_absent (s, env);
     }
   else if (s->read_failed)
-    _lsh_ask_promises (s, env);
+    lsh_promises_ask (s, env);
   _lsh_arm_next_poll (s, env);
 }
 
--- a/src/core/lim_share_priv.h
+++ b/src/core/lim_share_priv.h
@@ -1,5 +1,6 @@
 /** @file
- * State of mint rights, shared by lim_share.c (rights, reads, promises) and
+ * State of mint rights, shared by lim_share.c (rights and reads),
+ * lim_promise.c (promises not to change the lists),
  * lim_change.c (changing the lists).
  *
  * Nothing else includes this.
@@ -81,6 +82,15 @@
   return now >= s->long_seen + lsh_settled_ms (s, s->desc.long_life_ms);
 }
 
+/** Take VALUE at VERSION; false when it is older than known or bad. */
+bool lsh_lists_take (lsh_t *s, env_t *env, uint64_t version, buf_t value);
+
+/** Rights count from SENT; the long one only by the platform's word. */
+void lsh_right_confirm (lsh_t *s, clk_ms_t sent, bool by_platform);
+
+/** Ask all VMs that may change the lists for their promises. */
+void lsh_promises_ask (lsh_t *s, env_t *env);
+
 /** Replace the lists if this VM may and they are not as they should be. */
 void lsh_change_check (lsh_t *s, env_t *env);
 
