--- a/src/core/mpk.c
+++ b/src/core/mpk.c
@@ -48,11 +48,26 @@
   return (mpk_reader_t){ .ctx = ctx, .body = body };
 }
 
+/* Whether a value that begins with TYPE may be unpacked.  The library takes
+ * memory for what an array or a map announces, so these are refused first;
+ * bodies are flat. */
+static bool
+_mpk_is_flat (unsigned char type)
+{
+  bool fixint = type <= 0x7f || type >= 0xe0;
+  bool bin = type >= 0xc4 && type <= 0xc6;
+  bool number = type >= 0xcb && type <= 0xd3;
+  return fixint || bin || number;
+}
+
 /* Unpack the next value into U; the caller destroys U when true. */
 static bool
 _mpk_next (mpk_reader_t *r, msgpack_unpacked *u)
 {
   msgpack_unpacked_init (u);
+  if (!r->failed && r->at < r->body.n
+      && !_mpk_is_flat ((unsigned char)r->body.p[r->at]))
+    r->failed = true;
   if (r->failed)
     return false;
   if (msgpack_unpack_next (u, r->body.p, r->body.n, &r->at)
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -59,6 +59,10 @@
   r = mpk_reader (ctx, body);
   (void)mpk_get_str (&r);
   CU_ASSERT_FALSE (mpk_end (&r));
+  static const char huge[] = "\xdd\xff\xff\xff\xff";
+  r = mpk_reader (ctx, (buf_t){ .p = huge, .n = sizeof huge - 1 });
+  (void)mpk_get_uint (&r);
+  CU_ASSERT_FALSE (mpk_end (&r));
   r = mpk_reader (ctx, (buf_t){ .p = body.p, .n = body.n - 1 });
   (void)mpk_get_uint (&r);
   (void)mpk_get_str (&r);
--- a/tests/test_lse.c
+++ b/tests/test_lse.c
@@ -440,7 +440,7 @@
   _run (w, CLK_SECOND);
   uint64_t before = w->version;
   _run (w, 10 * TERM_MS);
-  CU_ASSERT (w->version - before <= 10 * 4);
+  CU_ASSERT (w->version - before <= 40);
   for (int k = 0; k < LEASES; k++)
     CU_ASSERT (_holds (w, 0, k));
   _world_free (w);
@@ -487,7 +487,7 @@
   world_t *w = _world (9);
   _want (w, 0, 0);
   call_t *c = _until_put (w, 0, "lease/a");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  TST_NEED (c != NULL);
   c->answer_lost = true;
   c->effect_at = w->now + 8 * CLK_SECOND;
   c->answer_at = w->now + 2 * CLK_SECOND;
