--- a/tests/onlnet.c
+++ b/tests/onlnet.c
@@ -1,7 +1,6 @@
-#include "onlnet.h"
+#include "onlnet_int.h"
 
 #include "core/inv.h"
-#include "flt_platform.h"
 #include "tst.h"
 
 #include <math.h>
@@ -10,12 +9,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#define VMS_MAX 4
-#define UPSTREAMS 5 /* 0 to 2: engines; 3, 4: plain */
-#define REQUESTS_MAX 20000
-#define ORDERS_MAX 4096
-#define CLOSE_SLACK_MS 200
-
 static const char document[]
     = "[data-centre a]\nowner = t\n"
       "[deployment llm]\nowner = t\nkind = engine\nslots = %d\n"
@@ -39,69 +32,14 @@
       "[route POST /orders]\nowner = t\ndeployment = cloth\nopen = yes\n"
       "deadline = 5 s\n";
 
-typedef struct
-{
-  env_t *env;
-  mbr_t *members;
-  spr_t *ring;
-  key_set_t *keys;
-  lim_t *limits;
-  rte_t *routes;
-  idm_t *records;
-  onl_t *onl;
-  uint64_t incarnation;
-} vm_t;
-
-typedef enum
-{
-  ASKED,
-  CLOSED,
-  UPSTREAM,
-  PLATFORM,
-} kind_t;
-
-typedef struct
-{
-  kind_t kind;
-  int vm;
-  uint64_t incarnation;
-  uint64_t request;
-  ev_t ev;
-  http_header_t headers[3];
-} due_t;
-
-typedef struct
-{
-  onn_answer_t answer;
-  onn_ask_t ask;
-  int vm;
-} request_t;
-
-struct onn
-{
-  onn_desc_t desc;
-  clk_ms_t now;
-  tmr_t *queue;
-  GRand *rand;
-  fpl_t *platform;
-  cfg_doc_t *doc;
-  vm_t vm[VMS_MAX];
-  bool has_faults[UPSTREAMS];
-  onn_faults_t faults[UPSTREAMS];
-  request_t request[REQUESTS_MAX];
-  uint64_t requests;
-  unsigned order_runs[ORDERS_MAX];
-  unsigned received[UPSTREAMS];
-};
-
-static bool
-chance (onn_t *n, double p)
+bool
+onn_chance (onn_t *n, double p)
 {
   return p > 0 && g_rand_double (n->rand) < p;
 }
 
-static due_t *
-later (onn_t *n, clk_ms_t delay, kind_t kind, int vm)
+due_t *
+onn_later (onn_t *n, clk_ms_t delay, kind_t kind, int vm)
 {
   due_t *d = talloc_zero (n, due_t);
   d->kind = kind;
@@ -200,155 +138,18 @@
   vm_start (n, vm);
 }
 
-/* -- upstreams ------------------------------------------------------------ */
-
-static int
-header_number (http_headers_t headers, const char *name)
-{
-  const char *value = http_header_find (headers, name);
-  return value != NULL ? atoi (value) : 0;
-}
-
-static due_t *
-upstream_event (onn_t *n, clk_ms_t delay, int vm, uint64_t call,
-                ev_kind_t kind)
-{
-  due_t *d = later (n, delay, UPSTREAM, vm);
-  d->ev.kind = kind;
-  d->ev.upstream.call = call;
-  return d;
-}
-
-static void
-upstream_data (onn_t *n, clk_ms_t delay, int vm, uint64_t call, buf_t data)
-{
-  due_t *d = upstream_event (n, delay, vm, call, EV_UPSTREAM_DATA);
-  d->ev.upstream.data = buf_copy (d, data);
-}
-
-/** The whole body that belongs to request number ID. */
-static char *
-body_of (void *ctx, const onn_t *n, uint64_t id)
-{
-  const onn_ask_t *ask = &n->request[id].ask;
-  if (strcmp (ask->path, "/orders") == 0)
-    return talloc_asprintf (ctx, "cut order %d", ask->order);
-  if (ask->stream)
-    return talloc_asprintf (
-        ctx, "data: answer to %llu\n\ndata: more\n\ndata: [DONE]\n\n",
-        (unsigned long long)id);
-  return talloc_asprintf (ctx, "answer to %llu", (unsigned long long)id);
-}
-
-/** Send an answer for request ID to CALL; PART of its body, then END. */
-static clk_ms_t
-upstream_answer (onn_t *n, clk_ms_t delay, int vm, uint64_t call, uint64_t id,
-                 const char *request_id, double part, ev_kind_t end)
-{
-  char *body = body_of (n, n, id);
-  size_t size = strlen (body);
-  size_t sent = (size_t)(part * (double)size);
-  due_t *head = upstream_event (n, delay, vm, call, EV_UPSTREAM_HEAD);
-  bool stream = n->request[id].ask.stream;
-  head->headers[0]
-      = (http_header_t){ "Content-Type",
-                         stream ? "text/event-stream" : "text/plain" };
-  head->headers[1]
-      = (http_header_t){ "X-Request-Id", talloc_strdup (head, request_id) };
-  head->headers[2] = (http_header_t){ "Content-Length",
-                                      talloc_asprintf (head, "%zu", size) };
-  head->ev.upstream.status = 200;
-  head->ev.upstream.headers
-      = (http_headers_t){ .v = head->headers, .n = stream ? 2 : 3 };
-  upstream_data (n, delay + 2, vm, call, (buf_t){ .p = body, .n = sent / 2 });
-  upstream_data (n, delay + 4, vm, call,
-                 (buf_t){ .p = body + sent / 2, .n = sent - sent / 2 });
-  due_t *last = upstream_event (n, delay + 6, vm, call, end);
-  last->ev.upstream.fail = EV_FAIL_UNKNOWN;
-  last->ev.upstream.text = "cut";
-  return delay + 7;
-}
-
-static void
-upstream_run (onn_t *n, int vm, const fx_upstream_t *call, int upstream)
-{
-  const onn_faults_t *f
-      = n->has_faults[upstream] ? &n->faults[upstream] : &n->desc.faults;
-  uint64_t id = (uint64_t)header_number (call->headers, "X-Attempt");
-  const char *request_id = http_header_find (call->headers, "X-Request-Id");
-  request_t *r = &n->request[id];
-  for (size_t i = 0; i < call->headers.n; i++)
-    CU_ASSERT_PTR_NULL (strstr (call->headers.v[i].value, ONN_KEY));
-  n->received[upstream]++;
-  r->answer.received++;
-  if (strcmp (call->path, "/orders") == 0)
-    n->order_runs[r->ask.order]++;
-  clk_ms_t work = 5
-                  + (clk_ms_t)(-log (1 - g_rand_double (n->rand))
-                               * (double)n->desc.work_ms);
-  uint64_t other = 1 + g_rand_int (n->rand) % n->requests;
-  if (chance (n, f->silent) || work > call->first_byte_ms)
-    upstream_event (n, call->first_byte_ms, vm, call->call, EV_UPSTREAM_FAIL)
-        ->ev.upstream.fail
-        = EV_FAIL_TIMEOUT;
-  else if (chance (n, f->cut))
-    (void)upstream_answer (n, work, vm, call->call, id, request_id, 0.5,
-                           EV_UPSTREAM_FAIL);
-  else if (chance (n, f->brief))
-    (void)upstream_answer (n, work, vm, call->call, id, request_id, 0.5,
-                           EV_UPSTREAM_END);
-  else if (chance (n, f->crossed) && other != id)
-    (void)upstream_answer (n, work, vm, call->call, other, "another-1", 1,
-                           EV_UPSTREAM_END);
-  else if (chance (n, f->busy))
-    {
-      upstream_event (n, work, vm, call->call, EV_UPSTREAM_HEAD)
-          ->ev.upstream.status
-          = 503;
-      (void)upstream_event (n, work, vm, call->call, EV_UPSTREAM_END);
-    }
-  else
-    {
-      work = upstream_answer (n, work, vm, call->call, id, request_id, 1,
-                              EV_UPSTREAM_END);
-      if (chance (n, f->twice))
-        (void)upstream_answer (n, work, vm, call->call, id, request_id, 1,
-                               EV_UPSTREAM_END);
-    }
-}
-
-static void
-upstream_call (onn_t *n, int vm, const fx_upstream_t *call)
-{
-  int upstream = atoi (call->address + strlen ("10.0.0."));
-  const onn_faults_t *f
-      = n->has_faults[upstream] ? &n->faults[upstream] : &n->desc.faults;
-  if (strcmp (call->method, "GET") == 0)
-    {
-      upstream_event (n, 2, vm, call->call, EV_UPSTREAM_HEAD)
-          ->ev.upstream.status
-          = 404;
-      return;
-    }
-  if (chance (n, f->refuse))
-    upstream_event (n, 1, vm, call->call, EV_UPSTREAM_FAIL)->ev.upstream.fail
-        = EV_FAIL_NOT_SENT;
-  else
-    upstream_run (n, vm, call, upstream);
-}
-
 /* -- platform ------------------------------------------------------------- */
 
 static void
 platform_call (onn_t *n, int vm, const fx_platform_t *call)
 {
-  due_t *d = later (n, 4, PLATFORM, vm);
+  due_t *d = onn_later (n, 4, PLATFORM, vm);
   d->ev.platform.call = call->call;
   d->ev.platform.code = ST_UNAVAILABLE;
-  if (chance (n, n->desc.faults.platform_down))
+  if (onn_chance (n, n->desc.faults.platform_down))
     return;
   (void)fpl_call (n->platform, d, call, &d->ev.platform);
-  if (chance (n, n->desc.faults.platform_lost))
+  if (onn_chance (n, n->desc.faults.platform_lost))
     d->ev.platform = (ev_platform_t){ .call = call->call, .code = ST_UNKNOWN };
 }
 
@@ -417,12 +218,13 @@
   r->vm = vm;
   r->answer.asked = n->now;
   r->answer.body = g_string_new (NULL);
-  due_t *d = later (n, 0, ASKED, vm);
+  due_t *d = onn_later (n, 0, ASKED, vm);
   d->incarnation = 0;
   d->request = id;
-  if (chance (n, n->desc.faults.gone))
+  if (onn_chance (n, n->desc.faults.gone))
     {
-      due_t *close = later (n, g_rand_int_range (n->rand, 1, 200), CLOSED, vm);
+      due_t *close
+          = onn_later (n, g_rand_int_range (n->rand, 1, 200), CLOSED, vm);
       close->request = id;
     }
   return id;
@@ -484,7 +286,7 @@
 carry_out (onn_t *n, int vm, const fx_t *f)
 {
   if (f->kind == FX_UPSTREAM_CALL)
-    upstream_call (n, vm, &f->upstream);
+    onn_upstream_call (n, vm, &f->upstream);
   else if (f->kind == FX_PLATFORM)
     platform_call (n, vm, &f->platform);
   else if (f->kind >= FX_REPLY_HEAD && f->kind <= FX_REPLY_ABORT)
@@ -539,7 +341,7 @@
         }
       for (int i = 0; i < n->desc.vms; i++)
         vm_turn (n, i);
-      if (n->desc.faults.kill > 0 && chance (n, n->desc.faults.kill / 500))
+      if (n->desc.faults.kill > 0 && onn_chance (n, n->desc.faults.kill / 500))
         onn_kill (n, g_rand_int_range (n->rand, 0, n->desc.vms));
     }
   n->now = until;
@@ -634,7 +436,7 @@
                || strstr (a->body->str, "event: error") != NULL);
   if (!a->ended || a->status != 200)
     return;
-  char *whole = body_of (NULL, n, id);
+  char *whole = onn_body (NULL, n, id);
   CU_ASSERT_STRING_EQUAL (a->body->str, whole);
   talloc_free (whole);
 }
--- /dev/null
+++ b/tests/onlnet_up.c
@@ -0,0 +1,144 @@
+/** @file
+ * The fake upstreams of onlnet.
+ */
+#include "onlnet_int.h"
+#include "tst.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+static int
+header_number (http_headers_t headers, const char *name)
+{
+  const char *value = http_header_find (headers, name);
+  return value != NULL ? atoi (value) : 0;
+}
+
+static due_t *
+upstream_event (onn_t *n, clk_ms_t delay, int vm, uint64_t call,
+                ev_kind_t kind)
+{
+  due_t *d = onn_later (n, delay, UPSTREAM, vm);
+  d->ev.kind = kind;
+  d->ev.upstream.call = call;
+  return d;
+}
+
+static void
+upstream_data (onn_t *n, clk_ms_t delay, int vm, uint64_t call, buf_t data)
+{
+  due_t *d = upstream_event (n, delay, vm, call, EV_UPSTREAM_DATA);
+  d->ev.upstream.data = buf_copy (d, data);
+}
+
+char *
+onn_body (void *ctx, const onn_t *n, uint64_t id)
+{
+  const onn_ask_t *ask = &n->request[id].ask;
+  if (strcmp (ask->path, "/orders") == 0)
+    return talloc_asprintf (ctx, "cut order %d", ask->order);
+  if (ask->stream)
+    return talloc_asprintf (
+        ctx, "data: answer to %llu\n\ndata: more\n\ndata: [DONE]\n\n",
+        (unsigned long long)id);
+  return talloc_asprintf (ctx, "answer to %llu", (unsigned long long)id);
+}
+
+/** Send an answer for request ID to CALL; PART of its body, then END. */
+static clk_ms_t
+upstream_answer (onn_t *n, clk_ms_t delay, int vm, uint64_t call, uint64_t id,
+                 const char *request_id, double part, ev_kind_t end)
+{
+  char *body = onn_body (n, n, id);
+  size_t size = strlen (body);
+  size_t sent = (size_t)(part * (double)size);
+  due_t *head = upstream_event (n, delay, vm, call, EV_UPSTREAM_HEAD);
+  bool stream = n->request[id].ask.stream;
+  head->headers[0]
+      = (http_header_t){ "Content-Type",
+                         stream ? "text/event-stream" : "text/plain" };
+  head->headers[1]
+      = (http_header_t){ "X-Request-Id", talloc_strdup (head, request_id) };
+  head->headers[2] = (http_header_t){ "Content-Length",
+                                      talloc_asprintf (head, "%zu", size) };
+  head->ev.upstream.status = 200;
+  head->ev.upstream.headers
+      = (http_headers_t){ .v = head->headers, .n = stream ? 2 : 3 };
+  upstream_data (n, delay + 2, vm, call, (buf_t){ .p = body, .n = sent / 2 });
+  upstream_data (n, delay + 4, vm, call,
+                 (buf_t){ .p = body + sent / 2, .n = sent - sent / 2 });
+  due_t *last = upstream_event (n, delay + 6, vm, call, end);
+  last->ev.upstream.fail = EV_FAIL_UNKNOWN;
+  last->ev.upstream.text = "cut";
+  return delay + 7;
+}
+
+static void
+upstream_run (onn_t *n, int vm, const fx_upstream_t *call, int upstream)
+{
+  const onn_faults_t *f
+      = n->has_faults[upstream] ? &n->faults[upstream] : &n->desc.faults;
+  uint64_t id = (uint64_t)header_number (call->headers, "X-Attempt");
+  const char *request_id = http_header_find (call->headers, "X-Request-Id");
+  request_t *r = &n->request[id];
+  for (size_t i = 0; i < call->headers.n; i++)
+    CU_ASSERT_PTR_NULL (strstr (call->headers.v[i].value, ONN_KEY));
+  n->received[upstream]++;
+  r->answer.received++;
+  if (strcmp (call->path, "/orders") == 0)
+    n->order_runs[r->ask.order]++;
+  clk_ms_t work = 5
+                  + (clk_ms_t)(-log (1 - g_rand_double (n->rand))
+                               * (double)n->desc.work_ms);
+  uint64_t other = 1 + g_rand_int (n->rand) % n->requests;
+  if (onn_chance (n, f->silent) || work > call->first_byte_ms)
+    upstream_event (n, call->first_byte_ms, vm, call->call, EV_UPSTREAM_FAIL)
+        ->ev.upstream.fail
+        = EV_FAIL_TIMEOUT;
+  else if (onn_chance (n, f->cut))
+    (void)upstream_answer (n, work, vm, call->call, id, request_id, 0.5,
+                           EV_UPSTREAM_FAIL);
+  else if (onn_chance (n, f->brief))
+    (void)upstream_answer (n, work, vm, call->call, id, request_id, 0.5,
+                           EV_UPSTREAM_END);
+  else if (onn_chance (n, f->crossed) && other != id)
+    (void)upstream_answer (n, work, vm, call->call, other, "another-1", 1,
+                           EV_UPSTREAM_END);
+  else if (onn_chance (n, f->busy))
+    {
+      upstream_event (n, work, vm, call->call, EV_UPSTREAM_HEAD)
+          ->ev.upstream.status
+          = 503;
+      (void)upstream_event (n, work, vm, call->call, EV_UPSTREAM_END);
+    }
+  else
+    {
+      work = upstream_answer (n, work, vm, call->call, id, request_id, 1,
+                              EV_UPSTREAM_END);
+      if (onn_chance (n, f->twice))
+        (void)upstream_answer (n, work, vm, call->call, id, request_id, 1,
+                               EV_UPSTREAM_END);
+    }
+}
+
+void
+onn_upstream_call (onn_t *n, int vm, const fx_upstream_t *call)
+{
+  int upstream = atoi (call->address + strlen ("10.0.0."));
+  const onn_faults_t *f
+      = n->has_faults[upstream] ? &n->faults[upstream] : &n->desc.faults;
+  if (strcmp (call->method, "GET") == 0)
+    {
+      upstream_event (n, 2, vm, call->call, EV_UPSTREAM_HEAD)
+          ->ev.upstream.status
+          = 404;
+      return;
+    }
+  if (onn_chance (n, f->refuse))
+    upstream_event (n, 1, vm, call->call, EV_UPSTREAM_FAIL)->ev.upstream.fail
+        = EV_FAIL_NOT_SENT;
+  else
+    upstream_run (n, vm, call, upstream);
+}
