Routing tests: holders of prefixes and old unanswered requests

Cause: with the price of a cached prefix, or the age of an unanswered request, taken out of the choice, all 16 cases of test_rte still passed.

Change: one case for each; each fails with its part taken out (1 case each).

--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -221,6 +221,58 @@
   talloc_free (f);
 }
 
+static void
+answered (fix_t *f, const rte_pick_t *p)
+{
+  run (f, 30);
+  rte_first_byte (f->rte[0], f->env[0], p->handle);
+  rte_finished (f->rte[0], f->env[0], p->handle);
+}
+
+static void
+test_each_prefix_returns_to_its_own_holder (void)
+{
+  fix_t *f = fix_setup (1);
+  rte_pick_t p;
+  for (uint64_t prefix = 1; prefix <= 8; prefix++)
+    {
+      rte_ask_t first = { .deployment = "d",
+                          .prefix = prefix,
+                          .only = prefix % 2 ? "u0" : "u1" };
+      CU_ASSERT (rte_pick (f->rte[0], f->env[0], &first, &p));
+      answered (f, &p);
+    }
+  for (uint64_t prefix = 1; prefix <= 8; prefix++)
+    {
+      CU_ASSERT (pick (f, 0, prefix, &p));
+      CU_ASSERT_STRING_EQUAL (p.upstream, prefix % 2 ? "u0" : "u1");
+      answered (f, &p);
+    }
+  talloc_free (f);
+}
+
+static void
+test_an_old_unanswered_request_weighs_more_than_new_ones (void)
+{
+  fix_t *f = fix_setup (1);
+  rte_pick_t p;
+  char name[16];
+  rte_ask_t ask = { .deployment = "d", .only = name };
+  (void)snprintf (name, sizeof name, "u0");
+  CU_ASSERT (rte_pick (f->rte[0], f->env[0], &ask, &p));
+  run (f, 2000);
+  for (int i = 1; i < UPSTREAMS; i++)
+    for (int n = 0; n < 3; n++)
+      {
+        (void)snprintf (name, sizeof name, "u%d", i);
+        CU_ASSERT (rte_pick (f->rte[0], f->env[0], &ask, &p));
+      }
+  /* u0 has the fewest, but the one there has had no answer for 2 s. */
+  CU_ASSERT (pick (f, 0, 0, &p));
+  CU_ASSERT_STRING_NOT_EQUAL (p.upstream, "u0");
+  talloc_free (f);
+}
+
 static void
 test_cache_events_name_the_holder (void)
 {
@@ -512,6 +564,10 @@
       test_near_ones_first_then_the_other_data_centre },
     { "prefix_returns_to_its_holder_until_that_is_loaded",
       test_prefix_returns_to_its_holder_until_that_is_loaded },
+    { "each_prefix_returns_to_its_own_holder",
+      test_each_prefix_returns_to_its_own_holder },
+    { "an_old_unanswered_request_weighs_more_than_new_ones",
+      test_an_old_unanswered_request_weighs_more_than_new_ones },
     { "cache_events_name_the_holder", test_cache_events_name_the_holder },
     { "refusing_upstream_is_left_out_longer_each_time",
       test_refusing_upstream_is_left_out_longer_each_time },
