Process tests: readiness in an outage; a refused order stays refused

test_platform_down: a refusal without a record says unknown by now, as an earlier request with the same key may have run; the test asks for that code and, instead of the word, that the order does not run after the outage either. test_order_answer_lost first opens a connection that is kept: since the fleet waits on /readyz none was there, and the test no longer met its fault. test_start_during_outage waits for a served call; that /readyz never turns 200 in an outage has its own test, red.

--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -7,9 +7,12 @@
   complete_row "$a" 5 || fail "online requests need the platform"
   order "$a" outage || fail "no answer"
   [ "$REPLY" = 503 ] || fail "status $REPLY, expected 503"
-  says not-run || fail "not said to be not run: $(cat "$fleet_dir/answer")"
+  grep -q '"no-record"' "$fleet_dir/answer" \
+    || fail "another refusal: $(cat "$fleet_dir/answer")"
   ran outage 0 || fail "an order without a record ran"
   fleet_control platform '{"mode":"ok"}'
+  fleet_until order_is_done "$a" outage-after || fail "no orders afterwards"
+  ran outage 0 || fail "a refused order ran after the outage"
   fleet_until order_is_done "$a" outage || fail "no orders after the outage"
   ran outage 1 || fail "the order ran $(fleet_runs outage) times"
 }
@@ -59,11 +62,23 @@
   fleet_kill "$a" KILL
   fleet_gone "$a"
   fleet_vm "$a" || fail "the VM does not start"
-  fleet_until fleet_in_force "$a" || fail "no configuration from a peer"
+  fleet_until open_call "$a" || fail "no configuration from a peer"
   fleet_until complete_own "$a" "started" \
     || fail "the VM does not serve: $(cat "$fleet_dir/answer")"
 }
 
+# A VM that serves says that it is ready, also when it started in an outage.
+test_ready_during_outage ()
+{
+  fleet_control platform '{"mode":"down"}'
+  fleet_kill "$a" KILL
+  fleet_gone "$a"
+  fleet_vm "$a" || fail "the VM does not start"
+  fleet_until complete_own "$a" "started" \
+    || fail "the VM does not serve: $(cat "$fleet_dir/answer")"
+  fleet_until fleet_in_force "$a" || fail "it serves, but is never ready"
+}
+
 # Bytes that are no frames, half a frame, and a connection that says nothing.
 test_garbage_at_the_peer_port ()
 {
--- a/tests/process/upstream.sh
+++ b/tests/process/upstream.sh
@@ -80,10 +80,18 @@
   fleet_until complete_row "$a" 5 || fail "silent connections are still used"
 }
 
+# A call on the open route: the VM keeps its connection to the service.
+open_call ()
+{
+  [ "$(fleet_curl "$1" /public/x -o "$fleet_dir/answer" \
+    -w '%{http_code}')" = 200 ]
+}
+
 # The answer is lost after the order has run: told so, and never run again.
 test_order_answer_lost ()
 {
   local i
+  open_call "$a" || fail "no connection to keep"
   fleet_control shop-north '{"mode":"lose"}'
   fleet_control shop-south '{"mode":"lose"}'
   order "$a" lost || fail "no answer"
