--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -227,14 +227,28 @@
   done
 }
 
+# Addresses of the VMs that run, for --vm.
+fleet_vm_list ()
+{
+  local vm
+  local -a at=()
+  for vm in "${fleet_vms[@]}"; do
+    [ -z "${fleet_pid[$vm]:-}" ] || at+=("${fleet_address[$vm]}")
+  done
+  (IFS=, && echo "${at[*]}")
+}
+
+# An operator's command: fleet_command config apply FILE.
+fleet_command ()
+{
+  "$fleet_bin/rattanspindle" "$@" --vm "$(fleet_vm_list)" \
+    --token-file "$fleet_dir/token"
+}
+
 fleet_apply_once ()
 {
-  local status
-  status=$(fleet_curl "${fleet_vms[0]}" /v1/operator/config -X POST \
-    -H "Authorization: Bearer $(cat "$fleet_dir/token")" \
-    --data-binary "@$fleet_dir/document.ini" \
-    -o "$fleet_dir/apply.answer" -w '%{http_code}')
-  [ "$status" = 200 ]
+  fleet_command config apply "$fleet_dir/document.ini" \
+    >"$fleet_dir/apply.answer" 2>&1
 }
 
 fleet_admits_once ()
