--- a/tests/test_lim.c
+++ b/tests/test_lim.c
@@ -426,6 +426,129 @@
     }
 }
 
+/* Cut off from its peers, then from the platform just before they take it off
+ * the list: it goes on minting by its old right, so the new list must wait. */
+static void
+test_new_list_waits (void)
+{
+  for (int cut = 3000; cut <= 6000; cut += 500)
+    {
+      net_desc_t desc = _six_vms (20);
+      desc.data_centres = 1;
+      desc.customers = 1;
+      run_t r = _run_setup (&desc);
+      r.n->vms[5].zone = 15;
+      r.n->cut[15][0] = r.n->cut[0][15] = true;
+      _run_until (&r, r.n->now + cut);
+      r.n->platform_unreachable[15] = true;
+      for (int i = 0; i < 150; i++)
+        {
+          _run_until (&r, r.n->now + 100);
+          _all_parts (&r);
+        }
+      _run_shutdown (&r);
+    }
+}
+
+/* A new process waits until loans of the old one are over. */
+static void
+test_wait_after_restart (void)
+{
+  net_desc_t desc = _six_vms (21);
+  run_t r = _run_setup (&desc);
+  net_kill_vm (r.n, 1, true);
+  net_start_vm (r.n, 1);
+  net_run (r.n, r.n->now + CLK_SECOND);
+  CU_ASSERT (lsh_version (lim_shares (r.n->vms[1].lim)) > 0);
+  CU_ASSERT_EQUAL (_parts (&r, 1), 0);
+  CU_ASSERT_EQUAL (lbk_held (lim_bucket (r.n->vms[1].lim, "customer-0")), 0);
+  net_run (r.n, r.n->now + CLK_SECOND);
+  CU_ASSERT (_parts (&r, 1) > 0);
+  _run_shutdown (&r);
+}
+
+static void
+test_bucket_loans_fill (void)
+{
+  lbk_t *b = lbk_setup (NULL);
+  lbk_set_share (b, 0, 2 * LBK_TOKEN, 4 * LBK_TOKEN);
+  lbk_advance (b, 10000);
+  CU_ASSERT_EQUAL (lbk_held (b), 4 * LBK_TOKEN);
+  CU_ASSERT_EQUAL (lbk_lend (b, 10000, "v", 1, 3 * LBK_TOKEN, 5000),
+                   3 * LBK_TOKEN);
+  lbk_advance (b, 14000);
+  CU_ASSERT_EQUAL (lbk_held (b), 1 * LBK_TOKEN);
+  /* One spent, one given back: room for one and one more held. */
+  lbk_settle (b, 14000, "v", 1, LBK_TOKEN, LBK_TOKEN);
+  CU_ASSERT_EQUAL (lbk_held (b), 2 * LBK_TOKEN);
+  CU_ASSERT_EQUAL (lbk_lent (b), 1 * LBK_TOKEN);
+  lbk_settle (b, 14000, "v", 1, 2 * LBK_TOKEN, 0);
+  lbk_settle (b, 14000, "other", 1, LBK_TOKEN, 0);
+  CU_ASSERT_EQUAL (lbk_lent (b), 1 * LBK_TOKEN);
+  /* The loan ends at 15000: from then on its room fills. */
+  lbk_advance (b, 15000);
+  CU_ASSERT_EQUAL (lbk_held (b), 3 * LBK_TOKEN);
+  lbk_advance (b, 15500);
+  CU_ASSERT_EQUAL (lbk_held (b), 4 * LBK_TOKEN);
+  talloc_free (b);
+}
+
+static void
+test_bucket_room_kept (void)
+{
+  lbk_t *b = lbk_setup (NULL);
+  lbk_set_share (b, 0, 2 * LBK_TOKEN, 4 * LBK_TOKEN);
+  lbk_reserve (b, 7, 3 * LBK_TOKEN, 3000);
+  lbk_advance (b, 2000);
+  CU_ASSERT_EQUAL (lbk_held (b), LBK_TOKEN);
+  /* Without room of its own nothing comes in. */
+  lbk_receive (b, 2000, 8, LBK_TOKEN);
+  CU_ASSERT_EQUAL (lbk_held (b), LBK_TOKEN);
+  lbk_receive (b, 2000, 7, 5 * LBK_TOKEN);
+  CU_ASSERT_EQUAL (lbk_held (b), 4 * LBK_TOKEN);
+  lbk_receive (b, 2000, 7, LBK_TOKEN);
+  CU_ASSERT_EQUAL (lbk_give (b, 2000, 2 * LBK_TOKEN), 2 * LBK_TOKEN);
+  lbk_reserve (b, 9, LBK_TOKEN, 2100);
+  lbk_receive (b, 2200, 9, LBK_TOKEN);
+  CU_ASSERT (lbk_held (b) < 3 * LBK_TOKEN);
+  talloc_free (b);
+}
+
+static void
+test_bucket_borrowed_ends (void)
+{
+  lbk_t *b = lbk_setup (NULL);
+  lbk_borrow (b, "v", 1, 2 * LBK_TOKEN, 1000, true);
+  CU_ASSERT (lbk_take (b, 999));
+  CU_ASSERT_FALSE (lbk_take (b, 1000));
+  CU_ASSERT_EQUAL (lbk_available (b), 0);
+  lbk_borrow (b, "v", 2, LBK_TOKEN, 3000, true);
+  CU_ASSERT (lbk_take (b, 2000));
+  lbk_settlement_t s;
+  CU_ASSERT (lbk_settlement_pop (b, 0, &s));
+  CU_ASSERT_EQUAL (s.seq, 2);
+  CU_ASSERT_EQUAL (s.spent, LBK_TOKEN);
+  CU_ASSERT_EQUAL (s.returned, 0);
+  CU_ASSERT_FALSE (lbk_settlement_pop (b, 0, &s));
+  talloc_free (b);
+}
+
+/* A smaller share takes away what is held above it at once. */
+static void
+test_bucket_share_shrinks (void)
+{
+  lbk_t *b = lbk_setup (NULL);
+  lbk_set_share (b, 0, 4 * LBK_TOKEN, 8 * LBK_TOKEN);
+  lbk_set_share (b, 5000, LBK_TOKEN, 2 * LBK_TOKEN);
+  CU_ASSERT_EQUAL (lbk_held (b), 2 * LBK_TOKEN);
+  /* The old right had ended at 6000, which is noticed at 60000. */
+  lbk_give (b, 5000, 2 * LBK_TOKEN);
+  lbk_set_share (b, 6000, 0, 0);
+  lbk_advance (b, 60000);
+  CU_ASSERT_EQUAL (lbk_held (b), 0);
+  talloc_free (b);
+}
+
 static void
 test_unknown_customer (void)
 {
@@ -458,6 +581,12 @@
     { "answers lost", test_answers_lost },
     { "messages lost", test_messages_lost },
     { "random faults", test_random_faults },
+    { "new list waits", test_new_list_waits },
+    { "wait after restart", test_wait_after_restart },
+    { "bucket: loans fill", test_bucket_loans_fill },
+    { "bucket: room kept", test_bucket_room_kept },
+    { "bucket: borrowed ends", test_bucket_borrowed_ends },
+    { "bucket: share shrinks", test_bucket_share_shrinks },
     { "unknown customer", test_unknown_customer },
   };
   return tst_run ("lim", cases, sizeof cases / sizeof cases[0]);
