--- a/Makefile
+++ b/Makefile
@@ -128,7 +128,7 @@
 	  build/standin $(TEST_PROGRAMS) $(MEASURE_PROGRAMS)
 	@$(MAKE) --no-print-directory -j12 $(FUZZERS)
 	@$(MAKE) --no-print-directory fuzz
-	@tools/run-tests $(TEST_PROGRAMS)
+	@tools/run-tests $(TEST_PROGRAMS) tools/process-tests tools/demo
 
 demo: all
 	@tools/demo
--- a/tests/process/upstream.sh
+++ b/tests/process/upstream.sh
@@ -56,7 +56,7 @@
   local i
   fleet_control llm-north '{"mode":"double"}'
   fleet_control llm-south '{"mode":"double"}'
-  for ((i = 0; i < 20; i++)); do
+  for ((i = 0; i < 100; i++)); do
     complete "$a" "double $i" || fail "no answer"
     [ "$REPLY" != 200 ] \
       || grep -q "answer $(fleet_sum "double $i") for" "$fleet_dir/answer" \
