--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -304,11 +304,9 @@
 lim_round_advance (lim_t *l, env_t *env, lim_customer_t *c)
 {
   _lim_serve (l, env, c);
+  lim_sources_find (l, env, c);
   if (c->waiter_count > 0 && c->stage == LIM_IDLE)
-    {
-      lim_sources_find (l, env, c);
-      _lim_ask_near (l, env, c);
-    }
+    _lim_ask_near (l, env, c);
   if (c->waiter_count > 0 && c->stage == LIM_ASKING_NEAR
       && !_lim_round_waits (c))
     _lim_ask_all (l, env, c);
--- a/src/core/lim_peer.c
+++ b/src/core/lim_peer.c
@@ -183,6 +183,7 @@
     lbk_receive (c->bucket, env->now, seq, amount);
   else if (env->now < until)
     lbk_borrow (c->bucket, vm, seq, amount, until, settle);
+  lim_sources_find (l, env, c);
   lim_source_note_level (c, env, vm, level);
   if (done.ahead && 8 * amount >= lim_wanted (c))
     c->balance_at = c->balance_wait = 0;
--- a/tests/test_cfs.c
+++ b/tests/test_cfs.c
@@ -553,16 +553,6 @@
   fleet_shutdown (f);
 }
 
-/* A length field may ask for more memory than there is: refused, as outside
- * of the sanitizer, where malloc returns NULL. */
-const char *__asan_default_options (void);
-
-const char *
-__asan_default_options (void)
-{
-  return "allocator_may_return_null=1";
-}
-
 int
 main (void)
 {
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -24,7 +24,7 @@
 fleet_begin ()
 {
   fleet_dir=$(mktemp -d "${TMPDIR:-/tmp}/rattanspindle.XXXXXX")
-  fleet_port=$((20000 + RANDOM % 10000))
+  fleet_port=$((20000 + BASHPID * 37 % 10000))
   fleet_vms=() fleet_upstreams=()
   fleet_pid=() fleet_address=() fleet_centre=()
   trap fleet_end EXIT
@@ -227,14 +227,46 @@
   done
 }
 
+# Addresses of the VMs that run, for --vm.
+fleet_vm_list ()
+{
+  local vm
+  local -a at=()
+  for vm in "${fleet_vms[@]}"; do
+    [ -z "${fleet_pid[$vm]:-}" ] || at+=("${fleet_address[$vm]}")
+  done
+  (IFS=, && echo "${at[*]}")
+}
+
+# An operator's command: fleet_command config apply FILE.
+fleet_command ()
+{
+  "$fleet_bin/rattanspindle" "$@" --vm "$(fleet_vm_list)" \
+    --token-file "$fleet_dir/token"
+}
+
 fleet_apply_once ()
 {
-  local status
-  status=$(fleet_curl "${fleet_vms[0]}" /v1/operator/config -X POST \
-    -H "Authorization: Bearer $(cat "$fleet_dir/token")" \
-    --data-binary "@$fleet_dir/document.ini" \
-    -o "$fleet_dir/apply.answer" -w '%{http_code}')
-  [ "$status" = 200 ]
+  fleet_command config apply "$fleet_dir/document.ini" \
+    >"$fleet_dir/apply.answer" 2>&1
+}
+
+fleet_admits_once ()
+{
+  [ "$(fleet_curl "$1" /v1/completions -o "$fleet_dir/admit.answer" \
+    -H "Authorization: Bearer demo-key-$2" -w '%{http_code}' \
+    -d '{"prompt":"first","max_tokens":1}')" = 200 ]
+}
+
+# Wait until every VM has got rights to admit these customers' requests.
+fleet_admits ()
+{
+  local vm customer
+  for customer in "$@"; do
+    for vm in "${fleet_vms[@]}"; do
+      fleet_until fleet_admits_once "$vm" "$customer" || return 1
+    done
+  done
 }
 
 # First 16 digits of TEXT's SHA-256, as an engine's answer quotes it.
--- a/tools/mb_model.c
+++ b/tools/mb_model.c
@@ -449,6 +449,8 @@
       {
         double wait = (double)(s->now + LINK_MS - req_at (s, e->req)->sent);
         g_array_append_val (s->first_byte, wait);
+        if (s->now < BURST_FROM)
+          g_array_append_val (s->first_byte_low, wait);
         break;
       }
     case EV_DONE:
@@ -562,7 +564,8 @@
                                          .data_centre = "dc",
                                          .seed = seed * 100 + i });
   vm->env->now = s->now;
-  vm->crd = crd_setup (s, &(crd_desc_t){ 0 });
+  vm->crd = crd_setup (
+      s, &(crd_desc_t){ .reserve_less = s->way == WAY_RESERVE_LESS });
   members (s, i, UINT32_MAX);
   crd_config_changed (vm->crd, vm->env, s->doc);
   crd_start (vm->crd, vm->env);
@@ -580,12 +583,13 @@
   s->events = g_tree_new_full (event_compare, NULL, free_event, NULL);
   s->reqs = g_array_new (FALSE, TRUE, sizeof (req_t));
   s->first_byte = g_array_new (FALSE, FALSE, sizeof (double));
+  s->first_byte_low = g_array_new (FALSE, FALSE, sizeof (double));
   s->doc = make_doc (s, s->slots);
   for (uint32_t i = 0; i < VMS; i++)
     start_vm (s, i, seed);
   next_arrival (s);
   sample (s);
-  if (way > WAY_CREDITS)
+  if (way > WAY_CREDITS && way != WAY_RESERVE_LESS)
     push (s, BURST_FROM - FAULT_LEAD_MS, EV_FAULT, 0, 0);
   while (step (s))
     ;
@@ -600,6 +604,7 @@
   g_tree_destroy (s->events);
   g_array_free (s->reqs, TRUE);
   g_array_free (s->first_byte, TRUE);
+  g_array_free (s->first_byte_low, TRUE);
   g_rand_free (s->arrivals);
   g_rand_free (s->rand);
   talloc_free (s);
