--- a/src/core/crd_report.c
+++ b/src/core/crd_report.c
@@ -118,7 +118,8 @@
   u->load = *load;
   u->load.upstream = u->name;
   crd_enforce (c, u, env->now);
-  if (after > before || env->now - u->reported_at >= CRD_URGENT_MS)
+  bool due = env->now - u->reported_at >= CRD_URGENT_MS;
+  if (after > before || (due && _crd_is_used (u, env->now)))
     crd_report_one (c, env, u);
 }
 
