Membership: a VM that stood still does not take its peers for down

Its heartbeat timer found all peers silent, told the grid that they are down, and took it back as their messages were read; each change is told to every link. Change: after a pause of its own a VM counts silence anew. The added check in test_mbr (frozen vm comes back) fails without it.

--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -291,12 +291,17 @@
 _mbr_ping (mbr_t *m, env_t *env)
 {
   clk_ms_t period = _mbr_ping_ms (m);
+  /* When this VM itself stood still, its peers' silence says nothing. */
+  bool paused = env->now - m->pinged_at > 2 * period;
+  m->pinged_at = env->now;
   for (size_t i = 0; i < m->count; i++)
     {
       mbr_entry_t *e = m->v[i];
       if (!e->open)
         continue;
       fx_send (env->fx, e->vm.name, MSG_MEMBER_PING, (buf_t){ 0 });
+      if (paused)
+        e->heard_at = env->now;
       if (e->silent || env->now - e->heard_at <= MBR_PINGS_MISSED * period)
         continue;
       e->silent = true;
--- a/src/core/mbr_priv.h
+++ b/src/core/mbr_priv.h
@@ -57,6 +57,7 @@
   mbr_derived_t *derived;
   clk_ms_t poll_ms;
   clk_ms_t listed_at;
+  clk_ms_t pinged_at;
   bool have_list;
   GHashTable *unlisted; /* names of VMs with an open link that are not known */
   mbr_relayed_t *relayed;
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -70,7 +70,11 @@
   net_freeze_vm (n, 2, 15000);
   net_run (n, 10000);
   CU_ASSERT_FALSE (mbr_vm_find (n->vms[0].mbr, "v2")->up);
+  /* It does not take the others for down because it stood still itself. */
   net_run (n, 17000);
+  CU_ASSERT_EQUAL (cnt_value (n->vms[2].env->cnt, "rts_member_changes_total",
+                              "state=\"down\""),
+                   0);
   CU_ASSERT (mbr_vm_find (n->vms[0].mbr, "v2")->up);
   CU_ASSERT (mbr_vm_find (n->vms[2].mbr, "v0")->up);
   talloc_free (n);
