--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -23,6 +23,7 @@
 
 fleet_begin ()
 {
+  [ -z "$fleet_dir" ] || fleet_end
   fleet_dir=$(mktemp -d "${TMPDIR:-/tmp}/rattanspindle.XXXXXX")
   fleet_port=$((20000 + BASHPID * 37 % 10000))
   fleet_vms=() fleet_upstreams=()
