Routing: an idle VM hears from pollers every 1.4 s

Cause: at 120 VMs an idle node sent 19 kB a second, nearly all of it relayed exchanges with pollers. An idle VM only needs to hear which upstreams leave, within 2 s.

--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -14,7 +14,7 @@
 /** Each poller more than a few makes the exchanges rarer by this. */
 #define RTE_POLLER_MS 14
 /** Period of a VM that has sent nothing for as long. */
-#define RTE_IDLE_MS ((clk_ms_t)700)
+#define RTE_IDLE_MS ((clk_ms_t)1400)
 
 /** Requests of VMs other than VM at U, as they have told. */
 static uint32_t
