--- a/src/core/bat_http.c
+++ b/src/core/bat_http.c
@@ -93,7 +93,8 @@
                                .reply = { .caller = r->caller } });
   else
     bat_reply_error (env, r->caller, 503, "unavailable", "not-run",
-                     BAT_RETRY_AFTER_MS, "the platform cannot be reached");
+                     BAT_RETRY_AFTER_MS,
+                     "the platform cannot be read now; ask less often");
   _bat_read_free (b, r);
 }
 
@@ -109,8 +110,9 @@
   r->customer = talloc_strdup (r->ctx, customer);
   g_strlcpy (r->id, id, sizeof r->id);
   char *name = bat_name_job (NULL, id);
-  bat_call (b, env, BAT_OP_READ_JOB, self, 0,
-            &(plt_req_t){ .op = FX_PLATFORM_GET, .name = name });
+  bat_call (
+      b, env, BAT_OP_READ_JOB, self, 0,
+      &(plt_req_t){ .op = FX_PLATFORM_GET, .name = name, .spare = true });
   talloc_free (name);
 }
 
--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -7,6 +7,7 @@
 
 #define PLT_CALLS_PER_SECOND_DEFAULT 20.0
 #define PLT_BURST_DEFAULT 200.0
+#define PLT_RESERVE_SHARE_DEFAULT 0.25
 #define PLT_BREAKER_ERRORS_DEFAULT 5
 #define PLT_BREAKER_MS_DEFAULT (1 * CLK_SECOND)
 #define PLT_TIMEOUT_MS (2 * CLK_SECOND)
@@ -33,6 +34,8 @@
     p->desc.calls_per_second = PLT_CALLS_PER_SECOND_DEFAULT;
   if (p->desc.burst <= 0)
     p->desc.burst = PLT_BURST_DEFAULT;
+  if (p->desc.reserve <= 0)
+    p->desc.reserve = PLT_RESERVE_SHARE_DEFAULT * p->desc.burst;
   if (p->desc.breaker_errors == 0)
     p->desc.breaker_errors = PLT_BREAKER_ERRORS_DEFAULT;
   if (p->desc.breaker_ms == 0)
@@ -49,7 +52,7 @@
 }
 
 static bool
-_plt_take_token (plt_t *p, clk_ms_t now)
+_plt_take_token (plt_t *p, clk_ms_t now, bool spare)
 {
   double gained
       = (double)(now - p->filled_at) * p->desc.calls_per_second / CLK_SECOND;
@@ -57,7 +60,7 @@
   if (p->tokens > p->desc.burst)
     p->tokens = p->desc.burst;
   p->filled_at = now;
-  if (p->tokens < 1)
+  if (p->tokens < (spare ? p->desc.reserve + 1 : 1))
     return false;
   p->tokens -= 1;
   return true;
@@ -76,7 +79,7 @@
 {
   plt_t *p = env->plt;
   plt_done_t done = { .mod = req->mod, .tag = req->tag, .op = req->op };
-  if (env->now < p->open_until || !_plt_take_token (p, env->now))
+  if (env->now < p->open_until || !_plt_take_token (p, env->now, req->spare))
     {
       cnt_add (env->cnt, "rts_platform_refused_total", "", 1);
       _plt_refuse (p, &done);
