--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 TEST_LIB = $(filter-out $(TESTS) $(wildcard tests/fuzz_*.c),$(wildcard tests/*.c))
 MEASURES = $(wildcard tools/measure_*.c)
 MEASURE_LIB = $(filter-out $(MEASURES),$(wildcard tools/*.c)) \
-  tests/flt.c tests/flt_platform.c $(wildcard tests/batbed*.c)
+  $(wildcard tests/flt*.c) $(wildcard tests/batbed*.c)
 
 obj = $(patsubst %.c,build/$(1)/%.o,$(2))
 
@@ -87,8 +87,8 @@
 build/fuzz/obj/src/core/cht_data.o: $(CHARTS)
 
 build/fuzz/%: build/fuzz/obj/tests/%.o \
-  $(patsubst %.c,build/fuzz/obj/%.o,$(CORE) src/io/frm.c tests/flt.c \
-    tests/flt_platform.c)
+  $(patsubst %.c,build/fuzz/obj/%.o,$(CORE) src/io/frm.c \
+    $(wildcard tests/flt*.c))
 	@clang -fsanitize=fuzzer,address,undefined -o $@ $^ $(PKG_LIBS)
 
 # Fixed seed, fixed number of inputs: the same run every time.
--- a/src/cmd/cli_args.c
+++ b/src/cmd/cli_args.c
@@ -9,7 +9,8 @@
 
 static const struct argp_option _cli_options[] = {
   { "vm", 'v', "IP:PORT,...", 0, "VMs to ask, in this order", 1 },
-  { "token-file", 't', "FILE", 0, "file with the operator token", 1 },
+  { "token-file", 't', "FILE", 0,
+    "file with the operators' token; for batch, with the customer's key", 1 },
   { "timeout", 'T', "SECONDS", 0, "longest time for an answer (15)", 1 },
   { 0 },
 };
--- a/src/core/cfs.c
+++ b/src/core/cfs.c
@@ -1,6 +1,6 @@
 #include "core/cfs.h"
 
-#include "core/cfs_private.h"
+#include "core/cfs_int.h"
 #include "core/inv.h"
 
 #include <string.h>
--- a/src/core/cfs_apply.c
+++ b/src/core/cfs_apply.c
@@ -1,6 +1,6 @@
 /* Changes by operators: new parts first, then the head by a conditional
  * update, which makes all of the change take effect at once. */
-#include "core/cfs_private.h"
+#include "core/cfs_int.h"
 
 #include <string.h>
 #include <talloc.h>
--- a/src/core/cfs_check.c
+++ b/src/core/cfs_check.c
@@ -1,5 +1,5 @@
 /* What a change does to the sections in force, and whether it may. */
-#include "core/cfs_private.h"
+#include "core/cfs_int.h"
 
 #include <string.h>
 #include <talloc.h>
--- a/src/core/cfs_codec.c
+++ b/src/core/cfs_codec.c
@@ -1,6 +1,6 @@
 /* The head and the parts as they stand in the platform: JSON, as its values
  * are text. */
-#include "core/cfs_private.h"
+#include "core/cfs_int.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/cfs_private.h
+++ b/src/core/cfs_int.h
@@ -3,8 +3,8 @@
  * (reading from the platform), cfs_apply.c (changes), cfs_check.c (what a
  * change does), cfs_peer.c (messages).
  */
-#ifndef RTS_CFS_PRIVATE_H
-#define RTS_CFS_PRIVATE_H
+#ifndef RTS_CFS_INT_H
+#define RTS_CFS_INT_H
 
 #include "core/cfs.h"
 #include "core/cfs_set.h"
--- a/src/core/cfs_peer.c
+++ b/src/core/cfs_peer.c
@@ -6,7 +6,7 @@
  *   DELTA    from, to, digest, writer, chunk, last (1: yes), records
  *   ACK      writer, vm, version, hops       vm has it; on towards the writer
  */
-#include "core/cfs_private.h"
+#include "core/cfs_int.h"
 
 #include <string.h>
 #include <talloc.h>
--- a/src/core/cfs_store.c
+++ b/src/core/cfs_store.c
@@ -1,6 +1,6 @@
 /* Reading the configuration from the platform: the head, the parts that
  * differ from what is in force, and the watch of the few VMs that keep one. */
-#include "core/cfs_private.h"
+#include "core/cfs_int.h"
 
 #include <string.h>
 #include <talloc.h>
--- a/src/core/clk.h
+++ b/src/core/clk.h
@@ -1,8 +1,8 @@
 /** @file
  * Time in milliseconds, for instants and for durations.
  *
- * Instants count from an arbitrary origin and include suspended time (the
- * driver reads CLOCK_BOOTTIME; a test counts virtual time).  Nothing in
+ * Instants count from an arbitrary origin and go on while a VM is suspended:
+ * the driver reads CLOCK_BOOTTIME, a test counts virtual time.  Nothing in
  * src/core reads a clock: every decision is given the time.
  */
 #ifndef RTS_CLK_H
--- a/src/core/key.c
+++ b/src/core/key.c
@@ -1,6 +1,6 @@
 #include "core/key.h"
 
-#include "core/key_private.h"
+#include "core/key_int.h"
 
 #include <string.h>
 #include <talloc.h>
--- a/src/core/key_private.h
+++ b/src/core/key_int.h
@@ -2,8 +2,8 @@
  * State of key shared by its files: key.c (checks, withdrawals),
  * key_spread.c (messages), key_store.c (platform), key_present.c (requests).
  */
-#ifndef RTS_KEY_PRIVATE_H
-#define RTS_KEY_PRIVATE_H
+#ifndef RTS_KEY_INT_H
+#define RTS_KEY_INT_H
 
 #include "core/key.h"
 
--- a/src/core/key_spread.c
+++ b/src/core/key_spread.c
@@ -6,7 +6,7 @@
  *   BUCKETS    answer (1: send yours too), digest of each group
  *   CONFIRM    origin, vm, sha256, hops       vm holds it; on to the origin
  */
-#include "core/key_private.h"
+#include "core/key_int.h"
 #include "core/mpk.h"
 
 #include <string.h>
--- a/src/core/key_store.c
+++ b/src/core/key_store.c
@@ -1,7 +1,7 @@
 /* Withdrawals in the platform: one object each, created once and never
  * changed, so that a write may be repeated and an answer lost after its
  * effect does no harm. */
-#include "core/key_private.h"
+#include "core/key_int.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/lim_priv.h
+++ b/src/core/lim_int.h
@@ -4,8 +4,8 @@
  *
  * Nothing else includes this.
  */
-#ifndef RTS_LIM_PRIV_H
-#define RTS_LIM_PRIV_H
+#ifndef RTS_LIM_INT_H
+#define RTS_LIM_INT_H
 
 #include "core/lim.h"
 
--- a/src/core/lim_peer.c
+++ b/src/core/lim_peer.c
@@ -1,4 +1,4 @@
-#include "core/lim_priv.h"
+#include "core/lim_int.h"
 #include "core/mpk.h"
 
 #include <stdio.h>
--- a/src/core/lim_promise.c
+++ b/src/core/lim_promise.c
@@ -1,4 +1,4 @@
-#include "core/lim_share_priv.h"
+#include "core/lim_share_int.h"
 #include "core/mpk.h"
 
 #include <talloc.h>
--- a/src/core/lim_share_priv.h
+++ b/src/core/lim_share_int.h
@@ -5,8 +5,8 @@
  *
  * Nothing else includes this.
  */
-#ifndef RTS_LIM_SHARE_PRIV_H
-#define RTS_LIM_SHARE_PRIV_H
+#ifndef RTS_LIM_SHARE_INT_H
+#define RTS_LIM_SHARE_INT_H
 
 #include "core/lim_lists.h"
 #include "core/lim_share.h"
--- a/src/core/mbr_priv.h
+++ b/src/core/mbr_int.h
@@ -5,8 +5,8 @@
  *
  * Nothing else includes this.
  */
-#ifndef RTS_MBR_PRIV_H
-#define RTS_MBR_PRIV_H
+#ifndef RTS_MBR_INT_H
+#define RTS_MBR_INT_H
 
 #include "core/mbr.h"
 #include "core/mpk.h"
--- a/src/core/mbr_vm.c
+++ b/src/core/mbr_vm.c
@@ -1,4 +1,4 @@
-#include "core/mbr_priv.h"
+#include "core/mbr_int.h"
 
 #include <string.h>
 #include <talloc.h>
--- a/src/core/opr.c
+++ b/src/core/opr.c
@@ -1,6 +1,6 @@
 #include "core/opr.h"
 
-#include "core/opr_private.h"
+#include "core/opr_int.h"
 #include "core/rpl.h"
 
 #include <string.h>
--- a/src/core/opr_private.h
+++ b/src/core/opr_int.h
@@ -1,8 +1,8 @@
 /** @file
  * Shared by opr.c (requests, changes) and opr_list.c (what there is).
  */
-#ifndef RTS_OPR_PRIVATE_H
-#define RTS_OPR_PRIVATE_H
+#ifndef RTS_OPR_INT_H
+#define RTS_OPR_INT_H
 
 #include "core/opr.h"
 
--- a/src/core/opr_list.c
+++ b/src/core/opr_list.c
@@ -1,5 +1,5 @@
 /* What operators can look at. */
-#include "core/opr_private.h"
+#include "core/opr_int.h"
 #include "core/rpl.h"
 
 #include <string.h>
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -4,7 +4,7 @@
 #include "core/rte.h"
 
 #include "core/inv.h"
-#include "core/rte_state.h"
+#include "core/rte_int.h"
 
 #include <jansson.h>
 #include <math.h>
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -2,7 +2,7 @@
  * The choice among the upstreams of a deployment.
  */
 #include "core/inv.h"
-#include "core/rte_state.h"
+#include "core/rte_int.h"
 
 #include <math.h>
 #include <string.h>
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -2,7 +2,7 @@
  * Messages between the VMs that use an upstream and the one that polls it.
  */
 #include "core/mpk.h"
-#include "core/rte_state.h"
+#include "core/rte_int.h"
 
 #include <string.h>
 #include <talloc.h>
--- a/src/core/rte_state.h
+++ b/src/core/rte_int.h
@@ -1,8 +1,8 @@
 /** @file
  * The state that the files of the router share; not for other modules.
  */
-#ifndef RTS_RTE_STATE_H
-#define RTS_RTE_STATE_H
+#ifndef RTS_RTE_INT_H
+#define RTS_RTE_INT_H
 
 #include "core/cht.h"
 #include "core/rte.h"
--- a/src/core/rte_life.c
+++ b/src/core/rte_life.c
@@ -3,7 +3,7 @@
  * (charts/upstream.ini).
  */
 #include "core/inv.h"
-#include "core/rte_state.h"
+#include "core/rte_int.h"
 
 /** Failures are forgotten after this time without one. */
 #define RTE_QUIET_MS (30 * CLK_SECOND)
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -4,7 +4,7 @@
  * The poller of an upstream is a hint for speed, not a lease: two pollers
  * cost a few calls more and split the sum until their lists agree.
  */
-#include "core/rte_state.h"
+#include "core/rte_int.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/rte_prefix.c
+++ b/src/core/rte_prefix.c
@@ -2,7 +2,7 @@
  * Which upstreams are thought to hold which prompt prefix: a bounded table,
  * oldest use first out.  Entries expire, as a cache event may be lost.
  */
-#include "core/rte_state.h"
+#include "core/rte_int.h"
 
 #include <talloc.h>
 
--- a/tests/flt.c
+++ b/tests/flt.c
@@ -1,84 +1,17 @@
-#include "flt.h"
+#include "flt_int.h"
 
 #include "core/inv.h"
-#include "flt_platform.h"
 
-#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
-#define FLT_PEER_MS 1
-#define FLT_PLATFORM_MS 4
-#define FLT_UPSTREAM_MS 20
-#define FLT_LINK_MS 2
-#define FLT_FIRST_MS 5000  /* until the first document is in force */
-#define FLT_WATCH_MS 2     /* between looks at waiting watches */
-#define FLT_FRAME_BYTES 16 /* of a frame around its body */
-#define FLT_SILENT_MS 2000 /* until a dead link is noticed */
-
-typedef struct
-{
-  char *name;
-  size_t data_centre;
-  node_t *node; /**< NULL: dead */
-  uint64_t incarnation;
-  clk_ms_t frozen_until;
-  bool *keeps;  /**< by VM: FX_PEER_LINK is in force */
-  bool *linked; /**< by VM: EV_PEER_UP was given */
-  bool exited;
-  flt_traffic_t traffic;
-} _flt_vm_t;
-
-/* Something due for a VM's node. */
-typedef struct
-{
-  size_t vm;
-  uint64_t incarnation;
-  size_t from;     /**< peer events: the other VM */
-  uint64_t cancel; /**< upstream events: dropped when the call is cancelled */
-  ev_t ev;
-} _flt_due_t;
-
-typedef struct
-{
-  size_t vm;
-  uint64_t incarnation;
-  uint64_t call;
-  char *name;
-  uint64_t revision;
-  clk_ms_t until;
-} _flt_watch_t;
-
-struct flt
-{
-  flt_desc_t desc;
-  GRand *rand;
-  clk_ms_t now;
-  uint64_t seq;
-  _flt_vm_t *vms;
-  size_t vm_count;
-  char *token_sha256;
-  bool *cut;         /**< by data centre */
-  tmr_t *due;        /**< tag: the _flt_due_t */
-  GHashTable *index; /**< name -> VM + 1 */
-  fpl_t *platform;
-  flt_platform_t platform_mode;
-  GPtrArray *watches;
-  clk_ms_t watch_at;          /**< next look at them */
-  GHashTable *upstream_modes; /**< address -> mode */
-  GHashTable *runs;           /**< marker -> count */
-  GHashTable *cancelled;      /**< "vm/incarnation/call" */
-  GString *seen;              /**< all bytes that upstreams received */
-  GPtrArray *answers;
-};
-
 /* -- queue ---------------------------------------------------------------- */
 
-static _flt_due_t *
-_flt_push (flt_t *f, clk_ms_t delay, size_t vm, ev_kind_t kind)
+flt_due_t *
+flt_push (flt_t *f, clk_ms_t delay, size_t vm, ev_kind_t kind)
 {
-  _flt_due_t *d = talloc_zero (f, _flt_due_t);
+  flt_due_t *d = talloc_zero (f, flt_due_t);
   d->vm = vm;
   d->incarnation = f->vms[vm].incarnation;
   d->from = vm;
@@ -108,7 +41,7 @@
 _flt_link_event (flt_t *f, size_t vm, size_t peer, clk_ms_t delay,
                  ev_kind_t kind)
 {
-  _flt_due_t *d = _flt_push (f, delay, vm, kind);
+  flt_due_t *d = flt_push (f, delay, vm, kind);
   d->from = peer;
   d->ev.peer.vm = f->vms[peer].name;
 }
@@ -122,7 +55,7 @@
     {
       size_t vm = side == 0 ? a : b;
       size_t peer = side == 0 ? b : a;
-      _flt_vm_t *v = &f->vms[vm];
+      flt_vm_t *v = &f->vms[vm];
       if (v->node == NULL || v->linked[peer] == may)
         continue;
       v->linked[peer] = may;
@@ -141,216 +74,6 @@
     }
 }
 
-/* -- platform ------------------------------------------------------------- */
-
-static void
-_flt_platform_vms (flt_t *f, void *ctx, ev_platform_t *reply)
-{
-  ev_vm_t *vms = talloc_zero_array (ctx, ev_vm_t, f->vm_count);
-  for (size_t i = 0; i < f->vm_count; i++)
-    {
-      if (f->vms[i].node == NULL)
-        continue;
-      vms[reply->vm_count++] = (ev_vm_t){
-        .vm = f->vms[i].name,
-        .data_centre = talloc_asprintf (ctx, "dc-%zu", f->vms[i].data_centre),
-        .address = f->vms[i].name,
-      };
-    }
-  reply->vms = vms;
-}
-
-static bool
-_flt_is_write (fx_platform_op_t op)
-{
-  return op == FX_PLATFORM_PUT || op == FX_PLATFORM_DELETE;
-}
-
-/* Carry CALL out; false when a watch has to wait. */
-static bool
-_flt_platform_try (flt_t *f, size_t vm, const fx_platform_t *call)
-{
-  _flt_due_t *d = talloc_zero (f, _flt_due_t);
-  ev_platform_t reply = { 0 };
-  if (!fpl_call (f->platform, d, call, &reply))
-    {
-      talloc_free (d);
-      return false;
-    }
-  if (call->op == FX_PLATFORM_VMS)
-    _flt_platform_vms (f, d, &reply);
-  if (f->platform_mode == FLT_PLATFORM_LOSE && g_rand_boolean (f->rand))
-    reply
-        = (ev_platform_t){ .call = call->call,
-                           .code = _flt_is_write (call->op) ? ST_UNKNOWN
-                                                            : ST_UNAVAILABLE };
-  _flt_due_t *q = _flt_push (f, f->desc.platform_ms, vm, EV_PLATFORM);
-  talloc_steal (q, d);
-  q->ev.platform = reply;
-  return true;
-}
-
-static void
-_flt_platform_call (flt_t *f, size_t vm, const fx_platform_t *call)
-{
-  f->vms[vm].traffic.platform_calls++;
-  if (f->platform_mode == FLT_PLATFORM_DOWN || f->cut[f->vms[vm].data_centre])
-    {
-      _flt_due_t *d = _flt_push (f, f->desc.platform_ms, vm, EV_PLATFORM);
-      d->ev.platform
-          = (ev_platform_t){ .call = call->call, .code = ST_UNAVAILABLE };
-      return;
-    }
-  if (_flt_platform_try (f, vm, call))
-    return;
-  _flt_watch_t *w = talloc_zero (f, _flt_watch_t);
-  *w = (_flt_watch_t){ .vm = vm,
-                       .incarnation = f->vms[vm].incarnation,
-                       .call = call->call,
-                       .name = talloc_strdup (w, call->name),
-                       .revision = call->revision,
-                       .until = f->now + call->timeout_ms };
-  g_ptr_array_add (f->watches, w);
-}
-
-/* Answer the watches that have news or have waited long enough. */
-static void
-_flt_watches (flt_t *f)
-{
-  f->watch_at = f->now + FLT_WATCH_MS;
-  for (guint i = f->watches->len; i > 0; i--)
-    {
-      _flt_watch_t *w = g_ptr_array_index (f->watches, i - 1);
-      fx_platform_t call = { .call = w->call,
-                             .op = FX_PLATFORM_WATCH,
-                             .name = w->name,
-                             .revision = w->revision };
-      bool away = f->platform_mode == FLT_PLATFORM_DOWN
-                  || f->cut[f->vms[w->vm].data_centre];
-      bool gone = f->vms[w->vm].incarnation != w->incarnation;
-      if (!gone && !away && !_flt_platform_try (f, w->vm, &call)
-          && f->now < w->until)
-        continue;
-      if (!gone && (away || f->now >= w->until))
-        {
-          _flt_due_t *d = _flt_push (f, 0, w->vm, EV_PLATFORM);
-          d->ev.platform
-              = (ev_platform_t){ .call = w->call,
-                                 .code = away ? ST_UNAVAILABLE : ST_OK,
-                                 .revision = w->revision };
-        }
-      g_ptr_array_remove_index (f->watches, i - 1);
-      talloc_free (w);
-    }
-}
-
-/* -- upstreams ------------------------------------------------------------ */
-
-static char *
-_flt_call_name (void *ctx, const flt_t *f, size_t vm, uint64_t call)
-{
-  return talloc_asprintf (ctx, "%zu/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
-                          vm, f->vms[vm].incarnation, call);
-}
-
-static void
-_flt_count_run (flt_t *f, const char *marker)
-{
-  if (marker == NULL || marker[0] == '\0')
-    return;
-  gpointer old = g_hash_table_lookup (f->runs, marker);
-  g_hash_table_replace (f->runs, g_strdup (marker),
-                        GUINT_TO_POINTER (GPOINTER_TO_UINT (old) + 1));
-}
-
-static void
-_flt_note_seen (flt_t *f, const fx_upstream_t *u)
-{
-  g_string_append_printf (f->seen, "%s %s\n", u->method, u->path);
-  for (size_t i = 0; i < u->headers.n; i++)
-    g_string_append_printf (f->seen, "%s: %s\n", u->headers.v[i].name,
-                            u->headers.v[i].value);
-  g_string_append_len (f->seen, u->body.p, (gssize)u->body.n);
-  g_string_append_c (f->seen, '\n');
-}
-
-static _flt_due_t *
-_flt_upstream_event (flt_t *f, size_t vm, uint64_t call, clk_ms_t delay,
-                     ev_kind_t kind)
-{
-  _flt_due_t *d = _flt_push (f, delay, vm, kind);
-  d->ev.upstream.call = call;
-  d->cancel = call;
-  return d;
-}
-
-static const char *
-_flt_upstream_body (void *ctx, const fx_upstream_t *u)
-{
-  if (g_str_has_prefix (u->path, "/load"))
-    return "{\"running\":0,\"waiting\":0,\"slots\":4,\"seq\":1,"
-           "\"leaving\":false}";
-  if (g_str_has_prefix (u->path, "/cache-events"))
-    return "{\"seq\":0,\"events\":[]}";
-  return talloc_asprintf (ctx, "{\"echo\":\"%s\"}", buf_to_str (ctx, u->body));
-}
-
-static void
-_flt_upstream_answer (flt_t *f, size_t vm, const fx_upstream_t *u, int status)
-{
-  static const http_header_t json
-      = { .name = "Content-Type", .value = "application/json" };
-  clk_ms_t ms = f->desc.upstream_ms;
-  _flt_due_t *head
-      = _flt_upstream_event (f, vm, u->call, ms, EV_UPSTREAM_HEAD);
-  head->ev.upstream.status = status;
-  head->ev.upstream.headers = (http_headers_t){ .v = &json, .n = 1 };
-  _flt_due_t *data
-      = _flt_upstream_event (f, vm, u->call, ms, EV_UPSTREAM_DATA);
-  data->ev.upstream.data
-      = buf_copy (data, buf_str (_flt_upstream_body (data, u)));
-}
-
-static void
-_flt_upstream_call (flt_t *f, size_t vm, const fx_upstream_t *u)
-{
-  flt_upstream_t mode
-      = GPOINTER_TO_INT (g_hash_table_lookup (f->upstream_modes, u->address));
-  _flt_note_seen (f, u);
-  if (mode != FLT_UPSTREAM_REFUSE && mode != FLT_UPSTREAM_SILENT)
-    {
-      _flt_count_run (f, http_header_find (u->headers, "Idempotency-Key"));
-      char *body = buf_to_str (f, u->body);
-      _flt_count_run (f, body);
-      talloc_free (body);
-    }
-  clk_ms_t ms = f->desc.upstream_ms;
-  _flt_due_t *end = NULL;
-  switch (mode)
-    {
-    case FLT_UPSTREAM_OK:
-      _flt_upstream_answer (f, vm, u, 200);
-      _flt_upstream_event (f, vm, u->call, ms + 1, EV_UPSTREAM_END);
-      break;
-    case FLT_UPSTREAM_CUT:
-      _flt_upstream_answer (f, vm, u, 200);
-      end = _flt_upstream_event (f, vm, u->call, ms + 1, EV_UPSTREAM_FAIL);
-      end->ev.upstream.fail = EV_FAIL_UNKNOWN;
-      break;
-    case FLT_UPSTREAM_REFUSE:
-      end = _flt_upstream_event (f, vm, u->call, 1, EV_UPSTREAM_FAIL);
-      end->ev.upstream.fail = EV_FAIL_NOT_SENT;
-      break;
-    case FLT_UPSTREAM_SILENT:
-      if (u->first_byte_ms == 0)
-        break;
-      end = _flt_upstream_event (f, vm, u->call, u->first_byte_ms,
-                                 EV_UPSTREAM_FAIL);
-      end->ev.upstream.fail = EV_FAIL_TIMEOUT;
-      break;
-    }
-}
-
 /* -- effects -------------------------------------------------------------- */
 
 static flt_answer_t *
@@ -402,7 +125,7 @@
   size_t bytes = e->peer.msg.body.n + FLT_FRAME_BYTES;
   f->vms[vm].traffic.bytes += bytes;
   f->vms[vm].traffic.kind_bytes[e->peer.msg.kind % MSG_LAST] += bytes;
-  _flt_due_t *d = _flt_push (f, f->desc.peer_ms, peer, EV_PEER_MSG);
+  flt_due_t *d = flt_push (f, f->desc.peer_ms, peer, EV_PEER_MSG);
   d->from = vm;
   d->ev.peer.vm = f->vms[vm].name;
   d->ev.peer.msg = e->peer.msg;
@@ -415,7 +138,7 @@
   switch (e->kind)
     {
     case FX_TIMER:
-      _flt_push (f, clk_max (0, e->timer - f->now), vm, EV_TIMER);
+      flt_push (f, clk_max (0, e->timer - f->now), vm, EV_TIMER);
       break;
     case FX_REPLY_HEAD:
     case FX_REPLY_DATA:
@@ -424,14 +147,14 @@
       _flt_reply (f, e);
       break;
     case FX_UPSTREAM_CALL:
-      _flt_upstream_call (f, vm, &e->upstream);
+      flt_upstream_call (f, vm, &e->upstream);
       break;
     case FX_UPSTREAM_CANCEL:
       g_hash_table_add (f->cancelled,
-                        _flt_call_name (f, f, vm, e->upstream.call));
+                        flt_call_name (f, f, vm, e->upstream.call));
       break;
     case FX_PLATFORM:
-      _flt_platform_call (f, vm, &e->platform);
+      flt_platform_call (f, vm, &e->platform);
       break;
     case FX_PEER_SEND:
     case FX_PEER_LINK:
@@ -447,20 +170,20 @@
 }
 
 static bool
-_flt_is_cancelled (flt_t *f, const _flt_due_t *d)
+_flt_is_cancelled (flt_t *f, const flt_due_t *d)
 {
   if (d->cancel == 0)
     return false;
-  char *name = _flt_call_name (f, f, d->vm, d->cancel);
+  char *name = flt_call_name (f, f, d->vm, d->cancel);
   bool found = g_hash_table_contains (f->cancelled, name);
   talloc_free (name);
   return found;
 }
 
 static void
-_flt_deliver (flt_t *f, const _flt_due_t *d)
+_flt_deliver (flt_t *f, const flt_due_t *d)
 {
-  _flt_vm_t *vm = &f->vms[d->vm];
+  flt_vm_t *vm = &f->vms[d->vm];
   if (vm->node == NULL || vm->incarnation != d->incarnation)
     return;
   if (d->ev.kind == EV_PEER_MSG && !_flt_reach (f, d->vm, d->from))
@@ -536,11 +259,11 @@
   g_free (sha256);
   f->cut = talloc_zero_array (f, bool, desc->data_centres);
   f->vm_count = desc->data_centres * desc->vms;
-  f->vms = talloc_zero_array (f, _flt_vm_t, f->vm_count);
+  f->vms = talloc_zero_array (f, flt_vm_t, f->vm_count);
   talloc_set_destructor (f, _flt_destroy);
   for (size_t i = 0; i < f->vm_count; i++)
     {
-      _flt_vm_t *vm = &f->vms[i];
+      flt_vm_t *vm = &f->vms[i];
       vm->data_centre = i / desc->vms;
       vm->name = talloc_asprintf (f, "dc-%zu-vm-%zu", vm->data_centre,
                                   i % desc->vms);
@@ -560,7 +283,7 @@
   tmr_due_t due;
   while (tmr_pop (f->due, until, &due))
     {
-      _flt_due_t *d = (_flt_due_t *)(uintptr_t)due.tag;
+      flt_due_t *d = (flt_due_t *)(uintptr_t)due.tag;
       clk_ms_t thaw = f->vms[d->vm].frozen_until;
       f->now = clk_max (f->now, due.at);
       if (thaw > f->now)
@@ -571,7 +294,7 @@
       _flt_deliver (f, d);
       talloc_free (d);
       if (f->now >= f->watch_at)
-        _flt_watches (f);
+        flt_watches (f);
     }
   f->now = until;
 }
@@ -602,7 +325,7 @@
   a->asked = f->now;
   g_ptr_array_add (f->answers, a);
   uint64_t id = f->answers->len;
-  _flt_due_t *d = _flt_push (f, 1, vm, EV_REQUEST);
+  flt_due_t *d = flt_push (f, 1, vm, EV_REQUEST);
   http_header_t *h = talloc_zero_array (d, http_header_t, 3);
   size_t n = 0;
   h[n++] = (http_header_t){ "Content-Type", "application/json" };
@@ -644,7 +367,7 @@
 flt_caller_gone (flt_t *f, uint64_t id)
 {
   for (size_t i = 0; i < f->vm_count; i++)
-    _flt_push (f, 0, i, EV_CALLER_GONE)->ev.caller = id;
+    flt_push (f, 0, i, EV_CALLER_GONE)->ev.caller = id;
 }
 
 const flt_answer_t *
@@ -693,7 +416,7 @@
 void
 flt_start (flt_t *f, size_t vm)
 {
-  _flt_vm_t *v = &f->vms[vm];
+  flt_vm_t *v = &f->vms[vm];
   st_t st = { 0 };
   char dc[32];
   (void)snprintf (dc, sizeof dc, "dc-%zu", v->data_centre);
@@ -710,7 +433,7 @@
                                     .operator_token_sha256 = f->token_sha256 },
                     &st);
   INV_CHECK (v->node != NULL, "node-starts", "%s", st.message);
-  _flt_push (f, 0, vm, EV_START);
+  flt_push (f, 0, vm, EV_START);
   _flt_links_update (f);
 }
 
@@ -730,7 +453,7 @@
 void
 flt_leave (flt_t *f, size_t vm)
 {
-  _flt_push (f, 0, vm, EV_LEAVE);
+  flt_push (f, 0, vm, EV_LEAVE);
 }
 
 bool
