HTTP server: all request bodies together stay below a cap; tests over real sockets

Cause: each of 8,192 connections could send 64 MiB, so bodies could take far more than a node's 256 MB. Ruled out: a smaller cap for each (jobs of 340,000 items need it). Bodies that come in are capped at 128 MiB together; one above that is read, dropped and refused with 503, not-run, Retry-After. test_hsv: 4 passed; without the cap bodies_together_stay_below_their_cap fails.

--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -13,6 +13,7 @@
 
 #define HSV_CONNECTIONS_DEFAULT 8192U
 #define HSV_BODY_MAX_DEFAULT ((size_t)64 << 20)
+#define HSV_BODIES_MAX_DEFAULT ((size_t)128 << 20)
 #define HSV_QUEUE_MAX_DEFAULT ((size_t)256 << 10)
 #define HSV_IDLE_S_DEFAULT 75U
 #define HSV_HEAD_MAX ((size_t)32 << 10) /**< bytes of a request's head */
@@ -33,6 +34,7 @@
   http_header_t *headers;
   size_t header_count;
   bool too_large;
+  bool no_room;    /**< all bodies together would be above their cap */
   bool responding; /**< the response was queued with the library */
   bool ended;
   bool aborted;
@@ -51,6 +53,7 @@
   struct tevent_immediate *run;
   bool run_wanted;
   GHashTable *requests; /**< caller -> _hsv_request_t */
+  size_t bodies;        /**< bytes of bodies held */
   uint64_t callers;
 };
 
@@ -61,6 +64,7 @@
 static int
 _hsv_request_destroy (_hsv_request_t *r)
 {
+  r->server->bodies -= r->body->len;
   g_byte_array_unref (r->body);
   g_byte_array_unref (r->queue);
   return 0;
@@ -175,6 +179,7 @@
   s->desc.handler (s->desc.data, &ev);
   talloc_free (values.v);
   talloc_free (values.query);
+  s->bodies -= r->body->len;
   g_byte_array_set_size (r->body, 0);
 }
 
@@ -240,17 +245,39 @@
 static enum MHD_Result
 _hsv_refuse_body (_hsv_request_t *r)
 {
-  static const char text[]
+  static const char too_large[]
       = "{\"error\":{\"code\":\"too-large\",\"message\":\"the request's body "
         "is above the size cap\",\"run\":\"not-run\"}}";
+  static const char no_room[]
+      = "{\"error\":{\"code\":\"overloaded\",\"message\":\"no room for the "
+        "request's body now\",\"run\":\"not-run\"}}";
+  const char *text = r->too_large ? too_large : no_room;
   struct MHD_Response *response = MHD_create_response_from_buffer (
-      sizeof text - 1, (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
+      strlen (text), (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
   MHD_add_response_header (response, "Content-Type", "application/json");
-  enum MHD_Result result = MHD_queue_response (r->connection, 413, response);
+  if (!r->too_large)
+    MHD_add_response_header (response, "Retry-After", "1");
+  enum MHD_Result result
+      = MHD_queue_response (r->connection, r->too_large ? 413 : 503, response);
   MHD_destroy_response (response);
   return result;
 }
 
+/* Take in a part of the body; what is refused is read and dropped. */
+static void
+_hsv_take_body (_hsv_request_t *r, const char *bytes, size_t n)
+{
+  hsv_t *s = r->server;
+  if (r->body->len + n > s->desc.body_max)
+    r->too_large = true;
+  if (s->bodies + n > s->desc.bodies_max)
+    r->no_room = true;
+  if (r->too_large || r->no_room)
+    return;
+  s->bodies += n;
+  g_byte_array_append (r->body, (const guint8 *)bytes, (guint)n);
+}
+
 /* -- the library's callbacks ---------------------------------------------- */
 
 static enum MHD_Result
@@ -268,15 +295,11 @@
     }
   if (*upload_size > 0)
     {
-      if (r->body->len + *upload_size > s->desc.body_max)
-        r->too_large = true;
-      else
-        g_byte_array_append (r->body, (const guint8 *)upload,
-                             (guint)*upload_size);
+      _hsv_take_body (r, upload, *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
-  if (r->too_large)
+  if (r->too_large || r->no_room)
     return _hsv_refuse_body (r);
   if (r->aborted && r->status == 0)
     return MHD_NO;
@@ -456,6 +479,8 @@
     d->connections = HSV_CONNECTIONS_DEFAULT;
   if (d->body_max == 0)
     d->body_max = HSV_BODY_MAX_DEFAULT;
+  if (d->bodies_max == 0)
+    d->bodies_max = HSV_BODIES_MAX_DEFAULT;
   if (d->queue_max == 0)
     d->queue_max = HSV_QUEUE_MAX_DEFAULT;
   if (d->idle_s == 0)
--- /dev/null
+++ b/tests/test_hsv.c
@@ -0,0 +1,231 @@
+/** @file
+ * The HTTP server over real sockets: whole and broken answers, bodies above
+ * the caps, a head above the cap, a caller that closes.
+ */
+#include "io/hsv.h"
+#include "tst.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#define TURNS_MAX 150 /* some of these wait for 200 ms */
+#define BODY_MAX 4000
+#define BODIES_MAX 6000
+
+/* A server and what its handler has seen. */
+typedef struct
+{
+  struct tevent_context *loop;
+  hsv_t *server;
+  uint16_t port;
+  uint64_t caller; /* of the last request */
+  size_t body;     /* its size */
+  int requests;
+  int gone;
+} world_t;
+
+static void
+on_event (void *data, const ev_t *ev)
+{
+  world_t *w = data;
+  if (ev->kind == EV_CALLER_GONE)
+    w->gone++;
+  if (ev->kind != EV_REQUEST)
+    return;
+  w->requests++;
+  w->caller = ev->request.caller;
+  w->body = ev->request.body.n;
+}
+
+static void
+on_flow (void *data, uint64_t caller, bool full)
+{
+  (void)data;
+  (void)caller;
+  (void)full;
+}
+
+static uint16_t
+free_port (void)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in in
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t size = sizeof in;
+  (void)bind (fd, (struct sockaddr *)&in, sizeof in);
+  (void)getsockname (fd, (struct sockaddr *)&in, &size);
+  close (fd);
+  return ntohs (in.sin_port);
+}
+
+static bool
+world_open (world_t *w)
+{
+  char address[32];
+  st_t st = { 0 };
+  *w = (world_t){ .loop = tevent_context_init (NULL), .port = free_port () };
+  (void)snprintf (address, sizeof address, "127.0.0.1:%u", w->port);
+  w->server = hsv_setup (w->loop,
+                         &(hsv_desc_t){ .loop = w->loop,
+                                        .listen = address,
+                                        .handler = on_event,
+                                        .flow = on_flow,
+                                        .data = w,
+                                        .body_max = BODY_MAX,
+                                        .bodies_max = BODIES_MAX },
+                         &st);
+  return w->server != NULL;
+}
+
+/* Connect and send TEXT followed by N bytes of body. */
+static int
+ask (const world_t *w, const char *text, size_t n)
+{
+  static const char zeros[1 << 16];
+  struct sockaddr_in in = { .sin_family = AF_INET,
+                            .sin_port = htons (w->port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  (void)connect (fd, (struct sockaddr *)&in, sizeof in);
+  (void)send (fd, text, strlen (text), MSG_NOSIGNAL);
+  (void)send (fd, zeros, n, MSG_NOSIGNAL);
+  return fd;
+}
+
+/* Turn the loop until WORD has come over FD, or the other side closes or
+ * takes a request. */
+static bool
+comes (world_t *w, int fd, const char *word)
+{
+  char got[8192];
+  size_t n = 0;
+  int before = w->requests;
+  for (int i = 0; i < TURNS_MAX && w->requests == before; i++)
+    {
+      (void)tevent_loop_once (w->loop);
+      ssize_t more = recv (fd, got + n, sizeof got - 1 - n, MSG_DONTWAIT);
+      if (more == 0 || (more < 0 && errno != EAGAIN))
+        break;
+      n += more > 0 ? (size_t)more : 0;
+      got[n] = '\0';
+      if (strstr (got, word) != NULL)
+        return true;
+    }
+  return false;
+}
+
+static bool
+wait_for (world_t *w, const int *value)
+{
+  for (int i = 0; i < TURNS_MAX && *value == 0; i++)
+    (void)tevent_loop_once (w->loop);
+  return *value != 0;
+}
+
+static void
+test_answer_is_whole_or_visibly_broken (void)
+{
+  world_t w;
+  TST_NEED (world_open (&w));
+  int fd = ask (&w, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", 0);
+  CU_ASSERT (wait_for (&w, &w.requests));
+  hsv_reply_head (w.server, w.caller, 200, (http_headers_t){ 0 });
+  hsv_reply_data (w.server, w.caller, buf_str ("half"));
+  CU_ASSERT (comes (&w, fd, "half"));
+  hsv_reply_data (w.server, w.caller, buf_str ("-whole"));
+  hsv_reply_end (w.server, w.caller);
+  CU_ASSERT (comes (&w, fd, "-whole\r\n0\r\n\r\n"));
+  close (fd);
+  w.requests = 0;
+  fd = ask (&w, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n", 0);
+  CU_ASSERT (wait_for (&w, &w.requests));
+  hsv_reply_head (w.server, w.caller, 200, (http_headers_t){ 0 });
+  hsv_reply_data (w.server, w.caller, buf_str ("half"));
+  hsv_reply_abort (w.server, w.caller);
+  CU_ASSERT_FALSE (comes (&w, fd, "\r\n0\r\n\r\n"));
+  close (fd);
+  talloc_free (w.loop);
+}
+
+static void
+test_sizes_above_the_caps_are_refused (void)
+{
+  world_t w;
+  TST_NEED (world_open (&w));
+  int fd = ask (
+      &w, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n", 5000);
+  CU_ASSERT (comes (&w, fd, "413"));
+  close (fd);
+  char *head = talloc_strdup (w.loop, "GET / HTTP/1.1\r\nHost: x\r\nX: ");
+  for (int i = 0; i < 4096; i++)
+    head = talloc_strdup_append_buffer (head, "0123456789abcdef");
+  fd = ask (&w, head, 0);
+  CU_ASSERT (comes (&w, fd, "431"));
+  close (fd);
+  CU_ASSERT_EQUAL (w.requests, 0);
+  talloc_free (w.loop);
+}
+
+static void
+test_bodies_together_stay_below_their_cap (void)
+{
+  static const char head[]
+      = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3900\r\n\r\n";
+  world_t w;
+  TST_NEED (world_open (&w));
+  int slow = ask (&w, head, 3800);
+  for (int i = 0; i < 20; i++)
+    (void)tevent_loop_once (w.loop);
+  int second = ask (&w, head, 3900);
+  CU_ASSERT (comes (&w, second, "503"));
+  close (second);
+  CU_ASSERT_EQUAL (w.requests, 0);
+  close (slow);
+  int third = -1;
+  for (int tries = 0; tries < 20 && w.requests == 0; tries++)
+    {
+      third = ask (&w, head, 3900);
+      (void)comes (&w, third, "503");
+      close (third);
+    }
+  CU_ASSERT (w.requests > 0);
+  talloc_free (w.loop);
+}
+
+static void
+test_caller_that_closes_is_noticed (void)
+{
+  world_t w;
+  TST_NEED (world_open (&w));
+  int fd = ask (&w, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", 0);
+  CU_ASSERT (wait_for (&w, &w.requests));
+  CU_ASSERT_EQUAL (w.gone, 0);
+  close (fd);
+  CU_ASSERT (wait_for (&w, &w.gone));
+  for (int i = 0; i < 20; i++)
+    (void)tevent_loop_once (w.loop);
+  CU_ASSERT_EQUAL (w.gone, 1);
+  CU_ASSERT_EQUAL (hsv_open_count (w.server), 0);
+  talloc_free (w.loop);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "answer_is_whole_or_visibly_broken",
+      test_answer_is_whole_or_visibly_broken },
+    { "sizes_above_the_caps_are_refused",
+      test_sizes_above_the_caps_are_refused },
+    { "bodies_together_stay_below_their_cap",
+      test_bodies_together_stay_below_their_cap },
+    { "caller_that_closes_is_noticed", test_caller_that_closes_is_noticed },
+  };
+  return tst_run ("hsv", cases, sizeof cases / sizeof cases[0]);
+}
