--- a/tests/test_hsv.c
+++ b/tests/test_hsv.c
@@ -3,11 +3,10 @@
  * the caps, a head above the cap, a caller that closes.
  */
 #include "io/hsv.h"
+#include "sock.h"
 #include "tst.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -51,25 +50,13 @@
   (void)full;
 }
 
-static uint16_t
-free_port (void)
-{
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  struct sockaddr_in in
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t size = sizeof in;
-  (void)bind (fd, (struct sockaddr *)&in, sizeof in);
-  (void)getsockname (fd, (struct sockaddr *)&in, &size);
-  close (fd);
-  return ntohs (in.sin_port);
-}
-
 static bool
 world_open (world_t *w)
 {
   char address[32];
   st_t st = { 0 };
-  *w = (world_t){ .loop = tevent_context_init (NULL), .port = free_port () };
+  *w = (world_t){ .loop = tevent_context_init (NULL),
+                  .port = sock_free_port () };
   (void)snprintf (address, sizeof address, "127.0.0.1:%u", w->port);
   w->server = hsv_setup (w->loop,
                          &(hsv_desc_t){ .loop = w->loop,
@@ -88,11 +75,7 @@
 ask (const world_t *w, const char *text, size_t n)
 {
   static const char zeros[1 << 16];
-  struct sockaddr_in in = { .sin_family = AF_INET,
-                            .sin_port = htons (w->port),
-                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  (void)connect (fd, (struct sockaddr *)&in, sizeof in);
+  int fd = sock_connect (w->port);
   (void)send (fd, text, strlen (text), MSG_NOSIGNAL);
   (void)send (fd, zeros, n, MSG_NOSIGNAL);
   return fd;
--- a/tests/test_lnk.c
+++ b/tests/test_lnk.c
@@ -4,11 +4,10 @@
  */
 #include "io/frm.h"
 #include "io/lnk.h"
+#include "sock.h"
 #include "tst.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -40,20 +39,6 @@
                     ev->peer.msg.body.p);
 }
 
-/* A port that was free a moment ago. */
-static uint16_t
-free_port (void)
-{
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  struct sockaddr_in in
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t size = sizeof in;
-  (void)bind (fd, (struct sockaddr *)&in, sizeof in);
-  (void)getsockname (fd, (struct sockaddr *)&in, &size);
-  close (fd);
-  return ntohs (in.sin_port);
-}
-
 static void
 open_end (struct tevent_context *loop, end_t *e, const char *vm,
           const char *address, const char *secret)
@@ -72,7 +57,7 @@
 static char *
 own_address (void *ctx)
 {
-  return talloc_asprintf (ctx, "127.0.0.1:%u", free_port ());
+  return talloc_asprintf (ctx, "127.0.0.1:%u", sock_free_port ());
 }
 
 static bool
@@ -133,11 +118,7 @@
 closes_after (struct tevent_context *loop, const char *address,
               const void *bytes, size_t n)
 {
-  struct sockaddr_in in
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  in.sin_port = htons ((uint16_t)atoi (strchr (address, ':') + 1));
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  (void)connect (fd, (struct sockaddr *)&in, sizeof in);
+  int fd = sock_connect ((uint16_t)atoi (strchr (address, ':') + 1));
   (void)send (fd, bytes, n, MSG_NOSIGNAL);
   bool closed = false;
   for (int i = 0; i < STEPS_MAX && !closed; i++)
