--- a/Makefile
+++ b/Makefile
@@ -10,13 +10,13 @@
   -Wmissing-prototypes -Wno-missing-field-initializers
 SAN = -fsanitize=address,undefined -fno-sanitize-recover=all \
   -fno-omit-frame-pointer
-CPPFLAGS += -D_GNU_SOURCE -DRTS_VERSION='"$(VERSION)"' -Isrc
+CPPFLAGS += -D_GNU_SOURCE -DRTS_VERSION='"$(VERSION)"' -Isrc -I.
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
 CUNIT_LIBS = $(shell pkg-config --libs cunit 2>/dev/null)
 
 CORE = $(wildcard src/core/*.c)
-IO = $(wildcard src/io/*.c)
+IO = $(wildcard src/io/*.c) $(wildcard platform/*.c)
 CMD = $(wildcard src/cmd/*.c)
 STANDIN = $(wildcard standin/*.c)
 CHARTS = $(wildcard charts/*.ini)
@@ -58,6 +58,16 @@
 	@mkdir -p $(@D)
 	@echo "CC $<"; $(CC) $(CFLAGS) $(CPPFLAGS) $(WARN) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
+# The users' platform takes what it runs from target/; see deploy/.
+target/rattanspindle: $(patsubst %.c,target/obj/%.o,$(CORE) $(IO) $(CMD))
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDFLAGS) $(PKG_LIBS)
+
+target/obj/%.o: %.c
+	@mkdir -p $(@D)
+	@$(CC) $(CFLAGS) $(CPPFLAGS) $(WARN) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
+
+target/obj/src/core/cht_data.o: $(CHARTS)
+
 build/san/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "CC $<"; $(CC) -O1 -g $(SAN) $(CPPFLAGS) $(WARN) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
@@ -105,8 +115,8 @@
 
 tests: $(TEST_PROGRAMS)
 
-ALL_C = $(wildcard src/*/*.c standin/*.c tests/*.c tools/*.c)
-ALL_H = $(wildcard src/*/*.h standin/*.h tests/*.h tools/*.h)
+ALL_C = $(wildcard src/*/*.c platform/*.c standin/*.c tests/*.c tools/*.c)
+ALL_H = $(wildcard src/*/*.h platform/*.h standin/*.h tests/*.h tools/*.h)
 TIDY = $(patsubst %.c,build/tidy/%.ok,$(ALL_C))
 
 lint: deps
@@ -162,4 +172,4 @@
 clean:
 	rm -rf build
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find build target -name '*.d' 2>/dev/null)
--- a/src/core/cfg.h
+++ b/src/core/cfg.h
@@ -30,9 +30,10 @@
 {
   const char *name;
   const char *owner;
-  double rate;   /**< requests a second, over all VMs together */
-  double burst;  /**< requests */
-  double weight; /**< share under overload; default 1 */
+  double rate;    /**< requests a second, over all VMs together */
+  double burst;   /**< requests */
+  double weight;  /**< share under overload; default 1 */
+  bool unlimited; /**< no key: rate and burst are no bounds */
 } cfg_customer_t;
 
 /** [key NAME] */
@@ -51,6 +52,13 @@
   CFG_PLAIN,  /**< plain service */
 } cfg_kind_t;
 
+/** How an engine's event stream shows that it is whole. */
+typedef enum
+{
+  CFG_STREAM_MARKED, /**< its last event is the end mark */
+  CFG_STREAM_FRAMED, /**< by the end of the answer's framing alone */
+} cfg_stream_t;
+
 /** [deployment NAME] */
 typedef struct
 {
@@ -60,6 +68,7 @@
   bool checks_fencing; /**< engines refuse an old fencing number */
   const char *model;   /**< to be loaded by orders; "" when fixed */
   uint32_t slots;      /**< requests that run at a time in one upstream */
+  cfg_stream_t stream; /**< no key: set for documents of the platform */
 } cfg_deployment_t;
 
 /** [upstream NAME] */
@@ -71,18 +80,50 @@
   const char *data_centre;
   const char *address; /**< "IP:PORT" */
   bool leaving;        /**< gets nothing new */
+  bool fixed_identity; /**< another upstream at this address refuses what is
+                            sent for this one; names are identities then */
 } cfg_upstream_t;
 
-/** [route METHOD PATH] */
+/** Part of a route's requests that goes to a deployment. */
 typedef struct
 {
-  const char *method;
+  const char *deployment;
+  double weight; /**< 0 or more; shares are in proportion */
+} cfg_share_t;
+
+/** What a route's requests are. */
+typedef enum
+{
+  CFG_ROUTE_REQUEST, /**< online requests */
+  CFG_ROUTE_JOBS,    /**< each request brings a batch job */
+} cfg_route_kind_t;
+
+/** [route METHOD PATH]; the fields below deadline_ms have no keys: they are
+ * set for documents of the platform, and zero means the default. */
+typedef struct
+{
+  const char *method; /**< or the host, where routes are chosen by host */
   const char *path; /**< whole path; a trailing slash-star matches below it */
   const char *owner;
   const char *deployment;
   bool open;       /**< no key needed */
   bool idempotent; /**< may be sent again */
   clk_ms_t deadline_ms;
+
+  cfg_route_kind_t kind;
+  bool unrecorded;      /**< each request has an id of its own and comes once,
+                             so that at most once needs no record */
+  bool strict_time;     /**< a stream that flows ends at the deadline too */
+  bool resumable;       /**< a stream may go on at another upstream */
+  uint32_t attempts;    /**< most upstreams that one request may run on */
+  clk_ms_t target_ms;   /**< objective: the first event, or a job's answer */
+  clk_ms_t pause_ms;    /**< longest pause between events that is on time */
+  uint32_t priority;    /**< 0 is the highest */
+  clk_ms_t job_due_ms;  /**< JOBS: results are due, from the job's arrival */
+  clk_ms_t job_keep_ms; /**< JOBS: from then on items may be given up */
+  uint64_t waiting_tokens;   /**< JOBS: most of a customer's; 0: no bound */
+  const cfg_share_t *shares; /**< NULL: all goes to the deployment above */
+  size_t share_count;
 } cfg_route_t;
 
 /** Look-up tables of a document; private to cfg. */
@@ -183,6 +224,13 @@
  * untouched and ST says all that is wrong that fits. */
 st_code_t cfg_doc_parse (void *ctx, buf_t text, cfg_doc_t **doc, st_t *st);
 
+/** The document that consists of PARTS' arrays (its index and pieces are
+ * ignored), which are copied.  For documents that are no text of ours; they
+ * cannot be patched.  ST_INVALID with FAULTS (zeroed, owned by CTX) when a
+ * name stands twice or leads nowhere. */
+st_code_t cfg_doc_assemble (void *ctx, const cfg_doc_t *parts, cfg_doc_t **doc,
+                            cfg_faults_t *faults);
+
 /** Find by name; NULL when there is none. */
 const cfg_customer_t *cfg_customer_find (const cfg_doc_t *doc,
                                          const char *name);
@@ -201,4 +249,9 @@
 const cfg_route_t *cfg_route_find (const cfg_doc_t *doc, const char *method,
                                    const char *path);
 
+/** As cfg_route_find among the routes of HOST (NULL: none are chosen by
+ * host), and then among those of METHOD. */
+const cfg_route_t *cfg_route_for (const cfg_doc_t *doc, const char *host,
+                                  const char *method, const char *path);
+
 #endif
--- a/src/core/cfg_index.c
+++ b/src/core/cfg_index.c
@@ -5,7 +5,7 @@
 #include <talloc.h>
 
 /* Room for "METHOD PATH" while a route is looked up. */
-#define CFG_ROUTE_NAME_SIZE 300
+#define CFG_ROUTE_NAME_SIZE 4096
 
 struct cfg_index
 {
@@ -141,3 +141,13 @@
     }
   return NULL;
 }
+
+const cfg_route_t *
+cfg_route_for (const cfg_doc_t *doc, const char *host, const char *method,
+               const char *path)
+{
+  const cfg_route_t *route = NULL;
+  if (host != NULL)
+    route = cfg_route_find (doc, host, path);
+  return route != NULL ? route : cfg_route_find (doc, method, path);
+}
--- /dev/null
+++ b/src/core/dir.c
@@ -0,0 +1,353 @@
+#include "core/dir.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define DIR_WAIT_MS_DEFAULT (20 * CLK_SECOND)
+#define DIR_RETRY_MS_DEFAULT 250
+#define DIR_RETURN_MS_DEFAULT 2500
+/** After trouble the platform counts as disturbed for this long. */
+#define DIR_CALM_MS (3 * CLK_SECOND)
+
+/* The two things that are read; also the tags of calls and timers. */
+typedef enum
+{
+  _DIR_DOCUMENT,
+  _DIR_UPSTREAMS,
+  _DIR_EXPIRY, /**< timer only */
+  _DIR_READ_NUM = _DIR_EXPIRY
+} _dir_read_t;
+
+/* An upstream as the platform's list has it. */
+typedef struct
+{
+  cfg_upstream_t as;
+  bool listed;    /**< in the pages of the list that is being read */
+  clk_ms_t until; /**< in use until then; CLK_NEVER: no end known */
+} _dir_entry_t;
+
+struct dir
+{
+  dir_desc_t desc;
+  uint64_t revision[_DIR_READ_NUM]; /**< to wait on from; 0: read the whole */
+  char *after;                      /**< next page of the list; NULL: first */
+  cfg_doc_t *operator_doc;          /**< without upstreams */
+  uint64_t version;
+  GHashTable *entries; /**< name to _dir_entry_t */
+  clk_ms_t failed_at;  /**< last failure of a call; CLK_NEVER: none */
+  bool dirty;          /**< doc does not show what is known */
+  cfg_doc_t *doc;
+};
+
+static void
+_dir_entry_free (void *entry)
+{
+  talloc_free (entry);
+}
+
+static int
+_dir_destroy (dir_t *d)
+{
+  g_hash_table_destroy (d->entries);
+  return 0;
+}
+
+dir_t *
+dir_setup (void *ctx, const dir_desc_t *desc)
+{
+  dir_t *d = talloc_zero (ctx, dir_t);
+  d->desc = *desc;
+  if (d->desc.wait_ms == 0)
+    d->desc.wait_ms = DIR_WAIT_MS_DEFAULT;
+  if (d->desc.retry_ms == 0)
+    d->desc.retry_ms = DIR_RETRY_MS_DEFAULT;
+  if (d->desc.return_ms == 0)
+    d->desc.return_ms = DIR_RETURN_MS_DEFAULT;
+  d->failed_at = CLK_NEVER;
+  d->entries
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _dir_entry_free);
+  talloc_set_destructor (d, _dir_destroy);
+  return d;
+}
+
+void
+dir_shutdown (dir_t *d)
+{
+  talloc_free (d);
+}
+
+/* -- calls ---------------------------------------------------------------- */
+
+static void
+_dir_ask (dir_t *d, env_t *env, _dir_read_t what)
+{
+  plt_call (env,
+            &(plt_req_t){ .mod = MOD_DIRECTORY,
+                          .tag = what,
+                          .op = what == _DIR_DOCUMENT ? FX_PLATFORM_DOCUMENT
+                                                      : FX_PLATFORM_UPSTREAMS,
+                          .name = "",
+                          .revision = d->revision[what],
+                          .after = what == _DIR_UPSTREAMS ? d->after : NULL,
+                          .timeout_ms
+                          = d->revision[what] != 0 ? d->desc.wait_ms : 0 });
+}
+
+void
+dir_start (dir_t *d, env_t *env)
+{
+  _dir_ask (d, env, _DIR_DOCUMENT);
+  _dir_ask (d, env, _DIR_UPSTREAMS);
+}
+
+/* -- the document --------------------------------------------------------- */
+
+static void
+_dir_document_take (dir_t *d, env_t *env, const ev_document_t *document)
+{
+  cfg_faults_t faults = { 0 };
+  cfg_doc_t *doc = NULL;
+  void *tmp = talloc_new (d);
+  if (document == NULL || document->version <= d->version)
+    {
+      talloc_free (tmp);
+      return;
+    }
+  if (cfg_doc_assemble (tmp, document->parts, &doc, &faults) != ST_OK)
+    {
+      const char *fault = cfg_fault_format (tmp, &faults.v[0], "platform");
+      tln_record (env->tln, env->now, MOD_DIRECTORY, "document-refused",
+                  "version=%llu %s", (unsigned long long)document->version,
+                  fault);
+      cnt_add (env->cnt, "rts_directory_refused_total", "", 1);
+      talloc_free (tmp);
+      return;
+    }
+  talloc_free (d->operator_doc);
+  d->operator_doc = talloc_steal (d, doc);
+  d->version = document->version;
+  d->dirty = true;
+  talloc_free (tmp);
+}
+
+/* -- the list of upstreams ------------------------------------------------ */
+
+/* Until when an entry is used that has gone now. */
+static clk_ms_t
+_dir_gone_until (const dir_t *d, const env_t *env)
+{
+  if (d->failed_at == CLK_NEVER || env->now - d->failed_at > DIR_CALM_MS)
+    return env->now;
+  return clk_max (env->now, d->failed_at + d->desc.return_ms);
+}
+
+static void
+_dir_entry_gone (dir_t *d, env_t *env, _dir_entry_t *e)
+{
+  e->until = _dir_gone_until (d, env);
+  if (e->until > env->now)
+    {
+      tmr_arm (env->tmr, e->until, MOD_DIRECTORY, _DIR_EXPIRY);
+      return;
+    }
+  tln_record (env->tln, env->now, MOD_DIRECTORY, "upstream-gone",
+              "upstream=%s", e->as.name);
+  g_hash_table_remove (d->entries, e->as.name);
+  d->dirty = true;
+}
+
+static bool
+_dir_entry_same (const cfg_upstream_t *a, const ev_upstream_entry_t *b)
+{
+  return a->leaving == b->leaving && strcmp (a->address, b->address) == 0
+         && strcmp (a->deployment, b->deployment) == 0
+         && strcmp (a->data_centre, b->data_centre) == 0;
+}
+
+static void
+_dir_entry_take (dir_t *d, env_t *env, const ev_upstream_entry_t *entry)
+{
+  _dir_entry_t *e = g_hash_table_lookup (d->entries, entry->name);
+  if (entry->deleted)
+    {
+      if (e != NULL)
+        _dir_entry_gone (d, env, e);
+      return;
+    }
+  if (e != NULL && _dir_entry_same (&e->as, entry))
+    {
+      e->listed = true;
+      e->until = CLK_NEVER;
+      return;
+    }
+  e = talloc_zero (d, _dir_entry_t);
+  e->listed = true;
+  e->until = CLK_NEVER;
+  e->as
+      = (cfg_upstream_t){ .name = talloc_strdup (e, entry->name),
+                          .owner = "",
+                          .deployment = talloc_strdup (e, entry->deployment),
+                          .data_centre = talloc_strdup (e, entry->data_centre),
+                          .address = talloc_strdup (e, entry->address),
+                          .leaving = entry->leaving,
+                          .fixed_identity = true };
+  tln_record (env->tln, env->now, MOD_DIRECTORY,
+              entry->leaving ? "upstream-leaving" : "upstream-ready",
+              "upstream=%s address=%s", entry->name, entry->address);
+  g_hash_table_replace (d->entries, (gpointer)(uintptr_t)e->as.name, e);
+  d->dirty = true;
+}
+
+static void
+_dir_list_begin (dir_t *d)
+{
+  GHashTableIter iter;
+  void *value;
+  g_hash_table_iter_init (&iter, d->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((_dir_entry_t *)value)->listed = false;
+}
+
+/* The whole list has been read: what was not in it is gone. */
+static void
+_dir_list_end (dir_t *d, env_t *env)
+{
+  GList *values = g_hash_table_get_values (d->entries);
+  for (GList *l = values; l != NULL; l = l->next)
+    {
+      _dir_entry_t *e = l->data;
+      if (!e->listed && e->until == CLK_NEVER)
+        _dir_entry_gone (d, env, e);
+    }
+  g_list_free (values);
+}
+
+static void
+_dir_expire (dir_t *d, env_t *env)
+{
+  GList *values = g_hash_table_get_values (d->entries);
+  for (GList *l = values; l != NULL; l = l->next)
+    {
+      _dir_entry_t *e = l->data;
+      if (e->until != CLK_NEVER && e->until <= env->now)
+        _dir_entry_gone (d, env, e);
+    }
+  g_list_free (values);
+}
+
+static void
+_dir_upstreams_take (dir_t *d, env_t *env, const ev_platform_t *reply)
+{
+  bool whole = d->revision[_DIR_UPSTREAMS] == 0;
+  if (whole && d->after == NULL)
+    _dir_list_begin (d);
+  for (size_t i = 0; i < reply->entry_count; i++)
+    _dir_entry_take (d, env, &reply->entries[i]);
+  TALLOC_FREE (d->after);
+  if (whole && reply->more_after != NULL)
+    {
+      d->after = talloc_strdup (d, reply->more_after);
+      return;
+    }
+  if (whole)
+    _dir_list_end (d, env);
+  d->revision[_DIR_UPSTREAMS] = reply->revision;
+}
+
+/* -- hooks ---------------------------------------------------------------- */
+
+static void
+_dir_failed (dir_t *d, env_t *env, _dir_read_t what, st_code_t code)
+{
+  if (code == ST_STALE)
+    d->revision[what] = 0;
+  else
+    d->failed_at = env->now;
+  if (what == _DIR_UPSTREAMS)
+    TALLOC_FREE (d->after);
+  cnt_add (env->cnt, "rts_directory_failures_total", "", 1);
+  if (code == ST_STALE)
+    _dir_ask (d, env, what);
+  else
+    tmr_arm (env->tmr, env->now + env_jitter (env, d->desc.retry_ms),
+             MOD_DIRECTORY, what);
+}
+
+void
+dir_platform_replied (dir_t *d, env_t *env, const plt_done_t *done,
+                      const ev_platform_t *reply)
+{
+  _dir_read_t what = (_dir_read_t)done->tag;
+  if (reply->code != ST_OK)
+    {
+      _dir_failed (d, env, what, reply->code);
+      return;
+    }
+  if (what == _DIR_DOCUMENT)
+    {
+      _dir_document_take (d, env, reply->document);
+      d->revision[what] = reply->revision;
+    }
+  else
+    _dir_upstreams_take (d, env, reply);
+  _dir_ask (d, env, what);
+}
+
+void
+dir_timer_fired (dir_t *d, env_t *env, uint64_t tag)
+{
+  if (tag == _DIR_EXPIRY)
+    _dir_expire (d, env);
+  else
+    _dir_ask (d, env, (_dir_read_t)tag);
+}
+
+/* -- the result ----------------------------------------------------------- */
+
+static void
+_dir_rebuild (dir_t *d, env_t *env)
+{
+  guint n = g_hash_table_size (d->entries);
+  void *tmp = talloc_new (d);
+  cfg_doc_t parts = *d->operator_doc;
+  parts.upstreams = talloc_array (tmp, cfg_upstream_t, n + 1);
+  parts.upstream_count = 0;
+  GHashTableIter iter;
+  void *value;
+  g_hash_table_iter_init (&iter, d->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    parts.upstreams[parts.upstream_count++] = ((_dir_entry_t *)value)->as;
+  cfg_faults_t faults = { 0 };
+  cfg_doc_t *doc = NULL;
+  if (cfg_doc_assemble (d, &parts, &doc, &faults) == ST_OK)
+    {
+      talloc_free (d->doc);
+      d->doc = doc;
+    }
+  else
+    tln_record (env->tln, env->now, MOD_DIRECTORY, "document-refused", "%s",
+                cfg_fault_format (tmp, &faults.v[0], "directory"));
+  talloc_free (tmp);
+}
+
+bool
+dir_changed (dir_t *d, env_t *env)
+{
+  if (!d->dirty || d->operator_doc == NULL)
+    return false;
+  d->dirty = false;
+  _dir_rebuild (d, env);
+  return true;
+}
+
+const cfg_doc_t *
+dir_doc (const dir_t *d)
+{
+  return d->doc;
+}
+
+uint64_t
+dir_version (const dir_t *d)
+{
+  return d->version;
+}
--- /dev/null
+++ b/src/core/dir.h
@@ -0,0 +1,58 @@
+/** @file
+ * Directory: the operator's document and the list of upstreams, kept in step
+ * with the platform where the operator writes both there.
+ *
+ *   dir_t *d = dir_setup (ctx, &(dir_desc_t){ 0 });
+ *   dir_start (d, env);
+ *   ... dir_platform_replied, dir_timer_fired
+ *   if (dir_changed (d))
+ *     use (dir_doc (d));
+ *
+ * One waiting call for each of the two; after a failure or a lost history the
+ * whole is read again.  A document of a lower version than the one in force is
+ * ignored.  An entry that disappears within a while of the platform's own
+ * trouble stays in use until it has had time to be written again.
+ *
+ * Not for fleets whose operators write sections through a VM: see cfs.h.
+ */
+#ifndef RTS_DIR_H
+#define RTS_DIR_H
+
+#include "core/cfg.h"
+#include "core/env.h"
+
+/** How to set the directory up; zeros mean the defaults. */
+typedef struct
+{
+  clk_ms_t wait_ms;   /**< longest wait of a call for news; default 20 s */
+  clk_ms_t retry_ms;  /**< after a failure; default 250 ms */
+  clk_ms_t return_ms; /**< entries may take this long to be written again once
+                           the platform is back; default 2.5 s */
+} dir_desc_t;
+
+typedef struct dir dir_t;
+
+/** New directory owned by CTX. */
+dir_t *dir_setup (void *ctx, const dir_desc_t *desc);
+
+/** Free it and the document. */
+void dir_shutdown (dir_t *d);
+
+/** Begin to read. */
+void dir_start (dir_t *d, env_t *env);
+
+/** The document in force, with the upstreams; NULL before the first one.
+ * Lives until dir_changed is true again. */
+const cfg_doc_t *dir_doc (const dir_t *d);
+
+/** Version of the operator's document; 0: none yet. */
+uint64_t dir_version (const dir_t *d);
+
+/** Whether dir_doc is another one than at the last call. */
+bool dir_changed (dir_t *d, env_t *env);
+
+void dir_timer_fired (dir_t *d, env_t *env, uint64_t tag);
+void dir_platform_replied (dir_t *d, env_t *env, const plt_done_t *done,
+                           const ev_platform_t *reply);
+
+#endif
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -6,6 +6,7 @@
 #ifndef RTS_EV_H
 #define RTS_EV_H
 
+#include "core/cfg.h"
 #include "core/http.h"
 #include "core/msg.h"
 #include "core/st.h"
@@ -39,6 +40,20 @@
   EV_FAIL_TIMEOUT,  /**< as unknown; the time given was over */
 } ev_fail_t;
 
+/** What a caller says of its request beside the body, where its protocol has
+ * words for it; zero and NULL: not said. */
+typedef struct
+{
+  const char *host;         /**< without the port */
+  const char *id;           /**< new for each request */
+  clk_ms_t wait_ms;         /**< longest time that the caller waits */
+  clk_ms_t poll_ms;         /**< longest time that a read may wait for news */
+  const char *resume_after; /**< last event that the caller has */
+  uint64_t prefix;     /**< hash of the part of the prompt that it shares */
+  uint32_t tokens_in;  /**< prompt tokens */
+  uint32_t tokens_out; /**< most tokens that are generated */
+} ev_call_t;
+
 /** A caller's request. */
 typedef struct
 {
@@ -47,8 +62,11 @@
   const char *method; /**< upper case */
   const char *path;   /**< without the query */
   const char *query;  /**< without '?'; "" when there is none */
+  const char *target; /**< path and query as the caller wrote them; NULL: as
+                           above */
   http_headers_t headers;
   buf_t body;
+  ev_call_t call;
 } ev_request_t;
 
 /** Progress of an upstream call. */
@@ -57,6 +75,9 @@
   uint64_t call; /**< as in FX_UPSTREAM_CALL */
   int status;    /**< EV_UPSTREAM_HEAD */
   http_headers_t headers;
+  bool not_run;     /**< EV_UPSTREAM_HEAD: the upstream promises that it did
+                         not and will not run the request */
+  bool other;       /**< EV_UPSTREAM_HEAD: another upstream has the address */
   buf_t data;       /**< EV_UPSTREAM_DATA */
   ev_fail_t fail;   /**< EV_UPSTREAM_FAIL */
   const char *text; /**< EV_UPSTREAM_FAIL: for logs */
@@ -80,15 +101,40 @@
   bool leaving;
 } ev_vm_t;
 
+/** One entry of the platform's list of upstreams. */
+typedef struct
+{
+  const char *name;
+  const char *deployment;
+  const char *data_centre;
+  const char *address; /**< "IP:PORT" */
+  bool leaving;        /**< gets nothing new */
+  bool deleted;        /**< in a watch: the entry is gone */
+  clk_ms_t cold_ms;    /**< slow for this much longer */
+} ev_upstream_entry_t;
+
+/** The operator's whole document. */
+typedef struct
+{
+  uint64_t version;       /**< larger in each newer document */
+  const cfg_doc_t *parts; /**< arrays for cfg_doc_assemble; no upstreams */
+} ev_document_t;
+
 /** Outcome of a platform call. */
 typedef struct
 {
   uint64_t call;  /**< as in FX_PLATFORM */
-  st_code_t code; /**< OK, NOT_FOUND, CONFLICT, UNAVAILABLE (no effect) or
-                       UNKNOWN (may have had its effect) */
+  st_code_t code; /**< OK, NOT_FOUND, CONFLICT (with the object, where the
+                       platform gives it), STALE (a watch's history is gone),
+                       UNAVAILABLE (no effect) or UNKNOWN (may have had its
+                       effect) */
   const ev_object_t *objects; /**< GET, PUT: one; LIST, WATCH: many */
   size_t object_count;
-  uint64_t revision;  /**< LIST, WATCH: to watch on from */
+  uint64_t revision;      /**< LIST, WATCH: to watch on from */
+  const char *more_after; /**< lists: ask on behind this name; NULL: whole */
+  const ev_document_t *document;      /**< DOCUMENT: NULL when there is none */
+  const ev_upstream_entry_t *entries; /**< UPSTREAMS */
+  size_t entry_count;
   const ev_vm_t *vms; /**< VMS */
   size_t vm_count;
 } ev_platform_t;
--- a/src/core/fx.c
+++ b/src/core/fx.c
@@ -42,6 +42,10 @@
   u->path = _fx_str (fx, u->path);
   u->headers = _fx_headers (fx, u->headers);
   u->body = buf_copy (fx->pool, u->body);
+  u->upstream = _fx_str (fx, u->upstream);
+  u->host = _fx_str (fx, u->host);
+  u->customer = _fx_str (fx, u->customer);
+  u->resume_after = _fx_str (fx, u->resume_after);
 }
 
 static void
@@ -75,6 +79,7 @@
       break;
     case FX_PLATFORM:
       copy->platform.name = _fx_str (fx, f->platform.name);
+      copy->platform.after = _fx_str (fx, f->platform.after);
       copy->platform.value = buf_copy (fx->pool, f->platform.value);
       break;
     case FX_PEER_SEND:
--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -42,6 +42,8 @@
   uint64_t caller;
   int status; /**< FX_REPLY_HEAD */
   http_headers_t headers;
+  clk_ms_t retry_after_ms; /**< FX_REPLY_HEAD: 0: not said */
+  bool last;  /**< FX_REPLY_HEAD: the connection takes no further request */
   buf_t data; /**< FX_REPLY_DATA */
 } fx_reply_t;
 
@@ -59,17 +61,25 @@
   clk_ms_t stall_ms;      /**< longest silence in the body; 0: no bound */
   clk_ms_t total_ms;      /**< longest time in all; 0: no bound */
   bool fresh_connection;  /**< do not reuse an open one */
+  const char *upstream;   /**< who must have the address; NULL: anyone */
+  const char *host;       /**< that the caller asked; NULL: the address */
+  const char *customer;   /**< NULL: none */
+  const char *resume_after; /**< go on behind this event; NULL: all */
+  clk_ms_t deadline_ms;     /**< the upstream may stop then; 0: not said */
 } fx_upstream_t;
 
 /** Operations of the platform's object API. */
 typedef enum
 {
-  FX_PLATFORM_GET,    /**< one object */
-  FX_PLATFORM_PUT,    /**< if its version is still if_version; 0: absent */
-  FX_PLATFORM_DELETE, /**< if its version is still if_version */
-  FX_PLATFORM_LIST,   /**< all objects whose names start with name */
-  FX_PLATFORM_WATCH,  /**< wait for changes below name after revision */
-  FX_PLATFORM_VMS,    /**< the VM list */
+  FX_PLATFORM_GET,       /**< one object */
+  FX_PLATFORM_PUT,       /**< if its version is still if_version; 0: absent */
+  FX_PLATFORM_DELETE,    /**< if its version is still if_version */
+  FX_PLATFORM_LIST,      /**< all objects whose names start with name */
+  FX_PLATFORM_WATCH,     /**< wait for changes below name after revision */
+  FX_PLATFORM_VMS,       /**< the VM list */
+  FX_PLATFORM_DOCUMENT,  /**< the operator's document; with a revision: wait
+                              for a change after it */
+  FX_PLATFORM_UPSTREAMS, /**< the list of upstreams; likewise */
 } fx_platform_op_t;
 
 /** A call to the platform. */
@@ -79,7 +89,8 @@
   fx_platform_op_t op;
   const char *name; /**< of the object, or a prefix */
   uint64_t if_version;
-  uint64_t revision; /**< WATCH */
+  uint64_t revision; /**< WATCH, DOCUMENT, UPSTREAMS; 0: do not wait */
+  const char *after; /**< UPSTREAMS: names behind this one; NULL: all */
   buf_t value;       /**< PUT */
   clk_ms_t timeout_ms;
 } fx_platform_t;
--- a/src/core/key.h
+++ b/src/core/key.h
@@ -89,6 +89,9 @@
 
 /** The key that a request presents, owned by CTX, or NULL: Authorization:
  * Bearer, then X-Api-Key, then the query's api_key. */
+/** Whether QUERY has a field in which a key may stand. */
+bool key_in_query (const char *query);
+
 char *key_extract (void *ctx, http_headers_t headers, const char *query);
 
 /** HEADERS without those in which a key is accepted, and without any that
--- a/src/core/key_present.c
+++ b/src/core/key_present.c
@@ -67,6 +67,16 @@
   return is;
 }
 
+bool
+key_in_query (const char *query)
+{
+  _key_field_t field;
+  while (_key_field_next (&query, &field))
+    if (_key_field_is_key (&field))
+      return true;
+  return false;
+}
+
 static char *
 _key_trimmed (void *ctx, const char *s)
 {
--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -17,6 +17,12 @@
 /* Open links remembered of VMs that are not in the list. */
 #define MBR_UNLISTED_MAX 1024
 
+/* Objects that VMs write about themselves. */
+#define MBR_VMS_PREFIX "vms/"
+
+/* Between tries to write this VM's. */
+#define MBR_ANNOUNCE_RETRY_MS (1 * CLK_SECOND)
+
 /* VMs taken from one list. */
 #define MBR_VMS_MAX 4096
 
@@ -24,6 +30,7 @@
 {
   MBR_TIMER_POLL = 1,
   MBR_TIMER_PING,
+  MBR_TIMER_ANNOUNCE, /**< also the tag of its call */
 };
 
 static int
@@ -219,6 +226,42 @@
   return true;
 }
 
+/* ---- this VM's own entry ---- */
+
+static void
+_mbr_announce (mbr_t *m, env_t *env, uint64_t if_version)
+{
+  char *name = talloc_asprintf (m, MBR_VMS_PREFIX "%s", env->vm);
+  char *value
+      = talloc_asprintf (name, "%s %s", env->data_centre, env->address);
+  plt_call (env, &(plt_req_t){ .mod = MOD_MEMBER,
+                               .tag = MBR_TIMER_ANNOUNCE,
+                               .op = FX_PLATFORM_PUT,
+                               .name = name,
+                               .if_version = if_version,
+                               .value = buf_str (value) });
+  talloc_free (name);
+}
+
+static void
+_mbr_announced (mbr_t *m, env_t *env, const ev_platform_t *reply)
+{
+  if (reply->code == ST_OK)
+    return;
+  if (reply->code == ST_CONFLICT && reply->object_count == 1)
+    {
+      char *value
+          = talloc_asprintf (m, "%s %s", env->data_centre, env->address);
+      bool same = buf_is (reply->objects[0].value, value);
+      talloc_free (value);
+      if (!same)
+        _mbr_announce (m, env, reply->objects[0].version);
+      return;
+    }
+  tmr_arm (env->tmr, env->now + env_jitter (env, MBR_ANNOUNCE_RETRY_MS),
+           MOD_MEMBER, MBR_TIMER_ANNOUNCE);
+}
+
 /* ---- platform ---- */
 
 void
@@ -230,6 +273,8 @@
                         .address = env->address });
   m->sorted = 1;
   mbr_entry_update (m, env, m->self);
+  if (m->desc.announce)
+    _mbr_announce (m, env, 0);
   tmr_arm (env->tmr, env->now, MOD_MEMBER, MBR_TIMER_POLL);
   tmr_arm (env->tmr, env_jitter (env, CLK_SECOND) + env->now, MOD_MEMBER,
            MBR_TIMER_PING);
@@ -240,8 +285,12 @@
 mbr_platform_replied (mbr_t *m, env_t *env, const plt_done_t *done,
                       const ev_platform_t *reply)
 {
-  (void)done;
   bool changed = false;
+  if (done->tag == MBR_TIMER_ANNOUNCE)
+    {
+      _mbr_announced (m, env, reply);
+      return;
+    }
   if (reply->code == ST_OK && reply->vm_count > 0)
     {
       changed = _mbr_take_list (m, env, reply->vms, reply->vm_count);
@@ -326,6 +375,9 @@
     case MBR_TIMER_PING:
       _mbr_ping (m, env);
       break;
+    case MBR_TIMER_ANNOUNCE:
+      _mbr_announce (m, env, 0);
+      break;
     default:
       break;
     }
--- a/src/core/mbr.h
+++ b/src/core/mbr.h
@@ -41,6 +41,7 @@
   clk_ms_t poll_slow_ms; /**< when it does not; default 15 s */
   clk_ms_t ping_ms; /**< heartbeat on a link; default 500 ms, 3 s in a grid */
   size_t full_mesh_max; /**< most VMs with all links; default 16 */
+  bool announce; /**< the list holds what VMs write to it: write this one */
 } mbr_desc_t;
 
 /** One VM; strings live until it leaves the list. */
--- a/src/core/mod.c
+++ b/src/core/mod.c
@@ -1,12 +1,13 @@
 #include "core/mod.h"
 
 static const char *const _mod_names[MOD_NUM] = {
-  [MOD_NODE] = "node",     [MOD_PLATFORM] = "platform",
-  [MOD_CONFIG] = "config", [MOD_KEY] = "key",
-  [MOD_MEMBER] = "member", [MOD_LIMIT] = "limit",
-  [MOD_ONLINE] = "online", [MOD_ROUTE] = "route",
-  [MOD_BATCH] = "batch",   [MOD_IDEMPOTENT] = "idempotent",
-  [MOD_CREDIT] = "credit", [MOD_ORDER] = "order",
+  [MOD_NODE] = "node",           [MOD_PLATFORM] = "platform",
+  [MOD_CONFIG] = "config",       [MOD_KEY] = "key",
+  [MOD_MEMBER] = "member",       [MOD_LIMIT] = "limit",
+  [MOD_ONLINE] = "online",       [MOD_ROUTE] = "route",
+  [MOD_BATCH] = "batch",         [MOD_IDEMPOTENT] = "idempotent",
+  [MOD_CREDIT] = "credit",       [MOD_ORDER] = "order",
+  [MOD_DIRECTORY] = "directory", [MOD_JOB] = "job",
 };
 
 const char *
--- a/src/core/mod.h
+++ b/src/core/mod.h
@@ -22,6 +22,8 @@
   MOD_BATCH,      /**< bat: jobs, chunks, items */
   MOD_CREDIT,     /**< crd: batch credits of upstreams */
   MOD_ORDER,      /**< ord: orders to engines */
+  MOD_DIRECTORY,  /**< dir: the platform's document and list of upstreams */
+  MOD_JOB,        /**< job: batch jobs whose results have positions */
   MOD_NUM
 } mod_t;
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -15,6 +15,14 @@
 #include "core/env.h"
 #include "core/ev.h"
 
+/** Where a node's configuration comes from. */
+typedef enum
+{
+  NODE_SOURCE_SECTIONS, /**< sections that operators send to a VM (cfs.h) */
+  NODE_SOURCE_PLATFORM, /**< a whole document and a list of upstreams that
+                             others write to the platform (dir.h) */
+} node_source_t;
+
 /** How to set a node up; strings are copied. */
 typedef struct
 {
@@ -25,6 +33,7 @@
   uint32_t seed;
   clk_ms_t unix_offset_ms; /**< Unix time less the driver's; for due times */
   const char *operator_token_sha256; /**< lower-case hex; NULL: no operators */
+  node_source_t source;
 } node_desc_t;
 
 typedef struct node node_t;
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -10,6 +10,7 @@
 #include "core/cfs.h"
 #include "core/cht.h"
 #include "core/crd.h"
+#include "core/dir.h"
 #include "core/key.h"
 #include "core/lim.h"
 #include "core/mbr.h"
@@ -36,7 +37,9 @@
   clk_ms_t timer_at;   /**< of the last FX_TIMER */
   GHashTable *linked;  /**< names of peers with an open link */
   uint64_t generation; /**< of the membership that the modules know */
+  node_source_t source;
   mbr_t *mbr;
+  dir_t *dir; /**< NULL unless the source is the platform */
   cfs_t *cfs;
   key_set_t *keys;
   lim_t *lim;
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -50,6 +50,8 @@
 _node_ready (void *data)
 {
   const node_t *n = data;
+  if (n->source == NODE_SOURCE_PLATFORM)
+    return n->state == NODE_SERVING;
   bool lent
       = !plt_available (n->env->plt) && g_hash_table_size (n->linked) > 0;
   return lent || lsh_version (lim_shares (n->lim)) > 0;
@@ -61,11 +63,16 @@
 node_mods_setup (node_t *n, const node_desc_t *desc)
 {
   env_t *env = n->env;
-  n->mbr = mbr_setup (n, &(mbr_desc_t){ 0 });
+  bool platform = desc->source == NODE_SOURCE_PLATFORM;
+  n->source = desc->source;
+  n->mbr = mbr_setup (n, &(mbr_desc_t){ .announce = platform });
+  if (platform)
+    n->dir = dir_setup (n, &(dir_desc_t){ 0 });
   n->cfs = cfs_setup (n, env, &(cfs_desc_t){ .members = n->mbr });
   n->keys = key_setup (n, &(key_desc_t){ .peers = cfs_peers (n->cfs) });
   n->lim = lim_setup (n, &(lim_desc_t){ .members = n->mbr });
-  n->rte = rte_setup (n, &(rte_desc_t){ .members = n->mbr });
+  n->rte = rte_setup (
+      n, &(rte_desc_t){ .members = n->mbr, .no_reports = platform });
   n->crd = crd_setup (n, &(crd_desc_t){ 0 });
   n->bat
       = bat_setup (n, &(bat_desc_t){ .credits = n->crd,
@@ -89,6 +96,12 @@
 node_mods_start (node_t *n)
 {
   mbr_start (n->mbr, n->env);
+  if (n->source == NODE_SOURCE_PLATFORM)
+    {
+      dir_start (n->dir, n->env);
+      lim_start (n->lim, n->env);
+      return;
+    }
   cfs_start (n->cfs, n->env);
   key_start (n->keys, n->env);
   lim_start (n->lim, n->env);
@@ -146,6 +159,10 @@
     case MOD_IDEMPOTENT:
       idm_timer_fired (n->idm, env, due->tag);
       break;
+    case MOD_DIRECTORY:
+      dir_timer_fired (n->dir, env, due->tag);
+      break;
+    case MOD_JOB:
     case MOD_NODE:
     case MOD_PLATFORM:
     case MOD_ORDER:
@@ -179,6 +196,10 @@
     case MOD_IDEMPOTENT:
       idm_platform_replied (n->idm, env, done, reply);
       break;
+    case MOD_DIRECTORY:
+      dir_platform_replied (n->dir, env, done, reply);
+      break;
+    case MOD_JOB:
     case MOD_NODE:
     case MOD_PLATFORM:
     case MOD_ONLINE:
@@ -279,6 +300,8 @@
     {
       g_hash_table_add (n->linked, g_strdup (vm));
       mbr_peer_up (n->mbr, n->env, vm);
+      if (n->source == NODE_SOURCE_PLATFORM)
+        return;
       cfs_peer_up (n->cfs, n->env, vm);
       key_peer_up (n->keys, n->env, vm);
       return;
@@ -297,10 +320,17 @@
          && (path[n] == '\0' || path[n] == '/');
 }
 
+/** The document in force; NULL: none yet. */
+static const cfg_doc_t *
+_node_doc (const node_t *n)
+{
+  return n->dir != NULL ? dir_doc (n->dir) : cfs_doc (n->cfs);
+}
+
 static void
 _node_batch (node_t *n, const ev_request_t *req)
 {
-  const cfg_doc_t *doc = cfs_doc (n->cfs);
+  const cfg_doc_t *doc = _node_doc (n);
   void *tmp = talloc_new (n);
   char *presented = key_extract (tmp, req->headers, req->query);
   const cfg_key_t *key = doc == NULL || presented == NULL
@@ -328,7 +358,7 @@
 void
 node_mods_request (node_t *n, const ev_request_t *req)
 {
-  if (opr_request (n->opr, n->env, req))
+  if (opr_request (n->opr, n->env, req, _node_doc (n) != NULL))
     return;
   if (_node_is_batch (req->path))
     _node_batch (n, req);
@@ -364,23 +394,30 @@
         continue;
       up[up_count++] = vms[i];
     }
-  cfs_peers_changed (n->cfs, n->env, vms, count);
-  crd_members_changed (n->crd, n->env, up, up_count);
-  bat_members_changed (n->bat, n->env, up, up_count);
+  if (n->source == NODE_SOURCE_SECTIONS)
+    {
+      cfs_peers_changed (n->cfs, n->env, vms, count);
+      crd_members_changed (n->crd, n->env, up, up_count);
+      bat_members_changed (n->bat, n->env, up, up_count);
+    }
   talloc_free (vms);
 }
 
 static void
 _node_config_changed (node_t *n)
 {
-  const cfg_doc_t *doc = cfs_doc (n->cfs);
+  const cfg_doc_t *doc = _node_doc (n);
   lim_config_changed (n->lim, n->env, doc);
   rte_config_changed (n->rte, n->env, doc);
-  crd_config_changed (n->crd, n->env, doc);
-  bat_config_changed (n->bat, n->env, doc);
   onl_config_changed (n->onl, n->env, doc);
+  if (n->source == NODE_SOURCE_SECTIONS)
+    {
+      crd_config_changed (n->crd, n->env, doc);
+      bat_config_changed (n->bat, n->env, doc);
+    }
   tln_record (n->env->tln, n->env->now, MOD_CONFIG, "in-force", "version=%llu",
-              (unsigned long long)cfs_version (n->cfs));
+              (unsigned long long)(n->dir != NULL ? dir_version (n->dir)
+                                                  : cfs_version (n->cfs)));
 }
 
 static void
@@ -424,11 +461,15 @@
       _node_members_changed (n);
     }
   opr_drain (n->opr, n->env);
-  bool changed = cfs_changed (n->cfs);
+  bool changed
+      = n->dir != NULL ? dir_changed (n->dir, n->env) : cfs_changed (n->cfs);
   if (changed)
     _node_config_changed (n);
   onl_pump (n->onl, n->env);
-  _node_loads (n);
-  bat_pump (n->bat, n->env);
+  if (n->source == NODE_SOURCE_SECTIONS)
+    {
+      _node_loads (n);
+      bat_pump (n->bat, n->env);
+    }
   return changed;
 }
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -58,6 +58,7 @@
       const onl_request_t *r = tbl_get (o->requests, id);
       if (r->answer.held != NULL)
         g_byte_array_free (r->answer.held, TRUE);
+      sse_clear (&((onl_request_t *)tbl_get (o->requests, id))->events);
     }
   g_hash_table_destroy (o->by_caller);
   g_hash_table_destroy (o->deployments);
@@ -121,6 +122,7 @@
   if (r->answer.held != NULL)
     g_byte_array_free (r->answer.held, TRUE);
   r->answer.held = NULL;
+  sse_clear (&r->events);
   talloc_free (r->pool);
   tbl_free (o->requests, r->id);
 }
@@ -153,7 +155,7 @@
 void
 onl_fire (onl_t *o, env_t *env, onl_request_t *r, onl_event_t event)
 {
-  uint32_t guards = r->idempotent ? 0 : 1;
+  uint32_t guards = r->recorded ? 1 : 0;
   cht_step_t step = cht_fire (o->chart, (int)r->state, (int)event, guards);
   r->state = (onl_state_t)step.next;
   /* The last action may free R, so each step has one. */
@@ -195,6 +197,10 @@
   rpl_error_t error = *e;
   char labels[64];
   error.run = r->may_have_run ? RPL_UNKNOWN : RPL_NOT_RUN;
+  /* 429 and 503 promise that it has not run. */
+  if (r->may_have_run && !r->idempotent
+      && (error.status == 429 || error.status == 503))
+    error.status = 502;
   g_snprintf (labels, sizeof labels, "code=\"%s\"", e->code);
   cnt_add (env->cnt, "rts_online_refused_total", labels, 1);
   tln_record (env->tln, env->now, MOD_ONLINE, "refused",
@@ -240,8 +246,8 @@
 static void
 _onl_deadline (onl_t *o, env_t *env, onl_request_t *r)
 {
-  /* A stream that flows is not cut; stalls end it. */
-  if (r->delivered || env->now < r->deadline)
+  /* A stream that flows is not cut, but for strict routes; stalls end it. */
+  if ((r->delivered && !r->strict_time) || env->now < r->deadline)
     return;
   _onl_give_up (o, env, r,
                 r->state == ONL_SENT ? RTE_FAIL_SILENT : RTE_FAIL_CANCELLED,
--- a/src/core/onl_admit.c
+++ b/src/core/onl_admit.c
@@ -52,7 +52,8 @@
 {
   if (o->doc == NULL)
     return &no_config;
-  found->route = cfg_route_find (o->doc, req->method, req->path);
+  found->route
+      = cfg_route_for (o->doc, req->call.host, req->method, req->path);
   if (o->leaving_since != CLK_NEVER
       && env->now >= o->leaving_since + o->desc.leave_ms)
     return &leaving;
@@ -66,7 +67,7 @@
     }
   if (found->route == NULL)
     return &no_route;
-  if (found->route->idempotent)
+  if (found->route->idempotent || found->route->unrecorded)
     return NULL;
   found->idempotency_key = http_header_find (req->headers, "Idempotency-Key");
   if (found->idempotency_key == NULL
@@ -88,9 +89,39 @@
   return d;
 }
 
+/** The deployment that this request of ROUTE goes to. */
+static const char *
+_onl_share (env_t *env, const cfg_route_t *route)
+{
+  double sum = 0;
+  for (size_t i = 0; i < route->share_count; i++)
+    sum += route->shares[i].weight;
+  if (sum <= 0)
+    return route->deployment;
+  double at = g_rand_double_range (env->rand, 0, sum);
+  size_t i = 0;
+  while (i + 1 < route->share_count && at >= route->shares[i].weight)
+    at -= route->shares[i++].weight;
+  return route->shares[i].deployment;
+}
+
+/** The caller's id for the request, or a new one. */
+static char *
+_onl_request_id (onl_t *o, const env_t *env, void *ctx,
+                 const ev_request_t *req)
+{
+  if (req->call.id != NULL)
+    return talloc_strdup (ctx, req->call.id);
+  return talloc_asprintf (ctx, "%s-%llx-%llu", env->vm,
+                          (unsigned long long)env->incarnation,
+                          (unsigned long long)++o->sequence);
+}
+
 static char *
 _onl_target (void *ctx, const ev_request_t *req, const char *presented)
 {
+  if (req->target != NULL && !key_in_query (req->query))
+    return talloc_strdup (ctx, req->target);
   void *tmp = talloc_new (NULL);
   const char *query = key_strip_query (tmp, req->query, presented);
   char *target = talloc_asprintf (ctx, "%s%s%s", req->path,
@@ -101,37 +132,51 @@
 
 /** Copy what the request needs later. */
 static void
-_onl_fill (onl_t *o, const env_t *env, onl_request_t *r,
+_onl_fill (onl_t *o, env_t *env, onl_request_t *r,
            const ev_request_t *req, const char *presented,
            const _onl_found_t *found)
 {
   void *pool = talloc_new (o);
   const char *customer = found->key != NULL ? found->key->customer : "";
   const cfg_customer_t *c = cfg_customer_find (o->doc, customer);
+  const cfg_route_t *route = found->route;
   const cfg_deployment_t *d
-      = cfg_deployment_find (o->doc, found->route->deployment);
+      = cfg_deployment_find (o->doc, _onl_share (env, route));
   INV_CHECK (d != NULL, "route-has-deployment", "%s",
              found->route->deployment);
   r->pool = pool;
   r->state = (onl_state_t)cht_initial (o->chart);
   r->caller = req->caller;
-  r->request_id = talloc_asprintf (pool, "%s-%llx-%llu", env->vm,
-                                   (unsigned long long)env->incarnation,
-                                   (unsigned long long)++o->sequence);
+  r->request_id = _onl_request_id (o, env, pool, req);
   r->key = talloc_strdup (pool, found->key != NULL ? found->key->name : "");
   r->customer = talloc_strdup (pool, customer);
   r->weight = c != NULL ? c->weight : 1;
   r->deployment = _onl_deployment (o, d->name);
   r->engine = d->kind == CFG_ENGINE;
-  r->idempotent = found->route->idempotent;
+  r->idempotent = route->idempotent;
+  r->recorded = !route->idempotent && !route->unrecorded;
+  r->marked = r->engine && d->stream == CFG_STREAM_MARKED;
+  r->resumable = route->resumable;
+  r->strict_time = route->strict_time;
+  r->runs_max = route->attempts > 0 ? route->attempts : ONL_RUNS_DEFAULT;
+  r->host
+      = req->call.host != NULL ? talloc_strdup (pool, req->call.host) : NULL;
+  r->resume_after = req->call.resume_after != NULL
+                        ? talloc_strdup (pool, req->call.resume_after)
+                        : NULL;
   r->method = talloc_strdup (pool, req->method);
   r->target = _onl_target (pool, req, presented);
   r->headers = onl_request_headers (
       pool, key_strip_headers (pool, req->headers, presented), r->request_id);
   r->body = buf_copy (pool, req->body);
   r->arrived = env->now;
-  r->deadline = env->now + found->route->deadline_ms;
-  if (r->engine && req->body.n > 0 && req->body.n <= ONL_PROMPT_MAX)
+  r->deadline = env->now + route->deadline_ms;
+  if (req->call.wait_ms > 0)
+    r->deadline = clk_min (r->deadline, env->now + req->call.wait_ms);
+  r->prefix = req->call.prefix;
+  r->stream = req->call.tokens_out > 0;
+  if (r->prefix == 0 && r->engine && req->body.n > 0
+      && req->body.n <= ONL_PROMPT_MAX)
     r->prefix = onl_prompt_prefix (req->body, &r->stream);
   if (found->idempotency_key != NULL)
     {
@@ -146,7 +191,8 @@
 _onl_admit (onl_t *o, env_t *env, onl_request_t *r)
 {
   clk_ms_t retry_after = 0;
-  if (r->customer[0] == '\0')
+  const cfg_customer_t *c = cfg_customer_find (o->doc, r->customer);
+  if (r->customer[0] == '\0' || (c != NULL && c->unlimited))
     {
       onl_admitted (o, env, r);
       return;
@@ -171,7 +217,9 @@
 _onl_is_keyed (const ev_request_t *req, const _onl_found_t *found)
 {
   const char *key = http_header_find (req->headers, "Idempotency-Key");
-  return key != NULL && (found->route == NULL || !found->route->idempotent);
+  return key != NULL
+         && (found->route == NULL
+             || (!found->route->idempotent && !found->route->unrecorded));
 }
 
 void
--- a/src/core/onl_answer.c
+++ b/src/core/onl_answer.c
@@ -41,6 +41,7 @@
 _onl_deliver_head (env_t *env, onl_request_t *r)
 {
   r->delivered = true;
+  r->answer_status = r->answer.status;
   cnt_observe (env->cnt, "rts_online_first_byte_ms", "",
                (double)(env->now - r->arrived));
   if (r->caller != 0)
@@ -78,7 +79,7 @@
   cnt_add (env->cnt, "rts_online_broken_total", "", 1);
   tln_record (env->tln, env->now, MOD_ONLINE, "broken", "request=%s: %s",
               r->request_id, why);
-  if (r->answer.stream)
+  if (r->answer.stream && r->marked)
     _onl_stream_error (r, env, why);
   _onl_reply (r, env, FX_REPLY_ABORT, (buf_t){ 0 });
   onl_record_close (o, env, r);
@@ -91,13 +92,13 @@
 {
   r->may_have_run = true;
   _onl_try_end (o, env, r, RTE_FAIL_BROKEN);
+  if (onl_retry (o, env, r, true))
+    return;
   if (r->delivered)
     {
       onl_abort (o, env, r, why);
       return;
     }
-  if (onl_retry (o, env, r, true))
-    return;
   onl_refuse (o, env, r,
               &(rpl_error_t){ .status = 502,
                               .code = "upstream-broken",
@@ -127,6 +128,43 @@
   return end != text && *end == '\0' && n >= 0 ? n : -1;
 }
 
+/** The upstream promises that it did not run the request. */
+static void
+_onl_not_run (onl_t *o, env_t *env, onl_request_t *r)
+{
+  cnt_add (env->cnt, "rts_online_not_run_total", "", 1);
+  _onl_try_end (o, env, r, RTE_FAIL_CANCELLED);
+  r->runs--;
+  if (onl_retry (o, env, r, false))
+    return;
+  if (r->delivered)
+    {
+      onl_abort (o, env, r, "no upstream goes on with the stream");
+      return;
+    }
+  onl_refuse (o, env, r,
+              &(rpl_error_t){ .status = 503,
+                              .code = "overloaded",
+                              .message = "the upstreams are full",
+                              .retry_after_ms = CLK_SECOND / 4 });
+}
+
+/** The head of a stream's next run: the caller has one already. */
+static void
+_onl_resumed (onl_t *o, env_t *env, onl_request_t *r, const ev_upstream_t *up)
+{
+  if (up->status != r->answer_status
+      || !onl_header_is (up->headers, "Content-Type", "text/event-stream"))
+    {
+      _onl_break (o, env, r, "the stream was not resumed");
+      return;
+    }
+  r->answer.status = up->status;
+  r->answer.stream = true;
+  r->answer.length = _onl_length (r, up->headers);
+  onl_fire (o, env, r, ONL_EV_HEAD);
+}
+
 static void
 _onl_head (onl_t *o, env_t *env, onl_request_t *r, const ev_upstream_t *up)
 {
@@ -142,7 +180,17 @@
       _onl_break (o, env, r, "the answer belongs to another request");
       return;
     }
+  if (up->not_run)
+    {
+      _onl_not_run (o, env, r);
+      return;
+    }
   rte_first_byte (o->desc.routes, env, r->pick.handle);
+  if (r->delivered)
+    {
+      _onl_resumed (o, env, r, up);
+      return;
+    }
   if (_onl_status_is_refusal (up->status) && r->idempotent)
     {
       uint64_t flight = r->pick.handle;
@@ -194,6 +242,21 @@
   return n >= want && memcmp (a->tail + n - want, ONL_STREAM_END, want) == 0;
 }
 
+/** Pass on the events that are whole; what is not would stand twice after
+ * the stream has been resumed. */
+static void
+_onl_events (onl_request_t *r, env_t *env, buf_t data)
+{
+  sse_event_t event;
+  sse_push (&r->events, data);
+  while (sse_pop (&r->events, &event))
+    {
+      _onl_reply (r, env, FX_REPLY_DATA, event.raw);
+      if (event.id.n > 0)
+        r->resume_after = buf_to_str (r->pool, event.id);
+    }
+}
+
 static void
 _onl_data (onl_t *o, env_t *env, onl_request_t *r, buf_t data)
 {
@@ -220,6 +283,11 @@
       _onl_reply (r, env, FX_REPLY_DATA, _onl_held (r));
       _onl_held_free (r);
     }
+  if (a->stream && r->resumable)
+    {
+      _onl_events (r, env, data);
+      return;
+    }
   _onl_tail_note (a, data);
   _onl_reply (r, env, FX_REPLY_DATA, data);
 }
@@ -259,8 +327,10 @@
   else if (a->length >= 0 && a->got != (uint64_t)a->length && a->status != 204
            && a->status != 304)
     _onl_break (o, env, r, "less came than was announced");
-  else if (a->stream && r->engine && !_onl_stream_is_whole (a))
+  else if (a->stream && r->marked && !_onl_stream_is_whole (a))
     _onl_break (o, env, r, "the stream ended before its last event");
+  else if (a->stream && r->resumable && sse_pending (&r->events))
+    _onl_break (o, env, r, "the stream ended within an event");
   else
     _onl_done (o, env, r);
 }
@@ -278,10 +348,17 @@
   _onl_try_end (o, env, r,
                 up->fail == EV_FAIL_TIMEOUT ? RTE_FAIL_SILENT
                                             : RTE_FAIL_REFUSED);
+  if (!ran)
+    r->runs--;
   if (!ran && r->record != 0)
     idm_unsent (o->desc.records, r->record);
   if (onl_retry (o, env, r, ran))
     return;
+  if (r->delivered)
+    {
+      onl_abort (o, env, r, "no upstream goes on with the stream");
+      return;
+    }
   bool timeout = up->fail == EV_FAIL_TIMEOUT;
   onl_refuse (
       o, env, r,
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -9,12 +9,16 @@
 #include "core/onl.h"
 #include "core/rpl.h"
 #include "core/rtb.h"
+#include "core/sse.h"
 #include "core/tbl.h"
 
 #include <glib.h>
 
-/** Most upstreams that one request is sent to. */
-#define ONL_TRIES 3
+/** Upstreams that one request may run on where its route does not say. */
+#define ONL_RUNS_DEFAULT 3
+
+/** Most upstreams that one request is sent to, those that refuse included. */
+#define ONL_TRIES 8
 
 /** Answers up to this size are held until they are whole, in bytes. */
 #define ONL_HOLD_MAX ((size_t)256 * 1024)
@@ -89,9 +93,14 @@
   char *idempotency_key; /**< NULL on idempotent routes */
   uint64_t fingerprint;
   onl_deployment_t *deployment;
+  const char *host; /**< NULL: the upstream's address */
   bool engine;
   bool idempotent;
-  bool stream; /**< the caller asked for one */
+  bool recorded;    /**< at most once rests on a record */
+  bool marked;      /**< a whole stream ends with the end mark */
+  bool resumable;   /**< a stream may go on at another upstream */
+  bool strict_time; /**< ends at the deadline, whatever flows */
+  bool stream;      /**< the caller asked for one */
   char *method;
   char *target; /**< path and query, without the key */
   http_headers_t headers;
@@ -103,12 +112,17 @@
   uint64_t record;      /**< handle of idm; 0: none */
   clk_ms_t retry_after; /**< when over its rate */
   bool may_have_run;
-  bool delivered; /**< bytes of an answer went to the caller */
+  bool delivered;    /**< bytes of an answer went to the caller */
+  int answer_status; /**< delivered: the status that the caller has */
 
-  rte_pick_t pick; /**< of the try that runs */
+  const char *resume_after; /**< last event that the caller has; NULL: none */
+  rte_pick_t pick;          /**< of the try that runs */
   uint64_t call;
   const char *tried[ONL_TRIES];
   size_t tries;
+  uint32_t runs;     /**< tries that may have run */
+  uint32_t runs_max; /**< by the route */
+  sse_t events;      /**< resumable: events that are not whole yet */
   onl_answer_t answer;
 } onl_request_t;
 
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -57,7 +57,7 @@
 _onl_first_byte_ms (const onl_request_t *r, const env_t *env)
 {
   clk_ms_t left = clk_max (r->deadline - env->now, 1);
-  if (!r->idempotent || r->tries == ONL_TRIES)
+  if (!r->idempotent || r->runs >= r->runs_max)
     return left;
   clk_ms_t part = left / 2;
   if (r->stream)
@@ -69,19 +69,27 @@
 onl_send (onl_t *o, env_t *env, onl_request_t *r)
 {
   r->tried[r->tries++] = talloc_strdup (r->pool, r->pick.upstream);
+  r->runs++;
   r->answer = (onl_answer_t){ .length = -1 };
-  r->call = upc_call (env, MOD_ONLINE, r->id.id,
-                      &(fx_upstream_t){
-                          .address = r->pick.address,
-                          .method = r->method,
-                          .path = r->target,
-                          .headers = r->headers,
-                          .body = r->body,
-                          .caller = r->caller,
-                          .first_byte_ms = _onl_first_byte_ms (r, env),
-                          .stall_ms = ONL_STALL_MS,
-                          .fresh_connection = r->tries > 1 || !r->idempotent,
-                      });
+  sse_clear (&r->events);
+  r->call = upc_call (
+      env, MOD_ONLINE, r->id.id,
+      &(fx_upstream_t){
+          .address = r->pick.address,
+          .method = r->method,
+          .path = r->target,
+          .headers = r->headers,
+          .body = r->body,
+          .caller = r->caller,
+          .first_byte_ms = _onl_first_byte_ms (r, env),
+          .stall_ms = ONL_STALL_MS,
+          .fresh_connection = r->tries > 1 || !r->idempotent,
+          .upstream = r->pick.fixed_identity ? r->pick.upstream : NULL,
+          .host = r->host,
+          .customer = r->customer,
+          .resume_after = r->resume_after,
+          .deadline_ms = clk_max (r->deadline - env->now, 1),
+      });
   if (r->call == 0)
     {
       rte_failed (o->desc.routes, env, r->pick.handle, RTE_FAIL_CANCELLED);
@@ -181,11 +189,12 @@
 bool
 onl_retry (onl_t *o, env_t *env, onl_request_t *r, bool ran)
 {
-  if (r->delivered || r->tries >= ONL_TRIES || env->now >= r->deadline)
+  if ((r->delivered && !r->resumable) || r->tries >= ONL_TRIES
+      || r->runs >= r->runs_max || env->now >= r->deadline)
     return false;
   if (ran && !r->idempotent)
     return false;
-  if (!rtb_take (&r->deployment->budget, env->now))
+  if (ran && !rtb_take (&r->deployment->budget, env->now))
     {
       cnt_add (env->cnt, "rts_online_retries_refused_total", "", 1);
       return false;
--- a/src/core/opr.c
+++ b/src/core/opr.c
@@ -419,9 +419,10 @@
 
 /* The paths that need no token; false when REQ is not for one of them. */
 static bool
-_opr_open_request (opr_t *o, env_t *env, const ev_request_t *req)
+_opr_open_request (opr_t *o, env_t *env, const ev_request_t *req,
+                   bool configured)
 {
-  bool ready = cfs_doc (o->desc.cfs) != NULL && !o->leaving
+  bool ready = configured && !o->leaving
                && (o->desc.ready == NULL || o->desc.ready (o->desc.data));
   const char *type = "text/plain; version=0.0.4";
   if (strcmp (req->path, "/metrics") == 0)
@@ -441,9 +442,9 @@
 }
 
 bool
-opr_request (opr_t *o, env_t *env, const ev_request_t *req)
+opr_request (opr_t *o, env_t *env, const ev_request_t *req, bool configured)
 {
-  if (_opr_open_request (o, env, req))
+  if (_opr_open_request (o, env, req, configured))
     return true;
   if (strncmp (req->path, OPR_PREFIX, strlen (OPR_PREFIX)) != 0)
     return false;
--- a/src/core/opr.h
+++ b/src/core/opr.h
@@ -59,8 +59,10 @@
 /** Free it; requests that wait stay without an answer. */
 void opr_shutdown (opr_t *o);
 
-/** Handle REQ when its path is one of the above; false when it is not. */
-bool opr_request (opr_t *o, env_t *env, const ev_request_t *req);
+/** Handle REQ when its path is one of the above; false when it is not.
+ * CONFIGURED: a document is in force. */
+bool opr_request (opr_t *o, env_t *env, const ev_request_t *req,
+                  bool configured);
 
 /** Answer requests whose change is decided. */
 void opr_drain (opr_t *o, env_t *env);
--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -89,8 +89,7 @@
   *(plt_done_t *)tbl_get (p->calls, id) = done;
   clk_ms_t timeout = req->timeout_ms;
   if (timeout == 0)
-    timeout
-        = req->op == FX_PLATFORM_WATCH ? PLT_WATCH_TIMEOUT_MS : PLT_TIMEOUT_MS;
+    timeout = req->revision != 0 ? PLT_WATCH_TIMEOUT_MS : PLT_TIMEOUT_MS;
   cnt_add (env->cnt, "rts_platform_calls_total", "", 1);
   fx_push (env->fx, &(fx_t){ .kind = FX_PLATFORM,
                              .platform = { .call = id.id,
@@ -98,6 +97,7 @@
                                            .name = req->name,
                                            .if_version = req->if_version,
                                            .revision = req->revision,
+                                           .after = req->after,
                                            .value = req->value,
                                            .timeout_ms = timeout } });
 }
--- a/src/core/rpl.c
+++ b/src/core/rpl.c
@@ -17,12 +17,13 @@
 
 static void
 _rpl_whole (env_t *env, uint64_t caller, int status, http_headers_t headers,
-            buf_t body)
+            clk_ms_t retry_after_ms, buf_t body)
 {
   fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_HEAD,
                              .reply = { .caller = caller,
                                         .status = status,
-                                        .headers = headers } });
+                                        .headers = headers,
+                                        .retry_after_ms = retry_after_ms } });
   if (body.n > 0)
     fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_DATA,
                                .reply = { .caller = caller, .data = body } });
@@ -32,7 +33,7 @@
 
 static void
 _rpl_json_headers (env_t *env, uint64_t caller, int status, json_t *body,
-                   const char *retry_after)
+                   const char *retry_after, clk_ms_t retry_after_ms)
 {
   http_header_t headers[] = {
     { .name = "Content-Type", .value = "application/json" },
@@ -42,7 +43,7 @@
   _rpl_whole (
       env, caller, status,
       (http_headers_t){ .v = headers, .n = retry_after == NULL ? 1 : 2 },
-      buf_str (text));
+      retry_after_ms, buf_str (text));
   free (text);
   json_decref (body);
 }
@@ -50,7 +51,7 @@
 void
 rpl_json (env_t *env, uint64_t caller, int status, json_t *body)
 {
-  _rpl_json_headers (env, caller, status, body, NULL);
+  _rpl_json_headers (env, caller, status, body, NULL, 0);
 }
 
 void
@@ -58,7 +59,7 @@
           buf_t text)
 {
   http_header_t header = { .name = "Content-Type", .value = content_type };
-  _rpl_whole (env, caller, status, (http_headers_t){ .v = &header, .n = 1 },
+  _rpl_whole (env, caller, status, (http_headers_t){ .v = &header, .n = 1 }, 0,
               text);
 }
 
@@ -73,5 +74,6 @@
                             error->code, "message", error->message, "run",
                             rpl_run_name (error->run));
   _rpl_json_headers (env, caller, error->status, body,
-                     error->retry_after_ms > 0 ? seconds : NULL);
+                     error->retry_after_ms > 0 ? seconds : NULL,
+                     error->retry_after_ms);
 }
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -199,6 +199,7 @@
       const cfg_deployment_t *dep = cfg_deployment_find (doc, c->deployment);
       u->configured = true;
       u->leaving = c->leaving;
+      u->fixed_identity = c->fixed_identity;
       u->near = strcmp (c->data_centre, env->data_centre) == 0;
       u->slots = dep != NULL ? dep->slots : 0;
       g_ptr_array_add (_rte_deployment_get (r, c->deployment)->upstreams, u);
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -58,6 +58,7 @@
   clk_ms_t suspect_ms;     /**< first time out of use after a failure;
                                 doubles; default 500 */
   clk_ms_t suspect_max_ms; /**< default 15 s */
+  bool no_reports;         /**< upstreams do not answer polls */
 } rte_desc_t;
 
 /** What is asked for. */
@@ -79,7 +80,8 @@
   uint64_t handle; /**< for rte_started and what follows */
   const char *upstream;
   const char *address;
-  clk_ms_t wait_ms; /**< expected time to first byte */
+  bool fixed_identity; /**< as in cfg_upstream_t */
+  clk_ms_t wait_ms;    /**< expected time to first byte */
 } rte_pick_t;
 
 /** What a failure says about the upstream. */
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -245,6 +245,7 @@
   *pick = (rte_pick_t){ .handle = _rte_flight_begin (r, env, d, ask, &c),
                         .upstream = u->name,
                         .address = u->address,
+                        .fixed_identity = u->fixed_identity,
                         .wait_ms = (clk_ms_t)c.wait_ms };
   if (!u->near)
     cnt_add (env->cnt, "rts_route_far_total", "", 1);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -84,10 +84,11 @@
   char *deployment;
   uint64_t hash; /**< of its name */
   uint32_t slots;
-  bool configured; /**< still in the document */
-  bool near;       /**< in this VM's data centre */
-  bool leaving;    /**< by the document */
-  bool used;       /**< in this VM's subset */
+  bool configured;     /**< still in the document */
+  bool near;           /**< in this VM's data centre */
+  bool leaving;        /**< by the document */
+  bool used;           /**< in this VM's subset */
+  bool fixed_identity; /**< as in cfg_upstream_t */
 
   uint32_t online; /**< own requests in flight */
   uint32_t batch;
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -134,7 +134,7 @@
        id = tbl_next (r->upstreams, id))
     {
       rte_upstream_t *u = tbl_get (r->upstreams, id);
-      if (u->poll == NULL)
+      if (u->poll == NULL || r->desc.no_reports)
         continue;
       _rte_poll_load (r, env, u);
       _rte_poll_cache (r, env, u);
--- /dev/null
+++ b/src/core/sse.c
@@ -0,0 +1,81 @@
+#include "core/sse.h"
+
+#include <string.h>
+
+void
+sse_push (sse_t *s, buf_t bytes)
+{
+  if (s->bytes == NULL)
+    s->bytes = g_string_new (NULL);
+  if (s->at > 0)
+    {
+      g_string_erase (s->bytes, 0, (gssize)s->at);
+      s->at = 0;
+    }
+  g_string_append_len (s->bytes, bytes.p, (gssize)bytes.n);
+}
+
+/* The next line at *P without its end; false when it is not whole. */
+static bool
+_sse_line (const char **p, const char *end, buf_t *line)
+{
+  const char *stop = memchr (*p, '\n', (size_t)(end - *p));
+  if (stop == NULL)
+    return false;
+  *line = (buf_t){ .p = *p, .n = (size_t)(stop - *p) };
+  if (line->n > 0 && line->p[line->n - 1] == '\r')
+    line->n--;
+  *p = stop + 1;
+  return true;
+}
+
+/* The value of LINE when its field is NAME. */
+static bool
+_sse_value (buf_t line, const char *name, buf_t *value)
+{
+  size_t n = strlen (name);
+  if (line.n <= n || memcmp (line.p, name, n) != 0 || line.p[n] != ':')
+    return false;
+  *value = (buf_t){ .p = line.p + n + 1, .n = line.n - n - 1 };
+  if (value->n > 0 && value->p[0] == ' ')
+    *value = (buf_t){ .p = value->p + 1, .n = value->n - 1 };
+  return true;
+}
+
+bool
+sse_pop (sse_t *s, sse_event_t *event)
+{
+  buf_t line;
+  if (s->bytes == NULL)
+    return false;
+  const char *start = s->bytes->str + s->at;
+  const char *end = s->bytes->str + s->bytes->len;
+  const char *p = start;
+  *event = (sse_event_t){ .raw = { .p = start } };
+  while (_sse_line (&p, end, &line))
+    {
+      if (line.n == 0)
+        {
+          event->raw.n = (size_t)(p - start);
+          s->at += event->raw.n;
+          return true;
+        }
+      if (!_sse_value (line, "id", &event->id) && event->data.p == NULL)
+        (void)_sse_value (line, "data", &event->data);
+    }
+  return false;
+}
+
+bool
+sse_pending (const sse_t *s)
+{
+  return s->bytes != NULL && s->bytes->len > s->at;
+}
+
+void
+sse_clear (sse_t *s)
+{
+  if (s->bytes != NULL)
+    g_string_free (s->bytes, TRUE);
+  *s = (sse_t){ 0 };
+}
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -4,6 +4,7 @@
 #include "io/hsv.h"
 #include "io/lnk.h"
 #include "io/pcl.h"
+#include "platform/pfm.h"
 
 #include <glib.h>
 #include <talloc.h>
@@ -31,7 +32,8 @@
 {
   drv_desc_t desc;
   node_t *node;
-  hsv_t *hsv;
+  hsv_t *hsv;   /**< NULL: takes no requests */
+  hsv_t *ready; /**< the balancer's; NULL: at hsv */
   hcl_t *hcl;
   lnk_t *lnk;
   struct tevent_timer *timer;
@@ -55,6 +57,15 @@
 
 /* -- events --------------------------------------------------------------- */
 
+/* Callers of the balancer's listener are numbered from here on. */
+#define DRV_READY_FIRST ((uint64_t)1 << 62)
+
+static const char *
+_drv_str (void *ctx, const char *s)
+{
+  return s == NULL ? NULL : talloc_strdup (ctx, s);
+}
+
 static http_headers_t
 _drv_copy_headers (void *ctx, http_headers_t h)
 {
@@ -71,6 +82,10 @@
   r->method = talloc_strdup (ctx, r->method);
   r->path = talloc_strdup (ctx, r->path);
   r->query = talloc_strdup (ctx, r->query);
+  r->target = _drv_str (ctx, r->target);
+  r->call.host = _drv_str (ctx, r->call.host);
+  r->call.id = _drv_str (ctx, r->call.id);
+  r->call.resume_after = _drv_str (ctx, r->call.resume_after);
   r->headers = _drv_copy_headers (ctx, r->headers);
   r->body = buf_copy (ctx, r->body);
 }
@@ -132,9 +147,14 @@
 _drv_on_event (void *data, const ev_t *ev)
 {
   drv_t *d = data;
+  ev_t decoded = *ev;
+  void *tmp = talloc_new (d);
   if (ev->kind == EV_CALLER_GONE)
     g_hash_table_remove (d->sources, &ev->caller);
-  _drv_queue (d, ev);
+  if (ev->kind == EV_REQUEST && d->desc.set->hosted)
+    pfm_request_decode (tmp, &decoded.request);
+  _drv_queue (d, &decoded);
+  talloc_free (tmp);
 }
 
 static void
@@ -169,7 +189,10 @@
                       .id = f->call,
                       .address = d->desc.set->platform };
   void *ctx = talloc_new (p);
-  pcl_request (ctx, f, &call);
+  if (d->desc.set->hosted)
+    pfm_object_request (ctx, f, &call);
+  else
+    pcl_request (ctx, f, &call);
   hcl_call (d->hcl, &call);
   talloc_free (ctx);
 }
@@ -181,11 +204,13 @@
   ev_platform_t *reply = &q->ev.platform;
   buf_t body
       = buf_copy (q, (buf_t){ .p = (char *)p->body->data, .n = p->body->len });
+  const char *name = talloc_strdup (q, p->name);
   if (e->what == EV_UPSTREAM_FAIL)
     reply->code = pcl_failure (p->op, e->fail);
+  else if (d->desc.set->hosted)
+    pfm_object_answer (q, p->op, name, p->status, body, reply);
   else
-    pcl_answer (q, p->op, talloc_strdup (q, p->name), p->status, p->headers,
-                body, reply);
+    pcl_answer (q, p->op, name, p->status, p->headers, body, reply);
   reply->call = p->call;
   g_hash_table_remove (d->platform, &p->call);
   talloc_free (p);
@@ -213,6 +238,23 @@
     }
 }
 
+static void
+_drv_on_upstream (drv_t *d, const hcl_event_t *e)
+{
+  ev_t ev = { .kind = e->what,
+              .upstream = { .call = e->id,
+                            .status = e->status,
+                            .headers = e->headers,
+                            .data = e->data,
+                            .fail = e->fail,
+                            .text = e->text } };
+  void *tmp = talloc_new (d);
+  if (e->what == EV_UPSTREAM_HEAD && d->desc.set->hosted)
+    pfm_answer_decode (tmp, &ev.upstream);
+  _drv_queue (d, &ev);
+  talloc_free (tmp);
+}
+
 static void
 _drv_on_client (void *data, const hcl_event_t *e)
 {
@@ -223,13 +265,7 @@
       _drv_on_platform (d, e);
       break;
     case HCL_UPSTREAM:
-      _drv_queue (d, &(ev_t){ .kind = e->what,
-                              .upstream = { .call = e->id,
-                                            .status = e->status,
-                                            .headers = e->headers,
-                                            .data = e->data,
-                                            .fail = e->fail,
-                                            .text = e->text } });
+      _drv_on_upstream (d, e);
       break;
     }
 }
@@ -266,17 +302,40 @@
   if (u->caller != 0)
     g_hash_table_insert (d->sources, g_memdup2 (&u->caller, sizeof u->caller),
                          g_memdup2 (&u->call, sizeof u->call));
+  void *tmp = talloc_new (d);
+  http_headers_t headers = u->headers;
+  if (d->desc.set->hosted)
+    headers = pfm_upstream_encode (tmp, u);
   hcl_call (d->hcl, &(hcl_call_t){ .kind = HCL_UPSTREAM,
                                    .id = u->call,
                                    .address = u->address,
                                    .method = u->method,
                                    .path = u->path,
-                                   .headers = u->headers,
+                                   .headers = headers,
                                    .body = u->body,
                                    .first_byte_ms = u->first_byte_ms,
                                    .stall_ms = u->stall_ms,
                                    .total_ms = u->total_ms,
                                    .fresh_connection = u->fresh_connection });
+  talloc_free (tmp);
+}
+
+/* The server that CALLER asked. */
+static hsv_t *
+_drv_server (const drv_t *d, uint64_t caller)
+{
+  return d->ready != NULL && caller > DRV_READY_FIRST ? d->ready : d->hsv;
+}
+
+static void
+_drv_reply_head (drv_t *d, const fx_reply_t *r)
+{
+  void *tmp = talloc_new (d);
+  http_headers_t headers = r->headers;
+  if (d->desc.set->hosted)
+    headers = pfm_reply_encode (tmp, r);
+  hsv_reply_head (_drv_server (d, r->caller), r->caller, r->status, headers);
+  talloc_free (tmp);
 }
 
 static void
@@ -288,19 +347,19 @@
       _drv_set_timer (d, f->timer);
       break;
     case FX_REPLY_HEAD:
-      hsv_reply_head (d->hsv, f->reply.caller, f->reply.status,
-                      f->reply.headers);
+      _drv_reply_head (d, &f->reply);
       break;
     case FX_REPLY_DATA:
-      hsv_reply_data (d->hsv, f->reply.caller, f->reply.data);
+      hsv_reply_data (_drv_server (d, f->reply.caller), f->reply.caller,
+                      f->reply.data);
       break;
     case FX_REPLY_END:
       g_hash_table_remove (d->sources, &f->reply.caller);
-      hsv_reply_end (d->hsv, f->reply.caller);
+      hsv_reply_end (_drv_server (d, f->reply.caller), f->reply.caller);
       break;
     case FX_REPLY_ABORT:
       g_hash_table_remove (d->sources, &f->reply.caller);
-      hsv_reply_abort (d->hsv, f->reply.caller);
+      hsv_reply_abort (_drv_server (d, f->reply.caller), f->reply.caller);
       break;
     case FX_UPSTREAM_CALL:
       _drv_upstream_call (d, &f->upstream);
@@ -322,7 +381,8 @@
       break;
     case FX_EXIT:
       d->exiting = true;
-      hsv_quiesce (d->hsv);
+      if (d->hsv != NULL)
+        hsv_quiesce (d->hsv);
       break;
     case FX_NUM:
       break;
@@ -372,6 +432,7 @@
 _drv_destroy (drv_t *d)
 {
   TALLOC_FREE (d->hsv);
+  TALLOC_FREE (d->ready);
   TALLOC_FREE (d->hcl);
   TALLOC_FREE (d->lnk);
   g_hash_table_destroy (d->platform);
@@ -386,14 +447,17 @@
   d->hcl = hcl_setup (d, &(hcl_desc_t){ .loop = d->desc.loop,
                                         .handler = _drv_on_client,
                                         .data = d });
-  d->hsv = hsv_setup (d,
-                      &(hsv_desc_t){ .loop = d->desc.loop,
-                                     .listen = set->listen,
-                                     .handler = _drv_on_event,
-                                     .flow = _drv_on_flow,
-                                     .data = d },
-                      st);
-  if (d->hsv == NULL)
+  hsv_desc_t server = { .loop = d->desc.loop,
+                        .listen = set->listen,
+                        .handler = _drv_on_event,
+                        .flow = _drv_on_flow,
+                        .data = d };
+  if (set->listen != NULL && (d->hsv = hsv_setup (d, &server, st)) == NULL)
+    return false;
+  server.listen = set->ready_listen;
+  server.first_caller = DRV_READY_FIRST;
+  if (set->ready_listen != NULL
+      && (d->ready = hsv_setup (d, &server, st)) == NULL)
     return false;
   d->lnk = lnk_setup (d,
                       &(lnk_desc_t){ .loop = d->desc.loop,
@@ -428,7 +492,9 @@
                       .unix_offset_ms
                       = (clk_ms_t)(started / 1000) - drv_now (),
                       .seed = set->seed ? set->seed : (uint32_t)started,
-                      .operator_token_sha256 = set->operator_token_sha256 },
+                      .operator_token_sha256 = set->operator_token_sha256,
+                      .source = set->hosted ? NODE_SOURCE_PLATFORM
+                                            : NODE_SOURCE_SECTIONS },
       st);
   if (d->node == NULL || !_drv_open (d, st))
     {
@@ -454,5 +520,5 @@
 bool
 drv_done (const drv_t *d)
 {
-  return d->exiting && hsv_open_count (d->hsv) == 0;
+  return d->exiting && (d->hsv == NULL || hsv_open_count (d->hsv) == 0);
 }
--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -27,6 +27,7 @@
   uint64_t caller; /**< 0 until the request is whole */
   const char *method;
   const char *path;
+  const char *target; /**< path and query as written; NULL until known */
   GByteArray *body;
   GByteArray *queue; /**< answer's bytes not yet handed over */
   size_t queue_at;   /**< bytes of the queue that were handed over */
@@ -72,13 +73,12 @@
 
 static _hsv_request_t *
 _hsv_request_new (hsv_t *s, struct MHD_Connection *connection,
-                  const char *method, const char *path)
+                  const char *target)
 {
   _hsv_request_t *r = talloc_zero (s, _hsv_request_t);
   r->server = s;
   r->connection = connection;
-  r->method = talloc_strdup (r, method);
-  r->path = talloc_strdup (r, path);
+  r->target = talloc_strdup (r, target);
   r->body = g_byte_array_new ();
   r->queue = g_byte_array_new ();
   talloc_set_destructor (r, _hsv_request_destroy);
@@ -173,6 +173,7 @@
                            .method = r->method,
                            .path = r->path,
                            .query = values.query,
+                           .target = r->target,
                            .headers = { .v = values.v, .n = values.n },
                            .body = { .p = (const char *)r->body->data,
                                      .n = r->body->len } } };
@@ -280,17 +281,28 @@
 
 /* -- the library's callbacks ---------------------------------------------- */
 
+/* Called with the request's line before anything else of it. */
+static void *
+_hsv_on_target (void *data, const char *target,
+                struct MHD_Connection *connection)
+{
+  hsv_t *s = data;
+  return _hsv_request_new (s, connection, target);
+}
+
 static enum MHD_Result
 _hsv_on_request (void *data, struct MHD_Connection *connection,
                  const char *url, const char *method, const char *version,
                  const char *upload, size_t *upload_size, void **request)
 {
+  (void)data;
+  (void)connection;
   (void)version;
-  hsv_t *s = data;
   _hsv_request_t *r = *request;
-  if (r == NULL)
+  if (r->method == NULL)
     {
-      *request = _hsv_request_new (s, connection, method, url);
+      r->method = talloc_strdup (r, method);
+      r->path = talloc_strdup (r, url);
       return MHD_YES;
     }
   if (*upload_size > 0)
@@ -504,6 +516,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, port, NULL, NULL,
       _hsv_on_request, s, MHD_OPTION_SOCK_ADDR, &in,
       MHD_OPTION_NOTIFY_COMPLETED, _hsv_on_completed, s,
+      MHD_OPTION_URI_LOG_CALLBACK, _hsv_on_target, s,
       MHD_OPTION_CONNECTION_LIMIT, s->desc.connections,
       MHD_OPTION_CONNECTION_TIMEOUT, s->desc.idle_s,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, HSV_HEAD_MAX,
@@ -519,6 +532,7 @@
   hsv_t *s = talloc_zero (ctx, hsv_t);
   s->desc = *desc;
   _hsv_fill_defaults (&s->desc);
+  s->callers = s->desc.first_caller;
   s->run = tevent_create_immediate (s);
   if (!_hsv_listen (s, st))
     {
--- a/src/io/pcl.c
+++ b/src/io/pcl.c
@@ -51,6 +51,8 @@
       call->total_ms = p->timeout_ms + PCL_WATCH_EXTRA_MS;
       break;
     case FX_PLATFORM_VMS:
+    case FX_PLATFORM_DOCUMENT:
+    case FX_PLATFORM_UPSTREAMS:
       call->path = "/v1/vms";
       break;
     }
@@ -182,6 +184,8 @@
     case FX_PLATFORM_LIST:
     case FX_PLATFORM_WATCH:
     case FX_PLATFORM_VMS:
+    case FX_PLATFORM_DOCUMENT:
+    case FX_PLATFORM_UPSTREAMS:
       if (reply->code == ST_OK)
         _pcl_json (ctx, op, body, reply);
       break;
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -8,6 +8,8 @@
 #include <talloc.h>
 
 #define SET_SECRET_MIN 16 /**< characters */
+/* Where nobody else reaches the peers' ports, links prove only the version. */
+#define SET_SECRET_CLOSED "closed-network-no-secret"
 
 /* A load in progress. */
 typedef struct
@@ -23,8 +25,9 @@
   { "vm", "listen" },        { "vm", "peer_listen" },
   { "vm", "secret_file" },   { "vm", "operator_token_file" },
   { "vm", "data_folder" },   { "vm", "seed" },
-  { "platform", "address" }, { "log", "level" },
-  { "log", "format" },
+  { "platform", "address" }, { "platform", "configuration" },
+  { "vm", "ready_listen" },  { "vm", "network" },
+  { "log", "level" },        { "log", "format" },
 };
 
 #define _SET_KEY_COUNT (sizeof _set_keys / sizeof _set_keys[0])
@@ -90,6 +93,31 @@
   return value;
 }
 
+/* As _set_need_address, but NULL when the key is absent or empty. */
+static const char *
+_set_may_address (_set_load_t *l, const char *section, const char *key)
+{
+  const char *value = _set_get (l, section, key);
+  if (value == NULL || value[0] == '\0')
+    return NULL;
+  return _set_need_address (l, section, key);
+}
+
+/* One of two words; whether it is the second.  The first is the default. */
+static bool
+_set_choice (_set_load_t *l, const char *section, const char *key,
+             const char *first, const char *second)
+{
+  const char *value = _set_get (l, section, key);
+  if (value == NULL || strcmp (value, first) == 0)
+    return false;
+  if (strcmp (value, second) == 0)
+    return true;
+  char *expected = talloc_asprintf (l->set, "%s or %s", first, second);
+  _set_fault (l, section, key, expected);
+  return false;
+}
+
 /* First line of the file that KEY names; NULL when absent or not readable. */
 static const char *
 _set_file_line (_set_load_t *l, const char *key)
@@ -107,7 +135,10 @@
 static void
 _set_read_secrets (_set_load_t *l)
 {
+  bool closed = _set_choice (l, "vm", "network", "open", "closed");
   l->set->secret = _set_file_line (l, "secret_file");
+  if (l->set->secret == NULL && closed)
+    l->set->secret = SET_SECRET_CLOSED;
   if (l->set->secret == NULL || strlen (l->set->secret) < SET_SECRET_MIN)
     _set_fault (l, "vm", "secret_file",
                 "a readable file whose first line has 16 characters or more");
@@ -189,7 +220,11 @@
   l->set->name = _set_need (l, "vm", "name", "the VM's name");
   l->set->data_centre
       = _set_need (l, "vm", "data_centre", "the data centre's name");
-  l->set->listen = _set_need_address (l, "vm", "listen");
+  l->set->hosted
+      = _set_choice (l, "platform", "configuration", "sections", "hosted");
+  l->set->listen = l->set->hosted ? _set_may_address (l, "vm", "listen")
+                                  : _set_need_address (l, "vm", "listen");
+  l->set->ready_listen = _set_may_address (l, "vm", "ready_listen");
   l->set->peer_listen = _set_need_address (l, "vm", "peer_listen");
   l->set->platform = _set_need_address (l, "platform", "address");
   l->set->data_folder = _set_get (l, "vm", "data_folder");
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -4,9 +4,9 @@
  *   set_t *s = set_load (ctx, "vm.ini", &faults);
  *   if (s == NULL) ... faults has one line for each fault
  *
- * [vm] name, data_centre, listen, peer_listen, secret_file,
- *      operator_token_file, data_folder, seed
- * [platform] address
+ * [vm] name, data_centre, listen, ready_listen, peer_listen, secret_file,
+ *      network, operator_token_file, data_folder, seed
+ * [platform] address, configuration
  * [log] level, format
  *
  * The operators' document is another file: see core/cfg.h.
@@ -24,13 +24,18 @@
 {
   const char *name;
   const char *data_centre;
-  const char *listen;                /**< callers and operators, "IP:PORT" */
+  const char *listen;                /**< callers and operators, "IP:PORT";
+                                          NULL: takes no requests */
+  const char *ready_listen;          /**< the balancer's question whether this
+                                          VM is ready; NULL: at listen */
   const char *peer_listen;           /**< peers, "IP:PORT" */
   const char *secret;                /**< the fleet's shared secret */
   const char *operator_token_sha256; /**< NULL: no operator calls */
   const char *data_folder;           /**< NULL: none */
   const char *platform;              /**< "IP:PORT" */
-  const char *log_level;             /**< debug, info, warning or error */
+  bool hosted; /**< the platform's operator writes the configuration, and
+                    callers and upstreams speak the platform's protocol */
+  const char *log_level; /**< debug, info, warning or error */
   bool log_json;
   uint32_t seed; /**< 0: from the clock */
 } set_t;
--- a/tests/test_opr.c
+++ b/tests/test_opr.c
@@ -79,7 +79,7 @@
                        .headers = { .v = &header, .n = 1 },
                        .body = buf_str (body) };
   v->env->now = d->f->now;
-  CU_ASSERT (opr_request (d->opr, v->env, &req));
+  CU_ASSERT (opr_request (d->opr, v->env, &req, cfs_doc (v->cfs) != NULL));
   for (int step = 0; step < 2000; step++)
     {
       int status = desk_answer (d, req.caller);
@@ -143,7 +143,7 @@
   CU_ASSERT_EQUAL (desk_ask (d, "", "GET", "/healthz", "", ""), 200);
   CU_ASSERT_EQUAL (desk_ask (d, "", "GET", "/metrics", "", ""), 200);
   ev_request_t other = { .path = "/v1/completions", .method = "POST" };
-  CU_ASSERT_FALSE (opr_request (d->opr, d->f->vm[0].env, &other));
+  CU_ASSERT_FALSE (opr_request (d->opr, d->f->vm[0].env, &other, true));
   /* Without a token in the settings nobody is let in. */
   opr_t *closed = opr_setup (
       d, &(opr_desc_t){ .cfs = d->f->vm[0].cfs, .key = d->f->vm[0].key });
@@ -299,7 +299,7 @@
                        .headers = { .v = &header, .n = 1 },
                        .body = buf_str (CUSTOMER) };
   v->env->now = d->f->now;
-  CU_ASSERT (opr_request (d->opr, v->env, &req));
+  CU_ASSERT (opr_request (d->opr, v->env, &req, cfs_doc (v->cfs) != NULL));
   CU_ASSERT_EQUAL (opr_count (d->opr), 1);
   opr_caller_gone (d->opr, 77);
   fleet_effects (d->f, 0);
