--- a/src/core/cfg_assemble.c
+++ b/src/core/cfg_assemble.c
@@ -48,6 +48,24 @@
     _cfg_assembly_fault (a, kind, name, to, "a name that is there");
 }
 
+static void
+_cfg_assemble_data_centres (_cfg_assembly_t *a, const cfg_doc_t *parts)
+{
+  cfg_doc_t *doc = a->doc;
+  doc->data_centres
+      = talloc_memdup (doc, parts->data_centres,
+                       parts->data_centre_count * sizeof *parts->data_centres);
+  doc->data_centre_count = parts->data_centre_count;
+  for (size_t i = 0; i < doc->data_centre_count; i++)
+    {
+      cfg_data_centre_t *d = &doc->data_centres[i];
+      d->name = _cfg_str (doc, d->name);
+      d->owner = _cfg_str (doc, d->owner);
+      _cfg_assembly_index (a, CFG_INDEX_DATA_CENTRE, "data-centre", d->name,
+                           i);
+    }
+}
+
 static void
 _cfg_assemble_customers (_cfg_assembly_t *a, const cfg_doc_t *parts)
 {
@@ -164,6 +182,7 @@
   _cfg_assembly_t a
       = { .doc = talloc_zero (ctx, cfg_doc_t), .ctx = ctx, .faults = faults };
   a.doc->index = cfg_index_setup (a.doc);
+  _cfg_assemble_data_centres (&a, parts);
   _cfg_assemble_customers (&a, parts);
   _cfg_assemble_keys (&a, parts);
   _cfg_assemble_deployments (&a, parts);
--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -29,6 +29,8 @@
 struct dir
 {
   dir_desc_t desc;
+  cfg_data_centre_t *data_centres;
+  size_t data_centre_count;
   uint64_t revision[_DIR_READ_NUM]; /**< to wait on from; 0: read the whole */
   char *after;                      /**< next page of the list; NULL: first */
   cfg_doc_t *operator_doc;          /**< without upstreams */
@@ -52,11 +54,25 @@
   return 0;
 }
 
+static void
+_dir_data_centres_set (dir_t *d, const char *const *names)
+{
+  size_t n = 0;
+  while (names != NULL && names[n] != NULL)
+    n++;
+  d->data_centres = talloc_zero_array (d, cfg_data_centre_t, n + 1);
+  d->data_centre_count = n;
+  for (size_t i = 0; i < n; i++)
+    d->data_centres[i].name = talloc_strdup (d, names[i]);
+}
+
 dir_t *
 dir_setup (void *ctx, const dir_desc_t *desc)
 {
   dir_t *d = talloc_zero (ctx, dir_t);
   d->desc = *desc;
+  _dir_data_centres_set (d, desc->data_centres);
+  d->desc.data_centres = NULL;
   if (d->desc.wait_ms == 0)
     d->desc.wait_ms = DIR_WAIT_MS_DEFAULT;
   if (d->desc.retry_ms == 0)
@@ -310,6 +326,8 @@
   guint n = g_hash_table_size (d->entries);
   void *tmp = talloc_new (d);
   cfg_doc_t parts = *d->operator_doc;
+  parts.data_centres = d->data_centres;
+  parts.data_centre_count = d->data_centre_count;
   parts.upstreams = talloc_array (tmp, cfg_upstream_t, n + 1);
   parts.upstream_count = 0;
   GHashTableIter iter;
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -24,6 +24,7 @@
 /** How to set the directory up; zeros mean the defaults. */
 typedef struct
 {
+  const char *const *data_centres; /**< of the fleet, ends with NULL; copied */
   clk_ms_t wait_ms;   /**< longest wait of a call for news; default 20 s */
   clk_ms_t retry_ms;  /**< after a failure; default 250 ms */
   clk_ms_t return_ms; /**< entries may take this long to be written again once
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -67,7 +67,8 @@
   n->source = desc->source;
   n->mbr = mbr_setup (n, &(mbr_desc_t){ .announce = platform });
   if (platform)
-    n->dir = dir_setup (n, &(dir_desc_t){ 0 });
+    n->dir
+        = dir_setup (n, &(dir_desc_t){ .data_centres = desc->data_centres });
   n->cfs = cfs_setup (n, env, &(cfs_desc_t){ .members = n->mbr });
   n->keys = key_setup (n, &(key_desc_t){ .peers = cfs_peers (n->cfs) });
   n->lim = lim_setup (n, &(lim_desc_t){ .members = n->mbr });
--- a/src/core/onl_admit.c
+++ b/src/core/onl_admit.c
@@ -132,9 +132,8 @@
 
 /** Copy what the request needs later. */
 static void
-_onl_fill (onl_t *o, env_t *env, onl_request_t *r,
-           const ev_request_t *req, const char *presented,
-           const _onl_found_t *found)
+_onl_fill (onl_t *o, env_t *env, onl_request_t *r, const ev_request_t *req,
+           const char *presented, const _onl_found_t *found)
 {
   void *pool = talloc_new (o);
   const char *customer = found->key != NULL ? found->key->customer : "";
--- a/src/core/tln.c
+++ b/src/core/tln.c
@@ -16,6 +16,7 @@
   size_t room;  /**< records allocated */
   size_t count; /**< records held */
   size_t first; /**< index of the oldest */
+  uint64_t total;
   tln_stamp_t last;
   clk_ms_t unix_offset_ms;
 };
@@ -78,6 +79,7 @@
             const char *format, ...)
 {
   tln_record_t *r = _tln_next_record (t);
+  t->total++;
   r->stamp = tln_stamp_send (t, now);
   r->mod = mod;
   r->what = what;
@@ -87,6 +89,12 @@
   va_end (args);
 }
 
+uint64_t
+tln_total (const tln_t *t)
+{
+  return t->total;
+}
+
 size_t
 tln_count (const tln_t *t)
 {
--- a/src/core/tln.h
+++ b/src/core/tln.h
@@ -62,6 +62,9 @@
 /** Note the stamp of a message that has arrived. */
 void tln_stamp_receive (tln_t *t, clk_ms_t now, tln_stamp_t stamp);
 
+/** Records ever made; the newest is number tln_total - 1. */
+uint64_t tln_total (const tln_t *t);
+
 /** Records held. */
 size_t tln_count (const tln_t *t);
 
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -44,6 +44,7 @@
   GHashTable *platform; /**< call -> _drv_platform_t */
   GHashTable *sources;  /**< caller -> upstream call, for flow control */
   clk_ms_t now;
+  uint64_t logged; /**< records of the time line that were logged */
   bool exiting;
 };
 
@@ -211,6 +212,10 @@
     pfm_object_answer (q, p->op, name, p->status, body, reply);
   else
     pcl_answer (q, p->op, name, p->status, p->headers, body, reply);
+  if (reply->code != ST_OK)
+    g_debug ("platform: %s for '%s' (status %d): %.200s",
+             st_code_name (reply->code), p->name, p->status,
+             body.p == NULL ? "" : body.p);
   reply->call = p->call;
   g_hash_table_remove (d->platform, &p->call);
   talloc_free (p);
@@ -389,6 +394,22 @@
     }
 }
 
+/* Log what the node has recorded since the last step. */
+static void
+_drv_log (drv_t *d)
+{
+  const tln_t *t = node_env (d->node)->tln;
+  uint64_t total = tln_total (t);
+  size_t held = tln_count (t);
+  if (total - d->logged > held)
+    d->logged = total - held;
+  for (; d->logged < total; d->logged++)
+    {
+      const tln_record_t *r = tln_get (t, held - (size_t)(total - d->logged));
+      g_info ("%s %s: %s", mod_name (r->mod), r->what, r->detail);
+    }
+}
+
 static void
 _drv_step (drv_t *d, const ev_t *ev)
 {
@@ -396,6 +417,7 @@
   const fx_list_t *fx = node_step (d->node, d->now, ev);
   for (size_t i = 0; i < fx->count; i++)
     _drv_act (d, &fx->v[i]);
+  _drv_log (d);
 }
 
 static void
@@ -485,16 +507,16 @@
   const set_t *set = desc->set;
   d->node = node_setup (
       d,
-      &(node_desc_t){ .vm = set->name,
-                      .data_centre = set->data_centre,
-                      .address = set->peer_listen,
-                      .incarnation = started,
-                      .unix_offset_ms
-                      = (clk_ms_t)(started / 1000) - drv_now (),
-                      .seed = set->seed ? set->seed : (uint32_t)started,
-                      .operator_token_sha256 = set->operator_token_sha256,
-                      .source = set->hosted ? NODE_SOURCE_PLATFORM
-                                            : NODE_SOURCE_SECTIONS },
+      &(node_desc_t){
+          .vm = set->name,
+          .data_centre = set->data_centre,
+          .address = set->peer_listen,
+          .incarnation = started,
+          .unix_offset_ms = (clk_ms_t)(started / 1000) - drv_now (),
+          .seed = set->seed ? set->seed : (uint32_t)started,
+          .operator_token_sha256 = set->operator_token_sha256,
+          .source = set->hosted ? NODE_SOURCE_PLATFORM : NODE_SOURCE_SECTIONS,
+          .data_centres = set->data_centres },
       st);
   if (d->node == NULL || !_drv_open (d, st))
     {
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -26,8 +26,9 @@
   { "vm", "secret_file" },   { "vm", "operator_token_file" },
   { "vm", "data_folder" },   { "vm", "seed" },
   { "platform", "address" }, { "platform", "configuration" },
-  { "vm", "ready_listen" },  { "vm", "network" },
-  { "log", "level" },        { "log", "format" },
+  { "vm", "data_centres" },  { "vm", "ready_listen" },
+  { "vm", "network" },       { "log", "level" },
+  { "log", "format" },
 };
 
 #define _SET_KEY_COUNT (sizeof _set_keys / sizeof _set_keys[0])
@@ -184,6 +185,25 @@
   l->set->seed = (uint32_t)value;
 }
 
+static void
+_set_read_data_centres (_set_load_t *l)
+{
+  const char *value = _set_get (l, "vm", "data_centres");
+  if (value == NULL)
+    return;
+  char **names = g_strsplit (value, ",", -1);
+  guint n = g_strv_length (names);
+  const char **copy = talloc_zero_array (l->set, const char *, n + 1);
+  for (guint i = 0; i < n; i++)
+    {
+      copy[i] = talloc_strdup (copy, g_strstrip (names[i]));
+      if (copy[i][0] == '\0')
+        _set_fault (l, "vm", "data_centres", "names, separated by commas");
+    }
+  l->set->data_centres = copy;
+  g_strfreev (names);
+}
+
 static bool
 _set_known (const char *section, const char *key)
 {
@@ -228,6 +248,7 @@
   l->set->peer_listen = _set_need_address (l, "vm", "peer_listen");
   l->set->platform = _set_need_address (l, "platform", "address");
   l->set->data_folder = _set_get (l, "vm", "data_folder");
+  _set_read_data_centres (l);
   _set_read_secrets (l);
   _set_read_log (l);
   _set_read_seed (l);
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -4,10 +4,9 @@
  *   set_t *s = set_load (ctx, "vm.ini", &faults);
  *   if (s == NULL) ... faults has one line for each fault
  *
- * [vm] name, data_centre, listen, ready_listen, peer_listen, secret_file,
- *      network, operator_token_file, data_folder, seed
- * [platform] address, configuration
- * [log] level, format
+ * [vm] name, data_centre, data_centres, listen, ready_listen, peer_listen,
+ * secret_file, network, operator_token_file, data_folder, seed [platform]
+ * address, configuration [log] level, format
  *
  * The operators' document is another file: see core/cfg.h.
  */
@@ -24,6 +23,7 @@
 {
   const char *name;
   const char *data_centre;
+  const char *const *data_centres;   /**< of the fleet; NULL: not said */
   const char *listen;                /**< callers and operators, "IP:PORT";
                                           NULL: takes no requests */
   const char *ready_listen;          /**< the balancer's question whether this
