--- a/src/core/cfg.h
+++ b/src/core/cfg.h
@@ -249,6 +249,9 @@
 const cfg_route_t *cfg_route_find (const cfg_doc_t *doc, const char *method,
                                    const char *path);
 
+/** The deployment of ROUTE at AT, from 0 up to 1, of its shares. */
+const char *cfg_route_share (const cfg_route_t *route, double at);
+
 /** As cfg_route_find among the routes of HOST (NULL: none are chosen by
  * host), and then among those of METHOD. */
 const cfg_route_t *cfg_route_for (const cfg_doc_t *doc, const char *host,
--- a/src/core/cfg_index.c
+++ b/src/core/cfg_index.c
@@ -151,3 +151,18 @@
     route = cfg_route_find (doc, host, path);
   return route != NULL ? route : cfg_route_find (doc, method, path);
 }
+
+const char *
+cfg_route_share (const cfg_route_t *route, double at)
+{
+  double sum = 0;
+  for (size_t i = 0; i < route->share_count; i++)
+    sum += route->shares[i].weight;
+  if (sum <= 0)
+    return route->deployment;
+  double left = at * sum;
+  size_t i = 0;
+  while (i + 1 < route->share_count && left >= route->shares[i].weight)
+    left -= route->shares[i++].weight;
+  return route->shares[i].deployment;
+}
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -54,6 +54,37 @@
   uint32_t tokens_out; /**< most tokens that are generated */
 } ev_call_t;
 
+/** What a call about a batch job asks for. */
+typedef enum
+{
+  EV_JOB_NONE, /**< it is no such call */
+  EV_JOB_SUBMIT,
+  EV_JOB_READ, /**< results from a position on */
+  EV_JOB_BODY, /**< the body of an item */
+  EV_JOB_END,
+} ev_job_op_t;
+
+/** One item of a job. */
+typedef struct
+{
+  const char *id;
+  const char *target; /**< path and query */
+  http_headers_t headers;
+  buf_t body;
+  uint64_t tokens; /**< prompt, and the most that is generated */
+} ev_job_item_t;
+
+/** A call about a batch job. */
+typedef struct
+{
+  ev_job_op_t op;
+  const char *id;             /**< of the job */
+  uint64_t after;             /**< READ: the first position */
+  const char *item;           /**< BODY: its id */
+  const ev_job_item_t *items; /**< SUBMIT; NULL: the body cannot be read */
+  size_t item_count;
+} ev_job_t;
+
 /** A caller's request. */
 typedef struct
 {
@@ -67,6 +98,7 @@
   http_headers_t headers;
   buf_t body;
   ev_call_t call;
+  ev_job_t job;
 } ev_request_t;
 
 /** Progress of an upstream call. */
@@ -99,6 +131,7 @@
   const char *data_centre;
   const char *address; /**< of its peer port, "IP:PORT" */
   bool leaving;
+  bool worker; /**< takes no requests of callers */
 } ev_vm_t;
 
 /** One entry of the platform's list of upstreams. */
--- a/src/core/fx.c
+++ b/src/core/fx.c
@@ -48,6 +48,17 @@
   u->resume_after = _fx_str (fx, u->resume_after);
 }
 
+static void
+_fx_copy_results (fx_list_t *fx, fx_results_t *r)
+{
+  fx_result_t *v = talloc_array (fx->pool, fx_result_t, r->count + 1);
+  for (size_t i = 0; i < r->count; i++)
+    v[i] = (fx_result_t){ .id = _fx_str (fx, r->v[i].id),
+                          .completed = r->v[i].completed,
+                          .text = buf_copy (fx->pool, r->v[i].text) };
+  r->v = v;
+}
+
 static void
 _fx_copy_peer (fx_list_t *fx, fx_peer_t *p)
 {
@@ -74,6 +85,9 @@
     case FX_REPLY_DATA:
       copy->reply.data = buf_copy (fx->pool, f->reply.data);
       break;
+    case FX_REPLY_RESULTS:
+      _fx_copy_results (fx, &copy->results);
+      break;
     case FX_UPSTREAM_CALL:
       _fx_copy_upstream (fx, &copy->upstream);
       break;
--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -25,6 +25,7 @@
   FX_REPLY_HEAD,      /**< begin the answer to a caller */
   FX_REPLY_DATA,      /**< bytes of its body */
   FX_REPLY_END,       /**< the answer is whole */
+  FX_REPLY_RESULTS,   /**< a whole answer: results of a batch job */
   FX_REPLY_ABORT,     /**< close so that the caller sees it is not whole */
   FX_UPSTREAM_CALL,   /**< send a request to an upstream */
   FX_UPSTREAM_CANCEL, /**< stop it; no further event for the call comes */
@@ -47,6 +48,24 @@
   buf_t data; /**< FX_REPLY_DATA */
 } fx_reply_t;
 
+/** One result of a batch job. */
+typedef struct
+{
+  const char *id; /**< of the item */
+  bool completed; /**< false: given up */
+  buf_t text;     /**< data of its events, separated by line feeds */
+} fx_result_t;
+
+/** Results of a batch job from a position on. */
+typedef struct
+{
+  uint64_t caller;
+  uint64_t total; /**< items of the job */
+  uint64_t next;  /**< position behind the last result */
+  const fx_result_t *v;
+  size_t count;
+} fx_results_t;
+
 /** A call to an upstream. */
 typedef struct
 {
@@ -90,7 +109,8 @@
   const char *name; /**< of the object, or a prefix */
   uint64_t if_version;
   uint64_t revision; /**< WATCH, DOCUMENT, UPSTREAMS; 0: do not wait */
-  const char *after; /**< UPSTREAMS: names behind this one; NULL: all */
+  const char *after; /**< lists: names behind this one; NULL: all */
+  bool lagging;      /**< a read that may be seconds old will do */
   buf_t value;       /**< PUT */
   clk_ms_t timeout_ms;
 } fx_platform_t;
@@ -110,7 +130,8 @@
   union
   {
     clk_ms_t timer;         /**< FX_TIMER */
-    fx_reply_t reply;       /**< FX_REPLY_* */
+    fx_reply_t reply;       /**< FX_REPLY_* but RESULTS */
+    fx_results_t results;   /**< FX_REPLY_RESULTS */
     fx_upstream_t upstream; /**< FX_UPSTREAM_* */
     fx_platform_t platform; /**< FX_PLATFORM */
     fx_peer_t peer;         /**< FX_PEER_* */
--- /dev/null
+++ b/src/core/job.c
@@ -0,0 +1,475 @@
+#include "core/job_int.h"
+
+#include "core/inv.h"
+#include "core/mpk.h"
+#include "core/own.h"
+#include "core/rpl.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define JOB_FEED_MS_DEFAULT (1 * CLK_SECOND)
+#define JOB_SPARE_DEFAULT 2
+/** Texts of results at hand, of all jobs, in bytes. */
+#define JOB_TEXTS_MAX ((size_t)8 << 20)
+
+/** Tags of timers. */
+enum
+{
+  JOB_TIMER_TICK,
+  JOB_TIMER_FEED,
+};
+
+/* -- set up --------------------------------------------------------------- */
+
+static void
+_job_items_clear (job_t *job)
+{
+  for (uint32_t i = 0; i < job->rec->item_count; i++)
+    if (job->items[i].text != NULL)
+      g_string_free (job->items[i].text, TRUE);
+}
+
+static int
+_job_destroy (job_set_t *j)
+{
+  for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->jobs, id))
+    _job_items_clear (tbl_get (j->jobs, id));
+  for (tbl_id_t id = tbl_next (j->runs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->runs, id))
+    sse_clear (&((job_run_t *)tbl_get (j->runs, id))->events);
+  g_hash_table_destroy (j->by_id);
+  return 0;
+}
+
+job_set_t *
+job_setup (void *ctx, const job_desc_t *desc)
+{
+  job_set_t *j = talloc_zero (ctx, job_set_t);
+  j->desc = *desc;
+  if (j->desc.feed_ms == 0)
+    j->desc.feed_ms = JOB_FEED_MS_DEFAULT;
+  if (j->desc.spare == 0)
+    j->desc.spare = JOB_SPARE_DEFAULT;
+  j->jobs = tbl_setup (j, &(tbl_desc_t){ .size = sizeof (job_t) });
+  j->runs = tbl_setup (j, &(tbl_desc_t){ .size = sizeof (job_run_t) });
+  j->submits = tbl_setup (j, &(tbl_desc_t){ .size = sizeof (job_submit_t) });
+  j->calls = tbl_setup (j, &(tbl_desc_t){ .size = sizeof (job_call_t) });
+  j->ops = tbl_setup (j, &(tbl_desc_t){ .size = sizeof (job_op_t) });
+  j->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  talloc_set_destructor (j, _job_destroy);
+  return j;
+}
+
+void
+job_shutdown (job_set_t *j)
+{
+  talloc_free (j);
+}
+
+void
+job_start (job_set_t *j, env_t *env)
+{
+  job_feed_ask (j, env);
+}
+
+clk_ms_t
+job_unix_now (const job_set_t *j, const env_t *env)
+{
+  return env->now + j->desc.unix_offset_ms;
+}
+
+void
+job_tick_want (job_set_t *j, env_t *env)
+{
+  if (j->ticking)
+    return;
+  j->ticking = true;
+  tmr_arm (env->tmr, env->now + JOB_TICK_MS, MOD_JOB, JOB_TIMER_TICK);
+}
+
+/* -- jobs ----------------------------------------------------------------- */
+
+job_t *
+job_find (const job_set_t *j, const char *id)
+{
+  return g_hash_table_lookup (j->by_id, id);
+}
+
+bool
+job_is_over (const job_t *job)
+{
+  return job->rec->ended || job->rec->result_count == job->rec->item_count;
+}
+
+/* Whether this VM is the one that runs JOB. */
+static bool
+_job_is_mine (const job_set_t *j, const env_t *env, const job_t *job)
+{
+  if (j->leaving || job_is_over (job))
+    return false;
+  const char *runner
+      = own_pick (j->runners, j->runner_count, MOD_JOB, job->rec->id);
+  return runner != NULL && strcmp (runner, env->vm) == 0;
+}
+
+static void
+_job_mine_update (job_set_t *j, env_t *env, job_t *job)
+{
+  bool mine = _job_is_mine (j, env, job);
+  if (job->mine && !mine)
+    job_runs_stop (j, env, job);
+  if (mine != job->mine)
+    tln_record (env->tln, env->now, MOD_JOB, mine ? "runs-here" : "runs-off",
+                "job=%s", job->rec->id);
+  job->mine = mine;
+  if (mine)
+    job_tick_want (j, env);
+}
+
+/* The items' states follow the record, which is always right. */
+static void
+_job_items_follow (job_set_t *j, job_t *job)
+{
+  for (uint32_t i = 0; i < job->rec->result_count; i++)
+    {
+      job_item_t *item = &job->items[job->rec->results[i].item];
+      if (item->state == JOB_ITEM_DECIDED && item->text != NULL)
+        job_text_keep (j, job, job->rec->results[i].item,
+                       (buf_t){ .p = item->text->str, .n = item->text->len });
+      if (item->text != NULL)
+        g_string_free (item->text, TRUE);
+      item->text = NULL;
+      item->completed = job->rec->results[i].completed;
+      item->state = JOB_ITEM_LISTED;
+    }
+  job->waiting = 0;
+  for (uint32_t i = 0; i < job->rec->item_count; i++)
+    job->waiting += job->items[i].state == JOB_ITEM_WAITING;
+}
+
+static job_t *
+_job_new (job_set_t *j, job_rec_t *rec)
+{
+  tbl_id_t id = tbl_alloc (j->jobs);
+  job_t *job = tbl_get (j->jobs, id);
+  job->self = id;
+  job->rec = talloc_steal (j, rec);
+  job->items = talloc_zero_array (j, job_item_t, rec->item_count + 1);
+  job->texts = talloc_zero_array (job->items, buf_t, rec->item_count + 1);
+  job->route_gone = CLK_NEVER;
+  g_hash_table_insert (j->by_id, (gpointer)(uintptr_t)rec->id, job);
+  return job;
+}
+
+/* REC replaces the record that JOB goes by. */
+static void
+_job_adopt (job_set_t *j, job_t *job, job_rec_t *rec)
+{
+  INV_CHECK (rec->item_count == job->rec->item_count, "job-items-stay",
+             "job %s", rec->id);
+  INV_CHECK (rec->result_count >= job->rec->result_count,
+             "job-results-only-grow", "job %s", rec->id);
+  for (uint32_t i = 0; i < job->rec->result_count; i++)
+    INV_CHECK (rec->results[i].item == job->rec->results[i].item,
+               "job-position-stays", "job %s position %u", rec->id, i);
+  g_hash_table_replace (j->by_id, (gpointer)(uintptr_t)rec->id, job);
+  talloc_free (job->rec);
+  job->rec = talloc_steal (j, rec);
+}
+
+/* Runs of items that have a position by now, or of a job that has ended. */
+static void
+_job_runs_needless (job_set_t *j, env_t *env, job_t *job)
+{
+  for (uint32_t i = 0; i < job->rec->result_count; i++)
+    job_run_stop (j, env, &job->items[job->rec->results[i].item]);
+  if (job->rec->ended)
+    job_runs_stop (j, env, job);
+}
+
+static void
+_job_calls_wake (job_set_t *j, env_t *env, const char *id)
+{
+  for (tbl_id_t c = tbl_next (j->calls, (tbl_id_t){ 0 }); c.id != 0;
+       c = tbl_next (j->calls, c))
+    {
+      job_call_t *call = tbl_get (j->calls, c);
+      if (strcmp (call->id, id) == 0)
+        job_call_step (j, env, call);
+    }
+}
+
+job_t *
+job_learn (job_set_t *j, env_t *env, uint64_t version, buf_t bytes)
+{
+  job_rec_t *rec = job_rec_decode (j, bytes);
+  if (rec == NULL)
+    {
+      tln_record (env->tln, env->now, MOD_JOB, "record-unreadable",
+                  "version=%llu", (unsigned long long)version);
+      cnt_add (env->cnt, "rts_job_records_unreadable_total", "", 1);
+      return NULL;
+    }
+  job_t *job = job_find (j, rec->id);
+  if (job != NULL && version <= job->version)
+    {
+      talloc_free (rec);
+      return job;
+    }
+  if (job == NULL)
+    job = _job_new (j, rec);
+  else
+    _job_adopt (j, job, rec);
+  job->version = version;
+  _job_runs_needless (j, env, job);
+  _job_items_follow (j, job);
+  _job_mine_update (j, env, job);
+  _job_calls_wake (j, env, job->rec->id);
+  return job;
+}
+
+void
+job_tell (job_set_t *j, env_t *env, const job_t *job)
+{
+  void *tmp = talloc_new (j);
+  mpk_writer_t w;
+  mpk_writer_init (&w, tmp);
+  mpk_put_uint (&w, job->version);
+  mpk_put_str (&w, job_rec_encode (tmp, job->rec));
+  buf_t body = mpk_done (&w);
+  for (size_t i = 0; i < mbr_vm_count (j->desc.members); i++)
+    {
+      const mbr_vm_t *vm = mbr_vm_get (j->desc.members, i);
+      if (vm->up && !vm->self)
+        fx_send (env->fx, vm->name, MSG_JOB_RECORD, body);
+    }
+  talloc_free (tmp);
+}
+
+/* Texts are at hand for readers; the platform has them all. */
+static void
+_job_texts_drop (job_set_t *j)
+{
+  for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->jobs, id))
+    {
+      job_t *job = tbl_get (j->jobs, id);
+      for (uint32_t i = 0; i < job->rec->item_count; i++)
+        {
+          talloc_free ((void *)(uintptr_t)job->texts[i].p);
+          job->texts[i] = (buf_t){ 0 };
+        }
+    }
+  j->text_bytes = 0;
+}
+
+void
+job_text_keep (job_set_t *j, job_t *job, uint32_t item, buf_t text)
+{
+  if (job->texts[item].p != NULL)
+    return;
+  if (j->text_bytes + text.n > JOB_TEXTS_MAX)
+    _job_texts_drop (j);
+  j->text_bytes += text.n;
+  job->texts[item] = buf_copy (job->texts, text);
+}
+
+/* -- hooks ---------------------------------------------------------------- */
+
+void
+job_call_platform (job_set_t *j, env_t *env, job_op_kind_t kind, tbl_id_t on,
+                   uint32_t index, const plt_req_t *req)
+{
+  tbl_id_t id = tbl_alloc (j->ops);
+  *(job_op_t *)tbl_get (j->ops, id)
+      = (job_op_t){ .kind = kind, .on = on, .index = index };
+  plt_req_t call = *req;
+  call.mod = MOD_JOB;
+  call.tag = id.id;
+  plt_call (env, &call);
+}
+
+void
+job_platform_replied (job_set_t *j, env_t *env, const plt_done_t *done,
+                      const ev_platform_t *reply)
+{
+  tbl_id_t id = { .id = done->tag };
+  job_op_t op = *(job_op_t *)tbl_get (j->ops, id);
+  tbl_free (j->ops, id);
+  switch (op.kind)
+    {
+    case JOB_OP_FEED:
+      job_feed_replied (j, env, reply);
+      break;
+    case JOB_OP_SUBMIT_PART:
+    case JOB_OP_SUBMIT_RECORD:
+      job_submit_replied (j, env, &op, reply);
+      break;
+    case JOB_OP_READ_RECORD:
+    case JOB_OP_READ_TEXT:
+    case JOB_OP_READ_BODY:
+      job_read_replied (j, env, &op, reply);
+      break;
+    case JOB_OP_RUN_BODY:
+      job_run_body_replied (j, env, &op, reply);
+      break;
+    case JOB_OP_LIST_TEXT:
+    case JOB_OP_LIST_RECORD:
+    case JOB_OP_LIST_LOOK:
+      job_list_replied (j, env, &op, reply);
+      break;
+    }
+}
+
+void
+job_message_received (job_set_t *j, env_t *env, const char *vm,
+                      const msg_t *msg)
+{
+  (void)vm;
+  void *tmp = talloc_new (j);
+  mpk_reader_t r = mpk_reader (tmp, msg->body);
+  uint64_t version = mpk_get_uint (&r);
+  buf_t record = mpk_get_str (&r);
+  if (msg->kind == MSG_JOB_RECORD && mpk_end (&r))
+    (void)job_learn (j, env, version, record);
+  else
+    cnt_add (env->cnt, "rts_job_bad_messages_total", "", 1);
+  talloc_free (tmp);
+}
+
+void
+job_request (job_set_t *j, env_t *env, const char *customer,
+             const cfg_route_t *route, const ev_request_t *req)
+{
+  switch (req->job.op)
+    {
+    case EV_JOB_READ:
+    case EV_JOB_BODY:
+    case EV_JOB_END:
+      job_ask (j, env, customer, req);
+      break;
+    case EV_JOB_SUBMIT:
+    case EV_JOB_NONE:
+      job_submit (j, env, customer, route, req);
+      break;
+    }
+}
+
+void
+job_caller_gone (job_set_t *j, uint64_t caller)
+{
+  for (tbl_id_t id = tbl_next (j->calls, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->calls, id))
+    {
+      job_call_t *c = tbl_get (j->calls, id);
+      if (c->caller == caller)
+        job_call_free (j, c);
+    }
+  for (tbl_id_t id = tbl_next (j->submits, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->submits, id))
+    {
+      job_submit_t *s = tbl_get (j->submits, id);
+      if (s->caller == caller)
+        s->caller = 0;
+    }
+}
+
+void
+job_config_changed (job_set_t *j, env_t *env, const cfg_doc_t *doc)
+{
+  j->doc = doc;
+  job_pump (j, env);
+}
+
+/* The workers that answer; where there are none, all that do. */
+static void
+_job_runners_find (job_set_t *j)
+{
+  size_t n = mbr_vm_count (j->desc.members);
+  talloc_free (j->runners);
+  j->runners = talloc_zero_array (j, const char *, n + 1);
+  for (int workers = 1; workers >= 0; workers--)
+    {
+      j->runner_count = 0;
+      for (size_t i = 0; i < n; i++)
+        {
+          const mbr_vm_t *vm = mbr_vm_get (j->desc.members, i);
+          if ((vm->up || vm->self) && !vm->leaving && vm->worker >= workers)
+            j->runners[j->runner_count++]
+                = talloc_strdup (j->runners, vm->name);
+        }
+      if (j->runner_count > 0)
+        return;
+    }
+}
+
+void
+job_members_changed (job_set_t *j, env_t *env)
+{
+  _job_runners_find (j);
+  for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->jobs, id))
+    _job_mine_update (j, env, tbl_get (j->jobs, id));
+}
+
+static void
+_job_tick (job_set_t *j, env_t *env)
+{
+  bool busy = false;
+  j->ticking = false;
+  for (tbl_id_t id = tbl_next (j->calls, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->calls, id))
+    {
+      busy = true;
+      job_call_step (j, env, tbl_get (j->calls, id));
+    }
+  for (tbl_id_t id = tbl_next (j->submits, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->submits, id))
+    {
+      busy = true;
+      job_submit_step (j, env, tbl_get (j->submits, id));
+    }
+  for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->jobs, id))
+    {
+      job_t *job = tbl_get (j->jobs, id);
+      if (!job->mine && !job->end_wanted)
+        continue;
+      busy = true;
+      job_list_step (j, env, job);
+    }
+  if (busy)
+    job_tick_want (j, env);
+}
+
+void
+job_timer_fired (job_set_t *j, env_t *env, uint64_t tag)
+{
+  if (tag == JOB_TIMER_FEED)
+    job_feed_ask (j, env);
+  else
+    _job_tick (j, env);
+  job_pump (j, env);
+}
+
+void
+job_pump (job_set_t *j, env_t *env)
+{
+  job_runs_yield (j, env);
+  job_runs_start (j, env);
+}
+
+void
+job_leave (job_set_t *j, env_t *env)
+{
+  j->leaving = true;
+  job_members_changed (j, env);
+}
+
+bool
+job_left (const job_set_t *j)
+{
+  return tbl_count (j->calls) == 0 && tbl_count (j->submits) == 0;
+}
--- /dev/null
+++ b/src/core/job_list.c
@@ -0,0 +1,190 @@
+/** @file
+ * Results at positions: an item's text is written, then the record that puts
+ * it behind the others.  A record is changed only from the version that this
+ * VM goes by, so that two VMs cannot give one item two positions.
+ */
+#include "core/job_int.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* -- texts -----------------------------------------------------------------
+ */
+
+static void
+_job_text_write (job_set_t *j, env_t *env, job_t *job, uint32_t item)
+{
+  if (env->now < job->items[item].not_before)
+    return;
+  GString *text = job->items[item].text;
+  char *name
+      = talloc_asprintf (j, JOB_TEXT_PREFIX "%s/%u", job->rec->id, item);
+  job->items[item].state = JOB_ITEM_WRITING;
+  job_call_platform (
+      j, env, JOB_OP_LIST_TEXT, job->self, item,
+      &(plt_req_t){ .op = FX_PLATFORM_PUT,
+                    .name = name,
+                    .value = { .p = text->str, .n = text->len } });
+  talloc_free (name);
+}
+
+static void
+_job_texts_write (job_set_t *j, env_t *env, job_t *job)
+{
+  for (uint32_t i = 0; i < job->rec->item_count; i++)
+    if (job->items[i].state == JOB_ITEM_UNWRITTEN)
+      _job_text_write (j, env, job, i);
+}
+
+/* -- the record ------------------------------------------------------------
+ */
+
+/* The record with all decided items behind its results; NULL: no change. */
+static job_rec_t *
+_job_rec_next (job_set_t *j, job_t *job)
+{
+  buf_t bytes = job_rec_encode (j, job->rec);
+  job_rec_t *next = job_rec_decode (j, bytes);
+  talloc_free ((void *)(uintptr_t)bytes.p);
+  next->results = talloc_realloc (next, next->results, job_rec_result_t,
+                                  next->item_count + 1);
+  for (uint32_t i = 0; i < next->item_count; i++)
+    if (job->items[i].state == JOB_ITEM_DECIDED)
+      next->results[next->result_count++]
+          = (job_rec_result_t){ .item = i,
+                                .completed = job->items[i].completed };
+  next->ended = next->ended || job->end_wanted;
+  if (next->result_count != job->rec->result_count
+      || next->ended != job->rec->ended)
+    return next;
+  talloc_free (next);
+  return NULL;
+}
+
+void
+job_list_step (job_set_t *j, env_t *env, job_t *job)
+{
+  _job_texts_write (j, env, job);
+  if (job->writing || env->now < job->write_retry)
+    return;
+  job_rec_t *next = _job_rec_next (j, job);
+  if (next == NULL)
+    return;
+  job->writing = true;
+  char *name = talloc_asprintf (next, JOB_RECORD_PREFIX "%s", next->id);
+  job_call_platform (j, env, JOB_OP_LIST_RECORD, job->self, 0,
+                     &(plt_req_t){ .op = FX_PLATFORM_PUT,
+                                   .name = name,
+                                   .if_version = job->version,
+                                   .value = job_rec_encode (next, next) });
+  talloc_free (next);
+}
+
+static void
+_job_look (job_set_t *j, env_t *env, job_t *job)
+{
+  char *name = talloc_asprintf (j, JOB_RECORD_PREFIX "%s", job->rec->id);
+  job->writing = true;
+  job_call_platform (j, env, JOB_OP_LIST_LOOK, job->self, 0,
+                     &(plt_req_t){ .op = FX_PLATFORM_GET, .name = name });
+  talloc_free (name);
+}
+
+/* The record stands as in REPLY, be it by this VM's write or another's. */
+static void
+_job_record_stands (job_set_t *j, env_t *env, job_t *job,
+                    const ev_platform_t *reply)
+{
+  uint64_t before = job->version;
+  (void)job_learn (j, env, reply->objects[0].version, reply->objects[0].value);
+  if (job->rec->ended)
+    job->end_wanted = false;
+  if (job->version != before)
+    job_tell (j, env, job);
+  job_list_step (j, env, job);
+}
+
+static void
+_job_record_replied (job_set_t *j, env_t *env, job_t *job, job_op_kind_t kind,
+                     const ev_platform_t *reply)
+{
+  bool stands = (reply->code == ST_OK || reply->code == ST_CONFLICT)
+                && reply->object_count > 0;
+  job->writing = false;
+  if (stands)
+    {
+      _job_record_stands (j, env, job, reply);
+      return;
+    }
+  job->write_retry = env->now + env_jitter (env, JOB_RETRY_MS);
+  cnt_add (env->cnt, "rts_job_write_failures_total", "", 1);
+  tln_record (env->tln, env->now, MOD_JOB, "record-write-failed",
+              "job=%s code=%s", job->rec->id, st_code_name (reply->code));
+  /* What may have been written must be known before the next write. */
+  if (reply->code != ST_UNAVAILABLE && kind == JOB_OP_LIST_RECORD)
+    _job_look (j, env, job);
+  job_tick_want (j, env);
+}
+
+/* -- outcomes --------------------------------------------------------------
+ */
+
+static void
+_job_text_replied (job_set_t *j, env_t *env, job_t *job, uint32_t index,
+                   const ev_platform_t *reply)
+{
+  job_item_t *item = &job->items[index];
+  if (item->state != JOB_ITEM_WRITING)
+    return;
+  if (reply->code == ST_OK || reply->code == ST_CONFLICT)
+    {
+      /* The first text that was written is the item's. */
+      if (reply->code == ST_CONFLICT && reply->object_count > 0)
+        g_string_assign (item->text, reply->objects[0].value.p);
+      item->state = JOB_ITEM_DECIDED;
+      job_list_step (j, env, job);
+      return;
+    }
+  /* The same write again does no harm, whatever became of the last. */
+  cnt_add (env->cnt, "rts_job_write_failures_total", "", 1);
+  item->state = JOB_ITEM_UNWRITTEN;
+  item->not_before = env->now + env_jitter (env, JOB_RETRY_MS);
+  job_tick_want (j, env);
+}
+
+void
+job_decide (job_set_t *j, env_t *env, job_t *job, uint32_t index,
+            bool completed)
+{
+  job_item_t *item = &job->items[index];
+  if (item->state == JOB_ITEM_LISTED)
+    return;
+  item->completed = completed;
+  tln_record (env->tln, env->now, MOD_JOB,
+              completed ? "item-done" : "item-dead",
+              "job=%s item=%s events=%llu", job->rec->id,
+              job->rec->items[index].id, (unsigned long long)item->last_event);
+  cnt_add (env->cnt, "rts_job_items_total",
+           completed ? "outcome=\"done\"" : "outcome=\"dead\"", 1);
+  if (completed)
+    {
+      item->state = JOB_ITEM_UNWRITTEN;
+      item->not_before = env->now;
+    }
+  else
+    item->state = JOB_ITEM_DECIDED;
+  job_list_step (j, env, job);
+}
+
+void
+job_list_replied (job_set_t *j, env_t *env, const job_op_t *op,
+                  const ev_platform_t *reply)
+{
+  job_t *job = tbl_get (j->jobs, op->on);
+  if (job == NULL)
+    return;
+  if (op->kind == JOB_OP_LIST_TEXT)
+    _job_text_replied (j, env, job, op->index, reply);
+  else
+    _job_record_replied (j, env, job, op->kind, reply);
+}
--- /dev/null
+++ b/src/core/job_read.c
@@ -0,0 +1,323 @@
+/** @file
+ * Callers who read a job's results or an item's body, or end a job.
+ *
+ * An answer comes from the record that this VM has when that suffices.  What
+ * it does not have is read from the platform before the caller is told that
+ * there is none.
+ */
+#include "core/job_int.h"
+
+#include "core/rpl.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/** Results in one answer, in bytes of text. */
+#define JOB_ANSWER_BYTES ((size_t)900 << 10)
+/** Longest wait for news. */
+#define JOB_POLL_MS_MAX (1 * CLK_SECOND)
+/** The platform is asked for so long. */
+#define JOB_ASK_MS (2 * CLK_SECOND)
+
+void
+job_call_free (job_set_t *j, job_call_t *c)
+{
+  talloc_free (c->id);
+  tbl_free (j->calls, c->self);
+}
+
+static void
+_job_call_refuse (job_set_t *j, env_t *env, job_call_t *c, int status,
+                  const char *code)
+{
+  tln_record (env->tln, env->now, MOD_JOB, "call-refused", "job=%s code=%s",
+              c->id, code);
+  rpl_error (
+      env, c->caller,
+      &(rpl_error_t){ .status = status,
+                      .code = code,
+                      .message = status == 404 ? "no such job or item"
+                                               : "it is not known now",
+                      .retry_after_ms = status == 503 ? CLK_SECOND / 2 : 0 });
+  job_call_free (j, c);
+}
+
+/* -- the record ------------------------------------------------------------
+ */
+
+/* Read the record from the platform, once for a call. */
+static void
+_job_call_look (job_set_t *j, env_t *env, job_call_t *c)
+{
+  char *name = talloc_asprintf (c->id, JOB_RECORD_PREFIX "%s", c->id);
+  c->looking = true;
+  job_call_platform (j, env, JOB_OP_READ_RECORD, c->self, 0,
+                     &(plt_req_t){ .op = FX_PLATFORM_GET, .name = name });
+}
+
+static void
+_job_looked (job_set_t *j, env_t *env, job_call_t *c,
+             const ev_platform_t *reply)
+{
+  tbl_id_t self = c->self;
+  c->looking = false;
+  if (reply->code == ST_NOT_FOUND)
+    {
+      _job_call_refuse (j, env, c, 404, "no-job");
+      return;
+    }
+  if (reply->code != ST_OK || reply->object_count == 0)
+    {
+      c->retry_at = env->now + JOB_RETRY_MS;
+      return;
+    }
+  c->looked = true;
+  (void)job_learn (j, env, reply->objects[0].version, reply->objects[0].value);
+  c = tbl_get (j->calls, self);
+  if (c != NULL)
+    job_call_step (j, env, c);
+}
+
+/* -- results ---------------------------------------------------------------
+ */
+
+/* The text of the result at POSITION; false when it is not at hand. */
+static bool
+_job_text (const job_t *job, uint32_t position, buf_t *text)
+{
+  const job_rec_result_t *r = &job->rec->results[position];
+  *text = (buf_t){ .p = "", .n = 0 };
+  if (!r->completed)
+    return true;
+  if (job->texts[r->item].p != NULL)
+    *text = job->texts[r->item];
+  else
+    return false;
+  return true;
+}
+
+static void
+_job_results_reply (job_set_t *j, env_t *env, job_call_t *c, const job_t *job)
+{
+  uint32_t n = job->rec->result_count;
+  fx_result_t *v = talloc_array (c->id, fx_result_t, n + 1);
+  size_t bytes = 0;
+  size_t count = 0;
+  for (uint64_t at = c->after; at < n; at++)
+    {
+      buf_t text;
+      const job_rec_result_t *r = &job->rec->results[at];
+      if (!_job_text (job, (uint32_t)at, &text)
+          || (count > 0 && bytes + text.n > JOB_ANSWER_BYTES))
+        break;
+      bytes += text.n;
+      v[count++] = (fx_result_t){ .id = job->rec->items[r->item].id,
+                                  .completed = r->completed,
+                                  .text = text };
+    }
+  fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_RESULTS,
+                             .results = { .caller = c->caller,
+                                          .total = job->rec->item_count,
+                                          .next = c->after + count,
+                                          .v = v,
+                                          .count = count } });
+  job_call_free (j, c);
+}
+
+/* Ask for the texts that the answer needs; false when all are at hand. */
+static bool
+_job_texts_ask (job_set_t *j, env_t *env, job_call_t *c, const job_t *job)
+{
+  size_t bytes = 0;
+  for (uint64_t at = c->after; at < job->rec->result_count; at++)
+    {
+      buf_t text;
+      if (_job_text (job, (uint32_t)at, &text))
+        {
+          bytes += text.n;
+          if (bytes > JOB_ANSWER_BYTES)
+            break;
+          continue;
+        }
+      uint32_t item = job->rec->results[at].item;
+      char *name = talloc_asprintf (c->id, JOB_TEXT_PREFIX "%s/%u",
+                                    job->rec->id, item);
+      c->flying++;
+      job_call_platform (j, env, JOB_OP_READ_TEXT, c->self, item,
+                         &(plt_req_t){ .op = FX_PLATFORM_GET,
+                                       .name = name,
+                                       .lagging = !c->fresh });
+    }
+  return c->flying > 0;
+}
+
+static void
+_job_text_read (job_set_t *j, env_t *env, job_call_t *c, const job_op_t *op,
+                const ev_platform_t *reply)
+{
+  job_t *job = job_find (j, c->id);
+  c->flying--;
+  if (reply->code == ST_OK && reply->object_count > 0 && job != NULL)
+    job_text_keep (j, job, op->index, reply->objects[0].value);
+  else
+    {
+      c->fresh = true;
+      c->retry_at
+          = env->now + (reply->code == ST_NOT_FOUND ? 0 : JOB_RETRY_MS);
+    }
+  if (c->flying == 0)
+    job_call_step (j, env, c);
+}
+
+static void
+_job_read_step (job_set_t *j, env_t *env, job_call_t *c, job_t *job)
+{
+  bool news = c->after < job->rec->result_count;
+  if (news)
+    {
+      if (!_job_texts_ask (j, env, c, job))
+        _job_results_reply (j, env, c, job);
+      return;
+    }
+  bool over = job_is_over (job) && c->after == job->rec->result_count;
+  if (over || (c->looked && env->now >= c->until))
+    _job_results_reply (j, env, c, job);
+  else if (env->now >= c->until || c->after > job->rec->result_count)
+    _job_call_look (j, env, c);
+}
+
+/* -- bodies ----------------------------------------------------------------
+ */
+
+static const job_rec_item_t *
+_job_item (const job_t *job, const char *id)
+{
+  for (uint32_t i = 0; i < job->rec->item_count; i++)
+    if (strcmp (job->rec->items[i].id, id) == 0)
+      return &job->rec->items[i];
+  return NULL;
+}
+
+static void
+_job_body_step (job_set_t *j, env_t *env, job_call_t *c, const job_t *job)
+{
+  const job_rec_item_t *item = _job_item (job, c->item);
+  if (item == NULL)
+    {
+      _job_call_refuse (j, env, c, 404, "no-item");
+      return;
+    }
+  if (item->length == 0)
+    {
+      rpl_text (env, c->caller, 200, "application/octet-stream", (buf_t){ 0 });
+      job_call_free (j, c);
+      return;
+    }
+  char *name = talloc_asprintf (c->id, JOB_BODY_PREFIX "%s/%u", job->rec->id,
+                                item->part);
+  c->flying++;
+  job_call_platform (j, env, JOB_OP_READ_BODY, c->self, item->part,
+                     &(plt_req_t){ .op = FX_PLATFORM_GET,
+                                   .name = name,
+                                   .lagging = !c->fresh });
+}
+
+static void
+_job_body_read (job_set_t *j, env_t *env, job_call_t *c,
+                const ev_platform_t *reply)
+{
+  const job_t *job = job_find (j, c->id);
+  const job_rec_item_t *item = job == NULL ? NULL : _job_item (job, c->item);
+  c->flying--;
+  if (reply->code != ST_OK || reply->object_count == 0 || item == NULL)
+    {
+      c->fresh = true; /* the next tick asks again */
+      c->retry_at
+          = env->now + (reply->code == ST_NOT_FOUND ? 0 : JOB_RETRY_MS);
+      return;
+    }
+  buf_t part = reply->objects[0].value;
+  if ((size_t)item->offset + item->length > part.n)
+    {
+      tln_record (env->tln, env->now, MOD_JOB, "body-unreadable", "job=%s",
+                  c->id);
+      _job_call_refuse (j, env, c, 503, "body-unreadable");
+      return;
+    }
+  rpl_text (env, c->caller, 200, "application/octet-stream",
+            (buf_t){ .p = part.p + item->offset, .n = item->length });
+  job_call_free (j, c);
+}
+
+/* -- calls -----------------------------------------------------------------
+ */
+
+static void
+_job_end_step (job_set_t *j, env_t *env, job_call_t *c, job_t *job)
+{
+  if (job->rec->ended)
+    {
+      rpl_text (env, c->caller, 200, "application/json", buf_str ("{}"));
+      job_call_free (j, c);
+      return;
+    }
+  job->end_wanted = true;
+  job_list_step (j, env, job);
+}
+
+void
+job_call_step (job_set_t *j, env_t *env, job_call_t *c)
+{
+  if (c->flying > 0 || c->looking)
+    return;
+  job_t *job = job_find (j, c->id);
+  if (env->now >= c->give_up)
+    _job_call_refuse (j, env, c, 503, "platform-unavailable");
+  else if (env->now < c->retry_at)
+    return;
+  else if (job == NULL)
+    _job_call_look (j, env, c);
+  else if (strcmp (job->rec->customer, c->customer) != 0)
+    _job_call_refuse (j, env, c, 404, "no-job");
+  else if (c->op == EV_JOB_READ)
+    _job_read_step (j, env, c, job);
+  else if (c->op == EV_JOB_BODY)
+    _job_body_step (j, env, c, job);
+  else
+    _job_end_step (j, env, c, job);
+}
+
+void
+job_read_replied (job_set_t *j, env_t *env, const job_op_t *op,
+                  const ev_platform_t *reply)
+{
+  job_call_t *c = tbl_get (j->calls, op->on);
+  if (c == NULL)
+    return;
+  if (op->kind == JOB_OP_READ_RECORD)
+    _job_looked (j, env, c, reply);
+  else if (op->kind == JOB_OP_READ_TEXT)
+    _job_text_read (j, env, c, op, reply);
+  else
+    _job_body_read (j, env, c, reply);
+}
+
+void
+job_ask (job_set_t *j, env_t *env, const char *customer,
+         const ev_request_t *req)
+{
+  tbl_id_t id = tbl_alloc (j->calls);
+  job_call_t *c = tbl_get (j->calls, id);
+  clk_ms_t wait = clk_min (req->call.poll_ms, JOB_POLL_MS_MAX);
+  c->self = id;
+  c->caller = req->caller;
+  c->op = req->job.op;
+  c->id = talloc_strdup (j, req->job.id);
+  c->customer = talloc_strdup (c->id, customer);
+  c->item = talloc_strdup (c->id, req->job.item == NULL ? "" : req->job.item);
+  c->after = req->job.after;
+  c->until = env->now + wait;
+  c->give_up = c->until + JOB_ASK_MS;
+  job_tick_want (j, env);
+  job_call_step (j, env, c);
+}
--- /dev/null
+++ b/src/core/job_run.c
@@ -0,0 +1,458 @@
+/** @file
+ * Runs of items: on slots that are free, the most urgent first, given up as
+ * soon as online requests need the slot, resumed where they broke off.
+ */
+#include "core/job_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/** A run without a head, or without a further event, ends after that. */
+#define JOB_FIRST_MS (3 * CLK_SECOND)
+#define JOB_STALL_MS (2 * CLK_SECOND)
+/** An item that failed, or that no upstream took, waits so long. */
+#define JOB_AGAIN_MS 200
+/** An item whose route is gone is given up after that. */
+#define JOB_ROUTE_GONE_MS (3 * CLK_SECOND)
+
+/* -- ends of runs ----------------------------------------------------------
+ */
+
+static void
+_job_run_free (job_set_t *j, job_run_t *run)
+{
+  job_t *job = tbl_get (j->jobs, run->job);
+  job_item_t *item = &job->items[run->item];
+  if (item->state == JOB_ITEM_RUNNING)
+    {
+      item->state = JOB_ITEM_WAITING;
+      job->waiting++;
+    }
+  item->run = (tbl_id_t){ 0 };
+  sse_clear (&run->events);
+  talloc_free ((void *)(uintptr_t)run->upstream);
+  tbl_free (j->runs, run->self);
+}
+
+/* End RUN, whose call may be in progress; FAIL is what it says of the
+ * upstream. */
+static void
+_job_run_end (job_set_t *j, env_t *env, job_run_t *run, rte_fail_t fail)
+{
+  upc_cancel (env, run->call);
+  rte_failed (j->desc.routes, env, run->flight, fail);
+  _job_run_free (j, run);
+}
+
+void
+job_run_stop (job_set_t *j, env_t *env, job_item_t *item)
+{
+  job_run_t *run = tbl_get (j->runs, item->run);
+  if (run != NULL)
+    _job_run_end (j, env, run, RTE_FAIL_CANCELLED);
+}
+
+void
+job_runs_stop (job_set_t *j, env_t *env, job_t *job)
+{
+  for (uint32_t i = 0; i < job->rec->item_count; i++)
+    job_run_stop (j, env, &job->items[i]);
+}
+
+/* -- bodies ----------------------------------------------------------------
+ */
+
+static void
+_job_bodies_ask (job_set_t *j, env_t *env, job_t *job)
+{
+  uint32_t parts = job->rec->parts;
+  if (job->bodies == NULL)
+    {
+      job->bodies = talloc_zero_array (job->items, buf_t, parts + 1);
+      job->body_asked = talloc_zero_array (job->items, bool, parts + 1);
+    }
+  for (uint32_t i = 0; i < parts; i++)
+    {
+      if (job->bodies[i].p != NULL || job->body_asked[i]
+          || env->now < job->body_retry)
+        continue;
+      job->body_asked[i] = true;
+      char *name
+          = talloc_asprintf (j, JOB_BODY_PREFIX "%s/%u", job->rec->id, i);
+      job_call_platform (j, env, JOB_OP_RUN_BODY, job->self, i,
+                         &(plt_req_t){ .op = FX_PLATFORM_GET, .name = name });
+      talloc_free (name);
+    }
+}
+
+void
+job_run_body_replied (job_set_t *j, env_t *env, const job_op_t *op,
+                      const ev_platform_t *reply)
+{
+  job_t *job = tbl_get (j->jobs, op->on);
+  if (job == NULL)
+    return;
+  job->body_asked[op->index] = false;
+  if (reply->code == ST_OK && reply->object_count > 0)
+    job->bodies[op->index] = buf_copy (job->bodies, reply->objects[0].value);
+  else
+    job->body_retry = env->now + env_jitter (env, JOB_RETRY_MS);
+}
+
+/* The body of ITEM; false when its part is not at hand. */
+static bool
+_job_body (const job_t *job, const job_rec_item_t *item, buf_t *body)
+{
+  *body = (buf_t){ .p = "", .n = 0 };
+  if (item->length == 0)
+    return true;
+  buf_t part
+      = item->part < job->rec->parts ? job->bodies[item->part] : (buf_t){ 0 };
+  if (part.p == NULL || (size_t)item->offset + item->length > part.n)
+    return false;
+  *body = (buf_t){ .p = part.p + item->offset, .n = item->length };
+  return true;
+}
+
+/* -- starting --------------------------------------------------------------
+ */
+
+static const cfg_route_t *
+_job_route (const job_set_t *j, const job_t *job, const job_rec_item_t *item)
+{
+  char *path
+      = talloc_strndup (NULL, item->target, strcspn (item->target, "?"));
+  const cfg_route_t *route
+      = cfg_route_for (j->doc, job->rec->host, "POST", path);
+  talloc_free (path);
+  return route;
+}
+
+static uint64_t
+_job_call (env_t *env, const job_t *job, uint32_t index,
+           const rte_pick_t *pick, tbl_id_t run)
+{
+  const job_rec_item_t *item = &job->rec->items[index];
+  const job_item_t *progress = &job->items[index];
+  char after[24] = "";
+  buf_t body;
+  http_header_t *v = talloc_array (NULL, http_header_t, item->headers.n + 1);
+  (void)_job_body (job, item, &body);
+  g_snprintf (after, sizeof after, "%llu",
+              (unsigned long long)progress->last_event);
+  for (size_t i = 0; i < item->headers.n; i++)
+    v[i] = item->headers.v[i];
+  v[item->headers.n] = (http_header_t){ "X-Request-Id", item->id };
+  uint64_t call
+      = upc_call (env, MOD_JOB, run.id,
+                  &(fx_upstream_t){
+                      .address = pick->address,
+                      .method = "POST",
+                      .path = item->target,
+                      .headers = { .v = v, .n = item->headers.n + 1 },
+                      .body = body,
+                      .first_byte_ms = JOB_FIRST_MS,
+                      .stall_ms = JOB_STALL_MS,
+                      .fresh_connection = progress->failures > 0,
+                      .upstream = pick->fixed_identity ? pick->upstream : NULL,
+                      .host = job->rec->host,
+                      .customer = job->rec->customer,
+                      .resume_after = progress->last_event > 0 ? after : NULL,
+                  });
+  talloc_free (v);
+  return call;
+}
+
+/* Start ITEM; false when no upstream has room for it. */
+static bool
+_job_start_item (job_set_t *j, env_t *env, job_t *job, uint32_t index,
+                 const cfg_route_t *route)
+{
+  rte_pick_t pick;
+  rte_ask_t ask
+      = { .deployment = cfg_route_share (route, g_rand_double (env->rand)),
+          .batch = true,
+          .hold = true,
+          .spare = j->desc.spare };
+  if (!rte_pick (j->desc.routes, env, &ask, &pick))
+    return false;
+  tbl_id_t id = tbl_alloc (j->runs);
+  job_run_t *run = tbl_get (j->runs, id);
+  *run = (job_run_t){ .self = id,
+                      .job = job->self,
+                      .item = index,
+                      .flight = pick.handle,
+                      .upstream = talloc_strdup (j, pick.upstream),
+                      .started = env->now };
+  job->items[index].state = JOB_ITEM_RUNNING;
+  job->items[index].run = id;
+  job->waiting--;
+  run->call = _job_call (env, job, index, &pick, id);
+  if (run->call == 0)
+    {
+      rte_failed (j->desc.routes, env, pick.handle, RTE_FAIL_CANCELLED);
+      _job_run_free (j, run);
+      return false;
+    }
+  rte_started (j->desc.routes, env, pick.handle);
+  cnt_add (env->cnt, "rts_job_runs_total", "", 1);
+  return true;
+}
+
+/* When JOB's results are due, in the node's time. */
+static clk_ms_t
+_job_due (const job_set_t *j, const job_t *job)
+{
+  return job->rec->arrived - j->desc.unix_offset_ms + job->rec->due_ms;
+}
+
+/* Whether A's items go before B's: those that can still be on time first, the
+ * earliest due first among equals. */
+static bool
+_job_before (const job_set_t *j, const env_t *env, const job_t *a,
+             const job_t *b)
+{
+  clk_ms_t due_a = _job_due (j, a);
+  clk_ms_t due_b = _job_due (j, b);
+  bool late_a = due_a <= env->now;
+  bool late_b = due_b <= env->now;
+  return late_a != late_b ? late_b : due_a < due_b;
+}
+
+/* The most urgent job here with an item that can start now. */
+static job_t *
+_job_next (job_set_t *j, const env_t *env, uint32_t *index)
+{
+  job_t *best = NULL;
+  for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->jobs, id))
+    {
+      job_t *job = tbl_get (j->jobs, id);
+      if (!job->mine || job->waiting == 0 || job->rec->ended || job->end_wanted
+          || job->bodies == NULL
+          || (best != NULL && !_job_before (j, env, job, best)))
+        continue;
+      for (uint32_t i = 0; i < job->rec->item_count; i++)
+        {
+          buf_t body;
+          if (job->items[i].state != JOB_ITEM_WAITING
+              || env->now < job->items[i].not_before
+              || !_job_body (job, &job->rec->items[i], &body))
+            continue;
+          best = job;
+          *index = i;
+          break;
+        }
+    }
+  return best;
+}
+
+/* Give up what is past its time, or leads nowhere any more. */
+static void
+_job_expire (job_set_t *j, env_t *env, job_t *job)
+{
+  const job_rec_t *rec = job->rec;
+  bool old = rec->keep_ms > 0
+             && job_unix_now (j, env) >= rec->arrived + rec->keep_ms;
+  bool lost = job->route_gone != CLK_NEVER
+              && env->now - job->route_gone > JOB_ROUTE_GONE_MS;
+  if (!old && !lost)
+    return;
+  for (uint32_t i = 0; i < rec->item_count; i++)
+    if (job->items[i].state == JOB_ITEM_WAITING)
+      {
+        job->waiting--;
+        job_decide (j, env, job, i, false);
+      }
+}
+
+static void
+_job_prepare (job_set_t *j, env_t *env)
+{
+  for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->jobs, id))
+    {
+      job_t *job = tbl_get (j->jobs, id);
+      if (!job->mine || job->waiting == 0)
+        continue;
+      _job_bodies_ask (j, env, job);
+      _job_expire (j, env, job);
+    }
+}
+
+void
+job_runs_start (job_set_t *j, env_t *env)
+{
+  uint32_t index = 0;
+  if (j->doc == NULL || j->leaving)
+    return;
+  _job_prepare (j, env);
+  for (job_t *job = _job_next (j, env, &index); job != NULL;
+       job = _job_next (j, env, &index))
+    {
+      const cfg_route_t *route = _job_route (j, job, &job->rec->items[index]);
+      if (route == NULL)
+        {
+          if (job->route_gone == CLK_NEVER)
+            job->route_gone = env->now;
+          job->items[index].not_before = env->now + JOB_AGAIN_MS;
+          continue;
+        }
+      job->route_gone = CLK_NEVER;
+      if (!_job_start_item (j, env, job, index, route))
+        break;
+    }
+}
+
+/* -- giving way ------------------------------------------------------------
+ */
+
+/* The newest run at UPSTREAM: least of its work is lost. */
+static job_run_t *
+_job_run_newest (const job_set_t *j, const char *upstream)
+{
+  job_run_t *newest = NULL;
+  for (tbl_id_t id = tbl_next (j->runs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->runs, id))
+    {
+      job_run_t *run = tbl_get (j->runs, id);
+      if (strcmp (run->upstream, upstream) == 0
+          && (newest == NULL || run->started > newest->started))
+        newest = run;
+    }
+  return newest;
+}
+
+void
+job_runs_yield (job_set_t *j, env_t *env)
+{
+  for (tbl_id_t id = tbl_next (j->runs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->runs, id))
+    {
+      const job_run_t *run = tbl_get (j->runs, id);
+      rte_room_t room = rte_room (j->desc.routes, env, run->upstream);
+      if (room.slots == 0 || room.load < room.slots)
+        continue;
+      job_run_t *newest = _job_run_newest (j, run->upstream);
+      cnt_add (env->cnt, "rts_job_yields_total", "", 1);
+      _job_run_end (j, env, newest, RTE_FAIL_CANCELLED);
+    }
+}
+
+/* -- progress --------------------------------------------------------------
+ */
+
+/* Take a whole event; false when it is not the next one. */
+static bool
+_job_event_take (job_item_t *item, const sse_event_t *event)
+{
+  uint64_t id = event->id.n == 0 ? 0 : strtoull (event->id.p, NULL, 10);
+  if (id == 0 || (item->last_event > 0 && id != item->last_event + 1))
+    return false;
+  if (item->text == NULL)
+    item->text = g_string_new (NULL);
+  if (item->text->len > 0)
+    g_string_append_c (item->text, '\n');
+  g_string_append_len (item->text, event->data.p, (gssize)event->data.n);
+  item->last_event = id;
+  return true;
+}
+
+static void
+_job_data (job_set_t *j, env_t *env, job_run_t *run, buf_t data)
+{
+  job_t *job = tbl_get (j->jobs, run->job);
+  sse_event_t event;
+  if (run->status != 200)
+    return;
+  sse_push (&run->events, data);
+  while (sse_pop (&run->events, &event))
+    if (!_job_event_take (&job->items[run->item], &event))
+      {
+        _job_run_end (j, env, run, RTE_FAIL_BROKEN);
+        return;
+      }
+}
+
+static void
+_job_head (job_set_t *j, env_t *env, job_run_t *run, const ev_upstream_t *up)
+{
+  job_t *job = tbl_get (j->jobs, run->job);
+  if (up->not_run)
+    {
+      job->items[run->item].not_before = env->now + JOB_AGAIN_MS;
+      _job_run_end (j, env, run, RTE_FAIL_CANCELLED);
+      return;
+    }
+  rte_first_byte (j->desc.routes, env, run->flight);
+  run->status = up->status;
+}
+
+/* The upstream's whole answer was a failure. */
+static void
+_job_failed (job_set_t *j, env_t *env, job_t *job, uint32_t index, int status)
+{
+  job_item_t *item = &job->items[index];
+  item->not_before = env->now + JOB_AGAIN_MS;
+  if (status == 500)
+    item->failures++;
+  tln_record (env->tln, env->now, MOD_JOB, "item-failed",
+              "job=%s item=%s status=%d failures=%u", job->rec->id,
+              job->rec->items[index].id, status, item->failures);
+  if (status != 422
+      && (job->rec->attempts == 0 || item->failures < job->rec->attempts))
+    return;
+  job->waiting--;
+  job_decide (j, env, job, index, false);
+}
+
+static void
+_job_done (job_set_t *j, env_t *env, job_run_t *run)
+{
+  job_t *job = tbl_get (j->jobs, run->job);
+  uint32_t index = run->item;
+  int status = run->status;
+  if (status == 200
+      && (sse_pending (&run->events) || job->items[index].text == NULL))
+    {
+      _job_run_end (j, env, run, RTE_FAIL_BROKEN);
+      return;
+    }
+  rte_finished (j->desc.routes, env, run->flight);
+  _job_run_free (j, run);
+  if (status != 200)
+    {
+      _job_failed (j, env, job, index, status);
+      return;
+    }
+  job->waiting--;
+  job_decide (j, env, job, index, true);
+}
+
+void
+job_upstream_event (job_set_t *j, env_t *env, uint64_t tag, const ev_t *ev)
+{
+  job_run_t *run = tbl_get (j->runs, (tbl_id_t){ .id = tag });
+  if (run == NULL || run->call != ev->upstream.call)
+    return;
+  switch (ev->kind)
+    {
+    case EV_UPSTREAM_HEAD:
+      _job_head (j, env, run, &ev->upstream);
+      break;
+    case EV_UPSTREAM_DATA:
+      _job_data (j, env, run, ev->upstream.data);
+      break;
+    case EV_UPSTREAM_END:
+      _job_done (j, env, run);
+      break;
+    case EV_UPSTREAM_FAIL:
+      _job_run_end (j, env, run,
+                    ev->upstream.fail == EV_FAIL_TIMEOUT ? RTE_FAIL_SILENT
+                                                         : RTE_FAIL_BROKEN);
+      break;
+    default:
+      break;
+    }
+}
--- /dev/null
+++ b/src/core/job_submit.c
@@ -0,0 +1,320 @@
+/** @file
+ * Acceptance: the bodies are written, then the record; once that stands, the
+ * job is accepted.  The same job comes again until its caller is sure, so
+ * that what is there already counts as written.
+ */
+#include "core/job_int.h"
+
+#include "core/rpl.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/** Bytes of bodies in one object. */
+#define JOB_PART_BYTES ((size_t)384 << 10)
+/** Tries go on for so long; a caller's patience is about that of its
+ * route's objective, and it asks another VM then. */
+#define JOB_SUBMIT_MS (2 * CLK_SECOND)
+/** Retry-After while a customer has too much waiting. */
+#define JOB_FULL_RETRY_MS (2 * CLK_SECOND)
+
+static void
+_job_submit_free (job_set_t *j, job_submit_t *s)
+{
+  talloc_free (s->rec);
+  tbl_free (j->submits, s->self);
+}
+
+static void
+_job_refuse (env_t *env, uint64_t caller, const char *id, int status,
+             const char *code, rpl_run_t run, clk_ms_t retry_after_ms)
+{
+  tln_record (env->tln, env->now, MOD_JOB, "refused", "job=%s code=%s",
+              id == NULL ? "" : id, code);
+  cnt_add (env->cnt, "rts_job_refused_total", "", 1);
+  if (caller != 0)
+    rpl_error (env, caller,
+               &(rpl_error_t){ .status = status,
+                               .code = code,
+                               .message = "the job was not accepted here",
+                               .run = run,
+                               .retry_after_ms = retry_after_ms });
+}
+
+static void
+_job_accepted (env_t *env, uint64_t caller)
+{
+  if (caller != 0)
+    rpl_text (env, caller, 202, "application/json", buf_str ("{}"));
+}
+
+/* -- what the customer has waiting -----------------------------------------
+ */
+
+static uint64_t
+_job_waiting_tokens (const job_set_t *j, const char *customer,
+                     const cfg_route_t *route)
+{
+  uint64_t sum = 0;
+  for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (j->jobs, id))
+    {
+      const job_t *job = tbl_get (j->jobs, id);
+      const job_rec_t *rec = job->rec;
+      if (job_is_over (job) || strcmp (rec->customer, customer) != 0
+          || strcmp (rec->host, route->method) != 0
+          || strcmp (rec->path, route->path) != 0)
+        continue;
+      for (uint32_t i = 0; i < rec->item_count; i++)
+        if (job->items[i].state != JOB_ITEM_LISTED)
+          sum += rec->items[i].tokens;
+    }
+  return sum;
+}
+
+static bool
+_job_fits (const job_set_t *j, const char *customer, const cfg_route_t *route,
+           const ev_job_t *asked)
+{
+  uint64_t sum = 0;
+  if (route->waiting_tokens == 0)
+    return true;
+  for (size_t i = 0; i < asked->item_count; i++)
+    sum += asked->items[i].tokens;
+  return sum + _job_waiting_tokens (j, customer, route)
+         <= route->waiting_tokens;
+}
+
+/* -- the record and the bodies ---------------------------------------------
+ */
+
+static const char *
+_job_str (void *ctx, const char *s)
+{
+  return talloc_strdup (ctx, s == NULL ? "" : s);
+}
+
+static void
+_job_item_fill (job_rec_t *rec, job_rec_item_t *item,
+                const ev_job_item_t *from)
+{
+  http_header_t *v = talloc_array (rec, http_header_t, from->headers.n + 1);
+  for (size_t i = 0; i < from->headers.n; i++)
+    v[i]
+        = (http_header_t){ .name = _job_str (rec, from->headers.v[i].name),
+                           .value = _job_str (rec, from->headers.v[i].value) };
+  *item = (job_rec_item_t){ .id = _job_str (rec, from->id),
+                            .target = _job_str (rec, from->target),
+                            .headers = { .v = v, .n = from->headers.n },
+                            .tokens = from->tokens,
+                            .length = (uint32_t)from->body.n };
+}
+
+/* Lay the bodies out in parts; the items learn where theirs are. */
+static buf_t *
+_job_parts_make (job_rec_t *rec, const ev_job_t *asked)
+{
+  GByteArray *part = g_byte_array_new ();
+  buf_t *parts = NULL;
+  for (size_t i = 0; i <= asked->item_count; i++)
+    {
+      size_t next = i < asked->item_count ? asked->items[i].body.n : 0;
+      bool last = i == asked->item_count;
+      if (part->len > 0 && (last || part->len + next > JOB_PART_BYTES))
+        {
+          parts = talloc_realloc (rec, parts, buf_t, rec->parts + 1);
+          parts[rec->parts++] = buf_copy (
+              rec, (buf_t){ .p = (char *)part->data, .n = part->len });
+          g_byte_array_set_size (part, 0);
+        }
+      if (last)
+        break;
+      rec->items[i].part = rec->parts;
+      rec->items[i].offset = part->len;
+      g_byte_array_append (part, (const guint8 *)asked->items[i].body.p,
+                           (guint)next);
+    }
+  g_byte_array_unref (part);
+  return parts;
+}
+
+static job_rec_t *
+_job_rec_make (const job_set_t *j, const env_t *env, const char *customer,
+               const cfg_route_t *route, const ev_job_t *asked)
+{
+  job_rec_t *rec = talloc_zero (j, job_rec_t);
+  rec->id = _job_str (rec, asked->id);
+  rec->customer = _job_str (rec, customer);
+  rec->host = _job_str (rec, route->method);
+  rec->path = _job_str (rec, route->path);
+  rec->arrived = job_unix_now (j, env);
+  rec->due_ms = route->job_due_ms;
+  rec->keep_ms = route->job_keep_ms;
+  rec->attempts = route->attempts;
+  rec->items = talloc_zero_array (rec, job_rec_item_t, asked->item_count + 1);
+  rec->item_count = (uint32_t)asked->item_count;
+  for (uint32_t i = 0; i < rec->item_count; i++)
+    _job_item_fill (rec, &rec->items[i], &asked->items[i]);
+  return rec;
+}
+
+/* -- writing ---------------------------------------------------------------
+ */
+
+static void
+_job_part_write (job_set_t *j, env_t *env, job_submit_t *s, uint32_t part)
+{
+  s->part_due[part] = false;
+  char *name
+      = talloc_asprintf (s->rec, JOB_BODY_PREFIX "%s/%u", s->rec->id, part);
+  job_call_platform (j, env, JOB_OP_SUBMIT_PART, s->self, part,
+                     &(plt_req_t){ .op = FX_PLATFORM_PUT,
+                                   .name = name,
+                                   .value = s->parts[part] });
+}
+
+static void
+_job_record_write (job_set_t *j, env_t *env, job_submit_t *s)
+{
+  char *name = talloc_asprintf (s->rec, JOB_RECORD_PREFIX "%s", s->rec->id);
+  s->record_due = false;
+  job_call_platform (
+      j, env, JOB_OP_SUBMIT_RECORD, s->self, 0,
+      &(plt_req_t){ .op = FX_PLATFORM_PUT, .name = name, .value = s->record });
+}
+
+/* A write failed: make it again, or tell the caller. */
+static void
+_job_submit_failed (job_set_t *j, env_t *env, job_submit_t *s,
+                    const job_op_t *op, st_code_t code)
+{
+  if (op->kind == JOB_OP_SUBMIT_RECORD && code != ST_UNAVAILABLE)
+    s->maybe = true;
+  if (op->kind == JOB_OP_SUBMIT_RECORD)
+    s->record_due = true;
+  else
+    s->part_due[op->index] = true;
+  s->retry_at = env->now + env_jitter (env, JOB_RETRY_MS);
+  job_tick_want (j, env);
+}
+
+/* No more tries: tell the caller what is certain. */
+static void
+_job_submit_give_up (job_set_t *j, env_t *env, job_submit_t *s)
+{
+  _job_refuse (env, s->caller, s->rec->id, s->maybe ? 504 : 503,
+               "platform-unavailable", s->maybe ? RPL_UNKNOWN : RPL_NOT_RUN,
+               CLK_SECOND);
+  _job_submit_free (j, s);
+}
+
+void
+job_submit_step (job_set_t *j, env_t *env, job_submit_t *s)
+{
+  if (env->now >= s->give_up)
+    {
+      _job_submit_give_up (j, env, s);
+      return;
+    }
+  if (env->now < s->retry_at)
+    return;
+  for (uint32_t i = 0; i < s->rec->parts; i++)
+    if (s->part_due[i])
+      _job_part_write (j, env, s, i);
+  if (s->record_due)
+    _job_record_write (j, env, s);
+}
+
+static void
+_job_submit_stored (job_set_t *j, env_t *env, job_submit_t *s,
+                    const ev_platform_t *reply)
+{
+  uint64_t version = reply->object_count > 0 ? reply->objects[0].version : 0;
+  bool ours = reply->code == ST_OK;
+  buf_t record = ours ? s->record : (buf_t){ 0 };
+  if (!ours && reply->object_count > 0)
+    record = reply->objects[0].value;
+  _job_accepted (env, s->caller);
+  tln_record (env->tln, env->now, MOD_JOB, "accepted",
+              "job=%s customer=%s items=%u ms=%lld%s", s->rec->id,
+              s->rec->customer, s->rec->item_count,
+              (long long)(env->now - s->arrived), ours ? "" : " again");
+  cnt_add (env->cnt, "rts_job_accepted_total", "", 1);
+  job_t *job = record.p == NULL ? NULL : job_learn (j, env, version, record);
+  if (job != NULL && ours)
+    job_tell (j, env, job);
+  _job_submit_free (j, s);
+}
+
+void
+job_submit_replied (job_set_t *j, env_t *env, const job_op_t *op,
+                    const ev_platform_t *reply)
+{
+  job_submit_t *s = tbl_get (j->submits, op->on);
+  if (s == NULL)
+    return;
+  if (reply->code != ST_OK && reply->code != ST_CONFLICT)
+    {
+      _job_submit_failed (j, env, s, op, reply->code);
+      return;
+    }
+  if (op->kind == JOB_OP_SUBMIT_RECORD)
+    {
+      _job_submit_stored (j, env, s, reply);
+      return;
+    }
+  s->stored++;
+  if (s->stored == s->rec->parts)
+    _job_record_write (j, env, s);
+}
+
+/* -- a new job -------------------------------------------------------------
+ */
+
+static void
+_job_submit_begin (job_set_t *j, env_t *env, const char *customer,
+                   const cfg_route_t *route, const ev_request_t *req)
+{
+  tbl_id_t id = tbl_alloc (j->submits);
+  job_submit_t *s = tbl_get (j->submits, id);
+  s->self = id;
+  s->caller = req->caller;
+  s->rec = _job_rec_make (j, env, customer, route, &req->job);
+  s->parts = _job_parts_make (s->rec, &req->job);
+  s->record = job_rec_encode (s->rec, s->rec);
+  s->arrived = env->now;
+  s->give_up = env->now + JOB_SUBMIT_MS;
+  s->part_due = talloc_zero_array (s->rec, bool, s->rec->parts + 1);
+  for (uint32_t i = 0; i < s->rec->parts; i++)
+    s->part_due[i] = true;
+  s->record_due = s->rec->parts == 0;
+  job_tick_want (j, env);
+  job_submit_step (j, env, s);
+}
+
+void
+job_submit (job_set_t *j, env_t *env, const char *customer,
+            const cfg_route_t *route, const ev_request_t *req)
+{
+  const ev_job_t *asked = &req->job;
+  const char *id = asked->id;
+  if (asked->items == NULL || id == NULL || asked->item_count == 0
+      || asked->item_count > JOB_ITEMS_MAX)
+    {
+      _job_refuse (env, req->caller, id, 400, "bad-job", RPL_NOT_RUN, 0);
+      return;
+    }
+  const job_t *known = job_find (j, id);
+  if (known != NULL && strcmp (known->rec->customer, customer) == 0)
+    _job_accepted (env, req->caller);
+  else if (known != NULL)
+    _job_refuse (env, req->caller, id, 409, "job-id-taken", RPL_NOT_RUN, 0);
+  else if (j->leaving)
+    _job_refuse (env, req->caller, id, 503, "leaving", RPL_NOT_RUN,
+                 CLK_SECOND);
+  else if (!_job_fits (j, customer, route, asked))
+    _job_refuse (env, req->caller, id, 429, "too-much-waiting", RPL_NOT_RUN,
+                 JOB_FULL_RETRY_MS);
+  else
+    _job_submit_begin (j, env, customer, route, req);
+}
--- a/src/core/lim_change.c
+++ b/src/core/lim_change.c
@@ -36,7 +36,7 @@
 _lsh_is_here (const mbr_vm_t *vm, const env_t *env)
 {
   return vm != NULL && strcmp (vm->data_centre, env->data_centre) == 0
-         && !vm->leaving;
+         && !vm->leaving && !vm->worker;
 }
 
 /* Whether VM should divide the part: it is listed and answers, or has not
--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -198,8 +198,10 @@
       mbr_link_want (env, e, false);
       changed = true;
     }
-  changed = changed || e->vm.leaving != vm->leaving;
+  changed
+      = changed || e->vm.leaving != vm->leaving || e->vm.worker != vm->worker;
   e->vm.leaving = vm->leaving;
+  e->vm.worker = vm->worker;
   e->vm.listed = true;
   return changed;
 }
@@ -228,12 +230,19 @@
 
 /* ---- this VM's own entry ---- */
 
+/* "DATA-CENTRE ADDRESS WORK" */
+static char *
+_mbr_entry_value (const mbr_t *m, const env_t *env, void *ctx)
+{
+  return talloc_asprintf (ctx, "%s %s %s", env->data_centre, env->address,
+                          m->desc.worker ? MBR_WORKER : MBR_ENTRY);
+}
+
 static void
 _mbr_announce (mbr_t *m, env_t *env, uint64_t if_version)
 {
   char *name = talloc_asprintf (m, MBR_VMS_PREFIX "%s", env->vm);
-  char *value
-      = talloc_asprintf (name, "%s %s", env->data_centre, env->address);
+  char *value = _mbr_entry_value (m, env, name);
   plt_call (env, &(plt_req_t){ .mod = MOD_MEMBER,
                                .tag = MBR_TIMER_ANNOUNCE,
                                .op = FX_PLATFORM_PUT,
@@ -250,8 +259,7 @@
     return;
   if (reply->code == ST_CONFLICT && reply->object_count == 1)
     {
-      char *value
-          = talloc_asprintf (m, "%s %s", env->data_centre, env->address);
+      char *value = _mbr_entry_value (m, env, m);
       bool same = buf_is (reply->objects[0].value, value);
       talloc_free (value);
       if (!same)
@@ -271,6 +279,7 @@
             &(ev_vm_t){ .vm = env->vm,
                         .data_centre = env->data_centre,
                         .address = env->address });
+  m->self->vm.worker = m->desc.worker;
   m->sorted = 1;
   mbr_entry_update (m, env, m->self);
   if (m->desc.announce)
--- a/src/core/mbr.h
+++ b/src/core/mbr.h
@@ -41,9 +41,14 @@
   clk_ms_t poll_slow_ms; /**< when it does not; default 15 s */
   clk_ms_t ping_ms; /**< heartbeat on a link; default 500 ms, 3 s in a grid */
   size_t full_mesh_max; /**< most VMs with all links; default 16 */
+  bool worker;          /**< this VM takes no requests of callers */
   bool announce; /**< the list holds what VMs write to it: write this one */
 } mbr_desc_t;
 
+/** What a VM's entry says of its work. */
+#define MBR_ENTRY "entry"
+#define MBR_WORKER "worker"
+
 /** One VM; strings live until it leaves the list. */
 typedef struct
 {
@@ -52,6 +57,7 @@
   const char *address;
   bool up; /**< answers, as far as is known */
   bool leaving;
+  bool worker; /**< takes no requests of callers */
   bool self;
   bool listed;         /**< in the newest list; this VM is kept without */
   clk_ms_t down_since; /**< CLK_NEVER while up */
@@ -107,12 +113,14 @@
 size_t mbr_data_centre_count (const mbr_t *m);
 const char *mbr_data_centre_get (const mbr_t *m, size_t i);
 
-/** The VM that looks after NAME in DATA_CENTRE: a hint for speed only.
+/** The VM, of those that take requests, that looks after NAME in
+ * DATA_CENTRE: a hint for speed only.
  * NULL when no VM of it is known to be up. */
 const char *mbr_owner (const mbr_t *m, const char *data_centre, mod_t kind,
                        const char *name);
 
-/** The MAX first VMs for NAME in DATA_CENTRE that are up and staying. */
+/** The MAX first VMs for NAME in DATA_CENTRE that are up and staying, workers
+ * left out. */
 size_t mbr_rank (const mbr_t *m, const char *data_centre, mod_t kind,
                  const char *name, const char **out, size_t max);
 
--- a/src/core/mbr_vm.c
+++ b/src/core/mbr_vm.c
@@ -77,7 +77,7 @@
       mbr_zone_t *z = _mbr_zone (d, e->vm.data_centre);
       if (z == NULL)
         z = _mbr_zone_add (m, d, e->vm.data_centre);
-      if (e->vm.up && !e->vm.leaving)
+      if (e->vm.up && !e->vm.leaving && !e->vm.worker)
         z->vms[z->count++] = e->vm.name;
     }
   return d;
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -22,7 +22,8 @@
   MSG_LIMIT_FIRST = 48,  /**< lim: 48 to 63 */
   MSG_ROUTE_FIRST = 64,  /**< rte: 64 to 79 */
   MSG_BATCH_FIRST = 80,  /**< bat, crd: 80 to 95 */
-  MSG_LAST = 96
+  MSG_JOB_FIRST = 96,    /**< job: 96 to 111 */
+  MSG_LAST = 112
 } msg_block_t;
 
 /** Largest body, in bytes. */
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -34,6 +34,7 @@
   clk_ms_t unix_offset_ms; /**< Unix time less the driver's; for due times */
   const char *operator_token_sha256; /**< lower-case hex; NULL: no operators */
   node_source_t source;
+  bool worker;                     /**< takes no requests of callers */
   const char *const *data_centres; /**< SOURCE_PLATFORM: of the fleet, ends
                                         with NULL */
 } node_desc_t;
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -11,6 +11,7 @@
 #include "core/cht.h"
 #include "core/crd.h"
 #include "core/dir.h"
+#include "core/job.h"
 #include "core/key.h"
 #include "core/lim.h"
 #include "core/mbr.h"
@@ -48,6 +49,7 @@
   crd_t *crd;
   bat_t *bat;
   onl_t *onl;
+  job_set_t *job;
   opr_t *opr;
 };
 
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -65,7 +65,8 @@
   env_t *env = n->env;
   bool platform = desc->source == NODE_SOURCE_PLATFORM;
   n->source = desc->source;
-  n->mbr = mbr_setup (n, &(mbr_desc_t){ .announce = platform });
+  n->mbr = mbr_setup (
+      n, &(mbr_desc_t){ .announce = platform, .worker = desc->worker });
   if (platform)
     n->dir
         = dir_setup (n, &(dir_desc_t){ .data_centres = desc->data_centres });
@@ -84,6 +85,10 @@
                                         .keys = n->keys,
                                         .routes = n->rte,
                                         .records = n->idm });
+  n->job
+      = job_setup (n, &(job_desc_t){ .routes = n->rte,
+                                     .members = n->mbr,
+                                     .unix_offset_ms = desc->unix_offset_ms });
   n->opr = opr_setup (
       n, &(opr_desc_t){ .cfs = n->cfs,
                         .key = n->keys,
@@ -101,6 +106,7 @@
     {
       dir_start (n->dir, n->env);
       lim_start (n->lim, n->env);
+      job_start (n->job, n->env);
       return;
     }
   cfs_start (n->cfs, n->env);
@@ -116,13 +122,14 @@
 {
   opr_leave (n->opr);
   bat_leave (n->bat, n->env);
+  job_leave (n->job, n->env);
   onl_leave (n->onl, n->env);
 }
 
 bool
 node_mods_left (const node_t *n)
 {
-  return onl_left (n->onl, n->env) && bat_left (n->bat);
+  return onl_left (n->onl, n->env) && bat_left (n->bat) && job_left (n->job);
 }
 
 /* -- dispatch ------------------------------------------------------------- */
@@ -164,6 +171,8 @@
       dir_timer_fired (n->dir, env, due->tag);
       break;
     case MOD_JOB:
+      job_timer_fired (n->job, env, due->tag);
+      break;
     case MOD_NODE:
     case MOD_PLATFORM:
     case MOD_ORDER:
@@ -201,6 +210,8 @@
       dir_platform_replied (n->dir, env, done, reply);
       break;
     case MOD_JOB:
+      job_platform_replied (n->job, env, done, reply);
+      break;
     case MOD_NODE:
     case MOD_PLATFORM:
     case MOD_ONLINE:
@@ -229,6 +240,8 @@
     return MOD_LIMIT;
   if (kind < MSG_BATCH_FIRST)
     return MOD_ROUTE;
+  if (kind >= MSG_JOB_FIRST)
+    return MOD_JOB;
   return crd_owns_message (kind) ? MOD_CREDIT : MOD_BATCH;
 }
 
@@ -256,6 +269,9 @@
     case MOD_CREDIT:
       crd_message_received (n->crd, env, vm, msg);
       break;
+    case MOD_JOB:
+      job_message_received (n->job, env, vm, msg);
+      break;
     case MOD_BATCH:
       bat_message_received (n->bat, env, vm, msg);
       break;
@@ -285,6 +301,9 @@
     case MOD_ROUTE:
       rte_upstream_event (n->rte, n->env, who.tag, ev);
       break;
+    case MOD_JOB:
+      job_upstream_event (n->job, n->env, who.tag, ev);
+      break;
     case MOD_BATCH:
       bat_upstream_event (n->bat, n->env, who.tag, ev);
       break;
@@ -328,8 +347,25 @@
   return n->dir != NULL ? dir_doc (n->dir) : cfs_doc (n->cfs);
 }
 
+/** The route of REQ when it brings, or asks about, a batch job whose results
+ * have positions; *IS says whether it does. */
+static const cfg_route_t *
+_node_job_route (const node_t *n, const ev_request_t *req, bool *is)
+{
+  const cfg_doc_t *doc = _node_doc (n);
+  const cfg_route_t *route = NULL;
+  if (doc != NULL)
+    route = cfg_route_for (doc, req->call.host, req->method, req->path);
+  bool jobs = route != NULL && route->kind == CFG_ROUTE_JOBS;
+  *is = jobs || req->job.op > EV_JOB_SUBMIT;
+  return jobs ? route : NULL;
+}
+
+/** Hand a call about batch jobs to its module, once its key is known; ROUTE
+ * leads to job.h. */
 static void
-_node_batch (node_t *n, const ev_request_t *req)
+_node_batch (node_t *n, const ev_request_t *req, bool job,
+             const cfg_route_t *route)
 {
   const cfg_doc_t *doc = _node_doc (n);
   void *tmp = talloc_new (n);
@@ -348,6 +384,8 @@
                &(rpl_error_t){ .status = 401,
                                .code = "unauthorized",
                                .message = "expected a known key" });
+  else if (job)
+    job_request (n->job, n->env, key->customer, route, req);
   else if (!bat_request (n->bat, n->env, key->customer, req))
     rpl_error (n->env, req->caller,
                &(rpl_error_t){ .status = 404,
@@ -361,8 +399,10 @@
 {
   if (opr_request (n->opr, n->env, req, _node_doc (n) != NULL))
     return;
-  if (_node_is_batch (req->path))
-    _node_batch (n, req);
+  bool job;
+  const cfg_route_t *route = _node_job_route (n, req, &job);
+  if (job || _node_is_batch (req->path))
+    _node_batch (n, req, job, route);
   else
     onl_request (n->onl, n->env, req);
 }
@@ -373,6 +413,7 @@
   opr_caller_gone (n->opr, caller);
   onl_caller_gone (n->onl, n->env, caller);
   bat_caller_gone (n->bat, n->env, caller);
+  job_caller_gone (n->job, caller);
 }
 
 /* -- between modules ------------------------------------------------------ */
@@ -395,6 +436,7 @@
         continue;
       up[up_count++] = vms[i];
     }
+  job_members_changed (n->job, n->env);
   if (n->source == NODE_SOURCE_SECTIONS)
     {
       cfs_peers_changed (n->cfs, n->env, vms, count);
@@ -411,6 +453,7 @@
   lim_config_changed (n->lim, n->env, doc);
   rte_config_changed (n->rte, n->env, doc);
   onl_config_changed (n->onl, n->env, doc);
+  job_config_changed (n->job, n->env, doc);
   if (n->source == NODE_SOURCE_SECTIONS)
     {
       crd_config_changed (n->crd, n->env, doc);
@@ -472,5 +515,7 @@
       _node_loads (n);
       bat_pump (n->bat, n->env);
     }
+  else
+    job_pump (n->job, n->env);
   return changed;
 }
--- a/src/core/onl_admit.c
+++ b/src/core/onl_admit.c
@@ -89,22 +89,6 @@
   return d;
 }
 
-/** The deployment that this request of ROUTE goes to. */
-static const char *
-_onl_share (env_t *env, const cfg_route_t *route)
-{
-  double sum = 0;
-  for (size_t i = 0; i < route->share_count; i++)
-    sum += route->shares[i].weight;
-  if (sum <= 0)
-    return route->deployment;
-  double at = g_rand_double_range (env->rand, 0, sum);
-  size_t i = 0;
-  while (i + 1 < route->share_count && at >= route->shares[i].weight)
-    at -= route->shares[i++].weight;
-  return route->shares[i].deployment;
-}
-
 /** The caller's id for the request, or a new one. */
 static char *
 _onl_request_id (onl_t *o, const env_t *env, void *ctx,
@@ -139,8 +123,8 @@
   const char *customer = found->key != NULL ? found->key->customer : "";
   const cfg_customer_t *c = cfg_customer_find (o->doc, customer);
   const cfg_route_t *route = found->route;
-  const cfg_deployment_t *d
-      = cfg_deployment_find (o->doc, _onl_share (env, route));
+  const cfg_deployment_t *d = cfg_deployment_find (
+      o->doc, cfg_route_share (route, g_rand_double (env->rand)));
   INV_CHECK (d != NULL, "route-has-deployment", "%s",
              found->route->deployment);
   r->pool = pool;
--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -98,6 +98,7 @@
                                            .if_version = req->if_version,
                                            .revision = req->revision,
                                            .after = req->after,
+                                           .lagging = req->lagging,
                                            .value = req->value,
                                            .timeout_ms = timeout } });
 }
--- a/src/core/plt.h
+++ b/src/core/plt.h
@@ -43,7 +43,8 @@
   const char *name;
   uint64_t if_version;
   uint64_t revision;
-  const char *after; /**< FX_PLATFORM_UPSTREAMS */
+  const char *after; /**< lists: names behind this one; NULL: all */
+  bool lagging;      /**< a read that may be seconds old will do */
   buf_t value;
   clk_ms_t timeout_ms; /**< default 2 s; a watch 30 s */
   bool spare; /**< a caller's read: refused while the budget runs low, so that
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -69,8 +69,9 @@
   const char *only;         /**< this upstream and no other; NULL: any */
   const char *const *avoid; /**< upstreams not to choose */
   size_t avoid_count;
-  bool batch; /**< counted apart from online requests */
-  bool hold;  /**< choose none whose slots, and a few places more, are taken */
+  bool batch;     /**< counted apart from online requests */
+  uint32_t spare; /**< slots of an upstream to be left free */
+  bool hold; /**< choose none whose slots, and a few places more, are taken */
 } rte_ask_t;
 
 /** What was chosen; the strings live until the next configuration. */
@@ -127,6 +128,15 @@
 uint32_t rte_idle_slots (const rte_t *r, const env_t *env,
                          const char *upstream);
 
+/** Slots of UPSTREAM, and its requests, of all VMs, as far as is known; zeros
+ * when it is unknown. */
+typedef struct
+{
+  uint32_t slots;
+  uint32_t load;
+} rte_room_t;
+rte_room_t rte_room (const rte_t *r, const env_t *env, const char *upstream);
+
 /** Whether UPSTREAM must get nothing new. */
 bool rte_leaving (const rte_t *r, const char *upstream);
 
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -145,6 +145,19 @@
   return home;
 }
 
+/** Whether ASK leaves no place at U. */
+static bool
+_rte_full (const rte_t *r, const env_t *env, const rte_ask_t *ask,
+           const rte_upstream_t *u)
+{
+  uint32_t load = rte_load (u, env->now);
+  if (u->slots == 0)
+    return false;
+  if (ask->spare > 0)
+    return load + ask->spare >= u->slots;
+  return ask->hold && load >= u->slots + r->desc.queue;
+}
+
 static rte_candidate_t
 _rte_choose (const rte_t *r, env_t *env, const rte_deployment_t *d,
              const rte_ask_t *ask, bool suspects, bool *full)
@@ -163,8 +176,7 @@
                  && u->online + u->batch == 0;
       if (!usable)
         continue;
-      if (ask->hold && u->slots > 0
-          && rte_load (u, env->now) >= u->slots + r->desc.queue)
+      if (_rte_full (r, env, ask, u))
         {
           *full = true;
           continue;
@@ -253,3 +265,12 @@
            c.held ? "prefix=\"held\"" : "prefix=\"new\"", 1);
   return pick->handle != 0;
 }
+
+rte_room_t
+rte_room (const rte_t *r, const env_t *env, const char *upstream)
+{
+  const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
+  if (u == NULL)
+    return (rte_room_t){ 0 };
+  return (rte_room_t){ .slots = u->slots, .load = rte_load (u, env->now) };
+}
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -84,9 +84,6 @@
   r->path = talloc_strdup (ctx, r->path);
   r->query = talloc_strdup (ctx, r->query);
   r->target = _drv_str (ctx, r->target);
-  r->call.host = _drv_str (ctx, r->call.host);
-  r->call.id = _drv_str (ctx, r->call.id);
-  r->call.resume_after = _drv_str (ctx, r->call.resume_after);
   r->headers = _drv_copy_headers (ctx, r->headers);
   r->body = buf_copy (ctx, r->body);
 }
@@ -148,14 +145,11 @@
 _drv_on_event (void *data, const ev_t *ev)
 {
   drv_t *d = data;
-  ev_t decoded = *ev;
-  void *tmp = talloc_new (d);
   if (ev->kind == EV_CALLER_GONE)
     g_hash_table_remove (d->sources, &ev->caller);
+  _drv_queued_t *q = _drv_queue (d, ev);
   if (ev->kind == EV_REQUEST && d->desc.set->hosted)
-    pfm_request_decode (tmp, &decoded.request);
-  _drv_queue (d, &decoded);
-  talloc_free (tmp);
+    pfm_request_decode (q, &q->ev.request);
 }
 
 static void
@@ -253,11 +247,9 @@
                             .data = e->data,
                             .fail = e->fail,
                             .text = e->text } };
-  void *tmp = talloc_new (d);
+  _drv_queued_t *q = _drv_queue (d, &ev);
   if (e->what == EV_UPSTREAM_HEAD && d->desc.set->hosted)
-    pfm_answer_decode (tmp, &ev.upstream);
-  _drv_queue (d, &ev);
-  talloc_free (tmp);
+    pfm_answer_decode (q, &q->ev.upstream);
 }
 
 static void
@@ -343,6 +335,19 @@
   talloc_free (tmp);
 }
 
+static void
+_drv_reply_results (drv_t *d, const fx_results_t *r)
+{
+  static const http_header_t type
+      = { .name = "Content-Type", .value = "application/json" };
+  void *tmp = talloc_new (d);
+  hsv_reply_head (d->hsv, r->caller, 200,
+                  (http_headers_t){ .v = &type, .n = 1 });
+  hsv_reply_data (d->hsv, r->caller, pfm_results_encode (tmp, r));
+  hsv_reply_end (d->hsv, r->caller);
+  talloc_free (tmp);
+}
+
 static void
 _drv_act (drv_t *d, const fx_t *f)
 {
@@ -362,6 +367,9 @@
       g_hash_table_remove (d->sources, &f->reply.caller);
       hsv_reply_end (_drv_server (d, f->reply.caller), f->reply.caller);
       break;
+    case FX_REPLY_RESULTS:
+      _drv_reply_results (d, &f->results);
+      break;
     case FX_REPLY_ABORT:
       g_hash_table_remove (d->sources, &f->reply.caller);
       hsv_reply_abort (_drv_server (d, f->reply.caller), f->reply.caller);
@@ -516,6 +524,7 @@
           .seed = set->seed ? set->seed : (uint32_t)started,
           .operator_token_sha256 = set->operator_token_sha256,
           .source = set->hosted ? NODE_SOURCE_PLATFORM : NODE_SOURCE_SECTIONS,
+          .worker = set->listen == NULL,
           .data_centres = set->data_centres },
       st);
   if (d->node == NULL || !_drv_open (d, st))
