--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -13,6 +13,8 @@
 #define JOB_STALL_MS (2 * CLK_SECOND)
 /** An item that failed, or that no upstream took, waits so long. */
 #define JOB_AGAIN_MS 200
+/** An item that gave way waits so long. */
+#define JOB_YIELD_MS 100
 /** An item whose route is gone is given up after that. */
 #define JOB_ROUTE_GONE_MS (3 * CLK_SECOND)
 
@@ -40,6 +42,11 @@
 static void
 _job_run_end (job_set_t *j, env_t *env, job_run_t *run, rte_fail_t fail)
 {
+  const job_t *job = tbl_get (j->jobs, run->job);
+  tln_record (env->tln, env->now, MOD_JOB, "run-ended",
+              "job=%s item=%u upstream=%s event=%llu why=%d", job->rec->id,
+              run->item, run->upstream,
+              (unsigned long long)job->items[run->item].last_event, fail);
   upc_cancel (env, run->call);
   rte_failed (j->desc.routes, env, run->flight, fail);
   _job_run_free (j, run);
@@ -335,6 +342,8 @@
       if (room.slots == 0 || room.load < room.slots)
         continue;
       job_run_t *newest = _job_run_newest (j, run->upstream);
+      const job_t *job = tbl_get (j->jobs, newest->job);
+      job->items[newest->item].not_before = env->now + JOB_YIELD_MS;
       cnt_add (env->cnt, "rts_job_yields_total", "", 1);
       _job_run_end (j, env, newest, RTE_FAIL_CANCELLED);
     }
@@ -381,6 +390,9 @@
   job_t *job = tbl_get (j->jobs, run->job);
   if (up->not_run)
     {
+      tln_record (env->tln, env->now, MOD_JOB, "not-run",
+                  "job=%s item=%s upstream=%s status=%d", job->rec->id,
+                  job->rec->items[run->item].id, run->upstream, up->status);
       job->items[run->item].not_before = env->now + JOB_AGAIN_MS;
       _job_run_end (j, env, run, RTE_FAIL_CANCELLED);
       return;
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -51,6 +51,16 @@
   return others + own;
 }
 
+/** As rte_load, without a guess at what others have chosen since. */
+static uint32_t
+_rte_known_load (const rte_upstream_t *u, clk_ms_t now)
+{
+  uint32_t load = u->online + u->batch;
+  if (u->others_at > 0 && now - u->others_at < RTE_OTHERS_MS)
+    load += u->others;
+  return load;
+}
+
 double
 rte_slowness (const rte_upstream_t *u, clk_ms_t now)
 {
@@ -154,7 +164,10 @@
   if (u->slots == 0)
     return false;
   if (ask->spare > 0)
-    return load + ask->spare >= u->slots;
+    {
+      uint32_t known = _rte_known_load (u, env->now);
+      return (known > load ? known : load) + ask->spare >= u->slots;
+    }
   return ask->hold && load >= u->slots + r->desc.queue;
 }
 
@@ -272,5 +285,6 @@
   const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
   if (u == NULL)
     return (rte_room_t){ 0 };
-  return (rte_room_t){ .slots = u->slots, .load = rte_load (u, env->now) };
+  return (rte_room_t){ .slots = u->slots,
+                       .load = _rte_known_load (u, env->now) };
 }
