--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -38,7 +38,8 @@
   .options = _serve_options,
   .parser = _serve_option,
   .doc = "Serve callers, operators and peers as one VM of the fleet.\v"
-         "SIGTERM asks for a graceful shutdown: requests in progress finish.",
+         "SIGTERM asks for a graceful shutdown: requests in progress finish.  "
+         "SIGHUP has the settings read again.",
 };
 
 static void
@@ -53,8 +54,44 @@
   drv_leave (data);
 }
 
+/* What a change of the settings needs. */
+typedef struct
+{
+  const char *file;
+  drv_t *driver;
+} _serve_reload_t;
+
+static void
+_serve_log (const set_t *set)
+{
+  log_setup (&(log_desc_t){
+      .level = set->log_level, .json = set->log_json, .vm = set->name });
+}
+
+static void
+_serve_on_reload (struct tevent_context *loop, struct tevent_signal *signal,
+                  int number, int count, void *info, void *data)
+{
+  (void)loop;
+  (void)signal;
+  (void)number;
+  (void)count;
+  (void)info;
+  const _serve_reload_t *r = data;
+  char *faults = NULL;
+  const set_t *set = set_load (r->driver, r->file, &faults);
+  if (set == NULL)
+    {
+      g_warning ("the settings stay as they were: %s", faults);
+      return;
+    }
+  _serve_log (set);
+  drv_settings_changed (r->driver, set);
+  g_message ("settings read again");
+}
+
 static int
-_serve_run (void *ctx, const set_t *set)
+_serve_run (void *ctx, const set_t *set, const char *file)
 {
   struct tevent_context *loop = tevent_context_init (ctx);
   st_t st = { 0 };
@@ -66,8 +103,10 @@
     }
   tevent_add_signal (loop, d, SIGTERM, 0, _serve_on_signal, d);
   tevent_add_signal (loop, d, SIGINT, 0, _serve_on_signal, d);
+  _serve_reload_t reload = { .file = file, .driver = d };
+  tevent_add_signal (loop, d, SIGHUP, 0, _serve_on_reload, &reload);
   g_message ("vm %s in %s listens on %s", set->name, set->data_centre,
-             set->listen);
+             set->listen == NULL ? set->peer_listen : set->listen);
   while (!drv_done (d))
     {
       if (tevent_loop_once (loop) != 0)
@@ -93,9 +132,8 @@
     fputs (faults, stderr);
   else
     {
-      log_setup (&(log_desc_t){
-          .level = set->log_level, .json = set->log_json, .vm = set->name });
-      status = _serve_run (ctx, set);
+      _serve_log (set);
+      status = _serve_run (ctx, set, file);
     }
   talloc_free (ctx);
   return status;
--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -1,5 +1,7 @@
 #include "core/dir.h"
 
+#include "core/mpk.h"
+
 #include <string.h>
 #include <talloc.h>
 
@@ -9,15 +11,22 @@
 /** After trouble the platform counts as disturbed for this long. */
 #define DIR_CALM_MS (3 * CLK_SECOND)
 
-/* The two things that are read; also the tags of calls and timers. */
+/** A version that a peer has is asked for when it has not come by then. */
+#define DIR_WANT_MS 300
+
+/* The two things that are read; also the low bits of the tags of calls and
+ * timers, above which the epoch stands. */
 typedef enum
 {
   _DIR_DOCUMENT,
   _DIR_UPSTREAMS,
   _DIR_EXPIRY, /**< timer only */
+  _DIR_WANT,   /**< timer only */
   _DIR_READ_NUM = _DIR_EXPIRY
 } _dir_read_t;
 
+#define DIR_TAG_BITS 4
+
 /* An upstream as the platform's list has it. */
 typedef struct
 {
@@ -35,6 +44,11 @@
   char *after;                      /**< next page of the list; NULL: first */
   cfg_doc_t *operator_doc;          /**< without upstreams */
   uint64_t version;
+  buf_t raw;      /**< of the operator's document; owned */
+  char *had_by;   /**< a peer that has a newer version; NULL: none known */
+  uint64_t had;   /**< that version */
+  uint64_t epoch; /**< of reads: replies to earlier ones are dropped */
+  uint64_t stale; /**< plt_stale_count when the epoch began */
   GHashTable *entries; /**< name to _dir_entry_t */
   clk_ms_t failed_at;  /**< last failure of a call; CLK_NEVER: none */
   bool dirty;          /**< doc does not show what is known */
@@ -99,7 +113,7 @@
 {
   plt_call (env,
             &(plt_req_t){ .mod = MOD_DIRECTORY,
-                          .tag = what,
+                          .tag = d->epoch << DIR_TAG_BITS | what,
                           .op = what == _DIR_DOCUMENT ? FX_PLATFORM_DOCUMENT
                                                       : FX_PLATFORM_UPSTREAMS,
                           .name = "",
@@ -116,6 +130,87 @@
   _dir_ask (d, env, _DIR_UPSTREAMS);
 }
 
+/* -- peers ---------------------------------------------------------------- */
+
+static void
+_dir_send (const dir_t *d, env_t *env, const char *vm, uint16_t kind,
+           uint64_t version, const buf_t *raw)
+{
+  void *tmp = talloc_new (d);
+  mpk_writer_t w;
+  mpk_writer_init (&w, tmp);
+  mpk_put_uint (&w, version);
+  if (raw != NULL)
+    mpk_put_str (&w, *raw);
+  fx_send (env->fx, vm, kind, mpk_done (&w));
+  talloc_free (tmp);
+}
+
+/* Tell VM, or all peers, which version is in force. */
+static void
+_dir_tell (const dir_t *d, env_t *env, const char *vm)
+{
+  if (vm != NULL)
+    {
+      _dir_send (d, env, vm, MSG_DIRECTORY_HAVE, d->version, NULL);
+      return;
+    }
+  for (size_t i = 0; i < mbr_vm_count (d->desc.members); i++)
+    {
+      const mbr_vm_t *peer = mbr_vm_get (d->desc.members, i);
+      if (peer->up && !peer->self)
+        _dir_send (d, env, peer->name, MSG_DIRECTORY_HAVE, d->version, NULL);
+    }
+}
+
+/* The platform has not brought the version that a peer has. */
+static void
+_dir_want (dir_t *d, env_t *env)
+{
+  if (d->had_by != NULL && d->had > d->version)
+    _dir_send (d, env, d->had_by, MSG_DIRECTORY_WANT, d->version, NULL);
+  TALLOC_FREE (d->had_by);
+}
+
+static void
+_dir_heard (dir_t *d, env_t *env, const char *vm, uint64_t version)
+{
+  if (version <= d->version || (d->had_by != NULL && version <= d->had))
+    return;
+  if (d->had_by == NULL)
+    tmr_arm (env->tmr, env->now + DIR_WANT_MS, MOD_DIRECTORY, _DIR_WANT);
+  talloc_free (d->had_by);
+  d->had_by = talloc_strdup (d, vm);
+  d->had = version;
+}
+
+void
+dir_peer_up (dir_t *d, env_t *env, const char *vm)
+{
+  if (d->version != 0)
+    _dir_tell (d, env, vm);
+}
+
+void
+dir_message_received (dir_t *d, env_t *env, const char *vm, const msg_t *msg)
+{
+  void *tmp = talloc_new (d);
+  mpk_reader_t r = mpk_reader (tmp, msg->body);
+  uint64_t version = mpk_get_uint (&r);
+  buf_t raw = { 0 };
+  if (msg->kind == MSG_DIRECTORY_DOCUMENT)
+    raw = mpk_get_str (&r);
+  if (!mpk_end (&r))
+    cnt_add (env->cnt, "rts_directory_bad_messages_total", "", 1);
+  else if (msg->kind == MSG_DIRECTORY_HAVE)
+    _dir_heard (d, env, vm, version);
+  else if (msg->kind == MSG_DIRECTORY_WANT && version < d->version)
+    _dir_send (d, env, vm, MSG_DIRECTORY_DOCUMENT, d->version, &d->raw);
+  else if (msg->kind == MSG_DIRECTORY_DOCUMENT && version > d->version)
+    fx_push (env->fx, &(fx_t){ .kind = FX_DOCUMENT_DECODE, .document = raw });
+  talloc_free (tmp);
+}
+
 /* -- the document --------------------------------------------------------- */
 
 static void
@@ -141,11 +236,23 @@
     }
   talloc_free (d->operator_doc);
   d->operator_doc = talloc_steal (d, doc);
+  d->raw = buf_copy (doc, document->raw);
   d->version = document->version;
+  _dir_tell (d, env, NULL);
   d->dirty = true;
   talloc_free (tmp);
 }
 
+void
+dir_document_decoded (dir_t *d, env_t *env, const ev_document_t *document)
+{
+  uint64_t before = d->version;
+  _dir_document_take (d, env, document);
+  if (d->version != before)
+    tln_record (env->tln, env->now, MOD_DIRECTORY, "document-from-peer",
+                "version=%llu", (unsigned long long)d->version);
+}
+
 /* -- the list of upstreams ------------------------------------------------ */
 
 /* Until when an entry is used that has gone now. */
@@ -275,25 +382,25 @@
 static void
 _dir_failed (dir_t *d, env_t *env, _dir_read_t what, st_code_t code)
 {
+  /* The pump reads all anew. */
   if (code == ST_STALE)
-    d->revision[what] = 0;
-  else
-    d->failed_at = env->now;
+    return;
+  d->failed_at = env->now;
   if (what == _DIR_UPSTREAMS)
     TALLOC_FREE (d->after);
   cnt_add (env->cnt, "rts_directory_failures_total", "", 1);
-  if (code == ST_STALE)
-    _dir_ask (d, env, what);
-  else
-    tmr_arm (env->tmr, env->now + env_jitter (env, d->desc.retry_ms),
-             MOD_DIRECTORY, what);
+  tmr_arm (env->tmr, env->now + env_jitter (env, d->desc.retry_ms),
+           MOD_DIRECTORY, d->epoch << DIR_TAG_BITS | what);
 }
 
 void
 dir_platform_replied (dir_t *d, env_t *env, const plt_done_t *done,
                       const ev_platform_t *reply)
 {
-  _dir_read_t what = (_dir_read_t)done->tag;
+  _dir_read_t what
+      = (_dir_read_t)(done->tag & (((uint64_t)1 << DIR_TAG_BITS) - 1));
+  if (done->tag >> DIR_TAG_BITS != d->epoch)
+    return;
   if (reply->code != ST_OK)
     {
       _dir_failed (d, env, what, reply->code);
@@ -312,10 +419,30 @@
 void
 dir_timer_fired (dir_t *d, env_t *env, uint64_t tag)
 {
-  if (tag == _DIR_EXPIRY)
+  _dir_read_t what = (_dir_read_t)(tag & (((uint64_t)1 << DIR_TAG_BITS) - 1));
+  if (what == _DIR_EXPIRY)
     _dir_expire (d, env);
-  else
-    _dir_ask (d, env, (_dir_read_t)tag);
+  else if (what == _DIR_WANT)
+    _dir_want (d, env);
+  else if (tag >> DIR_TAG_BITS == d->epoch)
+    _dir_ask (d, env, what);
+}
+
+void
+dir_pump (dir_t *d, env_t *env)
+{
+  uint64_t stale = plt_stale_count (env->plt);
+  if (stale == d->stale)
+    return;
+  /* Any watch may have missed changes, also one that still waits. */
+  d->stale = stale;
+  d->epoch++;
+  d->revision[_DIR_DOCUMENT] = 0;
+  d->revision[_DIR_UPSTREAMS] = 0;
+  TALLOC_FREE (d->after);
+  tln_record (env->tln, env->now, MOD_DIRECTORY, "read-anew", "%s",
+              "the platform has lost its history");
+  dir_start (d, env);
 }
 
 /* -- the result ----------------------------------------------------------- */
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -10,8 +10,10 @@
  *
  * One waiting call for each of the two; after a failure or a lost history the
  * whole is read again.  A document of a lower version than the one in force is
- * ignored.  An entry that disappears within a while of the platform's own
- * trouble stays in use until it has had time to be written again.
+ * ignored.  Peers tell each other which version they have, so that one that
+ * the platform does not serve has it from them.  An entry that disappears
+ * within a while of the platform's own trouble stays in use until it has had
+ * time to be written again.
  *
  * Not for fleets whose operators write sections through a VM: see cfs.h.
  */
@@ -20,10 +22,21 @@
 
 #include "core/cfg.h"
 #include "core/env.h"
+#include "core/mbr.h"
+
+/** Kinds of message. */
+typedef enum
+{
+  MSG_DIRECTORY_HAVE = MSG_DIRECTORY_FIRST, /**< u64 version in force */
+  MSG_DIRECTORY_WANT,     /**< u64 version that the sender has */
+  MSG_DIRECTORY_DOCUMENT, /**< u64 version, str document as the platform gave
+                               it */
+} dir_msg_t;
 
 /** How to set the directory up; zeros mean the defaults. */
 typedef struct
 {
+  mbr_t *members;                  /**< required */
   const char *const *data_centres; /**< of the fleet, ends with NULL; copied */
   clk_ms_t wait_ms;   /**< longest wait of a call for news; default 20 s */
   clk_ms_t retry_ms;  /**< after a failure; default 250 ms */
@@ -52,6 +65,18 @@
 /** Whether dir_doc is another one than at the last call. */
 bool dir_changed (dir_t *d, env_t *env);
 
+/** Read anew when the platform has lost its history. */
+void dir_pump (dir_t *d, env_t *env);
+
+/** A link to VM has come. */
+void dir_peer_up (dir_t *d, env_t *env, const char *vm);
+void dir_message_received (dir_t *d, env_t *env, const char *vm,
+                           const msg_t *msg);
+
+/** A document that a peer has passed on was decoded; NULL: it was not. */
+void dir_document_decoded (dir_t *d, env_t *env,
+                           const ev_document_t *document);
+
 void dir_timer_fired (dir_t *d, env_t *env, uint64_t tag);
 void dir_platform_replied (dir_t *d, env_t *env, const plt_done_t *done,
                            const ev_platform_t *reply);
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -28,6 +28,7 @@
   EV_PEER_UP,       /**< a link to a peer is open and proven */
   EV_PEER_DOWN,     /**< that link is gone */
   EV_PEER_MSG,      /**< a message over it */
+  EV_DOCUMENT,      /**< what FX_DOCUMENT_DECODE asked for */
   EV_LEAVE,         /**< graceful shutdown has been asked for */
   EV_NUM
 } ev_kind_t;
@@ -151,6 +152,7 @@
 {
   uint64_t version;       /**< larger in each newer document */
   const cfg_doc_t *parts; /**< arrays for cfg_doc_assemble; no upstreams */
+  buf_t raw; /**< the document as the platform gave it, for peers */
 } ev_document_t;
 
 /** Outcome of a platform call. */
@@ -185,11 +187,12 @@
   ev_kind_t kind;
   union
   {
-    ev_request_t request;   /**< EV_REQUEST */
-    uint64_t caller;        /**< EV_CALLER_GONE */
-    ev_upstream_t upstream; /**< EV_UPSTREAM_* */
-    ev_platform_t platform; /**< EV_PLATFORM */
-    ev_peer_t peer;         /**< EV_PEER_* */
+    ev_request_t request;          /**< EV_REQUEST */
+    uint64_t caller;               /**< EV_CALLER_GONE */
+    ev_upstream_t upstream;        /**< EV_UPSTREAM_* */
+    ev_platform_t platform;        /**< EV_PLATFORM */
+    ev_peer_t peer;                /**< EV_PEER_* */
+    const ev_document_t *document; /**< EV_DOCUMENT; NULL: not readable */
   };
 } ev_t;
 
--- a/src/core/fx.c
+++ b/src/core/fx.c
@@ -88,6 +88,9 @@
     case FX_REPLY_RESULTS:
       _fx_copy_results (fx, &copy->results);
       break;
+    case FX_DOCUMENT_DECODE:
+      copy->document = buf_copy (fx->pool, f->document);
+      break;
     case FX_UPSTREAM_CALL:
       _fx_copy_upstream (fx, &copy->upstream);
       break;
--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -25,8 +25,9 @@
   FX_REPLY_HEAD,      /**< begin the answer to a caller */
   FX_REPLY_DATA,      /**< bytes of its body */
   FX_REPLY_END,       /**< the answer is whole */
-  FX_REPLY_RESULTS,   /**< a whole answer: results of a batch job */
   FX_REPLY_ABORT,     /**< close so that the caller sees it is not whole */
+  FX_REPLY_RESULTS,   /**< a whole answer: results of a batch job */
+  FX_DOCUMENT_DECODE, /**< decode a document that a peer has passed on */
   FX_UPSTREAM_CALL,   /**< send a request to an upstream */
   FX_UPSTREAM_CANCEL, /**< stop it; no further event for the call comes */
   FX_PLATFORM,        /**< call the platform */
@@ -135,6 +136,7 @@
     fx_upstream_t upstream; /**< FX_UPSTREAM_* */
     fx_platform_t platform; /**< FX_PLATFORM */
     fx_peer_t peer;         /**< FX_PEER_* */
+    buf_t document;         /**< FX_DOCUMENT_DECODE: as ev_document_t.raw */
   };
 } fx_t;
 
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -16,14 +16,15 @@
 /** Kinds of message, in blocks of 16 a module. */
 typedef enum
 {
-  MSG_CONFIG_FIRST = 16, /**< cfs: 16 to 23 */
-  MSG_KEY_FIRST = 24,    /**< key: 24 to 31 */
-  MSG_MEMBER_FIRST = 32, /**< mbr: 32 to 47 */
-  MSG_LIMIT_FIRST = 48,  /**< lim: 48 to 63 */
-  MSG_ROUTE_FIRST = 64,  /**< rte: 64 to 79 */
-  MSG_BATCH_FIRST = 80,  /**< bat, crd: 80 to 95 */
-  MSG_JOB_FIRST = 96,    /**< job: 96 to 111 */
-  MSG_LAST = 112
+  MSG_CONFIG_FIRST = 16,     /**< cfs: 16 to 23 */
+  MSG_KEY_FIRST = 24,        /**< key: 24 to 31 */
+  MSG_MEMBER_FIRST = 32,     /**< mbr: 32 to 47 */
+  MSG_LIMIT_FIRST = 48,      /**< lim: 48 to 63 */
+  MSG_ROUTE_FIRST = 64,      /**< rte: 64 to 79 */
+  MSG_BATCH_FIRST = 80,      /**< bat, crd: 80 to 95 */
+  MSG_JOB_FIRST = 96,        /**< job: 96 to 111 */
+  MSG_DIRECTORY_FIRST = 112, /**< dir: 112 to 119 */
+  MSG_LAST = 120
 } msg_block_t;
 
 /** Largest body, in bytes. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -182,6 +182,9 @@
     case EV_PEER_MSG:
       _node_message (n, &ev->peer);
       break;
+    case EV_DOCUMENT:
+      dir_document_decoded (n->dir, n->env, ev->document);
+      break;
     case EV_LEAVE:
       _node_fire (n, _NODE_EV_LEAVE);
       break;
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -69,7 +69,8 @@
       n, &(mbr_desc_t){ .announce = platform, .worker = desc->worker });
   if (platform)
     n->dir
-        = dir_setup (n, &(dir_desc_t){ .data_centres = desc->data_centres });
+        = dir_setup (n, &(dir_desc_t){ .members = n->mbr,
+                                       .data_centres = desc->data_centres });
   n->cfs = cfs_setup (n, env, &(cfs_desc_t){ .members = n->mbr });
   n->keys = key_setup (n, &(key_desc_t){ .peers = cfs_peers (n->cfs) });
   n->lim = lim_setup (n, &(lim_desc_t){ .members = n->mbr });
@@ -240,6 +241,8 @@
     return MOD_LIMIT;
   if (kind < MSG_BATCH_FIRST)
     return MOD_ROUTE;
+  if (kind >= MSG_DIRECTORY_FIRST)
+    return MOD_DIRECTORY;
   if (kind >= MSG_JOB_FIRST)
     return MOD_JOB;
   return crd_owns_message (kind) ? MOD_CREDIT : MOD_BATCH;
@@ -269,6 +272,10 @@
     case MOD_CREDIT:
       crd_message_received (n->crd, env, vm, msg);
       break;
+    case MOD_DIRECTORY:
+      if (n->dir != NULL)
+        dir_message_received (n->dir, env, vm, msg);
+      break;
     case MOD_JOB:
       job_message_received (n->job, env, vm, msg);
       break;
@@ -321,7 +328,10 @@
       g_hash_table_add (n->linked, g_strdup (vm));
       mbr_peer_up (n->mbr, n->env, vm);
       if (n->source == NODE_SOURCE_PLATFORM)
-        return;
+        {
+          dir_peer_up (n->dir, n->env, vm);
+          return;
+        }
       cfs_peer_up (n->cfs, n->env, vm);
       key_peer_up (n->keys, n->env, vm);
       return;
@@ -505,6 +515,8 @@
       _node_members_changed (n);
     }
   opr_drain (n->opr, n->env);
+  if (n->dir != NULL)
+    dir_pump (n->dir, n->env);
   bool changed
       = n->dir != NULL ? dir_changed (n->dir, n->env) : cfs_changed (n->cfs);
   if (changed)
--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -19,6 +19,7 @@
   tbl_t *calls; /**< of plt_done_t */
   double tokens;
   clk_ms_t filled_at;
+  uint64_t stale;  /**< replies with ST_STALE */
   unsigned errors; /**< in a row */
   clk_ms_t open_until;
   plt_done_t *refused;
@@ -107,6 +108,7 @@
 _plt_note_outcome (env_t *env, st_code_t code)
 {
   plt_t *p = env->plt;
+  p->stale += code == ST_STALE;
   if (code != ST_UNAVAILABLE && code != ST_UNKNOWN)
     {
       p->errors = 0;
@@ -146,6 +148,12 @@
   return true;
 }
 
+uint64_t
+plt_stale_count (const plt_t *p)
+{
+  return p->stale;
+}
+
 bool
 plt_available (const plt_t *p)
 {
--- a/src/core/plt.h
+++ b/src/core/plt.h
@@ -76,6 +76,10 @@
 /** Take one call that was refused on the spot; false when there is none. */
 bool plt_refused_pop (struct env *env, plt_done_t *done);
 
+/** How often the platform has said that it has lost the history that a watch
+ * asked for: others may have missed changes without being told. */
+uint64_t plt_stale_count (const plt_t *p);
+
 /** Whether the last calls say that the platform answers. */
 bool plt_available (const plt_t *p);
 
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -7,6 +7,7 @@
 #include "platform/pfm.h"
 
 #include <glib.h>
+#include <string.h>
 #include <talloc.h>
 #include <time.h>
 
@@ -121,6 +122,7 @@
     case EV_TIMER:
     case EV_CALLER_GONE:
     case EV_PLATFORM:
+    case EV_DOCUMENT:
     case EV_LEAVE:
     case EV_NUM:
       break;
@@ -348,6 +350,13 @@
   talloc_free (tmp);
 }
 
+static void
+_drv_document_decode (drv_t *d, buf_t raw)
+{
+  _drv_queued_t *q = _drv_queue (d, &(ev_t){ .kind = EV_DOCUMENT });
+  q->ev.document = pfm_document_parse (q, raw);
+}
+
 static void
 _drv_act (drv_t *d, const fx_t *f)
 {
@@ -383,6 +392,9 @@
     case FX_PLATFORM:
       _drv_platform_start (d, &f->platform);
       break;
+    case FX_DOCUMENT_DECODE:
+      _drv_document_decode (d, f->document);
+      break;
     case FX_PEER_SEND:
       lnk_send (d->lnk, f->peer.vm, &f->peer.msg);
       break;
@@ -542,6 +554,29 @@
   talloc_free (d);
 }
 
+static void
+_drv_needs_start (const char *key, const char *old, const char *new)
+{
+  if (g_strcmp0 (old, new) != 0)
+    g_warning ("settings: %s has changed from '%s' to '%s'; that needs a new "
+               "start",
+               key, old == NULL ? "" : old, new == NULL ? "" : new);
+}
+
+void
+drv_settings_changed (drv_t *d, const set_t *set)
+{
+  const set_t *old = d->desc.set;
+  _drv_needs_start ("name", old->name, set->name);
+  _drv_needs_start ("data_centre", old->data_centre, set->data_centre);
+  _drv_needs_start ("listen", old->listen, set->listen);
+  _drv_needs_start ("ready_listen", old->ready_listen, set->ready_listen);
+  _drv_needs_start ("peer_listen", old->peer_listen, set->peer_listen);
+  if (strcmp (old->platform, set->platform) != 0)
+    g_message ("settings: the platform is at %s now", set->platform);
+  d->desc.set = set;
+}
+
 void
 drv_leave (drv_t *d)
 {
--- a/src/io/drv.h
+++ b/src/io/drv.h
@@ -31,6 +31,10 @@
 /** Close everything. */
 void drv_shutdown (drv_t *d);
 
+/** Go by SET from now on, where that needs no new start: the platform's
+ * address.  What else differs is logged.  SET lives as long as the driver. */
+void drv_settings_changed (drv_t *d, const set_t *set);
+
 /** Ask for a graceful shutdown. */
 void drv_leave (drv_t *d);
 
--- a/tests/flt.c
+++ b/tests/flt.c
@@ -146,6 +146,9 @@
     case FX_REPLY_ABORT:
       _flt_reply (f, e);
       break;
+    case FX_REPLY_RESULTS:
+    case FX_DOCUMENT_DECODE:
+      break; /* of nodes that the platform configures; not in this fleet */
     case FX_UPSTREAM_CALL:
       flt_upstream_call (f, vm, &e->upstream);
       break;
--- a/tests/flt_platform.c
+++ b/tests/flt_platform.c
@@ -168,6 +168,8 @@
         return false;
       break;
     case FX_PLATFORM_VMS:
+    case FX_PLATFORM_DOCUMENT:
+    case FX_PLATFORM_UPSTREAMS:
       break;
     }
   reply->objects = w.v;
