--- a/src/cmd/log.c
+++ b/src/cmd/log.c
@@ -10,6 +10,7 @@
 {
   log_desc_t desc;
   GLogLevelFlags most; /**< the least urgent level that is written */
+  bool writing;        /**< the writer is set */
 } _log;
 
 static const char *
@@ -88,5 +89,8 @@
       if (desc->level != NULL && strcmp (levels[i].name, desc->level) == 0)
         _log.most = levels[i].level;
     }
-  g_log_set_writer_func (_log_write, NULL, NULL);
+  /* GLib takes the writer once in a process's life. */
+  if (!_log.writing)
+    g_log_set_writer_func (_log_write, NULL, NULL);
+  _log.writing = true;
 }
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -209,7 +209,7 @@
 
 /* job_list.c */
 /** The outcome of an item is known: bring it to the record. */
-void job_decide (job_set_t *j, env_t *env, job_t *job, uint32_t item,
+void job_decide (job_set_t *j, env_t *env, job_t *job, uint32_t index,
                  bool completed);
 void job_list_step (job_set_t *j, env_t *env, job_t *job);
 void job_list_replied (job_set_t *j, env_t *env, const job_op_t *op,
--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -470,6 +470,7 @@
       mpk_put_str (&w, buf_str (v->data_centre));
       mpk_put_str (&w, buf_str (v->address));
       mpk_put_uint (&w, v->leaving);
+      mpk_put_uint (&w, v->worker);
     }
   buf_t body = mpk_done (&w);
   fx_send (env->fx, vm, MSG_MEMBER_LIST, body);
@@ -492,6 +493,7 @@
       v->data_centre = mpk_get_str (r).p;
       v->address = mpk_get_str (r).p;
       v->leaving = mpk_get_uint (r) != 0;
+      v->worker = mpk_get_uint (r) != 0;
     }
   if (!mpk_end (r))
     {
--- a/tests/process/operator.sh
+++ b/tests/process/operator.sh
@@ -73,3 +73,18 @@
   fleet_command config show >"$fleet_dir/shown" 2>&1 || fail "no document"
   ! grep -q '^\[customer bad\]' "$fleet_dir/shown" || fail "it is in force"
 }
+
+# SIGHUP, more than once: the settings are read again and nothing is cut.
+test_settings_read_again ()
+{
+  stream_start "$a" 200 || fail "the stream did not start"
+  local n
+  for n in 1 2 3; do
+    fleet_kill "$a" HUP
+    fleet_until logged_times "$a" "settings read again" "$n" \
+      || fail "signal $n had no effect"
+  done
+  fleet_gone stream || fail "the stream was cut"
+  stream_is_whole || fail "the stream is not whole"
+  complete_own "$a" "after the signals" || fail "not served"
+}
--- a/tests/process/support.sh
+++ b/tests/process/support.sh
@@ -107,3 +107,9 @@
     fleet_counts "$name" | grep -q '"running":0,"waiting":0' || return 1
   done
 }
+
+# logged_times VM TEXT COUNT: VM's log has TEXT so often.
+logged_times ()
+{
+  [ "$(grep -c "$2" "$fleet_dir/$1.log")" -ge "$3" ]
+}
