--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -84,6 +84,8 @@
 lim_sync (lim_t *l, env_t *env)
 {
   clk_ms_t since;
+  if ((lsh_rights (l->shares) & LSH_SHORT) == 0)
+    l->weak_until = env->now + l->desc.slack.window_ms;
   if (!lsh_step (l->shares, env, &since))
     return;
   bool fill = !l->minted && lsh_rights (l->shares) != 0
@@ -373,6 +375,20 @@
   return LIM_REFUSED;
 }
 
+/* Without a mint right, or shortly after it came: use the slack. */
+static bool
+_lim_slack_take (const lim_t *l, const env_t *env, lim_customer_t *c)
+{
+  const mbr_t *m = l->desc.members;
+  size_t vms = 0;
+  if (env->now >= l->weak_until || mbr_listed_at (m) == CLK_NEVER)
+    return false;
+  for (size_t i = 0; i < mbr_vm_count (m); i++)
+    vms += !mbr_vm_get (m, i)->worker;
+  return lsl_take (&c->slack, &l->desc.slack, env->now,
+                   lsl_part (&l->desc.slack, c->rate, c->burst, vms));
+}
+
 lim_verdict_t
 lim_admit (lim_t *l, env_t *env, mbr_t *m, const char *customer, uint64_t tag,
            clk_ms_t *retry_after)
@@ -391,6 +407,11 @@
       lim_balance (l, env, c);
       return LIM_ADMITTED;
     }
+  if (_lim_slack_take (l, env, c))
+    {
+      _lim_count (env, "verdict=\"admitted\",by=\"slack\"");
+      return LIM_ADMITTED;
+    }
   if (c->waiter_count == 0 && env->now < c->denied_until)
     return _lim_refuse (env, c->denied_until - env->now, retry_after);
   if (c->waiter_count == l->desc.waiters_max)
--- a/src/core/lim.h
+++ b/src/core/lim.h
@@ -12,7 +12,8 @@
  * place (lim_share.h) and what is held or lent fills one bucket
  * (lim_bucket.h).  Seldom less: before a refusal a VM asks the customer's
  * other minters, first one of its own data centre, then all.  Message loss,
- * restarts and freezes lose tokens, never make any.
+ * restarts and freezes lose tokens, never make any.  A VM without a mint right
+ * uses its part of the slack (lim_slack.h), where there is some.
  */
 #ifndef RTS_LIM_H
 #define RTS_LIM_H
@@ -21,6 +22,7 @@
 #include "core/env.h"
 #include "core/lim_bucket.h"
 #include "core/lim_share.h"
+#include "core/lim_slack.h"
 #include "core/mbr.h"
 
 /** Kinds of message; amounts in millionths of a token. */
@@ -47,6 +49,7 @@
   mbr_t *members;     /**< required */
   clk_ms_t loan_ms;   /**< life of a loan; default 1 s */
   clk_ms_t ask_ms;    /**< longest wait for a grant, twice; default 40 ms */
+  lsl_desc_t slack;   /**< what may be exceeded; default: nothing */
   size_t waiters_max; /**< pending requests of a customer; default 1,024 */
   lsh_desc_t shares;  /**< its members are set here */
 } lim_desc_t;
--- a/src/core/lim_int.h
+++ b/src/core/lim_int.h
@@ -49,6 +49,7 @@
   double rate;
   double burst;
   lbk_t *bucket;
+  lsl_t slack;
   lim_stage_t stage;
   uint64_t *waiters; /* tags, oldest first */
   size_t waiter_count;
@@ -78,7 +79,8 @@
   uint64_t seq;
   uint64_t config; /* grows with each document */
   bool leaving;
-  bool minted; /* had a right to since it started */
+  bool minted;         /* had a right to since it started */
+  clk_ms_t weak_until; /* slack may be used until then */
   lim_answer_t *answers;
   size_t answer_first;
   size_t answer_count;
--- /dev/null
+++ b/src/core/lim_slack.c
@@ -0,0 +1,30 @@
+#include "core/lim_slack.h"
+
+/** Of the excess: the rest is for requests that bunch up on their way, and
+ * for VMs that start again within a window. */
+#define LSL_USED_SHARE 0.6
+
+double
+lsl_part (const lsl_desc_t *desc, double rate, double burst, size_t vms)
+{
+  if (vms == 0 || desc->window_ms == 0)
+    return 0;
+  double allowed = rate * (double)desc->window_ms / CLK_SECOND + burst;
+  double excess = desc->overshoot * allowed + desc->requests;
+  return LSL_USED_SHARE * excess / (double)vms;
+}
+
+bool
+lsl_take (lsl_t *s, const lsl_desc_t *desc, clk_ms_t now, double part)
+{
+  while (s->count > 0 && now - s->at[s->first] >= desc->window_ms)
+    {
+      s->first = (s->first + 1) % LSL_USES_MAX;
+      s->count--;
+    }
+  if ((double)(s->count + 1) > part || s->count == LSL_USES_MAX)
+    return false;
+  s->at[(s->first + s->count) % LSL_USES_MAX] = now;
+  s->count++;
+  return true;
+}
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -14,6 +14,7 @@
 
 #include "core/env.h"
 #include "core/ev.h"
+#include "core/lim_slack.h"
 
 /** Where a node's configuration comes from. */
 typedef enum
@@ -34,6 +35,7 @@
   clk_ms_t unix_offset_ms; /**< Unix time less the driver's; for due times */
   const char *operator_token_sha256; /**< lower-case hex; NULL: no operators */
   node_source_t source;
+  lsl_desc_t limit_slack;          /**< what rates may be exceeded by */
   bool worker;                     /**< takes no requests of callers */
   const char *const *data_centres; /**< SOURCE_PLATFORM: of the fleet, ends
                                         with NULL */
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -73,7 +73,8 @@
                                        .data_centres = desc->data_centres });
   n->cfs = cfs_setup (n, env, &(cfs_desc_t){ .members = n->mbr });
   n->keys = key_setup (n, &(key_desc_t){ .peers = cfs_peers (n->cfs) });
-  n->lim = lim_setup (n, &(lim_desc_t){ .members = n->mbr });
+  n->lim = lim_setup (
+      n, &(lim_desc_t){ .members = n->mbr, .slack = desc->limit_slack });
   n->rte = rte_setup (
       n, &(rte_desc_t){ .members = n->mbr, .no_reports = platform });
   n->crd = crd_setup (n, &(crd_desc_t){ 0 });
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -197,8 +197,8 @@
   rpl_error_t error = *e;
   char labels[64];
   error.run = r->may_have_run ? RPL_UNKNOWN : RPL_NOT_RUN;
-  /* 429 and 503 promise that it has not run. */
-  if (r->may_have_run && !r->idempotent
+  /* Without a record 429 and 503 promise that it has not run. */
+  if (r->may_have_run && !r->idempotent && !r->recorded
       && (error.status == 429 || error.status == 503))
     error.status = 502;
   g_snprintf (labels, sizeof labels, "code=\"%s\"", e->code);
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -537,6 +537,9 @@
           .operator_token_sha256 = set->operator_token_sha256,
           .source = set->hosted ? NODE_SOURCE_PLATFORM : NODE_SOURCE_SECTIONS,
           .worker = set->listen == NULL,
+          .limit_slack = { .window_ms = set->limit_window_ms,
+                           .overshoot = set->limit_overshoot,
+                           .requests = set->limit_requests },
           .data_centres = set->data_centres },
       st);
   if (d->node == NULL || !_drv_open (d, st))
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -27,8 +27,9 @@
   { "vm", "data_folder" },   { "vm", "seed" },
   { "platform", "address" }, { "platform", "configuration" },
   { "vm", "data_centres" },  { "vm", "ready_listen" },
-  { "vm", "network" },       { "log", "level" },
-  { "log", "format" },
+  { "vm", "network" },       { "limits", "window_s" },
+  { "limits", "overshoot" }, { "limits", "requests" },
+  { "log", "level" },        { "log", "format" },
 };
 
 #define _SET_KEY_COUNT (sizeof _set_keys / sizeof _set_keys[0])
@@ -173,6 +174,33 @@
     _set_fault (l, "log", "format", "text or json");
 }
 
+/* A number from 0 to MOST; 0 when absent. */
+static double
+_set_number (_set_load_t *l, const char *key, double most,
+             const char *expected)
+{
+  const char *text = _set_get (l, "limits", key);
+  char *end = NULL;
+  if (text == NULL || text[0] == '\0')
+    return 0;
+  double value = g_ascii_strtod (text, &end);
+  if (*end == '\0' && value >= 0 && value <= most)
+    return value;
+  _set_fault (l, "limits", key, expected);
+  return 0;
+}
+
+static void
+_set_read_limits (_set_load_t *l)
+{
+  double window = _set_number (l, "window_s", 3600, "seconds, from 0 to 3600");
+  l->set->limit_window_ms = (int64_t)(window * 1000);
+  l->set->limit_overshoot
+      = _set_number (l, "overshoot", 1, "a share, from 0 to 1");
+  l->set->limit_requests
+      = _set_number (l, "requests", 1e6, "requests, from 0 to 1000000");
+}
+
 static void
 _set_read_seed (_set_load_t *l)
 {
@@ -251,6 +279,7 @@
   _set_read_data_centres (l);
   _set_read_secrets (l);
   _set_read_log (l);
+  _set_read_limits (l);
   _set_read_seed (l);
 }
 
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -35,7 +35,10 @@
   const char *platform;              /**< "IP:PORT" */
   bool hosted; /**< the platform's operator writes the configuration, and
                     callers and upstreams speak the platform's protocol */
-  const char *log_level; /**< debug, info, warning or error */
+  int64_t limit_window_ms; /**< 0: rates are never exceeded */
+  double limit_overshoot;  /**< share by which they may be in a window */
+  double limit_requests;   /**< and requests besides */
+  const char *log_level;   /**< debug, info, warning or error */
   bool log_json;
   uint32_t seed; /**< 0: from the clock */
 } set_t;
