--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -81,6 +81,7 @@
   clk_ms_t stall_ms;      /**< longest silence in the body; 0: no bound */
   clk_ms_t total_ms;      /**< longest time in all; 0: no bound */
   bool fresh_connection;  /**< do not reuse an open one */
+  bool report;            /**< asks for the load; the path is our own */
   const char *upstream;   /**< who must have the address; NULL: anyone */
   const char *host;       /**< that the caller asked; NULL: the address */
   const char *customer;   /**< NULL: none */
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -7,6 +7,8 @@
 #include <talloc.h>
 
 #define NODE_BATCH_PATH "/v1/batches"
+/* Between load reports, where each is paid for. */
+#define NODE_REPORT_MS 500
 
 /* -- status --------------------------------------------------------------- */
 
@@ -76,7 +78,9 @@
   n->lim = lim_setup (
       n, &(lim_desc_t){ .members = n->mbr, .slack = desc->limit_slack });
   n->rte = rte_setup (
-      n, &(rte_desc_t){ .members = n->mbr, .no_reports = platform });
+      n, &(rte_desc_t){ .members = n->mbr,
+                        .report_ms = platform ? NODE_REPORT_MS : 0,
+                        .no_cache_events = platform });
   n->crd = crd_setup (n, &(crd_desc_t){ 0 });
   n->bat
       = bat_setup (n, &(bat_desc_t){ .credits = n->crd,
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -36,7 +36,8 @@
   MSG_ROUTE_USE = MSG_ROUTE_FIRST,
   /** Poller to VM, the answer: for each upstream of the use message: str
    * upstream, u64 VMs that use it, u64 in flight of the others, u64 state
-   * bits, u64 report's age (ms), u64 running, u64 waiting, u64 slots, u64
+   * bits, u64 report's age (ms), u64 running, u64 waiting, u64 hidden, u64
+   * slots, u64
    * cache events up to here, u64 count of events, then for each: u64 added,
    * u64 prefix. */
   MSG_ROUTE_REPORT = MSG_ROUTE_FIRST + 1,
@@ -58,7 +59,7 @@
   clk_ms_t suspect_ms;     /**< first time out of use after a failure;
                                 doubles; default 500 */
   clk_ms_t suspect_max_ms; /**< default 15 s */
-  bool no_reports;         /**< upstreams do not answer polls */
+  bool no_cache_events;    /**< upstreams are not asked for these */
 } rte_desc_t;
 
 /** What is asked for. */
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -10,6 +10,8 @@
 
 /** A sum told by the poller is not used for longer than this. */
 #define RTE_OTHERS_MS (2 * CLK_SECOND)
+/** Requests that only a report shows count for so long after it. */
+#define RTE_HIDDEN_MS (2 * CLK_SECOND)
 /** Most other VMs that are taken to choose alike between two reports. */
 #define RTE_ALIKE_MAX 7
 /** How fast an upstream's slowness is forgotten without new answers. */
@@ -32,6 +34,12 @@
   bool queued;
 } rte_candidate_t;
 
+static uint32_t
+_rte_hidden (const rte_upstream_t *u, clk_ms_t now)
+{
+  return now - u->report_at < RTE_HIDDEN_MS ? u->hidden : 0;
+}
+
 uint32_t
 rte_load (const rte_upstream_t *u, clk_ms_t now)
 {
@@ -41,7 +49,8 @@
       /* Other VMs had the same figures and have chosen likewise since. */
       double alike = fmin (fmax (u->users, 1) - 1, RTE_ALIKE_MAX);
       double drift = alike * ((double)own - (double)u->own_told);
-      return (uint32_t)fmax (u->others + drift, 0) + own;
+      return (uint32_t)fmax (u->others + drift, 0) + own
+             + _rte_hidden (u, now);
     }
   if ((u->state & RTE_BIT_REPORTED) == 0)
     return own;
@@ -51,11 +60,10 @@
   return others + own;
 }
 
-/** As rte_load, without a guess at what others have chosen since. */
-static uint32_t
-_rte_known_load (const rte_upstream_t *u, clk_ms_t now)
+uint32_t
+rte_known_load (const rte_upstream_t *u, clk_ms_t now)
 {
-  uint32_t load = u->online + u->batch;
+  uint32_t load = u->online + u->batch + _rte_hidden (u, now);
   if (u->others_at > 0 && now - u->others_at < RTE_OTHERS_MS)
     load += u->others;
   return load;
@@ -165,7 +173,7 @@
     return false;
   if (ask->spare > 0)
     {
-      uint32_t known = _rte_known_load (u, env->now);
+      uint32_t known = rte_known_load (u, env->now);
       return (known > load ? known : load) + ask->spare >= u->slots;
     }
   return ask->hold && load >= u->slots + r->desc.queue;
@@ -286,5 +294,5 @@
   if (u == NULL)
     return (rte_room_t){ 0 };
   return (rte_room_t){ .slots = u->slots,
-                       .load = _rte_known_load (u, env->now) };
+                       .load = rte_known_load (u, env->now) };
 }
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -147,6 +147,7 @@
   mpk_put_uint (w, (uint64_t)(env->now - u->report_at));
   mpk_put_uint (w, u->running);
   mpk_put_uint (w, u->waiting);
+  mpk_put_uint (w, u->hidden);
   mpk_put_uint (w, u->slots);
   mpk_put_uint (w, p->event_count);
   mpk_put_uint (w, p->event_count - from);
@@ -197,6 +198,7 @@
   uint64_t age = mpk_get_uint (in);
   uint64_t running = mpk_get_uint (in);
   uint64_t waiting = mpk_get_uint (in);
+  uint64_t hidden = mpk_get_uint (in);
   uint64_t slots = mpk_get_uint (in);
   uint64_t seen = mpk_get_uint (in);
   uint64_t events = mpk_get_uint (in);
@@ -217,6 +219,7 @@
   u->state = (uint32_t)state;
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
+  u->hidden = (uint32_t)hidden;
   u->report_at = env->now - (clk_ms_t)age;
   u->own_at_report = u->online + u->batch;
   u->own_told = u->own_at_report;
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -102,6 +102,8 @@
   uint32_t users;    /**< VMs that use it, as the poller told */
   clk_ms_t others_at;
   uint32_t state;   /**< RTE_BIT_*, as last told */
+  uint32_t excess;  /**< of the last report over the load known then */
+  uint32_t hidden;  /**< requests that no VM knows of: runs of before a loss */
   uint32_t running; /**< last load report */
   uint32_t waiting;
   clk_ms_t report_at;
@@ -189,6 +191,8 @@
 
 /* rte_choice.c */
 uint32_t rte_load (const rte_upstream_t *u, clk_ms_t now);
+/** As rte_load, without a guess at what others have chosen since. */
+uint32_t rte_known_load (const rte_upstream_t *u, clk_ms_t now);
 bool rte_usable (const rte_upstream_t *u, clk_ms_t now);
 double rte_slowness (const rte_upstream_t *u, clk_ms_t now);
 
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -93,6 +93,7 @@
                   &(fx_upstream_t){ .address = u->address,
                                     .method = "GET",
                                     .path = "/load",
+                                    .report = true,
                                     .first_byte_ms = 2 * r->desc.report_ms,
                                     .stall_ms = 2 * r->desc.report_ms,
                                     .total_ms = 2 * r->desc.report_ms,
@@ -109,7 +110,7 @@
 _rte_poll_cache (rte_t *r, env_t *env, rte_upstream_t *u)
 {
   rte_poll_t *p = u->poll;
-  if (p->cache_call != 0
+  if (p->cache_call != 0 || r->desc.no_cache_events
       || env->now - p->cache_at < RTE_CACHE_EVERY * r->desc.report_ms)
     return;
   p->cache_at = env->now;
@@ -134,7 +135,7 @@
        id = tbl_next (r->upstreams, id))
     {
       rte_upstream_t *u = tbl_get (r->upstreams, id);
-      if (u->poll == NULL || r->desc.no_reports)
+      if (u->poll == NULL)
         continue;
       _rte_poll_load (r, env, u);
       _rte_poll_cache (r, env, u);
@@ -151,6 +152,18 @@
     rte_holders_drop (r->holders, prefix, u->id);
 }
 
+/* What two reports in a row have beyond the load that all VMs know of: one
+ * alone may only be late. */
+static void
+_rte_hidden_note (rte_upstream_t *u, clk_ms_t now)
+{
+  uint32_t known = rte_known_load (u, now) - u->hidden;
+  uint32_t reported = u->running + u->waiting;
+  uint32_t excess = reported > known ? reported - known : 0;
+  u->hidden = excess < u->excess ? excess : u->excess;
+  u->excess = excess;
+}
+
 static bool
 _rte_load_take (rte_upstream_t *u, const char *body)
 {
@@ -223,7 +236,10 @@
   if (ok)
     ok = cache ? _rte_cache_take (r, env, u, text) : _rte_load_take (u, text);
   if (ok && !cache)
-    rte_load_changed (r, u);
+    {
+      _rte_hidden_note (u, env->now);
+      rte_load_changed (r, u);
+    }
   if (!cache)
     p->unanswered = ok ? 0 : p->unanswered + 1;
   if (!ok)
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -305,11 +305,12 @@
   http_headers_t headers = u->headers;
   if (d->desc.set->hosted)
     headers = pfm_upstream_encode (tmp, u);
+  const char *path = d->desc.set->hosted ? pfm_upstream_path (u) : u->path;
   hcl_call (d->hcl, &(hcl_call_t){ .kind = HCL_UPSTREAM,
                                    .id = u->call,
                                    .address = u->address,
                                    .method = u->method,
-                                   .path = u->path,
+                                   .path = path,
                                    .headers = headers,
                                    .body = u->body,
                                    .first_byte_ms = u->first_byte_ms,
