--- a/src/core/job.c
+++ b/src/core/job.c
@@ -10,6 +10,8 @@
 
 #define JOB_FEED_MS_DEFAULT (1 * CLK_SECOND)
 #define JOB_SPARE_DEFAULT 2
+/** Without a worker for so long, VMs that take requests run jobs. */
+#define JOB_ALONE_MS (3 * CLK_SECOND)
 /** Texts of results at hand, of all jobs, in bytes. */
 #define JOB_TEXTS_MAX ((size_t)8 << 20)
 
@@ -18,6 +20,7 @@
 {
   JOB_TIMER_TICK,
   JOB_TIMER_FEED,
+  JOB_TIMER_ALONE,
 };
 
 /* -- set up --------------------------------------------------------------- */
@@ -71,6 +74,8 @@
 void
 job_start (job_set_t *j, env_t *env)
 {
+  j->worker_at = env->now;
+  tmr_arm (env->tmr, env->now + JOB_ALONE_MS, MOD_JOB, JOB_TIMER_ALONE);
   job_feed_ask (j, env);
 }
 
@@ -383,10 +388,12 @@
   job_pump (j, env);
 }
 
-/* The workers that answer; where there are none, all that do. */
+/* The workers that answer; where there have been none for a while, all that
+ * do.  */
 static void
-_job_runners_find (job_set_t *j)
+_job_runners_find (job_set_t *j, const env_t *env)
 {
+  bool alone = env->now >= j->worker_at + JOB_ALONE_MS;
   size_t n = mbr_vm_count (j->desc.members);
   talloc_free (j->runners);
   j->runners = talloc_zero_array (j, const char *, n + 1);
@@ -396,10 +403,13 @@
       for (size_t i = 0; i < n; i++)
         {
           const mbr_vm_t *vm = mbr_vm_get (j->desc.members, i);
-          if ((vm->up || vm->self) && !vm->leaving && vm->worker >= workers)
+          if ((vm->up || vm->self) && !vm->leaving && vm->worker >= workers
+              && (vm->worker || alone))
             j->runners[j->runner_count++]
                 = talloc_strdup (j->runners, vm->name);
         }
+      if (workers && j->runner_count > 0)
+        j->worker_at = env->now;
       if (j->runner_count > 0)
         return;
     }
@@ -408,7 +418,7 @@
 void
 job_members_changed (job_set_t *j, env_t *env)
 {
-  _job_runners_find (j);
+  _job_runners_find (j, env);
   for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
        id = tbl_next (j->jobs, id))
     _job_mine_update (j, env, tbl_get (j->jobs, id));
@@ -444,11 +454,22 @@
     job_tick_want (j, env);
 }
 
+/* Whether a worker answers is known by the membership; that none has for a
+ * while, by time. */
+static void
+_job_alone_check (job_set_t *j, env_t *env)
+{
+  job_members_changed (j, env);
+  tmr_arm (env->tmr, env->now + JOB_ALONE_MS, MOD_JOB, JOB_TIMER_ALONE);
+}
+
 void
 job_timer_fired (job_set_t *j, env_t *env, uint64_t tag)
 {
   if (tag == JOB_TIMER_FEED)
     job_feed_ask (j, env);
+  else if (tag == JOB_TIMER_ALONE)
+    _job_alone_check (j, env);
   else
     _job_tick (j, env);
   job_pump (j, env);
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -154,7 +154,8 @@
   GHashTable *by_id;    /**< id to job_t */
   const char **runners; /**< names of VMs that run jobs */
   size_t runner_count;
-  uint64_t revision; /**< of the feed; 0: the whole is to be read */
+  clk_ms_t worker_at; /**< when a worker was last seen to answer */
+  uint64_t revision;  /**< of the feed; 0: the whole is to be read */
   char *feed_after;
   bool ticking;
   bool leaving;
--- a/src/core/onl_answer.c
+++ b/src/core/onl_answer.c
@@ -42,6 +42,11 @@
 {
   r->delivered = true;
   r->answer_status = r->answer.status;
+  tln_record (env->tln, env->now, MOD_ONLINE, "answering",
+              "request=%s upstream=%s queued_ms=%lld first_ms=%lld tries=%zu",
+              r->request_id, r->pick.upstream,
+              (long long)(r->sent - r->arrived),
+              (long long)(env->now - r->sent), r->tries);
   cnt_observe (env->cnt, "rts_online_first_byte_ms", "",
                (double)(env->now - r->arrived));
   if (r->caller != 0)
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -107,6 +107,7 @@
   buf_t body;
   uint64_t prefix;
   clk_ms_t arrived;
+  clk_ms_t sent; /**< when the last try was sent */
   clk_ms_t deadline;
 
   uint64_t record;      /**< handle of idm; 0: none */
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -70,6 +70,7 @@
 {
   r->tried[r->tries++] = talloc_strdup (r->pool, r->pick.upstream);
   r->runs++;
+  r->sent = env->now;
   r->answer = (onl_answer_t){ .length = -1 };
   sse_clear (&r->events);
   r->call = upc_call (
