--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -194,6 +194,11 @@
 void
 onl_refuse (onl_t *o, env_t *env, onl_request_t *r, const rpl_error_t *e)
 {
+  if (r->delivered)
+    {
+      onl_abort (o, env, r, e->message);
+      return;
+    }
   rpl_error_t error = *e;
   char labels[64];
   error.run = r->may_have_run ? RPL_UNKNOWN : RPL_NOT_RUN;
@@ -237,10 +242,7 @@
               const rpl_error_t *e)
 {
   _onl_stop (o, env, r, fail);
-  if (r->delivered)
-    onl_abort (o, env, r, e->message);
-  else
-    onl_refuse (o, env, r, e);
+  onl_refuse (o, env, r, e);
 }
 
 static void
--- a/src/core/onl_answer.c
+++ b/src/core/onl_answer.c
@@ -99,11 +99,6 @@
   _onl_try_end (o, env, r, RTE_FAIL_BROKEN);
   if (onl_retry (o, env, r, true))
     return;
-  if (r->delivered)
-    {
-      onl_abort (o, env, r, why);
-      return;
-    }
   onl_refuse (o, env, r,
               &(rpl_error_t){ .status = 502,
                               .code = "upstream-broken",
@@ -142,11 +137,6 @@
   r->runs--;
   if (onl_retry (o, env, r, false))
     return;
-  if (r->delivered)
-    {
-      onl_abort (o, env, r, "no upstream goes on with the stream");
-      return;
-    }
   onl_refuse (o, env, r,
               &(rpl_error_t){ .status = 503,
                               .code = "overloaded",
@@ -359,11 +349,6 @@
     idm_unsent (o->desc.records, r->record);
   if (onl_retry (o, env, r, ran))
     return;
-  if (r->delivered)
-    {
-      onl_abort (o, env, r, "no upstream goes on with the stream");
-      return;
-    }
   bool timeout = up->fail == EV_FAIL_TIMEOUT;
   onl_refuse (
       o, env, r,
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -144,7 +144,8 @@
 onl_request_t *onl_get (const onl_t *o, uint64_t handle);
 void onl_fire (onl_t *o, env_t *env, onl_request_t *r, onl_event_t event);
 
-/** The request is over; E tells the caller why.  R is gone then. */
+/** The request is over; E tells the caller why, or, when it has a part of
+ * the answer already, the broken answer does.  R is gone then. */
 void onl_refuse (onl_t *o, env_t *env, onl_request_t *r, const rpl_error_t *e);
 
 /** Record that the request did not run, or may have. */
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -121,8 +121,8 @@
 {
   onl_refuse (
       o, env, r,
-      &(rpl_error_t){ .status = r->tries > 0 ? 502 : 503,
-                      .code = r->tries > 0 ? "upstream-failed" : "no-upstream",
+      &(rpl_error_t){ .status = r->runs > 0 ? 502 : 503,
+                      .code = r->runs > 0 ? "upstream-failed" : "no-upstream",
                       .message = "no upstream takes work now",
                       .retry_after_ms = CLK_SECOND });
 }
--- /dev/null
+++ b/tests/hst.c
@@ -0,0 +1,855 @@
+#include "hst.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define HST_PLATFORM_MS 4
+#define HST_PEER_MS 1
+#define HST_HEAD_MS 10
+#define HST_WATCH_MS 5
+#define HST_KEY "key-acme"
+
+/* One thing that happens at an instant. */
+typedef struct
+{
+  clk_ms_t at;
+  uint64_t order;
+  size_t vm;
+  uint64_t incarnation;
+  ev_t ev;
+  fx_platform_t call; /**< a platform call to be answered then */
+  bool is_call;
+  clk_ms_t until; /**< of a waiting call */
+} _hst_due_t;
+
+/* An object of the store. */
+typedef struct
+{
+  uint64_t version;
+  buf_t value;
+} _hst_object_t;
+
+/* A request at an upstream. */
+typedef struct
+{
+  size_t vm;
+  uint64_t incarnation;
+  uint64_t call;
+  size_t upstream;
+  unsigned first;
+  unsigned next;
+  bool cancelled;
+} _hst_flight_t;
+
+typedef struct
+{
+  char name[16];
+  char address[24];
+  node_t *node;
+  uint64_t incarnation;
+  bool down; /**< the platform does not serve it */
+  bool keeps[HST_MAX];
+  bool linked[HST_MAX];
+} _hst_vm_t;
+
+struct hst
+{
+  hst_desc_t desc;
+  clk_ms_t now;
+  uint64_t order;
+  GQueue due;
+  _hst_vm_t vm[HST_MAX];
+  size_t vm_count;
+  GTree *objects;
+  uint64_t revision;
+  uint64_t compacted; /**< watches from before it have no history */
+  bool deaf;          /**< waiting reads of the document hear nothing */
+  uint64_t document_revision;
+  ev_document_t document;
+  cfg_doc_t parts;
+  char key_hash[65];
+  hst_fault_t faults[HST_MAX];
+  unsigned running[HST_MAX];
+  unsigned peak[HST_MAX];
+  GPtrArray *runs; /**< char *: ids, one for each run */
+  GHashTable *answers;
+  uint64_t callers;
+  fx_upstream_t last;
+  void *last_ctx;
+  GPtrArray *flights;
+};
+
+/* -- time ------------------------------------------------------------------
+ */
+
+static gint
+_hst_compare (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  const _hst_due_t *x = a;
+  const _hst_due_t *y = b;
+  if (x->at != y->at)
+    return x->at < y->at ? -1 : 1;
+  return x->order < y->order ? -1 : 1;
+}
+
+static _hst_due_t *
+_hst_push (hst_t *h, size_t vm, clk_ms_t delay, const ev_t *ev)
+{
+  _hst_due_t *d = talloc_zero (h, _hst_due_t);
+  d->at = h->now + delay;
+  d->order = ++h->order;
+  d->vm = vm;
+  d->incarnation = h->vm[vm].incarnation;
+  d->ev = *ev;
+  g_queue_insert_sorted (&h->due, d, _hst_compare, NULL);
+  return d;
+}
+
+/* -- the store -------------------------------------------------------------
+ */
+
+typedef struct
+{
+  void *ctx;
+  const fx_platform_t *call;
+  ev_object_t *v;
+  size_t n;
+} _hst_list_t;
+
+static gboolean
+_hst_list_one (gpointer key, gpointer value, gpointer data)
+{
+  _hst_list_t *l = data;
+  const _hst_object_t *o = value;
+  bool watch = l->call->op == FX_PLATFORM_WATCH;
+  if (!g_str_has_prefix (key, l->call->name)
+      || (watch && o->version <= l->call->revision))
+    return FALSE;
+  l->v = talloc_realloc (l->ctx, l->v, ev_object_t, l->n + 1);
+  l->v[l->n++] = (ev_object_t){ .name = talloc_strdup (l->ctx, key),
+                                .version = o->version,
+                                .value = buf_copy (l->ctx, o->value) };
+  return FALSE;
+}
+
+static void
+_hst_one (void *ctx, const fx_platform_t *call, const _hst_object_t *o,
+          ev_platform_t *reply)
+{
+  ev_object_t *object = talloc_zero (ctx, ev_object_t);
+  object->name = talloc_strdup (ctx, call->name);
+  object->version = o->version;
+  object->value = buf_copy (ctx, o->value);
+  reply->objects = object;
+  reply->object_count = 1;
+}
+
+static void
+_hst_put (hst_t *h, void *ctx, const fx_platform_t *call, ev_platform_t *reply)
+{
+  _hst_object_t *o = g_tree_lookup (h->objects, call->name);
+  uint64_t version = o == NULL ? 0 : o->version;
+  if (version != call->if_version)
+    {
+      reply->code = o == NULL ? ST_NOT_FOUND : ST_CONFLICT;
+      if (o != NULL)
+        _hst_one (ctx, call, o, reply);
+      return;
+    }
+  if (o == NULL)
+    {
+      o = talloc_zero (h, _hst_object_t);
+      g_tree_insert (h->objects, g_strdup (call->name), o);
+    }
+  o->version = ++h->revision;
+  o->value = buf_copy (h, call->value);
+  _hst_one (ctx, call, o, reply);
+}
+
+static gboolean
+_hst_vm_one (gpointer key, gpointer value, gpointer data)
+{
+  _hst_list_t *l = data;
+  const _hst_object_t *o = value;
+  if (!g_str_has_prefix (key, "vms/"))
+    return FALSE;
+  char **words = g_strsplit (o->value.p, " ", 3);
+  ev_platform_t *reply = (ev_platform_t *)l->v;
+  ev_vm_t *vms = talloc_realloc (l->ctx, (ev_vm_t *)(uintptr_t)reply->vms,
+                                 ev_vm_t, reply->vm_count + 1);
+  vms[reply->vm_count++]
+      = (ev_vm_t){ .vm = talloc_strdup (l->ctx, (char *)key + 4),
+                   .data_centre = talloc_strdup (l->ctx, words[0]),
+                   .address = talloc_strdup (l->ctx, words[1]),
+                   .worker = strcmp (words[2], "worker") == 0 };
+  reply->vms = vms;
+  g_strfreev (words);
+  return FALSE;
+}
+
+static void
+_hst_upstreams (const hst_t *h, void *ctx, ev_platform_t *reply)
+{
+  ev_upstream_entry_t *v
+      = talloc_zero_array (ctx, ev_upstream_entry_t, HST_MAX);
+  for (size_t i = 0; i < h->desc.upstreams; i++)
+    v[i] = (ev_upstream_entry_t){
+      .name = talloc_asprintf (ctx, "up-%zu", i),
+      .deployment = "llm",
+      .data_centre = "north",
+      .address = talloc_asprintf (ctx, "10.0.0.%zu:80", i),
+    };
+  reply->entries = v;
+  reply->entry_count = h->desc.upstreams;
+}
+
+/* Whether a call that waits has nothing to say yet. */
+static bool
+_hst_waits (const hst_t *h, const fx_platform_t *c)
+{
+  if (c->revision == 0)
+    return false;
+  if (c->op == FX_PLATFORM_DOCUMENT)
+    return h->deaf || h->document_revision <= c->revision;
+  if (c->revision < h->compacted)
+    return false;
+  return c->op == FX_PLATFORM_UPSTREAMS || h->revision <= c->revision;
+}
+
+static void
+_hst_serve (hst_t *h, void *ctx, const fx_platform_t *c, ev_platform_t *reply)
+{
+  const _hst_object_t *o = NULL;
+  _hst_list_t list = { .ctx = ctx, .call = c };
+  reply->code = ST_OK;
+  reply->revision = h->revision;
+  if (c->revision != 0 && c->revision < h->compacted
+      && c->op != FX_PLATFORM_DOCUMENT)
+    {
+      reply->code = ST_STALE;
+      return;
+    }
+  switch (c->op)
+    {
+    case FX_PLATFORM_GET:
+      o = g_tree_lookup (h->objects, c->name);
+      if (o == NULL)
+        reply->code = ST_NOT_FOUND;
+      else
+        _hst_one (ctx, c, o, reply);
+      break;
+    case FX_PLATFORM_PUT:
+      _hst_put (h, ctx, c, reply);
+      break;
+    case FX_PLATFORM_LIST:
+    case FX_PLATFORM_WATCH:
+      g_tree_foreach (h->objects, _hst_list_one, &list);
+      reply->objects = list.v;
+      reply->object_count = list.n;
+      break;
+    case FX_PLATFORM_VMS:
+      list.v = (ev_object_t *)reply;
+      g_tree_foreach (h->objects, _hst_vm_one, &list);
+      break;
+    case FX_PLATFORM_DOCUMENT:
+      if (c->revision == 0 || h->document_revision > c->revision)
+        reply->document = &h->document;
+      break;
+    case FX_PLATFORM_UPSTREAMS:
+      if (c->revision == 0)
+        _hst_upstreams (h, ctx, reply);
+      break;
+    case FX_PLATFORM_DELETE:
+      reply->code = ST_NOT_FOUND;
+      break;
+    }
+}
+
+static void
+_hst_platform_call (hst_t *h, size_t vm, const fx_platform_t *c)
+{
+  _hst_due_t *d = _hst_push (h, vm, HST_PLATFORM_MS, &(ev_t){ 0 });
+  d->is_call = true;
+  d->call = *c;
+  d->call.name = talloc_strdup (d, c->name == NULL ? "" : c->name);
+  d->call.value = buf_copy (d, c->value);
+  d->until = h->now + c->timeout_ms;
+}
+
+/* -- upstreams -------------------------------------------------------------
+ */
+
+static void
+_hst_flight_end (hst_t *h, _hst_flight_t *f)
+{
+  if (!f->cancelled)
+    h->running[f->upstream]--;
+  f->cancelled = true;
+}
+
+static void
+_hst_upstream_call (hst_t *h, size_t vm, const fx_upstream_t *u)
+{
+  size_t at = (size_t)(u->address[7] - '0');
+  ev_t head = { .kind = EV_UPSTREAM_HEAD, .upstream = { .call = u->call } };
+  if (u->report || h->faults[at].dark)
+    return;
+  talloc_free (h->last_ctx);
+  h->last_ctx = talloc_new (h);
+  h->last = *u;
+  h->last.customer
+      = u->customer == NULL ? NULL : talloc_strdup (h->last_ctx, u->customer);
+  h->last.upstream
+      = u->upstream == NULL ? NULL : talloc_strdup (h->last_ctx, u->upstream);
+  h->last.resume_after = u->resume_after == NULL
+                             ? NULL
+                             : talloc_strdup (h->last_ctx, u->resume_after);
+  h->last.headers = (http_headers_t){ 0 };
+  static const http_header_t type
+      = { .name = "Content-Type", .value = "text/event-stream" };
+  const hst_fault_t *fault = &h->faults[at];
+  head.upstream.status = fault->status == 0 ? 200 : fault->status;
+  head.upstream.not_run = fault->not_run;
+  if (head.upstream.status == 200)
+    head.upstream.headers = (http_headers_t){ .v = &type, .n = 1 };
+  _hst_push (h, vm, HST_HEAD_MS, &head);
+  if (!fault->not_run)
+    g_ptr_array_add (h->runs,
+                     g_strdup (http_header_find (u->headers, "X-Request-Id")));
+  if (head.upstream.status != 200)
+    {
+      _hst_push (
+          h, vm, HST_HEAD_MS,
+          &(ev_t){ .kind = EV_UPSTREAM_END, .upstream = { .call = u->call } });
+      return;
+    }
+  _hst_flight_t *f = talloc_zero (h, _hst_flight_t);
+  *f = (_hst_flight_t){ .vm = vm,
+                        .incarnation = h->vm[vm].incarnation,
+                        .call = u->call,
+                        .upstream = at,
+                        .next = 1 };
+  if (u->resume_after != NULL)
+    f->next = (unsigned)g_ascii_strtoull (u->resume_after, NULL, 10) + 1;
+  f->first = f->next;
+  g_ptr_array_add (h->flights, f);
+  if (++h->running[at] > h->peak[at])
+    h->peak[at] = h->running[at];
+  ev_t mark = { .kind = EV_UPSTREAM_DATA, .upstream = { .call = u->call } };
+  _hst_push (h, vm, HST_HEAD_MS + h->desc.gap_ms, &mark);
+}
+
+static _hst_flight_t *
+_hst_flight (const hst_t *h, size_t vm, uint64_t incarnation, uint64_t call)
+{
+  for (guint i = 0; i < h->flights->len; i++)
+    {
+      _hst_flight_t *f = g_ptr_array_index (h->flights, i);
+      if (f->vm == vm && f->call == call && f->incarnation == incarnation
+          && !f->cancelled)
+        return f;
+    }
+  return NULL;
+}
+
+static void _hst_step (hst_t *h, size_t vm, const ev_t *ev);
+
+/* The next event of a stream. */
+static void
+_hst_stream_go_on (hst_t *h, const _hst_due_t *d)
+{
+  _hst_flight_t *f
+      = _hst_flight (h, d->vm, d->incarnation, d->ev.upstream.call);
+  if (f == NULL)
+    return;
+  ev_t ev = d->ev;
+  hst_fault_t *fault = &h->faults[f->upstream];
+  char text[64];
+  bool broken = fault->break_after > 0 && f->first == 1
+                && f->next > fault->break_after;
+  g_snprintf (text, sizeof text, "id: %u\ndata: e%u\n%s", f->next, f->next,
+              broken ? "" : "\n");
+  ev.upstream.data = buf_str (text);
+  f->next++;
+  bool last = f->next > h->desc.events;
+  uint64_t call = f->call;
+  if (broken)
+    {
+      fault->break_after = 0;
+      _hst_flight_end (h, f);
+    }
+  else if (last)
+    _hst_flight_end (h, f);
+  else
+    _hst_push (h, d->vm, h->desc.gap_ms, &d->ev);
+  _hst_step (h, d->vm, &ev);
+  if (broken || last)
+    _hst_push (
+        h, d->vm, 0,
+        &(ev_t){ .kind = broken ? EV_UPSTREAM_FAIL : EV_UPSTREAM_END,
+                 .upstream = { .call = call, .fail = EV_FAIL_UNKNOWN } });
+}
+
+/* -- callers ---------------------------------------------------------------
+ */
+
+static hst_answer_t *
+_hst_answer (hst_t *h, uint64_t caller)
+{
+  hst_answer_t *a = g_hash_table_lookup (h->answers, &caller);
+  if (a != NULL)
+    return a;
+  a = talloc_zero (h, hst_answer_t);
+  a->body = g_string_new ("");
+  a->ids = g_ptr_array_new_with_free_func (g_free);
+  a->texts = g_ptr_array_new_with_free_func (g_free);
+  g_hash_table_insert (h->answers, g_memdup2 (&caller, sizeof caller), a);
+  return a;
+}
+
+static void
+_hst_results (hst_t *h, const fx_results_t *r)
+{
+  hst_answer_t *a = _hst_answer (h, r->caller);
+  a->status = 200;
+  a->ended = true;
+  a->total = r->total;
+  a->next = r->next;
+  for (size_t i = 0; i < r->count; i++)
+    {
+      g_ptr_array_add (a->ids, g_strdup (r->v[i].id));
+      g_ptr_array_add (a->texts, g_strndup (r->v[i].text.p, r->v[i].text.n));
+    }
+}
+
+static void
+_hst_reply (hst_t *h, const fx_t *f)
+{
+  hst_answer_t *a = _hst_answer (h, f->reply.caller);
+  if (f->kind == FX_REPLY_HEAD)
+    a->status = f->reply.status;
+  else if (f->kind == FX_REPLY_DATA)
+    g_string_append_len (a->body, f->reply.data.p, (gssize)f->reply.data.n);
+  else
+    a->ended = true;
+  a->aborted = a->aborted || f->kind == FX_REPLY_ABORT;
+}
+
+/* -- effects ---------------------------------------------------------------
+ */
+
+static size_t
+_hst_vm_index (const hst_t *h, const char *name)
+{
+  size_t i = 0;
+  while (i < h->vm_count && strcmp (h->vm[i].name, name) != 0)
+    i++;
+  return i;
+}
+
+static void
+_hst_links (hst_t *h)
+{
+  for (size_t a = 0; a < h->vm_count; a++)
+    for (size_t b = 0; b < h->vm_count; b++)
+      {
+        bool may = a != b && h->vm[a].node != NULL && h->vm[b].node != NULL
+                   && (h->vm[a].keeps[b] || h->vm[b].keeps[a]);
+        if (may == h->vm[a].linked[b] || h->vm[a].node == NULL)
+          continue;
+        h->vm[a].linked[b] = may;
+        _hst_push (h, a, HST_PEER_MS,
+                   &(ev_t){ .kind = may ? EV_PEER_UP : EV_PEER_DOWN,
+                            .peer = { .vm = h->vm[b].name } });
+      }
+}
+
+static void
+_hst_peer (hst_t *h, size_t vm, const fx_t *f)
+{
+  size_t to = _hst_vm_index (h, f->peer.vm);
+  if (to == h->vm_count)
+    return;
+  if (f->kind != FX_PEER_SEND)
+    {
+      h->vm[vm].keeps[to] = f->kind == FX_PEER_LINK;
+      _hst_links (h);
+      return;
+    }
+  if (!h->vm[vm].linked[to])
+    return;
+  ev_t ev = { .kind = EV_PEER_MSG,
+              .peer = { .vm = h->vm[vm].name, .msg = f->peer.msg } };
+  _hst_due_t *d = _hst_push (h, to, HST_PEER_MS, &ev);
+  d->ev.peer.msg.body = buf_copy (d, f->peer.msg.body);
+}
+
+static void
+_hst_act (hst_t *h, size_t vm, const fx_t *f)
+{
+  _hst_flight_t *flight;
+  switch (f->kind)
+    {
+    case FX_TIMER:
+      _hst_push (h, vm, clk_max (0, f->timer - h->now),
+                 &(ev_t){ .kind = EV_TIMER });
+      break;
+    case FX_REPLY_HEAD:
+    case FX_REPLY_DATA:
+    case FX_REPLY_END:
+    case FX_REPLY_ABORT:
+      _hst_reply (h, f);
+      break;
+    case FX_REPLY_RESULTS:
+      _hst_results (h, &f->results);
+      break;
+    case FX_UPSTREAM_CALL:
+      _hst_upstream_call (h, vm, &f->upstream);
+      break;
+    case FX_UPSTREAM_CANCEL:
+      flight = _hst_flight (h, vm, h->vm[vm].incarnation, f->upstream.call);
+      if (flight != NULL)
+        _hst_flight_end (h, flight);
+      break;
+    case FX_PLATFORM:
+      _hst_platform_call (h, vm, &f->platform);
+      break;
+    case FX_PEER_SEND:
+    case FX_PEER_LINK:
+    case FX_PEER_UNLINK:
+      _hst_peer (h, vm, f);
+      break;
+    case FX_DOCUMENT_DECODE:
+      _hst_push (h, vm, 0,
+                 &(ev_t){ .kind = EV_DOCUMENT, .document = &h->document });
+      break;
+    case FX_EXIT:
+    case FX_NUM:
+      break;
+    }
+}
+
+static void
+_hst_step (hst_t *h, size_t vm, const ev_t *ev)
+{
+  if (h->vm[vm].node == NULL)
+    return;
+  const fx_list_t *fx = node_step (h->vm[vm].node, h->now, ev);
+  for (size_t i = 0; i < fx->count; i++)
+    _hst_act (h, vm, &fx->v[i]);
+}
+
+/* A platform call's time has come: answer, or wait on. */
+static void
+_hst_call_due (hst_t *h, _hst_due_t *d)
+{
+  ev_t ev = { .kind = EV_PLATFORM, .platform = { .call = d->call.call } };
+  if (h->vm[d->vm].down)
+    ev.platform.code = ST_UNAVAILABLE;
+  else if (_hst_waits (h, &d->call) && h->now < d->until)
+    {
+      _hst_due_t *again = _hst_push (h, d->vm, HST_WATCH_MS, &(ev_t){ 0 });
+      again->is_call = true;
+      again->call = d->call;
+      again->until = d->until;
+      talloc_steal (again, d->call.name);
+      return;
+    }
+  else
+    _hst_serve (h, d, &d->call, &ev.platform);
+  _hst_step (h, d->vm, &ev);
+}
+
+void
+hst_run (hst_t *h, clk_ms_t ms)
+{
+  clk_ms_t end = h->now + ms;
+  for (_hst_due_t *d = g_queue_peek_head (&h->due); d != NULL && d->at <= end;
+       d = g_queue_peek_head (&h->due))
+    {
+      (void)g_queue_pop_head (&h->due);
+      h->now = d->at;
+      if (d->incarnation != h->vm[d->vm].incarnation)
+        ;
+      else if (d->is_call)
+        _hst_call_due (h, d);
+      else if (d->ev.kind == EV_UPSTREAM_DATA)
+        _hst_stream_go_on (h, d);
+      else
+        _hst_step (h, d->vm, &d->ev);
+      talloc_free (d);
+    }
+  h->now = end;
+}
+
+/* -- set up ----------------------------------------------------------------
+ */
+
+static void
+_hst_parts (hst_t *h)
+{
+  cfg_doc_t *p = &h->parts;
+  *p = (cfg_doc_t){
+    .customers = talloc_zero_array (h, cfg_customer_t, 1),
+    .customer_count = 1,
+    .keys = talloc_zero_array (h, cfg_key_t, 1),
+    .key_count = 1,
+    .deployments = talloc_zero_array (h, cfg_deployment_t, 1),
+    .deployment_count = 1,
+    .routes = talloc_zero_array (h, cfg_route_t, 2),
+    .route_count = 2,
+  };
+  p->customers[0] = (cfg_customer_t){ .name = "acme",
+                                      .rate = h->desc.rate,
+                                      .burst = h->desc.burst,
+                                      .weight = 1,
+                                      .unlimited = h->desc.rate <= 0 };
+  p->keys[0] = (cfg_key_t){ .name = "acme-1",
+                            .customer = "acme",
+                            .sha256 = h->key_hash };
+  p->deployments[0] = (cfg_deployment_t){
+    .name = "llm", .kind = CFG_ENGINE, .slots = 8, .stream = CFG_STREAM_FRAMED
+  };
+  p->routes[0] = (cfg_route_t){ .method = "desk.example",
+                                .path = "/fit/*",
+                                .deployment = "llm",
+                                .idempotent = h->desc.resumable,
+                                .resumable = h->desc.resumable,
+                                .unrecorded = true,
+                                .strict_time = true,
+                                .attempts = 2,
+                                .deadline_ms = 5 * CLK_SECOND };
+  p->routes[1] = (cfg_route_t){ .method = "desk.example",
+                                .path = "/rosters/*",
+                                .deployment = "llm",
+                                .kind = CFG_ROUTE_JOBS,
+                                .idempotent = true,
+                                .unrecorded = true,
+                                .attempts = 3,
+                                .deadline_ms = 15 * CLK_SECOND,
+                                .job_due_ms = 18 * CLK_SECOND,
+                                .job_keep_ms = CLK_MINUTE,
+                                .waiting_tokens = 1000 };
+}
+
+void
+hst_document (hst_t *h, const char *key)
+{
+  char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+  g_strlcpy (h->key_hash, hash, sizeof h->key_hash);
+  g_free (hash);
+  _hst_parts (h);
+  h->document_revision = ++h->revision;
+  h->document.version += 3;
+  h->document.parts = &h->parts;
+  h->document.raw = buf_str ("the document");
+}
+
+void
+hst_start (hst_t *h, size_t vm)
+{
+  static const char *const data_centres[] = { "north", NULL };
+  _hst_vm_t *v = &h->vm[vm];
+  st_t st = { 0 };
+  v->incarnation++;
+  v->node = node_setup (
+      h,
+      &(node_desc_t){ .vm = v->name,
+                      .data_centre = "north",
+                      .address = v->address,
+                      .incarnation = v->incarnation,
+                      .seed = (uint32_t)(17 * vm + v->incarnation),
+                      .source = NODE_SOURCE_PLATFORM,
+                      .worker = vm >= h->desc.entries,
+                      .limit_slack = h->desc.slack,
+                      .data_centres = data_centres },
+      &st);
+  _hst_push (h, vm, 0, &(ev_t){ .kind = EV_START });
+}
+
+void
+hst_kill (hst_t *h, size_t vm)
+{
+  TALLOC_FREE (h->vm[vm].node);
+  h->vm[vm].incarnation++;
+  memset (h->vm[vm].keeps, 0, sizeof h->vm[vm].keeps);
+  memset (h->vm[vm].linked, 0, sizeof h->vm[vm].linked);
+  for (guint i = 0; i < h->flights->len; i++)
+    {
+      _hst_flight_t *f = g_ptr_array_index (h->flights, i);
+      if (f->vm == vm)
+        _hst_flight_end (h, f);
+    }
+  _hst_links (h);
+}
+
+static gint
+_hst_name_compare (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  return strcmp (a, b);
+}
+
+hst_t *
+hst_setup (const hst_desc_t *desc)
+{
+  hst_t *h = talloc_zero (NULL, hst_t);
+  h->desc = *desc;
+  h->desc.entries = desc->entries == 0 ? 2 : desc->entries;
+  h->desc.workers = desc->workers == 0 ? 2 : desc->workers;
+  h->desc.upstreams = desc->upstreams == 0 ? 2 : desc->upstreams;
+  h->desc.events = desc->events == 0 ? 20 : desc->events;
+  h->desc.gap_ms = desc->gap_ms == 0 ? 10 : desc->gap_ms;
+  h->now = 1000;
+  g_queue_init (&h->due);
+  h->objects = g_tree_new_full (_hst_name_compare, NULL, g_free, NULL);
+  h->answers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  h->runs = g_ptr_array_new_with_free_func (g_free);
+  h->flights = g_ptr_array_new ();
+  hst_document (h, HST_KEY);
+  h->vm_count = h->desc.entries + h->desc.workers;
+  for (size_t i = 0; i < h->vm_count; i++)
+    {
+      g_snprintf (h->vm[i].name, sizeof h->vm[i].name, "%s-%zu",
+                  i < h->desc.entries ? "entry" : "worker", i);
+      g_snprintf (h->vm[i].address, sizeof h->vm[i].address, "10.1.0.%zu:70",
+                  i);
+      hst_start (h, i);
+    }
+  return h;
+}
+
+static void
+_hst_answer_free (gpointer key, gpointer value, gpointer data)
+{
+  (void)key;
+  (void)data;
+  hst_answer_t *a = value;
+  g_string_free (a->body, TRUE);
+  g_ptr_array_unref (a->ids);
+  g_ptr_array_unref (a->texts);
+}
+
+void
+hst_shutdown (hst_t *h)
+{
+  g_hash_table_foreach (h->answers, _hst_answer_free, NULL);
+  g_hash_table_destroy (h->answers);
+  g_ptr_array_unref (h->runs);
+  g_ptr_array_unref (h->flights);
+  g_tree_destroy (h->objects);
+  g_queue_clear (&h->due);
+  talloc_free (h);
+}
+
+/* -- what tests do ---------------------------------------------------------
+ */
+
+uint64_t
+hst_ask (hst_t *h, size_t vm, const ev_request_t *req)
+{
+  ev_t ev = { .kind = EV_REQUEST, .request = *req };
+  ev.request.caller = ++h->callers;
+  ev.request.call.host = "desk.example";
+  if (ev.request.query == NULL)
+    ev.request.query = "";
+  (void)_hst_answer (h, ev.request.caller);
+  _hst_step (h, vm, &ev);
+  return ev.request.caller;
+}
+
+uint64_t
+hst_stream (hst_t *h, size_t vm, const char *key, const char *id)
+{
+  char *bearer = talloc_asprintf (h, "Bearer %s", key);
+  http_header_t header = { "Authorization", bearer };
+  return hst_ask (h, vm,
+                  &(ev_request_t){ .method = "POST",
+                                   .path = "/fit/1",
+                                   .headers = { .v = &header, .n = 1 },
+                                   .call = { .id = id, .tokens_out = 100 } });
+}
+
+static const http_header_t hst_bearer = { "Authorization", "Bearer " HST_KEY };
+
+uint64_t
+hst_submit (hst_t *h, size_t vm, const char *id, size_t count)
+{
+  ev_job_item_t *items = talloc_zero_array (h, ev_job_item_t, count);
+  for (size_t i = 0; i < count; i++)
+    items[i] = (ev_job_item_t){ .id = talloc_asprintf (h, "%s-%zu", id, i),
+                                .target = "/rosters/x",
+                                .body = buf_str ("body"),
+                                .tokens = 10 };
+  return hst_ask (h, vm,
+                  &(ev_request_t){ .method = "POST",
+                                   .path = "/rosters/x",
+                                   .headers = { .v = &hst_bearer, .n = 1 },
+                                   .call = { .id = id },
+                                   .job = { .op = EV_JOB_SUBMIT,
+                                            .id = id,
+                                            .items = items,
+                                            .item_count = count } });
+}
+
+uint64_t
+hst_read (hst_t *h, size_t vm, const char *id, uint64_t after)
+{
+  return hst_ask (
+      h, vm,
+      &(ev_request_t){ .method = "GET",
+                       .path = "/v1/jobs/x",
+                       .headers = { .v = &hst_bearer, .n = 1 },
+                       .job
+                       = { .op = EV_JOB_READ, .id = id, .after = after } });
+}
+
+const hst_answer_t *
+hst_answer (hst_t *h, uint64_t caller)
+{
+  return _hst_answer (h, caller);
+}
+
+void
+hst_platform_down (hst_t *h, size_t vm, bool down)
+{
+  for (size_t i = 0; i < h->vm_count; i++)
+    if (i == vm || vm == HST_MAX)
+      h->vm[i].down = down;
+}
+
+void
+hst_compact (hst_t *h)
+{
+  h->compacted = ++h->revision;
+  h->deaf = true;
+}
+
+void
+hst_fault (hst_t *h, size_t upstream, hst_fault_t fault)
+{
+  h->faults[upstream] = fault;
+}
+
+unsigned
+hst_runs (const hst_t *h, const char *id)
+{
+  unsigned n = 0;
+  for (guint i = 0; i < h->runs->len; i++)
+    n += id[0] == '\0' || strcmp (g_ptr_array_index (h->runs, i), id) == 0;
+  return n;
+}
+
+unsigned
+hst_peak (const hst_t *h, size_t upstream)
+{
+  return h->peak[upstream];
+}
+
+const fx_upstream_t *
+hst_last_call (const hst_t *h)
+{
+  return &h->last;
+}
--- /dev/null
+++ b/tests/test_job.c
@@ -0,0 +1,147 @@
+/** @file
+ * Small parts of the hosted path: cutting event streams, records of jobs, the
+ * slack of limits, load that no VM knows of.
+ */
+#include "core/job_rec.h"
+#include "core/lim_slack.h"
+#include "core/sse.h"
+#include "tst.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Cut in any way, a stream gives the same events. */
+static void
+test_events_however_cut (void)
+{
+  static const char text[] = "id: 1\ndata: a\n\nweight-versions: 2\nid:2\r\n"
+                             "data:  b\r\n\r\n: note\n\nid: 3\ndata: c\n";
+  for (size_t step = 1; step < sizeof text; step++)
+    {
+      sse_t s = { 0 };
+      sse_event_t e;
+      unsigned ids = 0;
+      unsigned events = 0;
+      size_t bytes = 0;
+      for (size_t at = 0; at + 1 < sizeof text; at += step)
+        {
+          size_t left = sizeof text - 1 - at;
+          sse_push (&s, (buf_t){ text + at, left < step ? left : step });
+          while (sse_pop (&s, &e))
+            {
+              events++;
+              bytes += e.raw.n;
+              if (e.id.n > 0)
+                ids = 10 * ids + (unsigned)(e.id.p[0] - '0');
+              if (ids == 12 && e.id.n > 0)
+                CU_ASSERT (buf_is (e.data, " b"));
+            }
+        }
+      CU_ASSERT_EQUAL (events, 3);
+      CU_ASSERT_EQUAL (ids, 12);
+      CU_ASSERT (sse_pending (&s));
+      CU_ASSERT_EQUAL (bytes, strlen (text) - strlen ("id: 3\ndata: c\n"));
+      sse_clear (&s);
+    }
+}
+
+static job_rec_t
+_record (job_rec_item_t *items, job_rec_result_t *results)
+{
+  return (job_rec_t){ .id = "j-1",
+                      .customer = "t1",
+                      .host = "a.example",
+                      .path = "/q/*",
+                      .arrived = 1700000000000,
+                      .due_ms = 18000,
+                      .keep_ms = 60000,
+                      .attempts = 3,
+                      .parts = 1,
+                      .items = items,
+                      .item_count = 2,
+                      .results = results,
+                      .result_count = 1 };
+}
+
+static void
+test_record_comes_back (void)
+{
+  void *ctx = talloc_new (NULL);
+  http_header_t header = { "Model", "m" };
+  job_rec_item_t items[2] = { { .id = "a",
+                                .target = "/q/1?x=1",
+                                .headers = { &header, 1 },
+                                .tokens = 940,
+                                .length = 7 },
+                              { .id = "b", .target = "/q/2" } };
+  job_rec_result_t results[1] = { { .item = 1, .completed = true } };
+  job_rec_t rec = _record (items, results);
+  buf_t bytes = job_rec_encode (ctx, &rec);
+  const job_rec_t *back = job_rec_decode (ctx, bytes);
+  TST_NEED (back != NULL);
+  CU_ASSERT_STRING_EQUAL (back->items[0].headers.v[0].value, "m");
+  CU_ASSERT_EQUAL (back->items[0].tokens, 940);
+  CU_ASSERT_EQUAL (back->result_count, 1);
+  CU_ASSERT (back->results[0].item == 1 && back->results[0].completed);
+  /* No part of it is taken for the whole. */
+  for (size_t n = 0; n < bytes.n; n++)
+    CU_ASSERT_PTR_NULL (job_rec_decode (ctx, (buf_t){ bytes.p, n }));
+  talloc_free (ctx);
+}
+
+/* A result that names no item of the job cannot be read. */
+static void
+test_record_out_of_range (void)
+{
+  void *ctx = talloc_new (NULL);
+  job_rec_item_t items[2]
+      = { { .id = "a", .target = "/" }, { .id = "b", .target = "/" } };
+  job_rec_result_t results[1] = { { .item = 2 } };
+  job_rec_t rec = _record (items, results);
+  CU_ASSERT_PTR_NULL (job_rec_decode (ctx, job_rec_encode (ctx, &rec)));
+  talloc_free (ctx);
+}
+
+/* In no window do all VMs together use more than the excess. */
+static void
+test_slack_in_any_window (void)
+{
+  enum
+  {
+    VMS = 8,
+    TRIES = 4000
+  };
+  lsl_desc_t desc = { .window_ms = 5000, .overshoot = 0.1, .requests = 20 };
+  lsl_t slack[VMS] = { 0 };
+  clk_ms_t used[TRIES];
+  size_t count = 0;
+  double part = lsl_part (&desc, 34, 34, VMS);
+  double excess = 0.1 * (34 * 5 + 34) + 20;
+  srand (7);
+  for (clk_ms_t now = 0; now < 20000; now += 5)
+    if (lsl_take (&slack[rand () % VMS], &desc, now, part))
+      used[count++] = now;
+  CU_ASSERT (count > 20);
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t n = 0;
+      for (size_t k = i; k < count && used[k] - used[i] < 5000; k++)
+        n++;
+      CU_ASSERT ((double)n <= excess);
+    }
+  CU_ASSERT_EQUAL (lsl_part (&desc, 34, 34, 0), 0);
+  CU_ASSERT_EQUAL (lsl_part (&(lsl_desc_t){ 0 }, 34, 34, 8), 0);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "events_however_cut", test_events_however_cut },
+    { "record_comes_back", test_record_comes_back },
+    { "record_out_of_range", test_record_out_of_range },
+    { "slack_in_any_window", test_slack_in_any_window },
+  };
+  return tst_run ("job", cases, sizeof cases / sizeof cases[0]);
+}
--- /dev/null
+++ b/tests/test_pfm.c
@@ -0,0 +1,381 @@
+/** @file
+ * The users' platform: what it says is decoded once, what cannot be read is
+ * left out, and what is sent has its names.
+ */
+#include "platform/pfm.h"
+#include "tst.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* -- documents -------------------------------------------------------------
+ */
+
+#define ROUTES                                                                \
+  "{\"name\":\"r1\",\"host\":\"a.example\",\"pathPrefix\":\"/p/\","           \
+  "\"kind\":\"streaming\",\"timeoutMs\":5000,\"maxAttempts\":2,"              \
+  "\"resumable\":true,\"gapTargetMs\":300,\"trafficSplit\":"                  \
+  "[{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}]}," \
+  "{\"name\":\"r2\",\"host\":\"a.example\",\"pathPrefix\":\"/q/\","           \
+  "\"kind\":\"batch\",\"timeoutMs\":15000,\"service\":\"s1\","                \
+  "\"maxWaitS\":60,\"completionTargetMs\":18000,\"maxCount\":900},"           \
+  "{\"name\":\"r3\",\"host\":\"b.example\",\"pathPrefix\":\"/p/\","           \
+  "\"kind\":\"non_idempotent\",\"timeoutMs\":900,\"service\":\"s2\","         \
+  "\"public\":true}"
+
+#define DOCUMENT(version, routes)                                             \
+  "{\"version\":" version ",\"routes\":[" routes "],\"services\":"            \
+  "[{\"name\":\"s1\",\"engine\":{\"slots\":8}},{\"name\":\"s2\"}],"           \
+  "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"],"                \
+  "\"ratePerS\":34,\"burst\":30},{\"name\":\"t2\",\"apiKeys\":[]}]}"
+
+static const cfg_doc_t *
+_document (void *ctx, const char *text)
+{
+  const ev_document_t *d = pfm_document_parse (ctx, buf_str (text));
+  cfg_faults_t faults = { 0 };
+  cfg_doc_t *doc = NULL;
+  if (d == NULL || cfg_doc_assemble (ctx, d->parts, &doc, &faults) != ST_OK)
+    return NULL;
+  return doc;
+}
+
+static void
+test_document (void)
+{
+  void *ctx = talloc_new (NULL);
+  const cfg_doc_t *doc = _document (ctx, DOCUMENT ("7", ROUTES));
+  TST_NEED (doc != NULL);
+  const cfg_route_t *r = cfg_route_for (doc, "a.example", "POST", "/p/x/y");
+  TST_NEED (r != NULL);
+  CU_ASSERT (r->resumable && r->idempotent && r->unrecorded);
+  CU_ASSERT_EQUAL (r->attempts, 2);
+  CU_ASSERT_STRING_EQUAL (cfg_route_share (r, 0.89), "s1");
+  CU_ASSERT_STRING_EQUAL (cfg_route_share (r, 0.91), "s2");
+  r = cfg_route_for (doc, "a.example", "POST", "/q/1");
+  TST_NEED (r != NULL);
+  CU_ASSERT_EQUAL (r->kind, CFG_ROUTE_JOBS);
+  CU_ASSERT_EQUAL (r->job_keep_ms, 60000);
+  CU_ASSERT_EQUAL (r->waiting_tokens, 900);
+  r = cfg_route_for (doc, "b.example", "GET", "/p/");
+  TST_NEED (r != NULL);
+  CU_ASSERT (r->open && !r->idempotent);
+  CU_ASSERT_PTR_NULL (cfg_route_for (doc, "b.example", "POST", "/q/1"));
+  CU_ASSERT_PTR_NULL (cfg_route_for (doc, NULL, "POST", "/p/x"));
+  CU_ASSERT_FALSE (cfg_customer_find (doc, "t1")->unlimited);
+  CU_ASSERT (cfg_customer_find (doc, "t2")->unlimited);
+  CU_ASSERT_EQUAL (doc->key_count, 2);
+  CU_ASSERT_EQUAL (cfg_deployment_find (doc, "s1")->slots, 8);
+  talloc_free (ctx);
+}
+
+/* A document is taken whole or not at all. */
+static void
+test_bad_documents (void)
+{
+  static const char *const bad[] = {
+    "",
+    "[]",
+    "{\"version\":\"7\"}",
+    "{\"version\":0,\"routes\":[]}",
+    DOCUMENT ("7", "{\"host\":\"a\",\"pathPrefix\":\"/p/\"}"),
+    DOCUMENT ("7", "{\"host\":5,\"pathPrefix\":\"/p/\",\"kind\":\"batch\","
+                   "\"service\":\"s1\",\"timeoutMs\":1}"),
+    DOCUMENT ("7", "{\"host\":\"a\",\"pathPrefix\":\"/p/\",\"kind\":"
+                   "\"streaming\",\"service\":\"none\",\"timeoutMs\":1}"),
+  };
+  void *ctx = talloc_new (NULL);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CU_ASSERT_PTR_NULL (_document (ctx, bad[i]));
+  talloc_free (ctx);
+}
+
+static ev_upstream_entry_t
+_entry (void *ctx, const char *text)
+{
+  json_t *spec = json_loads (text, JSON_DECODE_ANY, NULL);
+  ev_upstream_entry_t e = pfm_upstream_decode (ctx, "i-1", spec);
+  json_decref (spec);
+  return e;
+}
+
+static void
+test_upstream_entries (void)
+{
+  void *ctx = talloc_new (NULL);
+#define ENTRY(address, state)                                                 \
+  "{\"service\":\"s1\",\"address\":" address                                  \
+  ",\"zone\":\"z\",\"state\":\"" state "\",\"coldRemainingMs\":40}"
+  ev_upstream_entry_t e = _entry (ctx, ENTRY ("\"10.0.0.1:80\"", "ready"));
+  CU_ASSERT (!e.deleted && !e.leaving);
+  CU_ASSERT_EQUAL (e.cold_ms, 40);
+  CU_ASSERT (_entry (ctx, ENTRY ("\"10.0.0.1:80\"", "draining")).leaving);
+  CU_ASSERT (_entry (ctx, ENTRY ("\"10.0.0.1:80\"", "odd")).deleted);
+  CU_ASSERT (_entry (ctx, ENTRY ("\"10.0.0.1\"", "ready")).deleted);
+  CU_ASSERT (_entry (ctx, ENTRY ("17", "ready")).deleted);
+  CU_ASSERT (_entry (ctx, "\"text\"").deleted);
+  CU_ASSERT (_entry (ctx, "null").deleted);
+  talloc_free (ctx);
+}
+
+/* -- the store -------------------------------------------------------------
+ */
+
+static void
+_request_is (const fx_platform_t *p, const char *method, const char *path)
+{
+  void *ctx = talloc_new (NULL);
+  hcl_call_t call = { .kind = HCL_PLATFORM };
+  pfm_object_request (ctx, p, &call);
+  CU_ASSERT_STRING_EQUAL (call.method, method);
+  CU_ASSERT_STRING_EQUAL (call.path, path);
+  talloc_free (ctx);
+}
+
+static void
+test_object_requests (void)
+{
+  _request_is (&(fx_platform_t){ .op = FX_PLATFORM_GET,
+                                 .name = "jobs/a/1",
+                                 .lagging = true },
+               "GET", "/rattanspindle/objects/jobs/a:1?serializable=1");
+  _request_is (&(fx_platform_t){ .op = FX_PLATFORM_PUT, .name = "jobs/a" },
+               "POST", "/rattanspindle/objects/jobs");
+  _request_is (&(fx_platform_t){ .op = FX_PLATFORM_PUT,
+                                 .name = "jobs/a",
+                                 .if_version = 4 },
+               "PUT", "/rattanspindle/objects/jobs/a");
+  _request_is (&(fx_platform_t){ .op = FX_PLATFORM_WATCH,
+                                 .name = "jobs/",
+                                 .revision = 9,
+                                 .timeout_ms = 20 },
+               "GET", "/rattanspindle/objects/jobs?watch=9&waitMs=20");
+  _request_is (&(fx_platform_t){ .op = FX_PLATFORM_UPSTREAMS, .after = "i-7" },
+               "GET", "/rattanspindle/objects/servers?after=i-7");
+}
+
+/* Bytes of any kind come back as they went. */
+static void
+test_values_come_back (void)
+{
+  static const buf_t values[]
+      = { { "", 0 }, { "text \"q\"", 8 }, { "a\0b", 3 }, { "\xff\xfe", 2 } };
+  for (size_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    {
+      void *ctx = talloc_new (NULL);
+      hcl_call_t call = { .kind = HCL_PLATFORM };
+      ev_platform_t reply = { 0 };
+      pfm_object_request (ctx,
+                          &(fx_platform_t){ .op = FX_PLATFORM_PUT,
+                                            .name = "jobs/a",
+                                            .value = values[i] },
+                          &call);
+      pfm_object_answer (ctx, FX_PLATFORM_GET, "jobs/a", 200, call.body,
+                         &reply);
+      CU_ASSERT_EQUAL (reply.code, ST_OK);
+      TST_NEED (reply.object_count == 1);
+      CU_ASSERT (buf_equal (reply.objects[0].value, values[i]));
+      talloc_free (ctx);
+    }
+}
+
+static st_code_t
+_answer (fx_platform_op_t op, int status, const char *body)
+{
+  void *ctx = talloc_new (NULL);
+  ev_platform_t reply = { 0 };
+  pfm_object_answer (ctx, op, "jobs/a", status, buf_str (body), &reply);
+  talloc_free (ctx);
+  return reply.code;
+}
+
+static void
+test_object_answers (void)
+{
+  CU_ASSERT_EQUAL (_answer (FX_PLATFORM_WATCH, 410, ""), ST_STALE);
+  CU_ASSERT_EQUAL (_answer (FX_PLATFORM_GET, 404, "{}"), ST_NOT_FOUND);
+  CU_ASSERT_EQUAL (_answer (FX_PLATFORM_PUT, 429, ""), ST_UNAVAILABLE);
+  CU_ASSERT_EQUAL (_answer (FX_PLATFORM_PUT, 500, ""), ST_UNKNOWN);
+  CU_ASSERT_EQUAL (_answer (FX_PLATFORM_GET, 500, ""), ST_UNAVAILABLE);
+  /* Nonsense is no answer: never an empty list, never a zero. */
+  CU_ASSERT_EQUAL (_answer (FX_PLATFORM_UPSTREAMS, 200, "<html>"),
+                   ST_UNAVAILABLE);
+  CU_ASSERT_EQUAL (_answer (FX_PLATFORM_UPSTREAMS, 200, "{\"items\":[]}"),
+                   ST_UNAVAILABLE);
+  CU_ASSERT_EQUAL (_answer (FX_PLATFORM_PUT, 200, "<html>"), ST_UNKNOWN);
+}
+
+static void
+test_lists (void)
+{
+  void *ctx = talloc_new (NULL);
+  ev_platform_t reply = { 0 };
+  pfm_object_answer (
+      ctx, FX_PLATFORM_VMS, "", 200,
+      buf_str ("{\"items\":[{\"metadata\":{\"name\":\"e-1\"},\"spec\":"
+               "\"north 10.1.0.1:70 entry\"},{\"metadata\":{\"name\":\"w-1\"},"
+               "\"spec\":\"north 10.1.0.2:70 worker\"},{\"metadata\":"
+               "{\"name\":\"odd\"},\"spec\":7}],\"hasMore\":true,"
+               "\"currentRev\":12}"),
+      &reply);
+  CU_ASSERT_EQUAL (reply.vm_count, 2);
+  CU_ASSERT (!reply.vms[0].worker && reply.vms[1].worker);
+  CU_ASSERT_EQUAL (reply.revision, 12);
+  CU_ASSERT_STRING_EQUAL (reply.more_after, "odd");
+  talloc_free (ctx);
+}
+
+/* -- requests and answers --------------------------------------------------
+ */
+
+static void
+test_request_headers (void)
+{
+  static const http_header_t sent[] = {
+    { "Host", "a.example:8080" },  { "Request-Id", "r-1" },
+    { "Deadline-Ms", "4200" },     { "Tenant", "forged" },
+    { "Target-Instance", "i-9" },  { "Token-Usage", "1460,80" },
+    { "Prefix-Hash", "5c:8,9:4" }, { "Deadline-Ms-X", "kept" },
+  };
+  void *ctx = talloc_new (NULL);
+  ev_request_t r = { .method = "POST",
+                     .path = "/p/x",
+                     .query = "",
+                     .headers = { sent, sizeof sent / sizeof sent[0] } };
+  pfm_request_decode (ctx, &r);
+  CU_ASSERT_STRING_EQUAL (r.call.host, "a.example");
+  CU_ASSERT_STRING_EQUAL (r.call.id, "r-1");
+  CU_ASSERT_EQUAL (r.call.wait_ms, 4200);
+  CU_ASSERT_EQUAL (r.call.tokens_in, 1460);
+  CU_ASSERT_EQUAL (r.call.tokens_out, 80);
+  CU_ASSERT (r.call.prefix != 0);
+  CU_ASSERT_PTR_NULL (http_header_find (r.headers, "Tenant"));
+  CU_ASSERT_PTR_NULL (http_header_find (r.headers, "Target-Instance"));
+  CU_ASSERT_PTR_NOT_NULL (http_header_find (r.headers, "Token-Usage"));
+  CU_ASSERT_PTR_NOT_NULL (http_header_find (r.headers, "Deadline-Ms-X"));
+  talloc_free (ctx);
+}
+
+static void
+test_upstream_headers (void)
+{
+  static const http_header_t own[] = { { "X-Request-Id", "r-1" } };
+  void *ctx = talloc_new (NULL);
+  http_headers_t h
+      = pfm_upstream_encode (ctx, &(fx_upstream_t){ .headers = { own, 1 },
+                                                    .host = "a.example",
+                                                    .upstream = "i-1",
+                                                    .customer = "t1",
+                                                    .resume_after = "7",
+                                                    .deadline_ms = 900 });
+  CU_ASSERT_STRING_EQUAL (http_header_find (h, "Request-Id"), "r-1");
+  CU_ASSERT_STRING_EQUAL (http_header_find (h, "Target-Instance"), "i-1");
+  CU_ASSERT_STRING_EQUAL (http_header_find (h, "Tenant"), "t1");
+  CU_ASSERT_STRING_EQUAL (http_header_find (h, "Last-Event-Id"), "7");
+  CU_ASSERT_STRING_EQUAL (http_header_find (h, "Deadline-Ms"), "900");
+  h = pfm_upstream_encode (ctx, &(fx_upstream_t){ .customer = "" });
+  CU_ASSERT_EQUAL (h.n, 0);
+  talloc_free (ctx);
+}
+
+static void
+test_answers_that_promise (void)
+{
+  static const http_header_t shed[]
+      = { { "Not-Executed", "1" }, { "Request-Id", "r-1" } };
+  void *ctx = talloc_new (NULL);
+  ev_upstream_t u = { .status = 503, .headers = { shed, 2 } };
+  pfm_answer_decode (ctx, &u);
+  CU_ASSERT (u.not_run && !u.other);
+  CU_ASSERT_STRING_EQUAL (http_header_find (u.headers, "X-Request-Id"), "r-1");
+  u = (ev_upstream_t){ .status = 503 };
+  pfm_answer_decode (ctx, &u);
+  CU_ASSERT_FALSE (u.not_run);
+  u = (ev_upstream_t){ .status = 421 };
+  pfm_answer_decode (ctx, &u);
+  CU_ASSERT (u.not_run && u.other);
+  http_headers_t h = pfm_reply_encode (
+      ctx, &(fx_reply_t){ .status = 503, .retry_after_ms = 250 });
+  CU_ASSERT_STRING_EQUAL (http_header_find (h, "Retry-After"), "0.250");
+  talloc_free (ctx);
+}
+
+/* -- batch jobs ------------------------------------------------------------
+ */
+
+static ev_job_t
+_job (void *ctx, const char *method, const char *path, const char *query,
+      const char *body)
+{
+  ev_request_t r = { .method = method,
+                     .path = path,
+                     .query = query,
+                     .body = buf_str (body),
+                     .call = { .id = "j-1" } };
+  pfm_job_decode (ctx, &r);
+  return r.job;
+}
+
+static void
+test_job_calls (void)
+{
+  void *ctx = talloc_new (NULL);
+  ev_job_t j = _job (ctx, "GET", "/rattanspindle/lots/j-1", "after=12", "");
+  CU_ASSERT_EQUAL (j.op, EV_JOB_READ);
+  CU_ASSERT_STRING_EQUAL (j.id, "j-1");
+  CU_ASSERT_EQUAL (j.after, 12);
+  j = _job (ctx, "GET", "/rattanspindle/items/j-1", "id=e%2f5", "");
+  CU_ASSERT_EQUAL (j.op, EV_JOB_BODY);
+  CU_ASSERT_STRING_EQUAL (j.item, "e/5");
+  j = _job (ctx, "DELETE", "/rattanspindle/lots/j-1", "", "");
+  CU_ASSERT_EQUAL (j.op, EV_JOB_END);
+  j = _job (ctx, "POST", "/q/1", "",
+            "{\"items\":[{\"id\":\"e\",\"path\":\"/q/2\",\"headers\":"
+            "{\"Model\":\"m\"},\"body\":\"q83v\",\"tokens\":940}]}");
+  CU_ASSERT_EQUAL (j.op, EV_JOB_SUBMIT);
+  TST_NEED (j.items != NULL && j.item_count == 1);
+  CU_ASSERT_EQUAL (j.items[0].body.n, 3);
+  CU_ASSERT_EQUAL (j.items[0].tokens, 940);
+  CU_ASSERT_STRING_EQUAL (http_header_find (j.items[0].headers, "Model"), "m");
+  j = _job (ctx, "POST", "/q/1", "", "{\"items\":[{\"id\":5}]}");
+  CU_ASSERT (j.op == EV_JOB_SUBMIT && j.items == NULL);
+  j = _job (ctx, "POST", "/q/1", "", "{\"items\":[{\"id\"");
+  CU_ASSERT (j.op == EV_JOB_SUBMIT && j.items == NULL);
+  CU_ASSERT_EQUAL (_job (ctx, "POST", "/p/1", "", "measure").op, EV_JOB_NONE);
+  talloc_free (ctx);
+}
+
+static void
+test_results (void)
+{
+  void *ctx = talloc_new (NULL);
+  fx_result_t v[] = { { .id = "e", .completed = true, .text = { "a\nb", 3 } },
+                      { .id = "f" } };
+  buf_t body = pfm_results_encode (
+      ctx, &(fx_results_t){ .total = 40, .next = 2, .v = v, .count = 2 });
+  CU_ASSERT_STRING_EQUAL (
+      body.p, "{\"total\":40,\"nextToken\":2,\"results\":[{\"id\":\"e\","
+              "\"state\":\"completed\",\"message\":\"a\\nb\"},{\"id\":\"f\","
+              "\"state\":\"dead_letter\",\"message\":\"\"}]}");
+  talloc_free (ctx);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "document", test_document },
+    { "bad_documents", test_bad_documents },
+    { "upstream_entries", test_upstream_entries },
+    { "object_requests", test_object_requests },
+    { "values_come_back", test_values_come_back },
+    { "object_answers", test_object_answers },
+    { "lists", test_lists },
+    { "request_headers", test_request_headers },
+    { "upstream_headers", test_upstream_headers },
+    { "answers_that_promise", test_answers_that_promise },
+    { "job_calls", test_job_calls },
+    { "results", test_results },
+  };
+  return tst_run ("pfm", cases, sizeof cases / sizeof cases[0]);
+}
