--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -159,6 +159,7 @@
   char *feed_after;
   bool ticking;
   bool leaving;
+  GHashTable *told;  /**< upstream to the news of others that runs went by */
   size_t text_bytes; /**< of all texts at hand */
 };
 
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -13,6 +13,8 @@
 #define JOB_STALL_MS (2 * CLK_SECOND)
 /** An item that failed, or that no upstream took, waits so long. */
 #define JOB_AGAIN_MS 200
+/** Slots of an upstream that stay free beside its online requests. */
+#define JOB_FREE_SLOTS 1
 /** An item that gave way waits so long. */
 #define JOB_YIELD_MS 100
 /** An item whose route is gone is given up after that. */
@@ -331,21 +333,52 @@
   return newest;
 }
 
+/* How many of this VM's runs are to give way: of what batch items have beyond
+ * the slots that online requests leave, its part by chance. */
+static uint32_t
+_job_give_way (env_t *env, const rte_room_t *room)
+{
+  uint32_t online = room->load > room->batch ? room->load - room->batch : 0;
+  uint32_t taken = online > 0 ? online + JOB_FREE_SLOTS : 0;
+  uint32_t left = room->slots > taken ? room->slots - taken : 0;
+  if (room->batch <= left)
+    return 0;
+  double part = (double)(room->batch - left) * room->own / room->batch;
+  return (uint32_t)(part + g_rand_double (env->rand));
+}
+
+/* The runs here at UPSTREAM whose figures have come anew. */
+static void
+_job_yield_at (job_set_t *j, env_t *env, const char *upstream,
+               const rte_room_t *room)
+{
+  uint32_t count = _job_give_way (env, room);
+  for (uint32_t i = 0; i < count && i < room->own; i++)
+    {
+      job_run_t *newest = _job_run_newest (j, upstream);
+      const job_t *job = tbl_get (j->jobs, newest->job);
+      job->items[newest->item].not_before = env->now + JOB_YIELD_MS;
+      cnt_add (env->cnt, "rts_job_yields_total", "", 1);
+      _job_run_end (j, env, newest, RTE_FAIL_CANCELLED);
+    }
+}
+
 void
 job_runs_yield (job_set_t *j, env_t *env)
 {
   for (tbl_id_t id = tbl_next (j->runs, (tbl_id_t){ 0 }); id.id != 0;
        id = tbl_next (j->runs, id))
     {
-      const job_run_t *run = tbl_get (j->runs, id);
+      job_run_t *run = tbl_get (j->runs, id);
       rte_room_t room = rte_room (j->desc.routes, env, run->upstream);
-      if (room.slots == 0 || room.load < room.slots)
+      uint64_t *told = g_hash_table_lookup (j->told, run->upstream);
+      if (told != NULL && *told == room.told)
         continue;
-      job_run_t *newest = _job_run_newest (j, run->upstream);
-      const job_t *job = tbl_get (j->jobs, newest->job);
-      job->items[newest->item].not_before = env->now + JOB_YIELD_MS;
-      cnt_add (env->cnt, "rts_job_yields_total", "", 1);
-      _job_run_end (j, env, newest, RTE_FAIL_CANCELLED);
+      char *upstream = talloc_strdup (NULL, run->upstream);
+      g_hash_table_replace (j->told, g_strdup (upstream),
+                            g_memdup2 (&room.told, sizeof room.told));
+      _job_yield_at (j, env, upstream, &room);
+      talloc_free (upstream);
     }
 }
 
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -32,14 +32,14 @@
 typedef enum
 {
   /** VM to poller: u64 count of entries, then for each: str upstream,
-   * u64 requests in flight, u64 cache events seen. */
+   * u64 requests in flight, u64 batch ones among them, u64 cache events
+   * seen. */
   MSG_ROUTE_USE = MSG_ROUTE_FIRST,
   /** Poller to VM, the answer: for each upstream of the use message: str
-   * upstream, u64 VMs that use it, u64 in flight of the others, u64 state
-   * bits, u64 report's age (ms), u64 running, u64 waiting, u64 hidden, u64
-   * slots, u64
-   * cache events up to here, u64 count of events, then for each: u64 added,
-   * u64 prefix. */
+   * upstream, u64 VMs that use it, u64 in flight of the others, u64 batch ones
+   * among them, u64 state bits, u64 report's age (ms), u64 running, u64
+   * waiting, u64 hidden, u64 slots, u64 cache events up to here, u64 count of
+   * events, then for each: u64 added, u64 prefix. */
   MSG_ROUTE_REPORT = MSG_ROUTE_FIRST + 1,
 } rte_msg_t;
 
@@ -129,12 +129,14 @@
 uint32_t rte_idle_slots (const rte_t *r, const env_t *env,
                          const char *upstream);
 
-/** Slots of UPSTREAM, and its requests, of all VMs, as far as is known; zeros
- * when it is unknown. */
+/** Who uses UPSTREAM, as far as is known; zeros when it is unknown. */
 typedef struct
 {
   uint32_t slots;
-  uint32_t load;
+  uint32_t load;  /**< requests of all VMs */
+  uint32_t batch; /**< batch ones among them */
+  uint32_t own;   /**< and of these this VM's */
+  uint64_t told;  /**< grows when others' figures have come */
 } rte_room_t;
 rte_room_t rte_room (const rte_t *r, const env_t *env, const char *upstream);
 
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -293,6 +293,12 @@
   const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
   if (u == NULL)
     return (rte_room_t){ 0 };
+  uint32_t batch = u->batch;
+  if (u->others_at > 0 && env->now - u->others_at < RTE_OTHERS_MS)
+    batch += u->others_batch;
   return (rte_room_t){ .slots = u->slots,
-                       .load = rte_known_load (u, env->now) };
+                       .load = rte_known_load (u, env->now),
+                       .batch = batch,
+                       .own = u->batch,
+                       .told = u->told };
 }
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -16,11 +16,14 @@
 /** Period of a VM that has sent nothing for as long. */
 #define RTE_IDLE_MS ((clk_ms_t)1400)
 
-/** Requests of VMs other than VM at U, as they have told. */
+/** Requests of VMs other than VM at U, as they have told; the batch ones among
+ * them to *BATCH. */
 static uint32_t
-_rte_others (const rte_upstream_t *u, const char *vm, clk_ms_t now)
+_rte_others (const rte_upstream_t *u, const char *vm, clk_ms_t now,
+             uint32_t *batch)
 {
   uint32_t sum = 0;
+  *batch = 0;
   GHashTableIter iter;
   void *name;
   void *value;
@@ -31,7 +34,10 @@
       if (now - use->at >= RTE_USE_MS)
         g_hash_table_iter_remove (&iter);
       else if (strcmp (name, vm) != 0)
-        sum += use->in_flight;
+        {
+          sum += use->in_flight;
+          *batch += use->batch;
+        }
     }
   return sum;
 }
@@ -49,6 +55,7 @@
       const rte_upstream_t *u = g_ptr_array_index (list, i);
       mpk_put_str (&w, buf_str (u->name));
       mpk_put_uint (&w, u->online + u->batch);
+      mpk_put_uint (&w, u->batch);
       mpk_put_uint (&w, u->events_seen);
     }
   mbr_send (r->desc.members, env, first->poller, MSG_ROUTE_USE, mpk_done (&w));
@@ -108,9 +115,10 @@
       rte_upstream_t *u = tbl_get (r->upstreams, id);
       if (u->poll == NULL)
         continue;
-      u->others = _rte_others (u, env->vm, env->now);
+      u->others = _rte_others (u, env->vm, env->now, &u->others_batch);
       u->users = g_hash_table_size (u->poll->uses) + 1;
       u->others_at = env->now;
+      u->told++;
       u->own_told = u->online + u->batch;
     }
 }
@@ -140,9 +148,12 @@
   if (p->event_count - from > RTE_EVENTS_SENT)
     from = p->event_count - RTE_EVENTS_SENT;
   mpk_put_str (w, buf_str (u->name));
-  uint32_t others = _rte_others (u, vm, env->now) + u->online + u->batch;
+  uint32_t batch;
+  uint32_t others
+      = _rte_others (u, vm, env->now, &batch) + u->online + u->batch;
   mpk_put_uint (w, g_hash_table_size (p->uses) + 1);
   mpk_put_uint (w, others);
+  mpk_put_uint (w, batch + u->batch);
   mpk_put_uint (w, u->state);
   mpk_put_uint (w, (uint64_t)(env->now - u->report_at));
   mpk_put_uint (w, u->running);
@@ -169,13 +180,17 @@
     {
       buf_t name = mpk_get_str (in);
       uint64_t in_flight = mpk_get_uint (in);
+      uint64_t batch = mpk_get_uint (in);
       uint64_t seen = mpk_get_uint (in);
       rte_upstream_t *u
           = name.p ? g_hash_table_lookup (r->by_name, name.p) : NULL;
-      if (u == NULL || u->poll == NULL || in_flight > UINT16_MAX)
+      if (u == NULL || u->poll == NULL || in_flight > UINT16_MAX
+          || batch > in_flight)
         continue;
       rte_use_t *use = g_new (rte_use_t, 1);
-      *use = (rte_use_t){ .in_flight = (uint32_t)in_flight, .at = env->now };
+      *use = (rte_use_t){ .in_flight = (uint32_t)in_flight,
+                          .batch = (uint32_t)batch,
+                          .at = env->now };
       g_hash_table_replace (u->poll->uses, g_strdup (vm), use);
       _rte_report_write (&w, env, u, vm, seen);
       answered++;
@@ -194,6 +209,7 @@
   buf_t name = mpk_get_str (in);
   uint64_t users = mpk_get_uint (in);
   uint64_t others = mpk_get_uint (in);
+  uint64_t batch = mpk_get_uint (in);
   uint64_t state = mpk_get_uint (in);
   uint64_t age = mpk_get_uint (in);
   uint64_t running = mpk_get_uint (in);
@@ -215,6 +231,8 @@
     return;
   u->users = (uint32_t)users;
   u->others = (uint32_t)others;
+  u->others_batch = (uint32_t)batch;
+  u->told++;
   u->others_at = env->now;
   u->state = (uint32_t)state;
   u->running = (uint32_t)running;
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -70,6 +70,7 @@
 typedef struct
 {
   uint32_t in_flight;
+  uint32_t batch; /**< among them */
   clk_ms_t at;
 } rte_use_t;
 
@@ -94,12 +95,14 @@
   uint32_t batch;
   GQueue unanswered; /**< rte_flight_t without a first byte, oldest first */
 
-  char *poller;      /**< VM that polls it; NULL: none known */
-  uint32_t own_told; /**< own requests in flight when others was told */
-  uint32_t queued;   /**< own requests in flight that found no free slot */
-  bool changed;      /**< in the queue of changed loads */
-  uint32_t others;   /**< requests of other VMs, as the poller told */
-  uint32_t users;    /**< VMs that use it, as the poller told */
+  char *poller;          /**< VM that polls it; NULL: none known */
+  uint32_t own_told;     /**< own requests in flight when others was told */
+  uint32_t queued;       /**< own requests in flight that found no free slot */
+  bool changed;          /**< in the queue of changed loads */
+  uint32_t others;       /**< requests of other VMs, as the poller told */
+  uint32_t others_batch; /**< batch requests among them */
+  uint64_t told;         /**< how often the sums have come */
+  uint32_t users;        /**< VMs that use it, as the poller told */
   clk_ms_t others_at;
   uint32_t state;   /**< RTE_BIT_*, as last told */
   uint32_t excess;  /**< of the last report over the load known then */
--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -41,7 +41,7 @@
 }
 
 static void
-test_document (void)
+test_document_routes (void)
 {
   void *ctx = talloc_new (NULL);
   const cfg_doc_t *doc = _document (ctx, DOCUMENT ("7", ROUTES));
@@ -52,16 +52,25 @@
   CU_ASSERT_EQUAL (r->attempts, 2);
   CU_ASSERT_STRING_EQUAL (cfg_route_share (r, 0.89), "s1");
   CU_ASSERT_STRING_EQUAL (cfg_route_share (r, 0.91), "s2");
-  r = cfg_route_for (doc, "a.example", "POST", "/q/1");
-  TST_NEED (r != NULL);
-  CU_ASSERT_EQUAL (r->kind, CFG_ROUTE_JOBS);
-  CU_ASSERT_EQUAL (r->job_keep_ms, 60000);
-  CU_ASSERT_EQUAL (r->waiting_tokens, 900);
   r = cfg_route_for (doc, "b.example", "GET", "/p/");
   TST_NEED (r != NULL);
   CU_ASSERT (r->open && !r->idempotent);
   CU_ASSERT_PTR_NULL (cfg_route_for (doc, "b.example", "POST", "/q/1"));
   CU_ASSERT_PTR_NULL (cfg_route_for (doc, NULL, "POST", "/p/x"));
+  talloc_free (ctx);
+}
+
+static void
+test_document_jobs_and_customers (void)
+{
+  void *ctx = talloc_new (NULL);
+  const cfg_doc_t *doc = _document (ctx, DOCUMENT ("7", ROUTES));
+  TST_NEED (doc != NULL);
+  const cfg_route_t *r = cfg_route_for (doc, "a.example", "POST", "/q/1");
+  TST_NEED (r != NULL);
+  CU_ASSERT_EQUAL (r->kind, CFG_ROUTE_JOBS);
+  CU_ASSERT_EQUAL (r->job_keep_ms, 60000);
+  CU_ASSERT_EQUAL (r->waiting_tokens, 900);
   CU_ASSERT_FALSE (cfg_customer_find (doc, "t1")->unlimited);
   CU_ASSERT (cfg_customer_find (doc, "t2")->unlimited);
   CU_ASSERT_EQUAL (doc->key_count, 2);
@@ -364,7 +373,8 @@
 main (void)
 {
   static const tst_case_t cases[] = {
-    { "document", test_document },
+    { "document_routes", test_document_routes },
+    { "document_jobs_and_customers", test_document_jobs_and_customers },
     { "bad_documents", test_bad_documents },
     { "upstream_entries", test_upstream_entries },
     { "object_requests", test_object_requests },
