--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -336,7 +336,7 @@
 /* How many of this VM's runs are to give way: of what batch items have beyond
  * the slots that online requests leave, its part by chance. */
 static uint32_t
-_job_give_way (env_t *env, const rte_room_t *room)
+_job_beyond (env_t *env, const rte_room_t *room)
 {
   uint32_t online = room->load > room->batch ? room->load - room->batch : 0;
   uint32_t taken = online > 0 ? online + JOB_FREE_SLOTS : 0;
@@ -347,20 +347,26 @@
   return (uint32_t)(part + g_rand_double (env->rand));
 }
 
+void
+job_give_way (job_set_t *j, env_t *env, const char *upstream)
+{
+  job_run_t *newest = _job_run_newest (j, upstream);
+  if (newest == NULL)
+    return;
+  const job_t *job = tbl_get (j->jobs, newest->job);
+  job->items[newest->item].not_before = env->now + JOB_YIELD_MS;
+  cnt_add (env->cnt, "rts_job_yields_total", "", 1);
+  _job_run_end (j, env, newest, RTE_FAIL_CANCELLED);
+}
+
 /* The runs here at UPSTREAM whose figures have come anew. */
 static void
 _job_yield_at (job_set_t *j, env_t *env, const char *upstream,
                const rte_room_t *room)
 {
-  uint32_t count = _job_give_way (env, room);
-  for (uint32_t i = 0; i < count && i < room->own; i++)
-    {
-      job_run_t *newest = _job_run_newest (j, upstream);
-      const job_t *job = tbl_get (j->jobs, newest->job);
-      job->items[newest->item].not_before = env->now + JOB_YIELD_MS;
-      cnt_add (env->cnt, "rts_job_yields_total", "", 1);
-      _job_run_end (j, env, newest, RTE_FAIL_CANCELLED);
-    }
+  uint32_t count = _job_beyond (env, room);
+  for (uint32_t i = 0; i < count; i++)
+    job_give_way (j, env, upstream);
 }
 
 void
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -509,6 +509,16 @@
                                      .running = load.running });
 }
 
+/* Batch items give way to online requests, and use what these leave. */
+static void
+_node_jobs (node_t *n)
+{
+  const char *upstream;
+  while (rte_yield_pop (n->rte, &upstream))
+    job_give_way (n->job, n->env, upstream);
+  job_pump (n->job, n->env);
+}
+
 bool
 node_mods_drain (node_t *n)
 {
@@ -533,6 +543,6 @@
       bat_pump (n->bat, n->env);
     }
   else
-    job_pump (n->job, n->env);
+    _node_jobs (n);
   return changed;
 }
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -148,6 +148,7 @@
           if (g_hash_table_lookup (r->by_name, u->name) == u)
             g_hash_table_remove (r->by_name, u->name);
           g_queue_remove (&r->changed, u);
+          g_queue_remove_all (&r->yields, u);
           talloc_free (u->strings);
           tbl_free (r->upstreams, id);
         }
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -41,6 +41,10 @@
    * waiting, u64 hidden, u64 slots, u64 cache events up to here, u64 count of
    * events, then for each: u64 added, u64 prefix. */
   MSG_ROUTE_REPORT = MSG_ROUTE_FIRST + 1,
+  /** VM to poller: str upstream; an online request took its last slot. */
+  MSG_ROUTE_PRESSED = MSG_ROUTE_FIRST + 2,
+  /** Poller to the VM with most batch requests there: str upstream. */
+  MSG_ROUTE_YIELD = MSG_ROUTE_FIRST + 3,
 } rte_msg_t;
 
 /** How to set routing up; zeros mean the defaults. */
@@ -160,6 +164,10 @@
   uint32_t running; /**< by its last report, of all VMs, waiting ones too */
 } rte_load_t;
 
+/** Take one upstream at which a batch request of this VM is to give way; the
+ * name lives until the next configuration.  False: none. */
+bool rte_yield_pop (rte_t *r, const char **upstream);
+
 /** Take one upstream whose load has changed; false: none. */
 bool rte_load_pop (rte_t *r, const env_t *env, rte_load_t *load);
 
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -163,20 +163,26 @@
   return home;
 }
 
+/** Load as a batch request counts it: one other VM is taken to have begun as
+ * many since the last news.  Too many do little harm, as they give way. */
+static uint32_t
+_rte_batch_load (const rte_upstream_t *u, clk_ms_t now)
+{
+  uint32_t own = u->online + u->batch;
+  uint32_t begun = own > u->own_told ? own - u->own_told : 0;
+  return rte_known_load (u, now) + begun;
+}
+
 /** Whether ASK leaves no place at U. */
 static bool
 _rte_full (const rte_t *r, const env_t *env, const rte_ask_t *ask,
            const rte_upstream_t *u)
 {
-  uint32_t load = rte_load (u, env->now);
   if (u->slots == 0)
     return false;
   if (ask->spare > 0)
-    {
-      uint32_t known = rte_known_load (u, env->now);
-      return (known > load ? known : load) + ask->spare >= u->slots;
-    }
-  return ask->hold && load >= u->slots + r->desc.queue;
+    return _rte_batch_load (u, env->now) + ask->spare >= u->slots;
+  return ask->hold && rte_known_load (u, env->now) >= u->slots + r->desc.queue;
 }
 
 static rte_candidate_t
@@ -216,7 +222,7 @@
 }
 
 static uint64_t
-_rte_flight_begin (rte_t *r, const env_t *env, rte_deployment_t *d,
+_rte_flight_begin (rte_t *r, env_t *env, rte_deployment_t *d,
                    const rte_ask_t *ask, const rte_candidate_t *c)
 {
   tbl_id_t id = tbl_alloc (r->flights);
@@ -243,6 +249,7 @@
   u->queued += c->queued;
   r->picked_at = env->now;
   rte_load_changed (r, u);
+  rte_exchange_wake (r, env);
   if (ask->prefix != 0)
     rte_holders_add (r->holders, ask->prefix, u->id, env->now);
   return id.id;
@@ -280,6 +287,8 @@
                         .address = u->address,
                         .fixed_identity = u->fixed_identity,
                         .wait_ms = (clk_ms_t)c.wait_ms };
+  if (!ask->batch && u->slots > 0 && rte_known_load (u, env->now) >= u->slots)
+    rte_press (r, env, u);
   if (!u->near)
     cnt_add (env->cnt, "rts_route_far_total", "", 1);
   cnt_add (env->cnt, "rts_route_picks_total",
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -123,9 +123,25 @@
     }
 }
 
+static void
+_rte_exchange_arm (rte_t *r, env_t *env, clk_ms_t period)
+{
+  r->exchange_at = env->now + env_jitter (env, period);
+  tmr_arm (env->tmr, r->exchange_at, MOD_ROUTE, RTE_TIMER_EXCHANGE);
+}
+
+void
+rte_exchange_wake (rte_t *r, env_t *env)
+{
+  if (r->ticking && r->exchange_at - env->now > 2 * r->desc.exchange_ms)
+    _rte_exchange_arm (r, env, r->desc.exchange_ms);
+}
+
 void
 rte_exchange_tick (rte_t *r, env_t *env)
 {
+  if (env->now < r->exchange_at)
+    return;
   _rte_own_sums (r, env);
   size_t pollers = _rte_uses_send (r, env);
   clk_ms_t period
@@ -133,8 +149,7 @@
   /* Who sends nothing only needs to hear which upstreams leave. */
   if (env->now - r->picked_at > RTE_IDLE_MS)
     period = clk_max (period, RTE_IDLE_MS);
-  tmr_arm (env->tmr, env->now + env_jitter (env, period), MOD_ROUTE,
-           RTE_TIMER_EXCHANGE);
+  _rte_exchange_arm (r, env, period);
 }
 
 static void
@@ -272,6 +287,8 @@
     good = _rte_use_received (r, env, vm, &in);
   else if (msg->kind == MSG_ROUTE_REPORT)
     good = _rte_report_received (r, env, msg, ctx);
+  else if (msg->kind == MSG_ROUTE_PRESSED || msg->kind == MSG_ROUTE_YIELD)
+    good = rte_press_received (r, env, msg, ctx);
   if (!good)
     cnt_add (env->cnt, "rts_route_bad_messages_total", "", 1);
   talloc_free (ctx);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -83,42 +83,42 @@
   char *address;
   char *data_centre;
   char *deployment;
-  uint64_t hash; /**< of its name */
+  uint64_t hash;     /**< of its name */
+  GQueue unanswered; /**< rte_flight_t without a first byte, oldest first */
+  char *poller;      /**< VM that polls it; NULL: none known */
   uint32_t slots;
+  uint32_t online; /**< own requests in flight */
+  uint32_t batch;
+  uint32_t own_told; /**< own requests in flight when others was told */
+  uint32_t queued;   /**< own requests in flight that found no free slot */
+  uint32_t state;    /**< RTE_BIT_*, as last told */
+
   bool configured;     /**< still in the document */
   bool near;           /**< in this VM's data centre */
   bool leaving;        /**< by the document */
   bool used;           /**< in this VM's subset */
   bool fixed_identity; /**< as in cfg_upstream_t */
+  bool changed;        /**< in the queue of changed loads */
 
-  uint32_t online; /**< own requests in flight */
-  uint32_t batch;
-  GQueue unanswered; /**< rte_flight_t without a first byte, oldest first */
-
-  char *poller;          /**< VM that polls it; NULL: none known */
-  uint32_t own_told;     /**< own requests in flight when others was told */
-  uint32_t queued;       /**< own requests in flight that found no free slot */
-  bool changed;          /**< in the queue of changed loads */
-  uint32_t others;       /**< requests of other VMs, as the poller told */
-  uint32_t others_batch; /**< batch requests among them */
+  clk_ms_t others_at;
   uint64_t told;         /**< how often the sums have come */
   uint32_t users;        /**< VMs that use it, as the poller told */
-  clk_ms_t others_at;
-  uint32_t state;   /**< RTE_BIT_*, as last told */
-  uint32_t excess;  /**< of the last report over the load known then */
+  uint32_t others;       /**< requests of other VMs, as the poller told */
+  uint32_t others_batch; /**< batch requests among them */
+  uint32_t excess;       /**< of the last report over the load known then */
   uint32_t hidden;  /**< requests that no VM knows of: runs of before a loss */
   uint32_t running; /**< last load report */
   uint32_t waiting;
-  clk_ms_t report_at;
   uint32_t own_at_report;
+  clk_ms_t report_at;
   uint64_t seq; /**< of the load report */
   uint64_t events_seen;
 
   double slowness; /**< observed over expected time to first byte */
   clk_ms_t slowness_at;
-  unsigned failures; /**< without a quiet time in between */
   clk_ms_t failed_at;
   clk_ms_t suspect_until;
+  unsigned failures; /**< without a quiet time in between */
   rte_life_t life;
 
   rte_poll_t *poll; /**< NULL unless this VM polls it */
@@ -163,8 +163,10 @@
   GHashTable *deployments;     /**< name to rte_deployment_t */
   uint64_t members_generation; /**< that the pollers were found for */
   GQueue changed;              /**< rte_upstream_t */
+  GQueue yields;               /**< rte_upstream_t */
   rte_holders_t *holders;
   clk_ms_t picked_at;
+  clk_ms_t exchange_at; /**< of the next exchange; earlier timers are stale */
   bool ticking;
 };
 
@@ -199,10 +201,16 @@
 bool rte_usable (const rte_upstream_t *u, clk_ms_t now);
 double rte_slowness (const rte_upstream_t *u, clk_ms_t now);
 
+/* rte_press.c: a batch request gives way where no slot is left. */
+void rte_press (rte_t *r, env_t *env, rte_upstream_t *u);
+bool rte_press_received (rte_t *r, env_t *env, const msg_t *msg, void *ctx);
+
 /* rte_poll.c, rte_exchange.c */
 void rte_poll_tick (rte_t *r, env_t *env);
 void rte_poll_stop (env_t *env, rte_upstream_t *u);
 void rte_exchange_tick (rte_t *r, env_t *env);
+/** A request was picked: an idle VM's next exchange comes early. */
+void rte_exchange_wake (rte_t *r, env_t *env);
 void rte_event_note (rte_t *r, const env_t *env, const rte_upstream_t *u,
                      bool added, uint64_t prefix);
 /** Find the pollers again when the members have changed. */
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -455,6 +455,32 @@
   hst_shutdown (h);
 }
 
+/* A burst that comes faster than VMs exchange their figures finds slots: each
+ * request that takes the last one has an item give way at once. */
+static void
+test_burst_takes_slots_at_once (void)
+{
+  hst_t *h = _ready (&(hst_desc_t){ .upstreams = 1, .events = 200 });
+  (void)hst_submit (h, 0, "j-1", 30);
+  hst_run (h, 1000);
+  uint64_t callers[7];
+  unsigned before = hst_peak (h, 0);
+  CU_ASSERT (before >= 5);
+  for (size_t i = 0; i < 7; i++)
+    {
+      char *id = g_strdup_printf ("r-%zu", i);
+      callers[i] = hst_stream (h, i % 2, KEY, id);
+      hst_run (h, 6);
+      g_free (id);
+    }
+  hst_run (h, 30);
+  for (size_t i = 0; i < 7; i++)
+    CU_ASSERT_EQUAL (hst_answer (h, callers[i])->status, 200);
+  /* Its slots, and the two that may wait there. */
+  CU_ASSERT (hst_peak (h, 0) <= 10);
+  hst_shutdown (h);
+}
+
 int
 main (void)
 {
@@ -485,6 +511,7 @@
     { "too_much_waiting_is_refused", test_too_much_waiting_is_refused },
     { "no_job_without_the_platform", test_no_job_without_the_platform },
     { "items_give_way", test_items_give_way },
+    { "burst_takes_slots_at_once", test_burst_takes_slots_at_once },
   };
   return tst_run ("hosted", cases, sizeof cases / sizeof cases[0]);
 }
