--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -288,7 +288,7 @@
   else if (msg->kind == MSG_ROUTE_REPORT)
     good = _rte_report_received (r, env, msg, ctx);
   else if (msg->kind == MSG_ROUTE_PRESSED || msg->kind == MSG_ROUTE_YIELD)
-    good = rte_press_received (r, env, msg, ctx);
+    good = rte_press_received (r, env, vm, msg, ctx);
   if (!good)
     cnt_add (env->cnt, "rts_route_bad_messages_total", "", 1);
   talloc_free (ctx);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -203,7 +203,8 @@
 
 /* rte_press.c: a batch request gives way where no slot is left. */
 void rte_press (rte_t *r, env_t *env, rte_upstream_t *u);
-bool rte_press_received (rte_t *r, env_t *env, const msg_t *msg, void *ctx);
+bool rte_press_received (rte_t *r, env_t *env, const char *vm,
+                         const msg_t *msg, void *ctx);
 
 /* rte_poll.c, rte_exchange.c */
 void rte_poll_tick (rte_t *r, env_t *env);
--- a/src/core/rte_press.c
+++ b/src/core/rte_press.c
@@ -22,11 +22,15 @@
   talloc_free (ctx);
 }
 
+/* A batch request of this VM is to give way; the slot is the online request's
+ * until the next news, which has it among those of others. */
 static void
 _rte_press_here (rte_t *r, rte_upstream_t *u)
 {
-  if (u->batch > 0)
-    g_queue_push_tail (&r->yields, u);
+  if (u->batch == 0)
+    return;
+  u->others++;
+  g_queue_push_tail (&r->yields, u);
 }
 
 /* This VM polls U: the VM with most batch requests there is to give way. */
@@ -75,7 +79,8 @@
 }
 
 bool
-rte_press_received (rte_t *r, env_t *env, const msg_t *msg, void *ctx)
+rte_press_received (rte_t *r, env_t *env, const char *vm, const msg_t *msg,
+                    void *ctx)
 {
   mpk_reader_t in = mpk_reader (ctx, msg->body);
   buf_t name = mpk_get_str (&in);
@@ -87,7 +92,13 @@
   if (msg->kind == MSG_ROUTE_YIELD)
     _rte_press_here (r, u);
   else if (u->poll != NULL)
-    _rte_press_choose (r, env, u);
+    {
+      /* Its own count comes later and is exact again. */
+      rte_use_t *use = g_hash_table_lookup (u->poll->uses, vm);
+      if (use != NULL)
+        use->in_flight++;
+      _rte_press_choose (r, env, u);
+    }
   return true;
 }
 
