--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -24,7 +24,8 @@
   MSG_BATCH_FIRST = 80,      /**< bat, crd: 80 to 95 */
   MSG_JOB_FIRST = 96,        /**< job: 96 to 111 */
   MSG_DIRECTORY_FIRST = 112, /**< dir: 112 to 119 */
-  MSG_LAST = 120
+  MSG_PLATFORM_FIRST = 120,  /**< node_relay: 120 to 127 */
+  MSG_LAST = 128
 } msg_block_t;
 
 /** Largest body, in bytes. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -135,8 +135,8 @@
     node_mods_timer (n, &due);
 }
 
-static void
-_node_platform (node_t *n, const ev_platform_t *reply)
+void
+node_platform_replied (node_t *n, const ev_platform_t *reply)
 {
   plt_done_t done;
   if (plt_reply (n->env, reply, &done))
@@ -173,7 +173,7 @@
       node_mods_upstream (n, ev);
       break;
     case EV_PLATFORM:
-      _node_platform (n, &ev->platform);
+      node_platform_replied (n, &ev->platform);
       break;
     case EV_PEER_UP:
     case EV_PEER_DOWN:
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -19,6 +19,7 @@
 #include "core/onl.h"
 #include "core/opr.h"
 #include "core/rte.h"
+#include "core/tbl.h"
 
 /** States of charts/node.ini, in its order. */
 typedef enum
@@ -49,6 +50,7 @@
   crd_t *crd;
   bat_t *bat;
   onl_t *onl;
+  tbl_t *relays; /**< calls that this VM makes for peers; node_relay.c */
   job_set_t *job;
   opr_t *opr;
 };
@@ -80,6 +82,21 @@
 void node_mods_request (node_t *n, const ev_request_t *req);
 void node_mods_caller_gone (node_t *n, uint64_t caller);
 
+/* node_relay.c: platform calls through peers. */
+
+/** Offer this VM's calls that the platform did not take to a peer. */
+void node_relay_drain (node_t *n);
+/** A peer's call, or the outcome of one of this VM's; its number is given to
+ * node_relay_reply, which finishes it. */
+void node_relay_message (node_t *n, const char *vm, const msg_t *msg);
+/** A call that was made for a peer has ended. */
+void node_relay_done (node_t *n, const plt_done_t *done,
+                      const ev_platform_t *reply);
+/** The time for a peer's answer about call TAG is over. */
+void node_relay_timer (node_t *n, uint64_t tag);
+/** Take REPLY to a call of this VM's. */
+void node_platform_replied (node_t *n, const ev_platform_t *reply);
+
 /** Pass on whatever the modules have for each other.  True when the first
  * configuration, or a new one, has come into force. */
 bool node_mods_drain (node_t *n);
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -69,6 +69,8 @@
   n->source = desc->source;
   n->mbr = mbr_setup (
       n, &(mbr_desc_t){ .announce = platform, .worker = desc->worker });
+  if (platform)
+    plt_relay_enable (env->plt);
   if (platform)
     n->dir
         = dir_setup (n, &(dir_desc_t){ .members = n->mbr,
@@ -179,8 +181,10 @@
     case MOD_JOB:
       job_timer_fired (n->job, env, due->tag);
       break;
-    case MOD_NODE:
     case MOD_PLATFORM:
+      node_relay_timer (n, due->tag);
+      break;
+    case MOD_NODE:
     case MOD_ORDER:
     case MOD_NUM:
       INV_CHECK (false, "timer-owner", "module %s", mod_name (due->mod));
@@ -218,8 +222,10 @@
     case MOD_JOB:
       job_platform_replied (n->job, env, done, reply);
       break;
-    case MOD_NODE:
     case MOD_PLATFORM:
+      node_relay_done (n, done, reply);
+      break;
+    case MOD_NODE:
     case MOD_ONLINE:
     case MOD_ROUTE:
     case MOD_CREDIT:
@@ -246,6 +252,8 @@
     return MOD_LIMIT;
   if (kind < MSG_BATCH_FIRST)
     return MOD_ROUTE;
+  if (kind >= MSG_PLATFORM_FIRST)
+    return MOD_PLATFORM;
   if (kind >= MSG_DIRECTORY_FIRST)
     return MOD_DIRECTORY;
   if (kind >= MSG_JOB_FIRST)
@@ -277,6 +285,9 @@
     case MOD_CREDIT:
       crd_message_received (n->crd, env, vm, msg);
       break;
+    case MOD_PLATFORM:
+      node_relay_message (n, vm, msg);
+      break;
     case MOD_DIRECTORY:
       if (n->dir != NULL)
         dir_message_received (n->dir, env, vm, msg);
@@ -522,6 +533,7 @@
 bool
 node_mods_drain (node_t *n)
 {
+  node_relay_drain (n);
   _node_refused_calls (n);
   _node_relayed (n);
   if (mbr_generation (n->mbr) != n->generation)
--- /dev/null
+++ b/src/core/node_relay.c
@@ -0,0 +1,193 @@
+/** @file
+ * Platform calls through peers.
+ *
+ * The platform may serve some VMs and turn others away, or a VM may be cut off
+ * from it and not from its peers.  A call about a single object that had no
+ * effect is made once more by a peer, which answers with the outcome.  The
+ * conditions of writes make that as safe as a second try of one's own.
+ */
+#include "core/node_int.h"
+
+#include "core/mpk.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/** Kinds of message. */
+enum
+{
+  /** u64 number, u64 operation, str name, u64 version, u64 lagging, str value
+   */
+  MSG_PLATFORM_CALL = MSG_PLATFORM_FIRST,
+  /** u64 number, u64 status, u64 version, str value, u64 whether there is an
+   * object */
+  MSG_PLATFORM_OUTCOME,
+};
+
+/** A peer's answer is waited for so long. */
+#define NODE_RELAY_MS (1 * CLK_SECOND)
+
+/** Most calls that are made for peers at a time. */
+#define NODE_RELAYS_MAX 256
+
+/* A call that this VM makes for a peer. */
+typedef struct
+{
+  char *vm;
+  uint64_t number; /**< the peer's */
+} _node_relay_t;
+
+/* -- this VM's calls -------------------------------------------------------
+ */
+
+/* A peer that takes requests and answers, by chance; NULL: none. */
+static const char *
+_node_relay_peer (const node_t *n)
+{
+  const char *peer = NULL;
+  gint32 seen = 0;
+  for (size_t i = 0; i < mbr_vm_count (n->mbr); i++)
+    {
+      const mbr_vm_t *vm = mbr_vm_get (n->mbr, i);
+      if (vm->up && !vm->self && !vm->leaving
+          && g_rand_int_range (n->env->rand, 0, ++seen) == 0)
+        peer = vm->name;
+    }
+  return peer;
+}
+
+/* End call NUMBER without an outcome: a write may have had its effect. */
+static void
+_node_relay_end (node_t *n, uint64_t number, st_code_t code)
+{
+  ev_platform_t reply = { .call = number, .code = code };
+  node_platform_replied (n, &reply);
+}
+
+static void
+_node_relay_send (node_t *n, const char *peer, const plt_relay_t *relay)
+{
+  void *ctx = talloc_new (n);
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_uint (&w, relay->call);
+  mpk_put_uint (&w, relay->op);
+  mpk_put_str (&w, buf_str (relay->name));
+  mpk_put_uint (&w, relay->if_version);
+  mpk_put_uint (&w, relay->lagging);
+  mpk_put_str (&w, relay->value);
+  mbr_send (n->mbr, n->env, peer, MSG_PLATFORM_CALL, mpk_done (&w));
+  talloc_free (ctx);
+  tmr_arm (n->env->tmr, n->env->now + NODE_RELAY_MS, MOD_PLATFORM,
+           relay->call);
+}
+
+void
+node_relay_drain (node_t *n)
+{
+  plt_relay_t relay;
+  while (plt_relay_pop (n->env, &relay))
+    {
+      const char *peer = _node_relay_peer (n);
+      if (peer == NULL)
+        _node_relay_end (n, relay.call, ST_UNAVAILABLE);
+      else
+        _node_relay_send (n, peer, &relay);
+    }
+}
+
+void
+node_relay_timer (node_t *n, uint64_t tag)
+{
+  _node_relay_end (n, tag, ST_UNKNOWN);
+}
+
+static void
+_node_relay_outcome (node_t *n, mpk_reader_t *in)
+{
+  ev_object_t object = { .name = "" };
+  ev_platform_t reply = { .call = mpk_get_uint (in) };
+  uint64_t code = mpk_get_uint (in);
+  object.version = mpk_get_uint (in);
+  object.value = mpk_get_str (in);
+  bool has = mpk_get_uint (in) != 0;
+  if (!mpk_end (in) || code >= ST_NUM)
+    {
+      cnt_add (n->env->cnt, "rts_platform_bad_messages_total", "", 1);
+      return;
+    }
+  reply.code = (st_code_t)code;
+  reply.objects = has ? &object : NULL;
+  reply.object_count = has;
+  node_platform_replied (n, &reply);
+}
+
+/* -- calls for peers -------------------------------------------------------
+ */
+
+static void
+_node_relay_make (node_t *n, const char *vm, mpk_reader_t *in)
+{
+  uint64_t number = mpk_get_uint (in);
+  uint64_t op = mpk_get_uint (in);
+  buf_t name = mpk_get_str (in);
+  uint64_t version = mpk_get_uint (in);
+  bool lagging = mpk_get_uint (in) != 0;
+  buf_t value = mpk_get_str (in);
+  if (!mpk_end (in)
+      || (op != FX_PLATFORM_GET && op != FX_PLATFORM_PUT
+          && op != FX_PLATFORM_DELETE))
+    {
+      cnt_add (n->env->cnt, "rts_platform_bad_messages_total", "", 1);
+      return;
+    }
+  if (n->relays == NULL)
+    n->relays = tbl_setup (n, &(tbl_desc_t){ .size = sizeof (_node_relay_t),
+                                             .max = NODE_RELAYS_MAX });
+  tbl_id_t id = tbl_alloc (n->relays);
+  _node_relay_t *r = tbl_get (n->relays, id);
+  if (r == NULL)
+    return;
+  *r = (_node_relay_t){ .vm = talloc_strdup (n, vm), .number = number };
+  plt_call (n->env, &(plt_req_t){ .mod = MOD_PLATFORM,
+                                  .tag = id.id,
+                                  .op = (fx_platform_op_t)op,
+                                  .name = name.p,
+                                  .if_version = version,
+                                  .value = value,
+                                  .timeout_ms = NODE_RELAY_MS,
+                                  .direct = true,
+                                  .lagging = lagging });
+}
+
+void
+node_relay_done (node_t *n, const plt_done_t *done, const ev_platform_t *reply)
+{
+  tbl_id_t id = { .id = done->tag };
+  _node_relay_t *r = tbl_get (n->relays, id);
+  bool has = reply->object_count == 1;
+  void *ctx = talloc_new (n);
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_uint (&w, r->number);
+  mpk_put_uint (&w, reply->code);
+  mpk_put_uint (&w, has ? reply->objects[0].version : 0);
+  mpk_put_str (&w, has ? reply->objects[0].value : (buf_t){ .p = "" });
+  mpk_put_uint (&w, has);
+  mbr_send (n->mbr, n->env, r->vm, MSG_PLATFORM_OUTCOME, mpk_done (&w));
+  talloc_free (ctx);
+  talloc_free (r->vm);
+  tbl_free (n->relays, id);
+}
+
+void
+node_relay_message (node_t *n, const char *vm, const msg_t *msg)
+{
+  void *ctx = talloc_new (n);
+  mpk_reader_t in = mpk_reader (ctx, msg->body);
+  if (msg->kind == MSG_PLATFORM_CALL)
+    _node_relay_make (n, vm, &in);
+  else
+    _node_relay_outcome (n, &in);
+  talloc_free (ctx);
+}
--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -11,12 +11,26 @@
 #define PLT_BREAKER_ERRORS_DEFAULT 5
 #define PLT_BREAKER_MS_DEFAULT (1 * CLK_SECOND)
 #define PLT_TIMEOUT_MS (2 * CLK_SECOND)
+/** Where peers help: silence is taken for failure sooner, and fewer failures
+ * have calls made through them. */
+#define PLT_RELAY_TIMEOUT_MS 600
+#define PLT_RELAY_ERRORS 3
 #define PLT_WATCH_TIMEOUT_MS (30 * CLK_SECOND)
 
+/* A call in progress. */
+typedef struct
+{
+  plt_done_t done;
+  plt_relay_t relay; /**< its strings are the call's own */
+  bool relayed;      /**< it has been offered to a peer */
+} _plt_call_t;
+
 struct plt
 {
   plt_desc_t desc;
-  tbl_t *calls; /**< of plt_done_t */
+  tbl_t *calls; /**< of _plt_call_t */
+  bool relaying;
+  GQueue relays; /**< of handles: calls to be offered */
   double tokens;
   clk_ms_t filled_at;
   uint64_t stale;  /**< replies with ST_STALE */
@@ -26,6 +40,13 @@
   size_t refused_count;
 };
 
+static int
+_plt_destroy (plt_t *p)
+{
+  g_queue_clear_full (&p->relays, g_free);
+  return 0;
+}
+
 plt_t *
 plt_setup (void *ctx, const plt_desc_t *desc)
 {
@@ -42,7 +63,9 @@
   if (p->desc.breaker_ms == 0)
     p->desc.breaker_ms = PLT_BREAKER_MS_DEFAULT;
   p->tokens = p->desc.burst;
-  p->calls = tbl_setup (p, &(tbl_desc_t){ .size = sizeof (plt_done_t) });
+  p->calls = tbl_setup (p, &(tbl_desc_t){ .size = sizeof (_plt_call_t) });
+  g_queue_init (&p->relays);
+  talloc_set_destructor (p, _plt_destroy);
   return p;
 }
 
@@ -75,22 +98,101 @@
   p->refused[p->refused_count++] = *done;
 }
 
+/* -- calls through peers ---------------------------------------------------
+ */
+
+void
+plt_relay_enable (plt_t *p)
+{
+  p->relaying = true;
+  p->desc.breaker_errors = PLT_RELAY_ERRORS;
+}
+
+/* Keep what a peer needs, where it may be asked. */
+static void
+_plt_relay_keep (plt_t *p, _plt_call_t *call, tbl_id_t id,
+                 const plt_req_t *req)
+{
+  bool single = req->op == FX_PLATFORM_GET || req->op == FX_PLATFORM_PUT
+                || req->op == FX_PLATFORM_DELETE;
+  if (!p->relaying || !single || req->direct)
+    return;
+  char *name = talloc_strdup (p, req->name);
+  call->relay = (plt_relay_t){ .call = id.id,
+                               .op = req->op,
+                               .name = name,
+                               .if_version = req->if_version,
+                               .value = buf_copy (name, req->value),
+                               .lagging = req->lagging };
+}
+
+/* Offer the call to a peer; false when that cannot be, or was done. */
+static bool
+_plt_relay_offer (plt_t *p, _plt_call_t *call)
+{
+  if (call->relay.name == NULL || call->relayed)
+    return false;
+  call->relayed = true;
+  g_queue_push_tail (&p->relays,
+                     g_memdup2 (&call->relay.call, sizeof (uint64_t)));
+  return true;
+}
+
+bool
+plt_relay_pop (env_t *env, plt_relay_t *relay)
+{
+  plt_t *p = env->plt;
+  uint64_t *id = g_queue_pop_head (&p->relays);
+  if (id == NULL)
+    return false;
+  const _plt_call_t *call = tbl_get (p->calls, (tbl_id_t){ .id = *id });
+  g_free (id);
+  *relay = call->relay;
+  cnt_add (env->cnt, "rts_platform_relayed_total", "", 1);
+  return true;
+}
+
+static void
+_plt_call_free (plt_t *p, tbl_id_t id)
+{
+  const _plt_call_t *call = tbl_get (p->calls, id);
+  talloc_free ((void *)(uintptr_t)call->relay.name);
+  tbl_free (p->calls, id);
+}
+
+/* -- calls -----------------------------------------------------------------
+ */
+
+static clk_ms_t
+_plt_timeout (const plt_t *p, const plt_req_t *req)
+{
+  if (req->revision != 0)
+    return PLT_WATCH_TIMEOUT_MS;
+  return p->relaying ? PLT_RELAY_TIMEOUT_MS : PLT_TIMEOUT_MS;
+}
+
 void
 plt_call (env_t *env, const plt_req_t *req)
 {
   plt_t *p = env->plt;
   plt_done_t done = { .mod = req->mod, .tag = req->tag, .op = req->op };
-  if (env->now < p->open_until || !_plt_take_token (p, env->now, req->spare))
+  bool open = env->now < p->open_until;
+  tbl_id_t id = tbl_alloc (p->calls);
+  _plt_call_t *call = tbl_get (p->calls, id);
+  call->done = done;
+  _plt_relay_keep (p, call, id, req);
+  if (open && _plt_relay_offer (p, call))
+    return;
+  if (open || !_plt_take_token (p, env->now, req->spare))
     {
       cnt_add (env->cnt, "rts_platform_refused_total", "", 1);
       _plt_refuse (p, &done);
+      _plt_call_free (p, id);
       return;
     }
-  tbl_id_t id = tbl_alloc (p->calls);
-  *(plt_done_t *)tbl_get (p->calls, id) = done;
   clk_ms_t timeout = req->timeout_ms;
   if (timeout == 0)
-    timeout = req->revision != 0 ? PLT_WATCH_TIMEOUT_MS : PLT_TIMEOUT_MS;
+    timeout = _plt_timeout (p, req);
   cnt_add (env->cnt, "rts_platform_calls_total", "", 1);
   fx_push (env->fx, &(fx_t){ .kind = FX_PLATFORM,
                              .platform = { .call = id.id,
@@ -126,12 +228,16 @@
 {
   plt_t *p = env->plt;
   tbl_id_t id = { .id = reply->call };
-  const plt_done_t *call = tbl_get (p->calls, id);
+  _plt_call_t *call = tbl_get (p->calls, id);
   if (call == NULL)
     return false;
-  *done = *call;
-  tbl_free (p->calls, id);
-  _plt_note_outcome (env, reply->code);
+  /* What a peer has got says nothing about this VM's own way. */
+  if (!call->relayed)
+    _plt_note_outcome (env, reply->code);
+  if (reply->code == ST_UNAVAILABLE && _plt_relay_offer (p, call))
+    return false;
+  *done = call->done;
+  _plt_call_free (p, id);
   return true;
 }
 
--- a/src/core/plt.h
+++ b/src/core/plt.h
@@ -9,6 +9,9 @@
  *
  * A call over the budget or while the breaker is open is answered at once
  * with ST_UNAVAILABLE, through plt_refused_pop, so callers have one path.
+ * Where peers help (plt_relay_enable), a call that the platform did not take
+ * goes through one of them first: it may serve others while it turns this VM
+ * away.
  * Does not retry: the module that asked knows whether it may.  A PUT whose
  * outcome is ST_UNKNOWN may have had its effect: re-read, and recognise the
  * own write by a token in the value.
@@ -44,6 +47,7 @@
   uint64_t if_version;
   uint64_t revision;
   const char *after; /**< lists: names behind this one; NULL: all */
+  bool direct;       /**< never through a peer */
   bool lagging;      /**< a read that may be seconds old will do */
   buf_t value;
   clk_ms_t timeout_ms; /**< default 2 s; a watch 30 s */
@@ -70,9 +74,28 @@
 /** Start a call. */
 void plt_call (struct env *env, const plt_req_t *req);
 
-/** Match a reply to its call; false when the call is not known (any more). */
+/** Match a reply to its call; false when the call is not known (any more), or
+ * is to be made through a peer now. */
 bool plt_reply (struct env *env, const ev_platform_t *reply, plt_done_t *done);
 
+/** From now on calls about single objects that had no effect here are offered
+ * to be made through a peer, once. */
+void plt_relay_enable (plt_t *p);
+
+/** A call to be made through a peer; valid until its reply. */
+typedef struct
+{
+  uint64_t call; /**< plt_reply takes the outcome under this number */
+  fx_platform_op_t op;
+  const char *name;
+  uint64_t if_version;
+  buf_t value;
+  bool lagging;
+} plt_relay_t;
+
+/** Take one of these; false: none. */
+bool plt_relay_pop (struct env *env, plt_relay_t *relay);
+
 /** Take one call that was refused on the spot; false when there is none. */
 bool plt_refused_pop (struct env *env, plt_done_t *done);
 
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -431,6 +431,22 @@
   hst_shutdown (h);
 }
 
+/* A VM that the platform turns away takes a job through a peer, and has its
+ * results read there. */
+static void
+test_job_through_a_peer (void)
+{
+  hst_t *h = _ready (&(hst_desc_t){ 0 });
+  hst_platform_down (h, 0, true);
+  hst_run (h, 50);
+  uint64_t c = hst_submit (h, 0, "j-1", 3);
+  hst_run (h, 300);
+  CU_ASSERT_EQUAL (hst_answer (h, c)->status, 202);
+  hst_run (h, 3000);
+  CU_ASSERT_EQUAL (_results (h, 0, "j-1", 20), 3);
+  hst_shutdown (h);
+}
+
 /* Items leave slots free, and give way when online requests fill them. */
 static void
 test_items_give_way (void)
@@ -511,6 +527,7 @@
     { "ended_job_runs_no_more", test_ended_job_runs_no_more },
     { "too_much_waiting_is_refused", test_too_much_waiting_is_refused },
     { "no_job_without_the_platform", test_no_job_without_the_platform },
+    { "job_through_a_peer", test_job_through_a_peer },
     { "items_give_way", test_items_give_way },
     { "burst_takes_slots_at_once", test_burst_takes_slots_at_once },
   };
