--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -92,15 +92,18 @@
 /** Operations of the platform's object API. */
 typedef enum
 {
-  FX_PLATFORM_GET,       /**< one object */
-  FX_PLATFORM_PUT,       /**< if its version is still if_version; 0: absent */
-  FX_PLATFORM_DELETE,    /**< if its version is still if_version */
-  FX_PLATFORM_LIST,      /**< all objects whose names start with name */
-  FX_PLATFORM_WATCH,     /**< wait for changes below name after revision */
-  FX_PLATFORM_VMS,       /**< the VM list */
-  FX_PLATFORM_DOCUMENT,  /**< the operator's document; with a revision: wait
-                              for a change after it */
-  FX_PLATFORM_UPSTREAMS, /**< the list of upstreams; likewise */
+  FX_PLATFORM_GET,        /**< one object */
+  FX_PLATFORM_PUT,        /**< if its version is still if_version; 0: absent */
+  FX_PLATFORM_DELETE,     /**< if its version is still if_version */
+  FX_PLATFORM_LIST,       /**< all objects whose names start with name */
+  FX_PLATFORM_WATCH,      /**< wait for changes below name after revision */
+  FX_PLATFORM_VMS,        /**< the VM list */
+  FX_PLATFORM_DOCUMENT,   /**< the operator's document; with a revision: wait
+                               for a change after it */
+  FX_PLATFORM_UPSTREAMS,  /**< the list of upstreams; likewise */
+  FX_PLATFORM_RETIREMENT, /**< whether VM name is to be emptied: OK, or
+                               NOT_FOUND */
+  FX_PLATFORM_RETIRED,    /**< it is empty */
 } fx_platform_op_t;
 
 /** A call to the platform. */
--- a/src/core/mod.h
+++ b/src/core/mod.h
@@ -24,6 +24,7 @@
   MOD_ORDER,      /**< ord: orders to engines */
   MOD_DIRECTORY,  /**< dir: the platform's document and list of upstreams */
   MOD_JOB,        /**< job: batch jobs whose results have positions */
+  MOD_RETIRE,     /**< ret: a worker that is to be emptied */
   MOD_NUM
 } mod_t;
 
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -18,6 +18,7 @@
 #include "core/node.h"
 #include "core/onl.h"
 #include "core/opr.h"
+#include "core/ret.h"
 #include "core/rte.h"
 #include "core/tbl.h"
 
@@ -52,6 +53,7 @@
   onl_t *onl;
   tbl_t *relays; /**< calls that this VM makes for peers; node_relay.c */
   job_set_t *job;
+  ret_t *ret; /**< NULL unless this VM is a worker */
   opr_t *opr;
 };
 
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -97,6 +97,8 @@
       = job_setup (n, &(job_desc_t){ .routes = n->rte,
                                      .members = n->mbr,
                                      .unix_offset_ms = desc->unix_offset_ms });
+  if (platform && desc->worker)
+    n->ret = ret_setup (n);
   n->opr = opr_setup (
       n, &(opr_desc_t){ .cfs = n->cfs,
                         .key = n->keys,
@@ -115,6 +117,8 @@
       dir_start (n->dir, n->env);
       lim_start (n->lim, n->env);
       job_start (n->job, n->env);
+      if (n->ret != NULL)
+        ret_start (n->ret, n->env);
       return;
     }
   cfs_start (n->cfs, n->env);
@@ -178,6 +182,9 @@
     case MOD_DIRECTORY:
       dir_timer_fired (n->dir, env, due->tag);
       break;
+    case MOD_RETIRE:
+      ret_timer_fired (n->ret, env);
+      break;
     case MOD_JOB:
       job_timer_fired (n->job, env, due->tag);
       break;
@@ -219,6 +226,9 @@
     case MOD_DIRECTORY:
       dir_platform_replied (n->dir, env, done, reply);
       break;
+    case MOD_RETIRE:
+      ret_platform_replied (n->ret, env, done, reply);
+      break;
     case MOD_JOB:
       job_platform_replied (n->job, env, done, reply);
       break;
--- a/src/io/pcl.c
+++ b/src/io/pcl.c
@@ -53,6 +53,8 @@
     case FX_PLATFORM_VMS:
     case FX_PLATFORM_DOCUMENT:
     case FX_PLATFORM_UPSTREAMS:
+    case FX_PLATFORM_RETIREMENT:
+    case FX_PLATFORM_RETIRED:
       call->path = "/v1/vms";
       break;
     }
@@ -186,6 +188,8 @@
     case FX_PLATFORM_VMS:
     case FX_PLATFORM_DOCUMENT:
     case FX_PLATFORM_UPSTREAMS:
+    case FX_PLATFORM_RETIREMENT:
+    case FX_PLATFORM_RETIRED:
       if (reply->code == ST_OK)
         _pcl_json (ctx, op, body, reply);
       break;
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -48,6 +48,8 @@
   node_t *node;
   uint64_t incarnation;
   bool down; /**< the platform does not serve it */
+  bool retire;
+  bool retired;
   bool keeps[HST_MAX];
   bool linked[HST_MAX];
 } _hst_vm_t;
@@ -106,6 +108,15 @@
   return d;
 }
 
+static size_t
+_hst_vm_index (const hst_t *h, const char *name)
+{
+  size_t i = 0;
+  while (i < h->vm_count && strcmp (h->vm[i].name, name) != 0)
+    i++;
+  return i;
+}
+
 /* -- the store -------------------------------------------------------------
  */
 
@@ -260,6 +271,13 @@
       if (c->revision == 0)
         _hst_upstreams (h, ctx, reply);
       break;
+    case FX_PLATFORM_RETIREMENT:
+      if (!h->vm[_hst_vm_index (h, c->name)].retire)
+        reply->code = ST_NOT_FOUND;
+      break;
+    case FX_PLATFORM_RETIRED:
+      h->vm[_hst_vm_index (h, c->name)].retired = true;
+      break;
     case FX_PLATFORM_DELETE:
       reply->code = ST_NOT_FOUND;
       break;
@@ -439,15 +457,6 @@
 /* -- effects ---------------------------------------------------------------
  */
 
-static size_t
-_hst_vm_index (const hst_t *h, const char *name)
-{
-  size_t i = 0;
-  while (i < h->vm_count && strcmp (h->vm[i].name, name) != 0)
-    i++;
-  return i;
-}
-
 static void
 _hst_links (hst_t *h)
 {
@@ -827,6 +836,18 @@
   h->deaf = true;
 }
 
+void
+hst_retire (hst_t *h, size_t vm)
+{
+  h->vm[vm].retire = true;
+}
+
+bool
+hst_retired (const hst_t *h, size_t vm)
+{
+  return h->vm[vm].retired;
+}
+
 void
 hst_fault (hst_t *h, size_t upstream, hst_fault_t fault)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -95,6 +95,10 @@
  * lost for the others. */
 void hst_compact (hst_t *h);
 
+/** The operator wants VM emptied; whether it has said that it is. */
+void hst_retire (hst_t *h, size_t vm);
+bool hst_retired (const hst_t *h, size_t vm);
+
 void hst_fault (hst_t *h, size_t upstream, hst_fault_t fault);
 
 /** Requests that began to run at UPSTREAM with ID ("" counts all). */
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -447,6 +447,23 @@
   hst_shutdown (h);
 }
 
+/* A worker that is to be emptied says so at once; its jobs go on elsewhere. */
+static void
+test_worker_retires (void)
+{
+  hst_t *h = _ready (&(hst_desc_t){ .events = 40 });
+  (void)hst_submit (h, 0, "j-1", 10);
+  hst_run (h, 300);
+  hst_retire (h, 2);
+  hst_run (h, 4000);
+  CU_ASSERT (hst_retired (h, 2));
+  CU_ASSERT_FALSE (hst_retired (h, 3));
+  hst_kill (h, 2);
+  hst_run (h, 8000);
+  CU_ASSERT_EQUAL (_results (h, 0, "j-1", 40), 10);
+  hst_shutdown (h);
+}
+
 /* Items leave slots free, and give way when online requests fill them. */
 static void
 test_items_give_way (void)
@@ -528,6 +545,7 @@
     { "too_much_waiting_is_refused", test_too_much_waiting_is_refused },
     { "no_job_without_the_platform", test_no_job_without_the_platform },
     { "job_through_a_peer", test_job_through_a_peer },
+    { "worker_retires", test_worker_retires },
     { "items_give_way", test_items_give_way },
     { "burst_takes_slots_at_once", test_burst_takes_slots_at_once },
   };
