--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -1,6 +1,4 @@
-#include "core/dir.h"
-
-#include "core/mpk.h"
+#include "core/dir_int.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -11,20 +9,6 @@
 /** After trouble the platform counts as disturbed for this long. */
 #define DIR_CALM_MS (3 * CLK_SECOND)
 
-/** A version that a peer has is asked for when it has not come by then. */
-#define DIR_WANT_MS 300
-
-/* The two things that are read; also the low bits of the tags of calls and
- * timers, above which the epoch stands. */
-typedef enum
-{
-  _DIR_DOCUMENT,
-  _DIR_UPSTREAMS,
-  _DIR_EXPIRY, /**< timer only */
-  _DIR_WANT,   /**< timer only */
-  _DIR_READ_NUM = _DIR_EXPIRY
-} _dir_read_t;
-
 #define DIR_TAG_BITS 4
 
 /* An upstream as the platform's list has it. */
@@ -35,26 +19,6 @@
   clk_ms_t until; /**< in use until then; CLK_NEVER: no end known */
 } _dir_entry_t;
 
-struct dir
-{
-  dir_desc_t desc;
-  cfg_data_centre_t *data_centres;
-  size_t data_centre_count;
-  uint64_t revision[_DIR_READ_NUM]; /**< to wait on from; 0: read the whole */
-  char *after;                      /**< next page of the list; NULL: first */
-  cfg_doc_t *operator_doc;          /**< without upstreams */
-  uint64_t version;
-  buf_t raw;      /**< of the operator's document; owned */
-  char *had_by;   /**< a peer that has a newer version; NULL: none known */
-  uint64_t had;   /**< that version */
-  uint64_t epoch; /**< of reads: replies to earlier ones are dropped */
-  uint64_t stale; /**< plt_stale_count when the epoch began */
-  GHashTable *entries; /**< name to _dir_entry_t */
-  clk_ms_t failed_at;  /**< last failure of a call; CLK_NEVER: none */
-  bool dirty;          /**< doc does not show what is known */
-  cfg_doc_t *doc;
-};
-
 static void
 _dir_entry_free (void *entry)
 {
@@ -109,16 +73,16 @@
 /* -- calls ---------------------------------------------------------------- */
 
 static void
-_dir_ask (dir_t *d, env_t *env, _dir_read_t what)
+_dir_ask (dir_t *d, env_t *env, dir_read_t what)
 {
   plt_call (env,
             &(plt_req_t){ .mod = MOD_DIRECTORY,
                           .tag = d->epoch << DIR_TAG_BITS | what,
-                          .op = what == _DIR_DOCUMENT ? FX_PLATFORM_DOCUMENT
-                                                      : FX_PLATFORM_UPSTREAMS,
+                          .op = what == DIR_DOCUMENT ? FX_PLATFORM_DOCUMENT
+                                                     : FX_PLATFORM_UPSTREAMS,
                           .name = "",
                           .revision = d->revision[what],
-                          .after = what == _DIR_UPSTREAMS ? d->after : NULL,
+                          .after = what == DIR_UPSTREAMS ? d->after : NULL,
                           .timeout_ms
                           = d->revision[what] != 0 ? d->desc.wait_ms : 0 });
 }
@@ -126,89 +90,8 @@
 void
 dir_start (dir_t *d, env_t *env)
 {
-  _dir_ask (d, env, _DIR_DOCUMENT);
-  _dir_ask (d, env, _DIR_UPSTREAMS);
-}
-
-/* -- peers ---------------------------------------------------------------- */
-
-static void
-_dir_send (const dir_t *d, env_t *env, const char *vm, uint16_t kind,
-           uint64_t version, const buf_t *raw)
-{
-  void *tmp = talloc_new (d);
-  mpk_writer_t w;
-  mpk_writer_init (&w, tmp);
-  mpk_put_uint (&w, version);
-  if (raw != NULL)
-    mpk_put_str (&w, *raw);
-  fx_send (env->fx, vm, kind, mpk_done (&w));
-  talloc_free (tmp);
-}
-
-/* Tell VM, or all peers, which version is in force. */
-static void
-_dir_tell (const dir_t *d, env_t *env, const char *vm)
-{
-  if (vm != NULL)
-    {
-      _dir_send (d, env, vm, MSG_DIRECTORY_HAVE, d->version, NULL);
-      return;
-    }
-  for (size_t i = 0; i < mbr_vm_count (d->desc.members); i++)
-    {
-      const mbr_vm_t *peer = mbr_vm_get (d->desc.members, i);
-      if (peer->up && !peer->self)
-        _dir_send (d, env, peer->name, MSG_DIRECTORY_HAVE, d->version, NULL);
-    }
-}
-
-/* The platform has not brought the version that a peer has. */
-static void
-_dir_want (dir_t *d, env_t *env)
-{
-  if (d->had_by != NULL && d->had > d->version)
-    _dir_send (d, env, d->had_by, MSG_DIRECTORY_WANT, d->version, NULL);
-  TALLOC_FREE (d->had_by);
-}
-
-static void
-_dir_heard (dir_t *d, env_t *env, const char *vm, uint64_t version)
-{
-  if (version <= d->version || (d->had_by != NULL && version <= d->had))
-    return;
-  if (d->had_by == NULL)
-    tmr_arm (env->tmr, env->now + DIR_WANT_MS, MOD_DIRECTORY, _DIR_WANT);
-  talloc_free (d->had_by);
-  d->had_by = talloc_strdup (d, vm);
-  d->had = version;
-}
-
-void
-dir_peer_up (dir_t *d, env_t *env, const char *vm)
-{
-  if (d->version != 0)
-    _dir_tell (d, env, vm);
-}
-
-void
-dir_message_received (dir_t *d, env_t *env, const char *vm, const msg_t *msg)
-{
-  void *tmp = talloc_new (d);
-  mpk_reader_t r = mpk_reader (tmp, msg->body);
-  uint64_t version = mpk_get_uint (&r);
-  buf_t raw = { 0 };
-  if (msg->kind == MSG_DIRECTORY_DOCUMENT)
-    raw = mpk_get_str (&r);
-  if (!mpk_end (&r))
-    cnt_add (env->cnt, "rts_directory_bad_messages_total", "", 1);
-  else if (msg->kind == MSG_DIRECTORY_HAVE)
-    _dir_heard (d, env, vm, version);
-  else if (msg->kind == MSG_DIRECTORY_WANT && version < d->version)
-    _dir_send (d, env, vm, MSG_DIRECTORY_DOCUMENT, d->version, &d->raw);
-  else if (msg->kind == MSG_DIRECTORY_DOCUMENT && version > d->version)
-    fx_push (env->fx, &(fx_t){ .kind = FX_DOCUMENT_DECODE, .document = raw });
-  talloc_free (tmp);
+  _dir_ask (d, env, DIR_DOCUMENT);
+  _dir_ask (d, env, DIR_UPSTREAMS);
 }
 
 /* -- the document --------------------------------------------------------- */
@@ -238,7 +121,7 @@
   d->operator_doc = talloc_steal (d, doc);
   d->raw = buf_copy (doc, document->raw);
   d->version = document->version;
-  _dir_tell (d, env, NULL);
+  dir_tell (d, env, NULL);
   d->dirty = true;
   talloc_free (tmp);
 }
@@ -270,7 +153,7 @@
   e->until = _dir_gone_until (d, env);
   if (e->until > env->now)
     {
-      tmr_arm (env->tmr, e->until, MOD_DIRECTORY, _DIR_EXPIRY);
+      tmr_arm (env->tmr, e->until, MOD_DIRECTORY, DIR_EXPIRY);
       return;
     }
   tln_record (env->tln, env->now, MOD_DIRECTORY, "upstream-gone",
@@ -361,7 +244,7 @@
 static void
 _dir_upstreams_take (dir_t *d, env_t *env, const ev_platform_t *reply)
 {
-  bool whole = d->revision[_DIR_UPSTREAMS] == 0;
+  bool whole = d->revision[DIR_UPSTREAMS] == 0;
   if (whole && d->after == NULL)
     _dir_list_begin (d);
   for (size_t i = 0; i < reply->entry_count; i++)
@@ -374,19 +257,19 @@
     }
   if (whole)
     _dir_list_end (d, env);
-  d->revision[_DIR_UPSTREAMS] = reply->revision;
+  d->revision[DIR_UPSTREAMS] = reply->revision;
 }
 
 /* -- hooks ---------------------------------------------------------------- */
 
 static void
-_dir_failed (dir_t *d, env_t *env, _dir_read_t what, st_code_t code)
+_dir_failed (dir_t *d, env_t *env, dir_read_t what, st_code_t code)
 {
   /* The pump reads all anew. */
   if (code == ST_STALE)
     return;
   d->failed_at = env->now;
-  if (what == _DIR_UPSTREAMS)
+  if (what == DIR_UPSTREAMS)
     TALLOC_FREE (d->after);
   cnt_add (env->cnt, "rts_directory_failures_total", "", 1);
   tmr_arm (env->tmr, env->now + env_jitter (env, d->desc.retry_ms),
@@ -397,8 +280,8 @@
 dir_platform_replied (dir_t *d, env_t *env, const plt_done_t *done,
                       const ev_platform_t *reply)
 {
-  _dir_read_t what
-      = (_dir_read_t)(done->tag & (((uint64_t)1 << DIR_TAG_BITS) - 1));
+  dir_read_t what
+      = (dir_read_t)(done->tag & (((uint64_t)1 << DIR_TAG_BITS) - 1));
   if (done->tag >> DIR_TAG_BITS != d->epoch)
     return;
   if (reply->code != ST_OK)
@@ -406,7 +289,7 @@
       _dir_failed (d, env, what, reply->code);
       return;
     }
-  if (what == _DIR_DOCUMENT)
+  if (what == DIR_DOCUMENT)
     {
       _dir_document_take (d, env, reply->document);
       d->revision[what] = reply->revision;
@@ -419,11 +302,11 @@
 void
 dir_timer_fired (dir_t *d, env_t *env, uint64_t tag)
 {
-  _dir_read_t what = (_dir_read_t)(tag & (((uint64_t)1 << DIR_TAG_BITS) - 1));
-  if (what == _DIR_EXPIRY)
+  dir_read_t what = (dir_read_t)(tag & (((uint64_t)1 << DIR_TAG_BITS) - 1));
+  if (what == DIR_EXPIRY)
     _dir_expire (d, env);
-  else if (what == _DIR_WANT)
-    _dir_want (d, env);
+  else if (what == DIR_WANT)
+    dir_want (d, env);
   else if (tag >> DIR_TAG_BITS == d->epoch)
     _dir_ask (d, env, what);
 }
@@ -437,8 +320,8 @@
   /* Any watch may have missed changes, also one that still waits. */
   d->stale = stale;
   d->epoch++;
-  d->revision[_DIR_DOCUMENT] = 0;
-  d->revision[_DIR_UPSTREAMS] = 0;
+  d->revision[DIR_DOCUMENT] = 0;
+  d->revision[DIR_UPSTREAMS] = 0;
   TALLOC_FREE (d->after);
   tln_record (env->tln, env->now, MOD_DIRECTORY, "read-anew", "%s",
               "the platform has lost its history");
--- /dev/null
+++ b/src/core/dir_peer.c
@@ -0,0 +1,90 @@
+/** @file
+ * Peers tell each other which version of the document they have, and pass it
+ * on to one that the platform has not served.
+ */
+#include "core/dir_int.h"
+
+#include "core/mpk.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/** A version that a peer has is asked for when it has not come by then. */
+#define DIR_WANT_MS 300
+
+static void
+_dir_send (const dir_t *d, env_t *env, const char *vm, uint16_t kind,
+           uint64_t version, const buf_t *raw)
+{
+  void *tmp = talloc_new (d);
+  mpk_writer_t w;
+  mpk_writer_init (&w, tmp);
+  mpk_put_uint (&w, version);
+  if (raw != NULL)
+    mpk_put_str (&w, *raw);
+  fx_send (env->fx, vm, kind, mpk_done (&w));
+  talloc_free (tmp);
+}
+
+void
+dir_tell (const dir_t *d, env_t *env, const char *vm)
+{
+  if (vm != NULL)
+    {
+      _dir_send (d, env, vm, MSG_DIRECTORY_HAVE, d->version, NULL);
+      return;
+    }
+  for (size_t i = 0; i < mbr_vm_count (d->desc.members); i++)
+    {
+      const mbr_vm_t *peer = mbr_vm_get (d->desc.members, i);
+      if (peer->up && !peer->self)
+        _dir_send (d, env, peer->name, MSG_DIRECTORY_HAVE, d->version, NULL);
+    }
+}
+
+void
+dir_want (dir_t *d, env_t *env)
+{
+  if (d->had_by != NULL && d->had > d->version)
+    _dir_send (d, env, d->had_by, MSG_DIRECTORY_WANT, d->version, NULL);
+  TALLOC_FREE (d->had_by);
+}
+
+static void
+_dir_heard (dir_t *d, env_t *env, const char *vm, uint64_t version)
+{
+  if (version <= d->version || (d->had_by != NULL && version <= d->had))
+    return;
+  if (d->had_by == NULL)
+    tmr_arm (env->tmr, env->now + DIR_WANT_MS, MOD_DIRECTORY, DIR_WANT);
+  talloc_free (d->had_by);
+  d->had_by = talloc_strdup (d, vm);
+  d->had = version;
+}
+
+void
+dir_peer_up (dir_t *d, env_t *env, const char *vm)
+{
+  if (d->version != 0)
+    dir_tell (d, env, vm);
+}
+
+void
+dir_message_received (dir_t *d, env_t *env, const char *vm, const msg_t *msg)
+{
+  void *tmp = talloc_new (d);
+  mpk_reader_t r = mpk_reader (tmp, msg->body);
+  uint64_t version = mpk_get_uint (&r);
+  buf_t raw = { 0 };
+  if (msg->kind == MSG_DIRECTORY_DOCUMENT)
+    raw = mpk_get_str (&r);
+  if (!mpk_end (&r))
+    cnt_add (env->cnt, "rts_directory_bad_messages_total", "", 1);
+  else if (msg->kind == MSG_DIRECTORY_HAVE)
+    _dir_heard (d, env, vm, version);
+  else if (msg->kind == MSG_DIRECTORY_WANT && version < d->version)
+    _dir_send (d, env, vm, MSG_DIRECTORY_DOCUMENT, d->version, &d->raw);
+  else if (msg->kind == MSG_DIRECTORY_DOCUMENT && version > d->version)
+    fx_push (env->fx, &(fx_t){ .kind = FX_DOCUMENT_DECODE, .document = raw });
+  talloc_free (tmp);
+}
--- a/src/core/lim_slack.c
+++ b/src/core/lim_slack.c
@@ -2,7 +2,7 @@
 
 /** Of the excess: the rest is for requests that bunch up on their way, and
  * for VMs that start again within a window. */
-#define LSL_USED_SHARE 0.6
+#define LSL_USED_SHARE 0.85
 
 double
 lsl_part (const lsl_desc_t *desc, double rate, double burst, size_t vms)
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -80,7 +80,7 @@
 /** A link to VM has come (UP) or gone. */
 void node_mods_link (node_t *n, const char *vm, bool up);
 
-/** A caller's or operator's request. */
+/** A caller's or operator's request (node_request.c). */
 void node_mods_request (node_t *n, const ev_request_t *req);
 void node_mods_caller_gone (node_t *n, uint64_t caller);
 
@@ -99,6 +99,9 @@
 /** Take REPLY to a call of this VM's. */
 void node_platform_replied (node_t *n, const ev_platform_t *reply);
 
+/** The document in force; NULL: none yet. */
+const cfg_doc_t *node_doc (const node_t *n);
+
 /** Pass on whatever the modules have for each other.  True when the first
  * configuration, or a new one, has come into force. */
 bool node_mods_drain (node_t *n);
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#define NODE_BATCH_PATH "/v1/batches"
 /* Between load reports, where each is paid for. */
 #define NODE_REPORT_MS 500
 
@@ -59,6 +58,12 @@
   return lent || lsh_version (lim_shares (n->lim)) > 0;
 }
 
+const cfg_doc_t *
+node_doc (const node_t *n)
+{
+  return n->dir != NULL ? dir_doc (n->dir) : cfs_doc (n->cfs);
+}
+
 /* -- life ----------------------------------------------------------------- */
 
 void
@@ -366,92 +371,6 @@
   mbr_peer_down (n->mbr, n->env, vm);
 }
 
-/* -- requests ------------------------------------------------------------- */
-
-static bool
-_node_is_batch (const char *path)
-{
-  size_t n = strlen (NODE_BATCH_PATH);
-  return strncmp (path, NODE_BATCH_PATH, n) == 0
-         && (path[n] == '\0' || path[n] == '/');
-}
-
-/** The document in force; NULL: none yet. */
-static const cfg_doc_t *
-_node_doc (const node_t *n)
-{
-  return n->dir != NULL ? dir_doc (n->dir) : cfs_doc (n->cfs);
-}
-
-/** The route of REQ when it brings, or asks about, a batch job whose results
- * have positions; *IS says whether it does. */
-static const cfg_route_t *
-_node_job_route (const node_t *n, const ev_request_t *req, bool *is)
-{
-  const cfg_doc_t *doc = _node_doc (n);
-  const cfg_route_t *route = NULL;
-  if (doc != NULL)
-    route = cfg_route_for (doc, req->call.host, req->method, req->path);
-  bool jobs = route != NULL && route->kind == CFG_ROUTE_JOBS;
-  *is = jobs || req->job.op > EV_JOB_SUBMIT;
-  return jobs ? route : NULL;
-}
-
-/** Hand a call about batch jobs to its module, once its key is known; ROUTE
- * leads to job.h. */
-static void
-_node_batch (node_t *n, const ev_request_t *req, bool job,
-             const cfg_route_t *route)
-{
-  const cfg_doc_t *doc = _node_doc (n);
-  void *tmp = talloc_new (n);
-  char *presented = key_extract (tmp, req->headers, req->query);
-  const cfg_key_t *key = doc == NULL || presented == NULL
-                             ? NULL
-                             : key_check (n->keys, n->env, doc, presented);
-  if (doc == NULL)
-    rpl_error (n->env, req->caller,
-               &(rpl_error_t){ .status = 503,
-                               .code = "no-configuration",
-                               .message = "no configuration is in force yet",
-                               .retry_after_ms = CLK_SECOND });
-  else if (key == NULL)
-    rpl_error (n->env, req->caller,
-               &(rpl_error_t){ .status = 401,
-                               .code = "unauthorized",
-                               .message = "expected a known key" });
-  else if (job)
-    job_request (n->job, n->env, key->customer, route, req);
-  else if (!bat_request (n->bat, n->env, key->customer, req))
-    rpl_error (n->env, req->caller,
-               &(rpl_error_t){ .status = 404,
-                               .code = "no-route",
-                               .message = "no such route" });
-  talloc_free (tmp);
-}
-
-void
-node_mods_request (node_t *n, const ev_request_t *req)
-{
-  if (opr_request (n->opr, n->env, req, _node_doc (n) != NULL))
-    return;
-  bool job;
-  const cfg_route_t *route = _node_job_route (n, req, &job);
-  if (job || _node_is_batch (req->path))
-    _node_batch (n, req, job, route);
-  else
-    onl_request (n->onl, n->env, req);
-}
-
-void
-node_mods_caller_gone (node_t *n, uint64_t caller)
-{
-  opr_caller_gone (n->opr, caller);
-  onl_caller_gone (n->onl, n->env, caller);
-  bat_caller_gone (n->bat, n->env, caller);
-  job_caller_gone (n->job, caller);
-}
-
 /* -- between modules ------------------------------------------------------ */
 
 static void
@@ -485,7 +404,7 @@
 static void
 _node_config_changed (node_t *n)
 {
-  const cfg_doc_t *doc = _node_doc (n);
+  const cfg_doc_t *doc = node_doc (n);
   lim_config_changed (n->lim, n->env, doc);
   rte_config_changed (n->rte, n->env, doc);
   onl_config_changed (n->onl, n->env, doc);
--- /dev/null
+++ b/src/core/node_request.c
@@ -0,0 +1,88 @@
+/** @file
+ * What callers and operators ask, handed to the module it is for.
+ */
+#include "core/node_int.h"
+
+#include "core/rpl.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define NODE_BATCH_PATH "/v1/batches"
+
+static bool
+_node_is_batch (const char *path)
+{
+  size_t n = strlen (NODE_BATCH_PATH);
+  return strncmp (path, NODE_BATCH_PATH, n) == 0
+         && (path[n] == '\0' || path[n] == '/');
+}
+
+/** The route of REQ when it brings, or asks about, a batch job whose results
+ * have positions; *IS says whether it does. */
+static const cfg_route_t *
+_node_job_route (const node_t *n, const ev_request_t *req, bool *is)
+{
+  const cfg_doc_t *doc = node_doc (n);
+  const cfg_route_t *route = NULL;
+  if (doc != NULL)
+    route = cfg_route_for (doc, req->call.host, req->method, req->path);
+  bool jobs = route != NULL && route->kind == CFG_ROUTE_JOBS;
+  *is = jobs || req->job.op > EV_JOB_SUBMIT;
+  return jobs ? route : NULL;
+}
+
+/** Hand a call about batch jobs to its module, once its key is known; ROUTE
+ * leads to job.h. */
+static void
+_node_batch (node_t *n, const ev_request_t *req, bool job,
+             const cfg_route_t *route)
+{
+  const cfg_doc_t *doc = node_doc (n);
+  void *tmp = talloc_new (n);
+  char *presented = key_extract (tmp, req->headers, req->query);
+  const cfg_key_t *key = doc == NULL || presented == NULL
+                             ? NULL
+                             : key_check (n->keys, n->env, doc, presented);
+  if (doc == NULL)
+    rpl_error (n->env, req->caller,
+               &(rpl_error_t){ .status = 503,
+                               .code = "no-configuration",
+                               .message = "no configuration is in force yet",
+                               .retry_after_ms = CLK_SECOND });
+  else if (key == NULL)
+    rpl_error (n->env, req->caller,
+               &(rpl_error_t){ .status = 401,
+                               .code = "unauthorized",
+                               .message = "expected a known key" });
+  else if (job)
+    job_request (n->job, n->env, key->customer, route, req);
+  else if (!bat_request (n->bat, n->env, key->customer, req))
+    rpl_error (n->env, req->caller,
+               &(rpl_error_t){ .status = 404,
+                               .code = "no-route",
+                               .message = "no such route" });
+  talloc_free (tmp);
+}
+
+void
+node_mods_request (node_t *n, const ev_request_t *req)
+{
+  if (opr_request (n->opr, n->env, req, node_doc (n) != NULL))
+    return;
+  bool job;
+  const cfg_route_t *route = _node_job_route (n, req, &job);
+  if (job || _node_is_batch (req->path))
+    _node_batch (n, req, job, route);
+  else
+    onl_request (n->onl, n->env, req);
+}
+
+void
+node_mods_caller_gone (node_t *n, uint64_t caller)
+{
+  opr_caller_gone (n->opr, caller);
+  onl_caller_gone (n->onl, n->env, caller);
+  bat_caller_gone (n->bat, n->env, caller);
+  job_caller_gone (n->job, caller);
+}
--- /dev/null
+++ b/tests/hst_store.c
@@ -0,0 +1,174 @@
+/** @file
+ * The fake platform of a hosted fleet: objects, lists, the document.
+ */
+#include "hst_int.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* -- the store -------------------------------------------------------------
+ */
+
+typedef struct
+{
+  void *ctx;
+  const fx_platform_t *call;
+  ev_object_t *v;
+  size_t n;
+} _hst_list_t;
+
+static gboolean
+_hst_list_one (gpointer key, gpointer value, gpointer data)
+{
+  _hst_list_t *l = data;
+  const hst_object_t *o = value;
+  bool watch = l->call->op == FX_PLATFORM_WATCH;
+  if (!g_str_has_prefix (key, l->call->name)
+      || (watch && o->version <= l->call->revision))
+    return FALSE;
+  l->v = talloc_realloc (l->ctx, l->v, ev_object_t, l->n + 1);
+  l->v[l->n++] = (ev_object_t){ .name = talloc_strdup (l->ctx, key),
+                                .version = o->version,
+                                .value = buf_copy (l->ctx, o->value) };
+  return FALSE;
+}
+
+static void
+_hst_one (void *ctx, const fx_platform_t *call, const hst_object_t *o,
+          ev_platform_t *reply)
+{
+  ev_object_t *object = talloc_zero (ctx, ev_object_t);
+  object->name = talloc_strdup (ctx, call->name);
+  object->version = o->version;
+  object->value = buf_copy (ctx, o->value);
+  reply->objects = object;
+  reply->object_count = 1;
+}
+
+static void
+_hst_put (hst_t *h, void *ctx, const fx_platform_t *call, ev_platform_t *reply)
+{
+  hst_object_t *o = g_tree_lookup (h->objects, call->name);
+  uint64_t version = o == NULL ? 0 : o->version;
+  if (version != call->if_version)
+    {
+      reply->code = o == NULL ? ST_NOT_FOUND : ST_CONFLICT;
+      if (o != NULL)
+        _hst_one (ctx, call, o, reply);
+      return;
+    }
+  if (o == NULL)
+    {
+      o = talloc_zero (h, hst_object_t);
+      g_tree_insert (h->objects, g_strdup (call->name), o);
+    }
+  o->version = ++h->revision;
+  o->value = buf_copy (h, call->value);
+  _hst_one (ctx, call, o, reply);
+}
+
+static gboolean
+_hst_vm_one (gpointer key, gpointer value, gpointer data)
+{
+  _hst_list_t *l = data;
+  const hst_object_t *o = value;
+  if (!g_str_has_prefix (key, "vms/"))
+    return FALSE;
+  char **words = g_strsplit (o->value.p, " ", 3);
+  ev_platform_t *reply = (ev_platform_t *)l->v;
+  ev_vm_t *vms = talloc_realloc (l->ctx, (ev_vm_t *)(uintptr_t)reply->vms,
+                                 ev_vm_t, reply->vm_count + 1);
+  vms[reply->vm_count++]
+      = (ev_vm_t){ .vm = talloc_strdup (l->ctx, (char *)key + 4),
+                   .data_centre = talloc_strdup (l->ctx, words[0]),
+                   .address = talloc_strdup (l->ctx, words[1]),
+                   .worker = strcmp (words[2], "worker") == 0 };
+  reply->vms = vms;
+  g_strfreev (words);
+  return FALSE;
+}
+
+static void
+_hst_upstreams (const hst_t *h, void *ctx, ev_platform_t *reply)
+{
+  ev_upstream_entry_t *v
+      = talloc_zero_array (ctx, ev_upstream_entry_t, HST_MAX);
+  for (size_t i = 0; i < h->desc.upstreams; i++)
+    v[i] = (ev_upstream_entry_t){
+      .name = talloc_asprintf (ctx, "up-%zu", i),
+      .deployment = "llm",
+      .data_centre = "north",
+      .address = talloc_asprintf (ctx, "10.0.0.%zu:80", i),
+    };
+  reply->entries = v;
+  reply->entry_count = h->desc.upstreams;
+}
+
+bool
+hst_store_waits (const hst_t *h, const fx_platform_t *c)
+{
+  if (c->revision == 0)
+    return false;
+  if (c->op == FX_PLATFORM_DOCUMENT)
+    return h->deaf || h->document_revision <= c->revision;
+  if (c->revision < h->compacted)
+    return false;
+  return c->op == FX_PLATFORM_UPSTREAMS || h->revision <= c->revision;
+}
+
+void
+hst_store_serve (hst_t *h, void *ctx, const fx_platform_t *c,
+                 ev_platform_t *reply)
+{
+  const hst_object_t *o = NULL;
+  _hst_list_t list = { .ctx = ctx, .call = c };
+  reply->code = ST_OK;
+  reply->revision = h->revision;
+  if (c->revision != 0 && c->revision < h->compacted
+      && c->op != FX_PLATFORM_DOCUMENT)
+    {
+      reply->code = ST_STALE;
+      return;
+    }
+  switch (c->op)
+    {
+    case FX_PLATFORM_GET:
+      o = g_tree_lookup (h->objects, c->name);
+      if (o == NULL)
+        reply->code = ST_NOT_FOUND;
+      else
+        _hst_one (ctx, c, o, reply);
+      break;
+    case FX_PLATFORM_PUT:
+      _hst_put (h, ctx, c, reply);
+      break;
+    case FX_PLATFORM_LIST:
+    case FX_PLATFORM_WATCH:
+      g_tree_foreach (h->objects, _hst_list_one, &list);
+      reply->objects = list.v;
+      reply->object_count = list.n;
+      break;
+    case FX_PLATFORM_VMS:
+      list.v = (ev_object_t *)reply;
+      g_tree_foreach (h->objects, _hst_vm_one, &list);
+      break;
+    case FX_PLATFORM_DOCUMENT:
+      if (c->revision == 0 || h->document_revision > c->revision)
+        reply->document = &h->document;
+      break;
+    case FX_PLATFORM_UPSTREAMS:
+      if (c->revision == 0)
+        _hst_upstreams (h, ctx, reply);
+      break;
+    case FX_PLATFORM_RETIREMENT:
+      if (!h->vm[hst_vm_index (h, c->name)].retire)
+        reply->code = ST_NOT_FOUND;
+      break;
+    case FX_PLATFORM_RETIRED:
+      h->vm[hst_vm_index (h, c->name)].retired = true;
+      break;
+    case FX_PLATFORM_DELETE:
+      reply->code = ST_NOT_FOUND;
+      break;
+    }
+}
