--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -110,7 +110,6 @@
   http_headers_t headers;
   bool not_run;     /**< EV_UPSTREAM_HEAD: the upstream promises that it did
                          not and will not run the request */
-  bool other;       /**< EV_UPSTREAM_HEAD: another upstream has the address */
   buf_t data;       /**< EV_UPSTREAM_DATA */
   ev_fail_t fail;   /**< EV_UPSTREAM_FAIL */
   const char *text; /**< EV_UPSTREAM_FAIL: for logs */
--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -45,8 +45,7 @@
   int status; /**< FX_REPLY_HEAD */
   http_headers_t headers;
   clk_ms_t retry_after_ms; /**< FX_REPLY_HEAD: 0: not said */
-  bool last;  /**< FX_REPLY_HEAD: the connection takes no further request */
-  buf_t data; /**< FX_REPLY_DATA */
+  buf_t data;              /**< FX_REPLY_DATA */
 } fx_reply_t;
 
 /** One result of a batch job. */
--- a/src/core/lim_slack.c
+++ b/src/core/lim_slack.c
@@ -1,7 +1,6 @@
 #include "core/lim_slack.h"
 
-/** Of the excess: the rest is for requests that bunch up on their way, and
- * for VMs that start again within a window. */
+/** Of the excess: the rest is for VMs that start again within a window. */
 #define LSL_USED_SHARE 0.85
 
 double
--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -295,14 +295,14 @@
   void *ctx = talloc_new (NULL);
   ev_upstream_t u = { .status = 503, .headers = { shed, 2 } };
   pfm_answer_decode (ctx, &u);
-  CU_ASSERT (u.not_run && !u.other);
+  CU_ASSERT (u.not_run);
   CU_ASSERT_STRING_EQUAL (http_header_find (u.headers, "X-Request-Id"), "r-1");
   u = (ev_upstream_t){ .status = 503 };
   pfm_answer_decode (ctx, &u);
   CU_ASSERT_FALSE (u.not_run);
   u = (ev_upstream_t){ .status = 421 };
   pfm_answer_decode (ctx, &u);
-  CU_ASSERT (u.not_run && u.other);
+  CU_ASSERT (u.not_run);
   http_headers_t h = pfm_reply_encode (
       ctx, &(fx_reply_t){ .status = 503, .retry_after_ms = 250 });
   CU_ASSERT_STRING_EQUAL (http_header_find (h, "Retry-After"), "0.250");
