--- a/src/core/job.c
+++ b/src/core/job.c
@@ -1,6 +1,5 @@
 #include "core/job_int.h"
 
-#include "core/inv.h"
 #include "core/mpk.h"
 #include "core/own.h"
 #include "core/rpl.h"
@@ -170,17 +169,25 @@
   return job;
 }
 
+/* Whether NEXT can follow OLD: the same items, and each result where it was.
+ */
+static bool
+_job_follows (const job_rec_t *old, const job_rec_t *next)
+{
+  if (next->item_count != old->item_count
+      || next->result_count < old->result_count)
+    return false;
+  for (uint32_t i = 0; i < old->result_count; i++)
+    if (next->results[i].item != old->results[i].item
+        || next->results[i].completed != old->results[i].completed)
+      return false;
+  return true;
+}
+
 /* REC replaces the record that JOB goes by. */
 static void
 _job_adopt (job_set_t *j, job_t *job, job_rec_t *rec)
 {
-  INV_CHECK (rec->item_count == job->rec->item_count, "job-items-stay",
-             "job %s", rec->id);
-  INV_CHECK (rec->result_count >= job->rec->result_count,
-             "job-results-only-grow", "job %s", rec->id);
-  for (uint32_t i = 0; i < job->rec->result_count; i++)
-    INV_CHECK (rec->results[i].item == job->rec->results[i].item,
-               "job-position-stays", "job %s position %u", rec->id, i);
   g_hash_table_replace (j->by_id, (gpointer)(uintptr_t)rec->id, job);
   talloc_free (job->rec);
   job->rec = talloc_steal (j, rec);
@@ -225,6 +232,14 @@
       talloc_free (rec);
       return job;
     }
+  if (job != NULL && !_job_follows (job->rec, rec))
+    {
+      tln_record (env->tln, env->now, MOD_JOB, "record-contradicts",
+                  "job=%s version=%llu", rec->id, (unsigned long long)version);
+      cnt_add (env->cnt, "rts_job_records_unreadable_total", "", 1);
+      talloc_free (rec);
+      return job;
+    }
   if (job == NULL)
     job = _job_new (j, rec);
   else
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -61,14 +61,20 @@
 }
 
 uint32_t
-rte_known_load (const rte_upstream_t *u, clk_ms_t now)
+rte_told_load (const rte_upstream_t *u, clk_ms_t now)
 {
-  uint32_t load = u->online + u->batch + _rte_hidden (u, now);
+  uint32_t load = u->online + u->batch;
   if (u->others_at > 0 && now - u->others_at < RTE_OTHERS_MS)
     load += u->others;
   return load;
 }
 
+uint32_t
+rte_known_load (const rte_upstream_t *u, clk_ms_t now)
+{
+  return rte_told_load (u, now) + _rte_hidden (u, now);
+}
+
 double
 rte_slowness (const rte_upstream_t *u, clk_ms_t now)
 {
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -196,6 +196,8 @@
 
 /* rte_choice.c */
 uint32_t rte_load (const rte_upstream_t *u, clk_ms_t now);
+/** Requests that VMs have told of, this one included. */
+uint32_t rte_told_load (const rte_upstream_t *u, clk_ms_t now);
 /** As rte_load, without a guess at what others have chosen since. */
 uint32_t rte_known_load (const rte_upstream_t *u, clk_ms_t now);
 bool rte_usable (const rte_upstream_t *u, clk_ms_t now);
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -157,7 +157,7 @@
 static void
 _rte_hidden_note (rte_upstream_t *u, clk_ms_t now)
 {
-  uint32_t known = rte_known_load (u, now) - u->hidden;
+  uint32_t known = rte_told_load (u, now);
   uint32_t reported = u->running + u->waiting;
   uint32_t excess = reported > known ? reported - known : 0;
   u->hidden = excess < u->excess ? excess : u->excess;
