--- a/src/io/lnk.c
+++ b/src/io/lnk.c
@@ -123,15 +123,11 @@
         k->links->desc.loop, k, _lnk_in (LNK_DIAL_AGAIN_MS), _lnk_on_again, k);
 }
 
+/* Free C; a kept peer that has no other connection is dialed again. */
 static void
-_lnk_close (_lnk_connection_t *c)
+_lnk_free (_lnk_connection_t *c)
 {
   lnk_t *l = c->links;
-  if (c->vm != NULL && g_hash_table_lookup (l->open, c->vm) == c)
-    {
-      g_hash_table_remove (l->open, c->vm);
-      _lnk_emit (l, EV_PEER_DOWN, c->vm, NULL);
-    }
   GHashTableIter iter;
   void *value = NULL;
   g_hash_table_iter_init (&iter, l->kept);
@@ -146,6 +142,18 @@
   talloc_free (c);
 }
 
+static void
+_lnk_close (_lnk_connection_t *c)
+{
+  lnk_t *l = c->links;
+  if (c->vm != NULL && g_hash_table_lookup (l->open, c->vm) == c)
+    {
+      g_hash_table_remove (l->open, c->vm);
+      _lnk_emit (l, EV_PEER_DOWN, c->vm, NULL);
+    }
+  _lnk_free (c);
+}
+
 /* -- sending -------------------------------------------------------------- */
 
 /* Write what waits; false when the connection is broken. */
@@ -285,7 +293,7 @@
   c->state = _LNK_OPEN;
   g_hash_table_replace (l->open, c->vm, c);
   if (other != NULL)
-    talloc_free (other);
+    _lnk_free (other);
   else
     _lnk_emit (l, EV_PEER_UP, c->vm, NULL);
   return true;
--- a/tests/test_lnk.c
+++ b/tests/test_lnk.c
@@ -180,6 +180,40 @@
   talloc_free (ctx);
 }
 
+/* Both ends dial at once, in either order; one of the two connections gives
+ * way, also when it was open first, and both ends can drop the link then. */
+static void
+test_links_dialed_from_both_ends_are_dropped (void)
+{
+  struct tevent_context *loop = tevent_context_init (NULL);
+  end_t a = { 0 };
+  end_t b = { 0 };
+  char *at_a = own_address (loop);
+  open_end (loop, &a, "vm-a", at_a, "secret of sixteen");
+  char *at_b = own_address (loop);
+  open_end (loop, &b, "vm-b", at_b, "secret of sixteen");
+  TST_NEED (a.links != NULL && b.links != NULL);
+  for (int round = 0; round < 12; round++)
+    {
+      a.up = 0;
+      b.up = 0;
+      lnk_keep (b.links, "vm-a", at_a);
+      for (int i = 0; i < round; i++)
+        (void)tevent_loop_once (loop);
+      lnk_keep (a.links, "vm-b", at_b);
+      CU_ASSERT (wait_for (loop, &a.up));
+      CU_ASSERT (wait_for (loop, &b.up));
+      for (int i = 0; i < 10; i++)
+        {
+          lnk_send (a.links, "vm-b", &(msg_t){ .kind = MSG_LIMIT_FIRST });
+          (void)tevent_loop_once (loop);
+        }
+      lnk_drop (b.links, "vm-a");
+      lnk_drop (a.links, "vm-b");
+    }
+  talloc_free (loop);
+}
+
 int
 main (void)
 {
@@ -188,6 +222,8 @@
       test_links_prove_the_secret_and_carry_messages },
     { "wrong_secret_opens_no_link", test_wrong_secret_opens_no_link },
     { "what_is_no_greeting_is_closed", test_what_is_no_greeting_is_closed },
+    { "links_dialed_from_both_ends_are_dropped",
+      test_links_dialed_from_both_ends_are_dropped },
     { "frames_of_any_cut", test_frames_of_any_cut },
   };
   return tst_run ("lnk", cases, sizeof cases / sizeof cases[0]);
