Routing: who asks a batch item to give way says how many requests it has there

Cause: an online request that takes the last slot has one item give way, but only as its own VM knows the slots. Two VMs that take slots within one exchange each believe a slot free, press for neither, and the upstream stays over its slots until the exchange (a trace of the hosted case: 7 online requests 6 ms apart, 9 requests at 8 slots for 170 ms).

Ruled out: a lost or misdirected message (4 presses sent, 4 items gave way, 5 were needed).

Change: the message carries the sender's count; the poller knows the sum and has as many items give way as leave one slot free, none when earlier ones suffice.

--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -41,9 +41,11 @@
    * waiting, u64 hidden, u64 slots, u64 cache events up to here, u64 count of
    * events, then for each: u64 added, u64 prefix. */
   MSG_ROUTE_REPORT = MSG_ROUTE_FIRST + 1,
-  /** VM to poller: str upstream; an online request took its last slot. */
+  /** VM to poller: str upstream, u64 in flight there, u64 batch ones among
+   * them; an online request took its last slot. */
   MSG_ROUTE_PRESSED = MSG_ROUTE_FIRST + 2,
-  /** Poller to the VM with most batch requests there: str upstream. */
+  /** Poller to the VM with most batch requests there: the same of the poller;
+   * one is to give way. */
   MSG_ROUTE_YIELD = MSG_ROUTE_FIRST + 3,
 } rte_msg_t;
 
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -16,11 +16,9 @@
 /** Period of a VM that has sent nothing for as long. */
 #define RTE_IDLE_MS ((clk_ms_t)1400)
 
-/** Requests of VMs other than VM at U, as they have told; the batch ones among
- * them to *BATCH. */
-static uint32_t
-_rte_others (const rte_upstream_t *u, const char *vm, clk_ms_t now,
-             uint32_t *batch)
+uint32_t
+rte_others_told (const rte_upstream_t *u, const char *vm, clk_ms_t now,
+                 uint32_t *batch)
 {
   uint32_t sum = 0;
   *batch = 0;
@@ -115,7 +113,7 @@
       rte_upstream_t *u = tbl_get (r->upstreams, id);
       if (u->poll == NULL)
         continue;
-      u->others = _rte_others (u, env->vm, env->now, &u->others_batch);
+      u->others = rte_others_told (u, env->vm, env->now, &u->others_batch);
       u->users = g_hash_table_size (u->poll->uses) + 1;
       u->others_at = env->now;
       u->told++;
@@ -165,7 +163,7 @@
   mpk_put_str (w, buf_str (u->name));
   uint32_t batch;
   uint32_t others
-      = _rte_others (u, vm, env->now, &batch) + u->online + u->batch;
+      = rte_others_told (u, vm, env->now, &batch) + u->online + u->batch;
   mpk_put_uint (w, g_hash_table_size (p->uses) + 1);
   mpk_put_uint (w, others);
   mpk_put_uint (w, batch + u->batch);
@@ -184,6 +182,15 @@
     }
 }
 
+void
+rte_use_note (rte_upstream_t *u, const env_t *env, const char *vm,
+              uint32_t in_flight, uint32_t batch)
+{
+  rte_use_t *use = g_new (rte_use_t, 1);
+  *use = (rte_use_t){ .in_flight = in_flight, .batch = batch, .at = env->now };
+  g_hash_table_replace (u->poll->uses, g_strdup (vm), use);
+}
+
 static bool
 _rte_use_received (rte_t *r, env_t *env, const char *vm, mpk_reader_t *in)
 {
@@ -202,11 +209,7 @@
       if (u == NULL || u->poll == NULL || in_flight > UINT16_MAX
           || batch > in_flight)
         continue;
-      rte_use_t *use = g_new (rte_use_t, 1);
-      *use = (rte_use_t){ .in_flight = (uint32_t)in_flight,
-                          .batch = (uint32_t)batch,
-                          .at = env->now };
-      g_hash_table_replace (u->poll->uses, g_strdup (vm), use);
+      rte_use_note (u, env, vm, (uint32_t)in_flight, (uint32_t)batch);
       _rte_report_write (&w, env, u, vm, seen);
       answered++;
     }
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -212,6 +212,15 @@
 void rte_poll_tick (rte_t *r, env_t *env);
 void rte_poll_stop (env_t *env, rte_upstream_t *u);
 void rte_exchange_tick (rte_t *r, env_t *env);
+
+/** Requests of VMs other than VM at U, which this VM polls, as they have told;
+ * the batch ones among them to *BATCH. */
+uint32_t rte_others_told (const rte_upstream_t *u, const char *vm,
+                          clk_ms_t now, uint32_t *batch);
+
+/** VM has so many requests in flight at U, which this VM polls. */
+void rte_use_note (rte_upstream_t *u, const env_t *env, const char *vm,
+                   uint32_t in_flight, uint32_t batch);
 /** A request was picked: an idle VM's next exchange comes early. */
 void rte_exchange_wake (rte_t *r, env_t *env);
 void rte_event_note (rte_t *r, const env_t *env, const rte_upstream_t *u,
--- a/src/core/rte_press.c
+++ b/src/core/rte_press.c
@@ -2,7 +2,10 @@
  * Giving way at once: an online request that takes an upstream's last slot
  * tells the upstream's poller, which knows who has batch requests there.
  *
- * A lost message costs time only: the exchange brings the same news later.
+ * The message carries the sender's count, so the poller sees all requests,
+ * also those that took slots which their VMs believed free, and has as many
+ * batch requests end as slots are missing, and one more for the next.  A lost
+ * message costs time only: the exchange brings the same news later.
  */
 #include "core/mpk.h"
 #include "core/rte_int.h"
@@ -18,30 +21,31 @@
   mpk_writer_t w;
   mpk_writer_init (&w, ctx);
   mpk_put_str (&w, buf_str (u->name));
+  mpk_put_uint (&w, u->online + u->batch);
+  mpk_put_uint (&w, u->batch);
   mbr_send (r->desc.members, env, vm, kind, mpk_done (&w));
   talloc_free (ctx);
 }
 
-/* A batch request of this VM is to give way; the slot is the online request's
- * until the next news, which has it among those of others. */
-static void
-_rte_press_here (rte_t *r, rte_upstream_t *u)
+/* Batch requests of this VM at U that have not been told to give way. */
+static uint32_t
+_rte_press_left (const rte_t *r, const rte_upstream_t *u)
 {
-  if (u->batch == 0)
-    return;
-  u->others++;
-  g_queue_push_tail (&r->yields, u);
+  uint32_t told = 0;
+  for (const GList *l = r->yields.head; l != NULL; l = l->next)
+    told += l->data == u;
+  return u->batch > told ? u->batch - told : 0;
 }
 
-/* This VM polls U: the VM with most batch requests there is to give way. */
-static void
-_rte_press_choose (rte_t *r, env_t *env, rte_upstream_t *u)
+/* The VM with most batch requests at U, which this VM polls; *VM stays NULL
+ * when there is none but perhaps this one. */
+static rte_use_t *
+_rte_press_most (rte_upstream_t *u, const char **vm)
 {
+  rte_use_t *most = NULL;
   GHashTableIter iter;
   void *name;
   void *value;
-  const char *vm = NULL;
-  rte_use_t *most = NULL;
   g_hash_table_iter_init (&iter, u->poll->uses);
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
@@ -49,54 +53,93 @@
       if (use->batch == 0 || (most != NULL && use->batch <= most->batch))
         continue;
       most = use;
-      vm = name;
+      *vm = name;
     }
-  if (most == NULL || u->batch >= most->batch)
+  return most;
+}
+
+/* Have one batch request give way; false: there is none. */
+static bool
+_rte_press_one (rte_t *r, env_t *env, rte_upstream_t *u)
+{
+  const char *vm = NULL;
+  rte_use_t *most = _rte_press_most (u, &vm);
+  uint32_t own = _rte_press_left (r, u);
+  if (most != NULL && most->batch > own)
     {
-      _rte_press_here (r, u);
-      return;
+      /* It is counted out at once, so that the next to be asked is another. */
+      most->batch--;
+      most->in_flight--;
+      _rte_press_send (r, env, vm, MSG_ROUTE_YIELD, u);
+      return true;
     }
-  /* It is counted out at once, so that the next to be asked is another. */
-  most->batch--;
-  most->in_flight--;
-  _rte_press_send (r, env, vm, MSG_ROUTE_YIELD, u);
+  if (own > 0)
+    g_queue_push_tail (&r->yields, u);
+  return own > 0;
+}
+
+/* This VM polls U: as many give way as leave one slot free. */
+static void
+_rte_press_choose (rte_t *r, env_t *env, rte_upstream_t *u)
+{
+  u->others = rte_others_told (u, env->vm, env->now, &u->others_batch);
+  u->others_at = env->now;
+  u->own_told = u->online + u->batch;
+  uint32_t load = rte_known_load (u, env->now) - u->batch;
+  load += _rte_press_left (r, u);
+  while (u->slots > 0 && load >= u->slots && _rte_press_one (r, env, u))
+    load--;
+  u->others = rte_others_told (u, env->vm, env->now, &u->others_batch);
 }
 
 void
 rte_press (rte_t *r, env_t *env, rte_upstream_t *u)
 {
   cnt_add (env->cnt, "rts_route_pressed_total", "", 1);
+  if (u->poll != NULL)
+    {
+      _rte_press_choose (r, env, u);
+      return;
+    }
   /* One is on its way out; the next news of others is exact again. */
   if (u->others_batch > 0)
     {
       u->others_batch--;
       u->others--;
     }
-  if (u->poll != NULL)
-    _rte_press_choose (r, env, u);
-  else if (u->poller != NULL)
+  if (u->poller != NULL)
     _rte_press_send (r, env, u->poller, MSG_ROUTE_PRESSED, u);
 }
 
+/* A batch request of this VM is to give way; the slot is the online request's
+ * until the next news, which has it among those of others. */
+static void
+_rte_press_yield (rte_t *r, rte_upstream_t *u)
+{
+  if (_rte_press_left (r, u) == 0)
+    return;
+  u->others++;
+  g_queue_push_tail (&r->yields, u);
+}
+
 bool
 rte_press_received (rte_t *r, env_t *env, const char *vm, const msg_t *msg,
                     void *ctx)
 {
   mpk_reader_t in = mpk_reader (ctx, msg->body);
   buf_t name = mpk_get_str (&in);
-  if (!mpk_end (&in))
+  uint64_t in_flight = mpk_get_uint (&in);
+  uint64_t batch = mpk_get_uint (&in);
+  if (!mpk_end (&in) || in_flight > UINT16_MAX || batch > in_flight)
     return false;
   rte_upstream_t *u = g_hash_table_lookup (r->by_name, name.p);
   if (u == NULL)
     return true;
   if (msg->kind == MSG_ROUTE_YIELD)
-    _rte_press_here (r, u);
+    _rte_press_yield (r, u);
   else if (u->poll != NULL)
     {
-      /* Its own count comes later and is exact again. */
-      rte_use_t *use = g_hash_table_lookup (u->poll->uses, vm);
-      if (use != NULL)
-        use->in_flight++;
+      rte_use_note (u, env, vm, (uint32_t)in_flight, (uint32_t)batch);
       _rte_press_choose (r, env, u);
     }
   return true;
