Directory: calls for news keep a distance; lists of pages go on from their first

Calls for news now stand 800 ms apart at least; a change after a quiet time is still heard at once. Cause 2: workers read the shares of limits though they admit nothing (14 of 85 VMs). Cause 3: a list read in pages was watched on from its last page's revision: a change on an earlier page in between was missed (list of upstreams, records of jobs).

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -6,6 +6,7 @@
 #define DIR_WAIT_MS_DEFAULT (20 * CLK_SECOND)
 #define DIR_RETRY_MS_DEFAULT 250
 #define DIR_RETURN_MS_DEFAULT 2500
+#define DIR_GAP_MS_DEFAULT 800
 /** After trouble the platform counts as disturbed for this long. */
 #define DIR_CALM_MS (3 * CLK_SECOND)
 
@@ -57,6 +58,8 @@
     d->desc.retry_ms = DIR_RETRY_MS_DEFAULT;
   if (d->desc.return_ms == 0)
     d->desc.return_ms = DIR_RETURN_MS_DEFAULT;
+  if (d->desc.gap_ms == 0)
+    d->desc.gap_ms = DIR_GAP_MS_DEFAULT;
   d->failed_at = CLK_NEVER;
   d->entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _dir_entry_free);
@@ -75,6 +78,7 @@
 static void
 _dir_ask (dir_t *d, env_t *env, dir_read_t what)
 {
+  d->asked_at[what] = env->now;
   plt_call (env,
             &(plt_req_t){ .mod = MOD_DIRECTORY,
                           .tag = d->epoch << DIR_TAG_BITS | what,
@@ -87,6 +91,19 @@
                           = d->revision[what] != 0 ? d->desc.wait_ms : 0 });
 }
 
+/* Wait for news again, but not at once after other news: many changes in a
+ * row are then one answer. */
+static void
+_dir_ask_again (dir_t *d, env_t *env, dir_read_t what)
+{
+  clk_ms_t at = d->asked_at[what] + d->desc.gap_ms;
+  bool pages = what == DIR_UPSTREAMS && d->after != NULL;
+  if (pages || at <= env->now)
+    _dir_ask (d, env, what);
+  else
+    tmr_arm (env->tmr, at, MOD_DIRECTORY, d->epoch << DIR_TAG_BITS | what);
+}
+
 void
 dir_start (dir_t *d, env_t *env)
 {
@@ -246,7 +263,10 @@
 {
   bool whole = d->revision[DIR_UPSTREAMS] == 0;
   if (whole && d->after == NULL)
-    _dir_list_begin (d);
+    {
+      _dir_list_begin (d);
+      d->listed_revision = reply->revision;
+    }
   for (size_t i = 0; i < reply->entry_count; i++)
     _dir_entry_take (d, env, &reply->entries[i]);
   TALLOC_FREE (d->after);
@@ -257,7 +277,7 @@
     }
   if (whole)
     _dir_list_end (d, env);
-  d->revision[DIR_UPSTREAMS] = reply->revision;
+  d->revision[DIR_UPSTREAMS] = whole ? d->listed_revision : reply->revision;
 }
 
 /* -- hooks ---------------------------------------------------------------- */
@@ -296,7 +316,7 @@
     }
   else
     _dir_upstreams_take (d, env, reply);
-  _dir_ask (d, env, what);
+  _dir_ask_again (d, env, what);
 }
 
 void
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -39,6 +39,8 @@
   mbr_t *members;                  /**< required */
   const char *const *data_centres; /**< of the fleet, ends with NULL; copied */
   clk_ms_t wait_ms;   /**< longest wait of a call for news; default 20 s */
+  clk_ms_t gap_ms;    /**< shortest time between two calls for news; default
+                           800 ms */
   clk_ms_t retry_ms;  /**< after a failure; default 250 ms */
   clk_ms_t return_ms; /**< entries may take this long to be written again once
                            the platform is back; default 2.5 s */
--- a/src/core/dir_int.h
+++ b/src/core/dir_int.h
@@ -25,6 +25,8 @@
   cfg_data_centre_t *data_centres;
   size_t data_centre_count;
   uint64_t revision[DIR_READ_NUM]; /**< to wait on from; 0: read the whole */
+  uint64_t listed_revision;        /**< of the first page being read */
+  clk_ms_t asked_at[DIR_READ_NUM]; /**< last call */
   char *after;                     /**< next page of the list; NULL: first */
   cfg_doc_t *operator_doc;         /**< without upstreams */
   uint64_t version;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -14,14 +14,6 @@
 /** Texts of results at hand, of all jobs, in bytes. */
 #define JOB_TEXTS_MAX ((size_t)8 << 20)
 
-/** Tags of timers. */
-enum
-{
-  JOB_TIMER_TICK,
-  JOB_TIMER_FEED,
-  JOB_TIMER_ALONE,
-};
-
 /* -- set up --------------------------------------------------------------- */
 
 static void
--- a/src/core/job_feed.c
+++ b/src/core/job_feed.c
@@ -8,7 +8,6 @@
 
 #include <talloc.h>
 
-#define JOB_FEED_TAG 1 /**< of the timer; see job.c */
 /** A look does not wait for news: the pause between looks bounds the calls. */
 #define JOB_FEED_WAIT_MS 1
 
@@ -30,6 +29,7 @@
 job_feed_replied (job_set_t *j, env_t *env, const ev_platform_t *reply)
 {
   bool whole = j->revision == 0;
+  bool first = whole && j->feed_after == NULL;
   clk_ms_t pause = env_jitter (env, j->desc.feed_ms);
   TALLOC_FREE (j->feed_after);
   if (reply->code == ST_STALE)
@@ -38,12 +38,14 @@
     if (!reply->objects[i].deleted)
       (void)job_learn (j, env, reply->objects[i].version,
                        reply->objects[i].value);
+  if (reply->code == ST_OK && first)
+    j->feed_listed = reply->revision;
   if (reply->code == ST_OK && whole && reply->more_after != NULL)
     {
       j->feed_after = talloc_strdup (j, reply->more_after);
       pause = 0;
     }
   else if (reply->code == ST_OK)
-    j->revision = reply->revision;
-  tmr_arm (env->tmr, env->now + pause, MOD_JOB, JOB_FEED_TAG);
+    j->revision = whole ? j->feed_listed : reply->revision;
+  tmr_arm (env->tmr, env->now + pause, MOD_JOB, JOB_TIMER_FEED);
 }
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -142,6 +142,14 @@
   uint32_t flying;   /**< reads of texts or of a body */
 } job_call_t;
 
+/** Tags of timers. */
+enum
+{
+  JOB_TIMER_TICK,
+  JOB_TIMER_FEED,
+  JOB_TIMER_ALONE,
+};
+
 struct job_set
 {
   job_desc_t desc;
@@ -154,8 +162,9 @@
   GHashTable *by_id;    /**< id to job_t */
   const char **runners; /**< names of VMs that run jobs */
   size_t runner_count;
-  clk_ms_t worker_at; /**< when a worker was last seen to answer */
-  uint64_t revision;  /**< of the feed; 0: the whole is to be read */
+  clk_ms_t worker_at;   /**< when a worker was last seen to answer */
+  uint64_t feed_listed; /**< revision of the first page being read */
+  uint64_t revision;    /**< of the feed; 0: the whole is to be read */
   char *feed_after;
   bool ticking;
   bool leaving;
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -41,6 +41,7 @@
   GHashTable *linked;  /**< names of peers with an open link */
   uint64_t generation; /**< of the membership that the modules know */
   node_source_t source;
+  bool worker;
   mbr_t *mbr;
   dir_t *dir; /**< NULL unless the source is the platform */
   cfs_t *cfs;
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -72,6 +72,7 @@
   env_t *env = n->env;
   bool platform = desc->source == NODE_SOURCE_PLATFORM;
   n->source = desc->source;
+  n->worker = desc->worker;
   n->mbr = mbr_setup (
       n, &(mbr_desc_t){ .announce = platform, .worker = desc->worker });
   if (platform)
@@ -120,7 +121,9 @@
   if (n->source == NODE_SOURCE_PLATFORM)
     {
       dir_start (n->dir, n->env);
-      lim_start (n->lim, n->env);
+      /* A worker admits no requests. */
+      if (!n->worker)
+        lim_start (n->lim, n->env);
       job_start (n->job, n->env);
       if (n->ret != NULL)
         ret_start (n->ret, n->env);
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -45,6 +45,7 @@
   d->call.name = talloc_strdup (d, c->name == NULL ? "" : c->name);
   d->call.value = buf_copy (d, c->value);
   d->until = h->now + c->timeout_ms;
+  g_ptr_array_add (h->vm[vm].calls, g_strdup (d->call.name));
 }
 
 /* -- upstreams -------------------------------------------------------------
@@ -482,6 +483,7 @@
   h->vm_count = h->desc.entries + h->desc.workers;
   for (size_t i = 0; i < h->vm_count; i++)
     {
+      h->vm[i].calls = g_ptr_array_new_with_free_func (g_free);
       g_snprintf (h->vm[i].name, sizeof h->vm[i].name, "%s-%zu",
                   i < h->desc.entries ? "entry" : "worker", i);
       g_snprintf (h->vm[i].address, sizeof h->vm[i].address, "10.1.0.%zu:70",
@@ -508,6 +510,8 @@
   g_hash_table_foreach (h->answers, _hst_answer_free, NULL);
   g_hash_table_destroy (h->answers);
   g_ptr_array_unref (h->runs);
+  for (size_t i = 0; i < h->vm_count; i++)
+    g_ptr_array_unref (h->vm[i].calls);
   g_ptr_array_unref (h->flights);
   g_tree_destroy (h->objects);
   g_queue_clear (&h->due);
@@ -624,6 +628,16 @@
   return n;
 }
 
+unsigned
+hst_calls (const hst_t *h, size_t vm, const char *name)
+{
+  const GPtrArray *calls = h->vm[vm].calls;
+  unsigned n = 0;
+  for (guint i = 0; i < calls->len; i++)
+    n += g_str_has_prefix (g_ptr_array_index (calls, i), name);
+  return n;
+}
+
 unsigned
 hst_peak (const hst_t *h, size_t upstream)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -88,6 +88,9 @@
 /** The platform answers VM (or HST_MAX: all) with "unavailable". */
 void hst_platform_down (hst_t *h, size_t vm, bool down);
 
+/** Calls that VM has made to the platform about names that begin so. */
+unsigned hst_calls (const hst_t *h, size_t vm, const char *name);
+
 /** The operator writes a document of a higher version; KEY: the only key. */
 void hst_document (hst_t *h, const char *key);
 
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -47,6 +47,7 @@
   bool down; /**< the platform does not serve it */
   bool retire;
   bool retired;
+  GPtrArray *calls; /**< char *: names */
   bool keeps[HST_MAX];
   bool linked[HST_MAX];
 } hst_vm_t;
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -29,6 +29,17 @@
   return is;
 }
 
+/* Only a VM that admits requests reads who may admit how much. */
+static void
+test_workers_leave_the_shares_alone (void)
+{
+  hst_t *h = _ready (&(hst_desc_t){ .rate = 50, .burst = 50 });
+  CU_ASSERT (hst_calls (h, 0, "limit/") > 0);
+  CU_ASSERT_EQUAL (hst_calls (h, 2, "limit/"), 0);
+  CU_ASSERT_EQUAL (hst_calls (h, 3, "limit/"), 0);
+  hst_shutdown (h);
+}
+
 /* -- online ----------------------------------------------------------------
  */
 
@@ -522,6 +533,7 @@
 main (void)
 {
   static const tst_case_t cases[] = {
+    { "workers_leave_the_shares_alone", test_workers_leave_the_shares_alone },
     { "stream_is_served", test_stream_is_served },
     { "unknown_key_and_route", test_unknown_key_and_route },
     { "vm_without_document_says_503", test_vm_without_document_says_503 },
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -2,6 +2,7 @@
  * Small parts of the hosted path: cutting event streams, records of jobs, the
  * slack of limits, load that no VM knows of.
  */
+#include "core/job.h"
 #include "core/job_rec.h"
 #include "core/lim_slack.h"
 #include "core/sse.h"
@@ -134,6 +135,48 @@
   CU_ASSERT_EQUAL (lsl_part (&(lsl_desc_t){ 0 }, 34, 34, 8), 0);
 }
 
+/* The newest call of OP; its number is 0 when there is none. */
+static fx_platform_t
+_call_of (const env_t *env, fx_platform_op_t op)
+{
+  fx_platform_t call = { 0 };
+  for (size_t i = 0; i < env->fx->count; i++)
+    if (env->fx->v[i].kind == FX_PLATFORM && env->fx->v[i].platform.op == op)
+      call = env->fx->v[i].platform;
+  return call;
+}
+
+/* A record that changes on the first page while the second is read is in
+ * neither: the feed goes on from the first page's revision. */
+static void
+test_feed_of_pages_goes_on_from_its_first (void)
+{
+  env_t *env = env_setup (
+      NULL, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+  rte_t *routes = rte_setup (env, &(rte_desc_t){ .members = members });
+  job_set_t *jobs
+      = job_setup (env, &(job_desc_t){ .members = members, .routes = routes });
+  job_start (jobs, env);
+  for (uint64_t revision = 5; revision <= 9; revision += 4)
+    {
+      plt_done_t done;
+      ev_platform_t page = { .call = _call_of (env, FX_PLATFORM_LIST).call,
+                             .revision = revision,
+                             .more_after = revision == 5 ? "jobs/j-1" : NULL };
+      bool known = plt_reply (env, &page, &done);
+      TST_NEED (known);
+      job_platform_replied (jobs, env, &done, &page);
+      tmr_due_t due;
+      env->now += 2 * CLK_SECOND;
+      while (tmr_pop (env->tmr, env->now, &due))
+        if (due.mod == MOD_JOB)
+          job_timer_fired (jobs, env, due.tag);
+    }
+  CU_ASSERT_EQUAL (_call_of (env, FX_PLATFORM_WATCH).revision, 5);
+  env_shutdown (env);
+}
+
 int
 main (void)
 {
@@ -142,6 +185,8 @@
     { "record_comes_back", test_record_comes_back },
     { "record_out_of_range", test_record_out_of_range },
     { "slack_in_any_window", test_slack_in_any_window },
+    { "feed_of_pages_goes_on_from_its_first",
+      test_feed_of_pages_goes_on_from_its_first },
   };
   return tst_run ("job", cases, sizeof cases / sizeof cases[0]);
 }
