Limits: one VM of a data centre reads the shares for all of it

Change: the others ask the first VM by rendezvous, which gathers for 500 ms and answers all with one read sent afterwards. A right counts from before the ask, so it is as good as by an own read; a lost reader costs 1.2 s of the 6 s, a reader that the platform fails says so at once. Reads are a file of their own.

Tests: shares are read for many (72 VMs, 30 s: red before), reader of shares is lost, reader of shares is not served; limit-never-over is checked throughout. Also: the look for a request to leave may lag.

--- a/src/core/lim_promise.c
+++ b/src/core/lim_promise.c
@@ -127,6 +127,12 @@
     case MSG_LIMIT_PROMISE:
       _lsh_promise_received (s, env, vm, &r);
       break;
+    case MSG_LIMIT_READ_ASK:
+      lsh_read_asked (s, env, vm, &r);
+      break;
+    case MSG_LIMIT_READ:
+      lsh_read_answered (s, env, &r);
+      break;
     case MSG_LIMIT_SHARES:
       {
         uint64_t version = mpk_get_uint (&r);
--- /dev/null
+++ b/src/core/lim_read.c
@@ -0,0 +1,289 @@
+/* Reads of the data centre's lists, which confirm rights.
+ *
+ * One VM of the data centre reads for all of it: the others ask it, it gathers
+ * what is asked within a while and answers all with one read that it sends
+ * afterwards.  A right counts from the asking VM's own clock before it asked,
+ * so it is as good as one by a read of its own.  Who gets no answer, or the
+ * answer that the read failed, reads itself. */
+#include "core/lim_share_int.h"
+#include "core/mpk.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* VMs of a new fleet come within this time; then the lists are made. */
+#define LSH_FOUND_MS (3 * CLK_SECOND)
+
+/* Between two reads while they are about to be made. */
+#define LSH_FOUND_POLL_MS (CLK_SECOND / 2)
+
+/* Other VMs' wishes are gathered so long before a read. */
+#define LSH_GATHER_MS 500
+
+/* Without an answer for so long a VM reads itself; its right lasts longer. */
+#define LSH_ANSWER_MS 1200
+
+/* Other VMs that wait for one read. */
+#define LSH_ASKERS_MAX 4096
+
+enum
+{
+  LSH_TIMER_POLL = 1,
+  LSH_TIMER_CHECK,
+  LSH_TIMER_ANSWER,
+};
+
+static void
+_lsh_poll_arm (lsh_t *s, env_t *env, clk_ms_t at)
+{
+  s->poll_at = at;
+  tmr_arm (env->tmr, at, MOD_LIMIT, LSH_TAG | LSH_TIMER_POLL);
+}
+
+static void
+_lsh_poll_arm_next (lsh_t *s, env_t *env)
+{
+  clk_ms_t wait = s->desc.short_life_ms * 2 / 5;
+  if (s->lists == NULL && s->data_centre_count > 0 && !s->read_failed)
+    wait = LSH_FOUND_POLL_MS;
+  else if (s->lists == NULL || s->read_failed)
+    wait = wait / 2;
+  wait = env_jitter (env, wait);
+  if (s->asker_count > 0)
+    wait = clk_min (wait, LSH_GATHER_MS);
+  _lsh_poll_arm (s, env, env->now + wait);
+}
+
+void
+lsh_reads_start (lsh_t *s, env_t *env)
+{
+  _lsh_poll_arm (s, env, env->now);
+  tmr_arm (env->tmr, env->now + CLK_SECOND, MOD_LIMIT,
+           LSH_TAG | LSH_TIMER_CHECK);
+}
+
+/* ---- this VM reads ---- */
+
+static void
+_lsh_read (lsh_t *s, env_t *env)
+{
+  s->asking = false;
+  s->reading = true;
+  s->read_sent = env->now;
+  s->read_for = s->asker_count;
+  plt_call (env, &(plt_req_t){ .mod = MOD_LIMIT,
+                               .tag = LSH_TAG | LSH_CALL_READ,
+                               .op = FX_PLATFORM_GET,
+                               .name = s->object,
+                               .timeout_ms = s->desc.short_life_ms / 6 });
+}
+
+/* VALUE is left out for a VM that knows VERSION; version 0: the read failed.
+ */
+static void
+_lsh_answer (lsh_t *s, env_t *env, const lsh_asker_t *to, uint64_t version,
+             buf_t value)
+{
+  mpk_writer_t w;
+  mpk_writer_init (&w, s);
+  mpk_put_uint (&w, to->round);
+  mpk_put_uint (&w, version);
+  mpk_put_str (&w, to->known < version ? value : buf_str (""));
+  buf_t body = mpk_done (&w);
+  mbr_send (s->desc.members, env, to->vm, MSG_LIMIT_READ, body);
+  talloc_free ((void *)(uintptr_t)body.p);
+}
+
+/* Answer those who had asked before the read was sent. */
+static void
+_lsh_answer_all (lsh_t *s, env_t *env, uint64_t version)
+{
+  buf_t value = version > 0 ? lli_encode (s, s->lists) : (buf_t){ 0 };
+  for (size_t i = 0; i < s->read_for; i++)
+    {
+      _lsh_answer (s, env, &s->askers[i], version, value);
+      talloc_free (s->askers[i].vm);
+    }
+  for (size_t i = s->read_for; i < s->asker_count; i++)
+    s->askers[i - s->read_for] = s->askers[i];
+  s->asker_count -= s->read_for;
+  s->read_for = 0;
+  talloc_free ((void *)(uintptr_t)value.p);
+}
+
+/* No lists yet: once the fleet is known, look what other data centres have
+ * and make them. */
+static void
+_lsh_read_absent (lsh_t *s, env_t *env)
+{
+  if (s->lists != NULL || s->writing || s->data_centre_count == 0
+      || mbr_listed_at (s->desc.members) == CLK_NEVER
+      || env->now < s->born + LSH_FOUND_MS)
+    return;
+  plt_call (env, &(plt_req_t){ .mod = MOD_LIMIT,
+                               .tag = LSH_TAG | LSH_CALL_SURVEY,
+                               .op = FX_PLATFORM_LIST,
+                               .name = LSH_OBJECT_PREFIX });
+}
+
+static void
+_lsh_read_replied (lsh_t *s, env_t *env, const ev_platform_t *reply)
+{
+  uint64_t version = 0;
+  s->reading = false;
+  s->read_failed = reply->code == ST_UNAVAILABLE || reply->code == ST_UNKNOWN;
+  if (reply->code == ST_OK && reply->object_count == 1
+      && lsh_lists_take (s, env, reply->objects[0].version,
+                         reply->objects[0].value))
+    {
+      version = s->lists->version;
+      s->read_ok = s->read_sent;
+      lsh_right_confirm (s, s->read_sent, true);
+    }
+  else if (reply->code == ST_NOT_FOUND)
+    {
+      s->saw_absent = s->lists == NULL;
+      _lsh_read_absent (s, env);
+    }
+  else if (s->read_failed)
+    lsh_promises_ask (s, env);
+  _lsh_answer_all (s, env, version);
+  _lsh_poll_arm_next (s, env);
+}
+
+/* ---- another VM reads ---- */
+
+/* Who reads for this VM; NULL: it reads itself. */
+static const char *
+_lsh_reader (const lsh_t *s, const env_t *env)
+{
+  const char *reader = NULL;
+  if (s->lists == NULL || s->read_failed
+      || mbr_rank (s->desc.members, env->data_centre, MOD_LIMIT, s->object,
+                   &reader, 1)
+             == 0)
+    return NULL;
+  return strcmp (reader, env->vm) == 0 ? NULL : reader;
+}
+
+static void
+_lsh_ask (lsh_t *s, env_t *env, const char *reader)
+{
+  mpk_writer_t w;
+  s->asking = true;
+  s->ask_sent = env->now;
+  s->ask_round++;
+  mpk_writer_init (&w, s);
+  mpk_put_uint (&w, s->ask_round);
+  mpk_put_uint (&w, s->lists->version);
+  buf_t body = mpk_done (&w);
+  mbr_send (s->desc.members, env, reader, MSG_LIMIT_READ_ASK, body);
+  talloc_free ((void *)(uintptr_t)body.p);
+  tmr_arm (env->tmr, env->now + LSH_ANSWER_MS, MOD_LIMIT,
+           LSH_TAG | LSH_TIMER_ANSWER);
+}
+
+void
+lsh_read_asked (lsh_t *s, env_t *env, const char *vm, mpk_reader_t *r)
+{
+  lsh_asker_t asker = { .round = mpk_get_uint (r) };
+  asker.known = mpk_get_uint (r);
+  if (!mpk_end (r) || s->asker_count >= LSH_ASKERS_MAX)
+    return;
+  asker.vm = talloc_strdup (s, vm);
+  s->askers = talloc_realloc (s, s->askers, lsh_asker_t, s->asker_count + 1);
+  s->askers[s->asker_count++] = asker;
+  if (!s->reading && s->poll_at > env->now + LSH_GATHER_MS)
+    _lsh_poll_arm (s, env, env->now + LSH_GATHER_MS);
+}
+
+void
+lsh_read_answered (lsh_t *s, env_t *env, mpk_reader_t *r)
+{
+  uint64_t round = mpk_get_uint (r);
+  uint64_t version = mpk_get_uint (r);
+  buf_t value = mpk_get_str (r);
+  if (!mpk_end (r) || !s->asking || round != s->ask_round)
+    return;
+  if (value.n > 0)
+    (void)lsh_lists_take (s, env, version, value);
+  if (version == 0 || version != s->lists->version)
+    {
+      _lsh_read (s, env);
+      return;
+    }
+  s->asking = false;
+  s->read_ok = s->ask_sent;
+  lsh_right_confirm (s, s->ask_sent, true);
+  _lsh_poll_arm_next (s, env);
+}
+
+/* ---- when ---- */
+
+/* A VM for which others wait reads itself, whoever it takes for the reader. */
+static void
+_lsh_poll (lsh_t *s, env_t *env)
+{
+  const char *reader = _lsh_reader (s, env);
+  if (reader == NULL || s->asker_count > 0)
+    _lsh_read (s, env);
+  else
+    _lsh_ask (s, env, reader);
+}
+
+void
+lsh_timer_fired (lsh_t *s, env_t *env, uint64_t tag)
+{
+  switch (tag & ~LSH_TAG)
+    {
+    case LSH_TIMER_POLL:
+      if (!s->reading && !s->asking && env->now >= s->poll_at)
+        _lsh_poll (s, env);
+      break;
+    case LSH_TIMER_ANSWER:
+      if (s->asking && env->now >= s->ask_sent + LSH_ANSWER_MS)
+        {
+          cnt_add (env->cnt, "rts_limit_reads_unanswered_total", "", 1);
+          _lsh_read (s, env);
+        }
+      break;
+    case LSH_TIMER_CHECK:
+      lsh_change_check (s, env);
+      tmr_arm (env->tmr, env->now + env_jitter (env, CLK_SECOND), MOD_LIMIT,
+               LSH_TAG | LSH_TIMER_CHECK);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+_lsh_write_replied (lsh_t *s, const ev_platform_t *reply)
+{
+  s->writing = false;
+  if (reply->code == ST_UNKNOWN && s->lists != NULL)
+    s->write_unknown = s->lists->version;
+}
+
+void
+lsh_platform_replied (lsh_t *s, env_t *env, const plt_done_t *done,
+                      const ev_platform_t *reply)
+{
+  switch (done->tag & ~LSH_TAG)
+    {
+    case LSH_CALL_READ:
+      _lsh_read_replied (s, env, reply);
+      break;
+    case LSH_CALL_SURVEY:
+      if (reply->code == ST_OK && s->lists == NULL && !s->writing)
+        lsh_change_found (s, env, reply);
+      break;
+    case LSH_CALL_WRITE:
+      _lsh_write_replied (s, reply);
+      if (!s->reading)
+        _lsh_read (s, env);
+      break;
+    default:
+      break;
+    }
+}
--- a/src/core/lim_share.c
+++ b/src/core/lim_share.c
@@ -11,18 +11,6 @@
 #define LSH_MINTERS_DEFAULT 2
 #define LSH_SUSPECT_DEFAULT (3 * CLK_SECOND)
 
-/* VMs of a new fleet come within this time; then the lists are made. */
-#define LSH_FOUND_MS (3 * CLK_SECOND)
-
-/* Between two reads while they are about to be made. */
-#define LSH_FOUND_POLL_MS (CLK_SECOND / 2)
-
-enum
-{
-  LSH_TIMER_POLL = 1,
-  LSH_TIMER_CHECK,
-};
-
 lsh_t *
 lsh_setup (void *ctx, const lsh_desc_t *desc)
 {
@@ -72,9 +60,7 @@
 {
   s->born = env->now;
   s->object = talloc_asprintf (s, LSH_OBJECT_PREFIX "%s", env->data_centre);
-  tmr_arm (env->tmr, env->now, MOD_LIMIT, LSH_TAG | LSH_TIMER_POLL);
-  tmr_arm (env->tmr, env->now + CLK_SECOND, MOD_LIMIT,
-           LSH_TAG | LSH_TIMER_CHECK);
+  lsh_reads_start (s, env);
 }
 
 /* ---- the object ---- */
@@ -246,122 +232,3 @@
 {
   return s->lists ? s->lists->version : 0;
 }
-
-/* ---- platform ---- */
-
-static void
-_lsh_poll (lsh_t *s, env_t *env)
-{
-  s->reading = true;
-  s->read_sent = env->now;
-  plt_call (env, &(plt_req_t){ .mod = MOD_LIMIT,
-                               .tag = LSH_TAG | LSH_CALL_READ,
-                               .op = FX_PLATFORM_GET,
-                               .name = s->object,
-                               .timeout_ms = s->desc.short_life_ms / 6 });
-}
-
-static void
-_lsh_arm_poll (lsh_t *s, env_t *env, clk_ms_t at)
-{
-  s->poll_at = at;
-  tmr_arm (env->tmr, at, MOD_LIMIT, LSH_TAG | LSH_TIMER_POLL);
-}
-
-static void
-_lsh_arm_next_poll (lsh_t *s, env_t *env)
-{
-  clk_ms_t wait = s->desc.short_life_ms * 2 / 5;
-  if (s->lists == NULL && s->data_centre_count > 0 && !s->read_failed)
-    wait = LSH_FOUND_POLL_MS;
-  else if (s->lists == NULL || s->read_failed)
-    wait = wait / 2;
-  _lsh_arm_poll (s, env, env->now + env_jitter (env, wait));
-}
-
-void
-lsh_timer_fired (lsh_t *s, env_t *env, uint64_t tag)
-{
-  switch (tag & ~LSH_TAG)
-    {
-    case LSH_TIMER_POLL:
-      if (!s->reading && env->now >= s->poll_at)
-        _lsh_poll (s, env);
-      break;
-    case LSH_TIMER_CHECK:
-      lsh_change_check (s, env);
-      tmr_arm (env->tmr, env->now + env_jitter (env, CLK_SECOND), MOD_LIMIT,
-               LSH_TAG | LSH_TIMER_CHECK);
-      break;
-    default:
-      break;
-    }
-}
-
-/* No lists yet: once the fleet is known, look what other data centres have
- * and make them. */
-static void
-_lsh_read_absent (lsh_t *s, env_t *env)
-{
-  if (s->lists != NULL || s->writing || s->data_centre_count == 0
-      || mbr_listed_at (s->desc.members) == CLK_NEVER
-      || env->now < s->born + LSH_FOUND_MS)
-    return;
-  plt_call (env, &(plt_req_t){ .mod = MOD_LIMIT,
-                               .tag = LSH_TAG | LSH_CALL_SURVEY,
-                               .op = FX_PLATFORM_LIST,
-                               .name = LSH_OBJECT_PREFIX });
-}
-
-static void
-_lsh_read_replied (lsh_t *s, env_t *env, const ev_platform_t *reply)
-{
-  s->reading = false;
-  s->read_failed = reply->code == ST_UNAVAILABLE || reply->code == ST_UNKNOWN;
-  if (reply->code == ST_OK && reply->object_count == 1
-      && lsh_lists_take (s, env, reply->objects[0].version,
-                         reply->objects[0].value))
-    {
-      s->read_ok = s->read_sent;
-      lsh_right_confirm (s, s->read_sent, true);
-    }
-  else if (reply->code == ST_NOT_FOUND)
-    {
-      s->saw_absent = s->lists == NULL;
-      _lsh_read_absent (s, env);
-    }
-  else if (s->read_failed)
-    lsh_promises_ask (s, env);
-  _lsh_arm_next_poll (s, env);
-}
-
-static void
-_lsh_write_replied (lsh_t *s, const ev_platform_t *reply)
-{
-  s->writing = false;
-  if (reply->code == ST_UNKNOWN && s->lists != NULL)
-    s->write_unknown = s->lists->version;
-}
-
-void
-lsh_platform_replied (lsh_t *s, env_t *env, const plt_done_t *done,
-                      const ev_platform_t *reply)
-{
-  switch (done->tag & ~LSH_TAG)
-    {
-    case LSH_CALL_READ:
-      _lsh_read_replied (s, env, reply);
-      break;
-    case LSH_CALL_SURVEY:
-      if (reply->code == ST_OK && s->lists == NULL && !s->writing)
-        lsh_change_found (s, env, reply);
-      break;
-    case LSH_CALL_WRITE:
-      _lsh_write_replied (s, reply);
-      if (!s->reading)
-        _lsh_arm_poll (s, env, env->now);
-      break;
-    default:
-      break;
-    }
-}
--- a/src/core/lim_share.h
+++ b/src/core/lim_share.h
@@ -43,6 +43,8 @@
   MSG_LIMIT_PROMISE_ASK = MSG_LIMIT_FIRST + 8, /**< number, version */
   MSG_LIMIT_PROMISE,                           /**< number, version, given */
   MSG_LIMIT_SHARES,                            /**< version, object */
+  MSG_LIMIT_READ_ASK, /**< number, version: read the object for me too */
+  MSG_LIMIT_READ,     /**< number, version (0: failed), object when newer */
 } lsh_msg_t;
 
 /** How to set mint rights up. */
--- a/src/core/lim_share_int.h
+++ b/src/core/lim_share_int.h
@@ -1,6 +1,6 @@
 /** @file
- * State of mint rights, shared by lim_share.c (rights and reads),
- * lim_promise.c (promises not to change the lists),
+ * State of mint rights, shared by lim_share.c (rights), lim_read.c
+ * (reads that confirm them), lim_promise.c (promises not to change the lists),
  * lim_change.c (changing the lists).
  *
  * Nothing else includes this.
@@ -10,6 +10,7 @@
 
 #include "core/lim_lists.h"
 #include "core/lim_share.h"
+#include "core/mpk.h"
 
 /* Clocks of two VMs drift apart by less than one in this. */
 #define LSH_DRIFT 50
@@ -24,6 +25,14 @@
   LSH_CALL_WRITE,
 };
 
+/* Another VM that waits for a read. */
+typedef struct
+{
+  char *vm;
+  uint64_t round; /* its number for it */
+  uint64_t known; /* version */
+} lsh_asker_t;
+
 struct lsh
 {
   lsh_desc_t desc;
@@ -45,6 +54,12 @@
   bool reading;
   bool read_failed; /* the last time */
   clk_ms_t read_ok; /* when the last good read was sent */
+  bool asking;      /* another VM to read */
+  clk_ms_t ask_sent;
+  uint64_t ask_round;
+  lsh_asker_t *askers; /* in order of asking */
+  size_t asker_count;
+  size_t read_for; /* the first ones, whom the read under way answers */
   bool writing;
   uint64_t write_unknown; /* version whose replacement may be under way */
   clk_ms_t promised_until;
@@ -91,6 +106,13 @@
 /** Ask all VMs that may change the lists for their promises. */
 void lsh_promises_ask (lsh_t *s, env_t *env);
 
+/** Begin to read. */
+void lsh_reads_start (lsh_t *s, env_t *env);
+
+/** MSG_LIMIT_READ_ASK, MSG_LIMIT_READ have come. */
+void lsh_read_asked (lsh_t *s, env_t *env, const char *vm, mpk_reader_t *r);
+void lsh_read_answered (lsh_t *s, env_t *env, mpk_reader_t *r);
+
 /** Replace the lists if this VM may and they are not as they should be. */
 void lsh_change_check (lsh_t *s, env_t *env);
 
--- a/src/core/ret.c
+++ b/src/core/ret.c
@@ -35,7 +35,8 @@
   plt_call (env, &(plt_req_t){ .mod = MOD_RETIRE,
                                .op = r->asked ? FX_PLATFORM_RETIRED
                                               : FX_PLATFORM_RETIREMENT,
-                               .name = env->vm });
+                               .name = env->vm,
+                               .lagging = !r->asked });
 }
 
 void
--- a/tests/test_lim.c
+++ b/tests/test_lim.c
@@ -569,10 +569,85 @@
   _run_shutdown (&r);
 }
 
+/* VMs that hold a right by the short list. */
+static uint32_t
+_right_holders (const net_t *n)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < n->vm_count; i++)
+    count += n->vms[i].alive
+             && (lsh_rights (lim_shares (n->vms[i].lim)) & LSH_SHORT) != 0;
+  return count;
+}
+
+/* Rights right after each step of 100 ms until UNTIL; the fewest. */
+static uint32_t
+_fewest_holders (net_t *n, clk_ms_t until)
+{
+  uint32_t fewest = n->vm_count;
+  while (n->now < until)
+    {
+      net_run (n, n->now + 100);
+      uint32_t now = _right_holders (n);
+      fewest = now < fewest ? now : fewest;
+    }
+  return fewest;
+}
+
+/* Reads of the shares grow with data centres, not with VMs. */
+static void
+test_shares_are_read_for_many (void)
+{
+  net_desc_t desc = _six_vms (1);
+  desc.vms = 72;
+  run_t r = _run_setup (&desc);
+  net_run (r.n, 30 * CLK_SECOND);
+  uint64_t before = r.n->share_reads;
+  CU_ASSERT_EQUAL (_fewest_holders (r.n, 60 * CLK_SECOND), 72);
+  CU_ASSERT (r.n->share_reads - before <= 30 * 3 * 2);
+  _run_shutdown (&r);
+}
+
+/* The VM that reads for others is lost: nobody else's right lapses. */
+static void
+test_reader_of_shares_is_lost (void)
+{
+  net_desc_t desc = _six_vms (1);
+  desc.vms = 24;
+  run_t r = _run_setup (&desc);
+  net_run (r.n, 20 * CLK_SECOND);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      uint32_t alive = _right_holders (r.n);
+      /* One of each data centre is the reader: all of one go in turn. */
+      net_kill_vm (r.n, i * 3, i % 2 == 0);
+      if (i == 7)
+        break;
+      CU_ASSERT_EQUAL (_fewest_holders (r.n, r.n->now + 2500), alive - 1);
+    }
+  _run_shutdown (&r);
+}
+
+/* The platform fails those who read for others: they say so at once. */
+static void
+test_reader_of_shares_is_not_served (void)
+{
+  net_desc_t desc = _six_vms (1);
+  desc.vms = 24;
+  run_t r = _run_setup (&desc);
+  net_run (r.n, 20 * CLK_SECOND);
+  r.n->platform_unreachable[0] = true;
+  CU_ASSERT_EQUAL (_fewest_holders (r.n, 40 * CLK_SECOND), 24);
+  _run_shutdown (&r);
+}
+
 int
 main (void)
 {
   static const tst_case_t cases[] = {
+    { "shares are read for many", test_shares_are_read_for_many },
+    { "reader of shares is lost", test_reader_of_shares_is_lost },
+    { "reader of shares is not served", test_reader_of_shares_is_not_served },
     { "calm", test_calm },
     { "skew", test_skew },
     { "over rate", test_over_rate },
--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -161,6 +161,10 @@
                "GET", "/rattanspindle/objects/jobs?watch=9&waitMs=20");
   _request_is (&(fx_platform_t){ .op = FX_PLATFORM_UPSTREAMS, .after = "i-7" },
                "GET", "/rattanspindle/objects/servers?after=i-7");
+  _request_is (
+      &(fx_platform_t){
+          .op = FX_PLATFORM_RETIREMENT, .name = "vm-1", .lagging = true },
+      "GET", "/rattanspindle/objects/retirements/vm-1?serializable=1");
 }
 
 /* Bytes of any kind come back as they went. */
--- a/tools/limnet.h
+++ b/tools/limnet.h
@@ -147,6 +147,7 @@
   bool cut[16][16];              /* zones */
   double lose_messages;
   uint64_t platform_calls;
+  uint64_t share_reads; /* of these, of one data centre's shares */
   uint64_t reads;
   uint64_t writes;
   uint64_t messages;
@@ -237,6 +238,7 @@
 _net_platform_called (net_t *n, uint32_t vm, const fx_platform_t *call)
 {
   n->platform_calls++;
+  n->share_reads += call->op == FX_PLATFORM_GET;
   if (call->op == FX_PLATFORM_PUT)
     n->writes++;
   else
