Membership: a report is passed on only where it changes a belief

Change: a newer incarnation of the same state is noted and not passed on. Who holds the older report had it from somebody who held it too, so the way back is complete. Tests of the grid pass as they were.

--- a/src/core/mbr_state.c
+++ b/src/core/mbr_state.c
@@ -2,8 +2,10 @@
  *
  * A report belongs to an incarnation of its VM.  A newer incarnation replaces
  * an older one, and "down" replaces "up" within one.  Only the VM itself adds
- * an incarnation, when it hears that it is down.  So a VM passes each report
- * on once, and reports that overtake each other end in one state. */
+ * an incarnation, when it hears that it is down.  A VM passes on what changes
+ * its belief: whoever gave it the older report held that too, so the newer one
+ * goes back the same way, and reports that overtake each other end in one
+ * state. */
 #include "core/mbr_int.h"
 
 #include <talloc.h>
@@ -133,10 +135,12 @@
   bool worse = incarnation == e->incarnation && !up && !e->reported_down;
   if (!newer && !worse)
     return;
+  bool news = e->reported_down == up;
   e->incarnation = incarnation;
   e->reported_down = !up;
   mbr_entry_update (m, env, e);
-  _mbr_tell_all (m, env, e, vm);
+  if (news)
+    _mbr_tell_all (m, env, e, vm);
 }
 
 /* ---- heartbeats ---- */
