Routing: a VM uses 6 upstreams of a data centre, and tells quiet pollers seldom

Cause: each of 85 VMs exchanged figures with the pollers of all 71 upstreams, most of them over relays: 480 000 of 608 000 messages in 20 s (count on a scratch copy), though a VM has requests at a few of them.

Change: subsets of 6 of a data centre in place of 24 (no change on sites of fewer); a poller where nothing is in flight and nothing has changed hears after 75 ms for each poller, at most 1.4 s.

Test: pollers_of_unused_upstreams_are_told_seldom, red before.

--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -60,7 +60,7 @@
                                 get in spite of rte_ask_t.hold; default 2 */
   clk_ms_t distance_ms;    /**< price of another data centre; default 4 */
   uint32_t subset;         /**< most upstreams of a deployment that this VM
-                                uses, in each data centre; default 24 */
+                                uses, in each data centre; default 6 */
   uint32_t prefixes;       /**< prefixes remembered; default 4,096 */
   clk_ms_t suspect_ms;     /**< first time out of use after a failure;
                                 doubles; default 500 */
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -11,8 +11,10 @@
 #define RTE_USE_MS (3 * CLK_SECOND)
 /** Most upstreams in one use message. */
 #define RTE_USE_MAX 128
-/** Each poller more than a few makes the exchanges rarer by this. */
+/** Each poller told more than a few makes the exchanges rarer by this. */
 #define RTE_POLLER_MS 14
+/** A poller where nothing has changed is told after this for each poller. */
+#define RTE_QUIET_MS 75
 /** Period of a VM that has sent nothing for as long. */
 #define RTE_IDLE_MS ((clk_ms_t)1400)
 
@@ -69,14 +71,42 @@
   return order != 0 ? order : strcmp (x->name, y->name);
 }
 
-/** Tell each poller what this VM has at the upstreams that it polls; how many
- * pollers there were. */
+/** Whether the poller of U should hear what this VM has there. */
+static bool
+_rte_use_due (const rte_upstream_t *u, clk_ms_t now, clk_ms_t quiet)
+{
+  uint32_t own = u->online + u->batch;
+  return own > 0 || own != u->use_sent || now >= u->use_sent_at + quiet;
+}
+
+/** Tell one poller of the upstreams of LIST, which it polls, if it should hear
+ * of any; how many messages that were. */
+static size_t
+_rte_poller_tell (rte_t *r, env_t *env, const GPtrArray *list, clk_ms_t quiet)
+{
+  bool due = false;
+  for (guint i = 0; i < list->len; i++)
+    due = due || _rte_use_due (g_ptr_array_index (list, i), env->now, quiet);
+  if (!due)
+    return 0;
+  for (guint i = 0; i < list->len; i++)
+    {
+      rte_upstream_t *u = g_ptr_array_index (list, i);
+      u->use_sent = u->online + u->batch;
+      u->use_sent_at = env->now;
+    }
+  _rte_use_send (r, env, list);
+  return 1;
+}
+
+/** Tell the pollers that should hear what this VM has at the upstreams that
+ * they poll; how many these were. */
 static size_t
 _rte_uses_send (rte_t *r, env_t *env)
 {
   GPtrArray *all = g_ptr_array_new ();
   GPtrArray *list = g_ptr_array_new ();
-  size_t pollers = 0;
+  size_t told = 0;
   for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
        id = tbl_next (r->upstreams, id))
     {
@@ -85,6 +115,9 @@
         g_ptr_array_add (all, u);
     }
   g_ptr_array_sort (all, _rte_by_poller);
+  clk_ms_t quiet
+      = clk_min ((clk_ms_t)r->poller_count * RTE_QUIET_MS, RTE_IDLE_MS);
+  r->poller_count = 0;
   for (guint i = 0; i < all->len; i++)
     {
       const rte_upstream_t *u = g_ptr_array_index (all, i);
@@ -94,13 +127,13 @@
         g_ptr_array_add (list, (void *)u);
       if (next != NULL && strcmp (next->poller, u->poller) == 0)
         continue;
-      _rte_use_send (r, env, list);
+      told += _rte_poller_tell (r, env, list, quiet);
       g_ptr_array_set_size (list, 0);
-      pollers++;
+      r->poller_count++;
     }
   g_ptr_array_free (list, TRUE);
   g_ptr_array_free (all, TRUE);
-  return pollers;
+  return told;
 }
 
 /** Sums for the upstreams that this VM polls itself. */
@@ -141,9 +174,9 @@
   if (env->now < r->exchange_at)
     return;
   _rte_own_sums (r, env);
-  size_t pollers = _rte_uses_send (r, env);
+  size_t told = _rte_uses_send (r, env);
   clk_ms_t period
-      = clk_max (r->desc.exchange_ms, (clk_ms_t)pollers * RTE_POLLER_MS);
+      = clk_max (r->desc.exchange_ms, (clk_ms_t)told * RTE_POLLER_MS);
   /* Who sends nothing only needs to hear which upstreams leave. */
   if (env->now - r->picked_at > RTE_IDLE_MS)
     period = clk_max (period, RTE_IDLE_MS);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -90,8 +90,10 @@
   uint32_t online; /**< own requests in flight */
   uint32_t batch;
   uint32_t own_told; /**< own requests in flight when others was told */
-  uint32_t queued;   /**< own requests in flight that found no free slot */
-  uint32_t state;    /**< RTE_BIT_*, as last told */
+  uint32_t use_sent; /**< what its poller was told last, and when */
+  clk_ms_t use_sent_at;
+  uint32_t queued; /**< own requests in flight that found no free slot */
+  uint32_t state;  /**< RTE_BIT_*, as last told */
 
   bool configured;     /**< still in the document */
   bool near;           /**< in this VM's data centre */
@@ -166,6 +168,7 @@
   GQueue yields;               /**< rte_upstream_t */
   rte_holders_t *holders;
   clk_ms_t picked_at;
+  size_t poller_count;  /**< of other VMs, at the last exchange */
   clk_ms_t exchange_at; /**< of the next exchange; earlier timers are stale */
   bool ticking;
 };
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -555,6 +555,87 @@
                    rte_prefix ((buf_t){ .p = text, .n = 400 }));
 }
 
+#define FLEET 60
+
+/** One VM of FLEET, alone, with an upstream for each; routing is set up. */
+static rte_t *
+large_setup (void *ctx, env_t **env)
+{
+  *env = env_setup (
+      ctx, &(env_desc_t){ .vm = "m0", .data_centre = "x", .seed = 7 });
+  mbr_t *members = mbr_setup (ctx, &(mbr_desc_t){ .full_mesh_max = FLEET });
+  ev_vm_t list[FLEET];
+  char *text = talloc_strdup (ctx, "[data-centre x]\nowner = t\n"
+                                   "[deployment d]\nowner = t\n"
+                                   "kind = engine\nslots = 4\n");
+  for (int i = 0; i < FLEET; i++)
+    {
+      list[i] = (ev_vm_t){ .vm = talloc_asprintf (ctx, "m%d", i),
+                           .data_centre = "x",
+                           .address = "" };
+      text = talloc_asprintf_append (
+          text,
+          "[upstream u%d]\nowner = t\ndeployment = d\n"
+          "data_centre = x\naddress = 10.0.0.%d:80\n",
+          i, i);
+    }
+  ev_platform_t reply = { .vms = list, .vm_count = FLEET };
+  (*env)->now = 1;
+  mbr_platform_replied (members, *env, &(plt_done_t){ 0 }, &reply);
+  for (int i = 1; i < FLEET; i++)
+    mbr_peer_up (members, *env, list[i].vm);
+  cfg_doc_t *doc = NULL;
+  st_t st = { 0 };
+  CU_ASSERT_EQUAL (cfg_doc_parse (ctx, buf_str (text), &doc, &st), ST_OK);
+  rte_t *r = rte_setup (ctx, &(rte_desc_t){ .members = members });
+  rte_config_changed (r, *env, doc);
+  return r;
+}
+
+/** Let MS pass; messages to pollers in that time. */
+static unsigned
+large_run (rte_t *r, env_t *env, clk_ms_t ms)
+{
+  unsigned uses = 0;
+  tmr_due_t due;
+  for (clk_ms_t until = env->now + ms; env->now < until; env->now++)
+    {
+      while (tmr_pop (env->tmr, env->now, &due))
+        if (due.mod == MOD_ROUTE)
+          rte_timer_fired (r, env, due.tag);
+      for (size_t i = 0; i < env->fx->count; i++)
+        uses += env->fx->v[i].kind == FX_PEER_SEND
+                && env->fx->v[i].peer.msg.kind == MSG_ROUTE_USE;
+      fx_clear (env->fx);
+    }
+  return uses;
+}
+
+/* A VM of a large fleet uses a few of the upstreams and has requests at fewer
+ * at a time: it tells of these often, of the others seldom. */
+static void
+test_pollers_of_unused_upstreams_are_told_seldom (void)
+{
+  void *ctx = talloc_new (NULL);
+  env_t *env = NULL;
+  rte_t *r = large_setup (ctx, &env);
+  rte_pick_t p;
+  (void)large_run (r, env, 2000);
+  unsigned uses = 0;
+  for (int i = 0; i < 40; i++)
+    {
+      bool picked = rte_pick (r, env, &(rte_ask_t){ .deployment = "d" }, &p);
+      CU_ASSERT (picked);
+      unsigned first = large_run (r, env, 150);
+      CU_ASSERT (first >= 1);
+      rte_finished (r, env, p.handle);
+      uses += first + large_run (r, env, 100);
+    }
+  /* 10 s, of which 6 s with a request at one upstream. */
+  CU_ASSERT (uses <= 10 * 25);
+  talloc_free (ctx);
+}
+
 int
 main (void)
 {
@@ -585,6 +666,8 @@
     { "an_upstream_that_lies_about_its_load_gets_no_more",
       test_an_upstream_that_lies_about_its_load_gets_no_more },
     { "silent_report_is_told", test_silent_report_is_told },
+    { "pollers_of_unused_upstreams_are_told_seldom",
+      test_pollers_of_unused_upstreams_are_told_seldom },
     { "full_is_told_apart_from_none", test_full_is_told_apart_from_none },
     { "bad_messages_are_counted_and_dropped",
       test_bad_messages_are_counted_and_dropped },
