Jobs: in a large fleet progress goes to who waits for it

Ways weighed: the feed alone (a caller who waits hears up to a second late); all VMs (as it was); who waits asks the runner (taken: messages grow with callers, not with the fleet).

Change: fleets of more than 16 tell the runner and the VMs that have asked it while a caller waits there; a lost message costs what it did, the feed brings the record. Test: progress_goes_to_who_waits.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -107,8 +107,7 @@
 {
   if (j->leaving || job_is_over (job))
     return false;
-  const char *runner
-      = own_pick (j->runners, j->runner_count, MOD_JOB, job->rec->id);
+  const char *runner = job_runner (j, job);
   return runner != NULL && strcmp (runner, env->vm) == 0;
 }
 
@@ -244,24 +243,6 @@
   return job;
 }
 
-void
-job_tell (job_set_t *j, env_t *env, const job_t *job)
-{
-  void *tmp = talloc_new (j);
-  mpk_writer_t w;
-  mpk_writer_init (&w, tmp);
-  mpk_put_uint (&w, job->version);
-  mpk_put_str (&w, job_rec_encode (tmp, job->rec));
-  buf_t body = mpk_done (&w);
-  for (size_t i = 0; i < mbr_vm_count (j->desc.members); i++)
-    {
-      const mbr_vm_t *vm = mbr_vm_get (j->desc.members, i);
-      if (vm->up && !vm->self)
-        fx_send (env->fx, vm->name, MSG_JOB_RECORD, body);
-    }
-  talloc_free (tmp);
-}
-
 /* Texts are at hand for readers; the platform has them all. */
 static void
 _job_texts_drop (job_set_t *j)
@@ -337,18 +318,29 @@
     }
 }
 
+static bool
+_job_record_received (job_set_t *j, env_t *env, mpk_reader_t *r)
+{
+  uint64_t version = mpk_get_uint (r);
+  buf_t record = mpk_get_str (r);
+  if (!mpk_end (r))
+    return false;
+  (void)job_learn (j, env, version, record);
+  return true;
+}
+
 void
 job_message_received (job_set_t *j, env_t *env, const char *vm,
                       const msg_t *msg)
 {
-  (void)vm;
   void *tmp = talloc_new (j);
   mpk_reader_t r = mpk_reader (tmp, msg->body);
-  uint64_t version = mpk_get_uint (&r);
-  buf_t record = mpk_get_str (&r);
-  if (msg->kind == MSG_JOB_RECORD && mpk_end (&r))
-    (void)job_learn (j, env, version, record);
-  else
+  bool good = false;
+  if (msg->kind == MSG_JOB_RECORD)
+    good = _job_record_received (j, env, &r);
+  else if (msg->kind == MSG_JOB_FOLLOW)
+    good = job_follow_received (j, env, vm, &r);
+  if (!good)
     cnt_add (env->cnt, "rts_job_bad_messages_total", "", 1);
   talloc_free (tmp);
 }
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -32,6 +32,8 @@
 typedef enum
 {
   MSG_JOB_RECORD = MSG_JOB_FIRST, /**< u64 version, str record */
+  MSG_JOB_FOLLOW, /**< u64 version known, u64 ms, str job: tell me of newer
+                       ones for so long */
 } job_msg_t;
 
 /** How to set the module up; zeros mean the defaults. */
--- /dev/null
+++ b/src/core/job_follow.c
@@ -0,0 +1,147 @@
+/** @file
+ * Who hears of a job's progress.
+ *
+ * In a small fleet all VMs do.  In a large one it is the VM that runs the job,
+ * and those where a caller waits for news: they ask the runner, and are told
+ * for as long as the caller waits.  Everybody else has the feed, and so has
+ * who is not told because a message was lost.
+ */
+#include "core/job_int.h"
+#include "core/mpk.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/** Fleets up to this size tell everybody. */
+#define JOB_TELL_ALL_MAX 16
+/** VMs that are told of one job at a time. */
+#define JOB_FOLLOWERS_MAX 64
+/** A follower is told for this much longer than its caller waits. */
+#define JOB_FOLLOW_EXTRA_MS (1 * CLK_SECOND)
+
+const char *
+job_runner (const job_set_t *j, const job_t *job)
+{
+  return own_pick (j->runners, j->runner_count, MOD_JOB, job->rec->id);
+}
+
+static bool
+_job_tells_all (const job_set_t *j)
+{
+  return mbr_vm_count (j->desc.members) <= JOB_TELL_ALL_MAX;
+}
+
+static buf_t
+_job_record_message (void *ctx, const job_t *job)
+{
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_uint (&w, job->version);
+  mpk_put_str (&w, job_rec_encode (ctx, job->rec));
+  return mpk_done (&w);
+}
+
+static void
+_job_send (const job_set_t *j, env_t *env, const char *vm, buf_t body)
+{
+  const mbr_vm_t *to = mbr_vm_find (j->desc.members, vm);
+  if (to == NULL || !to->up || to->self)
+    return;
+  fx_send (env->fx, vm, MSG_JOB_RECORD, body);
+  cnt_add (env->cnt, "rts_job_records_told_total", "", 1);
+}
+
+static void
+_job_tell_followers (const job_set_t *j, env_t *env, const job_t *job,
+                     buf_t body)
+{
+  for (size_t i = 0; i < job->follower_count; i++)
+    if (job->followers[i].until > env->now)
+      _job_send (j, env, job->followers[i].vm, body);
+}
+
+void
+job_tell (job_set_t *j, env_t *env, const job_t *job)
+{
+  void *tmp = talloc_new (j);
+  buf_t body = _job_record_message (tmp, job);
+  const char *runner = job_runner (j, job);
+  if (_job_tells_all (j))
+    for (size_t i = 0; i < mbr_vm_count (j->desc.members); i++)
+      _job_send (j, env, mbr_vm_get (j->desc.members, i)->name, body);
+  else
+    {
+      if (runner != NULL)
+        _job_send (j, env, runner, body);
+      _job_tell_followers (j, env, job, body);
+    }
+  talloc_free (tmp);
+}
+
+/* ---- following ---- */
+
+void
+job_follow (job_set_t *j, env_t *env, job_call_t *c, const job_t *job)
+{
+  const char *runner = job_runner (j, job);
+  if (c->following || job->mine || runner == NULL || _job_tells_all (j))
+    return;
+  c->following = true;
+  void *tmp = talloc_new (j);
+  mpk_writer_t w;
+  mpk_writer_init (&w, tmp);
+  mpk_put_uint (&w, job->version);
+  mpk_put_uint (&w, (uint64_t)(c->until - env->now));
+  mpk_put_str (&w, buf_str (c->id));
+  fx_send (env->fx, runner, MSG_JOB_FOLLOW, mpk_done (&w));
+  talloc_free (tmp);
+}
+
+/* The place of VM among JOB's followers: its own, one that is over, a new one;
+ * NULL: there are too many. */
+static job_follower_t *
+_job_follower (job_t *job, const char *vm, clk_ms_t now)
+{
+  job_follower_t *free_one = NULL;
+  for (size_t i = 0; i < job->follower_count; i++)
+    {
+      job_follower_t *f = &job->followers[i];
+      if (strcmp (f->vm, vm) == 0)
+        return f;
+      if (f->until <= now)
+        free_one = f;
+    }
+  if (free_one != NULL || job->follower_count == JOB_FOLLOWERS_MAX)
+    return free_one;
+  job->followers = talloc_realloc (job->items, job->followers, job_follower_t,
+                                   job->follower_count + 1);
+  job->followers[job->follower_count] = (job_follower_t){ .vm = NULL };
+  return &job->followers[job->follower_count++];
+}
+
+bool
+job_follow_received (job_set_t *j, env_t *env, const char *vm, mpk_reader_t *r)
+{
+  uint64_t version = mpk_get_uint (r);
+  uint64_t wait = mpk_get_uint (r);
+  const char *id = mpk_get_str (r).p;
+  if (!mpk_end (r) || wait > JOB_POLL_MS_MAX)
+    return false;
+  job_t *job = job_find (j, id);
+  job_follower_t *f = job == NULL ? NULL : _job_follower (job, vm, env->now);
+  if (f == NULL)
+    return true;
+  if (f->vm == NULL || strcmp (f->vm, vm) != 0)
+    {
+      talloc_free (f->vm);
+      f->vm = talloc_strdup (job->followers, vm);
+    }
+  f->until = env->now + (clk_ms_t)wait + JOB_FOLLOW_EXTRA_MS;
+  if (job->version > version)
+    {
+      void *tmp = talloc_new (j);
+      _job_send (j, env, vm, _job_record_message (tmp, job));
+      talloc_free (tmp);
+    }
+  return true;
+}
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -10,6 +10,7 @@
 
 #include "core/job.h"
 #include "core/job_rec.h"
+#include "core/mpk.h"
 #include "core/sse.h"
 #include "core/tbl.h"
 
@@ -60,6 +61,9 @@
   JOB_ITEM_LISTED,
 } job_item_state_t;
 
+/** Longest wait of a read for news. */
+#define JOB_POLL_MS_MAX (1 * CLK_SECOND)
+
 /** An item's progress at the VM that runs it. */
 typedef struct
 {
@@ -72,19 +76,28 @@
   tbl_id_t run;        /**< in RUNNING */
 } job_item_t;
 
+/** A VM that is told of a job's progress. */
+typedef struct
+{
+  char *vm;
+  clk_ms_t until;
+} job_follower_t;
+
 /** A job. */
 typedef struct
 {
   tbl_id_t self;
   job_rec_t *rec;
   uint64_t version;
-  bool mine;            /**< this VM runs it */
-  job_item_t *items;    /**< as many as the record has */
-  uint32_t waiting;     /**< items in WAITING */
-  buf_t *bodies;        /**< parts; NULL until this VM runs the job */
-  bool *body_asked;     /**< parts that are on their way */
-  clk_ms_t body_retry;  /**< no part is asked for before */
-  buf_t *texts;         /**< of listed items, as far as they are at hand */
+  bool mine;           /**< this VM runs it */
+  job_item_t *items;   /**< as many as the record has */
+  uint32_t waiting;    /**< items in WAITING */
+  buf_t *bodies;       /**< parts; NULL until this VM runs the job */
+  bool *body_asked;    /**< parts that are on their way */
+  clk_ms_t body_retry; /**< no part is asked for before */
+  buf_t *texts;        /**< of listed items, as far as they are at hand */
+  job_follower_t *followers; /**< where this VM runs the job */
+  size_t follower_count;
   bool writing;         /**< a write or look of the record is in progress */
   bool end_wanted;      /**< a caller asked for its end */
   clk_ms_t write_retry; /**< no write of the record before */
@@ -138,6 +151,7 @@
   bool looked;       /**< the record has been read for this call */
   bool looking;      /**< and is being read */
   clk_ms_t retry_at; /**< a read failed: no other before */
+  bool following;    /**< the runner has been asked to tell of news */
   bool fresh;        /**< read texts and bodies without regard to cost */
   uint32_t flying;   /**< reads of texts or of a body */
 } job_call_t;
@@ -172,14 +186,24 @@
   size_t text_bytes; /**< of all texts at hand */
 };
 
+/* job_follow.c */
+
+/** The VM that runs JOB, as far as is known here; NULL: none. */
+const char *job_runner (const job_set_t *j, const job_t *job);
+/** Tell those who are to know of the record as it stands. */
+void job_tell (job_set_t *j, env_t *env, const job_t *job);
+/** Have the runner of JOB tell of news while C waits. */
+void job_follow (job_set_t *j, env_t *env, job_call_t *c, const job_t *job);
+/** MSG_JOB_FOLLOW has come; false: it cannot be read. */
+bool job_follow_received (job_set_t *j, env_t *env, const char *vm,
+                          mpk_reader_t *r);
+
 /* job.c */
 job_t *job_find (const job_set_t *j, const char *id);
 /** Take a record that stands, or stood, at VERSION. */
 job_t *job_learn (job_set_t *j, env_t *env, uint64_t version, buf_t bytes);
 void job_call_platform (job_set_t *j, env_t *env, job_op_kind_t kind,
                         tbl_id_t on, uint32_t index, const plt_req_t *req);
-/** Tell the peers of the record as it stands. */
-void job_tell (job_set_t *j, env_t *env, const job_t *job);
 void job_tick_want (job_set_t *j, env_t *env);
 clk_ms_t job_unix_now (const job_set_t *j, const env_t *env);
 /** Whether nothing is left to be done about it. */
--- a/src/core/job_read.c
+++ b/src/core/job_read.c
@@ -15,7 +15,6 @@
 /** Results in one answer, in bytes of text. */
 #define JOB_ANSWER_BYTES ((size_t)900 << 10)
 /** Longest wait for news. */
-#define JOB_POLL_MS_MAX (1 * CLK_SECOND)
 /** The platform is asked for so long. */
 #define JOB_ASK_MS (2 * CLK_SECOND)
 
@@ -184,6 +183,8 @@
     _job_results_reply (j, env, c, job);
   else if (env->now >= c->until || c->after > job->rec->result_count)
     _job_call_look (j, env, c);
+  else
+    job_follow (j, env, c, job);
 }
 
 /* -- bodies ----------------------------------------------------------------
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -2,8 +2,7 @@
  * Small parts of the hosted path: cutting event streams, records of jobs, the
  * slack of limits, load that no VM knows of.
  */
-#include "core/job.h"
-#include "core/job_rec.h"
+#include "core/job_int.h"
 #include "core/lim_slack.h"
 #include "core/sse.h"
 #include "tst.h"
@@ -177,6 +176,75 @@
   env_shutdown (env);
 }
 
+#define FLEET 30
+
+/* Records that have been sent to peers since the effects were cleared. */
+static unsigned
+_records_sent (env_t *env)
+{
+  unsigned n = 0;
+  for (size_t i = 0; i < env->fx->count; i++)
+    n += env->fx->v[i].kind == FX_PEER_SEND
+         && env->fx->v[i].peer.msg.kind == MSG_JOB_RECORD;
+  fx_clear (env->fx);
+  return n;
+}
+
+static job_set_t *
+_jobs_of_fleet (env_t *env, mbr_t *members)
+{
+  ev_vm_t list[FLEET];
+  for (size_t i = 0; i < FLEET; i++)
+    list[i] = (ev_vm_t){ .vm = talloc_asprintf (env, "north-%zu", i),
+                         .data_centre = "north",
+                         .address = "",
+                         .worker = i == 0 };
+  ev_platform_t reply = { .vms = list, .vm_count = FLEET };
+  mbr_platform_replied (members, env, &(plt_done_t){ 0 }, &reply);
+  for (size_t i = 1; i < FLEET; i++)
+    mbr_peer_up (members, env, list[i].vm);
+  rte_t *routes = rte_setup (env, &(rte_desc_t){ .members = members });
+  job_set_t *jobs
+      = job_setup (env, &(job_desc_t){ .members = members, .routes = routes });
+  job_members_changed (jobs, env);
+  return jobs;
+}
+
+/* In a large fleet a job's progress goes to where a caller waits for it. */
+static void
+test_progress_goes_to_who_waits (void)
+{
+  env_t *env = env_setup (
+      NULL, &(env_desc_t){ .vm = "north-0", .data_centre = "north" });
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ .full_mesh_max = FLEET });
+  job_set_t *jobs = _jobs_of_fleet (env, members);
+  job_rec_item_t items[2]
+      = { { .id = "a", .target = "/q/1" }, { .id = "b", .target = "/q/2" } };
+  job_rec_t rec = _record (items, NULL);
+  rec.result_count = 0;
+  job_t *job = job_learn (jobs, env, 7, job_rec_encode (env, &rec));
+  TST_NEED (job != NULL);
+  fx_clear (env->fx);
+  job_tell (jobs, env, job);
+  CU_ASSERT_EQUAL (_records_sent (env), 0);
+  mpk_writer_t w;
+  mpk_writer_init (&w, env);
+  mpk_put_uint (&w, 6);
+  mpk_put_uint (&w, 500);
+  mpk_put_str (&w, buf_str (rec.id));
+  msg_t follow = { .kind = MSG_JOB_FOLLOW, .body = mpk_done (&w) };
+  /* It does not know the newest: it is told at once, then of each. */
+  for (unsigned i = 0; i < 3; i++)
+    job_message_received (jobs, env, "north-5", &follow);
+  CU_ASSERT_EQUAL (_records_sent (env), 3);
+  job_tell (jobs, env, job);
+  CU_ASSERT_EQUAL (_records_sent (env), 1);
+  env->now += 5 * CLK_SECOND;
+  job_tell (jobs, env, job);
+  CU_ASSERT_EQUAL (_records_sent (env), 0);
+  env_shutdown (env);
+}
+
 int
 main (void)
 {
@@ -185,6 +253,7 @@
     { "record_comes_back", test_record_comes_back },
     { "record_out_of_range", test_record_out_of_range },
     { "slack_in_any_window", test_slack_in_any_window },
+    { "progress_goes_to_who_waits", test_progress_goes_to_who_waits },
     { "feed_of_pages_goes_on_from_its_first",
       test_feed_of_pages_goes_on_from_its_first },
   };
