Membership: who hears a report that is over answers with the newer one

Jobs went to and fro between VMs that took each other for the runner. Also: a new worker was known to others after up to 15 s; the list of VMs is read each 4 s on this platform.

Test: grid late report, red before.

--- a/src/core/mbr_state.c
+++ b/src/core/mbr_state.c
@@ -4,8 +4,8 @@
  * an older one, and "down" replaces "up" within one.  Only the VM itself adds
  * an incarnation, when it hears that it is down.  A VM passes on what changes
  * its belief: whoever gave it the older report held that too, so the newer one
- * goes back the same way, and reports that overtake each other end in one
- * state. */
+ * goes back the same way.  Who hears a report that is over answers with the
+ * newer one.  So reports that overtake each other end in one state. */
 #include "core/mbr_int.h"
 
 #include <talloc.h>
@@ -131,6 +131,8 @@
       _mbr_self_reported (m, env, up, incarnation);
       return;
     }
+  if (incarnation < e->incarnation && up == e->reported_down)
+    _mbr_tell (m, env, e, vm);
   bool newer = incarnation > e->incarnation;
   bool worse = incarnation == e->incarnation && !up && !e->reported_down;
   if (!newer && !worse)
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -9,6 +9,10 @@
 /* Between load reports, where each is paid for. */
 #define NODE_REPORT_MS 500
 
+/* Between reads of a list of VMs that stays the same: jobs go to VMs that all
+ * others know, so a new one should be known soon. */
+#define NODE_LIST_MS (4 * CLK_SECOND)
+
 /* -- status --------------------------------------------------------------- */
 
 static json_t *
@@ -74,7 +78,9 @@
   n->source = desc->source;
   n->worker = desc->worker;
   n->mbr = mbr_setup (
-      n, &(mbr_desc_t){ .announce = platform, .worker = desc->worker });
+      n, &(mbr_desc_t){ .announce = platform,
+                        .worker = desc->worker,
+                        .poll_slow_ms = platform ? NODE_LIST_MS : 0 });
   if (platform)
     plt_relay_enable (env->plt);
   if (platform)
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -1,5 +1,6 @@
 /* Membership: the list, who answers, links and messages over other VMs. */
 #include "../tools/limnet.h"
+#include "core/mbr_int.h"
 #include "tst.h"
 
 #define LARGE 128
@@ -249,6 +250,60 @@
   talloc_free (n);
 }
 
+/* A VM without a link to v1 that has an older incarnation of it than v1 has;
+ * LARGE: none. */
+static uint32_t
+_behind (const net_t *n)
+{
+  uint64_t newest = n->vms[1].mbr->self->incarnation;
+  for (uint32_t i = 0; i < LARGE; i++)
+    {
+      const mbr_entry_t *e = mbr_entry_find (n->vms[i].mbr, "v1");
+      if (i != 1 && !e->open && !e->wanted && e->incarnation < newest)
+        return i;
+    }
+  return LARGE;
+}
+
+/* A report of an incarnation that is over reaches VMs that had not heard of
+ * the newer one: they learn of that, and no belief stays behind. */
+static void
+test_grid_late_report (void)
+{
+  net_desc_t desc = _desc (LARGE, 4);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 4000);
+  n->vms[1].mbr->self->incarnation = 9;
+  for (uint32_t i = 0; i < LARGE; i++)
+    {
+      mbr_entry_t *e = mbr_entry_find (n->vms[i].mbr, "v1");
+      if (e->open)
+        e->incarnation = 9;
+    }
+  uint32_t behind = _behind (n);
+  TST_NEED (behind < LARGE);
+  const mbr_t *m = n->vms[behind].mbr;
+  uint64_t old = mbr_entry_find (m, "v1")->incarnation;
+  mpk_writer_t w;
+  mpk_writer_init (&w, n);
+  mpk_put_str (&w, buf_str ("v1"));
+  mpk_put_uint (&w, 0);
+  mpk_put_uint (&w, old);
+  msg_t late = { .kind = MSG_MEMBER_STATE, .body = mpk_done (&w) };
+  for (size_t i = 0; i < m->count; i++)
+    if (m->v[i]->open)
+      {
+        _net_message (&n->vms[behind], m->v[i]->vm.name, &late);
+        _net_drain (n, behind);
+        break;
+      }
+  net_run (n, 4002);
+  CU_ASSERT (_believers (n, false) > 0);
+  net_run (n, 6000);
+  CU_ASSERT_EQUAL (_believers (n, true), LARGE);
+  talloc_free (n);
+}
+
 /* A fleet whose list grows while it starts chooses its links anew each time:
  * a link that is no longer kept says nothing of the VM. */
 static void
@@ -285,6 +340,7 @@
     { "bad messages", test_bad_messages },
     { "grid", test_grid },
     { "grid reports end", test_grid_reports_end },
+    { "grid late report", test_grid_late_report },
     { "grid list grows", test_grid_list_grows },
   };
   return tst_run ("mbr", cases, sizeof cases / sizeof cases[0]);
