--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -1,9 +1,10 @@
 /** @file
- * What the files of job share; not for other modules.
+ * What the files of job share, and their test; not for other modules.
  *
  * job.c keeps the jobs and hands replies to their files; job_feed.c follows
  * the records, job_submit.c accepts, job_read.c answers callers, job_run.c
- * runs items, job_list.c puts their results at positions.
+ * runs items, job_list.c puts their results at positions, job_follow.c tells
+ * who waits.
  */
 #ifndef RTS_JOB_INT_H
 #define RTS_JOB_INT_H
--- a/src/core/lim_read.c
+++ b/src/core/lim_read.c
@@ -1,10 +1,12 @@
-/* Reads of the data centre's lists, which confirm rights.
+/** @file
+ * Reads of the data centre's lists, which confirm rights.
  *
  * One VM of the data centre reads for all of it: the others ask it, it gathers
  * what is asked within a while and answers all with one read that it sends
  * afterwards.  A right counts from the asking VM's own clock before it asked,
  * so it is as good as one by a read of its own.  Who gets no answer, or the
- * answer that the read failed, reads itself. */
+ * answer that the read failed, reads itself.
+ */
 #include "core/lim_share_int.h"
 #include "core/mpk.h"
 
--- a/src/core/mbr_int.h
+++ b/src/core/mbr_int.h
@@ -3,7 +3,7 @@
  * mbr_link.c (which links to keep), mbr_relay.c (messages over other VMs) and
  * mbr_vm.c (questions).
  *
- * Nothing else includes this.
+ * Nothing else but their test includes this.
  */
 #ifndef RTS_MBR_INT_H
 #define RTS_MBR_INT_H
--- a/src/core/mbr_state.c
+++ b/src/core/mbr_state.c
@@ -1,11 +1,13 @@
-/* Which VMs answer: from links, and from reports where there is none.
+/** @file
+ * Which VMs answer: from links, and from reports where there is none.
  *
  * A report belongs to an incarnation of its VM.  A newer incarnation replaces
  * an older one, and "down" replaces "up" within one.  Only the VM itself adds
  * an incarnation, when it hears that it is down.  A VM passes on what changes
  * its belief: whoever gave it the older report held that too, so the newer one
  * goes back the same way.  Who hears a report that is over answers with the
- * newer one.  So reports that overtake each other end in one state. */
+ * newer one.  So reports that overtake each other end in one state.
+ */
 #include "core/mbr_int.h"
 
 #include <talloc.h>
