Jobs: whether a fleet is large is asked of membership

JOB_TELL_ALL_MAX repeated membership's 16 VMs, so a fleet set up with another size would have told by the one and linked by the other. Its test uses the default size, as the product does.

--- a/src/core/job_follow.c
+++ b/src/core/job_follow.c
@@ -1,10 +1,10 @@
 /** @file
  * Who hears of a job's progress.
  *
- * In a small fleet all VMs do.  In a large one it is the VM that runs the job,
- * and those where a caller waits for news: they ask the runner, and are told
- * for as long as the caller waits.  Everybody else has the feed, and so has
- * who is not told because a message was lost.
+ * Where all VMs have links with all, all do.  In a larger fleet it is the VM
+ * that runs the job, and those where a caller waits for news: they ask the
+ * runner, and are told for as long as the caller waits.  Everybody else has
+ * the feed, and so has who is not told because a message was lost.
  */
 #include "core/job_int.h"
 #include "core/mpk.h"
@@ -12,8 +12,6 @@
 #include <string.h>
 #include <talloc.h>
 
-/** Fleets up to this size tell everybody. */
-#define JOB_TELL_ALL_MAX 16
 /** VMs that are told of one job at a time. */
 #define JOB_FOLLOWERS_MAX 64
 /** A follower is told for this much longer than its caller waits. */
@@ -25,12 +23,6 @@
   return own_pick (j->runners, j->runner_count, MOD_JOB, job->rec->id);
 }
 
-static bool
-_job_tells_all (const job_set_t *j)
-{
-  return mbr_vm_count (j->desc.members) <= JOB_TELL_ALL_MAX;
-}
-
 static buf_t
 _job_record_message (void *ctx, const job_t *job)
 {
@@ -66,7 +58,7 @@
   void *tmp = talloc_new (j);
   buf_t body = _job_record_message (tmp, job);
   const char *runner = job_runner (j, job);
-  if (_job_tells_all (j))
+  if (!mbr_is_grid (j->desc.members))
     for (size_t i = 0; i < mbr_vm_count (j->desc.members); i++)
       _job_send (j, env, mbr_vm_get (j->desc.members, i)->name, body);
   else
@@ -84,7 +76,8 @@
 job_follow (job_set_t *j, env_t *env, job_call_t *c, const job_t *job)
 {
   const char *runner = job_runner (j, job);
-  if (c->following || job->mine || runner == NULL || _job_tells_all (j))
+  if (c->following || job->mine || runner == NULL
+      || !mbr_is_grid (j->desc.members))
     return;
   c->following = true;
   void *tmp = talloc_new (j);
--- a/src/core/mbr.h
+++ b/src/core/mbr.h
@@ -131,6 +131,9 @@
  * from; CLK_NEVER: never. */
 clk_ms_t mbr_listed_at (const mbr_t *m);
 
+/** Whether the fleet is too large for links between all VMs. */
+bool mbr_is_grid (const mbr_t *m);
+
 /** Links that this VM keeps. */
 size_t mbr_link_count (const mbr_t *m);
 
--- a/src/core/mbr_int.h
+++ b/src/core/mbr_int.h
@@ -97,9 +97,6 @@
 void mbr_state_received (mbr_t *m, env_t *env, const char *vm,
                          mpk_reader_t *r);
 
-/** Whether the fleet is too large for links between all VMs. */
-bool mbr_is_grid (const mbr_t *m);
-
 /** Choose the links to keep for the list as it is now. */
 void mbr_links_choose (mbr_t *m, env_t *env);
 
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -216,7 +216,7 @@
 {
   env_t *env = env_setup (
       NULL, &(env_desc_t){ .vm = "north-0", .data_centre = "north" });
-  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ .full_mesh_max = FLEET });
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
   job_set_t *jobs = _jobs_of_fleet (env, members);
   job_rec_item_t items[2]
       = { { .id = "a", .target = "/q/1" }, { .id = "b", .target = "/q/2" } };
