--- a/tests/test_lnk.c
+++ b/tests/test_lnk.c
@@ -60,6 +60,31 @@
   return talloc_asprintf (ctx, "127.0.0.1:%u", sock_free_port ());
 }
 
+#define SECRET "secret of sixteen"
+
+/* Two ends, vm-a and vm-b, and where they listen. */
+typedef struct
+{
+  struct tevent_context *loop;
+  end_t a;
+  end_t b;
+  char *at_a;
+  char *at_b;
+} pair_t;
+
+static pair_t *
+pair_setup (const char *secret_b)
+{
+  struct tevent_context *loop = tevent_context_init (NULL);
+  pair_t *p = talloc_zero (loop, pair_t);
+  p->loop = loop;
+  p->at_a = own_address (loop);
+  open_end (loop, &p->a, "vm-a", p->at_a, SECRET);
+  p->at_b = own_address (loop);
+  open_end (loop, &p->b, "vm-b", p->at_b, secret_b);
+  return p;
+}
+
 static bool
 wait_for (struct tevent_context *loop, const int *value)
 {
@@ -71,45 +96,33 @@
 static void
 test_links_prove_the_secret_and_carry_messages (void)
 {
-  struct tevent_context *loop = tevent_context_init (NULL);
-  end_t a = { 0 };
-  end_t b = { 0 };
-  char *at_a = own_address (loop);
-  open_end (loop, &a, "vm-a", at_a, "secret of sixteen");
-  char *at_b = own_address (loop);
-  open_end (loop, &b, "vm-b", at_b, "secret of sixteen");
-  TST_NEED (a.links != NULL && b.links != NULL);
-  lnk_keep (a.links, "vm-b", at_b);
-  lnk_keep (b.links, "vm-a", at_a);
-  CU_ASSERT (wait_for (loop, &a.up));
-  CU_ASSERT (wait_for (loop, &b.up));
-  lnk_send (a.links, "vm-b",
+  pair_t *p = pair_setup (SECRET);
+  TST_NEED (p->a.links != NULL && p->b.links != NULL);
+  lnk_keep (p->a.links, "vm-b", p->at_b);
+  lnk_keep (p->b.links, "vm-a", p->at_a);
+  CU_ASSERT (wait_for (p->loop, &p->a.up));
+  CU_ASSERT (wait_for (p->loop, &p->b.up));
+  lnk_send (p->a.links, "vm-b",
             &(msg_t){ .kind = MSG_LIMIT_FIRST, .body = buf_str ("hello") });
-  for (int i = 0; i < STEPS_MAX && b.got[0] == '\0'; i++)
-    (void)tevent_loop_once (loop);
-  CU_ASSERT_STRING_EQUAL (b.got, "hello");
-  CU_ASSERT_EQUAL (a.up, 1);
-  CU_ASSERT_EQUAL (a.down, 0);
-  talloc_free (loop);
+  for (int i = 0; i < STEPS_MAX && p->b.got[0] == '\0'; i++)
+    (void)tevent_loop_once (p->loop);
+  CU_ASSERT_STRING_EQUAL (p->b.got, "hello");
+  CU_ASSERT_EQUAL (p->a.up, 1);
+  CU_ASSERT_EQUAL (p->a.down, 0);
+  talloc_free (p->loop);
 }
 
 static void
 test_wrong_secret_opens_no_link (void)
 {
-  struct tevent_context *loop = tevent_context_init (NULL);
-  end_t a = { 0 };
-  end_t b = { 0 };
-  char *at_a = own_address (loop);
-  open_end (loop, &a, "vm-a", at_a, "secret of sixteen");
-  char *at_b = own_address (loop);
-  open_end (loop, &b, "vm-b", at_b, "another of sixteen");
-  TST_NEED (a.links != NULL && b.links != NULL);
-  lnk_keep (a.links, "vm-b", at_b);
+  pair_t *p = pair_setup ("another of sixteen");
+  TST_NEED (p->a.links != NULL && p->b.links != NULL);
+  lnk_keep (p->a.links, "vm-b", p->at_b);
   for (int i = 0; i < 60; i++)
-    (void)tevent_loop_once (loop);
-  CU_ASSERT_EQUAL (a.up, 0);
-  CU_ASSERT_EQUAL (b.up, 0);
-  talloc_free (loop);
+    (void)tevent_loop_once (p->loop);
+  CU_ASSERT_EQUAL (p->a.up, 0);
+  CU_ASSERT_EQUAL (p->b.up, 0);
+  talloc_free (p->loop);
 }
 
 /* Connect as a raw client, send BYTES, and turn the loop until the other side
@@ -185,33 +198,27 @@
 static void
 test_links_dialed_from_both_ends_are_dropped (void)
 {
-  struct tevent_context *loop = tevent_context_init (NULL);
-  end_t a = { 0 };
-  end_t b = { 0 };
-  char *at_a = own_address (loop);
-  open_end (loop, &a, "vm-a", at_a, "secret of sixteen");
-  char *at_b = own_address (loop);
-  open_end (loop, &b, "vm-b", at_b, "secret of sixteen");
-  TST_NEED (a.links != NULL && b.links != NULL);
+  pair_t *p = pair_setup (SECRET);
+  TST_NEED (p->a.links != NULL && p->b.links != NULL);
   for (int round = 0; round < 12; round++)
     {
-      a.up = 0;
-      b.up = 0;
-      lnk_keep (b.links, "vm-a", at_a);
+      p->a.up = 0;
+      p->b.up = 0;
+      lnk_keep (p->b.links, "vm-a", p->at_a);
       for (int i = 0; i < round; i++)
-        (void)tevent_loop_once (loop);
-      lnk_keep (a.links, "vm-b", at_b);
-      CU_ASSERT (wait_for (loop, &a.up));
-      CU_ASSERT (wait_for (loop, &b.up));
+        (void)tevent_loop_once (p->loop);
+      lnk_keep (p->a.links, "vm-b", p->at_b);
+      CU_ASSERT (wait_for (p->loop, &p->a.up));
+      CU_ASSERT (wait_for (p->loop, &p->b.up));
       for (int i = 0; i < 10; i++)
         {
-          lnk_send (a.links, "vm-b", &(msg_t){ .kind = MSG_LIMIT_FIRST });
-          (void)tevent_loop_once (loop);
+          lnk_send (p->a.links, "vm-b", &(msg_t){ .kind = MSG_LIMIT_FIRST });
+          (void)tevent_loop_once (p->loop);
         }
-      lnk_drop (b.links, "vm-a");
-      lnk_drop (a.links, "vm-b");
+      lnk_drop (p->b.links, "vm-a");
+      lnk_drop (p->a.links, "vm-b");
     }
-  talloc_free (loop);
+  talloc_free (p->loop);
 }
 
 int
