--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -18,6 +18,15 @@
                        .load = 0.5 };
 }
 
+/* A fleet whose links are a grid. */
+static net_t *
+_large (void)
+{
+  net_desc_t desc = _desc (LARGE, 4);
+  net_t *n = net_setup (NULL, &desc);
+  return n;
+}
+
 static void
 test_full_mesh (void)
 {
@@ -157,8 +166,7 @@
 static void
 test_grid (void)
 {
-  net_desc_t desc = _desc (LARGE, 4);
-  net_t *n = net_setup (NULL, &desc);
+  net_t *n = _large ();
   net_run (n, 4000);
   size_t most = 0;
   for (uint32_t i = 0; i < LARGE; i++)
@@ -229,8 +237,7 @@
 static void
 test_grid_reports_end (void)
 {
-  net_desc_t desc = _desc (LARGE, 4);
-  net_t *n = net_setup (NULL, &desc);
+  net_t *n = _large ();
   net_run (n, 4000);
   for (uint32_t i = 0; i < 4; i++)
     {
@@ -255,8 +262,7 @@
 static void
 test_grid_gone_before (void)
 {
-  net_desc_t desc = _desc (LARGE, 4);
-  net_t *n = net_setup (NULL, &desc);
+  net_t *n = _large ();
   net_kill_vm (n, 1, false);
   net_run (n, 12000);
   CU_ASSERT_EQUAL (_believers (n, false), LARGE - 1);
@@ -266,6 +272,19 @@
   talloc_free (n);
 }
 
+/* v1 has had INCARNATION for a while, as those with a link to it know. */
+static void
+_incarnation_set (net_t *n, uint64_t incarnation)
+{
+  n->vms[1].mbr->self->incarnation = incarnation;
+  for (uint32_t i = 0; i < LARGE; i++)
+    {
+      mbr_entry_t *e = mbr_entry_find (n->vms[i].mbr, "v1");
+      if (e->open)
+        e->incarnation = incarnation;
+    }
+}
+
 /* A VM without a link to v1 that has an older incarnation of it than v1 has;
  * LARGE: none. */
 static uint32_t
@@ -281,38 +300,37 @@
   return LARGE;
 }
 
+/* VM hears from one that it has a link with that v1 is down, of the
+ * incarnation that VM knows. */
+static void
+_hear_down (net_t *n, uint32_t vm)
+{
+  const mbr_t *m = n->vms[vm].mbr;
+  size_t from = 0;
+  while (from < m->count && !m->v[from]->open)
+    from++;
+  TST_NEED (from < m->count);
+  mpk_writer_t w;
+  mpk_writer_init (&w, n);
+  mpk_put_str (&w, buf_str ("v1"));
+  mpk_put_uint (&w, 0);
+  mpk_put_uint (&w, mbr_entry_find (m, "v1")->incarnation);
+  msg_t report = { .kind = MSG_MEMBER_STATE, .body = mpk_done (&w) };
+  _net_message (&n->vms[vm], m->v[from]->vm.name, &report);
+  _net_drain (n, vm);
+}
+
 /* A report of an incarnation that is over reaches VMs that had not heard of
  * the newer one: they learn of that, and no belief stays behind. */
 static void
 test_grid_late_report (void)
 {
-  net_desc_t desc = _desc (LARGE, 4);
-  net_t *n = net_setup (NULL, &desc);
+  net_t *n = _large ();
   net_run (n, 4000);
-  n->vms[1].mbr->self->incarnation = 9;
-  for (uint32_t i = 0; i < LARGE; i++)
-    {
-      mbr_entry_t *e = mbr_entry_find (n->vms[i].mbr, "v1");
-      if (e->open)
-        e->incarnation = 9;
-    }
+  _incarnation_set (n, 9);
   uint32_t behind = _behind (n);
   TST_NEED (behind < LARGE);
-  const mbr_t *m = n->vms[behind].mbr;
-  uint64_t old = mbr_entry_find (m, "v1")->incarnation;
-  mpk_writer_t w;
-  mpk_writer_init (&w, n);
-  mpk_put_str (&w, buf_str ("v1"));
-  mpk_put_uint (&w, 0);
-  mpk_put_uint (&w, old);
-  msg_t late = { .kind = MSG_MEMBER_STATE, .body = mpk_done (&w) };
-  for (size_t i = 0; i < m->count; i++)
-    if (m->v[i]->open)
-      {
-        _net_message (&n->vms[behind], m->v[i]->vm.name, &late);
-        _net_drain (n, behind);
-        break;
-      }
+  _hear_down (n, behind);
   CU_ASSERT_EQUAL (_believers (n, false), 1);
   net_run (n, 6000);
   CU_ASSERT_EQUAL (_believers (n, true), LARGE);
@@ -324,8 +342,7 @@
 static void
 test_grid_list_grows (void)
 {
-  net_desc_t desc = _desc (LARGE, 4);
-  net_t *n = net_setup (NULL, &desc);
+  net_t *n = _large ();
   for (uint32_t i = 24; i < LARGE; i++)
     n->vms[i].listed = false;
   for (uint32_t i = 24; i < LARGE; i++)
