--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -13,8 +13,7 @@
 {
   void *ctx;
   const fx_platform_t *call;
-  ev_object_t *v;
-  size_t n;
+  ev_platform_t *reply;
 } _hst_list_t;
 
 static gboolean
@@ -26,10 +25,15 @@
   if (!g_str_has_prefix (key, l->call->name)
       || (watch && o->version <= l->call->revision))
     return FALSE;
-  l->v = talloc_realloc (l->ctx, l->v, ev_object_t, l->n + 1);
-  l->v[l->n++] = (ev_object_t){ .name = talloc_strdup (l->ctx, key),
-                                .version = o->version,
-                                .value = buf_copy (l->ctx, o->value) };
+  ev_platform_t *reply = l->reply;
+  ev_object_t *v
+      = talloc_realloc (l->ctx, (ev_object_t *)(uintptr_t)reply->objects,
+                        ev_object_t, reply->object_count + 1);
+  v[reply->object_count++]
+      = (ev_object_t){ .name = talloc_strdup (l->ctx, key),
+                       .version = o->version,
+                       .value = buf_copy (l->ctx, o->value) };
+  reply->objects = v;
   return FALSE;
 }
 
@@ -45,6 +49,17 @@
   reply->object_count = 1;
 }
 
+static void
+_hst_get (const hst_t *h, void *ctx, const fx_platform_t *call,
+          ev_platform_t *reply)
+{
+  const hst_object_t *o = g_tree_lookup (h->objects, call->name);
+  if (o == NULL)
+    reply->code = ST_NOT_FOUND;
+  else
+    _hst_one (ctx, call, o, reply);
+}
+
 static void
 _hst_put (hst_t *h, void *ctx, const fx_platform_t *call, ev_platform_t *reply)
 {
@@ -75,7 +90,7 @@
   if (!g_str_has_prefix (key, "vms/"))
     return FALSE;
   char **words = g_strsplit (o->value.p, " ", 3);
-  ev_platform_t *reply = (ev_platform_t *)l->v;
+  ev_platform_t *reply = l->reply;
   ev_vm_t *vms = talloc_realloc (l->ctx, (ev_vm_t *)(uintptr_t)reply->vms,
                                  ev_vm_t, reply->vm_count + 1);
   vms[reply->vm_count++]
@@ -120,8 +135,7 @@
 hst_store_serve (hst_t *h, void *ctx, const fx_platform_t *c,
                  ev_platform_t *reply)
 {
-  const hst_object_t *o = NULL;
-  _hst_list_t list = { .ctx = ctx, .call = c };
+  _hst_list_t list = { .ctx = ctx, .call = c, .reply = reply };
   reply->code = ST_OK;
   reply->revision = h->revision;
   if (c->revision != 0 && c->revision < h->compacted
@@ -133,11 +147,7 @@
   switch (c->op)
     {
     case FX_PLATFORM_GET:
-      o = g_tree_lookup (h->objects, c->name);
-      if (o == NULL)
-        reply->code = ST_NOT_FOUND;
-      else
-        _hst_one (ctx, c, o, reply);
+      _hst_get (h, ctx, c, reply);
       break;
     case FX_PLATFORM_PUT:
       _hst_put (h, ctx, c, reply);
@@ -145,11 +155,8 @@
     case FX_PLATFORM_LIST:
     case FX_PLATFORM_WATCH:
       g_tree_foreach (h->objects, _hst_list_one, &list);
-      reply->objects = list.v;
-      reply->object_count = list.n;
       break;
     case FX_PLATFORM_VMS:
-      list.v = (ev_object_t *)reply;
       g_tree_foreach (h->objects, _hst_vm_one, &list);
       break;
     case FX_PLATFORM_DOCUMENT:
