--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -12,8 +12,7 @@
 
 /** Bytes of bodies in one object. */
 #define JOB_PART_BYTES ((size_t)384 << 10)
-/** Tries go on for so long; a caller's patience is about that of its
- * route's objective, and it asks another VM then. */
+/** Tries go on for so long; then the caller is told to ask another VM. */
 #define JOB_SUBMIT_MS (2 * CLK_SECOND)
 /** Retry-After while a customer has too much waiting. */
 #define JOB_FULL_RETRY_MS (2 * CLK_SECOND)
