Limits' tests: a reader that is refused tells the others, and the test can fail

The test said that a reader which the platform fails says so at once. Its calls time out after 1 s there, so the others have given up waiting by then, and the test passed as well without the answer. It keeps its checks under what it shows; a second one has the calls refused at once and wants nobody to wait. Without the answer that one fails.

--- a/tests/test_lim.c
+++ b/tests/test_lim.c
@@ -594,15 +594,34 @@
   return fewest;
 }
 
+/* VMs in three data centres, settled. */
+static run_t
+_fleet_of (uint32_t vms)
+{
+  net_desc_t desc = _six_vms (1);
+  desc.vms = vms;
+  run_t r = _run_setup (&desc);
+  net_run (r.n, 30 * CLK_SECOND);
+  return r;
+}
+
+/* VMs that asked for a read and heard nothing. */
+static uint64_t
+_reads_unanswered (const net_t *n)
+{
+  uint64_t sum = 0;
+  for (uint32_t i = 0; i < n->vm_count; i++)
+    sum += (uint64_t)cnt_value (n->vms[i].env->cnt,
+                                "rts_limit_reads_unanswered_total", "");
+  return sum;
+}
+
 /* Reads of the shares grow with data centres, not with VMs: at most two a
  * second in each of three. */
 static void
 test_shares_are_read_for_many (void)
 {
-  net_desc_t desc = _six_vms (1);
-  desc.vms = 72;
-  run_t r = _run_setup (&desc);
-  net_run (r.n, 30 * CLK_SECOND);
+  run_t r = _fleet_of (72);
   uint64_t before = r.n->share_reads;
   CU_ASSERT_EQUAL (_fewest_holders (r.n, 60 * CLK_SECOND), 72);
   CU_ASSERT (r.n->share_reads - before <= 180);
@@ -613,10 +632,7 @@
 static void
 test_reader_of_shares_is_lost (void)
 {
-  net_desc_t desc = _six_vms (1);
-  desc.vms = 24;
-  run_t r = _run_setup (&desc);
-  net_run (r.n, 20 * CLK_SECOND);
+  run_t r = _fleet_of (24);
   /* One of the 8 VMs of a data centre reads: all but one go in turn. */
   for (uint32_t i = 0; i < 7; i++)
     {
@@ -627,16 +643,25 @@
   _run_shutdown (&r);
 }
 
-/* The platform fails those who read for others: they say so at once. */
+/* The platform refuses all of a data centre: its reader tells the others, who
+ * do not wait for it. */
+static void
+test_reader_of_shares_is_refused (void)
+{
+  run_t r = _fleet_of (24);
+  r.n->platform_refuses[0] = true;
+  CU_ASSERT_EQUAL (_fewest_holders (r.n, 50 * CLK_SECOND), 24);
+  CU_ASSERT_EQUAL (_reads_unanswered (r.n), 0);
+  _run_shutdown (&r);
+}
+
+/* Its calls time out: the others give up waiting first. */
 static void
 test_reader_of_shares_is_not_served (void)
 {
-  net_desc_t desc = _six_vms (1);
-  desc.vms = 24;
-  run_t r = _run_setup (&desc);
-  net_run (r.n, 20 * CLK_SECOND);
+  run_t r = _fleet_of (24);
   r.n->platform_unreachable[0] = true;
-  CU_ASSERT_EQUAL (_fewest_holders (r.n, 40 * CLK_SECOND), 24);
+  CU_ASSERT_EQUAL (_fewest_holders (r.n, 50 * CLK_SECOND), 24);
   _run_shutdown (&r);
 }
 
@@ -646,6 +671,7 @@
   static const tst_case_t cases[] = {
     { "shares are read for many", test_shares_are_read_for_many },
     { "reader of shares is lost", test_reader_of_shares_is_lost },
+    { "reader of shares is refused", test_reader_of_shares_is_refused },
     { "reader of shares is not served", test_reader_of_shares_is_not_served },
     { "calm", test_calm },
     { "skew", test_skew },
--- a/tools/limnet.h
+++ b/tools/limnet.h
@@ -142,7 +142,8 @@
   size_t object_count;
   uint64_t version;
   bool platform_away;
-  bool platform_unreachable[16]; /* by zone */
+  bool platform_unreachable[16]; /* by zone: calls time out */
+  bool platform_refuses[16];     /* by zone: calls fail at once */
   double lose_answers;           /* part of PUTs */
   bool cut[16][16];              /* zones */
   double lose_messages;
@@ -252,7 +253,7 @@
                       .if_version = call->if_version,
                       .body = buf_copy (n, call->value) };
   bool away = n->platform_away || n->platform_unreachable[n->vms[vm].zone];
-  item.lost = away;
+  item.lost = away || n->platform_refuses[n->vms[vm].zone];
   item.at = n->now + (away ? call->timeout_ms : 2);
   _net_push (n, item);
 }
