Upstream calls: the log tells the kinds of foreign response apart

Change: response-dropped is logged under the call's module, with the upstream's address and the local port of the connection. response-unsigned and not-run-without-id are logged and still passed on. online not-run names the upstream and the status. Details of the time line may have 143 bytes.

--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -135,12 +135,15 @@
   return end != text && *end == '\0' && n >= 0 ? n : -1;
 }
 
-/** Handle a refusal with which the upstream promises that it did not run the
- * request. */
+/** Handle a refusal with STATUS, with which the upstream promises that it did
+ * not run the request. */
 static void
-_onl_not_run (onl_t *o, env_t *env, onl_request_t *r)
+_onl_not_run (onl_t *o, env_t *env, onl_request_t *r, int status)
 {
   cnt_add (env->cnt, "rts_online_not_run_total", "", 1);
+  tln_record (env->tln, env->now, MOD_ONLINE, "not-run",
+              "request=%s upstream=%s status=%d", r->request_id,
+              r->pick.upstream, status);
   _onl_attempt_end (o, env, r, RTE_FAIL_CANCELLED);
   r->runs--;
   if (onl_retry (o, env, r, false))
@@ -188,7 +191,7 @@
     }
   if (up->not_run)
     {
-      _onl_not_run (o, env, r);
+      _onl_not_run (o, env, r, up->status);
       return;
     }
   rte_first_byte (o->desc.routes, env, r->pick.handle);
--- a/src/core/tln.h
+++ b/src/core/tln.h
@@ -21,7 +21,7 @@
 
 /** Size of a record's detail in bytes, with its NUL byte; longer ones are
  * cut. */
-#define TLN_DETAIL_SIZE 104
+#define TLN_DETAIL_SIZE 144
 
 /** Hybrid logical time; ordered by ms, then by count. */
 typedef struct
--- a/src/core/upc.c
+++ b/src/core/upc.c
@@ -8,7 +8,8 @@
 #include <talloc.h>
 
 #define UPC_ID_HEADER "X-Request-Id"
-#define UPC_ID_SIZE 128 /**< maximum id length compared, plus the NUL */
+#define UPC_ID_SIZE 128     /**< maximum id length compared, plus the NUL */
+#define UPC_ADDRESS_SIZE 24 /**< "IP:PORT" and the NUL */
 /** A request id is added only if the call then has fewer headers than this. */
 #define UPC_HEADERS_MAX 64
 
@@ -17,7 +18,8 @@
 {
   upc_owner_t owner;
   char id[UPC_ID_SIZE];
-  bool echoes_id; /**< as in fx_upstream_t */
+  char address[UPC_ADDRESS_SIZE]; /**< as in fx_upstream_t, for logs */
+  bool echoes_id;                 /**< as in fx_upstream_t */
 } _upc_call_t;
 
 struct upc
@@ -73,6 +75,7 @@
   _upc_call_t *call = tbl_get (env->upc->calls, id);
   call->owner = (upc_owner_t){ .mod = mod, .tag = tag };
   call->echoes_id = req->echoes_id;
+  (void)snprintf (call->address, sizeof call->address, "%s", req->address);
   fx_upstream_t numbered = *req;
   numbered.call = id.id;
   _upc_call_push (env, call, &numbered);
@@ -101,6 +104,33 @@
   return strncmp (id, call->id, sizeof call->id - 1) != 0;
 }
 
+/* Logs the head HEAD of a response to CALL as EVENT. */
+static void
+_upc_head_log (env_t *env, const _upc_call_t *call, const char *event,
+               const ev_upstream_t *head)
+{
+  const char *id = http_header_find (head->headers, UPC_ID_HEADER);
+  tln_record (env->tln, env->now, call->owner.mod, event,
+              "request=%s status=%d id=%s at=%s port=%u", call->id,
+              head->status, id == NULL ? "none" : id, call->address,
+              head->local_port);
+}
+
+/* Logs a head that does not have all that an upstream which repeats ids sends,
+ * before the head is used. */
+static void
+_upc_head_check (env_t *env, const _upc_call_t *call,
+                 const ev_upstream_t *head)
+{
+  bool success = head->status >= 200 && head->status < 300;
+  if (!call->echoes_id)
+    return;
+  if (success && !head->is_signed)
+    _upc_head_log (env, call, "response-unsigned", head);
+  if (head->not_run && http_header_find (head->headers, UPC_ID_HEADER) == NULL)
+    _upc_head_log (env, call, "not-run-without-id", head);
+}
+
 bool
 upc_event (env_t *env, const ev_t *ev, upc_owner_t *owner)
 {
@@ -110,14 +140,12 @@
     return false;
   *owner = call->owner;
   owner->id_differs = _upc_id_differs (call, ev);
+  if (ev->kind == EV_UPSTREAM_HEAD)
+    _upc_head_check (env, call, &ev->upstream);
   if (owner->id_differs)
     {
-      const char *other_id
-          = http_header_find (ev->upstream.headers, UPC_ID_HEADER);
       cnt_add (env->cnt, "rts_upstream_crossed_total", "", 1);
-      tln_record (env->tln, env->now, MOD_ROUTE, "response-dropped",
-                  "request=%s status=%d id=%s", call->id, ev->upstream.status,
-                  other_id == NULL ? "none" : other_id);
+      _upc_head_log (env, call, "response-dropped", &ev->upstream);
       upc_cancel (env, id.id);
     }
   if (ev->kind == EV_UPSTREAM_END || ev->kind == EV_UPSTREAM_FAIL)
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -247,6 +247,7 @@
               .upstream = { .call = e->id,
                             .status = e->status,
                             .headers = e->headers,
+                            .local_port = e->local_port,
                             .data = e->data,
                             .fail = e->fail,
                             .text = e->text } };
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -137,10 +137,13 @@
 _hcl_emit_head (_hcl_request_t *r)
 {
   long status = 0;
+  long port = 0;
   curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (r->easy, CURLINFO_LOCAL_PORT, &port);
   r->head_received = true;
   hcl_event_t e = { .kind = EV_UPSTREAM_HEAD,
                     .status = (int)status,
+                    .local_port = (uint16_t)port,
                     .headers = { .v = r->headers, .n = r->header_count } };
   _hcl_emit (r, &e);
 }
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -56,6 +56,7 @@
   ev_kind_t kind;         /**< EV_UPSTREAM_HEAD, _DATA, _END or _FAIL */
   int status;             /**< HEAD: HTTP status */
   http_headers_t headers; /**< HEAD */
+  uint16_t local_port;    /**< HEAD: of the connection; 0: unknown */
   buf_t data;             /**< DATA: bytes of the body */
   ev_fail_t fail;         /**< FAIL */
   const char *text;       /**< FAIL: description for logs */
