Tests: responses that do not prove to be a call's own, red

Cause: a response is taken for a call's by its place on a connection unless it shows another id; what proves it to be the call's own is not asked for. A fake upstream of the hosted fleet signs its successes, and a request whose response lacks the id counts as run.

--- a/tests/hst.h
+++ b/tests/hst.h
@@ -69,8 +69,10 @@
   /** The next response that starts with event 1 sends this many complete
    * events and breaks off within the following one; 0: none breaks off. */
   unsigned break_after;
-  bool no_id;   /**< responses lack the id of their request, as a response of
-                     another request that was left on the connection */
+  bool no_id; /**< responses lack the id of their request, as a response of
+                   another request that was left on the connection; the
+                   request itself runs, whatever not_run says */
+  bool no_signature; /**< successes lack the upstream's signature */
   bool cut_off; /**< no bytes pass: a new connection ends at its time limit,
                      and streams in progress fall silent */
 } hst_fault_t;
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -96,11 +96,13 @@
     }
   head.upstream.status = fault->status == 0 ? 200 : fault->status;
   head.upstream.not_run = fault->not_run;
+  head.upstream.is_signed
+      = head.upstream.status == 200 && !fault->no_signature;
   hst_event_t *sent = hst_event_push (h, vm, HST_HEAD_MS, &head);
   sent->ev.upstream.headers
       = _hst_response_headers (sent, fault, head.upstream.status,
                                http_header_find (u->headers, "X-Request-Id"));
-  if (!fault->not_run)
+  if (!fault->not_run || fault->no_id)
     g_ptr_array_add (h->runs,
                      g_strdup (http_header_find (u->headers, "X-Request-Id")));
   if (head.upstream.status != 200)
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -155,6 +155,45 @@
   hst_shutdown (h);
 }
 
+/* A promise "not run" without the request's id may be about another request:
+ * the request itself may have run, so it is neither sent again nor refused as
+ * not run. */
+static void
+test_promise_without_an_id_is_not_believed (void)
+{
+  hst_t *h = _fleet (&(hst_desc_t){ 0 });
+  hst_fault_t fault = { .status = 503, .not_run = true, .no_id = true };
+  hst_fault_set (h, 0, fault);
+  hst_fault_set (h, 1, fault);
+  uint64_t c = hst_stream (h, 0, KEY, "r-1");
+  hst_advance (h, 1000);
+  CU_ASSERT_EQUAL (hst_response (h, c)->status, 502);
+  CU_ASSERT_EQUAL (hst_run_count (h, "r-1"), 1);
+  hst_shutdown (h);
+}
+
+/* A success without the upstream's signature is not the upstream's whole
+ * answer: neither a caller nor a job gets it. */
+static void
+test_success_without_a_signature_is_dropped (void)
+{
+  hst_t *h = _fleet (&(hst_desc_t){ .upstreams = 1 });
+  hst_fault_set (h, 0, (hst_fault_t){ .no_signature = true });
+  uint64_t c = hst_stream (h, 0, KEY, "r-1");
+  (void)hst_submit (h, 0, "j-1", 1);
+  hst_advance (h, 1000);
+  CU_ASSERT_EQUAL (hst_response (h, c)->status, 502);
+  uint64_t results = hst_results_read (h, 0, "j-1", 0);
+  hst_advance (h, 500);
+  CU_ASSERT_EQUAL (hst_response (h, results)->ids->len, 0);
+  hst_fault_set (h, 0, (hst_fault_t){ 0 });
+  hst_advance (h, 10000);
+  results = hst_results_read (h, 0, "j-1", 0);
+  hst_advance (h, 500);
+  CU_ASSERT_EQUAL (hst_response (h, results)->ids->len, 1);
+  hst_shutdown (h);
+}
+
 /* A refusal that promises that the request has not run does not use up an
  * attempt, and the request runs at most once. */
 static void
@@ -592,6 +631,10 @@
       test_broken_non_resumable_stream_runs_once },
     { "response_without_an_id_is_dropped",
       test_response_without_an_id_is_dropped },
+    { "promise_without_an_id_is_not_believed",
+      test_promise_without_an_id_is_not_believed },
+    { "success_without_a_signature_is_dropped",
+      test_success_without_a_signature_is_dropped },
     { "request_refused_unrun_is_retried",
       test_request_refused_unrun_is_retried },
     { "lost_response_is_not_429_or_503",
--- a/tests/test_upc.c
+++ b/tests/test_upc.c
@@ -10,6 +10,10 @@
 #include <talloc.h>
 
 #define ID "r-1"
+/* More headers than a request usually has. */
+#define HEADERS_MANY 80
+/* Length of an id that begins like another one. */
+#define ID_LONG 200
 
 static const http_header_t own_id = { "X-Request-Id", ID };
 static const http_header_t other_id = { "X-Request-Id", "r-0" };
@@ -96,6 +100,66 @@
   CU_ASSERT (!_head_passes (&(head_t){ .status = 500 }));
 }
 
+/* "Not run" without an id may be said of another request. */
+static void
+test_promise_without_an_id_is_dropped (void)
+{
+  CU_ASSERT (!_head_passes (&(head_t){ .status = 503, .not_run = true }));
+  CU_ASSERT (!_head_passes (&(head_t){ .status = 421, .not_run = true }));
+}
+
+/* A success without the upstream's signature is not its whole answer. */
+static void
+test_unsigned_success_is_dropped (void)
+{
+  CU_ASSERT (!_head_passes (&(head_t){ .status = 200, .id = &own_id }));
+  CU_ASSERT (!_head_passes (&(head_t){ .status = 204, .id = &own_id }));
+}
+
+/* A call with many headers is sent with an id as well; without one it cannot
+ * be told which responses are its own. */
+static void
+test_call_with_many_headers_has_an_id (void)
+{
+  env_t *env = _env ();
+  http_header_t many[HEADERS_MANY];
+  for (size_t i = 0; i < HEADERS_MANY; i++)
+    many[i] = (http_header_t){ "X-Other", "1" };
+  (void)upc_call (
+      env, MOD_ROUTE, 7,
+      &(fx_upstream_t){ .address = "10.0.0.1:80",
+                        .method = "GET",
+                        .path = "/",
+                        .headers = { .v = many, .n = HEADERS_MANY } });
+  TST_NEED (env->fx->count == 1);
+  const fx_upstream_t *sent = &env->fx->v[0].upstream;
+  CU_ASSERT_EQUAL (sent->headers.n, HEADERS_MANY + 1);
+  CU_ASSERT_PTR_NOT_NULL (http_header_find (sent->headers, "X-Request-Id"));
+  env_shutdown (env);
+}
+
+/* Ids that differ only in their last character are different. */
+static void
+test_long_ids_are_compared_whole (void)
+{
+  env_t *env = _env ();
+  char own[ID_LONG + 1] = "";
+  char other[ID_LONG + 1] = "";
+  memset (own, 'a', ID_LONG);
+  memset (other, 'a', ID_LONG);
+  other[ID_LONG - 1] = 'b';
+  const http_header_t sent = { "X-Request-Id", own };
+  const http_header_t came = { "X-Request-Id", other };
+  uint64_t call
+      = upc_call (env, MOD_JOB, 7,
+                  &(fx_upstream_t){ .address = "10.0.0.1:80",
+                                    .method = "POST",
+                                    .path = "/",
+                                    .headers = { .v = &sent, .n = 1 } });
+  CU_ASSERT (!_passes (env, call, &(head_t){ .status = 200, .id = &came }));
+  env_shutdown (env);
+}
+
 /* The log tells which call lost which response, of which upstream, on which
  * connection. */
 static void
@@ -122,6 +186,12 @@
       test_response_with_another_id_is_dropped },
     { "response_without_an_id_is_dropped",
       test_response_without_an_id_is_dropped },
+    { "promise_without_an_id_is_dropped",
+      test_promise_without_an_id_is_dropped },
+    { "unsigned_success_is_dropped", test_unsigned_success_is_dropped },
+    { "call_with_many_headers_has_an_id",
+      test_call_with_many_headers_has_an_id },
+    { "long_ids_are_compared_whole", test_long_ids_are_compared_whole },
     { "dropped_response_leaves_its_line",
       test_dropped_response_leaves_its_line },
   };
