Upstream calls: a success without the upstream's signature is dropped

Cause: nothing looked at Response-Signature; a 200 with the right place on its connection went to the caller, and an item's text into its job's results. Change: fx_upstream_t.proves_origin (echoes_id before) says that the upstream repeats the id and signs successes; upc_event drops a success that is not signed like one with another id, for callers and items alike. The counter rts_upstream_crossed_total and the line response-dropped say why. Why it works: the platform signs each of its own successes, and a response of another origin (a load report, for instance) has no signature.

--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -86,8 +86,10 @@
   clk_ms_t stall_ms;      /**< longest gap within the body; 0: no limit */
   clk_ms_t total_ms; /**< time limit for the complete response; 0: no limit */
   bool fresh_connection; /**< open a new connection */
-  bool echoes_id;        /**< the upstream repeats the request's id in every
-                              response; one without an id is not its own */
+  bool proves_origin;    /**< the upstream repeats the request's id in every
+                              response and signs every success; a response
+                              that lacks one of them is not its response to
+                              this request */
   bool load_report;      /**< load query; the driver sets the path */
   const char *upstream;  /**< upstream expected at the address; NULL: any */
   const char *host; /**< Host that the caller requested; NULL: the address */
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -338,10 +338,10 @@
       = { .kind = EV_UPSTREAM_FAIL,
           .upstream = { .call = ev->upstream.call,
                         .fail = EV_FAIL_UNKNOWN,
-                        .text = "the response belongs to another request" } };
+                        .text = "the response is not this request's" } };
   if (!upc_event (n->env, ev, &owner))
     return;
-  if (owner.id_differs)
+  if (owner.foreign)
     ev = &broken;
   switch (owner.mod)
     {
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -102,7 +102,7 @@
           .stall_ms = ONL_STALL_MS,
           .fresh_connection = r->attempts > 1 || !r->idempotent,
           .upstream = r->pick.fixed_identity ? r->pick.upstream : NULL,
-          .echoes_id = r->pick.fixed_identity,
+          .proves_origin = r->pick.fixed_identity,
           .host = r->host,
           .customer = r->customer,
           .resume_after = r->resume_after,
--- a/src/core/upc.c
+++ b/src/core/upc.c
@@ -19,7 +19,7 @@
   upc_owner_t owner;
   char id[UPC_ID_SIZE];
   char address[UPC_ADDRESS_SIZE]; /**< as in fx_upstream_t, for logs */
-  bool echoes_id;                 /**< as in fx_upstream_t */
+  bool proves_origin;             /**< as in fx_upstream_t */
 } _upc_call_t;
 
 struct upc
@@ -74,7 +74,7 @@
     return 0;
   _upc_call_t *call = tbl_get (env->upc->calls, id);
   call->owner = (upc_owner_t){ .mod = mod, .tag = tag };
-  call->echoes_id = req->echoes_id;
+  call->proves_origin = req->proves_origin;
   (void)snprintf (call->address, sizeof call->address, "%s", req->address);
   fx_upstream_t numbered = *req;
   numbered.call = id.id;
@@ -93,42 +93,64 @@
                              .upstream = { .call = call } });
 }
 
-static bool
-_upc_id_differs (const _upc_call_t *call, const ev_t *ev)
+/* What a response's head says about its origin. */
+typedef enum
 {
-  if (ev->kind != EV_UPSTREAM_HEAD)
-    return false;
-  const char *id = http_header_find (ev->upstream.headers, UPC_ID_HEADER);
-  if (id == NULL)
-    return call->echoes_id && !ev->upstream.not_run;
-  return strncmp (id, call->id, sizeof call->id - 1) != 0;
-}
+  UPC_OWN,      /**< the call's upstream and request, or nothing to show that
+                     it is not */
+  UPC_OTHER_ID, /**< it has the id of another request */
+  UPC_NO_ID,    /**< it lacks the id that the upstream repeats */
+  UPC_UNSIGNED, /**< it is a success and lacks the upstream's signature */
+} _upc_origin_t;
 
-/* Logs the head HEAD of a response to CALL as EVENT. */
-static void
-_upc_head_log (env_t *env, const _upc_call_t *call, const char *event,
-               const ev_upstream_t *head)
+static const char *const _upc_origin_names[] = {
+  [UPC_OWN] = "own",
+  [UPC_OTHER_ID] = "other-id",
+  [UPC_NO_ID] = "no-id",
+  [UPC_UNSIGNED] = "unsigned",
+};
+
+static _upc_origin_t
+_upc_origin (const _upc_call_t *call, const ev_upstream_t *head)
 {
   const char *id = http_header_find (head->headers, UPC_ID_HEADER);
-  tln_record (env->tln, env->now, call->owner.mod, event,
-              "request=%s status=%d id=%s at=%s port=%u", call->id,
-              head->status, id == NULL ? "none" : id, call->address,
-              head->local_port);
+  bool success = head->status >= 200 && head->status < 300;
+  if (id != NULL && strncmp (id, call->id, sizeof call->id - 1) != 0)
+    return UPC_OTHER_ID;
+  if (!call->proves_origin)
+    return UPC_OWN;
+  if (id == NULL && !head->not_run)
+    return UPC_NO_ID;
+  return success && !head->is_signed ? UPC_UNSIGNED : UPC_OWN;
 }
 
-/* Logs a head that does not have all that an upstream which repeats ids sends,
- * before the head is used. */
 static void
-_upc_head_check (env_t *env, const _upc_call_t *call,
-                 const ev_upstream_t *head)
+_upc_foreign_count (env_t *env, _upc_origin_t origin)
 {
-  bool success = head->status >= 200 && head->status < 300;
-  if (!call->echoes_id)
-    return;
-  if (success && !head->is_signed)
-    _upc_head_log (env, call, "response-unsigned", head);
-  if (head->not_run && http_header_find (head->headers, UPC_ID_HEADER) == NULL)
-    _upc_head_log (env, call, "not-run-without-id", head);
+  char label[32];
+  (void)snprintf (label, sizeof label, "why=\"%s\"",
+                  _upc_origin_names[origin]);
+  cnt_add (env->cnt, "rts_upstream_crossed_total", label, 1);
+}
+
+/* Drops the response of CALL if its head is foreign; returns whether it is. */
+static bool
+_upc_foreign_drop (env_t *env, const _upc_call_t *call, const ev_t *ev)
+{
+  const ev_upstream_t *head = &ev->upstream;
+  if (ev->kind != EV_UPSTREAM_HEAD)
+    return false;
+  _upc_origin_t origin = _upc_origin (call, head);
+  if (origin == UPC_OWN)
+    return false;
+  const char *id = http_header_find (head->headers, UPC_ID_HEADER);
+  tln_record (env->tln, env->now, call->owner.mod, "response-dropped",
+              "request=%s why=%s status=%d id=%s at=%s port=%u", call->id,
+              _upc_origin_names[origin], head->status,
+              id == NULL ? "none" : id, call->address, head->local_port);
+  _upc_foreign_count (env, origin);
+  upc_cancel (env, head->call);
+  return true;
 }
 
 bool
@@ -139,15 +161,7 @@
   if (call == NULL)
     return false;
   *owner = call->owner;
-  owner->id_differs = _upc_id_differs (call, ev);
-  if (ev->kind == EV_UPSTREAM_HEAD)
-    _upc_head_check (env, call, &ev->upstream);
-  if (owner->id_differs)
-    {
-      cnt_add (env->cnt, "rts_upstream_crossed_total", "", 1);
-      _upc_head_log (env, call, "response-dropped", &ev->upstream);
-      upc_cancel (env, id.id);
-    }
+  owner->foreign = _upc_foreign_drop (env, call, ev);
   if (ev->kind == EV_UPSTREAM_END || ev->kind == EV_UPSTREAM_FAIL)
     tbl_free (env->upc->calls, id);
   return true;
--- a/src/core/upc.h
+++ b/src/core/upc.h
@@ -11,9 +11,10 @@
  * sets time-outs.  The id of a cancelled or ended call is invalid, so its late
  * events are ignored.  Every call carries an X-Request-Id header: the one in
  * the module's headers or, if these are at most 62, a generated one.  A
- * response that returns another id belongs to another request, as does one
- * without an id from an upstream that repeats ids.  The caller of upc_call
- * keeps the ownership of the request, which is copied.
+ * response that returns another id belongs to another request.  One from an
+ * upstream that proves the origin of its responses must have the id and, if it
+ * is a success, the signature.  The caller of upc_call keeps the ownership of
+ * the request, which is copied.
  */
 #ifndef RTS_UPC_H
 #define RTS_UPC_H
@@ -29,9 +30,9 @@
 {
   mod_t mod;
   uint64_t tag;
-  bool id_differs; /**< the response carries the id of another request: the
-                        call has been cancelled and its module must treat the
-                        response as truncated */
+  bool foreign; /**< the response does not prove to be the call's own: the
+                     call has been cancelled and its module must treat the
+                     response as truncated */
 } upc_owner_t;
 
 typedef struct upc upc_t;
--- a/tests/test_upc.c
+++ b/tests/test_upc.c
@@ -34,7 +34,7 @@
                     &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
 }
 
-/* Starts the call of request ID to an upstream that repeats ids. */
+/* Starts the call of request ID to an upstream that proves origins. */
 static uint64_t
 _call (env_t *env)
 {
@@ -43,7 +43,7 @@
                                      .method = "POST",
                                      .path = "/",
                                      .headers = { .v = &own_id, .n = 1 },
-                                     .echoes_id = true });
+                                     .proves_origin = true });
 }
 
 /* Whether the module that made CALL gets the response HEAD to it. */
@@ -59,7 +59,7 @@
                   .is_signed = head->is_signed,
                   .not_run = head->not_run,
                   .local_port = 40001 } };
-  return upc_event (env, &ev, &owner) && !owner.id_differs;
+  return upc_event (env, &ev, &owner) && !owner.foreign;
 }
 
 /* Whether a response HEAD to a new call is passed on. */
@@ -173,7 +173,8 @@
   CU_ASSERT_EQUAL (r->mod, MOD_ONLINE);
   CU_ASSERT_STRING_EQUAL (r->event, "response-dropped");
   CU_ASSERT_STRING_EQUAL (
-      r->detail, "request=r-1 status=200 id=r-0 at=10.0.0.1:80 port=40001");
+      r->detail,
+      "request=r-1 why=other-id status=200 id=r-0 at=10.0.0.1:80 port=40001");
   env_shutdown (env);
 }
 
