Upstream calls: a promise "not run" counts only with the request's id

Cause: a response without an id that has Not-Executed, or status 421, passed as the call's own whatever its status; it may have been left on the connection by another call. What callers saw: a request that runs was sent to a second upstream, or refused with 503, which promises that it has not run; for one that may run once that breaks both rules. Found by reading, not met in the record. Change: such a response is dropped like any other without an id; the request then counts as one that may have run. Why it works: the upstream repeats the id in its refusals as well.

--- a/src/core/upc.c
+++ b/src/core/upc.c
@@ -119,7 +119,7 @@
     return UPC_OTHER_ID;
   if (!call->proves_origin)
     return UPC_OWN;
-  if (id == NULL && !head->not_run)
+  if (id == NULL)
     return UPC_NO_ID;
   return success && !head->is_signed ? UPC_UNSIGNED : UPC_OWN;
 }
