Upstream calls: every call has an id, and ids are compared whole

Cause: upc kept ids in 128 bytes and headers in an array of 64: ids of 128 bytes and more were compared by their first 127, and a call with 63 headers or more without an id of its own was sent without one. What callers saw: nothing so far, both were found by reading; an item's text could have been another item's. Change: the id is kept in its full length; the headers are copied to an array of their number.

--- a/src/core/upc.c
+++ b/src/core/upc.c
@@ -8,16 +8,13 @@
 #include <talloc.h>
 
 #define UPC_ID_HEADER "X-Request-Id"
-#define UPC_ID_SIZE 128     /**< maximum id length compared, plus the NUL */
 #define UPC_ADDRESS_SIZE 24 /**< "IP:PORT" and the NUL */
-/** A request id is added only if the call then has fewer headers than this. */
-#define UPC_HEADERS_MAX 64
 
 /* A call in progress. */
 typedef struct
 {
   upc_owner_t owner;
-  char id[UPC_ID_SIZE];
+  char *id;                       /**< in the call's X-Request-Id header */
   char address[UPC_ADDRESS_SIZE]; /**< as in fx_upstream_t, for logs */
   bool proves_origin;             /**< as in fx_upstream_t */
 } _upc_call_t;
@@ -41,29 +38,53 @@
   talloc_free (u);
 }
 
-/* Pushes the effect with a request id among its headers and stores that id in
- * CALL. */
+/* A new id for CALL, number NUMBER. */
+static char *
+_upc_id_new (const env_t *env, const _upc_call_t *call, uint64_t number)
+{
+  return talloc_asprintf (env->upc, "%s-%llx-%s-%llx", env->vm,
+                          (unsigned long long)env->incarnation,
+                          mod_name (call->owner.mod),
+                          (unsigned long long)number);
+}
+
+/* Pushes the effect of REQ, whose headers lack an id, with CALL's. */
 static void
-_upc_call_push (env_t *env, _upc_call_t *call, const fx_upstream_t *req)
+_upc_push_with_id (env_t *env, const _upc_call_t *call,
+                   const fx_upstream_t *req)
 {
   fx_t f = { .kind = FX_UPSTREAM_CALL, .upstream = *req };
-  http_header_t headers[UPC_HEADERS_MAX];
-  const char *id = http_header_find (req->headers, UPC_ID_HEADER);
   size_t n = req->headers.n;
+  http_header_t *headers = talloc_array (NULL, http_header_t, n + 1);
+  for (size_t i = 0; i < n; i++)
+    headers[i] = req->headers.v[i];
+  headers[n] = (http_header_t){ UPC_ID_HEADER, call->id };
+  f.upstream.headers = (http_headers_t){ .v = headers, .n = n + 1 };
+  fx_push (env->fx, &f);
+  talloc_free (headers);
+}
+
+/* Pushes the effect of REQ and stores the id that it is sent with in CALL. */
+static void
+_upc_call_push (env_t *env, _upc_call_t *call, const fx_upstream_t *req)
+{
+  const char *id = http_header_find (req->headers, UPC_ID_HEADER);
   if (id != NULL)
-    (void)snprintf (call->id, sizeof call->id, "%s", id);
-  else if (n + 1 < UPC_HEADERS_MAX)
     {
-      (void)snprintf (call->id, sizeof call->id, "%s-%llx-%s-%llx", env->vm,
-                      (unsigned long long)env->incarnation,
-                      mod_name (call->owner.mod),
-                      (unsigned long long)req->call);
-      for (size_t i = 0; i < n; i++)
-        headers[i] = req->headers.v[i];
-      headers[n] = (http_header_t){ UPC_ID_HEADER, call->id };
-      f.upstream.headers = (http_headers_t){ .v = headers, .n = n + 1 };
+      call->id = talloc_strdup (env->upc, id);
+      fx_push (env->fx, &(fx_t){ .kind = FX_UPSTREAM_CALL, .upstream = *req });
+      return;
     }
-  fx_push (env->fx, &f);
+  call->id = _upc_id_new (env, call, req->call);
+  _upc_push_with_id (env, call, req);
+}
+
+static void
+_upc_free (env_t *env, tbl_id_t id)
+{
+  _upc_call_t *call = tbl_get (env->upc->calls, id);
+  talloc_free (call->id);
+  tbl_free (env->upc->calls, id);
 }
 
 uint64_t
@@ -88,7 +109,7 @@
   tbl_id_t id = { .id = call };
   if (tbl_get (env->upc->calls, id) == NULL)
     return;
-  tbl_free (env->upc->calls, id);
+  _upc_free (env, id);
   fx_push (env->fx, &(fx_t){ .kind = FX_UPSTREAM_CANCEL,
                              .upstream = { .call = call } });
 }
@@ -115,7 +136,7 @@
 {
   const char *id = http_header_find (head->headers, UPC_ID_HEADER);
   bool success = head->status >= 200 && head->status < 300;
-  if (id != NULL && strncmp (id, call->id, sizeof call->id - 1) != 0)
+  if (id != NULL && strcmp (id, call->id) != 0)
     return UPC_OTHER_ID;
   if (!call->proves_origin)
     return UPC_OWN;
@@ -163,7 +184,7 @@
   *owner = call->owner;
   owner->foreign = _upc_foreign_drop (env, call, ev);
   if (ev->kind == EV_UPSTREAM_END || ev->kind == EV_UPSTREAM_FAIL)
-    tbl_free (env->upc->calls, id);
+    _upc_free (env, id);
   return true;
 }
 
--- a/src/core/upc.h
+++ b/src/core/upc.h
@@ -10,11 +10,10 @@
  * Use this module for every HTTP call to an upstream; it neither retries nor
  * sets time-outs.  The id of a cancelled or ended call is invalid, so its late
  * events are ignored.  Every call carries an X-Request-Id header: the one in
- * the module's headers or, if these are at most 62, a generated one.  A
- * response that returns another id belongs to another request.  One from an
- * upstream that proves the origin of its responses must have the id and, if it
- * is a success, the signature.  The caller of upc_call keeps the ownership of
- * the request, which is copied.
+ * the module's headers or a generated one.  A response that returns another id
+ * belongs to another request.  One from an upstream that proves the origin of
+ * its responses must have the id and, if it is a success, the signature.  The
+ * caller of upc_call keeps the ownership of the request, which is copied.
  */
 #ifndef RTS_UPC_H
 #define RTS_UPC_H
