Upstream calls: a foreign response becomes a failed call in one place

Cause: the id was checked twice, by upc for all calls and by the online module for its own, and each user of upc_event had to look at a flag and make the failure itself; the fakes of three tests did not. Change: upc_event replaces a foreign head by EV_UPSTREAM_FAIL. The second check and rts_online_crossed_total go; the header's name stands once, in upc.h.

--- a/src/core/bat_item.c
+++ b/src/core/bat_item.c
@@ -226,7 +226,7 @@
   g_snprintf (name, sizeof name, "%s-%u", h->id, h->first + i);
   const http_header_t headers[] = {
     { .name = "Content-Type", .value = "application/json" },
-    { .name = "X-Request-Id", .value = name },
+    { .name = UPC_ID_HEADER, .value = name },
     { .name = "Idempotency-Key", .value = name },
   };
   s->call = upc_call (env, MOD_BATCH, s->self.id,
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -146,7 +146,7 @@
               (unsigned long long)progress->last_event);
   for (size_t i = 0; i < item->headers.n; i++)
     v[i] = item->headers.v[i];
-  v[item->headers.n] = (http_header_t){ "X-Request-Id", item->id };
+  v[item->headers.n] = (http_header_t){ UPC_ID_HEADER, item->id };
   uint64_t call
       = upc_call (env, MOD_JOB, run.id,
                   &(fx_upstream_t){
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -79,7 +79,7 @@
 void node_mods_platform (node_t *n, const plt_done_t *done,
                          const ev_platform_t *reply);
 void node_mods_message (node_t *n, const char *vm, const msg_t *msg);
-void node_mods_upstream (node_t *n, const ev_t *ev);
+void node_mods_upstream (node_t *n, const ev_t *received);
 
 /** Tell the modules that a link to VM is open (UP) or closed. */
 void node_mods_link (node_t *n, const char *vm, bool up);
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -331,31 +331,25 @@
 }
 
 void
-node_mods_upstream (node_t *n, const ev_t *ev)
+node_mods_upstream (node_t *n, const ev_t *received)
 {
   upc_owner_t owner;
-  ev_t broken
-      = { .kind = EV_UPSTREAM_FAIL,
-          .upstream = { .call = ev->upstream.call,
-                        .fail = EV_FAIL_UNKNOWN,
-                        .text = "the response is not this request's" } };
-  if (!upc_event (n->env, ev, &owner))
+  ev_t ev = *received;
+  if (!upc_event (n->env, &ev, &owner))
     return;
-  if (owner.foreign)
-    ev = &broken;
   switch (owner.mod)
     {
     case MOD_ONLINE:
-      onl_upstream_event (n->onl, n->env, owner.tag, ev);
+      onl_upstream_event (n->onl, n->env, owner.tag, &ev);
       break;
     case MOD_ROUTE:
-      rte_upstream_event (n->rte, n->env, owner.tag, ev);
+      rte_upstream_event (n->rte, n->env, owner.tag, &ev);
       break;
     case MOD_JOB:
-      job_upstream_event (n->job, n->env, owner.tag, ev);
+      job_upstream_event (n->job, n->env, owner.tag, &ev);
       break;
     case MOD_BATCH:
-      bat_upstream_event (n->bat, n->env, owner.tag, ev);
+      bat_upstream_event (n->bat, n->env, owner.tag, &ev);
       break;
     default:
       INV_CHECK (false, "upstream-call-owner", "module %s",
--- a/src/core/onl_admit.c
+++ b/src/core/onl_admit.c
@@ -317,7 +317,7 @@
   http_header_t headers[] = {
     { .name = "Content-Type",
       .value = result->type ? result->type : "application/octet-stream" },
-    { .name = "X-Request-Id", .value = r->request_id },
+    { .name = UPC_ID_HEADER, .value = r->request_id },
     { .name = "Idempotent-Replay", .value = "true" },
   };
   cnt_add (env->cnt, "rts_online_replayed_total", "", 1);
--- a/src/core/onl_head.c
+++ b/src/core/onl_head.c
@@ -24,7 +24,7 @@
                                        "Content-Length",
                                        "Expect",
                                        "Accept-Encoding",
-                                       "X-Request-Id" };
+                                       UPC_ID_HEADER };
 
 static bool
 _onl_header_dropped (const char *name)
@@ -49,7 +49,7 @@
       v[n].value = talloc_strdup (v, headers.v[i].value);
       n++;
     }
-  v[n++] = (http_header_t){ .name = "X-Request-Id",
+  v[n++] = (http_header_t){ .name = UPC_ID_HEADER,
                             .value = talloc_strdup (v, request_id) };
   return (http_headers_t){ .v = v, .n = n };
 }
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -176,19 +176,11 @@
 static void
 _onl_head (onl_t *o, env_t *env, onl_request_t *r, const ev_upstream_t *up)
 {
-  const char *id = http_header_find (up->headers, "X-Request-Id");
   if (r->state != ONL_SENT)
     {
       _onl_response_broken (o, env, r, "a second answer began");
       return;
     }
-  if (id != NULL && strcmp (id, r->request_id) != 0)
-    {
-      cnt_add (env->cnt, "rts_online_crossed_total", "", 1);
-      _onl_response_broken (o, env, r,
-                            "the answer belongs to another request");
-      return;
-    }
   if (up->not_run)
     {
       _onl_not_run (o, env, r, up->status);
--- a/src/core/upc.c
+++ b/src/core/upc.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#define UPC_ID_HEADER "X-Request-Id"
 #define UPC_ADDRESS_SIZE 24 /**< "IP:PORT" and the NUL */
 
 /* A call in progress. */
@@ -79,10 +78,13 @@
   _upc_push_with_id (env, call, req);
 }
 
+/* Frees the call ID; ignores an invalid one. */
 static void
 _upc_free (env_t *env, tbl_id_t id)
 {
   _upc_call_t *call = tbl_get (env->upc->calls, id);
+  if (call == NULL)
+    return;
   talloc_free (call->id);
   tbl_free (env->upc->calls, id);
 }
@@ -154,35 +156,45 @@
   cnt_add (env->cnt, "rts_upstream_crossed_total", label, 1);
 }
 
-/* Drops the response of CALL if its head is foreign; returns whether it is. */
-static bool
-_upc_foreign_drop (env_t *env, const _upc_call_t *call, const ev_t *ev)
+static void
+_upc_foreign_log (env_t *env, const _upc_call_t *call, _upc_origin_t origin,
+                  const ev_upstream_t *head)
 {
-  const ev_upstream_t *head = &ev->upstream;
-  if (ev->kind != EV_UPSTREAM_HEAD)
-    return false;
-  _upc_origin_t origin = _upc_origin (call, head);
-  if (origin == UPC_OWN)
-    return false;
   const char *id = http_header_find (head->headers, UPC_ID_HEADER);
   tln_record (env->tln, env->now, call->owner.mod, "response-dropped",
               "request=%s why=%s status=%d id=%s at=%s port=%u", call->id,
               _upc_origin_names[origin], head->status,
               id == NULL ? "none" : id, call->address, head->local_port);
+}
+
+/* Replaces the event EV of CALL by a failure if it is a foreign head. */
+static void
+_upc_foreign_drop (env_t *env, const _upc_call_t *call, ev_t *ev)
+{
+  if (ev->kind != EV_UPSTREAM_HEAD)
+    return;
+  _upc_origin_t origin = _upc_origin (call, &ev->upstream);
+  if (origin == UPC_OWN)
+    return;
+  _upc_foreign_log (env, call, origin, &ev->upstream);
   _upc_foreign_count (env, origin);
-  upc_cancel (env, head->call);
-  return true;
+  uint64_t number = ev->upstream.call;
+  *ev = (ev_t){ .kind = EV_UPSTREAM_FAIL,
+                .upstream = { .call = number,
+                              .fail = EV_FAIL_UNKNOWN,
+                              .text = "the response is not this request's" } };
+  upc_cancel (env, number);
 }
 
 bool
-upc_event (env_t *env, const ev_t *ev, upc_owner_t *owner)
+upc_event (env_t *env, ev_t *ev, upc_owner_t *owner)
 {
   tbl_id_t id = { .id = ev->upstream.call };
   const _upc_call_t *call = tbl_get (env->upc->calls, id);
   if (call == NULL)
     return false;
   *owner = call->owner;
-  owner->foreign = _upc_foreign_drop (env, call, ev);
+  _upc_foreign_drop (env, call, ev);
   if (ev->kind == EV_UPSTREAM_END || ev->kind == EV_UPSTREAM_FAIL)
     _upc_free (env, id);
   return true;
--- a/src/core/upc.h
+++ b/src/core/upc.h
@@ -5,7 +5,7 @@
  *   uint64_t call = upc_call (env, MOD_ONLINE, tag, &(fx_upstream_t){ ... });
  *   upc_cancel (env, call);
  *   ... on EV_UPSTREAM_*:
- *   if (upc_event (env, ev, &owner)) pass EV to owner.mod with owner.tag
+ *   if (upc_event (env, &ev, &owner)) pass ev to owner.mod with owner.tag
  *
  * Use this module for every HTTP call to an upstream; it neither retries nor
  * sets time-outs.  The id of a cancelled or ended call is invalid, so its late
@@ -22,6 +22,9 @@
 #include "core/fx.h"
 #include "core/mod.h"
 
+/** Header with the id of a request. */
+#define UPC_ID_HEADER "X-Request-Id"
+
 struct env;
 
 /** Owner of a call. */
@@ -29,9 +32,6 @@
 {
   mod_t mod;
   uint64_t tag;
-  bool foreign; /**< the response does not prove to be the call's own: the
-                     call has been cancelled and its module must treat the
-                     response as truncated */
 } upc_owner_t;
 
 typedef struct upc upc_t;
@@ -50,9 +50,11 @@
 /** Cancels a call; ignores an invalid id. */
 void upc_cancel (struct env *env, uint64_t call);
 
-/** Finds the owner of the call of EV.  After an END or FAIL event the call's
- * id is invalid.  Returns false when the call was cancelled or has ended. */
-bool upc_event (struct env *env, const ev_t *ev, upc_owner_t *owner);
+/** Finds the owner of the call of EV.  The head of a response that does not
+ * prove to be the call's own is replaced by EV_UPSTREAM_FAIL, and the call is
+ * cancelled.  After an END or FAIL event the call's id is invalid.  Returns
+ * false when the call was cancelled or has ended. */
+bool upc_event (struct env *env, ev_t *ev, upc_owner_t *owner);
 
 /** Number of calls in progress. */
 uint32_t upc_count (const upc_t *u);
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -95,8 +95,9 @@
 poll_event (fixture_t *f, int vm, const ev_t *ev)
 {
   upc_owner_t owner;
-  if (upc_event (f->env[vm], ev, &owner))
-    rte_upstream_event (f->rte[vm], f->env[vm], owner.tag, ev);
+  ev_t own = *ev;
+  if (upc_event (f->env[vm], &own, &owner))
+    rte_upstream_event (f->rte[vm], f->env[vm], owner.tag, &own);
 }
 
 static void
--- a/tests/test_upc.c
+++ b/tests/test_upc.c
@@ -59,7 +59,7 @@
                   .is_signed = head->is_signed,
                   .not_run = head->not_run,
                   .local_port = 40001 } };
-  return upc_event (env, &ev, &owner) && !owner.foreign;
+  return upc_event (env, &ev, &owner) && ev.kind == EV_UPSTREAM_HEAD;
 }
 
 /* Whether a response HEAD to a new call is passed on. */
