HTTP client: the connection of a foreign response is closed with it

Cause: events of the client wait in a queue for the node. When the node found that a response was another request's and cancelled the call, a short response was complete and libcurl had put the connection back into its pool, with the call's own response still to come. The next call on it got that one. If the call was a load query, its response bears no id and no signature. Change: hcl compares the id at the end of a head and forbids the reuse of the connection of a foreign response; the driver gives it the header's name and whether a response must have it. Why it works: libcurl then closes the connection at the end of that response, whether or not the cancel comes in time, so that nothing on it can be taken for a later call's and the upstream sees that the run was given up.

--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -1,5 +1,6 @@
 #include "io/drv.h"
 
+#include "core/upc.h"
 #include "io/hcl.h"
 #include "io/hsv.h"
 #include "io/lnk.h"
@@ -309,6 +310,7 @@
   if (d->desc.set->hosted)
     headers = pfm_upstream_encode (tmp, u);
   const char *path = d->desc.set->hosted ? pfm_upstream_path (u) : u->path;
+  const char *id_header = d->desc.set->hosted ? PFM_ID_HEADER : UPC_ID_HEADER;
   hcl_call (d->hcl, &(hcl_call_t){ .owner = HCL_UPSTREAM,
                                    .id = u->call,
                                    .address = u->address,
@@ -320,7 +322,9 @@
                                    .first_byte_ms = u->first_byte_ms,
                                    .stall_ms = u->stall_ms,
                                    .total_ms = u->total_ms,
-                                   .fresh_connection = u->fresh_connection });
+                                   .fresh_connection = u->fresh_connection,
+                                   .id_header = id_header,
+                                   .id_required = u->proves_origin });
   talloc_free (tmp);
 }
 
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -28,6 +28,9 @@
   uint64_t id;
   CURL *easy;
   struct curl_slist *request_headers;
+  const char *id_header;           /**< as in hcl_call_t */
+  const char *request_id;          /**< value of id_header in the request */
+  bool id_required;                /**< as in hcl_call_t */
   struct tevent_timer *wait_timer; /**< first-byte limit, then stall limit */
   struct tevent_timer *total_timer;
   clk_ms_t stall_ms;
@@ -148,6 +151,27 @@
   _hcl_emit (r, &e);
 }
 
+/* Whether the response's id_header shows that it is another request's. */
+static bool
+_hcl_response_is_foreign (const _hcl_request_t *r)
+{
+  http_headers_t headers = { .v = r->headers, .n = r->header_count };
+  if (r->id_header == NULL)
+    return false;
+  const char *id = http_header_find (headers, r->id_header);
+  return id == NULL ? r->id_required : strcmp (id, r->request_id) != 0;
+}
+
+/* At the end of a head: has the connection of a foreign response closed with
+ * that response.  When the handler cancels the call, libcurl may already have
+ * received all of the response and put the connection back into its pool. */
+static void
+_hcl_on_head_end (_hcl_request_t *r)
+{
+  curl_easy_setopt (r->easy, CURLOPT_FORBID_REUSE,
+                    _hcl_response_is_foreign (r) ? 1L : 0L);
+}
+
 static size_t
 _hcl_on_header (char *p, size_t size, size_t count, void *data)
 {
@@ -163,7 +187,11 @@
     }
   char *colon = memchr (p, ':', n);
   if (colon == NULL)
-    return n;
+    {
+      if (n > 0 && (p[0] == '\r' || p[0] == '\n'))
+        _hcl_on_head_end (r);
+      return n;
+    }
   r->headers
       = talloc_realloc (r, r->headers, http_header_t, r->header_count + 1);
   http_header_t *h = &r->headers[r->header_count++];
@@ -395,6 +423,19 @@
   curl_easy_setopt (e, CURLOPT_PRIVATE, r);
 }
 
+static void
+_hcl_set_id (_hcl_request_t *r, const hcl_call_t *call)
+{
+  const char *id = call->id_header == NULL
+                       ? NULL
+                       : http_header_find (call->headers, call->id_header);
+  if (id == NULL)
+    return;
+  r->id_header = talloc_strdup (r, call->id_header);
+  r->request_id = talloc_strdup (r, id);
+  r->id_required = call->id_required;
+}
+
 void
 hcl_call (hcl_t *c, const hcl_call_t *call)
 {
@@ -408,6 +449,7 @@
   _hcl_set_connection (r, call);
   _hcl_set_request (r, call);
   _hcl_set_headers (r, call->headers);
+  _hcl_set_id (r, call);
   if (call->first_byte_ms > 0)
     r->wait_timer = _hcl_timer_start (r, call->first_byte_ms);
   if (call->total_ms > 0)
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -10,8 +10,11 @@
  * any point; never from within hcl_call or hcl_cancel, and nothing after
  * hcl_cancel.  The client itself does not retry, but libcurl repeats a request
  * whose reused connection was closed.  A call that must not run twice
- * therefore sets fresh_connection.  Times are in milliseconds; everything that
- * an event points to is valid only within the handler.
+ * therefore sets fresh_connection.  A response whose id_header shows that it
+ * is another request's is passed on for the caller to judge, but its
+ * connection is closed with it: the call's own response may still be to come
+ * there.  Times are in milliseconds; everything that an event points to is
+ * valid only within the handler.
  */
 #ifndef RTS_HCL_H
 #define RTS_HCL_H
@@ -46,6 +49,9 @@
   clk_ms_t stall_ms;      /**< longest gap within the body; 0: no limit */
   clk_ms_t total_ms; /**< time limit for the complete response; 0: no limit */
   bool fresh_connection; /**< open a new connection */
+  const char *id_header; /**< header of the request that its response may
+                              repeat; NULL: none */
+  bool id_required;      /**< its response must repeat it */
 } hcl_call_t;
 
 /** Progress of a call. */
