Platform calls through peers: an outcome ends only the call it was asked for

Cause: the outcome that a peer sends was matched to a platform call by the call's number, which starts anew with each process. Neither the process nor the peer nor whether the call was relayed at all was checked.

Two processes of a VM that get the same events number their calls alike.

What callers saw: 404 "no-job" for a job that exists. By reading, not by a run: where the call read a text or a body of a job, those of another job.

Why the fix works: each call sent to a peer gets a number of its own, the process's incarnation above a count, so no process of the VM uses it again. The VM keeps which peer it asked under which number; an outcome with another number or from another peer is counted (rts_platform_unasked_total) and dropped. The time limit of a call drops the number too.

Builds side by side: the messages keep their fields; the number was always returned as it came. A VM of the older build that asks keeps the fault.

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -51,6 +51,8 @@
 _node_destroy (node_t *n)
 {
   g_hash_table_destroy (n->linked);
+  if (n->asked != NULL)
+    g_hash_table_destroy (n->asked);
   return 0;
 }
 
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -59,6 +59,10 @@
   job_set_t *job;  /**< batch jobs; runs with SOURCE_PLATFORM */
   ret_t *ret;      /**< retirement; NULL unless this VM is a worker */
   opr_t *opr;      /**< operator API */
+
+  /** Platform calls that peers make for this VM, see node_relay.c. */
+  GHashTable *asked;
+  uint64_t asked_last; /**< number of the last of these calls */
 };
 
 /** Create all modules. */
@@ -99,7 +103,7 @@
 /** Send the outcome of a call that was made for a peer to that peer. */
 void node_relay_done (node_t *n, const plt_done_t *done,
                       const ev_platform_t *reply);
-/** End call TAG, because the peer has not replied in time. */
+/** End the call with number TAG, because the peer has not replied in time. */
 void node_relay_timer (node_t *n, uint64_t tag);
 /** Pass REPLY to the module of this VM that made the call (node.c). */
 void node_platform_replied (node_t *n, const ev_platform_t *reply);
--- a/src/core/node_relay.c
+++ b/src/core/node_relay.c
@@ -5,6 +5,10 @@
  * from the platform but not from its peers.  When a call about a single object
  * had no effect, a peer makes the call once more and replies with the outcome.
  * Writes are conditional, so this is as safe as a retry by the VM itself.
+ *
+ * Each call sent to a peer has a number that no other such call of this VM
+ * has, also none of an earlier process.  Only an outcome with that number from
+ * that peer ends the call.
  */
 #include "core/node_int.h"
 
@@ -16,11 +20,11 @@
 /** Kinds of message. */
 enum
 {
-  /** u64 call id, u64 operation, str name, u64 version, u64 allow_stale,
-   * str value */
+  /** u64 number of the call, u64 operation, str name, u64 version,
+   * u64 allow_stale, str value */
   MSG_PLATFORM_CALL = MSG_PLATFORM_FIRST,
-  /** u64 call id, u64 status, u64 version, str value, u64 1 if there is an
-   * object, else 0 */
+  /** u64 number of the call, which the peer returns as it is, u64 status,
+   * u64 version, str value, u64 1 if there is an object, else 0 */
   MSG_PLATFORM_OUTCOME,
 };
 
@@ -30,6 +34,17 @@
 /** Largest number of concurrent calls for peers. */
 #define NODE_RELAYS_MAX 256
 
+/** Bits that count the calls of one process; the incarnation is above. */
+#define NODE_RELAY_COUNT_BITS 20
+
+/* A call of this VM that a peer makes. */
+typedef struct
+{
+  uint64_t number; /**< in the messages */
+  uint64_t call;   /**< as plt_reply expects it */
+  char *vm;        /**< the peer */
+} _node_asked_t;
+
 /* A call that this VM makes for a peer. */
 typedef struct
 {
@@ -55,22 +70,62 @@
   return peer;
 }
 
-/* End call NUMBER with CODE, without an outcome from a peer: ST_UNKNOWN if a
- * peer may have made the call, since a write may then have had its effect. */
 static void
-_node_relay_fail (node_t *n, uint64_t number, st_code_t code)
+_node_asked_free (gpointer data)
+{
+  talloc_free (data);
+}
+
+/* Note that PEER is asked to make CALL; returns the number for the messages.
+ */
+static uint64_t
+_node_asked_add (node_t *n, const char *peer, uint64_t call)
+{
+  if (n->asked == NULL)
+    {
+      n->asked = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                        _node_asked_free);
+      n->asked_last = n->env->incarnation << NODE_RELAY_COUNT_BITS;
+    }
+  _node_asked_t *a = talloc_zero (n, _node_asked_t);
+  a->number = ++n->asked_last;
+  a->call = call;
+  a->vm = talloc_strdup (a, peer);
+  g_hash_table_insert (n->asked, &a->number, a);
+  return a->number;
+}
+
+/* Set *CALL to the call with NUMBER that VM was asked to make, and forget that
+ * VM was asked; false if VM was not.  VM NULL: any peer. */
+static bool
+_node_asked_take (node_t *n, const char *vm, uint64_t number, uint64_t *call)
+{
+  const _node_asked_t *a
+      = n->asked == NULL ? NULL : g_hash_table_lookup (n->asked, &number);
+  if (a == NULL || (vm != NULL && strcmp (vm, a->vm) != 0))
+    return false;
+  *call = a->call;
+  g_hash_table_remove (n->asked, &number);
+  return true;
+}
+
+/* End CALL with CODE, without an outcome from a peer: ST_UNKNOWN if a peer may
+ * have made the call, since a write may then have had its effect. */
+static void
+_node_relay_fail (node_t *n, uint64_t call, st_code_t code)
 {
-  ev_platform_t reply = { .call = number, .code = code };
+  ev_platform_t reply = { .call = call, .code = code };
   node_platform_replied (n, &reply);
 }
 
 static void
 _node_relay_send (node_t *n, const char *peer, const plt_relay_t *relay)
 {
+  uint64_t number = _node_asked_add (n, peer, relay->call);
   void *ctx = talloc_new (n);
   mpk_writer_t w;
   mpk_writer_init (&w, ctx);
-  mpk_put_uint (&w, relay->call);
+  mpk_put_uint (&w, number);
   mpk_put_uint (&w, relay->op);
   mpk_put_str (&w, buf_str (relay->name));
   mpk_put_uint (&w, relay->if_version);
@@ -79,7 +134,7 @@
   mbr_send (n->mbr, n->env, peer, MSG_PLATFORM_CALL, mpk_done (&w));
   talloc_free (ctx);
   tmr_arm (n->env->tmr, n->env->now + NODE_RELAY_TIMEOUT_MS, MOD_PLATFORM,
-           relay->call);
+           number);
 }
 
 void
@@ -99,14 +154,17 @@
 void
 node_relay_timer (node_t *n, uint64_t tag)
 {
-  _node_relay_fail (n, tag, ST_UNKNOWN);
+  uint64_t call;
+  if (_node_asked_take (n, NULL, tag, &call))
+    _node_relay_fail (n, call, ST_UNKNOWN);
 }
 
 static void
-_node_relay_outcome_received (node_t *n, mpk_reader_t *in)
+_node_relay_outcome_received (node_t *n, const char *vm, mpk_reader_t *in)
 {
   ev_object_t object = { .name = "" };
-  ev_platform_t reply = { .call = mpk_get_uint (in) };
+  ev_platform_t reply = { 0 };
+  uint64_t number = mpk_get_uint (in);
   uint64_t code = mpk_get_uint (in);
   object.version = mpk_get_uint (in);
   object.value = mpk_get_str (in);
@@ -116,6 +174,11 @@
       cnt_add (n->env->cnt, "rts_platform_bad_messages_total", "", 1);
       return;
     }
+  if (!_node_asked_take (n, vm, number, &reply.call))
+    {
+      cnt_add (n->env->cnt, "rts_platform_unasked_total", "", 1);
+      return;
+    }
   reply.code = (st_code_t)code;
   reply.objects = has ? &object : NULL;
   reply.object_count = has;
@@ -187,6 +250,6 @@
   if (msg->kind == MSG_PLATFORM_CALL)
     _node_relay_call_received (n, vm, &in);
   else
-    _node_relay_outcome_received (n, &in);
+    _node_relay_outcome_received (n, vm, &in);
   talloc_free (ctx);
 }
