HTTP client: bytes on an idle connection end its use

What callers saw: a request was sent on a connection on which a late response already waited; it lost its response to that one and went to another upstream, or ended with 502 where there is none. Why it works: bytes that come while no request waits belong to no request. What comes later is left to the id.

--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -10,11 +10,14 @@
  * any point; never from within hcl_call or hcl_cancel, and nothing after
  * hcl_cancel.  The client itself does not retry, but libcurl repeats a request
  * whose reused connection was closed.  A call that must not run twice
- * therefore sets fresh_connection.  A response whose id_header shows that it
- * is another request's is passed on for the caller to judge, but its
- * connection is closed with it: the call's own response may still be to come
- * there.  Times are in milliseconds; everything that an event points to is
- * valid only within the handler.
+ * therefore sets fresh_connection.  Times are in milliseconds; everything that
+ * an event points to is valid only within the handler.
+ *
+ * A connection serves call after call.  So that a call does not get bytes that
+ * are not its own, a connection is not used again when bytes arrive on it
+ * while no call uses it, or with a response whose id_header shows that it is
+ * another request's: the call's own response may still be to come then.  Such
+ * a response is passed on all the same, for the handler to judge.
  */
 #ifndef RTS_HCL_H
 #define RTS_HCL_H
--- a/tests/drvbed_upstream.c
+++ b/tests/drvbed_upstream.c
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -182,6 +183,8 @@
   int fd = accept (u->fd, (struct sockaddr *)&in, &size);
   if (fd < 0)
     return;
+  /* Without it a second write would wait for the first one's receipt. */
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &(int){ 1 }, sizeof (int));
   drvbed_conn_t *c = talloc_zero (u->bed, drvbed_conn_t);
   *c = (drvbed_conn_t){ .upstream = u,
                         .fd = fd,
--- a/tests/test_drv.c
+++ b/tests/test_drv.c
@@ -140,6 +140,28 @@
   drvbed_shutdown (b);
 }
 
+/* Guards against a late response that came while its connection was idle as
+ * the next request's response: the request goes out on another connection, and
+ * is not lost to a retry. */
+static void
+test_request_avoids_a_connection_with_bytes (void)
+{
+  drvbed_t *b = drvbed_setup (1);
+  TST_NEED (b != NULL);
+  drvbed_conn_t *conn = serve_first (b);
+  TST_NEED (conn != NULL);
+  drvbed_serve (b, 0);
+  drvbed_send (conn, drvbed_response (b, DRVBED_LENGTH, "r-1"));
+  unsigned before = drvbed_conn_count (b, conn);
+  drvbed_answer_t *a = drvbed_ask (b, "r-2");
+  CU_ASSERT (drvbed_await_answer (b, a));
+  CU_ASSERT (drvbed_is_own (a));
+  CU_ASSERT_EQUAL (drvbed_request_count (b, 0, "r-2"), 1);
+  CU_ASSERT (drvbed_await_close (b, conn, CLOSE_MS));
+  CU_ASSERT_EQUAL (drvbed_conn_count (b, conn), before);
+  drvbed_shutdown (b);
+}
+
 /* Sends the response to R and, in the same write, the first N bytes of
  * EXTRA. */
 static void
@@ -230,6 +252,8 @@
       test_connection_closes_after_a_crossed_response },
     { "response_without_an_id_is_not_passed_on",
       test_response_without_an_id_is_not_passed_on },
+    { "request_avoids_a_connection_with_bytes",
+      test_request_avoids_a_connection_with_bytes },
     { "bytes_after_a_response_whole_length",
       test_bytes_after_a_response_whole_length },
     { "bytes_after_a_response_whole_chunked",
