Platform: a response about another object is no outcome

Cause: the response to a call about one object was taken for that call's by its place on the connection; the object's name in it was replaced by the one that was asked for. A stray response would have been a record's value, or the outcome of a write. What it cannot show: a stray status without an object (404, 409, 429, 503), a list, and two kinds that store under one name.

--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -225,6 +225,23 @@
                    ST_UNKNOWN);
 }
 
+/* Guards against a response that is left on a connection: one about another
+ * object is neither a value nor the outcome of a write. */
+static void
+test_response_about_other_object (void)
+{
+  static const char own[] = "{\"metadata\":{\"name\":\"a\"},\"spec\":\"x\"}";
+  static const char other[] = "{\"metadata\":{\"name\":\"b\"},\"spec\":\"x\"}";
+  CU_ASSERT_EQUAL (_response_code (FX_PLATFORM_GET, 200, own), ST_OK);
+  CU_ASSERT_EQUAL (_response_code (FX_PLATFORM_PUT, 409, own), ST_CONFLICT);
+  CU_ASSERT_EQUAL (_response_code (FX_PLATFORM_GET, 200, other),
+                   ST_UNAVAILABLE);
+  CU_ASSERT_EQUAL (_response_code (FX_PLATFORM_PUT, 200, other), ST_UNKNOWN);
+  CU_ASSERT_EQUAL (_response_code (FX_PLATFORM_PUT, 409, other), ST_UNKNOWN);
+  CU_ASSERT_EQUAL (_response_code (FX_PLATFORM_DELETE, 200, other),
+                   ST_UNKNOWN);
+}
+
 static void
 test_lists (void)
 {
@@ -392,6 +409,7 @@
     { "object_requests", test_object_requests },
     { "values_round_trip", test_values_round_trip },
     { "object_responses", test_object_responses },
+    { "response_about_other_object", test_response_about_other_object },
     { "lists", test_lists },
     { "request_headers", test_request_headers },
     { "upstream_headers", test_upstream_headers },
