--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -87,8 +87,7 @@
   clk_ms_t total_ms; /**< time limit for the complete response; 0: no limit */
   bool fresh_connection; /**< open a new connection */
   bool proves_origin;    /**< the upstream repeats the request's id in every
-                              response, but perhaps not in one that promises
-                              "not run", and signs every success; a response
+                              response and signs every success; a response
                               that lacks one of them is not its response to
                               this request */
   bool load_report;      /**< load query; the driver sets the path */
--- a/src/core/upc.c
+++ b/src/core/upc.c
@@ -16,7 +16,6 @@
   char *id;                       /**< in the call's X-Request-Id header */
   char address[UPC_ADDRESS_SIZE]; /**< as in fx_upstream_t, for logs */
   bool proves_origin;             /**< as in fx_upstream_t */
-  bool fresh_connection;          /**< as in fx_upstream_t */
 } _upc_call_t;
 
 struct upc
@@ -99,7 +98,6 @@
   _upc_call_t *call = tbl_get (env->upc->calls, id);
   call->owner = (upc_owner_t){ .mod = mod, .tag = tag };
   call->proves_origin = req->proves_origin;
-  call->fresh_connection = req->fresh_connection;
   (void)snprintf (call->address, sizeof call->address, "%s", req->address);
   fx_upstream_t numbered = *req;
   numbered.call = id.id;
@@ -144,10 +142,8 @@
     return UPC_OTHER_ID;
   if (!call->proves_origin)
     return UPC_OWN;
-  /* What comes on a new connection can only be about its first request. */
-  bool refused_at_once = head->not_run && call->fresh_connection;
   if (id == NULL)
-    return refused_at_once ? UPC_OWN : UPC_NO_ID;
+    return UPC_NO_ID;
   return success && !head->is_signed ? UPC_UNSIGNED : UPC_OWN;
 }
 
--- a/src/core/upc.h
+++ b/src/core/upc.h
@@ -12,9 +12,8 @@
  * events are ignored.  Every call carries an X-Request-Id header: the one in
  * the module's headers or a generated one.  A response that returns another id
  * belongs to another request.  One from an upstream that proves the origin of
- * its responses must have the id and, if it is a success, the signature; on a
- * new connection a promise "not run" needs no id.  The caller of upc_call
- * keeps the ownership of the request, which is copied.
+ * its responses must have the id and, if it is a success, the signature.  The
+ * caller of upc_call keeps the ownership of the request, which is copied.
  */
 #ifndef RTS_UPC_H
 #define RTS_UPC_H
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -155,15 +155,16 @@
   hst_shutdown (h);
 }
 
-/* A promise "not run" without the request's id, on a connection that has
- * served others, may be about another request: the request itself may have
- * run, so it is not refused as not run. */
+/* A promise "not run" without the request's id may be about another request:
+ * the request itself may have run, so it is neither sent again nor refused as
+ * not run. */
 static void
 test_promise_without_an_id_is_not_believed (void)
 {
-  hst_t *h = _fleet (&(hst_desc_t){ .upstreams = 1, .resumable = true });
-  hst_fault_set (
-      h, 0, (hst_fault_t){ .status = 503, .not_run = true, .no_id = true });
+  hst_t *h = _fleet (&(hst_desc_t){ 0 });
+  hst_fault_t fault = { .status = 503, .not_run = true, .no_id = true };
+  hst_fault_set (h, 0, fault);
+  hst_fault_set (h, 1, fault);
   uint64_t c = hst_stream (h, 0, KEY, "r-1");
   hst_advance (h, 1000);
   CU_ASSERT_EQUAL (hst_response (h, c)->status, 502);
@@ -171,20 +172,6 @@
   hst_shutdown (h);
 }
 
-/* A request that may run once goes out on a new connection, where a promise
- * "not run" can be about no other: it is refused as not run. */
-static void
-test_promise_on_a_new_connection_is_believed (void)
-{
-  hst_t *h = _fleet (&(hst_desc_t){ .upstreams = 1 });
-  hst_fault_set (
-      h, 0, (hst_fault_t){ .status = 503, .not_run = true, .no_id = true });
-  uint64_t c = hst_stream (h, 0, KEY, "r-1");
-  hst_advance (h, 1000);
-  CU_ASSERT_EQUAL (hst_response (h, c)->status, 503);
-  hst_shutdown (h);
-}
-
 /* A success without the upstream's signature is not the upstream's whole
  * answer: neither a caller nor a job gets it. */
 static void
@@ -646,8 +633,6 @@
       test_response_without_an_id_is_dropped },
     { "promise_without_an_id_is_not_believed",
       test_promise_without_an_id_is_not_believed },
-    { "promise_on_a_new_connection_is_believed",
-      test_promise_on_a_new_connection_is_believed },
     { "success_without_a_signature_is_dropped",
       test_success_without_a_signature_is_dropped },
     { "request_refused_unrun_is_retried",
--- a/tests/test_upc.c
+++ b/tests/test_upc.c
@@ -34,18 +34,16 @@
                     &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
 }
 
-/* Starts the call of request ID to an upstream that proves origins; FRESH: on
- * a new connection. */
+/* Starts the call of request ID to an upstream that proves origins. */
 static uint64_t
-_call (env_t *env, bool fresh)
+_call (env_t *env)
 {
   return upc_call (env, MOD_ONLINE, 7,
                    &(fx_upstream_t){ .address = "10.0.0.1:80",
                                      .method = "POST",
                                      .path = "/",
                                      .headers = { .v = &own_id, .n = 1 },
-                                     .proves_origin = true,
-                                     .fresh_connection = fresh });
+                                     .proves_origin = true });
 }
 
 /* Whether the module that made CALL gets the response HEAD to it. */
@@ -64,24 +62,17 @@
   return upc_event (env, &ev, &owner) && ev.kind == EV_UPSTREAM_HEAD;
 }
 
-/* Whether a response HEAD to a new call is passed on; FRESH as in _call. */
+/* Whether a response HEAD to a new call is passed on. */
 static bool
-_passes_on (bool fresh, const head_t *head)
+_head_passes (const head_t *head)
 {
   env_t *env = _env ();
-  uint64_t call = _call (env, fresh);
+  uint64_t call = _call (env);
   bool passes = _passes (env, call, head);
   env_shutdown (env);
   return passes;
 }
 
-/* The same on a connection that has served other calls. */
-static bool
-_head_passes (const head_t *head)
-{
-  return _passes_on (false, head);
-}
-
 static void
 test_own_responses_pass (void)
 {
@@ -117,19 +108,6 @@
   CU_ASSERT (!_head_passes (&(head_t){ .status = 421, .not_run = true }));
 }
 
-/* On a new connection a promise without an id is the call's own; any other
- * response needs its proof there as well. */
-static void
-test_promise_on_a_new_connection_passes (void)
-{
-  CU_ASSERT (_passes_on (true, &(head_t){ .status = 503, .not_run = true }));
-  CU_ASSERT (!_passes_on (
-      true, &(head_t){ .status = 503, .id = &other_id, .not_run = true }));
-  CU_ASSERT (!_passes_on (true, &(head_t){ .status = 503 }));
-  CU_ASSERT (
-      !_passes_on (true, &(head_t){ .status = 200, .is_signed = true }));
-}
-
 /* A success without the upstream's signature is not its whole answer. */
 static void
 test_unsigned_success_is_dropped (void)
@@ -188,7 +166,7 @@
 test_dropped_response_leaves_its_line (void)
 {
   env_t *env = _env ();
-  uint64_t call = _call (env, false);
+  uint64_t call = _call (env);
   (void)_passes (env, call, &(head_t){ .status = 200, .id = &other_id });
   TST_NEED (tln_count (env->tln) > 0);
   const tln_record_t *r = tln_get (env->tln, tln_count (env->tln) - 1);
@@ -211,8 +189,6 @@
       test_response_without_an_id_is_dropped },
     { "promise_without_an_id_is_dropped",
       test_promise_without_an_id_is_dropped },
-    { "promise_on_a_new_connection_passes",
-      test_promise_on_a_new_connection_passes },
     { "unsigned_success_is_dropped", test_unsigned_success_is_dropped },
     { "call_with_many_headers_has_an_id",
       test_call_with_many_headers_has_an_id },
