HTTP client: sockets in a file of their own

Change: hcl_socket.[ch] has the table, the polling and the shutdown of idle sockets; hcl.c says only whether a call still uses one.

--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -1,11 +1,11 @@
 #include "io/hcl.h"
 
+#include "io/hcl_socket.h"
+
 #include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <talloc.h>
-#include <unistd.h>
 
 #define HCL_CONNECT_TIMEOUT_MS 1000L
 #define HCL_IDLE_CONNECTIONS_MAX 256L
@@ -21,7 +21,7 @@
   CURLM *multi;
   struct tevent_timer *timer;
   GHashTable *requests; /**< set of _hcl_request_t by owner and id */
-  GHashTable *sockets;  /**< descriptor -> _hcl_socket_t */
+  hcl_sockets_t *sockets;
 };
 
 struct _hcl_request
@@ -43,15 +43,6 @@
   bool paused;
 };
 
-/* A socket of libcurl, from the first time it is polled until it is closed. */
-typedef struct
-{
-  hcl_t *client;
-  struct tevent_fd *fd;
-  int sock;
-  bool idle; /**< of a connection that no request uses */
-} _hcl_socket_t;
-
 /* -- table ---------------------------------------------------------------- */
 
 static guint
@@ -254,77 +245,32 @@
     }
 }
 
-/* Bytes on an idle connection belong to no request, but libcurl would take
- * them for the response to the next one.  It does not reuse a connection that
- * has been shut down. */
-static void
-_hcl_idle_socket_shutdown (_hcl_socket_t *s)
-{
-  (void)shutdown (s->sock, SHUT_RDWR);
-  tevent_fd_set_flags (s->fd, 0);
-}
-
 static void
-_hcl_on_socket_ready (struct tevent_context *loop, struct tevent_fd *fd,
-                      uint16_t flags, void *data)
+_hcl_on_socket_ready (void *data, int sock, uint16_t flags)
 {
-  (void)loop;
-  (void)fd;
-  _hcl_socket_t *s = data;
-  hcl_t *c = s->client;
-  if (s->idle)
-    {
-      _hcl_idle_socket_shutdown (s);
-      return;
-    }
+  hcl_t *c = data;
   int mask = ((flags & TEVENT_FD_READ) != 0 ? CURL_CSELECT_IN : 0)
              | ((flags & TEVENT_FD_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
   int running = 0;
-  curl_multi_socket_action (c->multi, s->sock, mask, &running);
+  curl_multi_socket_action (c->multi, sock, mask, &running);
   _hcl_reap (c);
 }
 
-static _hcl_socket_t *
-_hcl_socket_find (const hcl_t *c, curl_socket_t sock)
-{
-  return g_hash_table_lookup (c->sockets, GINT_TO_POINTER (sock));
-}
-
-static _hcl_socket_t *
-_hcl_socket_add (hcl_t *c, curl_socket_t sock)
-{
-  _hcl_socket_t *s = talloc_zero (c, _hcl_socket_t);
-  s->client = c;
-  s->sock = sock;
-  s->fd = tevent_add_fd (c->desc.loop, s, sock, 0, _hcl_on_socket_ready, s);
-  g_hash_table_insert (c->sockets, GINT_TO_POINTER (sock), s);
-  return s;
-}
-
-static void
-_hcl_socket_free (gpointer data)
-{
-  talloc_free (data);
-}
-
-/* libcurl closes SOCK. */
 static int
 _hcl_on_socket_close (void *data, curl_socket_t sock)
 {
   hcl_t *c = data;
-  g_hash_table_remove (c->sockets, GINT_TO_POINTER (sock));
-  return close (sock);
+  return hcl_socket_close (c->sockets, sock);
 }
 
-/* libcurl no longer polls S for EASY: the request has ended, or its response
- * is paused. */
-static void
-_hcl_socket_unpoll (_hcl_socket_t *s, CURL *easy)
+/* Whether libcurl stops polling a socket for EASY because its request has
+ * ended.  It does so as well while the response is paused. */
+static bool
+_hcl_is_over (CURL *easy)
 {
-  _hcl_request_t *r = NULL;
+  const _hcl_request_t *r = NULL;
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &r);
-  s->idle = r != NULL && !r->paused;
-  tevent_fd_set_flags (s->fd, s->idle ? TEVENT_FD_READ : 0);
+  return r != NULL && !r->paused;
 }
 
 static int
@@ -333,11 +279,9 @@
 {
   (void)socket_data;
   hcl_t *c = data;
-  _hcl_socket_t *s = _hcl_socket_find (c, sock);
   if (what == CURL_POLL_REMOVE)
     {
-      if (s != NULL)
-        _hcl_socket_unpoll (s, easy);
+      hcl_socket_unpoll (c->sockets, sock, _hcl_is_over (easy));
       return 0;
     }
   uint16_t flags = 0;
@@ -345,10 +289,7 @@
     flags |= TEVENT_FD_READ;
   if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
     flags |= TEVENT_FD_WRITE;
-  if (s == NULL)
-    s = _hcl_socket_add (c, sock);
-  s->idle = false;
-  tevent_fd_set_flags (s->fd, flags);
+  hcl_socket_poll (c->sockets, sock, flags);
   return 0;
 }
 
@@ -395,7 +336,6 @@
     }
   curl_multi_cleanup (c->multi);
   g_hash_table_destroy (c->requests);
-  g_hash_table_destroy (c->sockets);
   return 0;
 }
 
@@ -407,8 +347,9 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
   c->multi = curl_multi_init ();
   c->requests = g_hash_table_new (_hcl_hash, _hcl_equal);
-  c->sockets = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
-                                      _hcl_socket_free);
+  c->sockets = hcl_sockets_setup (
+      c, &(hcl_sockets_desc_t){
+             .loop = desc->loop, .ready = _hcl_on_socket_ready, .data = c });
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, _hcl_on_socket_change);
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
   curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, _hcl_on_timeout_change);
