--- a/tools/routesim.c
+++ b/tools/routesim.c
@@ -75,8 +75,9 @@
 poll_event (sim_t *s, const delivery_t *d, const ev_t *ev)
 {
   upc_owner_t owner;
-  if (upc_event (s->env[d->router], ev, &owner))
-    rte_upstream_event (s->rte[d->router], s->env[d->router], owner.tag, ev);
+  ev_t own = *ev;
+  if (upc_event (s->env[d->router], &own, &owner))
+    rte_upstream_event (s->rte[d->router], s->env[d->router], owner.tag, &own);
 }
 
 static void
