--- a/tests/test_drv.c
+++ b/tests/test_drv.c
@@ -101,6 +101,57 @@
   drvbed_shutdown (b);
 }
 
+/* Guards against the second break of incident inc1: the load query of a
+ * crossed connection is answered and the upstream closes, so that r-2 gets the
+ * load report without reaching an upstream. */
+static void
+test_own_response_after_a_report_that_closes (void)
+{
+  drvbed_t *b = drvbed_setup (1);
+  TST_NEED (b != NULL);
+  drvbed_conn_t *conn = serve_first (b);
+  bool held = conn != NULL && hold_load_query (b, conn);
+  CU_ASSERT (held);
+  if (held)
+    {
+      drvbed_serve (b, 0);
+      drvbed_send (conn, drvbed_response (b, DRVBED_LENGTH, "r-1"));
+      CU_ASSERT (drvbed_await_read (b, conn));
+      drvbed_hold_loads (b, false);
+      drvbed_send (conn, drvbed_load_report (b));
+      drvbed_close (conn);
+      drvbed_answer_t *a = drvbed_ask (b, "r-2");
+      CU_ASSERT (drvbed_await_answer (b, a));
+      CU_ASSERT (drvbed_is_own (a));
+      CU_ASSERT_EQUAL (drvbed_request_count (b, 0, "r-2"), 1);
+    }
+  drvbed_shutdown (b);
+}
+
+/* Guards against a second load report, which has no id, as the response to
+ * r-2, where no call was dropped before. */
+static void
+test_own_response_after_a_second_report (void)
+{
+  drvbed_t *b = drvbed_setup (1);
+  TST_NEED (b != NULL);
+  drvbed_conn_t *conn = serve_first (b);
+  bool held = conn != NULL && hold_load_query (b, conn);
+  CU_ASSERT (held);
+  if (held)
+    {
+      drvbed_serve (b, 0);
+      drvbed_send (conn, drvbed_load_report (b));
+      CU_ASSERT (drvbed_await_read (b, conn));
+      drvbed_send (conn, drvbed_load_report (b));
+      drvbed_answer_t *a = drvbed_ask (b, "r-2");
+      CU_ASSERT (drvbed_await_answer (b, a));
+      CU_ASSERT (drvbed_is_own (a));
+      CU_ASSERT_EQUAL (drvbed_request_count (b, 0, "r-2"), 1);
+    }
+  drvbed_shutdown (b);
+}
+
 /* Has upstream 0 respond to r-2 with FOREIGN alone.  The VM must close the
  * connection, and the caller must get the response of upstream 1. */
 static void
@@ -248,6 +299,10 @@
     { "stream_is_served_over_sockets", test_stream_is_served_over_sockets },
     { "own_response_after_a_crossed_load_query",
       test_own_response_after_a_crossed_load_query },
+    { "own_response_after_a_report_that_closes",
+      test_own_response_after_a_report_that_closes },
+    { "own_response_after_a_second_report",
+      test_own_response_after_a_second_report },
     { "connection_closes_after_a_crossed_response",
       test_connection_closes_after_a_crossed_response },
     { "response_without_an_id_is_not_passed_on",
