HTTP client: idle connections are looked at when a call starts

The loop also runs timers, where libcurl starts calls, before it looks at sockets, and a response that ended while paused left its connection unwatched. What callers would have seen: a call after a connect that timed out or was cancelled took 1 s, or ended at its time limit. The socket of a complete call is kept in a list; before libcurl starts calls, one poll(2) over that list finds those with bytes or an end, and they are shut down. Why it works: the list has only connected sockets, whose close libcurl reports; what arrived before a call starts is found however the loop orders its events.

--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -22,6 +22,7 @@
   struct tevent_timer *timer;
   GHashTable *requests; /**< set of _hcl_request_t by owner and id */
   hcl_sockets_t *sockets;
+  bool has_new_calls; /**< calls that libcurl may not have started yet */
 };
 
 struct _hcl_request
@@ -212,9 +213,21 @@
   return n;
 }
 
+/* The connection of the complete request R, unless libcurl has closed it, may
+ * serve the next one. */
+static void
+_hcl_connection_idle (const _hcl_request_t *r)
+{
+  curl_socket_t sock = CURL_SOCKET_BAD;
+  curl_easy_getinfo (r->easy, CURLINFO_ACTIVESOCKET, &sock);
+  if (sock != CURL_SOCKET_BAD)
+    hcl_socket_idle (r->client->sockets, sock);
+}
+
 static void
 _hcl_finish (_hcl_request_t *r, CURLcode code)
 {
+  _hcl_connection_idle (r);
   hcl_event_t e = { .kind = EV_UPSTREAM_END };
   if (code == CURLE_OK && !r->head_received)
     _hcl_emit_head (r);
@@ -245,17 +258,28 @@
     }
 }
 
+/* Lets libcurl act on SOCK, which is ready for MASK, or on its timers; it may
+ * start new calls, and all of them on its timers. */
 static void
-_hcl_on_socket_ready (void *data, int sock, uint16_t flags)
+_hcl_act (hcl_t *c, curl_socket_t sock, int mask)
 {
-  hcl_t *c = data;
-  int mask = ((flags & TEVENT_FD_READ) != 0 ? CURL_CSELECT_IN : 0)
-             | ((flags & TEVENT_FD_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
   int running = 0;
+  if (c->has_new_calls)
+    hcl_sockets_check (c->sockets);
+  if (sock == CURL_SOCKET_TIMEOUT)
+    c->has_new_calls = false;
   curl_multi_socket_action (c->multi, sock, mask, &running);
   _hcl_reap (c);
 }
 
+static void
+_hcl_on_socket_ready (void *data, int sock, uint16_t flags)
+{
+  int mask = ((flags & TEVENT_FD_READ) != 0 ? CURL_CSELECT_IN : 0)
+             | ((flags & TEVENT_FD_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+  _hcl_act (data, sock, mask);
+}
+
 static int
 _hcl_on_socket_close (void *data, curl_socket_t sock)
 {
@@ -263,25 +287,16 @@
   return hcl_socket_close (c->sockets, sock);
 }
 
-/* Whether libcurl stops polling a socket for EASY because its request has
- * ended.  It does so as well while the response is paused. */
-static bool
-_hcl_is_over (CURL *easy)
-{
-  const _hcl_request_t *r = NULL;
-  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &r);
-  return r != NULL && !r->paused;
-}
-
 static int
 _hcl_on_socket_change (CURL *easy, curl_socket_t sock, int what, void *data,
                        void *socket_data)
 {
+  (void)easy;
   (void)socket_data;
   hcl_t *c = data;
   if (what == CURL_POLL_REMOVE)
     {
-      hcl_socket_unpoll (c->sockets, sock, _hcl_is_over (easy));
+      hcl_socket_unpoll (c->sockets, sock);
       return 0;
     }
   uint16_t flags = 0;
@@ -302,9 +317,7 @@
   (void)now;
   hcl_t *c = data;
   c->timer = NULL;
-  int running = 0;
-  curl_multi_socket_action (c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-  _hcl_reap (c);
+  _hcl_act (c, CURL_SOCKET_TIMEOUT, 0);
 }
 
 static int
@@ -457,6 +470,7 @@
   if (call->total_ms > 0)
     r->total_timer = _hcl_timer_start (r, call->total_ms);
   g_hash_table_add (c->requests, r);
+  c->has_new_calls = true;
   curl_multi_add_handle (c->multi, r->easy);
 }
 
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -14,10 +14,11 @@
  * an event points to is valid only within the handler.
  *
  * A connection serves call after call.  So that a call does not get bytes that
- * are not its own, a connection is not used again when bytes arrive on it
- * while no call uses it, or with a response whose id_header shows that it is
+ * are not its own, a connection is not used again when bytes have arrived on
+ * it before a call starts, or with a response whose id_header shows that it is
  * another request's: the call's own response may still be to come then.  Such
- * a response is passed on all the same, for the handler to judge.
+ * a response is passed on all the same, for the handler to judge.  Bytes that
+ * arrive once the call has started can be told only by their id.
  */
 #ifndef RTS_HCL_H
 #define RTS_HCL_H
--- a/src/io/hcl_socket.c
+++ b/src/io/hcl_socket.c
@@ -1,26 +1,28 @@
 #include "io/hcl_socket.h"
 
 #include <glib.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
 
+/* A socket that is polled. */
 typedef struct
 {
   hcl_sockets_t *table;
   struct tevent_fd *fd;
   int sock;
-  bool idle;
-} _hcl_socket_t;
+} _hcl_polled_t;
 
 struct hcl_sockets
 {
   hcl_sockets_desc_t desc;
-  GHashTable *sockets; /**< descriptor -> _hcl_socket_t */
+  GHashTable *polled; /**< descriptor -> _hcl_polled_t */
+  GArray *idle;       /**< struct pollfd */
 };
 
 static void
-_hcl_socket_free (gpointer data)
+_hcl_polled_free (gpointer data)
 {
   talloc_free (data);
 }
@@ -28,7 +30,8 @@
 static int
 _hcl_sockets_destroy (hcl_sockets_t *s)
 {
-  g_hash_table_destroy (s->sockets);
+  g_hash_table_destroy (s->polled);
+  (void)g_array_free (s->idle, TRUE);
   return 0;
 }
 
@@ -37,8 +40,9 @@
 {
   hcl_sockets_t *s = talloc_zero (ctx, hcl_sockets_t);
   s->desc = *desc;
-  s->sockets = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
-                                      _hcl_socket_free);
+  s->polled = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
+                                     _hcl_polled_free);
+  s->idle = g_array_new (FALSE, FALSE, sizeof (struct pollfd));
   talloc_set_destructor (s, _hcl_sockets_destroy);
   return s;
 }
@@ -49,65 +53,96 @@
   talloc_free (s);
 }
 
+/* -- polled sockets ------------------------------------------------------- */
+
 static void
-_hcl_on_socket_ready (struct tevent_context *loop, struct tevent_fd *fd,
-                      uint16_t flags, void *data)
+_hcl_on_ready (struct tevent_context *loop, struct tevent_fd *fd,
+               uint16_t flags, void *data)
 {
   (void)loop;
-  _hcl_socket_t *socket = data;
-  const hcl_sockets_desc_t *desc = &socket->table->desc;
-  if (!socket->idle)
-    {
-      desc->ready (desc->data, socket->sock, flags);
-      return;
-    }
-  (void)shutdown (socket->sock, SHUT_RDWR);
-  tevent_fd_set_flags (fd, 0);
+  (void)fd;
+  const _hcl_polled_t *p = data;
+  const hcl_sockets_desc_t *desc = &p->table->desc;
+  desc->ready (desc->data, p->sock, flags);
 }
 
-static _hcl_socket_t *
-_hcl_socket_find (const hcl_sockets_t *s, int sock)
+static _hcl_polled_t *
+_hcl_polled_find (const hcl_sockets_t *s, int sock)
 {
-  return g_hash_table_lookup (s->sockets, GINT_TO_POINTER (sock));
+  return g_hash_table_lookup (s->polled, GINT_TO_POINTER (sock));
 }
 
-static _hcl_socket_t *
-_hcl_socket_add (hcl_sockets_t *s, int sock)
+static _hcl_polled_t *
+_hcl_polled_add (hcl_sockets_t *s, int sock)
 {
-  _hcl_socket_t *socket = talloc_zero (s, _hcl_socket_t);
-  socket->table = s;
-  socket->sock = sock;
-  socket->fd = tevent_add_fd (s->desc.loop, socket, sock, 0,
-                              _hcl_on_socket_ready, socket);
-  g_hash_table_insert (s->sockets, GINT_TO_POINTER (sock), socket);
-  return socket;
+  _hcl_polled_t *p = talloc_zero (s, _hcl_polled_t);
+  p->table = s;
+  p->sock = sock;
+  p->fd = tevent_add_fd (s->desc.loop, p, sock, 0, _hcl_on_ready, p);
+  g_hash_table_insert (s->polled, GINT_TO_POINTER (sock), p);
+  return p;
+}
+
+/* -- idle sockets --------------------------------------------------------- */
+
+static void
+_hcl_idle_remove (hcl_sockets_t *s, int sock)
+{
+  for (guint i = 0; i < s->idle->len; i++)
+    if (g_array_index (s->idle, struct pollfd, i).fd == sock)
+      {
+        (void)g_array_remove_index_fast (s->idle, i);
+        return;
+      }
 }
 
 void
-hcl_socket_poll (hcl_sockets_t *s, int sock, uint16_t flags)
+hcl_socket_idle (hcl_sockets_t *s, int sock)
 {
-  _hcl_socket_t *socket = _hcl_socket_find (s, sock);
-  if (socket == NULL)
-    socket = _hcl_socket_add (s, sock);
-  socket->idle = false;
-  tevent_fd_set_flags (socket->fd, flags);
+  const struct pollfd p = { .fd = sock, .events = POLLIN };
+  if (_hcl_polled_find (s, sock) != NULL)
+    return;
+  _hcl_idle_remove (s, sock);
+  (void)g_array_append_val (s->idle, p);
 }
 
 void
-hcl_socket_unpoll (hcl_sockets_t *s, int sock, bool idle)
+hcl_sockets_check (hcl_sockets_t *s)
 {
-  _hcl_socket_t *socket = _hcl_socket_find (s, sock);
-  if (socket == NULL)
+  struct pollfd *all = (struct pollfd *)(void *)s->idle->data;
+  if (poll (all, s->idle->len, 0) <= 0)
     return;
-  socket->idle = idle;
-  tevent_fd_set_flags (socket->fd, idle ? TEVENT_FD_READ : 0);
+  for (guint i = s->idle->len; i-- > 0;)
+    {
+      if (all[i].revents == 0)
+        continue;
+      (void)shutdown (all[i].fd, SHUT_RDWR);
+      (void)g_array_remove_index_fast (s->idle, i);
+    }
+}
+
+/* -- both ----------------------------------------------------------------- */
+
+void
+hcl_socket_poll (hcl_sockets_t *s, int sock, uint16_t flags)
+{
+  _hcl_polled_t *p = _hcl_polled_find (s, sock);
+  if (p == NULL)
+    p = _hcl_polled_add (s, sock);
+  _hcl_idle_remove (s, sock);
+  tevent_fd_set_flags (p->fd, flags);
+}
+
+void
+hcl_socket_unpoll (hcl_sockets_t *s, int sock)
+{
+  g_hash_table_remove (s->polled, GINT_TO_POINTER (sock));
 }
 
 int
 hcl_socket_close (hcl_sockets_t *s, int sock)
 {
-  /* Before the close, since the descriptor may be that of another socket right
-   * after it. */
-  g_hash_table_remove (s->sockets, GINT_TO_POINTER (sock));
+  hcl_socket_unpoll (s, sock);
+  _hcl_idle_remove (s, sock);
   return close (sock);
 }
