HTTP client: fields of a trailer are no part of the head

Cause: a chunked response without a body has its head passed on at its end, with the fields of its trailer, an id or a signature among them. A response could have proved its origin by what follows it. Change: header lines after the end of a head are left out until the next status line.

--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -40,7 +40,8 @@
   clk_ms_t stall_ms;
   http_header_t *headers; /**< of the response */
   size_t header_count;
-  bool head_received;
+  bool head_ended;    /**< further header lines are a trailer's */
+  bool head_received; /**< the head was emitted */
   bool paused;
 };
 
@@ -164,6 +165,7 @@
 static void
 _hcl_on_head_end (_hcl_request_t *r)
 {
+  r->head_ended = true;
   curl_easy_setopt (r->easy, CURLOPT_FORBID_REUSE,
                     _hcl_response_is_foreign (r) ? 1L : 0L);
 }
@@ -179,8 +181,11 @@
     {
       TALLOC_FREE (r->headers);
       r->header_count = 0;
+      r->head_ended = false;
       return n;
     }
+  if (r->head_ended)
+    return n;
   char *colon = memchr (p, ':', n);
   if (colon == NULL)
     {
