Tests: TST_NEED evaluates its condition once

Cause: it evaluated the condition twice, once for the assertion and once for the return. A condition that does something did it twice, and one that held the first time only had the test return early as passed.

--- a/tests/tst.h
+++ b/tests/tst.h
@@ -12,6 +12,7 @@
 #define RTS_TST_H
 
 #include <CUnit/CUnit.h>
+#include <stdbool.h>
 #include <stddef.h>
 
 /** One test case. */
@@ -21,14 +22,16 @@
   void (*run) (void); /**< uses CUnit assertions */
 } tst_case_t;
 
-/** Asserts CONDITION and returns from the test function if it does not hold.
- * CUnit's own fatal assertions use longjmp, which the static analyser cannot
- * follow. */
+/** Asserts CONDITION, which is evaluated once, and returns from the test
+ * function if it does not hold.  CUnit's own fatal assertions use longjmp,
+ * which the static analyser cannot follow. */
 #define TST_NEED(condition)                                                   \
   do                                                                          \
     {                                                                         \
-      CU_ASSERT (condition);                                                  \
-      if (!(condition))                                                       \
+      bool tst_holds_ = (condition);                                          \
+      CU_assertImplementation (tst_holds_, __LINE__, #condition, __FILE__,    \
+                               "", CU_FALSE);                                 \
+      if (!tst_holds_)                                                        \
         return;                                                               \
     }                                                                         \
   while (0)
