Jobs: an item's headers replace neither its id nor its customer

Cause: the headers of an item went to the upstream as the customer wrote them, before those that the VM sets, and the first header of a name counts. An item with X-Request-Id ran under that id; one with Tenant, Target-Instance or Request-Id brought two of them; one with Authorization or X-Api-Key showed a key to the upstream, and one with Content-Length framed its own request.

--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -4,6 +4,8 @@
  * and resumed later after the last event received.
  */
 #include "core/job_int.h"
+#include "core/key.h"
+#include "core/onl.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -140,20 +142,18 @@
   const job_item_t *progress = &job->items[index];
   char after[24] = "";
   buf_t body;
-  http_header_t *v = talloc_array (NULL, http_header_t, item->headers.n + 1);
+  void *tmp = talloc_new (NULL);
+  http_headers_t keyless = key_strip_headers (tmp, item->headers, NULL);
   (void)job_item_body (job, item, &body);
   g_snprintf (after, sizeof after, "%llu",
               (unsigned long long)progress->last_event);
-  for (size_t i = 0; i < item->headers.n; i++)
-    v[i] = item->headers.v[i];
-  v[item->headers.n] = (http_header_t){ UPC_ID_HEADER, item->id };
   uint64_t call
       = upc_call (env, MOD_JOB, run.id,
                   &(fx_upstream_t){
                       .address = pick->address,
                       .method = "POST",
                       .path = item->target,
-                      .headers = { .v = v, .n = item->headers.n + 1 },
+                      .headers = onl_request_headers (tmp, keyless, item->id),
                       .body = body,
                       .first_byte_ms = JOB_FIRST_BYTE_TIMEOUT_MS,
                       .stall_ms = JOB_STALL_TIMEOUT_MS,
@@ -164,7 +164,7 @@
                       .customer = job->rec->customer,
                       .resume_after = progress->last_event > 0 ? after : NULL,
                   });
-  talloc_free (v);
+  talloc_free (tmp);
   return call;
 }
 
--- a/src/core/onl.h
+++ b/src/core/onl.h
@@ -92,6 +92,11 @@
  * in progress and all outcomes are recorded. */
 bool onl_left (const onl_t *o, const env_t *env);
 
+/** Headers of a caller's request, or of a job's item, as the upstream gets
+ * them, with REQUEST_ID; owned by CTX. */
+http_headers_t onl_request_headers (void *ctx, http_headers_t headers,
+                                    const char *request_id);
+
 /** Number of requests in progress. */
 uint32_t onl_count (const onl_t *o);
 
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -208,10 +208,6 @@
 void onl_abort (onl_t *o, env_t *env, onl_request_t *r, const char *why);
 
 /* onl_head.c */
-/** Headers of a caller's request as the upstream gets them, owned by CTX. */
-http_headers_t onl_request_headers (void *ctx, http_headers_t headers,
-                                    const char *request_id);
-
 /** Headers of an upstream's response as the caller gets them, owned by
  * CTX. */
 http_headers_t onl_response_headers (void *ctx, http_headers_t headers,
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -484,10 +484,13 @@
 uint64_t
 hst_submit (hst_t *h, size_t vm, const char *id, size_t count)
 {
+  static const http_header_t headers[]
+      = { { "X-Request-Id", "other" }, { "Authorization", "Bearer secret" } };
   ev_job_item_t *items = talloc_zero_array (h, ev_job_item_t, count);
   for (size_t i = 0; i < count; i++)
     items[i] = (ev_job_item_t){ .id = talloc_asprintf (h, "%s-%zu", id, i),
                                 .target = "/rosters/x",
+                                .headers = { .v = headers, .n = 2 },
                                 .body = buf_str ("body"),
                                 .tokens = 10 };
   return hst_request (h, vm,
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -4,6 +4,8 @@
  */
 #include "hst_int.h"
 
+#include <CUnit/CUnit.h>
+
 #include <string.h>
 #include <talloc.h>
 
@@ -98,6 +100,8 @@
   head.upstream.not_run = fault->not_run;
   head.upstream.is_signed
       = head.upstream.status == 200 && !fault->no_signature;
+  for (size_t i = 0; i < u->headers.n; i++)
+    CU_ASSERT_PTR_NULL (strstr (u->headers.v[i].value, "secret"));
   hst_event_t *sent = hst_event_push (h, vm, HST_HEAD_MS, &head);
   sent->ev.upstream.headers
       = _hst_response_headers (sent, fault, head.upstream.status,
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -436,6 +436,19 @@
   hst_shutdown (h);
 }
 
+/* Guards against an item that runs under another id, or that brings a key to
+ * an upstream, because its own headers say so (hst_submit adds both). */
+static void
+test_item_headers_do_not_replace_its_id (void)
+{
+  hst_t *h = _fleet (&(hst_desc_t){ 0 });
+  (void)hst_submit (h, 0, "j-1", 1);
+  hst_advance (h, 3000);
+  CU_ASSERT_EQUAL (hst_run_count (h, "j-1-0"), 1);
+  CU_ASSERT_EQUAL (hst_run_count (h, "other"), 0);
+  hst_shutdown (h);
+}
+
 static void
 test_item_resumes_after_its_last_event (void)
 {
@@ -641,6 +654,8 @@
       test_job_completes_and_is_read_at_any_vm },
     { "job_survives_its_worker", test_job_survives_its_worker },
     { "job_survives_all_vms", test_job_survives_all_vms },
+    { "item_headers_do_not_replace_its_id",
+      test_item_headers_do_not_replace_its_id },
     { "item_resumes_after_its_last_event",
       test_item_resumes_after_its_last_event },
     { "failing_item_is_dead_lettered", test_failing_item_is_dead_lettered },
--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -374,6 +374,12 @@
   CU_ASSERT_EQUAL (j.items[0].body.n, 3);
   CU_ASSERT_EQUAL (j.items[0].tokens, 940);
   CU_ASSERT_STRING_EQUAL (http_header_find (j.items[0].headers, "Model"), "m");
+  j = _job (ctx, "POST", "/q/1", "",
+            "{\"items\":[{\"id\":\"e\",\"path\":\"/q/2\",\"headers\":"
+            "{\"Tenant\":\"other\",\"request-id\":\"r\",\"Model\":\"m\","
+            "\"Target-Instance\":\"i\"},\"body\":\"\",\"tokens\":1}]}");
+  TST_NEED (j.items != NULL && j.item_count == 1);
+  CU_ASSERT_EQUAL (j.items[0].headers.n, 1);
   j = _job (ctx, "POST", "/q/1", "", "{\"items\":[{\"id\":5}]}");
   CU_ASSERT (j.op == EV_JOB_SUBMIT && j.items == NULL);
   j = _job (ctx, "POST", "/q/1", "", "{\"items\":[{\"id\"");
