Platform: ids are trimmed, an empty signature is none

Cause: an id was passed on with the white space around it, and compared with the upstream's, which has none: a caller whose id ends with a blank got 502 for each request. A response with an empty Response-Signature counted as signed.

--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -293,6 +293,33 @@
   talloc_free (ctx);
 }
 
+/* Guards against an own response that counts as foreign: white space around an
+ * id is no part of it, and upstreams repeat the id without. */
+static void
+test_request_id_is_trimmed (void)
+{
+  static const http_header_t sent[] = { { "Request-Id", " r-1 \t" } };
+  void *ctx = talloc_new (NULL);
+  ev_request_t r = {
+    .method = "POST", .path = "/p/x", .query = "", .headers = { sent, 1 }
+  };
+  pfm_request_decode (ctx, &r);
+  CU_ASSERT_STRING_EQUAL (r.meta.id, "r-1");
+  talloc_free (ctx);
+}
+
+/* Guards against an empty signature as a signature. */
+static void
+test_empty_signature_is_none (void)
+{
+  static const http_header_t signature[] = { { "Response-Signature", "" } };
+  void *ctx = talloc_new (NULL);
+  ev_upstream_t u = { .status = 200, .headers = { signature, 1 } };
+  pfm_response_decode (ctx, &u);
+  CU_ASSERT (!u.is_signed);
+  talloc_free (ctx);
+}
+
 static void
 test_upstream_headers (void)
 {
@@ -418,6 +445,8 @@
     { "response_about_other_object", test_response_about_other_object },
     { "lists", test_lists },
     { "request_headers", test_request_headers },
+    { "request_id_is_trimmed", test_request_id_is_trimmed },
+    { "empty_signature_is_none", test_empty_signature_is_none },
     { "upstream_headers", test_upstream_headers },
     { "not_run_responses", test_not_run_responses },
     { "job_calls", test_job_calls },
