--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -159,6 +159,7 @@
                       .stall_ms = JOB_STALL_TIMEOUT_MS,
                       .fresh_connection = progress->failures > 0,
                       .upstream = pick->fixed_identity ? pick->upstream : NULL,
+                      /* Upstreams of the platform do both. */
                       .proves_origin = pick->fixed_identity,
                       .host = job->rec->host,
                       .customer = job->rec->customer,
--- a/src/core/lim_share.c
+++ b/src/core/lim_share.c
@@ -11,8 +11,9 @@
 #define LSH_MINTERS_DEFAULT 2
 #define LSH_SUSPECT_MS_DEFAULT (3 * CLK_SECOND)
 
-/* Bits that count the requests of one process; the incarnation is above, so
- * that no process of the VM takes a reply to another for its own. */
+/* Bits that count the requests of one process.  The low bits of its
+ * incarnation, a time in us, are above, so that no process of the VM takes a
+ * reply to another for its own. */
 #define LSH_NUMBER_BITS 20
 
 lsh_t *
--- a/src/core/node_relay.c
+++ b/src/core/node_relay.c
@@ -34,7 +34,8 @@
 /** Largest number of concurrent calls for peers. */
 #define NODE_RELAYS_MAX 256
 
-/** Bits that count the calls of one process; the incarnation is above. */
+/** Bits that count the calls of one process; the low bits of its incarnation,
+ * a time in us, are above. */
 #define NODE_RELAY_COUNT_BITS 20
 
 /* A call of this VM that a peer makes. */
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -102,6 +102,7 @@
           .stall_ms = ONL_STALL_MS,
           .fresh_connection = r->attempts > 1 || !r->idempotent,
           .upstream = r->pick.fixed_identity ? r->pick.upstream : NULL,
+          /* Upstreams of the platform do both. */
           .proves_origin = r->pick.fixed_identity,
           .host = r->host,
           .customer = r->customer,
