--- a/tests/test_hcl_reuse.c
+++ b/tests/test_hcl_reuse.c
@@ -315,8 +315,32 @@
   "\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n" text \
   "\r\n"
 
-/* The same, where the whole rest of the first response had come while it was
- * paused. */
+/* Guards against a response that is cut off because its caller reads slowly:
+ * the connection of a paused call is in use, though nothing polls it. */
+static void
+test_paused_response_is_whole (void)
+{
+  fixture_t *f = fixture_open ();
+  call_await (f, "GET", "r-1", (buf_t){ 0 });
+  answer (f, 0, CHUNKED ("r-1", "one"));
+  (void)await (f, has_data);
+  hcl_pause (f->client, HCL_UPSTREAM, f->id, true);
+  answer (f, 0, "3\r\ntwo\r\n");
+  turns (f, TURNS_SOME);
+  answer (f, 0, "3\r\nend\r\n");
+  turns (f, TURNS_SOME);
+  answer (f, 0, "0\r\n\r\n");
+  turns (f, TURNS_SOME);
+  CU_ASSERT_STRING_EQUAL (f->body->str, "one");
+  CU_ASSERT (!f->ended && !f->failed);
+  hcl_pause (f->client, HCL_UPSTREAM, f->id, false);
+  CU_ASSERT (await_end (f));
+  CU_ASSERT_STRING_EQUAL (f->body->str, "onetwoend");
+  fixture_close (f);
+}
+
+/* Guards against late bytes as the next call's response, where the whole rest
+ * of the first response had come while it was paused. */
 static void
 test_bytes_after_a_response_resumed_at_its_end (void)
 {
@@ -594,6 +618,7 @@
     { "bytes_noticed_before_the_call", test_bytes_noticed_before_the_call },
     { "bytes_unnoticed_before_the_call",
       test_bytes_unnoticed_before_the_call },
+    { "paused_response_is_whole", test_paused_response_is_whole },
     { "bytes_after_a_response_resumed_at_its_end",
       test_bytes_after_a_response_resumed_at_its_end },
     { "bytes_after_a_response_that_ends_paused",
