Numbers asked of peers begin in one place, a dropped outcome is logged

Cause: two modules shifted the incarnation by a constant of their own, and an outcome that was not asked for left only a counter. Change: env_number_base; platform outcome-dropped names the peer and the number.

--- a/src/core/env.c
+++ b/src/core/env.c
@@ -40,3 +40,13 @@
 {
   return (clk_ms_t)(g_rand_double_range (env->rand, 0.75, 1.25) * (double)d);
 }
+
+/* Bits that count within one process; the low bits of its incarnation, a time
+ * in us, are above. */
+#define ENV_NUMBER_BITS 20
+
+uint64_t
+env_number_base (const env_t *env)
+{
+  return env->incarnation << ENV_NUMBER_BITS;
+}
--- a/src/core/env.h
+++ b/src/core/env.h
@@ -59,4 +59,8 @@
  * act at the same time. */
 clk_ms_t env_jitter (env_t *env, clk_ms_t d);
 
+/** The number above which this process counts what it asks of peers, so that
+ * no process of the VM takes a reply to another for its own. */
+uint64_t env_number_base (const env_t *env);
+
 #endif
--- a/src/core/lim_share.c
+++ b/src/core/lim_share.c
@@ -11,11 +11,6 @@
 #define LSH_MINTERS_DEFAULT 2
 #define LSH_SUSPECT_MS_DEFAULT (3 * CLK_SECOND)
 
-/* Bits that count the requests of one process.  The low bits of its
- * incarnation, a time in us, are above, so that no process of the VM takes a
- * reply to another for its own. */
-#define LSH_NUMBER_BITS 20
-
 lsh_t *
 lsh_setup (void *ctx, const lsh_desc_t *desc)
 {
@@ -64,7 +59,7 @@
 lsh_start (lsh_t *s, env_t *env)
 {
   s->started_at = env->now;
-  s->request_number = env->incarnation << LSH_NUMBER_BITS;
+  s->request_number = env_number_base (env);
   s->promise_round = s->request_number;
   s->object = talloc_asprintf (s, LSH_OBJECT_PREFIX "%s", env->data_centre);
   lsh_reads_start (s, env);
--- a/src/core/node_relay.c
+++ b/src/core/node_relay.c
@@ -34,10 +34,6 @@
 /** Largest number of concurrent calls for peers. */
 #define NODE_RELAYS_MAX 256
 
-/** Bits that count the calls of one process; the low bits of its incarnation,
- * a time in us, are above. */
-#define NODE_RELAY_COUNT_BITS 20
-
 /* A call of this VM that a peer makes. */
 typedef struct
 {
@@ -86,7 +82,7 @@
     {
       n->asked = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         _node_asked_free);
-      n->asked_last = n->env->incarnation << NODE_RELAY_COUNT_BITS;
+      n->asked_last = env_number_base (n->env);
     }
   _node_asked_t *a = talloc_zero (n, _node_asked_t);
   a->number = ++n->asked_last;
@@ -178,6 +174,9 @@
   if (!_node_asked_take (n, vm, number, &reply.call))
     {
       cnt_add (n->env->cnt, "rts_platform_unasked_total", "", 1);
+      tln_record (n->env->tln, n->env->now, MOD_PLATFORM, "outcome-dropped",
+                  "from=%s number=%llu why=not-asked", vm,
+                  (unsigned long long)number);
       return;
     }
   reply.code = (st_code_t)code;
