Logs: why a run ended, what a retry knows, idle connections that are dropped

Cause: run-ended gave its reason as a number that did not tell a preemption from a job that moved; a retry did not say whether the request may have run; an idle connection that is closed for its bytes left no line. No decision changes.

--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -48,15 +48,16 @@
 }
 
 /* Ends RUN without a complete response and cancels its call.  FAIL is the
- * reason that the router gets. */
+ * reason that the router gets, WHY the one for the log. */
 static void
-_job_run_end (job_set_t *j, env_t *env, job_run_t *run, rte_fail_t fail)
+_job_run_end (job_set_t *j, env_t *env, job_run_t *run, rte_fail_t fail,
+              const char *why)
 {
   const job_t *job = tbl_get (j->jobs, run->job);
   tln_record (env->tln, env->now, MOD_JOB, "run-ended",
-              "job=%s item=%u upstream=%s event=%llu why=%d", job->rec->id,
+              "job=%s item=%u upstream=%s event=%llu why=%s", job->rec->id,
               run->item, run->upstream,
-              (unsigned long long)job->items[run->item].last_event, fail);
+              (unsigned long long)job->items[run->item].last_event, why);
   upc_cancel (env, run->call);
   rte_failed (j->desc.routes, env, run->in_flight, fail);
   _job_run_free (j, run);
@@ -67,7 +68,7 @@
 {
   job_run_t *run = tbl_get (j->runs, item->run);
   if (run != NULL)
-    _job_run_end (j, env, run, RTE_FAIL_CANCELLED);
+    _job_run_end (j, env, run, RTE_FAIL_CANCELLED, "stopped");
 }
 
 void
@@ -297,7 +298,7 @@
   const job_t *job = tbl_get (j->jobs, last->job);
   job->items[last->item].not_before = env->now + JOB_PREEMPTED_RETRY_MS;
   cnt_add (env->cnt, "rts_job_yields_total", "", 1);
-  _job_run_end (j, env, last, RTE_FAIL_CANCELLED);
+  _job_run_end (j, env, last, RTE_FAIL_CANCELLED, "preempted");
 }
 
 /* Preempts the runs at UPSTREAM that are too many by the load in OCCUPANCY. */
@@ -362,7 +363,7 @@
   while (sse_pop (&run->events, &event))
     if (!_job_event_append (&job->items[run->item], &event))
       {
-        _job_run_end (j, env, run, RTE_FAIL_TRUNCATED);
+        _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
         return;
       }
 }
@@ -377,7 +378,7 @@
                   "job=%s item=%s upstream=%s status=%d", job->rec->id,
                   job->rec->items[run->item].id, run->upstream, up->status);
       job->items[run->item].not_before = env->now + JOB_ITEM_RETRY_MS;
-      _job_run_end (j, env, run, RTE_FAIL_CANCELLED);
+      _job_run_end (j, env, run, RTE_FAIL_CANCELLED, "not-run");
       return;
     }
   rte_first_byte (j->desc.routes, env, run->in_flight);
@@ -414,7 +415,7 @@
   if (status == 200
       && (sse_pending (&run->events) || job->items[index].text == NULL))
     {
-      _job_run_end (j, env, run, RTE_FAIL_TRUNCATED);
+      _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "incomplete");
       return;
     }
   rte_finished (j->desc.routes, env, run->in_flight);
@@ -430,6 +431,16 @@
   job_outcome_set (j, env, job, index, true);
 }
 
+/* Ends RUN, whose call has failed with FAIL. */
+static void
+_job_run_broken (job_set_t *j, env_t *env, job_run_t *run, ev_fail_t fail)
+{
+  if (fail == EV_FAIL_TIMEOUT)
+    _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "timeout");
+  else
+    _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "broken");
+}
+
 void
 job_upstream_event (job_set_t *j, env_t *env, uint64_t tag, const ev_t *ev)
 {
@@ -448,9 +459,7 @@
       _job_run_completed (j, env, run);
       break;
     case EV_UPSTREAM_FAIL:
-      _job_run_end (j, env, run,
-                    ev->upstream.fail == EV_FAIL_TIMEOUT ? RTE_FAIL_TIMEOUT
-                                                         : RTE_FAIL_TRUNCATED);
+      _job_run_broken (j, env, run, ev->upstream.fail);
       break;
     default:
       break;
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -224,8 +224,9 @@
       return false;
     }
   cnt_add (env->cnt, "rts_online_retries_total", "", 1);
-  tln_record (env->tln, env->now, MOD_ONLINE, "retry", "request=%s after=%s",
-              r->request_id, r->tried[r->attempts - 1]);
+  tln_record (env->tln, env->now, MOD_ONLINE, "retry",
+              "request=%s after=%s run=%s", r->request_id,
+              r->tried[r->attempts - 1], may_have_run ? "unknown" : "not-run");
   onl_fire (o, env, r, ONL_EV_RETRY);
   return true;
 }
--- a/src/io/hcl_socket.c
+++ b/src/io/hcl_socket.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -106,6 +107,16 @@
   (void)g_array_append_val (s->idle, p);
 }
 
+/* Shuts SOCK down, so that libcurl does not reuse its connection. */
+static void
+_hcl_idle_shutdown (int sock)
+{
+  int bytes = 0;
+  if (ioctl (sock, FIONREAD, &bytes) == 0 && bytes > 0)
+    g_info ("http connection-dropped: why=bytes-while-idle bytes=%d", bytes);
+  (void)shutdown (sock, SHUT_RDWR);
+}
+
 void
 hcl_sockets_check (hcl_sockets_t *s)
 {
@@ -116,7 +127,7 @@
     {
       if (all[i].revents == 0)
         continue;
-      (void)shutdown (all[i].fd, SHUT_RDWR);
+      _hcl_idle_shutdown (all[i].fd);
       (void)g_array_remove_index_fast (s->idle, i);
     }
 }
