Logs: what upstreams say of leaving, what is sent to them after it, how old the list is

Nothing says that a response had the header Server-Leaving, which request went to that upstream afterwards, how long the platform's list had been silent when it named the change, or that a report withdrew what another had said. Change: route said-leaving (upstream, its start, time since the request, what the list says of it), route sent-to-leaving (time since the word), route reported-leaving and reported-staying (who said so), directory upstream-ready, -leaving and -gone with the start and the age of the list; counters rts_route_leaving_answers_total and rts_route_sent_to_leaving_total. The header and the entries' field born are decoded; no decision uses them yet.

--- a/src/core/cfg.h
+++ b/src/core/cfg.h
@@ -88,6 +88,9 @@
   bool leaving;        /**< gets no new requests */
   bool fixed_identity; /**< the name identifies the upstream: another upstream
                             at this address refuses its requests */
+  uint64_t born;       /**< Unix time in ms of the upstream's start: tells the
+                            upstreams apart that had this name one after the
+                            other; 0: not known */
 } cfg_upstream_t;
 
 /** Share of a route's requests that a deployment gets. */
--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -64,6 +64,7 @@
   if (d->desc.interval_ms == 0)
     d->desc.interval_ms = DIR_READ_INTERVAL_MS_DEFAULT;
   d->failed_at = CLK_NEVER;
+  d->listed_at = CLK_NEVER;
   d->entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _dir_entry_free);
   talloc_set_destructor (d, _dir_destroy);
@@ -159,6 +160,13 @@
 
 /* -- the list of upstreams ------------------------------------------------ */
 
+/* Time since the list, or a change of it, was last received; -1: never. */
+static clk_ms_t
+_dir_list_age (const dir_t *d, const env_t *env)
+{
+  return d->listed_at == CLK_NEVER ? -1 : env->now - d->listed_at;
+}
+
 /* The instant until which an entry stays in use that has disappeared from the
  * list now. */
 static clk_ms_t
@@ -181,7 +189,9 @@
       return;
     }
   tln_record (env->tln, env->now, MOD_DIRECTORY, "upstream-gone",
-              "upstream=%s", e->upstream.name);
+              "upstream=%s born=%llu list_age_ms=%lld", e->upstream.name,
+              (unsigned long long)e->upstream.born,
+              (long long)_dir_list_age (d, env));
   g_hash_table_remove (d->entries, e->upstream.name);
   d->dirty = true;
 }
@@ -220,10 +230,13 @@
                           .data_centre = talloc_strdup (e, entry->data_centre),
                           .address = talloc_strdup (e, entry->address),
                           .leaving = entry->leaving,
-                          .fixed_identity = true };
+                          .fixed_identity = true,
+                          .born = entry->born };
   tln_record (env->tln, env->now, MOD_DIRECTORY,
               entry->leaving ? "upstream-leaving" : "upstream-ready",
-              "upstream=%s address=%s", entry->name, entry->address);
+              "upstream=%s address=%s born=%llu list_age_ms=%lld", entry->name,
+              entry->address, (unsigned long long)entry->born,
+              (long long)_dir_list_age (d, env));
   g_hash_table_replace (d->entries, (gpointer)(uintptr_t)e->upstream.name, e);
   d->dirty = true;
 }
@@ -276,6 +289,7 @@
     }
   for (size_t i = 0; i < reply->entry_count; i++)
     _dir_entry_update (d, env, &reply->entries[i]);
+  d->listed_at = env->now;
   TALLOC_FREE (d->after);
   if (full_list && reply->continue_after != NULL)
     {
--- a/src/core/dir_int.h
+++ b/src/core/dir_int.h
@@ -40,8 +40,9 @@
   uint64_t stale_count;     /**< plt_stale_count at the start of the epoch */
   GHashTable *entries;      /**< upstream name to _dir_entry_t */
   clk_ms_t failed_at;       /**< last failure of a call; CLK_NEVER: none */
-  bool dirty;               /**< operator_doc or entries are newer than doc */
-  cfg_doc_t *doc; /**< operator_doc with data centres and upstreams */
+  clk_ms_t listed_at; /**< last response with upstreams; CLK_NEVER: none */
+  bool dirty;         /**< operator_doc or entries are newer than doc */
+  cfg_doc_t *doc;     /**< operator_doc with data centres and upstreams */
 };
 
 /* dir_peer.c */
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -115,6 +115,8 @@
                             has not run the request and never will */
   bool is_signed;      /**< EV_UPSTREAM_HEAD: the response has the upstream's
                             signature */
+  bool leaving;        /**< EV_UPSTREAM_HEAD: the upstream says in it that it
+                            is leaving */
   uint16_t local_port; /**< EV_UPSTREAM_HEAD: of the connection that the
                             response came on; 0: unknown */
   buf_t data;          /**< EV_UPSTREAM_DATA */
@@ -151,6 +153,8 @@
   bool leaving;        /**< gets no new requests */
   bool deleted;        /**< WATCH: the entry was deleted */
   clk_ms_t cold_ms;    /**< remaining warm-up time; slow until then */
+  uint64_t born;       /**< Unix time in ms of the upstream's start; 0: not
+                            known */
 } ev_upstream_entry_t;
 
 /** The operator's complete configuration document. */
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -390,6 +390,8 @@
   switch (ev->kind)
     {
     case EV_UPSTREAM_HEAD:
+      if (ev->upstream.leaving)
+        rte_said_leaving (o->desc.routes, env, r->pick.handle);
       _onl_head (o, env, r, &ev->upstream);
       break;
     case EV_UPSTREAM_DATA:
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -134,6 +134,7 @@
   u->address = talloc_strdup (u->strings, c->address);
   u->deployment = talloc_strdup (u->strings, c->deployment);
   u->data_centre = talloc_strdup (u->strings, c->data_centre);
+  u->born = c->born;
   u->hash = XXH64 (u->name, strlen (u->name), 0);
   u->slowness = 1;
   g_queue_init (&u->unanswered);
@@ -274,8 +275,15 @@
 {
   rte_upstream_t *u = NULL;
   rte_inflight_t *f = _rte_inflight_get (r, handle, &u);
-  if (f != NULL)
-    f->sent_at = env->now;
+  if (f == NULL)
+    return;
+  f->sent_at = env->now;
+  if (u->said_leaving == 0)
+    return;
+  cnt_add (env->cnt, "rts_route_sent_to_leaving_total", "", 1);
+  tln_record (env->tln, env->now, MOD_ROUTE, "sent-to-leaving",
+              "upstream=%s since_ms=%lld", u->name,
+              (long long)(env->now - u->said_leaving));
 }
 
 static void
@@ -322,6 +330,21 @@
   cnt_observe (env->cnt, "rts_route_first_byte_ms", "", took);
 }
 
+void
+rte_said_leaving (rte_t *r, env_t *env, uint64_t handle)
+{
+  rte_upstream_t *u = NULL;
+  const rte_inflight_t *f = _rte_inflight_get (r, handle, &u);
+  cnt_add (env->cnt, "rts_route_leaving_answers_total", "", 1);
+  if (f == NULL || u->said_leaving != 0)
+    return;
+  u->said_leaving = env->now;
+  tln_record (env->tln, env->now, MOD_ROUTE, "said-leaving",
+              "upstream=%s born=%llu after_ms=%lld listed=%s", u->name,
+              (unsigned long long)u->born, (long long)(env->now - f->sent_at),
+              !u->configured ? "no" : (u->leaving ? "leaving" : "ready"));
+}
+
 void
 rte_finished (rte_t *r, env_t *env, uint64_t handle)
 {
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -144,13 +144,16 @@
                rte_pick_t *pick);
 
 /** The request has left this VM: the time to first byte counts from this call,
- * not from the pick.  This and the next three functions ignore an invalid
+ * not from the pick.  This and the next four functions ignore an invalid
  * handle. */
 void rte_started (rte_t *r, env_t *env, uint64_t handle);
 
 /** The first byte of the response has arrived. */
 void rte_first_byte (rte_t *r, env_t *env, uint64_t handle);
 
+/** The head of the response says that the upstream is leaving. */
+void rte_said_leaving (rte_t *r, env_t *env, uint64_t handle);
+
 /** The response is complete; HANDLE becomes invalid. */
 void rte_finished (rte_t *r, env_t *env, uint64_t handle);
 
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -284,9 +284,11 @@
   return good;
 }
 
-/** Reads one upstream's entry of a report; APPLY: applies the entry too. */
+/** Reads one upstream's entry of a report of VM; APPLY: applies the entry
+ * too. */
 static void
-_rte_report_read (rte_t *r, env_t *env, mpk_reader_t *in, bool apply)
+_rte_report_read (rte_t *r, env_t *env, const char *vm, mpk_reader_t *in,
+                  bool apply)
 {
   buf_t name = mpk_get_str (in);
   uint64_t vm_count = mpk_get_uint (in);
@@ -316,7 +318,7 @@
   u->others_batch = (uint32_t)batch;
   u->update_count++;
   u->others_at = env->now;
-  u->state = (uint32_t)state;
+  rte_state_set (env, u, (uint32_t)state, vm);
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
   u->hidden = (uint32_t)hidden;
@@ -330,17 +332,18 @@
 }
 
 static bool
-_rte_report_received (rte_t *r, env_t *env, const msg_t *msg, void *ctx)
+_rte_report_received (rte_t *r, env_t *env, const char *vm, const msg_t *msg,
+                      void *ctx)
 {
   /* The first pass checks the complete body, the second applies it. */
   mpk_reader_t in = mpk_reader (ctx, msg->body);
   while (mpk_more (&in))
-    _rte_report_read (r, env, &in, false);
+    _rte_report_read (r, env, vm, &in, false);
   if (!mpk_end (&in))
     return false;
   in = mpk_reader (ctx, msg->body);
   while (mpk_more (&in))
-    _rte_report_read (r, env, &in, true);
+    _rte_report_read (r, env, vm, &in, true);
   return true;
 }
 
@@ -353,7 +356,7 @@
   if (msg->kind == MSG_ROUTE_USAGE)
     good = _rte_usage_received (r, env, vm, &in);
   else if (msg->kind == MSG_ROUTE_REPORT)
-    good = _rte_report_received (r, env, msg, ctx);
+    good = _rte_report_received (r, env, vm, msg, ctx);
   else if (msg->kind == MSG_ROUTE_SLOTS_TAKEN
            || msg->kind == MSG_ROUTE_PREEMPT)
     good = rte_preempt_received (r, env, vm, msg, ctx);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -110,6 +110,9 @@
   bool in_subset;        /**< in the subset that this VM uses */
   bool fixed_identity;   /**< as in cfg_upstream_t */
   bool changed;          /**< in the router's queue of changed loads */
+  clk_ms_t said_leaving; /**< when a response first said that the upstream is
+                              leaving; 0: none has */
+  uint64_t born;         /**< as in cfg_upstream_t */
 
   clk_ms_t others_at;     /**< when `others` was last updated */
   uint64_t update_count;  /**< number of updates of `others` */
@@ -267,6 +270,11 @@
 
 /* rte_poll.c */
 
+/** Sets the state of U to STATE, which SOURCE gives: "report" for the
+ * upstream's own load report, else the name of the poller. */
+void rte_state_set (env_t *env, rte_upstream_t *u, uint32_t state,
+                    const char *source);
+
 void rte_poll_tick (rte_t *r, env_t *env);
 /** Stops polling U: cancels the calls and frees u->poll. */
 void rte_poll_stop (env_t *env, rte_upstream_t *u);
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -173,9 +173,22 @@
   u->excess = excess;
 }
 
+void
+rte_state_set (env_t *env, rte_upstream_t *u, uint32_t state,
+               const char *source)
+{
+  bool before = (u->state & RTE_BIT_LEAVING) != 0;
+  bool after = (state & RTE_BIT_LEAVING) != 0;
+  u->state = state;
+  if (before != after)
+    tln_record (env->tln, env->now, MOD_ROUTE,
+                after ? "reported-leaving" : "reported-staying",
+                "upstream=%s source=%s", u->name, source);
+}
+
 /** Parses and applies a load report; false: malformed. */
 static bool
-_rte_load_apply (rte_upstream_t *u, const char *body)
+_rte_load_apply (env_t *env, rte_upstream_t *u, const char *body)
 {
   json_t *o = json_loads (body, 0, NULL);
   json_int_t running = -1;
@@ -190,7 +203,8 @@
   if (bad != 0 || running < 0 || waiting < 0 || slots < 0 || seq < 0
       || running > UINT16_MAX || waiting > UINT16_MAX || slots > UINT16_MAX)
     return false;
-  u->state = RTE_BIT_REPORTED | (leaving ? RTE_BIT_LEAVING : 0);
+  rte_state_set (env, u, RTE_BIT_REPORTED | (leaving ? RTE_BIT_LEAVING : 0),
+                 "report");
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
   if (slots > 0)
@@ -249,7 +263,7 @@
   const char *text = *body != NULL ? *body : "";
   if (ok)
     ok = cache ? _rte_cache_apply (r, env, u, text)
-               : _rte_load_apply (u, text);
+               : _rte_load_apply (env, u, text);
   if (ok && !cache)
     {
       _rte_hidden_update (u, env);
