--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -127,6 +127,9 @@
   CU_ASSERT (_entry (ctx, ENTRY ("17", "ready")).deleted);
   CU_ASSERT (_entry (ctx, "\"text\"").deleted);
   CU_ASSERT (_entry (ctx, "null").deleted);
+  CU_ASSERT_EQUAL (e.born, 0);
+  e = _entry (ctx, ENTRY ("\"10.0.0.1:80\",\"born\":1800000000123", "ready"));
+  CU_ASSERT_EQUAL (e.born, 1800000000123);
   talloc_free (ctx);
 }
 
@@ -431,6 +434,34 @@
   talloc_free (ctx);
 }
 
+/* Guards against a word of leaving that is missed, read where there is none,
+ * or taken for the word of the upstream that was meant. */
+static void
+test_leaving_responses (void)
+{
+  static const struct
+  {
+    int status;
+    const char *value;
+    bool leaving;
+  } cases[] = {
+    { 200, "1", true },   { 500, "1", true },  { 503, "1", true },
+    { 421, "1", false },  { 200, "0", false }, { 200, "", false },
+    { 200, NULL, false },
+  };
+  void *ctx = talloc_new (NULL);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      http_header_t header = { "server-leaving", cases[i].value };
+      ev_upstream_t u = { .status = cases[i].status };
+      u.headers
+          = (http_headers_t){ .v = &header, .n = cases[i].value != NULL };
+      pfm_response_decode (ctx, &u);
+      CU_ASSERT_EQUAL (u.leaving, cases[i].leaving);
+    }
+  talloc_free (ctx);
+}
+
 int
 main (void)
 {
@@ -449,6 +480,7 @@
     { "empty_signature_is_none", test_empty_signature_is_none },
     { "upstream_headers", test_upstream_headers },
     { "not_run_responses", test_not_run_responses },
+    { "leaving_responses", test_leaving_responses },
     { "job_calls", test_job_calls },
     { "results", test_results },
   };
