Tests: the driver's bed plays lists that change, new starts and worker VMs

Why: what an upstream says of its leaving cannot be tested over sockets on a bed whose platform never changes, whose upstreams say one thing only and of which there are two. Each caller's prompt is new: with one prompt for all, the first upstream that held it got the requests after it, wherever it was.

--- a/tests/drvbed.c
+++ b/tests/drvbed.c
@@ -6,8 +6,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#define DRVBED_DEADLINE_MS "3000"
-
 /* -- waiting -------------------------------------------------------------- */
 
 static void
@@ -37,91 +35,17 @@
   return done (data);
 }
 
-/* -- callers -------------------------------------------------------------- */
-
-static void
-_drvbed_answer_head (drvbed_answer_t *a, const hcl_event_t *e)
-{
-  const char *id = http_header_find (e->headers, "Request-Id");
-  const char *signature = http_header_find (e->headers, "Response-Signature");
-  a->status = e->status;
-  a->response_id = id == NULL ? NULL : talloc_strdup (a, id);
-  a->signature = signature == NULL ? NULL : talloc_strdup (a, signature);
-}
-
-static void
-_drvbed_on_answer (void *data, const hcl_event_t *e)
-{
-  drvbed_t *b = data;
-  drvbed_answer_t *a = g_ptr_array_index (b->answers, e->id);
-  if (e->kind == EV_UPSTREAM_HEAD)
-    _drvbed_answer_head (a, e);
-  else if (e->kind == EV_UPSTREAM_DATA)
-    g_string_append_len (a->body, e->data.p, (gssize)e->data.n);
-  else
-    a->ended = true;
-  a->failed = e->kind == EV_UPSTREAM_FAIL;
-}
-
-static int
-_drvbed_answer_destroy (drvbed_answer_t *a)
-{
-  (void)g_string_free (a->body, TRUE);
-  return 0;
-}
-
-drvbed_answer_t *
-drvbed_ask (drvbed_t *b, const char *id)
-{
-  http_header_t headers[] = {
-    { "Host", "desk.example" },
-    { "Request-Id", id },
-    { "Deadline-Ms", DRVBED_DEADLINE_MS },
-    { "Authorization", "Bearer " DRVBED_KEY },
-    { "Content-Type", "application/json" },
-  };
-  drvbed_answer_t *a = talloc_zero (b, drvbed_answer_t);
-  a->id = talloc_strdup (a, id);
-  a->body = g_string_new (NULL);
-  talloc_set_destructor (a, _drvbed_answer_destroy);
-  hcl_call (b->callers,
-            &(hcl_call_t){ .owner = HCL_PLATFORM,
-                           .id = b->answers->len,
-                           .address = b->listen,
-                           .method = "POST",
-                           .path = "/fit/stream",
-                           .headers
-                           = { headers, sizeof headers / sizeof headers[0] },
-                           .body = buf_str ("{\"prompt\":\"p\"}"),
-                           .total_ms = DRVBED_WAIT_MS,
-                           .fresh_connection = true });
-  g_ptr_array_add (b->answers, a);
-  return a;
-}
-
 static bool
-_drvbed_is_answered (const void *data)
+_drvbed_is_never_done (const void *data)
 {
-  const drvbed_answer_t *a = data;
-  return a->ended;
+  (void)data;
+  return false;
 }
 
-bool
-drvbed_await_answer (drvbed_t *b, const drvbed_answer_t *a)
-{
-  return drvbed_wait (b, DRVBED_WAIT_MS + CLK_SECOND, _drvbed_is_answered, a);
-}
-
-bool
-drvbed_is_own (const drvbed_answer_t *a)
+void
+drvbed_pass (drvbed_t *b, clk_ms_t ms)
 {
-  char *body = drvbed_body (NULL, a->id);
-  bool own = a->ended && !a->failed && a->status == 200
-             && g_strcmp0 (a->response_id, a->id) == 0
-             && g_strcmp0 (a->signature, drvbed_signature (body, a->id)) == 0
-             && strcmp (a->body->str, body) == 0;
-  talloc_free (body);
-  return own;
+  (void)drvbed_wait (b, ms, _drvbed_is_never_done, NULL);
 }
 
 /* -- set up --------------------------------------------------------------- */
@@ -133,81 +57,149 @@
                   sock_free_port ());
 }
 
+/* Starts VM NAME, which listens to callers if ENTRY. */
 static bool
-_drvbed_driver_open (drvbed_t *b)
+_drvbed_vm_open (drvbed_t *b, drvbed_vm_t *vm, const char *name, bool entry)
 {
   static const char *const data_centres[] = { "north", "south", NULL };
   st_t st = { 0 };
-  drvbed_address (b->listen);
-  drvbed_address (b->peer_listen);
-  b->set = (set_t){ .name = "n-1",
-                    .data_centre = "north",
-                    .data_centres = data_centres,
-                    .listen = b->listen,
-                    .peer_listen = b->peer_listen,
-                    .secret = "secret of the bed",
-                    .platform = b->platform_listen,
-                    .hosted = true,
-                    .log_level = "warning",
-                    .seed = 1 };
-  b->driver
-      = drv_setup (b, &(drv_desc_t){ .loop = b->loop, .set = &b->set }, &st);
-  return b->driver != NULL;
+  drvbed_address (vm->listen);
+  drvbed_address (vm->peer_listen);
+  vm->set = (set_t){ .name = name,
+                     .data_centre = "north",
+                     .data_centres = data_centres,
+                     .listen = entry ? vm->listen : NULL,
+                     .peer_listen = vm->peer_listen,
+                     .secret = "secret of the bed",
+                     .platform = b->platform_listen,
+                     .hosted = true,
+                     .log_level = "warning",
+                     .seed = 1 };
+  vm->driver
+      = drv_setup (b, &(drv_desc_t){ .loop = b->loop, .set = &vm->set }, &st);
+  return vm->driver != NULL;
+}
+
+static bool
+_drvbed_entry_open (drvbed_t *b)
+{
+  for (int i = 0; i < DRVBED_ATTEMPTS && b->entry.driver == NULL; i++)
+    (void)_drvbed_vm_open (b, &b->entry, "n-1", true);
+  return b->entry.driver != NULL;
+}
+
+static bool
+_drvbed_worker_open (drvbed_t *b)
+{
+  for (int i = 0; i < DRVBED_ATTEMPTS && b->worker.driver == NULL; i++)
+    (void)_drvbed_vm_open (b, &b->worker, "w-1", false);
+  return b->worker.driver != NULL;
 }
 
 static bool
 _drvbed_open (drvbed_t *b)
 {
-  for (size_t i = 0; i < b->upstream_count; i++)
+  for (size_t i = 0; i < b->desc.upstreams; i++)
     if (!drvbed_upstream_open (b, &b->upstreams[i]))
       return false;
-  if (!drvbed_platform_open (b))
-    return false;
-  for (int i = 0; i < DRVBED_ATTEMPTS && b->driver == NULL; i++)
-    (void)_drvbed_driver_open (b);
-  return b->driver != NULL;
+  return drvbed_platform_open (b) && _drvbed_entry_open (b)
+         && (!b->desc.worker || _drvbed_worker_open (b));
 }
 
+/* A number of load queries at an upstream that a wait is for. */
+typedef struct
+{
+  const drvbed_t *bed;
+  size_t upstream;
+  unsigned count;
+} _drvbed_polls_t;
+
 static bool
 _drvbed_is_polled (const void *data)
 {
-  const drvbed_t *b = data;
-  return drvbed_request_count (b, 0, DRVBED_LOAD) > 0;
+  const _drvbed_polls_t *p = data;
+  return drvbed_request_count (p->bed, p->upstream, DRVBED_LOAD) >= p->count;
+}
+
+/* The last load query at UPSTREAM; NULL: none. */
+static const drvbed_request_t *
+_drvbed_last_poll (const drvbed_t *b, size_t upstream)
+{
+  for (guint i = b->requests->len; i-- > 0;)
+    {
+      const drvbed_request_t *r = g_ptr_array_index (b->requests, i);
+      if (r->conn->upstream == &b->upstreams[upstream]
+          && strcmp (r->id, DRVBED_LOAD) == 0)
+        return r;
+    }
+  return NULL;
+}
+
+bool
+drvbed_await_reports (drvbed_t *b, size_t upstream, unsigned count)
+{
+  _drvbed_polls_t polls
+      = { .bed = b,
+          .upstream = upstream,
+          .count = drvbed_request_count (b, upstream, DRVBED_LOAD) + count };
+  if (!drvbed_wait (b, DRVBED_WAIT_MS, _drvbed_is_polled, &polls))
+    return false;
+  return drvbed_await_read (b, _drvbed_last_poll (b, upstream)->conn);
 }
 
 drvbed_t *
-drvbed_setup (size_t upstreams)
+drvbed_setup_with (const drvbed_desc_t *desc)
 {
   drvbed_t *b = talloc_zero (NULL, drvbed_t);
+  b->desc = *desc;
   b->loop = tevent_context_init (NULL);
-  b->upstream_count = upstreams;
   b->objects = json_object ();
+  b->changes = g_ptr_array_new ();
+  b->watches = g_ptr_array_new ();
   b->requests = g_ptr_array_new ();
   b->answers = g_ptr_array_new ();
-  b->callers = hcl_setup (b, &(hcl_desc_t){ .loop = b->loop,
-                                            .handler = _drvbed_on_answer,
-                                            .data = b });
-  if (_drvbed_open (b)
-      && drvbed_wait (b, DRVBED_WAIT_MS, _drvbed_is_polled, b))
-    {
-      const drvbed_request_t *first = g_ptr_array_index (b->requests, 0);
-      if (drvbed_await_read (b, first->conn))
-        return b;
-    }
+  drvbed_callers_open (b);
+  if (_drvbed_open (b) && drvbed_await_reports (b, 0, 1))
+    return b;
   drvbed_shutdown (b);
   return NULL;
 }
 
+drvbed_t *
+drvbed_setup (size_t upstreams)
+{
+  return drvbed_setup_with (&(drvbed_desc_t){ .upstreams = upstreams });
+}
+
+bool
+drvbed_restart (drvbed_t *b)
+{
+  TALLOC_FREE (b->entry.driver);
+  return _drvbed_entry_open (b) && drvbed_await_reports (b, 0, 1);
+}
+
+static void
+_drvbed_changes_free (drvbed_t *b)
+{
+  for (guint i = 0; i < b->changes->len; i++)
+    json_decref (
+        ((drvbed_change_t *)g_ptr_array_index (b->changes, i))->object);
+  g_ptr_array_free (b->changes, TRUE);
+}
+
 void
 drvbed_shutdown (drvbed_t *b)
 {
   struct tevent_context *loop = b->loop;
-  TALLOC_FREE (b->driver);
+  TALLOC_FREE (b->entry.driver);
+  TALLOC_FREE (b->worker.driver);
   TALLOC_FREE (b->callers);
   TALLOC_FREE (b->platform);
-  for (size_t i = 0; i < b->upstream_count; i++)
+  for (size_t i = 0; i < b->desc.upstreams; i++)
     drvbed_upstream_close (&b->upstreams[i]);
+  _drvbed_changes_free (b);
   json_decref (b->objects);
+  g_ptr_array_free (b->watches, TRUE);
   g_ptr_array_free (b->requests, TRUE);
   g_ptr_array_free (b->answers, TRUE);
   talloc_free (b);
--- /dev/null
+++ b/tests/drvbed_caller.c
@@ -0,0 +1,153 @@
+/** @file
+ * The callers of the driver's bed.
+ */
+#include "drvbed_int.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define DRVBED_DEADLINE_MS "3000"
+
+static void
+_drvbed_answer_head (drvbed_answer_t *a, const hcl_event_t *e)
+{
+  const char *id = http_header_find (e->headers, "Request-Id");
+  const char *signature = http_header_find (e->headers, "Response-Signature");
+  const char *retry_after = http_header_find (e->headers, "Retry-After");
+  a->status = e->status;
+  a->head_at = drv_now ();
+  a->response_id = id == NULL ? NULL : talloc_strdup (a, id);
+  a->signature = signature == NULL ? NULL : talloc_strdup (a, signature);
+  a->retry_after = retry_after == NULL ? NULL : talloc_strdup (a, retry_after);
+}
+
+static void
+_drvbed_on_answer (void *data, const hcl_event_t *e)
+{
+  drvbed_t *b = data;
+  drvbed_answer_t *a = g_ptr_array_index (b->answers, e->id);
+  if (e->kind == EV_UPSTREAM_HEAD)
+    _drvbed_answer_head (a, e);
+  else if (e->kind == EV_UPSTREAM_DATA)
+    g_string_append_len (a->body, e->data.p, (gssize)e->data.n);
+  else
+    a->ended = true;
+  a->failed = e->kind == EV_UPSTREAM_FAIL;
+}
+
+static int
+_drvbed_answer_destroy (drvbed_answer_t *a)
+{
+  (void)g_string_free (a->body, TRUE);
+  return 0;
+}
+
+/* Sends a POST of BODY to PATH as request ID. */
+static drvbed_answer_t *
+_drvbed_post (drvbed_t *b, const char *id, const char *path, const char *body)
+{
+  http_header_t headers[] = {
+    { "Host", DRVBED_HOST },
+    { "Request-Id", id },
+    { "Deadline-Ms", DRVBED_DEADLINE_MS },
+    { "Authorization", "Bearer " DRVBED_KEY },
+    { "Content-Type", "application/json" },
+  };
+  drvbed_answer_t *a = talloc_zero (b, drvbed_answer_t);
+  a->id = talloc_strdup (a, id);
+  a->asked_at = drv_now ();
+  a->body = g_string_new (NULL);
+  talloc_set_destructor (a, _drvbed_answer_destroy);
+  hcl_call (b->callers,
+            &(hcl_call_t){ .owner = HCL_PLATFORM,
+                           .id = b->answers->len,
+                           .address = b->entry.listen,
+                           .method = "POST",
+                           .path = path,
+                           .headers
+                           = { headers, sizeof headers / sizeof headers[0] },
+                           .body = buf_str (body),
+                           .total_ms = DRVBED_WAIT_MS,
+                           .fresh_connection = true });
+  g_ptr_array_add (b->answers, a);
+  return a;
+}
+
+drvbed_answer_t *
+drvbed_ask (drvbed_t *b, const char *id)
+{
+  char *body = talloc_asprintf (b, "{\"prompt\":\"%s\"}", id);
+  drvbed_answer_t *a = _drvbed_post (b, id, "/fit/stream", body);
+  talloc_free (body);
+  return a;
+}
+
+drvbed_answer_t *
+drvbed_submit (drvbed_t *b, const char *id, size_t count)
+{
+  json_t *items = json_array ();
+  for (size_t i = 1; i <= count; i++)
+    {
+      char name[64];
+      (void)snprintf (name, sizeof name, "%s-%zu", id, i);
+      json_array_append_new (items,
+                             json_pack ("{s:s, s:s, s:{}, s:s, s:i}", "id",
+                                        name, "path", "/rosters/x", "headers",
+                                        "body", "Ym9keQ==", "tokens", 10));
+    }
+  json_t *root = json_pack ("{s:o}", "items", items);
+  char *text = json_dumps (root, JSON_COMPACT);
+  drvbed_answer_t *a = _drvbed_post (b, id, "/rosters/x", text);
+  free (text);
+  json_decref (root);
+  return a;
+}
+
+static bool
+_drvbed_has_head (const void *data)
+{
+  const drvbed_answer_t *a = data;
+  return a->status != 0 || a->ended;
+}
+
+bool
+drvbed_await_head (drvbed_t *b, const drvbed_answer_t *a)
+{
+  return drvbed_wait (b, DRVBED_WAIT_MS, _drvbed_has_head, a)
+         && a->status != 0;
+}
+
+static bool
+_drvbed_is_answered (const void *data)
+{
+  const drvbed_answer_t *a = data;
+  return a->ended;
+}
+
+bool
+drvbed_await_answer (drvbed_t *b, const drvbed_answer_t *a)
+{
+  return drvbed_wait (b, DRVBED_WAIT_MS + CLK_SECOND, _drvbed_is_answered, a);
+}
+
+bool
+drvbed_is_own (const drvbed_answer_t *a)
+{
+  char *body = drvbed_body (NULL, a->id, 0);
+  bool own = a->ended && !a->failed && a->status == 200
+             && g_strcmp0 (a->response_id, a->id) == 0
+             && g_strcmp0 (a->signature, drvbed_signature (body, a->id)) == 0
+             && strcmp (a->body->str, body) == 0;
+  talloc_free (body);
+  return own;
+}
+
+void
+drvbed_callers_open (drvbed_t *b)
+{
+  b->callers = hcl_setup (b, &(hcl_desc_t){ .loop = b->loop,
+                                            .handler = _drvbed_on_answer,
+                                            .data = b });
+}
--- a/tests/drvbed_upstream.c
+++ b/tests/drvbed_upstream.c
@@ -23,11 +23,11 @@
 /* -- responses ------------------------------------------------------------ */
 
 char *
-drvbed_body (void *ctx, const char *id)
+drvbed_body (void *ctx, const char *id, unsigned after)
 {
   char *body = talloc_strdup (ctx, "");
-  for (int i = 1; i <= DRVBED_EVENTS; i++)
-    body = talloc_asprintf_append_buffer (body, "id: %d\ndata: %s e%d\n\n", i,
+  for (unsigned i = after + 1; i <= DRVBED_EVENTS; i++)
+    body = talloc_asprintf_append_buffer (body, "id: %u\ndata: %s e%u\n\n", i,
                                           id, i);
   return body;
 }
@@ -38,33 +38,72 @@
   return talloc_asprintf (ctx, "signature-of-%s", id);
 }
 
+/* The head of R up to the headers about its body, owned by CTX. */
+static char *
+_drvbed_head (void *ctx, const drvbed_reply_t *r, int status)
+{
+  char *head = talloc_asprintf (ctx, "HTTP/1.1 %d Status\r\n", status);
+  if (r->id != NULL)
+    head = talloc_asprintf_append_buffer (head, "Request-Id: %s\r\n", r->id);
+  if (status == 200 && r->id != NULL)
+    head = talloc_asprintf_append_buffer (head, "Response-Signature: %s\r\n",
+                                          drvbed_signature (ctx, r->id));
+  if (status == 421 || status == 503)
+    head = talloc_strdup_append_buffer (head, "Not-Executed: 1\r\n");
+  if (r->header != NULL)
+    head = talloc_asprintf_append_buffer (head, "%s\r\n", r->header);
+  return talloc_asprintf_append_buffer (head, "Content-Type: %s\r\n",
+                                        status == 200 ? "text/event-stream"
+                                                      : "text/plain");
+}
+
 const char *
-drvbed_response (drvbed_t *b, drvbed_framing_t framing, const char *id)
+drvbed_reply (drvbed_t *b, const drvbed_reply_t *r)
 {
-  char *body = drvbed_body (b, id);
-  char *head = talloc_asprintf (b,
-                                "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-                                "Response-Signature: %s\r\n"
-                                "Content-Type: text/event-stream\r\n",
-                                id, drvbed_signature (body, id));
-  if (framing == DRVBED_LENGTH)
+  int status = r->status == 0 ? 200 : r->status;
+  const char *id = r->id == NULL ? "none" : r->id;
+  const char *body
+      = status == 200 ? drvbed_body (b, id, r->after) : "it went wrong";
+  const char *head = _drvbed_head (b, r, status);
+  if (r->framing == DRVBED_LENGTH)
     return talloc_asprintf (b, "%sContent-Length: %zu\r\n\r\n%s", head,
                             strlen (body), body);
   return talloc_asprintf (
-      b, "%sTransfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n0\r\n\r\n", head,
-      strlen (body), body);
+      b, "%sTransfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n0\r\n%s%s\r\n",
+      head, strlen (body), body, r->trailer == NULL ? "" : r->trailer,
+      r->trailer == NULL ? "" : "\r\n");
+}
+
+const char *
+drvbed_response (drvbed_t *b, drvbed_framing_t framing, const char *id)
+{
+  return drvbed_reply (b, &(drvbed_reply_t){ .id = id, .framing = framing });
+}
+
+/* The load report of an upstream that SAYS this. */
+static const char *
+_drvbed_report (drvbed_t *b, const drvbed_says_t *says)
+{
+  char *body = talloc_asprintf (
+      b, "{\"running\":0,\"waiting\":0,\"slots\":8,\"seq\":%u",
+      says->seq == 0 ? 1 : says->seq);
+  if (says->born != 0)
+    body = talloc_asprintf_append_buffer (body, ",\"born\":%llu",
+                                          (unsigned long long)says->born);
+  body = talloc_strdup_append_buffer (body, "}");
+  return talloc_asprintf (
+      b,
+      "HTTP/1.1 200 OK\r\n%s%s"
+      "Content-Type: application/json\r\n"
+      "Content-Length: %zu\r\n\r\n%s",
+      says->report_header == NULL ? "" : says->report_header,
+      says->report_header == NULL ? "" : "\r\n", strlen (body), body);
 }
 
 const char *
 drvbed_load_report (drvbed_t *b)
 {
-  static const char body[]
-      = "{\"running\":0,\"waiting\":0,\"slots\":8,\"seq\":1}";
-  return talloc_asprintf (b,
-                          "HTTP/1.1 200 OK\r\n"
-                          "Content-Type: application/json\r\n"
-                          "Content-Length: %zu\r\n\r\n%s",
-                          strlen (body), body);
+  return _drvbed_report (b, &(drvbed_says_t){ .status = 0 });
 }
 
 /* -- connections ---------------------------------------------------------- */
@@ -99,10 +138,12 @@
   bool load = strncmp (head, "GET /rattanspindle/report ", 26) == 0;
   r->conn = c;
   r->id = load ? DRVBED_LOAD : (id == NULL ? "" : id);
+  r->target = _drvbed_header (r, head, "Target-Instance");
+  r->after = _drvbed_header (r, head, "Last-Event-Id");
   g_ptr_array_add (b->requests, r);
   r->handled = load ? !b->hold_loads : c->upstream->serves;
   if (r->handled && load)
-    drvbed_send (c, drvbed_load_report (b));
+    drvbed_send (c, _drvbed_report (b, &c->upstream->says));
   else if (r->handled)
     drvbed_respond (b, r);
 }
@@ -202,6 +243,7 @@
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t size = sizeof in;
   u->bed = b;
+  u->says.born = b->desc.born;
   u->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   u->event = tevent_add_fd (b->loop, b, u->fd, TEVENT_FD_READ,
                             _drvbed_on_connection, u);
@@ -235,6 +277,12 @@
   b->upstreams[upstream].serves = true;
 }
 
+void
+drvbed_says (drvbed_t *b, size_t upstream, const drvbed_says_t *says)
+{
+  b->upstreams[upstream].says = *says;
+}
+
 void
 drvbed_send (drvbed_conn_t *conn, const char *text)
 {
@@ -245,7 +293,13 @@
 void
 drvbed_respond (drvbed_t *b, const drvbed_request_t *r)
 {
-  drvbed_send (r->conn, drvbed_response (b, DRVBED_LENGTH, r->id));
+  const drvbed_says_t *says = &r->conn->upstream->says;
+  unsigned after = r->after == NULL ? 0 : (unsigned)atoi (r->after);
+  drvbed_send (r->conn,
+               drvbed_reply (b, &(drvbed_reply_t){ .id = r->id,
+                                                   .status = says->status,
+                                                   .header = says->header,
+                                                   .after = after }));
 }
 
 void
@@ -304,8 +358,9 @@
   for (guint i = 0; i < b->requests->len; i++)
     {
       const drvbed_request_t *r = g_ptr_array_index (b->requests, i);
-      n += r->conn->upstream == &b->upstreams[upstream]
-           && strcmp (r->id, id) == 0;
+      bool wanted = id == NULL ? strcmp (r->id, DRVBED_LOAD) != 0
+                               : strcmp (r->id, id) == 0;
+      n += r->conn->upstream == &b->upstreams[upstream] && wanted;
     }
   return n;
 }
