Routing: an upstream that says in a response that it is leaving gets nothing new

Callers' requests and items reached upstreams that had said in their answers that they were leaving; the upstream may exit at any moment, and what it has not answered by then is lost or late. Cause: a VM learned of it only from the platform's list and from load reports. Nothing read what the upstream itself says in each response, so with a silent platform the VM went on until the list came back. Change: the head of a proven response with that word takes the upstream out of use at once, for online requests, retries, resumed streams and items alike, as the choice of an upstream is one function. The word is kept by name and start, apart from the upstreams in use, so that neither the list, nor a list read anew, nor a report undoes it; a later start of the upstream does. A start that the list did not name at the time of the request, but that was before it, may be the one that spoke: it is out of use for 60 s. The same word in a load report with the listed start counts the same; without it, as long as reports say so. Ruled out: 421s, which are another upstream's word.

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -199,7 +199,8 @@
 static bool
 _dir_entry_same (const cfg_upstream_t *a, const ev_upstream_entry_t *b)
 {
-  return a->leaving == b->leaving && strcmp (a->address, b->address) == 0
+  return a->leaving == b->leaving && a->born == b->born
+         && strcmp (a->address, b->address) == 0
          && strcmp (a->deployment, b->deployment) == 0
          && strcmp (a->data_centre, b->data_centre) == 0;
 }
--- a/src/core/env.c
+++ b/src/core/env.c
@@ -17,6 +17,7 @@
   env->data_centre = talloc_strdup (env, desc->data_centre);
   env->address = talloc_strdup (env, desc->address ? desc->address : "");
   env->incarnation = desc->incarnation;
+  env->unix_offset_ms = desc->unix_offset_ms;
   env->fx = fx_setup (env);
   env->tmr = tmr_setup (env);
   env->plt = plt_setup (env, &(plt_desc_t){ 0 });
@@ -41,6 +42,12 @@
   return (clk_ms_t)(g_rand_double_range (env->rand, 0.75, 1.25) * (double)d);
 }
 
+clk_ms_t
+env_unix_ms (const env_t *env, clk_ms_t at)
+{
+  return at + env->unix_offset_ms;
+}
+
 /* Bits that count within one process; the low bits of its incarnation, a time
  * in us, are above. */
 #define ENV_NUMBER_BITS 20
--- a/src/core/env.h
+++ b/src/core/env.h
@@ -28,14 +28,14 @@
   const char *address;     /**< peer address, "IP:PORT"; NULL: none */
   uint64_t incarnation;    /**< increases with each start of the same VM */
   uint32_t seed;           /**< seed of the random numbers */
-  clk_ms_t unix_offset_ms; /**< Unix time minus node time, for the stamps
-                                of the time line */
+  clk_ms_t unix_offset_ms; /**< Unix time minus node time */
 } env_desc_t;
 
 /** Services shared by all modules of a node. */
 typedef struct env
 {
-  clk_ms_t now; /**< time of the current event */
+  clk_ms_t now;            /**< time of the current event */
+  clk_ms_t unix_offset_ms; /**< as in env_desc_t */
   const char *vm;
   const char *data_centre;
   const char *address;
@@ -59,6 +59,9 @@
  * act at the same time. */
 clk_ms_t env_jitter (env_t *env, clk_ms_t d);
 
+/** The Unix time of the instant AT on the node's clock. */
+clk_ms_t env_unix_ms (const env_t *env, clk_ms_t at);
+
 /** The number above which this process counts what it asks of peers, so that
  * no process of the VM takes a reply to another for its own. */
 uint64_t env_number_base (const env_t *env);
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -89,6 +89,7 @@
                                           _rte_deployment_free);
   r->health_chart = rte_health_setup (r);
   r->prefix_index = rte_prefix_index_setup (r, r->desc.prefixes);
+  r->leaving = rte_leaving_setup (r);
   talloc_set_destructor (r, _rte_destroy);
   g_queue_init (&r->changed);
   return r;
@@ -122,7 +123,7 @@
 {
   rte_upstream_t *u = g_hash_table_lookup (r->by_name, c->name);
   if (u != NULL && strcmp (u->address, c->address) == 0
-      && strcmp (u->deployment, c->deployment) == 0)
+      && strcmp (u->deployment, c->deployment) == 0 && u->born == c->born)
     return u;
   if (u != NULL)
     g_hash_table_remove (r->by_name, u->name);
@@ -211,6 +212,8 @@
       u->configured = true;
       u->leaving = c->leaving;
       u->fixed_identity = c->fixed_identity;
+      u->leaving_until
+          = rte_leaving_until (r->leaving, u->name, u->born, env->now);
       u->same_data_centre = strcmp (c->data_centre, env->data_centre) == 0;
       u->slots = dep != NULL ? dep->slots : 0;
       g_ptr_array_add (_rte_deployment_get (r, c->deployment)->upstreams, u);
@@ -275,15 +278,8 @@
 {
   rte_upstream_t *u = NULL;
   rte_inflight_t *f = _rte_inflight_get (r, handle, &u);
-  if (f == NULL)
-    return;
-  f->sent_at = env->now;
-  if (u->said_leaving == 0)
-    return;
-  cnt_add (env->cnt, "rts_route_sent_to_leaving_total", "", 1);
-  tln_record (env->tln, env->now, MOD_ROUTE, "sent-to-leaving",
-              "upstream=%s since_ms=%lld", u->name,
-              (long long)(env->now - u->said_leaving));
+  if (f != NULL)
+    f->sent_at = env->now;
 }
 
 static void
@@ -330,19 +326,38 @@
   cnt_observe (env->cnt, "rts_route_first_byte_ms", "", took);
 }
 
+void
+rte_leaving_learn (rte_t *r, env_t *env, const rte_upstream_t *u,
+                   uint64_t born_max)
+{
+  rte_leaving_note (r->leaving, u->name, u->born, born_max, env->now);
+  /* The document may name a later start of the upstream meanwhile. */
+  rte_upstream_t *listed = g_hash_table_lookup (r->by_name, u->name);
+  if (listed == NULL)
+    return;
+  bool known = listed->leaving_until > env->now;
+  listed->leaving_until
+      = rte_leaving_until (r->leaving, listed->name, listed->born, env->now);
+  if (known || listed->leaving_until <= env->now)
+    return;
+  tln_record (env->tln, env->now, MOD_ROUTE, "said-leaving",
+              "upstream=%s born=%llu certain=%s listed=%s", listed->name,
+              (unsigned long long)listed->born,
+              listed->leaving_until == CLK_NEVER ? "yes" : "no",
+              !listed->configured ? "no"
+                                  : (listed->leaving ? "leaving" : "ready"));
+}
+
 void
 rte_said_leaving (rte_t *r, env_t *env, uint64_t handle)
 {
   rte_upstream_t *u = NULL;
   const rte_inflight_t *f = _rte_inflight_get (r, handle, &u);
   cnt_add (env->cnt, "rts_route_leaving_answers_total", "", 1);
-  if (f == NULL || u->said_leaving != 0)
-    return;
-  u->said_leaving = env->now;
-  tln_record (env->tln, env->now, MOD_ROUTE, "said-leaving",
-              "upstream=%s born=%llu after_ms=%lld listed=%s", u->name,
-              (unsigned long long)u->born, (long long)(env->now - f->sent_at),
-              !u->configured ? "no" : (u->leaving ? "leaving" : "ready"));
+  /* The list may be late: a start of the upstream that it does not name yet
+   * may have answered, if it was before the request. */
+  if (f != NULL)
+    rte_leaving_learn (r, env, u, (uint64_t)env_unix_ms (env, f->sent_at));
 }
 
 void
@@ -417,13 +432,19 @@
 }
 
 bool
-rte_leaving (const rte_t *r, const char *upstream)
+rte_is_leaving (const rte_upstream_t *u, clk_ms_t now)
 {
-  const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
-  return u == NULL || !u->configured || u->leaving
+  return u->leaving || now < u->leaving_until
          || (u->state & RTE_BIT_LEAVING) != 0;
 }
 
+bool
+rte_leaving (const rte_t *r, const env_t *env, const char *upstream)
+{
+  const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
+  return u == NULL || !u->configured || rte_is_leaving (u, env->now);
+}
+
 uint32_t
 rte_in_flight (const rte_t *r, const char *upstream)
 {
@@ -446,7 +467,7 @@
           json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f}",
                      "upstream", u->name, "deployment", u->deployment,
                      "data_centre", u->data_centre, "leaving",
-                     rte_leaving (r, u->name), "suspected",
+                     rte_is_leaving (u, env->now), "suspected",
                      u->health != RTE_WELL, "silent",
                      (u->state & RTE_BIT_SILENT) != 0, "polled_here",
                      u->poll != NULL, "in_flight", (int)(u->online + u->batch),
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -183,7 +183,7 @@
 
 /** Whether UPSTREAM must get no new requests; true when UPSTREAM is unknown.
  */
-bool rte_leaving (const rte_t *r, const char *upstream);
+bool rte_leaving (const rte_t *r, const env_t *env, const char *upstream);
 
 /** Number of in-flight requests of this VM at UPSTREAM. */
 uint32_t rte_in_flight (const rte_t *r, const char *upstream);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -64,6 +64,8 @@
   GHashTable *usage;     /**< VM name to rte_usage_t */
   uint64_t load_call;    /**< upstream call of the load poll; 0: none */
   clk_ms_t load_at;      /**< when that call was sent */
+  bool load_leaving;     /**< the response's head says that the upstream is
+                              leaving */
   uint64_t cache_call;   /**< upstream call of the cache poll; 0: none */
   clk_ms_t cache_at;     /**< when that call was sent */
   uint64_t cache_seq;    /**< last sequence number of the upstream's events */
@@ -104,15 +106,15 @@
   uint32_t queued; /**< this VM's in-flight requests that found no free slot */
   uint32_t state;  /**< RTE_BIT_* of the last report or poll */
 
-  bool configured;       /**< present in the current document */
-  bool same_data_centre; /**< in this VM's data centre */
-  bool leaving;          /**< marked as leaving in the document */
-  bool in_subset;        /**< in the subset that this VM uses */
-  bool fixed_identity;   /**< as in cfg_upstream_t */
-  bool changed;          /**< in the router's queue of changed loads */
-  clk_ms_t said_leaving; /**< when a response first said that the upstream is
-                              leaving; 0: none has */
-  uint64_t born;         /**< as in cfg_upstream_t */
+  bool configured;        /**< present in the current document */
+  bool same_data_centre;  /**< in this VM's data centre */
+  bool leaving;           /**< marked as leaving in the document */
+  bool in_subset;         /**< in the subset that this VM uses */
+  bool fixed_identity;    /**< as in cfg_upstream_t */
+  bool changed;           /**< in the router's queue of changed loads */
+  clk_ms_t leaving_until; /**< out of use until then, because the upstream has
+                               said that it is leaving */
+  uint64_t born;          /**< as in cfg_upstream_t */
 
   clk_ms_t others_at;     /**< when `others` was last updated */
   uint64_t update_count;  /**< number of updates of `others` */
@@ -174,6 +176,7 @@
 } rte_inflight_t;
 
 typedef struct rte_prefix_index rte_prefix_index_t;
+typedef struct rte_leaving rte_leaving_t;
 
 struct rte
 {
@@ -188,6 +191,8 @@
   GQueue preemptions; /**< rte_upstream_t, once for each batch request that
                            this VM has to preempt there */
   rte_prefix_index_t *prefix_index;
+  rte_leaving_t
+      *leaving;          /**< upstreams that have said that they are leaving */
   clk_ms_t picked_at;    /**< time of the last pick */
   size_t poller_count;   /**< other VMs that poll for this one, at the last
                               exchange */
@@ -210,8 +215,33 @@
 bool rte_prefix_index_has (const rte_prefix_index_t *idx, uint64_t prefix,
                            tbl_id_t upstream, clk_ms_t now);
 
+/* rte_leaving.c: upstreams that have said that they are leaving. */
+
+/** Creates an empty set of notes, owned by CTX.  It is bounded: the note on
+ * the name that has been out of use for the longest time is dropped first. */
+rte_leaving_t *rte_leaving_setup (void *ctx);
+/** Notes that the upstream called NAME that started at BORN has said that it
+ * is leaving.  One that started later, up to BORN_MAX, may be the one that
+ * spoke. Starts are Unix times in ms. */
+void rte_leaving_note (rte_leaving_t *l, const char *name, uint64_t born,
+                       uint64_t born_max, clk_ms_t now);
+/** Until when the upstream called NAME that started at BORN is out of use by
+ * its own word: CLK_NEVER if it has said that it is leaving, 0 if not; BORN 0
+ * stands for any.  The name is in use NOW. */
+clk_ms_t rte_leaving_until (rte_leaving_t *l, const char *name, uint64_t born,
+                            clk_ms_t now);
+
 /* rte.c */
 
+/** Whether U must get no new requests: the document, a load report or U itself
+ * says that it is leaving. */
+bool rte_is_leaving (const rte_upstream_t *u, clk_ms_t now);
+
+/** U has said that it is leaving, or a later start of it that was at BORN_MAX
+ * (Unix time in ms) or before. */
+void rte_leaving_learn (rte_t *r, env_t *env, const rte_upstream_t *u,
+                        uint64_t born_max);
+
 /** Adds U to the queue that rte_load_pop reads. */
 void rte_load_changed (rte_t *r, rte_upstream_t *u);
 
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -188,7 +188,7 @@
 
 /** Parses and applies a load report; false: malformed. */
 static bool
-_rte_load_apply (env_t *env, rte_upstream_t *u, const char *body)
+_rte_load_apply (rte_t *r, env_t *env, rte_upstream_t *u, const char *body)
 {
   json_t *o = json_loads (body, 0, NULL);
   json_int_t running = -1;
@@ -196,15 +196,21 @@
   json_int_t slots = 0;
   json_int_t seq = 0;
   int leaving = 0;
-  int bad = json_unpack (o, "{s:I, s:I, s?I, s?I, s?b}", "running", &running,
-                         "waiting", &waiting, "slots", &slots, "seq", &seq,
-                         "leaving", &leaving);
+  json_int_t born = 0;
+  int bad = json_unpack (o, "{s:I, s:I, s?I, s?I, s?b, s?I}", "running",
+                         &running, "waiting", &waiting, "slots", &slots, "seq",
+                         &seq, "leaving", &leaving, "born", &born);
   json_decref (o);
   if (bad != 0 || running < 0 || waiting < 0 || slots < 0 || seq < 0
       || running > UINT16_MAX || waiting > UINT16_MAX || slots > UINT16_MAX)
     return false;
+  leaving = leaving || u->poll->load_leaving;
   rte_state_set (env, u, RTE_BIT_REPORTED | (leaving ? RTE_BIT_LEAVING : 0),
                  "report");
+  /* Without the same start it may be the report of another upstream that has
+   * the address now. */
+  if (leaving && u->born != 0 && (uint64_t)born == u->born)
+    rte_leaving_learn (r, env, u, u->born);
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
   if (slots > 0)
@@ -263,7 +269,7 @@
   const char *text = *body != NULL ? *body : "";
   if (ok)
     ok = cache ? _rte_cache_apply (r, env, u, text)
-               : _rte_load_apply (env, u, text);
+               : _rte_load_apply (r, env, u, text);
   if (ok && !cache)
     {
       _rte_hidden_update (u, env);
@@ -306,6 +312,8 @@
   switch (ev->kind)
     {
     case EV_UPSTREAM_HEAD:
+      if (!cache)
+        u->poll->load_leaving = ev->upstream.leaving;
       if (ev->upstream.status == 200)
         break;
       upc_cancel (env, call);
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -392,7 +392,7 @@
             CU_ASSERT (pick (f, vm, 0, &p));
             CU_ASSERT_STRING_NOT_EQUAL (p.upstream, "u0");
           }
-      CU_ASSERT (rte_leaving (f->rte[0], "u0"));
+      CU_ASSERT (rte_leaving (f->rte[0], f->env[0], "u0"));
       CU_ASSERT_EQUAL (rte_idle_slots (f->rte[0], f->env[0], "u0"), 0);
       talloc_free (f);
     }
--- a/tests/test_rte_leaving.c
+++ b/tests/test_rte_leaving.c
@@ -96,7 +96,7 @@
   CU_ASSERT (!gets_requests (f));
   list (f, "u", BORN);
   CU_ASSERT (!gets_requests (f));
-  CU_ASSERT (rte_leaving (f->rte, "u"));
+  CU_ASSERT (rte_leaving (f->rte, f->env, "u"));
   talloc_free (f);
 }
 
@@ -123,7 +123,7 @@
   hear (f);
   list (f, "u", ASKED_UNIX + 1);
   CU_ASSERT (gets_requests (f));
-  CU_ASSERT (!rte_leaving (f->rte, "u"));
+  CU_ASSERT (!rte_leaving (f->rte, f->env, "u"));
   talloc_free (f);
 }
 
@@ -139,6 +139,24 @@
   talloc_free (f);
 }
 
+/* Guards against a VM whose clock is fast and that would never use a new start
+ * of the upstream: one of which it is not certain is out of use for a while.
+ */
+static void
+test_doubt_about_a_start_ends (void)
+{
+  fixture_t *f = fixture_setup ();
+  hear (f);
+  list (f, "u", ASKED_UNIX);
+  f->env->now += 50 * CLK_SECOND;
+  CU_ASSERT (!gets_requests (f));
+  f->env->now += 20 * CLK_SECOND;
+  CU_ASSERT (gets_requests (f));
+  list (f, "u", BORN);
+  CU_ASSERT (!gets_requests (f));
+  talloc_free (f);
+}
+
 /* Guards against a new start that is taken for the old one, whose word comes
  * after the list's news. */
 static void
@@ -203,6 +221,7 @@
     { "new_start_undoes_the_word", test_new_start_undoes_the_word },
     { "start_before_the_request_does_not_undo_the_word",
       test_start_before_the_request_does_not_undo_the_word },
+    { "doubt_about_a_start_ends", test_doubt_about_a_start_ends },
     { "word_of_an_earlier_start_does_not_bar_a_new_one",
       test_word_of_an_earlier_start_does_not_bar_a_new_one },
     { "late_clock_does_not_undo_the_word",
