Routing: others take the places of upstreams that are leaving

Cause: a VM uses up to six upstreams of a data centre, chosen by rendezvous hashing over all that the list names, leaving ones included. When those six leave together, it has none there until the list drops them, which with a silent platform is never. What callers see: 503 no-upstream, or another data centre's upstreams, though others of their own have room. Change: upstreams that are leaving by the list, or for certain by their own word, take no place; the places are given out anew with such a word.

--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -173,23 +173,44 @@
   return XXH64 (env->vm, strlen (env->vm), u->hash);
 }
 
+/** Whether U is out of use for good, so that another takes its place among the
+ * upstreams that this VM uses. */
+static bool
+_rte_gives_place (const rte_upstream_t *u)
+{
+  return u->leaving || u->leaving_until == CLK_NEVER;
+}
+
+/** The number of upstreams of D in U's data centre that take a place among
+ * those that this VM uses before U does. */
+static uint32_t
+_rte_subset_rank (const env_t *env, const rte_deployment_t *d,
+                  const rte_upstream_t *u)
+{
+  uint64_t score = _rte_subset_score (env, u);
+  uint32_t rank = 0;
+  for (guint i = 0; i < d->upstreams->len; i++)
+    {
+      const rte_upstream_t *v = g_ptr_array_index (d->upstreams, i);
+      if (v != u && !_rte_gives_place (v)
+          && strcmp (v->data_centre, u->data_centre) == 0
+          && _rte_subset_score (env, v) > score)
+        rank++;
+    }
+  return rank;
+}
+
 /** Marks the upstreams of D that this VM uses: in each data centre the
- * rte_desc_t.subset upstreams with the highest rendezvous scores. */
+ * rte_desc_t.subset upstreams with the highest rendezvous scores, without
+ * those that are leaving. */
 static void
 _rte_subset_mark (const rte_t *r, const env_t *env, rte_deployment_t *d)
 {
   for (guint i = 0; i < d->upstreams->len; i++)
     {
       rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
-      uint32_t before = 0;
-      for (guint j = 0; j < d->upstreams->len; j++)
-        {
-          const rte_upstream_t *v = g_ptr_array_index (d->upstreams, j);
-          if (v != u && strcmp (v->data_centre, u->data_centre) == 0
-              && _rte_subset_score (env, v) > _rte_subset_score (env, u))
-            before++;
-        }
-      u->in_subset = before < r->desc.subset;
+      u->in_subset = !_rte_gives_place (u)
+                     && _rte_subset_rank (env, d, u) < r->desc.subset;
     }
 }
 
@@ -335,11 +356,12 @@
   rte_upstream_t *listed = g_hash_table_lookup (r->by_name, u->name);
   if (listed == NULL)
     return;
-  bool known = listed->leaving_until > env->now;
+  clk_ms_t before = listed->leaving_until;
   listed->leaving_until
       = rte_leaving_until (r->leaving, listed->name, listed->born, env->now);
-  if (known || listed->leaving_until <= env->now)
+  if (listed->leaving_until == before)
     return;
+  _rte_subset_mark (r, env, _rte_deployment_get (r, listed->deployment));
   tln_record (env->tln, env->now, MOD_ROUTE, "said-leaving",
               "upstream=%s born=%llu certain=%s listed=%s", listed->name,
               (unsigned long long)listed->born,
--- a/tests/test_rte_leaving.c
+++ b/tests/test_rte_leaving.c
@@ -212,6 +212,53 @@
   talloc_free (f);
 }
 
+/* Puts a document in force with COUNT upstreams in data centre x, of which the
+ * list calls the first LEAVING ones leaving. */
+static void
+list_many (fixture_t *f, unsigned count, unsigned leaving)
+{
+  char *text = talloc_strdup (f, "[data-centre x]\nowner = t\n"
+                                 "[deployment d]\nowner = t\n"
+                                 "kind = engine\nslots = 4\n");
+  for (unsigned i = 0; i < count; i++)
+    text = talloc_asprintf_append (
+        text,
+        "[upstream w%u]\nowner = t\ndeployment = d\ndata_centre = x\n"
+        "address = 10.0.0.%u:80\nleaving = %s\n",
+        i, i + 2, i < leaving ? "yes" : "no");
+  cfg_doc_t *doc = NULL;
+  st_t st = { 0 };
+  CU_ASSERT_EQUAL (cfg_doc_parse (f, buf_str (text), &doc, &st), ST_OK);
+  rte_config_changed (f->rte, f->env, doc);
+}
+
+#define MANY 12 /* upstreams in one data centre, more than a VM uses there */
+
+/* Guards against a VM that has no upstream left when those that it uses leave
+ * together, though others of the data centre stay. */
+static void
+test_others_take_the_places_of_leaving_upstreams (void)
+{
+  fixture_t *f = fixture_setup ();
+  list_many (f, MANY, 0);
+  for (int i = 0; i < MANY - 1; i++)
+    hear (f);
+  CU_ASSERT (gets_requests (f));
+  hear (f);
+  CU_ASSERT (!gets_requests (f));
+  talloc_free (f);
+}
+
+/* The same for upstreams that the list calls leaving. */
+static void
+test_others_take_the_places_of_listed_leaving_upstreams (void)
+{
+  fixture_t *f = fixture_setup ();
+  list_many (f, MANY, MANY - 1);
+  CU_ASSERT (gets_requests (f));
+  talloc_free (f);
+}
+
 int
 main (void)
 {
@@ -228,6 +275,10 @@
       test_late_clock_does_not_undo_the_word },
     { "notes_are_bounded_and_keep_upstreams_in_use",
       test_notes_are_bounded_and_keep_upstreams_in_use },
+    { "others_take_the_places_of_leaving_upstreams",
+      test_others_take_the_places_of_leaving_upstreams },
+    { "others_take_the_places_of_listed_leaving_upstreams",
+      test_others_take_the_places_of_listed_leaving_upstreams },
   };
   return tst_run ("rte_leaving", cases, sizeof cases / sizeof cases[0]);
 }
