Platform: an entry whose start is no whole number names no upstream

Cause: the users' pages say that an entry with a field of another type is of another writer and names nothing to use; the field born was read as 0 then. What callers would see: a request to an address that no upstream has.

--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -133,6 +133,26 @@
   talloc_free (ctx);
 }
 
+/* Guards against an entry of another writer, whose start is no whole number,
+ * as an upstream to use. */
+static void
+test_entry_with_an_odd_start_names_no_upstream (void)
+{
+  static const char *const starts[]
+      = { "\"1800000000123\"", "1.5", "-1", "0", "null", "[]" };
+  void *ctx = talloc_new (NULL);
+  for (size_t i = 0; i < sizeof starts / sizeof starts[0]; i++)
+    {
+      char *text
+          = talloc_asprintf (ctx,
+                             "{\"service\":\"s1\",\"address\":\"10.0.0.1:80\","
+                             "\"zone\":\"z\",\"state\":\"ready\",\"born\":%s}",
+                             starts[i]);
+      CU_ASSERT (_entry (ctx, text).deleted);
+    }
+  talloc_free (ctx);
+}
+
 /* -- the store -------------------------------------------------------------
  */
 
@@ -470,6 +490,8 @@
     { "document_jobs_and_customers", test_document_jobs_and_customers },
     { "bad_documents", test_bad_documents },
     { "upstream_entries", test_upstream_entries },
+    { "entry_with_an_odd_start_names_no_upstream",
+      test_entry_with_an_odd_start_names_no_upstream },
     { "object_requests", test_object_requests },
     { "values_round_trip", test_values_round_trip },
     { "object_responses", test_object_responses },
