--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -461,13 +461,13 @@
 {
   static const struct
   {
-    int status;
     const char *value;
+    int status;
     bool leaving;
   } cases[] = {
-    { 200, "1", true },   { 500, "1", true },  { 503, "1", true },
-    { 421, "1", false },  { 200, "0", false }, { 200, "", false },
-    { 200, NULL, false },
+    { "1", 200, true },   { "1", 500, true },  { "1", 503, true },
+    { "1", 421, false },  { "0", 200, false }, { "", 200, false },
+    { NULL, 200, false },
   };
   void *ctx = talloc_new (NULL);
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
