An older list of VMs does not undo a newer one

Cause: the list of VMs is read with a call that the platform may answer with data that is seconds old. The membership applied each list as it came, so a list from before the last one took VMs away that had just registered and gave others the address of an earlier process.

What callers see, as the code has it: until the next read (2 to 4 s) the VM closes its links to those VMs or dials addresses where nobody listens, counts them as down after 2 s, tells the others so in a large fleet, and changes who runs batch jobs, so that runs in progress are broken off and begun elsewhere.

Evidence: mbr/older_list_is_ignored fails on the code before (12 passed, 1 failed): a list of revision 7 after one of revision 9 removes a VM and brings an old address back.

Change: the membership keeps the revision of the last list of the platform and drops a list with a lower one; the time of the last read stays as it is too. Lists without a revision (a platform that gives none, a peer's list, which is used before the first one only) are applied as before.

Measured: mbr 13 passed, 0 failed with the sanitizers.

--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -257,6 +257,14 @@
   m->self->incarnation = 1;
 }
 
+/* Whether REPLY is a list from before the last one that the platform sent: a
+ * read may be answered with data that is seconds old. */
+static bool
+_mbr_list_is_older (const mbr_t *m, const ev_platform_t *reply)
+{
+  return reply->revision != 0 && reply->revision < m->list_revision;
+}
+
 /* While the list stays the same or cannot be read, the interval between reads
  * doubles up to poll_max_ms. */
 void
@@ -269,10 +277,12 @@
       _mbr_register_replied (m, env, reply);
       return;
     }
-  if (reply->code == ST_OK && reply->vm_count > 0)
+  if (reply->code == ST_OK && reply->vm_count > 0
+      && !_mbr_list_is_older (m, reply))
     {
       changed = _mbr_list_apply (m, env, reply->vms, reply->vm_count);
       m->list_read_at = env->now;
+      m->list_revision = reply->revision;
     }
   m->poll_ms = changed ? m->desc.poll_ms
                        : clk_min (2 * m->poll_ms, m->desc.poll_max_ms);
--- a/src/core/mbr_int.h
+++ b/src/core/mbr_int.h
@@ -67,6 +67,8 @@
   mbr_derived_t *derived;
   clk_ms_t poll_ms; /* current interval between reads of the list */
   clk_ms_t list_read_at;
+  uint64_t list_revision; /* of the newest list from the platform; 0: none, or
+                             the platform gives none */
   clk_ms_t pinged_at;     /* time of the last mbr_ping; a long gap shows that
                              this VM was suspended */
   bool have_list;         /* from the platform or a peer */
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -147,6 +147,42 @@
   talloc_free (n);
 }
 
+static void
+_list_reply (net_vm_t *v, uint64_t revision, ev_vm_t *vms, size_t count)
+{
+  mbr_platform_replied (
+      v->mbr, v->env, &(plt_done_t){ .mod = MOD_MEMBER },
+      &(ev_platform_t){ .revision = revision, .vms = vms, .vm_count = count });
+}
+
+/* Guards against a list from before the last one: it takes new VMs away and
+ * has others called at addresses that they no longer have. */
+static void
+test_older_list_is_ignored (void)
+{
+  net_desc_t desc = _desc (6, 3);
+  net_t *n = net_setup (NULL, &desc);
+  net_run (n, 5000);
+  net_vm_t *v = &n->vms[0];
+  ev_vm_t older[] = { { .vm = "v0", .data_centre = "dc0", .address = "a0" },
+                      { .vm = "v3", .data_centre = "dc0", .address = "a3" } };
+  ev_vm_t newer[] = { { .vm = "v0", .data_centre = "dc0", .address = "a0" },
+                      { .vm = "v3", .data_centre = "dc0", .address = "b3" },
+                      { .vm = "v6", .data_centre = "dc0", .address = "a6" } };
+  _list_reply (v, 9, newer, 3);
+  clk_ms_t read_at = mbr_list_read_at (v->mbr);
+  v->env->now += 10;
+  _list_reply (v, 7, older, 2);
+  CU_ASSERT_PTR_NOT_NULL (mbr_vm_find (v->mbr, "v6"));
+  CU_ASSERT_STRING_EQUAL (mbr_vm_find (v->mbr, "v3")->address, "b3");
+  CU_ASSERT_EQUAL (mbr_list_read_at (v->mbr), read_at);
+  _list_reply (v, 9, newer, 3);
+  CU_ASSERT_EQUAL (mbr_list_read_at (v->mbr), read_at + 10);
+  _list_reply (v, 10, older, 2);
+  CU_ASSERT_PTR_NULL (mbr_vm_find (v->mbr, "v6"));
+  talloc_free (n);
+}
+
 /* Malformed messages of all kinds, also from a VM that is not in the list,
  * must neither crash the VM nor change its list. */
 static void
@@ -379,6 +415,7 @@
     { "list_kept_in_outage", test_list_kept_in_outage },
     { "start_in_outage", test_start_in_outage },
     { "leaving_owns_nothing", test_leaving_owns_nothing },
+    { "older_list_is_ignored", test_older_list_is_ignored },
     { "bad_messages", test_bad_messages },
     { "grid", test_grid },
     { "grid_reports_end", test_grid_reports_converge },
