Every peer that has a newer document is asked for it, one after another

Cause: a VM that the platform does not serve hears of a newer document from its peers. It kept the name of the first peer that said so, dropped the same news of all others, asked that one peer once and then forgot it. If that peer was lost in the 300 ms between, or its answer was, nothing asked again: peers say their version only when it changes or when a link opens.

What callers see: at that VM a withdrawn key stays valid, and routes and limits stay old, until the operator's next change or a new link.

Change: the directory keeps all peers that say they have the newest version, asks the first after 300 ms as before and the next after 500 ms each, until the version is in force or all were asked once. Where the first one answers, nothing changes: no other is asked.

--- a/src/core/dir_int.h
+++ b/src/core/dir_int.h
@@ -32,8 +32,11 @@
   cfg_doc_t *operator_doc; /**< without upstreams; NULL before the first one */
   uint64_t version;        /**< of operator_doc */
   buf_t raw;               /**< operator_doc as the platform sent it; owned */
-  char *newer_peer; /**< a peer with a newer document; NULL: none known */
-  uint64_t newer_version; /**< that peer's version */
+  char **newer_peers;      /**< peers with document newer_version that were not
+                                asked for it yet; owned */
+  size_t newer_count;      /**< of newer_peers */
+  uint64_t newer_version;  /**< newest version that a peer has said it has; 0:
+                                none */
   uint64_t epoch; /**< counts fresh starts; replies to calls of an earlier
                        epoch are dropped */
   uint64_t recovered_count; /**< plt_recovered_count when the watches began */
@@ -50,8 +53,8 @@
 /** Send the version in force to VM, or to all peers if VM is NULL. */
 void dir_version_send (const dir_t *d, env_t *env, const char *vm);
 
-/** Request the document from newer_peer if the platform has not delivered that
- * version yet. */
+/** Request the document from the first of newer_peers, and from the next one a
+ * little later, if that version is not in force yet. */
 void dir_document_request (dir_t *d, env_t *env);
 
 #endif
--- a/src/core/dir_peer.c
+++ b/src/core/dir_peer.c
@@ -12,6 +12,8 @@
 /** Time for the platform to deliver a version that a peer already has, before
  * that peer is asked for the document. */
 #define DIR_REQUEST_DELAY_MS 300
+/** Time for a peer to answer, before the next one is asked. */
+#define DIR_REQUEST_NEXT_MS 500
 
 static void
 _dir_send (const dir_t *d, env_t *env, const char *vm, uint16_t kind,
@@ -44,26 +46,68 @@
     }
 }
 
+/* -- requests ------------------------------------------------------------- */
+
+static void
+_dir_newer_peers_clear (dir_t *d)
+{
+  TALLOC_FREE (d->newer_peers);
+  d->newer_count = 0;
+}
+
+static void
+_dir_newer_peer_add (dir_t *d, const char *vm)
+{
+  for (size_t i = 0; i < d->newer_count; i++)
+    if (strcmp (d->newer_peers[i], vm) == 0)
+      return;
+  d->newer_peers
+      = talloc_realloc (d, d->newer_peers, char *, d->newer_count + 1);
+  d->newer_peers[d->newer_count++] = talloc_strdup (d->newer_peers, vm);
+}
+
+/* Ask the first of newer_peers, and take it off the list. */
+static void
+_dir_newer_peer_ask (dir_t *d, env_t *env)
+{
+  char *vm = d->newer_peers[0];
+  _dir_send (d, env, vm, MSG_DIRECTORY_REQUEST, d->version, NULL);
+  talloc_free (vm);
+  d->newer_count--;
+  memmove (d->newer_peers, d->newer_peers + 1,
+           d->newer_count * sizeof *d->newer_peers);
+}
+
+static void
+_dir_request_arm (env_t *env, clk_ms_t delay)
+{
+  tmr_arm (env->tmr, env->now + delay, MOD_DIRECTORY, DIR_OP_REQUEST);
+}
+
 void
 dir_document_request (dir_t *d, env_t *env)
 {
-  if (d->newer_peer != NULL && d->newer_version > d->version)
-    _dir_send (d, env, d->newer_peer, MSG_DIRECTORY_REQUEST, d->version, NULL);
-  TALLOC_FREE (d->newer_peer);
+  if (d->newer_version <= d->version)
+    _dir_newer_peers_clear (d);
+  if (d->newer_count == 0)
+    return;
+  _dir_newer_peer_ask (d, env);
+  if (d->newer_count > 0)
+    _dir_request_arm (env, DIR_REQUEST_NEXT_MS);
 }
 
 static void
 _dir_version_received (dir_t *d, env_t *env, const char *vm, uint64_t version)
 {
-  if (version <= d->version
-      || (d->newer_peer != NULL && version <= d->newer_version))
+  if (version <= d->version || version < d->newer_version)
     return;
-  if (d->newer_peer == NULL)
-    tmr_arm (env->tmr, env->now + DIR_REQUEST_DELAY_MS, MOD_DIRECTORY,
-             DIR_OP_REQUEST);
-  talloc_free (d->newer_peer);
-  d->newer_peer = talloc_strdup (d, vm);
+  bool armed = d->newer_count > 0;
+  if (version > d->newer_version)
+    _dir_newer_peers_clear (d);
   d->newer_version = version;
+  _dir_newer_peer_add (d, vm);
+  if (!armed)
+    _dir_request_arm (env, DIR_REQUEST_DELAY_MS);
 }
 
 void
--- a/tests/test_dir.c
+++ b/tests/test_dir.c
@@ -1,11 +1,13 @@
 /** @file
- * Directory: how often it calls the platform for changes, and from which
- * revision it watches after a list of several pages.
+ * Directory: how often it calls the platform for changes, from which revision
+ * it watches after a list of several pages, and which peers it asks.
  */
 #include "core/dir.h"
+#include "core/mpk.h"
 #include "tst.h"
 
 #include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
 #define UPSTREAMS 71
@@ -157,6 +159,74 @@
   env_shutdown (fixture.env);
 }
 
+/* -- peers ----------------------------------------------------------------
+ */
+
+static void
+_peer_says (fixture_t *fixture, const char *vm, uint16_t kind,
+            uint64_t version)
+{
+  mpk_writer_t w;
+  mpk_writer_init (&w, fixture->env);
+  mpk_put_uint (&w, version);
+  dir_message_received (fixture->dir, fixture->env, vm,
+                        &(msg_t){ .kind = kind, .body = mpk_done (&w) });
+}
+
+/* Number of messages of KIND that were sent to VM. */
+static unsigned
+_sent_count (const fixture_t *fixture, const char *vm, uint16_t kind)
+{
+  unsigned n = 0;
+  for (size_t i = 0; i < fixture->env->fx->count; i++)
+    {
+      const fx_t *f = &fixture->env->fx->v[i];
+      n += f->kind == FX_PEER_SEND && f->peer.msg.kind == kind
+           && strcmp (f->peer.vm, vm) == 0;
+    }
+  return n;
+}
+
+/* Guards against a VM that the platform does not serve and that keeps the old
+ * configuration, because the one peer that it asked for the newer one did not
+ * answer. */
+static void
+test_each_peer_with_a_newer_document_is_asked (void)
+{
+  fixture_t fixture = _fixture ();
+  _peer_says (&fixture, "n-2", MSG_DIRECTORY_VERSION, 7);
+  _peer_says (&fixture, "n-3", MSG_DIRECTORY_VERSION, 7);
+  _peer_says (&fixture, "n-3", MSG_DIRECTORY_VERSION, 7);
+  _peer_says (&fixture, "n-4", MSG_DIRECTORY_VERSION, 6);
+  _time_advance (&fixture, CLK_SECOND);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-2", MSG_DIRECTORY_REQUEST), 1);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-3", MSG_DIRECTORY_REQUEST), 0);
+  for (unsigned i = 0; i < 10; i++)
+    _time_advance (&fixture, CLK_SECOND);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-2", MSG_DIRECTORY_REQUEST), 1);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-3", MSG_DIRECTORY_REQUEST), 1);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-4", MSG_DIRECTORY_REQUEST), 0);
+  env_shutdown (fixture.env);
+}
+
+/* Guards against a request for a document that this VM has got meanwhile. */
+static void
+test_no_peer_is_asked_for_a_known_document (void)
+{
+  fixture_t fixture = _fixture ();
+  _peer_says (&fixture, "n-2", MSG_DIRECTORY_VERSION, 7);
+  _peer_says (&fixture, "n-3", MSG_DIRECTORY_VERSION, 7);
+  _time_advance (&fixture, CLK_SECOND);
+  cfg_doc_t parts = { 0 };
+  dir_document_decoded (fixture.dir, fixture.env,
+                        &(ev_document_t){ .version = 7, .parts = &parts });
+  CU_ASSERT_EQUAL (dir_version (fixture.dir), 7);
+  for (unsigned i = 0; i < 10; i++)
+    _time_advance (&fixture, CLK_SECOND);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-3", MSG_DIRECTORY_REQUEST), 0);
+  env_shutdown (fixture.env);
+}
+
 int
 main (void)
 {
@@ -165,6 +235,10 @@
     { "single_change_is_read_at_once", test_single_change_is_read_at_once },
     { "paged_list_is_watched_from_its_first_page",
       test_paged_list_is_watched_from_its_first_page },
+    { "each_peer_with_a_newer_document_is_asked",
+      test_each_peer_with_a_newer_document_is_asked },
+    { "no_peer_is_asked_for_a_known_document",
+      test_no_peer_is_asked_for_a_known_document },
   };
   return tst_run ("dir", cases, sizeof cases / sizeof cases[0]);
 }
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -279,6 +279,26 @@
   hst_shutdown (h);
 }
 
+/* Guards against a withdrawn key that stays valid at a VM which the platform
+ * does not serve, because the peer that it asks for the document is lost. */
+static void
+test_document_from_a_peer_after_another_is_lost (void)
+{
+  for (size_t lost = 1; lost <= 3; lost++)
+    {
+      hst_t *h = _fleet (&(hst_desc_t){ 0 });
+      hst_platform_down (h, 0, true);
+      hst_advance (h, 100);
+      hst_document_write (h, "key-new");
+      hst_advance (h, 100);
+      hst_kill (h, lost);
+      hst_advance (h, 2000);
+      uint64_t old = hst_stream (h, 0, KEY, "r-1");
+      CU_ASSERT_EQUAL (hst_response (h, old)->status, 401);
+      hst_shutdown (h);
+    }
+}
+
 /* -- limits ----------------------------------------------------------------
  */
 
@@ -648,6 +668,8 @@
     { "key_change_is_in_force", test_key_change_is_in_force },
     { "change_missed_by_a_watch", test_change_missed_by_a_watch },
     { "document_from_a_peer", test_document_from_a_peer },
+    { "document_from_a_peer_after_another_is_lost",
+      test_document_from_a_peer_after_another_is_lost },
     { "slack_serves_after_all_restart", test_slack_serves_after_all_restart },
     { "no_slack_while_rights_are_held", test_no_slack_while_rights_are_held },
     { "job_completes_and_is_read_at_any_vm",
