A grant of credits that a later one has overtaken is dropped

Cause: in a fleet without a full mesh a grant reaches a VM through others, each time perhaps another way, so an older grant can arrive after a newer one. The VM applied grants in the order of their arrival.

What callers see, as the code has it: the VM holds credits that the owner has granted to others meanwhile, so more items run at an upstream than it has idle slots, and online requests wait behind them for up to the life of a credit.

Change: a grant says which report it answers; one for an older report than that of the grant in force, of the same owner, is dropped. Two grants that answer one report (the owner's shares changed in between) have no order in the message and still count as they come.

--- a/src/core/crd.c
+++ b/src/core/crd.c
@@ -357,6 +357,9 @@
   bool other = strcmp (u->granter, vm) != 0;
   if (other && env->now < u->granted_until)
     return;
+  /* A later grant has overtaken this one. */
+  if (!other && sent_at + CRD_CREDIT_TTL_MS < u->granted_until)
+    return;
   if (other)
     u->granter = talloc_strdup (c->config_ctx, vm);
   u->granted = granted;
--- a/tests/test_crd.c
+++ b/tests/test_crd.c
@@ -271,6 +271,46 @@
   talloc_free (bed);
 }
 
+/* Let VM receive a grant of CREDITS from the owner OWN, in answer to the
+ * report of SENT_AT. */
+static void
+grant (bed_t *bed, uint32_t own, uint32_t vm, clk_ms_t sent_at,
+       uint32_t credits)
+{
+  void *ctx = talloc_new (NULL);
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_int (&w, sent_at);
+  mpk_put_str (&w, buf_str ("e-0"));
+  mpk_put_uint (&w, credits);
+  crd_message_received (
+      bed->vm[vm].crd, bed->vm[vm].env, bed->vm[own].env->vm,
+      &(msg_t){ .kind = MSG_BATCH_FIRST + 9, /* CRD_MSG_GRANT */
+                .body = mpk_done (&w) });
+  talloc_free (ctx);
+}
+
+/* Guards against a grant that another one has overtaken: it gives back credits
+ * that the owner has granted to others since. */
+static void
+test_overtaken_grant_is_not_used (void)
+{
+  bed_t *bed = setup ();
+  fill (bed);
+  uint32_t own = owner (bed);
+  uint32_t vm = (own + 1) % VMS;
+  bed->vm[vm].cut = true;
+  run (bed, 2 * CRD_CREDIT_TTL_MS);
+  grant (bed, own, vm, bed->now - 100, 5);
+  CU_ASSERT_EQUAL (crd_stat (bed->vm[vm].crd, bed->now, "e-0").granted, 5);
+  grant (bed, own, vm, bed->now - 10, 2);
+  grant (bed, own, vm, bed->now - 100, 5);
+  CU_ASSERT_EQUAL (crd_stat (bed->vm[vm].crd, bed->now, "e-0").granted, 2);
+  grant (bed, own, vm, bed->now - 10, 3);
+  CU_ASSERT_EQUAL (crd_stat (bed->vm[vm].crd, bed->now, "e-0").granted, 3);
+  talloc_free (bed);
+}
+
 /* Load that the upstream reports beyond the known load counts as foreign. */
 static void
 test_foreign_load_reduces_credits (void)
@@ -313,6 +353,7 @@
     { "no_owner_no_credits", test_no_owner_no_credits },
     { "non_preemptible_item_runs_on", test_non_preemptible_item_runs_on },
     { "late_grant_is_not_used", test_late_grant_is_not_used },
+    { "overtaken_grant_is_not_used", test_overtaken_grant_is_not_used },
     { "foreign_load_reduces_credits", test_foreign_load_reduces_credits },
     { "bad_messages_are_counted", test_bad_messages_are_counted },
   };
