A VM without the newest document is told by whoever hears its version

Cause: a VM said its document's version when it changed and when a link opened, and not at all while it had none; nobody answered an older version. So the news of a newer one had a single chance. When a process starts anew while the others still hold the connections to its last one, they see no link open and say nothing.

What callers see: where the platform does not serve that VM it has no document until the operator's next change: every request gets 503, and it does not become ready. After a lost message the same holds for a change: a withdrawn key stays valid there.

Change: a VM says its version whenever a link opens, 0 if it has no document, and a VM that hears of an older version than its own answers with its own.

Open: in a grid the reports of which VMs are down are still sent only when a link opens.

--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -31,7 +31,7 @@
 typedef enum
 {
   MSG_DIRECTORY_VERSION = MSG_DIRECTORY_FIRST, /**< u64 version in force at
-                                                    the sender */
+                                                    the sender; 0: none */
   MSG_DIRECTORY_REQUEST,  /**< asks for a newer document: u64 version in force
                                at the sender */
   MSG_DIRECTORY_DOCUMENT, /**< u64 version, str document as the platform sent
@@ -86,7 +86,8 @@
 /** Read everything again if the platform has lost its history. */
 void dir_pump (dir_t *d, env_t *env);
 
-/** Send the version in force, if any, to VM, to which a link has opened. */
+/** Send the version in force, 0 if there is none, to VM, to which a link has
+ * opened. */
 void dir_peer_up (dir_t *d, env_t *env, const char *vm);
 void dir_message_received (dir_t *d, env_t *env, const char *vm,
                            const msg_t *msg);
--- a/src/core/dir_peer.c
+++ b/src/core/dir_peer.c
@@ -1,6 +1,8 @@
 /** @file
  * Exchange of the operator's document between peers: each VM broadcasts its
- * version, and a VM that the platform has not served requests the document.
+ * version, and a VM that the platform has not served requests the document.  A
+ * VM says its version also where it has none, and is answered with a newer
+ * one, so it does not matter whether both ends see a link open.
  */
 #include "core/dir_int.h"
 
@@ -99,6 +101,8 @@
 static void
 _dir_version_received (dir_t *d, env_t *env, const char *vm, uint64_t version)
 {
+  if (version < d->version)
+    dir_version_send (d, env, vm);
   if (version <= d->version || version < d->newer_version)
     return;
   bool armed = d->newer_count > 0;
@@ -113,8 +117,7 @@
 void
 dir_peer_up (dir_t *d, env_t *env, const char *vm)
 {
-  if (d->version != 0)
-    dir_version_send (d, env, vm);
+  dir_version_send (d, env, vm);
 }
 
 void
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -365,8 +365,9 @@
   hst_event_push (h, vm, 0, &(ev_t){ .kind = EV_START });
 }
 
-void
-hst_kill (hst_t *h, size_t vm)
+/* End the process of VM, as far as VM itself sees it. */
+static void
+_hst_process_end (hst_t *h, size_t vm)
 {
   TALLOC_FREE (h->vm[vm].node);
   h->vm[vm].incarnation++;
@@ -378,6 +379,20 @@
       if (f->vm == vm)
         hst_inflight_end (h, f);
     }
+}
+
+void
+hst_kill (hst_t *h, size_t vm)
+{
+  _hst_process_end (h, vm);
+  _hst_links_update (h);
+}
+
+void
+hst_start_unnoticed (hst_t *h, size_t vm)
+{
+  _hst_process_end (h, vm);
+  hst_start (h, vm);
   _hst_links_update (h);
 }
 
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -113,6 +113,10 @@
 void hst_kill (hst_t *h, size_t vm);
 void hst_start (hst_t *h, size_t vm);
 
+/** Start a new process of VM while the other VMs still hold the links to its
+ * last one: they see neither these links close nor the new ones open. */
+void hst_start_unnoticed (hst_t *h, size_t vm);
+
 /** Ask the process of VM for a graceful shutdown. */
 void hst_leave (hst_t *h, size_t vm);
 
--- a/tests/test_dir.c
+++ b/tests/test_dir.c
@@ -227,6 +227,26 @@
   env_shutdown (fixture.env);
 }
 
+/* Guards against a VM that keeps an old document, because the message with the
+ * newer version was lost: whoever hears of an older one says its own. */
+static void
+test_older_version_is_answered (void)
+{
+  fixture_t fixture = _fixture ();
+  dir_peer_up (fixture.dir, fixture.env, "n-2");
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-2", MSG_DIRECTORY_VERSION), 1);
+  cfg_doc_t parts = { 0 };
+  dir_document_decoded (fixture.dir, fixture.env,
+                        &(ev_document_t){ .version = 7, .parts = &parts });
+  _peer_says (&fixture, "n-3", MSG_DIRECTORY_VERSION, 6);
+  _peer_says (&fixture, "n-4", MSG_DIRECTORY_VERSION, 7);
+  _peer_says (&fixture, "n-5", MSG_DIRECTORY_VERSION, 8);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-3", MSG_DIRECTORY_VERSION), 1);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-4", MSG_DIRECTORY_VERSION), 0);
+  CU_ASSERT_EQUAL (_sent_count (&fixture, "n-5", MSG_DIRECTORY_VERSION), 0);
+  env_shutdown (fixture.env);
+}
+
 int
 main (void)
 {
@@ -237,6 +257,7 @@
       test_paged_list_is_watched_from_its_first_page },
     { "each_peer_with_a_newer_document_is_asked",
       test_each_peer_with_a_newer_document_is_asked },
+    { "older_version_is_answered", test_older_version_is_answered },
     { "no_peer_is_asked_for_a_known_document",
       test_no_peer_is_asked_for_a_known_document },
   };
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -299,6 +299,20 @@
     }
 }
 
+/* Guards against a new process without a document, because the other VMs hold
+ * the links to its last one and do not see it start. */
+static void
+test_document_after_an_unnoticed_start (void)
+{
+  hst_t *h = _fleet (&(hst_desc_t){ 0 });
+  hst_platform_down (h, HST_MAX, true);
+  hst_start_unnoticed (h, 0);
+  hst_advance (h, 3000);
+  uint64_t unknown = hst_stream (h, 0, "key-unknown", "r-1");
+  CU_ASSERT_EQUAL (hst_response (h, unknown)->status, 401);
+  hst_shutdown (h);
+}
+
 /* -- limits ----------------------------------------------------------------
  */
 
@@ -670,6 +684,8 @@
     { "document_from_a_peer", test_document_from_a_peer },
     { "document_from_a_peer_after_another_is_lost",
       test_document_from_a_peer_after_another_is_lost },
+    { "document_after_an_unnoticed_start",
+      test_document_after_an_unnoticed_start },
     { "slack_serves_after_all_restart", test_slack_serves_after_all_restart },
     { "no_slack_while_rights_are_held", test_no_slack_while_rights_are_held },
     { "job_completes_and_is_read_at_any_vm",
