--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -285,6 +285,85 @@
   talloc_free (ctx);
 }
 
+#define GOOD_SPEC                                                             \
+  "{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","           \
+  "\"state\":\"ready\"}"
+#define BAD_SPEC(value)                                                       \
+  "{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","           \
+  "\"state\":\"ready\",\"version\":" value "}"
+
+/* Text that other writers can store and that is not UTF-8, or has a NUL. */
+static const char *const unreadable[] = {
+  "\"\xff\"",
+  "\"a\\u0000b\"",
+  "\"\\\"}\xc3\"",
+  "[\"\xfe\",{}]",
+};
+
+/* Check the entries of a list or of events that consists of BEFORE, the spec
+ * of i-1 with each unreadable value in turn, and AFTER. */
+static void
+_unreadable_entry_check (const char *before, const char *after)
+{
+  for (size_t i = 0; i < sizeof unreadable / sizeof unreadable[0]; i++)
+    {
+      void *ctx = talloc_new (NULL);
+      ev_platform_t reply = { 0 };
+      char *body = talloc_asprintf (ctx, "%s" BAD_SPEC ("%s") "%s", before,
+                                    unreadable[i], after);
+      pfm_object_response_decode (ctx, FX_PLATFORM_UPSTREAMS, "", 200,
+                                  buf_str (body), &reply);
+      CU_ASSERT_EQUAL (reply.code, ST_OK);
+      CU_ASSERT_EQUAL (reply.revision, 12);
+      TST_NEED (reply.entry_count == 2);
+      CU_ASSERT_STRING_EQUAL (reply.entries[0].name, "i-1");
+      CU_ASSERT (reply.entries[0].deleted);
+      CU_ASSERT_STRING_EQUAL (reply.entries[1].name, "i-2");
+      CU_ASSERT (!reply.entries[1].deleted);
+      talloc_free (ctx);
+    }
+}
+
+/* Guards against one entry with unreadable bytes that takes the whole list of
+ * upstreams away. */
+static void
+test_unreadable_entry_leaves_the_list (void)
+{
+  _unreadable_entry_check (
+      "{\"items\":[{\"metadata\":{\"name\":\"i-1\"},\"spec\":",
+      "},{\"metadata\":{\"name\":\"i-2\"},\"spec\":" GOOD_SPEC
+      "}],\"hasMore\":false,\"currentRev\":12}");
+}
+
+/* Guards against an event with unreadable bytes that stops all later events,
+ * and leaves the entry that it replaces in use. */
+static void
+test_unreadable_entry_leaves_other_events (void)
+{
+  _unreadable_entry_check (
+      "{ \"currentRev\" : 12 , \"events\" : [ { \"object\" : "
+      "{\"metadata\":{\"name\":\"i-1\"},\"spec\":",
+      "},\"deleted\":false},{\"object\":{\"metadata\":{\"name\":\"i-2\"},"
+      "\"spec\":" GOOD_SPEC "},\"deleted\":false}]}");
+}
+
+/* Guards against a list that was cut off as a complete one. */
+static void
+test_cut_list_is_no_list (void)
+{
+  static const char list[]
+      = "{\"currentRev\":12,\"items\":[{\"metadata\":{\"name\":\"i-1\"},"
+        "\"spec\":" BAD_SPEC ("[\"\\\"\xff\"]") "},{}]}";
+  void *ctx = talloc_new (NULL);
+  for (size_t n = 0; n < sizeof list; n++)
+    {
+      char *cut = talloc_strndup (ctx, list, n);
+      st_code_t code = _response_code (FX_PLATFORM_UPSTREAMS, 200, cut);
+      CU_ASSERT_EQUAL (code, n == sizeof list - 1 ? ST_OK : ST_UNAVAILABLE);
+    }
+  talloc_free (ctx);
+}
+
 /* -- requests and responses ------------------------------------------------
  */
 
@@ -497,6 +576,11 @@
     { "object_responses", test_object_responses },
     { "response_about_other_object", test_response_about_other_object },
     { "lists", test_lists },
+    { "unreadable_entry_leaves_the_list",
+      test_unreadable_entry_leaves_the_list },
+    { "unreadable_entry_leaves_other_events",
+      test_unreadable_entry_leaves_other_events },
+    { "cut_list_is_no_list", test_cut_list_is_no_list },
     { "request_headers", test_request_headers },
     { "request_id_is_trimmed", test_request_id_is_trimmed },
     { "empty_signature_is_none", test_empty_signature_is_none },
