A page whose last name cannot be read is not the last page

Cause: the next page of a list begins after the last name of the page before. If that name could not be read, the list counted as complete.

What callers see: upstreams (or records of jobs) of the later pages count as gone until the list is read anew. Lists have several pages from about 500 entries on.

--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -347,6 +347,36 @@
       "\"spec\":" GOOD_SPEC "},\"deleted\":false}]}");
 }
 
+static ev_platform_t
+_page (void *ctx, const char *body)
+{
+  ev_platform_t reply = { 0 };
+  pfm_object_response_decode (ctx, FX_PLATFORM_UPSTREAMS, "", 200,
+                              buf_str (body), &reply);
+  return reply;
+}
+
+/* Guards against a page that counts as the last one, because the name after
+ * which the next one begins cannot be read: all later upstreams would be gone.
+ */
+static void
+test_page_without_a_last_name_is_not_the_last (void)
+{
+  void *ctx = talloc_new (NULL);
+  ev_platform_t reply = _page (
+      ctx, "{\"items\":[{\"metadata\":{\"name\":\"i-1\"},\"spec\":{}},"
+           "{\"metadata\":{\"name\":\"\xff\"},\"spec\":{}}],"
+           "\"hasMore\":true,\"currentRev\":12}");
+  CU_ASSERT_EQUAL (reply.code, ST_OK);
+  CU_ASSERT_PTR_NOT_NULL (reply.continue_after);
+  if (reply.continue_after != NULL)
+    CU_ASSERT_STRING_EQUAL (reply.continue_after, "i-1");
+  reply = _page (ctx, "{\"items\":[{\"metadata\":{\"name\":7}}],"
+                      "\"hasMore\":true,\"currentRev\":12}");
+  CU_ASSERT_EQUAL (reply.code, ST_UNAVAILABLE);
+  talloc_free (ctx);
+}
+
 /* Guards against a list that was cut off as a complete one. */
 static void
 test_cut_list_is_no_list (void)
@@ -580,6 +610,8 @@
       test_unreadable_entry_leaves_the_list },
     { "unreadable_entry_leaves_other_events",
       test_unreadable_entry_leaves_other_events },
+    { "page_without_a_last_name_is_not_the_last",
+      test_page_without_a_last_name_is_not_the_last },
     { "cut_list_is_no_list", test_cut_list_is_no_list },
     { "request_headers", test_request_headers },
     { "request_id_is_trimmed", test_request_id_is_trimmed },
