An entry that names no upstream ends the one that it named before

Cause: an entry of the list that another writer has made unusable was handled like one that has disappeared. An upstream whose entry disappears shortly after a failed call may register again, so it stays in use for 2.5 s; one whose entry says something else may not. Besides, numbers of another type counted as not given: a start (born) that is no whole number made the entry one without a start, whose restart is not seen.

What callers see: for up to 2.5 s after a failed platform call requests go to an upstream that the list no longer names.

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -177,17 +177,10 @@
   return clk_max (env->now, d->failed_at + d->desc.reregister_ms);
 }
 
-/* Remove an entry that has disappeared from the list, or set the instant at
- * which it expires if the upstream may still register again. */
+/* Remove an entry at once. */
 static void
-_dir_entry_remove (dir_t *d, env_t *env, _dir_entry_t *e)
+_dir_entry_drop (dir_t *d, env_t *env, const _dir_entry_t *e)
 {
-  e->expires_at = _dir_removal_time (d, env);
-  if (e->expires_at > env->now)
-    {
-      tmr_arm (env->tmr, e->expires_at, MOD_DIRECTORY, DIR_OP_EXPIRY);
-      return;
-    }
   tln_record (env->tln, env->now, MOD_DIRECTORY, "upstream-gone",
               "upstream=%s born=%llu list_age_ms=%lld", e->upstream.name,
               (unsigned long long)e->upstream.born,
@@ -196,6 +189,18 @@
   d->dirty = true;
 }
 
+/* Remove an entry that has disappeared from the list, or set the instant at
+ * which it expires if the upstream may still register again. */
+static void
+_dir_entry_remove (dir_t *d, env_t *env, _dir_entry_t *e)
+{
+  e->expires_at = _dir_removal_time (d, env);
+  if (e->expires_at > env->now)
+    tmr_arm (env->tmr, e->expires_at, MOD_DIRECTORY, DIR_OP_EXPIRY);
+  else
+    _dir_entry_drop (d, env, e);
+}
+
 static bool
 _dir_entry_same (const cfg_upstream_t *a, const ev_upstream_entry_t *b)
 {
@@ -209,6 +214,12 @@
 _dir_entry_update (dir_t *d, env_t *env, const ev_upstream_entry_t *entry)
 {
   _dir_entry_t *e = g_hash_table_lookup (d->entries, entry->name);
+  if (entry->unusable)
+    {
+      if (e != NULL)
+        _dir_entry_drop (d, env, e);
+      return;
+    }
   if (entry->deleted)
     {
       if (e != NULL)
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -152,6 +152,8 @@
   const char *address; /**< "IP:PORT" */
   bool leaving;        /**< gets no new requests */
   bool deleted;        /**< WATCH: the entry was deleted */
+  bool unusable;       /**< the entry stands in the list and describes no
+                            upstream */
   clk_ms_t cold_ms;    /**< remaining warm-up time; slow until then */
   uint64_t born;       /**< Unix time in ms of the upstream's start; 0: not
                             known */
--- a/tests/test_dir.c
+++ b/tests/test_dir.c
@@ -159,6 +159,32 @@
   env_shutdown (fixture.env);
 }
 
+/* Guards against an upstream that stays in use because its entry has become
+ * unusable shortly after a failed call: only a missing entry may come back. */
+static void
+test_unusable_entry_ends_the_upstream_at_once (void)
+{
+  fixture_t fixture = _fixture ();
+  char name[16];
+  ev_upstream_entry_t e = _entry (1, name, sizeof name);
+  cfg_doc_t parts = { 0 };
+  dir_document_decoded (fixture.dir, fixture.env,
+                        &(ev_document_t){ .version = 7, .parts = &parts });
+  _reply (&fixture,
+          &(ev_platform_t){ .revision = 5, .entries = &e, .entry_count = 1 });
+  CU_ASSERT (dir_changed (fixture.dir, fixture.env));
+  CU_ASSERT_EQUAL (dir_doc (fixture.dir)->upstream_count, 1);
+  _time_advance (&fixture, CLK_SECOND);
+  _reply (&fixture, &(ev_platform_t){ .code = ST_UNAVAILABLE });
+  _time_advance (&fixture, CLK_SECOND);
+  e = (ev_upstream_entry_t){ .name = name, .deleted = true, .unusable = true };
+  _reply (&fixture,
+          &(ev_platform_t){ .revision = 6, .entries = &e, .entry_count = 1 });
+  CU_ASSERT (dir_changed (fixture.dir, fixture.env));
+  CU_ASSERT_EQUAL (dir_doc (fixture.dir)->upstream_count, 0);
+  env_shutdown (fixture.env);
+}
+
 /* -- peers ----------------------------------------------------------------
  */
 
@@ -255,6 +281,8 @@
     { "single_change_is_read_at_once", test_single_change_is_read_at_once },
     { "paged_list_is_watched_from_its_first_page",
       test_paged_list_is_watched_from_its_first_page },
+    { "unusable_entry_ends_the_upstream_at_once",
+      test_unusable_entry_ends_the_upstream_at_once },
     { "each_peer_with_a_newer_document_is_asked",
       test_each_peer_with_a_newer_document_is_asked },
     { "older_version_is_answered", test_older_version_is_answered },
--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -126,6 +126,18 @@
   CU_ASSERT (_entry (ctx, ENTRY ("\"10.0.0.1\"", "ready")).deleted);
   CU_ASSERT (_entry (ctx, ENTRY ("17", "ready")).deleted);
   CU_ASSERT (_entry (ctx, "\"text\"").deleted);
+  /* Guards against an entry with a start that is no whole number: it counts as
+   * one whose start is not given, so a restart is not seen. */
+  static const char *const numbers[]
+      = { "\"born\":\"1\"", "\"born\":1.5",    "\"born\":null",
+          "\"born\":-1",    "\"slots\":\"8\"", "\"seq\":{}" };
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    CU_ASSERT (_entry (ctx, talloc_asprintf (
+                                ctx,
+                                "{\"service\":\"s1\",\"address\":\"10.0.0.1:80"
+                                "\",\"zone\":\"z\",\"state\":\"ready\",%s}",
+                                numbers[i]))
+                   .deleted);
   CU_ASSERT (_entry (ctx, "null").deleted);
   CU_ASSERT_EQUAL (e.born, 0);
   e = _entry (ctx, ENTRY ("\"10.0.0.1:80\",\"born\":1800000000123", "ready"));
@@ -317,7 +329,7 @@
       CU_ASSERT_EQUAL (reply.revision, 12);
       TST_NEED (reply.entry_count == 2);
       CU_ASSERT_STRING_EQUAL (reply.entries[0].name, "i-1");
-      CU_ASSERT (reply.entries[0].deleted);
+      CU_ASSERT (reply.entries[0].unusable);
       CU_ASSERT_STRING_EQUAL (reply.entries[1].name, "i-2");
       CU_ASSERT (!reply.entries[1].deleted);
       talloc_free (ctx);
