A report of a VM that no longer polls an upstream is dropped

Cause: a VM applied every report about an upstream that it does not poll itself, whoever sent it. A VM that polled the upstream before and answers late (it was slow or frozen) replaced what the poller had reported since: load, slots and whether the upstream leaves.

Change: a report counts only if its sender is the poller, as far as this VM knows; that is the only VM that it asks.

--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -284,6 +284,14 @@
   return good;
 }
 
+/** Whether the other VM called VM polls U, as far as this VM knows.  A VM that
+ * did so before may report late. */
+static bool
+_rte_is_poller (const rte_upstream_t *u, const char *vm)
+{
+  return u->poll == NULL && u->poller != NULL && strcmp (u->poller, vm) == 0;
+}
+
 /** Reads one upstream's entry of a report of VM; APPLY: applies the entry
  * too. */
 static void
@@ -303,7 +311,7 @@
   uint64_t seen = mpk_get_uint (in);
   uint64_t events = mpk_get_uint (in);
   rte_upstream_t *u = name.p ? g_hash_table_lookup (r->by_name, name.p) : NULL;
-  bool applies = apply && u != NULL && u->poll == NULL;
+  bool applies = apply && u != NULL && _rte_is_poller (u, vm);
   for (uint64_t i = 0; i < events && mpk_more (in); i++)
     {
       bool added = mpk_get_uint (in) != 0;
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -551,6 +551,41 @@
   talloc_free (f);
 }
 
+/** Lets VM receive a report of FROM that u0 is leaving. */
+static void
+report_leaving (fixture_t *f, int vm, const char *from)
+{
+  /* In the order of MSG_ROUTE_REPORT: VMs, requests of others, batch requests
+   * among them, state (reported and leaving), age, running, waiting, hidden,
+   * slots, cache events so far, cache events that follow. */
+  static const uint64_t numbers[] = { 2, 0, 0, 1 | 2, 0, 0, 0, 0, 4, 0, 0 };
+  mpk_writer_t w;
+  mpk_writer_init (&w, f);
+  mpk_put_str (&w, buf_str ("u0"));
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    mpk_put_uint (&w, numbers[i]);
+  rte_message_received (
+      f->rte[vm], f->env[vm], from,
+      &(msg_t){ .kind = MSG_ROUTE_REPORT, .body = mpk_done (&w) });
+}
+
+/* Guards against a late report of a VM that polled an upstream before: it
+ * undoes what the poller has reported since. */
+static void
+test_report_of_a_former_poller_is_ignored (void)
+{
+  fixture_t *f = fixture_setup (2);
+  run (f, 500);
+  int vm = rte_polls (f->rte[0], f->env[0], "u0") ? 1 : 0;
+  report_leaving (f, vm, "c");
+  CU_ASSERT_FALSE (rte_leaving (f->rte[vm], f->env[vm], "u0"));
+  report_leaving (f, vm, vm_name[1 - vm]);
+  CU_ASSERT (rte_leaving (f->rte[vm], f->env[vm], "u0"));
+  CU_ASSERT_EQUAL (
+      cnt_value (f->env[vm]->cnt, "rts_route_bad_messages_total", ""), 0);
+  talloc_free (f);
+}
+
 static void
 test_prefix_hash_matches_that_of_the_cache_events (void)
 {
@@ -683,6 +718,8 @@
       test_full_is_reported_apart_from_none },
     { "bad_messages_are_counted_and_dropped",
       test_bad_messages_are_counted_and_dropped },
+    { "report_of_a_former_poller_is_ignored",
+      test_report_of_a_former_poller_is_ignored },
     { "prefix_hash_matches_that_of_the_cache_events",
       test_prefix_hash_matches_that_of_the_cache_events },
   };
