Stand-ins for the users' platform as processes: store, replica, callers, link

Cause: DRAIN and MIXED were seen on real processes. What tests of the users' platform there are run in virtual time (hst) or with one driver in the test's own process (drvbed), where no process can be frozen or cut off.

--- a/standin/main.c
+++ b/standin/main.c
@@ -16,6 +16,11 @@
   { "engine", engine_main, "model engine: streams, batching, prefix cache" },
   { "plain", plain_main, "plain service that counts its calls" },
   { "load", load_main, "open-loop load with latency quantiles" },
+  { "store", store_main, "users' store: kinds, names, revisions, watches" },
+  { "replica", replica_main, "users' replica: registers, streams events" },
+  { "ask", ask_main, "users' callers: judge each answer" },
+  { "judge", judge_main, "join the records of callers and replicas" },
+  { "relay", relay_main, "link to the store that can be frozen" },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof commands[0])
