--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 obj = $(patsubst %.c,build/$(1)/%.o,$(2))
 
-.PHONY: all check lint format tests demo process-tests soak measure fuzz install clean help deps
+.PHONY: all check lint format tests demo process-tests hosted-tests soak measure fuzz install clean help deps
 .SECONDARY:
 
 all: deps
@@ -40,6 +40,7 @@
 	@echo "make tests    build the test programs without running them"
 	@echo "make demo     run the example deployments here and kill a VM in each"
 	@echo "make process-tests  failure tests: VMs, upstreams and platform"
+	@echo "make hosted-tests   the same where the users' platform configures"
 	@echo "make fuzz     run the fuzzers with a fixed seed"
 	@echo "make lint     check with clang-format and clang-tidy"
 	@echo "make format   apply clang-format"
@@ -142,7 +143,8 @@
 	  build/standin $(TEST_PROGRAMS) $(MEASURE_PROGRAMS)
 	@$(MAKE) --no-print-directory -j12 $(FUZZERS)
 	@$(MAKE) --no-print-directory fuzz
-	@tools/run-tests $(TEST_PROGRAMS) tools/process-tests tools/demo
+	@tools/run-tests $(TEST_PROGRAMS) tools/process-tests \
+	  tools/hosted-tests tools/demo
 
 # Long randomised runs of optimised builds: SOAK_SEEDS seeds from SOAK_FROM on.
 SOAK_SEEDS = 1000
@@ -164,6 +166,9 @@
 process-tests: all
 	@tools/process-tests
 
+hosted-tests: all
+	@tools/hosted-tests
+
 measure: deps
 	@mkdir -p build/measure
 	@$(MAKE) --no-print-directory -j4 $(MEASURE_PROGRAMS)
--- a/standin/ask.c
+++ b/standin/ask.c
@@ -17,10 +17,14 @@
 #include <talloc.h>
 
 #define VMS_MAX 16
-#define SHOWN_BYTES 160
+#define SHOWN_BYTES 400
 #define DEADLINE_MS 5000
 #define EXTRA_WAIT_MS 1000
-#define ABANDONED_TICK_MS 5
+#define STATUS_LIMITED 429
+#define STATUS_REFUSED 503
+#define TICK_MS 5
+/** A caller's pause after a refusal, on a kept connection. */
+#define REFUSED_PAUSE_MS 100
 
 typedef struct
 {
@@ -54,6 +58,7 @@
   GString *in;
   struct tevent_fd *event;
   struct tevent_timer *deadline;
+  struct tevent_timer *pause; /**< before the next request */
   int64_t sent_ms;
   int64_t first_ms; /**< first byte of the answer; 0: none */
   bool kept;
@@ -99,7 +104,7 @@
     k->broken++;
   else if (a->status >= 200 && a->status < 300)
     k->own++;
-  else if (a->status == 429 || a->status == 503)
+  else if (a->status == STATUS_LIMITED || a->status == STATUS_REFUSED)
     k->refused++;
   else
     k->failed++;
@@ -145,7 +150,8 @@
 {
   _asker_t *k = c->asker;
   unsigned vm = c->vm;
-  _call_judge (c, ask_read (c, c->in));
+  if (c->id != NULL)
+    _call_judge (c, ask_read (c, c->in));
   bool again = c->kept && (c->served || c->in->len > 0) && !_is_over (k);
   talloc_free (c);
   if (again)
@@ -166,6 +172,7 @@
 static void
 _call_next (_call_t *c)
 {
+  c->pause = NULL;
   _asker_t *k = c->asker;
   talloc_free (c->id);
   c->id = talloc_asprintf (c, "%s-v%u-%u", k->tag, c->vm, ++k->sent);
@@ -178,6 +185,30 @@
   tevent_fd_set_flags (c->event, TEVENT_FD_READ | TEVENT_FD_WRITE);
 }
 
+static void
+_call_pause_over (struct tevent_context *loop, struct tevent_timer *timer,
+                  struct timeval now, void *data)
+{
+  (void)loop;
+  (void)timer;
+  (void)now;
+  _call_next (data);
+}
+
+/* Goes on after answer A on a kept connection. */
+static void
+_call_go_on (_call_t *c, const ask_answer_t *a)
+{
+  TALLOC_FREE (c->id);
+  TALLOC_FREE (c->deadline);
+  c->served = true;
+  if (a->status == STATUS_REFUSED)
+    c->pause = wire_timer_add (c->asker->loop, c, REFUSED_PAUSE_MS,
+                               _call_pause_over, c);
+  else
+    _call_next (c);
+}
+
 static void
 _call_write (_call_t *c)
 {
@@ -197,6 +228,17 @@
     _call_end (c);
 }
 
+/* Bytes have come while no request waits for an answer. */
+static void
+_call_unasked (_call_t *c)
+{
+  c->id = talloc_strdup (c, "none");
+  _call_show (c, "bytes while no request waits");
+  c->asker->mixed++;
+  TALLOC_FREE (c->id);
+  _call_end (c);
+}
+
 /* Reads; a whole answer on a kept connection is followed by a request. */
 static void
 _call_read (_call_t *c)
@@ -213,14 +255,18 @@
   if (c->first_ms == 0)
     c->first_ms = wire_now_ms ();
   g_string_append_len (c->in, bytes, n);
+  if (c->id == NULL)
+    {
+      _call_unasked (c);
+      return;
+    }
   if (!c->kept)
     return;
   ask_answer_t *a = ask_read (c, c->in);
   if (a->extent == ASK_WHOLE && !a->closes && !_is_over (c->asker))
     {
       _call_judge (c, a);
-      c->served = true;
-      _call_next (c);
+      _call_go_on (c, a);
     }
   else if (a->extent != ASK_PARTIAL)
     {
@@ -272,7 +318,7 @@
   while (k->sent < due)
     _call_begin (k, k->sent % k->vm_count, false);
   if (!_is_over (k))
-    wire_timer_add (loop, loop, ABANDONED_TICK_MS, _asker_due, k);
+    wire_timer_add (loop, loop, TICK_MS, _asker_due, k);
 }
 
 static void
--- a/standin/replica_answer.c
+++ b/standin/replica_answer.c
@@ -191,6 +191,7 @@
 {
   replica_t *r = c->replica;
   size_t n = strlen (text);
+  replica_log_event (r, "second-answer");
   if (_chance (r, r->faults.close))
     {
       n = (size_t)g_rand_int_range (r->random, 0, (gint32)n);
