--- a/standin/replica.c
+++ b/standin/replica.c
@@ -181,6 +181,7 @@
   KEY_EVENTS,
   KEY_LATE,
   KEY_TWICE,
+  KEY_REPORT_TWICE,
   KEY_PIECES,
   KEY_CLOSE,
   KEY_CUT,
@@ -203,6 +204,8 @@
   { "events", KEY_EVENTS, "N", 0, "events of an answer (28)", 0 },
   { "late-ms", KEY_LATE, "MS", 0, "most before a second answer (1000)", 0 },
   { "twice", KEY_TWICE, "P", 0, "chance of a second answer (0)", 0 },
+  { "report-twice", KEY_REPORT_TWICE, "P", 0,
+    "chance of a second load report (0)", 0 },
   { "pieces", KEY_PIECES, "P", 0, "chance of an answer in pieces (0)", 0 },
   { "close", KEY_CLOSE, "P", 0, "chance of an end after an answer (0)", 0 },
   { "cut", KEY_CUT, "P", 0, "chance of an end in an answer (0)", 0 },
@@ -262,6 +265,9 @@
     case KEY_TWICE:
       f->twice = p;
       return true;
+    case KEY_REPORT_TWICE:
+      f->report_twice = p;
+      return true;
     case KEY_PIECES:
       f->pieces = p;
       return true;
--- a/standin/replica.h
+++ b/standin/replica.h
@@ -13,11 +13,12 @@
 /** Chances, from 0 to 1, of what goes wrong with an answer. */
 typedef struct
 {
-  double twice;  /**< the whole answer comes again, late */
-  double pieces; /**< it comes in pieces of some bytes */
-  double close;  /**< the connection ends after it; with twice, in the midst of
-                      the second answer */
-  double cut;    /**< the connection ends in its midst */
+  double twice;        /**< the whole answer comes again, late */
+  double report_twice; /**< a load report comes again, late */
+  double pieces;       /**< it comes in pieces of some bytes */
+  double close; /**< the connection ends after it; with twice, in the midst of
+                     the second answer */
+  double cut;   /**< the connection ends in its midst */
 } replica_faults_t;
 
 typedef struct
--- a/standin/replica_answer.c
+++ b/standin/replica_answer.c
@@ -167,18 +167,28 @@
       _leaving_headers (ctx, run->conn->replica, run->leaving), framing);
 }
 
-/* Queues a whole response without a run. */
+/* A whole response without a run. */
+static char *
+_whole_response (_conn_t *c, const char *status, const char *headers,
+                 const char *body)
+{
+  char *leaving = _leaving_headers (NULL, c->replica,
+                                    atomic_load (&c->replica->leaving));
+  char *text
+      = talloc_asprintf (c, "HTTP/1.1 %s\r\n%s%sContent-Length: %zu\r\n\r\n%s",
+                         status, headers, leaving, strlen (body), body);
+  talloc_free (leaving);
+  return text;
+}
+
 static void
 _conn_respond (_conn_t *c, const char *status, const char *headers,
                const char *body)
 {
-  bool leaving = atomic_load (&c->replica->leaving);
-  char *text = talloc_asprintf (
-      c, "HTTP/1.1 %s\r\n%s%sContent-Length: %zu\r\n\r\n%s", status, headers,
-      _leaving_headers (c, c->replica, leaving), strlen (body), body);
+  char *text = _whole_response (c, status, headers, body);
   g_string_append (c->out, text);
   talloc_free (text);
-  if (leaving && !c->replica->leave_keeps)
+  if (atomic_load (&c->replica->leaving) && !c->replica->leave_keeps)
     c->end = _CLOSE;
   _conn_flush (c);
 }
@@ -224,6 +234,16 @@
   talloc_free (text);
 }
 
+static void
+_second_start (_second_t *second)
+{
+  replica_t *r = second->conn->replica;
+  wire_timer_add (
+      r->loop, second,
+      (uint64_t)g_rand_int_range (r->random, 1, (gint32)r->late_ms + 1),
+      _second_due, second);
+}
+
 static void
 _run_again (const _run_t *run)
 {
@@ -356,12 +376,22 @@
 static void
 _report (_conn_t *c)
 {
-  const replica_t *r = c->replica;
+  static const char type[] = "Content-Type: application/json\r\n";
+  replica_t *r = c->replica;
   char *body = talloc_asprintf (
       NULL,
       "{\"running\":%u,\"waiting\":0,\"slots\":%u,\"seq\":1,\"born\":%lld}",
       r->running, r->slots, (long long)r->born);
-  _conn_respond (c, "200 OK", "Content-Type: application/json\r\n", body);
+  bool leaving = atomic_load (&r->leaving);
+  if (!leaving && _chance (r, r->faults.report_twice))
+    {
+      _second_t *second = talloc_zero (c, _second_t);
+      second->conn = c;
+      second->text
+          = talloc_steal (second, _whole_response (c, "200 OK", type, body));
+      _second_start (second);
+    }
+  _conn_respond (c, "200 OK", type, body);
   talloc_free (body);
 }
 
