--- a/standin/replica.c
+++ b/standin/replica.c
@@ -185,6 +185,7 @@
   KEY_PIECES,
   KEY_CLOSE,
   KEY_CUT,
+  KEY_CUT_HEAD,
   KEY_SEED,
   KEY_LOG,
   KEY_SILENT,
@@ -208,6 +209,7 @@
     "chance of a second load report (0)", 0 },
   { "pieces", KEY_PIECES, "P", 0, "chance of an answer in pieces (0)", 0 },
   { "close", KEY_CLOSE, "P", 0, "chance of an end after an answer (0)", 0 },
+  { "cut-head", KEY_CUT_HEAD, "P", 0, "chance of an end in its head (0)", 0 },
   { "cut", KEY_CUT, "P", 0, "chance of an end in an answer (0)", 0 },
   { "seed", KEY_SEED, "N", 0, "seed of the chances (1)", 0 },
   { "log", KEY_LOG, "FILE", 0, "a line for each request", 0 },
@@ -274,6 +276,9 @@
     case KEY_CLOSE:
       f->close = p;
       return true;
+    case KEY_CUT_HEAD:
+      f->cut_head = p;
+      return true;
     case KEY_CUT:
       f->cut = p;
       return true;
--- a/standin/replica.h
+++ b/standin/replica.h
@@ -18,7 +18,8 @@
   double pieces;       /**< it comes in pieces of some bytes */
   double close; /**< the connection ends after it; with twice, in the midst of
                      the second answer */
-  double cut;   /**< the connection ends in its midst */
+  double cut_head; /**< the connection ends in its head */
+  double cut;      /**< the connection ends in its midst */
 } replica_faults_t;
 
 typedef struct
--- a/standin/replica_answer.c
+++ b/standin/replica_answer.c
@@ -303,6 +303,32 @@
   talloc_free (event);
 }
 
+/* Ends the connection of RUN after what is queued. */
+static void
+_run_break (_run_t *run)
+{
+  _conn_t *c = run->conn;
+  c->end = _any_end (c->replica);
+  talloc_free (run);
+  _conn_flush (c);
+}
+
+/* Queues the head, or a part of it; false: the connection ends there. */
+static bool
+_run_head (_run_t *run)
+{
+  GString *out = run->conn->out;
+  replica_t *r = run->conn->replica;
+  const char *head = _stream_head (run, run, "Transfer-Encoding: chunked\r\n");
+  size_t n = strlen (head);
+  bool whole = !_chance (r, r->faults.cut_head);
+  if (!whole)
+    n = (size_t)g_rand_int_range (r->random, 1, (gint32)n);
+  g_string_append_len (out, head, (gssize)n);
+  run->begun = true;
+  return whole;
+}
+
 static void
 _run_due (struct tevent_context *loop, struct tevent_timer *timer,
           struct timeval now, void *data)
@@ -311,15 +337,10 @@
   (void)now;
   _run_t *run = data;
   _conn_t *c = run->conn;
-  if (!run->begun)
-    g_string_append (
-        c->out, _stream_head (run, run, "Transfer-Encoding: chunked\r\n"));
-  run->begun = true;
-  if (run->next == run->cut)
+  bool broken = !run->begun && !_run_head (run);
+  if (broken || run->next == run->cut)
     {
-      c->end = _any_end (c->replica);
-      talloc_free (run);
-      _conn_flush (c);
+      _run_break (run);
       return;
     }
   if (run->next > c->replica->events)
--- a/tests/hosted/answers.sh
+++ b/tests/hosted/answers.sh
@@ -33,3 +33,13 @@
   check_none_mixed
   fleet_until hosted_vm_serves 0 || fail "vm-0 does not serve after its freeze"
 }
+
+# Guards against an answer whose head breaks off reaching a caller as a whole one.
+test_broken_heads_reach_no_caller ()
+{
+  hosted_start 2 4 --cut-head 0.1 || fail "the fleet did not start"
+  hosted_ask 5 60
+  await_callers
+  check_most_served
+  check_none_mixed
+}
--- a/tests/test_drv.c
+++ b/tests/test_drv.c
@@ -292,6 +292,30 @@
   test_extra_bytes (DRVBED_CHUNKED, true);
 }
 
+/* Guards against a response whose head breaks off before its end, as that of
+ * an upstream that crashes, being passed on as a whole one without a body. */
+static void
+test_head_that_breaks_off_is_no_response (void)
+{
+  drvbed_t *b = drvbed_setup (2);
+  TST_NEED (b != NULL);
+  drvbed_serve (b, 1);
+  drvbed_answer_t *a = drvbed_ask (b, "r-1");
+  drvbed_request_t *r = drvbed_await_request (b, 0, "r-1");
+  CU_ASSERT_PTR_NOT_NULL (r);
+  if (r != NULL)
+    {
+      drvbed_send (r->conn, "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
+                            "Response-Signature: signature-of-r-1\r\n"
+                            "Content-Type: text/event-stream\r\n");
+      CU_ASSERT (drvbed_await_read (b, r->conn));
+      drvbed_close (r->conn);
+      CU_ASSERT (drvbed_await_answer (b, a));
+      CU_ASSERT (drvbed_is_own (a));
+    }
+  drvbed_shutdown (b);
+}
+
 int
 main (void)
 {
@@ -317,6 +341,8 @@
       test_bytes_after_a_response_half_length },
     { "bytes_after_a_response_half_chunked",
       test_bytes_after_a_response_half_chunked },
+    { "head_that_breaks_off_is_no_response",
+      test_head_that_breaks_off_is_no_response },
   };
   return tst_run ("drv", cases, sizeof cases / sizeof cases[0]);
 }
