HTTP client: a head that breaks off is a failed call

Cause: libcurl 7.88 reports a connection that closes within the head as a call that is done, and _hcl_finish passed the headers so far on as the whole head of a response without a body. Calls to the platform and load queries go the same way. Change: a call that is done without the empty line that ends a head has failed. So it is sent again as after any broken response, or ends in a failure. Why it works: the empty line is the only end of a head in HTTP/1.1, and the callback for headers sees it before a call can be done.

--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -234,6 +234,9 @@
 {
   _hcl_connection_idle (r);
   hcl_event_t e = { .kind = EV_UPSTREAM_END };
+  /* libcurl takes a connection that closes within the head for a success. */
+  if (code == CURLE_OK && !r->head_ended)
+    code = CURLE_PARTIAL_FILE;
   if (code == CURLE_OK && !r->head_received)
     _hcl_emit_head (r);
   if (code != CURLE_OK)
