--- a/tests/drvbed.h
+++ b/tests/drvbed.h
@@ -112,6 +112,9 @@
  */
 drvbed_answer_t *drvbed_submit (drvbed_t *b, const char *id, size_t count);
 
+/** Reads the results of job ID. */
+drvbed_answer_t *drvbed_results (drvbed_t *b, const char *id);
+
 /** Waits until the caller of A has the head of its response. */
 bool drvbed_await_head (drvbed_t *b, const drvbed_answer_t *a);
 
--- a/tests/drvbed_caller.c
+++ b/tests/drvbed_caller.c
@@ -44,9 +44,11 @@
   return 0;
 }
 
-/* Sends a POST of BODY to PATH as request ID. */
+/* Sends a call to PATH as request ID: a POST of BODY, or a GET if BODY is
+ * NULL.
+ */
 static drvbed_answer_t *
-_drvbed_post (drvbed_t *b, const char *id, const char *path, const char *body)
+_drvbed_call (drvbed_t *b, const char *id, const char *path, const char *body)
 {
   http_header_t headers[] = {
     { "Host", DRVBED_HOST },
@@ -64,11 +66,11 @@
             &(hcl_call_t){ .owner = HCL_PLATFORM,
                            .id = b->answers->len,
                            .address = b->entry.listen,
-                           .method = "POST",
+                           .method = body == NULL ? "GET" : "POST",
                            .path = path,
                            .headers
                            = { headers, sizeof headers / sizeof headers[0] },
-                           .body = buf_str (body),
+                           .body = buf_str (body == NULL ? "" : body),
                            .total_ms = DRVBED_WAIT_MS,
                            .fresh_connection = true });
   g_ptr_array_add (b->answers, a);
@@ -79,7 +81,7 @@
 drvbed_ask (drvbed_t *b, const char *id)
 {
   char *body = talloc_asprintf (b, "{\"prompt\":\"%s\"}", id);
-  drvbed_answer_t *a = _drvbed_post (b, id, "/fit/stream", body);
+  drvbed_answer_t *a = _drvbed_call (b, id, "/fit/stream", body);
   talloc_free (body);
   return a;
 }
@@ -99,12 +101,21 @@
     }
   json_t *root = json_pack ("{s:o}", "items", items);
   char *text = json_dumps (root, JSON_COMPACT);
-  drvbed_answer_t *a = _drvbed_post (b, id, "/rosters/x", text);
+  drvbed_answer_t *a = _drvbed_call (b, id, "/rosters/x", text);
   free (text);
   json_decref (root);
   return a;
 }
 
+drvbed_answer_t *
+drvbed_results (drvbed_t *b, const char *id)
+{
+  char *path = talloc_asprintf (b, "/rattanspindle/lots/%s?after=0", id);
+  drvbed_answer_t *a = _drvbed_call (b, id, path, NULL);
+  talloc_free (path);
+  return a;
+}
+
 static bool
 _drvbed_has_head (const void *data)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -72,7 +72,10 @@
   bool no_id; /**< responses lack the id of their request, as a response of
                    another request that was left on the connection; the
                    request itself runs, whatever not_run says */
-  bool no_signature; /**< successes lack the upstream's signature */
+  bool no_signature;    /**< successes lack the upstream's signature */
+  bool says_leaving;    /**< responses to requests say that the upstream is
+                             leaving */
+  bool reports_leaving; /**< load reports say so */
   bool cut_off; /**< no bytes pass: a new connection ends at its time limit,
                      and streams in progress fall silent */
 } hst_fault_t;
@@ -158,6 +161,14 @@
 /** Set the fault of UPSTREAM. */
 void hst_fault_set (hst_t *h, size_t upstream, hst_fault_t fault);
 
+/** Set when the process of UPSTREAM has started, in ms of the fleet's clock,
+ * which is the Unix time of its VMs.  The list, which changes, and load
+ * reports have it; 0: neither has.  All upstreams begin with 0. */
+void hst_born_set (hst_t *h, size_t upstream, clk_ms_t born);
+
+/** Number of requests that UPSTREAM has received, except reads of its load. */
+unsigned hst_received_count (const hst_t *h, size_t upstream);
+
 /** Number of requests with ID that have started to run at any upstream; ""
  * counts all requests. */
 unsigned hst_run_count (const hst_t *h, const char *id);
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -81,6 +81,9 @@
   cfg_doc_t parts; /**< of the document */
   char key_hash[65];
   hst_fault_t faults[HST_MAX]; /**< by upstream */
+  clk_ms_t born[HST_MAX];      /**< starts of upstreams; 0: not told */
+  uint64_t born_revision;      /**< of the last change of born */
+  unsigned received[HST_MAX];  /**< requests, by upstream */
   unsigned running[HST_MAX];   /**< requests that run now, by upstream */
   unsigned peak[HST_MAX];      /**< largest value of running, by upstream */
   GPtrArray *runs;             /**< char *: request ids, one for each run */
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -116,6 +116,7 @@
       .data_centre
       = i + h->desc.far_upstreams < h->desc.upstreams ? "north" : "south",
       .address = talloc_asprintf (ctx, "10.0.0.%zu:80", i),
+      .born = (uint64_t)h->born[i],
     };
   reply->entries = v;
   reply->entry_count = h->desc.upstreams;
@@ -130,7 +131,9 @@
     return h->document_watch_lost || h->document_revision <= c->revision;
   if (c->revision < h->compacted)
     return false;
-  return c->op == FX_PLATFORM_UPSTREAMS || h->revision <= c->revision;
+  if (c->op == FX_PLATFORM_UPSTREAMS)
+    return h->born_revision <= c->revision;
+  return h->revision <= c->revision;
 }
 
 void
@@ -166,7 +169,7 @@
         reply->document = &h->document;
       break;
     case FX_PLATFORM_UPSTREAMS:
-      if (c->revision == 0)
+      if (c->revision == 0 || h->born_revision > c->revision)
         _hst_upstreams (h, ctx, reply);
       break;
     case FX_PLATFORM_RETIREMENT:
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -39,7 +39,10 @@
   hst_event_t *e = hst_event_push (
       h, vm, HST_REPORT_MS,
       &(ev_t){ .kind = EV_UPSTREAM_HEAD,
-               .upstream = { .call = call, .status = 200 } });
+               .upstream
+               = { .call = call,
+                   .status = 200,
+                   .leaving = h->faults[upstream].reports_leaving } });
   e->is_report = true;
   e->upstream = upstream;
 }
@@ -72,6 +75,7 @@
       _hst_load_report_send (h, vm, at, u->call);
       return;
     }
+  h->received[at]++;
   talloc_free (h->last_call_ctx);
   h->last_call_ctx = talloc_new (h);
   h->last_call = *u;
@@ -98,6 +102,7 @@
     }
   head.upstream.status = fault->status == 0 ? 200 : fault->status;
   head.upstream.not_run = fault->not_run;
+  head.upstream.leaving = fault->says_leaving;
   head.upstream.is_signed
       = head.upstream.status == 200 && !fault->no_signature;
   for (size_t i = 0; i < u->headers.n; i++)
@@ -187,11 +192,15 @@
 void
 hst_load_report_deliver (hst_t *h, const hst_event_t *e)
 {
-  char text[96];
+  char text[128];
+  char born[48] = "";
   ev_t ev = e->ev;
+  if (h->born[e->upstream] != 0)
+    g_snprintf (born, sizeof born, ",\"born\":%lld",
+                (long long)h->born[e->upstream]);
   g_snprintf (text, sizeof text,
-              "{\"running\":%u,\"waiting\":0,\"slots\":8,\"seq\":1}",
-              h->running[e->upstream]);
+              "{\"running\":%u,\"waiting\":0,\"slots\":8,\"seq\":1%s}",
+              h->running[e->upstream], born);
   hst_step (h, e->vm, &ev);
   ev.kind = EV_UPSTREAM_DATA;
   ev.upstream.data = buf_str (text);
@@ -206,6 +215,19 @@
   h->faults[upstream] = fault;
 }
 
+void
+hst_born_set (hst_t *h, size_t upstream, clk_ms_t born)
+{
+  h->born[upstream] = born;
+  h->born_revision = ++h->revision;
+}
+
+unsigned
+hst_received_count (const hst_t *h, size_t upstream)
+{
+  return h->received[upstream];
+}
+
 unsigned
 hst_run_count (const hst_t *h, const char *id)
 {
--- a/tests/lvg.c
+++ b/tests/lvg.c
@@ -2,6 +2,8 @@
 
 #include <CUnit/CUnit.h>
 
+#include <string.h>
+
 drvbed_answer_t *
 lvg_answer_with (drvbed_t *b, const char *id, drvbed_reply_t reply)
 {
@@ -14,6 +16,17 @@
   return a;
 }
 
+const char *
+lvg_begin (drvbed_t *b, const drvbed_request_t *r)
+{
+  const char *text = drvbed_response (b, DRVBED_LENGTH, r->id);
+  const char *rest = strstr (text, "id: 2");
+  char *part = g_strndup (text, (size_t)(rest - text));
+  drvbed_send (r->conn, part);
+  g_free (part);
+  return rest;
+}
+
 unsigned
 lvg_served_count (drvbed_t *b, const char *prefix, unsigned count)
 {
--- a/tests/lvg.h
+++ b/tests/lvg.h
@@ -24,6 +24,10 @@
 drvbed_answer_t *lvg_answer_with (drvbed_t *b, const char *id,
                                   drvbed_reply_t reply);
 
+/** Sends the head and event 1 of the proper response to R, and returns the
+ * rest of it. */
+const char *lvg_begin (drvbed_t *b, const drvbed_request_t *r);
+
 /** Sends COUNT requests PREFIX-1 and so on, one after the other, to upstreams
  * that serve.  Returns how many got their own whole response. */
 unsigned lvg_served_count (drvbed_t *b, const char *prefix, unsigned count);
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -154,11 +154,7 @@
   CU_ASSERT_PTR_NOT_NULL (*r);
   if (*r == NULL)
     return a;
-  const char *text = drvbed_response (b, DRVBED_LENGTH, id);
-  *rest = strstr (text, "id: 2");
-  char *part = g_strndup (text, (size_t)(*rest - text));
-  drvbed_send ((*r)->conn, part);
-  g_free (part);
+  *rest = lvg_begin (b, *r);
   CU_ASSERT (drvbed_await_head (b, a));
   return a;
 }
