Tests: leaving upstreams, further cases; many leaving in a program of their own

Added: the word in a response that breaks off and with white space around it; a start in the future, as an upstream's clock may be ahead, that is no new one; the late word of the process before; requests that wait in the VM when the last upstream leaves. Changed: the test that had the word count from the head alone now has a second one beside it, where event 1 has come: the HTTP client gives a head on with the first byte of its body. Items were asked to go to an upstream in another data centre, whose load no VM knows, so that they go to none there at any time: both upstreams are near now, and either may get the first item. Tests of the only and of many leaving upstreams are in leaving_many.

--- a/tests/lvg.h
+++ b/tests/lvg.h
@@ -28,6 +28,22 @@
  * rest of it. */
 const char *lvg_begin (drvbed_t *b, const drvbed_request_t *r);
 
+/** A stream in progress at upstream 0. */
+typedef struct
+{
+  drvbed_answer_t *answer;
+  drvbed_request_t *request; /**< NULL: it has not come there */
+  const char *rest;          /**< of the response */
+} lvg_stream_t;
+
+/** Asks request ID and does the same with it at upstream 0.  Asserts that it
+ * has come there. */
+lvg_stream_t lvg_begin_stream (drvbed_t *b, const char *id);
+
+/** Sends the rest of S's response.  Asserts that the caller gets all of it,
+ * from upstream 0 alone. */
+void lvg_end_stream (drvbed_t *b, const lvg_stream_t *s);
+
 /** Sends COUNT requests PREFIX-1 and so on, one after the other, to upstreams
  * that serve.  Returns how many got their own whole response. */
 unsigned lvg_served_count (drvbed_t *b, const char *prefix, unsigned count);
