--- a/tests/drvbed.h
+++ b/tests/drvbed.h
@@ -112,6 +112,9 @@
  */
 drvbed_answer_t *drvbed_submit (drvbed_t *b, const char *id, size_t count);
 
+/** Reads the results of job ID. */
+drvbed_answer_t *drvbed_results (drvbed_t *b, const char *id);
+
 /** Waits until the caller of A has the head of its response. */
 bool drvbed_await_head (drvbed_t *b, const drvbed_answer_t *a);
 
@@ -183,7 +186,11 @@
 /** Returns the bytes of a load report: 200, JSON, without an id. */
 const char *drvbed_load_report (drvbed_t *b);
 
-/** Sends the response to R that its upstream says, with a length. */
+/** Returns the bytes of the response to R that its upstream says, with a
+ * length. */
+const char *drvbed_said (drvbed_t *b, const drvbed_request_t *r);
+
+/** Sends that response. */
 void drvbed_respond (drvbed_t *b, const drvbed_request_t *r);
 
 /** Sends TEXT in one write.  Does nothing on a connection that the VM has
