Tests: a start in doubt that a late list names (failing)

Cause: the doubt about a later start ends 60 s after the word (heard_at), whenever the list names that start. "By then an upstream that has said so is gone" holds only while the platform answers: an upstream that leaves serves on until the platform has accepted its report, so behind a platform that is silent for longer it is still there, and the first list that names its start calls it ready. Evidence: read in rte_leaving_until; rte_leaving/late_list_does_not_undo_the_word, in virtual time: the word, 70 s of silence, then the list with a start before the request. What callers see: requests to an upstream whose word this VM has passed on.

--- a/tests/test_rte_leaving.c
+++ b/tests/test_rte_leaving.c
@@ -212,6 +212,21 @@
   talloc_free (f);
 }
 
+/* Guards against requests to a start that may have said that it is leaving
+ * when the list names it after more time than the doubt lasts: an upstream
+ * serves on until the platform has accepted that it leaves, and the platform
+ * was silent. */
+static void
+test_late_list_does_not_undo_the_word (void)
+{
+  fixture_t *f = fixture_setup ();
+  hear (f);
+  f->env->now += 70 * CLK_SECOND;
+  list (f, "u", ASKED_UNIX);
+  CU_ASSERT (!gets_requests (f));
+  talloc_free (f);
+}
+
 /* Puts a document in force with COUNT upstreams in data centre x, of which the
  * list calls the first LEAVING ones leaving. */
 static void
@@ -275,6 +290,8 @@
       test_late_clock_does_not_undo_the_word },
     { "notes_are_bounded_and_keep_upstreams_in_use",
       test_notes_are_bounded_and_keep_upstreams_in_use },
+    { "late_list_does_not_undo_the_word",
+      test_late_list_does_not_undo_the_word },
     { "others_take_the_places_of_leaving_upstreams",
       test_others_take_the_places_of_leaving_upstreams },
     { "others_take_the_places_of_listed_leaving_upstreams",
