Tests: a start with an earlier time than the one that left (failing)

Cause: a note bars every start up to the one that spoke, for good. An entry of another writer with a start in the future, or a machine whose clock was set back between two starts, gives later starts an earlier time; only a restart of the VM ends it. An older list explains an earlier start for a while, not for good. Evidence: read in rte_leaving_until; rte_leaving/start_by_a_clock_set_back_is_used_in_ the_end, in virtual time. What callers see: one upstream fewer at each VM that heard the word; 503 no-upstream if it is the only one.

--- a/tests/test_rte_leaving.c
+++ b/tests/test_rte_leaving.c
@@ -227,6 +227,21 @@
   talloc_free (f);
 }
 
+/* Guards against a start that is out of use for good because the clock of its
+ * machine, or of another writer's entry before it, was set back or wrong. */
+static void
+test_start_by_a_clock_set_back_is_used_in_the_end (void)
+{
+  fixture_t *f = fixture_setup ();
+  hear (f);
+  list (f, "u", BORN - 2000);
+  CU_ASSERT (!gets_requests (f));
+  f->env->now += CLK_HOUR;
+  list (f, "u", BORN - 2000);
+  CU_ASSERT (gets_requests (f));
+  talloc_free (f);
+}
+
 /* Puts a document in force with COUNT upstreams in data centre x, of which the
  * list calls the first LEAVING ones leaving. */
 static void
@@ -292,6 +307,8 @@
       test_notes_are_bounded_and_keep_upstreams_in_use },
     { "late_list_does_not_undo_the_word",
       test_late_list_does_not_undo_the_word },
+    { "start_by_a_clock_set_back_is_used_in_the_end",
+      test_start_by_a_clock_set_back_is_used_in_the_end },
     { "others_take_the_places_of_leaving_upstreams",
       test_others_take_the_places_of_leaving_upstreams },
     { "others_take_the_places_of_listed_leaving_upstreams",
