Tests: a poller that reports on an earlier start (failing)

Cause: a poller's report names the upstream, not its start, and the receiver takes over RTE_BIT_LEAVING as it comes. A poller whose list is old polls the earlier start's address, gets no answer there and goes on sending the last state it knows. Evidence: rte/report_on_an_earlier_start_does_not_bar_a_new_one: two VMs, the earlier start reports that it is leaving and ends, the list of the VM that does not poll names the new start at another address: at once it is usable, after the poller's next reports it counts as leaving. What callers see: the new start gets no requests from the VMs that the poller tells, for as long as the poller's list is old.

--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -398,6 +398,28 @@
     }
 }
 
+/* Guards against a new start that gets no requests because the poller, whose
+ * list is old, goes on reporting what the start before it said. */
+static void
+test_report_on_an_earlier_start_does_not_bar_a_new_one (void)
+{
+  fixture_t *f = fixture_setup (2);
+  int other = rte_polls (f->rte[0], f->env[0], "u0") ? 1 : 0;
+  f->load[0] = "{\"running\":0,\"waiting\":0,\"slots\":4,\"seq\":2,"
+               "\"leaving\":true}";
+  run (f, 3 * CLK_SECOND);
+  CU_ASSERT (rte_leaving (f->rte[other], f->env[other], "u0"));
+  f->load[0] = NULL;
+  cfg_doc_t *doc = document (f, NULL);
+  doc->upstreams[0].born = 1;
+  doc->upstreams[0].address = "10.0.0.9:80";
+  rte_config_changed (f->rte[other], f->env[other], doc);
+  CU_ASSERT (!rte_leaving (f->rte[other], f->env[other], "u0"));
+  run (f, 3 * CLK_SECOND);
+  CU_ASSERT (!rte_leaving (f->rte[other], f->env[other], "u0"));
+  talloc_free (f);
+}
+
 static void
 test_document_can_say_leaving_and_remove (void)
 {
@@ -669,6 +691,8 @@
       test_silent_upstream_gets_no_more_after_the_first },
     { "leaving_upstream_gets_no_request_after_two_seconds",
       test_leaving_upstream_gets_no_request_after_two_seconds },
+    { "report_on_an_earlier_start_does_not_bar_a_new_one",
+      test_report_on_an_earlier_start_does_not_bar_a_new_one },
     { "document_can_say_leaving_and_remove",
       test_document_can_say_leaving_and_remove },
     { "each_upstream_has_one_poller_and_its_reports_reach_the_other",
