Tests: the word in a load answer that is no report (failing)

Cause: the header of a load answer counts only with status 200 and a body that parses: rte_upstream_event notes it from the head, but _rte_load_apply alone uses it. Services that report no load answer 404, upstreams that leave may answer 503; both say in it that they leave, every 200 ms, and the poller drops it. Evidence: leaving_list/word_in_a_report_with_status_404 and _503 over sockets; the bed's load answers take a status (drvbed_says_t.report_status, 200 as before if not given). What callers see: requests to an upstream that has told the poller that it leaves; each VM sends at least one more, and where it is slow to answer as many as come until then.

--- a/tests/drvbed.h
+++ b/tests/drvbed.h
@@ -151,7 +151,8 @@
   int status;                /**< of responses to requests; 0: 200 */
   const char *header;        /**< "NAME: VALUE" in responses to requests; NULL:
                                   none */
-  const char *report_header; /**< the same in load reports */
+  int report_status;         /**< of load reports; 0: 200 */
+  const char *report_header; /**< "NAME: VALUE" in them; NULL: none */
   uint64_t born;             /**< in load reports, Unix time in ms; 0: none */
   unsigned seq;              /**< in load reports; 0: 1 */
 } drvbed_says_t;
--- a/tests/drvbed_upstream.c
+++ b/tests/drvbed_upstream.c
@@ -93,9 +93,10 @@
   body = talloc_strdup_append_buffer (body, "}");
   return talloc_asprintf (
       b,
-      "HTTP/1.1 200 OK\r\n%s%s"
+      "HTTP/1.1 %d OK\r\n%s%s"
       "Content-Type: application/json\r\n"
       "Content-Length: %zu\r\n\r\n%s",
+      says->report_status == 0 ? 200 : says->report_status,
       says->report_header == NULL ? "" : says->report_header,
       says->report_header == NULL ? "" : "\r\n", strlen (body), body);
 }
--- a/tests/test_leaving_list.c
+++ b/tests/test_leaving_list.c
@@ -411,6 +411,42 @@
   check_report (other, true, false);
 }
 
+/* Guards against requests to an upstream that answers load queries with status
+ * STATUS and says in these answers that it is leaving. */
+static void
+check_refused_report (int status)
+{
+  uint64_t born;
+  drvbed_t *b = setup_born (2, &born);
+  TST_NEED (b != NULL);
+  drvbed_serve (b, 0);
+  drvbed_serve (b, 1);
+  CU_ASSERT (drvbed_await_listed (b));
+  lvg_check_used (b, 0, "ready");
+  drvbed_says (b, 0,
+               &(drvbed_says_t){ .report_status = status,
+                                 .report_header = LVG_LEAVING });
+  CU_ASSERT (drvbed_await_reports (b, 0, REPORTS));
+  lvg_check_avoided (b, 0, "said");
+  drvbed_shutdown (b);
+}
+
+/* Guards against the word being lost in an upstream's answer that it reports
+ * no load. */
+static void
+test_word_in_a_report_with_status_404 (void)
+{
+  check_refused_report (404);
+}
+
+/* Guards against the word being lost in an upstream's refusal to report its
+ * load. */
+static void
+test_word_in_a_report_with_status_503 (void)
+{
+  check_refused_report (503);
+}
+
 int
 main (void)
 {
@@ -441,6 +477,10 @@
     { "word_in_a_report_without_born", test_word_in_a_report_without_born },
     { "word_in_a_report_of_another_start",
       test_word_in_a_report_of_another_start },
+    { "word_in_a_report_with_status_404",
+      test_word_in_a_report_with_status_404 },
+    { "word_in_a_report_with_status_503",
+      test_word_in_a_report_with_status_503 },
   };
   return tst_run ("leaving_list", cases, sizeof cases / sizeof cases[0]);
 }
