Routing: a doubt about a start counts from when the list names it

Cause: a start that may be the one that said it is leaving was out of use for 60 s from the word on. With a platform that is silent for longer, the list then named that start as ready and it got requests at once: a breach of DRAIN. And each start before the noted one was taken for certain, so that a clock set back at the upstream, or one odd entry, kept later starts out of use until the VM started anew. Change: the 60 s begin when the document first names that start; only the very start that spoke, or one without a start, is out of use for good; an earlier one is in doubt. What answers "may it get requests" is called rte_gets_nothing_new, the notes leaving_notes. Open: a platform that names the start and is then silent for over 60 s once more.

--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -89,7 +89,7 @@
                                           _rte_deployment_free);
   r->health_chart = rte_health_setup (r);
   r->prefix_index = rte_prefix_index_setup (r, r->desc.prefixes);
-  r->leaving = rte_leaving_setup (r);
+  r->leaving_notes = rte_leaving_setup (r);
   talloc_set_destructor (r, _rte_destroy);
   g_queue_init (&r->changed);
   return r;
@@ -234,7 +234,7 @@
       u->leaving = c->leaving;
       u->fixed_identity = c->fixed_identity;
       u->leaving_until
-          = rte_leaving_until (r->leaving, u->name, u->born, env->now);
+          = rte_leaving_until (r->leaving_notes, u->name, u->born, env->now);
       u->same_data_centre = strcmp (c->data_centre, env->data_centre) == 0;
       u->slots = dep != NULL ? dep->slots : 0;
       g_ptr_array_add (_rte_deployment_get (r, c->deployment)->upstreams, u);
@@ -351,14 +351,14 @@
 rte_leaving_learn (rte_t *r, env_t *env, const rte_upstream_t *u,
                    uint64_t born_max)
 {
-  rte_leaving_note (r->leaving, u->name, u->born, born_max, env->now);
+  rte_leaving_note (r->leaving_notes, u->name, u->born, born_max, env->now);
   /* The document may name a later start of the upstream meanwhile. */
   rte_upstream_t *listed = g_hash_table_lookup (r->by_name, u->name);
   if (listed == NULL)
     return;
   clk_ms_t before = listed->leaving_until;
-  listed->leaving_until
-      = rte_leaving_until (r->leaving, listed->name, listed->born, env->now);
+  listed->leaving_until = rte_leaving_until (r->leaving_notes, listed->name,
+                                             listed->born, env->now);
   if (listed->leaving_until == before)
     return;
   _rte_subset_mark (r, env, _rte_deployment_get (r, listed->deployment));
@@ -454,7 +454,7 @@
 }
 
 bool
-rte_is_leaving (const rte_upstream_t *u, clk_ms_t now)
+rte_gets_nothing_new (const rte_upstream_t *u, clk_ms_t now)
 {
   return u->leaving || now < u->leaving_until
          || (u->state & RTE_BIT_LEAVING) != 0;
@@ -464,7 +464,7 @@
 rte_leaving (const rte_t *r, const env_t *env, const char *upstream)
 {
   const rte_upstream_t *u = g_hash_table_lookup (r->by_name, upstream);
-  return u == NULL || !u->configured || rte_is_leaving (u, env->now);
+  return u == NULL || !u->configured || rte_gets_nothing_new (u, env->now);
 }
 
 uint32_t
@@ -489,7 +489,7 @@
           json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f}",
                      "upstream", u->name, "deployment", u->deployment,
                      "data_centre", u->data_centre, "leaving",
-                     rte_is_leaving (u, env->now), "suspected",
+                     rte_gets_nothing_new (u, env->now), "suspected",
                      u->health != RTE_WELL, "silent",
                      (u->state & RTE_BIT_SILENT) != 0, "polled_here",
                      u->poll != NULL, "in_flight", (int)(u->online + u->batch),
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -94,7 +94,7 @@
 bool
 rte_usable (const rte_upstream_t *u, clk_ms_t now)
 {
-  if (!u->configured || rte_is_leaving (u, now))
+  if (!u->configured || rte_gets_nothing_new (u, now))
     return false;
   if (u->health == RTE_WELL)
     return true;
@@ -238,7 +238,7 @@
         continue;
       bool usable = rte_usable (u, env->now);
       if (suspects)
-        usable = u->configured && !rte_is_leaving (u, env->now)
+        usable = u->configured && !rte_gets_nothing_new (u, env->now)
                  && u->online + u->batch == 0;
       if (!usable)
         continue;
@@ -323,7 +323,7 @@
       return false;
     }
   rte_upstream_t *u = c.upstream;
-  INV_CHECK (!rte_is_leaving (u, env->now), "route-leaving-gets-nothing",
+  INV_CHECK (!rte_gets_nothing_new (u, env->now), "route-leaving-gets-nothing",
              "upstream %s", u->name);
   *pick = (rte_pick_t){ .handle = _rte_inflight_begin (r, env, d, query, &c),
                         .upstream = u->name,
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -24,6 +24,10 @@
   RTE_BIT_SILENT = 4,   /**< RTE_SILENT_POLLS polls in a row have failed */
 };
 
+/** Number of low bits of a report's state that hold RTE_BIT_*; the upstream's
+ * start is above them. */
+#define RTE_STATE_BITS 8
+#define RTE_STATE_MASK ((1U << RTE_STATE_BITS) - 1)
 /** Number of recent cache events that a poller keeps for other VMs. */
 #define RTE_EVENTS_KEPT 256
 /** Maximum number of cache events of one upstream in a report. */
@@ -191,9 +195,8 @@
   GQueue preemptions; /**< rte_upstream_t, once for each batch request that
                            this VM has to preempt there */
   rte_prefix_index_t *prefix_index;
-  rte_leaving_t
-      *leaving;          /**< upstreams that have said that they are leaving */
-  clk_ms_t picked_at;    /**< time of the last pick */
+  rte_leaving_t *leaving_notes; /**< upstreams that have said so themselves */
+  clk_ms_t picked_at;           /**< time of the last pick */
   size_t poller_count;   /**< other VMs that poll for this one, at the last
                               exchange */
   size_t message_count;  /**< messages of the last exchange */
@@ -220,14 +223,15 @@
 /** Creates an empty set of notes, owned by CTX.  It is bounded: the note on
  * the name that has been out of use for the longest time is dropped first. */
 rte_leaving_t *rte_leaving_setup (void *ctx);
-/** Notes that the upstream called NAME that started at BORN has said that it
- * is leaving.  One that started later, up to BORN_MAX, may be the one that
- * spoke. Starts are Unix times in ms. */
+/** Notes that the upstream called NAME that started at BORN, 0 if that is not
+ * known, has said that it is leaving.  One that started later, up to BORN_MAX,
+ * may be the one that spoke.  Starts are Unix times in ms. */
 void rte_leaving_note (rte_leaving_t *l, const char *name, uint64_t born,
                        uint64_t born_max, clk_ms_t now);
-/** Until when the upstream called NAME that started at BORN is out of use by
- * its own word: CLK_NEVER if it has said that it is leaving, 0 if not; BORN 0
- * stands for any.  The name is in use NOW. */
+/** Until when the upstream called NAME that started at BORN, which the
+ * document names NOW, is out of use by its own word: CLK_NEVER if it has said
+ * that it is leaving or BORN is 0, 0 if it has not said so, a time if that is
+ * in doubt. */
 clk_ms_t rte_leaving_until (rte_leaving_t *l, const char *name, uint64_t born,
                             clk_ms_t now);
 
@@ -235,7 +239,7 @@
 
 /** Whether U must get no new requests: the document, a load report or U itself
  * says that it is leaving. */
-bool rte_is_leaving (const rte_upstream_t *u, clk_ms_t now);
+bool rte_gets_nothing_new (const rte_upstream_t *u, clk_ms_t now);
 
 /** U has said that it is leaving, or a later start of it that was at BORN_MAX
  * (Unix time in ms) or before. */
--- a/src/core/rte_leaving.c
+++ b/src/core/rte_leaving.c
@@ -11,17 +11,20 @@
 
 /** Largest number of notes. */
 #define RTE_LEAVING_MAX 4096
-/** How long a start is out of use of which it is not certain that it has said
- * that it is leaving.  By then an upstream that has said so is gone. */
+/** How long a start stays out of use of which it is not certain that it has
+ * said that it is leaving, counted from when the document first names it: an
+ * upstream that leaves tells the platform so, once it reaches it. */
 #define RTE_LEAVING_DOUBT_MS (60 * CLK_SECOND)
 
-/* A note on the upstreams that had one name. */
+/* A note on the upstreams that had one name.  Starts are Unix times in ms. */
 typedef struct
 {
-  uint64_t born;     /**< the last start that has said so; Unix time in ms */
-  uint64_t born_max; /**< a later start, up to this one, may have said so */
-  clk_ms_t heard_at; /**< when it was last said */
-  clk_ms_t seen_at;  /**< when an upstream of that name was last in use */
+  uint64_t born;        /**< the start that said so last; 0: not known */
+  uint64_t born_max;    /**< a later start, up to this one, may have said so */
+  clk_ms_t heard_at;    /**< when it was last said */
+  uint64_t doubt_born;  /**< the start in doubt that the document named last */
+  clk_ms_t doubt_since; /**< when it named that start first */
+  clk_ms_t seen_at;     /**< when an upstream of that name was last in use */
 } _rte_note_t;
 
 struct rte_leaving
@@ -83,12 +86,24 @@
                   uint64_t born_max, clk_ms_t now)
 {
   _rte_note_t *note = _rte_leaving_get (l, name);
-  note->born = MAX (note->born, born);
+  if (born != 0)
+    note->born = born;
   note->born_max = MAX (note->born_max, born_max);
   note->heard_at = now;
   note->seen_at = now;
 }
 
+/* Until when the start BORN is out of use, of which it is not certain that it
+ * is the one that spoke. */
+static clk_ms_t
+_rte_doubt_until (_rte_note_t *note, uint64_t born, clk_ms_t now)
+{
+  if (born != note->doubt_born)
+    note->doubt_since = now;
+  note->doubt_born = born;
+  return MAX (note->heard_at, note->doubt_since) + RTE_LEAVING_DOUBT_MS;
+}
+
 clk_ms_t
 rte_leaving_until (rte_leaving_t *l, const char *name, uint64_t born,
                    clk_ms_t now)
@@ -97,7 +112,9 @@
   if (note == NULL)
     return 0;
   note->seen_at = now;
-  if (born <= note->born)
+  if (born == 0 || born == note->born)
     return CLK_NEVER;
-  return born <= note->born_max ? note->heard_at + RTE_LEAVING_DOUBT_MS : 0;
+  if (born > MAX (note->born, note->born_max))
+    return 0;
+  return _rte_doubt_until (note, born, now);
 }
