Routing: a place passes on in one step, and starts in doubt take none

Cause: places among the upstreams that a VM uses were given out anew with each word, by comparing all upstreams of the deployment with each other; and a start in doubt, which may not be used, counted like any other there.

--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -181,6 +181,14 @@
   return u->leaving || u->leaving_until == CLK_NEVER;
 }
 
+/** Whether U takes a place among them: one of which it is in doubt whether it
+ * is leaving keeps a place that it has, but another is used besides. */
+static bool
+_rte_takes_place (const rte_upstream_t *u, clk_ms_t now)
+{
+  return !u->leaving && now >= u->leaving_until;
+}
+
 /** The number of upstreams of D in U's data centre that take a place among
  * those that this VM uses before U does. */
 static uint32_t
@@ -192,7 +200,7 @@
   for (guint i = 0; i < d->upstreams->len; i++)
     {
       const rte_upstream_t *v = g_ptr_array_index (d->upstreams, i);
-      if (v != u && !_rte_gives_place (v)
+      if (v != u && _rte_takes_place (v, env->now)
           && strcmp (v->data_centre, u->data_centre) == 0
           && _rte_subset_score (env, v) > score)
         rank++;
@@ -347,6 +355,42 @@
   cnt_observe (env->cnt, "rts_route_first_byte_ms", "", took);
 }
 
+/** The upstream outside of the subset that is next for a place among those of
+ * U's deployment and data centre; NULL: none. */
+static rte_upstream_t *
+_rte_place_next (const env_t *env, const rte_deployment_t *d,
+                 const rte_upstream_t *u)
+{
+  rte_upstream_t *next = NULL;
+  uint64_t best = 0;
+  for (guint i = 0; i < d->upstreams->len; i++)
+    {
+      rte_upstream_t *v = g_ptr_array_index (d->upstreams, i);
+      if (v->in_subset || !_rte_takes_place (v, env->now)
+          || strcmp (v->data_centre, u->data_centre) != 0)
+        continue;
+      uint64_t score = _rte_subset_score (env, v);
+      if (next != NULL && score <= best)
+        continue;
+      next = v;
+      best = score;
+    }
+  return next;
+}
+
+/** Gives the place of U to another upstream if U is out of use for good. */
+static void
+_rte_place_pass_on (rte_t *r, const env_t *env, rte_upstream_t *u)
+{
+  if (!u->in_subset || !_rte_gives_place (u))
+    return;
+  u->in_subset = false;
+  rte_upstream_t *next
+      = _rte_place_next (env, _rte_deployment_get (r, u->deployment), u);
+  if (next != NULL)
+    next->in_subset = true;
+}
+
 void
 rte_leaving_learn (rte_t *r, env_t *env, const rte_upstream_t *u,
                    uint64_t born_max)
@@ -361,7 +405,7 @@
                                              listed->born, env->now);
   if (listed->leaving_until == before)
     return;
-  _rte_subset_mark (r, env, _rte_deployment_get (r, listed->deployment));
+  _rte_place_pass_on (r, env, listed);
   tln_record (env->tln, env->now, MOD_ROUTE, "said-leaving",
               "upstream=%s born=%llu certain=%s listed=%s", listed->name,
               (unsigned long long)listed->born,
