Routing: a report says which start of the upstream it is about

Cause: reports between VMs name an upstream by its name alone. A poller that does not get the list polls the address of an earlier start, and its last word, that the upstream is leaving, was taken over for the start that this VM knows. What callers see: the new start is not used by any VM that this poller tells, and they get 503 if it is the only one. The test now names a start in the first document too, as the platform's entries do; without one the VMs cannot tell the starts apart.

--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -46,7 +46,8 @@
   MSG_ROUTE_USAGE = MSG_ROUTE_FIRST,
   /** Poller to VM, the response to MSG_ROUTE_USAGE.  For each upstream of that
    * message: str upstream, u64 VMs that use it, u64 in-flight requests of all
-   * other VMs, u64 batch requests among them, u64 state bits, u64 age of the
+   * other VMs, u64 batch requests among them, u64 state bits (the low 8) and
+   * the upstream's start (above them; Unix ms, 0: not known), u64 age of the
    * last load report (ms), u64 running, u64 waiting, u64 requests that the
    * upstream reports and no VM counts, u64 slots, u64 number of the last cache
    * event, u64 count of the events that follow, then for each: u64 added, u64
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -226,7 +226,7 @@
   mpk_put_uint (w, g_hash_table_size (p->usage) + 1);
   mpk_put_uint (w, others);
   mpk_put_uint (w, batch + u->batch);
-  mpk_put_uint (w, u->state);
+  mpk_put_uint (w, u->born << RTE_STATE_BITS | u->state);
   mpk_put_uint (w, (uint64_t)(env->now - u->report_at));
   mpk_put_uint (w, u->running);
   mpk_put_uint (w, u->waiting);
@@ -292,6 +292,14 @@
   return u->poll == NULL && u->poller != NULL && strcmp (u->poller, vm) == 0;
 }
 
+/** Whether BORN, the start of U by a report, is another one than the one that
+ * this VM knows; both may be unknown (0). */
+static bool
+_rte_is_other_start (const rte_upstream_t *u, uint64_t born)
+{
+  return born != 0 && u->born != 0 && born != u->born;
+}
+
 /** Reads one upstream's entry of a report of VM; APPLY: applies the entry
  * too. */
 static void
@@ -326,13 +334,15 @@
   u->others_batch = (uint32_t)batch;
   u->update_count++;
   u->others_at = env->now;
-  rte_state_set (env, u, (uint32_t)state, vm);
+  u->own_at_update = u->online + u->batch;
+  if (_rte_is_other_start (u, state >> RTE_STATE_BITS))
+    return;
+  rte_state_set (env, u, (uint32_t)state & RTE_STATE_MASK, vm);
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
   u->hidden = (uint32_t)hidden;
   u->report_at = env->now - (clk_ms_t)age;
-  u->own_at_report = u->online + u->batch;
-  u->own_at_update = u->own_at_report;
+  u->own_at_report = u->own_at_update;
   u->events_seen = seen;
   rte_load_changed (r, u);
   if (slots > 0)
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -405,13 +405,19 @@
 {
   fixture_t *f = fixture_setup (2);
   int other = rte_polls (f->rte[0], f->env[0], "u0") ? 1 : 0;
+  for (int vm = 0; vm < 2; vm++)
+    {
+      cfg_doc_t *first = document (f, NULL);
+      first->upstreams[0].born = 1;
+      rte_config_changed (f->rte[vm], f->env[vm], first);
+    }
   f->load[0] = "{\"running\":0,\"waiting\":0,\"slots\":4,\"seq\":2,"
                "\"leaving\":true}";
   run (f, 3 * CLK_SECOND);
   CU_ASSERT (rte_leaving (f->rte[other], f->env[other], "u0"));
   f->load[0] = NULL;
   cfg_doc_t *doc = document (f, NULL);
-  doc->upstreams[0].born = 1;
+  doc->upstreams[0].born = 2;
   doc->upstreams[0].address = "10.0.0.9:80";
   rte_config_changed (f->rte[other], f->env[other], doc);
   CU_ASSERT (!rte_leaving (f->rte[other], f->env[other], "u0"));
