Routing: the word of leaving counts in a load answer of any status

Cause: the header was looked at where a load report is read, which only a 200 is. Services without reports answer 404, leaving ones may answer 503, each with the word. What callers see: one request more of each VM at an upstream that is leaving. Change: the word in any other answer sets the state, too; a report without it clears it, as before. The query names the upstream, so another one at its address answers 421, which says nothing.

--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -318,6 +318,8 @@
       if (ev->upstream.status == 200)
         break;
       upc_cancel (env, call);
+      if (ev->upstream.leaving)
+        rte_state_set (env, u, u->state | RTE_BIT_LEAVING, "report");
       /* A plain service need not report its load: after a 404 the load stays
        * unknown, but the upstream never counts as silent. */
       if (ev->upstream.status == 404 && !cache)
