Bound the head and trailer of a response

Cause: the HTTP client kept every header line of a response, whatever their number; libcurl 7.88 bounds a single line and the bytes of one head, but neither the sum over several heads (100, 102, repeated status lines) nor the lines of a trailer. The array of lines was also reallocated for each line.

What callers saw: an upstream that sends a head without end cost the VM tens of megabytes, and one that sends a trailer without end all of its memory. The smallest VM has 110 MB in all.

Why it works: all bytes that libcurl passes as lines count against one bound of 64 KiB a call; beyond it the header callback refuses, so libcurl fails the call and closes the connection, and the request is handled as after any broken response. The bound is stated: a sixteenth of an object of the store, twice what hsv takes as a head.

--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -12,6 +12,9 @@
 #define HCL_IDLE_AGE_MAX_S 20L /**< longest idle time before a reuse */
 #define HCL_PROBE_IDLE_S 5L    /**< idle time before a keep-alive probe */
 #define HCL_PROBE_INTERVAL_S 2L
+/** All lines of a response that are not its body, in bytes: of the heads
+ * before the final one, of that one, and of the trailer. */
+#define HCL_HEAD_MAX ((size_t)64 << 10)
 
 typedef struct _hcl_request _hcl_request_t;
 
@@ -40,6 +43,7 @@
   clk_ms_t stall_ms;
   http_header_t *headers; /**< of the response */
   size_t header_count;
+  size_t head_bytes;  /**< of all lines so far, against HCL_HEAD_MAX */
   bool head_ended;    /**< further header lines are a trailer's */
   bool head_received; /**< the head was emitted */
   bool paused;
@@ -170,11 +174,10 @@
                     _hcl_response_is_foreign (r) ? 1L : 0L);
 }
 
-static size_t
-_hcl_on_header (char *p, size_t size, size_t count, void *data)
+/* Takes the N bytes at P, a line of a head or trailer. */
+static void
+_hcl_line (_hcl_request_t *r, const char *p, size_t n)
 {
-  _hcl_request_t *r = data;
-  size_t n = size * count;
   /* A status line begins a response, for instance the final one that follows
    * 100 Continue. */
   if (n >= 5 && strncmp (p, "HTTP/", 5) == 0)
@@ -182,24 +185,39 @@
       TALLOC_FREE (r->headers);
       r->header_count = 0;
       r->head_ended = false;
-      return n;
+      return;
     }
   if (r->head_ended)
-    return n;
-  char *colon = memchr (p, ':', n);
+    return;
+  const char *colon = memchr (p, ':', n);
   if (colon == NULL)
     {
       if (n > 0 && (p[0] == '\r' || p[0] == '\n'))
         _hcl_on_head_end (r);
-      return n;
+      return;
     }
-  r->headers
-      = talloc_realloc (r, r->headers, http_header_t, r->header_count + 1);
+  /* The array's size is a power of two. */
+  if ((r->header_count & (r->header_count - 1)) == 0)
+    r->headers
+        = talloc_realloc (r, r->headers, http_header_t,
+                          r->header_count > 0 ? 2 * r->header_count : 1);
   http_header_t *h = &r->headers[r->header_count++];
   h->name = talloc_strndup (r->headers, p, (size_t)(colon - p));
   char *value
       = talloc_strndup (r->headers, colon + 1, n - (size_t)(colon - p) - 1);
   h->value = g_strstrip (value);
+}
+
+/* Less than the length given makes libcurl end the call and close. */
+static size_t
+_hcl_on_header (char *p, size_t size, size_t count, void *data)
+{
+  _hcl_request_t *r = data;
+  size_t n = size * count;
+  r->head_bytes += n;
+  if (r->head_bytes > HCL_HEAD_MAX)
+    return 0;
+  _hcl_line (r, p, n);
   return n;
 }
 
@@ -242,7 +260,8 @@
       curl_easy_getinfo (r->easy, CURLINFO_REQUEST_SIZE, &sent);
       e.kind = EV_UPSTREAM_FAIL;
       e.fail = sent == 0 ? EV_FAIL_NOT_SENT : EV_FAIL_UNKNOWN;
-      e.text = curl_easy_strerror (code);
+      e.text = r->head_bytes > HCL_HEAD_MAX ? "the head is too large"
+                                            : curl_easy_strerror (code);
     }
   _hcl_emit (r, &e);
   _hcl_remove (r);
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -13,6 +13,10 @@
  * therefore sets fresh_connection.  Times are in milliseconds; everything that
  * an event points to is valid only within the handler.
  *
+ * A response's head, with all heads before the final one and the trailer, is
+ * bounded; beyond that the call fails and its connection is closed.  Its body
+ * is the handler's to bound.
+ *
  * A connection serves call after call.  So that a call does not get bytes that
  * are not its own, a connection is not used again when bytes have arrived on
  * it before a call starts, or with a response whose id_header shows that it is
