Break a stream whose event has no end

Cause: a resumable stream is passed on in whole events, and the parser buffered an event without limit. Its bytes also restarted the stall limit, so that nothing but the request's deadline ended the call.

What callers saw: nothing until their deadline, though another upstream could have served them; the VM's memory grew by what the upstream sent.

Why it works: an incomplete event beyond 256 KiB, the size up to which a response is held back as a whole, breaks the response, which is then repeated elsewhere or broken off like any other.

--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -253,8 +253,9 @@
 }
 
 /** Pass on complete events only.  A resumed stream repeats an event that was
- * cut off, so the caller would get its first part twice. */
-static void
+ * cut off, so the caller would get its first part twice.  Returns false when
+ * the incomplete event is too large. */
+static bool
 _onl_events_forward (onl_request_t *r, env_t *env, buf_t data)
 {
   sse_event_t event;
@@ -265,6 +266,7 @@
       if (event.id.n > 0)
         r->resume_after = buf_to_str (r->pool, event.id);
     }
+  return !sse_is_too_large (&r->events);
 }
 
 static void
@@ -297,7 +299,8 @@
     }
   if (response->stream && r->resumable)
     {
-      _onl_events_forward (r, env, data);
+      if (!_onl_events_forward (r, env, data))
+        _onl_response_broken (o, env, r, "an event is too large");
       return;
     }
   _onl_tail_append (response, data);
--- a/src/core/sse.c
+++ b/src/core/sse.c
@@ -74,6 +74,12 @@
   return s->bytes != NULL && s->bytes->len > s->offset;
 }
 
+bool
+sse_is_too_large (const sse_t *s)
+{
+  return s->bytes != NULL && s->bytes->len - s->offset > SSE_EVENT_MAX;
+}
+
 void
 sse_clear (sse_t *s)
 {
--- a/src/core/sse.h
+++ b/src/core/sse.h
@@ -11,7 +11,8 @@
  * Use this parser to forward a stream so that the stream can be resumed: the
  * parser finds the end, the id and the data of each event, ignores the other
  * fields and does not write events.  The parser owns the bytes until
- * sse_clear, and does not limit their number.  Nothing here fails.
+ * sse_clear, and does not limit their number: once sse_pop has returned false,
+ * ask sse_is_too_large whether to go on.  Nothing here fails.
  */
 #ifndef RTS_SSE_H
 #define RTS_SSE_H
@@ -20,6 +21,9 @@
 
 #include <glib.h>
 
+/** Largest event, in bytes. */
+#define SSE_EVENT_MAX ((size_t)256 << 10)
+
 /** A parser; a zeroed one is empty. */
 typedef struct
 {
@@ -46,6 +50,10 @@
  * are the start of an incomplete event. */
 bool sse_pending (const sse_t *s);
 
+/** Returns whether the bytes buffered exceed SSE_EVENT_MAX; after sse_pop has
+ * returned false, the incomplete event does. */
+bool sse_is_too_large (const sse_t *s);
+
 /** Frees the buffered bytes; the parser is empty and can be used again. */
 void sse_clear (sse_t *s);
 
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -4,11 +4,16 @@
  */
 #include "drvbed_int.h"
 #include "flood.h"
+#include "sock.h"
 #include "tst.h"
 
+#include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 /* Memory of the smallest VM, in bytes. */
 #define VM_MEMORY ((size_t)110 << 20)
@@ -20,6 +25,8 @@
 #define FLOOD_MAX ((size_t)64 << 20)
 /* Longest time until the VM closes. */
 #define CLOSE_MS (2 * CLK_SECOND)
+/* Deadline of a request whose response the VM passes on as it comes. */
+#define DEADLINE_MS 700
 
 /* The sanitizer keeps 256 MB of freed memory by default, which would count as
  * growth. */
@@ -107,12 +114,157 @@
                       "Note: of no use\r\n");
 }
 
+/* -- bodies --------------------------------------------------------------- */
+
+#define OWN_STREAM_HEAD OWN_HEAD "Content-Type: text/event-stream\r\n"
+#define OWN_OTHER_HEAD OWN_HEAD "Content-Type: application/json\r\n"
+
+/* Guards against an event without end that fills the memory and keeps the
+ * request from another upstream. */
+static void
+test_event_without_end (void)
+{
+  static const char *const bodies[][2] = {
+    { OWN_STREAM_HEAD "\r\ndata: ", "of no use " },
+    { OWN_STREAM_HEAD "\r\n", "data: of no use\n" },
+    { OWN_STREAM_HEAD "Transfer-Encoding: chunked\r\n\r\n",
+      "a\r\nof no use \r\n" },
+  };
+  for (size_t i = 0; i < sizeof bodies / sizeof bodies[0]; i++)
+    check_other_serves (bodies[i][0], bodies[i][1]);
+}
+
+/* A caller on a plain socket, which keeps nothing of the response but its
+ * start and its end. */
+typedef struct
+{
+  struct tevent_fd *event;
+  int fd;
+  bool reads;
+  bool closed;
+  size_t received;
+  char first[16];
+  char last[8];
+} caller_t;
+
+static int
+caller_destroy (caller_t *c)
+{
+  TALLOC_FREE (c->event);
+  close (c->fd);
+  return 0;
+}
+
+static void
+on_response (struct tevent_context *loop, struct tevent_fd *event,
+             uint16_t flags, void *data)
+{
+  (void)loop;
+  (void)event;
+  (void)flags;
+  caller_t *c = data;
+  char bytes[65536];
+  ssize_t n = recv (c->fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  c->closed = n == 0 || (n < 0 && errno != EAGAIN);
+  if (n <= 0)
+    {
+      if (c->closed)
+        TALLOC_FREE (c->event);
+      return;
+    }
+  size_t size = (size_t)n;
+  if (c->received < sizeof c->first)
+    memcpy (c->first, bytes, MIN (size, sizeof c->first - 1));
+  size_t kept = MIN (size, sizeof c->last);
+  memmove (c->last, c->last + kept, sizeof c->last - kept);
+  memcpy (c->last + sizeof c->last - kept, bytes + size - kept, kept);
+  c->received += size;
+}
+
+/* Whether C would take the response for complete. */
+static bool
+caller_is_content (const caller_t *c)
+{
+  return memcmp (c->last + sizeof c->last - 5, "0\r\n\r\n", 5) == 0;
+}
+
+/* Sends request r-1 on a connection of its own. */
+static caller_t *
+caller_open (drvbed_t *b, bool reads)
+{
+  uint16_t port = (uint16_t)strtoul (strchr (b->listen, ':') + 1, NULL, 10);
+  caller_t *c = talloc_zero (b, caller_t);
+  *c = (caller_t){ .fd = sock_connect (port), .reads = reads };
+  talloc_set_destructor (c, caller_destroy);
+  if (reads)
+    c->event
+        = tevent_add_fd (b->loop, c, c->fd, TEVENT_FD_READ, on_response, c);
+  char *text = talloc_asprintf (c,
+                                "POST /fit/stream HTTP/1.1\r\n"
+                                "Host: desk.example\r\nRequest-Id: r-1\r\n"
+                                "Deadline-Ms: %d\r\n"
+                                "Authorization: Bearer " DRVBED_KEY "\r\n"
+                                "Content-Length: 2\r\n\r\n{}",
+                                DEADLINE_MS);
+  (void)send (c->fd, text, strlen (text), MSG_NOSIGNAL);
+  return c;
+}
+
+static bool
+is_caller_closed (const void *data)
+{
+  const caller_t *c = data;
+  return c->closed;
+}
+
+/* The only upstream answers with FIRST and BLOCK without end: the VM passes it
+ * on at the caller's pace and closes after the deadline. */
+static void
+check_passed_on (const char *first, const char *block, bool reads)
+{
+  drvbed_t *b = drvbed_setup (1);
+  TST_NEED (b != NULL);
+  caller_t *c = caller_open (b, reads);
+  const drvbed_request_t *r = drvbed_await_request (b, 0, "r-1");
+  if (r != NULL)
+    {
+      check_closes (b, r->conn, first, block);
+      c->event = reads ? c->event
+                       : tevent_add_fd (b->loop, c, c->fd, TEVENT_FD_READ,
+                                        on_response, c);
+      CU_ASSERT (drvbed_wait (b, DRVBED_WAIT_MS, is_caller_closed, c));
+      CU_ASSERT (!caller_is_content (c));
+    }
+  CU_ASSERT_PTR_NOT_NULL (r);
+  drvbed_shutdown (b);
+}
+
+/* Guards against a body without end that fills the memory though its caller
+ * reads it. */
+static void
+test_body_without_end_and_a_reader (void)
+{
+  check_passed_on (OWN_OTHER_HEAD "\r\n", "of no use ", true);
+  check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", true);
+}
+
+/* The same, where the caller does not read. */
+static void
+test_body_without_end_and_no_reader (void)
+{
+  check_passed_on (OWN_OTHER_HEAD "\r\n", "of no use ", false);
+  check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", false);
+}
+
 int
 main (void)
 {
   static const tst_case_t cases[] = {
     { "head_without_end", test_head_without_end },
     { "trailer_without_end", test_trailer_without_end },
+    { "event_without_end", test_event_without_end },
+    { "body_without_end_and_a_reader", test_body_without_end_and_a_reader },
+    { "body_without_end_and_no_reader", test_body_without_end_and_no_reader },
   };
   return tst_run ("endless", cases, sizeof cases / sizeof cases[0]);
 }
