Keep only the last event id of a stream

Cause: the id of each event that was passed on was copied into the request's memory, and the id before it stayed there until the request ended.

What callers saw: nothing at once; a long stream of small events cost the VM about thirty times its bytes, one without end all of its memory.

Evidence: endless/body_without_end_and_a_reader grew the resident memory by 198,561,792 bytes for 6,797,807 bytes of events of 7 bytes, against a bound of 3,604,480; with a caller that does not read it was 119,660,544 bytes for 7,485,767.

Why it works: the earlier id is freed when the next one is kept; effects copy what they use of it.

--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -252,6 +252,14 @@
                 == 0;
 }
 
+/** Remember the id of the last event delivered. */
+static void
+_onl_resume_after_set (onl_request_t *r, buf_t id)
+{
+  talloc_free ((void *)(uintptr_t)r->resume_after);
+  r->resume_after = buf_to_str (r->pool, id);
+}
+
 /** Pass on complete events only.  A resumed stream repeats an event that was
  * cut off, so the caller would get its first part twice.  Returns false when
  * the incomplete event is too large. */
@@ -264,7 +272,7 @@
     {
       _onl_reply (r, env, FX_REPLY_DATA, event.raw);
       if (event.id.n > 0)
-        r->resume_after = buf_to_str (r->pool, event.id);
+        _onl_resume_after_set (r, event.id);
     }
   return !sse_is_too_large (&r->events);
 }
