Pass a part of a body on in each turn of the loop

Cause: libcurl reads up to a hundred blocks of 16 KB from a socket in one action. The driver queues all of them as events before the node and the caller's queue see the first one, so flow control pauses the call too late.

What callers saw: nothing; each upstream with a large or endless body could make the VM hold 1.6 MB, at times 3.3 MB, of its events at once, and several copies in the queues after it.

Why it works: a call gets 64 KiB of its body a turn; what libcurl has read beyond waits in libcurl, paused, and goes on when the queued events are worked off. A call that the handler has paused meanwhile stays paused.

--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -15,6 +15,9 @@
 /** All lines of a response that are not its body, in bytes: of the heads
  * before the final one, of that one, and of the trailer. */
 #define HCL_HEAD_MAX ((size_t)64 << 10)
+/** Bytes of a body passed on before the loop's next turn; libcurl reads up to
+ * a hundred blocks at once. */
+#define HCL_TURN_MAX ((size_t)64 << 10)
 
 typedef struct _hcl_request _hcl_request_t;
 
@@ -47,6 +50,9 @@
   bool head_ended;    /**< further header lines are a trailer's */
   bool head_received; /**< the head was emitted */
   bool paused;
+  size_t turn_bytes; /**< of the body, passed on in this turn */
+  bool turn_held;    /**< more has come, which waits for the turn's end */
+  struct tevent_immediate *turn_end;
 };
 
 /* -- table ---------------------------------------------------------------- */
@@ -221,12 +227,41 @@
   return n;
 }
 
+static void
+_hcl_on_turn_end (struct tevent_context *loop, struct tevent_immediate *im,
+                  void *data)
+{
+  (void)loop;
+  (void)im;
+  _hcl_request_t *r = data;
+  bool held = r->turn_held;
+  r->turn_bytes = 0;
+  r->turn_held = false;
+  if (held && !r->paused)
+    curl_easy_pause (r->easy, CURLPAUSE_CONT);
+}
+
+/* Counts N bytes of the body against this turn; false: the turn has had its
+ * part.  What the handler has queued is worked off before more comes. */
+static bool
+_hcl_turn_take (_hcl_request_t *r, size_t n)
+{
+  r->turn_held = r->turn_bytes >= HCL_TURN_MAX;
+  if (r->turn_held)
+    return false;
+  if (r->turn_bytes == 0)
+    tevent_schedule_immediate (r->turn_end, r->client->desc.loop,
+                               _hcl_on_turn_end, r);
+  r->turn_bytes += n;
+  return true;
+}
+
 static size_t
 _hcl_on_body (char *p, size_t size, size_t count, void *data)
 {
   _hcl_request_t *r = data;
   size_t n = size * count;
-  if (r->paused)
+  if (r->paused || !_hcl_turn_take (r, n))
     return CURL_WRITEFUNC_PAUSE;
   if (!r->head_received)
     _hcl_emit_head (r);
@@ -484,6 +519,7 @@
   r->id = call->id;
   r->stall_ms = call->stall_ms;
   r->easy = curl_easy_init ();
+  r->turn_end = tevent_create_immediate (r);
   talloc_set_destructor (r, _hcl_request_destroy);
   _hcl_set_connection (r, call);
   _hcl_set_request (r, call);
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -15,7 +15,8 @@
  *
  * A response's head, with all heads before the final one and the trailer, is
  * bounded; beyond that the call fails and its connection is closed.  Its body
- * is the handler's to bound.
+ * is the handler's to bound; DATA brings a small part of it in each turn of
+ * the loop, so that a handler that queues events can pause the call in time.
  *
  * A connection serves call after call.  So that a call does not get bytes that
  * are not its own, a connection is not used again when bytes have arrived on
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -25,8 +25,11 @@
 #define FLOOD_MAX ((size_t)64 << 20)
 /* Longest time until the VM closes. */
 #define CLOSE_MS (2 * CLK_SECOND)
+/* Bytes that a caller reads at once. */
+#define READ_SIZE ((size_t)64 << 10)
+#define READ_SIZE_SMALL ((size_t)4 << 10)
 /* Deadline of a request whose response the VM passes on as it comes. */
-#define DEADLINE_MS 700
+#define DEADLINE_MS 1700
 
 /* The sanitizer keeps 256 MB of freed memory by default, which would count as
  * growth. */
@@ -140,7 +143,7 @@
 {
   struct tevent_fd *event;
   int fd;
-  bool reads;
+  size_t read_size; /* at once */
   bool closed;
   size_t received;
   char first[16];
@@ -163,8 +166,8 @@
   (void)event;
   (void)flags;
   caller_t *c = data;
-  char bytes[65536];
-  ssize_t n = recv (c->fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  char bytes[READ_SIZE];
+  ssize_t n = recv (c->fd, bytes, c->read_size, MSG_DONTWAIT);
   c->closed = n == 0 || (n < 0 && errno != EAGAIN);
   if (n <= 0)
     {
@@ -188,17 +191,24 @@
   return memcmp (c->last + sizeof c->last - 5, "0\r\n\r\n", 5) == 0;
 }
 
-/* Sends request r-1 on a connection of its own. */
+static void
+caller_read (drvbed_t *b, caller_t *c, size_t read_size)
+{
+  c->read_size = read_size;
+  c->event = tevent_add_fd (b->loop, c, c->fd, TEVENT_FD_READ, on_response, c);
+}
+
+/* Sends request r-1 on a connection of its own, and reads READ_SIZE bytes of
+ * the response at once; 0: none. */
 static caller_t *
-caller_open (drvbed_t *b, bool reads)
+caller_open (drvbed_t *b, size_t read_size)
 {
   uint16_t port = (uint16_t)strtoul (strchr (b->listen, ':') + 1, NULL, 10);
   caller_t *c = talloc_zero (b, caller_t);
-  *c = (caller_t){ .fd = sock_connect (port), .reads = reads };
+  *c = (caller_t){ .fd = sock_connect (port), .read_size = read_size };
   talloc_set_destructor (c, caller_destroy);
-  if (reads)
-    c->event
-        = tevent_add_fd (b->loop, c, c->fd, TEVENT_FD_READ, on_response, c);
+  if (read_size > 0)
+    caller_read (b, c, read_size);
   char *text = talloc_asprintf (c,
                                 "POST /fit/stream HTTP/1.1\r\n"
                                 "Host: desk.example\r\nRequest-Id: r-1\r\n"
@@ -220,18 +230,17 @@
 /* The only upstream answers with FIRST and BLOCK without end: the VM passes it
  * on at the caller's pace and closes after the deadline. */
 static void
-check_passed_on (const char *first, const char *block, bool reads)
+check_passed_on (const char *first, const char *block, size_t read_size)
 {
   drvbed_t *b = drvbed_setup (1);
   TST_NEED (b != NULL);
-  caller_t *c = caller_open (b, reads);
+  caller_t *c = caller_open (b, read_size);
   const drvbed_request_t *r = drvbed_await_request (b, 0, "r-1");
   if (r != NULL)
     {
       check_closes (b, r->conn, first, block);
-      c->event = reads ? c->event
-                       : tevent_add_fd (b->loop, c, c->fd, TEVENT_FD_READ,
-                                        on_response, c);
+      if (read_size == 0)
+        caller_read (b, c, READ_SIZE);
       CU_ASSERT (drvbed_wait (b, DRVBED_WAIT_MS, is_caller_closed, c));
       CU_ASSERT (!caller_is_content (c));
     }
@@ -244,16 +253,25 @@
 static void
 test_body_without_end_and_a_reader (void)
 {
-  check_passed_on (OWN_OTHER_HEAD "\r\n", "of no use ", true);
-  check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", true);
+  check_passed_on (OWN_OTHER_HEAD "\r\n", "of no use ", READ_SIZE);
+  check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", READ_SIZE);
+}
+
+/* The same, where the caller reads more slowly than the body comes, so that
+ * some of it always waits. */
+static void
+test_body_without_end_and_a_slow_reader (void)
+{
+  check_passed_on (OWN_OTHER_HEAD "\r\n", "of no use ", READ_SIZE_SMALL);
+  check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", READ_SIZE_SMALL);
 }
 
 /* The same, where the caller does not read. */
 static void
 test_body_without_end_and_no_reader (void)
 {
-  check_passed_on (OWN_OTHER_HEAD "\r\n", "of no use ", false);
-  check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", false);
+  check_passed_on (OWN_OTHER_HEAD "\r\n", "of no use ", 0);
+  check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", 0);
 }
 
 int
@@ -264,6 +282,8 @@
     { "trailer_without_end", test_trailer_without_end },
     { "event_without_end", test_event_without_end },
     { "body_without_end_and_a_reader", test_body_without_end_and_a_reader },
+    { "body_without_end_and_a_slow_reader",
+      test_body_without_end_and_a_slow_reader },
     { "body_without_end_and_no_reader", test_body_without_end_and_no_reader },
   };
   return tst_run ("endless", cases, sizeof cases / sizeof cases[0]);
