Keep the loop going when the HTTP server's library spins

Cause: a line of a chunk's size with an extension that is larger than the library's memory for a connection makes libmicrohttpd 0.9.75 ask for another run at once, again and again; it neither reads on nor gives the connection up. Each run was scheduled as an immediate event, and tevent serves neither timers nor descriptors while one waits.

What callers saw: one request with such a line, before any key was looked at, stopped the whole VM for good: no answer to any caller, no peer, no platform, no load query.

Evidence: tests/test_endless_in.c did not end before: 60 s and 120 s limits ran out within its wait of 2 s, with the stack in tevent_common_loop_immediate, _hsv_on_immediate, MHD_run.

Why it works: after 16 runs in a row the next one is a timer of 1 ms, so other events have their turn, also when the server is merely busy. And a connection on which bytes wait that the library does not take for five checks, a second, is closed.

--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <talloc.h>
 #include <unistd.h>
 
@@ -20,6 +21,11 @@
 #define HSV_BLOCK_SIZE ((size_t)16 << 10) /**< response bytes per read */
 /** Interval of the check for disconnected callers. */
 #define HSV_DISCONNECT_POLL_US 200000
+/** Runs of the library, one after another, before the loop's other events. */
+#define HSV_RUNS_AT_ONCE 16
+/** Checks, HSV_DISCONNECT_POLL_US apart, in which bytes wait that the library
+ * does not take, before the connection is closed. */
+#define HSV_STUCK_CHECKS 5
 
 typedef struct
 {
@@ -32,6 +38,9 @@
   GByteArray *body;
   GByteArray *queue;   /**< bytes of the response's body */
   size_t queue_offset; /**< bytes of the queue already given to the library */
+  size_t received;     /**< bytes of the body, with those discarded */
+  size_t checked;      /**< received at the last check */
+  unsigned stuck;      /**< checks since it made progress */
   int status;          /**< 0 until hsv_reply_head */
   http_header_t *headers;
   size_t header_count;
@@ -54,8 +63,10 @@
   struct tevent_timer *disconnect_timer;
   struct tevent_immediate *run;
   bool run_scheduled;
-  GHashTable *requests; /**< caller -> _hsv_request_t */
-  size_t bodies;        /**< bytes of all buffered bodies */
+  unsigned runs;         /**< of the library since other events had a turn */
+  GHashTable *requests;  /**< caller -> _hsv_request_t */
+  GHashTable *receiving; /**< set of _hsv_request_t, not delivered yet */
+  size_t bodies;         /**< bytes of all buffered bodies */
   uint64_t last_caller;
 };
 
@@ -66,6 +77,7 @@
 static int
 _hsv_request_destroy (_hsv_request_t *r)
 {
+  g_hash_table_remove (r->server->receiving, r);
   r->server->bodies -= r->body->len;
   g_byte_array_unref (r->body);
   g_byte_array_unref (r->queue);
@@ -82,6 +94,7 @@
   r->target = talloc_strdup (r, target);
   r->body = g_byte_array_new ();
   r->queue = g_byte_array_new ();
+  g_hash_table_add (s->receiving, r);
   talloc_set_destructor (r, _hsv_request_destroy);
   return r;
 }
@@ -163,6 +176,7 @@
 {
   hsv_t *s = r->server;
   r->caller = ++s->last_caller;
+  g_hash_table_remove (s->receiving, r);
   g_hash_table_insert (s->requests, &r->caller, r);
   _hsv_values_t values = { .query = talloc_strdup (NULL, "") };
   MHD_get_connection_values (r->connection, MHD_HEADER_KIND,
@@ -272,6 +286,7 @@
 _hsv_body_append (_hsv_request_t *r, const char *bytes, size_t n)
 {
   hsv_t *s = r->server;
+  r->received += n;
   if (r->body->len + n > s->desc.body_max)
     r->too_large = true;
   if (s->bodies + n > s->desc.bodies_max)
@@ -401,11 +416,16 @@
   TALLOC_FREE (s->timer);
   if (MHD_get_timeout (s->daemon, &ms) != MHD_YES)
     return;
-  if (ms == 0)
+  /* The loop serves neither timers nor descriptors while immediate events
+   * wait, and the library may ask for one run after another without end. */
+  if (ms == 0 && s->runs++ < HSV_RUNS_AT_ONCE)
     {
       _hsv_run_schedule (s);
       return;
     }
+  s->runs = 0;
+  if (ms == 0)
+    ms = 1;
   s->timer = tevent_add_timer (
       s->desc.loop, s,
       tevent_timeval_current_ofs ((uint32_t)(ms / 1000),
@@ -415,6 +435,14 @@
 
 /* -- disconnected callers ------------------------------------------------- */
 
+static int
+_hsv_fd (const _hsv_request_t *r)
+{
+  return MHD_get_connection_info (r->connection,
+                                  MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
+
 /* Aborts the requests of callers that have disconnected.  The library does not
  * notice a disconnect, as it does not poll suspended connections. */
 static void
@@ -432,11 +460,8 @@
       _hsv_request_t *r = value;
       if (!r->suspended)
         continue;
-      const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-          r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
       polled[count] = r;
-      fds[count++]
-          = (struct pollfd){ .fd = info->connect_fd, .events = POLLRDHUP };
+      fds[count++] = (struct pollfd){ .fd = _hsv_fd (r), .events = POLLRDHUP };
     }
   if (poll (fds, count, 0) > 0)
     {
@@ -452,6 +477,35 @@
   talloc_free (fds);
 }
 
+/* Whether bytes wait on the connection of R, which is not delivered yet, and
+ * the library has taken none since the last check. */
+static bool
+_hsv_is_stuck (_hsv_request_t *r)
+{
+  int waiting = 0;
+  bool stuck = ioctl (_hsv_fd (r), FIONREAD, &waiting) == 0 && waiting > 0
+               && r->received == r->checked;
+  r->checked = r->received;
+  return stuck;
+}
+
+/* Closes the connections on which the library is stuck: it neither reads on
+ * nor gives up on a line of a chunk that is larger than its memory. */
+static void
+_hsv_stuck_close (hsv_t *s)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  g_hash_table_iter_init (&iter, s->receiving);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      _hsv_request_t *r = value;
+      r->stuck = _hsv_is_stuck (r) ? r->stuck + 1 : 0;
+      if (r->stuck >= HSV_STUCK_CHECKS)
+        (void)shutdown (_hsv_fd (r), SHUT_RDWR);
+    }
+}
+
 static void
 _hsv_on_disconnect_timer (struct tevent_context *loop,
                           struct tevent_timer *timer, struct timeval now,
@@ -462,6 +516,7 @@
   (void)now;
   hsv_t *s = data;
   _hsv_disconnects_poll (s);
+  _hsv_stuck_close (s);
   s->disconnect_timer = tevent_add_timer (
       s->desc.loop, s, tevent_timeval_current_ofs (0, HSV_DISCONNECT_POLL_US),
       _hsv_on_disconnect_timer, s);
@@ -486,6 +541,7 @@
   talloc_free (s->fd);
   MHD_stop_daemon (s->daemon);
   g_hash_table_destroy (s->requests);
+  g_hash_table_destroy (s->receiving);
   return 0;
 }
 
@@ -545,6 +601,7 @@
       return NULL;
     }
   s->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
+  s->receiving = g_hash_table_new (g_direct_hash, g_direct_equal);
   talloc_set_destructor (s, _hsv_destroy);
   const union MHD_DaemonInfo *info
       = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
