Close the connection of a request's body without end

Cause: a body beyond its limit was read to its end and discarded, so that the refusal could be sent after it; a body without an end was read for ever.

What callers saw: nothing; a caller could hold a connection and the VM's processor for as long as it sent.

Why it works: once more than twice the largest body has come, the library is told to close. Bodies that are a little too large still get their 413.

--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -281,8 +281,9 @@
 }
 
 /* Appends a part of the body.  A body that exceeds a limit is read to its end
- * and discarded; then _hsv_refuse_body responds. */
-static void
+ * and discarded; then _hsv_refuse_body responds.  Returns false when more than
+ * twice the largest body has come. */
+static bool
 _hsv_body_append (_hsv_request_t *r, const char *bytes, size_t n)
 {
   hsv_t *s = r->server;
@@ -292,9 +293,10 @@
   if (s->bodies + n > s->desc.bodies_max)
     r->over_total = true;
   if (r->too_large || r->over_total)
-    return;
+    return r->received <= 2 * s->desc.body_max;
   s->bodies += n;
   g_byte_array_append (r->body, (const guint8 *)bytes, (guint)n);
+  return true;
 }
 
 /* -- the library's callbacks ---------------------------------------------- */
@@ -325,9 +327,9 @@
     }
   if (*upload_size > 0)
     {
-      _hsv_body_append (r, upload, *upload_size);
+      bool goes_on = _hsv_body_append (r, upload, *upload_size);
       *upload_size = 0;
-      return MHD_YES;
+      return goes_on ? MHD_YES : MHD_NO;
     }
   if (r->too_large || r->over_total)
     return _hsv_refuse_body (r);
--- a/src/io/hsv.h
+++ b/src/io/hsv.h
@@ -37,7 +37,9 @@
   void (*flow) (void *data, uint64_t caller, bool full);
   void *data;
   unsigned connections; /**< maximum number; default 8192 */
-  size_t body_max;      /**< largest body of a request; default 64 MiB */
+  size_t body_max;      /**< largest body of a request; default 64 MiB; one of
+                             more than twice the size gets no response, its
+                             connection is closed */
   size_t bodies_max;    /**< limit of all incomplete requests' bodies together;
                              default 128 MiB */
   size_t queue_max;     /**< bytes queued for a caller; default 256 KiB */
