Drop the sent bytes of a response's queue that is never empty

Cause: the bytes that the library had taken from a caller's queue were dropped only when the queue was empty. A caller that reads a little more slowly than the upstream sends keeps it from ever being so; flow control counts only the bytes that wait, so the queue grew by the whole response.

What callers saw: nothing; an endless or merely long response cost the VM its whole size.

Why it works: the sent bytes are dropped as soon as they are at least half of the queue, so that it holds at most twice what waits, and each byte is moved once on average.

--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -201,6 +201,17 @@
 
 /* -- responding ----------------------------------------------------------- */
 
+/* Drops the bytes given to the library once they are half of the queue or
+ * more: a queue that is never empty must not grow without limit. */
+static void
+_hsv_queue_trim (_hsv_request_t *r)
+{
+  if (r->queue_offset < r->queue->len - r->queue_offset)
+    return;
+  g_byte_array_remove_range (r->queue, 0, (guint)r->queue_offset);
+  r->queue_offset = 0;
+}
+
 static ssize_t
 _hsv_read_response (void *data, uint64_t at, char *p, size_t max)
 {
@@ -219,11 +230,7 @@
   size_t n = left < max ? left : max;
   memcpy (p, r->queue->data + r->queue_offset, n);
   r->queue_offset += n;
-  if (r->queue_offset == r->queue->len)
-    {
-      g_byte_array_set_size (r->queue, 0);
-      r->queue_offset = 0;
-    }
+  _hsv_queue_trim (r);
   if (r->full
       && r->queue->len - r->queue_offset < r->server->desc.queue_max / 2)
     {
