End a poll whose response is too large

Cause: a part of a response to a load or cache poll that would exceed 64 KiB was dropped, the parts after it were appended if they were small, and the call went on until its time limit.

What callers saw: a VM could take a report for valid that was put together from parts of another, and count idle slots by it; an upstream that sends without end kept the VM reading for 400 ms of each poll.

Evidence: rte/poll_that_is_too_large_fails failed before: a report of 75 KB whose middle was dropped gave 4 idle slots instead of none. endless/load_report_without_end failed before: more than 64 KiB and the 10 MiB of the sockets' buffers were sent before the VM closed.

Why it works: the part that is too large ends the call and counts as a failed poll, as a report that cannot be read does.

--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -281,15 +281,17 @@
     p->load_call = 0;
 }
 
-static void
+/** Appends DATA to the response; false: it is too large. */
+static bool
 _rte_poll_data (rte_poll_t *p, bool cache, buf_t data)
 {
   char **body = cache ? &p->cache_body : &p->load_body;
   size_t have = *body != NULL ? strlen (*body) : 0;
   if (have + data.n > RTE_BODY_MAX)
-    return;
+    return false;
   *body = talloc_strndup_append_buffer (
       *body != NULL ? *body : talloc_strdup (p, ""), data.p, data.n);
+  return true;
 }
 
 void
@@ -316,7 +318,10 @@
       _rte_poll_ended (r, env, u, cache, false);
       break;
     case EV_UPSTREAM_DATA:
-      _rte_poll_data (u->poll, cache, ev->upstream.data);
+      if (_rte_poll_data (u->poll, cache, ev->upstream.data))
+        break;
+      upc_cancel (env, call);
+      _rte_poll_ended (r, env, u, cache, false);
       break;
     case EV_UPSTREAM_END:
       _rte_poll_ended (r, env, u, cache, true);
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -51,8 +51,9 @@
   return flood_is_closed (data);
 }
 
-/* Sends FIRST and then BLOCK without end on CONN until the VM closes it. */
-static void
+/* Sends FIRST and then BLOCK without end on CONN until the VM closes it.
+ * Returns the number of bytes sent. */
+static size_t
 check_closes (drvbed_t *b, drvbed_conn_t *conn, const char *first,
               const char *block)
 {
@@ -63,7 +64,9 @@
   if (!flood_is_closed (f) || flood_growth (f) >= GROWTH_MAX)
     (void)printf ("sent %zu bytes, closed %d, growth %zu bytes\n",
                   flood_sent (f), flood_is_closed (f), flood_growth (f));
+  size_t sent = flood_sent (f);
   talloc_free (f);
+  return sent;
 }
 
 /* Upstream 0 answers a request with FIRST and BLOCK without end: the VM
@@ -78,7 +81,7 @@
   const drvbed_request_t *r = drvbed_await_request (b, 0, "r-1");
   if (r != NULL)
     {
-      check_closes (b, r->conn, first, block);
+      (void)check_closes (b, r->conn, first, block);
       CU_ASSERT (drvbed_await_answer (b, a));
       CU_ASSERT (drvbed_is_own (a));
     }
@@ -238,7 +241,7 @@
   const drvbed_request_t *r = drvbed_await_request (b, 0, "r-1");
   if (r != NULL)
     {
-      check_closes (b, r->conn, first, block);
+      (void)check_closes (b, r->conn, first, block);
       if (read_size == 0)
         caller_read (b, c, READ_SIZE);
       CU_ASSERT (drvbed_wait (b, DRVBED_WAIT_MS, is_caller_closed, c));
@@ -274,6 +277,41 @@
   check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", 0);
 }
 
+/* -- load queries --------------------------------------------------------- */
+
+/* Largest load report, and what the sockets' buffers hold besides, in bytes.
+ */
+#define REPORT_MAX ((size_t)64 << 10)
+#define SOCKETS_MAX ((size_t)10 << 20)
+
+/* Guards against the answer to a load query that is read for as long as the
+ * query may last. */
+static void
+test_load_report_without_end (void)
+{
+  static const char *const reports[][2] = {
+    { "HTTP/1.1 200 OK\r\n\r\n{\"running\":", "1" },
+    { "HTTP/1.1 404 Not Found\r\n\r\n", "of no use " },
+  };
+  drvbed_t *b = drvbed_setup (1);
+  TST_NEED (b != NULL);
+  drvbed_hold_loads (b, true);
+  for (size_t i = 0; i < sizeof reports / sizeof reports[0]; i++)
+    {
+      const drvbed_request_t *r = drvbed_await_request (b, 0, DRVBED_LOAD);
+      CU_ASSERT_PTR_NOT_NULL (r);
+      if (r != NULL)
+        CU_ASSERT (check_closes (b, r->conn, reports[i][0], reports[i][1])
+                   < REPORT_MAX + SOCKETS_MAX);
+    }
+  drvbed_hold_loads (b, false);
+  drvbed_serve (b, 0);
+  const drvbed_answer_t *a = drvbed_ask (b, "r-1");
+  CU_ASSERT (drvbed_await_answer (b, a));
+  CU_ASSERT (drvbed_is_own (a));
+  drvbed_shutdown (b);
+}
+
 int
 main (void)
 {
@@ -284,6 +322,7 @@
     { "body_without_end_and_a_reader", test_body_without_end_and_a_reader },
     { "body_without_end_and_a_slow_reader",
       test_body_without_end_and_a_slow_reader },
+    { "load_report_without_end", test_load_report_without_end },
     { "body_without_end_and_no_reader", test_body_without_end_and_no_reader },
   };
   return tst_run ("endless", cases, sizeof cases / sizeof cases[0]);
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -12,6 +12,8 @@
 #include <talloc.h>
 
 #define UPSTREAMS 4
+/** Largest part of a response's body that comes at once, in bytes. */
+#define BODY_PIECE ((size_t)15000)
 
 /** Fixture: one or two VMs, a and b, in data centre x; upstreams u0 and u1 in
  * data centre x, u2 and u3 in y. */
@@ -115,8 +117,12 @@
       ev.upstream.status = 200;
       poll_event (f, vm, &ev);
       ev.kind = EV_UPSTREAM_DATA;
-      ev.upstream.data = buf_str (body);
-      poll_event (f, vm, &ev);
+      for (size_t n = strlen (body); n > 0; n -= ev.upstream.data.n)
+        {
+          ev.upstream.data = (buf_t){ body, MIN (n, BODY_PIECE) };
+          poll_event (f, vm, &ev);
+          body += ev.upstream.data.n;
+        }
       ev.kind = EV_UPSTREAM_END;
     }
   poll_event (f, vm, &ev);
@@ -135,7 +141,7 @@
                       e.upstream.path);
       if (e.kind == FX_PEER_SEND && e.peer.msg.kind >= MSG_ROUTE_FIRST
           && f->vms == 2)
-        rte_message_received (f->rte[1 - vm], f->env[1 - vm], vm_name[vm],
+        rte_message_received (f->rte[1 - vm], f->env[1 - vm], f->env[vm]->vm,
                               &e.peer.msg);
     }
   fx_clear (fx);
@@ -494,6 +500,26 @@
   talloc_free (f);
 }
 
+/* Guards against a report that is put together from parts of one that is too
+ * large. */
+static void
+test_poll_that_is_too_large_fails (void)
+{
+  fixture_t *f = fixture_setup (1);
+  char *report = talloc_asprintf (
+      f, "{\"running\":0,\"waiting\":0,\"slots\":4,\"seq\":1%*s",
+      (int)(5 * BODY_PIECE), "}");
+  size_t end = strlen (report);
+  report[5 * BODY_PIECE] = '}';
+  report[end - 1] = ' ';
+  f->load[0] = report;
+  run (f, 2000);
+  CU_ASSERT (f->polls[0] > 0);
+  CU_ASSERT_EQUAL (rte_idle_slots (f->rte[0], f->env[0], "u0"), 0);
+  CU_ASSERT_EQUAL (upc_count (f->env[0]->upc), 0);
+  talloc_free (f);
+}
+
 static void
 test_full_is_reported_apart_from_none (void)
 {
@@ -679,6 +705,7 @@
     { "silent_poll_marks_load_unknown", test_silent_poll_marks_load_unknown },
     { "pollers_of_unused_upstreams_get_few_messages",
       test_pollers_of_unused_upstreams_get_few_messages },
+    { "poll_that_is_too_large_fails", test_poll_that_is_too_large_fails },
     { "full_is_reported_apart_from_none",
       test_full_is_reported_apart_from_none },
     { "bad_messages_are_counted_and_dropped",
