Bound an answer of the platform

Cause: the driver collected the body of a platform call without limit; only the call's time limit of 2 s, or 32 s of a watch, ended it.

What callers saw: nothing before the VM's end; a platform, or whatever answers at its address, that sends without end filled the VM's memory within a call.

Why it works: a call may now state the largest body. The platform's calls state 8 MiB: an object is at most 1 MiB and so is a page of a list; a watch may bring several objects at once, and calls of several kinds run at once. Beyond it libcurl ends the call and closes, and the call fails like a broken one: a write is unknown, a read unavailable, and no part is taken for the whole.

--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -167,6 +167,10 @@
 
 /* -- platform calls ------------------------------------------------------- */
 
+/** Largest response of the platform, in bytes.  An object is at most 1 MiB and
+ * so is a page of a list; a watch may bring several objects at once. */
+#define DRV_PLATFORM_BODY_MAX ((size_t)8 << 20)
+
 static int
 _drv_platform_destroy (_drv_platform_t *p)
 {
@@ -186,7 +190,8 @@
   g_hash_table_insert (d->platform_calls, &p->call, p);
   hcl_call_t call = { .owner = HCL_PLATFORM,
                       .id = f->call,
-                      .address = d->desc.set->platform };
+                      .address = d->desc.set->platform,
+                      .body_max = DRV_PLATFORM_BODY_MAX };
   void *ctx = talloc_new (p);
   if (d->desc.set->hosted)
     pfm_object_request_encode (ctx, f, &call);
@@ -201,6 +206,8 @@
 {
   _drv_queued_t *q = _drv_event_queue (d, &(ev_t){ .kind = EV_PLATFORM });
   ev_platform_t *reply = &q->ev.platform;
+  if (e->kind == EV_UPSTREAM_FAIL)
+    g_byte_array_set_size (p->body, 0);
   buf_t body
       = buf_copy (q, (buf_t){ .p = (char *)p->body->data, .n = p->body->len });
   const char *name = talloc_strdup (q, p->name);
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -50,6 +50,8 @@
   bool head_ended;    /**< further header lines are a trailer's */
   bool head_received; /**< the head was emitted */
   bool paused;
+  size_t body_max;   /**< as in hcl_call_t */
+  size_t body_bytes; /**< passed on so far */
   size_t turn_bytes; /**< of the body, passed on in this turn */
   bool turn_held;    /**< more has come, which waits for the turn's end */
   struct tevent_immediate *turn_end;
@@ -256,6 +258,13 @@
   return true;
 }
 
+static bool
+_hcl_body_is_too_large (const _hcl_request_t *r)
+{
+  return r->body_max > 0 && r->body_bytes > r->body_max;
+}
+
+/* Less than the length given makes libcurl end the call and close. */
 static size_t
 _hcl_on_body (char *p, size_t size, size_t count, void *data)
 {
@@ -263,6 +272,9 @@
   size_t n = size * count;
   if (r->paused || !_hcl_turn_take (r, n))
     return CURL_WRITEFUNC_PAUSE;
+  r->body_bytes += n;
+  if (_hcl_body_is_too_large (r))
+    return 0;
   if (!r->head_received)
     _hcl_emit_head (r);
   _hcl_stall_timer_restart (r);
@@ -282,6 +294,16 @@
     hcl_socket_idle (r->client->sockets, sock);
 }
 
+static const char *
+_hcl_failure_text (const _hcl_request_t *r, CURLcode code)
+{
+  if (r->head_bytes > HCL_HEAD_MAX)
+    return "the head is too large";
+  if (_hcl_body_is_too_large (r))
+    return "the body is too large";
+  return curl_easy_strerror (code);
+}
+
 static void
 _hcl_finish (_hcl_request_t *r, CURLcode code)
 {
@@ -295,8 +317,7 @@
       curl_easy_getinfo (r->easy, CURLINFO_REQUEST_SIZE, &sent);
       e.kind = EV_UPSTREAM_FAIL;
       e.fail = sent == 0 ? EV_FAIL_NOT_SENT : EV_FAIL_UNKNOWN;
-      e.text = r->head_bytes > HCL_HEAD_MAX ? "the head is too large"
-                                            : curl_easy_strerror (code);
+      e.text = _hcl_failure_text (r, code);
     }
   _hcl_emit (r, &e);
   _hcl_remove (r);
@@ -518,6 +539,7 @@
   r->owner = call->owner;
   r->id = call->id;
   r->stall_ms = call->stall_ms;
+  r->body_max = call->body_max;
   r->easy = curl_easy_init ();
   r->turn_end = tevent_create_immediate (r);
   talloc_set_destructor (r, _hcl_request_destroy);
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -15,8 +15,9 @@
  *
  * A response's head, with all heads before the final one and the trailer, is
  * bounded; beyond that the call fails and its connection is closed.  Its body
- * is the handler's to bound; DATA brings a small part of it in each turn of
- * the loop, so that a handler that queues events can pause the call in time.
+ * has a bound if the call sets one; DATA brings a small part of it in each
+ * turn of the loop, so that a handler that queues events can pause the call in
+ * time.
  *
  * A connection serves call after call.  So that a call does not get bytes that
  * are not its own, a connection is not used again when bytes have arrived on
@@ -57,6 +58,8 @@
                                no limit */
   clk_ms_t stall_ms;      /**< longest gap within the body; 0: no limit */
   clk_ms_t total_ms; /**< time limit for the complete response; 0: no limit */
+  size_t body_max;   /**< largest body of the response, in bytes; a larger
+                          one fails the call; 0: no limit */
   bool fresh_connection; /**< open a new connection */
   const char *id_header; /**< header of the request that its response may
                               repeat; NULL: none */
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -7,7 +7,9 @@
 #include "sock.h"
 #include "tst.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -312,6 +314,129 @@
   drvbed_shutdown (b);
 }
 
+/* -- the platform --------------------------------------------------------- */
+
+/* A VM whose platform answers each call with bytes without end. */
+typedef struct
+{
+  drvbed_t bed; /* only what drvbed_wait needs */
+  int listener;
+  char platform[DRVBED_ADDRESS_SIZE];
+  char peer_listen[DRVBED_ADDRESS_SIZE];
+  set_t set;
+  const char *first;
+  const char *block;
+  GPtrArray *floods;
+  GArray *fds; /* of the floods */
+} alone_t;
+
+static void
+on_platform_call (struct tevent_context *loop, struct tevent_fd *event,
+                  uint16_t flags, void *data)
+{
+  (void)event;
+  (void)flags;
+  alone_t *v = data;
+  int fd = accept (v->listener, NULL, NULL);
+  if (fd < 0)
+    return;
+  g_array_append_val (v->fds, fd);
+  g_ptr_array_add (v->floods,
+                   flood_start (v, loop, fd, v->first, v->block, FLOOD_MAX));
+}
+
+static bool
+alone_listen (alone_t *v)
+{
+  struct sockaddr_in in
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t size = sizeof in;
+  v->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  if (bind (v->listener, (struct sockaddr *)&in, sizeof in) != 0
+      || listen (v->listener, BORNE_AT_ONCE) != 0
+      || getsockname (v->listener, (struct sockaddr *)&in, &size) != 0)
+    return false;
+  (void)snprintf (v->platform, sizeof v->platform, "127.0.0.1:%u",
+                  ntohs (in.sin_port));
+  tevent_add_fd (v->bed.loop, v, v->listener, TEVENT_FD_READ, on_platform_call,
+                 v);
+  return true;
+}
+
+static alone_t *
+alone_open (const char *first, const char *block)
+{
+  static const char *const data_centres[] = { "north", NULL };
+  st_t st = { 0 };
+  alone_t *v = talloc_zero (NULL, alone_t);
+  *v = (alone_t){ .bed.loop = tevent_context_init (NULL),
+                  .first = first,
+                  .block = block,
+                  .floods = g_ptr_array_new (),
+                  .fds = g_array_new (FALSE, FALSE, sizeof (int)) };
+  drvbed_address (v->peer_listen);
+  if (alone_listen (v))
+    {
+      v->set = (set_t){ .name = "n-1",
+                        .data_centre = "north",
+                        .data_centres = data_centres,
+                        .peer_listen = v->peer_listen,
+                        .secret = "secret of the bed",
+                        .platform = v->platform,
+                        .hosted = true,
+                        .log_level = "warning",
+                        .seed = 1 };
+      v->bed.driver = drv_setup (
+          v, &(drv_desc_t){ .loop = v->bed.loop, .set = &v->set }, &st);
+    }
+  return v;
+}
+
+static void
+alone_close (alone_t *v)
+{
+  struct tevent_context *loop = v->bed.loop;
+  TALLOC_FREE (v->bed.driver);
+  for (guint i = 0; i < v->fds->len; i++)
+    close (g_array_index (v->fds, int, i));
+  g_array_free (v->fds, TRUE);
+  g_ptr_array_free (v->floods, TRUE);
+  close (v->listener);
+  talloc_free (v);
+  talloc_free (loop);
+}
+
+static bool
+never (const void *data)
+{
+  (void)data;
+  return false;
+}
+
+/* Guards against a platform's answer without end that fills the memory. */
+static void
+test_platform_answer_without_end (void)
+{
+  alone_t *v = alone_open ("HTTP/1.1 200 OK\r\n\r\n{\"items\":[1", ",1");
+  size_t closed = 0;
+  size_t growth = 0;
+  CU_ASSERT_PTR_NOT_NULL (v->bed.driver);
+  (void)drvbed_wait (&v->bed, CLOSE_MS, never, NULL);
+  for (guint i = 0; i < v->floods->len; i++)
+    {
+      const flood_t *f = g_ptr_array_index (v->floods, i);
+      closed += flood_is_closed (f);
+      growth = MAX (growth, flood_growth (f));
+    }
+  CU_ASSERT (v->floods->len > 0);
+  CU_ASSERT (closed > 0);
+  CU_ASSERT (growth < VM_MEMORY / 2);
+  if (closed == 0 || growth >= VM_MEMORY / 2)
+    (void)printf ("%u calls, %zu closed, growth %zu bytes\n", v->floods->len,
+                  closed, growth);
+  alone_close (v);
+}
+
 int
 main (void)
 {
@@ -323,6 +448,7 @@
     { "body_without_end_and_a_slow_reader",
       test_body_without_end_and_a_slow_reader },
     { "load_report_without_end", test_load_report_without_end },
+    { "platform_answer_without_end", test_platform_answer_without_end },
     { "body_without_end_and_no_reader", test_body_without_end_and_no_reader },
   };
   return tst_run ("endless", cases, sizeof cases / sizeof cases[0]);
--- a/tests/test_hcl_reuse.c
+++ b/tests/test_hcl_reuse.c
@@ -46,6 +46,7 @@
   conn_t conns[CONNS_MAX];
   size_t conn_count;
   clk_ms_t connect_ms;
+  size_t body_max;
   bool stopped; /* the server reads from no new connection */
   uint64_t id;
   int status;
@@ -54,6 +55,7 @@
   bool head;
   bool ended;
   bool failed;
+  ev_fail_t fail;
 } fixture_t;
 
 /* -- fixture -------------------------------------------------------------- */
@@ -75,6 +77,7 @@
     g_string_append_len (f->body, e->data.p, (gssize)e->data.n);
   f->ended = f->ended || e->kind == EV_UPSTREAM_END;
   f->failed = f->failed || e->kind == EV_UPSTREAM_FAIL;
+  f->fail = e->fail;
 }
 
 static fixture_t *
@@ -196,6 +199,7 @@
                                       .body = body,
                                       .connect_ms = f->connect_ms,
                                       .total_ms = 3000,
+                                      .body_max = f->body_max,
                                       .id_header = ID_HEADER,
                                       .id_required = true });
 }
@@ -465,6 +469,30 @@
   fixture_close (f);
 }
 
+/* Guards against a part of a body that is taken for all of it: a body above
+ * its bound fails the call, as one whose effect is unknown, and closes. */
+static void
+test_body_above_its_bound_fails (void)
+{
+  static const char *const responses[] = {
+    "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 4\r\n\r\nfour",
+    CHUNKED ("r-1", "one") "1\r\n.\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n\r\nfour",
+  };
+  for (size_t i = 0; i < sizeof responses / sizeof responses[0]; i++)
+    {
+      fixture_t *f = fixture_open ();
+      f->body_max = 3;
+      call_await (f, "GET", "r-1", (buf_t){ 0 });
+      answer (f, 0, responses[i]);
+      CU_ASSERT (!await_end (f) && f->failed);
+      CU_ASSERT_EQUAL (f->fail, EV_FAIL_UNKNOWN);
+      CU_ASSERT (await (f, is_first_closed));
+      check_own_response (f);
+      fixture_close (f);
+    }
+}
+
 /* -- uploads -------------------------------------------------------------- */
 
 /* Starts r-1 with a large body on a connection that the server does not read.
@@ -628,6 +656,7 @@
     { "own_response_keeps_its_connection",
       test_own_response_keeps_its_connection },
     { "trailer_is_no_part_of_the_head", test_trailer_is_no_part_of_the_head },
+    { "body_above_its_bound_fails", test_body_above_its_bound_fails },
     { "early_response_leaves_the_upload_whole",
       test_early_response_leaves_the_upload_whole },
     { "call_after_a_refused_connect", test_call_after_a_refused_connect },
