Bound a peer's frames before it proves the secret

Cause: a link took frames of up to 1 MiB from its first byte on, though the handshake needs a few dozen bytes.

What callers saw: nothing; whoever reaches the port of a VM's peers could make it hold 1 MiB for each connection without knowing the secret.

Why it works: until the proof a length above 1 KiB is rejected by itself, before its bytes come; after the proof the bound stays 1 MiB.

--- a/src/io/frm.c
+++ b/src/io/frm.c
@@ -24,14 +24,27 @@
   return frame;
 }
 
+/* The length that the field at P announces. */
+static size_t
+_frm_length (const char *p)
+{
+  uint32_t head;
+  memcpy (&head, p, sizeof head);
+  return ntohl (head);
+}
+
+bool
+frm_is_longer (buf_t bytes, size_t max)
+{
+  return bytes.n >= FRM_HEAD_SIZE && _frm_length (bytes.p) > max;
+}
+
 st_code_t
 frm_decode (void *ctx, buf_t bytes, msg_t *msg, size_t *used)
 {
   if (bytes.n < FRM_HEAD_SIZE)
     return ST_UNAVAILABLE;
-  uint32_t head;
-  memcpy (&head, bytes.p, sizeof head);
-  size_t n = ntohl (head);
+  size_t n = _frm_length (bytes.p);
   if (n > FRM_MAX)
     return ST_TOO_LARGE;
   if (bytes.n - FRM_HEAD_SIZE < n)
--- a/src/io/frm.h
+++ b/src/io/frm.h
@@ -35,4 +35,8 @@
  * further. */
 st_code_t frm_decode (void *ctx, buf_t bytes, msg_t *msg, size_t *used);
 
+/** Returns whether the length field of the first frame of BYTES announces more
+ * than MAX bytes; false while the field is incomplete. */
+bool frm_is_longer (buf_t bytes, size_t max);
+
 #endif
--- a/src/io/lnk.c
+++ b/src/io/lnk.c
@@ -20,6 +20,8 @@
 #define LNK_READ_SIZE 65536
 #define LNK_NONCE_SIZE 16
 #define LNK_BACKLOG 64
+/** Largest frame of the handshake, in bytes: names and a proof. */
+#define LNK_HANDSHAKE_FRAME_MAX ((size_t)1024)
 
 /* Kinds of the frames that the links exchange themselves.  The kinds of the
  * messages from core start at MSG_CONFIG_FIRST. */
@@ -324,6 +326,17 @@
   return msg->kind >= MSG_CONFIG_FIRST || msg->kind == _LNK_HEARTBEAT;
 }
 
+/* Decodes the first frame of BYTES.  A peer that has not proved that it knows
+ * the secret may send small ones only. */
+static st_code_t
+_lnk_frame_decode (const _lnk_connection_t *c, void *ctx, buf_t bytes,
+                   msg_t *msg, size_t *used)
+{
+  if (c->state != _LNK_OPEN && frm_is_longer (bytes, LNK_HANDSHAKE_FRAME_MAX))
+    return ST_TOO_LARGE;
+  return frm_decode (ctx, bytes, msg, used);
+}
+
 static bool
 _lnk_frames_decode (_lnk_connection_t *c)
 {
@@ -336,7 +349,7 @@
       size_t used = 0;
       buf_t bytes
           = { .p = (const char *)c->in->data + at, .n = c->in->len - at };
-      st_code_t code = frm_decode (ctx, bytes, &msg, &used);
+      st_code_t code = _lnk_frame_decode (c, ctx, bytes, &msg, &used);
       if (code == ST_OK)
         ok = _lnk_frame_received (c, &msg);
       talloc_free (ctx);
--- a/tests/test_endless_in.c
+++ b/tests/test_endless_in.c
@@ -26,6 +26,8 @@
 #define FLOOD_MAX ((size_t)64 << 20)
 /* Longest time until the VM closes. */
 #define CLOSE_MS (2 * CLK_SECOND)
+/* Interval of the bytes of a peer that sends few. */
+#define DRIP_MS 100
 /* Limits of the server, in bytes. */
 #define BODY_MAX ((size_t)1 << 20)
 #define BODIES_MAX ((size_t)2 << 20)
@@ -239,6 +241,86 @@
   talloc_free (f->loop);
 }
 
+/* -- peers ---------------------------------------------------------------- */
+
+static void
+on_peer_event (void *data, const ev_t *ev)
+{
+  (void)data;
+  (void)ev;
+}
+
+static fixture_t *
+links_open (void)
+{
+  fixture_t *f = fixture_open ();
+  st_t st = { 0 };
+  f->links = lnk_setup (f,
+                        &(lnk_desc_t){ .loop = f->loop,
+                                       .vm = "vm-a",
+                                       .listen = f->address,
+                                       .secret = "secret of sixteen",
+                                       .handler = on_peer_event,
+                                       .data = f },
+                        &st);
+  return f;
+}
+
+/* Length fields of a frame of 1 MiB, and of one of 512 bytes. */
+#define FRAME_LARGE "\x00\x10\x00\x00"
+#define FRAME_SMALL "\x00\x00\x02\x00"
+#define FRAME_HEAD_SIZE 4
+
+/* Sends the length field HEAD on a connection of its own; returns whether it
+ * is closed within MS, while a byte more comes every DRIP_MS. */
+static bool
+closes_after_head (fixture_t *f, const char *head, clk_ms_t ms)
+{
+  int fd = sock_connect (f->port);
+  bool closed = false;
+  (void)send (fd, head, FRAME_HEAD_SIZE, MSG_NOSIGNAL);
+  for (clk_ms_t t = 0; t < ms && !closed; t += DRIP_MS)
+    {
+      flood_t *drip = flood_start (f, f->loop, fd, "", "x", 1);
+      closed = await (f, DRIP_MS, is_closed, drip);
+      talloc_free (drip);
+    }
+  close (fd);
+  return closed;
+}
+
+/* Guards against memory that any peer can have filled before it proves that it
+ * knows the secret. */
+static void
+test_large_frame_before_the_proof (void)
+{
+  fixture_t *f = links_open ();
+  TST_NEED (f->links != NULL);
+  CU_ASSERT (closes_after_head (f, FRAME_LARGE, LNK_SILENCE_TIMEOUT_MS / 2));
+  talloc_free (f->loop);
+}
+
+/* Guards against a handshake that lasts as long as bytes of it come. */
+static void
+test_handshake_without_end (void)
+{
+  fixture_t *f = links_open ();
+  TST_NEED (f->links != NULL);
+  CU_ASSERT (closes_after_head (
+      f, FRAME_SMALL, LNK_SILENCE_TIMEOUT_MS + 2 * LNK_HEARTBEAT_MS));
+  talloc_free (f->loop);
+}
+
+/* Guards against bytes without end that are no frames. */
+static void
+test_peer_bytes_without_end (void)
+{
+  fixture_t *f = links_open ();
+  TST_NEED (f->links != NULL);
+  check_closes (f, "", "of no use ");
+  talloc_free (f->loop);
+}
+
 int
 main (void)
 {
@@ -247,6 +329,9 @@
     { "request_body_without_end", test_request_body_without_end },
     { "response_queue_that_is_never_empty",
       test_response_queue_that_is_never_empty },
+    { "large_frame_before_the_proof", test_large_frame_before_the_proof },
+    { "handshake_without_end", test_handshake_without_end },
+    { "peer_bytes_without_end", test_peer_bytes_without_end },
   };
   return tst_run ("endless_in", cases, sizeof cases / sizeof cases[0]);
 }
