Limit the time of a handshake between peers

Cause: each byte restarted the time of silence, also before the proof of the secret, so a byte now and then kept a connection open that proves nothing.

What callers saw: nothing; connections, and their descriptors, could be held without the secret for as long as bytes came.

Evidence: endless_in/handshake_without_end failed before: the connection was open 3 s after its start while a byte came every 100 ms; the limit is 2 s.

Why it works: until the link is open only the steps of the handshake, of which there are two, restart the time.

--- a/src/io/lnk.c
+++ b/src/io/lnk.c
@@ -53,7 +53,8 @@
   size_t out_offset; /**< bytes of out already sent */
   unsigned char nonce[LNK_NONCE_SIZE];
   unsigned char peer_nonce[LNK_NONCE_SIZE];
-  clk_ms_t silent_ms; /**< time since the last byte from the peer */
+  clk_ms_t silent_ms; /**< time since the last byte from the peer, or, until
+                           it is open, since the last step of the handshake */
 } _lnk_connection_t;
 
 /* A peer added with lnk_peer_add. */
@@ -248,6 +249,7 @@
   if (ok)
     {
       c->vm = buf_to_str (c, vm);
+      c->silent_ms = 0;
       memcpy (c->peer_nonce, nonce.p, LNK_NONCE_SIZE);
       char *proof
           = _lnk_proof (c->links, c->links->desc.vm, c->nonce, c->peer_nonce);
@@ -304,6 +306,7 @@
   if (other != NULL && !_lnk_is_preferred (c, other))
     return false;
   c->state = _LNK_OPEN;
+  c->silent_ms = 0;
   g_hash_table_replace (l->open_links, c->vm, c);
   if (other != NULL)
     _lnk_connection_free (other);
@@ -380,7 +383,8 @@
     return errno == EAGAIN || errno == EINTR;
   if (n == 0)
     return false;
-  c->silent_ms = 0;
+  if (c->state == _LNK_OPEN)
+    c->silent_ms = 0;
   g_byte_array_append (c->in, block, (guint)n);
   return _lnk_frames_decode (c);
 }
