End an item's run whose event has no end

Cause: a run buffered an incomplete event without limit, and each part of it restarted the stall limit, the only limit that a run has.

What callers saw: the item was never completed, its slot stayed taken, and the worker's memory grew by what the upstream sent.

--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -366,6 +366,8 @@
         _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
         return;
       }
+  if (sse_is_too_large (&run->events))
+    _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-too-large");
 }
 
 static void
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -61,6 +61,14 @@
   GPtrArray *texts; /**< char *: their texts, in the same order */
 } hst_response_t;
 
+/** Bytes that come without end. */
+typedef enum
+{
+  HST_ENDS,
+  HST_ENDLESS_EVENT,  /**< one event, after the others */
+  HST_ENDLESS_EVENTS, /**< one whole event after another */
+} hst_endless_t;
+
 /** A fault of an upstream. */
 typedef struct
 {
@@ -75,8 +83,13 @@
   bool no_signature; /**< successes lack the upstream's signature */
   bool cut_off; /**< no bytes pass: a new connection ends at its time limit,
                      and streams in progress fall silent */
+  hst_endless_t endless; /**< bodies of all responses, whatever the status,
+                            HST_ENDLESS_MAX bytes at most */
 } hst_fault_t;
 
+/** Bytes of a body without end after which it falls silent. */
+#define HST_ENDLESS_MAX ((size_t)4 << 20)
+
 typedef struct hst hst_t;
 
 /** Create a fleet and start all its VMs. */
@@ -168,6 +181,9 @@
 /** Number of requests that run at UPSTREAM now. */
 unsigned hst_running_count (const hst_t *h, size_t upstream);
 
+/** Largest number of bytes that UPSTREAM has sent in a body without end. */
+size_t hst_endless_sent (const hst_t *h, size_t upstream);
+
 /** The last request that any upstream received, except reads of its load.  Of
  * its strings only customer, upstream and resume_after are valid; its headers
  * are empty. */
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -40,6 +40,8 @@
   size_t upstream;
   unsigned first; /**< number of the first event of the response */
   unsigned next;  /**< number of the next event */
+  hst_endless_t endless;
+  size_t sent;    /**< bytes of a body without end */
   bool cancelled; /**< the request has ended or was cancelled */
 } hst_inflight_t;
 
@@ -80,12 +82,13 @@
   ev_document_t document;
   cfg_doc_t parts; /**< of the document */
   char key_hash[65];
-  hst_fault_t faults[HST_MAX]; /**< by upstream */
-  unsigned running[HST_MAX];   /**< requests that run now, by upstream */
-  unsigned peak[HST_MAX];      /**< largest value of running, by upstream */
-  GPtrArray *runs;             /**< char *: request ids, one for each run */
-  GHashTable *responses;       /**< caller's number to hst_response_t */
-  uint64_t callers;            /**< number of the last caller */
+  hst_fault_t faults[HST_MAX];  /**< by upstream */
+  unsigned running[HST_MAX];    /**< requests that run now, by upstream */
+  unsigned peak[HST_MAX];       /**< largest value of running, by upstream */
+  size_t endless_sent[HST_MAX]; /**< in one response, at most, by upstream */
+  GPtrArray *runs;              /**< char *: request ids, one for each run */
+  GHashTable *responses;        /**< caller's number to hst_response_t */
+  uint64_t callers;             /**< number of the last caller */
   fx_upstream_t last_call;
   void *last_call_ctx;  /**< owns the strings of last_call */
   GPtrArray *in_flight; /**< of hst_inflight_t, ended ones included */
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -109,7 +109,7 @@
   if (!fault->not_run || fault->no_id)
     g_ptr_array_add (h->runs,
                      g_strdup (http_header_find (u->headers, "X-Request-Id")));
-  if (head.upstream.status != 200)
+  if (head.upstream.status != 200 && fault->endless == HST_ENDS)
     {
       hst_event_push (
           h, vm, HST_HEAD_MS,
@@ -121,6 +121,7 @@
                          .incarnation = h->vm[vm].incarnation,
                          .call = u->call,
                          .upstream = at,
+                         .endless = fault->endless,
                          .next = 1 };
   if (u->resume_after != NULL)
     f->next = (unsigned)g_ascii_strtoull (u->resume_after, NULL, 10) + 1;
@@ -147,6 +148,34 @@
   return NULL;
 }
 
+/* Data of an event in a body without end, in bytes, and the time until the
+ * next part. */
+#define HST_ENDLESS_PART 8000
+#define HST_ENDLESS_GAP_MS 1
+
+/* Send the next part of F's body, which has no end. */
+static void
+_hst_endless_send (hst_t *h, hst_inflight_t *f, const hst_event_t *e)
+{
+  ev_t ev = e->ev;
+  char text[HST_ENDLESS_PART + 64];
+  bool whole = f->endless == HST_ENDLESS_EVENTS;
+  g_snprintf (text, sizeof text, "id: %u\ndata: %0*d\n%s", f->next++,
+              HST_ENDLESS_PART, 0, whole ? "\n" : "");
+  ev.upstream.data = buf_str (text);
+  f->sent += ev.upstream.data.n;
+  h->endless_sent[f->upstream] = MAX (h->endless_sent[f->upstream], f->sent);
+  if (f->sent < HST_ENDLESS_MAX)
+    hst_event_push (h, e->vm, HST_ENDLESS_GAP_MS, &e->ev);
+  hst_step (h, e->vm, &ev);
+}
+
+size_t
+hst_endless_sent (const hst_t *h, size_t upstream)
+{
+  return h->endless_sent[upstream];
+}
+
 /* Send the next event of a stream. */
 void
 hst_stream_event_send (hst_t *h, const hst_event_t *e)
@@ -155,6 +184,11 @@
       = hst_inflight_find (h, e->vm, e->incarnation, e->ev.upstream.call);
   if (f == NULL || h->faults[f->upstream].cut_off)
     return;
+  if (f->endless != HST_ENDS)
+    {
+      _hst_endless_send (h, f, e);
+      return;
+    }
   ev_t ev = e->ev;
   hst_fault_t *fault = &h->faults[f->upstream];
   char text[64];
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -482,6 +482,50 @@
   hst_shutdown (h);
 }
 
+/* Largest object of the store, in bytes: an item's text is one. */
+#define OBJECT_MAX ((size_t)1 << 20)
+
+/* The only upstream answers each run of an item as FAULT says for 3 s: no more
+ * than an object is read of an answer, and the item completes afterwards. */
+static void
+_check_item_outlasts (hst_fault_t fault)
+{
+  hst_t *h = _fleet (&(hst_desc_t){ .upstreams = 1 });
+  hst_fault_set (h, 0, fault);
+  (void)hst_submit (h, 0, "j-1", 1);
+  hst_advance (h, 3000);
+  CU_ASSERT (hst_endless_sent (h, 0) > 0);
+  CU_ASSERT (hst_endless_sent (h, 0) <= OBJECT_MAX);
+  hst_fault_set (h, 0, (hst_fault_t){ 0 });
+  hst_advance (h, 20000);
+  CU_ASSERT_EQUAL (_complete_result_count (h, 0, "j-1", 20), 1);
+  hst_shutdown (h);
+}
+
+/* Guards against an item's event without end that fills the memory. */
+static void
+test_item_event_without_end (void)
+{
+  _check_item_outlasts ((hst_fault_t){ .endless = HST_ENDLESS_EVENT });
+}
+
+/* Guards against an item's text without end, which cannot be stored. */
+static void
+test_item_text_without_end (void)
+{
+  _check_item_outlasts ((hst_fault_t){ .endless = HST_ENDLESS_EVENTS });
+}
+
+/* Guards against an item's answer, other than 200, that is read for ever. */
+static void
+test_item_refusal_without_end (void)
+{
+  _check_item_outlasts (
+      (hst_fault_t){ .status = 500, .endless = HST_ENDLESS_EVENT });
+  _check_item_outlasts (
+      (hst_fault_t){ .status = 404, .endless = HST_ENDLESS_EVENTS });
+}
+
 static void
 test_cancelled_job_stops_running (void)
 {
@@ -659,6 +703,9 @@
     { "item_resumes_after_its_last_event",
       test_item_resumes_after_its_last_event },
     { "failing_item_is_dead_lettered", test_failing_item_is_dead_lettered },
+    { "item_event_without_end", test_item_event_without_end },
+    { "item_text_without_end", test_item_text_without_end },
+    { "item_refusal_without_end", test_item_refusal_without_end },
     { "cancelled_job_stops_running", test_cancelled_job_stops_running },
     { "job_over_queue_limit_is_refused",
       test_job_over_queue_limit_is_refused },
