Drop an item's text that is too large to be stored

Cause: whole events were added to an item's text without limit. A text is stored as an object of at most 1 MiB, so a larger one could never be a result.

What callers saw: the item was never completed, its slot stayed taken, and the worker's memory grew by what the upstream sent.

Evidence: hosted/item_text_without_end failed before: all 4 MiB that the fake upstream sent were taken, and the item was not completed 20 s after the upstream had recovered.

Why it works: above 512 KiB, half an object so that escapes fit, the run ends and the text is dropped: the part that was the item's cannot be told from the rest, and keeping it would make each later run end in the same way. The item begins anew elsewhere.

--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -25,6 +25,9 @@
 #define JOB_RESERVED_SLOTS 1
 /** Pause of an item after a preemption. */
 #define JOB_PREEMPTED_RETRY_MS 100
+/** Largest text of an item, in bytes.  It is stored as an object of at most
+ * 1 MiB; the other half is for escapes. */
+#define JOB_TEXT_MAX ((size_t)512 << 10)
 /** Items without a route are given up after this time. */
 #define JOB_ROUTE_MISSING_MS (3 * CLK_SECOND)
 
@@ -352,20 +355,46 @@
   return true;
 }
 
+/* Drops the text of ITEM, to begin anew: which part of a text that is too
+ * large was the item's cannot be told. */
 static void
-_job_data (job_set_t *j, env_t *env, job_run_t *run, buf_t data)
+_job_text_drop (job_item_t *item)
+{
+  if (item->text != NULL)
+    g_string_free (item->text, TRUE);
+  item->text = NULL;
+  item->last_event = 0;
+}
+
+/* Appends a complete event to the text of RUN's item; ends RUN and returns
+ * false when that cannot be. */
+static bool
+_job_event (job_set_t *j, env_t *env, job_run_t *run, const sse_event_t *event)
 {
   job_t *job = tbl_get (j->jobs, run->job);
+  job_item_t *item = &job->items[run->item];
+  if (!_job_event_append (item, event))
+    {
+      _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
+      return false;
+    }
+  if (item->text->len <= JOB_TEXT_MAX)
+    return true;
+  _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "text-too-large");
+  _job_text_drop (item);
+  return false;
+}
+
+static void
+_job_data (job_set_t *j, env_t *env, job_run_t *run, buf_t data)
+{
   sse_event_t event;
   if (run->status != 200)
     return;
   sse_push (&run->events, data);
   while (sse_pop (&run->events, &event))
-    if (!_job_event_append (&job->items[run->item], &event))
-      {
-        _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
-        return;
-      }
+    if (!_job_event (j, env, run, &event))
+      return;
   if (sse_is_too_large (&run->events))
     _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-too-large");
 }
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -67,6 +67,7 @@
   HST_ENDS,
   HST_ENDLESS_EVENT,  /**< one event, after the others */
   HST_ENDLESS_EVENTS, /**< one whole event after another */
+  HST_ENDLESS_EMPTY,  /**< one event without data after another */
 } hst_endless_t;
 
 /** A fault of an upstream. */
@@ -88,7 +89,7 @@
 } hst_fault_t;
 
 /** Bytes of a body without end after which it falls silent. */
-#define HST_ENDLESS_MAX ((size_t)4 << 20)
+#define HST_ENDLESS_MAX ((size_t)16 << 20)
 
 typedef struct hst hst_t;
 
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -153,21 +153,33 @@
 #define HST_ENDLESS_PART 8000
 #define HST_ENDLESS_GAP_MS 1
 
+/* Write the next part of F's body to TEXT. */
+static void
+_hst_endless_part (hst_inflight_t *f, GString *text)
+{
+  bool empty = f->endless == HST_ENDLESS_EMPTY;
+  if (!empty)
+    g_string_append_printf (text, "id: %u\ndata: %0*d\n%s", f->next++,
+                            HST_ENDLESS_PART, 0,
+                            f->endless == HST_ENDLESS_EVENTS ? "\n" : "");
+  while (empty && text->len < HST_ENDLESS_PART)
+    g_string_append_printf (text, "id: %u\ndata:\n\n", f->next++);
+}
+
 /* Send the next part of F's body, which has no end. */
 static void
 _hst_endless_send (hst_t *h, hst_inflight_t *f, const hst_event_t *e)
 {
   ev_t ev = e->ev;
-  char text[HST_ENDLESS_PART + 64];
-  bool whole = f->endless == HST_ENDLESS_EVENTS;
-  g_snprintf (text, sizeof text, "id: %u\ndata: %0*d\n%s", f->next++,
-              HST_ENDLESS_PART, 0, whole ? "\n" : "");
-  ev.upstream.data = buf_str (text);
+  GString *text = g_string_new (NULL);
+  _hst_endless_part (f, text);
+  ev.upstream.data = (buf_t){ text->str, text->len };
   f->sent += ev.upstream.data.n;
   h->endless_sent[f->upstream] = MAX (h->endless_sent[f->upstream], f->sent);
   if (f->sent < HST_ENDLESS_MAX)
     hst_event_push (h, e->vm, HST_ENDLESS_GAP_MS, &e->ev);
   hst_step (h, e->vm, &ev);
+  (void)g_string_free (text, TRUE);
 }
 
 size_t
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -484,18 +484,20 @@
 
 /* Largest object of the store, in bytes: an item's text is one. */
 #define OBJECT_MAX ((size_t)1 << 20)
+/* Bytes of an event with one byte of a text: "id: 100000", "data: x". */
+#define EVENT_BYTES 16
 
 /* The only upstream answers each run of an item as FAULT says for 3 s: no more
- * than an object is read of an answer, and the item completes afterwards. */
+ * than MAX bytes are read of an answer, and the item completes afterwards. */
 static void
-_check_item_outlasts (hst_fault_t fault)
+_check_item_outlasts (hst_fault_t fault, size_t max)
 {
   hst_t *h = _fleet (&(hst_desc_t){ .upstreams = 1 });
   hst_fault_set (h, 0, fault);
   (void)hst_submit (h, 0, "j-1", 1);
   hst_advance (h, 3000);
   CU_ASSERT (hst_endless_sent (h, 0) > 0);
-  CU_ASSERT (hst_endless_sent (h, 0) <= OBJECT_MAX);
+  CU_ASSERT (hst_endless_sent (h, 0) <= max);
   hst_fault_set (h, 0, (hst_fault_t){ 0 });
   hst_advance (h, 20000);
   CU_ASSERT_EQUAL (_complete_result_count (h, 0, "j-1", 20), 1);
@@ -506,14 +508,24 @@
 static void
 test_item_event_without_end (void)
 {
-  _check_item_outlasts ((hst_fault_t){ .endless = HST_ENDLESS_EVENT });
+  _check_item_outlasts ((hst_fault_t){ .endless = HST_ENDLESS_EVENT },
+                        OBJECT_MAX);
 }
 
 /* Guards against an item's text without end, which cannot be stored. */
 static void
 test_item_text_without_end (void)
 {
-  _check_item_outlasts ((hst_fault_t){ .endless = HST_ENDLESS_EVENTS });
+  _check_item_outlasts ((hst_fault_t){ .endless = HST_ENDLESS_EVENTS },
+                        OBJECT_MAX);
+}
+
+/* Guards against events without end that add nothing to an item's text. */
+static void
+test_item_empty_events_without_end (void)
+{
+  _check_item_outlasts ((hst_fault_t){ .endless = HST_ENDLESS_EMPTY },
+                        EVENT_BYTES * OBJECT_MAX);
 }
 
 /* Guards against an item's answer, other than 200, that is read for ever. */
@@ -521,9 +533,11 @@
 test_item_refusal_without_end (void)
 {
   _check_item_outlasts (
-      (hst_fault_t){ .status = 500, .endless = HST_ENDLESS_EVENT });
+      (hst_fault_t){ .status = 500, .endless = HST_ENDLESS_EVENT },
+      OBJECT_MAX);
   _check_item_outlasts (
-      (hst_fault_t){ .status = 404, .endless = HST_ENDLESS_EVENTS });
+      (hst_fault_t){ .status = 404, .endless = HST_ENDLESS_EVENTS },
+      OBJECT_MAX);
 }
 
 static void
@@ -705,6 +719,7 @@
     { "failing_item_is_dead_lettered", test_failing_item_is_dead_lettered },
     { "item_event_without_end", test_item_event_without_end },
     { "item_text_without_end", test_item_text_without_end },
+    { "item_empty_events_without_end", test_item_empty_events_without_end },
     { "item_refusal_without_end", test_item_refusal_without_end },
     { "cancelled_job_stops_running", test_cancelled_job_stops_running },
     { "job_over_queue_limit_is_refused",
