End an item's run whose refusal has no end

Cause: the body of a response other than 200 is of no use to a run and was dropped, but each part of it restarted the stall limit, the only limit that a run has.

What callers saw: the item was never completed nor given up, and its slot stayed taken.

Evidence: hosted/item_refusal_without_end failed before for a 500 and a 404: the fake upstream could send all it had, 16 MiB, and the item was not completed 20 s after the upstream had recovered.

Why it works: above 64 KiB the run ends like one whose connection broke. It is not counted as an answer of 500, as no whole answer came.

--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -129,6 +129,7 @@
   clk_ms_t started;
   uint64_t resumed_after; /**< id of the last event before the run; 0: none */
   int status;             /**< HTTP status; 0: no response head yet */
+  size_t received;        /**< bytes of the response's body */
   sse_t events;
 } job_run_t;
 
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -15,6 +15,8 @@
 #define JOB_FIRST_BYTE_TIMEOUT_MS (3 * CLK_SECOND)
 /** Longest silence within the body of a response. */
 #define JOB_STALL_TIMEOUT_MS (2 * CLK_SECOND)
+/** Largest body of a response that is not 200, in bytes; it is not used. */
+#define JOB_REFUSAL_MAX ((size_t)64 << 10)
 /** Pause before a part that is not stored yet is read again. */
 #define JOB_BODY_MISSING_MS (1 * CLK_SECOND)
 /** Pause of an item that failed, was not executed or has no route. */
@@ -389,8 +391,13 @@
 _job_data (job_set_t *j, env_t *env, job_run_t *run, buf_t data)
 {
   sse_event_t event;
+  run->received += data.n;
   if (run->status != 200)
-    return;
+    {
+      if (run->received > JOB_REFUSAL_MAX)
+        _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "refusal-too-large");
+      return;
+    }
   sse_push (&run->events, data);
   while (sse_pop (&run->events, &event))
     if (!_job_event (j, env, run, &event))
