End an item's run whose events add nothing

Cause: the bound of an item's text does not count events without data, of which any number may come.

What callers saw: the item was never completed and its slot stayed taken.

Evidence: hosted/item_empty_events_without_end failed before: all 16 MiB that the fake upstream sent were taken, and the item was not completed 20 s after the upstream had recovered.

Why it works: the bytes of a run's response are counted too; above 16 bytes for each byte of the largest text, the size of an event with one byte of it, the run ends as for a text that is too large.

--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -30,6 +30,9 @@
 /** Largest text of an item, in bytes.  It is stored as an object of at most
  * 1 MiB; the other half is for escapes. */
 #define JOB_TEXT_MAX ((size_t)512 << 10)
+/** Largest body of a run's response, in bytes.  Around a byte of the text an
+ * event has about 15 others. */
+#define JOB_RESPONSE_MAX (16 * JOB_TEXT_MAX)
 /** Items without a route are given up after this time. */
 #define JOB_ROUTE_MISSING_MS (3 * CLK_SECOND)
 
@@ -380,7 +383,7 @@
       _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
       return false;
     }
-  if (item->text->len <= JOB_TEXT_MAX)
+  if (item->text->len <= JOB_TEXT_MAX && run->received <= JOB_RESPONSE_MAX)
     return true;
   _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "text-too-large");
   _job_text_drop (item);
