Pause an attempt whose caller's queue is full from before

Cause: flow control tells of a caller's queue only when it becomes full or no longer is. When an attempt breaks off in the very turn in which it fills the queue, the attempt that resumes the stream is never paused: the queue is full already, so nothing is told.

What callers saw: nothing; the whole stream of the second upstream, endless or merely long, went into the queue of a caller that does not read.

Why it works: the driver asks the server for the state of the queue when a call starts, and pauses the call at once.

--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -305,6 +305,24 @@
       _drv_on_timer, d);
 }
 
+/* Returns the server that received the request of CALLER. */
+static hsv_t *
+_drv_server_of_caller (const drv_t *d, uint64_t caller)
+{
+  return d->ready_hsv != NULL && caller > DRV_READY_CALLER_BASE ? d->ready_hsv
+                                                                : d->hsv;
+}
+
+/* Pauses CALL from its start if CALLER has not taken what an earlier call for
+ * it has brought. */
+static void
+_drv_pause_if_full (drv_t *d, uint64_t caller, uint64_t call)
+{
+  const hsv_t *server = _drv_server_of_caller (d, caller);
+  if (server != NULL && hsv_is_full (server, caller))
+    hcl_pause (d->hcl, HCL_UPSTREAM, call, true);
+}
+
 static void
 _drv_upstream_call (drv_t *d, const fx_upstream_t *u)
 {
@@ -333,14 +351,8 @@
                                    .id_header = id_header,
                                    .id_required = u->proves_origin });
   talloc_free (tmp);
-}
-
-/* Returns the server that received the request of CALLER. */
-static hsv_t *
-_drv_server_of_caller (const drv_t *d, uint64_t caller)
-{
-  return d->ready_hsv != NULL && caller > DRV_READY_CALLER_BASE ? d->ready_hsv
-                                                                : d->hsv;
+  if (u->caller != 0)
+    _drv_pause_if_full (d, u->caller, u->call);
 }
 
 static void
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -270,13 +270,17 @@
 {
   _hcl_request_t *r = data;
   size_t n = size * count;
+  /* Also for a paused call, whose first byte is in time. */
+  if (!r->head_received)
+    {
+      _hcl_emit_head (r);
+      _hcl_stall_timer_restart (r);
+    }
   if (r->paused || !_hcl_turn_take (r, n))
     return CURL_WRITEFUNC_PAUSE;
   r->body_bytes += n;
   if (_hcl_body_is_too_large (r))
     return 0;
-  if (!r->head_received)
-    _hcl_emit_head (r);
   _hcl_stall_timer_restart (r);
   hcl_event_t e = { .kind = EV_UPSTREAM_DATA, .data = { .p = p, .n = n } };
   _hcl_emit (r, &e);
--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -641,6 +641,13 @@
   return g_hash_table_size (s->requests);
 }
 
+bool
+hsv_is_full (const hsv_t *s, uint64_t caller)
+{
+  const _hsv_request_t *r = _hsv_find (s, caller);
+  return r != NULL && r->full;
+}
+
 void
 hsv_reply_head (hsv_t *s, uint64_t caller, int status, http_headers_t headers)
 {
--- a/src/io/hsv.h
+++ b/src/io/hsv.h
@@ -57,6 +57,9 @@
 /** Closes all connections and frees the server. */
 void hsv_shutdown (hsv_t *s);
 
+/** Returns whether the last call of flow for CALLER was with FULL. */
+bool hsv_is_full (const hsv_t *s, uint64_t caller);
+
 /** Stops accepting connections; open connections continue. */
 void hsv_quiesce (hsv_t *s);
 
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -27,6 +27,13 @@
 #define FLOOD_MAX ((size_t)64 << 20)
 /* Longest time until the VM closes. */
 #define CLOSE_MS (2 * CLK_SECOND)
+/* What waits for a caller before the upstream is paused, and what comes of a
+ * body at once, in bytes. */
+#define QUEUE_MAX ((size_t)256 << 10)
+#define TURN_MAX ((size_t)64 << 10)
+#define EVENT_SIZE 1000
+/* Descriptors searched for the VM's end of a connection. */
+#define FDS_MAX 1024
 /* Bytes that a caller reads at once. */
 #define READ_SIZE ((size_t)64 << 10)
 #define READ_SIZE_SMALL ((size_t)4 << 10)
@@ -279,6 +286,62 @@
   check_passed_on (OWN_STREAM_HEAD "\r\n", "id: 1\n\n", 0);
 }
 
+/* The end of C's connection at the VM, which is in this process too; -1: not
+ * accepted yet. */
+static int
+vm_end (const caller_t *c)
+{
+  struct sockaddr_in own = { 0 };
+  socklen_t size = sizeof own;
+  (void)getsockname (c->fd, (struct sockaddr *)&own, &size);
+  for (int fd = 0; fd < FDS_MAX; fd++)
+    {
+      struct sockaddr_in peer = { 0 };
+      size = sizeof peer;
+      if (getpeername (fd, (struct sockaddr *)&peer, &size) == 0
+          && peer.sin_family == AF_INET && peer.sin_port == own.sin_port)
+        return fd;
+    }
+  return -1;
+}
+
+/* Sends whole events of BYTES bytes in all, and FIRST before them. */
+static void
+events_send (drvbed_t *b, drvbed_conn_t *conn, const char *first, size_t bytes)
+{
+  char *text = talloc_strdup (b, first);
+  for (size_t n = 0; n < bytes; n += EVENT_SIZE)
+    text = talloc_asprintf_append_buffer (text, "id: 1\ndata: %0*d\n\n",
+                                          EVENT_SIZE, 0);
+  drvbed_send (conn, text);
+  talloc_free (text);
+}
+
+/* Guards against an attempt that is not paused though its caller, who does not
+ * read, has been sent too much by the attempt before it, which broke off. */
+static void
+test_stream_without_end_after_a_broken_one (void)
+{
+  drvbed_t *b = drvbed_setup (2);
+  TST_NEED (b != NULL);
+  caller_t *c = caller_open (b, 0);
+  const drvbed_request_t *r = drvbed_await_request (b, 0, "r-1");
+  TST_NEED (r != NULL);
+  (void)setsockopt (c->fd, SOL_SOCKET, SO_RCVBUF, &(int){ 1 }, sizeof (int));
+  (void)setsockopt (vm_end (c), SOL_SOCKET, SO_SNDBUF, &(int){ 1 },
+                    sizeof (int));
+  events_send (b, r->conn, OWN_STREAM_HEAD "\r\n", QUEUE_MAX);
+  (void)drvbed_await_read (b, r->conn);
+  events_send (b, r->conn, "", 2 * TURN_MAX - EVENT_SIZE);
+  drvbed_send (r->conn, "id: 2\n");
+  drvbed_close (r->conn);
+  r = drvbed_await_request (b, 1, "r-1");
+  CU_ASSERT_PTR_NOT_NULL (r);
+  if (r != NULL)
+    (void)check_closes (b, r->conn, OWN_STREAM_HEAD "\r\n", "id: 1\n\n");
+  drvbed_shutdown (b);
+}
+
 /* -- load queries --------------------------------------------------------- */
 
 /* Largest load report, and what the sockets' buffers hold besides, in bytes.
@@ -447,6 +510,8 @@
     { "body_without_end_and_a_reader", test_body_without_end_and_a_reader },
     { "body_without_end_and_a_slow_reader",
       test_body_without_end_and_a_slow_reader },
+    { "stream_without_end_after_a_broken_one",
+      test_stream_without_end_after_a_broken_one },
     { "load_report_without_end", test_load_report_without_end },
     { "platform_answer_without_end", test_platform_answer_without_end },
     { "body_without_end_and_no_reader", test_body_without_end_and_no_reader },
--- a/tests/test_hcl_reuse.c
+++ b/tests/test_hcl_reuse.c
@@ -46,6 +46,7 @@
   conn_t conns[CONNS_MAX];
   size_t conn_count;
   clk_ms_t connect_ms;
+  clk_ms_t first_byte_ms;
   size_t body_max;
   bool stopped; /* the server reads from no new connection */
   uint64_t id;
@@ -198,6 +199,7 @@
                                       .headers = { &header, 1 },
                                       .body = body,
                                       .connect_ms = f->connect_ms,
+                                      .first_byte_ms = f->first_byte_ms,
                                       .total_ms = 3000,
                                       .body_max = f->body_max,
                                       .id_header = ID_HEADER,
@@ -343,6 +345,26 @@
   fixture_close (f);
 }
 
+/* Guards against a first byte that counts as late because its call was paused
+ * from the start. */
+static void
+test_first_byte_of_a_paused_call (void)
+{
+  fixture_t *f = fixture_open ();
+  f->first_byte_ms = 50;
+  call_start (f, "GET", "r-1", (buf_t){ 0 });
+  hcl_pause (f->client, HCL_UPSTREAM, f->id, true);
+  (void)await (f, is_received);
+  answer (f, 0, OWN ("r-1", "one"));
+  turns (f, 2 * TURNS_SOME);
+  CU_ASSERT (f->head && !f->failed);
+  CU_ASSERT_STRING_EQUAL (f->body->str, "");
+  hcl_pause (f->client, HCL_UPSTREAM, f->id, false);
+  CU_ASSERT (await_end (f));
+  CU_ASSERT_STRING_EQUAL (f->body->str, "one");
+  fixture_close (f);
+}
+
 /* Guards against late bytes as the next call's response, where the whole rest
  * of the first response had come while it was paused. */
 static void
@@ -647,6 +669,7 @@
     { "bytes_unnoticed_before_the_call",
       test_bytes_unnoticed_before_the_call },
     { "paused_response_is_whole", test_paused_response_is_whole },
+    { "first_byte_of_a_paused_call", test_first_byte_of_a_paused_call },
     { "bytes_after_a_response_resumed_at_its_end",
       test_bytes_after_a_response_resumed_at_its_end },
     { "bytes_after_a_response_that_ends_paused",
