End a batch item's answer that does not end

Cause: the body of an answer above 256 KB was dropped but read on until the item's time limit of 2 minutes.

What callers saw: the item was late, and its slot, its connection and the VM's processor were taken meanwhile.

Why it works: a body is read up to 4 MiB; one that ends within that fails its item as before, because the next answer would be as large. Bytes beyond are no answer, so the item is handled like one whose connection broke: it runs again if it is idempotent, and ends as unknown otherwise.

--- a/src/core/bat_int.h
+++ b/src/core/bat_int.h
@@ -209,7 +209,8 @@
   int status;
   clk_ms_t retry_after_ms; /**< from the Retry-After header; 0: none */
   GString *body;
-  bool too_large; /**< the body exceeds BAT_RESPONSE_BYTES_MAX */
+  size_t received; /**< bytes of the response's body */
+  bool too_large;  /**< the body exceeds BAT_RESPONSE_BYTES_MAX */
 } bat_inflight_t;
 
 /** One chunk of a job that is being accepted. */
--- a/src/core/bat_response.c
+++ b/src/core/bat_response.c
@@ -6,6 +6,9 @@
 #include <talloc.h>
 
 #define BAT_RESPONSE_BYTES_MAX ((size_t)256 << 10)
+/* A body that is too large is read on up to this size, in bytes, to see its
+ * end: an answer that ends fails its item, bytes without end are no answer. */
+#define BAT_RESPONSE_READ_MAX (16 * BAT_RESPONSE_BYTES_MAX)
 /* Start of a response's body that the reason of a failure quotes, in bytes. */
 #define BAT_REASON_BODY_BYTES_MAX 200
 #define BAT_REFUSALS_MAX 200 /* about 20 minutes of back-off */
@@ -126,13 +129,28 @@
     s->retry_after_ms = CLK_MINUTE;
 }
 
-static void
+/* Takes DATA; false: the response does not end. */
+static bool
 _bat_item_data (bat_inflight_t *s, buf_t data)
 {
+  s->received += data.n;
   if (s->body->len + data.n > BAT_RESPONSE_BYTES_MAX)
     s->too_large = true;
   else
     g_string_append_len (s->body, data.p, (gssize)data.n);
+  return s->received <= BAT_RESPONSE_READ_MAX;
+}
+
+/* Ends the call of S, whose response does not end, and handles it like a
+ * connection that broke. */
+static void
+_bat_item_endless (bat_t *b, env_t *env, bat_inflight_t *s)
+{
+  bat_hold_t *h = tbl_get (b->holds, s->hold);
+  upc_cancel (env, s->call);
+  _bat_item_attempt_failed (b, env, h, s->item, 0, "the answer does not end");
+  bat_inflight_free (b, env, s, true);
+  bat_pump (b, env);
 }
 
 void
@@ -148,7 +166,8 @@
     }
   if (ev->kind == EV_UPSTREAM_DATA)
     {
-      _bat_item_data (s, ev->upstream.data);
+      if (!_bat_item_data (s, ev->upstream.data))
+        _bat_item_endless (b, env, s);
       return;
     }
   bat_hold_t *h = tbl_get (b->holds, s->hold);
--- a/tests/batbed.c
+++ b/tests/batbed.c
@@ -266,8 +266,39 @@
   batbed_kill (bed, i);
 }
 
+/* Passes EV of an upstream call to VM; false: the call is over. */
+static bool
+_bed_upstream_event (bed_vm_t *vm, ev_t *ev)
+{
+  upc_owner_t owner;
+  if (!upc_event (vm->env, ev, &owner))
+    return false;
+  bat_upstream_event (vm->bat, vm->env, owner.tag, ev);
+  return true;
+}
+
+/* Sends the head of E and parts of its body, which has no end. */
 static void
-_bed_upstream_response (batbed_t *bed, bed_vm_t *vm, const bed_event_t *e)
+_bed_endless_response (batbed_t *bed, bed_vm_t *vm, const bed_event_t *e)
+{
+  static const char part[64 << 10];
+  ev_t ev = { .kind = EV_UPSTREAM_HEAD,
+              .upstream = { .call = e->fx.upstream.call, .status = 200 } };
+  size_t before = 0; /* the last part that was taken */
+  bool open = _bed_upstream_event (vm, &ev);
+  for (size_t sent = 0; open && sent < BATBED_ENDLESS_MAX; sent += sizeof part)
+    {
+      ev = (ev_t){ .kind = EV_UPSTREAM_DATA,
+                   .upstream = { .call = e->fx.upstream.call,
+                                 .data = { part, sizeof part } } };
+      open = _bed_upstream_event (vm, &ev);
+      before = open ? sent : before;
+    }
+  bed->totals.endless_taken = MAX (bed->totals.endless_taken, before);
+}
+
+static void
+_bed_upstream_response (bed_vm_t *vm, const bed_event_t *e)
 {
   uint64_t call = e->fx.upstream.call;
   static const ev_kind_t complete[]
@@ -284,11 +315,8 @@
                                 .text = "broken" } };
       if (kinds[i] == EV_UPSTREAM_DATA)
         ev.upstream.data = buf_str (e->body);
-      upc_owner_t owner;
-      if (upc_event (vm->env, &ev, &owner))
-        bat_upstream_event (vm->bat, vm->env, owner.tag, &ev);
+      (void)_bed_upstream_event (vm, &ev);
     }
-  (void)bed;
 }
 
 /* -- running -------------------------------------------------------------- */
@@ -317,7 +345,10 @@
       _bed_reply (vm, e);
       break;
     case BED_RESPONSE:
-      _bed_upstream_response (bed, vm, e);
+      if (e->endless)
+        _bed_endless_response (bed, vm, e);
+      else
+        _bed_upstream_response (vm, e);
       break;
     case BED_MESSAGE:
       if (crd_owns_message (msg->kind))
--- a/tests/batbed.h
+++ b/tests/batbed.h
@@ -11,9 +11,10 @@
  *   const batbed_response_t *response = batbed_response (bed, caller);
  *
  * The body of an item selects its response: "impossible" gets status 422,
- * "flaky" gets 500 in the first two runs, "large" gets a body of 3 KB; other
- * bodies are echoed.  The route POST /v1/completions is idempotent, POST
- * /orders is not.
+ * "flaky" gets 500 in the first two runs, "large" gets a body of 3 KB,
+ * "endless" gets a body of BATBED_ENDLESS_MAX bytes that does not end in the
+ * first run; other bodies are echoed.  The route POST /v1/completions is
+ * idempotent, POST /orders is not.
  *
  * Use it in tests and measurements of bat and crd only.  Times are in
  * milliseconds.  The bed owns all that it returns; it aborts the process when
@@ -24,6 +25,9 @@
 
 #include "core/bat.h"
 
+/** Bytes of a body without end after which it falls silent. */
+#define BATBED_ENDLESS_MAX ((size_t)16 << 20)
+
 /** Set-up of a bed; a zero selects the default.  Means are nominal: a delay is
  * on average 1 ms plus 0.7 of its mean (bed_delay). */
 typedef struct
@@ -60,9 +64,11 @@
   uint64_t bytes_read;
   uint64_t messages;
   uint64_t items_started;
-  uint64_t doubled;    /**< non-idempotent items that ran twice */
-  uint64_t repeated;   /**< idempotent items that ran more than once */
-  uint64_t after_stop; /**< items started after batbed_forbid_starts */
+  uint64_t doubled;     /**< non-idempotent items that ran twice */
+  uint64_t repeated;    /**< idempotent items that ran more than once */
+  size_t endless_taken; /**< bytes of a body without end, at most, before
+                             the part that ended its call */
+  uint64_t after_stop;  /**< items started after batbed_forbid_starts */
 } batbed_totals_t;
 
 typedef struct batbed batbed_t;
--- a/tests/batbed_int.h
+++ b/tests/batbed_int.h
@@ -41,6 +41,7 @@
   uint64_t revision;
   int status;       /* HTTP status; negative: the call failed, as in fail */
   const char *body; /* BED_UPSTREAM: request id; BED_RESPONSE: body */
+  bool endless;     /* BED_RESPONSE: its body does not end */
   ev_fail_t fail;
   uint32_t from; /* sender of a message */
 } bed_event_t;
--- a/tests/batbed_world.c
+++ b/tests/batbed_world.c
@@ -383,6 +383,8 @@
     }
   else if (strstr (u->body.p, "large") != NULL)
     a->body = talloc_asprintf (a, "%03000u", 7);
+  else if (strstr (u->body.p, "endless") != NULL)
+    a->endless = runs == 1;
   else if (strstr (u->body.p, "flaky") != NULL && runs <= 2)
     a->status = 500;
   bed_event_add (bed, a);
--- a/tests/test_bat.c
+++ b/tests/test_bat.c
@@ -179,6 +179,32 @@
   batbed_shutdown (bed);
 }
 
+/* Largest object of the platform, in bytes; an item's answer is a part of one.
+ */
+#define OBJECT_MAX ((size_t)1 << 20)
+
+/* Guards against an answer without end that is read until the item's time
+ * limit.  The item runs again, unless it may run only once. */
+static void
+test_answer_without_end (void)
+{
+  batbed_t *bed = batbed_setup (&(batbed_desc_t){ .seed = 6, .vms = 1 });
+  char id[BAT_ID_SIZE];
+  char *body = _lines (bed, "/v1/completions", "endless", 2);
+  body = talloc_strdup_append (body, _lines (bed, "/orders", "endless", 1));
+  _submit (bed, "k1", body, id);
+  batbed_run (bed, 20 * CLK_SECOND);
+  CU_ASSERT (batbed_totals (bed).endless_taken > 0);
+  CU_ASSERT (batbed_totals (bed).endless_taken <= 4 * OBJECT_MAX);
+  json_t *o;
+  (void)_get (bed, 0, "acme", id, "", &o, NULL);
+  CU_ASSERT_STRING_EQUAL (_member (o, "state"), "complete");
+  CU_ASSERT_EQUAL (json_integer_value (json_object_get (o, "done")), 2);
+  json_decref (o);
+  CU_ASSERT_EQUAL (batbed_totals (bed).doubled, 0);
+  batbed_shutdown (bed);
+}
+
 static void
 test_cancelled_job_stops (void)
 {
@@ -315,6 +341,7 @@
     { "others_do_not_see_the_job", test_others_do_not_see_the_job },
     { "failing_items_do_not_block_others",
       test_failing_items_do_not_block_others },
+    { "answer_without_end", test_answer_without_end },
     { "cancelled_job_stops", test_cancelled_job_stops },
     { "bad_jobs_are_refused", test_bad_jobs_are_refused },
     { "outage_refuses_new_jobs", test_outage_refuses_new_jobs },
