Limit the time in which an event of an item comes in full

What callers saw: the item was never completed nor given up, and its slot stayed taken.

Evidence: hosted/item_answer_that_drips failed before, for a 200 and a 500 with a byte a second: the item was not completed 20 s after the upstream had recovered.

Why it works: bytes that come later than twice the stall limit after the last whole event, or after the head of a response other than 200, end the run; if none come the stall limit does. Whole events are taken before the time is looked at, so a VM that was frozen loses nothing that has arrived.

--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -130,6 +130,8 @@
   uint64_t resumed_after; /**< id of the last event before the run; 0: none */
   int status;             /**< HTTP status; 0: no response head yet */
   size_t received;        /**< bytes of the response's body */
+  clk_ms_t progress_at;   /**< time of the response's head or of its last whole
+                               event */
   sse_t events;
 } job_run_t;
 
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -15,6 +15,9 @@
 #define JOB_FIRST_BYTE_TIMEOUT_MS (3 * CLK_SECOND)
 /** Longest silence within the body of a response. */
 #define JOB_STALL_TIMEOUT_MS (2 * CLK_SECOND)
+/** Longest time in which an event, or the body of a response that is not 200,
+ * comes in full. */
+#define JOB_EVENT_TIMEOUT_MS (2 * JOB_STALL_TIMEOUT_MS)
 /** Largest body of a response that is not 200, in bytes; it is not used. */
 #define JOB_REFUSAL_MAX ((size_t)64 << 10)
 /** Pause before a part that is not stored yet is read again. */
@@ -199,6 +202,7 @@
                       .in_flight = pick.handle,
                       .upstream = talloc_strdup (j, pick.upstream),
                       .started = env->now,
+                      .progress_at = env->now,
                       .resumed_after = job->items[index].last_event };
   job->items[index].state = JOB_ITEM_RUNNING;
   job->items[index].run = id;
@@ -390,6 +394,16 @@
   return false;
 }
 
+/* Ends RUN, whose response is not 200, if its body does not end. */
+static void
+_job_refusal_data (job_set_t *j, env_t *env, job_run_t *run)
+{
+  if (run->received > JOB_REFUSAL_MAX)
+    _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "refusal-too-large");
+  else if (env->now - run->progress_at > JOB_EVENT_TIMEOUT_MS)
+    _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "refusal-too-slow");
+}
+
 static void
 _job_data (job_set_t *j, env_t *env, job_run_t *run, buf_t data)
 {
@@ -397,16 +411,20 @@
   run->received += data.n;
   if (run->status != 200)
     {
-      if (run->received > JOB_REFUSAL_MAX)
-        _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "refusal-too-large");
+      _job_refusal_data (j, env, run);
       return;
     }
   sse_push (&run->events, data);
   while (sse_pop (&run->events, &event))
-    if (!_job_event (j, env, run, &event))
-      return;
+    {
+      if (!_job_event (j, env, run, &event))
+        return;
+      run->progress_at = env->now;
+    }
   if (sse_is_too_large (&run->events))
     _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-too-large");
+  else if (env->now - run->progress_at > JOB_EVENT_TIMEOUT_MS)
+    _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "event-too-slow");
 }
 
 static void
@@ -424,6 +442,7 @@
     }
   rte_first_byte (j->desc.routes, env, run->in_flight);
   run->status = up->status;
+  run->progress_at = env->now;
 }
 
 /* Handles a complete response that is not 200: gives item INDEX up after
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -68,6 +68,7 @@
   HST_ENDLESS_EVENT,  /**< one event, after the others */
   HST_ENDLESS_EVENTS, /**< one whole event after another */
   HST_ENDLESS_EMPTY,  /**< one event without data after another */
+  HST_ENDLESS_DRIP,   /**< one event, a byte a second */
 } hst_endless_t;
 
 /** A fault of an upstream. */
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -152,12 +152,18 @@
  * next part. */
 #define HST_ENDLESS_PART 8000
 #define HST_ENDLESS_GAP_MS 1
+#define HST_ENDLESS_DRIP_MS CLK_SECOND
 
 /* Write the next part of F's body to TEXT. */
 static void
 _hst_endless_part (hst_inflight_t *f, GString *text)
 {
   bool empty = f->endless == HST_ENDLESS_EMPTY;
+  if (f->endless == HST_ENDLESS_DRIP)
+    {
+      g_string_append_c (text, '.');
+      return;
+    }
   if (!empty)
     g_string_append_printf (text, "id: %u\ndata: %0*d\n%s", f->next++,
                             HST_ENDLESS_PART, 0,
@@ -177,7 +183,10 @@
   f->sent += ev.upstream.data.n;
   h->endless_sent[f->upstream] = MAX (h->endless_sent[f->upstream], f->sent);
   if (f->sent < HST_ENDLESS_MAX)
-    hst_event_push (h, e->vm, HST_ENDLESS_GAP_MS, &e->ev);
+    hst_event_push (h, e->vm,
+                    f->endless == HST_ENDLESS_DRIP ? HST_ENDLESS_DRIP_MS
+                                                   : HST_ENDLESS_GAP_MS,
+                    &e->ev);
   hst_step (h, e->vm, &ev);
   (void)g_string_free (text, TRUE);
 }
--- a/tests/test_hosted.c
+++ b/tests/test_hosted.c
@@ -540,6 +540,17 @@
       OBJECT_MAX);
 }
 
+/* Guards against an item's answer that lasts as long as some bytes of it come,
+ * too few to reach a limit of their number. */
+static void
+test_item_answer_that_drips (void)
+{
+  _check_item_outlasts ((hst_fault_t){ .endless = HST_ENDLESS_DRIP },
+                        OBJECT_MAX);
+  _check_item_outlasts (
+      (hst_fault_t){ .status = 500, .endless = HST_ENDLESS_DRIP }, OBJECT_MAX);
+}
+
 static void
 test_cancelled_job_stops_running (void)
 {
@@ -721,6 +732,7 @@
     { "item_text_without_end", test_item_text_without_end },
     { "item_empty_events_without_end", test_item_empty_events_without_end },
     { "item_refusal_without_end", test_item_refusal_without_end },
+    { "item_answer_that_drips", test_item_answer_that_drips },
     { "cancelled_job_stops_running", test_cancelled_job_stops_running },
     { "job_over_queue_limit_is_refused",
       test_job_over_queue_limit_is_refused },
