Take a busy VM for no sign of a stuck caller

Cause: the check for connections on which the HTTP server's library is stuck counted each check in which bytes waited, also when the VM had not come to run the library since the check before.

What callers saw: nothing yet; read, not run: on a VM so busy that five checks pass without a run, an upload could have been closed.

Why it works: a check counts only if the library has run since the last one.

--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -64,6 +64,7 @@
   struct tevent_immediate *run;
   bool run_scheduled;
   unsigned runs;         /**< of the library since other events had a turn */
+  bool has_run;          /**< the library, since the last check */
   GHashTable *requests;  /**< caller -> _hsv_request_t */
   GHashTable *receiving; /**< set of _hsv_request_t, not delivered yet */
   size_t bodies;         /**< bytes of all buffered bodies */
@@ -373,6 +374,7 @@
 _hsv_run (hsv_t *s)
 {
   MHD_run (s->daemon);
+  s->has_run = true;
   _hsv_set_timer (s);
 }
 
@@ -499,12 +501,16 @@
 }
 
 /* Closes the connections on which the library is stuck: it neither reads on
- * nor gives up on a line of a chunk that is larger than its memory. */
+ * nor gives up on a line of a chunk that is larger than its memory.  A VM too
+ * busy to run the library is no sign of that. */
 static void
 _hsv_stuck_close (hsv_t *s)
 {
   GHashTableIter iter;
   void *value = NULL;
+  if (!s->has_run)
+    return;
+  s->has_run = false;
   g_hash_table_iter_init (&iter, s->receiving);
   while (g_hash_table_iter_next (&iter, &value, NULL))
     {
