--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -15,6 +15,11 @@
 #define JOB_FIRST_BYTE_TIMEOUT_MS (3 * CLK_SECOND)
 /** Longest silence within the body of a response. */
 #define JOB_STALL_TIMEOUT_MS (2 * CLK_SECOND)
+/** Longest time in which an event, or the body of a response that is not 200,
+ * comes in full. */
+#define JOB_EVENT_TIMEOUT_MS (2 * JOB_STALL_TIMEOUT_MS)
+/** Largest body of a response that is not 200, in bytes; it is not used. */
+#define JOB_REFUSAL_MAX ((size_t)64 << 10)
 /** Pause before a part that is not stored yet is read again. */
 #define JOB_BODY_MISSING_MS (1 * CLK_SECOND)
 /** Pause of an item that failed, was not executed or has no route. */
@@ -25,6 +30,12 @@
 #define JOB_RESERVED_SLOTS 1
 /** Pause of an item after a preemption. */
 #define JOB_PREEMPTED_RETRY_MS 100
+/** Largest text of an item, in bytes.  It is stored as an object of at most
+ * 1 MiB; the other half is for escapes. */
+#define JOB_TEXT_MAX ((size_t)512 << 10)
+/** Largest body of a run's response, in bytes.  Around a byte of the text an
+ * event has about 15 others. */
+#define JOB_RESPONSE_MAX (16 * JOB_TEXT_MAX)
 /** Items without a route are given up after this time. */
 #define JOB_ROUTE_MISSING_MS (3 * CLK_SECOND)
 
@@ -191,6 +202,7 @@
                       .in_flight = pick.handle,
                       .upstream = talloc_strdup (j, pick.upstream),
                       .started = env->now,
+                      .progress_at = env->now,
                       .resumed_after = job->items[index].last_event };
   job->items[index].state = JOB_ITEM_RUNNING;
   job->items[index].run = id;
@@ -352,20 +364,67 @@
   return true;
 }
 
+/* Drops the text of ITEM, to begin anew: which part of a text that is too
+ * large was the item's cannot be told. */
 static void
-_job_data (job_set_t *j, env_t *env, job_run_t *run, buf_t data)
+_job_text_drop (job_item_t *item)
+{
+  if (item->text != NULL)
+    g_string_free (item->text, TRUE);
+  item->text = NULL;
+  item->last_event = 0;
+}
+
+/* Appends a complete event to the text of RUN's item; ends RUN and returns
+ * false when that cannot be. */
+static bool
+_job_event (job_set_t *j, env_t *env, job_run_t *run, const sse_event_t *event)
 {
   job_t *job = tbl_get (j->jobs, run->job);
+  job_item_t *item = &job->items[run->item];
+  if (!_job_event_append (item, event))
+    {
+      _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
+      return false;
+    }
+  if (item->text->len <= JOB_TEXT_MAX && run->received <= JOB_RESPONSE_MAX)
+    return true;
+  _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "text-too-large");
+  _job_text_drop (item);
+  return false;
+}
+
+/* Ends RUN, whose response is not 200, if its body does not end. */
+static void
+_job_refusal_data (job_set_t *j, env_t *env, job_run_t *run)
+{
+  if (run->received > JOB_REFUSAL_MAX)
+    _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "refusal-too-large");
+  else if (env->now - run->progress_at > JOB_EVENT_TIMEOUT_MS)
+    _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "refusal-too-slow");
+}
+
+static void
+_job_data (job_set_t *j, env_t *env, job_run_t *run, buf_t data)
+{
   sse_event_t event;
+  run->received += data.n;
   if (run->status != 200)
-    return;
+    {
+      _job_refusal_data (j, env, run);
+      return;
+    }
   sse_push (&run->events, data);
   while (sse_pop (&run->events, &event))
-    if (!_job_event_append (&job->items[run->item], &event))
-      {
-        _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
+    {
+      if (!_job_event (j, env, run, &event))
         return;
-      }
+      run->progress_at = env->now;
+    }
+  if (sse_is_too_large (&run->events))
+    _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-too-large");
+  else if (env->now - run->progress_at > JOB_EVENT_TIMEOUT_MS)
+    _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "event-too-slow");
 }
 
 static void
@@ -383,6 +442,7 @@
     }
   rte_first_byte (j->desc.routes, env, run->in_flight);
   run->status = up->status;
+  run->progress_at = env->now;
 }
 
 /* Handles a complete response that is not 200: gives item INDEX up after
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -167,6 +167,10 @@
 
 /* -- platform calls ------------------------------------------------------- */
 
+/** Largest response of the platform, in bytes.  An object is at most 1 MiB and
+ * so is a page of a list; a watch may bring several objects at once. */
+#define DRV_PLATFORM_BODY_MAX ((size_t)8 << 20)
+
 static int
 _drv_platform_destroy (_drv_platform_t *p)
 {
@@ -186,7 +190,8 @@
   g_hash_table_insert (d->platform_calls, &p->call, p);
   hcl_call_t call = { .owner = HCL_PLATFORM,
                       .id = f->call,
-                      .address = d->desc.set->platform };
+                      .address = d->desc.set->platform,
+                      .body_max = DRV_PLATFORM_BODY_MAX };
   void *ctx = talloc_new (p);
   if (d->desc.set->hosted)
     pfm_object_request_encode (ctx, f, &call);
@@ -201,6 +206,8 @@
 {
   _drv_queued_t *q = _drv_event_queue (d, &(ev_t){ .kind = EV_PLATFORM });
   ev_platform_t *reply = &q->ev.platform;
+  if (e->kind == EV_UPSTREAM_FAIL)
+    g_byte_array_set_size (p->body, 0);
   buf_t body
       = buf_copy (q, (buf_t){ .p = (char *)p->body->data, .n = p->body->len });
   const char *name = talloc_strdup (q, p->name);
@@ -298,6 +305,24 @@
       _drv_on_timer, d);
 }
 
+/* Returns the server that received the request of CALLER. */
+static hsv_t *
+_drv_server_of_caller (const drv_t *d, uint64_t caller)
+{
+  return d->ready_hsv != NULL && caller > DRV_READY_CALLER_BASE ? d->ready_hsv
+                                                                : d->hsv;
+}
+
+/* Pauses CALL from its start if CALLER has not taken what an earlier call for
+ * it has brought. */
+static void
+_drv_pause_if_full (drv_t *d, uint64_t caller, uint64_t call)
+{
+  const hsv_t *server = _drv_server_of_caller (d, caller);
+  if (server != NULL && hsv_is_full (server, caller))
+    hcl_pause (d->hcl, HCL_UPSTREAM, call, true);
+}
+
 static void
 _drv_upstream_call (drv_t *d, const fx_upstream_t *u)
 {
@@ -326,14 +351,8 @@
                                    .id_header = id_header,
                                    .id_required = u->proves_origin });
   talloc_free (tmp);
-}
-
-/* Returns the server that received the request of CALLER. */
-static hsv_t *
-_drv_server_of_caller (const drv_t *d, uint64_t caller)
-{
-  return d->ready_hsv != NULL && caller > DRV_READY_CALLER_BASE ? d->ready_hsv
-                                                                : d->hsv;
+  if (u->caller != 0)
+    _drv_pause_if_full (d, u->caller, u->call);
 }
 
 static void
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -12,6 +12,12 @@
 #define HCL_IDLE_AGE_MAX_S 20L /**< longest idle time before a reuse */
 #define HCL_PROBE_IDLE_S 5L    /**< idle time before a keep-alive probe */
 #define HCL_PROBE_INTERVAL_S 2L
+/** All lines of a response that are not its body, in bytes: of the heads
+ * before the final one, of that one, and of the trailer. */
+#define HCL_HEAD_MAX ((size_t)64 << 10)
+/** Bytes of a body passed on before the loop's next turn; libcurl reads up to
+ * a hundred blocks at once. */
+#define HCL_TURN_MAX ((size_t)64 << 10)
 
 typedef struct _hcl_request _hcl_request_t;
 
@@ -40,9 +46,15 @@
   clk_ms_t stall_ms;
   http_header_t *headers; /**< of the response */
   size_t header_count;
+  size_t head_bytes;  /**< of all lines so far, against HCL_HEAD_MAX */
   bool head_ended;    /**< further header lines are a trailer's */
   bool head_received; /**< the head was emitted */
   bool paused;
+  size_t body_max;   /**< as in hcl_call_t */
+  size_t body_bytes; /**< passed on so far */
+  size_t turn_bytes; /**< of the body, passed on in this turn */
+  bool turn_held;    /**< more has come, which waits for the turn's end */
+  struct tevent_immediate *turn_end;
 };
 
 /* -- table ---------------------------------------------------------------- */
@@ -170,11 +182,10 @@
                     _hcl_response_is_foreign (r) ? 1L : 0L);
 }
 
-static size_t
-_hcl_on_header (char *p, size_t size, size_t count, void *data)
+/* Takes the N bytes at P, a line of a head or trailer. */
+static void
+_hcl_line (_hcl_request_t *r, const char *p, size_t n)
 {
-  _hcl_request_t *r = data;
-  size_t n = size * count;
   /* A status line begins a response, for instance the final one that follows
    * 100 Continue. */
   if (n >= 5 && strncmp (p, "HTTP/", 5) == 0)
@@ -182,36 +193,94 @@
       TALLOC_FREE (r->headers);
       r->header_count = 0;
       r->head_ended = false;
-      return n;
+      return;
     }
   if (r->head_ended)
-    return n;
-  char *colon = memchr (p, ':', n);
+    return;
+  const char *colon = memchr (p, ':', n);
   if (colon == NULL)
     {
       if (n > 0 && (p[0] == '\r' || p[0] == '\n'))
         _hcl_on_head_end (r);
-      return n;
+      return;
     }
-  r->headers
-      = talloc_realloc (r, r->headers, http_header_t, r->header_count + 1);
+  /* The array's size is a power of two. */
+  if ((r->header_count & (r->header_count - 1)) == 0)
+    r->headers
+        = talloc_realloc (r, r->headers, http_header_t,
+                          r->header_count > 0 ? 2 * r->header_count : 1);
   http_header_t *h = &r->headers[r->header_count++];
   h->name = talloc_strndup (r->headers, p, (size_t)(colon - p));
   char *value
       = talloc_strndup (r->headers, colon + 1, n - (size_t)(colon - p) - 1);
   h->value = g_strstrip (value);
+}
+
+/* Less than the length given makes libcurl end the call and close. */
+static size_t
+_hcl_on_header (char *p, size_t size, size_t count, void *data)
+{
+  _hcl_request_t *r = data;
+  size_t n = size * count;
+  r->head_bytes += n;
+  if (r->head_bytes > HCL_HEAD_MAX)
+    return 0;
+  _hcl_line (r, p, n);
   return n;
 }
 
+static void
+_hcl_on_turn_end (struct tevent_context *loop, struct tevent_immediate *im,
+                  void *data)
+{
+  (void)loop;
+  (void)im;
+  _hcl_request_t *r = data;
+  bool held = r->turn_held;
+  r->turn_bytes = 0;
+  r->turn_held = false;
+  if (held && !r->paused)
+    curl_easy_pause (r->easy, CURLPAUSE_CONT);
+}
+
+/* Counts N bytes of the body against this turn; false: the turn has had its
+ * part.  What the handler has queued is worked off before more comes. */
+static bool
+_hcl_turn_take (_hcl_request_t *r, size_t n)
+{
+  r->turn_held = r->turn_bytes >= HCL_TURN_MAX;
+  if (r->turn_held)
+    return false;
+  if (r->turn_bytes == 0)
+    tevent_schedule_immediate (r->turn_end, r->client->desc.loop,
+                               _hcl_on_turn_end, r);
+  r->turn_bytes += n;
+  return true;
+}
+
+static bool
+_hcl_body_is_too_large (const _hcl_request_t *r)
+{
+  return r->body_max > 0 && r->body_bytes > r->body_max;
+}
+
+/* Less than the length given makes libcurl end the call and close. */
 static size_t
 _hcl_on_body (char *p, size_t size, size_t count, void *data)
 {
   _hcl_request_t *r = data;
   size_t n = size * count;
-  if (r->paused)
-    return CURL_WRITEFUNC_PAUSE;
+  /* Also for a paused call, whose first byte is in time. */
   if (!r->head_received)
-    _hcl_emit_head (r);
+    {
+      _hcl_emit_head (r);
+      _hcl_stall_timer_restart (r);
+    }
+  if (r->paused || !_hcl_turn_take (r, n))
+    return CURL_WRITEFUNC_PAUSE;
+  r->body_bytes += n;
+  if (_hcl_body_is_too_large (r))
+    return 0;
   _hcl_stall_timer_restart (r);
   hcl_event_t e = { .kind = EV_UPSTREAM_DATA, .data = { .p = p, .n = n } };
   _hcl_emit (r, &e);
@@ -229,6 +298,16 @@
     hcl_socket_idle (r->client->sockets, sock);
 }
 
+static const char *
+_hcl_failure_text (const _hcl_request_t *r, CURLcode code)
+{
+  if (r->head_bytes > HCL_HEAD_MAX)
+    return "the head is too large";
+  if (_hcl_body_is_too_large (r))
+    return "the body is too large";
+  return curl_easy_strerror (code);
+}
+
 static void
 _hcl_finish (_hcl_request_t *r, CURLcode code)
 {
@@ -245,7 +324,7 @@
       curl_easy_getinfo (r->easy, CURLINFO_REQUEST_SIZE, &sent);
       e.kind = EV_UPSTREAM_FAIL;
       e.fail = sent == 0 ? EV_FAIL_NOT_SENT : EV_FAIL_UNKNOWN;
-      e.text = curl_easy_strerror (code);
+      e.text = _hcl_failure_text (r, code);
     }
   _hcl_emit (r, &e);
   _hcl_remove (r);
@@ -467,7 +546,9 @@
   r->owner = call->owner;
   r->id = call->id;
   r->stall_ms = call->stall_ms;
+  r->body_max = call->body_max;
   r->easy = curl_easy_init ();
+  r->turn_end = tevent_create_immediate (r);
   talloc_set_destructor (r, _hcl_request_destroy);
   _hcl_set_connection (r, call);
   _hcl_set_request (r, call);
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -13,6 +13,12 @@
  * therefore sets fresh_connection.  Times are in milliseconds; everything that
  * an event points to is valid only within the handler.
  *
+ * A response's head, with all heads before the final one and the trailer, is
+ * bounded; beyond that the call fails and its connection is closed.  Its body
+ * has a bound if the call sets one; DATA brings a small part of it in each
+ * turn of the loop, so that a handler that queues events can pause the call in
+ * time.
+ *
  * A connection serves call after call.  So that a call does not get bytes that
  * are not its own, a connection is not used again when bytes have arrived on
  * it before a call starts, or with a response whose id_header shows that it is
@@ -52,6 +58,8 @@
                                no limit */
   clk_ms_t stall_ms;      /**< longest gap within the body; 0: no limit */
   clk_ms_t total_ms; /**< time limit for the complete response; 0: no limit */
+  size_t body_max;   /**< largest body of the response, in bytes; a larger
+                          one fails the call; 0: no limit */
   bool fresh_connection; /**< open a new connection */
   const char *id_header; /**< header of the request that its response may
                               repeat; NULL: none */
--- a/src/io/hsv.h
+++ b/src/io/hsv.h
@@ -37,7 +37,9 @@
   void (*flow) (void *data, uint64_t caller, bool full);
   void *data;
   unsigned connections; /**< maximum number; default 8192 */
-  size_t body_max;      /**< largest body of a request; default 64 MiB */
+  size_t body_max;      /**< largest body of a request; default 64 MiB; one of
+                             more than twice the size gets no response, its
+                             connection is closed */
   size_t bodies_max;    /**< limit of all incomplete requests' bodies together;
                              default 128 MiB */
   size_t queue_max;     /**< bytes queued for a caller; default 256 KiB */
@@ -55,6 +57,9 @@
 /** Closes all connections and frees the server. */
 void hsv_shutdown (hsv_t *s);
 
+/** Returns whether the last call of flow for CALLER was with FULL. */
+bool hsv_is_full (const hsv_t *s, uint64_t caller);
+
 /** Stops accepting connections; open connections continue. */
 void hsv_quiesce (hsv_t *s);
 
--- a/src/io/lnk.c
+++ b/src/io/lnk.c
@@ -20,6 +20,8 @@
 #define LNK_READ_SIZE 65536
 #define LNK_NONCE_SIZE 16
 #define LNK_BACKLOG 64
+/** Largest frame of the handshake, in bytes: names and a proof. */
+#define LNK_HANDSHAKE_FRAME_MAX ((size_t)1024)
 
 /* Kinds of the frames that the links exchange themselves.  The kinds of the
  * messages from core start at MSG_CONFIG_FIRST. */
@@ -51,7 +53,8 @@
   size_t out_offset; /**< bytes of out already sent */
   unsigned char nonce[LNK_NONCE_SIZE];
   unsigned char peer_nonce[LNK_NONCE_SIZE];
-  clk_ms_t silent_ms; /**< time since the last byte from the peer */
+  clk_ms_t silent_ms; /**< time since the last byte from the peer, or, until
+                           it is open, since the last step of the handshake */
 } _lnk_connection_t;
 
 /* A peer added with lnk_peer_add. */
@@ -246,6 +249,7 @@
   if (ok)
     {
       c->vm = buf_to_str (c, vm);
+      c->silent_ms = 0;
       memcpy (c->peer_nonce, nonce.p, LNK_NONCE_SIZE);
       char *proof
           = _lnk_proof (c->links, c->links->desc.vm, c->nonce, c->peer_nonce);
@@ -302,6 +306,7 @@
   if (other != NULL && !_lnk_is_preferred (c, other))
     return false;
   c->state = _LNK_OPEN;
+  c->silent_ms = 0;
   g_hash_table_replace (l->open_links, c->vm, c);
   if (other != NULL)
     _lnk_connection_free (other);
@@ -324,6 +329,17 @@
   return msg->kind >= MSG_CONFIG_FIRST || msg->kind == _LNK_HEARTBEAT;
 }
 
+/* Decodes the first frame of BYTES.  A peer that has not proved that it knows
+ * the secret may send small ones only. */
+static st_code_t
+_lnk_frame_decode (const _lnk_connection_t *c, void *ctx, buf_t bytes,
+                   msg_t *msg, size_t *used)
+{
+  if (c->state != _LNK_OPEN && frm_is_longer (bytes, LNK_HANDSHAKE_FRAME_MAX))
+    return ST_TOO_LARGE;
+  return frm_decode (ctx, bytes, msg, used);
+}
+
 static bool
 _lnk_frames_decode (_lnk_connection_t *c)
 {
@@ -336,7 +352,7 @@
       size_t used = 0;
       buf_t bytes
           = { .p = (const char *)c->in->data + at, .n = c->in->len - at };
-      st_code_t code = frm_decode (ctx, bytes, &msg, &used);
+      st_code_t code = _lnk_frame_decode (c, ctx, bytes, &msg, &used);
       if (code == ST_OK)
         ok = _lnk_frame_received (c, &msg);
       talloc_free (ctx);
@@ -367,7 +383,8 @@
     return errno == EAGAIN || errno == EINTR;
   if (n == 0)
     return false;
-  c->silent_ms = 0;
+  if (c->state == _LNK_OPEN)
+    c->silent_ms = 0;
   g_byte_array_append (c->in, block, (guint)n);
   return _lnk_frames_decode (c);
 }
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -114,7 +114,7 @@
   if (!fault->not_run || fault->no_id)
     g_ptr_array_add (h->runs,
                      g_strdup (http_header_find (u->headers, "X-Request-Id")));
-  if (head.upstream.status != 200)
+  if (head.upstream.status != 200 && fault->endless == HST_ENDS)
     {
       hst_event_push (
           h, vm, HST_HEAD_MS,
@@ -126,6 +126,7 @@
                          .incarnation = h->vm[vm].incarnation,
                          .call = u->call,
                          .upstream = at,
+                         .endless = fault->endless,
                          .next = 1 };
   if (u->resume_after != NULL)
     f->next = (unsigned)g_ascii_strtoull (u->resume_after, NULL, 10) + 1;
@@ -152,6 +153,55 @@
   return NULL;
 }
 
+/* Data of an event in a body without end, in bytes, and the time until the
+ * next part. */
+#define HST_ENDLESS_PART 8000
+#define HST_ENDLESS_GAP_MS 1
+#define HST_ENDLESS_DRIP_MS CLK_SECOND
+
+/* Write the next part of F's body to TEXT. */
+static void
+_hst_endless_part (hst_inflight_t *f, GString *text)
+{
+  bool empty = f->endless == HST_ENDLESS_EMPTY;
+  if (f->endless == HST_ENDLESS_DRIP)
+    {
+      g_string_append_c (text, '.');
+      return;
+    }
+  if (!empty)
+    g_string_append_printf (text, "id: %u\ndata: %0*d\n%s", f->next++,
+                            HST_ENDLESS_PART, 0,
+                            f->endless == HST_ENDLESS_EVENTS ? "\n" : "");
+  while (empty && text->len < HST_ENDLESS_PART)
+    g_string_append_printf (text, "id: %u\ndata:\n\n", f->next++);
+}
+
+/* Send the next part of F's body, which has no end. */
+static void
+_hst_endless_send (hst_t *h, hst_inflight_t *f, const hst_event_t *e)
+{
+  ev_t ev = e->ev;
+  GString *text = g_string_new (NULL);
+  _hst_endless_part (f, text);
+  ev.upstream.data = (buf_t){ text->str, text->len };
+  f->sent += ev.upstream.data.n;
+  h->endless_sent[f->upstream] = MAX (h->endless_sent[f->upstream], f->sent);
+  if (f->sent < HST_ENDLESS_MAX)
+    hst_event_push (h, e->vm,
+                    f->endless == HST_ENDLESS_DRIP ? HST_ENDLESS_DRIP_MS
+                                                   : HST_ENDLESS_GAP_MS,
+                    &e->ev);
+  hst_step (h, e->vm, &ev);
+  (void)g_string_free (text, TRUE);
+}
+
+size_t
+hst_endless_sent (const hst_t *h, size_t upstream)
+{
+  return h->endless_sent[upstream];
+}
+
 /* Send the next event of a stream. */
 void
 hst_stream_event_send (hst_t *h, const hst_event_t *e)
@@ -160,6 +210,11 @@
       = hst_inflight_find (h, e->vm, e->incarnation, e->ev.upstream.call);
   if (f == NULL || h->faults[f->upstream].cut_off)
     return;
+  if (f->endless != HST_ENDS)
+    {
+      _hst_endless_send (h, f, e);
+      return;
+    }
   ev_t ev = e->ev;
   hst_fault_t *fault = &h->faults[f->upstream];
   char text[64];
