Logs: why no upstream could be picked, and a doubt that has ended

Cause: a refusal with no-upstream left no line from which its cause can be read, and nothing said that a start of which it is in doubt whether it is leaving gets requests again (a review). Change: route none (upstreams listed, leaving, suspected; for online requests, as items try again with each event) and route doubt-ended.

--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -307,8 +307,14 @@
 {
   rte_upstream_t *u = NULL;
   rte_inflight_t *f = _rte_inflight_get (r, handle, &u);
-  if (f != NULL)
-    f->sent_at = env->now;
+  if (f == NULL)
+    return;
+  f->sent_at = env->now;
+  if (u->leaving_until == 0)
+    return;
+  u->leaving_until = 0;
+  tln_record (env->tln, env->now, MOD_ROUTE, "doubt-ended",
+              "upstream=%s born=%llu", u->name, (unsigned long long)u->born);
 }
 
 static void
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -294,6 +294,25 @@
   return id.id;
 }
 
+/** Records why no upstream of D could be picked. */
+static void
+_rte_none_record (env_t *env, const rte_deployment_t *d)
+{
+  unsigned leaving = 0;
+  unsigned suspected = 0;
+  for (guint i = 0; i < d->upstreams->len; i++)
+    {
+      const rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
+      if (rte_gets_nothing_new (u, env->now))
+        leaving++;
+      else if (u->health != RTE_WELL)
+        suspected++;
+    }
+  tln_record (env->tln, env->now, MOD_ROUTE, "none",
+              "deployment=%s listed=%u leaving=%u suspected=%u", d->name,
+              d->upstreams->len, leaving, suspected);
+}
+
 bool
 rte_pick (rte_t *r, env_t *env, const rte_query_t *query, rte_pick_t *pick)
 {
@@ -320,6 +339,9 @@
   if (c.upstream == NULL)
     {
       cnt_add (env->cnt, "rts_route_none_total", "", 1);
+      /* A batch request is tried again with each event. */
+      if (!query->batch)
+        _rte_none_record (env, d);
       return false;
     }
   rte_upstream_t *u = c.upstream;
