--- a/tests/hst.c
+++ b/tests/hst.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 /** Time until the platform serves a call. */
+#define HST_START_MS (6 * CLK_SECOND) /* until a fleet serves */
 #define HST_PLATFORM_MS 4
 /** Time that a message or a link event takes between peers. */
 #define HST_PEER_MS 1
@@ -451,6 +452,14 @@
   g_ptr_array_unref (response->texts);
 }
 
+hst_t *
+hst_fleet (const hst_desc_t *desc)
+{
+  hst_t *h = hst_setup (desc);
+  hst_advance (h, HST_START_MS);
+  return h;
+}
+
 void
 hst_shutdown (hst_t *h)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -100,6 +100,9 @@
 /** Create a fleet and start all its VMs. */
 hst_t *hst_setup (const hst_desc_t *desc);
 
+/** The same, and let it start for 6 s. */
+hst_t *hst_fleet (const hst_desc_t *desc);
+
 /** Stop and free the fleet. */
 void hst_shutdown (hst_t *h);
 
