--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -26,8 +26,7 @@
   return b;
 }
 
-/* -- whose word it is: X's own response ------------------------------------
- */
+/* -- whose word it is: X's own response ---------------------------------- */
 
 /* Has upstream 0 say in a response with STATUS that it is leaving, without
  * TOUCH behind a platform that has fallen silent.  RETRIED: r-1 goes to
@@ -235,8 +234,7 @@
   drvbed_shutdown (b);
 }
 
-/* -- what says nothing of X ------------------------------------------------
- */
+/* -- what says nothing of X ---------------------------------------------- */
 
 /* Has upstream 0 respond to r-1 with REPLY.  Asserts that it gets requests
  * after it. */
--- a/tests/test_leaving_list.c
+++ b/tests/test_leaving_list.c
@@ -69,8 +69,7 @@
   CU_ASSERT (drvbed_await_listed (b));
 }
 
-/* -- nothing undoes the word -----------------------------------------------
- */
+/* -- nothing undoes the word --------------------------------------------- */
 
 /* Guards against a list that still calls the upstream ready undoing its
  * word. */
@@ -239,8 +238,7 @@
   drvbed_shutdown (b);
 }
 
-/* -- a new start -----------------------------------------------------------
- */
+/* -- a new start --------------------------------------------------------- */
 
 /* Guards against an upstream that has started anew getting no requests for
  * what its predecessor said, and against its own word being lost. */
@@ -400,8 +398,7 @@
   drvbed_shutdown (b);
 }
 
-/* -- load reports ----------------------------------------------------------
- */
+/* -- load reports -------------------------------------------------------- */
 
 /* Has load reports of upstream 0 say that it is leaving, with the start
  * REPORTED, and no longer.  STANDS: the upstream stays avoided. */
@@ -468,6 +465,27 @@
   check_report (other, true, false);
 }
 
+/* Guards against a response that is no load report, as one that was left on
+ * the connection, counting as the upstream's word. */
+static void
+test_word_in_no_report_says_nothing (void)
+{
+  uint64_t born;
+  drvbed_t *b = setup_born (2, &born);
+  TST_NEED (b != NULL);
+  drvbed_serve (b, 0);
+  drvbed_serve (b, 1);
+  drvbed_hold_loads (b, true);
+  drvbed_request_t *load = drvbed_await_request (b, 0, DRVBED_LOAD);
+  TST_NEED (load != NULL);
+  drvbed_hold_loads (b, false);
+  drvbed_send (load->conn,
+               drvbed_reply (b, &(drvbed_reply_t){ .header = LVG_LEAVING }));
+  CU_ASSERT (drvbed_await_read (b, load->conn));
+  lvg_check_used (b, 0, "next");
+  drvbed_shutdown (b);
+}
+
 int
 main (void)
 {
@@ -497,6 +515,7 @@
     { "new_start_is_not_suspected", test_new_start_is_not_suspected },
     { "reports_of_a_new_start_count", test_reports_of_a_new_start_count },
     { "new_vm_learns_at_once", test_new_vm_learns_at_once },
+    { "word_in_no_report_says_nothing", test_word_in_no_report_says_nothing },
     { "word_in_a_report", test_word_in_a_report },
     { "word_in_a_report_out_of_touch", test_word_in_a_report_out_of_touch },
     { "word_in_a_report_without_born", test_word_in_a_report_without_born },
