--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -26,8 +26,7 @@
   return b;
 }
 
-/* -- whose word it is: X's own response ------------------------------------
- */
+/* -- whose word it is: X's own response ---------------------------------- */
 
 /* Has upstream 0 say in a response with STATUS that it is leaving, without
  * TOUCH behind a platform that has fallen silent.  RETRIED: r-1 goes to
@@ -127,8 +126,8 @@
   drvbed_shutdown (b);
 }
 
-/* Guards against the word counting only when the first byte of the body has
- * come. */
+/* Guards against a response in progress being sent again elsewhere because of
+ * its word, and against the word counting only at its end. */
 static void
 test_word_counts_before_the_end (void)
 {
@@ -235,8 +234,7 @@
   drvbed_shutdown (b);
 }
 
-/* -- what says nothing of X ------------------------------------------------
- */
+/* -- what says nothing of X ---------------------------------------------- */
 
 /* Has upstream 0 respond to r-1 with REPLY.  Asserts that it gets requests
  * after it. */
--- a/tests/test_leaving_list.c
+++ b/tests/test_leaving_list.c
@@ -504,6 +504,27 @@
   check_refused_report (503);
 }
 
+/* Guards against a response that is no load report, as one that was left on
+ * the connection, counting as the upstream's word. */
+static void
+test_word_in_no_report_says_nothing (void)
+{
+  uint64_t born;
+  drvbed_t *b = setup_born (2, &born);
+  TST_NEED (b != NULL);
+  drvbed_serve (b, 0);
+  drvbed_serve (b, 1);
+  drvbed_hold_loads (b, true);
+  drvbed_request_t *load = drvbed_await_request (b, 0, DRVBED_LOAD);
+  TST_NEED (load != NULL);
+  drvbed_hold_loads (b, false);
+  drvbed_send (load->conn,
+               drvbed_reply (b, &(drvbed_reply_t){ .header = LVG_LEAVING }));
+  CU_ASSERT (drvbed_await_read (b, load->conn));
+  lvg_check_used (b, 0, "next");
+  drvbed_shutdown (b);
+}
+
 int
 main (void)
 {
@@ -542,6 +563,7 @@
       test_word_in_a_report_with_status_404 },
     { "word_in_a_report_with_status_503",
       test_word_in_a_report_with_status_503 },
+    { "word_in_no_report_says_nothing", test_word_in_no_report_says_nothing },
   };
   return tst_run ("leaving_list", cases, sizeof cases / sizeof cases[0]);
 }
