HTTP server: checks of connections in a file of their own, closed ones are logged

A connection that is closed because it is stuck, or because a body has no end, leaves a line with the reason; before, nothing told why.

--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -1,4 +1,4 @@
-#include "io/hsv.h"
+#include "io/hsv_int.h"
 
 #include "io/set.h"
 
@@ -6,9 +6,7 @@
 #include <glib.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <string.h>
-#include <sys/ioctl.h>
 #include <talloc.h>
 #include <unistd.h>
 
@@ -19,64 +17,15 @@
 #define HSV_IDLE_S_DEFAULT 75U
 #define HSV_HEAD_MAX ((size_t)32 << 10)   /**< request line and headers */
 #define HSV_BLOCK_SIZE ((size_t)16 << 10) /**< response bytes per read */
-/** Interval of the check for disconnected callers. */
-#define HSV_DISCONNECT_POLL_US 200000
 /** Runs of the library, one after another, before the loop's other events. */
 #define HSV_RUNS_AT_ONCE 16
-/** Checks, HSV_DISCONNECT_POLL_US apart, in which bytes wait that the library
- * does not take, before the connection is closed. */
-#define HSV_STUCK_CHECKS 5
-
-typedef struct
-{
-  hsv_t *server;
-  struct MHD_Connection *connection;
-  uint64_t caller; /**< 0 until the request is complete */
-  const char *method;
-  const char *path;
-  const char *target; /**< path and query as the caller wrote them */
-  GByteArray *body;
-  GByteArray *queue;   /**< bytes of the response's body */
-  size_t queue_offset; /**< bytes of the queue already given to the library */
-  size_t received;     /**< bytes of the body, with those discarded */
-  size_t checked;      /**< received at the last check */
-  unsigned stuck;      /**< checks since it made progress */
-  int status;          /**< 0 until hsv_reply_head */
-  http_header_t *headers;
-  size_t header_count;
-  bool too_large;       /**< the body exceeds body_max */
-  bool over_total;      /**< all bodies together would exceed bodies_max */
-  bool response_queued; /**< the library has the response's head */
-  bool ended;
-  bool aborted;
-  bool suspended;     /**< the library ignores the connection */
-  bool full;          /**< the queue has exceeded queue_max */
-  bool gone_reported; /**< EV_CALLER_GONE was sent */
-} _hsv_request_t;
-
-struct hsv
-{
-  hsv_desc_t desc;
-  struct MHD_Daemon *daemon;
-  struct tevent_fd *fd;
-  struct tevent_timer *timer;
-  struct tevent_timer *disconnect_timer;
-  struct tevent_immediate *run;
-  bool run_scheduled;
-  unsigned runs;         /**< of the library since other events had a turn */
-  bool has_run;          /**< the library, since the last check */
-  GHashTable *requests;  /**< caller -> _hsv_request_t */
-  GHashTable *receiving; /**< set of _hsv_request_t, not delivered yet */
-  size_t bodies;         /**< bytes of all buffered bodies */
-  uint64_t last_caller;
-};
 
 static void _hsv_run_schedule (hsv_t *s);
 
 /* -- requests ------------------------------------------------------------- */
 
 static int
-_hsv_request_destroy (_hsv_request_t *r)
+_hsv_request_destroy (hsv_request_t *r)
 {
   g_hash_table_remove (r->server->receiving, r);
   r->server->bodies -= r->body->len;
@@ -85,11 +34,11 @@
   return 0;
 }
 
-static _hsv_request_t *
+static hsv_request_t *
 _hsv_request_new (hsv_t *s, struct MHD_Connection *connection,
                   const char *target)
 {
-  _hsv_request_t *r = talloc_zero (s, _hsv_request_t);
+  hsv_request_t *r = talloc_zero (s, hsv_request_t);
   r->server = s;
   r->connection = connection;
   r->target = talloc_strdup (r, target);
@@ -100,14 +49,14 @@
   return r;
 }
 
-static _hsv_request_t *
+static hsv_request_t *
 _hsv_find (const hsv_t *s, uint64_t caller)
 {
   return g_hash_table_lookup (s->requests, &caller);
 }
 
 static void
-_hsv_suspend (_hsv_request_t *r)
+_hsv_suspend (hsv_request_t *r)
 {
   if (r->suspended)
     return;
@@ -115,8 +64,8 @@
   MHD_suspend_connection (r->connection);
 }
 
-static void
-_hsv_resume (_hsv_request_t *r)
+void
+hsv_resume (hsv_request_t *r)
 {
   if (r->suspended)
     {
@@ -126,8 +75,8 @@
   _hsv_run_schedule (r->server);
 }
 
-static void
-_hsv_gone_report (_hsv_request_t *r)
+void
+hsv_gone_report (hsv_request_t *r)
 {
   if (r->gone_reported || r->caller == 0 || r->ended || r->aborted)
     return;
@@ -173,7 +122,7 @@
 }
 
 static void
-_hsv_request_deliver (_hsv_request_t *r)
+_hsv_request_deliver (hsv_request_t *r)
 {
   hsv_t *s = r->server;
   r->caller = ++s->last_caller;
@@ -205,7 +154,7 @@
 /* Drops the bytes given to the library once they are half of the queue or
  * more: a queue that is never empty must not grow without limit. */
 static void
-_hsv_queue_trim (_hsv_request_t *r)
+_hsv_queue_trim (hsv_request_t *r)
 {
   if (r->queue_offset < r->queue->len - r->queue_offset)
     return;
@@ -217,7 +166,7 @@
 _hsv_read_response (void *data, uint64_t at, char *p, size_t max)
 {
   (void)at;
-  _hsv_request_t *r = data;
+  hsv_request_t *r = data;
   size_t left = r->queue->len - r->queue_offset;
   if (left == 0 && r->aborted)
     return MHD_CONTENT_READER_END_WITH_ERROR;
@@ -242,7 +191,7 @@
 }
 
 static struct MHD_Response *
-_hsv_response_new (_hsv_request_t *r)
+_hsv_response_new (hsv_request_t *r)
 {
   if (r->ended && !r->aborted)
     return MHD_create_response_from_buffer (r->queue->len, r->queue->data,
@@ -252,7 +201,7 @@
 }
 
 static enum MHD_Result
-_hsv_respond (_hsv_request_t *r)
+_hsv_respond (hsv_request_t *r)
 {
   struct MHD_Response *response = _hsv_response_new (r);
   if (response == NULL)
@@ -268,7 +217,7 @@
 }
 
 static enum MHD_Result
-_hsv_refuse_body (_hsv_request_t *r)
+_hsv_refuse_body (hsv_request_t *r)
 {
   static const char too_large[]
       = "{\"error\":{\"code\":\"too-large\",\"message\":\"the request's body "
@@ -292,7 +241,7 @@
  * and discarded; then _hsv_refuse_body responds.  Returns false when more than
  * twice the largest body has come. */
 static bool
-_hsv_body_append (_hsv_request_t *r, const char *bytes, size_t n)
+_hsv_body_append (hsv_request_t *r, const char *bytes, size_t n)
 {
   hsv_t *s = r->server;
   r->received += n;
@@ -326,7 +275,7 @@
   (void)data;
   (void)connection;
   (void)version;
-  _hsv_request_t *r = *request;
+  hsv_request_t *r = *request;
   if (r->method == NULL)
     {
       r->method = talloc_strdup (r, method);
@@ -337,6 +286,9 @@
     {
       bool goes_on = _hsv_body_append (r, upload, *upload_size);
       *upload_size = 0;
+      if (!goes_on)
+        g_info ("http connection-closed: why=body-without-end received=%zu",
+                r->received);
       return goes_on ? MHD_YES : MHD_NO;
     }
   if (r->too_large || r->over_total)
@@ -358,10 +310,10 @@
   (void)connection;
   (void)code;
   hsv_t *s = data;
-  _hsv_request_t *r = *request;
+  hsv_request_t *r = *request;
   if (r == NULL)
     return;
-  _hsv_gone_report (r);
+  hsv_gone_report (r);
   if (r->caller != 0)
     g_hash_table_remove (s->requests, &r->caller);
   talloc_free (r);
@@ -444,99 +396,6 @@
       _hsv_on_timer, s);
 }
 
-/* -- disconnected callers ------------------------------------------------- */
-
-static int
-_hsv_fd (const _hsv_request_t *r)
-{
-  return MHD_get_connection_info (r->connection,
-                                  MHD_CONNECTION_INFO_CONNECTION_FD)
-      ->connect_fd;
-}
-
-/* Aborts the requests of callers that have disconnected.  The library does not
- * notice a disconnect, as it does not poll suspended connections. */
-static void
-_hsv_disconnects_poll (hsv_t *s)
-{
-  guint n = g_hash_table_size (s->requests);
-  struct pollfd *fds = talloc_zero_array (s, struct pollfd, n + 1);
-  _hsv_request_t **polled = talloc_zero_array (fds, _hsv_request_t *, n + 1);
-  GHashTableIter iter;
-  void *value = NULL;
-  nfds_t count = 0;
-  g_hash_table_iter_init (&iter, s->requests);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      _hsv_request_t *r = value;
-      if (!r->suspended)
-        continue;
-      polled[count] = r;
-      fds[count++] = (struct pollfd){ .fd = _hsv_fd (r), .events = POLLRDHUP };
-    }
-  if (poll (fds, count, 0) > 0)
-    {
-      for (nfds_t i = 0; i < count; i++)
-        {
-          if (fds[i].revents == 0)
-            continue;
-          _hsv_gone_report (polled[i]);
-          polled[i]->aborted = true;
-          _hsv_resume (polled[i]);
-        }
-    }
-  talloc_free (fds);
-}
-
-/* Whether bytes wait on the connection of R, which is not delivered yet, and
- * the library has taken none since the last check. */
-static bool
-_hsv_is_stuck (_hsv_request_t *r)
-{
-  int waiting = 0;
-  bool stuck = ioctl (_hsv_fd (r), FIONREAD, &waiting) == 0 && waiting > 0
-               && r->received == r->checked;
-  r->checked = r->received;
-  return stuck;
-}
-
-/* Closes the connections on which the library is stuck: it neither reads on
- * nor gives up on a line of a chunk that is larger than its memory.  A VM too
- * busy to run the library is no sign of that. */
-static void
-_hsv_stuck_close (hsv_t *s)
-{
-  GHashTableIter iter;
-  void *value = NULL;
-  if (!s->has_run)
-    return;
-  s->has_run = false;
-  g_hash_table_iter_init (&iter, s->receiving);
-  while (g_hash_table_iter_next (&iter, &value, NULL))
-    {
-      _hsv_request_t *r = value;
-      r->stuck = _hsv_is_stuck (r) ? r->stuck + 1 : 0;
-      if (r->stuck >= HSV_STUCK_CHECKS)
-        (void)shutdown (_hsv_fd (r), SHUT_RDWR);
-    }
-}
-
-static void
-_hsv_on_disconnect_timer (struct tevent_context *loop,
-                          struct tevent_timer *timer, struct timeval now,
-                          void *data)
-{
-  (void)loop;
-  (void)timer;
-  (void)now;
-  hsv_t *s = data;
-  _hsv_disconnects_poll (s);
-  _hsv_stuck_close (s);
-  s->disconnect_timer = tevent_add_timer (
-      s->desc.loop, s, tevent_timeval_current_ofs (0, HSV_DISCONNECT_POLL_US),
-      _hsv_on_disconnect_timer, s);
-}
-
 /* -- public --------------------------------------------------------------- */
 
 static int
@@ -547,7 +406,7 @@
   g_hash_table_iter_init (&iter, s->requests);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      _hsv_request_t *r = value;
+      hsv_request_t *r = value;
       r->aborted = true;
       r->gone_reported = true;
       if (r->suspended)
@@ -622,7 +481,7 @@
       = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   s->fd = tevent_add_fd (s->desc.loop, s, info->epoll_fd, TEVENT_FD_READ,
                          _hsv_on_fd, s);
-  _hsv_on_disconnect_timer (s->desc.loop, NULL, (struct timeval){ 0 }, s);
+  hsv_checks_start (s);
   _hsv_run_schedule (s);
   return s;
 }
@@ -650,14 +509,14 @@
 bool
 hsv_is_full (const hsv_t *s, uint64_t caller)
 {
-  const _hsv_request_t *r = _hsv_find (s, caller);
+  const hsv_request_t *r = _hsv_find (s, caller);
   return r != NULL && r->full;
 }
 
 void
 hsv_reply_head (hsv_t *s, uint64_t caller, int status, http_headers_t headers)
 {
-  _hsv_request_t *r = _hsv_find (s, caller);
+  hsv_request_t *r = _hsv_find (s, caller);
   if (r == NULL || r->status != 0)
     return;
   r->status = status;
@@ -668,13 +527,13 @@
       .name = talloc_strdup (r->headers, headers.v[i].name),
       .value = talloc_strdup (r->headers, headers.v[i].value),
     };
-  _hsv_resume (r);
+  hsv_resume (r);
 }
 
 void
 hsv_reply_data (hsv_t *s, uint64_t caller, buf_t data)
 {
-  _hsv_request_t *r = _hsv_find (s, caller);
+  hsv_request_t *r = _hsv_find (s, caller);
   if (r == NULL || r->ended || r->aborted)
     return;
   g_byte_array_append (r->queue, (const guint8 *)data.p, (guint)data.n);
@@ -683,25 +542,25 @@
       r->full = true;
       s->desc.flow (s->desc.data, caller, true);
     }
-  _hsv_resume (r);
+  hsv_resume (r);
 }
 
 void
 hsv_reply_end (hsv_t *s, uint64_t caller)
 {
-  _hsv_request_t *r = _hsv_find (s, caller);
+  hsv_request_t *r = _hsv_find (s, caller);
   if (r == NULL)
     return;
   r->ended = true;
-  _hsv_resume (r);
+  hsv_resume (r);
 }
 
 void
 hsv_reply_abort (hsv_t *s, uint64_t caller)
 {
-  _hsv_request_t *r = _hsv_find (s, caller);
+  hsv_request_t *r = _hsv_find (s, caller);
   if (r == NULL)
     return;
   r->aborted = true;
-  _hsv_resume (r);
+  hsv_resume (r);
 }
