Logs: how an answer is framed, and that the end of its connection ended it

The HTTP client now says whether only the end of the connection marks the end of a body (RFC 9112, 6.3); online answering names the framing, and such an answer leaves a line ended-by-close with its bytes and whether it ended within an event, found by a scan without a buffer (sse_place), and a counter. No decision changed.

--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -111,17 +111,20 @@
   uint64_t call; /**< the call's id in FX_UPSTREAM_CALL */
   int status;    /**< EV_UPSTREAM_HEAD: HTTP status */
   http_headers_t headers;
-  bool not_run;        /**< EV_UPSTREAM_HEAD: the upstream guarantees that it
-                            has not run the request and never will */
-  bool is_signed;      /**< EV_UPSTREAM_HEAD: the response has the upstream's
-                            signature */
-  bool leaving;        /**< EV_UPSTREAM_HEAD: the upstream says in it that it
-                            is leaving */
-  uint16_t local_port; /**< EV_UPSTREAM_HEAD: of the connection that the
-                            response came on; 0: unknown */
-  buf_t data;          /**< EV_UPSTREAM_DATA */
-  ev_fail_t fail;      /**< EV_UPSTREAM_FAIL */
-  const char *text;    /**< EV_UPSTREAM_FAIL: description for logs */
+  bool not_run;         /**< EV_UPSTREAM_HEAD: the upstream guarantees that it
+                             has not run the request and never will */
+  bool is_signed;       /**< EV_UPSTREAM_HEAD: the response has the upstream's
+                             signature */
+  bool leaving;         /**< EV_UPSTREAM_HEAD: the upstream says in it that it
+                             is leaving */
+  bool close_delimited; /**< EV_UPSTREAM_HEAD: the body has neither a length
+                             nor chunks and ends with its connection, so that
+                             a body cut short may look complete */
+  uint16_t local_port;  /**< EV_UPSTREAM_HEAD: of the connection that the
+                             response came on; 0: unknown */
+  buf_t data;           /**< EV_UPSTREAM_DATA */
+  ev_fail_t fail;       /**< EV_UPSTREAM_FAIL */
+  const char *text;     /**< EV_UPSTREAM_FAIL: description for logs */
 } ev_upstream_t;
 
 /** One object of the platform. */
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -70,6 +70,8 @@
   http_headers_t headers;
   bool stream;          /**< server-sent events, passed on as they arrive */
   int64_t length;       /**< Content-Length in bytes; -1: none */
+  bool close_delimited; /**< as in ev_upstream_t */
+  sse_place_t place;    /**< STREAM: where it stands */
   uint64_t received;    /**< bytes of the body so far */
   GByteArray *buffered; /**< body so far; NULL: passed on as it arrives */
   char tail[ONL_TAIL_SIZE];
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -39,6 +39,15 @@
   return (buf_t){ .p = (const char *)buffered->data, .n = buffered->len };
 }
 
+/** How the upstream marks the end of RESPONSE's body, for logs. */
+static const char *
+_onl_framing_name (const onl_response_t *response)
+{
+  if (response->close_delimited)
+    return "close";
+  return response->length >= 0 ? "length" : "chunks";
+}
+
 /** Begin to deliver the response.  From here on only a resumable stream can be
  * sent to another upstream. */
 static void
@@ -47,10 +56,12 @@
   r->delivered = true;
   r->delivered_status = r->response.status;
   tln_record (env->tln, env->now, MOD_ONLINE, "answering",
-              "request=%s upstream=%s queued_ms=%lld first_ms=%lld tries=%zu",
+              "request=%s upstream=%s queued_ms=%lld first_ms=%lld tries=%zu "
+              "framing=%s",
               r->request_id, r->pick.upstream,
               (long long)(r->sent - r->arrived),
-              (long long)(env->now - r->sent), r->attempts);
+              (long long)(env->now - r->sent), r->attempts,
+              _onl_framing_name (&r->response));
   cnt_observe (env->cnt, "rts_online_first_byte_ms", "",
                (double)(env->now - r->arrived));
   if (r->caller != 0)
@@ -170,6 +181,7 @@
   r->response.status = up->status;
   r->response.stream = true;
   r->response.length = _onl_length (r, up->headers);
+  r->response.close_delimited = up->close_delimited;
   onl_fire (o, env, r, ONL_EV_HEAD);
 }
 
@@ -215,6 +227,7 @@
   r->response.stream
       = onl_header_is (up->headers, "Content-Type", "text/event-stream");
   r->response.length = _onl_length (r, up->headers);
+  r->response.close_delimited = up->close_delimited;
   r->response.buffered = r->response.stream ? NULL : g_byte_array_new ();
   onl_fire (o, env, r, ONL_EV_HEAD);
   if (r->response.stream)
@@ -292,6 +305,8 @@
       _onl_response_broken (o, env, r, "more came than was announced");
       return;
     }
+  if (response->stream)
+    sse_place_advance (&response->place, data);
   if (response->buffered != NULL
       && response->buffered->len + data.n <= ONL_BUFFERED_MAX)
     {
@@ -344,10 +359,27 @@
   onl_fire (o, env, r, ONL_EV_END);
 }
 
+/** Log the end of a response that only the end of its connection marks. */
+static void
+_onl_close_log (env_t *env, const onl_request_t *r)
+{
+  const onl_response_t *response = &r->response;
+  cnt_add (env->cnt, "rts_online_ended_by_close_total", "", 1);
+  tln_record (env->tln, env->now, MOD_ONLINE, "ended-by-close",
+              "request=%s upstream=%s age_ms=%lld bytes=%llu stream=%d "
+              "within_event=%d",
+              r->request_id, r->pick.upstream,
+              (long long)(env->now - r->arrived),
+              (unsigned long long)response->received, response->stream,
+              sse_place_is_inside (&response->place));
+}
+
 static void
 _onl_end (onl_t *o, env_t *env, onl_request_t *r)
 {
   const onl_response_t *response = &r->response;
+  if (response->close_delimited)
+    _onl_close_log (env, r);
   if (r->state != ONL_ANSWERING)
     _onl_response_broken (o, env, r, "it ended before the head");
   else if (response->length >= 0
--- a/src/core/sse.c
+++ b/src/core/sse.c
@@ -87,3 +87,48 @@
     g_string_free (s->bytes, TRUE);
   *s = (sse_t){ 0 };
 }
+
+/* Ends the current line of PLACE. */
+static void
+_sse_place_line_end (sse_place_t *place)
+{
+  if (!place->in_line)
+    {
+      place->has_event = place->has_event || place->in_event;
+      place->in_event = false;
+    }
+  else if (!place->in_comment)
+    place->in_event = true;
+  place->in_line = false;
+  place->in_comment = false;
+}
+
+static void
+_sse_place_byte (sse_place_t *place, char byte)
+{
+  bool ends_return = byte == '\n' && place->after_return;
+  place->after_return = byte == '\r';
+  if (ends_return)
+    return;
+  if (byte == '\n' || byte == '\r')
+    {
+      _sse_place_line_end (place);
+      return;
+    }
+  if (!place->in_line)
+    place->in_comment = byte == ':';
+  place->in_line = true;
+}
+
+void
+sse_place_advance (sse_place_t *place, buf_t bytes)
+{
+  for (size_t i = 0; i < bytes.n; i++)
+    _sse_place_byte (place, bytes.p[i]);
+}
+
+bool
+sse_place_is_inside (const sse_place_t *place)
+{
+  return place->in_line || place->in_event;
+}
--- a/src/core/sse.h
+++ b/src/core/sse.h
@@ -13,6 +13,9 @@
  * fields and does not write events.  The parser owns the bytes until
  * sse_clear, and does not limit their number: once sse_pop has returned false,
  * ask sse_is_too_large whether to go on.  Nothing here fails.
+ *
+ * For a stream that is passed on as it comes, sse_place_t says without a
+ * buffer whether the stream is between two events.
  */
 #ifndef RTS_SSE_H
 #define RTS_SSE_H
@@ -39,6 +42,24 @@
   buf_t data; /**< value of the first data line; empty: none */
 } sse_event_t;
 
+/** Where a stream stands that is passed on without splitting it; a zeroed one
+ * is at its start. */
+typedef struct
+{
+  bool in_line;      /**< the current line has bytes */
+  bool in_comment;   /**< the current line is a comment */
+  bool in_event;     /**< a field came since the last blank line */
+  bool after_return; /**< the last byte was CR, which a LF may follow */
+  bool has_event;    /**< a whole event has come */
+} sse_place_t;
+
+/** Moves PLACE behind BYTES.  Lines end with LF, CR or CR LF. */
+void sse_place_advance (sse_place_t *place, buf_t bytes);
+
+/** Returns whether PLACE is within an event or line: a stream that ends there
+ * has been cut short. */
+bool sse_place_is_inside (const sse_place_t *place);
+
 /** Appends BYTES of the stream. */
 void sse_push (sse_t *s, buf_t bytes);
 
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -256,6 +256,7 @@
                             .status = e->status,
                             .headers = e->headers,
                             .local_port = e->local_port,
+                            .close_delimited = e->close_delimited,
                             .data = e->data,
                             .fail = e->fail,
                             .text = e->text } };
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -49,6 +49,7 @@
   size_t head_bytes;  /**< of all lines so far, against HCL_HEAD_MAX */
   bool head_ended;    /**< further header lines are a trailer's */
   bool head_received; /**< the head was emitted */
+  bool is_head;       /**< the method is HEAD: responses have no body */
   bool paused;
   size_t body_max;   /**< as in hcl_call_t */
   size_t body_bytes; /**< passed on so far */
@@ -145,6 +146,20 @@
 
 /* -- libcurl's callbacks -------------------------------------------------- */
 
+/* Whether the body of R's response, which has STATUS, ends with the connection
+ * alone (RFC 9112, 6.3). */
+static bool
+_hcl_is_close_delimited (const _hcl_request_t *r, long status)
+{
+  http_headers_t headers = { .v = r->headers, .n = r->header_count };
+  if (r->is_head || status == 204 || status == 304)
+    return false;
+  const char *coding = http_header_find (headers, "Transfer-Encoding");
+  if (coding != NULL)
+    return strcasestr (coding, "chunked") == NULL;
+  return http_header_find (headers, "Content-Length") == NULL;
+}
+
 static void
 _hcl_emit_head (_hcl_request_t *r)
 {
@@ -156,6 +171,7 @@
   hcl_event_t e = { .kind = EV_UPSTREAM_HEAD,
                     .status = (int)status,
                     .local_port = (uint16_t)port,
+                    .close_delimited = _hcl_is_close_delimited (r, status),
                     .headers = { .v = r->headers, .n = r->header_count } };
   _hcl_emit (r, &e);
 }
@@ -515,7 +531,8 @@
       curl_easy_setopt (e, CURLOPT_COPYPOSTFIELDS,
                         call->body.n > 0 ? call->body.p : "");
     }
-  if (strcmp (call->method, "HEAD") == 0)
+  r->is_head = strcmp (call->method, "HEAD") == 0;
+  if (r->is_head)
     curl_easy_setopt (e, CURLOPT_NOBODY, 1L);
   curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, call->method);
   curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, _hcl_on_header);
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -75,6 +75,8 @@
   int status;             /**< HEAD: HTTP status */
   http_headers_t headers; /**< HEAD */
   uint16_t local_port;    /**< HEAD: of the connection; 0: unknown */
+  bool close_delimited;   /**< HEAD: the body has neither a length nor chunks,
+                               and ends with the connection */
   buf_t data;             /**< DATA: bytes of the body */
   ev_fail_t fail;         /**< FAIL */
   const char *text;       /**< FAIL: description for logs */
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -1,7 +1,9 @@
 /** @file
- * Tables (stale handles), timers (order) and message bodies (malformed ones).
+ * Tables (stale handles), timers (order), message bodies (malformed ones) and
+ * places in a stream of events.
  */
 #include "core/mpk.h"
+#include "core/sse.h"
 #include "core/tbl.h"
 #include "core/tmr.h"
 #include "tst.h"
@@ -70,6 +72,43 @@
   talloc_free (ctx);
 }
 
+/* Guards against a stream that is cut within an event passing for a whole one,
+ * and the other way round, with each kind of line end. */
+static void
+test_cut_event_is_told_from_a_whole_one (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    bool inside;
+    bool has_event;
+  } cases[] = {
+    { "", false, false },
+    { "id: 1", true, false },
+    { "id: 1\n", true, false },
+    { "id: 1\ndata: a\n", true, false },
+    { "id: 1\ndata: a\n\n", false, true },
+    { "id: 1\r\ndata: a\r\n", true, false },
+    { "id: 1\r\ndata: a\r\n\r\n", false, true },
+    { "id: 1\rdata: a\r\r", false, true },
+    { "data: a\n\nd", true, true },
+    { "data: a\n\n: comment\n", false, true },
+    { "data: a\n\n: comm", true, true },
+    { "\n\n", false, false },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sse_place_t whole = { 0 };
+      sse_place_t bytewise = { 0 };
+      sse_place_advance (&whole, buf_str (cases[i].bytes));
+      for (const char *p = cases[i].bytes; *p != '\0'; p++)
+        sse_place_advance (&bytewise, (buf_t){ .p = p, .n = 1 });
+      CU_ASSERT_EQUAL (sse_place_is_inside (&whole), cases[i].inside);
+      CU_ASSERT_EQUAL (sse_place_is_inside (&bytewise), cases[i].inside);
+      CU_ASSERT_EQUAL (whole.has_event, cases[i].has_event);
+    }
+}
+
 int
 main (void)
 {
@@ -78,6 +117,8 @@
     { "timers_fire_in_order", test_timers_fire_in_order },
     { "malformed_message_body_is_refused",
       test_malformed_message_body_is_refused },
+    { "cut_event_is_told_from_a_whole_one",
+      test_cut_event_is_told_from_a_whole_one },
   };
   return tst_run ("base", cases, sizeof cases / sizeof cases[0]);
 }
