--- a/tests/drvbed.h
+++ b/tests/drvbed.h
@@ -19,7 +19,9 @@
  * are in "south", where the VM sends a request only after upstream 0 has
  * failed it, and where it reads no load, unless drvbed_desc_t says otherwise.
  * All requests are POSTs on one route that is streaming and resumable, so that
- * they are repeated and reuse connections.  A second route takes jobs.  An
+ * they are repeated and reuse connections, unless drvbed_ask_at names another
+ * route: one whose streams may not be resumed, or one that answers as a whole
+ * and is idempotent.  A further route takes jobs.  An
  * upstream answers load queries by itself, unless they are held.  Every wait
  * ends after DRVBED_WAIT_MS.  The bed owns everything that it returns.
  */
@@ -30,6 +32,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 /** Longest wait of any function, in ms. */
 #define DRVBED_WAIT_MS (4 * CLK_SECOND)
@@ -66,8 +69,9 @@
   clk_ms_t asked_at; /**< when the request was sent */
   clk_ms_t head_at;  /**< when the response's head came; 0: not yet */
   GString *body;
-  bool ended;  /**< complete or failed */
-  bool failed; /**< broken off */
+  bool close_delimited; /**< the body has neither a length nor chunks */
+  bool ended;           /**< complete or failed */
+  bool failed;          /**< broken off */
 } drvbed_answer_t;
 
 /** Framing of a response's body. */
@@ -75,6 +79,7 @@
 {
   DRVBED_LENGTH,
   DRVBED_CHUNKED,
+  DRVBED_CLOSE, /**< none: the body ends with the connection */
 } drvbed_framing_t;
 
 /** Parameters of drvbed_setup_with. */
@@ -108,6 +113,22 @@
  * so that no upstream holds it. */
 drvbed_answer_t *drvbed_ask (drvbed_t *b, const char *id);
 
+/** Paths of the routes. */
+#define DRVBED_RESUMABLE "/fit/stream"
+#define DRVBED_STREAM "/check/stream"
+#define DRVBED_PLAIN "/plain/answer"
+
+/** The same as drvbed_ask, with the route's PATH. */
+drvbed_answer_t *drvbed_ask_at (drvbed_t *b, const char *id, const char *path);
+
+/** Port of 127.0.0.1 at which the entry VM takes callers' requests. */
+uint16_t drvbed_port (const drvbed_t *b);
+
+/** Bytes of a request ID to PATH of HTTP VERSION, "1.0" or "1.1", whose
+ * further header lines, each with its line end, are HEADERS. */
+const char *drvbed_request_text (drvbed_t *b, const char *id, const char *path,
+                                 const char *version, const char *headers);
+
 /** Submits a job ID with COUNT items, whose ids are "ID-1", "ID-2" and so on.
  */
 drvbed_answer_t *drvbed_submit (drvbed_t *b, const char *id, size_t count);
@@ -207,6 +228,9 @@
 /** Closes CONN at the upstream. */
 void drvbed_close (drvbed_conn_t *conn);
 
+/** Resets CONN at the upstream. */
+void drvbed_reset (drvbed_conn_t *conn);
+
 /* The platform's list of upstreams (drvbed_platform.c).  At first it has one
  * entry for each upstream N: name "up-N", state ready. */
 
--- a/tests/drvbed_caller.c
+++ b/tests/drvbed_caller.c
@@ -18,6 +18,7 @@
   const char *retry_after = http_header_find (e->headers, "Retry-After");
   a->status = e->status;
   a->head_at = drv_now ();
+  a->close_delimited = e->close_delimited;
   a->response_id = id == NULL ? NULL : talloc_strdup (a, id);
   a->signature = signature == NULL ? NULL : talloc_strdup (a, signature);
   a->retry_after = retry_after == NULL ? NULL : talloc_strdup (a, retry_after);
@@ -78,14 +79,39 @@
 }
 
 drvbed_answer_t *
-drvbed_ask (drvbed_t *b, const char *id)
+drvbed_ask_at (drvbed_t *b, const char *id, const char *path)
 {
   char *body = talloc_asprintf (b, "{\"prompt\":\"%s\"}", id);
-  drvbed_answer_t *a = _drvbed_call (b, id, "/fit/stream", body);
+  drvbed_answer_t *a = _drvbed_call (b, id, path, body);
   talloc_free (body);
   return a;
 }
 
+drvbed_answer_t *
+drvbed_ask (drvbed_t *b, const char *id)
+{
+  return drvbed_ask_at (b, id, DRVBED_RESUMABLE);
+}
+
+uint16_t
+drvbed_port (const drvbed_t *b)
+{
+  return (uint16_t)strtoul (strchr (b->entry.listen, ':') + 1, NULL, 10);
+}
+
+const char *
+drvbed_request_text (drvbed_t *b, const char *id, const char *path,
+                     const char *version, const char *headers)
+{
+  return talloc_asprintf (b,
+                          "POST %s HTTP/%s\r\nHost: " DRVBED_HOST "\r\n"
+                          "Request-Id: %s\r\n"
+                          "Deadline-Ms: " DRVBED_DEADLINE_MS "\r\n"
+                          "Authorization: Bearer " DRVBED_KEY "\r\n"
+                          "%sContent-Length: 2\r\n\r\n{}",
+                          path, version, id, headers);
+}
+
 drvbed_answer_t *
 drvbed_submit (drvbed_t *b, const char *id, size_t count)
 {
--- a/tests/drvbed_platform.c
+++ b/tests/drvbed_platform.c
@@ -246,15 +246,23 @@
       "{s:s, s:s, s:s, s:s, s:b, s:i, s:i, s:s}", "name", "fit", "host",
       DRVBED_HOST, "pathPrefix", "/fit/", "kind", "streaming", "resumable", 1,
       "timeoutMs", 5000, "maxAttempts", 2, "service", "llm");
+  json_t *unresumable = json_pack (
+      "{s:s, s:s, s:s, s:s, s:i, s:i, s:s}", "name", "check", "host",
+      DRVBED_HOST, "pathPrefix", "/check/", "kind", "streaming", "timeoutMs",
+      5000, "maxAttempts", 2, "service", "llm");
+  json_t *plain = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:s}", "name",
+                             "plain", "host", DRVBED_HOST, "pathPrefix",
+                             "/plain/", "kind", "idempotent", "timeoutMs",
+                             5000, "maxAttempts", 2, "service", "llm");
   json_t *jobs = json_pack (
       "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:s}", "name", "rosters",
       "host", DRVBED_HOST, "pathPrefix", "/rosters/", "kind", "batch",
       "timeoutMs", 15000, "maxAttempts", 3, "completionTargetMs", 18000,
       "maxWaitS", 60, "service", "llm");
-  return json_pack ("{s:i, s:[o, o], s:[{s:s, s:{s:i}}], s:[{s:s, s:[s]}]}",
-                    "version", 1, "routes", stream, jobs, "services", "name",
-                    "llm", "engine", "slots", 8, "tenants", "name", "acme",
-                    "apiKeys", DRVBED_KEY);
+  return json_pack (
+      "{s:i, s:[o, o, o, o], s:[{s:s, s:{s:i}}], s:[{s:s, s:[s]}]}", "version",
+      1, "routes", stream, unresumable, plain, jobs, "services", "name", "llm",
+      "engine", "slots", 8, "tenants", "name", "acme", "apiKeys", DRVBED_KEY);
 }
 
 void
--- a/tests/drvbed_upstream.c
+++ b/tests/drvbed_upstream.c
@@ -65,6 +65,8 @@
   const char *body
       = status == 200 ? drvbed_body (b, id, r->after) : "it went wrong";
   const char *head = _drvbed_head (b, r, status);
+  if (r->framing == DRVBED_CLOSE)
+    return talloc_asprintf (b, "%s\r\n%s", head, body);
   if (r->framing == DRVBED_LENGTH)
     return talloc_asprintf (b, "%sContent-Length: %zu\r\n\r\n%s", head,
                             strlen (body), body);
@@ -316,6 +318,15 @@
   (void)shutdown (conn->fd, SHUT_RDWR);
 }
 
+void
+drvbed_reset (drvbed_conn_t *conn)
+{
+  struct sockaddr none = { .sa_family = AF_UNSPEC };
+  conn->closed = true;
+  TALLOC_FREE (conn->event);
+  (void)connect (conn->fd, &none, sizeof none);
+}
+
 /* -- what upstreams have received ----------------------------------------- */
 
 /* A request that a wait looks for. */
