Online: the end of a connection proves no whole answer

Callers got a part of a stream framed as complete: a 200 in chunks with a proper last one. Cause: an upstream's answer with neither a length nor chunks ends with its connection, also when the upstream breaks off; the VM took that end for the answer's, looked for a cut event only on resumable routes, and gave the answer a length or chunks of its own, whose end claims more than anybody had said.

Now the answer is passed on as it came, with neither, so that its end says to the caller what it said to the VM. A stream that ends within an event, or by a close before its first one, has broken off, on every route. A resumed part that ends by a close does not end an answer in chunks. A body that nothing proves to be whole is recorded without its body, so that a resend does not get it as whole.

For callers without chunks (these answers, and HTTP/1.0) an ordinary close ends an answer, so a broken one must be reset; before, it was closed. The connection is disconnected before the library shuts it down, and set so that the end of the process resets it too.

--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -48,6 +48,8 @@
   int status; /**< FX_REPLY_HEAD */
   http_headers_t headers;
   clk_ms_t retry_after_ms; /**< FX_REPLY_HEAD; 0: no Retry-After header */
+  bool close_delimited;    /**< FX_REPLY_HEAD: send the body with neither a
+                                length nor chunks, as nothing proves its end */
   buf_t data;              /**< FX_REPLY_DATA */
 } fx_reply_t;
 
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -122,11 +122,13 @@
                            response is wanted; 0: not set */
 
   uint64_t record; /**< handle of the idempotency record (idm.h); 0: none */
-  clk_ms_t retry_after; /**< set when the customer is over its rate */
-  bool may_have_run;    /**< the request, or an earlier one with the same
-                             idempotency key, may have run */
-  bool delivered;       /**< a part of a response went to the caller */
-  int delivered_status; /**< status that was delivered */
+  clk_ms_t retry_after;  /**< set when the customer is over its rate */
+  bool may_have_run;     /**< the request, or an earlier one with the same
+                              idempotency key, may have run */
+  bool delivered;        /**< a part of a response went to the caller */
+  bool delivered_framed; /**< it has a length or chunks, whose end says that
+                              the response is complete */
+  int delivered_status;  /**< status that was delivered */
 
   const char *resume_after; /**< id of the last event delivered; NULL: none */
   rte_pick_t pick;          /**< upstream of the current attempt */
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -55,6 +55,7 @@
 {
   r->delivered = true;
   r->delivered_status = r->response.status;
+  r->delivered_framed = !r->response.close_delimited;
   tln_record (env->tln, env->now, MOD_ONLINE, "answering",
               "request=%s upstream=%s queued_ms=%lld first_ms=%lld tries=%zu "
               "framing=%s",
@@ -68,7 +69,9 @@
     fx_push (env->fx, &(fx_t){ .kind = FX_REPLY_HEAD,
                                .reply = { .caller = r->caller,
                                           .status = r->response.status,
-                                          .headers = r->response.headers } });
+                                          .headers = r->response.headers,
+                                          .close_delimited
+                                          = r->response.close_delimited } });
 }
 
 /** End the current attempt and drop its response. */
@@ -345,10 +348,12 @@
     }
   if (r->record != 0)
     {
-      /* A response that is not buffered was a stream or too large; a size over
-       * the maximum has it recorded as too large. */
+      /* A response that is not buffered was a stream or too large; one that is
+       * not proved to be complete must not be repeated as such.  A size over
+       * the maximum has it recorded without its body. */
+      bool proved = complete && !r->response.close_delimited;
       buf_t recorded
-          = complete ? body : (buf_t){ .p = "", .n = IDM_BODY_MAX + 1 };
+          = proved ? body : (buf_t){ .p = "", .n = IDM_BODY_MAX + 1 };
       idm_done (o->desc.records, env, r->record, r->response.status,
                 http_header_find (r->response.headers, "Content-Type"),
                 recorded);
@@ -374,6 +379,27 @@
               sse_place_is_inside (&response->place));
 }
 
+/** Whether the stream of RESPONSE ended within an event, or ended by a close
+ * before any.  An end marker says more than this (_onl_stream_is_complete). */
+static bool
+_onl_stream_is_cut (const onl_request_t *r)
+{
+  const onl_response_t *response = &r->response;
+  if (!response->stream || r->has_end_marker)
+    return false;
+  return sse_place_is_inside (&response->place)
+         || (response->close_delimited && !response->place.has_event);
+}
+
+/** Whether the end of RESPONSE would claim more than its upstream has: the
+ * caller's response has framing, and only a close ended the upstream's. */
+static bool
+_onl_end_is_unproved (const onl_request_t *r)
+{
+  return r->delivered && r->delivered_framed && r->response.close_delimited
+         && !r->has_end_marker;
+}
+
 static void
 _onl_end (onl_t *o, env_t *env, onl_request_t *r)
 {
@@ -389,8 +415,10 @@
   else if (response->stream && r->has_end_marker
            && !_onl_stream_is_complete (response))
     _onl_response_broken (o, env, r, "the stream ended before its last event");
-  else if (response->stream && r->resumable && sse_pending (&r->events))
+  else if (_onl_stream_is_cut (r))
     _onl_response_broken (o, env, r, "the stream ended within an event");
+  else if (_onl_end_is_unproved (r))
+    _onl_response_broken (o, env, r, "nothing says that the answer is whole");
   else
     _onl_response_complete (o, env, r);
 }
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -363,8 +363,10 @@
   http_headers_t headers = r->headers;
   if (d->desc.set->hosted)
     headers = pfm_reply_encode (tmp, r);
-  hsv_reply_head (_drv_server_of_caller (d, r->caller), r->caller, r->status,
-                  headers);
+  hsv_t *server = _drv_server_of_caller (d, r->caller);
+  if (r->close_delimited)
+    hsv_reply_close_delimited (server, r->caller);
+  hsv_reply_head (server, r->caller, r->status, headers);
   talloc_free (tmp);
 }
 
--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -169,9 +169,17 @@
   hsv_request_t *r = data;
   size_t left = r->queue->len - r->queue_offset;
   if (left == 0 && r->aborted)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+    {
+      if (r->ends_by_close)
+        hsv_reset (r);
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
   if (left == 0 && r->ended)
-    return MHD_CONTENT_READER_END_OF_STREAM;
+    {
+      if (r->ends_by_close)
+        hsv_close_resets (r, false);
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
   if (left == 0)
     {
       _hsv_suspend (r);
@@ -193,11 +201,18 @@
 static struct MHD_Response *
 _hsv_response_new (hsv_request_t *r)
 {
-  if (r->ended && !r->aborted)
+  if (r->ended && !r->aborted && !r->close_delimited)
     return MHD_create_response_from_buffer (r->queue->len, r->queue->data,
                                             MHD_RESPMEM_MUST_COPY);
-  return MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, HSV_BLOCK_SIZE,
-                                            _hsv_read_response, r, NULL);
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, HSV_BLOCK_SIZE, _hsv_read_response, r, NULL);
+  r->ends_by_close = r->close_delimited || r->is_http_1_0;
+  if (response == NULL || !r->ends_by_close)
+    return response;
+  (void)MHD_set_response_options (response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+                                  MHD_RO_END);
+  hsv_close_resets (r, true);
+  return response;
 }
 
 static enum MHD_Result
@@ -274,10 +289,10 @@
 {
   (void)data;
   (void)connection;
-  (void)version;
   hsv_request_t *r = *request;
   if (r->method == NULL)
     {
+      r->is_http_1_0 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       r->method = talloc_strdup (r, method);
       r->path = talloc_strdup (r, url);
       return MHD_YES;
@@ -409,6 +424,8 @@
       hsv_request_t *r = value;
       r->aborted = true;
       r->gone_reported = true;
+      if (r->ends_by_close)
+        hsv_reset (r);
       if (r->suspended)
         MHD_resume_connection (r->connection);
     }
@@ -530,6 +547,14 @@
   hsv_resume (r);
 }
 
+void
+hsv_reply_close_delimited (hsv_t *s, uint64_t caller)
+{
+  hsv_request_t *r = _hsv_find (s, caller);
+  if (r != NULL && r->status == 0)
+    r->close_delimited = true;
+}
+
 void
 hsv_reply_data (hsv_t *s, uint64_t caller, buf_t data)
 {
--- a/src/io/hsv.h
+++ b/src/io/hsv.h
@@ -67,13 +67,19 @@
 void hsv_reply_head (hsv_t *s, uint64_t caller, int status,
                      http_headers_t headers);
 
+/** Has the body of the response to CALLER, which has not started, end with the
+ * connection, with neither a length nor chunks.  Its end is a close only after
+ * hsv_reply_end, else a reset, also when this process ends. */
+void hsv_reply_close_delimited (hsv_t *s, uint64_t caller);
+
 /** Appends DATA to the body; never blocks. */
 void hsv_reply_data (hsv_t *s, uint64_t caller, buf_t data);
 
 /** Marks the response as complete. */
 void hsv_reply_end (hsv_t *s, uint64_t caller);
 
-/** Closes the connection so that the caller sees a truncated response. */
+/** Closes the connection so that the caller sees a truncated response: before
+ * the last chunk, or with a reset if the response is not in chunks. */
 void hsv_reply_abort (hsv_t *s, uint64_t caller);
 
 /** Returns the number of requests whose responses have not been sent in
--- a/src/io/hsv_check.c
+++ b/src/io/hsv_check.c
@@ -11,14 +11,6 @@
  * take, before the connection is closed. */
 #define HSV_STUCK_CHECKS 5
 
-static int
-_hsv_fd (const hsv_request_t *r)
-{
-  return MHD_get_connection_info (r->connection,
-                                  MHD_CONNECTION_INFO_CONNECTION_FD)
-      ->connect_fd;
-}
-
 /* Aborts the requests of callers that have disconnected.  The library does not
  * notice a disconnect, as it does not poll suspended connections. */
 static void
@@ -37,7 +29,7 @@
       if (!r->suspended)
         continue;
       polled[count] = r;
-      fds[count++] = (struct pollfd){ .fd = _hsv_fd (r), .events = POLLRDHUP };
+      fds[count++] = (struct pollfd){ .fd = hsv_fd (r), .events = POLLRDHUP };
     }
   if (poll (fds, count, 0) > 0)
     {
@@ -59,7 +51,7 @@
 _hsv_is_stuck (hsv_request_t *r)
 {
   int waiting = 0;
-  bool stuck = ioctl (_hsv_fd (r), FIONREAD, &waiting) == 0 && waiting > 0
+  bool stuck = ioctl (hsv_fd (r), FIONREAD, &waiting) == 0 && waiting > 0
                && r->received == r->checked;
   r->checked = r->received;
   return stuck;
@@ -84,7 +76,7 @@
       if (r->stuck < HSV_STUCK_CHECKS)
         continue;
       g_info ("http connection-closed: why=stuck received=%zu", r->received);
-      (void)shutdown (_hsv_fd (r), SHUT_RDWR);
+      (void)shutdown (hsv_fd (r), SHUT_RDWR);
     }
 }
 
--- a/src/io/hsv_int.h
+++ b/src/io/hsv_int.h
@@ -31,6 +31,9 @@
   bool too_large;       /**< the body exceeds body_max */
   bool over_total;      /**< all bodies together would exceed bodies_max */
   bool response_queued; /**< the library has the response's head */
+  bool is_http_1_0;     /**< the caller knows no chunks */
+  bool close_delimited; /**< as in hsv_reply_close_delimited */
+  bool ends_by_close;   /**< the response has neither a length nor chunks */
   bool ended;
   bool aborted;
   bool suspended;     /**< the library ignores the connection */
@@ -63,6 +66,18 @@
 /** Tells the handler that the caller of R has gone, once. */
 void hsv_gone_report (hsv_request_t *r);
 
+/* hsv_socket.c */
+
+/** Descriptor of the connection of R. */
+int hsv_fd (const hsv_request_t *r);
+
+/** RESETS: whatever closes the connection of R from now on, also the end of
+ * this process, resets it. */
+void hsv_close_resets (const hsv_request_t *r, bool resets);
+
+/** Resets the connection of R now; the library closes its descriptor. */
+void hsv_reset (const hsv_request_t *r);
+
 /* hsv_check.c */
 
 /** Checks the connections of S now and from then on: callers that have
--- a/tests/onlnet.h
+++ b/tests/onlnet.h
@@ -28,6 +28,8 @@
   double truncate;            /**< the body ends early, without an error */
   double swap;                /**< another request's response arrives */
   double duplicate;           /**< the response arrives twice */
+  double cut_close;           /**< the body, which has neither a length nor
+                                   chunks, ends early with its connection */
   double busy;                /**< the response has status 503 */
   double kill;                /**< expected number of VMs killed a second */
   double platform_reply_lost; /**< of platform calls: the effect happens,
--- a/tests/onlnet_up.c
+++ b/tests/onlnet_up.c
@@ -77,6 +77,24 @@
   return delay + 7;
 }
 
+/** The same without a length, and with half of the body. */
+static void
+upstream_respond_by_close (onn_t *n, clk_ms_t delay, int vm, uint64_t call,
+                           uint64_t id, const char *request_id)
+{
+  char *body = onn_expected_body (n, n, id);
+  event_t *head = upstream_event (n, delay, vm, call, EV_UPSTREAM_HEAD);
+  head->headers[0] = (http_header_t){ "Content-Type", "text/plain" };
+  head->headers[1]
+      = (http_header_t){ "X-Request-Id", talloc_strdup (head, request_id) };
+  head->ev.upstream.status = 200;
+  head->ev.upstream.close_delimited = true;
+  head->ev.upstream.headers = (http_headers_t){ .v = head->headers, .n = 2 };
+  upstream_data (n, delay + 2, vm, call,
+                 (buf_t){ .p = body, .n = strlen (body) / 2 });
+  (void)upstream_event (n, delay + 4, vm, call, EV_UPSTREAM_END);
+}
+
 /** Receive the request of CALL and respond to it, with injected faults. */
 static void
 upstream_run (onn_t *n, int vm, const fx_upstream_t *call, int upstream)
@@ -106,6 +124,8 @@
   else if (onn_chance (n, f->truncate))
     (void)upstream_respond (n, work, vm, call->call, id, request_id, 0.5,
                             EV_UPSTREAM_END);
+  else if (onn_chance (n, f->cut_close))
+    upstream_respond_by_close (n, work, vm, call->call, id, request_id);
   else if (onn_chance (n, f->swap) && other != id)
     (void)upstream_respond (n, work, vm, call->call, other, "another-1", 1,
                             EV_UPSTREAM_END);
--- a/tests/test_onl.c
+++ b/tests/test_onl.c
@@ -309,6 +309,28 @@
   onn_shutdown (n);
 }
 
+/* Guards against an answer that nothing proves to be whole being repeated from
+ * its record as a whole one. */
+static void
+test_answer_ended_by_close_is_not_repeated (void)
+{
+  onn_t *n = onn_setup (
+      &(onn_desc_t){ .seed = 13, .vms = 2, .faults = { .cut_close = 1 } });
+  onn_request_t order = { .path = "/orders", .order = 4 };
+  uint64_t first = onn_request (n, 0, &order);
+  onn_run (n, 2 * CLK_SECOND);
+  CU_ASSERT_EQUAL (onn_response (n, first)->status, 200);
+  for (int vm = 0; vm < 2; vm++)
+    {
+      uint64_t resent = onn_request (n, vm, &order);
+      onn_run (n, onn_now (n) + 2 * CLK_SECOND);
+      CU_ASSERT (onn_response (n, resent)->status >= 400);
+      CU_ASSERT_FALSE (onn_response (n, resent)->not_run);
+    }
+  CU_ASSERT_EQUAL (onn_order_runs (n, 4), 1);
+  onn_shutdown (n);
+}
+
 static void
 test_order_goes_on_when_its_caller_closes (void)
 {
@@ -391,6 +413,8 @@
       test_order_resent_to_another_vm_is_replayed },
     { "order_of_a_killed_vm_is_unknown_and_never_runs_again",
       test_order_of_a_killed_vm_is_unknown_and_never_runs_again },
+    { "answer_ended_by_close_is_not_repeated",
+      test_answer_ended_by_close_is_not_repeated },
     { "order_without_a_record_is_refused",
       test_order_without_a_record_is_refused },
     { "withdrawn_key_ends_sent_queued_and_new_requests",
