Platform client: a value that ends by a close is no value

Such an answer now fails its call: a read as without effect, a write as unknown. The users' platform answers in JSON, which shows where it ends.

--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -191,6 +191,9 @@
   hcl_call_t call = { .owner = HCL_PLATFORM,
                       .id = f->call,
                       .address = d->desc.set->platform,
+                      /* Documents in JSON show where they end; the values
+                       * of the product's own platform do not. */
+                      .framing_required = !d->desc.set->hosted,
                       .body_max = DRV_PLATFORM_BODY_MAX };
   void *ctx = talloc_new (p);
   if (d->desc.set->hosted)
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -46,10 +46,11 @@
   clk_ms_t stall_ms;
   http_header_t *headers; /**< of the response */
   size_t header_count;
-  size_t head_bytes;  /**< of all lines so far, against HCL_HEAD_MAX */
-  bool head_ended;    /**< further header lines are a trailer's */
-  bool head_received; /**< the head was emitted */
-  bool is_head;       /**< the method is HEAD: responses have no body */
+  size_t head_bytes;     /**< of all lines so far, against HCL_HEAD_MAX */
+  bool head_ended;       /**< further header lines are a trailer's */
+  bool head_received;    /**< the head was emitted */
+  bool framing_required; /**< as in hcl_call_t */
+  bool is_head;          /**< the method is HEAD: responses have no body */
   bool paused;
   size_t body_max;   /**< as in hcl_call_t */
   size_t body_bytes; /**< passed on so far */
@@ -160,6 +161,16 @@
   return http_header_find (headers, "Content-Length") == NULL;
 }
 
+/* Whether the end of R's response proves that it is whole. */
+static bool
+_hcl_end_is_proof (const _hcl_request_t *r)
+{
+  long status = 0;
+  curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
+  return r->head_ended
+         && !(r->framing_required && _hcl_is_close_delimited (r, status));
+}
+
 static void
 _hcl_emit_head (_hcl_request_t *r)
 {
@@ -330,7 +341,7 @@
   _hcl_connection_idle (r);
   hcl_event_t e = { .kind = EV_UPSTREAM_END };
   /* libcurl takes a connection that closes within the head for a success. */
-  if (code == CURLE_OK && !r->head_ended)
+  if (code == CURLE_OK && !_hcl_end_is_proof (r))
     code = CURLE_PARTIAL_FILE;
   if (code == CURLE_OK && !r->head_received)
     _hcl_emit_head (r);
@@ -564,6 +575,7 @@
   r->id = call->id;
   r->stall_ms = call->stall_ms;
   r->body_max = call->body_max;
+  r->framing_required = call->framing_required;
   r->easy = curl_easy_init ();
   r->turn_end = tevent_create_immediate (r);
   talloc_set_destructor (r, _hcl_request_destroy);
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -60,6 +60,9 @@
   clk_ms_t total_ms; /**< time limit for the complete response; 0: no limit */
   size_t body_max;   /**< largest body of the response, in bytes; a larger
                           one fails the call; 0: no limit */
+  bool framing_required; /**< a response whose body is close_delimited (as in
+                              hcl_event_t) fails the call at its end, as
+                              nothing proves it to be whole */
   bool fresh_connection; /**< open a new connection */
   const char *id_header; /**< header of the request that its response may
                               repeat; NULL: none */
--- a/tests/sock.c
+++ b/tests/sock.c
@@ -35,3 +35,20 @@
   close (fd);
   return -1;
 }
+
+int
+sock_listen (uint16_t *port)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in in = _sock_loopback (0);
+  socklen_t size = sizeof in;
+  if (bind (fd, (struct sockaddr *)&in, sizeof in) == 0
+      && listen (fd, SOMAXCONN) == 0
+      && getsockname (fd, (struct sockaddr *)&in, &size) == 0)
+    {
+      *port = ntohs (in.sin_port);
+      return fd;
+    }
+  close (fd);
+  return -1;
+}
--- a/tests/sock.h
+++ b/tests/sock.h
@@ -17,6 +17,10 @@
  * may take the port afterwards. */
 uint16_t sock_free_port (void);
 
+/** Returns a blocking socket that listens on 127.0.0.1 and stores its port in
+ * PORT; -1 when that fails. */
+int sock_listen (uint16_t *port);
+
 /** Returns a socket connected to PORT of 127.0.0.1; -1 when connect fails. */
 int sock_connect (uint16_t port);
 
--- a/tests/test_close_delimited.c
+++ b/tests/test_close_delimited.c
@@ -4,6 +4,7 @@
  * its caller.
  */
 #include "drvbed.h"
+#include "io/hcl.h"
 #include "sock.h"
 #include "tst.h"
 
@@ -433,6 +434,93 @@
   drvbed_shutdown (b);
 }
 
+/* -- calls whose answers must have framing -------------------------------- */
+
+/* The outcome of a call of the HTTP client. */
+typedef struct
+{
+  bool ended;
+  bool failed;
+  ev_fail_t fail;
+} outcome_t;
+
+static void
+on_call (void *data, const hcl_event_t *e)
+{
+  outcome_t *o = data;
+  o->failed = o->failed || e->kind == EV_UPSTREAM_FAIL;
+  o->ended = o->failed || e->kind == EV_UPSTREAM_END;
+  o->fail = e->fail;
+}
+
+static void
+on_step (struct tevent_context *loop, struct tevent_timer *timer,
+         struct timeval now, void *data)
+{
+  (void)loop;
+  (void)timer;
+  (void)now;
+  bool *stepped = data;
+  *stepped = true;
+}
+
+/* Runs LOOP for STEP_MS. */
+static void
+step (struct tevent_context *loop)
+{
+  bool stepped = false;
+  tevent_add_timer (loop, loop, tevent_timeval_current_ofs (0, STEP_MS * 1000),
+                    on_step, &stepped);
+  while (!stepped)
+    (void)tevent_loop_once (loop);
+}
+
+/* Calls a server that answers with BYTES and closes. */
+static outcome_t
+call (bool framing_required, const char *bytes)
+{
+  char address[32];
+  outcome_t o = { .ended = false };
+  struct tevent_context *loop = tevent_context_init (NULL);
+  uint16_t port = 0;
+  int listener = sock_listen (&port);
+  (void)snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  hcl_t *client = hcl_setup (
+      loop, &(hcl_desc_t){ .loop = loop, .handler = on_call, .data = &o });
+  hcl_call (client, &(hcl_call_t){ .owner = HCL_PLATFORM,
+                                   .id = 1,
+                                   .address = address,
+                                   .method = "GET",
+                                   .path = "/",
+                                   .framing_required = framing_required });
+  step (loop);
+  int fd = accept (listener, NULL, NULL);
+  (void)send (fd, bytes, strlen (bytes), MSG_NOSIGNAL);
+  (void)shutdown (fd, SHUT_WR);
+  for (int i = 0; i < STEPS_MAX && !o.ended; i++)
+    step (loop);
+  (void)close (fd);
+  (void)close (listener);
+  talloc_free (loop);
+  return o;
+}
+
+/* Guards against a value of the platform that broke off as a whole one. */
+static void
+test_value_ended_by_close_is_no_value (void)
+{
+  static const char unframed[] = "HTTP/1.1 200 OK\r\nX-Version: 3\r\n\r\nval";
+  outcome_t o = call (true, unframed);
+  CU_ASSERT (o.failed);
+  CU_ASSERT_EQUAL (o.fail, EV_FAIL_UNKNOWN);
+  o = call (false, unframed);
+  CU_ASSERT (o.ended && !o.failed);
+  o = call (true, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nval");
+  CU_ASSERT (o.ended && !o.failed);
+  o = call (true, "HTTP/1.1 204 No Content\r\n\r\n");
+  CU_ASSERT (o.ended && !o.failed);
+}
+
 int
 main (void)
 {
@@ -477,6 +565,8 @@
     { "broken_answer_before_a_close_has_no_last_chunk",
       test_broken_answer_before_a_close_has_no_last_chunk },
     { "end_of_the_vm_ends_no_answer", test_end_of_the_vm_ends_no_answer },
+    { "value_ended_by_close_is_no_value",
+      test_value_ended_by_close_is_no_value },
   };
   return tst_run ("close_delimited", cases, sizeof cases / sizeof cases[0]);
 }
