Jobs: a run that ends by a close before any event ends no text

cut_items/run_without_an_event_ends_no_text, red before (the item was not asked for again), 2 passed, 0 failed.

--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -127,6 +127,7 @@
   uint64_t in_flight; /**< the router's handle (rte_pick_t.handle) */
   const char *upstream;
   clk_ms_t started;
+  bool close_delimited;   /**< as in ev_upstream_t */
   uint64_t resumed_after; /**< id of the last event before the run; 0: none */
   int status;             /**< HTTP status; 0: no response head yet */
   size_t received;        /**< bytes of the response's body */
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -442,6 +442,7 @@
     }
   rte_first_byte (j->desc.routes, env, run->in_flight);
   run->status = up->status;
+  run->close_delimited = up->close_delimited;
   run->progress_at = env->now;
 }
 
@@ -466,14 +467,23 @@
   job_outcome_set (j, env, job, index, false);
 }
 
+/* Whether RUN, which has ended with status 200, does not complete its item:
+ * the stream ended within an event, or nothing but a close ended it before
+ * any. */
+static bool
+_job_run_is_cut (const job_run_t *run, const job_item_t *item)
+{
+  return item->text == NULL || sse_pending (&run->events)
+         || (run->close_delimited && item->last_event == run->resumed_after);
+}
+
 static void
 _job_run_completed (job_set_t *j, env_t *env, job_run_t *run)
 {
   job_t *job = tbl_get (j->jobs, run->job);
   uint32_t index = run->item;
   int status = run->status;
-  if (status == 200
-      && (sse_pending (&run->events) || job->items[index].text == NULL))
+  if (status == 200 && _job_run_is_cut (run, &job->items[index]))
     {
       _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "incomplete");
       return;
