Logs: the software's version of an upstream, and which stream a request takes up

Both are now decoded: directory upstream-ready and online answering name the version, answering also the event and the request that a stream goes on from, and a part that the VM itself resumes has a line online resumed.

--- a/src/core/cfg.h
+++ b/src/core/cfg.h
@@ -91,6 +91,7 @@
   uint64_t born;       /**< Unix time in ms of the upstream's start: tells the
                             upstreams apart that had this name one after the
                             other; 0: not known */
+  const char *version; /**< of its software; NULL: not known */
 } cfg_upstream_t;
 
 /** Share of a route's requests that a deployment gets. */
--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -205,6 +205,7 @@
 _dir_entry_same (const cfg_upstream_t *a, const ev_upstream_entry_t *b)
 {
   return a->leaving == b->leaving && a->born == b->born
+         && g_strcmp0 (a->version, b->version) == 0
          && strcmp (a->address, b->address) == 0
          && strcmp (a->deployment, b->deployment) == 0
          && strcmp (a->data_centre, b->data_centre) == 0;
@@ -243,11 +244,15 @@
                           .address = talloc_strdup (e, entry->address),
                           .leaving = entry->leaving,
                           .fixed_identity = true,
-                          .born = entry->born };
+                          .born = entry->born,
+                          .version = entry->version == NULL
+                                         ? NULL
+                                         : talloc_strdup (e, entry->version) };
   tln_record (env->tln, env->now, MOD_DIRECTORY,
               entry->leaving ? "upstream-leaving" : "upstream-ready",
-              "upstream=%s address=%s born=%llu list_age_ms=%lld", entry->name,
-              entry->address, (unsigned long long)entry->born,
+              "upstream=%s address=%s born=%llu version=%s list_age_ms=%lld",
+              entry->name, entry->address, (unsigned long long)entry->born,
+              entry->version == NULL ? "" : entry->version,
               (long long)_dir_list_age (d, env));
   g_hash_table_replace (d->entries, (gpointer)(uintptr_t)e->upstream.name, e);
   d->dirty = true;
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -53,6 +53,8 @@
   clk_ms_t wait_ms; /**< longest time that the caller waits for the response */
   clk_ms_t long_poll_ms; /**< longest time that a read may wait for a change */
   const char *resume_after; /**< id of the last event received */
+  const char *resumes; /**< id of the request that brought the first event of
+                            the stream that this one takes up */
   uint64_t prefix;     /**< hash of the prompt prefix that requests share */
   uint32_t tokens_in;  /**< number of prompt tokens */
   uint32_t tokens_out; /**< maximum number of generated tokens */
@@ -160,6 +162,7 @@
   clk_ms_t cold_ms;    /**< remaining warm-up time; slow until then */
   uint64_t born;       /**< Unix time in ms of the upstream's start; 0: not
                             known */
+  const char *version; /**< of the upstream's software; NULL: not known */
 } ev_upstream_entry_t;
 
 /** The operator's complete configuration document. */
--- a/src/core/onl_admit.c
+++ b/src/core/onl_admit.c
@@ -154,6 +154,9 @@
   r->resume_after = req->meta.resume_after != NULL
                         ? talloc_strdup (pool, req->meta.resume_after)
                         : NULL;
+  r->resumes = req->meta.resumes != NULL
+                   ? talloc_strdup (pool, req->meta.resumes)
+                   : NULL;
   r->method = talloc_strdup (pool, req->method);
   r->target = _onl_target (pool, req, presented);
   r->headers = onl_request_headers (
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -131,6 +131,7 @@
   int delivered_status;  /**< status that was delivered */
 
   const char *resume_after; /**< id of the last event delivered; NULL: none */
+  const char *resumes;      /**< as in ev_request_meta_t */
   rte_pick_t pick;          /**< upstream of the current attempt */
   uint64_t call;            /**< call of the current attempt; 0: none */
   const char *tried[ONL_ATTEMPTS_MAX]; /**< upstreams of all attempts */
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -58,11 +58,14 @@
   r->delivered_framed = !r->response.close_delimited;
   tln_record (env->tln, env->now, MOD_ONLINE, "answering",
               "request=%s upstream=%s queued_ms=%lld first_ms=%lld tries=%zu "
-              "framing=%s",
+              "framing=%s version=%s after=%s resumes=%s",
               r->request_id, r->pick.upstream,
               (long long)(r->sent - r->arrived),
               (long long)(env->now - r->sent), r->attempts,
-              _onl_framing_name (&r->response));
+              _onl_framing_name (&r->response),
+              r->pick.version == NULL ? "" : r->pick.version,
+              r->resume_after == NULL ? "" : r->resume_after,
+              r->resumes == NULL ? "" : r->resumes);
   cnt_observe (env->cnt, "rts_online_first_byte_ms", "",
                (double)(env->now - r->arrived));
   if (r->caller != 0)
@@ -185,6 +188,10 @@
   r->response.stream = true;
   r->response.length = _onl_length (r, up->headers);
   r->response.close_delimited = up->close_delimited;
+  tln_record (env->tln, env->now, MOD_ONLINE, "resumed",
+              "request=%s upstream=%s version=%s after=%s", r->request_id,
+              r->pick.upstream, r->pick.version == NULL ? "" : r->pick.version,
+              r->resume_after == NULL ? "" : r->resume_after);
   onl_fire (o, env, r, ONL_EV_HEAD);
 }
 
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -123,7 +123,8 @@
 {
   rte_upstream_t *u = g_hash_table_lookup (r->by_name, c->name);
   if (u != NULL && strcmp (u->address, c->address) == 0
-      && strcmp (u->deployment, c->deployment) == 0 && u->born == c->born)
+      && strcmp (u->deployment, c->deployment) == 0 && u->born == c->born
+      && g_strcmp0 (u->version, c->version) == 0)
     return u;
   if (u != NULL)
     g_hash_table_remove (r->by_name, u->name);
@@ -136,6 +137,8 @@
   u->deployment = talloc_strdup (u->strings, c->deployment);
   u->data_centre = talloc_strdup (u->strings, c->data_centre);
   u->born = c->born;
+  u->version
+      = c->version == NULL ? NULL : talloc_strdup (u->strings, c->version);
   u->hash = XXH64 (u->name, strlen (u->name), 0);
   u->slowness = 1;
   g_queue_init (&u->unanswered);
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -112,6 +112,7 @@
   const char *upstream;
   const char *address;
   bool fixed_identity; /**< as in cfg_upstream_t */
+  const char *version; /**< as in cfg_upstream_t */
   clk_ms_t wait_ms;    /**< expected time to first byte */
 } rte_pick_t;
 
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -351,6 +351,7 @@
                         .upstream = u->name,
                         .address = u->address,
                         .fixed_identity = u->fixed_identity,
+                        .version = u->version,
                         .wait_ms = (clk_ms_t)c.wait_ms };
   if (!query->batch && u->slots > 0
       && rte_known_load (u, env->now) >= u->slots)
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -119,6 +119,7 @@
   clk_ms_t leaving_until; /**< out of use until then, because the upstream has
                                said that it is leaving */
   uint64_t born;          /**< as in cfg_upstream_t */
+  char *version;          /**< as in cfg_upstream_t */
 
   clk_ms_t others_at;     /**< when `others` was last updated */
   uint64_t update_count;  /**< number of updates of `others` */
