--- a/tests/hst.c
+++ b/tests/hst.c
@@ -426,6 +426,7 @@
   h->responses
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   h->runs = g_ptr_array_new_with_free_func (g_free);
+  h->run_upstreams = g_array_new (FALSE, FALSE, sizeof (size_t));
   h->in_flight = g_ptr_array_new ();
   hst_document_write (h, HST_KEY);
   h->vm_count = h->desc.entries + h->desc.workers;
@@ -466,6 +467,7 @@
   g_hash_table_foreach (h->responses, _hst_response_free, NULL);
   g_hash_table_destroy (h->responses);
   g_ptr_array_unref (h->runs);
+  g_array_unref (h->run_upstreams);
   for (size_t i = 0; i < h->vm_count; i++)
     g_ptr_array_unref (h->vm[i].calls);
   g_ptr_array_unref (h->in_flight);
@@ -503,6 +505,21 @@
                        .meta = { .id = id, .tokens_out = 100 } });
 }
 
+uint64_t
+hst_take_up (hst_t *h, size_t vm, const char *id, const char *resumes,
+             const char *after)
+{
+  http_header_t header = { "Authorization", "Bearer " HST_KEY };
+  return hst_request (h, vm,
+                      &(ev_request_t){ .method = "POST",
+                                       .path = "/fit/1",
+                                       .headers = { .v = &header, .n = 1 },
+                                       .meta = { .id = id,
+                                                 .resumes = resumes,
+                                                 .resume_after = after,
+                                                 .tokens_out = 100 } });
+}
+
 static const http_header_t hst_bearer = { "Authorization", "Bearer " HST_KEY };
 
 uint64_t
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -119,6 +119,11 @@
  * request id ID; returns the caller's number. */
 uint64_t hst_stream (hst_t *h, size_t vm, const char *key, const char *id);
 
+/** The same for request ID that takes up, behind event AFTER, the stream that
+ * request RESUMES has begun; NULL: it does not say which. */
+uint64_t hst_take_up (hst_t *h, size_t vm, const char *id, const char *resumes,
+                      const char *after);
+
 /** Submit job ID with COUNT items; returns the caller's number. */
 uint64_t hst_submit (hst_t *h, size_t vm, const char *id, size_t count);
 
@@ -188,6 +193,16 @@
  * reports have it; 0: neither has.  All upstreams begin with 0. */
 void hst_born_set (hst_t *h, size_t upstream, clk_ms_t born);
 
+/** Sets the VERSION of UPSTREAM's software, which is borrowed, in the list;
+ * NULL: the list does not tell.  All upstreams begin so. */
+void hst_version_set (hst_t *h, size_t upstream, const char *version);
+
+/** Sets whether the list marks UPSTREAM as leaving. */
+void hst_leaving_set (hst_t *h, size_t upstream, bool leaving);
+
+/** Upstream of run NUMBER, from 0, of request ID; HST_MAX: there is none. */
+size_t hst_run_upstream (const hst_t *h, const char *id, unsigned number);
+
 /** Number of requests that UPSTREAM has received, except reads of its load. */
 unsigned hst_received_count (const hst_t *h, size_t upstream);
 
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -84,12 +84,15 @@
   char key_hash[65];
   hst_fault_t faults[HST_MAX];  /**< by upstream */
   clk_ms_t born[HST_MAX];       /**< starts of upstreams; 0: not told */
-  uint64_t born_revision;       /**< of the last change of born */
+  const char *version[HST_MAX]; /**< of upstreams' software; NULL: not told */
+  bool leaving[HST_MAX];        /**< upstreams that the list marks so */
+  uint64_t born_revision;       /**< of the last change of the list */
   unsigned received[HST_MAX];   /**< requests, by upstream */
   unsigned running[HST_MAX];    /**< requests that run now, by upstream */
   unsigned peak[HST_MAX];       /**< largest value of running, by upstream */
   size_t endless_sent[HST_MAX]; /**< in one response, at most, by upstream */
   GPtrArray *runs;              /**< char *: request ids, one for each run */
+  GArray *run_upstreams;        /**< size_t: their upstreams */
   GHashTable *responses;        /**< caller's number to hst_response_t */
   uint64_t callers;             /**< number of the last caller */
   fx_upstream_t last_call;
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -117,6 +117,8 @@
       = i + h->desc.far_upstreams < h->desc.upstreams ? "north" : "south",
       .address = talloc_asprintf (ctx, "10.0.0.%zu:80", i),
       .born = (uint64_t)h->born[i],
+      .version = h->version[i],
+      .leaving = h->leaving[i],
     };
   reply->entries = v;
   reply->entry_count = h->desc.upstreams;
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -112,8 +112,11 @@
       = _hst_response_headers (sent, fault, head.upstream.status,
                                http_header_find (u->headers, "X-Request-Id"));
   if (!fault->not_run || fault->no_id)
-    g_ptr_array_add (h->runs,
-                     g_strdup (http_header_find (u->headers, "X-Request-Id")));
+    {
+      g_ptr_array_add (
+          h->runs, g_strdup (http_header_find (u->headers, "X-Request-Id")));
+      g_array_append_val (h->run_upstreams, at);
+    }
   if (head.upstream.status != 200 && fault->endless == HST_ENDS)
     {
       hst_event_push (
@@ -277,6 +280,29 @@
   h->born_revision = ++h->revision;
 }
 
+void
+hst_version_set (hst_t *h, size_t upstream, const char *version)
+{
+  h->version[upstream] = version;
+  h->born_revision = ++h->revision;
+}
+
+void
+hst_leaving_set (hst_t *h, size_t upstream, bool leaving)
+{
+  h->leaving[upstream] = leaving;
+  h->born_revision = ++h->revision;
+}
+
+size_t
+hst_run_upstream (const hst_t *h, const char *id, unsigned number)
+{
+  for (guint i = 0; i < h->runs->len; i++)
+    if (strcmp (g_ptr_array_index (h->runs, i), id) == 0 && number-- == 0)
+      return g_array_index (h->run_upstreams, size_t, i);
+  return HST_MAX;
+}
+
 unsigned
 hst_received_count (const hst_t *h, size_t upstream)
 {
