Streams: they go on only at the version of the software that began them

Callers got events of two versions of an upstream's software in one stream: nothing bound a stream to a version. The choice of the upstream that goes on, within an answer and over a caller's tries, was free, and the request that takes a stream up comes to another VM, or to a new process, which knows nothing of the beginning.

With the first whole event of a resumable stream its request is bound to the version that the list names for the upstream; before, any version may serve it. One whose origin nobody knows is refused at once as not run, with a Retry-After, as is one for whose version no upstream takes requests; one whose version is full waits outside of the queue, where it holds up no other. Where the list has named one version for 60 s, or none at all, there is nothing to tell apart.

--- a/src/core/mod.c
+++ b/src/core/mod.c
@@ -8,7 +8,7 @@
   [MOD_BATCH] = "batch",         [MOD_IDEMPOTENT] = "idempotent",
   [MOD_CREDIT] = "credit",       [MOD_ORDER] = "order",
   [MOD_DIRECTORY] = "directory", [MOD_JOB] = "job",
-  [MOD_RETIRE] = "retire",
+  [MOD_RETIRE] = "retire",       [MOD_STREAM] = "stream",
 };
 
 const char *
--- a/src/core/mod.h
+++ b/src/core/mod.h
@@ -27,6 +27,7 @@
   MOD_DIRECTORY,  /**< dir: the platform's document and list of upstreams */
   MOD_JOB,        /**< job: batch jobs whose results have positions */
   MOD_RETIRE,     /**< ret: draining of a worker that is to be removed */
+  MOD_STREAM,     /**< stv: versions at which streams began */
   MOD_NUM
 } mod_t;
 
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -26,7 +26,8 @@
   MSG_JOB_FIRST = 96,        /**< job: 96 to 111 */
   MSG_DIRECTORY_FIRST = 112, /**< dir: 112 to 119 */
   MSG_PLATFORM_FIRST = 120,  /**< node_relay: 120 to 127 */
-  MSG_END = 128              /**< above all kinds */
+  MSG_STREAM_FIRST = 128,    /**< stv: 128 to 135 */
+  MSG_END = 136              /**< above all kinds */
 } msg_block_t;
 
 /** Largest body, in bytes. */
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -54,11 +54,12 @@
   idm_t *idm;      /**< records of non-idempotent requests */
   crd_t *crd;      /**< batch credits */
   bat_t *bat;      /**< batch jobs in chunks; runs with SOURCE_SECTIONS */
-  onl_t *onl;      /**< online requests */
-  tbl_t *relays;   /**< platform calls for peers, see node_relay.c */
-  job_set_t *job;  /**< batch jobs; runs with SOURCE_PLATFORM */
-  ret_t *ret;      /**< retirement; NULL unless this VM is a worker */
-  opr_t *opr;      /**< operator API */
+  stv_t *stv;
+  onl_t *onl;     /**< online requests */
+  tbl_t *relays;  /**< platform calls for peers, see node_relay.c */
+  job_set_t *job; /**< batch jobs; runs with SOURCE_PLATFORM */
+  ret_t *ret;     /**< retirement; NULL unless this VM is a worker */
+  opr_t *opr;     /**< operator API */
 
   /** Platform calls that peers make for this VM, see node_relay.c. */
   GHashTable *asked;
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -102,7 +102,9 @@
       = bat_setup (n, &(bat_desc_t){ .credits = n->crd,
                                      .unix_offset_ms = desc->unix_offset_ms });
   n->idm = idm_setup (n, &(idm_desc_t){ .members = n->mbr });
+  n->stv = stv_setup (n, n->mbr);
   n->onl = onl_setup (n, &(onl_desc_t){ .members = n->mbr,
+                                        .streams = n->stv,
                                         .limits = n->lim,
                                         .keys = n->keys,
                                         .routes = n->rte,
@@ -207,6 +209,9 @@
     case MOD_PLATFORM:
       node_relay_timer (n, due->tag);
       break;
+    case MOD_STREAM:
+      stv_timer_fired (n->stv, env, due->tag);
+      break;
     case MOD_NODE:
     case MOD_ORDER:
     case MOD_NUM:
@@ -256,6 +261,7 @@
     case MOD_ROUTE:
     case MOD_CREDIT:
     case MOD_ORDER:
+    case MOD_STREAM:
     case MOD_NUM:
       INV_CHECK (false, "platform-reply-owner", "module %s",
                  mod_name (done->mod));
@@ -278,6 +284,8 @@
     return MOD_LIMIT;
   if (kind < MSG_BATCH_FIRST)
     return MOD_ROUTE;
+  if (kind >= MSG_STREAM_FIRST)
+    return MOD_STREAM;
   if (kind >= MSG_PLATFORM_FIRST)
     return MOD_PLATFORM;
   if (kind >= MSG_DIRECTORY_FIRST)
@@ -314,6 +322,9 @@
     case MOD_PLATFORM:
       node_relay_message (n, vm, msg);
       break;
+    case MOD_STREAM:
+      stv_message_received (n->stv, env, vm, msg);
+      break;
     case MOD_DIRECTORY:
       if (n->dir != NULL)
         dir_message_received (n->dir, env, vm, msg);
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -17,6 +17,7 @@
 {
   _ONL_DO_RECORD,
   _ONL_DO_LOOK,
+  _ONL_DO_BIND,
   _ONL_DO_QUEUE,
   _ONL_DO_SEND,
   _ONL_DO_CLOSE,
@@ -29,25 +30,27 @@
 _onl_chart (void *ctx)
 {
   static const char *const states[ONL_STATE_NUM]
-      = { "admitting", "looking",   "recording", "queued",
-          "sent",      "answering", "ended" };
+      = { "admitting", "looking", "recording", "binding",
+          "queued",    "sent",    "answering", "ended" };
   static const char *const events[ONL_EV_NUM]
-      = { "admitted", "limited", "granted", "picked", "head", "retry", "end" };
-  static const char *const guards[] = { "needs-record" };
+      = { "admitted", "limited", "granted", "bound",
+          "picked",   "head",    "retry",   "end" };
+  static const char *const guards[] = { "needs-record", "takes-up" };
   static const char *const actions[_ONL_DO_NUM]
-      = { "record", "look", "queue", "send", "close" };
+      = { "record", "look", "bind", "queue", "send", "close" };
   st_t st = { 0 };
-  cht_t *c = cht_setup (ctx,
-                        &(cht_desc_t){ .text = cht_text ("request"),
-                                       .states = states,
-                                       .state_count = ONL_STATE_NUM,
-                                       .events = events,
-                                       .event_count = ONL_EV_NUM,
-                                       .guards = guards,
-                                       .guard_count = 1,
-                                       .actions = actions,
-                                       .action_count = _ONL_DO_NUM },
-                        &st);
+  cht_t *c = cht_setup (
+      ctx,
+      &(cht_desc_t){ .text = cht_text ("request"),
+                     .states = states,
+                     .state_count = ONL_STATE_NUM,
+                     .events = events,
+                     .event_count = ONL_EV_NUM,
+                     .guards = guards,
+                     .guard_count = sizeof guards / sizeof guards[0],
+                     .actions = actions,
+                     .action_count = _ONL_DO_NUM },
+      &st);
   INV_CHECK (c != NULL, "chart-is-good", "request: %s", st.message);
   return c;
 }
@@ -63,6 +66,11 @@
         g_byte_array_free (r->response.buffered, TRUE);
       sse_clear (&((onl_request_t *)tbl_get (o->requests, id))->events);
     }
+  GHashTableIter iter;
+  void *value;
+  g_hash_table_iter_init (&iter, o->deployments);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_queue_free_full (((onl_deployment_t *)value)->held, g_free);
   g_hash_table_destroy (o->by_caller);
   g_hash_table_destroy (o->deployments);
   return 0;
@@ -141,6 +149,9 @@
     case _ONL_DO_LOOK:
       onl_record_look_up (o, env, r);
       break;
+    case _ONL_DO_BIND:
+      onl_bind (o, env, r);
+      break;
     case _ONL_DO_QUEUE:
       onl_queue (o, env, r);
       break;
@@ -158,7 +169,7 @@
 void
 onl_fire (onl_t *o, env_t *env, onl_request_t *r, onl_event_t event)
 {
-  uint32_t guards = r->recorded ? 1 : 0;
+  uint32_t guards = (r->recorded ? 1U : 0U) | (r->takes_up ? 2U : 0U);
   cht_step_t step = cht_fire (o->chart, (int)r->state, (int)event, guards);
   r->state = (onl_state_t)step.next;
   /* An action may free R, so a transition has at most one. */
@@ -335,6 +346,7 @@
   idm_result_t record;
   while (idm_result_pop (o->desc.records, &record))
     onl_record_verdict (o, env, &record);
+  onl_binds_finish (o, env);
   const char *key;
   while (key_withdrawn_pop (o->desc.keys, &key))
     _onl_key_withdrawn (o, env, key);
--- a/src/core/onl.h
+++ b/src/core/onl.h
@@ -37,6 +37,7 @@
 #include "core/lim.h"
 #include "core/mbr.h"
 #include "core/rte.h"
+#include "core/stv.h"
 
 /** Set-up of the module.  The modules named here are required and must
  * outlive this one. */
@@ -46,6 +47,7 @@
   lim_t *limits;
   key_set_t *keys;
   rte_t *routes;
+  stv_t *streams; /**< NULL: streams are not bound to versions */
   idm_t *records;
   clk_ms_t queue_ms; /**< longest wait in the fair queue; default 2 s */
   clk_ms_t leave_ms; /**< time after onl_leave in which requests are still
--- a/src/core/onl_admit.c
+++ b/src/core/onl_admit.c
@@ -79,9 +79,8 @@
   return NULL;
 }
 
-/** The entry of deployment NAME, made when it is first used. */
-static onl_deployment_t *
-_onl_deployment (onl_t *o, const char *name)
+onl_deployment_t *
+onl_deployment (onl_t *o, const char *name)
 {
   onl_deployment_t *d = g_hash_table_lookup (o->deployments, name);
   if (d != NULL)
@@ -89,6 +88,7 @@
   d = talloc_zero (o, onl_deployment_t);
   d->name = talloc_strdup (d, name);
   d->queue = fqu_setup (d, &(fqu_desc_t){ 0 });
+  d->held = g_queue_new ();
   g_hash_table_insert (o->deployments, d->name, d);
   return d;
 }
@@ -141,7 +141,7 @@
   r->key = talloc_strdup (pool, lookup->key != NULL ? lookup->key->name : "");
   r->customer = talloc_strdup (pool, customer);
   r->weight = c != NULL ? c->weight : 1;
-  r->deployment = _onl_deployment (o, d->name);
+  r->deployment = onl_deployment (o, d->name);
   r->engine = d->kind == CFG_ENGINE;
   r->idempotent = route->idempotent;
   r->recorded = !route->idempotent && !route->unrecorded;
@@ -157,6 +157,7 @@
   r->resumes = req->meta.resumes != NULL
                    ? talloc_strdup (pool, req->meta.resumes)
                    : NULL;
+  onl_take_up_fill (o, r, route);
   r->method = talloc_strdup (pool, req->method);
   r->target = _onl_target (pool, req, presented);
   r->headers = onl_request_headers (
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -43,6 +43,7 @@
   ONL_ADMITTING,
   ONL_LOOKING,
   ONL_RECORDING,
+  ONL_BINDING,
   ONL_QUEUED,
   ONL_SENT,
   ONL_ANSWERING,
@@ -56,6 +57,7 @@
   ONL_EV_ADMITTED,
   ONL_EV_LIMITED,
   ONL_EV_GRANTED,
+  ONL_EV_BOUND,
   ONL_EV_PICKED,
   ONL_EV_HEAD,
   ONL_EV_RETRY,
@@ -83,6 +85,8 @@
 {
   char *name;
   fqu_t *queue;
+  GQueue *held; /**< guint64: requests that have left QUEUE and wait until an
+                     upstream of their version has room, oldest first */
   rtb_t budget;
 } onl_deployment_t;
 
@@ -116,7 +120,8 @@
   buf_t body;
   uint64_t prefix; /**< hash of the prompt's prefix; 0: none */
   clk_ms_t arrived;
-  clk_ms_t sent; /**< when the last attempt was sent */
+  clk_ms_t sent;     /**< when the last attempt was sent */
+  clk_ms_t leave_by; /**< when it must have left the queue */
   clk_ms_t deadline;
   clk_ms_t target_ms; /**< time from ARRIVED in which the first byte of the
                            response is wanted; 0: not set */
@@ -132,8 +137,14 @@
 
   const char *resume_after; /**< id of the last event delivered; NULL: none */
   const char *resumes;      /**< as in ev_request_meta_t */
-  rte_pick_t pick;          /**< upstream of the current attempt */
-  uint64_t call;            /**< call of the current attempt; 0: none */
+  bool begins;              /**< a stream that the caller has no event of */
+  bool takes_up; /**< one of which it has, where versions are told apart */
+  bool bound;    /**< only upstreams of VERSION may go on with the stream */
+  const char *version;      /**< BOUND; "": not known, so that none may */
+  const char **deployments; /**< TAKES_UP: to which the route may send it */
+  size_t deployment_count;
+  rte_pick_t pick; /**< upstream of the current attempt */
+  uint64_t call;   /**< call of the current attempt; 0: none */
   const char *tried[ONL_ATTEMPTS_MAX]; /**< upstreams of all attempts */
   size_t attempts;
   uint32_t runs; /**< attempts that may have run, including the current one */
@@ -191,6 +202,25 @@
 void onl_limit_refused (onl_t *o, env_t *env, onl_request_t *r,
                         clk_ms_t retry_after);
 
+/** The entry of deployment NAME, made when it is first used. */
+onl_deployment_t *onl_deployment (onl_t *o, const char *name);
+
+/* onl_version.c: the version at which a stream began. */
+/** Note in R, which is being admitted on ROUTE, what it takes up. */
+void onl_take_up_fill (onl_t *o, onl_request_t *r, const cfg_route_t *route);
+
+/** Action "bind": look for the version at which the stream began that R takes
+ * up. */
+void onl_bind (onl_t *o, env_t *env, onl_request_t *r);
+
+/** Continue with the requests whose streams' versions have been found, and
+ * refuse those whose have not. */
+void onl_binds_finish (onl_t *o, env_t *env);
+
+/** The first whole event of R's stream has come: it goes on only at the
+ * version of its upstream. */
+void onl_stream_began (onl_t *o, env_t *env, onl_request_t *r);
+
 /* onl_send.c */
 /** Action "queue": add the request to its deployment's queue, or refuse it. */
 void onl_queue (onl_t *o, env_t *env, onl_request_t *r);
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -317,6 +317,8 @@
     }
   if (response->stream)
     sse_place_advance (&response->place, data);
+  if (response->place.has_event && !r->bound)
+    onl_stream_began (o, env, r);
   if (response->buffered != NULL
       && response->buffered->len + data.n <= ONL_BUFFERED_MAX)
     {
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -56,10 +56,11 @@
   clk_ms_t reserve
       = clk_min ((r->deadline - r->arrived) / 4, ONL_UPSTREAM_RESERVE_MS);
   clk_ms_t retry_after = 0;
+  r->leave_by = clk_min (r->deadline - reserve, env->now + o->desc.queue_ms);
   fqu_item_t item = {
     .customer = r->customer,
     .weight = r->weight,
-    .leave_by = clk_min (r->deadline - reserve, env->now + o->desc.queue_ms),
+    .leave_by = r->leave_by,
     .tag = r->id.id,
   };
   if (fqu_push (r->deployment->queue, env->now, &item, &retry_after) != ST_OK)
@@ -129,6 +130,7 @@
 _onl_pick (onl_t *o, env_t *env, onl_request_t *r)
 {
   rte_query_t query = { .deployment = r->deployment->name,
+                        .version = r->bound ? r->version : NULL,
                         .prefix = r->prefix,
                         .avoid = r->tried,
                         .avoid_count = r->attempts,
@@ -173,6 +175,41 @@
   return true;
 }
 
+/** Keep request TAG, for whose version no upstream has room, outside of the
+ * queue of D, where it would hold up the others. */
+static void
+_onl_hold (onl_deployment_t *d, uint64_t tag)
+{
+  g_queue_push_tail (d->held, g_memdup2 (&tag, sizeof tag));
+}
+
+/** Send the requests of D that are held as far as upstreams have room, and
+ * refuse those that have waited too long.  The first one that finds a version
+ * full stands for those behind it. */
+static void
+_onl_held_dispatch (onl_t *o, env_t *env, onl_deployment_t *d)
+{
+  const char *full = NULL;
+  for (guint n = g_queue_get_length (d->held); n > 0; n--)
+    {
+      uint64_t *held = g_queue_pop_head (d->held);
+      uint64_t tag = *held;
+      g_free (held);
+      onl_request_t *r = onl_request_get (o, tag);
+      if (r == NULL || r->state != ONL_QUEUED)
+        continue;
+      if (env->now >= r->leave_by)
+        _onl_refuse_overloaded (o, env, r, CLK_SECOND / 4);
+      else if (g_strcmp0 (full, r->version) == 0)
+        _onl_hold (d, tag);
+      else if (!_onl_dispatch_request (o, env, r))
+        {
+          full = r->version;
+          _onl_hold (d, tag);
+        }
+    }
+}
+
 /** Send the queued requests of one deployment until its upstreams are full,
  * and refuse those that can no longer be served in time. */
 static void
@@ -180,6 +217,7 @@
 {
   uint64_t tag = 0;
   clk_ms_t retry_after = 0;
+  _onl_held_dispatch (o, env, d);
   while (fqu_pop (d->queue, env->now, &tag))
     {
       onl_request_t *r = onl_request_get (o, tag);
@@ -187,12 +225,17 @@
                  "queued-request-is-waiting", "deployment %s", d->name);
       if (_onl_dispatch_request (o, env, r))
         continue;
+      if (r->bound)
+        {
+          _onl_hold (d, tag);
+          continue;
+        }
       fqu_unpop (d->queue, tag);
       break;
     }
   while (fqu_late_pop (d->queue, env->now, &tag, &retry_after))
     _onl_refuse_overloaded (o, env, onl_request_get (o, tag), retry_after);
-  if (fqu_count (d->queue) > 0)
+  if (fqu_count (d->queue) > 0 || !g_queue_is_empty (d->held))
     _onl_queue_timer_arm (o, env);
 }
 
@@ -205,7 +248,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       onl_deployment_t *d = value;
-      if (fqu_count (d->queue) > 0)
+      if (fqu_count (d->queue) > 0 || !g_queue_is_empty (d->held))
         _onl_dispatch_deployment (o, env, d);
     }
 }
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -225,6 +225,57 @@
     }
 }
 
+/** The version of the software of all upstreams of D; NULL: they have none, or
+ * several. */
+static const char *
+_rte_common_version (const rte_deployment_t *d)
+{
+  const char *version = NULL;
+  for (guint i = 0; i < d->upstreams->len; i++)
+    {
+      const rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
+      if (i == 0)
+        version = u->version;
+      if (g_strcmp0 (version, u->version) != 0)
+        return NULL;
+    }
+  return version;
+}
+
+/** Learns the versions of D from its upstreams in the document. */
+static void
+_rte_versions_learn (rte_deployment_t *d, clk_ms_t now)
+{
+  const char *version = _rte_common_version (d);
+  for (guint i = 0; i < d->upstreams->len; i++)
+    d->has_versions
+        = d->has_versions
+          || ((rte_upstream_t *)g_ptr_array_index (d->upstreams, i))->version
+                 != NULL;
+  /* An empty list says nothing of what serves. */
+  if (d->upstreams->len == 0 || g_strcmp0 (version, d->sole_version) == 0)
+    return;
+  talloc_free (d->sole_version);
+  d->sole_version = version == NULL ? NULL : talloc_strdup (d, version);
+  d->sole_since = now;
+}
+
+bool
+rte_has_versions (const rte_t *r, const char *deployment)
+{
+  const rte_deployment_t *d = g_hash_table_lookup (r->deployments, deployment);
+  return d != NULL && d->has_versions;
+}
+
+const char *
+rte_sole_version (const rte_t *r, const env_t *env, const char *deployment)
+{
+  const rte_deployment_t *d = g_hash_table_lookup (r->deployments, deployment);
+  if (d == NULL || env->now - d->sole_since < RTE_SOLE_MS)
+    return NULL;
+  return d->sole_version;
+}
+
 void
 rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc)
 {
@@ -252,7 +303,10 @@
     }
   g_hash_table_iter_init (&iter, r->deployments);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    _rte_subset_mark (r, env, value);
+    {
+      _rte_subset_mark (r, env, value);
+      _rte_versions_learn (value, env->now);
+    }
   r->members_generation = 0;
   rte_pollers_update (r, env);
   _rte_upstreams_sweep (r);
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -91,6 +91,9 @@
 {
   const char *deployment;
   uint64_t prefix;          /**< rte_prefix of the prompt; 0: none */
+  const char *version;      /**< the only version of upstreams' software to
+                                 consider, with all upstreams of it; NULL:
+                                 any */
   const char *only;         /**< the only upstream to consider; NULL: all */
   const char *const *avoid; /**< upstreams to exclude */
   size_t avoid_count;
@@ -145,6 +148,21 @@
 bool rte_pick (rte_t *r, env_t *env, const rte_query_t *query,
                rte_pick_t *pick);
 
+/** Time after which the list of a deployment's upstreams, if it has named one
+ * version of their software all the while, says that no stream in progress can
+ * have begun at another. */
+#define RTE_SOLE_MS (60 * CLK_SECOND)
+
+/** Whether the list has ever named a version of the software of DEPLOYMENT's
+ * upstreams. */
+bool rte_has_versions (const rte_t *r, const char *deployment);
+
+/** The version of the software of all upstreams of DEPLOYMENT that the list
+ * has named in the last RTE_SOLE_MS; NULL: there were others, or upstreams
+ * without a version, or the list is not known for so long. */
+const char *rte_sole_version (const rte_t *r, const env_t *env,
+                              const char *deployment);
+
 /** The request has left this VM: the time to first byte counts from this call,
  * not from the pick.  This and the next four functions ignore an invalid
  * handle. */
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -107,6 +107,8 @@
 {
   if (query->only != NULL)
     return strcmp (query->only, u->name) != 0;
+  if (query->version != NULL && g_strcmp0 (query->version, u->version) != 0)
+    return true;
   for (size_t i = 0; i < query->avoid_count; i++)
     if (strcmp (query->avoid[i], u->name) == 0)
       return true;
@@ -234,7 +236,8 @@
   for (guint i = 0; i < d->upstreams->len; i++)
     {
       rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
-      if ((!u->in_subset && query->only == NULL) || _rte_avoided (query, u))
+      bool any_place = query->only != NULL || query->version != NULL;
+      if ((!u->in_subset && !any_place) || _rte_avoided (query, u))
         continue;
       bool usable = rte_usable (u, env->now);
       if (suspects)
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -156,11 +156,15 @@
 {
   char *name;
   GPtrArray *upstreams; /**< rte_upstream_t, in the document's order */
-  double hit_ms;        /**< time to first byte when the prefix is cached and a
-                             slot is free */
-  double miss_ms;       /**< the same when the prefix is not cached */
-  double busy_ms;       /**< time that a request occupies a slot */
-  double bias; /**< ratio of observed to expected time to first byte */
+  bool has_versions;    /**< as in rte_has_versions */
+  char *sole_version;   /**< of all upstreams of the list; NULL: none, or not
+                             of all */
+  clk_ms_t sole_since;
+  double hit_ms;  /**< time to first byte when the prefix is cached and a
+                       slot is free */
+  double miss_ms; /**< the same when the prefix is not cached */
+  double busy_ms; /**< time that a request occupies a slot */
+  double bias;    /**< ratio of observed to expected time to first byte */
 } rte_deployment_t;
 
 /** One in-flight request. */
