--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -337,6 +337,81 @@
   hst_shutdown (h);
 }
 
+/* Submits a job of STREAMS items and has the first run at each upstream break
+ * off behind event 2. */
+static void
+submit_and_break (hst_t *h)
+{
+  for (size_t u = 0; u < UPSTREAMS; u++)
+    hst_fault_set (h, u, (hst_fault_t){ .break_after = 2 });
+  (void)hst_submit (h, 0, "j", STREAMS);
+}
+
+/* Number of items of the job that have a whole text. */
+static unsigned
+completed_count (hst_t *h)
+{
+  uint64_t c = hst_results_read (h, 0, "j", 0);
+  hst_advance (h, AT_ONCE_MS);
+  const hst_response_t *r = hst_response (h, c);
+  unsigned n = 0;
+  for (guint i = 0; i < r->texts->len; i++)
+    {
+      const char *text = g_ptr_array_index (r->texts, i);
+      n += strncmp (text, "e1\ne2\ne3\ne4\n", 12) == 0
+           && strstr (text, "\ne20") != NULL;
+    }
+  return n;
+}
+
+/* Guards against a text of an item that is joined of two versions' events. */
+static void
+test_text_of_an_item_stays_at_its_version (void)
+{
+  hst_t *h = setup (true);
+  char id[ID_SIZE];
+  unsigned again = 0;
+  submit_and_break (h);
+  hst_advance (h, 4 * ENDED_MS);
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      g_snprintf (id, sizeof id, "j-%u", i);
+      size_t next = hst_run_upstream (h, id, 1);
+      if (next == HST_MAX)
+        continue;
+      again++;
+      CU_ASSERT_STRING_EQUAL (version_of (hst_run_upstream (h, id, 0)),
+                              version_of (next));
+    }
+  CU_ASSERT (again >= 2);
+  CU_ASSERT_EQUAL (completed_count (h), STREAMS);
+  hst_shutdown (h);
+}
+
+/* Guards against an item that waits for a version of which no upstream is
+ * left: it begins anew. */
+static void
+test_item_without_its_version_begins_anew (void)
+{
+  hst_t *h = setup (true);
+  for (size_t u = 0; u < UPSTREAMS; u++)
+    hst_leaving_set (h, u, u != 0);
+  hst_advance (h, LISTED_MS);
+  hst_fault_set (h, 0, (hst_fault_t){ .break_after = 10 });
+  (void)hst_submit (h, 0, "j", 1);
+  while (hst_run_count (h, "j-0") == 0 && hst_now (h) < 20 * CLK_SECOND)
+    hst_advance (h, 1);
+  for (size_t u = 0; u < UPSTREAMS; u++)
+    hst_leaving_set (h, u, u % 2 == 0);
+  hst_advance (h, ENDED_MS);
+  CU_ASSERT_EQUAL (hst_run_count (h, "j-0"), 2);
+  CU_ASSERT_EQUAL (hst_run_upstream (h, "j-0", 0), 0);
+  CU_ASSERT_EQUAL (hst_run_upstream (h, "j-0", 1) % 2, 1);
+  CU_ASSERT_PTR_NULL (hst_last_call (h)->resume_after);
+  CU_ASSERT_EQUAL (completed_count (h), 1);
+  hst_shutdown (h);
+}
+
 int
 main (void)
 {
@@ -361,6 +436,10 @@
     { "without_versions_streams_go_on", test_without_versions_streams_go_on },
     { "sole_version_needs_no_knowledge",
       test_sole_version_needs_no_knowledge },
+    { "text_of_an_item_stays_at_its_version",
+      test_text_of_an_item_stays_at_its_version },
+    { "item_without_its_version_begins_anew",
+      test_item_without_its_version_begins_anew },
   };
   return tst_run ("versions", cases, sizeof cases / sizeof cases[0]);
 }
