Jobs: the text of an item stays at the version that began it

Its first event now binds it to the version of its upstream, as a stream is bound. If that version is full or suspected it waits for 2 s at most, and lets other items go first; if no upstream of it is left, or the route no longer allows its service, its text is dropped and it begins anew, as an item may run more than once.

--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -77,6 +77,12 @@
   clk_ms_t not_before; /**< earliest time of the next run or write */
   GString *text;       /**< data of the events received; NULL: none */
   uint64_t last_event; /**< id of the last event received; 0: none */
+  char *deployment;    /**< where TEXT began, if its upstreams have versions;
+                            NULL: no event, or none has */
+  char *version;       /**< DEPLOYMENT: of the software of TEXT's upstreams;
+                            "": not known */
+  clk_ms_t full_since; /**< since when the upstreams of VERSION have had no
+                            room; CLK_NEVER: they had */
   tbl_id_t run;        /**< job_run_t in JOB_ITEM_RUNNING */
 } job_item_t;
 
@@ -126,6 +132,8 @@
   uint64_t call;      /**< id of the upstream call (upc.h) */
   uint64_t in_flight; /**< the router's handle (rte_pick_t.handle) */
   const char *upstream;
+  const char *deployment;
+  const char *version; /**< as in rte_pick_t */
   clk_ms_t started;
   bool close_delimited;   /**< as in ev_upstream_t */
   uint64_t resumed_after; /**< id of the last event before the run; 0: none */
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -36,6 +36,9 @@
 /** Largest body of a run's response, in bytes.  Around a byte of the text an
  * event has about 15 others. */
 #define JOB_RESPONSE_MAX (16 * JOB_TEXT_MAX)
+/** Longest wait of an item for room at the version that began its text; then
+ * it begins anew. */
+#define JOB_VERSION_WAIT_MS (2 * CLK_SECOND)
 /** Items without a route are given up after this time. */
 #define JOB_ROUTE_MISSING_MS (3 * CLK_SECOND)
 
@@ -55,6 +58,8 @@
   item->run = (tbl_id_t){ 0 };
   sse_clear (&run->events);
   talloc_free ((void *)(uintptr_t)run->upstream);
+  talloc_free ((void *)(uintptr_t)run->deployment);
+  talloc_free ((void *)(uintptr_t)run->version);
   tbl_free (j->runs, run->self);
 }
 
@@ -181,19 +186,84 @@
   return call;
 }
 
-/* Starts item INDEX; false when no upstream has room or the call fails. */
+/* Drops the text of ITEM, to begin anew. */
+static void
+_job_text_drop (job_item_t *item)
+{
+  if (item->text != NULL)
+    g_string_free (item->text, TRUE);
+  item->text = NULL;
+  item->last_event = 0;
+  item->full_since = CLK_NEVER;
+  TALLOC_FREE (item->deployment);
+  TALLOC_FREE (item->version);
+}
+
+/* Whether ROUTE may send items to DEPLOYMENT. */
 static bool
+_job_route_allows (const cfg_route_t *route, const char *deployment)
+{
+  for (size_t i = 0; i < route->share_count; i++)
+    if (strcmp (route->shares[i].deployment, deployment) == 0)
+      return true;
+  return route->share_count == 0
+         && strcmp (route->deployment, deployment) == 0;
+}
+
+/* What became of the start of an item. */
+typedef enum
+{
+  _JOB_STARTED,
+  _JOB_NO_ROOM, /* at any upstream, or the call failed */
+  _JOB_LATER,   /* no upstream of the item's version has room */
+} _job_start_t;
+
+/* Handles that no upstream of the version of item INDEX could be picked: it
+ * waits if one may be later, though not for long, else it begins anew. */
+static _job_start_t
+_job_version_missing (const job_set_t *j, env_t *env, const job_t *job,
+                      uint32_t index)
+{
+  job_item_t *item = &job->items[index];
+  item->not_before = env->now + JOB_ITEM_RETRY_MS;
+  if (item->full_since == CLK_NEVER)
+    item->full_since = env->now;
+  bool serves = rte_version_serves (j->desc.routes, env, item->deployment,
+                                    item->version);
+  if (serves && env->now - item->full_since < JOB_VERSION_WAIT_MS)
+    return _JOB_LATER;
+  tln_record (env->tln, env->now, MOD_JOB, "item-anew",
+              "job=%s item=%s version=%s serves=%d", job->rec->id,
+              job->rec->items[index].id, item->version, serves);
+  cnt_add (env->cnt, "rts_job_anew_total", "", 1);
+  _job_text_drop (item);
+  item->not_before = env->now;
+  return _JOB_LATER;
+}
+
+/* Starts item INDEX. */
+static _job_start_t
 _job_start_item (job_set_t *j, env_t *env, job_t *job, uint32_t index,
                  const cfg_route_t *route)
 {
   rte_pick_t pick;
-  rte_query_t query = { .deployment = cfg_route_deployment_pick (
-                            route, g_rand_double (env->rand)),
-                        .batch = true,
-                        .skip_full = true,
-                        .reserved_slots = j->desc.spare_slots };
+  job_item_t *item = &job->items[index];
+  if (item->deployment != NULL && !_job_route_allows (route, item->deployment))
+    _job_text_drop (item);
+  rte_query_t query
+      = { .deployment
+          = item->deployment != NULL
+                ? item->deployment
+                : cfg_route_deployment_pick (route, g_rand_double (env->rand)),
+          .version = item->deployment != NULL ? item->version : NULL,
+          .batch = true,
+          .skip_full = true,
+          .reserved_slots = j->desc.spare_slots };
   if (!rte_pick (j->desc.routes, env, &query, &pick))
-    return false;
+    return item->deployment == NULL
+               ? _JOB_NO_ROOM
+               : _job_version_missing (j, env, job, index);
+  item->full_since = CLK_NEVER;
   tbl_id_t id = tbl_alloc (j->runs);
   job_run_t *run = tbl_get (j->runs, id);
   *run = (job_run_t){ .self = id,
@@ -201,6 +271,10 @@
                       .item = index,
                       .in_flight = pick.handle,
                       .upstream = talloc_strdup (j, pick.upstream),
+                      .deployment = talloc_strdup (j, query.deployment),
+                      .version = pick.version == NULL
+                                     ? NULL
+                                     : talloc_strdup (j, pick.version),
                       .started = env->now,
                       .progress_at = env->now,
                       .resumed_after = job->items[index].last_event };
@@ -212,11 +286,11 @@
     {
       rte_failed (j->desc.routes, env, pick.handle, RTE_FAIL_CANCELLED);
       _job_run_free (j, run);
-      return false;
+      return _JOB_NO_ROOM;
     }
   rte_started (j->desc.routes, env, pick.handle);
   cnt_add (env->cnt, "rts_job_runs_total", "", 1);
-  return true;
+  return _JOB_STARTED;
 }
 
 /* Gives up JOB's waiting items when its retention time is over or its route
@@ -275,7 +349,7 @@
           continue;
         }
       job->route_missing_since = CLK_NEVER;
-      if (!_job_start_item (j, env, job, index, route))
+      if (_job_start_item (j, env, job, index, route) == _JOB_NO_ROOM)
         break;
     }
 }
@@ -364,15 +438,18 @@
   return true;
 }
 
-/* Drops the text of ITEM, to begin anew: which part of a text that is too
- * large was the item's cannot be told. */
+/* Binds the item of RUN, whose text begins with it, to the version of the
+ * run's upstream. */
 static void
-_job_text_drop (job_item_t *item)
+_job_text_began (const job_set_t *j, const job_t *job, const job_run_t *run)
 {
-  if (item->text != NULL)
-    g_string_free (item->text, TRUE);
-  item->text = NULL;
-  item->last_event = 0;
+  job_item_t *item = &job->items[run->item];
+  if (!rte_has_versions (j->desc.routes, run->deployment))
+    return;
+  item->full_since = CLK_NEVER;
+  item->deployment = talloc_strdup (job->items, run->deployment);
+  item->version
+      = talloc_strdup (job->items, run->version == NULL ? "" : run->version);
 }
 
 /* Appends a complete event to the text of RUN's item; ends RUN and returns
@@ -382,14 +459,18 @@
 {
   job_t *job = tbl_get (j->jobs, run->job);
   job_item_t *item = &job->items[run->item];
+  bool begins = item->text == NULL;
   if (!_job_event_append (item, event))
     {
       _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
       return false;
     }
+  if (begins)
+    _job_text_began (j, job, run);
   if (item->text->len <= JOB_TEXT_MAX && run->received <= JOB_RESPONSE_MAX)
     return true;
   _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "text-too-large");
+  /* Which part of it was the item's cannot be told. */
   _job_text_drop (item);
   return false;
 }
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -267,6 +267,21 @@
   return d != NULL && d->has_versions;
 }
 
+bool
+rte_version_serves (const rte_t *r, const env_t *env, const char *deployment,
+                    const char *version)
+{
+  const rte_deployment_t *d = g_hash_table_lookup (r->deployments, deployment);
+  for (guint i = 0; d != NULL && i < d->upstreams->len; i++)
+    {
+      const rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
+      if (g_strcmp0 (u->version, version) == 0
+          && !rte_gets_nothing_new (u, env->now))
+        return true;
+    }
+  return false;
+}
+
 const char *
 rte_sole_version (const rte_t *r, const env_t *env, const char *deployment)
 {
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -157,6 +157,11 @@
  * upstreams. */
 bool rte_has_versions (const rte_t *r, const char *deployment);
 
+/** Whether an upstream of DEPLOYMENT whose software has VERSION may get
+ * requests, now or when it has room and is no longer suspected. */
+bool rte_version_serves (const rte_t *r, const env_t *env,
+                         const char *deployment, const char *version);
+
 /** The version of the software of all upstreams of DEPLOYMENT that the list
  * has named in the last RTE_SOLE_MS; NULL: there were others, or upstreams
  * without a version, or the list is not known for so long. */
