Streams: where all upstreams are of one version, nothing waits for it

Requests and items whose version is that of all upstreams listed are now picked for and queued like any other. An origin that nobody knows is refused only if another version was listed within the time that a stream can last, the route's limit and 5 s for the list's lag, in place of 60 s.

--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -218,9 +218,9 @@
   _JOB_LATER,   /* no upstream of the item's version has room */
 } _job_start_t;
 
-/* Handles that no upstream of the version of item INDEX could be picked: it
- * waits if one may be later, though not for long, else it begins anew. */
-static _job_start_t
+/* Handles that no upstream of the version of item INDEX could be picked: the
+ * item waits if one may be later, though not for long, else it begins anew. */
+static void
 _job_version_missing (const job_set_t *j, env_t *env, const job_t *job,
                       uint32_t index)
 {
@@ -231,14 +231,26 @@
   bool serves = rte_version_serves (j->desc.routes, env, item->deployment,
                                     item->version);
   if (serves && env->now - item->full_since < JOB_VERSION_WAIT_MS)
-    return _JOB_LATER;
+    return;
   tln_record (env->tln, env->now, MOD_JOB, "item-anew",
               "job=%s item=%s version=%s serves=%d", job->rec->id,
               job->rec->items[index].id, item->version, serves);
   cnt_add (env->cnt, "rts_job_anew_total", "", 1);
   _job_text_drop (item);
   item->not_before = env->now;
-  return _JOB_LATER;
+}
+
+/* The only version to which ITEM may be sent; NULL: any, as it is not bound or
+ * all upstreams are of its version. */
+static const char *
+_job_version_wanted (const job_set_t *j, const env_t *env,
+                     const job_item_t *item)
+{
+  if (item->deployment == NULL)
+    return NULL;
+  const char *sole
+      = rte_sole_version (j->desc.routes, env, item->deployment, 0);
+  return g_strcmp0 (sole, item->version) == 0 ? NULL : item->version;
 }
 
 /* Starts item INDEX. */
@@ -255,14 +267,17 @@
           = item->deployment != NULL
                 ? item->deployment
                 : cfg_route_deployment_pick (route, g_rand_double (env->rand)),
-          .version = item->deployment != NULL ? item->version : NULL,
+          .version = _job_version_wanted (j, env, item),
           .batch = true,
           .skip_full = true,
           .reserved_slots = j->desc.spare_slots };
   if (!rte_pick (j->desc.routes, env, &query, &pick))
-    return item->deployment == NULL
-               ? _JOB_NO_ROOM
-               : _job_version_missing (j, env, job, index);
+    {
+      if (query.version == NULL)
+        return _JOB_NO_ROOM;
+      _job_version_missing (j, env, job, index);
+      return _JOB_LATER;
+    }
   item->full_since = CLK_NEVER;
   tbl_id_t id = tbl_alloc (j->runs);
   job_run_t *run = tbl_get (j->runs, id);
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -141,6 +141,8 @@
   bool takes_up; /**< one of which it has, where versions are told apart */
   bool bound;    /**< only upstreams of VERSION may go on with the stream */
   const char *version;      /**< BOUND; "": not known, so that none may */
+  clk_ms_t timeout_ms;      /**< TAKES_UP: longest time of a request on its
+                                 route, and so of the whole stream */
   const char **deployments; /**< TAKES_UP: to which the route may send it */
   size_t deployment_count;
   rte_pick_t pick; /**< upstream of the current attempt */
@@ -209,6 +211,11 @@
 /** Note in R, which is being admitted on ROUTE, what it takes up. */
 void onl_take_up_fill (onl_t *o, onl_request_t *r, const cfg_route_t *route);
 
+/** The only version to which R may be sent; NULL: any, as R is not bound or
+ * all upstreams are of its version. */
+const char *onl_version_wanted (const onl_t *o, const env_t *env,
+                                const onl_request_t *r);
+
 /** Action "bind": look for the version at which the stream began that R takes
  * up. */
 void onl_bind (onl_t *o, env_t *env, onl_request_t *r);
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -130,7 +130,7 @@
 _onl_pick (onl_t *o, env_t *env, onl_request_t *r)
 {
   rte_query_t query = { .deployment = r->deployment->name,
-                        .version = r->bound ? r->version : NULL,
+                        .version = onl_version_wanted (o, env, r),
                         .prefix = r->prefix,
                         .avoid = r->tried,
                         .avoid_count = r->attempts,
@@ -225,7 +225,7 @@
                  "queued-request-is-waiting", "deployment %s", d->name);
       if (_onl_dispatch_request (o, env, r))
         continue;
-      if (r->bound)
+      if (onl_version_wanted (o, env, r) != NULL)
         {
           _onl_hold (d, tag);
           continue;
--- a/src/core/onl_version.c
+++ b/src/core/onl_version.c
@@ -10,6 +10,8 @@
 /** After which a caller may ask again whose stream's beginning is not known.
  */
 #define ONL_UNKNOWN_RETRY_MS (CLK_SECOND / 4)
+/** By which the list of upstreams may lag behind them. */
+#define ONL_LIST_LAG_MS (5 * CLK_SECOND)
 
 /** Whether the upstreams of any deployment to which R may be sent have
  * versions. */
@@ -35,6 +37,17 @@
     r->deployments[i]
         = talloc_strdup (r->deployments, route->shares[i].deployment);
   r->takes_up = _onl_has_versions (o, r);
+  r->timeout_ms = route->deadline_ms;
+}
+
+const char *
+onl_version_wanted (const onl_t *o, const env_t *env, const onl_request_t *r)
+{
+  if (!r->bound)
+    return NULL;
+  const char *sole
+      = rte_sole_version (o->desc.routes, env, r->deployment->name, 0);
+  return g_strcmp0 (sole, r->version) == 0 ? NULL : r->version;
 }
 
 /** Let R, which is bound to VERSION, queue. */
@@ -57,17 +70,27 @@
                               .retry_after_ms = ONL_UNKNOWN_RETRY_MS });
 }
 
-void
-onl_bind (onl_t *o, env_t *env, onl_request_t *r)
+/** Handle that nobody knows how the stream began that R takes up: refuse R,
+ * unless the upstreams have had one version all the while. */
+static void
+_onl_origin_unknown (onl_t *o, env_t *env, onl_request_t *r)
 {
+  clk_ms_t age = r->timeout_ms + ONL_LIST_LAG_MS;
   const char *sole
       = r->deployment_count == 1
-            ? rte_sole_version (o->desc.routes, env, r->deployment->name)
+            ? rte_sole_version (o->desc.routes, env, r->deployment->name, age)
             : NULL;
   if (sole != NULL)
     _onl_bound (o, env, r, sole);
-  else if (r->resumes == NULL || !stv_id_is_valid (r->resumes))
+  else
     _onl_refuse_unknown (o, env, r);
+}
+
+void
+onl_bind (onl_t *o, env_t *env, onl_request_t *r)
+{
+  if (r->resumes == NULL || !stv_id_is_valid (r->resumes))
+    _onl_origin_unknown (o, env, r);
   else
     stv_find (
         o->desc.streams, env,
@@ -90,14 +113,17 @@
                   const stv_result_t *result)
 {
   const stv_origin_t *origin = &result->origin;
-  if (!result->known || origin->version[0] == '\0'
-      || !_onl_may_go_to (r, origin->deployment))
+  if (!result->known)
+    {
+      _onl_origin_unknown (o, env, r);
+      return;
+    }
+  if (origin->version[0] == '\0' || !_onl_may_go_to (r, origin->deployment))
     {
       tln_record (env->tln, env->now, MOD_ONLINE, "not-taken-up",
-                  "request=%s resumes=%s known=%d deployment=%s version=%s",
-                  r->request_id, r->resumes, result->known,
-                  result->known ? origin->deployment : "",
-                  result->known ? origin->version : "");
+                  "request=%s resumes=%s deployment=%s version=%s",
+                  r->request_id, r->resumes, origin->deployment,
+                  origin->version);
       _onl_refuse_unknown (o, env, r);
       return;
     }
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -283,10 +283,11 @@
 }
 
 const char *
-rte_sole_version (const rte_t *r, const env_t *env, const char *deployment)
+rte_sole_version (const rte_t *r, const env_t *env, const char *deployment,
+                  clk_ms_t ms)
 {
   const rte_deployment_t *d = g_hash_table_lookup (r->deployments, deployment);
-  if (d == NULL || env->now - d->sole_since < RTE_SOLE_MS)
+  if (d == NULL || env->now - d->sole_since < ms)
     return NULL;
   return d->sole_version;
 }
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -148,11 +148,6 @@
 bool rte_pick (rte_t *r, env_t *env, const rte_query_t *query,
                rte_pick_t *pick);
 
-/** Time after which the list of a deployment's upstreams, if it has named one
- * version of their software all the while, says that no stream in progress can
- * have begun at another. */
-#define RTE_SOLE_MS (60 * CLK_SECOND)
-
 /** Whether the list has ever named a version of the software of DEPLOYMENT's
  * upstreams. */
 bool rte_has_versions (const rte_t *r, const char *deployment);
@@ -163,10 +158,10 @@
                          const char *deployment, const char *version);
 
 /** The version of the software of all upstreams of DEPLOYMENT that the list
- * has named in the last RTE_SOLE_MS; NULL: there were others, or upstreams
- * without a version, or the list is not known for so long. */
+ * has named in the last MS; NULL: there were others, or upstreams without a
+ * version, or the list is not known for so long. */
 const char *rte_sole_version (const rte_t *r, const env_t *env,
-                              const char *deployment);
+                              const char *deployment, clk_ms_t ms);
 
 /** The request has left this VM: the time to first byte counts from this call,
  * not from the pick.  This and the next four functions ignore an invalid
