--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -332,4 +332,31 @@
 void job_list_replied (job_set_t *j, env_t *env, const job_op_t *op,
                        const ev_platform_t *reply);
 
+/* job_text.c */
+/** Drop the text of ITEM, to begin anew. */
+void job_text_drop (job_item_t *item);
+
+/** Drop the text of ITEM if ROUTE does not allow the deployment that began
+ * it. */
+void job_text_check_route (job_item_t *item, const cfg_route_t *route);
+
+/** Append a complete EVENT to ITEM's text; false when events are missing
+ * before it. */
+bool job_text_append (job_item_t *item, const sse_event_t *event);
+
+/** Bind the item of RUN, whose text begins with it, to the version of the
+ * run's upstream. */
+void job_text_began (const job_set_t *j, const job_t *job,
+                     const job_run_t *run);
+
+/** The only version to which ITEM may be sent; NULL: any, as it is not bound
+ * or all upstreams are of its version. */
+const char *job_version_wanted (const job_set_t *j, const env_t *env,
+                                const job_item_t *item);
+
+/** Handle that no upstream of the version of item INDEX could be picked: the
+ * item waits if one may be later, though not for long, else it begins anew. */
+void job_version_missing (const job_set_t *j, env_t *env, const job_t *job,
+                          uint32_t index);
+
 #endif
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -36,9 +36,6 @@
 /** Largest body of a run's response, in bytes.  Around a byte of the text an
  * event has about 15 others. */
 #define JOB_RESPONSE_MAX (16 * JOB_TEXT_MAX)
-/** Longest wait of an item for room at the version that began its text; then
- * it begins anew. */
-#define JOB_VERSION_WAIT_MS (2 * CLK_SECOND)
 /** Items without a route are given up after this time. */
 #define JOB_ROUTE_MISSING_MS (3 * CLK_SECOND)
 
@@ -186,30 +183,6 @@
   return call;
 }
 
-/* Drops the text of ITEM, to begin anew. */
-static void
-_job_text_drop (job_item_t *item)
-{
-  if (item->text != NULL)
-    g_string_free (item->text, TRUE);
-  item->text = NULL;
-  item->last_event = 0;
-  item->full_since = CLK_NEVER;
-  TALLOC_FREE (item->deployment);
-  TALLOC_FREE (item->version);
-}
-
-/* Whether ROUTE may send items to DEPLOYMENT. */
-static bool
-_job_route_allows (const cfg_route_t *route, const char *deployment)
-{
-  for (size_t i = 0; i < route->share_count; i++)
-    if (strcmp (route->shares[i].deployment, deployment) == 0)
-      return true;
-  return route->share_count == 0
-         && strcmp (route->deployment, deployment) == 0;
-}
-
 /* What became of the start of an item. */
 typedef enum
 {
@@ -218,41 +191,6 @@
   _JOB_LATER,   /* no upstream of the item's version has room */
 } _job_start_t;
 
-/* Handles that no upstream of the version of item INDEX could be picked: the
- * item waits if one may be later, though not for long, else it begins anew. */
-static void
-_job_version_missing (const job_set_t *j, env_t *env, const job_t *job,
-                      uint32_t index)
-{
-  job_item_t *item = &job->items[index];
-  item->not_before = env->now + JOB_ITEM_RETRY_MS;
-  if (item->full_since == CLK_NEVER)
-    item->full_since = env->now;
-  bool serves = rte_version_serves (j->desc.routes, env, item->deployment,
-                                    item->version);
-  if (serves && env->now - item->full_since < JOB_VERSION_WAIT_MS)
-    return;
-  tln_record (env->tln, env->now, MOD_JOB, "item-anew",
-              "job=%s item=%s version=%s serves=%d", job->rec->id,
-              job->rec->items[index].id, item->version, serves);
-  cnt_add (env->cnt, "rts_job_anew_total", "", 1);
-  _job_text_drop (item);
-  item->not_before = env->now;
-}
-
-/* The only version to which ITEM may be sent; NULL: any, as it is not bound or
- * all upstreams are of its version. */
-static const char *
-_job_version_wanted (const job_set_t *j, const env_t *env,
-                     const job_item_t *item)
-{
-  if (item->deployment == NULL)
-    return NULL;
-  const char *sole
-      = rte_sole_version (j->desc.routes, env, item->deployment, 0);
-  return g_strcmp0 (sole, item->version) == 0 ? NULL : item->version;
-}
-
 /* Starts item INDEX. */
 static _job_start_t
 _job_start_item (job_set_t *j, env_t *env, job_t *job, uint32_t index,
@@ -260,14 +198,13 @@
 {
   rte_pick_t pick;
   job_item_t *item = &job->items[index];
-  if (item->deployment != NULL && !_job_route_allows (route, item->deployment))
-    _job_text_drop (item);
+  job_text_check_route (item, route);
   rte_query_t query
       = { .deployment
           = item->deployment != NULL
                 ? item->deployment
                 : cfg_route_deployment_pick (route, g_rand_double (env->rand)),
-          .version = _job_version_wanted (j, env, item),
+          .version = job_version_wanted (j, env, item),
           .batch = true,
           .skip_full = true,
           .reserved_slots = j->desc.spare_slots };
@@ -275,7 +212,7 @@
     {
       if (query.version == NULL)
         return _JOB_NO_ROOM;
-      _job_version_missing (j, env, job, index);
+      job_version_missing (j, env, job, index);
       return _JOB_LATER;
     }
   item->full_since = CLK_NEVER;
@@ -436,37 +373,6 @@
 /* -- progress --------------------------------------------------------------
  */
 
-/* Appends a complete event to ITEM's text; false when events are missing
- * before it. */
-static bool
-_job_event_append (job_item_t *item, const sse_event_t *event)
-{
-  uint64_t id = event->id.n == 0 ? 0 : strtoull (event->id.p, NULL, 10);
-  if (id == 0 || (item->last_event > 0 && id != item->last_event + 1))
-    return false;
-  if (item->text == NULL)
-    item->text = g_string_new (NULL);
-  if (item->text->len > 0)
-    g_string_append_c (item->text, '\n');
-  g_string_append_len (item->text, event->data.p, (gssize)event->data.n);
-  item->last_event = id;
-  return true;
-}
-
-/* Binds the item of RUN, whose text begins with it, to the version of the
- * run's upstream. */
-static void
-_job_text_began (const job_set_t *j, const job_t *job, const job_run_t *run)
-{
-  job_item_t *item = &job->items[run->item];
-  if (!rte_has_versions (j->desc.routes, run->deployment))
-    return;
-  item->full_since = CLK_NEVER;
-  item->deployment = talloc_strdup (job->items, run->deployment);
-  item->version
-      = talloc_strdup (job->items, run->version == NULL ? "" : run->version);
-}
-
 /* Appends a complete event to the text of RUN's item; ends RUN and returns
  * false when that cannot be. */
 static bool
@@ -475,18 +381,18 @@
   job_t *job = tbl_get (j->jobs, run->job);
   job_item_t *item = &job->items[run->item];
   bool begins = item->text == NULL;
-  if (!_job_event_append (item, event))
+  if (!job_text_append (item, event))
     {
       _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
       return false;
     }
   if (begins)
-    _job_text_began (j, job, run);
+    job_text_began (j, job, run);
   if (item->text->len <= JOB_TEXT_MAX && run->received <= JOB_RESPONSE_MAX)
     return true;
   _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "text-too-large");
   /* Which part of it was the item's cannot be told. */
-  _job_text_drop (item);
+  job_text_drop (item);
   return false;
 }
 
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -19,8 +19,8 @@
 #define ENDED_MS (2 * CLK_SECOND)
 /* Longest time until a request that cannot be served is refused. */
 #define AT_ONCE_MS 250
-/* Longer than a stream and the lag of the list: after it a VM trusts that there
- * has been one version only. */
+/* Longer than a stream and the lag of the list: after it a VM trusts that
+ * there has been one version only. */
 #define SOLE_MS (30 * CLK_SECOND)
 #define KEY "key-acme"
 #define ID_SIZE 32
