--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -409,6 +409,7 @@
       up[up_count++] = vms[i];
     }
   job_members_changed (n->job, n->env);
+  stv_members_changed (n->stv, n->env);
   if (n->source == NODE_SOURCE_SECTIONS)
     {
       cfs_peers_changed (n->cfs, n->env, vms, count);
--- a/src/core/stv.c
+++ b/src/core/stv.c
@@ -22,6 +22,7 @@
 {
   _stv_key_t key;
   clk_ms_t noted_at;
+  bool own; /**< the stream began at this VM */
   char *deployment;
   char *version;
 } _stv_entry_t;
@@ -165,13 +166,14 @@
  * begins once. */
 static void
 _stv_entry_add (stv_t *s, const env_t *env, const _stv_key_t *key,
-                const stv_origin_t *origin)
+                const stv_origin_t *origin, bool own)
 {
   if (_stv_entry_find (s, env, key) != NULL)
     return;
   _stv_entry_t *e = talloc_zero (s, _stv_entry_t);
   e->key = *key;
   e->noted_at = env->now;
+  e->own = own;
   e->deployment = talloc_strdup (e, origin->deployment);
   e->version = talloc_strdup (e, origin->version);
   g_hash_table_insert (s->entries, &e->key, e);
@@ -209,30 +211,52 @@
 /** Largest number of VMs that are told or asked. */
 #define STV_PEERS_MAX 32
 
-void
-stv_note (stv_t *s, env_t *env, const stv_stream_t *stream,
-          const stv_origin_t *origin)
+/** Tell the VMs chosen for E. */
+static void
+_stv_tell (const stv_t *s, env_t *env, const _stv_entry_t *e)
 {
   const char *peers[STV_PEERS_MAX];
   mpk_writer_t w;
-  if (!stv_id_is_valid (stream->request)
-      || strlen (origin->version) > STV_VERSION_MAX)
-    return;
-  _stv_key_t key = _stv_key (stream);
-  _stv_entry_add (s, env, &key, origin);
   void *tmp = talloc_new (NULL);
   mpk_writer_init (&w, tmp);
-  mpk_put_str (&w, (buf_t){ .p = key.bytes, .n = sizeof key.bytes });
-  mpk_put_str (&w, buf_str (origin->deployment));
-  mpk_put_str (&w, buf_str (origin->version));
+  mpk_put_str (&w, (buf_t){ .p = e->key.bytes, .n = sizeof e->key.bytes });
+  mpk_put_str (&w, buf_str (e->deployment));
+  mpk_put_str (&w, buf_str (e->version));
   buf_t body = mpk_done (&w);
-  size_t n = _stv_peers (s, env, &key, false, peers, STV_PEERS_MAX);
+  size_t n = _stv_peers (s, env, &e->key, false, peers, STV_PEERS_MAX);
   for (size_t i = 0; i < n; i++)
     fx_peer_send (env->fx, peers[i], MSG_STREAM_NOTE, body);
   talloc_free (tmp);
   cnt_add (env->cnt, "rts_stream_notes_total", "", n);
 }
 
+void
+stv_note (stv_t *s, env_t *env, const stv_stream_t *stream,
+          const stv_origin_t *origin)
+{
+  if (!stv_id_is_valid (stream->request)
+      || strlen (origin->version) > STV_VERSION_MAX)
+    return;
+  _stv_key_t key = _stv_key (stream);
+  _stv_entry_add (s, env, &key, origin, true);
+  const _stv_entry_t *e = _stv_entry_find (s, env, &key);
+  if (e != NULL)
+    _stv_tell (s, env, e);
+}
+
+void
+stv_members_changed (stv_t *s, env_t *env)
+{
+  for (const GList *l = s->by_age.tail; l != NULL; l = l->prev)
+    {
+      const _stv_entry_t *e = l->data;
+      if (env->now - e->noted_at >= STV_TOLD_AGAIN_MS)
+        return;
+      if (e->own)
+        _stv_tell (s, env, e);
+    }
+}
+
 /* -- questions ------------------------------------------------------------ */
 
 /** Queue the outcome of TAG; ORIGIN is NULL if it is not known. */
@@ -340,7 +364,7 @@
   origin.version = version.p;
   if (!has_key || !mpk_end (r) || version.n > STV_VERSION_MAX)
     return false;
-  _stv_entry_add (s, env, &key, &origin);
+  _stv_entry_add (s, env, &key, &origin, false);
   return true;
 }
 
--- a/src/core/stv.h
+++ b/src/core/stv.h
@@ -34,6 +34,10 @@
 /** Longest id of a request, and longest version, that are kept, in bytes. */
 #define STV_ID_MAX ((size_t)128)
 #define STV_VERSION_MAX ((size_t)64)
+/** Age to which the origins of a VM's own streams are told again when its
+ * membership changes: those told may have been out of reach, or others are
+ * chosen now. */
+#define STV_TOLD_AGAIN_MS (10 * CLK_SECOND)
 /** VMs of its own data centre that the VM that begins a stream tells. */
 #define STV_NOTED_LOCAL 2
 /** VMs of each data centre that are asked. */
@@ -103,6 +107,9 @@
 /** Number of origins that this VM keeps. */
 size_t stv_count (const stv_t *s);
 
+/** The membership has changed: tell of recent streams again. */
+void stv_members_changed (stv_t *s, env_t *env);
+
 /** Handle a timer or a message of this module. */
 void stv_timer_fired (stv_t *s, env_t *env, uint64_t tag);
 void stv_message_received (stv_t *s, env_t *env, const char *vm,
