--- a/tests/drvbed.h
+++ b/tests/drvbed.h
@@ -121,6 +121,11 @@
 /** The same as drvbed_ask, with the route's PATH. */
 drvbed_answer_t *drvbed_ask_at (drvbed_t *b, const char *id, const char *path);
 
+/** The same as drvbed_ask, for a request that takes up, behind event AFTER,
+ * the stream that request RESUMES has begun. */
+drvbed_answer_t *drvbed_take_up (drvbed_t *b, const char *id,
+                                 const char *resumes, const char *after);
+
 /** Port of 127.0.0.1 at which the entry VM takes callers' requests. */
 uint16_t drvbed_port (const drvbed_t *b);
 
@@ -243,6 +248,7 @@
   const char *zone;  /**< NULL: that of the upstream */
   uint64_t born;     /**< Unix time in ms; 0: none */
   unsigned seq;
+  const char *version; /**< of its software; NULL: none */
 } drvbed_entry_t;
 
 /** Adds entry E to the list, or replaces the entry of its name. */
--- a/tests/drvbed_caller.c
+++ b/tests/drvbed_caller.c
@@ -45,39 +45,69 @@
   return 0;
 }
 
-/* Sends a call to PATH as request ID: a POST of BODY, or a GET if BODY is
- * NULL.
- */
+/* What a caller sends. */
+typedef struct
+{
+  const char *id;
+  const char *path;
+  const char *body;    /* NULL: a GET */
+  const char *resumes; /* NULL: it takes up no stream */
+  const char *after;   /* with RESUMES */
+} _drvbed_call_t;
+
 static drvbed_answer_t *
-_drvbed_call (drvbed_t *b, const char *id, const char *path, const char *body)
+_drvbed_send_call (drvbed_t *b, const _drvbed_call_t *call)
 {
   http_header_t headers[] = {
     { "Host", DRVBED_HOST },
-    { "Request-Id", id },
+    { "Request-Id", call->id },
     { "Deadline-Ms", DRVBED_DEADLINE_MS },
     { "Authorization", "Bearer " DRVBED_KEY },
     { "Content-Type", "application/json" },
+    { "Resumes", call->resumes },
+    { "Last-Event-Id", call->after },
   };
+  size_t all = sizeof headers / sizeof headers[0];
   drvbed_answer_t *a = talloc_zero (b, drvbed_answer_t);
-  a->id = talloc_strdup (a, id);
+  a->id = talloc_strdup (a, call->id);
   a->asked_at = drv_now ();
   a->body = g_string_new (NULL);
   talloc_set_destructor (a, _drvbed_answer_destroy);
-  hcl_call (b->callers,
-            &(hcl_call_t){ .owner = HCL_PLATFORM,
-                           .id = b->answers->len,
-                           .address = b->entry.listen,
-                           .method = body == NULL ? "GET" : "POST",
-                           .path = path,
-                           .headers
-                           = { headers, sizeof headers / sizeof headers[0] },
-                           .body = buf_str (body == NULL ? "" : body),
-                           .total_ms = DRVBED_WAIT_MS,
-                           .fresh_connection = true });
+  hcl_call (
+      b->callers,
+      &(hcl_call_t){ .owner = HCL_PLATFORM,
+                     .id = b->answers->len,
+                     .address = b->entry.listen,
+                     .method = call->body == NULL ? "GET" : "POST",
+                     .path = call->path,
+                     .headers = { headers, call->resumes ? all : all - 2 },
+                     .body = buf_str (call->body == NULL ? "" : call->body),
+                     .total_ms = DRVBED_WAIT_MS,
+                     .fresh_connection = true });
   g_ptr_array_add (b->answers, a);
   return a;
 }
 
+/* Sends a call to PATH as request ID: a POST of BODY, or a GET if BODY is
+ * NULL. */
+static drvbed_answer_t *
+_drvbed_call (drvbed_t *b, const char *id, const char *path, const char *body)
+{
+  return _drvbed_send_call (
+      b, &(_drvbed_call_t){ .id = id, .path = path, .body = body });
+}
+
+drvbed_answer_t *
+drvbed_take_up (drvbed_t *b, const char *id, const char *resumes,
+                const char *after)
+{
+  return _drvbed_send_call (b, &(_drvbed_call_t){ .id = id,
+                                                  .path = DRVBED_RESUMABLE,
+                                                  .body = "{}",
+                                                  .resumes = resumes,
+                                                  .after = after });
+}
+
 drvbed_answer_t *
 drvbed_ask_at (drvbed_t *b, const char *id, const char *path)
 {
--- a/tests/drvbed_platform.c
+++ b/tests/drvbed_platform.c
@@ -276,6 +276,8 @@
                    e->state == NULL ? "ready" : e->state, "seq", (int)e->seq);
   if (e->born != 0)
     json_object_set_new (spec, "born", json_integer ((json_int_t)e->born));
+  if (e->version != NULL)
+    json_object_set_new (spec, "version", json_string (e->version));
   (void)drvbed_store_put (b, DRVBED_UPSTREAM_KIND, e->name, spec);
   json_decref (spec);
 }
