--- a/src/core/stv.c
+++ b/src/core/stv.c
@@ -199,11 +199,15 @@
       bool local = strcmp (dc, env->data_centre) == 0;
       size_t wanted = asked ? STV_ASKED : (local ? STV_NOTED_LOCAL : 1);
       const char *ranked[STV_ASKED + STV_NOTED_LOCAL];
+      /* This VM may be one of them, and stands for none. */
       size_t count
-          = mbr_rank (s->members, dc, MOD_STREAM, name, ranked, wanted);
-      for (size_t k = 0; k < count && n < max; k++)
+          = mbr_rank (s->members, dc, MOD_STREAM, name, ranked, wanted + 1);
+      for (size_t k = 0; k < count && wanted > 0 && n < max; k++)
         if (strcmp (ranked[k], env->vm) != 0)
-          out[n++] = ranked[k];
+          {
+            out[n++] = ranked[k];
+            wanted--;
+          }
     }
   return n;
 }
--- a/src/core/stv.h
+++ b/src/core/stv.h
@@ -38,10 +38,11 @@
  * membership changes: those told may have been out of reach, or others are
  * chosen now. */
 #define STV_TOLD_AGAIN_MS (10 * CLK_SECOND)
-/** VMs of its own data centre that the VM that begins a stream tells. */
+/** Other VMs of its own data centre that the VM that begins a stream tells. */
 #define STV_NOTED_LOCAL 2
-/** VMs of each data centre that are asked. */
-#define STV_ASKED 2
+/** VMs of each data centre that are asked: those told, and the one that may
+ * have begun the stream. */
+#define STV_ASKED 3
 /** Longest wait for the replies of the VMs asked. */
 #define STV_WAIT_MS 150
 
