--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -388,8 +388,8 @@
               sse_place_is_inside (&response->place));
 }
 
-/** Whether the stream of RESPONSE ended within an event, or ended by a close
- * before any.  An end marker says more than this (_onl_stream_is_complete). */
+/** Whether the stream of R ended within an event, or ended by a close before
+ * any.  An end marker says more than this (_onl_stream_is_complete). */
 static bool
 _onl_stream_is_cut (const onl_request_t *r)
 {
@@ -400,7 +400,7 @@
          || (response->close_delimited && !response->place.has_event);
 }
 
-/** Whether the end of RESPONSE would claim more than its upstream has: the
+/** Whether the end of R's response would claim more than its upstream has: the
  * caller's response has framing, and only a close ended the upstream's. */
 static bool
 _onl_end_is_unproved (const onl_request_t *r)
