--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -107,6 +107,24 @@
   ev_job_t job;
 } ev_request_t;
 
+/** What the head of a response says about a limit of its upstream. */
+typedef enum
+{
+  EV_LIMIT_UNKNOWN,   /**< nothing: the interface has no limits, or another
+                           upstream has answered */
+  EV_LIMIT_ABSENT,    /**< the upstream has no limit now */
+  EV_LIMIT_NAMED,     /**< ev_limit_t.per_s is the limit */
+  EV_LIMIT_MALFORMED, /**< it names a limit that has no meaning */
+} ev_limit_kind_t;
+
+/** How many requests an upstream takes from all VMs together. */
+typedef struct
+{
+  ev_limit_kind_t kind;
+  double per_s;     /**< EV_LIMIT_NAMED: requests a second; finite, >= 0 */
+  const char *text; /**< EV_LIMIT_MALFORMED: the value, for logs */
+} ev_limit_t;
+
 /** Progress of an upstream call. */
 typedef struct
 {
@@ -119,6 +137,7 @@
                              signature */
   bool leaving;         /**< EV_UPSTREAM_HEAD: the upstream says in it that it
                              is leaving */
+  ev_limit_t limit;     /**< EV_UPSTREAM_HEAD */
   bool close_delimited; /**< EV_UPSTREAM_HEAD: the body has neither a length
                              nor chunks and ends with its connection, so that
                              a body cut short may look complete */
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -47,6 +47,7 @@
         &((rte_upstream_t *)tbl_get (r->upstreams, id))->unanswered);
   g_hash_table_destroy (r->by_name);
   g_hash_table_destroy (r->deployments);
+  g_hash_table_destroy (r->limits);
   g_queue_clear (&r->changed);
   return 0;
 }
@@ -90,6 +91,7 @@
   r->health_chart = rte_health_setup (r);
   r->prefix_index = rte_prefix_index_setup (r, r->desc.prefixes);
   r->leaving_notes = rte_leaving_setup (r);
+  r->limits = rte_limits_setup ();
   talloc_set_destructor (r, _rte_destroy);
   g_queue_init (&r->changed);
   return r;
@@ -326,6 +328,7 @@
   r->members_generation = 0;
   rte_pollers_update (r, env);
   _rte_upstreams_sweep (r);
+  rte_limits_sweep (r, env->now);
   if (!r->ticking)
     {
       r->ticking = true;
@@ -505,6 +508,15 @@
     rte_leaving_learn (r, env, u, (uint64_t)env_unix_ms (env, f->sent_at));
 }
 
+void
+rte_said_limit (rte_t *r, env_t *env, uint64_t handle, const ev_limit_t *limit)
+{
+  rte_upstream_t *u = NULL;
+  const rte_inflight_t *f = _rte_inflight_get (r, handle, &u);
+  if (f != NULL)
+    rte_limit_said (r, env, u, limit, f->sent_at, env->now, "answer");
+}
+
 void
 rte_finished (rte_t *r, env_t *env, uint64_t handle)
 {
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -34,6 +34,7 @@
 
 #include "core/cfg.h"
 #include "core/env.h"
+#include "core/ev.h"
 #include "core/mbr.h"
 #include "core/msg.h"
 
@@ -174,6 +175,11 @@
 /** The head of the response says that the upstream is leaving. */
 void rte_said_leaving (rte_t *r, env_t *env, uint64_t handle);
 
+/** What the head of the response, which came just now, says about a limit of
+ * the upstream. */
+void rte_said_limit (rte_t *r, env_t *env, uint64_t handle,
+                     const ev_limit_t *limit);
+
 /** The response is complete; HANDLE becomes invalid. */
 void rte_finished (rte_t *r, env_t *env, uint64_t handle);
 
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -13,6 +13,7 @@
 #include "core/cht.h"
 #include "core/rte.h"
 #include "core/tbl.h"
+#include "core/upl.h"
 
 #include <glib.h>
 
@@ -70,6 +71,8 @@
   clk_ms_t load_at;      /**< when that call was sent */
   bool load_leaving;     /**< the response's head says that the upstream is
                               leaving */
+  ev_limit_t load_limit; /**< what the response's head says about a limit */
+  clk_ms_t load_head_at; /**< when that head came */
   uint64_t cache_call;   /**< upstream call of the cache poll; 0: none */
   clk_ms_t cache_at;     /**< when that call was sent */
   uint64_t cache_seq;    /**< last sequence number of the upstream's events */
@@ -187,6 +190,16 @@
 typedef struct rte_prefix_index rte_prefix_index_t;
 typedef struct rte_leaving rte_leaving_t;
 
+/** What this VM knows of the limit of one start of an upstream. */
+typedef struct
+{
+  uint64_t born;         /**< Unix time of the start, in ms; 0: not known */
+  upl_word_t word;       /**< the newest word */
+  clk_ms_t used_at;      /**< when an upstream of that start was last listed,
+                              or spoke */
+  bool malformed_logged; /**< a limit without a meaning was logged */
+} rte_limit_t;
+
 struct rte
 {
   rte_desc_t desc;
@@ -201,6 +214,7 @@
                            this VM has to preempt there */
   rte_prefix_index_t *prefix_index;
   rte_leaving_t *leaving_notes; /**< upstreams that have said so themselves */
+  GHashTable *limits;           /**< upstream name to rte_limit_t */
   clk_ms_t picked_at;           /**< time of the last pick */
   size_t poller_count;   /**< other VMs that poll for this one, at the last
                               exchange */
@@ -240,6 +254,23 @@
 clk_ms_t rte_leaving_until (rte_leaving_t *l, const char *name, uint64_t born,
                             clk_ms_t now);
 
+/* rte_limit.c: upstreams that name how many requests they take. */
+
+/** Creates an empty set of limits. */
+GHashTable *rte_limits_setup (void);
+
+/** Drops what is known of upstreams that were not listed for long. */
+void rte_limits_sweep (rte_t *r, clk_ms_t now);
+
+/** The limit of U; NULL: it has not named any. */
+rte_limit_t *rte_limit_find (const rte_t *r, const rte_upstream_t *u);
+
+/** The head of a response of U has said LIMIT; the request was SENT_AT.
+ * SOURCE is for the log. */
+void rte_limit_said (rte_t *r, env_t *env, const rte_upstream_t *u,
+                     const ev_limit_t *limit, clk_ms_t sent_at,
+                     clk_ms_t said_at, const char *source);
+
 /* rte.c */
 
 /** Whether U must get no new requests: the document, a load report or U itself
--- /dev/null
+++ b/src/core/rte_limit.c
@@ -0,0 +1,137 @@
+/** @file
+ * Router: the upstreams that name how many requests a second they take from
+ * all VMs together.
+ *
+ * What an upstream says of itself holds until it says otherwise or starts
+ * anew.  The platform's list may drop it and name it again meanwhile, so the
+ * limits are kept apart from the upstreams in use.
+ */
+#include "core/rte_int.h"
+
+#include <string.h>
+
+/** Largest number of upstreams whose limits are known. */
+#define RTE_LIMITS_MAX 4096
+/** Time after which the limit of an upstream that is not listed is dropped. */
+#define RTE_LIMIT_UNLISTED_MS (60 * CLK_SECOND)
+
+GHashTable *
+rte_limits_setup (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+rte_limits_sweep (rte_t *r, clk_ms_t now)
+{
+  GHashTableIter iter;
+  void *name;
+  void *value;
+  g_hash_table_iter_init (&iter, r->limits);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      rte_limit_t *l = value;
+      const rte_upstream_t *u = g_hash_table_lookup (r->by_name, name);
+      if (u != NULL && u->configured && u->born == l->born)
+        l->used_at = now;
+      else if (now - l->used_at > RTE_LIMIT_UNLISTED_MS)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+rte_limit_t *
+rte_limit_find (const rte_t *r, const rte_upstream_t *u)
+{
+  rte_limit_t *l = g_hash_table_lookup (r->limits, u->name);
+  return l != NULL && l->born == u->born ? l : NULL;
+}
+
+/** The limit of U, made when it is first needed; NULL: there are too many, or
+ * a later start of U has spoken. */
+static rte_limit_t *
+_rte_limit_get (rte_t *r, const rte_upstream_t *u, clk_ms_t now)
+{
+  rte_limit_t *l = g_hash_table_lookup (r->limits, u->name);
+  if (l != NULL && l->born > u->born)
+    return NULL;
+  if (l == NULL && g_hash_table_size (r->limits) >= RTE_LIMITS_MAX)
+    return NULL;
+  if (l == NULL || l->born != u->born)
+    {
+      l = g_new0 (rte_limit_t, 1);
+      l->born = u->born;
+      l->word = UPL_WORD_NONE;
+      g_hash_table_replace (r->limits, g_strdup (u->name), l);
+    }
+  l->used_at = now;
+  return l;
+}
+
+static void
+_rte_limit_log (env_t *env, const rte_upstream_t *u, const upl_word_t *word,
+                const char *source)
+{
+  if (upl_word_is_limit (word))
+    tln_record (env->tln, env->now, MOD_ROUTE, "limit-named",
+                "upstream=%s born=%llu per_s=%g age_ms=%lld source=%s",
+                u->name, (unsigned long long)u->born, word->per_s,
+                (long long)(env->now - word->said_at), source);
+  else
+    tln_record (env->tln, env->now, MOD_ROUTE, "limit-ended",
+                "upstream=%s born=%llu age_ms=%lld source=%s", u->name,
+                (unsigned long long)u->born,
+                (long long)(env->now - word->said_at), source);
+}
+
+/** Logs once for each start of U that it has named a limit without a
+ * meaning. */
+static void
+_rte_limit_malformed (rte_t *r, env_t *env, const rte_upstream_t *u,
+                      const ev_limit_t *limit)
+{
+  rte_limit_t *l = _rte_limit_get (r, u, env->now);
+  cnt_add (env->cnt, "rts_route_limits_malformed_total", "", 1);
+  if (l == NULL || l->malformed_logged)
+    return;
+  l->malformed_logged = true;
+  tln_record (env->tln, env->now, MOD_ROUTE, "limit-malformed",
+              "upstream=%s value=%.32s", u->name,
+              limit->text == NULL ? "" : limit->text);
+}
+
+/** Takes a word on U's limit, whose times may be wrong by DOUBT. */
+static void
+_rte_limit_word (rte_t *r, env_t *env, const rte_upstream_t *u,
+                 const upl_word_t *word, clk_ms_t doubt, const char *source)
+{
+  /* An upstream that never named a limit needs no entry. */
+  if (!upl_word_is_limit (word) && rte_limit_find (r, u) == NULL)
+    return;
+  rte_limit_t *l = _rte_limit_get (r, u, env->now);
+  if (l != NULL && upl_word_merge (&l->word, word, doubt) == UPL_CHANGED)
+    _rte_limit_log (env, u, &l->word, source);
+}
+
+void
+rte_limit_said (rte_t *r, env_t *env, const rte_upstream_t *u,
+                const ev_limit_t *limit, clk_ms_t sent_at, clk_ms_t said_at,
+                const char *source)
+{
+  upl_word_t word
+      = { .per_s = INFINITY, .sent_at = sent_at, .said_at = said_at };
+  switch (limit->kind)
+    {
+    case EV_LIMIT_UNKNOWN:
+      return;
+    case EV_LIMIT_MALFORMED:
+      _rte_limit_malformed (r, env, u, limit);
+      return;
+    case EV_LIMIT_NAMED:
+      cnt_add (env->cnt, "rts_route_limit_answers_total", "", 1);
+      word.per_s = limit->per_s;
+      break;
+    case EV_LIMIT_ABSENT:
+      break;
+    }
+  _rte_limit_word (r, env, u, &word, 0, source);
+}
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -212,6 +212,9 @@
    * the address now. */
   if (leaving && u->born != 0 && (uint64_t)born == u->born)
     rte_leaving_learn (r, env, u, u->born);
+  if ((uint64_t)born == u->born)
+    rte_limit_said (r, env, u, &u->poll->load_limit, u->poll->load_at,
+                    u->poll->load_head_at, "report");
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
   if (slots > 0)
@@ -301,6 +304,17 @@
   return true;
 }
 
+/** Keeps what the head UP of a load response says until the body has shown
+ * whose it is. */
+static void
+_rte_load_head_keep (rte_poll_t *p, const env_t *env, const ev_upstream_t *up)
+{
+  p->load_leaving = up->leaving;
+  p->load_limit = up->limit;
+  p->load_limit.text = NULL;
+  p->load_head_at = env->now;
+}
+
 void
 rte_upstream_event (rte_t *r, env_t *env, uint64_t tag, const ev_t *ev)
 {
@@ -316,7 +330,7 @@
     {
     case EV_UPSTREAM_HEAD:
       if (!cache)
-        u->poll->load_leaving = ev->upstream.leaving;
+        _rte_load_head_keep (u->poll, env, &ev->upstream);
       if (ev->upstream.status == 200)
         break;
       upc_cancel (env, call);
