--- a/tests/hst.c
+++ b/tests/hst.c
@@ -266,6 +266,12 @@
       h->now = e->at;
       if (e->incarnation != h->vm[e->vm].incarnation)
         ;
+      else if (e->at < h->vm[e->vm].frozen_until)
+        {
+          e->at = h->vm[e->vm].frozen_until;
+          g_queue_insert_sorted (&h->events, e, _hst_event_compare, NULL);
+          continue;
+        }
       else if (e->is_call)
         _hst_platform_call_serve (h, e);
       else if (e->is_report)
@@ -427,6 +433,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   h->runs = g_ptr_array_new_with_free_func (g_free);
   h->run_upstreams = g_array_new (FALSE, FALSE, sizeof (size_t));
+  h->arrivals = g_array_new (FALSE, FALSE, sizeof (hst_arrival_t));
   h->in_flight = g_ptr_array_new ();
   hst_document_write (h, HST_KEY);
   h->vm_count = h->desc.entries + h->desc.workers;
@@ -468,6 +475,7 @@
   g_hash_table_destroy (h->responses);
   g_ptr_array_unref (h->runs);
   g_array_unref (h->run_upstreams);
+  g_array_unref (h->arrivals);
   for (size_t i = 0; i < h->vm_count; i++)
     g_ptr_array_unref (h->vm[i].calls);
   g_ptr_array_unref (h->in_flight);
@@ -579,6 +587,18 @@
   _hst_links_update (h);
 }
 
+void
+hst_freeze (hst_t *h, size_t vm, clk_ms_t ms)
+{
+  h->vm[vm].frozen_until = h->now + ms;
+}
+
+bool
+hst_runs (const hst_t *h, size_t vm)
+{
+  return h->vm[vm].node != NULL && h->now >= h->vm[vm].frozen_until;
+}
+
 void
 hst_platform_silent (hst_t *h, bool silent)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -197,6 +197,35 @@
  * NULL: the list does not tell.  All upstreams begin so. */
 void hst_version_set (hst_t *h, size_t upstream, const char *version);
 
+/** Sets what responses of UPSTREAM to requests, and its load reports too if
+ * REPORTED, say about its limit; MALFORMED texts are borrowed.  All upstreams
+ * begin with EV_LIMIT_UNKNOWN. */
+void hst_limit_set (hst_t *h, size_t upstream, ev_limit_t limit,
+                    bool reported);
+
+/** A request that an upstream has received. */
+typedef struct
+{
+  clk_ms_t at;
+  size_t vm; /**< that sent it */
+  size_t upstream;
+  bool item; /**< an item of a job, not a caller's request */
+} hst_arrival_t;
+
+/** All requests that upstreams have received, except reads of their load, in
+ * the order of their times: hst_arrival_t. */
+const GArray *hst_arrivals (const hst_t *h);
+
+/** While UNLISTED, the list does not name UPSTREAM. */
+void hst_unlisted_set (hst_t *h, size_t upstream, bool unlisted);
+
+/** Stops the process of VM for MS: what would have reached it comes at once
+ * then. */
+void hst_freeze (hst_t *h, size_t vm, clk_ms_t ms);
+
+/** Whether VM has a process that is not stopped. */
+bool hst_runs (const hst_t *h, size_t vm);
+
 /** Sets whether the list marks UPSTREAM as leaving. */
 void hst_leaving_set (hst_t *h, size_t upstream, bool leaving);
 
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -55,6 +55,7 @@
   bool down;                /**< the platform does not serve this VM */
   bool retire;              /**< the VM is asked to retire */
   bool retired;             /**< the VM has reported that it has retired */
+  clk_ms_t frozen_until;    /**< its process stands still until then */
   unsigned directory_calls; /**< reads of the document and the upstreams */
   GPtrArray *calls;         /**< char *: names of all platform calls */
   bool wants_link[HST_MAX]; /**< whether this VM wants a link to VM i */
@@ -86,6 +87,10 @@
   clk_ms_t born[HST_MAX];       /**< starts of upstreams; 0: not told */
   const char *version[HST_MAX]; /**< of upstreams' software; NULL: not told */
   bool leaving[HST_MAX];        /**< upstreams that the list marks so */
+  bool unlisted[HST_MAX];       /**< upstreams that the list does not name */
+  ev_limit_t limit[HST_MAX];    /**< what upstreams say */
+  bool limit_reported[HST_MAX]; /**< in load reports too */
+  GArray *arrivals;             /**< hst_arrival_t */
   uint64_t born_revision;       /**< of the last change of the list */
   unsigned received[HST_MAX];   /**< requests, by upstream */
   unsigned running[HST_MAX];    /**< requests that run now, by upstream */
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -119,6 +119,7 @@
       .born = (uint64_t)h->born[i],
       .version = h->version[i],
       .leaving = h->leaving[i],
+      .deleted = h->unlisted[i],
     };
   reply->entries = v;
   reply->entry_count = h->desc.upstreams;
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -39,10 +39,12 @@
   hst_event_t *e = hst_event_push (
       h, vm, HST_REPORT_MS,
       &(ev_t){ .kind = EV_UPSTREAM_HEAD,
-               .upstream
-               = { .call = call,
-                   .status = 200,
-                   .leaving = h->faults[upstream].reports_leaving } });
+               .upstream = { .call = call,
+                             .status = 200,
+                             .leaving = h->faults[upstream].reports_leaving,
+                             .limit = h->limit_reported[upstream]
+                                          ? h->limit[upstream]
+                                          : (ev_limit_t){ 0 } } });
   e->is_report = true;
   e->upstream = upstream;
 }
@@ -76,6 +78,9 @@
       return;
     }
   h->received[at]++;
+  hst_arrival_t arrival
+      = { .at = h->now, .vm = vm, .upstream = at, .item = u->caller == 0 };
+  g_array_append_val (h->arrivals, arrival);
   talloc_free (h->last_call_ctx);
   h->last_call_ctx = talloc_new (h);
   h->last_call = *u;
@@ -103,6 +108,7 @@
   head.upstream.status = fault->status == 0 ? 200 : fault->status;
   head.upstream.not_run = fault->not_run;
   head.upstream.leaving = fault->says_leaving;
+  head.upstream.limit = h->limit[at];
   head.upstream.is_signed
       = head.upstream.status == 200 && !fault->no_signature;
   for (size_t i = 0; i < u->headers.n; i++)
@@ -287,6 +293,26 @@
   h->born_revision = ++h->revision;
 }
 
+void
+hst_limit_set (hst_t *h, size_t upstream, ev_limit_t limit, bool reported)
+{
+  h->limit[upstream] = limit;
+  h->limit_reported[upstream] = reported;
+}
+
+const GArray *
+hst_arrivals (const hst_t *h)
+{
+  return h->arrivals;
+}
+
+void
+hst_unlisted_set (hst_t *h, size_t upstream, bool unlisted)
+{
+  h->unlisted[upstream] = unlisted;
+  h->born_revision = ++h->revision;
+}
+
 void
 hst_leaving_set (hst_t *h, size_t upstream, bool leaving)
 {
