Limits: VMs send an upstream together no more than it names

Cause: no code kept to Server-Limit; rte bounds what is in flight, never how often something is sent. Callers saw nothing; the upstream got two to four times what it takes. Change: one VM for each upstream, its poller, has a mint (upl_mint) that gives out a token for each request at the rate that the upstream names; the others ask it (upl_hold) and send nothing there without one. A mint begins empty, and mints the share of the VMs that it sees. What an upstream has said travels with the asks and is merged by when it can have been said (upl). Where all upstreams have no token the caller is refused within a sixth of the route's aim, not run, with a time of its own to come back. Items wait while online requests do.

--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -88,6 +88,8 @@
   GQueue *held; /**< guint64: requests that have left QUEUE and wait until an
                      upstream of their version has room, oldest first */
   rtb_t budget;
+  clk_ms_t turn_at; /**< when the last caller that was refused because of
+                         upstreams' limits is to come back */
 } onl_deployment_t;
 
 /** A request in progress. */
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -27,6 +27,13 @@
  * after a failure another upstream can still respond in that time. */
 #define ONL_CONNECT_PART 3
 
+/** A request waits this part of its target time for upstreams' limits. */
+#define ONL_LIMIT_PART 6
+/** Least time between two callers that are to come back, and longest time
+ * after which one is. */
+#define ONL_LIMIT_GAP_MS_MIN ((clk_ms_t)20)
+#define ONL_LIMIT_RETRY_MS_MAX (2 * CLK_SECOND)
+
 /** Arm the timer that checks the queues: a waiting request becomes too late
  * without any event. */
 static void
@@ -138,6 +145,41 @@
   return rte_pick (o->desc.routes, env, &query, &r->pick);
 }
 
+/** Until when R waits for a token of upstreams that name limits: a refusal
+ * must leave the caller the time to be served elsewhere. */
+static clk_ms_t
+_onl_limit_patience_end (const onl_request_t *r)
+{
+  if (r->target_ms == 0 || r->delivered)
+    return r->leave_by;
+  return clk_min (r->leave_by, r->arrived + r->target_ms / ONL_LIMIT_PART);
+}
+
+/** Refuse R, as upstreams' limits leave it no room.  Each caller refused so is
+ * told a time of its own, at the pace at which this VM gets tokens. */
+static void
+_onl_refuse_limited (onl_t *o, env_t *env, onl_request_t *r)
+{
+  onl_deployment_t *d = r->deployment;
+  double per_s = r->pick.limit_per_s;
+  clk_ms_t gap = per_s > 0 ? (clk_ms_t)((double)CLK_SECOND / per_s) : 0;
+  d->turn_at = clk_max (d->turn_at, env->now + r->pick.limit_wait_ms)
+               + env_jitter (env, clk_max (gap, ONL_LIMIT_GAP_MS_MIN));
+  d->turn_at = clk_min (d->turn_at,
+                        env->now + env_jitter (env, ONL_LIMIT_RETRY_MS_MAX));
+  tln_record (env->tln, env->now, MOD_ONLINE, "limited",
+              "request=%s deployment=%s age_ms=%lld wait_ms=%lld per_s=%g "
+              "retry_ms=%lld",
+              r->request_id, d->name, (long long)(env->now - r->arrived),
+              (long long)r->pick.limit_wait_ms, per_s,
+              (long long)(d->turn_at - env->now));
+  onl_refuse (o, env, r,
+              &(rpl_error_t){ .status = r->runs > 0 ? 502 : 503,
+                              .code = "upstreams-limited",
+                              .message = "the upstreams take no more now",
+                              .retry_after_ms = d->turn_at - env->now });
+}
+
 static void
 _onl_refuse_no_upstream (onl_t *o, env_t *env, onl_request_t *r)
 {
@@ -150,16 +192,22 @@
 }
 
 /** Send a request just taken from its queue, or refuse the request.  Returns
- * false when all upstreams are full: the request must go back into the queue.
- */
+ * false when upstreams are full, or will soon have room by their limits: the
+ * request must go back into the queue. */
 static bool
 _onl_dispatch_request (onl_t *o, env_t *env, onl_request_t *r)
 {
   if (!_onl_pick (o, env, r))
     {
-      if (r->pick.full)
+      bool full = r->pick.full;
+      bool limited = r->pick.limited;
+      clk_ms_t room_at = env->now + (full ? 0 : r->pick.limit_wait_ms);
+      if (limited ? room_at < _onl_limit_patience_end (r) : full)
         return false;
-      _onl_refuse_no_upstream (o, env, r);
+      if (limited)
+        _onl_refuse_limited (o, env, r);
+      else
+        _onl_refuse_no_upstream (o, env, r);
       return true;
     }
   if (r->record != 0 && !idm_may_send (o->desc.records, env, r->record))
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -92,6 +92,7 @@
   r->prefix_index = rte_prefix_index_setup (r, r->desc.prefixes);
   r->leaving_notes = rte_leaving_setup (r);
   r->limits = rte_limits_setup ();
+  r->limit_timer_at = CLK_NEVER;
   talloc_set_destructor (r, _rte_destroy);
   g_queue_init (&r->changed);
   return r;
@@ -341,10 +342,18 @@
 rte_timer_fired (rte_t *r, env_t *env, uint64_t tag)
 {
   rte_pollers_update (r, env);
-  if (tag == RTE_TIMER_POLL)
-    rte_poll_tick (r, env);
-  else
-    rte_exchange_tick (r, env);
+  switch (tag)
+    {
+    case RTE_TIMER_POLL:
+      rte_poll_tick (r, env);
+      break;
+    case RTE_TIMER_EXCHANGE:
+      rte_exchange_tick (r, env);
+      break;
+    default:
+      rte_limit_tick (r, env);
+      break;
+    }
 }
 
 /** Finds the request of HANDLE and its upstream; NULL for an invalid handle.
@@ -619,17 +628,21 @@
       const rte_upstream_t *u = tbl_get (r->upstreams, id);
       if (!u->configured)
         continue;
+      uint32_t tokens = 0;
+      double limit = rte_limit_status (r, env, u, &tokens);
       json_array_append_new (
           all,
-          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f}",
-                     "upstream", u->name, "deployment", u->deployment,
-                     "data_centre", u->data_centre, "leaving",
-                     rte_gets_nothing_new (u, env->now), "suspected",
-                     u->health != RTE_WELL, "silent",
-                     (u->state & RTE_BIT_SILENT) != 0, "polled_here",
-                     u->poll != NULL, "in_flight", (int)(u->online + u->batch),
-                     "load", (int)rte_estimated_load (u, env->now), "slowness",
-                     rte_slowness (u, env->now)));
+          json_pack (
+              "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f, s:f, "
+              "s:s, s:i}",
+              "upstream", u->name, "deployment", u->deployment, "data_centre",
+              u->data_centre, "leaving", rte_gets_nothing_new (u, env->now),
+              "suspected", u->health != RTE_WELL, "silent",
+              (u->state & RTE_BIT_SILENT) != 0, "polled_here", u->poll != NULL,
+              "in_flight", (int)(u->online + u->batch), "load",
+              (int)rte_estimated_load (u, env->now), "slowness",
+              rte_slowness (u, env->now), "limit_per_s", limit, "mint",
+              u->mint == NULL ? "" : u->mint, "limit_tokens", (int)tokens));
     }
   char *text = json_dumps (all, JSON_COMPACT);
   char *copy = talloc_strdup (ctx, text);
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -61,6 +61,19 @@
   /** Poller to the VM with the most batch requests at the upstream: the VM
    * preempts one of them.  The same fields, with the poller's counts. */
   MSG_ROUTE_PREEMPT = MSG_ROUTE_FIRST + 3,
+  /** VM to the VM with the mint of upstreams' limits.  For each upstream: str
+   * upstream, u64 its start (Unix ms, 0: not known), the newest word on its
+   * limit (double requests a second, negative: none; u64 age of the request,
+   * u64 age of the response, in ms), u64 count of asks, then for each u64
+   * class, u64 number, u64 tokens; u64 count of settlements, then for each
+   * u64 number of the ask, u64 tokens used, u64 tokens returned, both in
+   * millionths. */
+  MSG_ROUTE_TOKENS_ASK = MSG_ROUTE_FIRST + 4,
+  /** The response, and what the VM with the mint tells by itself.  For each
+   * upstream: str upstream, u64 its start, the newest word as above, u64 count
+   * of grants and turns, then for each u64 class, u64 number of the ask, u64
+   * tokens, u64 ms until the next one and u64 ms between two. */
+  MSG_ROUTE_TOKENS = MSG_ROUTE_FIRST + 5,
 } rte_msg_t;
 
 /** Parameters of rte_setup; a zero selects the default. */
@@ -109,8 +122,14 @@
  * rte_config_changed. */
 typedef struct
 {
-  bool full;       /**< rte_pick returned false only because every usable
-                        upstream was excluded as full */
+  bool full;    /**< rte_pick returned false, and a usable upstream was
+                     excluded as full */
+  bool limited; /**< rte_pick returned false, and a usable upstream was
+                     excluded because of the limit that it names */
+  clk_ms_t limit_wait_ms; /**< limited: expected time until this VM may send
+                               a request to one of these; 0: not known */
+  double limit_per_s;     /**< limited: requests a second that this VM can
+                               expect to send there; 0: not known */
   uint64_t handle; /**< identifies the request in rte_started and the other
                         calls that report progress */
   const char *upstream;
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -28,6 +28,12 @@
 /** Added cost, for a batch request, of an upstream in another data centre: a
  * cut ends such a request, but another upstream resumes it. */
 #define RTE_BATCH_DISTANCE_MS 4.0
+/** Added cost of an upstream that names a limit: what it takes is saved up
+ * while others have room. */
+#define RTE_LIMITED_MS 50.0
+/** Largest number of upstreams without room by their limits among which a
+ * choice remembers those that it would have preferred. */
+#define RTE_PASSED_MAX 64
 /** Candidates whose costs differ by less count as equal. */
 #define RTE_EQUAL_MS 1.0
 
@@ -159,6 +165,8 @@
     c.cost_ms -= RTE_HOME_SHARE * (d->miss_ms - d->hit_ms);
   if ((u->state & RTE_BIT_SILENT) != 0)
     c.cost_ms += (double)r->desc.suspect_ms;
+  if (rte_limit_in_force (r, u) != NULL)
+    c.cost_ms += RTE_LIMITED_MS;
   return c;
 }
 
@@ -225,13 +233,16 @@
 
 /** The cheapest upstream of D; ties are broken at random.  SUSPECTS: considers
  * suspected upstreams too, but only those without an in-flight request of this
- * VM.  *FULL becomes true when an upstream is excluded as full. */
+ * VM.  PICK tells when an upstream is excluded as full, or by its limit.
+ * Tokens are asked for where one would have been preferred. */
 static rte_candidate_t
-_rte_choose (const rte_t *r, env_t *env, const rte_deployment_t *d,
-             const rte_query_t *query, bool suspects, bool *full)
+_rte_choose (rte_t *r, env_t *env, const rte_deployment_t *d,
+             const rte_query_t *query, bool suspects, rte_pick_t *pick)
 {
   rte_candidate_t best = { .upstream = NULL };
   unsigned equal = 0;
+  rte_candidate_t passed[RTE_PASSED_MAX];
+  size_t passed_count = 0;
   const rte_upstream_t *home = _rte_home (d, query->prefix, env->now);
   for (guint i = 0; i < d->upstreams->len; i++)
     {
@@ -247,10 +258,17 @@
         continue;
       if (_rte_full (r, env, query, u))
         {
-          *full = true;
+          pick->full = true;
           continue;
         }
       rte_candidate_t c = _rte_cost (r, env, d, query, u, home);
+      if (!rte_limit_admits (r, env, u, query))
+        {
+          rte_limit_turn_add (r, env, u, query, pick);
+          if (passed_count < RTE_PASSED_MAX)
+            passed[passed_count++] = c;
+          continue;
+        }
       if (best.upstream == NULL || c.cost_ms < best.cost_ms - RTE_EQUAL_MS)
         {
           best = c;
@@ -260,6 +278,9 @@
                && g_rand_int_range (env->rand, 0, (gint32)++equal) == 0)
         best = c;
     }
+  for (size_t i = 0; i < passed_count; i++)
+    if (best.upstream == NULL || passed[i].cost_ms < best.cost_ms)
+      rte_limit_want (r, env, passed[i].upstream, query);
   return best;
 }
 
@@ -287,6 +308,7 @@
     u->batch++;
   else
     u->online++;
+  rte_limit_charge (r, env, u, query);
   rte_health_lapse (r, u, env->now);
   u->queued += c->queued;
   r->picked_at = env->now;
@@ -324,24 +346,23 @@
   *pick = (rte_pick_t){ .full = false };
   if (d == NULL)
     return false;
-  bool full = false;
-  rte_candidate_t c = _rte_choose (r, env, d, query, false, &full);
-  if (c.upstream == NULL && full)
+  rte_candidate_t c = _rte_choose (r, env, d, query, false, pick);
+  if (c.upstream == NULL && (pick->full || pick->limited))
     {
       /* A batch request may lack a report on the load. */
-      if (query->batch)
+      if (query->batch && pick->full)
         rte_exchange_wake (r, env);
-      *pick = (rte_pick_t){ .full = true };
       return false;
     }
   if (c.upstream == NULL)
     {
-      c = _rte_choose (r, env, d, query, true, &full);
+      c = _rte_choose (r, env, d, query, true, pick);
       cnt_add (env->cnt, "rts_route_suspects_tried_total", "", 1);
     }
   if (c.upstream == NULL)
     {
       cnt_add (env->cnt, "rts_route_none_total", "", 1);
+      *pick = (rte_pick_t){ .full = false };
       /* A batch request is tried again with each event. */
       if (!query->batch)
         _rte_none_record (env, d);
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -272,6 +272,7 @@
           || batch > in_flight)
         continue;
       rte_usage_record (u, env, vm, (uint32_t)in_flight, (uint32_t)batch);
+      rte_limit_user_seen (r, env, u, vm);
       if (in_flight > batch)
         rte_preempt_as_poller (r, env, u);
       _rte_report_write (&w, env, u, vm, seen);
@@ -378,6 +379,8 @@
   else if (msg->kind == MSG_ROUTE_SLOTS_TAKEN
            || msg->kind == MSG_ROUTE_PREEMPT)
     good = rte_preempt_received (r, env, vm, msg, ctx);
+  else if (msg->kind == MSG_ROUTE_TOKENS_ASK || msg->kind == MSG_ROUTE_TOKENS)
+    good = rte_limit_received (r, env, vm, msg, ctx);
   if (!good)
     cnt_add (env->cnt, "rts_route_bad_messages_total", "", 1);
   talloc_free (ctx);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -14,6 +14,7 @@
 #include "core/rte.h"
 #include "core/tbl.h"
 #include "core/upl.h"
+#include "core/upl_hold.h"
 
 #include <glib.h>
 
@@ -103,6 +104,8 @@
   uint64_t hash;     /**< hash of the name */
   GQueue unanswered; /**< rte_inflight_t without a first byte, oldest first */
   char *poller;      /**< VM that polls this upstream; NULL: unknown */
+  char *mint;        /**< VM that gives out the tokens of its limit; NULL:
+                          unknown */
   uint32_t slots;
   uint32_t online;        /**< this VM's in-flight online requests */
   uint32_t batch;         /**< this VM's in-flight batch requests */
@@ -198,6 +201,16 @@
   clk_ms_t used_at;      /**< when an upstream of that start was last listed,
                               or spoke */
   bool malformed_logged; /**< a limit without a meaning was logged */
+  upl_hold_t *hold;      /**< this VM's tokens */
+  upl_mint_t *mint;      /**< NULL unless this VM has the mint */
+  bool untold;           /**< the newest word is to be told to others */
+  GHashTable *told; /**< VM name to clk_ms_t: when this VM, with the mint, told
+                         it the word */
+  uint32_t sent[UPL_CLASS_NUM];   /**< requests charged since the last line of
+                                       the log */
+  uint32_t passed[UPL_CLASS_NUM]; /**< picks that passed the upstream over,
+                                       since then */
+  clk_ms_t logged_at;             /**< time of that line */
 } rte_limit_t;
 
 struct rte
@@ -215,14 +228,16 @@
   rte_prefix_index_t *prefix_index;
   rte_leaving_t *leaving_notes; /**< upstreams that have said so themselves */
   GHashTable *limits;           /**< upstream name to rte_limit_t */
-  clk_ms_t picked_at;           /**< time of the last pick */
-  size_t poller_count;   /**< other VMs that poll for this one, at the last
-                              exchange */
-  size_t message_count;  /**< messages of the last exchange */
-  clk_ms_t exchanged_at; /**< time of the last exchange */
-  clk_ms_t exchange_at;  /**< time of the next exchange; a timer that fires
-                              earlier is obsolete */
-  bool ticking;          /**< the timers are armed */
+  clk_ms_t limit_timer_at; /**< time of the next RTE_TIMER_LIMIT, CLK_NEVER:
+                                none; one that fires earlier is obsolete */
+  clk_ms_t picked_at;      /**< time of the last pick */
+  size_t poller_count;     /**< other VMs that poll for this one, at the last
+                                exchange */
+  size_t message_count;    /**< messages of the last exchange */
+  clk_ms_t exchanged_at;   /**< time of the last exchange */
+  clk_ms_t exchange_at;    /**< time of the next exchange; a timer that fires
+                                earlier is obsolete */
+  bool ticking;            /**< the timers are armed */
 };
 
 /* rte_prefix.c: index of the upstreams that probably cache each prefix. */
@@ -262,9 +277,63 @@
 /** Drops what is known of upstreams that were not listed for long. */
 void rte_limits_sweep (rte_t *r, clk_ms_t now);
 
+/** Finds the VM that gives out the tokens of U's limit again: U's poller, or
+ * a VM of another data centre if U's has none. */
+void rte_limit_mint_update (rte_t *r, env_t *env, rte_upstream_t *u);
+
+/** Takes a word on U's limit, whose times may be wrong by DOUBT.  SOURCE is
+ * for the log. */
+void rte_limit_word (rte_t *r, env_t *env, const rte_upstream_t *u,
+                     const upl_word_t *word, clk_ms_t doubt,
+                     const char *source);
+
 /** The limit of U; NULL: it has not named any. */
 rte_limit_t *rte_limit_find (const rte_t *r, const rte_upstream_t *u);
 
+/** The limit of U if it names one now; NULL: it does not. */
+rte_limit_t *rte_limit_in_force (const rte_t *r, const rte_upstream_t *u);
+
+/** Whether U's limit has room for QUERY, as this VM has a token or U names no
+ * limit. */
+bool rte_limit_admits (const rte_t *r, const env_t *env,
+                       const rte_upstream_t *u, const rte_query_t *query);
+
+/** Notes that QUERY would have gone to U, or would go there, with a token. */
+void rte_limit_want (rte_t *r, env_t *env, const rte_upstream_t *u,
+                     const rte_query_t *query);
+
+/** Uses a token for QUERY at U, which rte_limit_admits has let pass. */
+void rte_limit_charge (rte_t *r, env_t *env, const rte_upstream_t *u,
+                       const rte_query_t *query);
+
+/** Adds to PICK when this VM can send QUERY to U, which has no room for it by
+ * its limit. */
+void rte_limit_turn_add (const rte_t *r, const env_t *env,
+                         const rte_upstream_t *u, const rte_query_t *query,
+                         rte_pick_t *pick);
+
+/** What is known of U's limit, for the status page: the rate (negative: no
+ * limit) and this VM's tokens. */
+double rte_limit_status (const rte_t *r, const env_t *env,
+                         const rte_upstream_t *u, uint32_t *tokens);
+
+/* rte_tokens.c: tokens of limits between VMs. */
+
+/** Has rte_limit_tick run at AT. */
+void rte_limit_arm (rte_t *r, env_t *env, clk_ms_t at);
+
+/** Asks for tokens, gives them out and tells words, as far as they are due. */
+void rte_limit_tick (rte_t *r, env_t *env);
+
+/** VM uses U: tells it of U's limit if this VM has the mint. */
+void rte_limit_user_seen (rte_t *r, env_t *env, const rte_upstream_t *u,
+                          const char *vm);
+
+/** Handles MSG_ROUTE_TOKENS_ASK and MSG_ROUTE_TOKENS of VM; false: malformed.
+ */
+bool rte_limit_received (rte_t *r, env_t *env, const char *vm,
+                         const msg_t *msg, void *ctx);
+
 /** The head of a response of U has said LIMIT; the request was SENT_AT.
  * SOURCE is for the log. */
 void rte_limit_said (rte_t *r, env_t *env, const rte_upstream_t *u,
@@ -290,6 +359,7 @@
 {
   RTE_TIMER_POLL,
   RTE_TIMER_EXCHANGE,
+  RTE_TIMER_LIMIT,
 };
 
 /* rte_health.c: health of an upstream as this VM's own requests show it. */
--- a/src/core/rte_limit.c
+++ b/src/core/rte_limit.c
@@ -6,19 +6,47 @@
  * anew.  The platform's list may drop it and name it again meanwhile, so the
  * limits are kept apart from the upstreams in use.
  */
+#include "core/inv.h"
 #include "core/rte_int.h"
 
 #include <string.h>
+#include <talloc.h>
 
 /** Largest number of upstreams whose limits are known. */
 #define RTE_LIMITS_MAX 4096
 /** Time after which the limit of an upstream that is not listed is dropped. */
 #define RTE_LIMIT_UNLISTED_MS (60 * CLK_SECOND)
 
+static void
+_rte_limit_free (void *l)
+{
+  talloc_free (l);
+}
+
+static int
+_rte_limit_destroy (rte_limit_t *l)
+{
+  g_hash_table_destroy (l->told);
+  return 0;
+}
+
 GHashTable *
 rte_limits_setup (void)
 {
-  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                _rte_limit_free);
+}
+
+static rte_limit_t *
+_rte_limit_new (rte_t *r, const env_t *env, uint64_t born)
+{
+  rte_limit_t *l = talloc_zero (r, rte_limit_t);
+  l->born = born;
+  l->word = UPL_WORD_NONE;
+  l->hold = upl_hold_setup (l, env_number_base (env));
+  l->told = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  talloc_set_destructor (l, _rte_limit_destroy);
+  return l;
 }
 
 void
@@ -49,7 +77,7 @@
 /** The limit of U, made when it is first needed; NULL: there are too many, or
  * a later start of U has spoken. */
 static rte_limit_t *
-_rte_limit_get (rte_t *r, const rte_upstream_t *u, clk_ms_t now)
+_rte_limit_get (rte_t *r, const env_t *env, const rte_upstream_t *u)
 {
   rte_limit_t *l = g_hash_table_lookup (r->limits, u->name);
   if (l != NULL && l->born > u->born)
@@ -58,12 +86,10 @@
     return NULL;
   if (l == NULL || l->born != u->born)
     {
-      l = g_new0 (rte_limit_t, 1);
-      l->born = u->born;
-      l->word = UPL_WORD_NONE;
+      l = _rte_limit_new (r, env, u->born);
       g_hash_table_replace (r->limits, g_strdup (u->name), l);
     }
-  l->used_at = now;
+  l->used_at = env->now;
   return l;
 }
 
@@ -89,7 +115,7 @@
 _rte_limit_malformed (rte_t *r, env_t *env, const rte_upstream_t *u,
                       const ev_limit_t *limit)
 {
-  rte_limit_t *l = _rte_limit_get (r, u, env->now);
+  rte_limit_t *l = _rte_limit_get (r, env, u);
   cnt_add (env->cnt, "rts_route_limits_malformed_total", "", 1);
   if (l == NULL || l->malformed_logged)
     return;
@@ -99,17 +125,19 @@
               limit->text == NULL ? "" : limit->text);
 }
 
-/** Takes a word on U's limit, whose times may be wrong by DOUBT. */
-static void
-_rte_limit_word (rte_t *r, env_t *env, const rte_upstream_t *u,
-                 const upl_word_t *word, clk_ms_t doubt, const char *source)
+void
+rte_limit_word (rte_t *r, env_t *env, const rte_upstream_t *u,
+                const upl_word_t *word, clk_ms_t doubt, const char *source)
 {
   /* An upstream that never named a limit needs no entry. */
   if (!upl_word_is_limit (word) && rte_limit_find (r, u) == NULL)
     return;
-  rte_limit_t *l = _rte_limit_get (r, u, env->now);
-  if (l != NULL && upl_word_merge (&l->word, word, doubt) == UPL_CHANGED)
-    _rte_limit_log (env, u, &l->word, source);
+  rte_limit_t *l = _rte_limit_get (r, env, u);
+  if (l == NULL || upl_word_merge (&l->word, word, doubt) != UPL_CHANGED)
+    return;
+  _rte_limit_log (env, u, &l->word, source);
+  l->untold = true;
+  rte_limit_arm (r, env, env->now);
 }
 
 void
@@ -128,10 +156,99 @@
       return;
     case EV_LIMIT_NAMED:
       cnt_add (env->cnt, "rts_route_limit_answers_total", "", 1);
-      word.per_s = limit->per_s;
+      if (limit->per_s < UPL_PER_S_MAX)
+        word.per_s = limit->per_s;
       break;
     case EV_LIMIT_ABSENT:
       break;
     }
-  _rte_limit_word (r, env, u, &word, 0, source);
+  rte_limit_word (r, env, u, &word, 0, source);
+}
+
+/* -- requests -------------------------------------------------------------
+ */
+
+rte_limit_t *
+rte_limit_in_force (const rte_t *r, const rte_upstream_t *u)
+{
+  if (g_hash_table_size (r->limits) == 0)
+    return NULL;
+  rte_limit_t *l = rte_limit_find (r, u);
+  return l != NULL && upl_word_is_limit (&l->word) ? l : NULL;
+}
+
+static upl_class_t
+_rte_limit_class (const rte_query_t *query)
+{
+  return query->batch ? UPL_ITEM : UPL_ONLINE;
+}
+
+bool
+rte_limit_admits (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                  const rte_query_t *query)
+{
+  const rte_limit_t *l = rte_limit_in_force (r, u);
+  return l == NULL
+         || upl_hold_has (l->hold, env->now, _rte_limit_class (query));
+}
+
+void
+rte_limit_want (rte_t *r, env_t *env, const rte_upstream_t *u,
+                const rte_query_t *query)
+{
+  rte_limit_t *l = rte_limit_in_force (r, u);
+  if (l == NULL)
+    return;
+  upl_class_t class = _rte_limit_class (query);
+  upl_hold_want (l->hold, env->now, class);
+  l->passed[class]++;
+  if (u->mint != NULL && upl_hold_due_at (l->hold, env->now) <= env->now)
+    rte_limit_arm (r, env, env->now);
+}
+
+void
+rte_limit_charge (rte_t *r, env_t *env, const rte_upstream_t *u,
+                  const rte_query_t *query)
+{
+  rte_limit_t *l = rte_limit_in_force (r, u);
+  if (l == NULL)
+    return;
+  upl_class_t class = _rte_limit_class (query);
+  upl_hold_want (l->hold, env->now, class);
+  bool taken = upl_hold_take (l->hold, env->now, class);
+  INV_CHECK (taken, "route-limit-has-token", "upstream %s", u->name);
+  l->sent[class]++;
+  cnt_add (env->cnt, "rts_route_limit_tokens_used_total",
+           class == UPL_ONLINE ? "class=\"online\"" : "class=\"item\"", 1);
+  if (u->mint != NULL)
+    rte_limit_arm (r, env, env->now);
+}
+
+void
+rte_limit_turn_add (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                    const rte_query_t *query, rte_pick_t *pick)
+{
+  const rte_limit_t *l = rte_limit_in_force (r, u);
+  upl_turn_t turn
+      = upl_hold_turn (l->hold, env->now, _rte_limit_class (query));
+  pick->limited = true;
+  if (turn.gap_ms <= 0)
+    return;
+  pick->limit_wait_ms = pick->limit_per_s > 0
+                            ? clk_min (pick->limit_wait_ms, turn.wait_ms)
+                            : turn.wait_ms;
+  pick->limit_per_s += (double)CLK_SECOND / (double)turn.gap_ms;
+}
+
+double
+rte_limit_status (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                  uint32_t *tokens)
+{
+  const rte_limit_t *l = rte_limit_in_force (r, u);
+  *tokens = 0;
+  if (l == NULL)
+    return -1;
+  for (int c = 0; c < UPL_CLASS_NUM; c++)
+    *tokens += upl_hold_tokens (l->hold, env->now, (upl_class_t)c);
+  return l->word.per_s;
 }
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -75,6 +75,7 @@
       bool polled_here = poller != NULL && strcmp (poller, env->vm) == 0;
       talloc_free (u->poller);
       u->poller = poller != NULL ? talloc_strdup (u->strings, poller) : NULL;
+      rte_limit_mint_update (r, env, u);
       if (polled_here && u->poll == NULL)
         _rte_poll_begin (r, u);
       if (!polled_here && u->poll != NULL)
--- a/tests/test_limit_fleet.c
+++ b/tests/test_limit_fleet.c
@@ -25,6 +25,29 @@
                     seed);
 }
 
+/* Has all COUNT upstreams name PER_S, so that there is nothing else to use;
+ * returns the time. */
+static clk_ms_t
+name_all (lmt_t *t, size_t count, double per_s)
+{
+  for (size_t i = 0; i < count; i++)
+    lmt_name (t, i, per_s);
+  return hst_now (t->h);
+}
+
+/* Asserts that all COUNT upstreams, which named PER_S at FROM, have got no
+ * more than it allows, and at least PART of it. */
+static void
+check_used (const lmt_t *t, size_t count, double per_s, clk_ms_t from,
+            double part)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      CU_ASSERT (lmt_excess (t, i, per_s, from + LMT_CONTACT_MS) <= 0);
+      CU_ASSERT (lmt_used (t, i, per_s, from + LMT_CONTACT_MS) >= part);
+    }
+}
+
 /* Asserts that UPSTREAM has got no more than the limit PER_S allows from the
  * time on at which all VMs must keep to it, when it was named at FROM. */
 static void
@@ -43,12 +66,9 @@
     {
       lmt_t *t = setup (3, 1);
       lmt_run (t, 2 * CLK_SECOND, BUSY);
-      clk_ms_t named_at = hst_now (t->h);
-      lmt_name (t, 0, limits[i]);
+      clk_ms_t named_at = name_all (t, 3, limits[i]);
       lmt_run (t, RUN_MS, BUSY);
-      check_kept (t, 0, limits[i], named_at);
-      CU_ASSERT (lmt_used (t, 0, limits[i], named_at + LMT_CONTACT_MS)
-                 >= USED_MIN);
+      check_used (t, 3, limits[i], named_at, USED_MIN);
       lmt_shutdown (t);
     }
 }
@@ -63,10 +83,10 @@
       ev_limit_t limit = { .kind = EV_LIMIT_NAMED, .per_s = 2 };
       lmt_run (t, CLK_SECOND, BUSY);
       clk_ms_t named_at = hst_now (t->h);
-      hst_limit_set (t->h, 0, limit, reports != 0);
+      for (size_t i = 0; i < 3; i++)
+        hst_limit_set (t->h, i, limit, reports != 0);
       lmt_run (t, RUN_MS, BUSY);
-      check_kept (t, 0, 2, named_at);
-      CU_ASSERT (lmt_used (t, 0, 2, named_at + LMT_CONTACT_MS) >= USED_MIN);
+      check_used (t, 3, 2, named_at, USED_MIN);
       lmt_shutdown (t);
     }
 }
@@ -123,8 +143,7 @@
     {
       lmt_t *t = setup (3, 5);
       lmt_run (t, CLK_SECOND, BUSY);
-      clk_ms_t named_at = hst_now (t->h);
-      lmt_name (t, 0, 1.4);
+      clk_ms_t named_at = name_all (t, 3, 1.4);
       lmt_run (t, 5 * CLK_SECOND, BUSY);
       for (int i = 0; i < 3; i++)
         {
@@ -133,8 +152,7 @@
           hst_start (t->h, vm);
           lmt_run (t, 3 * CLK_SECOND, BUSY);
         }
-      check_kept (t, 0, 1.4, named_at);
-      CU_ASSERT (lmt_used (t, 0, 1.4, named_at + LMT_CONTACT_MS) >= 0.5);
+      check_used (t, 3, 1.4, named_at, 0.5);
       lmt_shutdown (t);
     }
 }
@@ -169,13 +187,11 @@
     {
       lmt_t *t = setup (3, 7);
       lmt_run (t, CLK_SECOND, BUSY);
-      clk_ms_t named_at = hst_now (t->h);
-      lmt_name (t, 0, 1.4);
+      clk_ms_t named_at = name_all (t, 3, 1.4);
       lmt_run (t, 5 * CLK_SECOND, BUSY);
       hst_freeze (t->h, vm, 2500);
       lmt_run (t, 8 * CLK_SECOND, BUSY);
-      check_kept (t, 0, 1.4, named_at);
-      CU_ASSERT (lmt_used (t, 0, 1.4, named_at + LMT_CONTACT_MS) >= 0.5);
+      check_used (t, 3, 1.4, named_at, 0.5);
       lmt_shutdown (t);
     }
 }
@@ -211,17 +227,15 @@
 {
   lmt_t *t = setup (3, 9);
   lmt_run (t, CLK_SECOND, BUSY);
-  lmt_name (t, 0, 10);
+  (void)name_all (t, 3, 10);
   lmt_run (t, 6 * CLK_SECOND, BUSY);
-  clk_ms_t lower_at = hst_now (t->h);
-  lmt_name (t, 0, 1);
+  clk_ms_t lower_at = name_all (t, 3, 1);
   lmt_run (t, 10 * CLK_SECOND, BUSY);
-  check_kept (t, 0, 1, lower_at);
-  lmt_name (t, 0, 6);
-  lmt_run (t, LEARN_MS, BUSY);
-  clk_ms_t higher_at = hst_now (t->h);
-  lmt_run (t, 8 * CLK_SECOND, BUSY);
-  CU_ASSERT (lmt_used (t, 0, 6, higher_at) >= USED_MIN);
+  for (size_t i = 0; i < 3; i++)
+    check_kept (t, i, 1, lower_at);
+  clk_ms_t higher_at = name_all (t, 3, 6);
+  lmt_run (t, 10 * CLK_SECOND, BUSY);
+  check_used (t, 3, 6, higher_at, USED_MIN);
   lmt_shutdown (t);
 }
 
@@ -381,11 +395,9 @@
                                        .far_upstreams = 2 },
                         17);
   lmt_run (t, CLK_SECOND, BUSY);
-  clk_ms_t named_at = hst_now (t->h);
-  lmt_name (t, 0, 2);
+  clk_ms_t named_at = name_all (t, 2, 2);
   lmt_run (t, RUN_MS, BUSY);
-  check_kept (t, 0, 2, named_at);
-  CU_ASSERT (lmt_used (t, 0, 2, named_at + LMT_CONTACT_MS) >= USED_MIN);
+  check_used (t, 2, 2, named_at, USED_MIN);
   lmt_shutdown (t);
 }
 
