--- a/src/core/upl_hold.c
+++ b/src/core/upl_hold.c
@@ -152,11 +152,12 @@
                   upl_class_t class, uint64_t seq, uint32_t tokens)
 {
   _upl_class_state_t *s = &h->classes[class];
-  const _upl_sent_t *sent = &s->asks[seq % UPL_ASKS_KEPT];
+  _upl_sent_t *sent = &s->asks[seq % UPL_ASKS_KEPT];
   clk_ms_t until = sent->at + UPL_LOAN_MS;
   if (tokens == 0 || sent->seq != seq || now >= until)
     return;
   s->waits = false;
+  *sent = (_upl_sent_t){ .seq = 0 };
   lbk_borrow (s->loans, vm, seq, (int64_t)tokens * LBK_TOKEN, until, true);
 }
 
--- a/src/core/upl_hold.h
+++ b/src/core/upl_hold.h
@@ -13,7 +13,8 @@
  * back before they lapse.
  *
  * It sends nothing and reads no clock.  Times are in milliseconds.  Nothing
- * here fails; a grant that answers no ask of the last UPL_LOAN_MS is ignored.
+ * here fails; a grant that answers no ask of the last UPL_LOAN_MS, or one that
+ * was granted before, is ignored.
  */
 #ifndef RTS_UPL_HOLD_H
 #define RTS_UPL_HOLD_H
--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -603,6 +603,58 @@
   talloc_free (ctx);
 }
 
+/* What the responses' Server-Limit headers VALUES say; NULL ends them. */
+static ev_limit_t
+limit_of (int status, const char *const *values)
+{
+  http_header_t v[4];
+  size_t n = 0;
+  void *ctx = talloc_new (NULL);
+  for (; values[n] != NULL; n++)
+    v[n] = (http_header_t){ "server-limit", values[n] };
+  ev_upstream_t u = { .status = status, .headers = { .v = v, .n = n } };
+  pfm_response_decode (ctx, &u);
+  talloc_free (ctx);
+  return u.limit;
+}
+
+/* Guards against a limit that is missed, a value without a meaning that is
+ * taken for one, and the word of another upstream (421). */
+static void
+test_limits_of_responses (void)
+{
+  static const char *const malformed[]
+      = { "",    " ",   "-1",    "-0",  "nan", "inf", "1e999", "2/s",
+          "abc", "0x8", "1.2.3", "1,5", "+3",  "e5",  "1 2",   "." };
+  static const struct
+  {
+    const char *text;
+    double per_s;
+  } named[] = { { "2.4", 2.4 }, { "0", 0 },         { "1e-05", 1e-5 },
+                { ".5", 0.5 },  { "1e300", 1e300 }, { "3", 3 } };
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    CU_ASSERT_EQUAL (
+        limit_of (200, (const char *const[]){ malformed[i], NULL }).kind,
+        EV_LIMIT_MALFORMED);
+  for (size_t i = 0; i < sizeof named / sizeof named[0]; i++)
+    {
+      ev_limit_t l
+          = limit_of (503, (const char *const[]){ named[i].text, NULL });
+      CU_ASSERT_EQUAL (l.kind, EV_LIMIT_NAMED);
+      CU_ASSERT_DOUBLE_EQUAL (l.per_s, named[i].per_s, 0);
+    }
+  CU_ASSERT_EQUAL (limit_of (200, (const char *const[]){ NULL }).kind,
+                   EV_LIMIT_ABSENT);
+  CU_ASSERT_EQUAL (limit_of (421, (const char *const[]){ "2", NULL }).kind,
+                   EV_LIMIT_UNKNOWN);
+  CU_ASSERT_EQUAL (
+      limit_of (200, (const char *const[]){ "2", "2", NULL }).kind,
+      EV_LIMIT_NAMED);
+  CU_ASSERT_EQUAL (
+      limit_of (200, (const char *const[]){ "2", "3", NULL }).kind,
+      EV_LIMIT_MALFORMED);
+}
+
 int
 main (void)
 {
@@ -631,6 +683,7 @@
     { "upstream_headers", test_upstream_headers },
     { "not_run_responses", test_not_run_responses },
     { "leaving_responses", test_leaving_responses },
+    { "limits_of_responses", test_limits_of_responses },
     { "job_calls", test_job_calls },
     { "results", test_results },
   };
