Online: a stream that sends bytes and no whole event ends

Cause: past its deadline a stream on a route that is not strict was bounded by the longest silence alone, so one byte of an event that never ends, sent every few seconds, kept it, and its slot, for ever. Told by operators of similar systems; shown here by onl/dripping_stream_ends, red before. What callers saw: a stream without an event and without an end. Change: past the deadline a stream goes on only while whole events come, one in 10 s at least; a slow one that does is not cut (onl/slow_sound_stream_is_not_cut: 12 events, 5 s apart, deadline 10 s). The place in a stream counts whole events in place of a flag. The users' platform sets strict times, so its streams ended before too.

--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -27,6 +27,10 @@
  * so that a broken one can be replaced by another attempt's. */
 #define ONL_BUFFERED_MAX ((size_t)256 * 1024)
 
+/** Longest silence within a response, and past its deadline longest time
+ * without a whole event of a stream, in milliseconds. */
+#define ONL_STALL_MS (10 * CLK_SECOND)
+
 /** Tag of the timer that checks the queues.  The tag of a deadline timer is
  * the request's handle, which is smaller than this and the next tag. */
 #define ONL_QUEUE_TIMER_TAG ((uint64_t)1 << 63)
@@ -74,6 +78,7 @@
   int64_t length;       /**< Content-Length in bytes; -1: none */
   bool close_delimited; /**< as in ev_upstream_t */
   sse_place_t place;    /**< STREAM: where it stands */
+  clk_ms_t event_at;    /**< STREAM: when its last whole event came */
   uint64_t received;    /**< bytes of the body so far */
   GByteArray *buffered; /**< body so far; NULL: passed on as it arrives */
   char tail[ONL_TAIL_SIZE];
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -300,6 +300,20 @@
   return !sse_is_too_large (&r->events);
 }
 
+/** Moves the place of R's stream behind DATA; returns false when the stream
+ * has stalled past the deadline: bytes come, but no whole event. */
+static bool
+_onl_stream_advance (onl_request_t *r, const env_t *env, buf_t data)
+{
+  onl_response_t *response = &r->response;
+  uint64_t before = response->place.events;
+  sse_place_advance (&response->place, data);
+  if (response->place.events > before)
+    response->event_at = env->now;
+  return env->now < r->deadline
+         || env->now - clk_max (response->event_at, r->sent) <= ONL_STALL_MS;
+}
+
 static void
 _onl_data (onl_t *o, env_t *env, onl_request_t *r, buf_t data)
 {
@@ -315,9 +329,12 @@
       _onl_response_broken (o, env, r, "more came than was announced");
       return;
     }
-  if (response->stream)
-    sse_place_advance (&response->place, data);
-  if (response->place.has_event && !r->bound)
+  if (response->stream && !_onl_stream_advance (r, env, data))
+    {
+      _onl_response_broken (o, env, r, "no whole event has come for long");
+      return;
+    }
+  if (response->place.events > 0 && !r->bound)
     onl_stream_began (o, env, r);
   if (response->buffered != NULL
       && response->buffered->len + data.n <= ONL_BUFFERED_MAX)
@@ -397,7 +414,7 @@
   if (!response->stream || r->has_end_marker)
     return false;
   return sse_place_is_inside (&response->place)
-         || (response->close_delimited && !response->place.has_event);
+         || (response->close_delimited && response->place.events == 0);
 }
 
 /** Whether the end of R's response would claim more than its upstream has: the
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -7,8 +7,6 @@
 #include <string.h>
 #include <talloc.h>
 
-/** Longest silence within a response, in milliseconds. */
-#define ONL_STALL_MS (10 * CLK_SECOND)
 /** A request must leave the queue at least this long before its deadline, in
  * milliseconds, so that the upstream has time for it.  Short deadlines reserve
  * a quarter of their time instead. */
--- a/src/core/sse.c
+++ b/src/core/sse.c
@@ -94,7 +94,7 @@
 {
   if (!place->in_line)
     {
-      place->has_event = place->has_event || place->in_event;
+      place->events += place->in_event;
       place->in_event = false;
     }
   else if (!place->in_comment)
--- a/src/core/sse.h
+++ b/src/core/sse.h
@@ -23,6 +23,7 @@
 #include "core/buf.h"
 
 #include <glib.h>
+#include <stdint.h>
 
 /** Largest event, in bytes. */
 #define SSE_EVENT_MAX ((size_t)256 << 10)
@@ -50,7 +51,7 @@
   bool in_comment;   /**< the current line is a comment */
   bool in_event;     /**< a field came since the last blank line */
   bool after_return; /**< the last byte was CR, which a LF may follow */
-  bool has_event;    /**< a whole event has come */
+  uint64_t events;   /**< whole events that have come */
 } sse_place_t;
 
 /** Moves PLACE behind BYTES.  Lines end with LF, CR or CR LF. */
--- a/tests/onlnet.h
+++ b/tests/onlnet.h
@@ -19,6 +19,11 @@
 
 #include "core/onl.h"
 
+/** Time between two parts of a stream that drips or is slow. */
+#define ONN_DRIP_MS (5 * CLK_SECOND)
+/** Events of a slow stream before its last. */
+#define ONN_SLOW_EVENTS 12
+
 /** Probabilities of faults, of each upstream call unless noted otherwise. */
 typedef struct
 {
@@ -30,6 +35,10 @@
   double duplicate;           /**< the response arrives twice */
   double cut_close;           /**< the body, which has neither a length nor
                                    chunks, ends early with its connection */
+  double drip;                /**< a stream's first event never ends; a byte
+                                   of it comes every ONN_DRIP_MS */
+  double slow;                /**< a stream's events come ONN_DRIP_MS apart,
+                                   ONN_SLOW_EVENTS of them */
   double busy;                /**< the response has status 503 */
   double kill;                /**< expected number of VMs killed a second */
   double platform_reply_lost; /**< of platform calls: the effect happens,
--- a/tests/onlnet_up.c
+++ b/tests/onlnet_up.c
@@ -95,6 +95,48 @@
   (void)upstream_event (n, delay + 4, vm, call, EV_UPSTREAM_END);
 }
 
+/** Schedule the head of a stream as the response to CALL. */
+static void
+upstream_stream_begin (onn_t *n, clk_ms_t delay, int vm, uint64_t call,
+                       const char *request_id)
+{
+  event_t *head = upstream_event (n, delay, vm, call, EV_UPSTREAM_HEAD);
+  head->headers[0] = (http_header_t){ "Content-Type", "text/event-stream" };
+  head->headers[1]
+      = (http_header_t){ "X-Request-Id", talloc_strdup (head, request_id) };
+  head->ev.upstream.status = 200;
+  head->ev.upstream.headers = (http_headers_t){ .v = head->headers, .n = 2 };
+}
+
+/* Parts of a stream that drips. */
+#define DRIPS 60
+
+/** Schedule a stream whose first event never ends. */
+static void
+upstream_drip (onn_t *n, clk_ms_t delay, int vm, uint64_t call,
+               const char *request_id)
+{
+  upstream_stream_begin (n, delay, vm, call, request_id);
+  upstream_data (n, delay, vm, call, buf_str ("data: "));
+  for (int i = 1; i <= DRIPS; i++)
+    upstream_data (n, delay + i * ONN_DRIP_MS, vm, call, buf_str ("."));
+}
+
+/** Schedule a whole stream whose events are far apart. */
+static void
+upstream_respond_slowly (onn_t *n, clk_ms_t delay, int vm, uint64_t call,
+                         const char *request_id)
+{
+  upstream_stream_begin (n, delay, vm, call, request_id);
+  for (int i = 0; i < ONN_SLOW_EVENTS; i++)
+    upstream_data (n, delay + i * ONN_DRIP_MS, vm, call,
+                   buf_str ("data: more\n\n"));
+  upstream_data (n, delay + ONN_SLOW_EVENTS * ONN_DRIP_MS, vm, call,
+                 buf_str ("data: [DONE]\n\n"));
+  (void)upstream_event (n, delay + ONN_SLOW_EVENTS * ONN_DRIP_MS + 1, vm, call,
+                        EV_UPSTREAM_END);
+}
+
 /** Receive the request of CALL and respond to it, with injected faults. */
 static void
 upstream_run (onn_t *n, int vm, const fx_upstream_t *call, int upstream)
@@ -124,6 +166,10 @@
   else if (onn_chance (n, f->truncate))
     (void)upstream_respond (n, work, vm, call->call, id, request_id, 0.5,
                             EV_UPSTREAM_END);
+  else if (onn_chance (n, f->drip))
+    upstream_drip (n, work, vm, call->call, request_id);
+  else if (onn_chance (n, f->slow))
+    upstream_respond_slowly (n, work, vm, call->call, request_id);
   else if (onn_chance (n, f->cut_close))
     upstream_respond_by_close (n, work, vm, call->call, id, request_id);
   else if (onn_chance (n, f->swap) && other != id)
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -105,7 +105,7 @@
         sse_place_advance (&bytewise, (buf_t){ .p = p, .n = 1 });
       CU_ASSERT_EQUAL (sse_place_is_inside (&whole), cases[i].inside);
       CU_ASSERT_EQUAL (sse_place_is_inside (&bytewise), cases[i].inside);
-      CU_ASSERT_EQUAL (whole.has_event, cases[i].has_event);
+      CU_ASSERT_EQUAL (whole.events > 0, cases[i].has_event);
     }
 }
 
--- a/tests/test_onl.c
+++ b/tests/test_onl.c
@@ -384,10 +384,51 @@
   onn_shutdown (n);
 }
 
+/* Time after the deadline in which a stream without progress must have ended,
+ * and the deadline of the route. */
+#define STALLED_MS (20 * CLK_SECOND)
+#define STREAM_DEADLINE_MS (10 * CLK_SECOND)
+
+/* The response to one stream with FAULTS after MS. */
+static const onn_response_t *
+stream_after (onn_t *n, clk_ms_t ms)
+{
+  uint64_t id = onn_request (
+      n, 0, &(onn_request_t){ .path = "/v1/completions", .stream = true });
+  onn_run (n, onn_now (n) + ms);
+  return onn_response (n, id);
+}
+
+/* Guards against a stream that never ends because a byte of an event that does
+ * not end comes now and then. */
+static void
+test_dripping_stream_ends (void)
+{
+  onn_t *n = onn_setup (&(onn_desc_t){ .seed = 71, .faults = { .drip = 1 } });
+  const onn_response_t *r = stream_after (n, STREAM_DEADLINE_MS + STALLED_MS);
+  CU_ASSERT (r->ended || r->aborted);
+  onn_shutdown (n);
+}
+
+/* Guards against a stream being cut that is past its deadline and slow, but
+ * sends one whole event after another. */
+static void
+test_slow_sound_stream_is_not_cut (void)
+{
+  onn_t *n = onn_setup (&(onn_desc_t){ .seed = 72, .faults = { .slow = 1 } });
+  const onn_response_t *r
+      = stream_after (n, (ONN_SLOW_EVENTS + 2) * ONN_DRIP_MS);
+  CU_ASSERT (r->ended && !r->aborted);
+  CU_ASSERT_PTR_NOT_NULL (strstr (r->body->str, "[DONE]"));
+  onn_shutdown (n);
+}
+
 int
 main (void)
 {
   static const tst_case_t cases[] = {
+    { "dripping_stream_ends", test_dripping_stream_ends },
+    { "slow_sound_stream_is_not_cut", test_slow_sound_stream_is_not_cut },
     { "without_faults_no_response_breaks",
       test_without_faults_no_response_breaks },
     { "disconnects_during_the_response",
