--- a/src/core/rte_tokens.c
+++ b/src/core/rte_tokens.c
@@ -24,7 +24,7 @@
 #define RTE_WORD_SILENT_MS (4 * CLK_SECOND)
 #define RTE_PROBE_PER_S 0.2
 /** Least time between two lines of the log on the use of one limit. */
-#define RTE_LIMIT_LOG_MS CLK_SECOND
+#define RTE_LIMIT_LOG_MS (5 * CLK_SECOND)
 /** Largest number of settlements told at a time for one upstream. */
 #define RTE_SETTLEMENTS_MAX 16
 /** Largest ages and counts in a message that are taken as they are. */
--- a/tools/measure_upstream_limits.c
+++ b/tools/measure_upstream_limits.c
@@ -238,6 +238,21 @@
            way_names[r->way], used / wanted, worst_part (r), messages);
 }
 
+/** The requests of one ms. */
+static void
+requests_come (run_t *r, const demand_t *d, GRand *rand)
+{
+  double asked = d->per_vm_s > 0 ? d->per_vm_s * (double)r->vms : 2 * r->per_s;
+  double expected = asked / CLK_SECOND;
+  unsigned count = (unsigned)expected;
+  count += g_rand_double (rand) < expected - count;
+  for (unsigned i = 0; i < count; i++)
+    {
+      size_t any = (size_t)g_rand_int_range (rand, 0, (gint32)r->vms);
+      request (r, d->per_vm_s > 0 ? any : r->vms - 1, d->wait_ms);
+    }
+}
+
 static void
 run (way_t way, size_t vms, double per_s, const demand_t *d, FILE *csv)
 {
@@ -249,14 +264,7 @@
       r->now++;
       mail_deliver (r);
       waiting_send (r);
-      double asked = d->per_vm_s > 0 ? d->per_vm_s * (double)vms : 2 * per_s;
-      for (double p = asked / CLK_SECOND; p > 0; p -= 1)
-        if (g_rand_double (rand) < p)
-          request (r,
-                   d->per_vm_s > 0
-                       ? (size_t)g_rand_int_range (rand, 0, (gint32)vms)
-                       : vms - 1,
-                   d->wait_ms);
+      requests_come (r, d, rand);
       for (size_t i = 0; i < vms && way == WAY_MINT; i++)
         vm_step (r, i);
       if (r->now == WARM_MS + 1000)
