--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -53,9 +53,12 @@
   clk_ms_t wait_ms; /**< longest time that the caller waits for the response */
   clk_ms_t long_poll_ms; /**< longest time that a read may wait for a change */
   const char *resume_after; /**< id of the last event received */
-  const char *resumes; /**< id of the request that brought the first event of
-                            the stream that this one takes up */
-  uint64_t prefix;     /**< hash of the prompt prefix that requests share */
+  const char *resumes;   /**< id of the request that brought the first event of
+                              the stream that this one takes up */
+  uint64_t prefix;       /**< hash of the prompt prefix that requests share */
+  const uint64_t *parts; /**< hashes of the parts of the prompt that requests
+                              share, each once, in their order; none is 0 */
+  size_t part_count;
   uint32_t tokens_in;  /**< number of prompt tokens */
   uint32_t tokens_out; /**< maximum number of generated tokens */
 } ev_request_meta_t;
@@ -77,7 +80,9 @@
   const char *target; /**< path and query */
   http_headers_t headers;
   buf_t body;
-  uint64_t tokens; /**< prompt tokens plus maximum generated tokens */
+  uint64_t tokens;       /**< prompt tokens plus maximum generated tokens */
+  const uint64_t *parts; /**< as in ev_request_meta_t */
+  size_t part_count;
 } ev_job_item_t;
 
 /** The part of a request that is about a batch job. */
@@ -145,6 +150,8 @@
                              response came on; 0: unknown */
   buf_t data;           /**< EV_UPSTREAM_DATA */
   ev_fail_t fail;       /**< EV_UPSTREAM_FAIL */
+  bool closed;          /**< EV_UPSTREAM_FAIL: the upstream closed or reset the
+                             connection before the response was complete */
   const char *text;     /**< EV_UPSTREAM_FAIL: description for logs */
 } ev_upstream_t;
 
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -264,6 +264,7 @@
     {
       (void)g_queue_pop_head (&h->events);
       h->now = e->at;
+      hst_upstreams_tick (h);
       if (e->incarnation != h->vm[e->vm].incarnation)
         ;
       else if (e->at < h->vm[e->vm].frozen_until)
@@ -274,6 +275,11 @@
         }
       else if (e->is_call)
         _hst_platform_call_serve (h, e);
+      else if (e->is_end)
+        {
+          if (e->born == h->born[e->upstream])
+            hst_crash (h, e->upstream);
+        }
       else if (e->is_report)
         hst_load_report_deliver (h, e);
       else if (e->ev.kind == EV_UPSTREAM_DATA)
@@ -434,6 +440,7 @@
   h->runs = g_ptr_array_new_with_free_func (g_free);
   h->run_upstreams = g_array_new (FALSE, FALSE, sizeof (size_t));
   h->arrivals = g_array_new (FALSE, FALSE, sizeof (hst_arrival_t));
+  h->ends = g_array_new (FALSE, FALSE, sizeof (hst_end_t));
   h->in_flight = g_ptr_array_new ();
   hst_document_write (h, HST_KEY);
   h->vm_count = h->desc.entries + h->desc.workers;
@@ -476,6 +483,7 @@
   g_ptr_array_unref (h->runs);
   g_array_unref (h->run_upstreams);
   g_array_unref (h->arrivals);
+  g_array_unref (h->ends);
   for (size_t i = 0; i < h->vm_count; i++)
     g_ptr_array_unref (h->vm[i].calls);
   g_ptr_array_unref (h->in_flight);
@@ -500,6 +508,22 @@
   return ev.request.caller;
 }
 
+uint64_t
+hst_prompt (hst_t *h, size_t vm, const char *id, const char *body,
+            const uint64_t *parts, size_t count)
+{
+  http_header_t header = { "Authorization", "Bearer " HST_KEY };
+  return hst_request (h, vm,
+                      &(ev_request_t){ .method = "POST",
+                                       .path = "/fit/1",
+                                       .headers = { .v = &header, .n = 1 },
+                                       .body = buf_str (body),
+                                       .meta = { .id = id,
+                                                 .parts = parts,
+                                                 .part_count = count,
+                                                 .tokens_out = 100 } });
+}
+
 uint64_t
 hst_stream (hst_t *h, size_t vm, const char *key, const char *id)
 {
@@ -530,6 +554,13 @@
 
 static const http_header_t hst_bearer = { "Authorization", "Bearer " HST_KEY };
 
+void
+hst_item_parts_set (hst_t *h, const uint64_t *parts, size_t count)
+{
+  h->item_parts = parts;
+  h->item_part_count = count;
+}
+
 uint64_t
 hst_submit (hst_t *h, size_t vm, const char *id, size_t count)
 {
@@ -541,6 +572,8 @@
                                 .target = "/rosters/x",
                                 .headers = { .v = headers, .n = 2 },
                                 .body = buf_str ("body"),
+                                .parts = h->item_parts,
+                                .part_count = h->item_part_count,
                                 .tokens = 10 };
   return hst_request (h, vm,
                       &(ev_request_t){ .method = "POST",
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -86,6 +86,7 @@
   bool says_leaving;    /**< responses to requests say that the upstream is
                              leaving */
   bool reports_leaving; /**< load reports say so */
+  bool unframed;        /**< responses have neither a length nor chunks */
   bool cut_off; /**< no bytes pass: a new connection ends at its time limit,
                      and streams in progress fall silent */
   hst_endless_t endless; /**< bodies of all responses, whatever the status,
@@ -115,6 +116,11 @@
 /** Send a caller's request to VM; returns the caller's number. */
 uint64_t hst_request (hst_t *h, size_t vm, const ev_request_t *req);
 
+/** Send a request for a stream on the online route whose prompt has the COUNT
+ * shared PARTS, with request id ID and BODY; returns the caller's number. */
+uint64_t hst_prompt (hst_t *h, size_t vm, const char *id, const char *body,
+                     const uint64_t *parts, size_t count);
+
 /** Send a request for a stream on the online route, with API key KEY and
  * request id ID; returns the caller's number. */
 uint64_t hst_stream (hst_t *h, size_t vm, const char *key, const char *id);
@@ -124,6 +130,10 @@
 uint64_t hst_take_up (hst_t *h, size_t vm, const char *id, const char *resumes,
                       const char *after);
 
+/** From now on the prompts of items that are submitted have the COUNT shared
+ * PARTS, which are borrowed. */
+void hst_item_parts_set (hst_t *h, const uint64_t *parts, size_t count);
+
 /** Submit job ID with COUNT items; returns the caller's number. */
 uint64_t hst_submit (hst_t *h, size_t vm, const char *id, size_t count);
 
@@ -209,9 +219,40 @@
   clk_ms_t at;
   size_t vm; /**< that sent it */
   size_t upstream;
-  bool item; /**< an item of a job, not a caller's request */
+  bool item;   /**< an item of a job, not a caller's request */
+  char id[32]; /**< of the request, cut */
 } hst_arrival_t;
 
+/** How an upstream ends and comes back. */
+typedef struct
+{
+  const char *ids; /**< requests whose ids begin so end the upstream when it
+                        begins to answer, borrowed; NULL: none does */
+  unsigned after_events; /**< events that the answer has before that */
+  bool clean;   /**< its connections close as if the answers were whole */
+  bool refuses; /**< new connections are refused; false: nothing answers */
+  clk_ms_t unlist_ms; /**< until the list no longer names it; default 3 s */
+  clk_ms_t down_ms;   /**< until its next start, which the list names at once;
+                           default 3 s */
+} hst_crash_t;
+
+/** An upstream that has ended. */
+typedef struct
+{
+  clk_ms_t at;
+  size_t upstream;
+} hst_end_t;
+
+/** Set how upstreams end from now on; all upstreams have starts from then on.
+ */
+void hst_crash_set (hst_t *h, hst_crash_t crash);
+
+/** End UPSTREAM: all that it runs is broken off. */
+void hst_crash (hst_t *h, size_t upstream);
+
+/** All ends of upstreams, in the order of their times: hst_end_t. */
+const GArray *hst_ends (const hst_t *h);
+
 /** All requests that upstreams have received, except reads of their load, in
  * the order of their times: hst_arrival_t. */
 const GArray *hst_arrivals (const hst_t *h);
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -19,6 +19,8 @@
   bool is_call;       /**< call is set, not ev */
   bool lost;          /**< the platform does not respond to the call */
   bool is_report;     /**< a load report of UPSTREAM to the call in ev */
+  bool is_end;        /**< UPSTREAM ends, if it has not since the start BORN */
+  clk_ms_t born;
   size_t upstream;
   clk_ms_t deadline; /**< of a long poll */
   clk_ms_t sent_at;  /**< when the call was made */
@@ -91,6 +93,13 @@
   ev_limit_t limit[HST_MAX];    /**< what upstreams say */
   bool limit_reported[HST_MAX]; /**< in load reports too */
   GArray *arrivals;             /**< hst_arrival_t */
+  const uint64_t *item_parts;   /**< of items that are submitted */
+  size_t item_part_count;
+  hst_crash_t crash;            /**< how upstreams end */
+  GArray *ends;                 /**< hst_end_t */
+  clk_ms_t unlist_at[HST_MAX];  /**< an ended upstream leaves the list; 0: no
+                                     such time is set */
+  clk_ms_t back_at[HST_MAX];    /**< its next start; 0: it runs */
   uint64_t born_revision;       /**< of the last change of the list */
   unsigned received[HST_MAX];   /**< requests, by upstream */
   unsigned running[HST_MAX];    /**< requests that run now, by upstream */
@@ -128,6 +137,10 @@
 /** End an in-flight request. */
 void hst_inflight_end (hst_t *h, hst_inflight_t *f);
 
+/** Have ended upstreams leave the list and start again, as far as it is time.
+ */
+void hst_upstreams_tick (hst_t *h);
+
 /** Send the next event of the stream of E. */
 void hst_stream_event_send (hst_t *h, const hst_event_t *e);
 
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -66,20 +66,53 @@
 /* Time limit of a new connection that a call does not limit. */
 #define HST_CONNECT_MS CLK_SECOND
 
+/* Have UPSTREAM end when it begins to answer a request that it gets now. */
+static void
+_hst_end_schedule (hst_t *h, size_t vm, size_t upstream)
+{
+  clk_ms_t after = (clk_ms_t)h->crash.after_events * _hst_gap_ms (h, upstream);
+  hst_event_t *e = hst_event_push (h, vm, HST_HEAD_MS + after, &(ev_t){ 0 });
+  e->is_end = true;
+  e->upstream = upstream;
+  e->born = h->born[upstream];
+}
+
+/* End the call U, to an upstream that has ended. */
+static void
+_hst_unconnected (hst_t *h, size_t vm, const fx_upstream_t *u)
+{
+  clk_ms_t limit = u->connect_ms > 0 ? u->connect_ms : HST_CONNECT_MS;
+  bool unsent = u->first_byte_ms == 0 || limit <= u->first_byte_ms;
+  clk_ms_t wait = h->crash.refuses ? 1 : (unsent ? limit : u->first_byte_ms);
+  hst_event_push (h, vm, wait,
+                  &(ev_t){ .kind = EV_UPSTREAM_FAIL,
+                           .upstream = { .call = u->call,
+                                         .fail = h->crash.refuses || unsent
+                                                     ? EV_FAIL_NOT_SENT
+                                                     : EV_FAIL_TIMEOUT } });
+}
+
 void
 hst_upstream_call (hst_t *h, size_t vm, const fx_upstream_t *u)
 {
   /* The address of upstream N is 10.0.0.N:80. */
   size_t at = (size_t)(u->address[7] - '0');
   ev_t head = { .kind = EV_UPSTREAM_HEAD, .upstream = { .call = u->call } };
+  if (h->back_at[at] != 0)
+    {
+      _hst_unconnected (h, vm, u);
+      return;
+    }
   if (u->load_report)
     {
       _hst_load_report_send (h, vm, at, u->call);
       return;
     }
   h->received[at]++;
+  const char *id = http_header_find (u->headers, "X-Request-Id");
   hst_arrival_t arrival
       = { .at = h->now, .vm = vm, .upstream = at, .item = u->caller == 0 };
+  g_strlcpy (arrival.id, id, sizeof arrival.id);
   g_array_append_val (h->arrivals, arrival);
   talloc_free (h->last_call_ctx);
   h->last_call_ctx = talloc_new (h);
@@ -108,12 +141,18 @@
   head.upstream.status = fault->status == 0 ? 200 : fault->status;
   head.upstream.not_run = fault->not_run;
   head.upstream.leaving = fault->says_leaving;
+  head.upstream.close_delimited = fault->unframed;
   head.upstream.limit = h->limit[at];
   head.upstream.is_signed
       = head.upstream.status == 200 && !fault->no_signature;
   for (size_t i = 0; i < u->headers.n; i++)
     CU_ASSERT_PTR_NULL (strstr (u->headers.v[i].value, "secret"));
-  hst_event_t *sent = hst_event_push (h, vm, HST_HEAD_MS, &head);
+  bool deadly = h->crash.ids != NULL && g_str_has_prefix (id, h->crash.ids);
+  if (deadly)
+    _hst_end_schedule (h, vm, at);
+  hst_event_t *sent = hst_event_push (
+      h, vm, HST_HEAD_MS + (deadly && h->crash.after_events == 0 ? 1 : 0),
+      &head);
   sent->ev.upstream.headers
       = _hst_response_headers (sent, fault, head.upstream.status,
                                http_header_find (u->headers, "X-Request-Id"));
@@ -248,8 +287,77 @@
   if (broken || last)
     hst_event_push (
         h, e->vm, 0,
-        &(ev_t){ .kind = broken ? EV_UPSTREAM_FAIL : EV_UPSTREAM_END,
-                 .upstream = { .call = call, .fail = EV_FAIL_UNKNOWN } });
+        &(ev_t){
+            .kind = broken ? EV_UPSTREAM_FAIL : EV_UPSTREAM_END,
+            .upstream
+            = { .call = call, .fail = EV_FAIL_UNKNOWN, .closed = true } });
+}
+
+/* Times of hst_crash_t. */
+#define HST_UNLIST_MS (3 * CLK_SECOND)
+#define HST_DOWN_MS (3 * CLK_SECOND)
+
+void
+hst_crash_set (hst_t *h, hst_crash_t crash)
+{
+  h->crash = crash;
+  if (crash.unlist_ms == 0)
+    h->crash.unlist_ms = HST_UNLIST_MS;
+  if (crash.down_ms == 0)
+    h->crash.down_ms = HST_DOWN_MS;
+  for (size_t i = 0; i < h->desc.upstreams; i++)
+    if (h->born[i] == 0)
+      hst_born_set (h, i, h->now + (clk_ms_t)i);
+}
+
+void
+hst_crash (hst_t *h, size_t upstream)
+{
+  hst_end_t end = { .at = h->now, .upstream = upstream };
+  if (h->back_at[upstream] != 0)
+    return;
+  g_array_append_val (h->ends, end);
+  h->unlist_at[upstream] = h->now + h->crash.unlist_ms;
+  h->back_at[upstream] = h->now + h->crash.down_ms;
+  for (guint i = 0; i < h->in_flight->len; i++)
+    {
+      hst_inflight_t *f = g_ptr_array_index (h->in_flight, i);
+      if (f->upstream != upstream || f->cancelled)
+        continue;
+      hst_inflight_end (h, f);
+      hst_event_t *e = hst_event_push (
+          h, f->vm, 0,
+          &(ev_t){ .kind = h->crash.clean ? EV_UPSTREAM_END : EV_UPSTREAM_FAIL,
+                   .upstream = { .call = f->call,
+                                 .fail = EV_FAIL_UNKNOWN,
+                                 .closed = true } });
+      e->incarnation = f->incarnation;
+    }
+}
+
+void
+hst_upstreams_tick (hst_t *h)
+{
+  for (size_t i = 0; i < h->desc.upstreams; i++)
+    {
+      if (h->unlist_at[i] != 0 && h->now >= h->unlist_at[i])
+        {
+          h->unlist_at[i] = 0;
+          hst_unlisted_set (h, i, true);
+        }
+      if (h->back_at[i] == 0 || h->now < h->back_at[i])
+        continue;
+      h->unlist_at[i] = 0;
+      h->back_at[i] = 0;
+      hst_unlisted_set (h, i, false);
+      hst_born_set (h, i, h->now);
+    }
+}
+
+const GArray *
+hst_ends (const hst_t *h)
+{
+  return h->ends;
 }
 
 /* Deliver a load report: head, body and end. */
@@ -259,6 +367,15 @@
   char text[128];
   char born[48] = "";
   ev_t ev = e->ev;
+  if (h->back_at[e->upstream] != 0)
+    {
+      ev.kind = EV_UPSTREAM_FAIL;
+      ev.upstream = (ev_upstream_t){ .call = e->ev.upstream.call,
+                                     .fail = EV_FAIL_UNKNOWN,
+                                     .closed = true };
+      hst_step (h, e->vm, &ev);
+      return;
+    }
   if (h->born[e->upstream] != 0)
     g_snprintf (born, sizeof born, ",\"born\":%lld",
                 (long long)h->born[e->upstream]);
