Crashes: what ends upstreams is found out, counted and logged

Change: module crs. A connection that an upstream closes under a request is a break; the upstream is asked on a new connection whether it lives; refused, replaced, silent (and this VM is not cut off) or no longer listed mean that it ended. One VM, the ledger, counts the ends for each part of a prompt over all VMs; a whole answer with it, one that a close cannot have cut, sets the count back. The parts are decoded one by one. Nothing is decided by the counts yet.

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -160,6 +160,12 @@
 
 /* -- the list of upstreams ------------------------------------------------ */
 
+clk_ms_t
+dir_listed_at (const dir_t *d)
+{
+  return d->listed_at;
+}
+
 /* Time since the list, or a change of it, was last received; -1: never. */
 static clk_ms_t
 _dir_list_age (const dir_t *d, const env_t *env)
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -83,6 +83,10 @@
  * whether they have.  Returns false before the first operator's document. */
 bool dir_changed (dir_t *d, env_t *env);
 
+/** When the list of upstreams, or a change of it, was last received;
+ * CLK_NEVER: never. */
+clk_ms_t dir_listed_at (const dir_t *d);
+
 /** Read everything again if the platform has lost its history. */
 void dir_pump (dir_t *d, env_t *env);
 
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -80,9 +80,7 @@
   const char *target; /**< path and query */
   http_headers_t headers;
   buf_t body;
-  uint64_t tokens;       /**< prompt tokens plus maximum generated tokens */
-  const uint64_t *parts; /**< as in ev_request_meta_t */
-  size_t part_count;
+  uint64_t tokens; /**< prompt tokens plus maximum generated tokens */
 } ev_job_item_t;
 
 /** The part of a request that is about a batch job. */
@@ -150,9 +148,10 @@
                              response came on; 0: unknown */
   buf_t data;           /**< EV_UPSTREAM_DATA */
   ev_fail_t fail;       /**< EV_UPSTREAM_FAIL */
-  bool closed;          /**< EV_UPSTREAM_FAIL: the upstream closed or reset the
-                             connection before the response was complete */
-  const char *text;     /**< EV_UPSTREAM_FAIL: description for logs */
+  bool refused;     /**< EV_FAIL_NOT_SENT: nothing listens at the address */
+  bool closed;      /**< EV_UPSTREAM_FAIL: the upstream closed or reset the
+                         connection before the response was complete */
+  const char *text; /**< EV_UPSTREAM_FAIL: description for logs */
 } ev_upstream_t;
 
 /** One object of the platform. */
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -54,12 +54,15 @@
 /** Settings of the module; a zero selects the default. */
 typedef struct
 {
-  rte_t *routes;           /**< borrowed; required */
-  mbr_t *members;          /**< borrowed; required */
-  clk_ms_t unix_offset_ms; /**< Unix time minus the time of the node */
-  clk_ms_t feed_poll_ms;   /**< pause between reads of the feed; default 1 s */
-  uint32_t spare_slots;    /**< slots that must stay free at an upstream when
-                                an item starts there; default 2 */
+  crs_t *crashes; /**< borrowed; NULL: nothing is kept away from
+                       upstreams */
+  crs_prompt_parts_t prompt_parts; /**< NULL: prompts have no parts */
+  rte_t *routes;                   /**< borrowed; required */
+  mbr_t *members;                  /**< borrowed; required */
+  clk_ms_t unix_offset_ms;         /**< Unix time minus the time of the node */
+  clk_ms_t feed_poll_ms; /**< pause between reads of the feed; default 1 s */
+  uint32_t spare_slots;  /**< slots that must stay free at an upstream when
+                              an item starts there; default 2 */
 } job_desc_t;
 
 typedef struct job_set job_set_t;
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -74,6 +74,7 @@
   job_item_state_t state;
   bool completed;      /**< outcome; valid from JOB_ITEM_TEXT_PENDING on */
   uint32_t failures;   /**< runs whose response had status 500 */
+  bool has_ended_one;  /**< as in crs_query_t */
   clk_ms_t not_before; /**< earliest time of the next run or write */
   GString *text;       /**< data of the events received; NULL: none */
   uint64_t last_event; /**< id of the last event received; 0: none */
@@ -229,6 +230,9 @@
   GHashTable *paces;          /**< path of a route -> job_pace_t */
 };
 
+/** A number that names item INDEX of JOB at this VM. */
+uint64_t job_item_tag (const job_t *job, uint32_t index);
+
 /* job_follow.c */
 
 /** The runner of JOB: the VM that runs JOB, as far as this VM knows; NULL:
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -28,6 +28,8 @@
  * online requests.  When an item starts, job_desc_t.spare_slots applies
  * instead. */
 #define JOB_RESERVED_SLOTS 1
+/** Longest time for which an item has a permit to run. */
+#define JOB_PERMIT_MS (15 * CLK_SECOND)
 /** Pause of an item after a preemption. */
 #define JOB_PREEMPTED_RETRY_MS 100
 /** Largest text of an item, in bytes.  It is stored as an object of at most
@@ -183,6 +185,34 @@
   return call;
 }
 
+uint64_t
+job_item_tag (const job_t *job, uint32_t index)
+{
+  return job->self.id * JOB_ITEMS_MAX + index;
+}
+
+/* What of item INDEX of JOB may end an upstream; its parts go to PARTS, which
+ * has room for CRS_SUBJECTS_MAX. */
+static crs_query_t
+_job_crash_query (const job_set_t *j, const job_t *job, uint32_t index,
+                  uint64_t *parts)
+{
+  const job_rec_item_t *item = &job->rec->items[index];
+  size_t n
+      = j->desc.prompt_parts == NULL
+            ? 0
+            : j->desc.prompt_parts (item->headers, parts, CRS_SUBJECTS_MAX);
+  return (crs_query_t){
+    .mod = MOD_JOB,
+    .tag = job_item_tag (job, index),
+    .request_id = item->id,
+    .subjects = parts,
+    .subject_count = n,
+    .has_ended_one = job->items[index].has_ended_one,
+    .permit_ms = JOB_PERMIT_MS,
+  };
+}
+
 /* What became of the start of an item. */
 typedef enum
 {
@@ -197,7 +227,9 @@
                  const cfg_route_t *route)
 {
   rte_pick_t pick;
+  uint64_t parts[CRS_SUBJECTS_MAX];
   job_item_t *item = &job->items[index];
+  crs_query_t crash = _job_crash_query (j, job, index, parts);
   job_text_check_route (item, route);
   rte_query_t query
       = { .deployment
@@ -205,11 +237,14 @@
                 ? item->deployment
                 : cfg_route_deployment_pick (route, g_rand_double (env->rand)),
           .version = job_version_wanted (j, env, item),
+          .crash = &crash,
           .batch = true,
           .skip_full = true,
           .reserved_slots = j->desc.spare_slots };
   if (!rte_pick (j->desc.routes, env, &query, &pick))
     {
+      if (j->desc.crashes != NULL)
+        crs_drop (j->desc.crashes, env, MOD_JOB, crash.tag);
       if (query.version == NULL)
         return _JOB_NO_ROOM;
       job_version_missing (j, env, job, index);
@@ -487,9 +522,14 @@
   int status = run->status;
   if (status == 200 && _job_run_is_cut (run, &job->items[index]))
     {
-      _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "incomplete");
+      _job_run_end (j, env, run,
+                    run->close_delimited ? RTE_FAIL_CLOSED
+                                         : RTE_FAIL_TRUNCATED,
+                    "incomplete");
       return;
     }
+  if (status == 200)
+    rte_answered (j->desc.routes, env, run->in_flight, !run->close_delimited);
   rte_finished (j->desc.routes, env, run->in_flight);
   if (status == 200)
     job_order_learn (j, env, job, run);
@@ -503,12 +543,27 @@
   job_outcome_set (j, env, job, index, true);
 }
 
-/* Ends RUN, whose call has failed with FAIL. */
+/* Ends RUN, whose upstream has closed the connection. */
+static void
+_job_run_closed (job_set_t *j, env_t *env, job_run_t *run)
+{
+  const job_t *job = tbl_get (j->jobs, run->job);
+  if (run->received == 0)
+    job->items[run->item].has_ended_one = true;
+  _job_run_end (j, env, run, RTE_FAIL_CLOSED, "closed");
+}
+
+/* Ends RUN, whose call has failed as UP says. */
 static void
-_job_run_broken (job_set_t *j, env_t *env, job_run_t *run, ev_fail_t fail)
+_job_run_broken (job_set_t *j, env_t *env, job_run_t *run,
+                 const ev_upstream_t *up)
 {
-  if (fail == EV_FAIL_TIMEOUT)
+  if (up->fail == EV_FAIL_TIMEOUT)
     _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "timeout");
+  else if (up->fail == EV_FAIL_NOT_SENT)
+    _job_run_end (j, env, run, RTE_FAIL_UNSENT, "not-sent");
+  else if (up->closed)
+    _job_run_closed (j, env, run);
   else
     _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "broken");
 }
@@ -535,7 +590,7 @@
       _job_run_completed (j, env, run);
       break;
     case EV_UPSTREAM_FAIL:
-      _job_run_broken (j, env, run, ev->upstream.fail);
+      _job_run_broken (j, env, run, &ev->upstream);
       break;
     default:
       break;
--- a/src/core/mod.h
+++ b/src/core/mod.h
@@ -28,6 +28,7 @@
   MOD_JOB,        /**< job: batch jobs whose results have positions */
   MOD_RETIRE,     /**< ret: draining of a worker that is to be removed */
   MOD_STREAM,     /**< stv: versions at which streams began */
+  MOD_CRASH,      /**< crs: what ends upstreams */
   MOD_NUM
 } mod_t;
 
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -27,7 +27,8 @@
   MSG_DIRECTORY_FIRST = 112, /**< dir: 112 to 119 */
   MSG_PLATFORM_FIRST = 120,  /**< node_relay: 120 to 127 */
   MSG_STREAM_FIRST = 128,    /**< stv: 128 to 135 */
-  MSG_END = 136              /**< above all kinds */
+  MSG_CRASH_FIRST = 136,     /**< crs: 136 to 143 */
+  MSG_END = 144              /**< above all kinds */
 } msg_block_t;
 
 /** Largest body, in bytes. */
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -15,6 +15,7 @@
 #ifndef RTS_NODE_H
 #define RTS_NODE_H
 
+#include "core/crs.h"
 #include "core/env.h"
 #include "core/ev.h"
 #include "core/lim_slack.h"
@@ -43,6 +44,8 @@
   clk_ms_t history_ms; /**< time for which the platform keeps its history; 0:
                             not known */
   bool worker;         /**< runs batch items, serves no callers */
+  crs_prompt_parts_t prompt_parts; /**< of the headers of jobs' items; NULL:
+                                        they have none */
   const char *const *data_centres; /**< SOURCE_PLATFORM: the fleet's data
                                       centres, ends with NULL */
 } node_desc_t;
--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -13,6 +13,7 @@
 #include "core/cfs.h"
 #include "core/cht.h"
 #include "core/crd.h"
+#include "core/crs.h"
 #include "core/dir.h"
 #include "core/job.h"
 #include "core/key.h"
@@ -54,6 +55,7 @@
   idm_t *idm;      /**< records of non-idempotent requests */
   crd_t *crd;      /**< batch credits */
   bat_t *bat;      /**< batch jobs in chunks; runs with SOURCE_SECTIONS */
+  crs_t *crs;      /**< what ends upstreams */
   stv_t *stv;
   onl_t *onl;     /**< online requests */
   tbl_t *relays;  /**< platform calls for peers, see node_relay.c */
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -93,8 +93,10 @@
   n->keys = key_setup (n, &(key_desc_t){ .peers = cfs_peers (n->cfs) });
   n->lim = lim_setup (
       n, &(lim_desc_t){ .members = n->mbr, .slack = desc->limit_slack });
+  n->crs = crs_setup (n, &(crs_desc_t){ .members = n->mbr });
   n->rte = rte_setup (
       n, &(rte_desc_t){ .members = n->mbr,
+                        .crashes = n->crs,
                         .report_ms = platform ? NODE_LOAD_REPORT_MS : 0,
                         .no_cache_events = platform });
   n->crd = crd_setup (n, &(crd_desc_t){ 0 });
@@ -108,9 +110,12 @@
                                         .limits = n->lim,
                                         .keys = n->keys,
                                         .routes = n->rte,
+                                        .crashes = n->crs,
                                         .records = n->idm });
   n->job
       = job_setup (n, &(job_desc_t){ .routes = n->rte,
+                                     .crashes = n->crs,
+                                     .prompt_parts = desc->prompt_parts,
                                      .members = n->mbr,
                                      .unix_offset_ms = desc->unix_offset_ms });
   if (platform && desc->worker)
@@ -212,6 +217,9 @@
     case MOD_STREAM:
       stv_timer_fired (n->stv, env, due->tag);
       break;
+    case MOD_CRASH:
+      crs_timer_fired (n->crs, env, due->tag);
+      break;
     case MOD_NODE:
     case MOD_ORDER:
     case MOD_NUM:
@@ -262,6 +270,7 @@
     case MOD_CREDIT:
     case MOD_ORDER:
     case MOD_STREAM:
+    case MOD_CRASH:
     case MOD_NUM:
       INV_CHECK (false, "platform-reply-owner", "module %s",
                  mod_name (done->mod));
@@ -284,6 +293,8 @@
     return MOD_LIMIT;
   if (kind < MSG_BATCH_FIRST)
     return MOD_ROUTE;
+  if (kind >= MSG_CRASH_FIRST)
+    return MOD_CRASH;
   if (kind >= MSG_STREAM_FIRST)
     return MOD_STREAM;
   if (kind >= MSG_PLATFORM_FIRST)
@@ -299,6 +310,7 @@
 node_mods_message (node_t *n, const char *vm, const msg_t *msg)
 {
   env_t *env = n->env;
+  crs_heard (n->crs, env);
   switch (_node_message_mod (msg->kind))
     {
     case MOD_CONFIG:
@@ -325,6 +337,9 @@
     case MOD_STREAM:
       stv_message_received (n->stv, env, vm, msg);
       break;
+    case MOD_CRASH:
+      crs_message_received (n->crs, env, vm, msg);
+      break;
     case MOD_DIRECTORY:
       if (n->dir != NULL)
         dir_message_received (n->dir, env, vm, msg);
@@ -356,6 +371,9 @@
     case MOD_ROUTE:
       rte_upstream_event (n->rte, n->env, owner.tag, &ev);
       break;
+    case MOD_CRASH:
+      crs_upstream_event (n->crs, n->env, owner.tag, &ev);
+      break;
     case MOD_JOB:
       job_upstream_event (n->job, n->env, owner.tag, &ev);
       break;
@@ -375,6 +393,7 @@
     {
       g_hash_table_add (n->linked, g_strdup (vm));
       mbr_peer_up (n->mbr, n->env, vm);
+      crs_peer_up (n->crs, n->env, vm);
       if (n->source == NODE_SOURCE_PLATFORM)
         {
           dir_peer_up (n->dir, n->env, vm);
@@ -492,6 +511,8 @@
   opr_results_send (n->opr, n->env);
   if (n->dir != NULL)
     dir_pump (n->dir, n->env);
+  if (n->dir != NULL && dir_listed_at (n->dir) != CLK_NEVER)
+    crs_list_read (n->crs, dir_listed_at (n->dir));
   bool changed
       = n->dir != NULL ? dir_changed (n->dir, n->env) : cfs_changed (n->cfs);
   if (changed)
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -124,12 +124,14 @@
 /* -- state machine -------------------------------------------------------- */
 
 static void
-_onl_close (onl_t *o, onl_request_t *r)
+_onl_close (onl_t *o, env_t *env, onl_request_t *r)
 {
   INV_CHECK (r->record == 0, "record-has-outcome", "request %s",
              r->request_id);
   if (r->caller != 0)
     g_hash_table_remove (o->by_caller, &r->caller);
+  if (o->desc.crashes != NULL)
+    crs_drop (o->desc.crashes, env, MOD_ONLINE, r->id.id);
   if (r->response.buffered != NULL)
     g_byte_array_free (r->response.buffered, TRUE);
   r->response.buffered = NULL;
@@ -159,7 +161,7 @@
       onl_send (o, env, r);
       break;
     case _ONL_DO_CLOSE:
-      _onl_close (o, r);
+      _onl_close (o, env, r);
       break;
     case _ONL_DO_NUM:
       break;
--- a/src/core/onl.h
+++ b/src/core/onl.h
@@ -31,6 +31,7 @@
 #define RTS_ONL_H
 
 #include "core/cfg.h"
+#include "core/crs.h"
 #include "core/env.h"
 #include "core/idm.h"
 #include "core/key.h"
@@ -47,6 +48,7 @@
   lim_t *limits;
   key_set_t *keys;
   rte_t *routes;
+  crs_t *crashes; /**< NULL: nothing is kept away from upstreams */
   stv_t *streams; /**< NULL: streams are not bound to versions */
   idm_t *records;
   clk_ms_t queue_ms; /**< longest wait in the fair queue; default 2 s */
--- a/src/core/onl_admit.c
+++ b/src/core/onl_admit.c
@@ -169,6 +169,7 @@
     r->deadline = clk_min (r->deadline, env->now + req->meta.wait_ms);
   r->target_ms = route->target_ms;
   r->prefix = req->meta.prefix;
+  onl_crash_fill (r, req);
   r->stream = req->meta.tokens_out > 0;
   if (r->prefix == 0 && r->engine && req->body.n > 0
       && req->body.n <= ONL_PROMPT_MAX)
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -125,7 +125,8 @@
   char *target; /**< path and query, without the API key */
   http_headers_t headers;
   buf_t body;
-  uint64_t prefix; /**< hash of the prompt's prefix; 0: none */
+  uint64_t prefix;   /**< hash of the prompt's prefix; 0: none */
+  crs_query_t crash; /**< what may end an upstream */
   clk_ms_t arrived;
   clk_ms_t sent;     /**< when the last attempt was sent */
   clk_ms_t leave_by; /**< when it must have left the queue */
@@ -251,6 +252,25 @@
  * returned, R may be freed, because the queue may have refused the request. */
 bool onl_retry (onl_t *o, env_t *env, onl_request_t *r, bool may_have_run);
 
+/* onl_crash.c: requests that may end upstreams. */
+/** Fill in what of R, which REQ has brought, may end an upstream. */
+void onl_crash_fill (onl_request_t *r, const ev_request_t *req);
+
+/** Outcome of onl_crash_gate. */
+typedef enum
+{
+  ONL_GATE_OPEN,   /**< R may be sent in this step */
+  ONL_GATE_WAIT,   /**< not yet */
+  ONL_GATE_CLOSED, /**< R was refused, and is freed */
+} onl_gate_t;
+
+/** Whether R, which is about to be sent, may be. */
+onl_gate_t onl_crash_gate (onl_t *o, env_t *env, onl_request_t *r);
+
+/** The call of R has failed; CLOSED: its upstream closed the connection.
+ * Returns what the router is told. */
+rte_fail_t onl_crash_fail (onl_request_t *r, bool closed);
+
 /* onl_response.c */
 /** Abort a response of which a part was delivered; WHY is for the time line
  * and the caller.  Frees R. */
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -113,13 +113,24 @@
   onl_fire (o, env, r, ONL_EV_END);
 }
 
+static void _onl_response_failed (onl_t *o, env_t *env, onl_request_t *r,
+                                  rte_fail_t fail, const char *why);
+
 /** Handle a response that cannot become complete: retry the request, or end it
  * with an error that has WHY as its message. */
 static void
 _onl_response_broken (onl_t *o, env_t *env, onl_request_t *r, const char *why)
+{
+  _onl_response_failed (o, env, r, RTE_FAIL_TRUNCATED, why);
+}
+
+/** The same, with FAIL for the router. */
+static void
+_onl_response_failed (onl_t *o, env_t *env, onl_request_t *r, rte_fail_t fail,
+                      const char *why)
 {
   r->may_have_run = true;
-  _onl_attempt_end (o, env, r, RTE_FAIL_TRUNCATED);
+  _onl_attempt_end (o, env, r, fail);
   if (onl_retry (o, env, r, true))
     return;
   onl_refuse (o, env, r,
@@ -362,6 +373,9 @@
 static void
 _onl_response_complete (onl_t *o, env_t *env, onl_request_t *r)
 {
+  if (r->response.status >= 200 && r->response.status < 300)
+    rte_answered (o->desc.routes, env, r->pick.handle,
+                  !r->response.close_delimited || r->has_end_marker);
   rte_finished (o->desc.routes, env, r->pick.handle);
   r->call = 0;
   buf_t body = _onl_buffered (r);
@@ -442,26 +456,43 @@
            && !_onl_stream_is_complete (response))
     _onl_response_broken (o, env, r, "the stream ended before its last event");
   else if (_onl_stream_is_cut (r))
-    _onl_response_broken (o, env, r, "the stream ended within an event");
+    _onl_response_failed (o, env, r,
+                          onl_crash_fail (r, response->close_delimited),
+                          "the stream ended within an event");
   else if (_onl_end_is_unproved (r))
-    _onl_response_broken (o, env, r, "nothing says that the answer is whole");
+    _onl_response_failed (o, env, r, onl_crash_fail (r, true),
+                          "nothing says that the answer is whole");
   else
     _onl_response_complete (o, env, r);
 }
 
+/** What the failure UP of R's call, before any response, is for the router. */
+static rte_fail_t
+_onl_fail_kind (onl_request_t *r, const ev_upstream_t *up)
+{
+  switch (up->fail)
+    {
+    case EV_FAIL_TIMEOUT:
+      return RTE_FAIL_TIMEOUT;
+    case EV_FAIL_NOT_SENT:
+      return RTE_FAIL_UNSENT;
+    default:
+      return up->closed ? onl_crash_fail (r, true) : RTE_FAIL_REFUSED;
+    }
+}
+
 static void
 _onl_fail (onl_t *o, env_t *env, onl_request_t *r, const ev_upstream_t *up)
 {
   bool may_have_run = up->fail != EV_FAIL_NOT_SENT || r->state != ONL_SENT;
   if (r->state == ONL_ANSWERING)
     {
-      _onl_response_broken (o, env, r, "the upstream's answer broke off");
+      _onl_response_failed (o, env, r, onl_crash_fail (r, up->closed),
+                            "the upstream's answer broke off");
       return;
     }
   r->may_have_run = r->may_have_run || may_have_run;
-  _onl_attempt_end (o, env, r,
-                    up->fail == EV_FAIL_TIMEOUT ? RTE_FAIL_TIMEOUT
-                                                : RTE_FAIL_REFUSED);
+  _onl_attempt_end (o, env, r, _onl_fail_kind (r, up));
   if (!may_have_run)
     r->runs--;
   if (!may_have_run && r->record != 0)
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -137,6 +137,7 @@
   rte_query_t query = { .deployment = r->deployment->name,
                         .version = onl_version_wanted (o, env, r),
                         .prefix = r->prefix,
+                        .crash = &r->crash,
                         .avoid = r->tried,
                         .avoid_count = r->attempts,
                         .skip_full = true };
@@ -189,10 +190,17 @@
                       .retry_after_ms = CLK_SECOND });
 }
 
-/** Send a request just taken from its queue, or refuse the request.  Returns
- * false when upstreams are full, or will soon have room by their limits: the
- * request must go back into the queue. */
-static bool
+/** What became of a request taken from its queue. */
+typedef enum
+{
+  _ONL_GONE, /**< sent or refused */
+  _ONL_FULL, /**< upstreams are full, or will soon have room by their limits:
+                  it must go back into the queue */
+  _ONL_HELD, /**< it waits for something that others do not */
+} _onl_dispatched_t;
+
+/** Send a request just taken from its queue, or refuse the request. */
+static _onl_dispatched_t
 _onl_dispatch_request (onl_t *o, env_t *env, onl_request_t *r)
 {
   if (!_onl_pick (o, env, r))
@@ -201,12 +209,12 @@
       bool limited = r->pick.limited;
       clk_ms_t room_at = env->now + (full ? 0 : r->pick.limit_wait_ms);
       if (limited ? room_at < _onl_limit_patience_end (r) : full)
-        return false;
+        return _ONL_FULL;
       if (limited)
         _onl_refuse_limited (o, env, r);
       else
         _onl_refuse_no_upstream (o, env, r);
-      return true;
+      return _ONL_GONE;
     }
   if (r->record != 0 && !idm_may_send (o->desc.records, env, r->record))
     {
@@ -215,23 +223,24 @@
                   &(rpl_error_t){ .status = 504,
                                   .code = "deadline",
                                   .message = "the deadline passed" });
-      return true;
+      return _ONL_GONE;
     }
   onl_fire (o, env, r, ONL_EV_PICKED);
-  return true;
+  return _ONL_GONE;
 }
 
-/** Keep request TAG, for whose version no upstream has room, outside of the
- * queue of D, where it would hold up the others. */
+/** Keep request TAG, for whose version no upstream has room or which may not
+ * be sent yet, outside of the queue of D, where it would hold up the others.
+ */
 static void
 _onl_hold (onl_deployment_t *d, uint64_t tag)
 {
   g_queue_push_tail (d->held, g_memdup2 (&tag, sizeof tag));
 }
 
-/** Send the requests of D that are held as far as upstreams have room, and
- * refuse those that have waited too long.  The first one that finds a version
- * full stands for those behind it. */
+/** Send the requests of D that are held as far as they may be and upstreams
+ * have room, and refuse those that have waited too long.  The first one that
+ * finds a version full stands for those behind it. */
 static void
 _onl_held_dispatch (onl_t *o, env_t *env, onl_deployment_t *d)
 {
@@ -246,11 +255,15 @@
         continue;
       if (env->now >= r->leave_by)
         _onl_refuse_overloaded (o, env, r, CLK_SECOND / 4);
-      else if (g_strcmp0 (full, r->version) == 0)
+      else if (full != NULL && g_strcmp0 (full, r->version) == 0)
         _onl_hold (d, tag);
-      else if (!_onl_dispatch_request (o, env, r))
+      else
         {
-          full = r->version;
+          _onl_dispatched_t dispatched = _onl_dispatch_request (o, env, r);
+          if (dispatched == _ONL_GONE)
+            continue;
+          if (dispatched == _ONL_FULL)
+            full = r->version;
           _onl_hold (d, tag);
         }
     }
@@ -269,9 +282,10 @@
       onl_request_t *r = onl_request_get (o, tag);
       INV_CHECK (r != NULL && r->state == ONL_QUEUED,
                  "queued-request-is-waiting", "deployment %s", d->name);
-      if (_onl_dispatch_request (o, env, r))
+      _onl_dispatched_t dispatched = _onl_dispatch_request (o, env, r);
+      if (dispatched == _ONL_GONE)
         continue;
-      if (onl_version_wanted (o, env, r) != NULL)
+      if (dispatched == _ONL_HELD || onl_version_wanted (o, env, r) != NULL)
         {
           _onl_hold (d, tag);
           continue;
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -295,6 +295,19 @@
   return d->sole_version;
 }
 
+/** Tells the crashes' module which upstreams DOC lists. */
+static void
+_rte_crashes_listed (const rte_t *r, env_t *env, const cfg_doc_t *doc)
+{
+  crs_t *crashes = r->desc.crashes;
+  if (crashes == NULL)
+    return;
+  crs_listed_begin (crashes);
+  for (size_t i = 0; i < doc->upstream_count; i++)
+    crs_listed (crashes, doc->upstreams[i].name, doc->upstreams[i].born);
+  crs_listed_end (crashes, env);
+}
+
 void
 rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc)
 {
@@ -326,6 +339,7 @@
       _rte_subset_mark (r, env, value);
       _rte_versions_learn (value, env->now);
     }
+  _rte_crashes_listed (r, env, doc);
   r->members_generation = 0;
   rte_pollers_update (r, env);
   _rte_upstreams_sweep (r);
@@ -395,6 +409,14 @@
   if (f == NULL)
     return;
   f->sent_at = env->now;
+  if (f->crash != NULL && r->desc.crashes != NULL)
+    crs_run_begin (r->desc.crashes, env, handle,
+                   &(crs_run_t){ .upstream = u->name,
+                                 .born = u->born,
+                                 .address = u->address,
+                                 .fixed_identity = u->fixed_identity,
+                                 .query = *f->crash });
+  f->crash = NULL;
   if (u->leaving_until == 0)
     return;
   u->leaving_until = 0;
@@ -425,6 +447,8 @@
   if (f == NULL || f->unanswered == NULL)
     return;
   _rte_inflight_responded (f, u);
+  if (r->desc.crashes != NULL)
+    crs_run_head (r->desc.crashes, env, handle);
   f->first_at = env->now;
   double took = (double)(env->now - f->sent_at);
   double expected = fmax (f->expected_ms / rte_slowness (u, env->now), 1);
@@ -526,6 +550,27 @@
     rte_limit_said (r, env, u, limit, f->sent_at, env->now, "answer");
 }
 
+void
+rte_answered (rte_t *r, env_t *env, uint64_t handle, bool proved)
+{
+  if (r->desc.crashes != NULL)
+    crs_run_end (r->desc.crashes, env, handle,
+                 proved ? CRS_END_WHOLE : CRS_END_UNPROVED);
+}
+
+/** What FAIL of a request at U says of U's end.  What breaks at an upstream
+ * that is leaving, or is no longer listed, was planned. */
+static crs_end_t
+_rte_crash_end (const rte_upstream_t *u, rte_fail_t fail, clk_ms_t now)
+{
+  if (fail == RTE_FAIL_UNSENT)
+    return CRS_END_UNSENT;
+  if (fail == RTE_FAIL_CLOSED && u->configured
+      && !rte_gets_nothing_new (u, now))
+    return CRS_END_CLOSED;
+  return CRS_END_OTHER;
+}
+
 void
 rte_finished (rte_t *r, env_t *env, uint64_t handle)
 {
@@ -540,6 +585,8 @@
                   + (f->prefix_cached ? f->deployment->hit_ms
                                       : f->deployment->miss_ms));
   _rte_inflight_end (r, f, u);
+  if (r->desc.crashes != NULL)
+    crs_run_end (r->desc.crashes, env, handle, CRS_END_OTHER);
 }
 
 void
@@ -552,6 +599,9 @@
   if (f->prefix != 0)
     rte_prefix_index_remove (r->prefix_index, f->prefix, u->id);
   _rte_inflight_end (r, f, u);
+  if (r->desc.crashes != NULL)
+    crs_run_end (r->desc.crashes, env, handle,
+                 _rte_crash_end (u, fail, env->now));
   if (fail != RTE_FAIL_CANCELLED)
     rte_health_fail (r, env, u);
 }
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -33,6 +33,7 @@
 #define RTS_RTE_H
 
 #include "core/cfg.h"
+#include "core/crs.h"
 #include "core/env.h"
 #include "core/ev.h"
 #include "core/mbr.h"
@@ -80,6 +81,8 @@
 typedef struct
 {
   mbr_t *members;          /**< required; the pollers are among these VMs */
+  crs_t *crashes;          /**< is told of requests and their ends; NULL: no
+                                one is */
   clk_ms_t report_ms;      /**< period of load polls; default 200 */
   clk_ms_t exchange_ms;    /**< period of usage messages to a poller; default
                                 100, longer with many pollers */
@@ -114,6 +117,8 @@
   bool batch;              /**< a batch request, counted apart from online */
   uint32_t reserved_slots; /**< slots that must remain free at the upstream; if
                                 not 0, skip_full has no effect */
+  const crs_query_t *crash; /**< what may end the upstream, borrowed until
+                                 rte_started; NULL: nothing */
   bool skip_full; /**< exclude upstreams with rte_desc_t.queue_max or more
                        requests beyond their slots */
 } rte_query_t;
@@ -145,6 +150,9 @@
   RTE_FAIL_REFUSED,   /**< connection refused, or an error status */
   RTE_FAIL_TIMEOUT,   /**< no data arrived in the allowed time */
   RTE_FAIL_TRUNCATED, /**< the response ended early */
+  RTE_FAIL_CLOSED,    /**< the upstream closed or reset the connection before
+                           the response was complete */
+  RTE_FAIL_UNSENT,    /**< no connection could be made */
   RTE_FAIL_CANCELLED, /**< this VM cancelled the request; the upstream is not
                            at fault */
 } rte_fail_t;
@@ -199,6 +207,11 @@
 void rte_said_limit (rte_t *r, env_t *env, uint64_t handle,
                      const ev_limit_t *limit);
 
+/** The response, a success, is complete; PROVED: it has a length or chunks, or
+ * an end marker, so that it cannot have been cut.  Comes before rte_finished.
+ */
+void rte_answered (rte_t *r, env_t *env, uint64_t handle, bool proved);
+
 /** The response is complete; HANDLE becomes invalid. */
 void rte_finished (rte_t *r, env_t *env, uint64_t handle);
 
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -301,7 +301,8 @@
                          .prefix = query->prefix,
                          .prefix_cached = c->prefix_cached,
                          .batch = query->batch,
-                         .queued = c->queued };
+                         .queued = c->queued,
+                         .crash = query->crash };
   g_queue_push_tail (&u->unanswered, f);
   f->unanswered = u->unanswered.tail;
   if (query->batch)
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -187,7 +187,8 @@
   uint64_t prefix;    /**< rte_prefix of the prompt; 0: none */
   bool prefix_cached; /**< the prefix was expected to be cached */
   bool batch;
-  bool queued; /**< no slot was believed free at the pick */
+  bool queued;              /**< no slot was believed free at the pick */
+  const crs_query_t *crash; /**< as in rte_query_t, until rte_started */
 } rte_inflight_t;
 
 typedef struct rte_prefix_index rte_prefix_index_t;
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -262,6 +262,8 @@
                             .close_delimited = e->close_delimited,
                             .data = e->data,
                             .fail = e->fail,
+                            .refused = e->refused,
+                            .closed = e->closed,
                             .text = e->text } };
   _drv_queued_t *q = _drv_event_queue (d, &ev);
   if (e->kind == EV_UPSTREAM_HEAD && d->desc.set->hosted)
@@ -578,6 +580,7 @@
           .limit_slack = { .window_ms = set->limit_window_ms,
                            .overshoot = set->limit_overshoot,
                            .requests = set->limit_requests },
+          .prompt_parts = set->hosted ? pfm_prompt_parts : NULL,
           .data_centres = set->data_centres,
           .history_ms = set->history_ms },
       st);
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -335,6 +335,25 @@
   return curl_easy_strerror (code);
 }
 
+/* Whether CODE, of a call that was sent, says that the other side closed or
+ * reset the connection.  After that libcurl may have tried a new one. */
+static bool
+_hcl_is_closed (CURLcode code)
+{
+  switch (code)
+    {
+    case CURLE_GOT_NOTHING:
+    case CURLE_PARTIAL_FILE:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_OPERATION_TIMEDOUT: /* only connecting has a limit in libcurl */
+      return true;
+    default:
+      return false;
+    }
+}
+
 static void
 _hcl_finish (_hcl_request_t *r, CURLcode code)
 {
@@ -351,6 +370,8 @@
       curl_easy_getinfo (r->easy, CURLINFO_REQUEST_SIZE, &sent);
       e.kind = EV_UPSTREAM_FAIL;
       e.fail = sent == 0 ? EV_FAIL_NOT_SENT : EV_FAIL_UNKNOWN;
+      e.refused = sent == 0 && code == CURLE_COULDNT_CONNECT;
+      e.closed = sent != 0 && _hcl_is_closed (code);
       e.text = _hcl_failure_text (r, code);
     }
   _hcl_emit (r, &e);
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -82,6 +82,8 @@
                                and ends with the connection */
   buf_t data;             /**< DATA: bytes of the body */
   ev_fail_t fail;         /**< FAIL */
+  bool refused;           /**< FAIL: as in ev_upstream_t */
+  bool closed;            /**< FAIL: as in ev_upstream_t */
   const char *text;       /**< FAIL: description for logs */
 } hcl_event_t;
 
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -355,6 +355,19 @@
   h->document.raw = buf_str ("the document");
 }
 
+/* Header of an item with its parts, each of 16 hexadecimal digits. */
+#define HST_PARTS_HEADER "Parts"
+
+static size_t
+_hst_prompt_parts (http_headers_t headers, uint64_t *out, size_t max)
+{
+  const char *text = http_header_find (headers, HST_PARTS_HEADER);
+  size_t n = 0;
+  for (; text != NULL && *text != '\0' && n < max; text += 17)
+    out[n++] = g_ascii_strtoull (text, NULL, 16);
+  return n;
+}
+
 void
 hst_start (hst_t *h, size_t vm)
 {
@@ -373,6 +386,7 @@
                       .worker = vm >= h->desc.entries,
                       .limit_slack = h->desc.slack,
                       .history_ms = h->desc.history_ms,
+                      .prompt_parts = _hst_prompt_parts,
                       .data_centres = data_centres },
       &st);
   hst_event_push (h, vm, 0, &(ev_t){ .kind = EV_START });
@@ -564,26 +578,32 @@
 uint64_t
 hst_submit (hst_t *h, size_t vm, const char *id, size_t count)
 {
-  static const http_header_t headers[]
-      = { { "X-Request-Id", "other" }, { "Authorization", "Bearer secret" } };
+  GString *parts = g_string_new (NULL);
+  for (size_t i = 0; i < h->item_part_count; i++)
+    g_string_append_printf (parts, "%016llx,",
+                            (unsigned long long)h->item_parts[i]);
+  http_header_t headers[] = { { "X-Request-Id", "other" },
+                              { "Authorization", "Bearer secret" },
+                              { HST_PARTS_HEADER, parts->str } };
   ev_job_item_t *items = talloc_zero_array (h, ev_job_item_t, count);
   for (size_t i = 0; i < count; i++)
     items[i] = (ev_job_item_t){ .id = talloc_asprintf (h, "%s-%zu", id, i),
                                 .target = "/rosters/x",
-                                .headers = { .v = headers, .n = 2 },
+                                .headers = { .v = headers, .n = 3 },
                                 .body = buf_str ("body"),
-                                .parts = h->item_parts,
-                                .part_count = h->item_part_count,
                                 .tokens = 10 };
-  return hst_request (h, vm,
-                      &(ev_request_t){ .method = "POST",
-                                       .path = "/rosters/x",
-                                       .headers = { .v = &hst_bearer, .n = 1 },
-                                       .meta = { .id = id },
-                                       .job = { .op = EV_JOB_SUBMIT,
-                                                .id = id,
-                                                .items = items,
-                                                .item_count = count } });
+  uint64_t caller
+      = hst_request (h, vm,
+                     &(ev_request_t){ .method = "POST",
+                                      .path = "/rosters/x",
+                                      .headers = { .v = &hst_bearer, .n = 1 },
+                                      .meta = { .id = id },
+                                      .job = { .op = EV_JOB_SUBMIT,
+                                               .id = id,
+                                               .items = items,
+                                               .item_count = count } });
+  (void)g_string_free (parts, TRUE);
+  return caller;
 }
 
 uint64_t
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -87,33 +87,28 @@
   hst_event_push (h, vm, wait,
                   &(ev_t){ .kind = EV_UPSTREAM_FAIL,
                            .upstream = { .call = u->call,
+                                         .refused = h->crash.refuses,
                                          .fail = h->crash.refuses || unsent
                                                      ? EV_FAIL_NOT_SENT
                                                      : EV_FAIL_TIMEOUT } });
 }
 
-void
-hst_upstream_call (hst_t *h, size_t vm, const fx_upstream_t *u)
+/* Note that upstream AT has got the request ID of the call U of VM. */
+static void
+_hst_arrival_note (hst_t *h, size_t vm, size_t at, const fx_upstream_t *u,
+                   const char *id)
 {
-  /* The address of upstream N is 10.0.0.N:80. */
-  size_t at = (size_t)(u->address[7] - '0');
-  ev_t head = { .kind = EV_UPSTREAM_HEAD, .upstream = { .call = u->call } };
-  if (h->back_at[at] != 0)
-    {
-      _hst_unconnected (h, vm, u);
-      return;
-    }
-  if (u->load_report)
-    {
-      _hst_load_report_send (h, vm, at, u->call);
-      return;
-    }
   h->received[at]++;
-  const char *id = http_header_find (u->headers, "X-Request-Id");
   hst_arrival_t arrival
       = { .at = h->now, .vm = vm, .upstream = at, .item = u->caller == 0 };
   g_strlcpy (arrival.id, id, sizeof arrival.id);
   g_array_append_val (h->arrivals, arrival);
+}
+
+/* Keep U for hst_last_call. */
+static void
+_hst_last_call_keep (hst_t *h, const fx_upstream_t *u)
+{
   talloc_free (h->last_call_ctx);
   h->last_call_ctx = talloc_new (h);
   h->last_call = *u;
@@ -128,6 +123,27 @@
             ? NULL
             : talloc_strdup (h->last_call_ctx, u->resume_after);
   h->last_call.headers = (http_headers_t){ 0 };
+}
+
+void
+hst_upstream_call (hst_t *h, size_t vm, const fx_upstream_t *u)
+{
+  /* The address of upstream N is 10.0.0.N:80. */
+  size_t at = (size_t)(u->address[7] - '0');
+  ev_t head = { .kind = EV_UPSTREAM_HEAD, .upstream = { .call = u->call } };
+  if (h->back_at[at] != 0)
+    {
+      _hst_unconnected (h, vm, u);
+      return;
+    }
+  if (u->load_report)
+    {
+      _hst_load_report_send (h, vm, at, u->call);
+      return;
+    }
+  const char *id = http_header_find (u->headers, "X-Request-Id");
+  _hst_arrival_note (h, vm, at, u, id);
+  _hst_last_call_keep (h, u);
   const hst_fault_t *fault = &h->faults[at];
   if (fault->cut_off)
     {
--- a/tests/test_crash_fleet.c
+++ b/tests/test_crash_fleet.c
@@ -38,6 +38,8 @@
                                        .upstreams = UPSTREAMS },
                         seed);
   hst_crash_set (t->h, (hst_crash_t){ .ids = "bad" });
+  /* The list names the starts from then on. */
+  hst_advance (t->h, CLK_SECOND);
   return t;
 }
 
