Crashes: a part of prompts that ends upstreams is kept away from them

Cause: harm was booked to the upstream that ended, never to the requests that ran there; the next upstream got the same part again, from any VM. Change: before each send (queued, held, retried, resumed, items) a request asks for its parts. A request whose upstream ended before it began to answer is sent again only when it is known whether the upstream ended. An end is booked to a blocked part alone if one ran there.

--- a/src/core/crs_int.h
+++ b/src/core/crs_int.h
@@ -21,6 +21,10 @@
   CRS_TIMER_TICK,     /**< what lapses, and reports that were not counted */
 };
 
+/** Time in which all connections to a start that ends break.  What breaks
+ * later was at a start that the list does not name yet. */
+#define CRS_SAME_END_MS (2 * CLK_SECOND)
+
 /** Period of CRS_TIMER_TICK. */
 #define CRS_TICK_MS (CLK_SECOND / 4)
 
--- a/src/core/crs_ledger.c
+++ b/src/core/crs_ledger.c
@@ -107,13 +107,17 @@
   talloc_free (r);
 }
 
+/** The record of the end of REPORT; NULL: there is none yet. */
 static crs_record_t *
-_crs_record_find (const crs_t *c, const char *upstream, uint64_t born)
+_crs_record_find (const crs_t *c, const crs_report_t *report)
 {
   for (const GList *l = c->records.tail; l != NULL; l = l->prev)
     {
       crs_record_t *r = l->data;
-      if (r->born == born && strcmp (r->upstream, upstream) == 0)
+      clk_ms_t apart = report->at - r->at;
+      if (r->born == report->born
+          && strcmp (r->upstream, report->upstream) == 0
+          && apart <= CRS_SAME_END_MS)
         return r;
     }
   return NULL;
@@ -122,7 +126,7 @@
 static crs_record_t *
 _crs_record_get (crs_t *c, env_t *env, const crs_report_t *report)
 {
-  crs_record_t *r = _crs_record_find (c, report->upstream, report->born);
+  crs_record_t *r = _crs_record_find (c, report);
   if (r != NULL)
     return r;
   if (c->records.length >= CRS_RECORDS_MAX)
--- a/src/core/crs_watch.c
+++ b/src/core/crs_watch.c
@@ -58,6 +58,7 @@
   bool silent; /**< nothing has answered, and this VM has heard nothing from
                     elsewhere since */
   bool ended;
+  clk_ms_t ended_at;
 } _crs_start_t;
 
 /** Whom a call asks. */
@@ -217,6 +218,8 @@
                 "upstream=%s born=%llu requests=%u why=%s age_ms=%lld",
                 s->upstream, (unsigned long long)s->born, s->breaks.length,
                 why, (long long)(env->now - s->last_at));
+  if (!s->ended)
+    s->ended_at = env->now;
   s->ended = true;
   _crs_end_report (c, env, s, &s->breaks, certain);
   while (!g_queue_is_empty (&s->breaks))
@@ -304,6 +307,17 @@
   return s;
 }
 
+/** End the permits of what broke at S, of which nothing was found out. */
+static void
+_crs_permits_end (crs_t *c, env_t *env, const _crs_start_t *s)
+{
+  for (const GList *l = s->breaks.head; l != NULL; l = l->next)
+    {
+      const _crs_run_t *run = l->data;
+      crs_permit_end (c, env, run->mod, run->tag, true);
+    }
+}
+
 /** Ask S, at which RUN broke, whether it lives. */
 static void
 _crs_probe (crs_t *c, env_t *env, _crs_start_t *s, const _crs_run_t *run)
@@ -354,6 +368,8 @@
     _crs_lives (c, env, s, s->asked_at);
   else if (ev->upstream.fail == EV_FAIL_NOT_SENT)
     _crs_unconnected (c, env, s, ev->upstream.refused);
+  else
+    _crs_permits_end (c, env, s);
 }
 
 /* -- requests ------------------------------------------------------------- */
@@ -395,6 +411,14 @@
     _crs_lives (c, env, s, run->sent_at);
 }
 
+/** Whether the list names the start S. */
+static bool
+_crs_is_listed (const crs_t *c, const _crs_start_t *s)
+{
+  const uint64_t *born = g_hash_table_lookup (c->listed, s->upstream);
+  return born != NULL && *born == s->born;
+}
+
 /** Keep RUN as a break of its upstream's start. */
 static void
 _crs_break (crs_t *c, env_t *env, _crs_run_t *run, bool unproved)
@@ -412,8 +436,12 @@
     }
   g_queue_push_tail (&s->breaks, run);
   crs_tick_arm (c, env);
+  if (s->ended && env->now - s->ended_at > CRS_SAME_END_MS)
+    s->ended = false;
   if (s->ended)
     _crs_ended (c, env, s, false, "ended-before");
+  else if (!unproved && !_crs_is_listed (c, s))
+    _crs_ended (c, env, s, true, "not-listed");
   else if (!unproved)
     _crs_probe (c, env, s, run);
 }
@@ -489,8 +517,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       _crs_start_t *s = value;
-      const uint64_t *born = g_hash_table_lookup (c->listed, s->upstream);
-      if (born == NULL || *born != s->born)
+      if (!_crs_is_listed (c, s))
         _crs_ended (c, env, s, true, "not-listed");
     }
 }
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -30,6 +30,9 @@
 #define JOB_RESERVED_SLOTS 1
 /** Longest time for which an item has a permit to run. */
 #define JOB_PERMIT_MS (15 * CLK_SECOND)
+/** Longest pause of an item that upstreams have ended under, before it is
+ * looked whether it may run. */
+#define JOB_BLOCKED_RETRY_MS (1 * CLK_SECOND)
 /** Pause of an item after a preemption. */
 #define JOB_PREEMPTED_RETRY_MS 100
 /** Largest text of an item, in bytes.  It is stored as an object of at most
@@ -213,6 +216,27 @@
   };
 }
 
+/* Whether the item of QUERY may be sent; it waits otherwise. */
+static bool
+_job_crash_gate (job_set_t *j, env_t *env, job_item_t *item,
+                 const crs_query_t *query)
+{
+  clk_ms_t retry_ms = 0;
+  if (j->desc.crashes == NULL)
+    return true;
+  bool checking = item->has_ended_one
+                  && crs_is_checking (j->desc.crashes, MOD_JOB, query->tag);
+  crs_verdict_t verdict
+      = checking ? CRS_WAIT
+                 : crs_may_send (j->desc.crashes, env, query, &retry_ms);
+  if (verdict == CRS_SEND)
+    return true;
+  if (verdict == CRS_WAIT)
+    retry_ms = CRS_ASK_MS;
+  item->not_before = env->now + clk_min (retry_ms, JOB_BLOCKED_RETRY_MS);
+  return false;
+}
+
 /* What became of the start of an item. */
 typedef enum
 {
@@ -230,6 +254,8 @@
   uint64_t parts[CRS_SUBJECTS_MAX];
   job_item_t *item = &job->items[index];
   crs_query_t crash = _job_crash_query (j, job, index, parts);
+  if (!_job_crash_gate (j, env, item, &crash))
+    return _JOB_LATER;
   job_text_check_route (item, route);
   rte_query_t query
       = { .deployment
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -203,6 +203,15 @@
 static _onl_dispatched_t
 _onl_dispatch_request (onl_t *o, env_t *env, onl_request_t *r)
 {
+  switch (onl_crash_gate (o, env, r))
+    {
+    case ONL_GATE_OPEN:
+      break;
+    case ONL_GATE_WAIT:
+      return _ONL_HELD;
+    case ONL_GATE_CLOSED:
+      return _ONL_GONE;
+    }
   if (!_onl_pick (o, env, r))
     {
       bool full = r->pick.full;
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -117,6 +117,8 @@
   uint32_t state;  /**< RTE_BIT_* of the last report or poll */
 
   bool configured;        /**< present in the current document */
+  bool was_configured;    /**< present in the one before */
+  clk_ms_t dropped_at;    /**< when it was last not present any more */
   bool same_data_centre;  /**< in this VM's data centre */
   bool leaving;           /**< marked as leaving in the document */
   bool in_subset;         /**< in the subset that this VM uses */
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -231,6 +231,7 @@
   unsigned after_events; /**< events that the answer has before that */
   bool clean;   /**< its connections close as if the answers were whole */
   bool refuses; /**< new connections are refused; false: nothing answers */
+  clk_ms_t break_ms;  /**< until its connections break; default 0 */
   clk_ms_t unlist_ms; /**< until the list no longer names it; default 3 s */
   clk_ms_t down_ms;   /**< until its next start, which the list names at once;
                            default 3 s */
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -342,7 +342,7 @@
         continue;
       hst_inflight_end (h, f);
       hst_event_t *e = hst_event_push (
-          h, f->vm, 0,
+          h, f->vm, h->crash.break_ms,
           &(ev_t){ .kind = h->crash.clean ? EV_UPSTREAM_END : EV_UPSTREAM_FAIL,
                    .upstream = { .call = f->call,
                                  .fail = EV_FAIL_UNKNOWN,
--- a/tests/test_crash_fleet.c
+++ b/tests/test_crash_fleet.c
@@ -134,6 +134,7 @@
   const hst_crash_t ways[] = {
     { .ids = "bad", .refuses = true },
     { .ids = "bad", .refuses = true, .unlist_ms = 1, .down_ms = 700 },
+    { .ids = "bad", .unlist_ms = 1, .break_ms = 30, .down_ms = 700 },
     { .ids = "bad", .after_events = 3 },
     { .ids = "bad", .after_events = 3, .clean = true },
   };
