--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -5,6 +5,7 @@
 #include "platform/pfm.h"
 #include "tst.h"
 
+#include <glib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -437,6 +438,47 @@
   talloc_free (ctx);
 }
 
+/* Guards against a part that is not looked at, or a last part that is, and
+ * against malformed and endless lists. */
+static void
+test_parts_of_prompts (void)
+{
+  static const struct
+  {
+    const char *value;
+    size_t count;
+  } lists[] = {
+    { "5c:8,9:4", 1 },          { "5c:8", 0 },      { "", 0 },
+    { "a:1,b:2,c:3", 2 },       { "a:1,A:2,z", 1 }, { ",,,", 0 },
+    { " a : 1 , b:2 ,c:3", 2 }, { "a,b,c", 2 },     { ":5,:6,x:1", 0 },
+  };
+  uint64_t parts[4];
+  uint64_t others[4];
+  for (size_t i = 0; i < sizeof lists / sizeof lists[0]; i++)
+    {
+      http_header_t header = { "Prefix-Hash", lists[i].value };
+      CU_ASSERT_EQUAL (
+          pfm_prompt_parts ((http_headers_t){ &header, 1 }, parts, 4),
+          lists[i].count);
+    }
+  http_header_t first = { "Prefix-Hash", "a:1,b:2,c:3" };
+  http_header_t spaced = { "prefix-hash", "A:9, B:2,d:3" };
+  (void)pfm_prompt_parts ((http_headers_t){ &first, 1 }, parts, 4);
+  (void)pfm_prompt_parts ((http_headers_t){ &spaced, 1 }, others, 4);
+  CU_ASSERT (parts[0] != parts[1] && parts[0] != 0);
+  CU_ASSERT (parts[0] == others[0] && parts[1] == others[1]);
+  http_header_t two[]
+      = { { "Prefix-Hash", "a:1,b:2" }, { "Prefix-Hash", "c:3,d:4" } };
+  CU_ASSERT_EQUAL (pfm_prompt_parts ((http_headers_t){ two, 2 }, parts, 4), 3);
+  GString *many = g_string_new (NULL);
+  for (int i = 0; i < 10000; i++)
+    g_string_append_printf (many, "%x:1,", i);
+  http_header_t endless = { "Prefix-Hash", many->str };
+  CU_ASSERT_EQUAL (
+      pfm_prompt_parts ((http_headers_t){ &endless, 1 }, parts, 4), 4);
+  (void)g_string_free (many, TRUE);
+}
+
 /* Guards against an own response that counts as foreign: white space around an
  * id is no part of it, and upstreams repeat the id without. */
 static void
@@ -678,6 +720,7 @@
       test_page_without_a_last_name_is_not_the_last },
     { "cut_list_is_no_list", test_cut_list_is_no_list },
     { "request_headers", test_request_headers },
+    { "parts_of_prompts", test_parts_of_prompts },
     { "request_id_is_trimmed", test_request_id_is_trimmed },
     { "empty_signature_is_none", test_empty_signature_is_none },
     { "upstream_headers", test_upstream_headers },
