--- a/src/core/crs_ledger.c
+++ b/src/core/crs_ledger.c
@@ -91,6 +91,8 @@
   return CRS_TRIAL_MS << (2 * MIN (e->trials, CRS_TRIALS_MAX));
 }
 
+/** E has changed; others act on it only if it is or was suspected, and note
+ * that it is counted so that they say when an answer with it was whole. */
 static void
 _crs_entry_changed (crs_t *c, env_t *env, crs_entry_t *e)
 {
--- a/src/core/crs_peer.c
+++ b/src/core/crs_peer.c
@@ -9,8 +9,11 @@
 
 #include <string.h>
 
-/** Time in which changed subjects are gathered for one message. */
+/** Time in which changed subjects are gathered for one message to each VM, and
+ * the number of VMs for which it is a millisecond longer, so that the ledger
+ * of a large fleet sends at most so many thousand messages a second. */
 #define CRS_TELL_MS ((clk_ms_t)20)
+#define CRS_TELL_VMS 4
 /** Period at which subjects that need permits are told again, as messages may
  * be lost. */
 #define CRS_REPEAT_MS (2 * CLK_SECOND)
@@ -272,7 +275,9 @@
   if (c->tell_armed || !_crs_is_ledger (c, env))
     return;
   c->tell_armed = true;
-  tmr_arm (env->tmr, env->now + CRS_TELL_MS, MOD_CRASH, CRS_TIMER_TELL);
+  clk_ms_t pause
+      = CRS_TELL_MS + (clk_ms_t)mbr_vm_count (c->desc.members) / CRS_TELL_VMS;
+  tmr_arm (env->tmr, env->now + pause, MOD_CRASH, CRS_TIMER_TELL);
 }
 
 /** Milliseconds until AT; 0: it is past. */
