Crashes: only subjects that need permits are told again

Cause: every subject with an end was told to all VMs every 2 s, also those with a single end, of which there may be 4,096, 100 kB a message and VM. Change: told again are those with two ends and more; a change is told once.

--- a/src/core/crs_peer.c
+++ b/src/core/crs_peer.c
@@ -298,9 +298,10 @@
   mpk_put_uint (w, _crs_ms_until (env, e->busy_until));
 }
 
-/** Writes the subjects to be told, or ALL, to W; returns their number. */
+/** Writes the subjects to be told, and those with at least ENDS ends, to W;
+ * returns their number. */
 static size_t
-_crs_entries_put (crs_t *c, const env_t *env, mpk_writer_t *w, bool all)
+_crs_entries_put (crs_t *c, const env_t *env, mpk_writer_t *w, uint32_t ends)
 {
   GHashTableIter iter;
   void *value;
@@ -309,7 +310,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       crs_entry_t *e = value;
-      if (!e->untold && !(all && e->ends > 0))
+      if (!e->untold && e->ends < ends)
         continue;
       _crs_entry_put (w, env, e);
       n++;
@@ -345,7 +346,8 @@
   void *tmp = talloc_new (c);
   mpk_writer_t w;
   mpk_writer_init (&w, tmp);
-  size_t n = _crs_entries_put (c, env, &w, all);
+  size_t n
+      = _crs_entries_put (c, env, &w, all ? CRS_SUSPECT_ENDS : UINT32_MAX);
   buf_t body = mpk_done (&w);
   for (size_t i = 0; n > 0 && i < mbr_vm_count (c->desc.members); i++)
     {
@@ -367,7 +369,7 @@
   void *tmp = talloc_new (c);
   mpk_writer_t w;
   mpk_writer_init (&w, tmp);
-  if (_crs_entries_put (c, env, &w, true) > 0)
+  if (_crs_entries_put (c, env, &w, 1) > 0)
     _crs_send (env, vm, MSG_CRASH_STATE, &w);
   talloc_free (tmp);
 }
