Limits: a load report that says nothing does not end a limit

Cause: a report without Server-Limit was taken as 'no limit any more', and undid what each answer had said, where an upstream names its limit in answers alone. Change: the silence of a report counts only after a report of that start has named a limit. The hosted fleet's reports say 'absent' where answers name a limit and reports do not, as the decoder does; they said 'unknown', which hid this.

--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -203,6 +203,8 @@
   upl_word_t word;       /**< the newest word */
   clk_ms_t used_at;      /**< when an upstream of that start was last listed,
                               or spoke */
+  bool reported;         /**< a load report has named a limit, so that one
+                              without any says that there is none */
   bool malformed_logged; /**< a limit without a meaning was logged */
   upl_hold_t *hold;      /**< this VM's tokens */
   upl_mint_t *mint;      /**< NULL unless this VM has the mint */
@@ -337,6 +339,12 @@
 bool rte_limit_received (rte_t *r, env_t *env, const char *vm,
                          const msg_t *msg, void *ctx);
 
+/** The head of a load report of U, which came at SAID_AT, has said LIMIT; the
+ * request was SENT_AT. */
+void rte_limit_reported (rte_t *r, env_t *env, const rte_upstream_t *u,
+                         const ev_limit_t *limit, clk_ms_t sent_at,
+                         clk_ms_t said_at);
+
 /** The head of a response of U has said LIMIT; the request was SENT_AT.
  * SOURCE is for the log. */
 void rte_limit_said (rte_t *r, env_t *env, const rte_upstream_t *u,
--- a/src/core/rte_limit.c
+++ b/src/core/rte_limit.c
@@ -165,6 +165,22 @@
   rte_limit_word (r, env, u, &word, 0, source);
 }
 
+void
+rte_limit_reported (rte_t *r, env_t *env, const rte_upstream_t *u,
+                    const ev_limit_t *limit, clk_ms_t sent_at,
+                    clk_ms_t said_at)
+{
+  rte_limit_t *l = rte_limit_find (r, u);
+  /* Reports of an upstream that names its limit in answers alone say
+   * nothing of it. */
+  if (limit->kind == EV_LIMIT_ABSENT && (l == NULL || !l->reported))
+    return;
+  rte_limit_said (r, env, u, limit, sent_at, said_at, "report");
+  l = rte_limit_find (r, u);
+  if (l != NULL && limit->kind == EV_LIMIT_NAMED)
+    l->reported = true;
+}
+
 /* -- requests -------------------------------------------------------------
  */
 
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -214,8 +214,8 @@
   if (leaving && u->born != 0 && (uint64_t)born == u->born)
     rte_leaving_learn (r, env, u, u->born);
   if ((uint64_t)born == u->born)
-    rte_limit_said (r, env, u, &u->poll->load_limit, u->poll->load_at,
-                    u->poll->load_head_at, "report");
+    rte_limit_reported (r, env, u, &u->poll->load_limit, u->poll->load_at,
+                        u->poll->load_head_at);
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
   if (slots > 0)
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -29,6 +29,15 @@
   f->cancelled = true;
 }
 
+/* What a load report without the limit of UPSTREAM says about it. */
+static ev_limit_t
+_hst_limit_unsaid (const hst_t *h, size_t upstream)
+{
+  return (ev_limit_t){ .kind = h->limit[upstream].kind == EV_LIMIT_UNKNOWN
+                                   ? EV_LIMIT_UNKNOWN
+                                   : EV_LIMIT_ABSENT };
+}
+
 /* Send a load report of UPSTREAM, unless no report is set up or the upstream
  * is cut off. */
 static void
@@ -39,12 +48,13 @@
   hst_event_t *e = hst_event_push (
       h, vm, HST_REPORT_MS,
       &(ev_t){ .kind = EV_UPSTREAM_HEAD,
-               .upstream = { .call = call,
-                             .status = 200,
-                             .leaving = h->faults[upstream].reports_leaving,
-                             .limit = h->limit_reported[upstream]
-                                          ? h->limit[upstream]
-                                          : (ev_limit_t){ 0 } } });
+               .upstream
+               = { .call = call,
+                   .status = 200,
+                   .leaving = h->faults[upstream].reports_leaving,
+                   .limit = h->limit_reported[upstream]
+                                ? h->limit[upstream]
+                                : _hst_limit_unsaid (h, upstream) } });
   e->is_report = true;
   e->upstream = upstream;
 }
