Crashes: a permit is good for one send

Cause: a stream that had begun was resumed at once by the permit, or the trial, of its first send, before it was known whether that upstream had ended; so one trial ended two upstreams. Change: while what became of the send by its permit is not known, the request waits.

--- a/src/core/crs.c
+++ b/src/core/crs.c
@@ -212,6 +212,10 @@
   if (query->subject_count == 0 || g_hash_table_size (c->entries) == 0)
     return CRS_SEND;
   crs_permit_t *p = crs_permit_find (c, query->mod, query->tag);
+  /* A permit is good for one send; what became of the one before is not known
+   * yet. */
+  if (p != NULL && p->in_use)
+    return CRS_WAIT;
   if (p != NULL && p->answered
       && (p->verdict != CRS_WAIT || env->now < p->retry_at))
     return _crs_answered (c, env, p, query, retry_ms);
--- a/tests/test_crs.c
+++ b/tests/test_crs.c
@@ -252,6 +252,25 @@
   env_shutdown (v.env);
 }
 
+/* Guards against a request that is sent twice by one permit, as it is resumed
+ * before it is known whether its upstream has ended. */
+static void
+test_permit_is_good_for_one_send (void)
+{
+  static const uint64_t a = 0xa;
+  vm_t v = setup ();
+  clk_ms_t retry_ms = 0;
+  for (unsigned i = 0; i < 2; i++)
+    end_under (&v, i, &a, 1);
+  crs_query_t q = query (&v, &a, 1);
+  CU_ASSERT_EQUAL (crs_may_send (v.c, v.env, &q, &retry_ms), CRS_SEND);
+  crs_run_end (v.c, v.env, run_begin (&v, 5, &a, 1), CRS_END_CLOSED);
+  CU_ASSERT_EQUAL (crs_may_send (v.c, v.env, &q, &retry_ms), CRS_WAIT);
+  CU_ASSERT (probe_ends (&v, refused));
+  CU_ASSERT_EQUAL (crs_may_send (v.c, v.env, &q, &retry_ms), CRS_REFUSE);
+  env_shutdown (v.env);
+}
+
 /* Guards against a trial that was not sent counting as one, and against the
  * first whole answer not making the part free. */
 static void
@@ -392,6 +411,7 @@
       test_answer_that_ends_with_its_connection },
     { "end_is_booked_once", test_end_is_booked_once },
     { "permits_and_trials", test_permits_and_trials },
+    { "permit_is_good_for_one_send", test_permit_is_good_for_one_send },
     { "trial_frees_the_part", test_trial_frees_the_part },
     { "doubtful_end_lapses", test_doubtful_end_lapses },
     { "many_parts_are_bounded", test_many_parts_are_bounded },
