Crashes: a list that lags does not refute an end

Cause: an end without certain evidence was taken back when the list still named the start, though the list was older than it seemed: its time was that of the answer, up to 0.8 s before the document is rebuilt from it; and after an outage entries that are gone stay in use for 2.5 s. What was blocked became suspected again. Change: the time of the list counts only once the document has it, and the list must name the start for 5 s.

--- a/src/core/crs_int.h
+++ b/src/core/crs_int.h
@@ -49,7 +49,9 @@
   char *upstream;
   uint64_t born;
   clk_ms_t at;
-  bool certain;   /**< otherwise it lapses if the list still names the start */
+  bool certain; /**< otherwise it lapses if the list still names the start */
+  clk_ms_t listed_since; /**< since when the list, read long after the end, has
+                              named the start; 0: it has not */
   bool explained; /**< a subject that was blocked before ran there, which is
                        the only one to count */
   GHashTable *subjects; /**< uint64_t: those counted for it */
--- a/src/core/crs_ledger.c
+++ b/src/core/crs_ledger.c
@@ -15,6 +15,8 @@
 /** Time after which an end without certain evidence does not count if the
  * list still names the start. */
 #define CRS_DOUBT_MS (10 * CLK_SECOND)
+/** Time for which the list must name it then. */
+#define CRS_SETTLE_MS (5 * CLK_SECOND)
 /** Time before the first trial of a blocked subject; four times as long before
  * each further one. */
 #define CRS_TRIAL_MS CLK_SECOND
@@ -382,14 +384,20 @@
 
 /* -- what lapses ---------------------------------------------------------- */
 
-/** Whether R, which was not certain, turns out to be no end: a list that was
- * read long enough after it names the start. */
+/** Whether R, which was not certain, turns out to be no end: lists that were
+ * read long enough after it name the start, and go on to.  The first one after
+ * an outage may still hold entries that are gone. */
 static bool
-_crs_record_refuted (const crs_t *c, const crs_record_t *r)
+_crs_record_refuted (const crs_t *c, const env_t *env, crs_record_t *r)
 {
   const uint64_t *born = g_hash_table_lookup (c->listed, r->upstream);
-  return c->list_read_at >= r->at + CRS_DOUBT_MS && born != NULL
-         && *born == r->born;
+  bool listed = c->list_read_at >= r->at + CRS_DOUBT_MS && born != NULL
+                && *born == r->born;
+  if (!listed)
+    r->listed_since = 0;
+  else if (r->listed_since == 0)
+    r->listed_since = env->now;
+  return listed && env->now - r->listed_since >= CRS_SETTLE_MS;
 }
 
 static void
@@ -402,7 +410,7 @@
       clk_ms_t age = env->now - r->at;
       bool refuted = false;
       if (!r->certain && age >= CRS_DOUBT_MS)
-        refuted = _crs_record_refuted (c, r);
+        refuted = _crs_record_refuted (c, env, r);
       if (refuted)
         {
           tln_record (env->tln, env->now, MOD_CRASH, "refuted",
--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -163,7 +163,7 @@
 clk_ms_t
 dir_listed_at (const dir_t *d)
 {
-  return d->listed_at;
+  return d->dirty ? CLK_NEVER : d->listed_at;
 }
 
 /* Time since the list, or a change of it, was last received; -1: never. */
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -84,7 +84,7 @@
 bool dir_changed (dir_t *d, env_t *env);
 
 /** When the list of upstreams, or a change of it, was last received;
- * CLK_NEVER: never. */
+ * CLK_NEVER: never, or the document in force lacks that change. */
 clk_ms_t dir_listed_at (const dir_t *d);
 
 /** Read everything again if the platform has lost its history. */
--- a/tests/test_crs.c
+++ b/tests/test_crs.c
@@ -311,6 +311,10 @@
   crs_timer_fired (v.c, v.env, 2);
   CU_ASSERT_EQUAL (crs_count (v.c, 1), 1);
   crs_list_read (v.c, v.env->now);
+  /* Nor by the first one, which may hold entries that are gone. */
+  crs_timer_fired (v.c, v.env, 2);
+  CU_ASSERT_EQUAL (crs_count (v.c, 1), 1);
+  v.env->now += 6 * CLK_SECOND;
   crs_timer_fired (v.c, v.env, 2);
   CU_ASSERT_EQUAL (crs_count (v.c, 1), 0);
   env_shutdown (v.env);
