Soak: what ends upstreams, under kills, cuts, freezes and outages

Change: crash_soak: a bad part (at the first or another place), a bad request again and again, sound requests that share their parts, a rare part, while VMs are killed, cut off and frozen, upstreams end by chance, connections break and the platform comes and goes. Judged by the users' rules; not counted are VMs disturbed up to 3 s before, and those that came back while the platform was away (the core was not stable).

--- a/Makefile
+++ b/Makefile
@@ -157,11 +157,12 @@
 soak: deps
 	@$(MAKE) --no-print-directory -j12 build/soak/test_bat_faults \
 	  build/soak/test_fleet build/soak/test_versions_soak \
-	  build/soak/test_limit_soak
+	  build/soak/test_limit_soak build/soak/test_crash_soak
 	build/soak/test_bat_faults --seeds $(SOAK_SEEDS) --from $(SOAK_FROM)
 	build/soak/test_fleet --seeds $(SOAK_SEEDS) --from $(SOAK_FROM)
 	build/soak/test_versions_soak --seeds $(SOAK_SEEDS) --from $(SOAK_FROM)
 	build/soak/test_limit_soak --seeds $(SOAK_SEEDS) --from $(SOAK_FROM)
+	build/soak/test_crash_soak --seeds $(SOAK_SEEDS) --from $(SOAK_FROM)
 
 demo: all
 	@tools/demo
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -278,7 +278,7 @@
       else if (e->is_end)
         {
           if (e->born == h->born[e->upstream])
-            hst_crash (h, e->upstream);
+            hst_upstream_end (h, e->upstream, e->id);
         }
       else if (e->is_report)
         hst_load_report_deliver (h, e);
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -242,6 +242,7 @@
 {
   clk_ms_t at;
   size_t upstream;
+  char id[32]; /**< of the request that ended it, cut; "": by itself */
 } hst_end_t;
 
 /** Set how upstreams end from now on; all upstreams have starts from then on.
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -21,6 +21,7 @@
   bool is_report;     /**< a load report of UPSTREAM to the call in ev */
   bool is_end;        /**< UPSTREAM ends, if it has not since the start BORN */
   clk_ms_t born;
+  char id[32]; /**< of the request that ends it */
   size_t upstream;
   clk_ms_t deadline; /**< of a long poll */
   clk_ms_t sent_at;  /**< when the call was made */
@@ -137,6 +138,9 @@
 /** End an in-flight request. */
 void hst_inflight_end (hst_t *h, hst_inflight_t *f);
 
+/** End UPSTREAM, as request ID begins to be answered there; "": by itself. */
+void hst_upstream_end (hst_t *h, size_t upstream, const char *id);
+
 /** Have ended upstreams leave the list and start again, as far as it is time.
  */
 void hst_upstreams_tick (hst_t *h);
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -78,13 +78,14 @@
 
 /* Have UPSTREAM end when it begins to answer a request that it gets now. */
 static void
-_hst_end_schedule (hst_t *h, size_t vm, size_t upstream)
+_hst_end_schedule (hst_t *h, size_t vm, size_t upstream, const char *id)
 {
   clk_ms_t after = (clk_ms_t)h->crash.after_events * _hst_gap_ms (h, upstream);
   hst_event_t *e = hst_event_push (h, vm, HST_HEAD_MS + after, &(ev_t){ 0 });
   e->is_end = true;
   e->upstream = upstream;
   e->born = h->born[upstream];
+  g_strlcpy (e->id, id, sizeof e->id);
 }
 
 /* End the call U, to an upstream that has ended. */
@@ -175,7 +176,7 @@
     CU_ASSERT_PTR_NULL (strstr (u->headers.v[i].value, "secret"));
   bool deadly = h->crash.ids != NULL && g_str_has_prefix (id, h->crash.ids);
   if (deadly)
-    _hst_end_schedule (h, vm, at);
+    _hst_end_schedule (h, vm, at, id);
   hst_event_t *sent = hst_event_push (
       h, vm, HST_HEAD_MS + (deadly && h->crash.after_events == 0 ? 1 : 0),
       &head);
@@ -338,8 +339,15 @@
 
 void
 hst_crash (hst_t *h, size_t upstream)
+{
+  hst_upstream_end (h, upstream, "");
+}
+
+void
+hst_upstream_end (hst_t *h, size_t upstream, const char *id)
 {
   hst_end_t end = { .at = h->now, .upstream = upstream };
+  g_strlcpy (end.id, id, sizeof end.id);
   if (h->back_at[upstream] != 0)
     return;
   g_array_append_val (h->ends, end);
--- a/tests/test_limit_soak.c
+++ b/tests/test_limit_soak.c
@@ -8,6 +8,7 @@
  *
  *   build/tests/test_limit_soak [--seeds COUNT] [--from SEED]
  */
+#include "dst.h"
 #include "lmt.h"
 #include "tst.h"
 
@@ -33,7 +34,7 @@
 /* A span of time; TO is CLK_NEVER while it lasts. */
 typedef struct
 {
-  size_t of; /* VM or upstream */
+  size_t of; /* upstream */
   clk_ms_t from;
   clk_ms_t to;
   double per_s; /* of a limit */
@@ -42,10 +43,8 @@
 typedef struct
 {
   lmt_t *t;
-  GArray *disturbed; /* span_t of VMs */
-  GArray *limits;    /* span_t of upstreams, each with one value */
-  clk_ms_t until[ENTRIES + WORKERS]; /* of a disturbance; 0: none */
-  bool isolated[ENTRIES + WORKERS];
+  dst_t *disturbed;
+  GArray *limits; /* span_t of upstreams, each with one value */
   unsigned jobs;
   unsigned windows; /* judged */
   double tightest;  /* largest part of what was allowed that was used */
@@ -66,47 +65,6 @@
 
 /* -- events --------------------------------------------------------------- */
 
-static void
-vm_disturb (run_t *r)
-{
-  size_t vm = below (r, ENTRIES + WORKERS);
-  clk_ms_t now = hst_now (r->t->h);
-  if (r->until[vm] != 0)
-    return;
-  r->until[vm] = now + 300 + (clk_ms_t)below (r, 3500);
-  span_t s = { .of = vm, .from = now, .to = r->until[vm] };
-  g_array_append_val (r->disturbed, s);
-  switch (below (r, 3))
-    {
-    case 0:
-      hst_kill (r->t->h, vm);
-      break;
-    case 1:
-      r->isolated[vm] = true;
-      hst_isolate (r->t->h, vm, true);
-      break;
-    default:
-      hst_freeze (r->t->h, vm, r->until[vm] - now);
-      break;
-    }
-}
-
-static void
-vms_recover (run_t *r)
-{
-  for (size_t vm = 0; vm < ENTRIES + WORKERS; vm++)
-    {
-      if (r->until[vm] == 0 || hst_now (r->t->h) < r->until[vm])
-        continue;
-      if (r->isolated[vm])
-        hst_isolate (r->t->h, vm, false);
-      else if (!hst_runs (r->t->h, vm))
-        hst_start (r->t->h, vm);
-      r->isolated[vm] = false;
-      r->until[vm] = 0;
-    }
-}
-
 static void
 limit_end (const run_t *r, size_t upstream)
 {
@@ -148,19 +106,6 @@
 
 /* -- judge ---------------------------------------------------------------- */
 
-/* Whether VM was disturbed at AT or shortly before. */
-static bool
-excused (const run_t *r, size_t vm, clk_ms_t at)
-{
-  for (guint i = 0; i < r->disturbed->len; i++)
-    {
-      const span_t *s = &g_array_index (r->disturbed, span_t, i);
-      if (s->of == vm && at >= s->from && at < s->to + LMT_CONTACT_MS)
-        return true;
-    }
-  return false;
-}
-
 /* Requests that count at the upstream of limit S in the window that begins
  * with arrival FIRST; *ALL receives those of all VMs. */
 static unsigned
@@ -174,7 +119,8 @@
       const hst_arrival_t *a = &g_array_index (all, hst_arrival_t, i);
       if (a->at >= at + LMT_WINDOW_MS)
         break;
-      n += a->upstream == s->of && !excused (r, a->vm, a->at);
+      n += a->upstream == s->of
+           && !dst_excused (r->disturbed, a->vm, a->at, LMT_CONTACT_MS);
       *all_vms += a->upstream == s->of;
     }
   return n;
@@ -218,22 +164,22 @@
                                              .upstreams = UPSTREAMS,
                                              .far_upstreams = seed % 3 },
                               seed),
-              .disturbed = g_array_new (FALSE, FALSE, sizeof (span_t)),
               .limits = g_array_new (FALSE, FALSE, sizeof (span_t)) };
+  r.disturbed = dst_setup (r.t->h, r.t->rand, ENTRIES + WORKERS);
   double per_s = g_rand_double_range (r.t->rand, 10, 120);
   clk_ms_t end = hst_now (r.t->h) + RUN_MS;
   bool down = false;
   while (hst_now (r.t->h) < end)
     {
       if (chance (&r, FAULT_INTERVAL_MS))
-        vm_disturb (&r);
+        dst_begin (r.disturbed);
       if (chance (&r, LIMIT_INTERVAL_MS))
         limit_change (&r);
       if (chance (&r, JOB_INTERVAL_MS))
         job_submit (&r);
       if (chance (&r, 2 * FAULT_INTERVAL_MS))
         hst_platform_down (r.t->h, HST_MAX, down = !down);
-      vms_recover (&r);
+      dst_recover (r.disturbed);
       lmt_run (r.t, STEP_MS, per_s);
     }
   for (guint i = 0; i < r.limits->len; i++)
@@ -243,7 +189,7 @@
       "seed %u: %u windows, at most %.2f of what was allowed, %.2f with all "
       "VMs counted; %u requests, %u served, %u refused\n",
       seed, r.windows, r.tightest, r.all, c.asked, c.served, c.refused);
-  g_array_unref (r.disturbed);
+  dst_shutdown (r.disturbed);
   g_array_unref (r.limits);
   lmt_shutdown (r.t);
 }
--- a/tools/measure_crashes.c
+++ b/tools/measure_crashes.c
@@ -116,7 +116,8 @@
   mail_push (r, &m);
   r->messages++;
   r->bytes += peer->msg.body.n;
-  r->most = MAX (r->most, ++r->sent_in_second[from]);
+  r->sent_in_second[from]++;
+  r->most = MAX (r->most, r->sent_in_second[from]);
 }
 
 /* Carry out the effects of VM. */
