--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -35,9 +35,6 @@
 /** Maximum slowness of an upstream, and of the ratio of observed to expected
  * time to first byte. */
 #define RTE_SLOWNESS_MAX 50.0
-/** Time after an upstream that ended was dropped from the document in which
- * its connections are seen to break. */
-#define RTE_DROPPED_MS ((clk_ms_t)CLK_SECOND)
 /** Age from which a load report no longer counts as current. */
 #define RTE_REPORT_STALE_MS (5 * CLK_SECOND)
 
@@ -298,33 +295,6 @@
   return d->sole_version;
 }
 
-/** Notes which upstreams the document no longer names. */
-static void
-_rte_dropped_note (const rte_t *r, clk_ms_t now)
-{
-  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
-       id = tbl_next (r->upstreams, id))
-    {
-      rte_upstream_t *u = tbl_get (r->upstreams, id);
-      if (!u->configured && u->was_configured)
-        u->dropped_at = now;
-      u->was_configured = u->configured;
-    }
-}
-
-/** Tells the crashes' module which upstreams DOC lists. */
-static void
-_rte_crashes_listed (const rte_t *r, env_t *env, const cfg_doc_t *doc)
-{
-  crs_t *crashes = r->desc.crashes;
-  if (crashes == NULL)
-    return;
-  crs_listed_begin (crashes);
-  for (size_t i = 0; i < doc->upstream_count; i++)
-    crs_listed (crashes, doc->upstreams[i].name, doc->upstreams[i].born);
-  crs_listed_end (crashes, env);
-}
-
 void
 rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc)
 {
@@ -356,8 +326,7 @@
       _rte_subset_mark (r, env, value);
       _rte_versions_learn (value, env->now);
     }
-  _rte_dropped_note (r, env->now);
-  _rte_crashes_listed (r, env, doc);
+  rte_crash_listed (r, env, doc);
   r->members_generation = 0;
   rte_pollers_update (r, env);
   _rte_upstreams_sweep (r);
@@ -568,28 +537,6 @@
     rte_limit_said (r, env, u, limit, f->sent_at, env->now, "answer");
 }
 
-void
-rte_answered (rte_t *r, env_t *env, uint64_t handle, bool proved)
-{
-  if (r->desc.crashes != NULL)
-    crs_run_end (r->desc.crashes, env, handle,
-                 proved ? CRS_END_WHOLE : CRS_END_UNPROVED);
-}
-
-/** What FAIL of a request at U says of U's end.  What breaks at an upstream
- * that is leaving, or that was dropped from the document a while ago, was
- * planned. */
-static crs_end_t
-_rte_crash_end (const rte_upstream_t *u, rte_fail_t fail, clk_ms_t now)
-{
-  if (fail == RTE_FAIL_UNSENT)
-    return CRS_END_UNSENT;
-  bool listed = u->configured || now - u->dropped_at <= RTE_DROPPED_MS;
-  if (fail == RTE_FAIL_CLOSED && listed && !rte_gets_nothing_new (u, now))
-    return CRS_END_CLOSED;
-  return CRS_END_OTHER;
-}
-
 void
 rte_finished (rte_t *r, env_t *env, uint64_t handle)
 {
@@ -620,7 +567,7 @@
   _rte_inflight_end (r, f, u);
   if (r->desc.crashes != NULL)
     crs_run_end (r->desc.crashes, env, handle,
-                 _rte_crash_end (u, fail, env->now));
+                 rte_crash_end (u, fail, env->now));
   if (fail != RTE_FAIL_CANCELLED)
     rte_health_fail (r, env, u);
 }
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -274,6 +274,16 @@
 clk_ms_t rte_leaving_until (rte_leaving_t *l, const char *name, uint64_t born,
                             clk_ms_t now);
 
+/* rte_crash.c: what the crashes' module is told. */
+
+/** Notes which upstreams DOC no longer names, and tells those that it does. */
+void rte_crash_listed (const rte_t *r, env_t *env, const cfg_doc_t *doc);
+/** What FAIL of a request at U says of U's end.  What breaks at an upstream
+ * that is leaving, or that was dropped from the document a while ago, was
+ * planned. */
+crs_end_t rte_crash_end (const rte_upstream_t *u, rte_fail_t fail,
+                         clk_ms_t now);
+
 /* rte_limit.c: upstreams that name how many requests they take. */
 
 /** Creates an empty set of limits. */
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -652,31 +652,6 @@
   return h->vm[vm].node != NULL && h->now >= h->vm[vm].frozen_until;
 }
 
-void
-hst_platform_silent (hst_t *h, bool silent)
-{
-  h->platform_silent = silent;
-}
-
-void
-hst_platform_slow (hst_t *h, clk_ms_t ms)
-{
-  h->platform_ms = ms;
-}
-
-void
-hst_platform_refuse (hst_t *h, const char *prefix)
-{
-  h->refused_prefix = prefix;
-}
-
-void
-hst_compact (hst_t *h)
-{
-  h->compacted = ++h->revision;
-  h->document_watch_lost = true;
-}
-
 void
 hst_retire (hst_t *h, size_t vm)
 {
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -187,3 +187,28 @@
       break;
     }
 }
+
+void
+hst_platform_silent (hst_t *h, bool silent)
+{
+  h->platform_silent = silent;
+}
+
+void
+hst_platform_slow (hst_t *h, clk_ms_t ms)
+{
+  h->platform_ms = ms;
+}
+
+void
+hst_platform_refuse (hst_t *h, const char *prefix)
+{
+  h->refused_prefix = prefix;
+}
+
+void
+hst_compact (hst_t *h)
+{
+  h->compacted = ++h->revision;
+  h->document_watch_lost = true;
+}
