Crashes: an answer to the question does not clear an upstream that the list drops

Cause: an upstream that had closed its connections and still answered the load query counted as living; its breaks were dropped, and when the list dropped it some milliseconds later nothing was left to count. Change: after such an answer a break is kept for another second, in which the list may still show that the start has ended. An answer to anything sent later clears it as before.

--- a/src/core/crs_watch.c
+++ b/src/core/crs_watch.c
@@ -19,6 +19,8 @@
 #define CRS_PROBE_MS ((clk_ms_t)500)
 /** Time for which the list may show that an upstream has ended. */
 #define CRS_BREAK_MS (8 * CLK_SECOND)
+/** The same if the upstream has answered the question. */
+#define CRS_ANSWERED_MS CLK_SECOND
 /** Most breaks of one start that are kept. */
 #define CRS_BREAKS_MAX 64
 /** Most subjects whose last whole answer is remembered. */
@@ -44,6 +46,7 @@
   clk_ms_t sent_at;
   clk_ms_t broke_at;
   bool unproved; /**< its answer may have been whole */
+  bool answered; /**< the upstream has answered the question after the break */
 } _crs_run_t;
 
 /** A start of an upstream under which connections have broken. */
@@ -255,6 +258,22 @@
     }
 }
 
+/** S has answered the question that was asked at ASKED_AT.  It may have been
+ * on its way out: if the list drops it soon, it has ended all the same. */
+static void
+_crs_probe_answered (crs_t *c, env_t *env, _crs_start_t *s)
+{
+  s->silent = false;
+  for (const GList *l = s->breaks.head; l != NULL; l = l->next)
+    {
+      _crs_run_t *run = l->data;
+      if (run->unproved || run->broke_at > s->asked_at)
+        continue;
+      run->answered = true;
+      crs_permit_end (c, env, run->mod, run->tag, true);
+    }
+}
+
 static void
 _crs_unconnected (crs_t *c, env_t *env, _crs_start_t *s, bool refused)
 {
@@ -368,7 +387,7 @@
   if (head && ev->upstream.status == 421)
     _crs_ended (c, env, s, true, "replaced");
   else if (head)
-    _crs_lives (c, env, s, s->asked_at);
+    _crs_probe_answered (c, env, s);
   else if (ev->upstream.fail == EV_FAIL_NOT_SENT)
     _crs_unconnected (c, env, s, ev->upstream.refused);
   else
@@ -531,7 +550,9 @@
 _crs_breaks_lapse (crs_t *c, env_t *env, _crs_start_t *s)
 {
   for (_crs_run_t *run = g_queue_peek_head (&s->breaks);
-       run != NULL && env->now - run->broke_at >= CRS_BREAK_MS;
+       run != NULL
+       && env->now - run->broke_at
+              >= (run->answered ? CRS_ANSWERED_MS : CRS_BREAK_MS);
        run = g_queue_peek_head (&s->breaks))
     {
       (void)g_queue_pop_head (&s->breaks);
--- a/tests/drvbed.h
+++ b/tests/drvbed.h
@@ -121,6 +121,11 @@
 /** The same as drvbed_ask, with the route's PATH. */
 drvbed_answer_t *drvbed_ask_at (drvbed_t *b, const char *id, const char *path);
 
+/** The same as drvbed_ask, for a request with BODY whose prompt has PARTS, in
+ * the platform's form. */
+drvbed_answer_t *drvbed_ask_parts (drvbed_t *b, const char *id,
+                                   const char *parts, const char *body);
+
 /** The same as drvbed_ask, for a request that takes up, behind event AFTER,
  * the stream that request RESUMES has begun. */
 drvbed_answer_t *drvbed_take_up (drvbed_t *b, const char *id,
@@ -171,6 +176,15 @@
 /** HOLD: load queries that arrive from now on are left to the test. */
 void drvbed_hold_loads (drvbed_t *b, bool hold);
 
+/** From now on a request whose id begins with IDS, borrowed, ends the upstream
+ * at which it arrives: all its connections that have had requests close and
+ * its entry leaves the list.  It goes on to accept connections and to answer
+ * load queries. */
+void drvbed_end_under (drvbed_t *b, const char *ids);
+
+/** Whether UPSTREAM has ended so; drvbed_list names its next start. */
+bool drvbed_has_ended (const drvbed_t *b, size_t upstream);
+
 /** From now on UPSTREAM answers each request properly as it arrives. */
 void drvbed_serve (drvbed_t *b, size_t upstream);
 
--- a/tests/drvbed_caller.c
+++ b/tests/drvbed_caller.c
@@ -53,6 +53,7 @@
   const char *body;    /* NULL: a GET */
   const char *resumes; /* NULL: it takes up no stream */
   const char *after;   /* with RESUMES */
+  const char *parts;   /* Prefix-Hash; NULL: none */
 } _drvbed_call_t;
 
 static drvbed_answer_t *
@@ -64,10 +65,17 @@
     { "Deadline-Ms", DRVBED_DEADLINE_MS },
     { "Authorization", "Bearer " DRVBED_KEY },
     { "Content-Type", "application/json" },
-    { "Resumes", call->resumes },
-    { "Last-Event-Id", call->after },
+    { NULL, NULL },
+    { NULL, NULL },
+    { NULL, NULL },
   };
-  size_t all = sizeof headers / sizeof headers[0];
+  size_t n = 5;
+  if (call->resumes != NULL)
+    headers[n++] = (http_header_t){ "Resumes", call->resumes };
+  if (call->resumes != NULL)
+    headers[n++] = (http_header_t){ "Last-Event-Id", call->after };
+  if (call->parts != NULL)
+    headers[n++] = (http_header_t){ "Prefix-Hash", call->parts };
   drvbed_answer_t *a = talloc_zero (b, drvbed_answer_t);
   a->id = talloc_strdup (a, call->id);
   a->asked_at = drv_now ();
@@ -80,7 +88,7 @@
                      .address = b->entry.listen,
                      .method = call->body == NULL ? "GET" : "POST",
                      .path = call->path,
-                     .headers = { headers, call->resumes ? all : all - 2 },
+                     .headers = { headers, n },
                      .body = buf_str (call->body == NULL ? "" : call->body),
                      .total_ms = DRVBED_WAIT_MS,
                      .fresh_connection = true });
@@ -117,6 +125,16 @@
   return a;
 }
 
+drvbed_answer_t *
+drvbed_ask_parts (drvbed_t *b, const char *id, const char *parts,
+                  const char *body)
+{
+  return _drvbed_send_call (b, &(_drvbed_call_t){ .id = id,
+                                                  .path = DRVBED_RESUMABLE,
+                                                  .body = body,
+                                                  .parts = parts });
+}
+
 drvbed_answer_t *
 drvbed_ask (drvbed_t *b, const char *id)
 {
--- a/tests/drvbed_int.h
+++ b/tests/drvbed_int.h
@@ -27,6 +27,7 @@
   struct tevent_fd *event; /* NULL: not started */
   char address[DRVBED_ADDRESS_SIZE];
   bool serves;
+  bool ended; /* by a request of drvbed_t.deadly, until it is listed anew */
   drvbed_says_t says;
 } drvbed_upstream_t;
 
@@ -87,6 +88,7 @@
   drvbed_upstream_t upstreams[DRVBED_UPSTREAMS_MAX];
   GPtrArray *requests; /* drvbed_request_t, in order of arrival */
   bool hold_loads;
+  const char *deadly; /* of ids; NULL: none */
 };
 
 /* Runs the loop until DONE returns true for DATA, at most MS. */
--- a/tests/drvbed_platform.c
+++ b/tests/drvbed_platform.c
@@ -268,6 +268,7 @@
 void
 drvbed_list (drvbed_t *b, const drvbed_entry_t *e)
 {
+  b->upstreams[e->upstream].ended = false;
   const char *zone = b->desc.near || e->upstream == 0 ? "north" : "south";
   json_t *spec
       = json_pack ("{s:s, s:s, s:s, s:s, s:i}", "service", "llm", "address",
--- a/tests/drvbed_upstream.c
+++ b/tests/drvbed_upstream.c
@@ -132,6 +132,34 @@
                        : talloc_strndup (ctx, value, strcspn (value, "\r"));
 }
 
+/* Ends U: see drvbed_end_under. */
+static void
+_drvbed_upstream_end (drvbed_t *b, drvbed_upstream_t *u)
+{
+  char name[16];
+  (void)snprintf (name, sizeof name, "up-%d", (int)(u - b->upstreams));
+  for (guint i = 0; i < b->requests->len; i++)
+    {
+      const drvbed_request_t *r = g_ptr_array_index (b->requests, i);
+      if (r->conn->upstream == u && !r->conn->closed)
+        drvbed_close (r->conn);
+    }
+  u->ended = true;
+  drvbed_unlist (b, name);
+}
+
+void
+drvbed_end_under (drvbed_t *b, const char *ids)
+{
+  b->deadly = ids;
+}
+
+bool
+drvbed_has_ended (const drvbed_t *b, size_t upstream)
+{
+  return b->upstreams[upstream].ended;
+}
+
 static void
 _drvbed_request_arrived (drvbed_conn_t *c, const char *head)
 {
@@ -144,6 +172,12 @@
   r->target = _drvbed_header (r, head, "Target-Instance");
   r->after = _drvbed_header (r, head, "Last-Event-Id");
   g_ptr_array_add (b->requests, r);
+  if (!load && b->deadly != NULL && g_str_has_prefix (r->id, b->deadly))
+    {
+      r->handled = true;
+      _drvbed_upstream_end (b, c->upstream);
+      return;
+    }
   r->handled = load ? !b->hold_loads : c->upstream->serves;
   if (r->handled && load)
     drvbed_send (c, _drvbed_report (b, &c->upstream->says));
