--- a/src/core/crs.h
+++ b/src/core/crs.h
@@ -149,8 +149,8 @@
 void crs_shutdown (crs_t *c);
 
 /** Whether the request of QUERY may be sent now.  CRS_REFUSE sets *RETRY_MS to
- * when it is worth to come back.  After CRS_SEND the request must be sent in
- * this step, or crs_drop be called. */
+ * when it is worth to come back.  After CRS_SEND a permit, if one was needed,
+ * stays the request's until it is sent or crs_drop is called. */
 crs_verdict_t crs_may_send (crs_t *c, env_t *env, const crs_query_t *query,
                             clk_ms_t *retry_ms);
 
