Crashes: an answer that goes on is not blamed, and clears what it has

Cause: each request whose connection broke under an upstream's end was counted, and only a whole answer cleared. Items are seldom whole between two ends that come by chance, so their shared part reached three ends, its trials were cut by further ends or preempted, and after three of them it was kept away for an hour: "left lying" with capacity free. Change: what ends upstreams does so as it begins. A request whose answer had gone on for a second when its upstream ended is not counted, and one that goes on for a second clears its subjects and ends its permit. Runs by a permit are not preempted. The `under` line has how long the answer had gone on. Limit: what ends an upstream later than a second after it began to answer is no longer found.

--- a/src/core/crs.c
+++ b/src/core/crs.c
@@ -135,6 +135,12 @@
   crs_done_send (c, env, number, sent);
 }
 
+bool
+crs_is_permitted (const crs_t *c, mod_t mod, uint64_t tag)
+{
+  return crs_permit_find (c, mod, tag) != NULL;
+}
+
 void
 crs_drop (crs_t *c, env_t *env, mod_t mod, uint64_t tag)
 {
--- a/src/core/crs.h
+++ b/src/core/crs.h
@@ -16,8 +16,9 @@
  * An upstream has *ended* when a connection breaks under a request and then
  * the upstream refuses new connections or does not accept them, or the list
  * drops it or names a new start.  Each subject of each request that ran there
- * is counted once for the end; a whole answer with it sets its count back to
- * none.
+ * is counted once for the end, unless the request's answer had gone on for
+ * CRS_BEGUN_MS: what ends upstreams does so as it begins.  A whole answer, or
+ * one that goes on for so long, sets the counts of its subjects back to none.
  *
  * One VM of those that are up, the ledger, counts for all and tells all; every
  * VM keeps what it was told, so that another one can go on.  A subject with
@@ -43,6 +44,9 @@
 #define CRS_BLOCK_ENDS 3
 /** Largest number of trials of a blocked subject. */
 #define CRS_TRIALS_MAX 3
+/** Time from the first byte of an answer's body on after which the upstream
+ * bears the request. */
+#define CRS_BEGUN_MS CLK_SECOND
 /** Largest number of a request's subjects that are looked at. */
 #define CRS_SUBJECTS_MAX 256
 /** Largest number of subjects that are kept; of more, the one with the fewest
@@ -157,6 +161,10 @@
 /** The request TAG of MOD is not sent, now or ever. */
 void crs_drop (crs_t *c, env_t *env, mod_t mod, uint64_t tag);
 
+/** Whether the request TAG of MOD has a permit, or has been sent by one that
+ * is still in use: cutting it short would use up a trial. */
+bool crs_is_permitted (const crs_t *c, mod_t mod, uint64_t tag);
+
 /** Whether it is still being found out if the upstream has ended under the
  * request TAG of MOD. */
 bool crs_is_checking (const crs_t *c, mod_t mod, uint64_t tag);
@@ -169,6 +177,9 @@
 /** Its upstream has begun to answer. */
 void crs_run_head (crs_t *c, env_t *env, uint64_t handle);
 
+/** A part of the body of a success has come. */
+void crs_run_progress (crs_t *c, env_t *env, uint64_t handle);
+
 /** It has ended; HANDLE becomes invalid.  Ignores an invalid one. */
 void crs_run_end (crs_t *c, env_t *env, uint64_t handle, crs_end_t how);
 
--- a/src/core/crs_watch.c
+++ b/src/core/crs_watch.c
@@ -44,6 +44,7 @@
   size_t subject_count;
   bool has_request; /**< as in crs_query_t */
   clk_ms_t sent_at;
+  clk_ms_t begun_at; /**< first byte of the answer's body; 0: none has come */
   clk_ms_t broke_at;
   bool unproved; /**< its answer may have been whole */
   bool answered; /**< the upstream has answered the question after the break */
@@ -142,26 +143,42 @@
   w->link = c->whole_by_age.tail;
 }
 
-/** A whole answer to RUN has come. */
+/** Have the subjects of RUN that are counted set back: its upstream bears
+ * them. */
 static void
-_crs_whole (crs_t *c, env_t *env, const _crs_run_t *run)
+_crs_whole_report (crs_t *c, env_t *env, const _crs_run_t *run)
 {
   uint64_t counted[CRS_SUBJECTS_MAX];
   size_t n = 0;
   for (size_t i = 0; i < run->subject_count; i++)
     {
-      uint64_t subject = run->subjects[i];
-      const crs_entry_t *e = crs_entry_find (c, subject);
-      /* Few requests come again, and would crowd out the parts. */
-      if (!run->has_request || i + 1 < run->subject_count)
-        _crs_whole_note (c, env, subject);
+      const crs_entry_t *e = crs_entry_find (c, run->subjects[i]);
       if (e != NULL && e->ends > 0 && env->now > e->end_at)
-        counted[n++] = subject;
+        counted[n++] = run->subjects[i];
     }
   if (n > 0)
     crs_whole_send (c, env, counted, n, env->now);
 }
 
+/** A whole answer to RUN has come. */
+static void
+_crs_whole (crs_t *c, env_t *env, const _crs_run_t *run)
+{
+  /* Few requests come again, and would crowd out the parts. */
+  size_t parts = run->subject_count - run->has_request;
+  for (size_t i = 0; i < parts; i++)
+    _crs_whole_note (c, env, run->subjects[i]);
+  _crs_whole_report (c, env, run);
+}
+
+/** Whether RUN's upstream had begun to answer long enough before AT to bear
+ * the request. */
+static bool
+_crs_is_borne (const _crs_run_t *run, clk_ms_t at)
+{
+  return run->begun_at != 0 && at - run->begun_at >= CRS_BEGUN_MS;
+}
+
 /* -- ends ----------------------------------------------------------------- */
 
 /** Log that the upstream S has ended under RUN. */
@@ -176,15 +193,19 @@
         g_string_append_printf (text, "%s%016llx", i > 0 ? "," : "",
                                 (unsigned long long)run->subjects[at++]);
       tln_record (env->tln, env->now, MOD_CRASH, "under",
-                  "request=%s upstream=%s subjects=%s", run->request_id,
-                  s->upstream, text->str);
+                  "request=%s upstream=%s answered_ms=%lld subjects=%s",
+                  run->request_id, s->upstream,
+                  run->begun_at == 0
+                      ? -1LL
+                      : (long long)(run->broke_at - run->begun_at),
+                  text->str);
       (void)g_string_free (text, TRUE);
       if (at >= run->subject_count)
         return;
     }
 }
 
-/** Report the end of S under the requests of RUNS. */
+/** Report the end of S under those requests of RUNS that it had not borne. */
 static void
 _crs_end_report (crs_t *c, env_t *env, const _crs_start_t *s,
                  const GQueue *runs, bool certain)
@@ -197,16 +218,19 @@
     {
       const _crs_run_t *run = l->data;
       guint count = (guint)run->subject_count;
+      _crs_end_log (env, s, run);
+      if (_crs_is_borne (run, run->broke_at))
+        continue;
       g_array_append_vals (groups.subjects, run->subjects, count);
       g_array_append_val (groups.counts, count);
-      _crs_end_log (env, s, run);
     }
-  crs_report_send (c, env,
-                   &(crs_report_t){ .upstream = s->upstream,
-                                    .born = s->born,
-                                    .at = first->broke_at,
-                                    .certain = certain,
-                                    .groups = &groups });
+  if (groups.counts->len > 0)
+    crs_report_send (c, env,
+                     &(crs_report_t){ .upstream = s->upstream,
+                                      .born = s->born,
+                                      .at = first->broke_at,
+                                      .certain = certain,
+                                      .groups = &groups });
   g_array_unref (groups.subjects);
   g_array_unref (groups.counts);
 }
@@ -434,6 +458,20 @@
     _crs_lives (c, env, s, run->sent_at);
 }
 
+void
+crs_run_progress (crs_t *c, env_t *env, uint64_t handle)
+{
+  _crs_run_t *run = g_hash_table_lookup (c->runs, &handle);
+  if (run == NULL)
+    return;
+  if (run->begun_at == 0)
+    run->begun_at = env->now;
+  if (!_crs_is_borne (run, env->now) || g_hash_table_size (c->entries) == 0)
+    return;
+  _crs_whole_report (c, env, run);
+  crs_permit_end (c, env, run->mod, run->tag, true);
+}
+
 /** Whether the list names the start S. */
 static bool
 _crs_is_listed (const crs_t *c, const _crs_start_t *s)
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -305,7 +305,8 @@
 /** The job whose item comes next of those that can start now; *INDEX is set to
  * that item.  NULL: none. */
 job_t *job_order_next (job_set_t *j, const env_t *env, uint32_t *index);
-/** The run at UPSTREAM whose item comes last; NULL: none. */
+/** The run at UPSTREAM whose item comes last of those that may be preempted;
+ * NULL: none. */
 job_run_t *job_order_last_run (const job_set_t *j, const env_t *env,
                                const char *upstream);
 /** Learns from RUN of JOB, which has completed its item, how long items of the
--- a/src/core/job_order.c
+++ b/src/core/job_order.c
@@ -118,6 +118,15 @@
   return best;
 }
 
+/* Whether RUN shows whether upstreams bear its item; there are few tries. */
+static bool
+_job_run_is_trial (const job_set_t *j, const job_t *job, const job_run_t *run)
+{
+  return j->desc.crashes != NULL
+         && crs_is_permitted (j->desc.crashes, MOD_JOB,
+                              job_item_tag (job, run->item));
+}
+
 job_run_t *
 job_order_last_run (const job_set_t *j, const env_t *env, const char *upstream)
 {
@@ -127,10 +136,11 @@
        id = tbl_next (j->runs, id))
     {
       job_run_t *run = tbl_get (j->runs, id);
-      if (strcmp (run->upstream, upstream) != 0)
+      const job_t *job = tbl_get (j->jobs, run->job);
+      if (strcmp (run->upstream, upstream) != 0
+          || _job_run_is_trial (j, job, run))
         continue;
-      _job_place_t place
-          = _job_place (j, env, tbl_get (j->jobs, run->job), run->item);
+      _job_place_t place = _job_place (j, env, job, run->item);
       if (last != NULL && !_job_place_before (&last_place, &place))
         continue;
       last = run;
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -490,6 +490,7 @@
       if (!_job_event (j, env, run, &event))
         return;
       run->progress_at = env->now;
+      rte_progress (j->desc.routes, env, run->in_flight);
     }
   if (sse_is_too_large (&run->events))
     _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-too-large");
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -314,13 +314,16 @@
 /** Moves the place of R's stream behind DATA; returns false when the stream
  * has stalled past the deadline: bytes come, but no whole event. */
 static bool
-_onl_stream_advance (onl_request_t *r, const env_t *env, buf_t data)
+_onl_stream_advance (onl_t *o, env_t *env, onl_request_t *r, buf_t data)
 {
   onl_response_t *response = &r->response;
   uint64_t before = response->place.events;
   sse_place_advance (&response->place, data);
   if (response->place.events > before)
-    response->event_at = env->now;
+    {
+      response->event_at = env->now;
+      rte_progress (o->desc.routes, env, r->pick.handle);
+    }
   return env->now < r->deadline
          || env->now - clk_max (response->event_at, r->sent) <= ONL_STALL_MS;
 }
@@ -340,7 +343,7 @@
       _onl_response_broken (o, env, r, "more came than was announced");
       return;
     }
-  if (response->stream && !_onl_stream_advance (r, env, data))
+  if (response->stream && !_onl_stream_advance (o, env, r, data))
     {
       _onl_response_broken (o, env, r, "no whole event has come for long");
       return;
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -192,7 +192,7 @@
                               const char *deployment, clk_ms_t ms);
 
 /** The request has left this VM: the time to first byte counts from this call,
- * not from the pick.  This and the next four functions ignore an invalid
+ * not from the pick.  This and the next five functions ignore an invalid
  * handle. */
 void rte_started (rte_t *r, env_t *env, uint64_t handle);
 
@@ -207,6 +207,9 @@
 void rte_said_limit (rte_t *r, env_t *env, uint64_t handle,
                      const ev_limit_t *limit);
 
+/** A part of the body of a success has come. */
+void rte_progress (rte_t *r, env_t *env, uint64_t handle);
+
 /** The response, a success, is complete; PROVED: it has a length or chunks, or
  * an end marker, so that it cannot have been cut.  Comes before rte_finished.
  */
--- a/src/core/rte_crash.c
+++ b/src/core/rte_crash.c
@@ -42,6 +42,13 @@
                  proved ? CRS_END_WHOLE : CRS_END_UNPROVED);
 }
 
+void
+rte_progress (rte_t *r, env_t *env, uint64_t handle)
+{
+  if (r->desc.crashes != NULL)
+    crs_run_progress (r->desc.crashes, env, handle);
+}
+
 crs_end_t
 rte_crash_end (const rte_upstream_t *u, rte_fail_t fail, clk_ms_t now)
 {
--- a/tests/test_crash_fleet.c
+++ b/tests/test_crash_fleet.c
@@ -16,6 +16,8 @@
 #define PART_FIRST 0xf1U
 #define PART_OTHER 0x07U
 #define PART_RARE 0x4aU
+/* Items of a job, which fit into the upstreams together. */
+#define ITEMS 24
 /* Aim of the route: time until the first event. */
 #define TARGET_MS 300
 /* Part of the sound requests that must be served while bad ones come.  The
@@ -438,6 +440,37 @@
   crl_shutdown (t);
 }
 
+/* Guards against items that are kept away because upstreams end by
+ * themselves: long items, of which none is whole between two ends. */
+static void
+test_items_outlive_ends_by_chance (void)
+{
+  static const uint64_t parts[] = { PART_FIRST, PART_RARE };
+  for (uint32_t seed = 21; seed <= 24; seed++)
+    {
+      crl_t *t = crl_setup (&(hst_desc_t){ .entries = ENTRIES,
+                                           .workers = 2,
+                                           .upstreams = UPSTREAMS,
+                                           .events = 150,
+                                           .gap_ms = 40 },
+                            seed);
+      hst_crash_set (t->h, (hst_crash_t){ .down_ms = 700 });
+      hst_item_parts_set (t->h, parts, 2);
+      (void)hst_submit (t->h, 0, "long", ITEMS);
+      for (size_t i = 0; i < 10; i++)
+        {
+          hst_advance (t->h, 3 * CLK_SECOND / 2);
+          for (size_t k = 0; k < UPSTREAMS - 1; k++)
+            hst_crash (t->h, (i + k) % UPSTREAMS);
+        }
+      hst_advance (t->h, RUN_MS);
+      uint64_t read = hst_results_read (t->h, 0, "long", 0);
+      hst_advance (t->h, 2 * CLK_SECOND);
+      CU_ASSERT_EQUAL (hst_response (t->h, read)->ids->len, ITEMS);
+      crl_shutdown (t);
+    }
+}
+
 int
 main (void)
 {
@@ -461,6 +494,7 @@
     { "platform_down", test_platform_down },
     { "part_becomes_free_again", test_part_becomes_free_again },
     { "items_are_stopped", test_items_are_stopped },
+    { "items_outlive_ends_by_chance", test_items_outlive_ends_by_chance },
   };
   return tst_run ("crash_fleet", cases, sizeof cases / sizeof cases[0]);
 }
--- a/tests/test_crs.c
+++ b/tests/test_crs.c
@@ -405,6 +405,83 @@
   env_shutdown (v.env);
 }
 
+/* An answer to HANDLE goes on from now for MS, an event each 100 ms. */
+static void
+answer_for (vm_t *v, uint64_t handle, clk_ms_t ms)
+{
+  clk_ms_t until = v->env->now + ms;
+  crs_run_head (v->c, v->env, handle);
+  crs_run_progress (v->c, v->env, handle);
+  while (v->env->now < until)
+    {
+      v->env->now += 100;
+      crs_run_progress (v->c, v->env, handle);
+    }
+}
+
+/* Guards against a request whose answer has gone on for long being blamed when
+ * its upstream ends, and against one being let off that had only begun. */
+static void
+test_long_answers_are_not_blamed (void)
+{
+  static const uint64_t old[] = { 1 };
+  static const uint64_t new[] = { 2 };
+  vm_t v = setup ();
+  uint64_t first = run_begin (&v, 0, old, 1);
+  answer_for (&v, first, CRS_BEGUN_MS);
+  uint64_t second = run_begin (&v, 0, new, 1);
+  answer_for (&v, second, CRS_BEGUN_MS / 2);
+  crs_run_end (v.c, v.env, first, CRS_END_CLOSED);
+  crs_run_end (v.c, v.env, second, CRS_END_CLOSED);
+  CU_ASSERT (probe_ends (&v, refused));
+  CU_ASSERT_EQUAL (crs_count (v.c, 1), 1);
+  end_under (&v, 1, new, 1);
+  end_under (&v, 2, new, 1);
+  CU_ASSERT_EQUAL (ask (&v, old, 1), CRS_SEND);
+  CU_ASSERT_EQUAL (ask (&v, new, 1), CRS_REFUSE);
+  talloc_free (v.env);
+}
+
+/* Guards against a sound part staying blocked until an answer is whole, which
+ * takes a long item many seconds. */
+static void
+test_answer_that_goes_on_clears (void)
+{
+  static const uint64_t part[] = { 1 };
+  vm_t v = setup ();
+  uint64_t early = run_begin (&v, 9, part, 1);
+  crs_run_head (v.c, v.env, early);
+  crs_run_progress (v.c, v.env, early);
+  for (unsigned i = 0; i < CRS_BLOCK_ENDS; i++)
+    end_under (&v, i, part, 1);
+  CU_ASSERT_EQUAL (ask (&v, part, 1), CRS_REFUSE);
+  answer_for (&v, early, CRS_BEGUN_MS / 2);
+  CU_ASSERT_EQUAL (ask (&v, part, 1), CRS_REFUSE);
+  answer_for (&v, early, CRS_BEGUN_MS);
+  CU_ASSERT_EQUAL (ask (&v, part, 1), CRS_SEND);
+  CU_ASSERT_EQUAL (crs_count (v.c, 1), 0);
+  talloc_free (v.env);
+}
+
+/* Guards against a trial that holds its permit until its answer is whole. */
+static void
+test_trial_that_goes_on_frees (void)
+{
+  static const uint64_t part[] = { 1 };
+  vm_t v = setup ();
+  for (unsigned i = 0; i < CRS_BLOCK_ENDS; i++)
+    end_under (&v, i, part, 1);
+  v.env->now += 2 * CLK_SECOND;
+  CU_ASSERT_EQUAL (ask (&v, part, 1), CRS_SEND);
+  CU_ASSERT (crs_is_permitted (v.c, MOD_ONLINE, v.handle + 1));
+  uint64_t trial = run_begin (&v, 9, part, 1);
+  CU_ASSERT (crs_is_permitted (v.c, MOD_ONLINE, trial));
+  answer_for (&v, trial, CRS_BEGUN_MS);
+  CU_ASSERT (!crs_is_permitted (v.c, MOD_ONLINE, trial));
+  CU_ASSERT_EQUAL (ask (&v, part, 1), CRS_SEND);
+  talloc_free (v.env);
+}
+
 int
 main (void)
 {
@@ -421,6 +498,9 @@
     { "many_parts_are_bounded", test_many_parts_are_bounded },
     { "requests_are_told_apart", test_requests_are_told_apart },
     { "malformed_messages", test_malformed_messages },
+    { "long_answers_are_not_blamed", test_long_answers_are_not_blamed },
+    { "answer_that_goes_on_clears", test_answer_that_goes_on_clears },
+    { "trial_that_goes_on_frees", test_trial_that_goes_on_frees },
   };
   return tst_run ("crs", cases, sizeof cases / sizeof cases[0]);
 }
