Routing: an upstream at whose address another answers is left out

Cause: 421 (another upstream has the address now, the request has not run) was taken like "full": the dead start stayed in use until the list dropped it, each VM sent to it again and again, and the trial of a blocked subject that got 421 was used up. Change: 421 has its own kind of failure (RTE_FAIL_REPLACED): the upstream is suspected (0.5 s, doubling), breaks at that start count as its end, and the permit or trial is given back, as nothing has run.

--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -508,7 +508,7 @@
                   "job=%s item=%s upstream=%s status=%d", job->rec->id,
                   job->rec->items[run->item].id, run->upstream, up->status);
       job->items[run->item].not_before = env->now + JOB_ITEM_RETRY_MS;
-      _job_run_end (j, env, run, RTE_FAIL_CANCELLED, "not-run");
+      _job_run_end (j, env, run, rte_not_run_fail (up->status), "not-run");
       return;
     }
   rte_first_byte (j->desc.routes, env, run->in_flight);
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -172,7 +172,7 @@
   tln_record (env->tln, env->now, MOD_ONLINE, "not-run",
               "request=%s upstream=%s status=%d", r->request_id,
               r->pick.upstream, status);
-  _onl_attempt_end (o, env, r, RTE_FAIL_CANCELLED);
+  _onl_attempt_end (o, env, r, rte_not_run_fail (status));
   r->runs--;
   if (onl_retry (o, env, r, false))
     return;
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -153,6 +153,8 @@
   RTE_FAIL_CLOSED,    /**< the upstream closed or reset the connection before
                            the response was complete */
   RTE_FAIL_UNSENT,    /**< no connection could be made */
+  RTE_FAIL_REPLACED,  /**< another upstream answered at the address, which did
+                           not run the request */
   RTE_FAIL_CANCELLED, /**< this VM cancelled the request; the upstream is not
                            at fault */
 } rte_fail_t;
@@ -210,6 +212,11 @@
 /** A part of the body of a success has come. */
 void rte_progress (rte_t *r, env_t *env, uint64_t handle);
 
+/** Why a request has failed to which an upstream responded with STATUS and
+ * promised that it has not run: 421 (Misdirected Request) comes from another
+ * upstream, which has the address now; all else leaves the upstream well. */
+rte_fail_t rte_not_run_fail (int status);
+
 /** The response, a success, is complete; PROVED: it has a length or chunks, or
  * an end marker, so that it cannot have been cut.  Comes before rte_finished.
  */
--- a/src/core/rte_crash.c
+++ b/src/core/rte_crash.c
@@ -7,6 +7,9 @@
  * its connections are seen to break. */
 #define RTE_DROPPED_MS ((clk_ms_t)CLK_SECOND)
 
+/** Misdirected Request (RFC 9110). */
+#define RTE_STATUS_MISDIRECTED 421
+
 /** Notes which upstreams the document no longer names. */
 static void
 _rte_dropped_note (const rte_t *r, clk_ms_t now)
@@ -49,11 +52,20 @@
     crs_run_progress (r->desc.crashes, env, handle);
 }
 
+rte_fail_t
+rte_not_run_fail (int status)
+{
+  return status == RTE_STATUS_MISDIRECTED ? RTE_FAIL_REPLACED
+                                          : RTE_FAIL_CANCELLED;
+}
+
 crs_end_t
 rte_crash_end (const rte_upstream_t *u, rte_fail_t fail, clk_ms_t now)
 {
   if (fail == RTE_FAIL_UNSENT)
     return CRS_END_UNSENT;
+  if (fail == RTE_FAIL_REPLACED)
+    return CRS_END_REPLACED;
   bool listed = u->configured || now - u->dropped_at <= RTE_DROPPED_MS;
   if (fail == RTE_FAIL_CLOSED && listed && !rte_gets_nothing_new (u, now))
     return CRS_END_CLOSED;
--- a/tests/test_crs.c
+++ b/tests/test_crs.c
@@ -482,6 +482,26 @@
   talloc_free (v.env);
 }
 
+/* Guards against trials being used up by requests that have not run, as
+ * another upstream had the address. */
+static void
+test_trial_at_another_upstream_is_given_back (void)
+{
+  static const uint64_t part[] = { 1 };
+  vm_t v = setup ();
+  for (unsigned i = 0; i < CRS_BLOCK_ENDS; i++)
+    end_under (&v, i, part, 1);
+  for (unsigned i = 0; i < 2 * CRS_TRIALS_MAX; i++)
+    {
+      v.env->now += 2 * CLK_SECOND;
+      CU_ASSERT_EQUAL (ask (&v, part, 1), CRS_SEND);
+      uint64_t trial = run_begin (&v, 9, part, 1);
+      crs_run_end (v.c, v.env, trial, CRS_END_REPLACED);
+    }
+  CU_ASSERT_EQUAL (crs_count (v.c, CRS_BLOCK_ENDS), 1);
+  talloc_free (v.env);
+}
+
 int
 main (void)
 {
@@ -501,6 +521,8 @@
     { "long_answers_are_not_blamed", test_long_answers_are_not_blamed },
     { "answer_that_goes_on_clears", test_answer_that_goes_on_clears },
     { "trial_that_goes_on_frees", test_trial_that_goes_on_frees },
+    { "trial_at_another_upstream_is_given_back",
+      test_trial_at_another_upstream_is_given_back },
   };
   return tst_run ("crs", cases, sizeof cases / sizeof cases[0]);
 }
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -143,8 +143,10 @@
   talloc_free (f);
 }
 
+/* Asserts that u0, each request to which ends with FAIL, gets fewer and fewer
+ * of one every 50 ms in 60 s. */
 static void
-test_refusing_upstream_is_avoided_longer_each_time (void)
+check_avoided_longer_each_time (rte_fail_t fail)
 {
   rtebed_t *f = rtebed_setup (1);
   rte_pick_t p;
@@ -158,7 +160,7 @@
         {
           attempts++;
           late_attempts += i > 30 * 20;
-          rte_failed (f->rte[0], f->env[0], p.handle, RTE_FAIL_REFUSED);
+          rte_failed (f->rte[0], f->env[0], p.handle, fail);
           continue;
         }
       rte_first_byte (f->rte[0], f->env[0], p.handle);
@@ -169,6 +171,21 @@
   talloc_free (f);
 }
 
+static void
+test_refusing_upstream_is_avoided_longer_each_time (void)
+{
+  check_avoided_longer_each_time (RTE_FAIL_REFUSED);
+}
+
+/* Guards against requests going on to an address that another upstream has
+ * now, which turns each of them away, until the list says so. */
+static void
+test_replaced_upstream_is_avoided_longer_each_time (void)
+{
+  check_avoided_longer_each_time (rte_not_run_fail (421));
+  CU_ASSERT_EQUAL (rte_not_run_fail (503), RTE_FAIL_CANCELLED);
+}
+
 static void
 test_flapping_upstream_gets_few_requests (void)
 {
@@ -307,6 +324,8 @@
       test_cache_events_route_a_prefix_to_its_upstream },
     { "refusing_upstream_is_avoided_longer_each_time",
       test_refusing_upstream_is_avoided_longer_each_time },
+    { "replaced_upstream_is_avoided_longer_each_time",
+      test_replaced_upstream_is_avoided_longer_each_time },
     { "flapping_upstream_gets_few_requests",
       test_flapping_upstream_gets_few_requests },
     { "silent_upstream_gets_no_more_after_the_first",
