Limits: what an upstream takes beyond what is saved up is used

Cause: an upstream that names a limit cost 50 ms more than others, whatever was saved up, and a token was asked for only where it would have been preferred all the same. While another upstream had room it got nothing, so nothing was heard of it, and the limit held for ever after it had ended. (Before the silence of a report ended it, wrongly, which hid this.) Change: what the mint gives beside what it saves up for online requests (the items' class) is asked for and makes the upstream cost 20 ms less while it is held; it would lapse otherwise.

--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -31,6 +31,9 @@
 /** Added cost of an upstream that names a limit: what it takes is saved up
  * while others have room. */
 #define RTE_LIMITED_MS 50.0
+/** By which one is preferred that has more than is saved up: it lapses unless
+ * it is used, and only answers show that a limit has ended. */
+#define RTE_SPARE_MS 20.0
 /** Largest number of upstreams without room by their limits among which a
  * choice remembers those that it would have preferred. */
 #define RTE_PASSED_MAX 64
@@ -166,7 +169,8 @@
   if ((u->state & RTE_BIT_SILENT) != 0)
     c.cost_ms += (double)r->desc.suspect_ms;
   if (rte_limit_in_force (r, u) != NULL)
-    c.cost_ms += RTE_LIMITED_MS;
+    c.cost_ms
+        += rte_limit_has_spare (r, env, u) ? -RTE_SPARE_MS : RTE_LIMITED_MS;
   return c;
 }
 
@@ -231,6 +235,19 @@
          && rte_known_load (u, env->now) >= u->slots + r->desc.queue_max;
 }
 
+/** Asks for a token of PASSED, which has none, if it would have been preferred
+ * to BEST; for one that is not saved up if it would be preferred with that. */
+static void
+_rte_passed_want (rte_t *r, env_t *env, const rte_query_t *query,
+                  const rte_candidate_t *passed, const rte_candidate_t *best)
+{
+  double spare_ms = passed->cost_ms - RTE_LIMITED_MS - RTE_SPARE_MS;
+  if (best->upstream == NULL || passed->cost_ms < best->cost_ms)
+    rte_limit_want (r, env, passed->upstream, query);
+  else if (!query->batch && spare_ms < best->cost_ms)
+    rte_limit_want_spare (r, env, passed->upstream);
+}
+
 /** The cheapest upstream of D; ties are broken at random.  SUSPECTS: considers
  * suspected upstreams too, but only those without an in-flight request of this
  * VM.  PICK tells when an upstream is excluded as full, or by its limit.
@@ -279,8 +296,7 @@
         best = c;
     }
   for (size_t i = 0; i < passed_count; i++)
-    if (best.upstream == NULL || passed[i].cost_ms < best.cost_ms)
-      rte_limit_want (r, env, passed[i].upstream, query);
+    _rte_passed_want (r, env, query, &passed[i], &best);
   return best;
 }
 
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -317,6 +317,13 @@
 void rte_limit_want (rte_t *r, env_t *env, const rte_upstream_t *u,
                      const rte_query_t *query);
 
+/** An online request could use what U takes and nobody else needs. */
+void rte_limit_want_spare (rte_t *r, env_t *env, const rte_upstream_t *u);
+
+/** Whether this VM has got such a token. */
+bool rte_limit_has_spare (const rte_t *r, const env_t *env,
+                          const rte_upstream_t *u);
+
 /** Uses a token for QUERY at U, which rte_limit_admits has let pass. */
 void rte_limit_charge (rte_t *r, env_t *env, const rte_upstream_t *u,
                        const rte_query_t *query);
--- a/src/core/rte_limit.c
+++ b/src/core/rte_limit.c
@@ -208,20 +208,39 @@
          || upl_hold_has (l->hold, env->now, _rte_limit_class (query));
 }
 
-void
-rte_limit_want (rte_t *r, env_t *env, const rte_upstream_t *u,
-                const rte_query_t *query)
+bool
+rte_limit_has_spare (const rte_t *r, const env_t *env, const rte_upstream_t *u)
+{
+  const rte_limit_t *l = rte_limit_in_force (r, u);
+  return l != NULL && upl_hold_tokens (l->hold, env->now, UPL_ITEM) > 0;
+}
+
+static void
+_rte_limit_want_class (rte_t *r, env_t *env, const rte_upstream_t *u,
+                       upl_class_t class)
 {
   rte_limit_t *l = rte_limit_in_force (r, u);
   if (l == NULL)
     return;
-  upl_class_t class = _rte_limit_class (query);
   upl_hold_want (l->hold, env->now, class);
   l->passed[class]++;
   if (u->mint != NULL && upl_hold_due_at (l->hold, env->now) <= env->now)
     rte_limit_arm (r, env, env->now);
 }
 
+void
+rte_limit_want (rte_t *r, env_t *env, const rte_upstream_t *u,
+                const rte_query_t *query)
+{
+  _rte_limit_want_class (r, env, u, _rte_limit_class (query));
+}
+
+void
+rte_limit_want_spare (rte_t *r, env_t *env, const rte_upstream_t *u)
+{
+  _rte_limit_want_class (r, env, u, UPL_ITEM);
+}
+
 void
 rte_limit_charge (rte_t *r, env_t *env, const rte_upstream_t *u,
                   const rte_query_t *query)
@@ -230,6 +249,8 @@
   if (l == NULL)
     return;
   upl_class_t class = _rte_limit_class (query);
+  if (upl_hold_tokens (l->hold, env->now, class) == 0)
+    class = UPL_ITEM;
   upl_hold_want (l->hold, env->now, class);
   bool taken = upl_hold_take (l->hold, env->now, class);
   INV_CHECK (taken, "route-limit-has-token", "upstream %s", u->name);
