Versions: a stream of unknown beginning is refused for as long as any is kept

Cause: a VM that did not know how a stream began took the sole version of the list for its version once that had served for the route's limit and 5 s. An origin is kept for 60 s, as long as a caller is thought to go on trying: two figures for one thing. After a start of all VMs beside a release a stream taken up later than that went on at the new version behind the old one's events. Ruled out: the moments before the list, the links or the list of VMs are known; nothing was joined there (rows of the new test). Change: one figure, the 60 s and 5 s for the list's lag. Until a deployment has been listed, it counts as one with versions.

--- a/src/core/job_text.c
+++ b/src/core/job_text.c
@@ -64,7 +64,7 @@
 job_text_began (const job_set_t *j, const job_t *job, const job_run_t *run)
 {
   job_item_t *item = &job->items[run->item];
-  if (!rte_has_versions (j->desc.routes, run->deployment))
+  if (!rte_may_have_versions (j->desc.routes, run->deployment))
     return;
   item->full_since = CLK_NEVER;
   item->deployment = talloc_strdup (job->items, run->deployment);
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -149,8 +149,6 @@
   bool takes_up; /**< one of which it has, where versions are told apart */
   bool bound;    /**< only upstreams of VERSION may go on with the stream */
   const char *version;      /**< BOUND; "": not known, so that none may */
-  clk_ms_t timeout_ms;      /**< TAKES_UP: longest time of a request on its
-                                 route, and so of the whole stream */
   const char **deployments; /**< TAKES_UP: to which the route may send it */
   size_t deployment_count;
   rte_pick_t pick; /**< upstream of the current attempt */
--- a/src/core/onl_version.c
+++ b/src/core/onl_version.c
@@ -12,14 +12,17 @@
 #define ONL_UNKNOWN_RETRY_MS (CLK_SECOND / 4)
 /** By which the list of upstreams may lag behind them. */
 #define ONL_LIST_LAG_MS (5 * CLK_SECOND)
+/** Time after which no caller takes up a stream that began at a version that
+ * the list no longer named: the one for which origins are kept. */
+#define ONL_SOLE_MS (STV_KEEP_MS + ONL_LIST_LAG_MS)
 
 /** Whether the upstreams of any deployment to which R may be sent have
- * versions. */
+ * versions, or may have: none of it has been listed yet. */
 static bool
-_onl_has_versions (const onl_t *o, const onl_request_t *r)
+_onl_may_have_versions (const onl_t *o, const onl_request_t *r)
 {
   for (size_t i = 0; i < r->deployment_count; i++)
-    if (rte_has_versions (o->desc.routes, r->deployments[i]))
+    if (rte_may_have_versions (o->desc.routes, r->deployments[i]))
       return true;
   return false;
 }
@@ -36,8 +39,7 @@
   for (size_t i = 0; i < route->share_count; i++)
     r->deployments[i]
         = talloc_strdup (r->deployments, route->shares[i].deployment);
-  r->takes_up = _onl_has_versions (o, r);
-  r->timeout_ms = route->deadline_ms;
+  r->takes_up = _onl_may_have_versions (o, r);
 }
 
 const char *
@@ -75,11 +77,9 @@
 static void
 _onl_origin_unknown (onl_t *o, env_t *env, onl_request_t *r)
 {
-  clk_ms_t age = r->timeout_ms + ONL_LIST_LAG_MS;
-  const char *sole
-      = r->deployment_count == 1
-            ? rte_sole_version (o->desc.routes, env, r->deployment->name, age)
-            : NULL;
+  const char *sole = r->deployment_count == 1 ? rte_sole_version (
+                         o->desc.routes, env, r->deployment->name, ONL_SOLE_MS)
+                                              : NULL;
   if (sole != NULL)
     _onl_bound (o, env, r, sole);
   else
@@ -148,7 +148,7 @@
 {
   const char *deployment = r->deployment->name;
   if (!r->resumable || o->desc.streams == NULL
-      || !rte_has_versions (o->desc.routes, deployment))
+      || !rte_may_have_versions (o->desc.routes, deployment))
     return;
   r->bound = true;
   r->version = talloc_strdup (r->pool,
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -250,6 +250,7 @@
 _rte_versions_learn (rte_deployment_t *d, clk_ms_t now)
 {
   const char *version = _rte_common_version (d);
+  d->was_listed = d->was_listed || d->upstreams->len > 0;
   for (guint i = 0; i < d->upstreams->len; i++)
     d->has_versions
         = d->has_versions
@@ -264,10 +265,10 @@
 }
 
 bool
-rte_has_versions (const rte_t *r, const char *deployment)
+rte_may_have_versions (const rte_t *r, const char *deployment)
 {
   const rte_deployment_t *d = g_hash_table_lookup (r->deployments, deployment);
-  return d != NULL && d->has_versions;
+  return d == NULL || !d->was_listed || d->has_versions;
 }
 
 bool
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -179,8 +179,8 @@
                rte_pick_t *pick);
 
 /** Whether the list has ever named a version of the software of DEPLOYMENT's
- * upstreams. */
-bool rte_has_versions (const rte_t *r, const char *deployment);
+ * upstreams, or has not named any of these yet. */
+bool rte_may_have_versions (const rte_t *r, const char *deployment);
 
 /** Whether an upstream of DEPLOYMENT whose software has VERSION may get
  * requests, now or when it has room and is no longer suspected. */
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -164,7 +164,8 @@
 {
   char *name;
   GPtrArray *upstreams; /**< rte_upstream_t, in the document's order */
-  bool has_versions;    /**< as in rte_has_versions */
+  bool was_listed;      /**< the document has named an upstream of it */
+  bool has_versions;    /**< and one that had a version */
   char *sole_version;   /**< of all upstreams of the list; NULL: none, or not
                              of all */
   clk_ms_t sole_since;
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -3,9 +3,11 @@
  * the version that began it, at whichever VM it is taken up.  Several VMs in
  * virtual time; even upstreams are of version v1, odd ones of v2.
  */
+#include "core/stv.h"
 #include "hst.h"
 #include "tst.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define ENTRIES 4
@@ -19,9 +21,9 @@
 #define ENDED_MS (2 * CLK_SECOND)
 /* Longest time until a request that cannot be served is refused. */
 #define AT_ONCE_MS 250
-/* Longer than a stream and the lag of the list: after it a VM trusts that
+/* Longer than an origin is kept and the list lags: after it a VM trusts that
  * there has been one version only. */
-#define SOLE_MS (30 * CLK_SECOND)
+#define SOLE_MS (STV_KEEP_MS + 10 * CLK_SECOND)
 #define KEY "key-acme"
 #define ID_SIZE 32
 
@@ -338,6 +340,88 @@
   hst_shutdown (h);
 }
 
+/* What a VM that has just started does not hear at first, and for how long. */
+typedef struct
+{
+  const char *name;
+  clk_ms_t platform_ms; /* document, lists of upstreams and of VMs */
+  clk_ms_t peers_ms;    /* other VMs and the platform */
+  bool alone;           /* only this VM starts anew: the others know the
+                           streams, but are out of its reach for PEERS_MS */
+} order_t;
+
+/* Longest time for which callers try to take up their streams. */
+#define TRIED_MS (50 * CLK_SECOND)
+#define TRY_GAP_MS 500
+
+/* Streams begin at version v1, all upstreams change to v2, the VMs start anew
+ * as ORDER says, and the streams are taken up again and again. */
+static void
+play_order (const order_t *order)
+{
+  char id[ID_SIZE];
+  unsigned tries = 0;
+  hst_t *h = setup (false);
+  for (size_t u = 0; u < UPSTREAMS; u++)
+    hst_version_set (h, u, "v1");
+  hst_advance (h, LISTED_MS);
+  (void)hst_stream (h, 1, KEY, "b-0");
+  hst_advance (h, BEGUN_MS);
+  for (size_t i = 0; i < (order->alone ? 1 : ENTRIES + 1); i++)
+    hst_kill (h, i);
+  for (size_t u = 0; u < UPSTREAMS; u++)
+    hst_version_set (h, u, "v2");
+  clk_ms_t start = hst_now (h);
+  hst_platform_down (h, HST_MAX, order->platform_ms > 0);
+  hst_isolate (h, 0, order->peers_ms > 0);
+  for (size_t i = 0; i < (order->alone ? 1 : ENTRIES + 1); i++)
+    hst_start (h, i);
+  while (hst_now (h) - start < TRIED_MS)
+    {
+      if (hst_now (h) - start >= order->platform_ms)
+        hst_platform_down (h, HST_MAX, false);
+      if (hst_now (h) - start >= order->peers_ms)
+        hst_isolate (h, 0, false);
+      (void)hst_take_up (h, 0, id_of (id, 't', tries++), "b-0", "3");
+      hst_advance (h, TRY_GAP_MS);
+    }
+  for (unsigned i = 0; i < tries; i++)
+    if (hst_run_count (h, id_of (id, 't', i)) > 0)
+      {
+        printf ("%s: joined %lld ms after the start\n", order->name,
+                (long long)i * TRY_GAP_MS);
+        CU_FAIL ("a stream is joined of two versions");
+        break;
+      }
+  hst_shutdown (h);
+}
+
+/* Guards against a VM that has just started, and has not heard yet how streams
+ * began, taking it for certain that they began at the version there is now: in
+ * each order in which it can hear of things, and however late callers come. */
+static void
+test_started_vm_joins_no_versions (void)
+{
+  static const order_t orders[] = {
+    { .name = "all at once" },
+    { .name = "platform late", .platform_ms = 4 * CLK_SECOND },
+    { .name = "platform very late", .platform_ms = 15 * CLK_SECOND },
+    { .name = "links late", .peers_ms = 4 * CLK_SECOND },
+    { .name = "links after the platform",
+      .platform_ms = 3 * CLK_SECOND,
+      .peers_ms = 20 * CLK_SECOND },
+    { .name = "alone", .alone = true },
+    { .name = "alone, links late",
+      .alone = true,
+      .peers_ms = 20 * CLK_SECOND },
+    { .name = "alone, platform late",
+      .alone = true,
+      .platform_ms = 15 * CLK_SECOND },
+  };
+  for (size_t i = 0; i < sizeof orders / sizeof orders[0]; i++)
+    play_order (&orders[i]);
+}
+
 /* Submits a job of STREAMS items and has the first run at each upstream break
  * off behind event 2. */
 static void
@@ -437,6 +521,7 @@
     { "without_versions_streams_go_on", test_without_versions_streams_go_on },
     { "sole_version_needs_no_knowledge",
       test_sole_version_needs_no_knowledge },
+    { "started_vm_joins_no_versions", test_started_vm_joins_no_versions },
     { "text_of_an_item_stays_at_its_version",
       test_text_of_an_item_stays_at_its_version },
     { "item_without_its_version_begins_anew",
