Platform: calls are counted by operation, module, kind of object and wait

Cause: rts_platform_calls_total was one sum; nothing told what calls are for. Change: labels op, module, kind (the part of the object's name before the slash, which modules choose) and waits (a watch). A bounded set of series.

--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -3,6 +3,8 @@
 #include "core/env.h"
 #include "core/tbl.h"
 
+#include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
 #define PLT_CALLS_PER_SECOND_DEFAULT 20.0
@@ -174,6 +176,52 @@
   return p->relaying ? PLT_RELAY_TIMEOUT_MS : PLT_TIMEOUT_MS;
 }
 
+static const char *
+_plt_op_name (fx_platform_op_t op)
+{
+  switch (op)
+    {
+    case FX_PLATFORM_GET:
+      return "get";
+    case FX_PLATFORM_PUT:
+      return "put";
+    case FX_PLATFORM_DELETE:
+      return "delete";
+    case FX_PLATFORM_LIST:
+      return "list";
+    case FX_PLATFORM_WATCH:
+      return "watch";
+    case FX_PLATFORM_VMS:
+      return "vms";
+    case FX_PLATFORM_DOCUMENT:
+      return "document";
+    case FX_PLATFORM_UPSTREAMS:
+      return "upstreams";
+    case FX_PLATFORM_RETIREMENT:
+      return "retirement";
+    case FX_PLATFORM_RETIRED:
+      return "retired";
+    }
+  return "unlisted";
+}
+
+/** Counts the call REQ by what it does, for which module, and on objects of
+ * which kind: the part of the name before the slash, which the modules
+ * choose. */
+static void
+_plt_call_count (const env_t *env, const plt_req_t *req)
+{
+  char labels[128];
+  const char *name = req->name == NULL ? "" : req->name;
+  const char *slash = strchr (name, '/');
+  int kind_size = slash == NULL ? 0 : (int)(slash - name);
+  (void)snprintf (labels, sizeof labels,
+                  "op=\"%s\",module=\"%s\",kind=\"%.*s\",waits=\"%s\"",
+                  _plt_op_name (req->op), mod_name (req->mod), kind_size, name,
+                  req->revision != 0 ? "yes" : "no");
+  cnt_add (env->cnt, "rts_platform_calls_total", labels, 1);
+}
+
 void
 plt_call (env_t *env, const plt_req_t *req)
 {
@@ -196,7 +244,7 @@
   clk_ms_t timeout = req->timeout_ms;
   if (timeout == 0)
     timeout = _plt_timeout (p, req);
-  cnt_add (env->cnt, "rts_platform_calls_total", "", 1);
+  _plt_call_count (env, req);
   fx_push (env->fx, &(fx_t){ .kind = FX_PLATFORM,
                              .platform = { .call = id.id,
                                            .op = req->op,
