Directory: one VM of each data centre watches the lists for a large fleet

Change: from 17 VMs on one entry VM of each data centre (rendezvous hashing, a hint) watches with waits of 1 s and hands each answer on, also one without a change; the others make no calls while they hear from it. One that has heard nothing for 1.6 s, has missed a change or hears that the reader fails reads itself from where it is. Messages cover the changes between two revisions, so an old or empty one undoes nothing; a change of the document is read from the store by each VM. Log lines: reads-itself with why, message-refused. Ruled out: stale watches (seconds old, against the bounds for leaving upstreams and configurations); handing documents on (too large for the links).

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -7,6 +7,7 @@
 #define DIR_RETRY_MS_DEFAULT 250
 #define DIR_REREGISTER_MS_DEFAULT 2500
 #define DIR_READ_INTERVAL_MS_DEFAULT 800
+#define DIR_FOLLOW_VMS_MIN_DEFAULT 17
 /** The platform counts as disturbed for this long after a failed call. */
 #define DIR_DISTURBED_MS (3 * CLK_SECOND)
 
@@ -63,8 +64,12 @@
     d->desc.reregister_ms = DIR_REREGISTER_MS_DEFAULT;
   if (d->desc.interval_ms == 0)
     d->desc.interval_ms = DIR_READ_INTERVAL_MS_DEFAULT;
+  if (d->desc.follow_vms_min == 0)
+    d->desc.follow_vms_min = DIR_FOLLOW_VMS_MIN_DEFAULT;
   d->failed_at = CLK_NEVER;
   d->listed_at = CLK_NEVER;
+  for (int op = 0; op < DIR_READ_NUM; op++)
+    d->handed_at[op] = CLK_NEVER;
   d->entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _dir_entry_free);
   talloc_set_destructor (d, _dir_destroy);
@@ -79,20 +84,44 @@
 
 /* -- calls ---------------------------------------------------------------- */
 
-static void
-_dir_read (dir_t *d, env_t *env, dir_op_t op)
+/* Longest wait of a watch: short for a reader, whose followers need to hear
+ * that it still hears from the platform. */
+static clk_ms_t
+_dir_watch_ms (const dir_t *d, const env_t *env)
+{
+  return dir_is_reader (d, env)
+             ? clk_min (DIR_READER_WATCH_MS, d->desc.watch_ms)
+             : d->desc.watch_ms;
+}
+
+void
+dir_read (dir_t *d, env_t *env, dir_op_t op)
 {
   d->called_at[op] = env->now;
-  plt_call (env,
-            &(plt_req_t){ .mod = MOD_DIRECTORY,
-                          .tag = d->epoch << DIR_TAG_BITS | op,
-                          .op = op == DIR_OP_DOCUMENT ? FX_PLATFORM_DOCUMENT
-                                                      : FX_PLATFORM_UPSTREAMS,
-                          .name = "",
-                          .revision = d->revision[op],
-                          .after = op == DIR_OP_UPSTREAMS ? d->after : NULL,
-                          .timeout_ms
-                          = d->revision[op] != 0 ? d->desc.watch_ms : 0 });
+  d->idle[op] = false;
+  plt_call (env, &(plt_req_t){
+                     .mod = MOD_DIRECTORY,
+                     .tag = d->epoch << DIR_TAG_BITS | op,
+                     .op = op == DIR_OP_DOCUMENT ? FX_PLATFORM_DOCUMENT
+                                                 : FX_PLATFORM_UPSTREAMS,
+                     .name = "",
+                     .revision = d->revision[op],
+                     .after = op == DIR_OP_UPSTREAMS ? d->after : NULL,
+                     .timeout_ms
+                     = d->revision[op] != 0 ? _dir_watch_ms (d, env) : 0 });
+}
+
+/* Read the list of OP now, or leave that to the reader. */
+static void
+_dir_read_or_follow (dir_t *d, env_t *env, dir_op_t op)
+{
+  if (!dir_follows (d, env, op))
+    {
+      dir_read (d, env, op);
+      return;
+    }
+  d->idle[op] = true;
+  dir_follow_arm (d, env);
 }
 
 /* Read the next page, or watch for the next change.  A long poll starts at
@@ -101,10 +130,13 @@
 static void
 _dir_read_next (dir_t *d, env_t *env, dir_op_t op)
 {
-  clk_ms_t at = d->called_at[op] + d->desc.interval_ms;
+  clk_ms_t at = clk_max (d->called_at[op] + d->desc.interval_ms,
+                         env->now + dir_reader_wait_ms (d, env));
   bool pages = op == DIR_OP_UPSTREAMS && d->after != NULL;
-  if (pages || at <= env->now)
-    _dir_read (d, env, op);
+  if (pages)
+    dir_read (d, env, op);
+  else if (at <= env->now || dir_follows (d, env, op))
+    _dir_read_or_follow (d, env, op);
   else
     tmr_arm (env->tmr, at, MOD_DIRECTORY, d->epoch << DIR_TAG_BITS | op);
 }
@@ -112,8 +144,8 @@
 void
 dir_start (dir_t *d, env_t *env)
 {
-  _dir_read (d, env, DIR_OP_DOCUMENT);
-  _dir_read (d, env, DIR_OP_UPSTREAMS);
+  _dir_read_or_follow (d, env, DIR_OP_DOCUMENT);
+  _dir_read_or_follow (d, env, DIR_OP_UPSTREAMS);
 }
 
 /* -- the document --------------------------------------------------------- */
@@ -301,8 +333,8 @@
   g_list_free (values);
 }
 
-static void
-_dir_upstreams_update (dir_t *d, env_t *env, const ev_platform_t *reply)
+void
+dir_upstreams_update (dir_t *d, env_t *env, const ev_platform_t *reply)
 {
   bool full_list = d->revision[DIR_OP_UPSTREAMS] == 0;
   if (full_list && d->after == NULL)
@@ -334,6 +366,7 @@
   if (code == ST_STALE)
     return;
   d->failed_at = env->now;
+  dir_failure_hand_on (d, env, op);
   if (op == DIR_OP_UPSTREAMS)
     TALLOC_FREE (d->after);
   cnt_add (env->cnt, "rts_directory_failures_total", "", 1);
@@ -353,13 +386,17 @@
       _dir_read_failed (d, env, op, reply->code);
       return;
     }
+  uint64_t before = d->revision[op];
   if (op == DIR_OP_DOCUMENT)
     {
       _dir_document_adopt (d, env, reply->document);
-      d->revision[op] = reply->revision;
+      d->revision[op] = MAX (before, reply->revision);
     }
-  else
-    _dir_upstreams_update (d, env, reply);
+  /* The reader may have handed on all of it, and more, since the call. */
+  else if (before == 0 || reply->revision >= before)
+    dir_upstreams_update (d, env, reply);
+  if (d->revision[op] != 0)
+    dir_hand_on (d, env, op, before, reply);
   _dir_read_next (d, env, op);
 }
 
@@ -369,10 +406,12 @@
   dir_op_t op = (dir_op_t)(tag & (((uint64_t)1 << DIR_TAG_BITS) - 1));
   if (op == DIR_OP_EXPIRY)
     _dir_expire (d, env);
+  else if (op == DIR_OP_FOLLOW)
+    dir_follow_check (d, env);
   else if (op == DIR_OP_REQUEST)
     dir_document_request (d, env);
   else if (tag >> DIR_TAG_BITS == d->epoch)
-    _dir_read (d, env, op);
+    _dir_read_or_follow (d, env, op);
 }
 
 /* Makes the watches anew, because those in progress may have been lost.  Their
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -36,6 +36,13 @@
                                at the sender */
   MSG_DIRECTORY_DOCUMENT, /**< u64 version, str document as the platform sent
                                it */
+  /** Reader to the other VMs of its data centre: u64 list (0 document, 1
+   * upstreams), u64 whether it can be read, u64 revision before, u64 revision
+   * after, u64 age of the last failed call and 1, 0: none; then for each
+   * upstream that has changed: str name, u64 flags (1 leaving, 2 deleted, 4
+   * unusable), str deployment, str data centre, str address, u64 start, str
+   * version. */
+  MSG_DIRECTORY_HANDED,
 } dir_msg_t;
 
 /** Settings of the directory; zeros mean the defaults. */
@@ -54,6 +61,9 @@
   /** Shortest time from a call to the long poll that follows; default 800 ms.
    */
   clk_ms_t interval_ms;
+  /** Number of VMs from which on one VM of each data centre reads for the
+   * others; default 17. */
+  size_t follow_vms_min;
   /** Mean delay before a failed call is repeated; default 250 ms. */
   clk_ms_t retry_ms;
   /** Time for upstreams to register again after the last failed call; default
--- a/src/core/dir_int.h
+++ b/src/core/dir_int.h
@@ -5,6 +5,7 @@
 #define RTS_DIR_INT_H
 
 #include "core/dir.h"
+#include "core/mpk.h"
 
 #include <glib.h>
 
@@ -16,9 +17,13 @@
   DIR_OP_UPSTREAMS, /**< read or watch the list of upstreams */
   DIR_OP_EXPIRY,    /**< timer only: remove expired upstreams */
   DIR_OP_REQUEST,   /**< timer only: request the document from a peer */
+  DIR_OP_FOLLOW,    /**< timer only: whether the reader is still heard */
   DIR_READ_NUM = DIR_OP_EXPIRY /**< number of operations that read */
 } dir_op_t;
 
+/** Longest duration of a long poll of a reader (dir_follow.c). */
+#define DIR_READER_WATCH_MS CLK_SECOND
+
 struct dir
 {
   dir_desc_t desc;
@@ -44,8 +49,12 @@
   GHashTable *entries;      /**< upstream name to _dir_entry_t */
   clk_ms_t failed_at;       /**< last failure of a call; CLK_NEVER: none */
   clk_ms_t listed_at; /**< last response with upstreams; CLK_NEVER: none */
-  bool dirty;         /**< operator_doc or entries are newer than doc */
-  cfg_doc_t *doc;     /**< operator_doc with data centres and upstreams */
+  clk_ms_t handed_at[DIR_READ_NUM]; /**< when the reader last handed on what it
+                                         knows; CLK_NEVER: it has not */
+  bool idle[DIR_READ_NUM]; /**< this VM makes no calls: the reader does */
+  bool follow_armed;
+  bool dirty;     /**< operator_doc or entries are newer than doc */
+  cfg_doc_t *doc; /**< operator_doc with data centres and upstreams */
 };
 
 /* dir_peer.c */
@@ -57,4 +66,40 @@
  * little later, if that version is not in force yet. */
 void dir_document_request (dir_t *d, env_t *env);
 
+/** Handle MSG_DIRECTORY_HANDED from VM; false: malformed. */
+bool dir_handed_received (dir_t *d, env_t *env, const char *vm,
+                          mpk_reader_t *r);
+
+/* dir.c */
+
+/** Read or watch the list of OP now. */
+void dir_read (dir_t *d, env_t *env, dir_op_t op);
+
+/** Apply a page of the list of upstreams, or changes of it. */
+void dir_upstreams_update (dir_t *d, env_t *env, const ev_platform_t *reply);
+
+/* dir_follow.c */
+
+/** Whether this VM reads for its data centre. */
+bool dir_is_reader (const dir_t *d, const env_t *env);
+
+/** How long a VM whose watch has ended waits to hear from the reader before it
+ * watches again; 0: it is the reader, or there is none. */
+clk_ms_t dir_reader_wait_ms (const dir_t *d, const env_t *env);
+
+/** Whether this VM leaves the list of OP to the reader. */
+bool dir_follows (const dir_t *d, const env_t *env, dir_op_t op);
+
+/** Look soon whether the reader is still heard. */
+void dir_follow_arm (dir_t *d, env_t *env);
+void dir_follow_check (dir_t *d, env_t *env);
+
+/** If this VM is the reader, hand on REPLY, by which the revision of OP's list
+ * has grown from BEFORE; 0: the list was read anew. */
+void dir_hand_on (const dir_t *d, env_t *env, dir_op_t op, uint64_t before,
+                  const ev_platform_t *reply);
+
+/** If this VM is the reader, tell that it cannot read the list of OP. */
+void dir_failure_hand_on (const dir_t *d, env_t *env, dir_op_t op);
+
 #endif
--- a/src/core/dir_peer.c
+++ b/src/core/dir_peer.c
@@ -120,17 +120,34 @@
   dir_version_send (d, env, vm);
 }
 
+/* Log and count a message from VM that is malformed, or from a VM that has
+ * nothing to hand on here. */
+static void
+_dir_message_refused (env_t *env, const char *vm)
+{
+  tln_record (env->tln, env->now, MOD_DIRECTORY, "message-refused", "vm=%s",
+              vm);
+  cnt_add (env->cnt, "rts_directory_bad_messages_total", "", 1);
+}
+
 void
 dir_message_received (dir_t *d, env_t *env, const char *vm, const msg_t *msg)
 {
   void *tmp = talloc_new (d);
   mpk_reader_t r = mpk_reader (tmp, msg->body);
-  uint64_t version = mpk_get_uint (&r);
   buf_t raw = { 0 };
+  if (msg->kind == MSG_DIRECTORY_HANDED)
+    {
+      if (!dir_handed_received (d, env, vm, &r))
+        _dir_message_refused (env, vm);
+      talloc_free (tmp);
+      return;
+    }
+  uint64_t version = mpk_get_uint (&r);
   if (msg->kind == MSG_DIRECTORY_DOCUMENT)
     raw = mpk_get_str (&r);
   if (!mpk_end (&r))
-    cnt_add (env->cnt, "rts_directory_bad_messages_total", "", 1);
+    _dir_message_refused (env, vm);
   else if (msg->kind == MSG_DIRECTORY_VERSION)
     _dir_version_received (d, env, vm, version);
   else if (msg->kind == MSG_DIRECTORY_REQUEST && version < d->version)
