Jobs: a large fleet asks the VM that runs a job, and reads the feed less often

Cause: in a large fleet updates of a job's record go to its runner and to VMs where a caller waits. Change: an unknown job is asked of its runner first, and of the platform if that has not answered within 100 ms. VMs that run no jobs read the feed every 20 ms for each VM of the fleet, 1 s at least and 3 s at most.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -117,7 +117,7 @@
 {
   if (j->leaving || job_is_finished (job))
     return false;
-  const char *runner = job_runner (j, job);
+  const char *runner = job_runner (j, job->rec->id);
   return runner != NULL && strcmp (runner, env->vm) == 0;
 }
 
--- a/src/core/job_feed.c
+++ b/src/core/job_feed.c
@@ -6,11 +6,26 @@
  */
 #include "core/job_int.h"
 
+#include <string.h>
 #include <talloc.h>
 
 /** A read of the feed does not wait for changes; the pause between two reads
  * limits the rate of calls. */
 #define JOB_FEED_WAIT_MS 1
+/** Pause between two reads of a VM that runs no jobs, for each VM of the
+ * fleet, and at most. */
+#define JOB_FEED_VM_MS ((clk_ms_t)20)
+#define JOB_FEED_MS_MAX (3 * CLK_SECOND)
+
+clk_ms_t
+job_feed_pause (const job_set_t *j, const env_t *env)
+{
+  for (size_t i = 0; i < j->runner_count; i++)
+    if (strcmp (j->runners[i], env->vm) == 0)
+      return j->desc.feed_poll_ms;
+  clk_ms_t by_size = JOB_FEED_VM_MS * (clk_ms_t)mbr_vm_count (j->desc.members);
+  return clk_max (j->desc.feed_poll_ms, clk_min (by_size, JOB_FEED_MS_MAX));
+}
 
 void
 job_feed_read (job_set_t *j, env_t *env)
@@ -31,7 +46,7 @@
 {
   bool complete = j->revision == 0;
   bool first = complete && j->feed_after == NULL;
-  clk_ms_t pause = env_jitter (env, j->desc.feed_poll_ms);
+  clk_ms_t pause = env_jitter (env, job_feed_pause (j, env));
   TALLOC_FREE (j->feed_after);
   if (reply->code == ST_OK)
     j->feed_read_at = env->now;
--- a/src/core/job_follow.c
+++ b/src/core/job_follow.c
@@ -28,9 +28,9 @@
 #define JOB_RUNNERS_SETTLE_MS (3 * CLK_SECOND)
 
 const char *
-job_runner (const job_set_t *j, const job_t *job)
+job_runner (const job_set_t *j, const char *id)
 {
-  return own_pick (j->runners, j->runner_count, MOD_JOB, job->rec->id);
+  return own_pick (j->runners, j->runner_count, MOD_JOB, id);
 }
 
 static buf_t
@@ -68,7 +68,7 @@
 {
   void *tmp = talloc_new (j);
   buf_t body = _job_record_message (tmp, job);
-  const char *runner = job_runner (j, job);
+  const char *runner = job_runner (j, job->rec->id);
   if (!mbr_is_grid (j->desc.members))
     for (size_t i = 0; i < mbr_vm_count (j->desc.members); i++)
       _job_update_send_to (j, env, mbr_vm_get (j->desc.members, i)->name,
@@ -87,14 +87,15 @@
 void
 job_follow (job_set_t *j, env_t *env, job_call_t *c, const job_t *job)
 {
-  const char *runner = job_runner (j, job);
-  if (c->followed_at != 0 || job->runs_here || runner == NULL)
+  const char *runner = job_runner (j, c->id);
+  if (c->followed_at != 0 || runner == NULL || strcmp (runner, env->vm) == 0
+      || (job != NULL && job->runs_here))
     return;
   c->followed_at = env->now;
   void *tmp = talloc_new (j);
   mpk_writer_t w;
   mpk_writer_init (&w, tmp);
-  mpk_put_uint (&w, job->version);
+  mpk_put_uint (&w, job == NULL ? 0 : job->version);
   mpk_put_uint (&w, (uint64_t)clk_max (c->wait_until - env->now, 0));
   mpk_put_uint (&w, (uint64_t)env->now);
   mpk_put_str (&w, buf_str (c->id));
@@ -202,7 +203,7 @@
 bool
 job_text_request (job_set_t *j, env_t *env, const job_t *job, uint32_t item)
 {
-  const char *runner = job_runner (j, job);
+  const char *runner = job_runner (j, job->rec->id);
   if (runner == NULL || strcmp (runner, env->vm) == 0)
     return false;
   void *tmp = talloc_new (j);
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -236,13 +236,14 @@
 
 /* job_follow.c */
 
-/** The runner of JOB: the VM that runs JOB, as far as this VM knows; NULL:
- * none. */
-const char *job_runner (const job_set_t *j, const job_t *job);
+/** The runner of the job ID: the VM that runs it, as far as this VM knows;
+ * NULL: none. */
+const char *job_runner (const job_set_t *j, const char *id);
 /** Sends JOB's record to its runner and followers; in a small fleet, to all
  * VMs. */
 void job_update_send (job_set_t *j, env_t *env, const job_t *job);
-/** Asks the VM that runs JOB for updates while C waits, once. */
+/** Asks the VM that runs C's job for updates while C waits, once; JOB may be
+ * NULL, if it is not known here. */
 void job_follow (job_set_t *j, env_t *env, job_call_t *c, const job_t *job);
 /** Whether the runner has confirmed JOB's record since C arrived. */
 bool job_is_confirmed (const job_set_t *j, const env_t *env,
@@ -278,6 +279,10 @@
 void job_text_cache (job_set_t *j, job_t *job, uint32_t item, buf_t text);
 
 /* job_feed.c */
+/** The mean pause before the next read.  A VM that runs jobs must know that it
+ * has their newest records; the others learn of a job when a caller asks for
+ * it (job_follow.c), and read less often the more of them there are. */
+clk_ms_t job_feed_pause (const job_set_t *j, const env_t *env);
 void job_feed_read (job_set_t *j, env_t *env);
 void job_feed_replied (job_set_t *j, env_t *env, const ev_platform_t *reply);
 
--- a/src/core/job_read.c
+++ b/src/core/job_read.c
@@ -320,6 +320,19 @@
   job_list_step (j, env, job);
 }
 
+/* The job of C is not known here.  In a large fleet, where updates do not go
+ * to all VMs, the VM that runs the job is asked first; the platform if it does
+ * not answer. */
+static void
+_job_unknown_step (job_set_t *j, env_t *env, job_call_t *c)
+{
+  if (mbr_is_grid (j->desc.members))
+    job_follow (j, env, c, NULL);
+  if (c->followed_at == 0
+      || env->now >= c->followed_at + JOB_RUNNER_RESPONSE_MS)
+    _job_call_record_read (j, env, c);
+}
+
 void
 job_call_step (job_set_t *j, env_t *env, job_call_t *c)
 {
@@ -331,7 +344,7 @@
   else if (env->now < c->retry_at)
     return;
   else if (job == NULL)
-    _job_call_record_read (j, env, c);
+    _job_unknown_step (j, env, c);
   else if (strcmp (job->rec->customer, c->customer) != 0)
     _job_call_refuse (j, env, c, 404, "no-job");
   else if (c->op == EV_JOB_READ)
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -251,6 +251,93 @@
   env_shutdown (env);
 }
 
+/* Number of messages of KIND to peers, and of reads of single objects, since
+ * the last call. */
+static void
+_asked (env_t *env, uint16_t kind, unsigned *peers, unsigned *reads)
+{
+  *peers = 0;
+  *reads = 0;
+  for (size_t i = 0; i < env->fx->count; i++)
+    {
+      const fx_t *f = &env->fx->v[i];
+      *peers += f->kind == FX_PEER_SEND && f->peer.msg.kind == kind;
+      *reads += f->kind == FX_PLATFORM && f->platform.op == FX_PLATFORM_GET;
+    }
+  fx_clear (env->fx);
+}
+
+/* Load: callers read jobs at any of many VMs.  Guards against each VM reading
+ * the record of each job from the platform, and against a caller who waits
+ * when the VM that runs the job does not answer. */
+static void
+test_unknown_job_is_asked_of_its_runner (void)
+{
+  unsigned peers = 0;
+  unsigned reads = 0;
+  env_t *env = env_setup (
+      NULL, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
+  env->now = CLK_MINUTE;
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+  mbr_start (members, env);
+  job_set_t *jobs = _jobs_of_fleet (env, members);
+  mbr_peer_up (members, env, "north-0");
+  job_members_changed (jobs, env);
+  fx_clear (env->fx);
+  job_call_start (jobs, env, "t1",
+                  &(ev_request_t){ .caller = 1,
+                                   .job = { .op = EV_JOB_READ, .id = "j-1" },
+                                   .meta = { .long_poll_ms = 1000 } });
+  _asked (env, MSG_JOB_FOLLOW, &peers, &reads);
+  CU_ASSERT_EQUAL (peers, 1);
+  CU_ASSERT_EQUAL (reads, 0);
+  /* No answer. */
+  for (int i = 0; i < 4; i++)
+    {
+      tmr_due_t due;
+      env->now += JOB_TICK_MS;
+      while (tmr_pop (env->tmr, env->now, &due))
+        if (due.mod == MOD_JOB)
+          job_timer_fired (jobs, env, due.tag);
+    }
+  _asked (env, MSG_JOB_FOLLOW, &peers, &reads);
+  CU_ASSERT_EQUAL (peers, 0);
+  CU_ASSERT_EQUAL (reads, 1);
+  env_shutdown (env);
+}
+
+/* Load: a fleet that grows.  Guards against the feed of records costing the
+ * platform more calls the more VMs there are. */
+static void
+test_feed_is_read_less_often_in_a_large_fleet (void)
+{
+  env_t *env = env_setup (
+      NULL, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+  mbr_start (members, env);
+  job_set_t *jobs = _jobs_of_fleet (env, members);
+  mbr_peer_up (members, env, "north-0");
+  job_members_changed (jobs, env);
+  clk_ms_t small = 0;
+  clk_ms_t large = 0;
+  for (unsigned i = 0; i < 50; i++)
+    small += job_feed_pause (jobs, env);
+  ev_vm_t list[5 * FLEET];
+  for (size_t i = 0; i < 5 * FLEET; i++)
+    list[i] = (ev_vm_t){ .vm = talloc_asprintf (env, "north-%zu", i),
+                         .data_centre = "north",
+                         .address = "",
+                         .worker = i == 0 };
+  mbr_platform_replied (
+      members, env, &(plt_done_t){ 0 },
+      &(ev_platform_t){ .vms = list, .vm_count = 5 * FLEET });
+  for (unsigned i = 0; i < 50; i++)
+    large += job_feed_pause (jobs, env);
+  /* Five times as many VMs read at most twice as often together. */
+  CU_ASSERT (large * 2 >= small * 5);
+  env_shutdown (env);
+}
+
 int
 main (void)
 {
@@ -260,6 +347,10 @@
     { "record_out_of_range", test_record_out_of_range },
     { "slack_in_any_window", test_slack_in_any_window },
     { "updates_go_to_waiting_vms", test_updates_go_to_waiting_vms },
+    { "unknown_job_is_asked_of_its_runner",
+      test_unknown_job_is_asked_of_its_runner },
+    { "feed_is_read_less_often_in_a_large_fleet",
+      test_feed_is_read_less_often_in_a_large_fleet },
     { "paged_feed_resumes_from_first_revision",
       test_paged_feed_resumes_from_first_revision },
   };
