Membership: a list of VMs with several pages is read to its end

Cause: the list of VMs was read as one page. The platform sends about 500 entries or 1 MB at most: of a larger fleet each VM would have seen the first page and taken all others for gone. Change: the pages are gathered and applied together, by the revision of the first; a page that cannot be read drops those before it, and the last list stays.

--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -265,6 +265,71 @@
   return reply->revision != 0 && reply->revision < m->list_revision;
 }
 
+/* ---- pages ---- */
+
+static void
+_mbr_list_read (const mbr_t *m, env_t *env)
+{
+  plt_call (env, &(plt_req_t){ .mod = MOD_MEMBER,
+                               .op = FX_PLATFORM_VMS,
+                               .name = "",
+                               .after = m->page_after });
+}
+
+static void
+_mbr_pages_drop (mbr_t *m)
+{
+  TALLOC_FREE (m->page_vms);
+  TALLOC_FREE (m->page_after);
+  m->page_vm_count = 0;
+}
+
+/* Keeps the VMs of the page REPLY. */
+static void
+_mbr_page_keep (mbr_t *m, const ev_platform_t *reply)
+{
+  if (m->page_vm_count == 0)
+    m->page_revision = reply->revision;
+  size_t count = m->page_vm_count + reply->vm_count;
+  m->page_vms = talloc_realloc (m, m->page_vms, ev_vm_t, count + 1);
+  for (size_t i = 0; i < reply->vm_count; i++)
+    {
+      ev_vm_t *vm = &m->page_vms[m->page_vm_count++];
+      *vm = reply->vms[i];
+      vm->vm = talloc_strdup (m->page_vms, vm->vm);
+      vm->data_centre = talloc_strdup (m->page_vms, vm->data_centre);
+      vm->address = talloc_strdup (m->page_vms, vm->address);
+    }
+}
+
+/* Applies the whole list REPLY; returns whether it has changed something. */
+static bool
+_mbr_list_replied (mbr_t *m, env_t *env, const ev_platform_t *reply)
+{
+  if (reply->vm_count == 0 || _mbr_list_is_older (m, reply))
+    return false;
+  bool changed = _mbr_list_apply (m, env, reply->vms, reply->vm_count);
+  m->list_read_at = env->now;
+  m->list_revision = reply->revision;
+  return changed;
+}
+
+/* Applies REPLY, the last page of a list or the whole of it. */
+static bool
+_mbr_last_page_replied (mbr_t *m, env_t *env, const ev_platform_t *reply)
+{
+  if (m->page_after == NULL)
+    return _mbr_list_replied (m, env, reply);
+  _mbr_page_keep (m, reply);
+  bool changed
+      = _mbr_list_replied (m, env,
+                           &(ev_platform_t){ .vms = m->page_vms,
+                                             .vm_count = m->page_vm_count,
+                                             .revision = m->page_revision });
+  _mbr_pages_drop (m);
+  return changed;
+}
+
 /* While the list stays the same or cannot be read, the interval between reads
  * doubles up to poll_max_ms. */
 void
@@ -277,13 +342,19 @@
       _mbr_register_replied (m, env, reply);
       return;
     }
-  if (reply->code == ST_OK && reply->vm_count > 0
-      && !_mbr_list_is_older (m, reply))
+  if (reply->code == ST_OK && reply->continue_after != NULL
+      && m->page_vm_count < MBR_VMS_MAX)
     {
-      changed = _mbr_list_apply (m, env, reply->vms, reply->vm_count);
-      m->list_read_at = env->now;
-      m->list_revision = reply->revision;
+      _mbr_page_keep (m, reply);
+      talloc_free (m->page_after);
+      m->page_after = talloc_strdup (m, reply->continue_after);
+      _mbr_list_read (m, env);
+      return;
     }
+  if (reply->code == ST_OK)
+    changed = _mbr_last_page_replied (m, env, reply);
+  else
+    _mbr_pages_drop (m);
   m->poll_ms = changed ? m->desc.poll_ms
                        : clk_min (2 * m->poll_ms, m->desc.poll_max_ms);
   if (!m->have_list)
@@ -298,9 +369,7 @@
   switch (tag)
     {
     case MBR_TIMER_POLL:
-      plt_call (env, &(plt_req_t){ .mod = MOD_MEMBER,
-                                   .op = FX_PLATFORM_VMS,
-                                   .name = "" });
+      _mbr_list_read (m, env);
       break;
     case MBR_TIMER_PING:
       mbr_ping (m, env);
--- a/src/core/mbr_int.h
+++ b/src/core/mbr_int.h
@@ -72,6 +72,11 @@
   clk_ms_t pinged_at;     /* time of the last mbr_ping; a long gap shows that
                              this VM was suspended */
   bool have_list;         /* from the platform or a peer */
+  ev_vm_t *page_vms;      /* of the pages read so far of a list that has
+                             several; owned, with its strings */
+  size_t page_vm_count;
+  char *page_after;       /* last name of these pages; NULL: none is read */
+  uint64_t page_revision; /* of the first of them */
   GHashTable *unlisted;   /* VMs with an open link that are not in the list */
   mbr_relayed_t *relayed; /* queue of mbr_relayed_pop */
   size_t relayed_first;   /* index of the next message to take */
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -405,6 +405,52 @@
   talloc_free (n);
 }
 
+/* Guards against a list of several pages, as a large fleet has, of which the
+ * VMs behind the first page count as gone; against a page that is missing. */
+static void
+test_list_of_several_pages (void)
+{
+  enum
+  {
+    PAGES = 3,
+    PAGE = 50
+  };
+  env_t *env
+      = env_setup (NULL, &(env_desc_t){ .vm = "v-000", .data_centre = "dc0" });
+  mbr_t *m = mbr_setup (env, &(mbr_desc_t){ 0 });
+  mbr_start (m, env);
+  for (unsigned round = 0; round < 3; round++)
+    for (unsigned page = 0; page < PAGES; page++)
+      {
+        ev_vm_t vms[PAGE];
+        for (unsigned i = 0; i < PAGE; i++)
+          vms[i] = (ev_vm_t){ .vm = talloc_asprintf (env, "v-%03u",
+                                                     page * PAGE + i),
+                              .data_centre = "dc0",
+                              .address = "10.0.0.1:1" };
+        /* In the second round the second page cannot be read. */
+        bool lost = round == 1 && page == 1;
+        mbr_platform_replied (
+            m, env, &(plt_done_t){ 0 },
+            &(ev_platform_t){ .code = lost ? ST_UNAVAILABLE : ST_OK,
+                              .vms = lost ? NULL : vms,
+                              .vm_count = lost ? 0 : PAGE,
+                              .revision = 10 + round,
+                              .continue_after = page + 1 < PAGES && !lost
+                                                    ? vms[PAGE - 1].vm
+                                                    : NULL });
+        if (page + 1 < PAGES && !lost)
+          CU_ASSERT_STRING_EQUAL (
+              env->fx->v[env->fx->count - 1].platform.after, vms[PAGE - 1].vm);
+        if (lost)
+          break;
+        if (page + 1 == PAGES || round > 0)
+          CU_ASSERT_EQUAL (mbr_vm_count (m), (size_t)PAGES * PAGE);
+      }
+  CU_ASSERT_EQUAL (mbr_vm_count (m), (size_t)PAGES * PAGE);
+  env_shutdown (env);
+}
+
 int
 main (void)
 {
@@ -422,6 +468,7 @@
     { "grid_gone_before", test_grid_vm_down_at_start },
     { "grid_late_report", test_grid_late_report },
     { "grid_list_grows", test_grid_list_grows },
+    { "list_of_several_pages", test_list_of_several_pages },
   };
   return tst_run ("mbr", cases, sizeof cases / sizeof cases[0]);
 }
