Nodes: a VM serves when it has heard what the others know

Cause: a VM that the platform configures served as soon as it had a document. Change: one rule for all modules. It serves when it knows the list of VMs and has had a link to another VM for 50 ms; alone, or 1 s after the list without a link, or 3 s after the document, it goes on with what it has. Until then requests are refused ("starting", not run), it is not ready, and a worker runs no items.

--- a/src/core/node_int.h
+++ b/src/core/node_int.h
@@ -46,6 +46,12 @@
   uint64_t generation; /**< last mbr_generation passed to the modules */
   node_source_t source;
   bool worker;
+  bool configured; /**< a document has come into force */
+  /** Times at which a document and the list of VMs became known and a link
+   * opened, while it starts (node_informed.c); 0: not yet. */
+  clk_ms_t document_at;
+  clk_ms_t vms_at;
+  clk_ms_t link_at;
   mbr_t *mbr;      /**< membership */
   dir_t *dir;      /**< directory; NULL unless the source is the platform */
   cfs_t *cfs;      /**< configuration sections */
@@ -68,6 +74,9 @@
   uint64_t asked_last; /**< number of the last of these calls */
 };
 
+/** Whether the node, which has a document, has heard enough to serve. */
+bool node_is_informed (node_t *n);
+
 /** Create all modules. */
 void node_mods_setup (node_t *n, const node_desc_t *desc);
 
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -517,13 +517,16 @@
       = n->dir != NULL ? dir_changed (n->dir, n->env) : cfs_changed (n->cfs);
   if (changed)
     _node_config_changed (n);
+  n->configured = n->configured || changed;
+  bool starts = n->state == NODE_STARTING;
+  bool serves = n->configured && node_is_informed (n);
   onl_pump (n->onl, n->env);
   if (n->source == NODE_SOURCE_SECTIONS)
     {
       _node_loads_forward (n);
       bat_pump (n->bat, n->env);
     }
-  else
+  else if (serves)
     _node_jobs_advance (n);
-  return changed;
+  return serves && (changed || starts);
 }
--- a/src/core/node_request.c
+++ b/src/core/node_request.c
@@ -73,6 +73,15 @@
 {
   if (opr_request (n->opr, n->env, req, node_doc (n) != NULL))
     return;
+  if (n->source == NODE_SOURCE_PLATFORM && n->state == NODE_STARTING)
+    {
+      rpl_error (n->env, req->caller,
+                 &(rpl_error_t){ .status = 503,
+                                 .code = "starting",
+                                 .message = "this VM has just started",
+                                 .retry_after_ms = RPL_RETRY_ELSEWHERE_MS });
+      return;
+    }
   bool is_job;
   const cfg_route_t *route = _node_job_route (n, req, &is_job);
   if (is_job || _node_is_batch (req->path))
--- a/tests/test_crash_fleet.c
+++ b/tests/test_crash_fleet.c
@@ -341,6 +341,37 @@
     }
 }
 
+/* Guards against a VM that has just started sending, until it has heard from
+ * others, what these keep away: while the platform is away and comes back, so
+ * that the document, the list of VMs and links come at different times. */
+static void
+test_vm_restarted_in_an_outage_knows (void)
+{
+  crl_t *t = setup (25);
+  size_t s = crl_kind_add (t, &sound);
+  (void)crl_kind_add (t, &bad);
+  crl_run (t, RUN_MS / 2);
+  for (size_t i = 0; i < 4 * ENTRIES; i++)
+    {
+      size_t vm = i % ENTRIES;
+      hst_platform_down (t->h, HST_MAX, true);
+      hst_kill (t->h, vm);
+      crl_run (t, 200);
+      hst_start (t->h, vm);
+      t->entry_only = vm;
+      crl_run (t, 700 + 50 * (clk_ms_t)i);
+      hst_platform_down (t->h, HST_MAX, false);
+      crl_run (t, 2 * CLK_SECOND);
+      t->entry_only = HST_MAX;
+      crl_run (t, CLK_SECOND);
+    }
+  check_stopped (t, "bad");
+  clk_ms_t from = hst_now (t->h);
+  crl_run (t, RUN_MS / 2);
+  check_served (t, s, from);
+  crl_shutdown (t);
+}
+
 /* Guards against a VM that was cut off, or stood still, while the others
  * learned. */
 static void
@@ -489,6 +520,8 @@
     { "request_is_not_handed_on", test_request_is_not_handed_on },
     { "refused_at_once_and_not_run", test_refused_at_once_and_not_run },
     { "restarted_vm_knows", test_restarted_vm_knows },
+    { "vm_restarted_in_an_outage_knows",
+      test_vm_restarted_in_an_outage_knows },
     { "cut_off_or_frozen_vm_learns", test_cut_off_or_frozen_vm_learns },
     { "cut_off_vm_stops_by_itself", test_cut_off_vm_stops_by_itself },
     { "platform_down", test_platform_down },
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -180,6 +180,7 @@
 }
 
 #define FLEET 30
+#define LARGE_FLEET 150
 
 /* Returns the number of records sent to peers since the last call. */
 static unsigned
@@ -322,15 +323,15 @@
   clk_ms_t large = 0;
   for (unsigned i = 0; i < 50; i++)
     small += job_feed_pause (jobs, env);
-  ev_vm_t list[5 * FLEET];
-  for (size_t i = 0; i < 5 * FLEET; i++)
+  ev_vm_t list[LARGE_FLEET];
+  for (size_t i = 0; i < LARGE_FLEET; i++)
     list[i] = (ev_vm_t){ .vm = talloc_asprintf (env, "north-%zu", i),
                          .data_centre = "north",
                          .address = "",
                          .worker = i == 0 };
   mbr_platform_replied (
       members, env, &(plt_done_t){ 0 },
-      &(ev_platform_t){ .vms = list, .vm_count = 5 * FLEET });
+      &(ev_platform_t){ .vms = list, .vm_count = LARGE_FLEET });
   for (unsigned i = 0; i < 50; i++)
     large += job_feed_pause (jobs, env);
   /* Five times as many VMs read at most twice as often together. */
