--- a/tests/test_crash_fleet.c
+++ b/tests/test_crash_fleet.c
@@ -16,6 +16,8 @@
 #define PART_FIRST 0xf1U
 #define PART_OTHER 0x07U
 #define PART_RARE 0x4aU
+/* Restarts of VMs, of each the same number. */
+#define RESTARTS 24
 /* Items of a job, which fit into the upstreams together. */
 #define ITEMS 24
 /* Aim of the route: time until the first event. */
@@ -351,7 +353,7 @@
   size_t s = crl_kind_add (t, &sound);
   (void)crl_kind_add (t, &bad);
   crl_run (t, RUN_MS / 2);
-  for (size_t i = 0; i < 4 * ENTRIES; i++)
+  for (size_t i = 0; i < RESTARTS; i++)
     {
       size_t vm = i % ENTRIES;
       hst_platform_down (t->h, HST_MAX, true);
