--- a/src/core/crs.h
+++ b/src/core/crs.h
@@ -130,12 +130,13 @@
 /** How a request at an upstream ended. */
 typedef enum
 {
-  CRS_END_WHOLE,    /**< a success, whole */
-  CRS_END_UNPROVED, /**< a success that only a closed connection ended */
-  CRS_END_CLOSED,   /**< the upstream closed or reset the connection */
-  CRS_END_UNSENT,   /**< no connection could be made */
-  CRS_END_REPLACED, /**< another upstream answered at the address */
-  CRS_END_OTHER,    /**< nothing that says anything of the upstream's end */
+  CRS_END_WHOLE,       /**< a success, whole */
+  CRS_END_UNPROVED,    /**< a success that only a closed connection ended */
+  CRS_END_CLOSED,      /**< the upstream closed or reset the connection */
+  CRS_END_UNSENT,      /**< no connection could be made */
+  CRS_END_MISDIRECTED, /**< it was not run; the upstream that was meant may
+                            never have got it */
+  CRS_END_OTHER,       /**< nothing that says anything of the upstream's end */
 } crs_end_t;
 
 typedef struct crs crs_t;
--- a/src/core/crs_watch.c
+++ b/src/core/crs_watch.c
@@ -521,12 +521,10 @@
     }
   if (how == CRS_END_WHOLE)
     _crs_whole (c, env, run);
-  bool reached = how != CRS_END_UNSENT && how != CRS_END_REPLACED;
+  bool reached = how != CRS_END_UNSENT && how != CRS_END_MISDIRECTED;
   crs_permit_end (c, env, run->mod, run->tag, reached);
-  _crs_start_t *s = reached ? NULL : _crs_start_of (c, run);
-  if (s != NULL && how == CRS_END_REPLACED)
-    _crs_ended (c, env, s, true, "replaced");
-  else if (s != NULL && run->sent_at >= s->last_at)
+  _crs_start_t *s = how == CRS_END_UNSENT ? _crs_start_of (c, run) : NULL;
+  if (s != NULL && run->sent_at >= s->last_at)
     _crs_unconnected (c, env, s, false);
   _crs_run_free (run);
 }
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -569,7 +569,7 @@
   if (r->desc.crashes != NULL)
     crs_run_end (r->desc.crashes, env, handle,
                  rte_crash_end (u, fail, env->now));
-  if (fail != RTE_FAIL_CANCELLED)
+  if (fail != RTE_FAIL_CANCELLED && fail != RTE_FAIL_MISDIRECTED)
     rte_health_fail (r, env, u);
 }
 
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -147,16 +147,17 @@
 /** Why a request failed. */
 typedef enum
 {
-  RTE_FAIL_REFUSED,   /**< connection refused, or an error status */
-  RTE_FAIL_TIMEOUT,   /**< no data arrived in the allowed time */
-  RTE_FAIL_TRUNCATED, /**< the response ended early */
-  RTE_FAIL_CLOSED,    /**< the upstream closed or reset the connection before
-                           the response was complete */
-  RTE_FAIL_UNSENT,    /**< no connection could be made */
-  RTE_FAIL_REPLACED,  /**< another upstream answered at the address, which did
-                           not run the request */
-  RTE_FAIL_CANCELLED, /**< this VM cancelled the request; the upstream is not
-                           at fault */
+  RTE_FAIL_REFUSED,     /**< connection refused, or an error status */
+  RTE_FAIL_TIMEOUT,     /**< no data arrived in the allowed time */
+  RTE_FAIL_TRUNCATED,   /**< the response ended early */
+  RTE_FAIL_CLOSED,      /**< the upstream closed or reset the connection before
+                             the response was complete */
+  RTE_FAIL_UNSENT,      /**< no connection could be made */
+  RTE_FAIL_MISDIRECTED, /**< it was not run: another upstream answered at the
+                             address, or a condition of the caller's own did
+                             not hold; the upstream is not at fault */
+  RTE_FAIL_CANCELLED,   /**< this VM cancelled the request; the upstream is not
+                             at fault */
 } rte_fail_t;
 
 typedef struct rte rte_t;
@@ -213,8 +214,7 @@
 void rte_progress (rte_t *r, env_t *env, uint64_t handle);
 
 /** Why a request has failed to which an upstream responded with STATUS and
- * promised that it has not run: 421 (Misdirected Request) comes from another
- * upstream, which has the address now; all else leaves the upstream well. */
+ * promised that it has not run: 421 is Misdirected Request. */
 rte_fail_t rte_not_run_fail (int status);
 
 /** The response, a success, is complete; PROVED: it has a length or chunks, or
--- a/src/core/rte_crash.c
+++ b/src/core/rte_crash.c
@@ -55,7 +55,7 @@
 rte_fail_t
 rte_not_run_fail (int status)
 {
-  return status == RTE_STATUS_MISDIRECTED ? RTE_FAIL_REPLACED
+  return status == RTE_STATUS_MISDIRECTED ? RTE_FAIL_MISDIRECTED
                                           : RTE_FAIL_CANCELLED;
 }
 
@@ -64,8 +64,8 @@
 {
   if (fail == RTE_FAIL_UNSENT)
     return CRS_END_UNSENT;
-  if (fail == RTE_FAIL_REPLACED)
-    return CRS_END_REPLACED;
+  if (fail == RTE_FAIL_MISDIRECTED)
+    return CRS_END_MISDIRECTED;
   bool listed = u->configured || now - u->dropped_at <= RTE_DROPPED_MS;
   if (fail == RTE_FAIL_CLOSED && listed && !rte_gets_nothing_new (u, now))
     return CRS_END_CLOSED;
