Jobs: an item is tried elsewhere after a failed answer

Cause: an upstream that answers 500 at once looks idle, so all attempts of a sound item went there and the item was given up. Change: an item remembers the upstreams that answered it 500, at most eight, and is sent to one of them again only where no other is in use. Measured: hosted_jobs/items_leave_a_failing_upstream was red before (a failing and a sound upstream, 20 items), and is green.

--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -68,24 +68,30 @@
 /** Longest time that a read may wait for new results. */
 #define JOB_POLL_MS_MAX (1 * CLK_SECOND)
 
+/** Most upstreams that are remembered to have failed one item. */
+#define JOB_FAILED_AT_MAX 8
+
 /** Progress of an item at the VM that runs its job. */
 typedef struct
 {
   job_item_state_t state;
-  bool completed;        /**< outcome; valid from JOB_ITEM_TEXT_PENDING on */
-  uint32_t failures;     /**< runs whose response had status 500 */
-  uint64_t request_hash; /**< crs_request_hash; 0: not known yet */
-  bool has_ended_one;    /**< as in crs_query_t */
-  clk_ms_t not_before;   /**< earliest time of the next run or write */
-  GString *text;         /**< data of the events received; NULL: none */
-  uint64_t last_event;   /**< id of the last event received; 0: none */
-  char *deployment;      /**< where TEXT began, if its upstreams have versions;
-                              NULL: no event, or none has */
-  char *version;         /**< DEPLOYMENT: of the software of TEXT's upstreams;
-                              "": not known */
-  clk_ms_t full_since;   /**< since when the upstreams of VERSION have had no
-                              room; CLK_NEVER: they had */
-  tbl_id_t run;          /**< job_run_t in JOB_ITEM_RUNNING */
+  bool completed;         /**< outcome; valid from JOB_ITEM_TEXT_PENDING on */
+  uint32_t failures;      /**< runs whose response had status 500 */
+  const char **failed_at; /**< upstreams that sent them, each once; NULL:
+                               none */
+  uint32_t failed_at_count; /**< of failed_at, at most JOB_FAILED_AT_MAX */
+  uint64_t request_hash;    /**< crs_request_hash; 0: not known yet */
+  bool has_ended_one;       /**< as in crs_query_t */
+  clk_ms_t not_before;      /**< earliest time of the next run or write */
+  GString *text;            /**< data of the events received; NULL: none */
+  uint64_t last_event;      /**< id of the last event received; 0: none */
+  char *deployment;    /**< where TEXT began, if its upstreams have versions;
+                            NULL: no event, or none has */
+  char *version;       /**< DEPLOYMENT: of the software of TEXT's upstreams;
+                            "": not known */
+  clk_ms_t full_since; /**< since when the upstreams of VERSION have had no
+                            room; CLK_NEVER: they had */
+  tbl_id_t run;        /**< job_run_t in JOB_ITEM_RUNNING */
 } job_item_t;
 
 /** A VM that gets updates of a job for a while. */
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -249,9 +249,27 @@
 {
   _JOB_STARTED,
   _JOB_NO_ROOM, /* at any upstream, or the call failed */
-  _JOB_LATER,   /* no upstream of the item's version has room */
+  _JOB_LATER,   /* no upstream of the item's version, or none that has not
+                   failed it, has room */
 } _job_start_t;
 
+/* Picks an upstream for QUERY of ITEM.  One that has failed the item is picked
+ * again only where no other is in use: an upstream that fails at once looks
+ * idle and would get all attempts of the item. */
+static bool
+_job_pick (const job_set_t *j, env_t *env, const job_item_t *item,
+           rte_query_t *query, rte_pick_t *pick)
+{
+  query->avoid = item->failed_at;
+  query->avoid_count = item->failed_at_count;
+  if (rte_pick (j->desc.routes, env, query, pick))
+    return true;
+  if (query->avoid_count == 0 || pick->full || pick->limited)
+    return false;
+  query->avoid_count = 0;
+  return rte_pick (j->desc.routes, env, query, pick);
+}
+
 /* Starts item INDEX. */
 static _job_start_t
 _job_start_item (job_set_t *j, env_t *env, job_t *job, uint32_t index,
@@ -274,12 +292,17 @@
           .batch = true,
           .skip_full = true,
           .reserved_slots = j->desc.spare_slots };
-  if (!rte_pick (j->desc.routes, env, &query, &pick))
+  if (!_job_pick (j, env, item, &query, &pick))
     {
       if (j->desc.crashes != NULL)
         crs_drop (j->desc.crashes, env, MOD_JOB, crash.tag);
-      if (query.version == NULL)
+      if (query.version == NULL && query.avoid_count == 0)
         return _JOB_NO_ROOM;
+      if (query.version == NULL)
+        {
+          item->not_before = env->now + JOB_ITEM_RETRY_MS;
+          return _JOB_LATER;
+        }
       job_version_missing (j, env, job, index);
       return _JOB_LATER;
     }
@@ -517,6 +540,21 @@
   run->progress_at = env->now;
 }
 
+/* Notes that UPSTREAM has failed ITEM, which belongs to JOB. */
+static void
+_job_failed_at_add (const job_t *job, job_item_t *item, const char *upstream)
+{
+  for (uint32_t i = 0; i < item->failed_at_count; i++)
+    if (strcmp (item->failed_at[i], upstream) == 0)
+      return;
+  if (item->failed_at_count == JOB_FAILED_AT_MAX)
+    return;
+  item->failed_at = talloc_realloc (job->items, item->failed_at, const char *,
+                                    item->failed_at_count + 1);
+  item->failed_at[item->failed_at_count++]
+      = talloc_strdup (item->failed_at, upstream);
+}
+
 /* Handles a complete response that is not 200: gives item INDEX up after
  * status 422, or when the number of responses with status 500 reaches the
  * job's limit; otherwise the item waits for another run. */
@@ -567,6 +605,8 @@
   rte_finished (j->desc.routes, env, run->in_flight);
   if (status == 200)
     job_order_learn (j, env, job, run);
+  if (status == 500)
+    _job_failed_at_add (job, &job->items[index], run->upstream);
   _job_run_free (j, run);
   if (status != 200)
     {
--- a/tests/test_hosted_jobs.c
+++ b/tests/test_hosted_jobs.c
@@ -146,6 +146,20 @@
   hst_shutdown (h);
 }
 
+/* Guards against sound items that are given up because one upstream, which
+ * answers 500 at once and so looks idle, gets all of their attempts. */
+static void
+test_items_leave_a_failing_upstream (void)
+{
+  hst_t *h = hst_fleet (&(hst_desc_t){ .upstreams = 2, .load_reports = true });
+  hst_fault_set (h, 0, (hst_fault_t){ .status = 500 });
+  (void)hst_submit (h, 0, "j-1", 20);
+  hst_advance (h, 8000);
+  CU_ASSERT_EQUAL (_complete_result_count (h, 0, "j-1", 20), 20);
+  CU_ASSERT (hst_received_count (h, 0) <= 20);
+  hst_shutdown (h);
+}
+
 /* Largest object of the store, in bytes: an item's text is one. */
 #define OBJECT_MAX ((size_t)1 << 20)
 /* Bytes of an event with one byte of a text: "id: 100000", "data: x". */
@@ -366,6 +380,7 @@
     { "item_resumes_after_its_last_event",
       test_item_resumes_after_its_last_event },
     { "failing_item_is_dead_lettered", test_failing_item_is_dead_lettered },
+    { "items_leave_a_failing_upstream", test_items_leave_a_failing_upstream },
     { "item_event_without_end", test_item_event_without_end },
     { "item_text_without_end", test_item_text_without_end },
     { "item_empty_events_without_end", test_item_empty_events_without_end },
