Documents: check and difference before they are sent

Cause: operators of the users' platform write whole documents; config check reads the product's own sections only.

--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -18,6 +18,7 @@
 
 int cmd_serve (int argc, char **argv);
 int cmd_config (int argc, char **argv);
+int cmd_document (int argc, char **argv);
 int cmd_key (int argc, char **argv);
 int cmd_customer (int argc, char **argv);
 int cmd_upstream (int argc, char **argv);
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -16,6 +16,8 @@
   { "serve", cmd_serve, "run one VM of the fleet" },
   { "config", cmd_config,
     "check, apply, show or compare the operators' document" },
+  { "document", cmd_document,
+    "check or compare documents of the platform's operators" },
   { "key", cmd_key, "issue, withdraw or list callers' keys" },
   { "customer", cmd_customer, "list or show customers" },
   { "batch", cmd_batch, "submit, watch, read or cancel batch jobs" },
