Platform: list and watch of evacuated data centres, and their setting

Cause: operators evacuate a data centre by an object of kind "evacuations" in the platform's store, which nothing reads.

Change: FX_PLATFORM_EVACUATIONS lists and watches the kind, as FX_PLATFORM_UPSTREAMS does for upstreams; the reply's objects are the names. The fake platforms of the tests know the operation.

--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -207,7 +207,8 @@
                        longer has the history after the revision), UNAVAILABLE
                        (the call had no effect) or UNKNOWN (the call may have
                        had its effect) */
-  const ev_object_t *objects; /**< GET, PUT: one; LIST, WATCH: any number */
+  const ev_object_t *objects; /**< GET, PUT: one; LIST, WATCH, EVACUATIONS:
+                                  any number */
   size_t object_count;
   uint64_t revision;          /**< LIST, WATCH: where the next WATCH starts */
   const char *continue_after; /**< lists: name after which the next page
--- a/src/core/fx.h
+++ b/src/core/fx.h
@@ -110,12 +110,14 @@
   FX_PLATFORM_LIST,   /**< all objects whose names start with name */
   FX_PLATFORM_WATCH,  /**< wait for changes under prefix name after revision */
   FX_PLATFORM_VMS,    /**< the VM list */
-  FX_PLATFORM_DOCUMENT,   /**< the operator's document; with a revision: wait
-                               for a change after this revision */
-  FX_PLATFORM_UPSTREAMS,  /**< the list of upstreams; revision as above */
-  FX_PLATFORM_RETIREMENT, /**< whether VM name is to be drained: OK or
-                               NOT_FOUND */
-  FX_PLATFORM_RETIRED,    /**< report that VM name is drained */
+  FX_PLATFORM_DOCUMENT,    /**< the operator's document; with a revision: wait
+                                for a change after this revision */
+  FX_PLATFORM_UPSTREAMS,   /**< the list of upstreams; revision as above */
+  FX_PLATFORM_EVACUATIONS, /**< the list of evacuated data centres, as
+                                objects; revision as above */
+  FX_PLATFORM_RETIREMENT,  /**< whether VM name is to be drained: OK or
+                                NOT_FOUND */
+  FX_PLATFORM_RETIRED,     /**< report that VM name is drained */
 } fx_platform_op_t;
 
 /** A call to the platform. */
@@ -125,7 +127,8 @@
   fx_platform_op_t op;
   const char *name; /**< name of an object or VM, or a prefix */
   uint64_t if_version;
-  uint64_t revision; /**< WATCH, DOCUMENT, UPSTREAMS; 0: do not wait */
+  uint64_t revision; /**< WATCH, DOCUMENT and the lists of UPSTREAMS and
+                          EVACUATIONS; 0: do not wait */
   const char *after; /**< lists: only names after this one; NULL: all */
   bool allow_stale;  /**< the result may be seconds out of date */
   buf_t value;       /**< PUT */
--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -197,6 +197,8 @@
       return "document";
     case FX_PLATFORM_UPSTREAMS:
       return "upstreams";
+    case FX_PLATFORM_EVACUATIONS:
+      return "evacuations";
     case FX_PLATFORM_RETIREMENT:
       return "retirement";
     case FX_PLATFORM_RETIRED:
--- a/src/io/pcl.c
+++ b/src/io/pcl.c
@@ -54,6 +54,7 @@
     /* Only a node with a hosted configuration uses these operations. */
     case FX_PLATFORM_DOCUMENT:
     case FX_PLATFORM_UPSTREAMS:
+    case FX_PLATFORM_EVACUATIONS:
     case FX_PLATFORM_RETIREMENT:
     case FX_PLATFORM_RETIRED:
       call->path = "/v1/vms";
@@ -191,6 +192,7 @@
     case FX_PLATFORM_VMS:
     case FX_PLATFORM_DOCUMENT:
     case FX_PLATFORM_UPSTREAMS:
+    case FX_PLATFORM_EVACUATIONS:
     case FX_PLATFORM_RETIREMENT:
     case FX_PLATFORM_RETIRED:
       if (reply->code == ST_OK)
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -39,6 +39,7 @@
   { "limits", "overshoot" },
   { "limits", "requests" },
   { "platform", "history_s" },
+  { "evacuation", "within_ms" },
   { "log", "level" },
   { "log", "format" },
 };
@@ -299,6 +300,8 @@
       = (int64_t)(_set_number (l, "platform", "history_s", 86400,
                                "seconds, from 0 to 86400")
                   * 1000);
+  l->set->evacuate_ms = (int64_t)_set_number (l, "evacuation", "within_ms",
+                                              600000, "ms, from 0 to 600000");
   _set_read_seed (l);
 }
 
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -10,6 +10,7 @@
  *        secret_file, network, operator_token_file, data_folder, seed
  *   [platform] address, configuration, history_s
  *   [limits] window_s, overshoot, requests
+ *   [evacuation] within_ms
  *   [log] level, format
  *
  * The file is read at start and again on SIGHUP.  Use the file for values that
@@ -44,8 +45,10 @@
   bool hosted; /**< configuration = hosted: the platform's operator writes the
                     configuration, and callers and upstreams use the platform's
                     protocol */
-  int64_t history_ms; /**< time for which the platform keeps its history; 0:
-                         not known */
+  int64_t history_ms;  /**< time for which the platform keeps its history; 0:
+                          not known */
+  int64_t evacuate_ms; /**< time in which a change of the evacuated data
+                          centres takes effect; 0: they are not read */
   int64_t limit_window_ms; /**< window in which customers may exceed their
                                 limits; 0: they never may */
   double limit_overshoot;  /**< excess that is permitted in a window, as a
--- a/tests/flt_platform.c
+++ b/tests/flt_platform.c
@@ -172,6 +172,7 @@
     case FX_PLATFORM_VMS:
     case FX_PLATFORM_DOCUMENT:
     case FX_PLATFORM_UPSTREAMS:
+    case FX_PLATFORM_EVACUATIONS:
     case FX_PLATFORM_RETIREMENT:
     case FX_PLATFORM_RETIRED:
       break;
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -41,8 +41,10 @@
   bool load_reports;   /**< whether upstreams report their load */
   clk_ms_t history_ms; /**< for which the platform keeps its history, and as
                             the VMs are told; 0: for ever */
-  bool resumable;   /**< whether streams of the online route are resumable */
-  lsl_desc_t slack; /**< excess over limits that the VMs may admit */
+  bool resumable; /**< whether streams of the online route are resumable */
+  bool far_vms;   /**< whether VMs with odd numbers are in "south" */
+  clk_ms_t evacuate_ms; /**< as in node_desc_t; default 0 */
+  lsl_desc_t slack;     /**< excess over limits that the VMs may admit */
 } hst_desc_t;
 
 /** The response that a caller has received so far. */
@@ -191,6 +193,10 @@
  * before they time out; other watches fail with ST_STALE. */
 void hst_compact (hst_t *h);
 
+/** From now on data centre NAME, borrowed, is in the list of evacuated ones,
+ * or is not. */
+void hst_evacuate (hst_t *h, const char *name, bool evacuated);
+
 /** Ask VM to retire, and whether VM has reported that it has retired. */
 void hst_retire (hst_t *h, size_t vm);
 bool hst_retired (const hst_t *h, size_t vm);
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -83,6 +83,9 @@
   bool document_watch_lost;   /**< watches of the document see no change before
                                    they time out */
   uint64_t document_revision;
+  ev_object_t evacuations[HST_MAX]; /**< deleted: ended */
+  size_t evacuation_count;
+  uint64_t evacuation_revision; /**< of their last change */
   ev_document_t document;
   cfg_doc_t parts; /**< of the document */
   char key_hash[65];
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -125,6 +125,17 @@
   reply->entry_count = h->desc.upstreams;
 }
 
+void
+hst_evacuate (hst_t *h, const char *name, bool evacuated)
+{
+  size_t i = 0;
+  while (i < h->evacuation_count && strcmp (h->evacuations[i].name, name) != 0)
+    i++;
+  h->evacuations[i] = (ev_object_t){ .name = name, .deleted = !evacuated };
+  h->evacuation_count = MAX (h->evacuation_count, i + 1);
+  h->evacuation_revision = ++h->revision;
+}
+
 bool
 hst_store_is_waiting (const hst_t *h, const fx_platform_t *c)
 {
@@ -136,6 +147,8 @@
     return false;
   if (c->op == FX_PLATFORM_UPSTREAMS)
     return h->born_revision <= c->revision;
+  if (c->op == FX_PLATFORM_EVACUATIONS)
+    return h->evacuation_revision <= c->revision;
   return h->revision <= c->revision;
 }
 
@@ -175,6 +188,10 @@
       if (c->revision == 0 || h->born_revision > c->revision)
         _hst_upstreams (h, ctx, reply);
       break;
+    case FX_PLATFORM_EVACUATIONS:
+      reply->objects = h->evacuations;
+      reply->object_count = h->evacuation_count;
+      break;
     case FX_PLATFORM_RETIREMENT:
       if (!h->vm[hst_vm_index (h, c->name)].retire)
         reply->code = ST_NOT_FOUND;
