Directory: keep the list of evacuated data centres

Cause: upstreams of an evacuated data centre must get nothing new 5 s after the store has acknowledged the entry, from any VM that reaches the platform.

Change: dir_evac.c keeps a third list beside the document and the upstreams. One watch of 2 s a VM, or a data centre in a large fleet, so that an answer that is lost is noticed and the call repeated within the bound. The reader hands on the whole list; a change goes to all VMs, a link that opens has both ends tell their lists, and an older list is answered with the newer one. A list of a peer does not move the revision to watch from and is dropped when the platform does not confirm it. Names that are no data centres of the fleet are logged once. Without dir_desc_t.evacuate_ms there is no call and no message.

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -8,6 +8,9 @@
 #define DIR_REREGISTER_MS_DEFAULT 2500
 #define DIR_READ_INTERVAL_MS_DEFAULT 800
 #define DIR_FOLLOW_VMS_MIN_DEFAULT 17
+/** Shortest time from a call to the next long poll for evacuations.  They
+ * change rarely, and a longer gap would be missing from the bound. */
+#define DIR_EVAC_INTERVAL_MS 250
 /** The platform counts as disturbed for this long after a failed call. */
 #define DIR_DISTURBED_MS (3 * CLK_SECOND)
 
@@ -66,6 +69,8 @@
     d->desc.interval_ms = DIR_READ_INTERVAL_MS_DEFAULT;
   if (d->desc.follow_vms_min == 0)
     d->desc.follow_vms_min = DIR_FOLLOW_VMS_MIN_DEFAULT;
+  if (d->desc.evacuate_ms > 0)
+    d->evac = dir_evac_setup (d, d->desc.evacuate_ms);
   d->failed_at = CLK_NEVER;
   d->listed_at = CLK_NEVER;
   for (int op = 0; op < DIR_READ_NUM; op++)
@@ -87,28 +92,42 @@
 /* Longest wait of a watch: short for a reader, whose followers need to hear
  * that it still hears from the platform. */
 static clk_ms_t
-_dir_watch_ms (const dir_t *d, const env_t *env)
+_dir_watch_ms (const dir_t *d, const env_t *env, dir_op_t op)
 {
+  if (op == DIR_OP_EVACUATIONS)
+    return dir_evac_watch_ms (d);
   return dir_is_reader (d, env)
              ? clk_min (DIR_READER_WATCH_MS, d->desc.watch_ms)
              : d->desc.watch_ms;
 }
 
+/* The name after which the next page of the list of OP begins; NULL: none. */
+static const char *
+_dir_after (const dir_t *d, dir_op_t op)
+{
+  if (op == DIR_OP_EVACUATIONS)
+    return dir_evac_after (d);
+  return op == DIR_OP_UPSTREAMS ? d->after : NULL;
+}
+
 void
 dir_read (dir_t *d, env_t *env, dir_op_t op)
 {
+  static const fx_platform_op_t calls[DIR_READ_NUM]
+      = { [DIR_OP_DOCUMENT] = FX_PLATFORM_DOCUMENT,
+          [DIR_OP_UPSTREAMS] = FX_PLATFORM_UPSTREAMS,
+          [DIR_OP_EVACUATIONS] = FX_PLATFORM_EVACUATIONS };
   d->called_at[op] = env->now;
   d->idle[op] = false;
-  plt_call (env, &(plt_req_t){
-                     .mod = MOD_DIRECTORY,
-                     .tag = d->epoch << DIR_TAG_BITS | op,
-                     .op = op == DIR_OP_DOCUMENT ? FX_PLATFORM_DOCUMENT
-                                                 : FX_PLATFORM_UPSTREAMS,
-                     .name = "",
-                     .revision = d->revision[op],
-                     .after = op == DIR_OP_UPSTREAMS ? d->after : NULL,
-                     .timeout_ms
-                     = d->revision[op] != 0 ? _dir_watch_ms (d, env) : 0 });
+  plt_call (env, &(plt_req_t){ .mod = MOD_DIRECTORY,
+                               .tag = d->epoch << DIR_TAG_BITS | op,
+                               .op = calls[op],
+                               .name = "",
+                               .revision = d->revision[op],
+                               .after = _dir_after (d, op),
+                               .timeout_ms = d->revision[op] != 0
+                                                 ? _dir_watch_ms (d, env, op)
+                                                 : 0 });
 }
 
 /* Read the list of OP now, or leave that to the reader. */
@@ -130,9 +149,11 @@
 static void
 _dir_read_next (dir_t *d, env_t *env, dir_op_t op)
 {
-  clk_ms_t at = clk_max (d->called_at[op] + d->desc.interval_ms,
-                         env->now + dir_reader_wait_ms (d, env));
-  bool pages = op == DIR_OP_UPSTREAMS && d->after != NULL;
+  clk_ms_t interval
+      = op == DIR_OP_EVACUATIONS ? DIR_EVAC_INTERVAL_MS : d->desc.interval_ms;
+  clk_ms_t at = clk_max (d->called_at[op] + interval,
+                         env->now + dir_reader_wait_ms (d, env, op));
+  bool pages = _dir_after (d, op) != NULL;
   if (pages)
     dir_read (d, env, op);
   else if (at <= env->now || dir_follows (d, env, op))
@@ -146,6 +167,8 @@
 {
   _dir_read_or_follow (d, env, DIR_OP_DOCUMENT);
   _dir_read_or_follow (d, env, DIR_OP_UPSTREAMS);
+  if (d->evac != NULL)
+    _dir_read_or_follow (d, env, DIR_OP_EVACUATIONS);
 }
 
 /* -- the document --------------------------------------------------------- */
@@ -369,6 +392,8 @@
   dir_failure_hand_on (d, env, op);
   if (op == DIR_OP_UPSTREAMS)
     TALLOC_FREE (d->after);
+  if (op == DIR_OP_EVACUATIONS)
+    dir_evac_page_drop (d);
   cnt_add (env->cnt, "rts_directory_failures_total", "", 1);
   tmr_arm (env->tmr, env->now + env_jitter (env, d->desc.retry_ms),
            MOD_DIRECTORY, d->epoch << DIR_TAG_BITS | op);
@@ -392,10 +417,12 @@
       _dir_document_adopt (d, env, reply->document);
       d->revision[op] = MAX (before, reply->revision);
     }
+  else if (op == DIR_OP_EVACUATIONS)
+    dir_evac_replied (d, env, reply);
   /* The reader may have handed on all of it, and more, since the call. */
   else if (before == 0 || reply->revision >= before)
     dir_upstreams_update (d, env, reply);
-  if (d->revision[op] != 0)
+  if (d->revision[op] != 0 && op != DIR_OP_EVACUATIONS)
     dir_hand_on (d, env, op, before, reply);
   _dir_read_next (d, env, op);
 }
@@ -422,6 +449,7 @@
   d->recovered_count = plt_recovered_count (env->plt);
   d->epoch++;
   TALLOC_FREE (d->after);
+  dir_evac_page_drop (d);
   tln_record (env->tln, env->now, MOD_DIRECTORY, "watch-anew", "%s",
               "the platform answers again");
   dir_start (d, env);
@@ -444,7 +472,9 @@
   d->epoch++;
   d->revision[DIR_OP_DOCUMENT] = 0;
   d->revision[DIR_OP_UPSTREAMS] = 0;
+  d->revision[DIR_OP_EVACUATIONS] = 0;
   TALLOC_FREE (d->after);
+  dir_evac_page_drop (d);
   tln_record (env->tln, env->now, MOD_DIRECTORY, "read-anew", "%s",
               "the platform has lost its history");
   dir_start (d, env);
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -1,6 +1,7 @@
 /** @file
- * Directory (prefix dir_): the operator's document and the list of upstreams,
- * kept up to date from the platform's store, where the operator writes both.
+ * Directory (prefix dir_): the operator's document, the list of upstreams and
+ * the list of evacuated data centres, kept up to date from the platform's
+ * store, where others write them.
  *
  *   dir_t *d = dir_setup (ctx, &(dir_desc_t){ .members = members });
  *   dir_start (d, env);
@@ -43,6 +44,12 @@
    * unusable), str deployment, str data centre, str address, u64 start, str
    * version. */
   MSG_DIRECTORY_HANDED,
+  /** The sender's whole list of evacuated data centres: u64 what it is (0 the
+   * sender's list; from the reader to the other VMs of its data centre: 1 the
+   * list, confirmed just now, 2 it cannot be read), u64 revision, 0: none is
+   * known; u64 count of the names that follow.  An older list is answered with
+   * the newer one. */
+  MSG_DIRECTORY_EVACUATIONS,
 } dir_msg_t;
 
 /** Settings of the directory; zeros mean the defaults. */
@@ -69,6 +76,9 @@
   /** Time for upstreams to register again after the last failed call; default
    * 2.5 s. */
   clk_ms_t reregister_ms;
+  /** Time from a change of the evacuated data centres in the store until it
+   * must have taken effect; 0: they are not read. */
+  clk_ms_t evacuate_ms;
 } dir_desc_t;
 
 typedef struct dir dir_t;
@@ -97,6 +107,17 @@
  * CLK_NEVER: never, or the document in force lacks that change. */
 clk_ms_t dir_listed_at (const dir_t *d);
 
+/** Whether the list of evacuated data centres is known, from the platform or
+ * from a peer; true where it is not read. */
+bool dir_evacuations_known (const dir_t *d);
+
+/** Whether dir_evacuated has changed since the last call. */
+bool dir_evacuations_changed (dir_t *d);
+
+/** The evacuated data centres of the fleet, ending with NULL; valid until the
+ * next event. */
+const char *const *dir_evacuated (const dir_t *d);
+
 /** Read everything again if the platform has lost its history. */
 void dir_pump (dir_t *d, env_t *env);
 
--- a/src/core/dir_follow.c
+++ b/src/core/dir_follow.c
@@ -8,7 +8,7 @@
  * change.  A follower that has heard nothing for DIR_HANDED_MS, or has missed
  * a message, reads itself, from where it is.  So a reader that freezes, ends,
  * is cut off or is turned away by the platform costs its followers
- * DIR_HANDED_MS and DIR_FOLLOW_CHECK_MS at most, and which VM is the reader is
+ * that time and DIR_FOLLOW_CHECK_MS at most, and which VM is the reader is
  * only a hint: there may be none, or two.
  *
  * Each message covers the changes between two revisions.  One that begins
@@ -23,11 +23,10 @@
 #include <string.h>
 #include <talloc.h>
 
-/** Longest time for which what was handed on counts. */
-#define DIR_HANDED_MS ((clk_ms_t)1600)
-/** Time after its own watch in which a VM hears from the reader if there is
- * one. */
-#define DIR_GRACE_MS (DIR_READER_WATCH_MS + 300)
+/** Time after the reader's watch for which what was handed on counts. */
+#define DIR_HANDED_LATE_MS ((clk_ms_t)600)
+/** Time after the reader's watch in which its answer is handed on. */
+#define DIR_GRACE_MS ((clk_ms_t)300)
 /** Period at which a follower looks whether it still does. */
 #define DIR_FOLLOW_CHECK_MS ((clk_ms_t)200)
 /** An answer that came later than this after the end of its watch says nothing
@@ -80,11 +79,39 @@
   return g_strcmp0 (_dir_reader (d, env), env->vm) == 0;
 }
 
+/** Longest wait of the reader's watches of the list of OP. */
+static clk_ms_t
+_dir_reader_watch_ms (const dir_t *d, dir_op_t op)
+{
+  return op == DIR_OP_EVACUATIONS ? dir_evac_watch_ms (d)
+                                  : DIR_READER_WATCH_MS;
+}
+
+/** Longest time for which what was handed on of the list of OP counts. */
+static clk_ms_t
+_dir_handed_ms (const dir_t *d, dir_op_t op)
+{
+  return _dir_reader_watch_ms (d, op) + DIR_HANDED_LATE_MS;
+}
+
+bool
+dir_answer_is_timely (const dir_t *d, const env_t *env, dir_op_t op)
+{
+  return env->now - d->called_at[op]
+         <= _dir_reader_watch_ms (d, op) + DIR_ANSWER_LATE_MS;
+}
+
 clk_ms_t
-dir_reader_wait_ms (const dir_t *d, const env_t *env)
+dir_reader_wait_ms (const dir_t *d, const env_t *env, dir_op_t op)
 {
   const char *reader = _dir_reader (d, env);
-  return reader == NULL || strcmp (reader, env->vm) == 0 ? 0 : DIR_GRACE_MS;
+  if (reader == NULL || strcmp (reader, env->vm) == 0)
+    return 0;
+  /* The reader's watch for evacuations is as long as that of this VM, which
+   * has heard from it meanwhile.  A longer gap would be missing from the
+   * bound. */
+  return op == DIR_OP_EVACUATIONS ? DIR_GRACE_MS
+                                  : DIR_READER_WATCH_MS + DIR_GRACE_MS;
 }
 
 static void
@@ -134,9 +161,7 @@
 dir_hand_on (const dir_t *d, env_t *env, dir_op_t op, uint64_t before,
              const ev_platform_t *reply)
 {
-  if (!dir_is_reader (d, env)
-      || env->now - d->called_at[op]
-             > DIR_READER_WATCH_MS + DIR_ANSWER_LATE_MS)
+  if (!dir_is_reader (d, env) || !dir_answer_is_timely (d, env, op))
     return;
   uint64_t now = d->revision[op];
   bool changed = op == DIR_OP_DOCUMENT && reply->document != NULL;
@@ -156,7 +181,11 @@
 void
 dir_failure_hand_on (const dir_t *d, env_t *env, dir_op_t op)
 {
-  if (dir_is_reader (d, env))
+  if (!dir_is_reader (d, env))
+    return;
+  if (op == DIR_OP_EVACUATIONS)
+    dir_evac_failure_hand_on (d, env);
+  else
     _dir_handed_send (d, env, &(_dir_handed_t){ .op = op }, NULL);
 }
 
@@ -166,7 +195,7 @@
 dir_follows (const dir_t *d, const env_t *env, dir_op_t op)
 {
   return d->revision[op] != 0 && d->handed_at[op] != CLK_NEVER
-         && env->now - d->handed_at[op] <= DIR_HANDED_MS
+         && env->now - d->handed_at[op] <= _dir_handed_ms (d, op)
          && !dir_is_reader (d, env);
 }
 
@@ -184,10 +213,11 @@
 static void
 _dir_follow_end_log (const dir_t *d, env_t *env, dir_op_t op, const char *why)
 {
+  static const char *const names[DIR_READ_NUM]
+      = { "document", "upstreams", "evacuations" };
   clk_ms_t at = d->handed_at[op];
   tln_record (env->tln, env->now, MOD_DIRECTORY, "reads-itself",
-              "list=%s why=%s handed_age_ms=%lld",
-              op == DIR_OP_DOCUMENT ? "document" : "upstreams", why,
+              "list=%s why=%s handed_age_ms=%lld", names[op], why,
               (long long)(at == CLK_NEVER ? -1 : env->now - at));
 }
 
@@ -210,9 +240,8 @@
     dir_follow_arm (d, env);
 }
 
-/** Reads the list of OP itself if this VM left that to the reader. */
-static void
-_dir_follow_end (dir_t *d, env_t *env, dir_op_t op, const char *why)
+void
+dir_follow_end (dir_t *d, env_t *env, dir_op_t op, const char *why)
 {
   d->handed_at[op] = CLK_NEVER;
   if (!d->idle[op])
@@ -288,7 +317,7 @@
   uint64_t failed_age = mpk_get_uint (r);
   h.failed_age = MIN (failed_age, DIR_AGE_MAX);
   ev_platform_t reply = { 0 };
-  if (op >= DIR_READ_NUM || h.from > h.to || !_dir_entries_get (r, &reply)
+  if (op > DIR_OP_UPSTREAMS || h.from > h.to || !_dir_entries_get (r, &reply)
       || sender == NULL || strcmp (sender->data_centre, env->data_centre) != 0)
     return false;
   h.op = (dir_op_t)op;
@@ -296,9 +325,9 @@
   if (own == 0 || (h.good && h.to < own) || dir_is_reader (d, env))
     return true;
   if (!h.good)
-    _dir_follow_end (d, env, h.op, "reader-failed");
+    dir_follow_end (d, env, h.op, "reader-failed");
   else if (own < h.from)
-    _dir_follow_end (d, env, h.op, "change-missed");
+    dir_follow_end (d, env, h.op, "change-missed");
   else
     _dir_handed_apply (d, env, &h, &reply);
   return true;
--- a/src/core/dir_int.h
+++ b/src/core/dir_int.h
@@ -13,17 +13,21 @@
  * operation in its low bits and, for reads, the epoch above them. */
 typedef enum
 {
-  DIR_OP_DOCUMENT,  /**< read or watch the operator's document */
-  DIR_OP_UPSTREAMS, /**< read or watch the list of upstreams */
-  DIR_OP_EXPIRY,    /**< timer only: remove expired upstreams */
-  DIR_OP_REQUEST,   /**< timer only: request the document from a peer */
-  DIR_OP_FOLLOW,    /**< timer only: whether the reader is still heard */
+  DIR_OP_DOCUMENT,    /**< read or watch the operator's document */
+  DIR_OP_UPSTREAMS,   /**< read or watch the list of upstreams */
+  DIR_OP_EVACUATIONS, /**< read or watch the evacuated data centres */
+  DIR_OP_EXPIRY,      /**< timer only: remove expired upstreams */
+  DIR_OP_REQUEST,     /**< timer only: request the document from a peer */
+  DIR_OP_FOLLOW,      /**< timer only: whether the reader is still heard */
   DIR_READ_NUM = DIR_OP_EXPIRY /**< number of operations that read */
 } dir_op_t;
 
 /** Longest duration of a long poll of a reader (dir_follow.c). */
 #define DIR_READER_WATCH_MS CLK_SECOND
 
+/** The list of evacuated data centres (dir_evac.c). */
+typedef struct dir_evac dir_evac_t;
+
 struct dir
 {
   dir_desc_t desc;
@@ -53,8 +57,9 @@
                                          knows; CLK_NEVER: it has not */
   bool idle[DIR_READ_NUM]; /**< this VM makes no calls: the reader does */
   bool follow_armed;
-  bool dirty;     /**< operator_doc or entries are newer than doc */
-  cfg_doc_t *doc; /**< operator_doc with data centres and upstreams */
+  dir_evac_t *evac; /**< NULL: evacuated data centres are not read */
+  bool dirty;       /**< operator_doc or entries are newer than doc */
+  cfg_doc_t *doc;   /**< operator_doc with data centres and upstreams */
 };
 
 /* dir_peer.c */
@@ -85,11 +90,19 @@
 
 /** How long a VM whose watch has ended waits to hear from the reader before it
  * watches again; 0: it is the reader, or there is none. */
-clk_ms_t dir_reader_wait_ms (const dir_t *d, const env_t *env);
+clk_ms_t dir_reader_wait_ms (const dir_t *d, const env_t *env, dir_op_t op);
 
 /** Whether this VM leaves the list of OP to the reader. */
 bool dir_follows (const dir_t *d, const env_t *env, dir_op_t op);
 
+/** Whether the answer to the last call for the list of OP, which came just
+ * now, says something of now. */
+bool dir_answer_is_timely (const dir_t *d, const env_t *env, dir_op_t op);
+
+/** Read the list of OP if this VM left that to the reader; WHY is for the log.
+ */
+void dir_follow_end (dir_t *d, env_t *env, dir_op_t op, const char *why);
+
 /** Look soon whether the reader is still heard. */
 void dir_follow_arm (dir_t *d, env_t *env);
 void dir_follow_check (dir_t *d, env_t *env);
@@ -102,4 +115,32 @@
 /** If this VM is the reader, tell that it cannot read the list of OP. */
 void dir_failure_hand_on (const dir_t *d, env_t *env, dir_op_t op);
 
+/* dir_evac.c */
+
+/** A list that is not known yet, owned by CTX; a change must take effect
+ * WITHIN_MS after it is in the store. */
+dir_evac_t *dir_evac_setup (void *ctx, clk_ms_t within_ms);
+
+/** Longest wait of a watch. */
+clk_ms_t dir_evac_watch_ms (const dir_t *d);
+
+/** Name after which the next page begins; NULL: no list is being read. */
+const char *dir_evac_after (const dir_t *d);
+
+/** Begin with the first page again. */
+void dir_evac_page_drop (dir_t *d);
+
+/** Apply REPLY, a page of the list or changes of it. */
+void dir_evac_replied (dir_t *d, env_t *env, const ev_platform_t *reply);
+
+/** Tell this data centre that this VM, its reader, cannot read the list. */
+void dir_evac_failure_hand_on (const dir_t *d, env_t *env);
+
+/** Send the list to VM, to which a link has opened; nothing where evacuated
+ * data centres are not read. */
+void dir_evac_peer_send (const dir_t *d, env_t *env, const char *vm);
+
+/** Handle MSG_DIRECTORY_EVACUATIONS from VM; false: malformed. */
+bool dir_evac_received (dir_t *d, env_t *env, const char *vm, mpk_reader_t *r);
+
 #endif
--- a/src/core/dir_peer.c
+++ b/src/core/dir_peer.c
@@ -118,6 +118,7 @@
 dir_peer_up (dir_t *d, env_t *env, const char *vm)
 {
   dir_version_send (d, env, vm);
+  dir_evac_peer_send (d, env, vm);
 }
 
 /* Log and count a message from VM that is malformed, or from a VM that has
@@ -136,9 +137,12 @@
   void *tmp = talloc_new (d);
   mpk_reader_t r = mpk_reader (tmp, msg->body);
   buf_t raw = { 0 };
-  if (msg->kind == MSG_DIRECTORY_HANDED)
+  if (msg->kind >= MSG_DIRECTORY_HANDED)
     {
-      if (!dir_handed_received (d, env, vm, &r))
+      bool good = msg->kind == MSG_DIRECTORY_HANDED
+                      ? dir_handed_received (d, env, vm, &r)
+                      : dir_evac_received (d, env, vm, &r);
+      if (!good)
         _dir_message_refused (env, vm);
       talloc_free (tmp);
       return;
--- a/tests/dfb.c
+++ b/tests/dfb.c
@@ -14,7 +14,8 @@
 typedef struct
 {
   uint64_t revision;
-  size_t upstream; /* DFB_UPSTREAMS: the document */
+  size_t upstream; /* DFB_UPSTREAMS: the document; above: an
+                      evacuation */
   bool listed;
 } _dfb_change_t;
 
@@ -26,6 +27,7 @@
   uint64_t revision;
   clk_ms_t sent_at;
   clk_ms_t until;
+  bool lost; /* there will be no answer */
 } _dfb_call_t;
 
 /* A message on its way. */
@@ -43,7 +45,7 @@
   mbr_t *members;
   dir_t *dir;
   dfb_fault_t fault;
-  _dfb_call_t calls[4];
+  _dfb_call_t calls[12];
   bool handed_on;
 } _dfb_vm_t;
 
@@ -59,6 +61,8 @@
   GArray *changes; /* _dfb_change_t */
   GQueue mail;     /* _dfb_mail_t, by time */
   unsigned call_count;
+  bool evacuated[DFB_EVACUATIONS];
+  uint64_t history_from; /* watches from before are refused */
 };
 
 static void
@@ -92,8 +96,16 @@
 dfb_t *
 dfb_setup (size_t vms, size_t data_centres)
 {
-  static const char *const names[]
-      = { "dc-0", "dc-1", "dc-2", "dc-3", "dc-4", NULL };
+  return dfb_setup_evacuations (vms, data_centres, 0);
+}
+
+static const char *const _dfb_data_centres[]
+    = { "dc-0", "dc-1", "dc-2", "dc-3", "dc-4", NULL };
+
+dfb_t *
+dfb_setup_evacuations (size_t vms, size_t data_centres, clk_ms_t within_ms)
+{
+  const char *const *names = _dfb_data_centres;
   dfb_t *b = talloc_zero (NULL, dfb_t);
   b->count = vms;
   b->data_centres = data_centres;
@@ -126,7 +138,8 @@
       vm->members = mbr_setup (vm->env, &(mbr_desc_t){ 0 });
       _dfb_members_set (b, vm, list);
       vm->dir = dir_setup (vm->env, &(dir_desc_t){ .members = vm->members,
-                                                   .data_centres = names });
+                                                   .data_centres = names,
+                                                   .evacuate_ms = within_ms });
       dir_start (vm->dir, vm->env);
     }
   return b;
@@ -157,6 +170,26 @@
   _dfb_changed (b, i, listed);
 }
 
+void
+dfb_evacuate (dfb_t *b, size_t dc, bool evacuated)
+{
+  b->evacuated[dc] = evacuated;
+  _dfb_changed (b, DFB_UPSTREAMS + 1, evacuated);
+}
+
+void
+dfb_history_lose (dfb_t *b)
+{
+  b->history_from = ++b->revision;
+}
+
+void
+dfb_answers_lose (dfb_t *b, size_t vm)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (b->vms[vm].calls); i++)
+    b->vms[vm].calls[i].lost = true;
+}
+
 void
 dfb_document_set (dfb_t *b)
 {
@@ -167,7 +200,10 @@
 static bool
 _dfb_change_is_of (const _dfb_change_t *c, fx_platform_op_t op)
 {
-  return (c->upstream == DFB_UPSTREAMS) == (op == FX_PLATFORM_DOCUMENT);
+  if (op == FX_PLATFORM_EVACUATIONS)
+    return c->upstream > DFB_UPSTREAMS;
+  return op == FX_PLATFORM_DOCUMENT ? c->upstream == DFB_UPSTREAMS
+                                    : c->upstream < DFB_UPSTREAMS;
 }
 
 /* Whether the list of CALL has changed since its revision. */
@@ -218,6 +254,20 @@
   reply->entry_count = n;
 }
 
+/* The evacuations in the answer to CALL: a list, or the state of each. */
+static void
+_dfb_evacuations_set (const dfb_t *b, void *ctx, const _dfb_call_t *call,
+                      ev_platform_t *reply)
+{
+  ev_object_t *v = talloc_zero_array (ctx, ev_object_t, DFB_EVACUATIONS);
+  for (size_t i = 0; i < DFB_EVACUATIONS; i++)
+    if (b->evacuated[i] || call->revision != 0)
+      v[reply->object_count++]
+          = (ev_object_t){ .name = talloc_asprintf (v, "dc-%zu", i),
+                           .deleted = !b->evacuated[i] };
+  reply->objects = v;
+}
+
 /* Brings VM the answer CODE to CALL, which ends. */
 static void
 _dfb_answer (dfb_t *b, _dfb_vm_t *vm, _dfb_call_t *call, st_code_t code)
@@ -229,6 +279,8 @@
       = { .call = call->call, .code = code, .revision = b->revision };
   if (code == ST_OK && call->op == FX_PLATFORM_UPSTREAMS)
     _dfb_entries_set (b, tmp, call, &reply);
+  else if (code == ST_OK && call->op == FX_PLATFORM_EVACUATIONS)
+    _dfb_evacuations_set (b, tmp, call, &reply);
   else if (code == ST_OK && (call->revision == 0 || _dfb_has_news (b, call)))
     reply.document = &document;
   *call = (_dfb_call_t){ 0 };
@@ -246,13 +298,15 @@
       _dfb_call_t *call = &vm->calls[i];
       if (call->call == 0)
         continue;
-      if (vm->fault == DFB_UNANSWERED)
+      if (vm->fault == DFB_UNANSWERED || call->lost)
         {
           if (b->now >= call->until + DFB_TIMEOUT_MS)
             _dfb_answer (b, vm, call, ST_UNAVAILABLE);
         }
       else if (vm->fault == DFB_REFUSED)
         _dfb_answer (b, vm, call, ST_UNAVAILABLE);
+      else if (call->revision != 0 && call->revision < b->history_from)
+        _dfb_answer (b, vm, call, ST_STALE);
       else if (call->revision == 0 || _dfb_has_news (b, call)
                || b->now >= call->until)
         _dfb_answer (b, vm, call, ST_OK);
@@ -264,7 +318,8 @@
 static void
 _dfb_call_add (dfb_t *b, _dfb_vm_t *vm, const fx_platform_t *p)
 {
-  if (p->op != FX_PLATFORM_DOCUMENT && p->op != FX_PLATFORM_UPSTREAMS)
+  if (p->op != FX_PLATFORM_DOCUMENT && p->op != FX_PLATFORM_UPSTREAMS
+      && p->op != FX_PLATFORM_EVACUATIONS)
     return;
   b->call_count++;
   for (size_t i = 0; i < G_N_ELEMENTS (vm->calls); i++)
@@ -308,7 +363,7 @@
         _dfb_call_add (b, vm, &f->platform);
       else if (f->kind == FX_PEER_SEND
                && f->peer.msg.kind >= MSG_DIRECTORY_VERSION
-               && f->peer.msg.kind <= MSG_DIRECTORY_HANDED)
+               && f->peer.msg.kind <= MSG_DIRECTORY_EVACUATIONS)
         _dfb_mail_add (b, vm, &f->peer);
     }
   fx_clear (vm->env->fx);
@@ -414,6 +469,28 @@
   return behind;
 }
 
+bool
+dfb_is_evacuated (const dfb_t *b, size_t vm, size_t dc)
+{
+  char name[DFB_NAME_SIZE];
+  (void)snprintf (name, sizeof name, "dc-%d", (int)dc);
+  return g_strv_contains (dir_evacuated (b->vms[vm].dir), name);
+}
+
+size_t
+dfb_evacuations_behind (const dfb_t *b)
+{
+  size_t behind = 0;
+  for (size_t vm = 0; vm < b->count; vm++)
+    {
+      bool knows = dir_evacuations_known (b->vms[vm].dir);
+      for (size_t i = 0; i < DFB_DATA_CENTRES; i++)
+        knows = knows && dfb_is_evacuated (b, vm, i) == b->evacuated[i];
+      behind += !knows;
+    }
+  return behind;
+}
+
 unsigned
 dfb_calls (const dfb_t *b)
 {
--- a/tests/dfb.h
+++ b/tests/dfb.h
@@ -22,6 +22,9 @@
 #define DFB_LINK_MS ((clk_ms_t)2)
 #define DFB_UPSTREAMS 12
 #define DFB_VMS_MAX 320
+#define DFB_DATA_CENTRES 5
+/** Names in the list of evacuations, the fleet's data centres first. */
+#define DFB_EVACUATIONS 256
 
 typedef struct dfb dfb_t;
 
@@ -29,12 +32,33 @@
 dfb_t *dfb_setup (size_t vms, size_t data_centres);
 void dfb_shutdown (dfb_t *b);
 
+/** The same with directories that read the evacuated data centres, whose
+ * changes must take effect WITHIN_MS after they are in the store; 0: not. */
+dfb_t *dfb_setup_evacuations (size_t vms, size_t data_centres,
+                              clk_ms_t within_ms);
+
 /** Lets MS pass. */
 void dfb_run (dfb_t *b, clk_ms_t ms);
 
 /** Upstream I is in the list from now on, or is not. */
 void dfb_upstream_set (dfb_t *b, size_t i, bool listed);
 
+/** Data centre DC is evacuated from now on, or is not; from DFB_DATA_CENTRES
+ * on it is none of the fleet. */
+void dfb_evacuate (dfb_t *b, size_t dc, bool evacuated);
+
+/** Whether VM knows that data centre DC is evacuated. */
+bool dfb_is_evacuated (const dfb_t *b, size_t vm, size_t dc);
+
+/** Number of VMs that do not know what the store has of evacuations. */
+size_t dfb_evacuations_behind (const dfb_t *b);
+
+/** The store loses its history: all watches from before are refused. */
+void dfb_history_lose (dfb_t *b);
+
+/** The answers to the calls that VM has in progress are lost. */
+void dfb_answers_lose (dfb_t *b, size_t vm);
+
 /** The operator's document gets a newer version. */
 void dfb_document_set (dfb_t *b);
 
