Router: nothing new to evacuated data centres

Change: the node passes the evacuated data centres from the directory to the router, which excludes their upstreams in rte_gets_nothing_new: requests, items, idle slots, version look-ups. Upstreams keep their places in the subset. A VM that starts waits for the list, from the platform or a peer, within the bounded waits of node_informed.c.

--- a/src/core/node.h
+++ b/src/core/node.h
@@ -41,9 +41,12 @@
   const char *operator_token_sha256; /**< lower-case hex; NULL: no operator */
   node_source_t source;
   lsl_desc_t limit_slack; /**< by how much rates may be exceeded */
-  clk_ms_t history_ms; /**< time for which the platform keeps its history; 0:
-                            not known */
-  bool worker;         /**< runs batch items, serves no callers */
+  clk_ms_t history_ms;  /**< time for which the platform keeps its history; 0:
+                             not known */
+  clk_ms_t evacuate_ms; /**< SOURCE_PLATFORM: time in which a change of the
+                             evacuated data centres takes effect; 0: they are
+                             not read */
+  bool worker;          /**< runs batch items, serves no callers */
   crs_prompt_parts_t prompt_parts; /**< of the headers of jobs' items; NULL:
                                         they have none */
   const char *const *data_centres; /**< SOURCE_PLATFORM: the fleet's data
--- a/src/core/node_informed.c
+++ b/src/core/node_informed.c
@@ -2,13 +2,15 @@
  * When a node that the platform configures begins to serve: not as soon as it
  * has a document, but when it has heard what the others know, so that "not
  * heard yet" is not taken for "there is none": what ends upstreams, which
- * upstreams leave, which limits are named, at which versions streams began.
+ * upstreams leave, which limits are named, at which versions streams began,
+ * which data centres are evacuated.
  *
- * It has heard that when it knows the list of VMs and has had a link to
- * another VM for NODE_HEAR_MS; each end of a new link tells the other what it
- * keeps.  A node that is alone, or that reaches nobody, goes on
- * with what it has after a bounded time: a data centre that is cut off has to
- * serve.  Until then requests are refused, not run.
+ * It has heard that when it knows the list of VMs and of evacuated data
+ * centres, from the platform or a peer, and has had a link to another VM for
+ * NODE_HEAR_MS; each end of a new link tells the other what it keeps.  A node
+ * that is alone, or that reaches nobody, goes on with what it has after a
+ * bounded time: a data centre that is cut off has to serve.  Until then
+ * requests are refused, not run.
  */
 #include "core/node_int.h"
 
@@ -42,7 +44,7 @@
   clk_ms_t now = n->env->now;
   if (now - n->document_at >= NODE_INFORM_WAIT_MS)
     return "no-answers";
-  if (n->vms_at == 0)
+  if (n->vms_at == 0 || !dir_evacuations_known (n->dir))
     return NULL;
   if (mbr_vm_count (n->mbr) < 2)
     return "alone";
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -88,7 +88,8 @@
   if (platform)
     n->dir = dir_setup (n, &(dir_desc_t){ .members = n->mbr,
                                           .data_centres = desc->data_centres,
-                                          .history_ms = desc->history_ms });
+                                          .history_ms = desc->history_ms,
+                                          .evacuate_ms = desc->evacuate_ms });
   n->cfs = cfs_setup (n, env, &(cfs_desc_t){ .members = n->mbr });
   n->keys = key_setup (n, &(key_desc_t){ .peers = cfs_peers (n->cfs) });
   n->lim = lim_setup (
@@ -511,6 +512,8 @@
   opr_results_send (n->opr, n->env);
   if (n->dir != NULL)
     dir_pump (n->dir, n->env);
+  if (n->dir != NULL && dir_evacuations_changed (n->dir))
+    rte_evacuated_set (n->rte, n->env, dir_evacuated (n->dir));
   if (n->dir != NULL && dir_listed_at (n->dir) != CLK_NEVER)
     crs_list_read (n->crs, dir_listed_at (n->dir));
   bool changed
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -182,6 +182,16 @@
 static void
 _onl_refuse_no_upstream (onl_t *o, env_t *env, onl_request_t *r)
 {
+  if (r->runs == 0 && rte_all_evacuated (o->desc.routes, r->deployment->name))
+    {
+      onl_refuse (
+          o, env, r,
+          &(rpl_error_t){ .status = 503,
+                          .code = "evacuated",
+                          .message = "all data centres are evacuated",
+                          .retry_after_ms = env_jitter (env, CLK_SECOND) });
+      return;
+    }
   onl_refuse (
       o, env, r,
       &(rpl_error_t){ .status = r->runs > 0 ? 502 : 503,
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -296,6 +296,44 @@
   return d->sole_version;
 }
 
+static bool
+_rte_in_evacuated (const rte_t *r, const char *data_centre)
+{
+  return r->evacuated != NULL
+         && g_strv_contains ((const char *const *)r->evacuated, data_centre);
+}
+
+void
+rte_evacuated_set (rte_t *r, env_t *env, const char *const *names)
+{
+  size_t n = g_strv_length ((char **)(uintptr_t)names);
+  size_t excluded = 0;
+  talloc_free (r->evacuated);
+  r->evacuated = talloc_zero_array (r, char *, n + 1);
+  for (size_t i = 0; i < n; i++)
+    r->evacuated[i] = talloc_strdup (r->evacuated, names[i]);
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    {
+      rte_upstream_t *u = tbl_get (r->upstreams, id);
+      u->evacuated = _rte_in_evacuated (r, u->data_centre);
+      excluded += u->evacuated && u->configured;
+    }
+  tln_record (env->tln, env->now, MOD_ROUTE, "evacuated",
+              "data_centres=%zu upstreams=%zu", n, excluded);
+  cnt_set (env->cnt, "rts_route_evacuated_upstreams", "", (double)excluded);
+}
+
+bool
+rte_all_evacuated (const rte_t *r, const char *deployment)
+{
+  const rte_deployment_t *d = g_hash_table_lookup (r->deployments, deployment);
+  bool all = d != NULL && d->upstreams->len > 0;
+  for (guint i = 0; all && i < d->upstreams->len; i++)
+    all = ((rte_upstream_t *)g_ptr_array_index (d->upstreams, i))->evacuated;
+  return all;
+}
+
 void
 rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc)
 {
@@ -314,6 +352,7 @@
       const cfg_deployment_t *dep = cfg_deployment_find (doc, c->deployment);
       u->configured = true;
       u->leaving = c->leaving;
+      u->evacuated = _rte_in_evacuated (r, u->data_centre);
       u->fixed_identity = c->fixed_identity;
       u->leaving_until
           = rte_leaving_until (r->leaving_notes, u->name, u->born, env->now);
@@ -617,7 +656,7 @@
 bool
 rte_gets_nothing_new (const rte_upstream_t *u, clk_ms_t now)
 {
-  return u->leaving || now < u->leaving_until
+  return u->evacuated || u->leaving || now < u->leaving_until
          || (u->state & RTE_BIT_LEAVING) != 0;
 }
 
@@ -649,17 +688,18 @@
       double limit = rte_limit_status (r, env, u, &tokens);
       json_array_append_new (
           all,
-          json_pack (
-              "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f, s:f, "
-              "s:s, s:i}",
-              "upstream", u->name, "deployment", u->deployment, "data_centre",
-              u->data_centre, "leaving", rte_gets_nothing_new (u, env->now),
-              "suspected", u->health != RTE_WELL, "silent",
-              (u->state & RTE_BIT_SILENT) != 0, "polled_here", u->poll != NULL,
-              "in_flight", (int)(u->online + u->batch), "load",
-              (int)rte_estimated_load (u, env->now), "slowness",
-              rte_slowness (u, env->now), "limit_per_s", limit, "mint",
-              u->mint == NULL ? "" : u->mint, "limit_tokens", (int)tokens));
+          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f, s:f, "
+                     "s:s, s:i, s:b}",
+                     "upstream", u->name, "deployment", u->deployment,
+                     "data_centre", u->data_centre, "leaving",
+                     rte_gets_nothing_new (u, env->now), "suspected",
+                     u->health != RTE_WELL, "silent",
+                     (u->state & RTE_BIT_SILENT) != 0, "polled_here",
+                     u->poll != NULL, "in_flight", (int)(u->online + u->batch),
+                     "load", (int)rte_estimated_load (u, env->now), "slowness",
+                     rte_slowness (u, env->now), "limit_per_s", limit, "mint",
+                     u->mint == NULL ? "" : u->mint, "limit_tokens",
+                     (int)tokens, "evacuated", u->evacuated));
     }
   char *text = json_dumps (all, JSON_COMPACT);
   char *copy = talloc_strdup (ctx, text);
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -284,6 +284,15 @@
 /** State of all configured upstreams as a JSON array, owned by CTX. */
 char *rte_format (void *ctx, const rte_t *r, const env_t *env);
 
+/** From now on the upstreams of the data centres NAMES, ending with NULL, and
+ * of no others, get nothing new because of an evacuation.  They keep their
+ * places in the subset that this VM uses. */
+void rte_evacuated_set (rte_t *r, env_t *env, const char *const *names);
+
+/** Whether DEPLOYMENT has upstreams and all of them are in evacuated data
+ * centres. */
+bool rte_all_evacuated (const rte_t *r, const char *deployment);
+
 /* The node calls these functions when an event concerns routing. */
 void rte_config_changed (rte_t *r, env_t *env, const cfg_doc_t *doc);
 void rte_timer_fired (rte_t *r, env_t *env, uint64_t tag);
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -340,19 +340,22 @@
 static void
 _rte_none_record (env_t *env, const rte_deployment_t *d)
 {
+  unsigned evacuated = 0;
   unsigned leaving = 0;
   unsigned suspected = 0;
   for (guint i = 0; i < d->upstreams->len; i++)
     {
       const rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
-      if (rte_gets_nothing_new (u, env->now))
+      if (u->evacuated)
+        evacuated++;
+      else if (rte_gets_nothing_new (u, env->now))
         leaving++;
       else if (u->health != RTE_WELL)
         suspected++;
     }
   tln_record (env->tln, env->now, MOD_ROUTE, "none",
-              "deployment=%s listed=%u leaving=%u suspected=%u", d->name,
-              d->upstreams->len, leaving, suspected);
+              "deployment=%s listed=%u leaving=%u suspected=%u evacuated=%u",
+              d->name, d->upstreams->len, leaving, suspected, evacuated);
 }
 
 bool
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -121,6 +121,7 @@
   clk_ms_t dropped_at;    /**< when it was last not present any more */
   bool same_data_centre;  /**< in this VM's data centre */
   bool leaving;           /**< marked as leaving in the document */
+  bool evacuated;         /**< its data centre is evacuated */
   bool in_subset;         /**< in the subset that this VM uses */
   bool fixed_identity;    /**< as in cfg_upstream_t */
   bool changed;           /**< in the router's queue of changed loads */
@@ -233,7 +234,8 @@
                            this VM has to preempt there */
   rte_prefix_index_t *prefix_index;
   rte_leaving_t *leaving_notes; /**< upstreams that have said so themselves */
-  GHashTable *limits;           /**< upstream name to rte_limit_t */
+  char **evacuated;        /**< data centres, ends with NULL; NULL: none */
+  GHashTable *limits;      /**< upstream name to rte_limit_t */
   clk_ms_t limit_timer_at; /**< time of the next RTE_TIMER_LIMIT, CLK_NEVER:
                                 none; one that fires earlier is obsolete */
   clk_ms_t picked_at;      /**< time of the last pick */
@@ -371,8 +373,8 @@
 
 /* rte.c */
 
-/** Whether U must get no new requests: the document, a load report or U itself
- * says that it is leaving. */
+/** Whether U must get no new requests: its data centre is evacuated, or the
+ * document, a load report or U itself says that it is leaving. */
 bool rte_gets_nothing_new (const rte_upstream_t *u, clk_ms_t now);
 
 /** U has said that it is leaving, or a later start of it that was at BORN_MAX
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -378,7 +378,8 @@
   v->node = node_setup (
       h,
       &(node_desc_t){ .vm = v->name,
-                      .data_centre = "north",
+                      .data_centre
+                      = h->desc.far_vms && vm % 2 == 1 ? "south" : "north",
                       .address = v->address,
                       .incarnation = v->incarnation,
                       .seed = (uint32_t)(17 * vm + v->incarnation),
@@ -386,6 +387,7 @@
                       .worker = vm >= h->desc.entries,
                       .limit_slack = h->desc.slack,
                       .history_ms = h->desc.history_ms,
+                      .evacuate_ms = h->desc.evacuate_ms,
                       .prompt_parts = _hst_prompt_parts,
                       .data_centres = data_centres },
       &st);
