--- a/src/core/upl_hold.c
+++ b/src/core/upl_hold.c
@@ -3,9 +3,6 @@
 #include <glib.h>
 #include <talloc.h>
 
-/** Time for which a VM goes on to ask after a request could use a token.
- * Tokens that nobody has wanted for so long go back. */
-#define UPL_DEMAND_MS ((clk_ms_t)300)
 /** Time for which the mint's word on this VM's turn counts. */
 #define UPL_TURN_MS CLK_SECOND
 /** Time after which an ask that was not granted is repeated. */
@@ -37,7 +34,8 @@
 
 struct upl_hold
 {
-  uint64_t seq; /**< of the last ask */
+  uint64_t seq;       /**< of the last ask */
+  clk_ms_t demand_ms; /**< see upl_hold_demand_set */
   _upl_class_state_t classes[UPL_CLASS_NUM];
 };
 
@@ -46,6 +44,7 @@
 {
   upl_hold_t *h = talloc_zero (ctx, upl_hold_t);
   h->seq = base;
+  h->demand_ms = UPL_DEMAND_MS;
   for (int c = 0; c < UPL_CLASS_NUM; c++)
     {
       _upl_class_state_t *s = &h->classes[c];
@@ -56,6 +55,12 @@
   return h;
 }
 
+void
+upl_hold_demand_set (upl_hold_t *h, clk_ms_t ms)
+{
+  h->demand_ms = ms;
+}
+
 void
 upl_hold_want (upl_hold_t *h, clk_ms_t now, upl_class_t class)
 {
@@ -93,7 +98,7 @@
   const _upl_class_state_t *s = &h->classes[class];
   uint32_t have = upl_hold_tokens (h, now, class);
   uint32_t need = MIN (1 + s->taken, UPL_ASK_TOKENS_MAX);
-  if (now - s->wanted_at >= UPL_DEMAND_MS)
+  if (now - s->wanted_at >= h->demand_ms)
     return 0;
   return need > have ? need - have : 0;
 }
@@ -132,7 +137,7 @@
 {
   if (upl_hold_tokens (h, now, class) == 0)
     return CLK_NEVER;
-  return h->classes[class].wanted_at + UPL_DEMAND_MS;
+  return h->classes[class].wanted_at + h->demand_ms;
 }
 
 clk_ms_t
--- a/src/core/upl_hold.h
+++ b/src/core/upl_hold.h
@@ -28,6 +28,14 @@
  * (env_number_base). */
 upl_hold_t *upl_hold_setup (void *ctx, uint64_t base);
 
+/** Time for which a VM goes on to ask after a request could use a token. */
+#define UPL_DEMAND_MS ((clk_ms_t)300)
+
+/** From now on the VM goes on to ask for MS after a request could use a token,
+ * and tokens that nobody has wanted for so long go back; UPL_DEMAND_MS at
+ * first. */
+void upl_hold_demand_set (upl_hold_t *h, clk_ms_t ms);
+
 /** A request of CLASS could use a token NOW. */
 void upl_hold_want (upl_hold_t *h, clk_ms_t now, upl_class_t class);
 
--- a/src/core/upl_mint.c
+++ b/src/core/upl_mint.c
@@ -38,7 +38,7 @@
 struct upl_mint
 {
   lbk_t *buckets[UPL_CLASS_NUM];
-  double per_s; /**< that it mints for online requests; negative: not set */
+  upl_plan_t plan;             /**< what it mints; per_s negative: not set */
   GQueue lines[UPL_CLASS_NUM]; /**< _upl_waiter_t, first in line first */
 };
 
@@ -54,7 +54,7 @@
 upl_mint_setup (void *ctx)
 {
   upl_mint_t *m = talloc_zero (ctx, upl_mint_t);
-  m->per_s = -1;
+  m->plan.per_s = -1;
   for (int c = 0; c < UPL_CLASS_NUM; c++)
     {
       m->buckets[c] = lbk_setup (m);
@@ -79,20 +79,51 @@
                 _upl_millionths (fmin (burst, UPL_PER_S_MAX)));
 }
 
-void
-upl_mint_set (upl_mint_t *m, clk_ms_t now, double per_s, double share)
+upl_plan_t
+upl_plan_limit (double per_s)
 {
   double limit = fmin (per_s, UPL_PER_S_MAX);
-  double rate = limit * share;
   double left = UPL_WINDOW_S * (UPL_FACTOR - 1 - UPL_ITEM_PART) * limit
                 + UPL_SLACK - UPL_ITEM_BURST;
-  if (rate == m->per_s)
+  return (upl_plan_t){ .per_s = limit,
+                       .burst = UPL_BURST_PART * left,
+                       .item_per_s = UPL_ITEM_PART * limit,
+                       .item_burst = UPL_ITEM_BURST };
+}
+
+upl_plan_t
+upl_plan_lower (const upl_plan_t *a, const upl_plan_t *b)
+{
+  return (upl_plan_t){ .per_s = fmin (a->per_s, b->per_s),
+                       .burst = fmin (a->burst, b->burst),
+                       .item_per_s = fmin (a->item_per_s, b->item_per_s),
+                       .item_burst = fmin (a->item_burst, b->item_burst) };
+}
+
+void
+upl_mint_plan_set (upl_mint_t *m, clk_ms_t now, const upl_plan_t *plan,
+                   double share)
+{
+  upl_plan_t part = { .per_s = share * plan->per_s,
+                      .burst = share * plan->burst,
+                      .item_per_s = share * plan->item_per_s,
+                      .item_burst = plan->item_burst };
+  if (part.per_s == m->plan.per_s && part.burst == m->plan.burst
+      && part.item_per_s == m->plan.item_per_s
+      && part.item_burst == m->plan.item_burst)
     return;
-  for (int c = 0; c < UPL_CLASS_NUM && rate < m->per_s; c++)
+  for (int c = 0; c < UPL_CLASS_NUM && part.per_s < m->plan.per_s; c++)
     _upl_bucket_set (m, now, (upl_class_t)c, 0, 0);
-  _upl_bucket_set (m, now, UPL_ONLINE, rate, UPL_BURST_PART * share * left);
-  _upl_bucket_set (m, now, UPL_ITEM, UPL_ITEM_PART * rate, UPL_ITEM_BURST);
-  m->per_s = rate;
+  _upl_bucket_set (m, now, UPL_ONLINE, part.per_s, part.burst);
+  _upl_bucket_set (m, now, UPL_ITEM, part.item_per_s, part.item_burst);
+  m->plan = part;
+}
+
+void
+upl_mint_set (upl_mint_t *m, clk_ms_t now, double per_s, double share)
+{
+  upl_plan_t plan = upl_plan_limit (per_s);
+  upl_mint_plan_set (m, now, &plan, share);
 }
 
 static GList *
@@ -237,17 +268,28 @@
   return (clk_ms_t)fmin (ceil (missing / per_s * CLK_SECOND), CLK_MINUTE);
 }
 
-/** Tokens a second of CLASS. */
+/** Whether items get only tokens that online requests leave. */
+static bool
+_upl_items_get_rest (const upl_mint_t *m)
+{
+  return m->plan.item_per_s <= 0;
+}
+
+/** Tokens a second of CLASS, at most. */
 static double
 _upl_per_s (const upl_mint_t *m, upl_class_t class)
 {
-  return class == UPL_ITEM ? UPL_ITEM_PART * m->per_s : m->per_s;
+  return class == UPL_ITEM && !_upl_items_get_rest (m) ? m->plan.item_per_s
+                                                       : m->plan.per_s;
 }
 
 /** Time until the first N in line of CLASS have been served. */
 static clk_ms_t
 _upl_wait (const upl_mint_t *m, upl_class_t class, int64_t n)
 {
+  if (class == UPL_ITEM && _upl_items_get_rest (m))
+    return _upl_until (m->buckets[UPL_ONLINE], m->plan.per_s,
+                       _upl_item_needs (m) + (n - 1) * LBK_TOKEN);
   return _upl_until (m->buckets[class], _upl_per_s (m, class), n * LBK_TOKEN);
 }
 
--- a/src/core/upl_mint.h
+++ b/src/core/upl_mint.h
@@ -12,10 +12,11 @@
  * in line by the time of its first ask.  Online requests get all that the
  * upstream names; items get a small part beside, and what online requests
  * leave, while none of these waits.  Both together stay within what the users'
- * rule allows in any window. An ask must be repeated within UPL_ASK_MS or it
- * lapses.  Tokens are loans of UPL_LOAN_MS, counted at the borrower from its
- * ask (lim_bucket.h), so that none is used twice and lost ones are minted
- * again.
+ * rule allows in any window.  A plan (upl_plan_t) holds these rates; of the
+ * plans of two rules, upl_plan_lower keeps both.  An ask must be repeated
+ * within UPL_ASK_MS or it lapses.  Tokens are loans of UPL_LOAN_MS, counted at
+ * the borrower from its ask (lim_bucket.h), so that none is used twice and
+ * lost ones are minted again.
  *
  * A mint begins empty, because it does not know what was sent before.  It
  * sends nothing and reads no clock.  Times are in milliseconds, rates in
@@ -71,13 +72,35 @@
   clk_ms_t gap_ms;  /**< between two of its tokens; 0: not known */
 } upl_turn_t;
 
+/** What a mint gives out.  In any window of W seconds that is at most
+ * (per_s + item_per_s) x W + burst + item_burst requests. */
+typedef struct
+{
+  double per_s;      /**< tokens a second for online requests */
+  double burst;      /**< of these, how many are saved up or on loan */
+  double item_per_s; /**< tokens a second for items alone; 0: items get only
+                          what online requests leave */
+  double item_burst; /**< of these, how many are saved up or on loan */
+} upl_plan_t;
+
+/** The plan that keeps the users' rule for an upstream that names the limit
+ * PER_S. */
+upl_plan_t upl_plan_limit (double per_s);
+
+/** A plan that keeps to both A and B. */
+upl_plan_t upl_plan_lower (const upl_plan_t *a, const upl_plan_t *b);
+
 typedef struct upl_mint upl_mint_t;
 
 /** An empty mint, owned by CTX, that gives out nothing. */
 upl_mint_t *upl_mint_setup (void *ctx);
 
-/** From NOW on gives out SHARE (0 to 1) of PER_S.  A lower rate than before
+/** From NOW on gives out SHARE (0 to 1) of PLAN.  A lower rate than before
  * forfeits what has not been given out. */
+void upl_mint_plan_set (upl_mint_t *m, clk_ms_t now, const upl_plan_t *plan,
+                        double share);
+
+/** The same with the plan of the limit PER_S. */
 void upl_mint_set (upl_mint_t *m, clk_ms_t now, double per_s, double share);
 
 /** Puts the VM of ASK in line, or replaces its last ask of that class. */
