pfm: decode the cold times and rates of upstreams

Cause: coldStartS and coldPerS of a service and the header Cold-Ms were not read; coldRemainingMs of an entry was cast to an integer unchecked, undefined for a huge number.

Change: cfg_deployment_t, ev_upstream_t.cold and the settings [upstreams] cold_overshoot and cold_slack hold them. A number that is negative or above one hour is told apart from none, so that the last good value can be kept; no document or entry is refused that was accepted before, and an entry whose coldRemainingMs is no number is refused as before. Header values of a 421 do not count.

--- a/src/core/cfg.h
+++ b/src/core/cfg.h
@@ -71,10 +71,15 @@
   const char *name;
   const char *owner;
   cfg_deployment_kind_t kind;
-  bool checks_fencing; /**< engines refuse outdated fencing numbers */
-  const char *model;   /**< model that engines load by order; "": fixed */
-  uint32_t slots;      /**< requests that one upstream runs at a time */
-  cfg_stream_t stream; /**< has no key in the text, see cfg_doc_assemble */
+  bool checks_fencing;    /**< engines refuse outdated fencing numbers */
+  const char *model;      /**< model that engines load by order; "": fixed */
+  uint32_t slots;         /**< requests that one upstream runs at a time */
+  cfg_stream_t stream;    /**< has no key in the text, see cfg_doc_assemble */
+  clk_ms_t cold_start_ms; /**< an upstream is cold for so long after it starts;
+                               0: not given; negative: no meaning.  Has no key
+                               in the text, like the next field */
+  double cold_per_s; /**< requests a second that a cold upstream takes; 0: not
+                          given; negative: no meaning */
 } cfg_deployment_t;
 
 /** [upstream NAME] */
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -128,6 +128,27 @@
   const char *text; /**< EV_LIMIT_MALFORMED: the value, for logs */
 } ev_limit_t;
 
+/** What the head of a response says about the time for which its upstream is
+ * cold. */
+typedef enum
+{
+  EV_COLD_UNKNOWN,   /**< nothing, or another upstream has answered */
+  EV_COLD_STATED,    /**< ev_cold_t.ms is the remaining time */
+  EV_COLD_MALFORMED, /**< it gives a time that has no meaning */
+} ev_cold_kind_t;
+
+/** For how much longer an upstream is cold. */
+typedef struct
+{
+  ev_cold_kind_t kind;
+  clk_ms_t ms;      /**< EV_COLD_STATED: from 0 to EV_COLD_MS_MAX */
+  const char *text; /**< EV_COLD_MALFORMED: the value, for logs */
+} ev_cold_t;
+
+/** Longest cold time that an upstream may state; a longer one is an error of
+ * the upstream. */
+#define EV_COLD_MS_MAX CLK_HOUR
+
 /** Progress of an upstream call. */
 typedef struct
 {
@@ -141,6 +162,7 @@
   bool leaving;         /**< EV_UPSTREAM_HEAD: the upstream says in it that it
                              is leaving */
   ev_limit_t limit;     /**< EV_UPSTREAM_HEAD */
+  ev_cold_t cold;       /**< EV_UPSTREAM_HEAD */
   bool close_delimited; /**< EV_UPSTREAM_HEAD: the body has neither a length
                              nor chunks and ends with its connection, so that
                              a body cut short may look complete */
@@ -184,7 +206,9 @@
   bool deleted;        /**< WATCH: the entry was deleted */
   bool unusable;       /**< the entry stands in the list and describes no
                             upstream */
-  clk_ms_t cold_ms;    /**< remaining warm-up time; slow until then */
+  clk_ms_t cold_ms;    /**< for how much longer it is cold, up to
+                            EV_COLD_MS_MAX; negative: a number without a
+                            meaning */
   uint64_t born;       /**< Unix time in ms of the upstream's start; 0: not
                             known */
   const char *version; /**< of the upstream's software; NULL: not known */
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -39,6 +39,8 @@
   { "limits", "overshoot" },
   { "limits", "requests" },
   { "platform", "history_s" },
+  { "upstreams", "cold_overshoot" },
+  { "upstreams", "cold_slack" },
   { "log", "level" },
   { "log", "format" },
 };
@@ -216,6 +218,15 @@
                                         "requests, from 0 to 1000000");
 }
 
+static void
+_set_read_upstreams (_set_load_t *l)
+{
+  l->set->cold_overshoot = _set_number (l, "upstreams", "cold_overshoot", 100,
+                                        "a factor, from 0 to 100");
+  l->set->cold_slack = _set_number (l, "upstreams", "cold_slack", 1e6,
+                                    "requests, from 0 to 1000000");
+}
+
 static void
 _set_read_seed (_set_load_t *l)
 {
@@ -295,6 +306,7 @@
   _set_read_secrets (l);
   _set_read_log (l);
   _set_read_limits (l);
+  _set_read_upstreams (l);
   l->set->history_ms
       = (int64_t)(_set_number (l, "platform", "history_s", 86400,
                                "seconds, from 0 to 86400")
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -10,6 +10,7 @@
  *        secret_file, network, operator_token_file, data_folder, seed
  *   [platform] address, configuration, history_s
  *   [limits] window_s, overshoot, requests
+ *   [upstreams] cold_overshoot, cold_slack
  *   [log] level, format
  *
  * The file is read at start and again on SIGHUP.  Use the file for values that
@@ -51,6 +52,10 @@
   double limit_overshoot;  /**< excess that is permitted in a window, as a
                                 fraction of what rate and burst allow */
   double limit_requests;   /**< number of requests permitted in addition */
+  double cold_overshoot;   /**< factor of the rate of a cold upstream that it
+                                may get in any second; 0: no upstream is
+                                treated as cold */
+  double cold_slack;       /**< number of requests permitted in addition */
   const char *log_level;   /**< debug, info, warning or error */
   bool log_json;           /**< false: plain text */
   uint32_t seed; /**< seed of the random numbers; 0: from the clock */
--- /dev/null
+++ b/tests/test_pfm_cold.c
@@ -0,0 +1,164 @@
+/** @file
+ * Platform formats of cold upstreams: services, entries, the header and the
+ * settings; numbers without a meaning are told apart from none.
+ */
+#include "io/set.h"
+#include "platform/pfm.h"
+#include "tst.h"
+
+#include <glib.h>
+#include <talloc.h>
+#include <unistd.h>
+
+static const cfg_deployment_t *
+_service (void *ctx, const char *fields)
+{
+  const ev_document_t *d = pfm_document_parse (
+      ctx,
+      buf_str (talloc_asprintf (
+          ctx, "{\"version\":1,\"services\":[{\"name\":\"s\"%s}]}", fields)));
+  return d == NULL ? NULL : d->parts->deployments;
+}
+
+/* Guards against a document that is refused, or a rate that is taken, for a
+ * number without a meaning. */
+static void
+test_services (void)
+{
+  void *ctx = talloc_new (NULL);
+  const cfg_deployment_t *s
+      = _service (ctx, ",\"coldStartS\":20.5,\"coldPerS\":15");
+  TST_NEED (s != NULL);
+  CU_ASSERT_EQUAL (s->cold_start_ms, 20500);
+  CU_ASSERT_EQUAL (s->cold_per_s, 15);
+  s = _service (ctx, "");
+  TST_NEED (s != NULL);
+  CU_ASSERT (s->cold_start_ms == 0 && s->cold_per_s == 0);
+  static const char *const bad[] = { "-1", "\"15\"", "1e300", "null", "[]" };
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      s = _service (ctx,
+                    talloc_asprintf (ctx, ",\"coldStartS\":%s,\"coldPerS\":%s",
+                                     bad[i], bad[i]));
+      TST_NEED (s != NULL);
+      CU_ASSERT (s->cold_start_ms < 0 && s->cold_per_s < 0);
+    }
+  talloc_free (ctx);
+}
+
+/* Guards against an entry that is refused for a negative or huge cold time,
+ * and against one that counts as warm, or cold for ever. */
+static void
+test_entries (void)
+{
+  static const struct
+  {
+    const char *text;
+    clk_ms_t ms;
+  } cases[] = { { "0", 0 },        { "40.7", 40 },   { "3600000", 3600000 },
+                { "3600001", -1 }, { "-1", -1 },     { "-0.0", 0 },
+                { "1e300", -1 },   { "-1e300", -1 }, { "9e18", -1 } };
+  void *ctx = talloc_new (NULL);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      json_t *spec = json_loads (
+          talloc_asprintf (ctx,
+                           "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                           "\"zone\":\"z\",\"state\":\"ready\","
+                           "\"coldRemainingMs\":%s}",
+                           cases[i].text),
+          0, NULL);
+      ev_upstream_entry_t e = pfm_upstream_entry_decode (ctx, "i-1", spec);
+      CU_ASSERT (!e.deleted);
+      CU_ASSERT_EQUAL (e.cold_ms, cases[i].ms);
+      json_decref (spec);
+    }
+  talloc_free (ctx);
+}
+
+static ev_cold_t
+_said (void *ctx, int status, const char *first, const char *second)
+{
+  http_header_t v[] = { { "cold-ms", first }, { "Cold-Ms", second } };
+  ev_upstream_t u = { .status = status,
+                      .headers = { .v = v, .n = second == NULL ? 1 : 2 } };
+  pfm_response_decode (ctx, &u);
+  return u.cold;
+}
+
+/* Guards against a header without a meaning that counts as warm, or as cold
+ * for ever, and against what another upstream says (421). */
+static void
+test_header (void)
+{
+  static const char *const bad[]
+      = { "", "-1", "+5", "nan", "inf", "0x10", "12s", "1e300", "3600001" };
+  void *ctx = talloc_new (NULL);
+  ev_cold_t c = _said (ctx, 200, "1500", NULL);
+  CU_ASSERT_EQUAL (c.kind, EV_COLD_STATED);
+  CU_ASSERT_EQUAL (c.ms, 1500);
+  CU_ASSERT_EQUAL (_said (ctx, 503, "0", "0").kind, EV_COLD_STATED);
+  CU_ASSERT_EQUAL (_said (ctx, 200, "0", "9").kind, EV_COLD_MALFORMED);
+  CU_ASSERT_EQUAL (_said (ctx, 421, "1500", NULL).kind, EV_COLD_UNKNOWN);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CU_ASSERT_EQUAL (_said (ctx, 200, bad[i], NULL).kind, EV_COLD_MALFORMED);
+  ev_upstream_t none = { .status = 200 };
+  pfm_response_decode (ctx, &none);
+  CU_ASSERT_EQUAL (none.cold.kind, EV_COLD_UNKNOWN);
+  talloc_free (ctx);
+}
+
+/* Guards against a VM that does not start where the platform has no such
+ * bounds, which leaves the settings empty. */
+static void
+test_settings (void)
+{
+  static const struct
+  {
+    const char *text;
+    double overshoot, slack; /* overshoot negative: refused */
+  } cases[] = {
+    { "", 0, 0 },
+    { "[upstreams]\ncold_overshoot =\ncold_slack =\n", 0, 0 },
+    { "[upstreams]\ncold_overshoot = 1.5\ncold_slack = 5\n", 1.5, 5 },
+    { "[upstreams]\ncold_overshoot = -1\n", -1, 0 },
+    { "[upstreams]\ncold_slack = many\n", -1, 0 },
+  };
+  void *ctx = talloc_new (NULL);
+  char *file = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &file, NULL);
+  TST_NEED (fd >= 0);
+  (void)close (fd);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      char *faults = NULL;
+      char *text = talloc_asprintf (
+          ctx,
+          "[vm]\nname = a\ndata_centre = x\nlisten = 10.0.0.1:80\n"
+          "peer_listen = 10.0.0.1:81\nnetwork = closed\n"
+          "[platform]\naddress = 10.0.0.2:80\n%s",
+          cases[i].text);
+      CU_ASSERT (g_file_set_contents (file, text, -1, NULL));
+      const set_t *set = set_load (ctx, file, &faults);
+      CU_ASSERT_EQUAL (set != NULL, cases[i].overshoot >= 0);
+      if (set == NULL)
+        continue;
+      CU_ASSERT_EQUAL (set->cold_overshoot, cases[i].overshoot);
+      CU_ASSERT_EQUAL (set->cold_slack, cases[i].slack);
+    }
+  (void)unlink (file);
+  g_free (file);
+  talloc_free (ctx);
+}
+
+int
+main (void)
+{
+  static const tst_case_t cases[] = {
+    { "services", test_services },
+    { "entries", test_entries },
+    { "header", test_header },
+    { "settings", test_settings },
+  };
+  return tst_run ("pfm_cold", cases, sizeof cases / sizeof cases[0]);
+}
