dir: pass on cold times without a new document

Cause: the entry of a cold upstream changes at each heartbeat; what changes an entry rebuilds the whole document.

Change: a changed cold time alone is queued and taken with dir_cold_pop, with the time at which it was received; the same time received again is no news, so that a list that is read anew does not prolong it. A reader hands it on in the flags of an entry from bit 8 on, which VMs of earlier versions ignore.

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -20,6 +20,9 @@
   cfg_upstream_t upstream;
   bool listed;         /**< seen while reading the list */
   clk_ms_t expires_at; /**< in use until then; CLK_NEVER: still listed */
+  clk_ms_t cold_ms;    /**< as in ev_upstream_entry_t */
+  clk_ms_t cold_at;    /**< when that was received */
+  bool cold_news;      /**< that was not taken yet */
 } _dir_entry_t;
 
 static void
@@ -32,6 +35,7 @@
 _dir_destroy (dir_t *d)
 {
   g_hash_table_destroy (d->entries);
+  g_queue_clear_full (&d->cold_news, g_free);
   return 0;
 }
 
@@ -249,6 +253,42 @@
          && strcmp (a->data_centre, b->data_centre) == 0;
 }
 
+/* Note the cold time that ENTRY gives for E. */
+static void
+_dir_cold_note (dir_t *d, const env_t *env, _dir_entry_t *e,
+                const ev_upstream_entry_t *entry)
+{
+  if (entry->cold_ms == e->cold_ms)
+    return;
+  e->cold_ms = entry->cold_ms;
+  e->cold_at = env->now;
+  if (!e->cold_news)
+    g_queue_push_tail (&d->cold_news, g_strdup (entry->name));
+  e->cold_news = true;
+}
+
+bool
+dir_cold_pop (dir_t *d, dir_cold_t *cold)
+{
+  while (!d->dirty && d->doc != NULL)
+    {
+      char *name = g_queue_pop_head (&d->cold_news);
+      if (name == NULL)
+        return false;
+      _dir_entry_t *e = g_hash_table_lookup (d->entries, name);
+      g_free (name);
+      if (e == NULL || !e->cold_news)
+        continue;
+      e->cold_news = false;
+      *cold = (dir_cold_t){ .upstream = e->upstream.name,
+                            .born = e->upstream.born,
+                            .ms = e->cold_ms,
+                            .at = e->cold_at };
+      return true;
+    }
+  return false;
+}
+
 static void
 _dir_entry_update (dir_t *d, env_t *env, const ev_upstream_entry_t *entry)
 {
@@ -269,6 +309,7 @@
     {
       e->listed = true;
       e->expires_at = CLK_NEVER;
+      _dir_cold_note (d, env, e, entry);
       return;
     }
   e = talloc_zero (d, _dir_entry_t);
@@ -293,6 +334,7 @@
               entry->version == NULL ? "" : entry->version,
               (long long)_dir_list_age (d, env));
   g_hash_table_replace (d->entries, (gpointer)(uintptr_t)e->upstream.name, e);
+  _dir_cold_note (d, env, e, entry);
   d->dirty = true;
 }
 
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -40,7 +40,8 @@
    * upstreams), u64 whether it can be read, u64 revision before, u64 revision
    * after, u64 age of the last failed call and 1, 0: none; then for each
    * upstream that has changed: str name, u64 flags (1 leaving, 2 deleted, 4
-   * unusable), str deployment, str data centre, str address, u64 start, str
+   * unusable, 8 cold time without a meaning; from bit 8 on the remaining cold
+   * time in ms), str deployment, str data centre, str address, u64 start, str
    * version. */
   MSG_DIRECTORY_HANDED,
 } dir_msg_t;
@@ -93,6 +94,20 @@
  * whether they have.  Returns false before the first operator's document. */
 bool dir_changed (dir_t *d, env_t *env);
 
+/** What the list says of the cold time of an upstream. */
+typedef struct
+{
+  const char *upstream; /**< valid until the next call of the directory */
+  uint64_t born;        /**< as in cfg_upstream_t */
+  clk_ms_t ms;          /**< as in ev_upstream_entry_t.cold_ms */
+  clk_ms_t at;          /**< when it was received */
+} dir_cold_t;
+
+/** Takes the next cold time that has changed; false: there is none, or the
+ * document in force lacks its upstream.  Each heartbeat of a cold upstream
+ * changes it, so it is not a part of the document. */
+bool dir_cold_pop (dir_t *d, dir_cold_t *cold);
+
 /** When the list of upstreams, or a change of it, was last received;
  * CLK_NEVER: never, or the document in force lacks that change. */
 clk_ms_t dir_listed_at (const dir_t *d);
--- a/src/core/dir_follow.c
+++ b/src/core/dir_follow.c
@@ -46,8 +46,13 @@
   DIR_ENTRY_LEAVING = 1,
   DIR_ENTRY_DELETED = 2,
   DIR_ENTRY_UNUSABLE = 4,
+  DIR_ENTRY_COLD_BAD = 8, /**< the cold time has no meaning */
 };
 
+/** First bit of an entry's flags that holds its cold time, so that VMs that do
+ * not know it ignore it. */
+#define DIR_ENTRY_COLD_SHIFT 8
+
 /** A message about one list. */
 typedef struct
 {
@@ -87,6 +92,22 @@
   return reader == NULL || strcmp (reader, env->vm) == 0 ? 0 : DIR_GRACE_MS;
 }
 
+/** The flags of the cold time MS. */
+static uint64_t
+_dir_cold_flags (clk_ms_t ms)
+{
+  return ms < 0 ? DIR_ENTRY_COLD_BAD : (uint64_t)ms << DIR_ENTRY_COLD_SHIFT;
+}
+
+/** The cold time in FLAGS; -1: it has no meaning. */
+static clk_ms_t
+_dir_cold_ms (uint64_t flags)
+{
+  uint64_t ms = flags >> DIR_ENTRY_COLD_SHIFT;
+  bool bad = (flags & DIR_ENTRY_COLD_BAD) != 0 || ms > EV_COLD_MS_MAX;
+  return bad ? -1 : (clk_ms_t)ms;
+}
+
 static void
 _dir_entry_put (mpk_writer_t *w, const ev_upstream_entry_t *e)
 {
@@ -94,7 +115,8 @@
   mpk_put_str (w, buf_str (e->name));
   mpk_put_uint (w, (e->leaving ? DIR_ENTRY_LEAVING : 0U)
                        | (e->deleted ? DIR_ENTRY_DELETED : 0U)
-                       | (e->unusable ? DIR_ENTRY_UNUSABLE : 0U));
+                       | (e->unusable ? DIR_ENTRY_UNUSABLE : 0U)
+                       | _dir_cold_flags (e->cold_ms));
   mpk_put_str (w, buf_str (described ? e->deployment : ""));
   mpk_put_str (w, buf_str (described ? e->data_centre : ""));
   mpk_put_str (w, buf_str (described ? e->address : ""));
@@ -236,6 +258,7 @@
   e.leaving = (flags & DIR_ENTRY_LEAVING) != 0;
   e.deleted = (flags & DIR_ENTRY_DELETED) != 0;
   e.unusable = (flags & DIR_ENTRY_UNUSABLE) != 0;
+  e.cold_ms = _dir_cold_ms (flags);
   return e;
 }
 
--- a/tests/dfb.c
+++ b/tests/dfb.c
@@ -193,6 +193,7 @@
                                 .data_centre = "dc-0",
                                 .address = "10.0.1.1:80",
                                 .born = 100 + i,
+                                .cold_ms = DFB_COLD_MS (i),
                                 .version = "v1",
                                 .deleted = !listed };
 }
--- a/tests/dfb.h
+++ b/tests/dfb.h
@@ -22,6 +22,8 @@
 #define DFB_LINK_MS ((clk_ms_t)2)
 #define DFB_UPSTREAMS 12
 #define DFB_VMS_MAX 320
+/** Cold time that the list gives for upstream I. */
+#define DFB_COLD_MS(i) ((clk_ms_t)(1000 * ((i) + 1)))
 
 typedef struct dfb dfb_t;
 
--- a/tests/test_dir.c
+++ b/tests/test_dir.c
@@ -185,6 +185,40 @@
   env_shutdown (fixture.env);
 }
 
+/* Guards against a document that is rebuilt at each heartbeat of a cold
+ * upstream, and against a cold time that is lost or counted twice. */
+static void
+test_cold_time_does_not_rebuild (void)
+{
+  static const clk_ms_t beats[] = { 20000, 18800, 18800, -1, 0 };
+  fixture_t fixture = _fixture ();
+  char name[16];
+  ev_upstream_entry_t e = _entry (1, name, sizeof name);
+  cfg_doc_t parts = { 0 };
+  dir_cold_t cold;
+  clk_ms_t last = 0;
+  dir_document_decoded (fixture.dir, fixture.env,
+                        &(ev_document_t){ .version = 7, .parts = &parts });
+  for (size_t i = 0; i < sizeof beats / sizeof beats[0]; i++)
+    {
+      e.cold_ms = beats[i];
+      _reply (&fixture, &(ev_platform_t){ .revision = 5 + i,
+                                          .entries = &e,
+                                          .entry_count = 1 });
+      if (i == 0)
+        CU_ASSERT (!dir_cold_pop (fixture.dir, &cold));
+      CU_ASSERT_EQUAL (dir_changed (fixture.dir, fixture.env), i == 0);
+      bool news = dir_cold_pop (fixture.dir, &cold);
+      CU_ASSERT_EQUAL (news, beats[i] != last);
+      if (news)
+        CU_ASSERT (cold.ms == beats[i] && cold.at == fixture.env->now);
+      CU_ASSERT (!dir_cold_pop (fixture.dir, &cold));
+      last = beats[i];
+      _time_advance (&fixture, 1200);
+    }
+  env_shutdown (fixture.env);
+}
+
 /* -- peers ----------------------------------------------------------------
  */
 
@@ -283,6 +317,7 @@
       test_paged_list_is_watched_from_its_first_page },
     { "unusable_entry_ends_the_upstream_at_once",
       test_unusable_entry_ends_the_upstream_at_once },
+    { "cold_time_does_not_rebuild", test_cold_time_does_not_rebuild },
     { "each_peer_with_a_newer_document_is_asked",
       test_each_peer_with_a_newer_document_is_asked },
     { "older_version_is_answered", test_older_version_is_answered },
--- a/tests/test_dir_follow.c
+++ b/tests/test_dir_follow.c
@@ -7,6 +7,7 @@
 #include "tst.h"
 
 #include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
 #define START_MS (20 * CLK_SECOND)
@@ -189,6 +190,41 @@
   dfb_shutdown (b);
 }
 
+/* The cold time that VM has last heard of upstream NAME; -2: none since. */
+static clk_ms_t
+cold_heard (dfb_t *b, size_t vm, const char *name)
+{
+  dir_cold_t cold;
+  clk_ms_t ms = -2;
+  (void)dir_changed (dfb_dir (b, vm), dfb_env (b, vm));
+  while (dir_cold_pop (dfb_dir (b, vm), &cold))
+    if (strcmp (cold.upstream, name) == 0)
+      ms = cold.ms;
+  return ms;
+}
+
+/* Guards against a cold time that the reader does not hand on, and against a
+ * huge one of a peer. */
+static void
+test_cold_times_are_handed_on (void)
+{
+  dfb_t *b = setup (20, 2);
+  void *tmp = talloc_new (NULL);
+  size_t reader = dfb_reader (b, 0);
+  size_t vm = reader == 0 ? 2 : 0;
+  dfb_upstream_set (b, 1, false);
+  dfb_run (b, BOUND_MS);
+  CU_ASSERT_EQUAL (cold_heard (b, vm, "up-1"), -2);
+  dfb_upstream_set (b, 1, true);
+  dfb_run (b, BOUND_MS);
+  CU_ASSERT_EQUAL (cold_heard (b, vm, "up-1"), DFB_COLD_MS (1));
+  dfb_message (b, vm, reader, MSG_DIRECTORY_HANDED,
+               message (tmp, 1, 1000, "up-1", UINT64_MAX & ~UINT64_C (0xff)));
+  CU_ASSERT_EQUAL (cold_heard (b, vm, "up-1"), -1);
+  talloc_free (tmp);
+  dfb_shutdown (b);
+}
+
 int
 main (void)
 {
@@ -201,6 +237,7 @@
     { "reader_gets_no_answers", test_reader_gets_no_answers },
     { "reader_is_cut_off", test_reader_is_cut_off },
     { "bad_messages_change_nothing", test_bad_messages_change_nothing },
+    { "cold_times_are_handed_on", test_cold_times_are_handed_on },
   };
   return tst_run ("dir_follow", cases, sizeof cases / sizeof cases[0]);
 }
