rte: bound what a cold upstream gets by its tokens

Change: where the settings and the service name the bound, an upstream is cold by its entry, its header Cold-Ms (responses and load reports) or its start, and its limit is the lower of what it names and of the plan of cld. It costs no RTE_LIMITED_MS, so that its capacity is used. What an upstream says of itself goes to the VM with the mint and from there to the VMs that use it (MSG_ROUTE_COLD), so that all know before the list does. A VM that takes over the mint of a cold upstream gives out nothing for 600 ms, as loans of the last one live for 500 ms. A cold time or rate without a meaning keeps the last good one and is logged once. Counters and lines: cold-begins, cold-ends, cold-malformed, cold-rate-malformed; status shows cold_ms.

--- a/src/core/node.h
+++ b/src/core/node.h
@@ -41,6 +41,8 @@
   const char *operator_token_sha256; /**< lower-case hex; NULL: no operator */
   node_source_t source;
   lsl_desc_t limit_slack; /**< by how much rates may be exceeded */
+  double cold_overshoot;  /**< as in rte_desc_t */
+  double cold_slack;      /**< as in rte_desc_t */
   clk_ms_t history_ms; /**< time for which the platform keeps its history; 0:
                             not known */
   bool worker;         /**< runs batch items, serves no callers */
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -97,6 +97,8 @@
   n->rte = rte_setup (
       n, &(rte_desc_t){ .members = n->mbr,
                         .crashes = n->crs,
+                        .cold_overshoot = desc->cold_overshoot,
+                        .cold_slack = desc->cold_slack,
                         .report_ms = platform ? NODE_LOAD_REPORT_MS : 0,
                         .no_cache_events = platform });
   n->crd = crd_setup (n, &(crd_desc_t){ 0 });
@@ -497,6 +499,15 @@
   job_pump (n->job, n->env);
 }
 
+/** Passes the cold times of the list on to the router. */
+static void
+_node_cold_forward (node_t *n)
+{
+  dir_cold_t cold;
+  while (n->dir != NULL && dir_cold_pop (n->dir, &cold))
+    rte_listed_cold (n->rte, n->env, &cold);
+}
+
 bool
 node_mods_drain (node_t *n)
 {
@@ -517,6 +528,7 @@
       = n->dir != NULL ? dir_changed (n->dir, n->env) : cfs_changed (n->cfs);
   if (changed)
     _node_config_changed (n);
+  _node_cold_forward (n);
   n->configured = n->configured || changed;
   bool starts = n->state == NODE_STARTING;
   bool serves = n->configured && node_is_informed (n);
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -307,6 +307,11 @@
   g_hash_table_iter_init (&iter, r->deployments);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_ptr_array_set_size (((rte_deployment_t *)value)->upstreams, 0);
+  for (size_t i = 0; i < doc->deployment_count && r->desc.cold_overshoot > 0;
+       i++)
+    rte_cold_deployment_set (r, env,
+                             _rte_deployment_get (r, doc->deployments[i].name),
+                             &doc->deployments[i]);
   for (size_t i = 0; i < doc->upstream_count; i++)
     {
       const cfg_upstream_t *c = &doc->upstreams[i];
@@ -319,7 +324,9 @@
           = rte_leaving_until (r->leaving_notes, u->name, u->born, env->now);
       u->same_data_centre = strcmp (c->data_centre, env->data_centre) == 0;
       u->slots = dep != NULL ? dep->slots : 0;
-      g_ptr_array_add (_rte_deployment_get (r, c->deployment)->upstreams, u);
+      rte_deployment_t *d = _rte_deployment_get (r, c->deployment);
+      g_ptr_array_add (d->upstreams, u);
+      rte_cold_upstream_set (r, env, u, d);
     }
   g_hash_table_iter_init (&iter, r->deployments);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -538,6 +545,15 @@
     rte_limit_said (r, env, u, limit, f->sent_at, env->now, "answer");
 }
 
+void
+rte_said_cold (rte_t *r, env_t *env, uint64_t handle, const ev_cold_t *cold)
+{
+  rte_upstream_t *u = NULL;
+  const rte_inflight_t *f = _rte_inflight_get (r, handle, &u);
+  if (f != NULL)
+    rte_cold_said (r, env, u, cold, env->now, "answer");
+}
+
 void
 rte_finished (rte_t *r, env_t *env, uint64_t handle)
 {
@@ -651,7 +667,7 @@
           all,
           json_pack (
               "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f, s:f, "
-              "s:s, s:i}",
+              "s:s, s:i, s:I}",
               "upstream", u->name, "deployment", u->deployment, "data_centre",
               u->data_centre, "leaving", rte_gets_nothing_new (u, env->now),
               "suspected", u->health != RTE_WELL, "silent",
@@ -659,7 +675,8 @@
               "in_flight", (int)(u->online + u->batch), "load",
               (int)rte_estimated_load (u, env->now), "slowness",
               rte_slowness (u, env->now), "limit_per_s", limit, "mint",
-              u->mint == NULL ? "" : u->mint, "limit_tokens", (int)tokens));
+              u->mint == NULL ? "" : u->mint, "limit_tokens", (int)tokens,
+              "cold_ms", (json_int_t)rte_cold_ms (r, env, u)));
     }
   char *text = json_dumps (all, JSON_COMPACT);
   char *copy = talloc_strdup (ctx, text);
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -34,6 +34,7 @@
 
 #include "core/cfg.h"
 #include "core/crs.h"
+#include "core/dir.h"
 #include "core/env.h"
 #include "core/ev.h"
 #include "core/mbr.h"
@@ -75,6 +76,10 @@
    * of grants and turns, then for each u64 class, u64 number of the ask, u64
    * tokens, u64 ms until the next one and u64 ms between two. */
   MSG_ROUTE_TOKENS = MSG_ROUTE_FIRST + 5,
+  /** VM to the VM with the mint, and from there to the VMs that use the
+   * upstream: what the upstream has said of its cold time.  For each upstream:
+   * str upstream, u64 its start, u64 remaining ms, u64 ms since it said so. */
+  MSG_ROUTE_COLD = MSG_ROUTE_FIRST + 6,
 } rte_msg_t;
 
 /** Parameters of rte_setup; a zero selects the default. */
@@ -101,6 +106,10 @@
                                 failure; default 500 */
   clk_ms_t suspect_max_ms; /**< upper limit of that time; default 15 s */
   bool no_cache_events;    /**< do not poll upstreams for cache events */
+  double cold_overshoot;   /**< factor of the rate of a cold upstream that it
+                                may get in any second; 0: no upstream is
+                                treated as cold */
+  double cold_slack;       /**< requests that it may get in addition */
 } rte_desc_t;
 
 /** Requirements of one request. */
@@ -210,6 +219,14 @@
 void rte_said_limit (rte_t *r, env_t *env, uint64_t handle,
                      const ev_limit_t *limit);
 
+/** What the head of the response, which came just now, says about the cold
+ * time of the upstream. */
+void rte_said_cold (rte_t *r, env_t *env, uint64_t handle,
+                    const ev_cold_t *cold);
+
+/** What the platform's list says about it. */
+void rte_listed_cold (rte_t *r, env_t *env, const dir_cold_t *cold);
+
 /** A part of the body of a success has come. */
 void rte_progress (rte_t *r, env_t *env, uint64_t handle);
 
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -29,7 +29,8 @@
  * cut ends such a request, but another upstream resumes it. */
 #define RTE_BATCH_DISTANCE_MS 4.0
 /** Added cost of an upstream that names a limit: what it takes is saved up
- * while others have room. */
+ * while others have room.  A cold upstream that names none is used as others
+ * are, since its tokens bound what it gets and lapse unless they are used. */
 #define RTE_LIMITED_MS 50.0
 /** By which one is preferred that has more than is saved up: it lapses unless
  * it is used, and only answers show that a limit has ended. */
@@ -168,7 +169,7 @@
     c.cost_ms -= RTE_HOME_SHARE * (d->miss_ms - d->hit_ms);
   if ((u->state & RTE_BIT_SILENT) != 0)
     c.cost_ms += (double)r->desc.suspect_ms;
-  if (rte_limit_in_force (r, u) != NULL)
+  if (rte_limit_in_force (r, env, u) != NULL && !rte_cold_alone (r, env, u))
     c.cost_ms
         += rte_limit_has_spare (r, env, u) ? -RTE_SPARE_MS : RTE_LIMITED_MS;
   return c;
@@ -244,7 +245,8 @@
   double spare_ms = passed->cost_ms - RTE_LIMITED_MS - RTE_SPARE_MS;
   if (best->upstream == NULL || passed->cost_ms < best->cost_ms)
     rte_limit_want (r, env, passed->upstream, query);
-  else if (!query->batch && spare_ms < best->cost_ms)
+  else if (!query->batch && spare_ms < best->cost_ms
+           && !rte_cold_alone (r, env, passed->upstream))
     rte_limit_want_spare (r, env, passed->upstream);
 }
 
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -381,6 +381,8 @@
     good = rte_preempt_received (r, env, vm, msg, ctx);
   else if (msg->kind == MSG_ROUTE_TOKENS_ASK || msg->kind == MSG_ROUTE_TOKENS)
     good = rte_limit_received (r, env, vm, msg, ctx);
+  else if (msg->kind == MSG_ROUTE_COLD)
+    good = rte_cold_received (r, env, vm, msg, ctx);
   if (!good)
     cnt_add (env->cnt, "rts_route_bad_messages_total", "", 1);
   talloc_free (ctx);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -11,6 +11,8 @@
 #define RTS_RTE_INT_H
 
 #include "core/cht.h"
+#include "core/cld.h"
+#include "core/mpk.h"
 #include "core/rte.h"
 #include "core/tbl.h"
 #include "core/upl.h"
@@ -73,6 +75,7 @@
   bool load_leaving;     /**< the response's head says that the upstream is
                               leaving */
   ev_limit_t load_limit; /**< what the response's head says about a limit */
+  ev_cold_t load_cold;   /**< what it says about the cold time */
   clk_ms_t load_head_at; /**< when that head came */
   uint64_t cache_call;   /**< upstream call of the cache poll; 0: none */
   clk_ms_t cache_at;     /**< when that call was sent */
@@ -129,6 +132,9 @@
   uint64_t born;          /**< as in cfg_upstream_t */
   char *version;          /**< as in cfg_upstream_t */
 
+  clk_ms_t cold_start_ms; /**< of the deployment; 0: not treated as cold */
+  double cold_per_s;      /**< of the deployment; 0: not treated as cold */
+
   clk_ms_t others_at;     /**< when `others` was last updated */
   uint64_t update_count;  /**< number of updates of `others` */
   uint32_t vm_count;      /**< VMs that use this upstream, as the poller
@@ -174,6 +180,9 @@
   double miss_ms; /**< the same when the prefix is not cached */
   double busy_ms; /**< time that a request occupies a slot */
   double bias;    /**< ratio of observed to expected time to first byte */
+  clk_ms_t cold_start_ms; /**< the last one with a meaning; 0: none */
+  double cold_per_s;      /**< the same */
+  bool cold_logged;       /**< one without a meaning was logged */
 } rte_deployment_t;
 
 /** One in-flight request. */
@@ -200,8 +209,14 @@
 /** What this VM knows of the limit of one start of an upstream. */
 typedef struct
 {
-  uint64_t born;         /**< Unix time of the start, in ms; 0: not known */
-  upl_word_t word;       /**< the newest word */
+  uint64_t born;          /**< Unix time of the start, in ms; 0: not known */
+  upl_word_t word;        /**< the newest word */
+  cld_t cold;             /**< whether it is cold */
+  cld_phase_t cold_phase; /**< as it was last logged */
+  bool cold_malformed_logged; /**< a cold time without a meaning was logged */
+  bool cold_untold;           /**< what it has said of it is to be told */
+  clk_ms_t mint_from;    /**< a cold upstream gets tokens of this VM's mint
+                              from then on */
   clk_ms_t used_at;      /**< when an upstream of that start was last listed,
                               or spoke */
   bool reported;         /**< a load report has named a limit, so that one
@@ -306,8 +321,20 @@
 /** The limit of U; NULL: it has not named any. */
 rte_limit_t *rte_limit_find (const rte_t *r, const rte_upstream_t *u);
 
-/** The limit of U if it names one now; NULL: it does not. */
-rte_limit_t *rte_limit_in_force (const rte_t *r, const rte_upstream_t *u);
+/** The limit of U, made when it is first needed; NULL: there are too many, or
+ * a later start of U has spoken. */
+rte_limit_t *rte_limit_get (rte_t *r, const env_t *env,
+                            const rte_upstream_t *u);
+
+/** The limit of U if it names one now, or is cold; NULL: it does not. */
+rte_limit_t *rte_limit_in_force (const rte_t *r, const env_t *env,
+                                 const rte_upstream_t *u);
+
+/** Sets *PLAN to what U, whose limit is L, may be sent now: the lower of what
+ * it names and of what it takes while it is cold.  False: there is no limit.
+ */
+bool rte_limit_plan (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                     const rte_limit_t *l, upl_plan_t *plan);
 
 /** Whether U's limit has room for QUERY, as this VM has a token or U names no
  * limit. */
@@ -340,6 +367,49 @@
 double rte_limit_status (const rte_t *r, const env_t *env,
                          const rte_upstream_t *u, uint32_t *tokens);
 
+/* rte_cold.c: upstreams that are cold. */
+
+/** Takes the cold rate and time of D from the document's DEP; NULL: it has
+ * none. */
+void rte_cold_deployment_set (const rte_t *r, env_t *env, rte_deployment_t *d,
+                              const cfg_deployment_t *dep);
+
+/** Takes those of D for U, and counts U as cold if it has started a moment
+ * ago. */
+void rte_cold_upstream_set (rte_t *r, env_t *env, rte_upstream_t *u,
+                            const rte_deployment_t *d);
+
+/** Whether U, whose limit is L, is cold or has just been; *PLAN receives what
+ * it may be sent. */
+bool rte_cold_plan (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                    const rte_limit_t *l, upl_plan_t *plan);
+
+/** Whether what U may be sent now is bounded for its being cold alone. */
+bool rte_cold_alone (const rte_t *r, const env_t *env,
+                     const rte_upstream_t *u);
+
+/** For how much longer U is cold; 0: it is not. */
+clk_ms_t rte_cold_ms (const rte_t *r, const env_t *env,
+                      const rte_upstream_t *u);
+
+/** Logs that U's cold time has begun or ended, and returns when there is more
+ * to do; CLK_NEVER: at no time. */
+clk_ms_t rte_cold_step (const rte_t *r, env_t *env, const rte_upstream_t *u,
+                        rte_limit_t *l);
+
+/** A response of U, which came at SAID_AT, has said COLD. */
+void rte_cold_said (rte_t *r, env_t *env, const rte_upstream_t *u,
+                    const ev_cold_t *cold, clk_ms_t said_at,
+                    const char *source);
+
+/** Writes U, and what it has said of its cold time, for MSG_ROUTE_COLD. */
+void rte_cold_write (mpk_writer_t *w, const env_t *env,
+                     const rte_upstream_t *u, const rte_limit_t *l);
+
+/** Handles MSG_ROUTE_COLD of VM; false: malformed. */
+bool rte_cold_received (rte_t *r, env_t *env, const char *vm, const msg_t *msg,
+                        void *ctx);
+
 /* rte_tokens.c: tokens of limits between VMs. */
 
 /** Has rte_limit_tick run at AT. */
--- a/src/core/rte_limit.c
+++ b/src/core/rte_limit.c
@@ -9,6 +9,7 @@
 #include "core/inv.h"
 #include "core/rte_int.h"
 
+#include <math.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -43,6 +44,7 @@
   rte_limit_t *l = talloc_zero (r, rte_limit_t);
   l->born = born;
   l->word = UPL_WORD_NONE;
+  l->cold = CLD_NONE;
   l->hold = upl_hold_setup (l, env_number_base (env));
   l->told = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   talloc_set_destructor (l, _rte_limit_destroy);
@@ -74,10 +76,8 @@
   return l != NULL && l->born == u->born ? l : NULL;
 }
 
-/** The limit of U, made when it is first needed; NULL: there are too many, or
- * a later start of U has spoken. */
-static rte_limit_t *
-_rte_limit_get (rte_t *r, const env_t *env, const rte_upstream_t *u)
+rte_limit_t *
+rte_limit_get (rte_t *r, const env_t *env, const rte_upstream_t *u)
 {
   rte_limit_t *l = g_hash_table_lookup (r->limits, u->name);
   if (l != NULL && l->born > u->born)
@@ -115,7 +115,7 @@
 _rte_limit_malformed (rte_t *r, env_t *env, const rte_upstream_t *u,
                       const ev_limit_t *limit)
 {
-  rte_limit_t *l = _rte_limit_get (r, env, u);
+  rte_limit_t *l = rte_limit_get (r, env, u);
   cnt_add (env->cnt, "rts_route_limits_malformed_total", "", 1);
   if (l == NULL || l->malformed_logged)
     return;
@@ -132,7 +132,7 @@
   /* An upstream that never named a limit needs no entry. */
   if (!upl_word_is_limit (word) && rte_limit_find (r, u) == NULL)
     return;
-  rte_limit_t *l = _rte_limit_get (r, env, u);
+  rte_limit_t *l = rte_limit_get (r, env, u);
   if (l == NULL || upl_word_merge (&l->word, word, doubt) != UPL_CHANGED)
     return;
   _rte_limit_log (env, u, &l->word, source);
@@ -185,12 +185,33 @@
  */
 
 rte_limit_t *
-rte_limit_in_force (const rte_t *r, const rte_upstream_t *u)
+rte_limit_in_force (const rte_t *r, const env_t *env, const rte_upstream_t *u)
 {
+  upl_plan_t plan;
   if (g_hash_table_size (r->limits) == 0)
     return NULL;
   rte_limit_t *l = rte_limit_find (r, u);
-  return l != NULL && upl_word_is_limit (&l->word) ? l : NULL;
+  return l != NULL && rte_limit_plan (r, env, u, l, &plan) ? l : NULL;
+}
+
+/** Time without a word after which RTE_PROBE_PER_S is minted at least, so that
+ * a limit of nothing is not for ever. */
+#define RTE_WORD_SILENT_MS (4 * CLK_SECOND)
+#define RTE_PROBE_PER_S 0.2
+
+bool
+rte_limit_plan (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                const rte_limit_t *l, upl_plan_t *plan)
+{
+  bool cold = rte_cold_plan (r, env, u, l, plan);
+  if (!upl_word_is_limit (&l->word))
+    return cold;
+  double per_s = l->word.per_s;
+  if (env->now - l->word.said_at > RTE_WORD_SILENT_MS)
+    per_s = fmax (per_s, RTE_PROBE_PER_S);
+  upl_plan_t named = upl_plan_limit (per_s);
+  *plan = cold ? upl_plan_lower (&named, plan) : named;
+  return true;
 }
 
 static upl_class_t
@@ -203,7 +224,7 @@
 rte_limit_admits (const rte_t *r, const env_t *env, const rte_upstream_t *u,
                   const rte_query_t *query)
 {
-  const rte_limit_t *l = rte_limit_in_force (r, u);
+  const rte_limit_t *l = rte_limit_in_force (r, env, u);
   return l == NULL
          || upl_hold_has (l->hold, env->now, _rte_limit_class (query));
 }
@@ -211,7 +232,7 @@
 bool
 rte_limit_has_spare (const rte_t *r, const env_t *env, const rte_upstream_t *u)
 {
-  const rte_limit_t *l = rte_limit_in_force (r, u);
+  const rte_limit_t *l = rte_limit_in_force (r, env, u);
   return l != NULL && upl_hold_tokens (l->hold, env->now, UPL_ITEM) > 0;
 }
 
@@ -219,7 +240,7 @@
 _rte_limit_want_class (rte_t *r, env_t *env, const rte_upstream_t *u,
                        upl_class_t class)
 {
-  rte_limit_t *l = rte_limit_in_force (r, u);
+  rte_limit_t *l = rte_limit_in_force (r, env, u);
   if (l == NULL)
     return;
   upl_hold_want (l->hold, env->now, class);
@@ -245,7 +266,7 @@
 rte_limit_charge (rte_t *r, env_t *env, const rte_upstream_t *u,
                   const rte_query_t *query)
 {
-  rte_limit_t *l = rte_limit_in_force (r, u);
+  rte_limit_t *l = rte_limit_in_force (r, env, u);
   if (l == NULL)
     return;
   upl_class_t class = _rte_limit_class (query);
@@ -255,6 +276,8 @@
   bool taken = upl_hold_take (l->hold, env->now, class);
   INV_CHECK (taken, "route-limit-has-token", "upstream %s", u->name);
   l->sent[class]++;
+  if (rte_cold_ms (r, env, u) > 0)
+    cnt_add (env->cnt, "rts_route_cold_requests_total", "", 1);
   cnt_add (env->cnt, "rts_route_limit_tokens_used_total",
            class == UPL_ONLINE ? "class=\"online\"" : "class=\"item\"", 1);
   if (u->mint != NULL)
@@ -265,7 +288,7 @@
 rte_limit_turn_add (const rte_t *r, const env_t *env, const rte_upstream_t *u,
                     const rte_query_t *query, rte_pick_t *pick)
 {
-  const rte_limit_t *l = rte_limit_in_force (r, u);
+  const rte_limit_t *l = rte_limit_in_force (r, env, u);
   upl_turn_t turn
       = upl_hold_turn (l->hold, env->now, _rte_limit_class (query));
   pick->limited = true;
@@ -281,11 +304,12 @@
 rte_limit_status (const rte_t *r, const env_t *env, const rte_upstream_t *u,
                   uint32_t *tokens)
 {
-  const rte_limit_t *l = rte_limit_in_force (r, u);
+  const rte_limit_t *l = rte_limit_in_force (r, env, u);
+  upl_plan_t plan;
   *tokens = 0;
-  if (l == NULL)
+  if (l == NULL || !rte_limit_plan (r, env, u, l, &plan))
     return -1;
   for (int c = 0; c < UPL_CLASS_NUM; c++)
     *tokens += upl_hold_tokens (l->hold, env->now, (upl_class_t)c);
-  return l->word.per_s;
+  return plan.per_s;
 }
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -214,8 +214,12 @@
   if (leaving && u->born != 0 && (uint64_t)born == u->born)
     rte_leaving_learn (r, env, u, u->born);
   if ((uint64_t)born == u->born)
-    rte_limit_reported (r, env, u, &u->poll->load_limit, u->poll->load_at,
-                        u->poll->load_head_at);
+    {
+      rte_limit_reported (r, env, u, &u->poll->load_limit, u->poll->load_at,
+                          u->poll->load_head_at);
+      rte_cold_said (r, env, u, &u->poll->load_cold, u->poll->load_head_at,
+                     "report");
+    }
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
   if (slots > 0)
@@ -313,6 +317,8 @@
   p->load_leaving = up->leaving;
   p->load_limit = up->limit;
   p->load_limit.text = NULL;
+  p->load_cold = up->cold;
+  p->load_cold.text = NULL;
   p->load_head_at = env->now;
 }
 
--- a/src/core/rte_tokens.c
+++ b/src/core/rte_tokens.c
@@ -19,10 +19,9 @@
 /** Time after which a VM that uses a limited upstream is told its word again.
  */
 #define RTE_WORD_REPEAT_MS CLK_SECOND
-/** Time without a word after which RTE_PROBE_PER_S is minted at least, so that
- * a limit of nothing is not for ever. */
-#define RTE_WORD_SILENT_MS (4 * CLK_SECOND)
-#define RTE_PROBE_PER_S 0.2
+/** Time for which a VM that takes over the mint of a cold upstream gives out
+ * nothing: what the last one has lent is used up then. */
+#define RTE_TAKE_OVER_MS (UPL_LOAN_MS + RTE_WORD_DOUBT_MS)
 /** Least time between two lines of the log on the use of one limit. */
 #define RTE_LIMIT_LOG_MS (5 * CLK_SECOND)
 /** Largest number of settlements told at a time for one upstream. */
@@ -36,6 +35,7 @@
   void *ctx;
   GHashTable *asks;   /**< VM name to mpk_writer_t */
   GHashTable *tokens; /**< VM name to mpk_writer_t */
+  GHashTable *cold;   /**< VM name to mpk_writer_t */
 } _rte_mail_t;
 
 /** An entry of a message: its upstream, and the word on its limit. */
@@ -54,6 +54,7 @@
   m->ctx = talloc_new (NULL);
   m->asks = g_hash_table_new (g_str_hash, g_str_equal);
   m->tokens = g_hash_table_new (g_str_hash, g_str_equal);
+  m->cold = g_hash_table_new (g_str_hash, g_str_equal);
 }
 
 static mpk_writer_t *
@@ -85,6 +86,7 @@
 static void
 _rte_mail_send (const rte_t *r, env_t *env, _rte_mail_t *m)
 {
+  _rte_mail_kind_send (r, env, m->cold, MSG_ROUTE_COLD);
   _rte_mail_kind_send (r, env, m->asks, MSG_ROUTE_TOKENS_ASK);
   _rte_mail_kind_send (r, env, m->tokens, MSG_ROUTE_TOKENS);
   talloc_free (m->ctx);
@@ -167,14 +169,17 @@
   if (g_strcmp0 (vm, u->mint) == 0)
     return;
   char *copy = vm == NULL ? NULL : talloc_strdup (u->strings, vm);
+  bool taken_over = u->mint != NULL;
   talloc_free (u->mint);
   u->mint = copy;
   rte_limit_t *l = rte_limit_find (r, u);
   if (l == NULL)
     return;
+  l->mint_from = taken_over ? env->now + RTE_TAKE_OVER_MS : 0;
   TALLOC_FREE (l->mint);
   upl_hold_mint_changed (l->hold);
   l->untold = true;
+  l->cold_untold = l->cold.words[CLD_SAID].until > env->now;
   rte_limit_arm (r, env, env->now);
 }
 
@@ -198,17 +203,17 @@
 _rte_mint_keep (const rte_t *r, const env_t *env, const rte_upstream_t *u,
                 rte_limit_t *l)
 {
-  if (!upl_word_is_limit (&l->word) || !_rte_mint_is_here (env, u))
+  upl_plan_t plan;
+  if (!_rte_mint_is_here (env, u) || !rte_limit_plan (r, env, u, l, &plan))
     {
       TALLOC_FREE (l->mint);
       return;
     }
   if (l->mint == NULL)
     l->mint = upl_mint_setup (l);
-  double per_s = l->word.per_s;
-  if (env->now - l->word.said_at > RTE_WORD_SILENT_MS)
-    per_s = fmax (per_s, RTE_PROBE_PER_S);
-  upl_mint_set (l->mint, env->now, per_s, _rte_mint_share (r));
+  bool waits = rte_cold_ms (r, env, u) > 0 && env->now < l->mint_from;
+  upl_mint_plan_set (l->mint, env->now, &plan,
+                     waits ? 0 : _rte_mint_share (r));
 }
 
 static void
@@ -262,10 +267,11 @@
     }
 }
 
-/** Tells all VMs that use U the word on its limit. */
-static void
-_rte_users_tell (const _rte_mail_t *m, const env_t *env,
-                 const rte_upstream_t *u, rte_limit_t *l)
+/** The VMs that use U, as far as this VM, with the mint, knows: a set of
+ * names. */
+static GHashTable *
+_rte_users (const _rte_mail_t *m, const rte_upstream_t *u,
+            const rte_limit_t *l)
 {
   GHashTable *users[] = { l->told, u->poll == NULL ? NULL : u->poll->usage };
   GHashTable *vms = g_hash_table_new (g_str_hash, g_str_equal);
@@ -279,18 +285,54 @@
       while (g_hash_table_iter_next (&iter, &vm, NULL))
         g_hash_table_add (vms, talloc_strdup (m->ctx, vm));
     }
+  return vms;
+}
+
+/** Tells all VMs that use U the word on its limit. */
+static void
+_rte_users_tell (const _rte_mail_t *m, const env_t *env,
+                 const rte_upstream_t *u, rte_limit_t *l)
+{
+  GHashTable *vms = _rte_users (m, u, l);
+  GHashTableIter iter;
+  void *vm;
   g_hash_table_iter_init (&iter, vms);
   while (g_hash_table_iter_next (&iter, &vm, NULL))
     _rte_word_tell (m, env, u, l, vm);
   g_hash_table_destroy (vms);
 }
 
+/** Tells what U has said of its cold time, if that is news: the VM with the
+ * mint tells the VMs that use U, any other tells that VM. */
+static void
+_rte_cold_tell (const _rte_mail_t *m, const env_t *env,
+                const rte_upstream_t *u, rte_limit_t *l)
+{
+  if (!l->cold_untold)
+    return;
+  l->cold_untold = false;
+  if (!_rte_mint_is_here (env, u))
+    {
+      rte_cold_write (_rte_mail_writer (m, m->cold, u->mint), env, u, l);
+      return;
+    }
+  GHashTable *vms = _rte_users (m, u, l);
+  GHashTableIter iter;
+  void *vm;
+  g_hash_table_iter_init (&iter, vms);
+  while (g_hash_table_iter_next (&iter, &vm, NULL))
+    if (strcmp (vm, env->vm) != 0)
+      rte_cold_write (_rte_mail_writer (m, m->cold, vm), env, u, l);
+  g_hash_table_destroy (vms);
+}
+
 void
 rte_limit_user_seen (rte_t *r, env_t *env, const rte_upstream_t *u,
                      const char *vm)
 {
-  rte_limit_t *l = rte_limit_in_force (r, u);
-  if (l == NULL || !_rte_mint_is_here (env, u))
+  rte_limit_t *l = rte_limit_in_force (r, env, u);
+  if (l == NULL || !upl_word_is_limit (&l->word)
+      || !_rte_mint_is_here (env, u))
     return;
   const clk_ms_t *told = g_hash_table_lookup (l->told, vm);
   if (told != NULL && env->now - *told < RTE_WORD_REPEAT_MS)
@@ -314,11 +356,11 @@
 } _rte_asking_t;
 
 static void
-_rte_asking_gather (_rte_asking_t *a, const env_t *env,
+_rte_asking_gather (_rte_asking_t *a, const rte_t *r, const env_t *env,
                     const rte_upstream_t *u, rte_limit_t *l)
 {
   lbk_settlement_t s;
-  bool limited = upl_word_is_limit (&l->word);
+  bool limited = rte_limit_in_force (r, env, u) != NULL;
   while (a->settlement_count < RTE_SETTLEMENTS_MAX
          && upl_hold_settlement_pop (l->hold, env->now, &s))
     if (strcmp (s.vm, u->mint) == 0)
@@ -451,7 +493,8 @@
     return CLK_NEVER;
   bool here = _rte_mint_is_here (env, u);
   _rte_mint_keep (r, env, u, l);
-  _rte_asking_gather (&asking, env, u, l);
+  _rte_cold_tell (m, env, u, l);
+  _rte_asking_gather (&asking, r, env, u, l);
   if (here && l->untold)
     _rte_users_tell (m, env, u, l);
   if (l->mint != NULL)
@@ -466,9 +509,11 @@
                        &asking);
   l->untold = false;
   _rte_limit_use_log (env, u, l);
-  clk_ms_t due = upl_word_is_limit (&l->word)
-                     ? upl_hold_due_at (l->hold, env->now)
-                     : CLK_NEVER;
+  clk_ms_t due = rte_cold_step (r, env, u, l);
+  if (rte_limit_in_force (r, env, u) != NULL)
+    due = clk_min (due, upl_hold_due_at (l->hold, env->now));
+  if (l->mint_from > env->now)
+    due = clk_min (due, l->mint_from);
   return l->mint == NULL ? due
                          : clk_min (due, upl_mint_next_at (l->mint, env->now));
 }
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -580,6 +580,8 @@
           .limit_slack = { .window_ms = set->limit_window_ms,
                            .overshoot = set->limit_overshoot,
                            .requests = set->limit_requests },
+          .cold_overshoot = set->cold_overshoot,
+          .cold_slack = set->cold_slack,
           .prompt_parts = set->hosted ? pfm_prompt_parts : NULL,
           .data_centres = set->data_centres,
           .history_ms = set->history_ms },
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -316,9 +316,13 @@
   p->keys[0] = (cfg_key_t){ .name = "acme-1",
                             .customer = "acme",
                             .sha256 = h->key_hash };
-  p->deployments[0] = (cfg_deployment_t){
-    .name = "llm", .kind = CFG_ENGINE, .slots = 8, .stream = CFG_STREAM_FRAMED
-  };
+  p->deployments[0]
+      = (cfg_deployment_t){ .name = "llm",
+                            .kind = CFG_ENGINE,
+                            .slots = 8,
+                            .stream = CFG_STREAM_FRAMED,
+                            .cold_per_s = h->desc.cold_per_s,
+                            .cold_start_ms = h->desc.cold_start_ms };
   p->routes[0] = (cfg_route_t){ .method = "desk.example",
                                 .path = "/fit/*",
                                 .deployment = "llm",
@@ -385,6 +389,8 @@
                       .source = NODE_SOURCE_PLATFORM,
                       .worker = vm >= h->desc.entries,
                       .limit_slack = h->desc.slack,
+                      .cold_overshoot = h->desc.cold_overshoot,
+                      .cold_slack = h->desc.cold_slack,
                       .history_ms = h->desc.history_ms,
                       .prompt_parts = _hst_prompt_parts,
                       .data_centres = data_centres },
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -41,8 +41,12 @@
   bool load_reports;   /**< whether upstreams report their load */
   clk_ms_t history_ms; /**< for which the platform keeps its history, and as
                             the VMs are told; 0: for ever */
-  bool resumable;   /**< whether streams of the online route are resumable */
-  lsl_desc_t slack; /**< excess over limits that the VMs may admit */
+  bool resumable;    /**< whether streams of the online route are resumable */
+  lsl_desc_t slack;  /**< excess over limits that the VMs may admit */
+  double cold_per_s; /**< requests a second that a cold upstream takes */
+  clk_ms_t cold_start_ms; /**< for which one is cold after its start */
+  double cold_overshoot;  /**< of node_desc_t, like the next field */
+  double cold_slack;
 } hst_desc_t;
 
 /** The response that a caller has received so far. */
@@ -213,6 +217,21 @@
 void hst_limit_set (hst_t *h, size_t upstream, ev_limit_t limit,
                     bool reported);
 
+/** What is said of the cold time of an upstream. */
+typedef struct
+{
+  clk_ms_t until; /**< it is cold until then */
+  bool listed;    /**< in the list, which changes every HST_BEAT_MS */
+  bool said;      /**< in responses to requests and in load reports */
+  bool malformed; /**< as a number without a meaning */
+} hst_cold_t;
+
+/** Interval at which the entries of cold upstreams change. */
+#define HST_BEAT_MS ((clk_ms_t)1200)
+
+/** Sets the cold time of UPSTREAM.  All upstreams begin without one. */
+void hst_cold_set (hst_t *h, size_t upstream, hst_cold_t cold);
+
 /** A request that an upstream has received. */
 typedef struct
 {
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -93,6 +93,8 @@
   bool unlisted[HST_MAX];       /**< upstreams that the list does not name */
   ev_limit_t limit[HST_MAX];    /**< what upstreams say */
   bool limit_reported[HST_MAX]; /**< in load reports too */
+  hst_cold_t cold[HST_MAX];     /**< what is said of cold times */
+  clk_ms_t beat_at;             /**< next change of cold entries; 0: none */
   GArray *arrivals;             /**< hst_arrival_t */
   const uint64_t *item_parts;   /**< of items that are submitted */
   size_t item_part_count;
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -104,6 +104,16 @@
   return FALSE;
 }
 
+/* The remaining cold time that the list gives for UPSTREAM. */
+static clk_ms_t
+_hst_cold_listed (const hst_t *h, size_t upstream)
+{
+  const hst_cold_t *c = &h->cold[upstream];
+  if (!c->listed)
+    return 0;
+  return c->malformed ? -1 : clk_max (c->until - h->now, 0);
+}
+
 static void
 _hst_upstreams (const hst_t *h, void *ctx, ev_platform_t *reply)
 {
@@ -119,6 +129,7 @@
       .born = (uint64_t)h->born[i],
       .version = h->version[i],
       .leaving = h->leaving[i],
+      .cold_ms = _hst_cold_listed (h, i),
       .deleted = h->unlisted[i],
     };
   reply->entries = v;
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -38,6 +38,27 @@
                                    : EV_LIMIT_ABSENT };
 }
 
+/* What a response of UPSTREAM says about its cold time. */
+static ev_cold_t
+_hst_cold_said (const hst_t *h, size_t upstream)
+{
+  const hst_cold_t *c = &h->cold[upstream];
+  if (!c->said)
+    return (ev_cold_t){ .kind = EV_COLD_UNKNOWN };
+  if (c->malformed)
+    return (ev_cold_t){ .kind = EV_COLD_MALFORMED, .text = "-1e999" };
+  return (ev_cold_t){ .kind = EV_COLD_STATED,
+                      .ms = clk_max (c->until - h->now, 0) };
+}
+
+void
+hst_cold_set (hst_t *h, size_t upstream, hst_cold_t cold)
+{
+  h->cold[upstream] = cold;
+  h->born_revision = ++h->revision;
+  h->beat_at = h->now + HST_BEAT_MS;
+}
+
 /* Send a load report of UPSTREAM, unless no report is set up or the upstream
  * is cut off. */
 static void
@@ -52,6 +73,7 @@
                = { .call = call,
                    .status = 200,
                    .leaving = h->faults[upstream].reports_leaving,
+                   .cold = _hst_cold_said (h, upstream),
                    .limit = h->limit_reported[upstream]
                                 ? h->limit[upstream]
                                 : _hst_limit_unsaid (h, upstream) } });
@@ -170,6 +192,7 @@
   head.upstream.leaving = fault->says_leaving;
   head.upstream.close_delimited = fault->unframed;
   head.upstream.limit = h->limit[at];
+  head.upstream.cold = _hst_cold_said (h, at);
   head.upstream.is_signed
       = head.upstream.status == 200 && !fault->no_signature;
   for (size_t i = 0; i < u->headers.n; i++)
@@ -372,6 +395,11 @@
 void
 hst_upstreams_tick (hst_t *h)
 {
+  if (h->beat_at != 0 && h->now >= h->beat_at)
+    {
+      h->beat_at = h->now + HST_BEAT_MS;
+      h->born_revision = ++h->revision;
+    }
   for (size_t i = 0; i < h->desc.upstreams; i++)
     {
       if (h->unlist_at[i] != 0 && h->now >= h->unlist_at[i])
--- a/tests/lmt.c
+++ b/tests/lmt.c
@@ -95,22 +95,28 @@
   return n;
 }
 
-double
-lmt_excess (const lmt_t *t, size_t upstream, double per_s, clk_ms_t from)
+unsigned
+lmt_most (const lmt_t *t, size_t upstream, clk_ms_t window_ms, clk_ms_t from,
+          clk_ms_t to)
 {
   const GArray *all = hst_arrivals (t->h);
-  double allowed
-      = LMT_FACTOR * per_s * (double)LMT_WINDOW_MS / CLK_SECOND + LMT_SLACK;
-  double worst = -allowed;
+  unsigned most = 0;
   for (guint i = 0; i < all->len; i++)
     {
       const hst_arrival_t *a = &g_array_index (all, hst_arrival_t, i);
-      if (a->upstream == upstream && a->at >= from)
-        worst = fmax (worst,
-                      lmt_arrivals (t, upstream, a->at, a->at + LMT_WINDOW_MS)
-                          - allowed);
+      if (a->upstream == upstream && a->at >= from && a->at < to)
+        most
+            = MAX (most, lmt_arrivals (t, upstream, a->at, a->at + window_ms));
     }
-  return worst;
+  return most;
+}
+
+double
+lmt_excess (const lmt_t *t, size_t upstream, double per_s, clk_ms_t from)
+{
+  double allowed
+      = LMT_FACTOR * per_s * (double)LMT_WINDOW_MS / CLK_SECOND + LMT_SLACK;
+  return lmt_most (t, upstream, LMT_WINDOW_MS, from, CLK_NEVER) - allowed;
 }
 
 double
--- a/tests/lmt.h
+++ b/tests/lmt.h
@@ -79,6 +79,11 @@
 double lmt_excess (const lmt_t *t, size_t upstream, double per_s,
                    clk_ms_t from);
 
+/** Largest number of requests that UPSTREAM got in a window of WINDOW_MS that
+ * begins from FROM until before TO. */
+unsigned lmt_most (const lmt_t *t, size_t upstream, clk_ms_t window_ms,
+                   clk_ms_t from, clk_ms_t to);
+
 /** Part of the limit PER_S that was used at UPSTREAM from FROM on. */
 double lmt_used (const lmt_t *t, size_t upstream, double per_s, clk_ms_t from);
 
