--- a/src/core/cld.h
+++ b/src/core/cld.h
@@ -100,7 +100,7 @@
 
 /** Time for which a VM goes on to ask after a request could use a token of a
  * cold upstream (upl_hold_demand_set): as long as a caller's request waits.
- * With 300 ms a third of the tokens lay idle at 250 VMs. */
+ * With 300 ms up to half of the tokens lay idle at 250 VMs. */
 #define CLD_DEMAND_MS ((clk_ms_t)60)
 
 #endif
