--- a/src/io/set.c
+++ b/src/io/set.c
@@ -40,6 +40,8 @@
   { "limits", "requests" },
   { "platform", "history_s" },
   { "evacuation", "within_ms" },
+  { "upstreams", "cold_overshoot" },
+  { "upstreams", "cold_slack" },
   { "log", "level" },
   { "log", "format" },
 };
@@ -217,6 +219,15 @@
                                         "requests, from 0 to 1000000");
 }
 
+static void
+_set_read_upstreams (_set_load_t *l)
+{
+  l->set->cold_overshoot = _set_number (l, "upstreams", "cold_overshoot", 100,
+                                        "a factor, from 0 to 100");
+  l->set->cold_slack = _set_number (l, "upstreams", "cold_slack", 1e6,
+                                    "requests, from 0 to 1000000");
+}
+
 static void
 _set_read_seed (_set_load_t *l)
 {
@@ -296,6 +307,7 @@
   _set_read_secrets (l);
   _set_read_log (l);
   _set_read_limits (l);
+  _set_read_upstreams (l);
   l->set->history_ms
       = (int64_t)(_set_number (l, "platform", "history_s", 86400,
                                "seconds, from 0 to 86400")
--- a/tests/dfb.h
+++ b/tests/dfb.h
@@ -25,6 +25,8 @@
 #define DFB_DATA_CENTRES 5
 /** Names in the list of evacuations, the fleet's data centres first. */
 #define DFB_EVACUATIONS 256
+/** Cold time that the list gives for upstream I. */
+#define DFB_COLD_MS(i) ((clk_ms_t)(1000 * ((i) + 1)))
 
 typedef struct dfb dfb_t;
 
