Routing: the load that upstreams state in responses is decoded

Cause: responses of some services state the load of their upstream (Server-Load), and nothing read it.

--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -128,6 +128,26 @@
   const char *text; /**< EV_LIMIT_MALFORMED: the value, for logs */
 } ev_limit_t;
 
+/** What the head of a response says about the load of its upstream. */
+typedef enum
+{
+  EV_LOAD_UNKNOWN,   /**< nothing, or another upstream has answered */
+  EV_LOAD_STATED,    /**< the numbers of ev_load_t are stated */
+  EV_LOAD_MALFORMED, /**< a load is stated that has no meaning */
+} ev_load_kind_t;
+
+/** The load of an upstream when it sent the head of a response. */
+typedef struct
+{
+  ev_load_kind_t kind;
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t slots;
+  uint32_t pace;    /**< how long work takes there now, in percent of what is
+                         usual; 0: not stated */
+  const char *text; /**< EV_LOAD_MALFORMED: the value, for logs */
+} ev_load_t;
+
 /** Progress of an upstream call. */
 typedef struct
 {
@@ -141,6 +161,7 @@
   bool leaving;         /**< EV_UPSTREAM_HEAD: the upstream says in it that it
                              is leaving */
   ev_limit_t limit;     /**< EV_UPSTREAM_HEAD */
+  ev_load_t load;       /**< EV_UPSTREAM_HEAD */
   bool close_delimited; /**< EV_UPSTREAM_HEAD: the body has neither a length
                              nor chunks and ends with its connection, so that
                              a body cut short may look complete */
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -615,6 +615,7 @@
         rte_said_leaving (j->desc.routes, env, run->in_flight);
       rte_said_limit (j->desc.routes, env, run->in_flight,
                       &ev->upstream.limit);
+      rte_said_load (j->desc.routes, env, run->in_flight, &ev->upstream.load);
       _job_head (j, env, run, &ev->upstream);
       break;
     case EV_UPSTREAM_DATA:
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -525,6 +525,7 @@
         rte_said_leaving (o->desc.routes, env, r->pick.handle);
       rte_said_limit (o->desc.routes, env, r->pick.handle,
                       &ev->upstream.limit);
+      rte_said_load (o->desc.routes, env, r->pick.handle, &ev->upstream.load);
       _onl_head (o, env, r, &ev->upstream);
       break;
     case EV_UPSTREAM_DATA:
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -538,6 +538,14 @@
     rte_limit_said (r, env, u, limit, f->sent_at, env->now, "answer");
 }
 
+void
+rte_said_load (rte_t *r, env_t *env, uint64_t handle, const ev_load_t *load)
+{
+  rte_upstream_t *u = NULL;
+  if (_rte_inflight_get (r, handle, &u) != NULL)
+    rte_load_stated (r, env, u, load);
+}
+
 void
 rte_finished (rte_t *r, env_t *env, uint64_t handle)
 {
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -210,6 +210,11 @@
 void rte_said_limit (rte_t *r, env_t *env, uint64_t handle,
                      const ev_limit_t *limit);
 
+/** What the head of the response, which came just now, says about the load of
+ * the upstream. */
+void rte_said_load (rte_t *r, env_t *env, uint64_t handle,
+                    const ev_load_t *load);
+
 /** A part of the body of a success has come. */
 void rte_progress (rte_t *r, env_t *env, uint64_t handle);
 
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -129,6 +129,9 @@
   uint64_t born;          /**< as in cfg_upstream_t */
   char *version;          /**< as in cfg_upstream_t */
 
+  bool load_malformed_logged; /**< a stated load without a meaning was
+                                   logged */
+
   clk_ms_t others_at;     /**< when `others` was last updated */
   uint64_t update_count;  /**< number of updates of `others` */
   uint32_t vm_count;      /**< VMs that use this upstream, as the poller
@@ -369,6 +372,13 @@
                      const ev_limit_t *limit, clk_ms_t sent_at,
                      clk_ms_t said_at, const char *source);
 
+/* rte_even.c: what upstreams state of their load. */
+
+/** The head of a response or of a load report of U, which came now, has stated
+ * LOAD. */
+void rte_load_stated (rte_t *r, env_t *env, rte_upstream_t *u,
+                      const ev_load_t *load);
+
 /* rte.c */
 
 /** Whether U must get no new requests: the document, a load report or U itself
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -331,7 +331,10 @@
     {
     case EV_UPSTREAM_HEAD:
       if (!cache)
-        _rte_load_head_keep (u->poll, env, &ev->upstream);
+        {
+          _rte_load_head_keep (u->poll, env, &ev->upstream);
+          rte_load_stated (r, env, u, &ev->upstream.load);
+        }
       if (ev->upstream.status == 200)
         break;
       upc_cancel (env, call);
