--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 TEST_LIB = $(filter-out $(TESTS) $(wildcard tests/fuzz_*.c),$(wildcard tests/*.c))
 MEASURES = $(wildcard tools/measure_*.c)
 MEASURE_LIB = $(filter-out $(MEASURES),$(wildcard tools/*.c)) \
-  $(wildcard tests/flt*.c) $(wildcard tests/batbed*.c)
+  $(wildcard tests/flt*.c) $(wildcard tests/batbed*.c) tests/evl.c
 
 obj = $(patsubst %.c,build/$(1)/%.o,$(2))
 
