Routing: requests are spread by one estimate of each upstream's load

Cause: upstreams are overloaded in turns while others are idle, as the VMs choose by news 50 to 1,000 ms old and all take the least cost.

With [routing] even_load (auto, on, off) the router draws among the candidates, in proportion to the expected drain and falling with the cost. auto applies to deployments whose upstreams state their load, in fleets with 17 or more VMs; otherwise no random number is drawn and the choice is the same as before. The lasting slowness is learned without the stated pace. Counters and one line of the log every 5 s and deployment.

--- a/src/core/node.h
+++ b/src/core/node.h
@@ -19,6 +19,7 @@
 #include "core/env.h"
 #include "core/ev.h"
 #include "core/lim_slack.h"
+#include "core/rte.h"
 
 /** Source of a node's configuration. */
 typedef enum
@@ -41,9 +42,10 @@
   const char *operator_token_sha256; /**< lower-case hex; NULL: no operator */
   node_source_t source;
   lsl_desc_t limit_slack; /**< by how much rates may be exceeded */
-  clk_ms_t history_ms; /**< time for which the platform keeps its history; 0:
-                            not known */
-  bool worker;         /**< runs batch items, serves no callers */
+  clk_ms_t history_ms;  /**< time for which the platform keeps its history; 0:
+                             not known */
+  rte_even_t even_load; /**< as in rte_desc_t */
+  bool worker;          /**< runs batch items, serves no callers */
   crs_prompt_parts_t prompt_parts; /**< of the headers of jobs' items; NULL:
                                         they have none */
   const char *const *data_centres; /**< SOURCE_PLATFORM: the fleet's data
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -97,6 +97,7 @@
   n->rte = rte_setup (
       n, &(rte_desc_t){ .members = n->mbr,
                         .crashes = n->crs,
+                        .even_load = desc->even_load,
                         .report_ms = platform ? NODE_LOAD_REPORT_MS : 0,
                         .no_cache_events = platform });
   n->crd = crd_setup (n, &(crd_desc_t){ 0 });
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -443,6 +443,9 @@
   double ratio = fmin (fmax (took, 1) / expected, RTE_SLOWNESS_MAX);
   rte_deployment_t *d = f->deployment;
   _rte_learn (&d->bias, ratio);
+  /* The lasting slowness is learned apart from the momentary pace. */
+  if (f->stated_pace > 0 && f->expected_pace > 0)
+    ratio = fmin (ratio * f->expected_pace / f->stated_pace, RTE_SLOWNESS_MAX);
   /* Slowness compares an upstream with the others of its deployment.  The
    * bias removes the common error of the estimate. */
   _rte_slowness_update (u, ratio / d->bias, env->now);
@@ -542,8 +545,12 @@
 rte_said_load (rte_t *r, env_t *env, uint64_t handle, const ev_load_t *load)
 {
   rte_upstream_t *u = NULL;
-  if (_rte_inflight_get (r, handle, &u) != NULL)
-    rte_load_stated (r, env, u, load);
+  rte_inflight_t *f = _rte_inflight_get (r, handle, &u);
+  if (f == NULL)
+    return;
+  rte_load_stated (r, env, u, load);
+  if (load->kind == EV_LOAD_STATED)
+    f->stated_pace = load->pace / 100.0;
 }
 
 void
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -36,6 +36,7 @@
 #include "core/crs.h"
 #include "core/env.h"
 #include "core/ev.h"
+#include "core/lod.h"
 #include "core/mbr.h"
 #include "core/msg.h"
 
@@ -77,6 +78,20 @@
   MSG_ROUTE_TOKENS = MSG_ROUTE_FIRST + 5,
 } rte_msg_t;
 
+/** When requests are spread by what upstreams state of their load; see
+ * docs/design/even-load.md. */
+typedef enum
+{
+  RTE_EVEN_AUTO, /**< for deployments whose upstreams state their load in
+                      responses, in fleets with RTE_EVEN_VMS_MIN or more VMs */
+  RTE_EVEN_ON,   /**< for all deployments */
+  RTE_EVEN_OFF,  /**< never */
+} rte_even_t;
+
+/** Number of VMs from which RTE_EVEN_AUTO can apply: below, a VM's own
+ * requests tell it enough. */
+#define RTE_EVEN_VMS_MIN 17
+
 /** Parameters of rte_setup; a zero selects the default. */
 typedef struct
 {
@@ -100,7 +115,9 @@
                                 first failure; doubles with each further
                                 failure; default 500 */
   clk_ms_t suspect_max_ms; /**< upper limit of that time; default 15 s */
-  bool no_cache_events;    /**< do not poll upstreams for cache events */
+  rte_even_t even_load;
+  lod_rules_t even_rules; /**< for measurements; zeros select the defaults */
+  bool no_cache_events;   /**< do not poll upstreams for cache events */
 } rte_desc_t;
 
 /** Requirements of one request. */
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -48,8 +48,19 @@
   double wait_ms; /**< expected time to first byte */
   bool prefix_cached;
   bool queued;
+  double slowness; /**< lasting and momentary */
+  lod_estimate_t estimate;
+  bool spread; /**< the choice spreads requests evenly */
 } rte_candidate_t;
 
+/** A choice that spreads requests evenly. */
+typedef struct
+{
+  bool applies;
+  double mean;        /**< as in rte_even_estimate */
+  GArray *candidates; /**< rte_candidate_t; NULL: it does not apply */
+} rte_spread_t;
+
 /** Hidden requests of U, while its last load report is recent. */
 static uint32_t
 _rte_hidden (const rte_upstream_t *u, clk_ms_t now)
@@ -127,32 +138,48 @@
 /** Expected wait before the prefill of a new request begins.  Prefills of an
  * upstream run one after another. */
 static double
-_rte_queue_ms (const rte_deployment_t *d, uint32_t load, uint32_t slots,
-               uint32_t unanswered)
+_rte_queue_ms (const rte_deployment_t *d, double load, double deviation,
+               uint32_t slots, uint32_t unanswered)
 {
   double mean_prefill = (d->hit_ms + d->miss_ms) / 2;
   double prefills = load * mean_prefill / fmax (d->busy_ms, mean_prefill);
   double prefill_wait = fmax (prefills, unanswered) * mean_prefill;
-  if (slots == 0 || load < slots)
+  if (slots == 0 || (deviation <= 0 && load < slots))
     return prefill_wait;
-  return prefill_wait + (load - slots + 1) * d->busy_ms / slots;
+  return prefill_wait
+         + lod_queued (load, deviation, slots) * d->busy_ms / slots;
+}
+
+/** The estimate of U's load for a choice; without SPREAD, as it is when none
+ * is made evenly. */
+static lod_estimate_t
+_rte_load_estimate (const rte_t *r, const env_t *env,
+                    const rte_deployment_t *d, rte_upstream_t *u,
+                    const rte_spread_t *spread)
+{
+  if (spread->applies)
+    return rte_even_estimate (r, env, d, u, spread->mean);
+  return (lod_estimate_t){ .load = rte_estimated_load (u, env->now),
+                           .pace = 1 };
 }
 
 static rte_candidate_t
 _rte_cost (const rte_t *r, const env_t *env, const rte_deployment_t *d,
            const rte_query_t *query, rte_upstream_t *u,
-           const rte_upstream_t *home)
+           const rte_upstream_t *home, const rte_spread_t *spread)
 {
-  rte_candidate_t c = { .upstream = u };
-  uint32_t load = rte_estimated_load (u, env->now);
-  c.queued = u->slots > 0 && load >= u->slots;
+  rte_candidate_t c = { .upstream = u, .spread = spread->applies };
+  c.estimate = _rte_load_estimate (r, env, d, u, spread);
+  c.slowness = rte_slowness (u, env->now) * c.estimate.pace;
+  c.queued = u->slots > 0 && c.estimate.load >= u->slots;
   c.prefix_cached = query->prefix != 0
                     && rte_prefix_index_has (r->prefix_index, query->prefix,
                                              u->id, env->now);
-  double queue = _rte_queue_ms (d, load, u->slots,
-                                g_queue_get_length ((GQueue *)&u->unanswered));
+  double queue
+      = _rte_queue_ms (d, c.estimate.load, c.estimate.deviation, u->slots,
+                       g_queue_get_length ((GQueue *)&u->unanswered));
   double prefill = c.prefix_cached ? d->hit_ms : d->miss_ms;
-  c.wait_ms = (queue + prefill) * rte_slowness (u, env->now);
+  c.wait_ms = (queue + prefill) * c.slowness;
   const rte_inflight_t *oldest = g_queue_peek_head ((GQueue *)&u->unanswered);
   if (oldest != NULL)
     {
@@ -248,12 +275,51 @@
     rte_limit_want_spare (r, env, passed->upstream);
 }
 
-/** The cheapest upstream of D; ties are broken at random.  SUSPECTS: considers
- * suspected upstreams too, but only those without an in-flight request of this
- * VM.  PICK tells when an upstream is excluded as full, or by its limit.
- * Tokens are asked for where one would have been preferred. */
+/** One of the candidates of SPREAD, which is freed; no upstream: there are
+ * none. */
+static rte_candidate_t
+_rte_spread_choose (const rte_t *r, const env_t *env, rte_spread_t *spread)
+{
+  rte_candidate_t best = { .upstream = NULL };
+  guint n = spread->candidates->len;
+  lod_candidate_t *v = g_new (lod_candidate_t, n + 1);
+  for (guint i = 0; i < n; i++)
+    {
+      const rte_candidate_t *c
+          = &g_array_index (spread->candidates, rte_candidate_t, i);
+      v[i] = (lod_candidate_t){
+        .cost_ms = c->cost_ms,
+        .drain = lod_drain (c->estimate.load, c->upstream->slots, c->slowness),
+        .near = c->upstream->same_data_centre
+      };
+    }
+  if (n > 0)
+    best = g_array_index (spread->candidates, rte_candidate_t,
+                          lod_choose (v, n, &r->desc.even_rules, env->rand));
+  g_free (v);
+  g_array_free (spread->candidates, TRUE);
+  return best;
+}
+
+/** The choice among D's upstreams by estimates, if it applies. */
+static rte_spread_t
+_rte_spread_begin (const rte_t *r, const env_t *env, const rte_deployment_t *d)
+{
+  if (!rte_even_applies (r, env, d))
+    return (rte_spread_t){ .applies = false };
+  return (rte_spread_t){ .applies = true,
+                         .mean = rte_even_mean (r, env, d),
+                         .candidates = g_array_new (
+                             FALSE, FALSE, sizeof (rte_candidate_t)) };
+}
+
+/** The cheapest upstream of D, or if its requests are spread evenly, one at
+ * random that falls to it (lod_choose); ties are broken at random.  SUSPECTS:
+ * considers suspected upstreams too, but only those without an in-flight
+ * request of this VM.  PICK tells when an upstream is excluded as full, or by
+ * its limit. Tokens are asked for where one would have been preferred. */
 static rte_candidate_t
-_rte_choose (rte_t *r, env_t *env, const rte_deployment_t *d,
+_rte_choose (rte_t *r, env_t *env, rte_deployment_t *d,
              const rte_query_t *query, bool suspects, rte_pick_t *pick)
 {
   rte_candidate_t best = { .upstream = NULL };
@@ -261,6 +327,7 @@
   rte_candidate_t passed[RTE_PASSED_MAX];
   size_t passed_count = 0;
   const rte_upstream_t *home = _rte_home (d, query->prefix, env->now);
+  rte_spread_t spread = _rte_spread_begin (r, env, d);
   for (guint i = 0; i < d->upstreams->len; i++)
     {
       rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
@@ -278,7 +345,7 @@
           pick->full = true;
           continue;
         }
-      rte_candidate_t c = _rte_cost (r, env, d, query, u, home);
+      rte_candidate_t c = _rte_cost (r, env, d, query, u, home, &spread);
       if (!rte_limit_admits (r, env, u, query))
         {
           rte_limit_turn_add (r, env, u, query, pick);
@@ -286,7 +353,10 @@
             passed[passed_count++] = c;
           continue;
         }
-      if (best.upstream == NULL || c.cost_ms < best.cost_ms - RTE_EQUAL_MS)
+      if (spread.applies)
+        g_array_append_val (spread.candidates, c);
+      else if (best.upstream == NULL
+               || c.cost_ms < best.cost_ms - RTE_EQUAL_MS)
         {
           best = c;
           equal = 1;
@@ -295,6 +365,10 @@
                && g_rand_int_range (env->rand, 0, (gint32)++equal) == 0)
         best = c;
     }
+  if (spread.applies)
+    best = _rte_spread_choose (r, env, &spread);
+  if (spread.applies && best.upstream != NULL)
+    rte_even_note (r, env, d, spread.mean, &best.estimate);
   for (size_t i = 0; i < passed_count; i++)
     _rte_passed_want (r, env, query, &passed[i], &best);
   return best;
@@ -314,6 +388,7 @@
                          .deployment = d,
                          .sent_at = env->now,
                          .expected_ms = c->wait_ms,
+                         .expected_pace = c->spread ? c->estimate.pace : 0,
                          .prefix = query->prefix,
                          .prefix_cached = c->prefix_cached,
                          .batch = query->batch,
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -131,6 +131,8 @@
 
   bool load_malformed_logged; /**< a stated load without a meaning was
                                    logged */
+  lod_t lod;                  /**< what is known of the load, for an even
+                                   spread */
 
   clk_ms_t others_at;     /**< when `others` was last updated */
   uint64_t update_count;  /**< number of updates of `others` */
@@ -177,6 +179,10 @@
   double miss_ms; /**< the same when the prefix is not cached */
   double busy_ms; /**< time that a request occupies a slot */
   double bias;    /**< ratio of observed to expected time to first byte */
+
+  clk_ms_t stated_at;      /**< when a response last stated a load; 0: never */
+  clk_ms_t even_logged_at; /**< time of the last line of the log on the spread
+                                of its requests */
 } rte_deployment_t;
 
 /** One in-flight request. */
@@ -195,6 +201,9 @@
   bool batch;
   bool queued;              /**< no slot was believed free at the pick */
   const crs_query_t *crash; /**< as in rte_query_t, until rte_started */
+  double expected_pace;     /**< part of expected_ms: the momentary pace; 0:
+                                 the request was not spread evenly */
+  double stated_pace;       /**< as the response stated; 0: it did not */
 } rte_inflight_t;
 
 typedef struct rte_prefix_index rte_prefix_index_t;
@@ -379,6 +388,24 @@
 void rte_load_stated (rte_t *r, env_t *env, rte_upstream_t *u,
                       const ev_load_t *load);
 
+/** Whether the requests of D are spread by the estimates below. */
+bool rte_even_applies (const rte_t *r, const env_t *env,
+                       const rte_deployment_t *d);
+
+/** Mean of the other VMs' requests at the upstreams of D that this VM uses. */
+double rte_even_mean (const rte_t *r, const env_t *env,
+                      const rte_deployment_t *d);
+
+/** Estimated load of U, of D, where the others have MEAN. */
+lod_estimate_t rte_even_estimate (const rte_t *r, const env_t *env,
+                                  const rte_deployment_t *d, rte_upstream_t *u,
+                                  double mean);
+
+/** Logs how the load of D is spread, every RTE_EVEN_LOG_MS at most, and counts
+ * the choice of CHOSEN. */
+void rte_even_note (const rte_t *r, env_t *env, rte_deployment_t *d,
+                    double mean, const lod_estimate_t *chosen);
+
 /* rte.c */
 
 /** Whether U must get no new requests: the document, a load report or U itself
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -39,6 +39,7 @@
   { "limits", "overshoot" },
   { "limits", "requests" },
   { "platform", "history_s" },
+  { "routing", "even_load" },
   { "log", "level" },
   { "log", "format" },
 };
@@ -216,6 +217,21 @@
                                         "requests, from 0 to 1000000");
 }
 
+static void
+_set_read_routing (_set_load_t *l)
+{
+  const char *value = _set_get (l, "routing", "even_load");
+  l->set->even_load = RTE_EVEN_AUTO;
+  if (value == NULL || value[0] == '\0' || strcmp (value, "auto") == 0)
+    return;
+  if (strcmp (value, "on") == 0)
+    l->set->even_load = RTE_EVEN_ON;
+  else if (strcmp (value, "off") == 0)
+    l->set->even_load = RTE_EVEN_OFF;
+  else
+    _set_fault (l, "routing", "even_load", "auto, on or off");
+}
+
 static void
 _set_read_seed (_set_load_t *l)
 {
@@ -295,6 +311,7 @@
   _set_read_secrets (l);
   _set_read_log (l);
   _set_read_limits (l);
+  _set_read_routing (l);
   l->set->history_ms
       = (int64_t)(_set_number (l, "platform", "history_s", 86400,
                                "seconds, from 0 to 86400")
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -19,6 +19,7 @@
 #ifndef RTS_SET_H
 #define RTS_SET_H
 
+#include "core/rte.h"
 #include "core/st.h"
 
 #include <stdbool.h>
@@ -51,6 +52,7 @@
   double limit_overshoot;  /**< excess that is permitted in a window, as a
                                 fraction of what rate and burst allow */
   double limit_requests;   /**< number of requests permitted in addition */
+  rte_even_t even_load;    /**< as in rte_desc_t */
   const char *log_level;   /**< debug, info, warning or error */
   bool log_json;           /**< false: plain text */
   uint32_t seed; /**< seed of the random numbers; 0: from the clock */
--- a/tests/evl.c
+++ b/tests/evl.c
@@ -33,6 +33,10 @@
 /** Period of the samples of load, and how many an upstream keeps. */
 #define SAMPLE_MS 10
 #define SAMPLES 256
+/** Window in which the share of requests to other data centres is counted, and
+ * the fewest requests for which it means something. */
+#define WINDOW_MS 200
+#define WINDOW_MIN 10
 /** Bytes of framing added to each message between VMs. */
 #define FRAME_BYTES 24
 /** Longest delay of anything in the model, in ms. */
@@ -104,6 +108,11 @@
   uint64_t late_local;
   uint64_t local;
   uint64_t far;
+  uint64_t window[2]; /**< requests of the first data centre's VMs in this
+                           window, and those to others among them */
+  uint64_t window_before[2];
+  double swing;
+  uint64_t swings;
   uint64_t hits;
   uint64_t picked;
   uint64_t polls;
@@ -171,6 +180,27 @@
     }
 }
 
+/** Ends a window of the first data centre's requests. */
+static void
+_evl_window_end (_evl_t *s)
+{
+  const uint64_t *w = s->window;
+  const uint64_t *b = s->window_before;
+  double n = (double)(w[0] + b[0]);
+  double share = n == 0 ? 0 : (double)(w[1] + b[1]) / n;
+  if (w[0] >= WINDOW_MIN && b[0] >= WINDOW_MIN && share > 0 && share < 1)
+    {
+      double change
+          = (double)w[1] / (double)w[0] - (double)b[1] / (double)b[0];
+      double chance
+          = sqrt (share * (1 - share) * (1 / (double)w[0] + 1 / (double)b[0]));
+      s->swing += fabs (change) / chance;
+      s->swings++;
+    }
+  memcpy (s->window_before, s->window, sizeof s->window);
+  memset (s->window, 0, sizeof s->window);
+}
+
 static ev_load_t
 _evl_header (const _evl_t *s, size_t i)
 {
@@ -332,6 +362,9 @@
       s->picked++;
       s->far += q->vm % DATA_CENTRES != q->upstream % DATA_CENTRES;
       s->upstream[q->upstream].started++;
+      s->window[0] += q->vm % DATA_CENTRES == 0;
+      s->window[1]
+          += q->vm % DATA_CENTRES == 0 && q->upstream % DATA_CENTRES != 0;
     }
   _evl_at (s, _evl_hop (q->vm, q->upstream),
            &(_evl_event_t){ .kind = REACH, .request = q });
@@ -492,6 +525,8 @@
     }
   if (s->now % SAMPLE_MS == 0)
     _evl_sample (s);
+  if (s->now % WINDOW_MS == 0)
+    _evl_window_end (s);
 }
 
 /* -- a run ---------------------------------------------------------------- */
@@ -576,11 +611,21 @@
   return (x > y) - (x < y);
 }
 
+/** Sum of the counter NAME over all VMs. */
+static uint64_t
+_evl_counter (const _evl_t *s, const char *name)
+{
+  double sum = 0;
+  for (size_t i = 0; i < s->desc.vms; i++)
+    sum += cnt_value (s->env[i]->cnt, name, "");
+  return (uint64_t)sum;
+}
+
 static evl_result_t
 _evl_result (_evl_t *s)
 {
   double n = fmax (s->took->len, 1);
-  double seconds = (double)(EVL_RUN_MS - EVL_WARM_MS) / CLK_SECOND;
+  double seconds = (double)(s->desc.run_ms - EVL_WARM_MS) / CLK_SECOND;
   double sum = 0;
   g_array_sort (s->took, _evl_compare);
   for (guint i = 0; i < s->took->len; i++)
@@ -595,6 +640,7 @@
     .late = (double)s->late / n,
     .late_local = (double)s->late_local / fmax ((double)s->local, 1),
     .far = (double)s->far / picked,
+    .swing = s->swing / fmax ((double)s->swings, 1),
     .hits = (double)s->hits / picked,
     .first_share = (double)s->upstream[0].started / picked,
     .polls_per_s = (double)s->polls / seconds,
@@ -603,13 +649,9 @@
   };
   if (s->took->len > 0)
     r.p99_ms = g_array_index (s->took, double, (guint)(0.99 * (n - 1)));
-  for (size_t i = 0; i < s->desc.vms; i++)
-    {
-      r.counted[0] += (uint64_t)cnt_value (s->env[i]->cnt,
-                                           "rts_route_load_stated_total", "");
-      r.counted[1] += (uint64_t)cnt_value (
-          s->env[i]->cnt, "rts_route_load_malformed_total", "");
-    }
+  r.stated = _evl_counter (s, "rts_route_load_stated_total");
+  r.malformed = _evl_counter (s, "rts_route_load_malformed_total");
+  r.contradicted = _evl_counter (s, "rts_route_load_contradicted_total");
   return r;
 }
 
@@ -662,8 +704,10 @@
 {
   _evl_t *s = talloc_zero (NULL, _evl_t);
   s->desc = *desc;
+  if (s->desc.run_ms == 0)
+    s->desc.run_ms = EVL_RUN_MS;
   _evl_setup (s);
-  for (; s->now < EVL_RUN_MS; s->now++)
+  for (; s->now < s->desc.run_ms; s->now++)
     _evl_step (s);
   evl_result_t r = _evl_result (s);
   _evl_free (s);
--- a/tests/evl.h
+++ b/tests/evl.h
@@ -23,8 +23,8 @@
 /** Limits of a run. */
 #define EVL_VMS_MAX 256
 #define EVL_UPSTREAMS_MAX 160
-/** Length of a run and of its start, which the results leave out: five and one
- * periods of the waves. */
+/** Default length of a run and length of its start, which the results leave
+ * out: five and one periods of the waves. */
 #define EVL_RUN_MS ((clk_ms_t)33000)
 #define EVL_WARM_MS ((clk_ms_t)6600)
 /** A request is late when its first event comes later than this. */
@@ -61,6 +61,7 @@
   bool even_speeds;     /**< no lasting differences and no changing pace */
   clk_ms_t silent_from; /**< load polls get no response from then on; 0: they
                              always do */
+  clk_ms_t run_ms;      /**< default EVL_RUN_MS */
   uint32_t seed;
   rte_desc_t router; /**< settings of all routers; members is set here */
 } evl_desc_t;
@@ -79,12 +80,17 @@
   double late;        /**< share of the requests that are late */
   double late_local;  /**< the same of the VMs of the first data centre */
   double far;         /**< share of the requests to another data centre */
+  double swing;       /**< mean change of that share between successive 200 ms,
+                           for the VMs of the first data centre, in standard
+                           deviations of chance; 0.8 by chance alone */
   double hits;        /**< share of the requests whose prefix was cached */
   double first_share; /**< share of the requests that the first upstream got */
   double polls_per_s; /**< requests to upstreams for load */
   double bytes_per_s; /**< of messages between VMs, per VM */
   uint64_t requests;
-  uint64_t counted[2]; /**< rts_route_load_stated_total, _malformed_total */
+  uint64_t stated;       /**< sum of rts_route_load_stated_total */
+  uint64_t malformed;    /**< sum of rts_route_load_malformed_total */
+  uint64_t contradicted; /**< sum of rts_route_load_contradicted_total */
 } evl_result_t;
 
 /** Executes a run. */
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -1,10 +1,13 @@
 /** @file
  * The load that upstreams state in responses: its decoding by the platform's
- * codec.
+ * codec, its way into the router, and the setting.
  */
+#include "core/rte.h"
+#include "io/set.h"
 #include "platform/pfm.h"
 #include "tst.h"
 
+#include <glib/gstdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -80,6 +83,153 @@
       EV_LOAD_MALFORMED);
 }
 
+/* A router of a VM alone, with upstreams u0 and u1 of four slots. */
+typedef struct
+{
+  env_t *env;
+  rte_t *rte;
+} fixture_t;
+
+static fixture_t *
+fixture_setup (rte_even_t even_load)
+{
+  fixture_t *f = talloc_zero (NULL, fixture_t);
+  f->env = env_setup (
+      f, &(env_desc_t){ .vm = "a", .data_centre = "x", .seed = 7 });
+  f->env->now = 1000;
+  f->rte = rte_setup (
+      f, &(rte_desc_t){ .members = mbr_setup (f, &(mbr_desc_t){ 0 }),
+                        .even_load = even_load });
+  char *text = talloc_strdup (f, "[data-centre x]\nowner = t\n"
+                                 "[deployment d]\nowner = t\n"
+                                 "kind = engine\nslots = 4\n");
+  for (int i = 0; i < 2; i++)
+    text = talloc_asprintf_append (text,
+                                   "[upstream u%d]\nowner = t\n"
+                                   "deployment = d\ndata_centre = x\n"
+                                   "address = 10.0.0.%d:80\n",
+                                   i, i);
+  cfg_doc_t *doc = NULL;
+  st_t st = { 0 };
+  CU_ASSERT_EQUAL (cfg_doc_parse (f, buf_str (text), &doc, &st), ST_OK);
+  rte_config_changed (f->rte, f->env, doc);
+  return f;
+}
+
+/* Sends a request to ONLY, or where the router chooses; its response states
+ * LOAD.  Returns where it went. */
+static const char *
+ask (fixture_t *f, const char *only, const ev_load_t *load)
+{
+  rte_pick_t pick;
+  CU_ASSERT (rte_pick (f->rte, f->env,
+                       &(rte_query_t){ .deployment = "d", .only = only },
+                       &pick));
+  rte_said_load (f->rte, f->env, pick.handle, load);
+  rte_first_byte (f->rte, f->env, pick.handle);
+  rte_finished (f->rte, f->env, pick.handle);
+  return pick.upstream;
+}
+
+static size_t
+records (const fixture_t *f, const char *event)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < tln_count (f->env->tln); i++)
+    n += strcmp (tln_get (f->env->tln, i)->event, event) == 0;
+  return n;
+}
+
+/* Guards against requests that go to an upstream which has just stated that
+ * many wait there, and against a log that grows with the requests. */
+static void
+test_stated_load_is_avoided (void)
+{
+  ev_load_t full = {
+    .kind = EV_LOAD_STATED, .running = 4, .waiting = 9, .slots = 4, .pace = 100
+  };
+  ev_load_t none = { .kind = EV_LOAD_UNKNOWN };
+  fixture_t *f = fixture_setup (RTE_EVEN_ON);
+  (void)ask (f, "u0", &full);
+  for (int i = 0; i < 50; i++)
+    CU_ASSERT_STRING_EQUAL (ask (f, NULL, &none), "u1");
+  CU_ASSERT_EQUAL (records (f, "even-load"), 1);
+  f->env->now += 5000;
+  (void)ask (f, NULL, &none);
+  CU_ASSERT_EQUAL (records (f, "even-load"), 2);
+  talloc_free (f);
+}
+
+/* Guards against a VM of a small fleet that chooses in another way than
+ * before. */
+static void
+test_auto_is_off_in_a_small_fleet (void)
+{
+  ev_load_t full
+      = { .kind = EV_LOAD_STATED, .running = 4, .waiting = 9, .slots = 4 };
+  fixture_t *f = fixture_setup (RTE_EVEN_AUTO);
+  (void)ask (f, "u0", &full);
+  (void)ask (f, NULL, &full);
+  CU_ASSERT_EQUAL (records (f, "even-load"), 0);
+  CU_ASSERT_EQUAL (cnt_value (f->env->cnt, "rts_route_load_stated_total", ""),
+                   2);
+  talloc_free (f);
+}
+
+/* Guards against a log that is flooded by an upstream that states nonsense. */
+static void
+test_malformed_load_is_logged_once (void)
+{
+  ev_load_t malformed = { .kind = EV_LOAD_MALFORMED, .text = "8;0;8" };
+  fixture_t *f = fixture_setup (RTE_EVEN_ON);
+  for (int i = 0; i < 5; i++)
+    (void)ask (f, "u0", &malformed);
+  CU_ASSERT_EQUAL (records (f, "load-malformed"), 1);
+  CU_ASSERT_EQUAL (
+      cnt_value (f->env->cnt, "rts_route_load_malformed_total", ""), 5);
+  CU_ASSERT_EQUAL (cnt_value (f->env->cnt, "rts_route_load_stated_total", ""),
+                   0);
+  talloc_free (f);
+}
+
+/* Guards against a setting that is read as another one. */
+static void
+test_setting (void)
+{
+  static const struct
+  {
+    const char *line;
+    int expected; /* rte_even_t; -1: refused */
+  } cases[] = { { "", RTE_EVEN_AUTO },
+                { "even_load =", RTE_EVEN_AUTO },
+                { "even_load = auto", RTE_EVEN_AUTO },
+                { "even_load = on", RTE_EVEN_ON },
+                { "even_load = off", RTE_EVEN_OFF },
+                { "even_load = yes", -1 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      void *ctx = talloc_new (NULL);
+      char *path = NULL;
+      char *faults = NULL;
+      int fd = g_file_open_tmp ("rts-XXXXXX", &path, NULL);
+      CU_ASSERT (fd >= 0 && g_close (fd, NULL));
+      char *text = talloc_asprintf (
+          ctx,
+          "[vm]\nname = a\ndata_centre = x\nlisten = 127.0.0.1:1\n"
+          "peer_listen = 127.0.0.1:2\nnetwork = closed\n"
+          "[platform]\naddress = 127.0.0.1:3\n[routing]\n%s\n",
+          cases[i].line);
+      CU_ASSERT (g_file_set_contents (path, text, -1, NULL));
+      const set_t *set = set_load (ctx, path, &faults);
+      CU_ASSERT_EQUAL (set == NULL, cases[i].expected < 0);
+      if (set != NULL)
+        CU_ASSERT_EQUAL ((int)set->even_load, cases[i].expected);
+      (void)g_unlink (path);
+      g_free (path);
+      talloc_free (ctx);
+    }
+}
+
 int
 main (void)
 {
@@ -87,6 +237,10 @@
     { "three_or_four_figures_state_a_load",
       test_three_or_four_figures_state_a_load },
     { "other_values_state_no_load", test_other_values_state_no_load },
+    { "stated_load_is_avoided", test_stated_load_is_avoided },
+    { "auto_is_off_in_a_small_fleet", test_auto_is_off_in_a_small_fleet },
+    { "malformed_load_is_logged_once", test_malformed_load_is_logged_once },
+    { "setting", test_setting },
   };
   return tst_run ("server_load", cases, sizeof cases / sizeof cases[0]);
 }
--- a/tools/measure_even_load.c
+++ b/tools/measure_even_load.c
@@ -14,13 +14,32 @@
 
 /** Runs of each case, with seeds from 1 on; the figures are means. */
 #define SEEDS 2
+/** Number of VMs from which there is one run of each case, and fewer cases. */
+#define LARGE_VMS 200
 
 static const struct
 {
   const char *name;
   rte_desc_t router;
 } choices[] = {
-  { "least cost", { 0 } },
+  { "as before", { .even_load = RTE_EVEN_OFF } },
+  { "as before, with statements",
+    { .even_load = RTE_EVEN_ON,
+      .even_rules = { .choice = LOD_LEAST,
+                      .no_forgetting = true,
+                      .no_deviation = true } } },
+  { "least cost",
+    { .even_load = RTE_EVEN_ON, .even_rules = { .choice = LOD_LEAST } } },
+  { "of two",
+    { .even_load = RTE_EVEN_ON, .even_rules = { .choice = LOD_TWO } } },
+  { "of three",
+    { .even_load = RTE_EVEN_ON, .even_rules = { .choice = LOD_THREE } } },
+  { "drain, not forgetting",
+    { .even_load = RTE_EVEN_ON, .even_rules = { .no_forgetting = true } } },
+  { "drain, no statements",
+    { .even_load = RTE_EVEN_ON, .even_rules = { .no_statements = true } } },
+  { "drain (chosen)",
+    { .even_load = RTE_EVEN_ON, .even_rules = { .choice = LOD_DRAIN } } },
 };
 
 #define CHOICES (sizeof choices / sizeof choices[0])
@@ -33,26 +52,26 @@
 }
 
 static void
-row (const evl_desc_t *base, size_t choice)
+row (const evl_desc_t *base, size_t choice, uint32_t seeds)
 {
   evl_result_t m = { 0 };
-  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+  for (uint32_t seed = 1; seed <= seeds; seed++)
     {
       evl_desc_t d = *base;
       d.seed = seed;
       d.router = choices[choice].router;
       evl_result_t r = evl_run (&d);
-      m.fullest += r.fullest / SEEDS;
-      m.idle += r.idle / SEEDS;
-      m.free += r.free / SEEDS;
-      m.mean_ms += r.mean_ms / SEEDS;
-      m.p99_ms += r.p99_ms / SEEDS;
-      m.late += r.late / SEEDS;
-      m.late_local += r.late_local / SEEDS;
-      m.far += r.far / SEEDS;
-      m.hits += r.hits / SEEDS;
-      m.polls_per_s += r.polls_per_s / SEEDS;
-      m.bytes_per_s += r.bytes_per_s / SEEDS;
+      m.fullest += r.fullest / seeds;
+      m.idle += r.idle / seeds;
+      m.free += r.free / seeds;
+      m.mean_ms += r.mean_ms / seeds;
+      m.p99_ms += r.p99_ms / seeds;
+      m.late += r.late / seeds;
+      m.late_local += r.late_local / seeds;
+      m.far += r.far / seeds;
+      m.hits += r.hits / seeds;
+      m.polls_per_s += r.polls_per_s / seeds;
+      m.bytes_per_s += r.bytes_per_s / seeds;
     }
   printf ("| %zu | %s | %lld | %.2f | %s | %.2f | %.1f | %.0f | %.0f | %.0f | "
           "%.2f | %.2f | %.0f | %.0f | %.0f | %.1f |\n",
@@ -64,26 +83,27 @@
   (void)fflush (stdout);
 }
 
+/** The cases of a fleet; a large one has fewer, as its runs are long. */
 static void
 fleet (size_t vms)
 {
-  static const clk_ms_t news[] = { 50, 200, 500, 1000 };
+  static const clk_ms_t news[] = { 200, 1000, 50, 500 };
   static const double utilisation[] = { 0.35, 0.6 };
-  for (size_t u = 0; u < sizeof utilisation / sizeof utilisation[0]; u++)
-    for (size_t i = 0; i < sizeof news / sizeof news[0]; i++)
+  bool large = vms >= LARGE_VMS;
+  evl_desc_t d = { .vms = vms, .upstreams = upstreams_of (vms) };
+  for (size_t u = 0; u < 2; u++)
+    for (size_t i = 0; i < (large ? 2 : 4); i++)
       for (size_t c = 0; c < CHOICES; c++)
-        row (&(evl_desc_t){ .vms = vms,
-                            .upstreams = upstreams_of (vms),
-                            .news_ms = news[i],
-                            .utilisation = utilisation[u] },
-             c);
-  for (size_t c = 0; c < CHOICES; c++)
-    row (&(evl_desc_t){ .vms = vms,
-                        .upstreams = upstreams_of (vms),
-                        .news_ms = 200,
-                        .utilisation = 0.5,
-                        .rate = EVL_LOCAL },
-         c);
+        {
+          d.news_ms = news[i];
+          d.utilisation = utilisation[u];
+          row (&d, c, large ? 1 : SEEDS);
+        }
+  d.news_ms = 200;
+  d.utilisation = 0.5;
+  d.rate = EVL_LOCAL;
+  for (size_t c = 0; !large && c < CHOICES; c++)
+    row (&d, c, SEEDS);
 }
 
 int
