--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -44,12 +44,12 @@
 typedef struct
 {
   rte_upstream_t *upstream;
-  double cost_ms; /**< wait_ms with preferences added; the least wins */
-  double wait_ms; /**< expected time to first byte */
-  bool prefix_cached;
-  bool queued;
+  double cost_ms;  /**< wait_ms with preferences added; the least wins */
+  double wait_ms;  /**< expected time to first byte */
   double slowness; /**< lasting and momentary */
   lod_estimate_t estimate;
+  bool prefix_cached;
+  bool queued;
   bool spread; /**< the choice spreads requests evenly */
 } rte_candidate_t;
 
@@ -317,7 +317,7 @@
  * random that falls to it (lod_choose); ties are broken at random.  SUSPECTS:
  * considers suspected upstreams too, but only those without an in-flight
  * request of this VM.  PICK tells when an upstream is excluded as full, or by
- * its limit. Tokens are asked for where one would have been preferred. */
+ * its limit.  Tokens are asked for where one would have been preferred. */
 static rte_candidate_t
 _rte_choose (rte_t *r, env_t *env, rte_deployment_t *d,
              const rte_query_t *query, bool suspects, rte_pick_t *pick)
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -74,6 +74,7 @@
                               leaving */
   ev_limit_t load_limit; /**< what the response's head says about a limit */
   clk_ms_t load_head_at; /**< when that head came */
+  ev_load_t load_stated; /**< what it states of the load */
   uint64_t cache_call;   /**< upstream call of the cache poll; 0: none */
   clk_ms_t cache_at;     /**< when that call was sent */
   uint64_t cache_seq;    /**< last sequence number of the upstream's events */
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -214,8 +214,11 @@
   if (leaving && u->born != 0 && (uint64_t)born == u->born)
     rte_leaving_learn (r, env, u, u->born);
   if ((uint64_t)born == u->born)
-    rte_limit_reported (r, env, u, &u->poll->load_limit, u->poll->load_at,
-                        u->poll->load_head_at);
+    {
+      rte_limit_reported (r, env, u, &u->poll->load_limit, u->poll->load_at,
+                          u->poll->load_head_at);
+      rte_load_stated (r, env, u, &u->poll->load_stated);
+    }
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
   if (slots > 0)
@@ -314,6 +317,8 @@
   p->load_limit = up->limit;
   p->load_limit.text = NULL;
   p->load_head_at = env->now;
+  p->load_stated = up->load;
+  p->load_stated.text = NULL;
 }
 
 void
@@ -331,10 +336,7 @@
     {
     case EV_UPSTREAM_HEAD:
       if (!cache)
-        {
-          _rte_load_head_keep (u->poll, env, &ev->upstream);
-          rte_load_stated (r, env, u, &ev->upstream.load);
-        }
+        _rte_load_head_keep (u->poll, env, &ev->upstream);
       if (ev->upstream.status == 200)
         break;
       upc_cancel (env, call);
--- a/tests/evl.c
+++ b/tests/evl.c
@@ -337,7 +337,9 @@
           s->polls += _evl_measured (s);
           if (s->desc.silent_from == 0 || s->now < s->desc.silent_from)
             e.body = _evl_report (s, a * 100 + b);
-          _evl_at (s, e.body == NULL ? f->upstream.total_ms : 2 * HOP_MS, &e);
+          _evl_at (
+              s, e.body == NULL ? f->upstream.total_ms : 2 * (clk_ms_t)HOP_MS,
+              &e);
         }
     }
   fx_clear (fx);
@@ -419,12 +421,13 @@
       double left = per_ms * _evl_rate (s, dc);
       size_t vms = (s->desc.vms - dc + DATA_CENTRES - 1) / DATA_CENTRES;
       /* A Poisson number of arrivals. */
-      for (double p = g_rand_double (s->rand); p > exp (-left);
-           p *= g_rand_double (s->rand))
-        _evl_arrive (
-            s, dc
-                   + DATA_CENTRES
-                         * (size_t)g_rand_int_range (s->rand, 0, (gint32)vms));
+      double p = g_rand_double (s->rand);
+      while (p > exp (-left))
+        {
+          size_t vm = (size_t)g_rand_int_range (s->rand, 0, (gint32)vms);
+          _evl_arrive (s, dc + DATA_CENTRES * vm);
+          p *= g_rand_double (s->rand);
+        }
     }
 }
 
