Tests: a stated load of an online response reaches the router

Cause: nothing showed that the head of a response to an online request hands its load to the router.

Change: a case in test_seam.

--- a/tests/test_seam.c
+++ b/tests/test_seam.c
@@ -103,11 +103,42 @@
   talloc_free (x.platform);
 }
 
+/* Guards against a load that a response states and that does not reach the
+ * router. */
+static void
+test_stated_load_reaches_the_router (void)
+{
+  st_t st = { 0 };
+  example_t x = { .platform = fpl_setup (NULL) };
+  x.node = node_setup (NULL,
+                       &(node_desc_t){ .vm = "north-1",
+                                       .data_centre = "north",
+                                       .operator_token_sha256 = OPERATOR },
+                       &st);
+  TST_NEED (x.node != NULL);
+  example_step (&x, &(ev_t){ .kind = EV_START });
+  example_request (&x, 1, "POST", "/v1/operator/config", "Bearer operator",
+                   DOCUMENT);
+  x.now = 5;
+  example_request (&x, 2, "GET", "/ping", "", "");
+  TST_NEED (x.call != 0);
+  ev_load_t load = { .kind = EV_LOAD_STATED, .running = 1, .slots = 4 };
+  ev_t head = { .kind = EV_UPSTREAM_HEAD,
+                .upstream = { .call = x.call, .status = 200, .load = load } };
+  example_step (&x, &head);
+  CU_ASSERT_EQUAL (
+      cnt_value (node_env (x.node)->cnt, "rts_route_load_stated_total", ""),
+      1);
+  node_shutdown (x.node);
+  talloc_free (x.platform);
+}
+
 int
 main (void)
 {
   static const tst_case_t cases[] = {
     { "example_of_the_seam", test_seam_example },
+    { "stated_load_reaches_the_router", test_stated_load_reaches_the_router },
   };
   return tst_run ("seam", cases, sizeof cases / sizeof cases[0]);
 }
