--- a/src/core/node.h
+++ b/src/core/node.h
@@ -19,6 +19,7 @@
 #include "core/env.h"
 #include "core/ev.h"
 #include "core/lim_slack.h"
+#include "core/rte.h"
 
 /** Source of a node's configuration. */
 typedef enum
@@ -48,6 +49,7 @@
   clk_ms_t evacuate_ms; /**< SOURCE_PLATFORM: time in which a change of the
                              evacuated data centres takes effect; 0: they are
                              not read */
+  rte_even_t even_load; /**< as in rte_desc_t */
   bool worker;          /**< runs batch items, serves no callers */
   crs_prompt_parts_t prompt_parts; /**< of the headers of jobs' items; NULL:
                                         they have none */
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -100,6 +100,7 @@
                         .crashes = n->crs,
                         .cold_overshoot = desc->cold_overshoot,
                         .cold_slack = desc->cold_slack,
+                        .even_load = desc->even_load,
                         .report_ms = platform ? NODE_LOAD_REPORT_MS : 0,
                         .no_cache_events = platform });
   n->crd = crd_setup (n, &(crd_desc_t){ 0 });
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -37,6 +37,7 @@
 #include "core/dir.h"
 #include "core/env.h"
 #include "core/ev.h"
+#include "core/lod.h"
 #include "core/mbr.h"
 #include "core/msg.h"
 
@@ -82,6 +83,20 @@
   MSG_ROUTE_COLD = MSG_ROUTE_FIRST + 6,
 } rte_msg_t;
 
+/** When requests are spread by what upstreams state of their load; see
+ * docs/design/even-load.md. */
+typedef enum
+{
+  RTE_EVEN_AUTO, /**< for deployments whose upstreams state their load in
+                      responses, in fleets with RTE_EVEN_VMS_MIN or more VMs */
+  RTE_EVEN_ON,   /**< for all deployments */
+  RTE_EVEN_OFF,  /**< never */
+} rte_even_t;
+
+/** Number of VMs from which RTE_EVEN_AUTO can apply: below, a VM's own
+ * requests tell it enough. */
+#define RTE_EVEN_VMS_MIN 17
+
 /** Parameters of rte_setup; a zero selects the default. */
 typedef struct
 {
@@ -110,6 +125,8 @@
                                 may get in any second; 0: no upstream is
                                 treated as cold */
   double cold_slack;       /**< requests that it may get in addition */
+  rte_even_t even_load;
+  lod_rules_t even_rules; /**< for measurements; zeros select the defaults */
 } rte_desc_t;
 
 /** Requirements of one request. */
@@ -227,6 +244,11 @@
 /** What the platform's list says about it. */
 void rte_listed_cold (rte_t *r, env_t *env, const dir_cold_t *cold);
 
+/** What the head of the response, which came just now, says about the load of
+ * the upstream. */
+void rte_said_load (rte_t *r, env_t *env, uint64_t handle,
+                    const ev_load_t *load);
+
 /** A part of the body of a success has come. */
 void rte_progress (rte_t *r, env_t *env, uint64_t handle);
 
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -77,6 +77,7 @@
   ev_limit_t load_limit; /**< what the response's head says about a limit */
   ev_cold_t load_cold;   /**< what it says about the cold time */
   clk_ms_t load_head_at; /**< when that head came */
+  ev_load_t load_stated; /**< what it states of the load */
   uint64_t cache_call;   /**< upstream call of the cache poll; 0: none */
   clk_ms_t cache_at;     /**< when that call was sent */
   uint64_t cache_seq;    /**< last sequence number of the upstream's events */
@@ -133,8 +134,12 @@
   uint64_t born;          /**< as in cfg_upstream_t */
   char *version;          /**< as in cfg_upstream_t */
 
-  clk_ms_t cold_start_ms; /**< of the deployment; 0: not treated as cold */
-  double cold_per_s;      /**< of the deployment; 0: not treated as cold */
+  clk_ms_t cold_start_ms;     /**< of the deployment; 0: not treated as cold */
+  double cold_per_s;          /**< of the deployment; 0: not treated as cold */
+  bool load_malformed_logged; /**< a stated load without a meaning was
+                                   logged */
+  lod_t lod;                  /**< what is known of the load, for an even
+                                   spread */
 
   clk_ms_t others_at;     /**< when `others` was last updated */
   uint64_t update_count;  /**< number of updates of `others` */
@@ -184,6 +189,10 @@
   clk_ms_t cold_start_ms; /**< the last one with a meaning; 0: none */
   double cold_per_s;      /**< the same */
   bool cold_logged;       /**< one without a meaning was logged */
+
+  clk_ms_t stated_at;      /**< when a response last stated a load; 0: never */
+  clk_ms_t even_logged_at; /**< time of the last line of the log on the spread
+                                of its requests */
 } rte_deployment_t;
 
 /** One in-flight request. */
@@ -202,6 +211,9 @@
   bool batch;
   bool queued;              /**< no slot was believed free at the pick */
   const crs_query_t *crash; /**< as in rte_query_t, until rte_started */
+  double expected_pace;     /**< part of expected_ms: the momentary pace; 0:
+                                 the request was not spread evenly */
+  double stated_pace;       /**< as the response stated; 0: it did not */
 } rte_inflight_t;
 
 typedef struct rte_prefix_index rte_prefix_index_t;
@@ -441,6 +453,31 @@
                      const ev_limit_t *limit, clk_ms_t sent_at,
                      clk_ms_t said_at, const char *source);
 
+/* rte_even.c: what upstreams state of their load. */
+
+/** The head of a response or of a load report of U, which came now, has stated
+ * LOAD. */
+void rte_load_stated (rte_t *r, env_t *env, rte_upstream_t *u,
+                      const ev_load_t *load);
+
+/** Whether the requests of D are spread by the estimates below. */
+bool rte_even_applies (const rte_t *r, const env_t *env,
+                       const rte_deployment_t *d);
+
+/** Mean of the other VMs' requests at the upstreams of D that this VM uses. */
+double rte_even_mean (const rte_t *r, const env_t *env,
+                      const rte_deployment_t *d);
+
+/** Estimated load of U, of D, where the others have MEAN. */
+lod_estimate_t rte_even_estimate (const rte_t *r, const env_t *env,
+                                  const rte_deployment_t *d, rte_upstream_t *u,
+                                  double mean);
+
+/** Logs how the load of D is spread, every RTE_EVEN_LOG_MS at most, and counts
+ * the choice of CHOSEN. */
+void rte_even_note (const rte_t *r, env_t *env, rte_deployment_t *d,
+                    double mean, const lod_estimate_t *chosen);
+
 /* rte.c */
 
 /** Whether U must get no new requests: its data centre is evacuated, or the
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -219,6 +219,7 @@
                           u->poll->load_head_at);
       rte_cold_said (r, env, u, &u->poll->load_cold, u->poll->load_head_at,
                      "report");
+      rte_load_stated (r, env, u, &u->poll->load_stated);
     }
   u->running = (uint32_t)running;
   u->waiting = (uint32_t)waiting;
@@ -320,6 +321,8 @@
   p->load_cold = up->cold;
   p->load_cold.text = NULL;
   p->load_head_at = env->now;
+  p->load_stated = up->load;
+  p->load_stated.text = NULL;
 }
 
 void
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -21,6 +21,7 @@
 #ifndef RTS_SET_H
 #define RTS_SET_H
 
+#include "core/rte.h"
 #include "core/st.h"
 
 #include <stdbool.h>
@@ -59,6 +60,7 @@
                                 may get in any second; 0: no upstream is
                                 treated as cold */
   double cold_slack;       /**< number of requests permitted in addition */
+  rte_even_t even_load;    /**< as in rte_desc_t */
   const char *log_level;   /**< debug, info, warning or error */
   bool log_json;           /**< false: plain text */
   uint32_t seed; /**< seed of the random numbers; 0: from the clock */
