Routing: upstreams that fail immediately get fewer requests

Cause: a response with 500 lowered neither the rank of its upstream nor its rate, and its short time made the upstream look fast and idle. A VM of a large fleet sees about three requests a second and can learn little alone. Change: online requests and items report the status of failed and successful responses (rte_answer_status); refusals with the promise of not-run, 3xx, 4xx and cancelled calls do not count. Pollers add up the counts of all VMs on messages of their own, which are sent only while there are failures. The cost of a suspected upstream grows with the expected loss; it is never excluded, and one request a second of all VMs probes it, by preference one that may be repeated. Nothing is learned from the times of a failed response. Off unless rte_desc_t.avoid_failing is set.

--- a/src/core/flr.c
+++ b/src/core/flr.c
@@ -122,9 +122,6 @@
       e.customers += c->customers[i].failed >= FLR_FAILED_MIN;
     }
   double failed = sum - largest + fmin (largest, sum - largest);
-  /* The share of the only customer is needed for the usual share. */
-  if (e.customers < FLR_CUSTOMERS_MIN)
-    failed = largest;
   e.share = failed / (failed + c->good + FLR_PRIOR);
   e.supported = e.customers >= FLR_CUSTOMERS_MIN;
   return e;
@@ -182,16 +179,77 @@
   return x->order < y->order ? -1 : x->order > y->order;
 }
 
-/** Gives the first candidates of SORTED an excess, at most LEFT of them. */
+/** The customer with the largest weight of failures at the candidates of
+ * SORTED from FROM on; 0: none. */
+static uint64_t
+_flr_main_customer (const GPtrArray *sorted, guint from)
+{
+  GHashTable *sums
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  uint64_t main = 0;
+  double most = 0;
+  for (guint i = from; i < sorted->len; i++)
+    {
+      const flr_candidate_t *v = g_ptr_array_index (sorted, i);
+      for (size_t k = 0; k < v->counts.customer_count; k++)
+        {
+          const flr_customer_t *c = &v->counts.customers[k];
+          double *sum = g_hash_table_lookup (sums, &c->customer);
+          if (sum == NULL)
+            {
+              sum = g_new0 (double, 1);
+              g_hash_table_insert (sums, (gpointer)&c->customer, sum);
+            }
+          *sum += c->failed;
+          if (*sum <= most)
+            continue;
+          most = *sum;
+          main = c->customer;
+        }
+    }
+  g_hash_table_destroy (sums);
+  return main;
+}
+
+/** Weight of V's failures without those of CUSTOMER. */
+static double
+_flr_failed_without (const flr_candidate_t *v, uint64_t customer)
+{
+  double failed = v->counts.failed;
+  for (size_t i = 0; i < v->counts.customer_count; i++)
+    if (v->counts.customers[i].customer == customer)
+      failed -= v->counts.customers[i].failed;
+  return fmax (failed, 0);
+}
+
+/** The usual share: the mean over the candidates of SORTED from FROM on,
+ * without the customer that has the most failures there; 1 if more than half
+ * of all candidates have failures.  All other customers count, also those that
+ * fail at many upstreams: when all upstreams fail alike, each customer does.
+ */
+static double
+_flr_usual_share (const GPtrArray *sorted, guint from)
+{
+  uint64_t main = _flr_main_customer (sorted, from);
+  double sum = 0;
+  guint failing = 0;
+  for (guint i = 0; i < sorted->len; i++)
+    {
+      const flr_candidate_t *v = g_ptr_array_index (sorted, i);
+      double failed = _flr_failed_without (v, main);
+      failing += failed >= FLR_FAILED_MIN;
+      if (i >= from)
+        sum += failed / (failed + v->counts.good + FLR_PRIOR);
+    }
+  return 2 * failing > sorted->len ? 1 : sum / (sorted->len - from);
+}
+
+/** Gives the first candidates of SORTED an excess, at most MOST of them. */
 static void
-_flr_excess_fill (const GPtrArray *sorted, size_t left)
-{
-  /* Of an even number the larger of the two middle shares counts, so that of
-   * two that both fail none is avoided. */
-  const flr_candidate_t *middle
-      = g_ptr_array_index (sorted, (sorted->len - 1) / 2);
-  double usual = FLR_USUAL_FACTOR * middle->estimate.share;
-  for (guint i = 0; i < sorted->len && left > 0; i++)
+_flr_excess_fill (const GPtrArray *sorted, guint most)
+{
+  double usual = FLR_USUAL_FACTOR * _flr_usual_share (sorted, most);
+  for (guint i = 0, left = most; i < sorted->len && left > 0; i++)
     {
       flr_candidate_t *c = g_ptr_array_index (sorted, i);
       if (!c->estimate.supported || c->estimate.share <= usual)
@@ -217,8 +275,8 @@
       g_ptr_array_add (sorted, &v[i]);
     }
   g_ptr_array_sort (sorted, _flr_candidate_compare);
-  if (n > 0)
-    _flr_excess_fill (sorted, most);
+  if (most > 0)
+    _flr_excess_fill (sorted, (guint)most);
   g_ptr_array_free (sorted, TRUE);
   g_hash_table_destroy (spread);
 }
--- a/src/core/flr.h
+++ b/src/core/flr.h
@@ -32,11 +32,11 @@
 /** Time in which a response loses 63 % of its weight.  An upstream that gets
  * five requests a second has ten responses in it; 3.8 s after its last failure
  * no failure counts (FLR_FAILED_MIN). */
-#define FLR_DECAY_MS (2 * CLK_SECOND)
+#define FLR_DECAY_MS ((clk_ms_t)2500)
 /** Largest weight of one customer's failures in an estimate. */
 #define FLR_CUSTOMER_MAX 2.0
 /** Least weight of failures that counts as any. */
-#define FLR_FAILED_MIN 0.3
+#define FLR_FAILED_MIN 0.25
 /** Customers whose requests must have failed before a failed share may count
  * against an upstream. */
 #define FLR_CUSTOMERS_MIN 2
@@ -45,8 +45,9 @@
 #define FLR_PRIOR 2.0
 /** Part of the upstreams that may be avoided at a time: one in so many. */
 #define FLR_AVOIDED_PART 4
-/** Multiple of the median share up to which a share is usual. */
-#define FLR_USUAL_FACTOR 2.0
+/** Multiple of the mean share of the others up to which a share is usual. When
+ * all fail alike, the shares of few responses differ by this much. */
+#define FLR_USUAL_FACTOR 3.0
 /** Largest count that is taken from a peer. */
 #define FLR_COUNT_MAX 1e6
 
@@ -106,7 +107,7 @@
 
 /** Fills in the results of the N candidates of V.  At most one in
  * FLR_AVOIDED_PART gets an excess, those with the largest shares, and none
- * when the shares are alike. */
+ * when the shares are alike or more than half of the candidates fail. */
 void flr_compare (flr_candidate_t *v, size_t n, clk_ms_t now);
 
 #endif
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -272,6 +272,7 @@
           .version = job_version_wanted (j, env, item),
           .crash = &crash,
           .batch = true,
+          .repeatable = true,
           .skip_full = true,
           .reserved_slots = j->desc.spare_slots };
   if (!rte_pick (j->desc.routes, env, &query, &pick))
@@ -511,6 +512,9 @@
       _job_run_end (j, env, run, rte_not_run_fail (up->status), "not-run");
       return;
     }
+  if (up->status >= 500)
+    rte_answer_status (j->desc.routes, env, run->in_flight, up->status,
+                       job->rec->customer);
   rte_first_byte (j->desc.routes, env, run->in_flight);
   run->status = up->status;
   run->close_delimited = up->close_delimited;
@@ -563,7 +567,12 @@
       return;
     }
   if (status == 200)
-    rte_answered (j->desc.routes, env, run->in_flight, !run->close_delimited);
+    {
+      rte_answer_status (j->desc.routes, env, run->in_flight, status,
+                         job->rec->customer);
+      rte_answered (j->desc.routes, env, run->in_flight,
+                    !run->close_delimited);
+    }
   rte_finished (j->desc.routes, env, run->in_flight);
   if (status == 200)
     job_order_learn (j, env, job, run);
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -219,6 +219,9 @@
       _onl_not_run (o, env, r, up->status);
       return;
     }
+  if (up->status >= 500)
+    rte_answer_status (o->desc.routes, env, r->pick.handle, up->status,
+                       r->customer);
   rte_first_byte (o->desc.routes, env, r->pick.handle);
   if (r->delivered)
     {
@@ -377,8 +380,12 @@
 _onl_response_complete (onl_t *o, env_t *env, onl_request_t *r)
 {
   if (r->response.status >= 200 && r->response.status < 300)
-    rte_answered (o->desc.routes, env, r->pick.handle,
-                  !r->response.close_delimited || r->has_end_marker);
+    {
+      rte_answer_status (o->desc.routes, env, r->pick.handle,
+                         r->response.status, r->customer);
+      rte_answered (o->desc.routes, env, r->pick.handle,
+                    !r->response.close_delimited || r->has_end_marker);
+    }
   rte_finished (o->desc.routes, env, r->pick.handle);
   r->call = 0;
   buf_t body = _onl_buffered (r);
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -140,6 +140,8 @@
                         .crash = &r->crash,
                         .avoid = r->tried,
                         .avoid_count = r->attempts,
+                        .repeatable = (r->idempotent || r->resumable)
+                                      && r->runs + 1 < r->runs_max,
                         .skip_full = true };
   return rte_pick (o->desc.routes, env, &query, &r->pick);
 }
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -438,6 +438,11 @@
   if (r->desc.crashes != NULL)
     crs_run_head (r->desc.crashes, env, handle);
   f->first_at = env->now;
+  if (f->answer_failed)
+    {
+      rte_health_response (r, u, env->now);
+      return;
+    }
   double took = (double)(env->now - f->sent_at);
   double expected = fmax (f->expected_ms / rte_slowness (u, env->now), 1);
   double ratio = fmin (fmax (took, 1) / expected, RTE_SLOWNESS_MAX);
@@ -547,10 +552,11 @@
     return;
   if (f->unanswered != NULL)
     rte_first_byte (r, env, handle);
-  _rte_learn (&f->deployment->busy_ms,
-              (double)(env->now - f->first_at)
-                  + (f->prefix_cached ? f->deployment->hit_ms
-                                      : f->deployment->miss_ms));
+  if (!f->answer_failed)
+    _rte_learn (&f->deployment->busy_ms,
+                (double)(env->now - f->first_at)
+                    + (f->prefix_cached ? f->deployment->hit_ms
+                                        : f->deployment->miss_ms));
   _rte_inflight_end (r, f, u);
   if (r->desc.crashes != NULL)
     crs_run_end (r->desc.crashes, env, handle, CRS_END_OTHER);
@@ -650,13 +656,14 @@
       json_array_append_new (
           all,
           json_pack (
-              "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:f, s:f, "
+              "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:b, s:i, s:i, s:f, s:f, "
               "s:s, s:i}",
               "upstream", u->name, "deployment", u->deployment, "data_centre",
               u->data_centre, "leaving", rte_gets_nothing_new (u, env->now),
-              "suspected", u->health != RTE_WELL, "silent",
-              (u->state & RTE_BIT_SILENT) != 0, "polled_here", u->poll != NULL,
-              "in_flight", (int)(u->online + u->batch), "load",
+              "suspected", u->health != RTE_WELL, "failing",
+              u->failing.suspected, "silent", (u->state & RTE_BIT_SILENT) != 0,
+              "polled_here", u->poll != NULL, "in_flight",
+              (int)(u->online + u->batch), "load",
               (int)rte_estimated_load (u, env->now), "slowness",
               rte_slowness (u, env->now), "limit_per_s", limit, "mint",
               u->mint == NULL ? "" : u->mint, "limit_tokens", (int)tokens));
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -75,6 +75,16 @@
    * of grants and turns, then for each u64 class, u64 number of the ask, u64
    * tokens, u64 ms until the next one and u64 ms between two. */
   MSG_ROUTE_TOKENS = MSG_ROUTE_FIRST + 5,
+  /** VM to poller: how requests of the VM to upstreams that fail a part of
+   * them have ended.  u64 number of the message, which grows, then for each
+   * upstream: str upstream, u64 its start (Unix ms, 0: not known), u64 weight
+   * of failed responses, u64 weight of successes, both in thousandths at the
+   * time of the message (flr.h), u64 age of the last response in ms, u64 count
+   * of customers, then for each u64 hash of the name, u64 weight of failed
+   * responses. */
+  MSG_ROUTE_FAILING = MSG_ROUTE_FIRST + 6,
+  /** Poller to VM: the same, of all other VMs. */
+  MSG_ROUTE_FAILING_SUMS = MSG_ROUTE_FIRST + 7,
 } rte_msg_t;
 
 /** Parameters of rte_setup; a zero selects the default. */
@@ -101,6 +111,8 @@
                                 failure; default 500 */
   clk_ms_t suspect_max_ms; /**< upper limit of that time; default 15 s */
   bool no_cache_events;    /**< do not poll upstreams for cache events */
+  bool avoid_failing;      /**< upstreams that fail a part of their requests
+                                get fewer (rte_answer_status) */
 } rte_desc_t;
 
 /** Requirements of one request. */
@@ -114,7 +126,8 @@
   const char *only;         /**< the only upstream to consider; NULL: all */
   const char *const *avoid; /**< upstreams to exclude */
   size_t avoid_count;
-  bool batch;              /**< a batch request, counted apart from online */
+  bool batch;      /**< a batch request, counted apart from online */
+  bool repeatable; /**< it may be sent again when its response is a failure */
   uint32_t reserved_slots; /**< slots that must remain free at the upstream; if
                                 not 0, skip_full has no effect */
   const crs_query_t *crash; /**< what may end the upstream, borrowed until
@@ -195,7 +208,7 @@
                               const char *deployment, clk_ms_t ms);
 
 /** The request has left this VM: the time to first byte counts from this call,
- * not from the pick.  This and the next five functions ignore an invalid
+ * not from the pick.  This and the next six functions ignore an invalid
  * handle. */
 void rte_started (rte_t *r, env_t *env, uint64_t handle);
 
@@ -210,6 +223,14 @@
 void rte_said_limit (rte_t *r, env_t *env, uint64_t handle,
                      const ev_limit_t *limit);
 
+/** An upstream has responded with STATUS to a request of CUSTOMER, "" if it
+ * has none.  For 500 to 599 without the promise that the request has not run
+ * (a failure): when the head comes, before rte_first_byte.  For 200 to 299 (a
+ * success): when the response is complete.  Others are ignored, and all unless
+ * rte_desc_t.avoid_failing is set. */
+void rte_answer_status (rte_t *r, env_t *env, uint64_t handle, int status,
+                        const char *customer);
+
 /** A part of the body of a success has come. */
 void rte_progress (rte_t *r, env_t *env, uint64_t handle);
 
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -168,6 +168,7 @@
     c.cost_ms -= RTE_HOME_SHARE * (d->miss_ms - d->hit_ms);
   if ((u->state & RTE_BIT_SILENT) != 0)
     c.cost_ms += (double)r->desc.suspect_ms;
+  c.cost_ms += rte_failing_cost (query, u, env->now);
   if (rte_limit_in_force (r, u) != NULL)
     c.cost_ms
         += rte_limit_has_spare (r, env, u) ? -RTE_SPARE_MS : RTE_LIMITED_MS;
@@ -326,6 +327,7 @@
   else
     u->online++;
   rte_limit_charge (r, env, u, query);
+  rte_failing_picked (env, query, u);
   rte_health_lapse (r, u, env->now);
   u->queued += c->queued;
   r->picked_at = env->now;
@@ -363,6 +365,7 @@
   *pick = (rte_pick_t){ .full = false };
   if (d == NULL)
     return false;
+  rte_failing_update (r, env, d);
   rte_candidate_t c = _rte_choose (r, env, d, query, false, pick);
   if (c.upstream == NULL && (pick->full || pick->limited))
     {
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -199,6 +199,7 @@
   if (env->now < r->exchange_at)
     return;
   _rte_own_sums_update (r, env);
+  rte_failing_tick (r, env);
   r->message_count = _rte_usage_send_all (r, env);
   r->exchanged_at = env->now;
   clk_ms_t period = _rte_exchange_period (r);
@@ -259,6 +260,7 @@
   mpk_writer_init (&w, in->ctx);
   uint64_t count = mpk_get_uint (in);
   unsigned reported = 0;
+  rte_upstream_t *polled[RTE_USAGE_ENTRIES_MAX];
   for (uint64_t i = 0; i < count && i < RTE_USAGE_ENTRIES_MAX && mpk_more (in);
        i++)
     {
@@ -276,12 +278,15 @@
       if (in_flight > batch)
         rte_preempt_as_poller (r, env, u);
       _rte_report_write (&w, env, u, vm, seen);
-      reported++;
+      polled[reported++] = u;
     }
   buf_t body = mpk_done (&w);
   bool good = mpk_end (in);
   if (good && reported > 0)
-    mbr_send (r->desc.members, env, vm, MSG_ROUTE_REPORT, body);
+    {
+      mbr_send (r->desc.members, env, vm, MSG_ROUTE_REPORT, body);
+      rte_failing_sums_send (r, env, vm, polled, reported);
+    }
   return good;
 }
 
@@ -381,6 +386,9 @@
     good = rte_preempt_received (r, env, vm, msg, ctx);
   else if (msg->kind == MSG_ROUTE_TOKENS_ASK || msg->kind == MSG_ROUTE_TOKENS)
     good = rte_limit_received (r, env, vm, msg, ctx);
+  else if (msg->kind == MSG_ROUTE_FAILING
+           || msg->kind == MSG_ROUTE_FAILING_SUMS)
+    good = rte_failing_received (r, env, vm, msg, ctx);
   if (!good)
     cnt_add (env->cnt, "rts_route_bad_messages_total", "", 1);
   talloc_free (ctx);
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -11,6 +11,7 @@
 #define RTS_RTE_INT_H
 
 #include "core/cht.h"
+#include "core/flr.h"
 #include "core/rte.h"
 #include "core/tbl.h"
 #include "core/upl.h"
@@ -68,6 +69,8 @@
 typedef struct
 {
   GHashTable *usage;     /**< VM name to rte_usage_t */
+  GHashTable *failing;   /**< VM name to what the VM has said last of failed
+                              requests (rte_failing.c) */
   uint64_t load_call;    /**< upstream call of the load poll; 0: none */
   clk_ms_t load_at;      /**< when that call was sent */
   bool load_leaving;     /**< the response's head says that the upstream is
@@ -92,6 +95,25 @@
   clk_ms_t at;    /**< when the message arrived */
 } rte_usage_t;
 
+/** Failed responses of one start of an upstream; rte_failing.c. */
+typedef struct
+{
+  flr_counts_t own;     /**< to requests of this VM */
+  flr_counts_t others;  /**< to those of others, as the poller says */
+  uint64_t others_from; /**< hash of the name of that poller */
+  uint64_t others_seq;  /**< number of its message */
+  bool untold;          /**< OWN has changed since the poller was told */
+  clk_ms_t told_at;     /**< when the poller was told OWN */
+  clk_ms_t announce_at; /**< as the poller: earliest time of the next message
+                             to all VMs */
+  bool suspected;       /**< more expensive in the choice */
+  double excess;        /**< flr_candidate_t.excess */
+  clk_ms_t since;       /**< begin of the last suspicion */
+  clk_ms_t probe_at;    /**< SUSPECTED: when this VM may probe it */
+  unsigned probes;      /**< in this suspicion */
+  clk_ms_t log_at;      /**< earliest time of the next log line */
+} rte_failing_t;
+
 /** One upstream. */
 typedef struct rte_upstream
 {
@@ -155,6 +177,7 @@
   unsigned failures; /**< times suspected since RTE_FAILURES_RESET_MS passed
                           without a failure */
   rte_health_t health;
+  rte_failing_t failing;
 
   rte_poll_t *poll; /**< NULL unless this VM is the poller */
 } rte_upstream_t;
@@ -169,11 +192,14 @@
   char *sole_version;   /**< of all upstreams of the list; NULL: none, or not
                              of all */
   clk_ms_t sole_since;
-  double hit_ms;  /**< time to first byte when the prefix is cached and a
-                       slot is free */
-  double miss_ms; /**< the same when the prefix is not cached */
-  double busy_ms; /**< time that a request occupies a slot */
-  double bias;    /**< ratio of observed to expected time to first byte */
+  double hit_ms;       /**< time to first byte when the prefix is cached and a
+                            slot is free */
+  double miss_ms;      /**< the same when the prefix is not cached */
+  double busy_ms;      /**< time that a request occupies a slot */
+  double bias;         /**< ratio of observed to expected time to first byte */
+  clk_ms_t failing_at; /**< time of the last rte_failing_update that compared
+                            its upstreams */
+  bool has_failing;    /**< one of them is suspected of failing */
 } rte_deployment_t;
 
 /** One in-flight request. */
@@ -190,7 +216,9 @@
   uint64_t prefix;    /**< rte_prefix of the prompt; 0: none */
   bool prefix_cached; /**< the prefix was expected to be cached */
   bool batch;
-  bool queued;              /**< no slot was believed free at the pick */
+  bool queued;        /**< no slot was believed free at the pick */
+  bool answer_failed; /**< its response is a failure, from whose times nothing
+                           is learned */
   const crs_query_t *crash; /**< as in rte_query_t, until rte_started */
 } rte_inflight_t;
 
@@ -236,14 +264,19 @@
   GHashTable *limits;           /**< upstream name to rte_limit_t */
   clk_ms_t limit_timer_at; /**< time of the next RTE_TIMER_LIMIT, CLK_NEVER:
                                 none; one that fires earlier is obsolete */
-  clk_ms_t picked_at;      /**< time of the last pick */
-  size_t poller_count;     /**< other VMs that poll for this one, at the last
-                                exchange */
-  size_t message_count;    /**< messages of the last exchange */
-  clk_ms_t exchanged_at;   /**< time of the last exchange */
-  clk_ms_t exchange_at;    /**< time of the next exchange; a timer that fires
-                                earlier is obsolete */
-  bool ticking;            /**< the timers are armed */
+  clk_ms_t failing_until;  /**< no failure counts any more then, unless there
+                                are further ones */
+  uint64_t failing_seq;    /**< number of the last message on failures */
+  clk_ms_t failing_malformed_at; /**< earliest time of the next log line on a
+                                      malformed one */
+  clk_ms_t picked_at;            /**< time of the last pick */
+  size_t poller_count;   /**< other VMs that poll for this one, at the last
+                              exchange */
+  size_t message_count;  /**< messages of the last exchange */
+  clk_ms_t exchanged_at; /**< time of the last exchange */
+  clk_ms_t exchange_at;  /**< time of the next exchange; a timer that fires
+                              earlier is obsolete */
+  bool ticking;          /**< the timers are armed */
 };
 
 /* rte_prefix.c: index of the upstreams that probably cache each prefix. */
@@ -403,6 +436,37 @@
 /** Records that a request to U has failed. */
 void rte_health_fail (const rte_t *r, env_t *env, rte_upstream_t *u);
 
+/* rte_failing.c: upstreams that fail a part of their requests. */
+
+/** Creates rte_poll_t.failing. */
+GHashTable *rte_failing_setup (void);
+
+/** Compares the upstreams of D and begins or ends suspicions. */
+void rte_failing_update (const rte_t *r, env_t *env, rte_deployment_t *d);
+
+/** Updates all deployments and tells the pollers what is new to them; comes
+ * with each exchange. */
+void rte_failing_tick (rte_t *r, env_t *env);
+
+/** Sends VM the sums for those of UPSTREAMS, COUNT upstreams that this VM
+ * polls, that have failures. */
+void rte_failing_sums_send (rte_t *r, env_t *env, const char *vm,
+                            rte_upstream_t *const *upstreams, size_t count);
+
+/** Handles MSG_ROUTE_FAILING and MSG_ROUTE_FAILING_SUMS of VM; false:
+ * malformed. */
+bool rte_failing_received (rte_t *r, env_t *env, const char *vm,
+                           const msg_t *msg, void *ctx);
+
+/** Added cost of U for QUERY by the expected loss; negative when QUERY is to
+ * probe U. */
+double rte_failing_cost (const rte_query_t *query, const rte_upstream_t *u,
+                         clk_ms_t now);
+
+/** A request of QUERY is sent to U. */
+void rte_failing_picked (env_t *env, const rte_query_t *query,
+                         rte_upstream_t *u);
+
 /* rte_choice.c */
 
 /** Estimated number of requests at U: rte_known_load and a guess at the
--- a/src/core/rte_poll.c
+++ b/src/core/rte_poll.c
@@ -32,6 +32,7 @@
 _rte_poll_destroy (rte_poll_t *p)
 {
   g_hash_table_destroy (p->usage);
+  g_hash_table_destroy (p->failing);
   return 0;
 }
 
@@ -41,6 +42,7 @@
   u->poll = talloc_zero (r, rte_poll_t);
   u->poll->usage
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  u->poll->failing = rte_failing_setup ();
   talloc_set_destructor (u->poll, _rte_poll_destroy);
 }
 
@@ -73,6 +75,8 @@
       rte_upstream_t *u = tbl_get (r->upstreams, id);
       const char *poller = u->configured ? _rte_poller (r, u) : NULL;
       bool polled_here = poller != NULL && strcmp (poller, env->vm) == 0;
+      if (g_strcmp0 (poller, u->poller) != 0)
+        u->failing.untold = true;
       talloc_free (u->poller);
       u->poller = poller != NULL ? talloc_strdup (u->strings, poller) : NULL;
       rte_limit_mint_update (r, env, u);
--- a/tests/test_flr.c
+++ b/tests/test_flr.c
@@ -21,7 +21,7 @@
   CU_ASSERT (e.supported && e.customers == 2 && e.age_ms == 100);
   CU_ASSERT (e.share > 0.3 && e.share < 0.5 && e.weight > 2.5);
   CU_ASSERT (!flr_estimate (&c, 1300 + 5 * CLK_SECOND).supported);
-  CU_ASSERT (!flr_has_failures (&c, 1300 + 5 * CLK_SECOND));
+  CU_ASSERT (!flr_has_failures (&c, 1300 + 6 * CLK_SECOND));
   for (int i = 0; i < 20; i++)
     flr_add (&c, 3, false, 1300);
   CU_ASSERT (flr_estimate (&c, 1300).share < 0.1);
