--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -98,6 +98,7 @@
       n, &(rte_desc_t){ .members = n->mbr,
                         .crashes = n->crs,
                         .report_ms = platform ? NODE_LOAD_REPORT_MS : 0,
+                        .avoid_failing = desc->avoid_failing,
                         .no_cache_events = platform });
   n->crd = crd_setup (n, &(crd_desc_t){ 0 });
   n->bat
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -582,6 +582,7 @@
                            .requests = set->limit_requests },
           .prompt_parts = set->hosted ? pfm_prompt_parts : NULL,
           .data_centres = set->data_centres,
+          .avoid_failing = set->avoid_failing,
           .history_ms = set->history_ms },
       st);
   if (d->node == NULL || !_drv_open (d, st))
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -39,6 +39,7 @@
   { "limits", "overshoot" },
   { "limits", "requests" },
   { "platform", "history_s" },
+  { "routing", "avoid_failing" },
   { "log", "level" },
   { "log", "format" },
 };
@@ -216,6 +217,17 @@
                                         "requests, from 0 to 1000000");
 }
 
+static void
+_set_read_routing (_set_load_t *l)
+{
+  const char *value = _set_get (l, "routing", "avoid_failing");
+  if (value == NULL || value[0] == '\0')
+    return;
+  l->set->avoid_failing = strcmp (value, "on") == 0;
+  if (!l->set->avoid_failing && strcmp (value, "off") != 0)
+    _set_fault (l, "routing", "avoid_failing", "on or off");
+}
+
 static void
 _set_read_seed (_set_load_t *l)
 {
@@ -295,6 +307,7 @@
   _set_read_secrets (l);
   _set_read_log (l);
   _set_read_limits (l);
+  _set_read_routing (l);
   l->set->history_ms
       = (int64_t)(_set_number (l, "platform", "history_s", 86400,
                                "seconds, from 0 to 86400")
