--- a/src/core/node.h
+++ b/src/core/node.h
@@ -50,6 +50,7 @@
                              evacuated data centres takes effect; 0: they are
                              not read */
   rte_even_t even_load; /**< as in rte_desc_t */
+  bool avoid_failing;   /**< as in rte_desc_t */
   bool worker;          /**< runs batch items, serves no callers */
   crs_prompt_parts_t prompt_parts; /**< of the headers of jobs' items; NULL:
                                         they have none */
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -586,7 +586,8 @@
           .data_centres = set->data_centres,
           .history_ms = set->history_ms,
           .evacuate_ms = set->evacuate_ms,
-          .even_load = set->even_load },
+          .even_load = set->even_load,
+          .avoid_failing = set->avoid_failing },
       st);
   if (d->node == NULL || !_drv_open (d, st))
     {
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -43,6 +43,7 @@
   { "upstreams", "cold_overshoot" },
   { "upstreams", "cold_slack" },
   { "routing", "even_load" },
+  { "routing", "avoid_failing" },
   { "log", "level" },
   { "log", "format" },
 };
@@ -230,7 +231,7 @@
 }
 
 static void
-_set_read_routing (_set_load_t *l)
+_set_read_even_load (_set_load_t *l)
 {
   const char *value = _set_get (l, "routing", "even_load");
   l->set->even_load = RTE_EVEN_AUTO;
@@ -244,6 +245,17 @@
     _set_fault (l, "routing", "even_load", "auto, on or off");
 }
 
+static void
+_set_read_avoid_failing (_set_load_t *l)
+{
+  const char *value = _set_get (l, "routing", "avoid_failing");
+  if (value == NULL || value[0] == '\0')
+    return;
+  l->set->avoid_failing = strcmp (value, "on") == 0;
+  if (!l->set->avoid_failing && strcmp (value, "off") != 0)
+    _set_fault (l, "routing", "avoid_failing", "on or off");
+}
+
 static void
 _set_read_seed (_set_load_t *l)
 {
@@ -324,7 +336,8 @@
   _set_read_log (l);
   _set_read_limits (l);
   _set_read_upstreams (l);
-  _set_read_routing (l);
+  _set_read_even_load (l);
+  _set_read_avoid_failing (l);
   l->set->history_ms
       = (int64_t)(_set_number (l, "platform", "history_s", 86400,
                                "seconds, from 0 to 86400")
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -12,6 +12,7 @@
  *   [limits] window_s, overshoot, requests
  *   [evacuation] within_ms
  *   [upstreams] cold_overshoot, cold_slack
+ *   [routing] avoid_failing
  *   [log] level, format
  *
  * The file is read at start and again on SIGHUP.  Use the file for values that
@@ -61,6 +62,7 @@
                                 treated as cold */
   double cold_slack;       /**< number of requests permitted in addition */
   rte_even_t even_load;    /**< as in rte_desc_t */
+  bool avoid_failing;      /**< as in rte_desc_t */
   const char *log_level;   /**< debug, info, warning or error */
   bool log_json;           /**< false: plain text */
   uint32_t seed; /**< seed of the random numbers; 0: from the clock */
