Jobs: forecast of how many items of a new job would be on time

All jobs are accepted whatever the backlog, so a job is taken that cannot end by its due time. The new module jfc plays the order of the runner on as many places as items have run at a time lately and says how many items of a new job would be on time, with the age and weight of its evidence. Thin or old evidence counts as none. The means of length and pace move there from job_order.c, unchanged. jfc also bounds for how long late items give way.

--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -11,6 +11,7 @@
 #ifndef RTS_JOB_INT_H
 #define RTS_JOB_INT_H
 
+#include "core/jfc.h"
 #include "core/job.h"
 #include "core/job_rec.h"
 #include "core/mpk.h"
@@ -146,13 +147,6 @@
   sse_t events;
 } job_run_t;
 
-/** Length and speed of the items of a route, as means of completed runs. */
-typedef struct
-{
-  double events;   /**< of a complete item */
-  double event_ms; /**< between two events */
-} job_pace_t;
-
 /** A submission: a job that is not accepted yet. */
 typedef struct
 {
@@ -228,7 +222,7 @@
   GHashTable *occupancy_seen; /**< upstream -> update_count (rte_occupancy_t)
                                    of the last check for preemption */
   size_t text_bytes;          /**< of all cached texts */
-  GHashTable *paces;          /**< path of a route -> job_pace_t */
+  GHashTable *paces;          /**< path of a route -> jfc_pace_t */
 };
 
 /** A number that names item INDEX of JOB at this VM. */
@@ -307,6 +301,12 @@
 
 /** The due time of JOB on the clock of the node. */
 clk_ms_t job_due (const job_set_t *j, const job_t *job);
+/** Expected time that item INDEX of JOB still has to run; 0 when it is not
+ * known. */
+double job_remaining_ms (const job_set_t *j, const job_t *job, uint32_t index);
+/** Whether the item is not expected to be on time. */
+bool job_item_is_late (const job_set_t *j, const env_t *env, const job_t *job,
+                       uint32_t index);
 /** The job whose item comes next of those that can start now; *INDEX is set to
  * that item.  NULL: none. */
 job_t *job_order_next (job_set_t *j, const env_t *env, uint32_t *index);
--- a/src/core/job_order.c
+++ b/src/core/job_order.c
@@ -13,13 +13,6 @@
 #include <string.h>
 #include <talloc.h>
 
-/** Weight of one completed run in the means of a route. */
-#define JOB_PACE_WEIGHT 0.1
-/** An item counts as late when less than this part of its expected remaining
- * time is left until its due time.  Items shorter than the mean can still be
- * on time. */
-#define JOB_LATE_PART 0.75
-
 /** Place of an item in the order. */
 typedef struct
 {
@@ -34,27 +27,28 @@
   return job->rec->arrived - j->desc.unix_offset_ms + job->rec->due_ms;
 }
 
-/* Expected time that ITEM of JOB still has to run; 0 when it is not known. */
-static double
-_job_remaining_ms (const job_set_t *j, const job_t *job,
-                   const job_item_t *item)
+double
+job_remaining_ms (const job_set_t *j, const job_t *job, uint32_t index)
+{
+  return jfc_remaining_ms (g_hash_table_lookup (j->paces, job->rec->path),
+                           job->items[index].last_event);
+}
+
+bool
+job_item_is_late (const job_set_t *j, const env_t *env, const job_t *job,
+                  uint32_t index)
 {
-  const job_pace_t *pace = g_hash_table_lookup (j->paces, job->rec->path);
-  if (pace == NULL || (double)item->last_event >= pace->events)
-    return 0;
-  return (pace->events - (double)item->last_event) * pace->event_ms;
+  return jfc_is_late (job_due (j, job), env->now,
+                      job_remaining_ms (j, job, index));
 }
 
 static _job_place_t
 _job_place (const job_set_t *j, const env_t *env, const job_t *job,
             uint32_t index)
 {
-  const job_item_t *item = &job->items[index];
-  clk_ms_t due = job_due (j, job);
-  double needed = JOB_LATE_PART * _job_remaining_ms (j, job, item);
-  return (_job_place_t){ .late = (double)(due - env->now) <= needed,
-                         .due = due,
-                         .last_event = item->last_event };
+  return (_job_place_t){ .late = job_item_is_late (j, env, job, index),
+                         .due = job_due (j, job),
+                         .last_event = job->items[index].last_event };
 }
 
 static bool
@@ -149,12 +143,6 @@
   return last;
 }
 
-static void
-_job_mean_add (double *mean, double value)
-{
-  *mean = *mean > 0 ? *mean + JOB_PACE_WEIGHT * (value - *mean) : value;
-}
-
 void
 job_order_learn (job_set_t *j, const env_t *env, const job_t *job,
                  const job_run_t *run)
@@ -162,13 +150,13 @@
   uint64_t events = job->items[run->item].last_event;
   if (events <= run->resumed_after)
     return;
-  job_pace_t *pace = g_hash_table_lookup (j->paces, job->rec->path);
+  jfc_pace_t *pace = g_hash_table_lookup (j->paces, job->rec->path);
   if (pace == NULL)
     {
-      pace = g_new0 (job_pace_t, 1);
+      pace = g_new0 (jfc_pace_t, 1);
       g_hash_table_insert (j->paces, g_strdup (job->rec->path), pace);
     }
-  _job_mean_add (&pace->events, (double)events);
-  _job_mean_add (&pace->event_ms, (double)(env->now - run->started)
-                                      / (double)(events - run->resumed_after));
+  jfc_pace_add (pace, env->now, (double)events,
+                (double)(env->now - run->started)
+                    / (double)(events - run->resumed_after));
 }
