Jobs: refuse on arrival what cannot end in time

All jobs are accepted today, whatever the backlog. Where [jobs] refuse_late is on and the route has a due time, the VM that takes a job asks its runner (MSG_JOB_ADMIT) before it writes anything; less than half of the items on time by the forecast: 503, not run, Retry-After. No answer in 100 ms, a runner of less than 3 s, thin evidence: the job is accepted. A repeat of a job that is stored or under way is never refused: the runner answers for the jobs that it knows or has just let pass, and the record is read from the platform before a refusal. Jobs that were let pass count in the backlog until their records come, so a burst is not let pass as a whole. Off by default.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -36,6 +36,7 @@
   g_hash_table_destroy (j->by_id);
   g_hash_table_destroy (j->occupancy_seen);
   g_hash_table_destroy (j->paces);
+  job_admit_clear (j);
   return 0;
 }
 
@@ -57,6 +58,7 @@
   j->occupancy_seen
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   j->paces = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  job_admit_setup (j);
   talloc_set_destructor (j, _job_destroy);
   return j;
 }
@@ -313,6 +315,7 @@
       break;
     case JOB_OP_SUBMIT_PART:
     case JOB_OP_SUBMIT_RECORD:
+    case JOB_OP_SUBMIT_CHECK:
       job_submit_replied (j, env, &op, reply);
       break;
     case JOB_OP_READ_RECORD:
@@ -351,6 +354,8 @@
   bool good = false;
   if (msg->kind == MSG_JOB_RECORD)
     good = _job_record_received (j, env, &r);
+  else if (msg->kind == MSG_JOB_ADMIT || msg->kind == MSG_JOB_ADMITTED)
+    good = job_admit_received (j, env, vm, msg->kind, &r);
   else
     good = job_follow_received (j, env, vm, msg->kind, &r);
   if (!good)
@@ -462,6 +467,7 @@
 {
   bool busy = false;
   j->ticking = false;
+  job_width_measure (j, env);
   for (tbl_id_t id = tbl_next (j->calls, (tbl_id_t){ 0 }); id.id != 0;
        id = tbl_next (j->calls, id))
     {
@@ -505,6 +511,8 @@
     job_feed_read (j, env);
   else if (tag == JOB_TIMER_NO_WORKER)
     _job_no_worker_check (j, env);
+  else if (tag == JOB_TIMER_ADMIT)
+    job_admit_timeout (j, env);
   else
     _job_tick (j, env);
   job_pump (j, env);
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -49,6 +49,12 @@
   /** The response: u64 item, u64 1 if the text is at hand, else 0, str job,
    * str text. */
   MSG_JOB_TEXT,
+  /** u64 tag, u64 ms until it is due, u64 items, str path of the route, str
+   * job: asks the runner how many items of a new job would be on time. */
+  MSG_JOB_ADMIT,
+  /** The answer: u64 tag, u64 items on time, u64 items ahead, u64 age of the
+   * evidence in ms, u64 ms after which to try again, str job. */
+  MSG_JOB_ADMITTED,
 } job_msg_t;
 
 /** Settings of the module; a zero selects the default. */
@@ -63,6 +69,8 @@
   clk_ms_t feed_poll_ms; /**< pause between reads of the feed; default 1 s */
   uint32_t spare_slots;  /**< slots that must stay free at an upstream when
                               an item starts there; default 2 */
+  bool refuse_late; /**< refuse jobs of which less than half of the items can
+                         be on time; only on routes with a due time */
 } job_desc_t;
 
 typedef struct job_set job_set_t;
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -3,10 +3,10 @@
  * modules.
  *
  * job.c keeps the jobs and passes replies on, job_feed.c reads the feed of
- * records, job_submit.c accepts jobs, job_read.c responds to calls, job_run.c
- * runs items in the order of job_order.c, job_list.c gives results their
- * positions, and job_follow.c sends updates to peers.  A call is a caller's
- * request about an existing job.
+ * records, job_submit.c accepts jobs, job_admit.c refuses those that cannot
+ * end in time, job_read.c responds to calls, job_run.c runs items in the order
+ * of job_order.c, job_list.c gives results their positions, and job_follow.c
+ * sends updates to peers.  A call is a caller's request about an existing job.
  */
 #ifndef RTS_JOB_INT_H
 #define RTS_JOB_INT_H
@@ -37,14 +37,15 @@
   JOB_OP_FEED,
   JOB_OP_SUBMIT_PART,
   JOB_OP_SUBMIT_RECORD,
-  JOB_OP_READ_RECORD, /**< the record, for a caller */
-  JOB_OP_READ_TEXT,   /**< the text of a result, for a caller */
-  JOB_OP_READ_BODY,   /**< the part with an item's body, for a caller */
-  JOB_OP_RUN_BODY,    /**< a part, to run its items */
-  JOB_OP_LIST_TEXT,   /**< writes the text of a result */
-  JOB_OP_LIST_RECORD, /**< writes the record with new results */
-  JOB_OP_LIST_REREAD, /**< reads the record after a write whose outcome is
-                           unknown */
+  JOB_OP_SUBMIT_CHECK, /**< the record, before a job is refused as late */
+  JOB_OP_READ_RECORD,  /**< the record, for a caller */
+  JOB_OP_READ_TEXT,    /**< the text of a result, for a caller */
+  JOB_OP_READ_BODY,    /**< the part with an item's body, for a caller */
+  JOB_OP_RUN_BODY,     /**< a part, to run its items */
+  JOB_OP_LIST_TEXT,    /**< writes the text of a result */
+  JOB_OP_LIST_RECORD,  /**< writes the record with new results */
+  JOB_OP_LIST_REREAD,  /**< reads the record after a write whose outcome is
+                            unknown */
 } job_op_kind_t;
 
 /** A platform call in progress. */
@@ -147,6 +148,27 @@
   sse_t events;
 } job_run_t;
 
+/** State of the question to the runner whether a job can end in time. */
+typedef enum
+{
+  JOB_ADMIT_PASSED,  /**< it was not asked, or the job is not refused */
+  JOB_ADMIT_ASKED,   /**< its answer is awaited; nothing has been written */
+  JOB_ADMIT_READING, /**< the job is too late; whether its record is stored is
+                          being read, and nothing has been written */
+} job_admit_state_t;
+
+/** Longest id or path in a question, in bytes. */
+#define JOB_ADMIT_TEXT_MAX ((size_t)4096)
+
+/** A job that the runner is asked about. */
+typedef struct
+{
+  const char *id;
+  const char *path; /**< of its route */
+  uint32_t items;
+  clk_ms_t due_ms; /**< until it is due */
+} job_admit_t;
+
 /** A submission: a job that is not accepted yet. */
 typedef struct
 {
@@ -165,6 +187,10 @@
   bool maybe_stored;       /**< a write of the record had an unknown outcome */
   clk_ms_t arrived;
   clk_ms_t deadline; /**< time at which the caller gets an error */
+  job_admit_state_t admit;
+  const char *admit_vm;    /**< the runner that was asked */
+  clk_ms_t admit_until;    /**< end of the wait of ADMIT */
+  jfc_forecast_t forecast; /**< of JOB_ADMIT_READING */
 } job_submit_t;
 
 /** A call: a caller's request about an existing job. */
@@ -197,6 +223,7 @@
   JOB_TIMER_TICK,
   JOB_TIMER_FEED,
   JOB_TIMER_NO_WORKER,
+  JOB_TIMER_ADMIT,
 };
 
 struct job_set
@@ -223,6 +250,9 @@
                                    of the last check for preemption */
   size_t text_bytes;          /**< of all cached texts */
   GHashTable *paces;          /**< path of a route -> jfc_pace_t */
+  jfc_width_t width;          /**< of the items that run here */
+  GQueue *promises;           /**< jobs that this VM, as runner, has let pass
+                                   and whose records it does not have yet */
 };
 
 /** A number that names item INDEX of JOB at this VM. */
@@ -288,6 +318,31 @@
 void job_submit_replied (job_set_t *j, env_t *env, const job_op_t *op,
                          const ev_platform_t *reply);
 
+/** Refuses the job of S, of which nothing was written and half of the items
+ * would be late.  Frees S. */
+void job_submit_refuse_late (job_set_t *j, env_t *env, job_submit_t *s);
+
+/* job_admit.c */
+void job_admit_setup (job_set_t *j);
+void job_admit_clear (job_set_t *j);
+/** Asks the runner whether the job of S, of which nothing has been written,
+ * can end in time; if it need not be asked, S is passed at once. */
+void job_admit_begin (job_set_t *j, env_t *env, job_submit_t *s);
+/** Whether S may be written: it has passed, or does so as no answer has come
+ * in time. */
+bool job_admit_step (env_t *env, job_submit_t *s);
+/** Takes the next step of submissions whose wait has ended. */
+void job_admit_timeout (job_set_t *j, env_t *env);
+/** The record of S was read before the job is refused.  May free S. */
+void job_admit_read (job_set_t *j, env_t *env, job_submit_t *s,
+                     const ev_platform_t *reply);
+/** Handles MSG_JOB_ADMIT or MSG_JOB_ADMITTED from VM; false when the message
+ * is malformed. */
+bool job_admit_received (job_set_t *j, env_t *env, const char *vm,
+                         uint16_t kind, mpk_reader_t *r);
+/** Measures how many items run here at a time. */
+void job_width_measure (job_set_t *j, const env_t *env);
+
 /* job_read.c */
 void job_call_start (job_set_t *j, env_t *env, const char *customer,
                      const ev_request_t *req);
--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -1,9 +1,11 @@
 /** @file
- * Submission of jobs.  Bodies and record are written at the same time; the job
- * is accepted once all of them are stored.  A caller repeats a submission
- * until the job is accepted, so an object that exists already counts as
- * written.  A record whose bodies were never stored belongs to a job that was
- * not accepted; its items are given up at the end of the job's time.
+ * Submission of jobs.  First the runner is asked whether the job can end in
+ * time, where that is set (job_admit.c).  Bodies and record are written at the
+ * same time; the job is accepted once all of them are stored.  A caller
+ * repeats a submission until the job is accepted, so an object that exists
+ * already counts as written.  A record whose bodies were never stored belongs
+ * to a job that was not accepted; its items are given up at the end of the
+ * job's time.
  */
 #include "core/job_int.h"
 
@@ -215,6 +217,15 @@
   _job_submit_free (j, s);
 }
 
+void
+job_submit_refuse_late (job_set_t *j, env_t *env, job_submit_t *s)
+{
+  /* Jobs that were refused together do not come back together. */
+  _job_refuse (env, s->caller, s->rec->id, 503, "late", RPL_NOT_RUN,
+               env_jitter (env, clk_max (s->forecast.retry_ms, CLK_SECOND)));
+  _job_submit_free (j, s);
+}
+
 void
 job_submit_step (job_set_t *j, env_t *env, job_submit_t *s)
 {
@@ -223,7 +234,7 @@
       _job_submit_give_up (j, env, s);
       return;
     }
-  if (env->now < s->retry_at)
+  if (!job_admit_step (env, s) || env->now < s->retry_at)
     return;
   if (s->record_due)
     _job_record_write (j, env, s);
@@ -272,6 +283,11 @@
   job_submit_t *s = tbl_get (j->submits, op->owner);
   if (s == NULL)
     return;
+  if (op->kind == JOB_OP_SUBMIT_CHECK)
+    {
+      job_admit_read (j, env, s, reply);
+      return;
+    }
   if (reply->code != ST_OK && reply->code != ST_CONFLICT)
     {
       _job_submit_failed (j, env, s, op, reply->code);
@@ -306,7 +322,11 @@
     s->part_due[i] = true;
   s->record_due = true;
   job_tick_arm (j, env);
-  job_submit_step (j, env, s);
+  job_admit_begin (j, env, s);
+  /* The runner may have answered, and the submission ended, if it is here. */
+  s = tbl_get (j->submits, id);
+  if (s != NULL)
+    job_submit_step (j, env, s);
 }
 
 void
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -112,12 +112,12 @@
                                         .routes = n->rte,
                                         .crashes = n->crs,
                                         .records = n->idm });
-  n->job
-      = job_setup (n, &(job_desc_t){ .routes = n->rte,
-                                     .crashes = n->crs,
-                                     .prompt_parts = desc->prompt_parts,
-                                     .members = n->mbr,
-                                     .unix_offset_ms = desc->unix_offset_ms });
+  n->job = job_setup (n, &(job_desc_t){ .routes = n->rte,
+                                        .crashes = n->crs,
+                                        .prompt_parts = desc->prompt_parts,
+                                        .members = n->mbr,
+                                        .unix_offset_ms = desc->unix_offset_ms,
+                                        .refuse_late = desc->refuse_late });
   if (platform && desc->worker)
     n->ret = ret_setup (n);
   n->opr = opr_setup (
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -582,7 +582,8 @@
                            .requests = set->limit_requests },
           .prompt_parts = set->hosted ? pfm_prompt_parts : NULL,
           .data_centres = set->data_centres,
-          .history_ms = set->history_ms },
+          .history_ms = set->history_ms,
+          .refuse_late = set->refuse_late },
       st);
   if (d->node == NULL || !_drv_open (d, st))
     {
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -10,6 +10,7 @@
  *        secret_file, network, operator_token_file, data_folder, seed
  *   [platform] address, configuration, history_s
  *   [limits] window_s, overshoot, requests
+ *   [jobs] refuse_late
  *   [log] level, format
  *
  * The file is read at start and again on SIGHUP.  Use the file for values that
@@ -51,6 +52,7 @@
   double limit_overshoot;  /**< excess that is permitted in a window, as a
                                 fraction of what rate and burst allow */
   double limit_requests;   /**< number of requests permitted in addition */
+  bool refuse_late;        /**< jobs that cannot end in time are refused */
   const char *log_level;   /**< debug, info, warning or error */
   bool log_json;           /**< false: plain text */
   uint32_t seed; /**< seed of the random numbers; 0: from the clock */
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -339,7 +339,9 @@
                                 .deadline_ms = 15 * CLK_SECOND,
                                 .job_due_ms = 18 * CLK_SECOND,
                                 .job_keep_ms = CLK_MINUTE,
-                                .waiting_tokens = 1000 };
+                                .waiting_tokens = h->desc.waiting_tokens > 0
+                                                      ? h->desc.waiting_tokens
+                                                      : 1000 };
 }
 
 void
@@ -386,6 +388,7 @@
                       .worker = vm >= h->desc.entries,
                       .limit_slack = h->desc.slack,
                       .history_ms = h->desc.history_ms,
+                      .refuse_late = h->desc.refuse_late,
                       .prompt_parts = _hst_prompt_parts,
                       .data_centres = data_centres },
       &st);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -339,6 +339,139 @@
   env_shutdown (env);
 }
 
+/* A VM whose submission of a job has asked its runner, north-0. */
+static job_set_t *
+_asking (env_t *env, mbr_t *members)
+{
+  static ev_job_item_t items[4]
+      = { { .id = "a", .target = "/q/1", .body = { "b", 1 } },
+          { .id = "b", .target = "/q/1" },
+          { .id = "c", .target = "/q/1" },
+          { .id = "d", .target = "/q/1" } };
+  env->now = CLK_MINUTE;
+  mbr_start (members, env);
+  job_set_t *jobs = _jobs_of_fleet (env, members);
+  jobs->desc.refuse_late = true;
+  mbr_peer_up (members, env, "north-0");
+  job_members_changed (jobs, env);
+  env->now += 5 * CLK_SECOND;
+  fx_clear (env->fx);
+  job_submit (jobs, env, "t1",
+              &(cfg_route_t){
+                  .method = "a.example", .path = "/q/*", .job_due_ms = 18000 },
+              &(ev_request_t){
+                  .caller = 1,
+                  .job = { .id = "j-1", .items = items, .item_count = 4 } });
+  return jobs;
+}
+
+/* Has VM answer the question about job ID that 1 of 4 items would be on time;
+ * CUT: the message lacks its last bytes. */
+static void
+_admitted (job_set_t *jobs, env_t *env, const char *vm, const char *id,
+           size_t cut)
+{
+  mpk_writer_t w;
+  mpk_writer_init (&w, env);
+  mpk_put_uint (&w, tbl_next (jobs->submits, (tbl_id_t){ 0 }).id);
+  mpk_put_uint (&w, 1);
+  mpk_put_uint (&w, 40);
+  mpk_put_uint (&w, 500);
+  mpk_put_uint (&w, 2000);
+  mpk_put_str (&w, buf_str (id));
+  msg_t msg = { .kind = MSG_JOB_ADMITTED, .body = mpk_done (&w) };
+  msg.body.n -= cut;
+  job_message_received (jobs, env, vm, &msg);
+}
+
+/* Number of writes to the platform. */
+static unsigned
+_write_count (const env_t *env)
+{
+  unsigned n = 0;
+  for (size_t i = 0; i < env->fx->count; i++)
+    n += env->fx->v[i].kind == FX_PLATFORM
+         && env->fx->v[i].platform.op == FX_PLATFORM_PUT;
+  return n;
+}
+
+/* Status of the response to the caller; 0: none yet. */
+static int
+_status (const env_t *env)
+{
+  for (size_t i = 0; i < env->fx->count; i++)
+    if (env->fx->v[i].kind == FX_REPLY_HEAD)
+      return env->fx->v[i].reply.status;
+  return 0;
+}
+
+/* Load: a job beyond what fits.  Guards against a refusal after something of
+ * the job was written, and of a job whose record another VM has stored: the
+ * runner's answer that it is late has the record read first. */
+static void
+test_late_job_is_refused_before_it_is_written (void)
+{
+  for (unsigned stored = 0; stored < 2; stored++)
+    {
+      env_t *env = env_setup (
+          NULL, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
+      mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+      job_set_t *jobs = _asking (env, members);
+      job_rec_t rec
+          = _record ((job_rec_item_t[2]){ { .id = "a", .target = "/q" },
+                                          { .id = "b", .target = "/q" } },
+                     NULL);
+      rec.result_count = 0;
+      _admitted (jobs, env, "north-0", "j-1", 0);
+      CU_ASSERT_EQUAL (_write_count (env), 0);
+      ev_object_t object
+          = { .version = 3, .value = job_rec_encode (env, &rec) };
+      ev_platform_t reply = { .call = _call_of (env, FX_PLATFORM_GET).call,
+                              .code = stored ? ST_OK : ST_NOT_FOUND,
+                              .objects = &object,
+                              .object_count = stored };
+      plt_done_t done;
+      TST_NEED (plt_reply (env, &reply, &done));
+      job_platform_replied (jobs, env, &done, &reply);
+      CU_ASSERT_EQUAL (_status (env), stored ? 0 : 503);
+      CU_ASSERT_EQUAL (_write_count (env), stored ? 2 : 0);
+      CU_ASSERT_EQUAL (tbl_count (jobs->submits), stored);
+      env_shutdown (env);
+    }
+}
+
+/* Failures: the runner dies or is cut off while it is asked; an answer comes
+ * from another VM, about another job, cut or late.  Guards against a refusal
+ * by any of these, and against a wait of more than 100 ms. */
+static void
+test_job_is_accepted_without_a_valid_answer (void)
+{
+  env_t *env = env_setup (
+      NULL, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+  job_set_t *jobs = _asking (env, members);
+  _admitted (jobs, env, "north-5", "j-1", 0);
+  _admitted (jobs, env, "north-0", "j-2", 0);
+  for (size_t cut = 1; cut < 10; cut++)
+    _admitted (jobs, env, "north-0", "j-1", cut);
+  CU_ASSERT_EQUAL (_call_of (env, FX_PLATFORM_GET).call, 0);
+  CU_ASSERT_EQUAL (_write_count (env), 0);
+  clk_ms_t end = env->now + 100;
+  while (env->now < end)
+    {
+      tmr_due_t due;
+      env->now += 10;
+      while (tmr_pop (env->tmr, env->now, &due))
+        if (due.mod == MOD_JOB)
+          job_timer_fired (jobs, env, due.tag);
+    }
+  CU_ASSERT_EQUAL (_write_count (env), 2);
+  _admitted (jobs, env, "north-0", "j-1", 0);
+  CU_ASSERT_EQUAL (_call_of (env, FX_PLATFORM_GET).call, 0);
+  CU_ASSERT_EQUAL (_status (env), 0);
+  env_shutdown (env);
+}
+
 int
 main (void)
 {
@@ -352,6 +485,10 @@
       test_unknown_job_is_asked_of_its_runner },
     { "feed_is_read_less_often_in_a_large_fleet",
       test_feed_is_read_less_often_in_a_large_fleet },
+    { "late_job_is_refused_before_it_is_written",
+      test_late_job_is_refused_before_it_is_written },
+    { "job_is_accepted_without_a_valid_answer",
+      test_job_is_accepted_without_a_valid_answer },
     { "paged_feed_resumes_from_first_revision",
       test_paged_feed_resumes_from_first_revision },
   };
