Jobs: late items leave free slots to workers whose items can be on time

Each worker orders its own items only, so items of one worker that are late anyway hold slots in which another's could end in time. Where [jobs] yield_late is on, a worker whose timely items find no slot says so in the usage messages that it sends anyway, as a flag beside its number of batch requests; the poller passes it on in its reports. No message is added and, while no worker wants slots, none differs.

The table of settings keeps one key a line again.

--- a/src/core/job.h
+++ b/src/core/job.h
@@ -71,6 +71,8 @@
                               an item starts there; default 2 */
   bool refuse_late; /**< refuse jobs of which less than half of the items can
                          be on time; only on routes with a due time */
+  bool yield_late;  /**< items that cannot be on time leave free slots for a
+                         bounded time to those of other VMs that can */
 } job_desc_t;
 
 typedef struct job_set job_set_t;
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -251,6 +251,7 @@
   size_t text_bytes;          /**< of all cached texts */
   GHashTable *paces;          /**< path of a route -> jfc_pace_t */
   jfc_width_t width;          /**< of the items that run here */
+  jfc_turn_t turn;            /**< of the late items that run here */
   GQueue *promises;           /**< jobs that this VM, as runner, has let pass
                                    and whose records it does not have yet */
 };
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -244,6 +244,38 @@
   return false;
 }
 
+/* Whether item INDEX, which LATE says cannot be on time, leaves free slots to
+ * other VMs now. */
+static bool
+_job_item_yields (const job_set_t *j, const env_t *env, const job_t *job,
+                  uint32_t index, bool late)
+{
+  const job_rec_t *rec = job->rec;
+  clk_ms_t left = rec->keep_ms > 0
+                      ? rec->arrived + rec->keep_ms - job_unix_now (j, env)
+                      : CLK_HOUR;
+  return j->desc.yield_late && rec->due_ms > 0 && late
+         && jfc_gives_way (&j->turn, env->now,
+                           job_remaining_ms (j, job, index), left);
+}
+
+/* Notes that item INDEX has left room to other VMs. */
+static void
+_job_item_yielded (job_set_t *j, env_t *env, const job_t *job, uint32_t index)
+{
+  bool goes_on = j->turn.since != 0;
+  clk_ms_t turn_until = j->turn.turn_until;
+  jfc_gave_way (&j->turn, env->now);
+  cnt_add (env->cnt, "rts_job_gave_way_total", "", 1);
+  if (goes_on && j->turn.turn_until == turn_until)
+    return;
+  tln_record (env->tln, env->now, MOD_JOB, "gives-way",
+              "job=%s item=%u due_in_ms=%lld remaining_ms=%.0f turn=%d",
+              job->rec->id, index, (long long)(job_due (j, job) - env->now),
+              job_remaining_ms (j, job, index),
+              j->turn.turn_until != turn_until);
+}
+
 /* What became of the start of an item. */
 typedef enum
 {
@@ -264,6 +296,7 @@
   if (!_job_crash_gate (j, env, item, &crash))
     return _JOB_LATER;
   job_text_check_route (item, route);
+  bool late = job_item_is_late (j, env, job, index);
   rte_query_t query
       = { .deployment
           = item->deployment != NULL
@@ -273,11 +306,16 @@
           .crash = &crash,
           .batch = true,
           .skip_full = true,
+          .yields = _job_item_yields (j, env, job, index, late),
           .reserved_slots = j->desc.spare_slots };
   if (!rte_pick (j->desc.routes, env, &query, &pick))
     {
       if (j->desc.crashes != NULL)
         crs_drop (j->desc.crashes, env, MOD_JOB, crash.tag);
+      if (pick.yielded)
+        _job_item_yielded (j, env, job, index);
+      else if (!late && j->desc.yield_late)
+        rte_batch_wants (j->desc.routes, query.deployment);
       if (query.version == NULL)
         return _JOB_NO_ROOM;
       job_version_missing (j, env, job, index);
@@ -354,6 +392,7 @@
 job_runs_start (job_set_t *j, env_t *env)
 {
   uint32_t index = 0;
+  rte_batch_wants (j->desc.routes, NULL);
   if (j->doc == NULL || j->leaving)
     return;
   _job_prepare (j, env);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -44,6 +44,7 @@
   clk_ms_t history_ms; /**< time for which the platform keeps its history; 0:
                             not known */
   bool refuse_late;    /**< as in job_desc_t */
+  bool yield_late;     /**< as in job_desc_t */
   bool worker;         /**< runs batch items, serves no callers */
   crs_prompt_parts_t prompt_parts; /**< of the headers of jobs' items; NULL:
                                         they have none */
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -117,7 +117,8 @@
                                         .prompt_parts = desc->prompt_parts,
                                         .members = n->mbr,
                                         .unix_offset_ms = desc->unix_offset_ms,
-                                        .refuse_late = desc->refuse_late });
+                                        .refuse_late = desc->refuse_late,
+                                        .yield_late = desc->yield_late });
   if (platform && desc->worker)
     n->ret = ret_setup (n);
   n->opr = opr_setup (
--- a/src/core/rte.h
+++ b/src/core/rte.h
@@ -117,6 +117,8 @@
   bool batch;              /**< a batch request, counted apart from online */
   uint32_t reserved_slots; /**< slots that must remain free at the upstream; if
                                 not 0, skip_full has no effect */
+  bool yields; /**< a batch request that leaves free slots to other VMs that
+                    want them (rte_batch_wants) */
   const crs_query_t *crash; /**< what may end the upstream, borrowed until
                                  rte_started; NULL: nothing */
   bool skip_full; /**< exclude upstreams with rte_desc_t.queue_max or more
@@ -129,6 +131,8 @@
 {
   bool full;    /**< rte_pick returned false, and a usable upstream was
                      excluded as full */
+  bool yielded; /**< rte_pick returned false, and a usable upstream had room
+                     that was left to other VMs, as query.yields says */
   bool limited; /**< rte_pick returned false, and a usable upstream was
                      excluded because of the limit that it names */
   clk_ms_t limit_wait_ms; /**< limited: expected time until this VM may send
@@ -234,6 +238,11 @@
 uint32_t rte_idle_slots (const rte_t *r, const env_t *env,
                          const char *upstream);
 
+/** Whether this VM has batch requests for DEPLOYMENT that have to start soon
+ * and find no slot; NULL: it has none.  Other VMs are told with the next usage
+ * messages, through the pollers. */
+void rte_batch_wants (rte_t *r, const char *deployment);
+
 /** How many slots an upstream has and how many requests occupy them. */
 typedef struct
 {
--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -235,6 +235,15 @@
          && rte_known_load (u, env->now) >= u->slots + r->desc.queue_max;
 }
 
+/** Whether QUERY leaves U's room to other VMs. */
+static bool
+_rte_yields (const env_t *env, const rte_query_t *query,
+             const rte_upstream_t *u)
+{
+  return query->yields && u->others_want
+         && env->now - u->others_at < RTE_OTHERS_TTL_MS;
+}
+
 /** Asks for a token of PASSED, which has none, if it would have been preferred
  * to BEST; for one that is not saved up if it would be preferred with that. */
 static void
@@ -278,6 +287,12 @@
           pick->full = true;
           continue;
         }
+      if (_rte_yields (env, query, u))
+        {
+          pick->full = true;
+          pick->yielded = true;
+          continue;
+        }
       rte_candidate_t c = _rte_cost (r, env, d, query, u, home);
       if (!rte_limit_admits (r, env, u, query))
         {
@@ -404,6 +419,14 @@
   return pick->handle != 0;
 }
 
+void
+rte_batch_wants (rte_t *r, const char *deployment)
+{
+  r->wants = deployment == NULL
+                 ? NULL
+                 : g_hash_table_lookup (r->deployments, deployment);
+}
+
 rte_occupancy_t
 rte_occupancy (const rte_t *r, const env_t *env, const char *upstream)
 {
--- a/src/core/rte_exchange.c
+++ b/src/core/rte_exchange.c
@@ -19,6 +19,10 @@
 #define RTE_UNCHANGED_PER_POLLER_MS 75
 /** Exchange period of a VM that has picked no upstream for the same time. */
 #define RTE_EXCHANGE_IDLE_MS ((clk_ms_t)1400)
+/** Added to a number of batch requests in usage messages and reports: the VM,
+ * or one of the others, wants slots (rte_batch_wants).  Messages are as before
+ * while no VM does. */
+#define RTE_BATCH_WANTS ((uint64_t)1 << 32)
 
 uint32_t
 rte_others_sum (const rte_upstream_t *u, const char *vm, clk_ms_t now,
@@ -44,6 +48,28 @@
   return sum;
 }
 
+/** Whether this VM wants slots at U for batch requests. */
+static bool
+_rte_wants (const rte_t *r, const rte_upstream_t *u)
+{
+  return r->wants != NULL && strcmp (r->wants->name, u->deployment) == 0;
+}
+
+/** Whether a VM other than this one and VM, which may be NULL, wants slots at
+ * U, which this VM polls. */
+static bool
+_rte_others_want (const rte_upstream_t *u, const char *vm)
+{
+  GHashTableIter iter;
+  void *name;
+  void *value;
+  g_hash_table_iter_init (&iter, u->poll->usage);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    if (((const rte_usage_t *)value)->wants && g_strcmp0 (name, vm) != 0)
+      return true;
+  return false;
+}
+
 /** Sends the counts for the upstreams of LIST to their common poller. */
 static void
 _rte_usage_send (rte_t *r, env_t *env, const GPtrArray *list)
@@ -58,7 +84,7 @@
       const rte_upstream_t *u = g_ptr_array_index (list, i);
       mpk_put_str (&w, buf_str (u->name));
       mpk_put_uint (&w, u->online + u->batch);
-      mpk_put_uint (&w, u->batch);
+      mpk_put_uint (&w, u->batch | (_rte_wants (r, u) ? RTE_BATCH_WANTS : 0));
       mpk_put_uint (&w, u->events_seen);
     }
   mbr_send (r->desc.members, env, first->poller, MSG_ROUTE_USAGE,
@@ -156,6 +182,7 @@
       if (u->poll == NULL)
         continue;
       u->others = rte_others_sum (u, env->vm, env->now, &u->others_batch);
+      u->others_want = _rte_others_want (u, env->vm);
       u->vm_count = g_hash_table_size (u->poll->usage) + 1;
       u->others_at = env->now;
       u->update_count++;
@@ -210,8 +237,8 @@
 
 /** Writes the report on U for VM, which has received SEEN cache events. */
 static void
-_rte_report_write (mpk_writer_t *w, const env_t *env, const rte_upstream_t *u,
-                   const char *vm, uint64_t seen)
+_rte_report_write (const rte_t *r, mpk_writer_t *w, const env_t *env,
+                   const rte_upstream_t *u, const char *vm, uint64_t seen)
 {
   const rte_poll_t *p = u->poll;
   uint64_t from = seen;
@@ -225,7 +252,8 @@
       = rte_others_sum (u, vm, env->now, &batch) + u->online + u->batch;
   mpk_put_uint (w, g_hash_table_size (p->usage) + 1);
   mpk_put_uint (w, others);
-  mpk_put_uint (w, batch + u->batch);
+  bool want = _rte_wants (r, u) || _rte_others_want (u, vm);
+  mpk_put_uint (w, (batch + u->batch) | (want ? RTE_BATCH_WANTS : 0));
   mpk_put_uint (w, u->born << RTE_STATE_BITS | u->state);
   mpk_put_uint (w, (uint64_t)(env->now - u->report_at));
   mpk_put_uint (w, u->running);
@@ -245,9 +273,11 @@
 rte_usage_record (rte_upstream_t *u, const env_t *env, const char *vm,
                   uint32_t in_flight, uint32_t batch)
 {
+  const rte_usage_t *before = g_hash_table_lookup (u->poll->usage, vm);
   rte_usage_t *usage = g_new (rte_usage_t, 1);
   *usage = (rte_usage_t){ .in_flight = in_flight,
                           .batch = batch,
+                          .wants = before != NULL && before->wants,
                           .at = env->now };
   g_hash_table_replace (u->poll->usage, g_strdup (vm), usage);
 }
@@ -268,14 +298,17 @@
       uint64_t seen = mpk_get_uint (in);
       rte_upstream_t *u
           = name.p ? g_hash_table_lookup (r->by_name, name.p) : NULL;
+      bool wants = (batch & RTE_BATCH_WANTS) != 0;
+      batch &= ~RTE_BATCH_WANTS;
       if (u == NULL || u->poll == NULL || in_flight > UINT16_MAX
           || batch > in_flight)
         continue;
       rte_usage_record (u, env, vm, (uint32_t)in_flight, (uint32_t)batch);
+      ((rte_usage_t *)g_hash_table_lookup (u->poll->usage, vm))->wants = wants;
       rte_limit_user_seen (r, env, u, vm);
       if (in_flight > batch)
         rte_preempt_as_poller (r, env, u);
-      _rte_report_write (&w, env, u, vm, seen);
+      _rte_report_write (r, &w, env, u, vm, seen);
       reported++;
     }
   buf_t body = mpk_done (&w);
@@ -333,6 +366,7 @@
   u->vm_count = (uint32_t)vm_count;
   u->others = (uint32_t)others;
   u->others_batch = (uint32_t)batch;
+  u->others_want = (batch & RTE_BATCH_WANTS) != 0;
   u->update_count++;
   u->others_at = env->now;
   u->own_at_update = u->online + u->batch;
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -89,6 +89,7 @@
 {
   uint32_t in_flight;
   uint32_t batch; /**< batch requests among them */
+  bool wants;     /**< as in rte_batch_wants */
   clk_ms_t at;    /**< when the message arrived */
 } rte_usage_t;
 
@@ -136,6 +137,8 @@
   uint32_t others;        /**< in-flight requests of other VMs, as the poller
                              counts them */
   uint32_t others_batch;  /**< batch requests among them */
+  bool others_want;       /**< another VM wants slots here for batch requests
+                               that have to start soon; as old as `others` */
   uint32_t excess;        /**< requests in the last load report beyond
                                rte_usage_load at that time; see hidden */
   uint32_t hidden;        /**< requests that the upstream reports and no VM
@@ -236,14 +239,15 @@
   GHashTable *limits;           /**< upstream name to rte_limit_t */
   clk_ms_t limit_timer_at; /**< time of the next RTE_TIMER_LIMIT, CLK_NEVER:
                                 none; one that fires earlier is obsolete */
-  clk_ms_t picked_at;      /**< time of the last pick */
-  size_t poller_count;     /**< other VMs that poll for this one, at the last
-                                exchange */
-  size_t message_count;    /**< messages of the last exchange */
-  clk_ms_t exchanged_at;   /**< time of the last exchange */
-  clk_ms_t exchange_at;    /**< time of the next exchange; a timer that fires
-                                earlier is obsolete */
-  bool ticking;            /**< the timers are armed */
+  const rte_deployment_t *wants; /**< as in rte_batch_wants; NULL: none */
+  clk_ms_t picked_at;            /**< time of the last pick */
+  size_t poller_count;   /**< other VMs that poll for this one, at the last
+                              exchange */
+  size_t message_count;  /**< messages of the last exchange */
+  clk_ms_t exchanged_at; /**< time of the last exchange */
+  clk_ms_t exchange_at;  /**< time of the next exchange; a timer that fires
+                              earlier is obsolete */
+  bool ticking;          /**< the timers are armed */
 };
 
 /* rte_prefix.c: index of the upstreams that probably cache each prefix. */
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -583,7 +583,8 @@
           .prompt_parts = set->hosted ? pfm_prompt_parts : NULL,
           .data_centres = set->data_centres,
           .history_ms = set->history_ms,
-          .refuse_late = set->refuse_late },
+          .refuse_late = set->refuse_late,
+          .yield_late = set->yield_late },
       st);
   if (d->node == NULL || !_drv_open (d, st))
     {
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -22,16 +22,27 @@
 } _set_load_t;
 
 static const char *const _set_keys[][2] = {
-  { "vm", "name" },          { "vm", "data_centre" },
-  { "vm", "listen" },        { "vm", "peer_listen" },
-  { "vm", "secret_file" },   { "vm", "operator_token_file" },
-  { "vm", "data_folder" },   { "vm", "seed" },
-  { "platform", "address" }, { "platform", "configuration" },
-  { "vm", "data_centres" },  { "vm", "ready_listen" },
-  { "vm", "network" },       { "limits", "window_s" },
-  { "limits", "overshoot" }, { "limits", "requests" },
-  { "jobs", "refuse_late" }, { "platform", "history_s" },
-  { "log", "level" },        { "log", "format" },
+  { "vm", "name" },
+  { "vm", "data_centre" },
+  { "vm", "listen" },
+  { "vm", "peer_listen" },
+  { "vm", "secret_file" },
+  { "vm", "operator_token_file" },
+  { "vm", "data_folder" },
+  { "vm", "seed" },
+  { "platform", "address" },
+  { "platform", "configuration" },
+  { "vm", "data_centres" },
+  { "vm", "ready_listen" },
+  { "vm", "network" },
+  { "limits", "window_s" },
+  { "limits", "overshoot" },
+  { "limits", "requests" },
+  { "jobs", "refuse_late" },
+  { "jobs", "yield_late" },
+  { "platform", "history_s" },
+  { "log", "level" },
+  { "log", "format" },
 };
 
 #define _SET_KEY_COUNT (sizeof _set_keys / sizeof _set_keys[0])
@@ -287,6 +298,7 @@
   _set_read_log (l);
   _set_read_limits (l);
   l->set->refuse_late = _set_choice (l, "jobs", "refuse_late", "off", "on");
+  l->set->yield_late = _set_choice (l, "jobs", "yield_late", "off", "on");
   l->set->history_ms
       = (int64_t)(_set_number (l, "platform", "history_s", 86400,
                                "seconds, from 0 to 86400")
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -389,6 +389,7 @@
                       .limit_slack = h->desc.slack,
                       .history_ms = h->desc.history_ms,
                       .refuse_late = h->desc.refuse_late,
+                      .yield_late = h->desc.yield_late,
                       .prompt_parts = _hst_prompt_parts,
                       .data_centres = data_centres },
       &st);
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -43,7 +43,8 @@
                             the VMs are told; 0: for ever */
   uint64_t waiting_tokens; /**< of a customer on the route of jobs; default
                                 1000 */
-  bool refuse_late; /**< as in job_desc_t */
+  bool refuse_late;        /**< as in job_desc_t */
+  bool yield_late;         /**< as in job_desc_t */
   bool resumable;   /**< whether streams of the online route are resumable */
   lsl_desc_t slack; /**< excess over limits that the VMs may admit */
 } hst_desc_t;
