--- a/src/core/job.h
+++ b/src/core/job.h
@@ -69,10 +69,13 @@
   clk_ms_t feed_poll_ms; /**< pause between reads of the feed; default 1 s */
   uint32_t spare_slots;  /**< slots that must stay free at an upstream when
                               an item starts there; default 2 */
-  bool refuse_late; /**< refuse jobs of which less than half of the items can
-                         be on time; only on routes with a due time */
-  bool yield_late;  /**< items that cannot be on time leave free slots for a
-                         bounded time to those of other VMs that can */
+  bool refuse_late;  /**< refuse jobs of which less than half of the items can
+                          be on time; only on routes with a due time */
+  bool yield_late;   /**< items that cannot be on time leave free slots for a
+                          bounded time to those of other VMs that can */
+  bool preempt_once; /**< only an upstream's poller has runs preempted; this
+                          VM does not do so a second time by the poller's
+                          reports */
 } job_desc_t;
 
 typedef struct job_set job_set_t;
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -247,7 +247,7 @@
   bool ticking;     /**< the tick timer is armed */
   bool leaving;     /**< a graceful shutdown has begun */
   GHashTable *occupancy_seen; /**< upstream -> update_count (rte_occupancy_t)
-                                   of the last check for preemption */
+                                 of the last check for preemption */
   size_t text_bytes;          /**< of all cached texts */
   GHashTable *paces;          /**< path of a route -> jfc_pace_t */
   jfc_width_t width;          /**< of the items that run here */
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -35,6 +35,8 @@
 #define JOB_BLOCKED_RETRY_MS (1 * CLK_SECOND)
 /** Pause of an item after a preemption. */
 #define JOB_PREEMPTED_RETRY_MS 100
+/** A run that is preempted earlier has done less than its start costs. */
+#define JOB_SHORT_RUN_MS 500
 /** Largest text of an item, in bytes.  It is stored as an object of at most
  * 1 MiB; the other half is for escapes. */
 #define JOB_TEXT_MAX ((size_t)512 << 10)
@@ -443,6 +445,8 @@
   const job_t *job = tbl_get (j->jobs, last->job);
   job->items[last->item].not_before = env->now + JOB_PREEMPTED_RETRY_MS;
   cnt_add (env->cnt, "rts_job_yields_total", "", 1);
+  if (env->now - last->started < JOB_SHORT_RUN_MS)
+    cnt_add (env->cnt, "rts_job_yields_short_total", "", 1);
   _job_run_end (j, env, last, RTE_FAIL_CANCELLED, "preempted");
 }
 
@@ -459,6 +463,8 @@
 void
 job_runs_preempt (job_set_t *j, env_t *env)
 {
+  if (j->desc.preempt_once)
+    return;
   for (tbl_id_t id = tbl_next (j->runs, (tbl_id_t){ 0 }); id.id != 0;
        id = tbl_next (j->runs, id))
     {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -45,6 +45,7 @@
                             not known */
   bool refuse_late;    /**< as in job_desc_t */
   bool yield_late;     /**< as in job_desc_t */
+  bool preempt_once;   /**< as in job_desc_t */
   bool worker;         /**< runs batch items, serves no callers */
   crs_prompt_parts_t prompt_parts; /**< of the headers of jobs' items; NULL:
                                         they have none */
--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -118,7 +118,8 @@
                                         .members = n->mbr,
                                         .unix_offset_ms = desc->unix_offset_ms,
                                         .refuse_late = desc->refuse_late,
-                                        .yield_late = desc->yield_late });
+                                        .yield_late = desc->yield_late,
+                                        .preempt_once = desc->preempt_once });
   if (platform && desc->worker)
     n->ret = ret_setup (n);
   n->opr = opr_setup (
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -584,7 +584,8 @@
           .data_centres = set->data_centres,
           .history_ms = set->history_ms,
           .refuse_late = set->refuse_late,
-          .yield_late = set->yield_late },
+          .yield_late = set->yield_late,
+          .preempt_once = set->preempt_once },
       st);
   if (d->node == NULL || !_drv_open (d, st))
     {
--- a/src/io/set.c
+++ b/src/io/set.c
@@ -40,6 +40,7 @@
   { "limits", "requests" },
   { "jobs", "refuse_late" },
   { "jobs", "yield_late" },
+  { "jobs", "preempt_once" }, /* the comment keeps one key a line */
   { "platform", "history_s" },
   { "log", "level" },
   { "log", "format" },
@@ -299,6 +300,7 @@
   _set_read_limits (l);
   l->set->refuse_late = _set_choice (l, "jobs", "refuse_late", "off", "on");
   l->set->yield_late = _set_choice (l, "jobs", "yield_late", "off", "on");
+  l->set->preempt_once = _set_choice (l, "jobs", "preempt_once", "off", "on");
   l->set->history_ms
       = (int64_t)(_set_number (l, "platform", "history_s", 86400,
                                "seconds, from 0 to 86400")
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -10,7 +10,7 @@
  *        secret_file, network, operator_token_file, data_folder, seed
  *   [platform] address, configuration, history_s
  *   [limits] window_s, overshoot, requests
- *   [jobs] refuse_late, yield_late
+ *   [jobs] refuse_late, yield_late, preempt_once
  *   [log] level, format
  *
  * The file is read at start and again on SIGHUP.  Use the file for values that
@@ -54,6 +54,7 @@
   double limit_requests;   /**< number of requests permitted in addition */
   bool refuse_late;        /**< jobs that cannot end in time are refused */
   bool yield_late;         /**< late items leave free slots to others */
+  bool preempt_once;       /**< as in job_desc_t */
   const char *log_level;   /**< debug, info, warning or error */
   bool log_json;           /**< false: plain text */
   uint32_t seed; /**< seed of the random numbers; 0: from the clock */
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -390,6 +390,7 @@
                       .history_ms = h->desc.history_ms,
                       .refuse_late = h->desc.refuse_late,
                       .yield_late = h->desc.yield_late,
+                      .preempt_once = h->desc.preempt_once,
                       .prompt_parts = _hst_prompt_parts,
                       .data_centres = data_centres },
       &st);
@@ -579,6 +580,14 @@
   h->item_part_count = count;
 }
 
+double
+hst_counter (const hst_t *h, size_t vm, const char *name)
+{
+  return h->vm[vm].node == NULL
+             ? 0
+             : cnt_value (node_env (h->vm[vm].node)->cnt, name, "");
+}
+
 uint64_t
 hst_submit (hst_t *h, size_t vm, const char *id, size_t count)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -21,20 +21,22 @@
 #include <glib.h>
 
 /** Largest number of VMs, and of upstreams. */
-#define HST_MAX 8
+#define HST_MAX 64
 
 /** Settings of a fleet; zeros mean the defaults. */
 typedef struct
 {
-  size_t entries;       /**< entry VMs; default 2 */
-  size_t workers;       /**< worker VMs; default 2 */
-  size_t upstreams;     /**< default 2, of 8 slots each */
-  size_t far_upstreams; /**< of the upstreams, the last ones that are in the
-                             other data centre, "south"; default 0 */
-  unsigned events;      /**< in a response of an upstream; default 20 */
-  clk_ms_t gap_ms;      /**< between two events; default 10 */
-  clk_ms_t gap_step_ms; /**< by which the gap of an upstream is longer than
-                           that of the one before it; default 0 */
+  size_t entries;         /**< entry VMs; default 2 */
+  size_t workers;         /**< worker VMs; default 2 */
+  size_t upstreams;       /**< default 2, of 8 slots each */
+  size_t far_upstreams;   /**< of the upstreams, the last ones that are in the
+                               other data centre, "south"; default 0 */
+  unsigned events;        /**< in a response of an upstream; default 20 */
+  unsigned online_events; /**< the same in responses to callers' requests;
+                               default: events */
+  clk_ms_t gap_ms;        /**< between two events; default 10 */
+  clk_ms_t gap_step_ms;   /**< by which the gap of an upstream is longer than
+                             that of the one before it; default 0 */
   double rate;  /**< limit of customer "acme", in requests per second; 0: no
                      limit */
   double burst; /**< of the same limit, in requests */
@@ -45,6 +47,7 @@
                                 1000 */
   bool refuse_late;        /**< as in job_desc_t */
   bool yield_late;         /**< as in job_desc_t */
+  bool preempt_once;       /**< as in job_desc_t */
   bool resumable;   /**< whether streams of the online route are resumable */
   lsl_desc_t slack; /**< excess over limits that the VMs may admit */
 } hst_desc_t;
@@ -259,6 +262,9 @@
 /** All ends of upstreams, in the order of their times: hst_end_t. */
 const GArray *hst_ends (const hst_t *h);
 
+/** Value of a counter without labels of VM's process. */
+double hst_counter (const hst_t *h, size_t vm, const char *name);
+
 /** All requests that upstreams have received, except reads of their load, in
  * the order of their times: hst_arrival_t. */
 const GArray *hst_arrivals (const hst_t *h);
@@ -292,6 +298,10 @@
 /** Number of requests that run at UPSTREAM now. */
 unsigned hst_running_count (const hst_t *h, size_t upstream);
 
+/** Time for which requests ran at upstreams beyond the 8 slots, summed over
+ * these requests: how long requests would have waited for slots. */
+clk_ms_t hst_waited_ms (const hst_t *h);
+
 /** Largest number of bytes that UPSTREAM has sent in a body without end. */
 size_t hst_endless_sent (const hst_t *h, size_t upstream);
 
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -43,6 +43,7 @@
   size_t upstream;
   unsigned first; /**< number of the first event of the response */
   unsigned next;  /**< number of the next event */
+  unsigned last;  /**< number of the last event */
   hst_endless_t endless;
   size_t sent;    /**< bytes of a body without end */
   bool cancelled; /**< the request has ended or was cancelled */
@@ -104,6 +105,8 @@
   uint64_t born_revision;       /**< of the last change of the list */
   unsigned received[HST_MAX];   /**< requests, by upstream */
   unsigned running[HST_MAX];    /**< requests that run now, by upstream */
+  clk_ms_t changed_at[HST_MAX]; /**< of running, by upstream */
+  clk_ms_t waited_ms;           /**< hst_waited_ms */
   unsigned peak[HST_MAX];       /**< largest value of running, by upstream */
   size_t endless_sent[HST_MAX]; /**< in one response, at most, by upstream */
   GPtrArray *runs;              /**< char *: request ids, one for each run */
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -13,6 +13,8 @@
 #define HST_HEAD_MS 10
 /** Time until an upstream's load report arrives. */
 #define HST_REPORT_MS 5
+/** Slots of an upstream. */
+#define HST_SLOTS 8
 
 /* Time between two events of UPSTREAM. */
 static clk_ms_t
@@ -21,11 +23,31 @@
   return h->desc.gap_ms + (clk_ms_t)upstream * h->desc.gap_step_ms;
 }
 
+/* Notes that the number of requests that run at UPSTREAM changes. */
+static void
+_hst_running_changes (hst_t *h, size_t upstream)
+{
+  unsigned running = h->running[upstream];
+  if (running > HST_SLOTS)
+    h->waited_ms += (clk_ms_t)(running - HST_SLOTS)
+                    * (h->now - h->changed_at[upstream]);
+  h->changed_at[upstream] = h->now;
+}
+
+clk_ms_t
+hst_waited_ms (const hst_t *h)
+{
+  return h->waited_ms;
+}
+
 void
 hst_inflight_end (hst_t *h, hst_inflight_t *f)
 {
   if (!f->cancelled)
-    h->running[f->upstream]--;
+    {
+      _hst_running_changes (h, f->upstream);
+      h->running[f->upstream]--;
+    }
   f->cancelled = true;
 }
 
@@ -140,7 +162,8 @@
 hst_upstream_call (hst_t *h, size_t vm, const fx_upstream_t *u)
 {
   /* The address of upstream N is 10.0.0.N:80. */
-  size_t at = (size_t)(u->address[7] - '0');
+  size_t at
+      = (size_t)g_ascii_strtoull (u->address + strlen ("10.0.0."), NULL, 10);
   ev_t head = { .kind = EV_UPSTREAM_HEAD, .upstream = { .call = u->call } };
   if (h->back_at[at] != 0)
     {
@@ -202,11 +225,15 @@
                          .call = u->call,
                          .upstream = at,
                          .endless = fault->endless,
+                         .last = u->caller == 0 || h->desc.online_events == 0
+                                     ? h->desc.events
+                                     : h->desc.online_events,
                          .next = 1 };
   if (u->resume_after != NULL)
     f->next = (unsigned)g_ascii_strtoull (u->resume_after, NULL, 10) + 1;
   f->first = f->next;
   g_ptr_array_add (h->in_flight, f);
+  _hst_running_changes (h, at);
   if (++h->running[at] > h->peak[at])
     h->peak[at] = h->running[at];
   /* hst_stream_event_send fills in the data. */
@@ -218,7 +245,8 @@
 hst_inflight_find (const hst_t *h, size_t vm, uint64_t incarnation,
                    uint64_t call)
 {
-  for (guint i = 0; i < h->in_flight->len; i++)
+  /* The newest are at the end. */
+  for (guint i = h->in_flight->len; i-- > 0;)
     {
       hst_inflight_t *f = g_ptr_array_index (h->in_flight, i);
       if (f->vm == vm && f->call == call && f->incarnation == incarnation
@@ -299,7 +327,7 @@
               broken ? "" : "\n");
   ev.upstream.data = buf_str (text);
   f->next++;
-  bool last = f->next > h->desc.events;
+  bool last = f->next > f->last;
   uint64_t call = f->call;
   if (broken)
     {
