Jobs: clean by clang-tidy

The places of a forecast and the loop of arrivals in test_job_waves were reported by the analyser. Neither changes a figure: test_jfc 5 passed, test_job_waves 1 passed with the same counts.

--- a/src/core/jfc.c
+++ b/src/core/jfc.c
@@ -189,8 +189,7 @@
     f.weight = 0;
   if (f.weight < 1)
     return f;
-  _jfc_places_t p;
-  p.count = (size_t)fmin (ceil (f.width), JFC_PLACES_MAX);
+  _jfc_places_t p = { .count = (size_t)fmin (ceil (f.width), JFC_PLACES_MAX) };
   p.stretch = fmax ((double)p.count / f.width, 1);
   for (size_t i = 0; i < p.count; i++)
     p.free_at[i] = (double)now;
--- a/tests/test_job_waves.c
+++ b/tests/test_job_waves.c
@@ -33,16 +33,20 @@
 {
   double mean = 4.0 * (double)upstreams / 1000; /* requests a ms */
   double factor = hst_now (h) % WAVE_MS < CREST_MS ? 1.84 : 0.38;
-  for (double p = mean * factor * 5; p > 0; p -= 1)
-    if (g_rand_double (rand) < p)
-      {
-        char id[32];
-        (void)g_snprintf (id, sizeof id, "o-%u", callers->len);
-        uint64_t c = hst_stream (
-            h, (size_t)g_rand_int_range (rand, 0, (gint32)entries), "key-acme",
-            id);
-        g_array_append_val (callers, c);
-      }
+  double p = mean * factor * 5;
+  while (p > 0)
+    {
+      if (g_rand_double (rand) < p)
+        {
+          char id[32];
+          (void)g_snprintf (id, sizeof id, "o-%u", callers->len);
+          uint64_t c = hst_stream (
+              h, (size_t)g_rand_int_range (rand, 0, (gint32)entries),
+              "key-acme", id);
+          g_array_append_val (callers, c);
+        }
+      p -= 1;
+    }
   hst_advance (h, 5);
 }
 
