--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -35,6 +35,8 @@
 #define JOB_BLOCKED_RETRY_MS (1 * CLK_SECOND)
 /** Pause of an item after a preemption. */
 #define JOB_PREEMPTED_RETRY_MS 100
+/** A run that is preempted earlier has done less than its start costs. */
+#define JOB_SHORT_RUN_MS 500
 /** Largest text of an item, in bytes.  It is stored as an object of at most
  * 1 MiB; the other half is for escapes. */
 #define JOB_TEXT_MAX ((size_t)512 << 10)
@@ -244,6 +246,38 @@
   return false;
 }
 
+/* Whether item INDEX, which LATE says cannot be on time, leaves free slots to
+ * other VMs now. */
+static bool
+_job_item_yields (const job_set_t *j, const env_t *env, const job_t *job,
+                  uint32_t index, bool late)
+{
+  const job_rec_t *rec = job->rec;
+  clk_ms_t left = rec->keep_ms > 0
+                      ? rec->arrived + rec->keep_ms - job_unix_now (j, env)
+                      : CLK_HOUR;
+  return j->desc.yield_late && rec->due_ms > 0 && late
+         && jfc_gives_way (&j->turn, env->now,
+                           job_remaining_ms (j, job, index), left);
+}
+
+/* Notes that item INDEX has left room to other VMs. */
+static void
+_job_item_yielded (job_set_t *j, env_t *env, const job_t *job, uint32_t index)
+{
+  bool goes_on = j->turn.since != 0;
+  clk_ms_t turn_until = j->turn.turn_until;
+  jfc_gave_way (&j->turn, env->now);
+  cnt_add (env->cnt, "rts_job_gave_way_total", "", 1);
+  if (goes_on && j->turn.turn_until == turn_until)
+    return;
+  tln_record (env->tln, env->now, MOD_JOB, "gives-way",
+              "job=%s item=%u due_in_ms=%lld remaining_ms=%.0f turn=%d",
+              job->rec->id, index, (long long)(job_due (j, job) - env->now),
+              job_remaining_ms (j, job, index),
+              j->turn.turn_until != turn_until);
+}
+
 /* What became of the start of an item. */
 typedef enum
 {
@@ -282,6 +316,7 @@
   if (!_job_crash_gate (j, env, item, &crash))
     return _JOB_LATER;
   job_text_check_route (item, route);
+  bool late = job_item_is_late (j, env, job, index);
   rte_query_t query
       = { .deployment
           = item->deployment != NULL
@@ -292,11 +327,16 @@
           .batch = true,
           .repeatable = true,
           .skip_full = true,
+          .yields = _job_item_yields (j, env, job, index, late),
           .reserved_slots = j->desc.spare_slots };
   if (!_job_pick (j, env, item, &query, &pick))
     {
       if (j->desc.crashes != NULL)
         crs_drop (j->desc.crashes, env, MOD_JOB, crash.tag);
+      if (pick.yielded)
+        _job_item_yielded (j, env, job, index);
+      else if (!late && j->desc.yield_late)
+        rte_batch_wants (j->desc.routes, query.deployment);
       if (query.version == NULL && query.avoid_count == 0)
         return _JOB_NO_ROOM;
       if (query.version == NULL)
@@ -378,6 +418,7 @@
 job_runs_start (job_set_t *j, env_t *env)
 {
   uint32_t index = 0;
+  rte_batch_wants (j->desc.routes, NULL);
   if (j->doc == NULL || j->leaving)
     return;
   _job_prepare (j, env);
@@ -428,6 +469,8 @@
   const job_t *job = tbl_get (j->jobs, last->job);
   job->items[last->item].not_before = env->now + JOB_PREEMPTED_RETRY_MS;
   cnt_add (env->cnt, "rts_job_yields_total", "", 1);
+  if (env->now - last->started < JOB_SHORT_RUN_MS)
+    cnt_add (env->cnt, "rts_job_yields_short_total", "", 1);
   _job_run_end (j, env, last, RTE_FAIL_CANCELLED, "preempted");
 }
 
@@ -444,6 +487,8 @@
 void
 job_runs_preempt (job_set_t *j, env_t *env)
 {
+  if (j->desc.preempt_once)
+    return;
   for (tbl_id_t id = tbl_next (j->runs, (tbl_id_t){ 0 }); id.id != 0;
        id = tbl_next (j->runs, id))
     {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -51,6 +51,9 @@
                              not read */
   rte_even_t even_load; /**< as in rte_desc_t */
   bool avoid_failing;   /**< as in rte_desc_t */
+  bool refuse_late;     /**< as in job_desc_t */
+  bool yield_late;      /**< as in job_desc_t */
+  bool preempt_once;    /**< as in job_desc_t */
   bool worker;          /**< runs batch items, serves no callers */
   crs_prompt_parts_t prompt_parts; /**< of the headers of jobs' items; NULL:
                                         they have none */
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -96,6 +96,7 @@
 {
   uint32_t in_flight;
   uint32_t batch; /**< batch requests among them */
+  bool wants;     /**< as in rte_batch_wants */
   clk_ms_t at;    /**< when the message arrived */
 } rte_usage_t;
 
@@ -170,6 +171,8 @@
   uint32_t others;        /**< in-flight requests of other VMs, as the poller
                              counts them */
   uint32_t others_batch;  /**< batch requests among them */
+  bool others_want;       /**< another VM wants slots here for batch requests
+                               that have to start soon; as old as `others` */
   uint32_t excess;        /**< requests in the last load report beyond
                                rte_usage_load at that time; see hidden */
   uint32_t hidden;        /**< requests that the upstream reports and no VM
@@ -299,6 +302,7 @@
   uint64_t failing_seq;    /**< number of the last message on failures */
   clk_ms_t failing_malformed_at; /**< earliest time of the next log line on a
                                       malformed one */
+  const rte_deployment_t *wants; /**< as in rte_batch_wants; NULL: none */
   clk_ms_t picked_at;            /**< time of the last pick */
   size_t poller_count;   /**< other VMs that poll for this one, at the last
                               exchange */
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -587,7 +587,10 @@
           .history_ms = set->history_ms,
           .evacuate_ms = set->evacuate_ms,
           .even_load = set->even_load,
-          .avoid_failing = set->avoid_failing },
+          .avoid_failing = set->avoid_failing,
+          .refuse_late = set->refuse_late,
+          .yield_late = set->yield_late,
+          .preempt_once = set->preempt_once },
       st);
   if (d->node == NULL || !_drv_open (d, st))
     {
--- a/src/io/set.h
+++ b/src/io/set.h
@@ -13,6 +13,7 @@
  *   [evacuation] within_ms
  *   [upstreams] cold_overshoot, cold_slack
  *   [routing] avoid_failing
+ *   [jobs] refuse_late, yield_late, preempt_once
  *   [log] level, format
  *
  * The file is read at start and again on SIGHUP.  Use the file for values that
@@ -63,6 +64,9 @@
   double cold_slack;       /**< number of requests permitted in addition */
   rte_even_t even_load;    /**< as in rte_desc_t */
   bool avoid_failing;      /**< as in rte_desc_t */
+  bool refuse_late;        /**< jobs that cannot end in time are refused */
+  bool yield_late;         /**< late items leave free slots to others */
+  bool preempt_once;       /**< as in job_desc_t */
   const char *log_level;   /**< debug, info, warning or error */
   bool log_json;           /**< false: plain text */
   uint32_t seed; /**< seed of the random numbers; 0: from the clock */
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -343,7 +343,9 @@
                                 .deadline_ms = 15 * CLK_SECOND,
                                 .job_due_ms = 18 * CLK_SECOND,
                                 .job_keep_ms = CLK_MINUTE,
-                                .waiting_tokens = 1000 };
+                                .waiting_tokens = h->desc.waiting_tokens > 0
+                                                      ? h->desc.waiting_tokens
+                                                      : 1000 };
 }
 
 void
@@ -394,6 +396,9 @@
                       .cold_slack = h->desc.cold_slack,
                       .history_ms = h->desc.history_ms,
                       .evacuate_ms = h->desc.evacuate_ms,
+                      .refuse_late = h->desc.refuse_late,
+                      .yield_late = h->desc.yield_late,
+                      .preempt_once = h->desc.preempt_once,
                       .prompt_parts = _hst_prompt_parts,
                       .data_centres = data_centres },
       &st);
@@ -583,6 +588,14 @@
   h->item_part_count = count;
 }
 
+double
+hst_counter (const hst_t *h, size_t vm, const char *name)
+{
+  return h->vm[vm].node == NULL
+             ? 0
+             : cnt_value (node_env (h->vm[vm].node)->cnt, name, "");
+}
+
 uint64_t
 hst_submit (hst_t *h, size_t vm, const char *id, size_t count)
 {
