--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -325,6 +325,29 @@
                              FALSE, FALSE, sizeof (rte_candidate_t)) };
 }
 
+/** Whether U is to be considered for QUERY.  SUSPECTS: suspected upstreams
+ * are, but only those without an in-flight request of this VM.  PICK tells if
+ * U is excluded as full. */
+static bool
+_rte_may_get (const rte_t *r, const env_t *env, const rte_query_t *query,
+              const rte_upstream_t *u, bool suspects, rte_pick_t *pick)
+{
+  bool any_place = query->only != NULL || query->version != NULL;
+  if ((!u->in_subset && !any_place) || _rte_avoided (query, u))
+    return false;
+  bool usable = rte_usable (u, env->now);
+  if (suspects)
+    usable = u->configured && !rte_gets_nothing_new (u, env->now)
+             && u->online + u->batch == 0;
+  if (!usable)
+    return false;
+  bool full = _rte_full (r, env, query, u);
+  bool yields = !full && _rte_yields (env, query, u);
+  pick->full = pick->full || full || yields;
+  pick->yielded = pick->yielded || yields;
+  return !full && !yields;
+}
+
 /** The cheapest upstream of D, or if its requests are spread evenly, one at
  * random that falls to it (lod_choose); ties are broken at random.  SUSPECTS:
  * considers suspected upstreams too, but only those without an in-flight
@@ -343,26 +366,8 @@
   for (guint i = 0; i < d->upstreams->len; i++)
     {
       rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
-      bool any_place = query->only != NULL || query->version != NULL;
-      if ((!u->in_subset && !any_place) || _rte_avoided (query, u))
-        continue;
-      bool usable = rte_usable (u, env->now);
-      if (suspects)
-        usable = u->configured && !rte_gets_nothing_new (u, env->now)
-                 && u->online + u->batch == 0;
-      if (!usable)
+      if (!_rte_may_get (r, env, query, u, suspects, pick))
         continue;
-      if (_rte_full (r, env, query, u))
-        {
-          pick->full = true;
-          continue;
-        }
-      if (_rte_yields (env, query, u))
-        {
-          pick->full = true;
-          pick->yielded = true;
-          continue;
-        }
       rte_candidate_t c = _rte_cost (r, env, d, query, u, home, &spread);
       if (!rte_limit_admits (r, env, u, query))
         {
