Jobs: a job that a repeat has written is not refused

Cause: a repeat that came while the first submission was being asked about, or while its record was read, passed and wrote at once; the first one was then refused as not run. The same happened when the record came from a peer between the read and its answer. Change: a repeat at the same VM ends the questions about submissions of its job, and the answer to the read refuses only jobs that are still not known. Measured: job/repeat_ends_the_question_of_the_first (asked, and reading) and the third case of job/late_job_is_refused_before_it_is_written were red before; test_job is green.

--- a/src/core/job_admit.c
+++ b/src/core/job_admit.c
@@ -5,8 +5,9 @@
  * would be on time (jfc.h).  Without an answer in JOB_ADMIT_MS the job is
  * accepted.  A job of which another VM may have stored the record is never
  * refused: the runner answers for jobs that it knows or has just let pass, and
- * the record is read before a refusal.  Nothing is refused while VMs may
- * disagree about the runner.
+ * the record is read before a refusal; a repeat at the same VM writes, and
+ * ends the questions about the first submission.  Nothing is refused while VMs
+ * may disagree about the runner.
  *
  * The runner counts a job that it has let pass in the backlog until it gets
  * the record, so that a burst of jobs is not let pass as a whole.
@@ -305,7 +306,8 @@
 {
   if (s->admit != JOB_ADMIT_READING)
     return;
-  if (reply->code != ST_NOT_FOUND)
+  /* The record may have come from a peer since the read began. */
+  if (reply->code != ST_NOT_FOUND || job_find (j, s->rec->id) != NULL)
     {
       _job_admit_pass (j, env, s);
       return;
@@ -320,18 +322,23 @@
   job_submit_refuse_late (j, env, s);
 }
 
-/* Whether another submission of S's job is in progress here. */
+/* Whether another submission of S's job is in progress here.  Its questions
+ * end then: S asks none and writes, so that the job is not refused any more.
+ */
 static bool
-_job_submit_is_repeat (const job_set_t *j, const job_submit_t *s)
+_job_admit_is_repeat (const job_set_t *j, const job_submit_t *s)
 {
+  bool found = false;
   for (tbl_id_t id = tbl_next (j->submits, (tbl_id_t){ 0 }); id.id != 0;
        id = tbl_next (j->submits, id))
     {
-      const job_submit_t *other = tbl_get (j->submits, id);
-      if (other != s && strcmp (other->rec->id, s->rec->id) == 0)
-        return true;
+      job_submit_t *other = tbl_get (j->submits, id);
+      if (other == s || strcmp (other->rec->id, s->rec->id) != 0)
+        continue;
+      other->admit = JOB_ADMIT_PASSED;
+      found = true;
     }
-  return false;
+  return found;
 }
 
 void
@@ -339,9 +346,9 @@
 {
   const char *runner = job_runner (j, s->rec->id);
   s->admit = JOB_ADMIT_PASSED;
-  if (!j->desc.refuse_late || s->rec->due_ms <= 0
-      || s->rec->due_ms > JOB_ADMIT_DUE_MS_MAX || runner == NULL
-      || job_find (j, s->rec->id) != NULL || _job_submit_is_repeat (j, s)
+  if (!j->desc.refuse_late || _job_admit_is_repeat (j, s)
+      || s->rec->due_ms <= 0 || s->rec->due_ms > JOB_ADMIT_DUE_MS_MAX
+      || runner == NULL || job_find (j, s->rec->id) != NULL
       || env->now - j->runners_changed_at <= JOB_ADMIT_SETTLE_MS)
     return;
   s->admit = JOB_ADMIT_ASKED;
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -339,15 +339,27 @@
   env_shutdown (env);
 }
 
-/* A VM whose submission of a job has asked its runner, north-0. */
-static job_set_t *
-_asking (env_t *env, mbr_t *members)
+/* Submits job j-1 for CALLER. */
+static void
+_submit (job_set_t *jobs, env_t *env, uint64_t caller)
 {
   static ev_job_item_t items[4]
       = { { .id = "a", .target = "/q/1", .body = { "b", 1 } },
           { .id = "b", .target = "/q/1" },
           { .id = "c", .target = "/q/1" },
           { .id = "d", .target = "/q/1" } };
+  job_submit (jobs, env, "t1",
+              &(cfg_route_t){
+                  .method = "a.example", .path = "/q/*", .job_due_ms = 18000 },
+              &(ev_request_t){
+                  .caller = caller,
+                  .job = { .id = "j-1", .items = items, .item_count = 4 } });
+}
+
+/* A VM whose submission of a job has asked its runner, north-0. */
+static job_set_t *
+_asking (env_t *env, mbr_t *members)
+{
   env->now = CLK_MINUTE;
   mbr_start (members, env);
   job_set_t *jobs = _jobs_of_fleet (env, members);
@@ -356,12 +368,7 @@
   job_members_changed (jobs, env);
   env->now += 5 * CLK_SECOND;
   fx_clear (env->fx);
-  job_submit (jobs, env, "t1",
-              &(cfg_route_t){
-                  .method = "a.example", .path = "/q/*", .job_due_ms = 18000 },
-              &(ev_request_t){
-                  .caller = 1,
-                  .job = { .id = "j-1", .items = items, .item_count = 4 } });
+  _submit (jobs, env, 1);
   return jobs;
 }
 
@@ -407,11 +414,12 @@
 
 /* Load: a job beyond what fits.  Guards against a refusal after something of
  * the job was written, and of a job whose record another VM has stored: the
- * runner's answer that it is late has the record read first. */
+ * runner's answer that it is late has the record read first, and the record
+ * may come from a peer before the answer to that read does. */
 static void
 test_late_job_is_refused_before_it_is_written (void)
 {
-  for (unsigned stored = 0; stored < 2; stored++)
+  for (unsigned stored = 0; stored < 3; stored++)
     {
       env_t *env = env_setup (
           NULL, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
@@ -427,15 +435,48 @@
       ev_object_t object
           = { .version = 3, .value = job_rec_encode (env, &rec) };
       ev_platform_t reply = { .call = _call_of (env, FX_PLATFORM_GET).call,
-                              .code = stored ? ST_OK : ST_NOT_FOUND,
+                              .code = stored == 1 ? ST_OK : ST_NOT_FOUND,
                               .objects = &object,
-                              .object_count = stored };
+                              .object_count = stored == 1 };
       plt_done_t done;
+      if (stored == 2)
+        (void)job_record_apply (jobs, env, object.version, object.value);
       TST_NEED (plt_reply (env, &reply, &done));
       job_platform_replied (jobs, env, &done, &reply);
       CU_ASSERT_EQUAL (_status (env), stored ? 0 : 503);
       CU_ASSERT_EQUAL (_write_count (env), stored ? 2 : 0);
-      CU_ASSERT_EQUAL (tbl_count (jobs->submits), stored);
+      CU_ASSERT_EQUAL (tbl_count (jobs->submits), stored > 0);
+      env_shutdown (env);
+    }
+}
+
+/* Load: a caller repeats a late job before its first submission is answered.
+ * The repeat asks nothing and writes.  Guards against a first submission that
+ * is refused as not run by then, whether its record is read yet or not. */
+static void
+test_repeat_ends_the_question_of_the_first (void)
+{
+  for (unsigned reading = 0; reading < 2; reading++)
+    {
+      env_t *env = env_setup (
+          NULL, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
+      mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+      job_set_t *jobs = _asking (env, members);
+      uint64_t first = tbl_next (jobs->submits, (tbl_id_t){ 0 }).id;
+      if (reading)
+        _admitted (jobs, env, "north-0", "j-1", 0);
+      _submit (jobs, env, 2);
+      CU_ASSERT (_write_count (env) > 0);
+      if (!reading)
+        _admitted (jobs, env, "north-0", "j-1", 0);
+      ev_platform_t reply = { .call = _call_of (env, FX_PLATFORM_GET).call,
+                              .code = ST_NOT_FOUND };
+      plt_done_t done;
+      if (plt_reply (env, &reply, &done))
+        job_platform_replied (jobs, env, &done, &reply);
+      CU_ASSERT_EQUAL (_status (env), 0);
+      CU_ASSERT_PTR_NOT_NULL (
+          tbl_get (jobs->submits, (tbl_id_t){ .id = first }));
       env_shutdown (env);
     }
 }
@@ -487,6 +528,8 @@
       test_feed_is_read_less_often_in_a_large_fleet },
     { "late_job_is_refused_before_it_is_written",
       test_late_job_is_refused_before_it_is_written },
+    { "repeat_ends_the_question_of_the_first",
+      test_repeat_ends_the_question_of_the_first },
     { "job_is_accepted_without_a_valid_answer",
       test_job_is_accepted_without_a_valid_answer },
     { "paged_feed_resumes_from_first_revision",
