Documents: differences show no API keys and are lines of UTF-8

Cause: a value that is added, removed or changed as a whole was printed with the API keys in it, for example all customers where one document has none, or a list of keys that is no list. A change of such keys could go unreported.

--- a/tests/test_document_check.c
+++ b/tests/test_document_check.c
@@ -5,6 +5,7 @@
 #include "platform/pfm_check.h"
 #include "tst.h"
 
+#include <glib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -131,6 +132,69 @@
   talloc_free (ctx);
 }
 
+/* Guards against keys in the output for entries that are no named lists of
+ * both documents, or whose list of keys has another type. */
+static void
+test_differences_without_keys (void)
+{
+  static const char *const documents[] = {
+    "{}",
+    "{\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"secret-1\"]}]}",
+    "{\"tenants\":[{\"apiKeys\":[\"secret-2\"]}]}",
+    "{\"tenants\":{\"t1\":{\"apiKeys\":\"secret-3\"}}}",
+    "{\"tenants\":[{\"name\":\"t1\",\"apiKeys\":\"secret-4\"}]}",
+    "{\"tenants\":[{\"name\":\"t1\",\"apiKeys\":{\"k\":\"secret-5\"}}]}",
+  };
+  size_t n = sizeof documents / sizeof documents[0];
+  void *ctx = talloc_new (NULL);
+  for (size_t i = 0; i < n * n; i++)
+    {
+      pfm_check_t check = { 0 };
+      json_t *old = json_loads (documents[i / n], 0, NULL);
+      json_t *new = json_loads (documents[i % n], 0, NULL);
+      pfm_check_differences (ctx, old, new, &check);
+      CU_ASSERT_EQUAL (check.count > 0, i / n != i % n);
+      for (size_t k = 0; k < check.count; k++)
+        CU_ASSERT_PTR_NULL (strstr (check.v[k].text, "secret"));
+      json_decref (old);
+      json_decref (new);
+    }
+  talloc_free (ctx);
+}
+
+/* Guards against a finding that is not one line of UTF-8 and is lost in the
+ * output for tools: a long value that is cut within a character, and names
+ * with line breaks. */
+static void
+test_findings_are_lines (void)
+{
+  void *ctx = talloc_new (NULL);
+  for (size_t length = 190; length < 200; length++)
+    {
+      pfm_check_t check = { 0 };
+      json_t *old = json_pack ("{s:s}", "a\nb", "");
+      char *text = g_strnfill (length, 'x');
+      char *value = g_strconcat (text, "\u20ac\u20ac\u20ac\u20ac", NULL);
+      json_t *new = json_pack ("{s:s}", "a\nb", value);
+      pfm_check_differences (ctx, old, new, &check);
+      CU_ASSERT_EQUAL (check.count, 1);
+      TST_NEED (check.count > 0);
+      CU_ASSERT (g_utf8_validate (check.v[0].text, -1, NULL));
+      CU_ASSERT_PTR_NULL (strchr (check.v[0].place, '\n'));
+      json_decref (old);
+      json_decref (new);
+      g_free (text);
+      g_free (value);
+    }
+  pfm_check_t check
+      = _check (ctx, DOCUMENT ("7", ROUTE ("r1", "/p/", ""),
+                               SERVICE ",{\"name\":\"s\\n2\"}", TENANT));
+  CU_ASSERT_EQUAL (check.count, 1);
+  TST_NEED (check.count > 0);
+  CU_ASSERT_PTR_NULL (strchr (check.v[0].text, '\n'));
+  talloc_free (ctx);
+}
+
 int
 main (void)
 {
@@ -138,6 +202,8 @@
     { "faults_are_found", test_faults_are_found },
     { "other_types_are_errors", test_other_types_are_errors },
     { "differences", test_differences },
+    { "differences_without_keys", test_differences_without_keys },
+    { "findings_are_lines", test_findings_are_lines },
   };
   return tst_run ("document_check", cases, sizeof cases / sizeof cases[0]);
 }
