Documents: errors of files that are no JSON quote no API key

Cause: the JSON library adds the token that it has read last to its error, and document check and diff printed it: a missing comma between two keys put the second one on stderr. Change: pfm_check_parse decodes the file and drops the token; line, column and cause remain.

--- a/src/cmd/document.c
+++ b/src/cmd/document.c
@@ -43,8 +43,8 @@
   json_error_t error;
   if (!cli_file_read (ctx, file, &text))
     return NULL;
-  json_t *root = json_loadb (text.p == NULL ? "" : text.p, text.n,
-                             JSON_REJECT_DUPLICATES, &error);
+  json_t *root
+      = pfm_check_parse (text.p == NULL ? "" : text.p, text.n, &error);
   if (root == NULL)
     {
       cli_error ("%s:%d:%d: %s", file, error.line, error.column, error.text);
--- a/tests/test_document_check.c
+++ b/tests/test_document_check.c
@@ -162,6 +162,31 @@
   talloc_free (ctx);
 }
 
+/* Guards against keys in the errors of files that are no JSON, and against
+ * errors without a place. */
+static void
+test_errors_quote_no_keys (void)
+{
+  static const char *const texts[] = {
+    "[\"secret-1\" \"secret-2\"]",
+    "{\"a\":[\"secret-1\"]]",
+    "{\"a\":\"secret-1",
+    "{\"a\":secret-1}",
+    "[\"secret-1\",]",
+    "{\"secret-1\":1,\"secret-1\":2}",
+    "[\"secret-1\\x\"]",
+    "",
+  };
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      json_error_t error;
+      CU_ASSERT_PTR_NULL (
+          pfm_check_parse (texts[i], strlen (texts[i]), &error));
+      CU_ASSERT (error.line > 0 && error.text[0] != '\0');
+      CU_ASSERT_PTR_NULL (strstr (error.text, "secret"));
+    }
+}
+
 /* Guards against a finding that is not one line of UTF-8 and is lost in the
  * output for tools: a long value that is cut within a character, and names
  * with line breaks. */
@@ -203,6 +228,7 @@
     { "other_types_are_errors", test_other_types_are_errors },
     { "differences", test_differences },
     { "differences_without_keys", test_differences_without_keys },
+    { "errors_quote_no_keys", test_errors_quote_no_keys },
     { "findings_are_lines", test_findings_are_lines },
   };
   return tst_run ("document_check", cases, sizeof cases / sizeof cases[0]);
