Documents: report values that the server ignores

Cause: the check reported nothing for a trafficSplit that is no list, an engine or limits that are no objects, and a coldStartS or coldPerS beyond its maximum. The server ignores such values, so the document would not do what it says.

--- a/tests/test_document_check.c
+++ b/tests/test_document_check.c
@@ -59,6 +59,20 @@
                      "{\"service\":\"s1\",\"weight\":0}]"),
               SERVICE, TENANT),
     PFM_CHECK_NEVER_MATCHES, "/routes/0/trafficSplit/1/weight" },
+  { DOCUMENT ("7", ROUTE ("r1", "/p/", ",\"trafficSplit\":{\"s1\":1}"),
+              SERVICE, TENANT),
+    PFM_CHECK_ERROR, "/routes/0/trafficSplit" },
+  { DOCUMENT ("7", ROUTE ("r1", "/p/", ""), "{\"name\":\"s1\",\"engine\":8}",
+              TENANT),
+    PFM_CHECK_ERROR, "/services/0/engine" },
+  { DOCUMENT ("7", ROUTE ("r1", "/p/", ""),
+              "{\"name\":\"s1\",\"coldStartS\":3601,\"coldPerS\":1}", TENANT),
+    PFM_CHECK_ERROR, "/services/0/coldStartS" },
+  { DOCUMENT ("7", ROUTE ("r1", "/p/", ""),
+              "{\"name\":\"s1\",\"coldStartS\":60,\"coldPerS\":1e7}", TENANT),
+    PFM_CHECK_ERROR, "/services/0/coldPerS" },
+  { "{\"version\":7,\"routes\":[],\"services\":[],\"limits\":[]}",
+    PFM_CHECK_ERROR, "/limits" },
 };
 
 static pfm_check_t
