Jobs: an item returns to upstreams that failed it after 5 s without room

Cause: an item that an upstream had answered 500 waited for room at the others without a bound. Where the only other one took nothing, for example by a limit of 0, the item did not run again although the first one was sound and idle. Change: after 5 s without room the item forgets which upstreams failed it, and the log says so (avoids-none).

--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -91,8 +91,9 @@
                             NULL: no event, or none has */
   char *version;       /**< DEPLOYMENT: of the software of TEXT's upstreams;
                             "": not known */
-  clk_ms_t full_since; /**< since when the upstreams of VERSION have had no
-                            room; CLK_NEVER: they had */
+  clk_ms_t full_since; /**< since when the upstreams of VERSION, or those that
+                            are not in failed_at, have had no room; CLK_NEVER:
+                            they had */
   tbl_id_t run;        /**< job_run_t in JOB_ITEM_RUNNING */
 } job_item_t;
 
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -33,6 +33,10 @@
 /** Longest pause of an item that upstreams have ended under, before it is
  * looked whether it may run. */
 #define JOB_BLOCKED_RETRY_MS (1 * CLK_SECOND)
+/** Longest time for which an item waits for room at upstreams that have not
+ * failed it.  Items run for some 5 s, so that slots become free in it; without
+ * a bound, an upstream that takes nothing for long would hold the item up. */
+#define JOB_AVOID_FULL_MS (5 * CLK_SECOND)
 /** Pause of an item after a preemption. */
 #define JOB_PREEMPTED_RETRY_MS 100
 /** A run that is preempted earlier has done less than its start costs. */
@@ -288,8 +292,8 @@
 } _job_start_t;
 
 /* Picks an upstream for QUERY of ITEM.  One that has failed the item is picked
- * again only where no other is in use: an upstream that fails at once looks
- * idle and would get all attempts of the item. */
+ * again only where no other is in use, or after JOB_AVOID_FULL_MS: an upstream
+ * that fails at once looks idle and would get all attempts of the item. */
 static bool
 _job_pick (const job_set_t *j, env_t *env, const job_item_t *item,
            rte_query_t *query, rte_pick_t *pick)
@@ -304,6 +308,27 @@
   return rte_pick (j->desc.routes, env, query, pick);
 }
 
+/* Item INDEX waits for room at upstreams that have not failed it; when it has
+ * waited for long, it may be sent to the others again. */
+static void
+_job_avoided_full (env_t *env, const job_t *job, uint32_t index)
+{
+  job_item_t *item = &job->items[index];
+  item->not_before = env->now + JOB_ITEM_RETRY_MS;
+  if (item->full_since == CLK_NEVER)
+    item->full_since = env->now;
+  if (env->now - item->full_since < JOB_AVOID_FULL_MS)
+    return;
+  tln_record (env->tln, env->now, MOD_JOB, "avoids-none",
+              "job=%s item=%s failed_at=%u waited_ms=%lld", job->rec->id,
+              job->rec->items[index].id, item->failed_at_count,
+              (long long)(env->now - item->full_since));
+  talloc_free (item->failed_at);
+  item->failed_at = NULL;
+  item->failed_at_count = 0;
+  item->full_since = CLK_NEVER;
+}
+
 /* Starts item INDEX. */
 static _job_start_t
 _job_start_item (job_set_t *j, env_t *env, job_t *job, uint32_t index,
@@ -341,7 +366,7 @@
         return _JOB_NO_ROOM;
       if (query.version == NULL)
         {
-          item->not_before = env->now + JOB_ITEM_RETRY_MS;
+          _job_avoided_full (env, job, index);
           return _JOB_LATER;
         }
       job_version_missing (j, env, job, index);
--- a/tests/test_hosted_jobs.c
+++ b/tests/test_hosted_jobs.c
@@ -160,6 +160,25 @@
   hst_shutdown (h);
 }
 
+/* Guards against an item that never runs because it avoids an upstream that
+ * has failed it once, while the only other one takes no requests. */
+static void
+test_item_returns_to_an_upstream_that_failed_it (void)
+{
+  hst_t *h = hst_fleet (&(hst_desc_t){ .upstreams = 2, .load_reports = true });
+  hst_limit_set (h, 1, (ev_limit_t){ .kind = EV_LIMIT_NAMED, .per_s = 0 },
+                 true);
+  hst_advance (h, 3000);
+  hst_fault_set (h, 0, (hst_fault_t){ .status = 500 });
+  (void)hst_submit (h, 0, "j-1", 1);
+  hst_advance (h, 400);
+  CU_ASSERT_EQUAL (hst_run_count (h, "j-1-0"), 1);
+  hst_fault_set (h, 0, (hst_fault_t){ .status = 0 });
+  hst_advance (h, 10000);
+  CU_ASSERT_EQUAL (_complete_result_count (h, 0, "j-1", 20), 1);
+  hst_shutdown (h);
+}
+
 /* Largest object of the store, in bytes: an item's text is one. */
 #define OBJECT_MAX ((size_t)1 << 20)
 /* Bytes of an event with one byte of a text: "id: 100000", "data: x". */
@@ -381,6 +400,8 @@
       test_item_resumes_after_its_last_event },
     { "failing_item_is_dead_lettered", test_failing_item_is_dead_lettered },
     { "items_leave_a_failing_upstream", test_items_leave_a_failing_upstream },
+    { "item_returns_to_an_upstream_that_failed_it",
+      test_item_returns_to_an_upstream_that_failed_it },
     { "item_event_without_end", test_item_event_without_end },
     { "item_text_without_end", test_item_text_without_end },
     { "item_empty_events_without_end", test_item_empty_events_without_end },
