tests: a wave after a calm keeps the bound of cold upstreams

The new run has calms of 2 s before waves of 2 s, at 8, 65 and 250 VMs: at most 27.5 requests in any second, and at least 22 in some second, which shows that the saved tokens are used.

--- a/tests/test_cld.c
+++ b/tests/test_cld.c
@@ -85,6 +85,8 @@
 #define RUN_MS (9 * CLK_SECOND)
 #define STEP_MS 3
 
+/* Length of a wave that follows a calm. */
+#define CALM_WAVE_MS (2 * CLK_SECOND)
 /* A caller's request waits for a token for WAIT_MS. */
 #define WAIT_MS 50
 
@@ -129,6 +131,16 @@
     }
 }
 
+/* VMs that share one mint of a cold upstream. */
+static ufl_t *
+cold_setup (size_t vms)
+{
+  ufl_t *f = ufl_setup (vms, 0);
+  for (size_t vm = 0; vm < vms; vm++)
+    upl_hold_demand_set (f->hold[vm], CLD_DEMAND_MS);
+  return f;
+}
+
 /* All upstreams of a data centre are cold for RUN_MS, while requests come in
  * the waves of the page: none may get more than the bound in a second, and
  * PART of the bound must be used.  LOST: the VM with the mints dies, and
@@ -142,11 +154,7 @@
   cld_t cold = CLD_NONE;
   upl_plan_t plan;
   for (size_t i = 0; i < UPSTREAMS; i++)
-    {
-      up[i] = ufl_setup (vms, 0);
-      for (size_t vm = 0; vm < vms; vm++)
-        upl_hold_demand_set (up[i]->hold[vm], CLD_DEMAND_MS);
-    }
+    up[i] = cold_setup (vms);
   CU_ASSERT (cld_word_take (&cold, CLD_LIST, RUN_MS, up[0]->now));
   for (clk_ms_t at = 0; at < RUN_MS; at += STEP_MS)
     {
@@ -197,6 +205,54 @@
   wave_run (65, true, 0.4);
 }
 
+/* After a calm in which nothing is sent, every second of a wave begins with
+ * the tokens that were saved up: a cold upstream gets at most the bound, and
+ * at least SAVED_LEAST in some second, so that they are seen to be used. */
+#define SAVED_LEAST 22
+static void
+calm_run (size_t vms, clk_ms_t calm_ms)
+{
+  GRand *rand = g_rand_new_with_seed (1);
+  GArray *waiting = g_array_new (FALSE, FALSE, sizeof (request_t));
+  ufl_t *up[UPSTREAMS];
+  cld_t cold = CLD_NONE;
+  upl_plan_t plan;
+  for (size_t i = 0; i < UPSTREAMS; i++)
+    up[i] = cold_setup (vms);
+  CU_ASSERT (cld_word_take (&cold, CLD_LIST, RUN_MS, up[0]->now));
+  for (clk_ms_t at = 0; at < RUN_MS; at += STEP_MS)
+    {
+      bool calm = at % (calm_ms + CALM_WAVE_MS) < calm_ms;
+      double expected = 4 * BOUND * UPSTREAMS * STEP_MS / CLK_SECOND;
+      requests_send (up, waiting, calm ? 0 : expected, rand);
+      CU_ASSERT (cld_plan (&cold, &rule, up[0]->now, &plan));
+      for (size_t i = 0; i < UPSTREAMS; i++)
+        {
+          upl_mint_plan_set (up[i]->mint, up[i]->now, &plan, 1);
+          ufl_step (up[i], STEP_MS);
+        }
+    }
+  for (size_t i = 0; i < UPSTREAMS; i++)
+    {
+      unsigned worst = ufl_worst (up[i], CLK_SECOND);
+      CU_ASSERT (worst <= BOUND);
+      CU_ASSERT (worst >= SAVED_LEAST);
+      ufl_shutdown (up[i]);
+    }
+  g_array_unref (waiting);
+  g_rand_free (rand);
+}
+
+/* Guards against a burst above what the bound leaves beside the rate: with the
+ * plan of a named limit of the same rate, up to 35 requests in a second. */
+static void
+test_wave_after_a_calm (void)
+{
+  calm_run (8, 2 * CLK_SECOND);
+  calm_run (65, 2 * CLK_SECOND);
+  calm_run (250, 2 * CLK_SECOND);
+}
+
 int
 main (void)
 {
@@ -206,6 +262,7 @@
     { "plan", test_plan },
     { "data_centre_comes_back_cold", test_data_centre_comes_back_cold },
     { "mint_dies_in_the_wave", test_mint_dies_in_the_wave },
+    { "wave_after_a_calm", test_wave_after_a_calm },
   };
   return tst_run ("cld", cases, sizeof cases / sizeof cases[0]);
 }
