rte: tell the true turn while a mint waits to take over

Cause: for RTE_TAKE_OVER_MS after the mint of a cold upstream has moved, its rate was set to none, and the turn of a VM without a rate counts as a minute. Callers were refused with the longest Retry-After, 2 s, although tokens come after 600 ms, and a resumed stream was refused in place of waiting.

Change: the mint has its plan from the time on from which it gives out tokens, and the turns that it tells include the time until then. Nothing is minted or lent before, as earlier.

--- a/src/core/rte_tokens.c
+++ b/src/core/rte_tokens.c
@@ -198,6 +198,15 @@
   return listed == 0 ? 1 : (double)up / (double)listed;
 }
 
+/** Time until this VM's mint of U's limit begins; 0: it has begun. */
+static clk_ms_t
+_rte_mint_wait_ms (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                   const rte_limit_t *l)
+{
+  return rte_cold_ms (r, env, u) > 0 ? clk_max (l->mint_from - env->now, 0)
+                                     : 0;
+}
+
 /** Makes the mint of U's limit, or ends it, and sets its rate. */
 static void
 _rte_mint_keep (const rte_t *r, const env_t *env, const rte_upstream_t *u,
@@ -211,9 +220,23 @@
     }
   if (l->mint == NULL)
     l->mint = upl_mint_setup (l);
-  bool waits = rte_cold_ms (r, env, u) > 0 && env->now < l->mint_from;
-  upl_mint_plan_set (l->mint, env->now, &plan,
-                     waits ? 0 : _rte_mint_share (r));
+  clk_ms_t wait = _rte_mint_wait_ms (r, env, u, l);
+  if (wait > 0)
+    upl_mint_plan_set (l->mint, env->now, &plan, 0);
+  upl_mint_plan_set (l->mint, env->now + wait, &plan, _rte_mint_share (r));
+}
+
+/** The turn of VM, which waits for a token of CLASS of this VM's mint of U's
+ * limit; false: it does not wait. */
+static bool
+_rte_mint_turn (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                const rte_limit_t *l, const char *vm, upl_class_t class,
+                upl_turn_t *turn)
+{
+  if (!upl_mint_turn (l->mint, env->now, vm, class, turn))
+    return false;
+  turn->wait_ms += _rte_mint_wait_ms (r, env, u, l);
+  return true;
 }
 
 static void
@@ -251,14 +274,14 @@
 
 /** Tells VM the word on U's limit and, if it waits for tokens, its turn. */
 static void
-_rte_turns_tell (const _rte_mail_t *m, const env_t *env,
+_rte_turns_tell (const rte_t *r, const _rte_mail_t *m, const env_t *env,
                  const rte_upstream_t *u, rte_limit_t *l, const char *vm)
 {
   upl_turn_t turn;
   _rte_word_tell (m, env, u, l, vm);
   for (int c = 0; c < UPL_CLASS_NUM && l->mint != NULL; c++)
     {
-      if (!upl_mint_turn (l->mint, env->now, vm, (upl_class_t)c, &turn))
+      if (!_rte_mint_turn (r, env, u, l, vm, (upl_class_t)c, &turn))
         continue;
       mpk_writer_t *w = _rte_mail_writer (m, m->tokens, vm);
       _rte_entry_write (w, env, u, l);
@@ -439,11 +462,12 @@
 
 /** Notes this VM's own turns at its own mint. */
 static void
-_rte_own_turns_note (const env_t *env, rte_limit_t *l)
+_rte_own_turns_note (const rte_t *r, const env_t *env, const rte_upstream_t *u,
+                     rte_limit_t *l)
 {
   upl_turn_t turn;
   for (int c = 0; c < UPL_CLASS_NUM; c++)
-    if (upl_mint_turn (l->mint, env->now, env->vm, (upl_class_t)c, &turn))
+    if (_rte_mint_turn (r, env, u, l, env->vm, (upl_class_t)c, &turn))
       upl_hold_turn_set (l->hold, env->now, (upl_class_t)c, &turn);
 }
 
@@ -501,7 +525,7 @@
     {
       _rte_asking_apply (&asking, env, l, env->vm);
       _rte_mint_issue (m, env, u, l);
-      _rte_own_turns_note (env, l);
+      _rte_own_turns_note (r, env, u, l);
     }
   else if (!here
            && (l->untold || asking.ask_count + asking.settlement_count > 0))
@@ -564,7 +588,7 @@
       _rte_mint_issue (m, env, u, l);
       rte_limit_arm (r, env, upl_mint_next_at (l->mint, env->now));
     }
-  _rte_turns_tell (m, env, u, l, vm);
+  _rte_turns_tell (r, m, env, u, l, vm);
 }
 
 /** Handles one entry of MSG_ROUTE_TOKENS of VM; APPLY: takes what it gives
--- a/tests/lmt.c
+++ b/tests/lmt.c
@@ -144,6 +144,7 @@
         continue;
       c.refused++;
       c.refused_max_ms = clk_max (c.refused_max_ms, r->ended_at - q->sent_at);
+      c.retry_max_ms = clk_max (c.retry_max_ms, r->retry_after_ms);
       c.without_retry += r->retry_after_ms <= 0;
       clk_ms_t at = (r->ended_at + r->retry_after_ms) / LMT_SAME_MS;
       g_hash_table_add (back, GINT_TO_POINTER ((gint)at));
--- a/tests/lmt.h
+++ b/tests/lmt.h
@@ -52,6 +52,7 @@
   unsigned served;         /**< got their whole response */
   unsigned refused;        /**< got 503 */
   clk_ms_t refused_max_ms; /**< longest time until a refusal */
+  clk_ms_t retry_max_ms;   /**< longest time after which one is to come back */
   unsigned without_retry;  /**< refusals that name no time to come back */
   unsigned retry_distinct; /**< different times at which refused callers were
                                 to come back, in steps of 10 ms */
--- a/tests/test_cold_fleet.c
+++ b/tests/test_cold_fleet.c
@@ -230,6 +230,31 @@
   lmt_shutdown (t);
 }
 
+/* Guards against callers that are told to come back as if there were no room
+ * for a minute, while the VM that takes over the mint waits for
+ * RTE_TAKE_OVER_MS. */
+static void
+test_callers_come_back_soon_when_the_mint_moves (void)
+{
+  hst_desc_t one = desc;
+  one.upstreams = 1;
+  for (size_t vm = 0; vm < ENTRIES; vm++)
+    {
+      lmt_t *t = lmt_setup (&one, 12);
+      hst_cold_set (
+          t->h, 0,
+          (hst_cold_t){ .listed = true, .until = hst_now (t->h) + COLD_MS });
+      lmt_run (t, 3 * CLK_SECOND, 15);
+      clk_ms_t from = hst_now (t->h);
+      hst_kill (t->h, vm);
+      lmt_run (t, 3 * CLK_SECOND, 15);
+      CU_ASSERT_EQUAL (lmt_count (t, from, hst_now (t->h)).without_retry, 0);
+      CU_ASSERT (lmt_count (t, from, hst_now (t->h)).retry_max_ms
+                 <= CLK_SECOND);
+      lmt_shutdown (t);
+    }
+}
+
 /* Guards against upstreams that are treated as cold where the settings or the
  * document do not call for it. */
 static void
@@ -265,6 +290,8 @@
     { "mint_is_lost", test_mint_is_lost },
     { "malformed_times_change_nothing", test_malformed_times_change_nothing },
     { "load_shifts_gradually", test_load_shifts_gradually },
+    { "callers_come_back_soon_when_the_mint_moves",
+      test_callers_come_back_soon_when_the_mint_moves },
     { "off_changes_nothing", test_off_changes_nothing },
   };
   return tst_run ("cold_fleet", cases, sizeof cases / sizeof cases[0]);
