--- a/src/core/rte_cold.c
+++ b/src/core/rte_cold.c
@@ -148,6 +148,7 @@
 rte_cold_said (rte_t *r, env_t *env, const rte_upstream_t *u,
                const ev_cold_t *cold, clk_ms_t said_at, const char *source)
 {
+  bool from_mint = u->mint != NULL && strcmp (source, u->mint) == 0;
   switch (cold->kind)
     {
     case EV_COLD_UNKNOWN:
@@ -158,7 +159,9 @@
     case EV_COLD_STATED:
       break;
     }
-  if (_rte_cold_word (r, env, u, CLD_SAID, cold->ms, said_at, source))
+  /* The VM with the mint has told it to all that use U. */
+  if (_rte_cold_word (r, env, u, CLD_SAID, cold->ms, said_at, source)
+      && !from_mint)
     rte_limit_find (r, u)->cold_untold = true;
 }
 
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -159,6 +159,7 @@
     }
   if (!h->vm[vm].linked[to])
     return;
+  h->counted += f->peer.msg.kind == h->counted_kind;
   ev_t ev = { .kind = EV_PEER_MSG,
               .peer = { .vm = h->vm[vm].name, .msg = f->peer.msg } };
   hst_event_t *e = hst_event_push (h, to, HST_PEER_MS, &ev);
@@ -249,6 +250,15 @@
   hst_step (h, e->vm, &ev);
 }
 
+unsigned
+hst_messages (hst_t *h, uint16_t kind)
+{
+  unsigned n = h->counted_kind == kind ? h->counted : 0;
+  h->counted_kind = kind;
+  h->counted = 0;
+  return n;
+}
+
 clk_ms_t
 hst_now (const hst_t *h)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -245,6 +245,10 @@
 /** Sets the cold time of UPSTREAM.  All upstreams begin without one. */
 void hst_cold_set (hst_t *h, size_t upstream, hst_cold_t cold);
 
+/** Messages of KIND between VMs since the last call for that kind; 0 at the
+ * first. */
+unsigned hst_messages (hst_t *h, uint16_t kind);
+
 /** A request that an upstream has received. */
 typedef struct
 {
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -119,8 +119,10 @@
   GHashTable *responses;        /**< caller's number to hst_response_t */
   uint64_t callers;             /**< number of the last caller */
   fx_upstream_t last_call;
-  void *last_call_ctx;  /**< owns the strings of last_call */
-  GPtrArray *in_flight; /**< of hst_inflight_t, ended ones included */
+  void *last_call_ctx;   /**< owns the strings of last_call */
+  uint16_t counted_kind; /**< of messages between VMs */
+  unsigned counted;      /**< messages of that kind */
+  GPtrArray *in_flight;  /**< of hst_inflight_t, ended ones included */
 };
 
 /** Index of the VM NAME; vm_count if there is none. */
--- a/tests/test_cold_fleet.c
+++ b/tests/test_cold_fleet.c
@@ -255,6 +255,27 @@
     }
 }
 
+/* Guards against VMs that tell the VM with the mint what it has told them:
+ * when it learns from its load poll that an upstream is cold, it tells each
+ * other VM once, and gets nothing back. */
+static void
+test_news_is_told_once (void)
+{
+  hst_desc_t one = desc;
+  one.upstreams = 1;
+  lmt_t *t = lmt_setup (&one, 13);
+  lmt_run (t, CLK_SECOND, BUSY);
+  lmt_run (t, CLK_SECOND, 0);
+  (void)hst_messages (t->h, MSG_ROUTE_COLD);
+  hst_cold_set (
+      t->h, 0,
+      (hst_cold_t){ .said = true, .until = hst_now (t->h) + COLD_MS });
+  lmt_run (t, 2 * CLK_SECOND, 0);
+  unsigned messages = hst_messages (t->h, MSG_ROUTE_COLD);
+  CU_ASSERT (messages >= 1 && messages <= desc.entries + desc.workers - 1);
+  lmt_shutdown (t);
+}
+
 /* Guards against upstreams that are treated as cold where the settings or the
  * document do not call for it. */
 static void
@@ -292,6 +313,7 @@
     { "load_shifts_gradually", test_load_shifts_gradually },
     { "callers_come_back_soon_when_the_mint_moves",
       test_callers_come_back_soon_when_the_mint_moves },
+    { "news_is_told_once", test_news_is_told_once },
     { "off_changes_nothing", test_off_changes_nothing },
   };
   return tst_run ("cold_fleet", cases, sizeof cases / sizeof cases[0]);
