upl_mint: items use a cold upstream whose burst is below two tokens

Cause: an item gets a token of online requests only if half of the burst is left beside it. Where the bound of a cold upstream leaves a burst below two tokens (2 a second x 1.5: one token), that is more than the mint can hold, and items never got the upstream while it was cold.

Change: where items have no part of their own, a full bucket is enough.

Plans of named limits that this VM's fleet mints whole have larger bursts and are not changed.

--- a/src/core/upl_mint.c
+++ b/src/core/upl_mint.c
@@ -184,14 +184,22 @@
       }
 }
 
+/** Whether items get only tokens that online requests leave. */
+static bool
+_upl_items_get_rest (const upl_mint_t *m)
+{
+  return m->plan.item_per_s <= 0;
+}
+
 /** The tokens that must be in the bucket of online requests for an item to
  * get one of them. */
 static int64_t
 _upl_item_needs (const upl_mint_t *m)
 {
-  return (int64_t)(UPL_ITEM_RESERVE
-                   * (double)lbk_burst (m->buckets[UPL_ONLINE]))
-         + LBK_TOKEN;
+  int64_t burst = lbk_burst (m->buckets[UPL_ONLINE]);
+  int64_t needs = (int64_t)(UPL_ITEM_RESERVE * (double)burst) + LBK_TOKEN;
+  /* A burst below two tokens has no room for a reserve. */
+  return _upl_items_get_rest (m) ? MAX (MIN (needs, burst), LBK_TOKEN) : needs;
 }
 
 /** The bucket that has a token for the first in line of CLASS; NULL: none.
@@ -268,13 +276,6 @@
   return (clk_ms_t)fmin (ceil (missing / per_s * CLK_SECOND), CLK_MINUTE);
 }
 
-/** Whether items get only tokens that online requests leave. */
-static bool
-_upl_items_get_rest (const upl_mint_t *m)
-{
-  return m->plan.item_per_s <= 0;
-}
-
 /** Tokens a second of CLASS, at most. */
 static double
 _upl_per_s (const upl_mint_t *m, upl_class_t class)
--- a/tests/test_cld.c
+++ b/tests/test_cld.c
@@ -253,6 +253,29 @@
   calm_run (250, 2 * CLK_SECOND);
 }
 
+/* Guards against a cold upstream that no item gets for as long as it is cold,
+ * as a bound with little room leaves a burst of less than two tokens. */
+static void
+test_items_use_a_small_burst (void)
+{
+  static const cld_rule_t small = { .per_s = 2, .overshoot = 1.5 };
+  ufl_t *f = cold_setup (8);
+  cld_t cold = CLD_NONE;
+  upl_plan_t plan;
+  CU_ASSERT (cld_word_take (&cold, CLD_LIST, RUN_MS, f->now));
+  CU_ASSERT (cld_plan (&cold, &small, f->now, &plan));
+  upl_mint_plan_set (f->mint, f->now, &plan, 1);
+  for (clk_ms_t at = 0; at < RUN_MS; at += STEP_MS)
+    {
+      for (size_t vm = 0; vm < f->vms; vm++)
+        (void)ufl_send (f, vm, UPL_ITEM);
+      ufl_step (f, STEP_MS);
+    }
+  CU_ASSERT (f->sent->len >= RUN_MS / CLK_SECOND);
+  CU_ASSERT (ufl_worst (f, CLK_SECOND) <= 3);
+  ufl_shutdown (f);
+}
+
 int
 main (void)
 {
@@ -263,6 +286,7 @@
     { "data_centre_comes_back_cold", test_data_centre_comes_back_cold },
     { "mint_dies_in_the_wave", test_mint_dies_in_the_wave },
     { "wave_after_a_calm", test_wave_after_a_calm },
+    { "items_use_a_small_burst", test_items_use_a_small_burst },
   };
   return tst_run ("cld", cases, sizeof cases / sizeof cases[0]);
 }
