upl_mint: a VM that is down leaves a cold upstream usable

Cause: a mint that sees part of the fleet reduces the burst to that part. Where the bound of a cold upstream leaves a burst of one token, one VM that is down made it less than a token, and nobody got the upstream while it was cold.

Change: a mint that sees more than half of the fleet keeps room for one token. A mint that sees half or less does not, as two of them would exceed the bound. Plans of named limits are not changed: half of their least burst, 3.2, is more.

--- a/src/core/upl_mint.c
+++ b/src/core/upl_mint.c
@@ -22,6 +22,8 @@
 #define UPL_BURST_PART 0.8
 /** Time by which a loan's room is kept longer than the borrower may use it. */
 #define UPL_LOAN_GRACE_MS 20
+/** A mint whose share is larger sees most of the fleet. */
+#define UPL_MAJORITY 0.5
 /** An item gets a token of online requests only if this part of what may be
  * saved up is left. */
 #define UPL_ITEM_RESERVE 0.5
@@ -100,12 +102,22 @@
                        .item_burst = fmin (a->item_burst, b->item_burst) };
 }
 
+/** The burst of a mint with SHARE of a plan that has BURST.  The mint that
+ * sees most of the fleet, of which there is one, keeps room for a whole token.
+ */
+static double
+_upl_burst_part (double burst, double share)
+{
+  double part = share * burst;
+  return share > UPL_MAJORITY ? fmax (part, fmin (burst, 1)) : part;
+}
+
 void
 upl_mint_plan_set (upl_mint_t *m, clk_ms_t now, const upl_plan_t *plan,
                    double share)
 {
   upl_plan_t part = { .per_s = share * plan->per_s,
-                      .burst = share * plan->burst,
+                      .burst = _upl_burst_part (plan->burst, share),
                       .item_per_s = share * plan->item_per_s,
                       .item_burst = plan->item_burst };
   if (part.per_s == m->plan.per_s && part.burst == m->plan.burst
--- a/tests/test_cld.c
+++ b/tests/test_cld.c
@@ -253,10 +253,10 @@
   calm_run (250, 2 * CLK_SECOND);
 }
 
-/* Guards against a cold upstream that no item gets for as long as it is cold,
- * as a bound with little room leaves a burst of less than two tokens. */
-static void
-test_items_use_a_small_burst (void)
+/* Requests of CLASS that 8 VMs send in RUN_MS to an upstream that takes 2 a
+ * second while cold, when the mint sees SHARE of the fleet. */
+static unsigned
+small_burst_run (upl_class_t class, double share)
 {
   static const cld_rule_t small = { .per_s = 2, .overshoot = 1.5 };
   ufl_t *f = cold_setup (8);
@@ -264,16 +264,30 @@
   upl_plan_t plan;
   CU_ASSERT (cld_word_take (&cold, CLD_LIST, RUN_MS, f->now));
   CU_ASSERT (cld_plan (&cold, &small, f->now, &plan));
-  upl_mint_plan_set (f->mint, f->now, &plan, 1);
+  upl_mint_plan_set (f->mint, f->now, &plan, share);
   for (clk_ms_t at = 0; at < RUN_MS; at += STEP_MS)
     {
       for (size_t vm = 0; vm < f->vms; vm++)
-        (void)ufl_send (f, vm, UPL_ITEM);
+        (void)ufl_send (f, vm, class);
       ufl_step (f, STEP_MS);
     }
-  CU_ASSERT (f->sent->len >= RUN_MS / CLK_SECOND);
   CU_ASSERT (ufl_worst (f, CLK_SECOND) <= 3);
+  unsigned sent = f->sent->len;
   ufl_shutdown (f);
+  return sent;
+}
+
+/* Guards against a cold upstream that no item, or nobody while a VM is down,
+ * gets for as long as it is cold, as a bound with little room leaves a burst
+ * of less than two tokens. */
+static void
+test_small_burst_is_used (void)
+{
+  CU_ASSERT (small_burst_run (UPL_ITEM, 1) >= RUN_MS / CLK_SECOND);
+  CU_ASSERT (small_burst_run (UPL_ONLINE, 0.9) >= RUN_MS / CLK_SECOND);
+  CU_ASSERT (small_burst_run (UPL_ITEM, 0.9) >= RUN_MS / CLK_SECOND);
+  /* Two mints that see half of the fleet each would exceed the bound. */
+  CU_ASSERT_EQUAL (small_burst_run (UPL_ONLINE, 0.5), 0);
 }
 
 int
@@ -286,7 +300,7 @@
     { "data_centre_comes_back_cold", test_data_centre_comes_back_cold },
     { "mint_dies_in_the_wave", test_mint_dies_in_the_wave },
     { "wave_after_a_calm", test_wave_after_a_calm },
-    { "items_use_a_small_burst", test_items_use_a_small_burst },
+    { "small_burst_is_used", test_small_burst_is_used },
   };
   return tst_run ("cld", cases, sizeof cases / sizeof cases[0]);
 }
