dir: a cold time that ends with another change of the entry is passed on

Cause: an entry that changes is replaced by a new one without a cold time. When its cold time became 0 in the same change, that was no change to the new entry, and the upstream stayed cold to the end of its last cold time. News not taken yet was lost in the same way.

Change: the new entry of the same start begins with what was known.

Measured, test_dir: the new test fails before; 9 passed after.

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -335,9 +335,16 @@
       _dir_cold_note (d, env, e, entry);
       return;
     }
+  const _dir_entry_t *before = e;
   e = talloc_zero (d, _dir_entry_t);
   e->listed = true;
   e->expires_at = CLK_NEVER;
+  if (before != NULL && before->upstream.born == entry->born)
+    {
+      e->cold_ms = before->cold_ms;
+      e->cold_at = before->cold_at;
+      e->cold_news = before->cold_news;
+    }
   e->upstream
       = (cfg_upstream_t){ .name = talloc_strdup (e, entry->name),
                           .owner = "",
--- a/tests/test_dir.c
+++ b/tests/test_dir.c
@@ -219,6 +219,33 @@
   env_shutdown (fixture.env);
 }
 
+/* Guards against an upstream that stays cold to the end of its last cold time,
+ * as its entry says otherwise together with another change. */
+static void
+test_cold_time_ends_with_another_change (void)
+{
+  fixture_t fixture = _fixture ();
+  char name[16];
+  ev_upstream_entry_t e = _entry (1, name, sizeof name);
+  cfg_doc_t parts = { 0 };
+  dir_cold_t cold;
+  dir_document_decoded (fixture.dir, fixture.env,
+                        &(ev_document_t){ .version = 7, .parts = &parts });
+  for (uint64_t revision = 5; revision < 7; revision++)
+    {
+      e.cold_ms = revision == 5 ? 20000 : 0;
+      e.leaving = revision == 5;
+      _reply (&fixture, &(ev_platform_t){ .revision = revision,
+                                          .entries = &e,
+                                          .entry_count = 1 });
+      CU_ASSERT (dir_changed (fixture.dir, fixture.env));
+      bool news = dir_cold_pop (fixture.dir, &cold);
+      CU_ASSERT (news && cold.ms == e.cold_ms);
+      _time_advance (&fixture, 1200);
+    }
+  env_shutdown (fixture.env);
+}
+
 /* -- peers ----------------------------------------------------------------
  */
 
@@ -318,6 +345,8 @@
     { "unusable_entry_ends_the_upstream_at_once",
       test_unusable_entry_ends_the_upstream_at_once },
     { "cold_time_does_not_rebuild", test_cold_time_does_not_rebuild },
+    { "cold_time_ends_with_another_change",
+      test_cold_time_ends_with_another_change },
     { "each_peer_with_a_newer_document_is_asked",
       test_each_peer_with_a_newer_document_is_asked },
     { "older_version_is_answered", test_older_version_is_answered },
