--- a/tests/test_cld.c
+++ b/tests/test_cld.c
@@ -244,7 +244,7 @@
 }
 
 /* Guards against a burst above what the bound leaves beside the rate: with the
- * plan of a named limit of the same rate, up to 35 requests in a second. */
+ * plan of a named limit of the same rate, 29 to 31 requests in a second. */
 static void
 test_wave_after_a_calm (void)
 {
