--- a/src/core/upl_mint.c
+++ b/src/core/upl_mint.c
@@ -22,6 +22,8 @@
 #define UPL_BURST_PART 0.8
 /** Time by which a loan's room is kept longer than the borrower may use it. */
 #define UPL_LOAN_GRACE_MS 20
+/** A mint whose share is larger sees most of the fleet. */
+#define UPL_MAJORITY 0.5
 /** An item gets a token of online requests only if this part of what may be
  * saved up is left. */
 #define UPL_ITEM_RESERVE 0.5
@@ -100,12 +102,22 @@
                        .item_burst = fmin (a->item_burst, b->item_burst) };
 }
 
+/** The burst of a mint with SHARE of a plan that has BURST.  The mint that
+ * sees most of the fleet, of which there is one, keeps room for a whole token.
+ */
+static double
+_upl_burst_part (double burst, double share)
+{
+  double part = share * burst;
+  return share > UPL_MAJORITY ? fmax (part, fmin (burst, 1)) : part;
+}
+
 void
 upl_mint_plan_set (upl_mint_t *m, clk_ms_t now, const upl_plan_t *plan,
                    double share)
 {
   upl_plan_t part = { .per_s = share * plan->per_s,
-                      .burst = share * plan->burst,
+                      .burst = _upl_burst_part (plan->burst, share),
                       .item_per_s = share * plan->item_per_s,
                       .item_burst = plan->item_burst };
   if (part.per_s == m->plan.per_s && part.burst == m->plan.burst
@@ -184,14 +196,22 @@
       }
 }
 
+/** Whether items get only tokens that online requests leave. */
+static bool
+_upl_items_get_rest (const upl_mint_t *m)
+{
+  return m->plan.item_per_s <= 0;
+}
+
 /** The tokens that must be in the bucket of online requests for an item to
  * get one of them. */
 static int64_t
 _upl_item_needs (const upl_mint_t *m)
 {
-  return (int64_t)(UPL_ITEM_RESERVE
-                   * (double)lbk_burst (m->buckets[UPL_ONLINE]))
-         + LBK_TOKEN;
+  int64_t burst = lbk_burst (m->buckets[UPL_ONLINE]);
+  int64_t needs = (int64_t)(UPL_ITEM_RESERVE * (double)burst) + LBK_TOKEN;
+  /* A burst below two tokens has no room for a reserve. */
+  return _upl_items_get_rest (m) ? MAX (MIN (needs, burst), LBK_TOKEN) : needs;
 }
 
 /** The bucket that has a token for the first in line of CLASS; NULL: none.
@@ -268,13 +288,6 @@
   return (clk_ms_t)fmin (ceil (missing / per_s * CLK_SECOND), CLK_MINUTE);
 }
 
-/** Whether items get only tokens that online requests leave. */
-static bool
-_upl_items_get_rest (const upl_mint_t *m)
-{
-  return m->plan.item_per_s <= 0;
-}
-
 /** Tokens a second of CLASS, at most. */
 static double
 _upl_per_s (const upl_mint_t *m, upl_class_t class)
--- a/tests/test_cold_fleet.c
+++ b/tests/test_cold_fleet.c
@@ -230,6 +230,52 @@
   lmt_shutdown (t);
 }
 
+/* Guards against callers that are told to come back as if there were no room
+ * for a minute, while the VM that takes over the mint waits for
+ * RTE_TAKE_OVER_MS. */
+static void
+test_callers_come_back_soon_when_the_mint_moves (void)
+{
+  hst_desc_t one = desc;
+  one.upstreams = 1;
+  for (size_t vm = 0; vm < ENTRIES; vm++)
+    {
+      lmt_t *t = lmt_setup (&one, 12);
+      hst_cold_set (
+          t->h, 0,
+          (hst_cold_t){ .listed = true, .until = hst_now (t->h) + COLD_MS });
+      lmt_run (t, 3 * CLK_SECOND, 15);
+      clk_ms_t from = hst_now (t->h);
+      hst_kill (t->h, vm);
+      lmt_run (t, 3 * CLK_SECOND, 15);
+      CU_ASSERT_EQUAL (lmt_count (t, from, hst_now (t->h)).without_retry, 0);
+      CU_ASSERT (lmt_count (t, from, hst_now (t->h)).retry_max_ms
+                 <= CLK_SECOND);
+      lmt_shutdown (t);
+    }
+}
+
+/* Guards against VMs that tell the VM with the mint what it has told them:
+ * when it learns from its load poll that an upstream is cold, it tells each
+ * other VM once, and gets nothing back. */
+static void
+test_news_is_told_once (void)
+{
+  hst_desc_t one = desc;
+  one.upstreams = 1;
+  lmt_t *t = lmt_setup (&one, 13);
+  lmt_run (t, CLK_SECOND, BUSY);
+  lmt_run (t, CLK_SECOND, 0);
+  (void)hst_messages (t->h, MSG_ROUTE_COLD);
+  hst_cold_set (
+      t->h, 0,
+      (hst_cold_t){ .said = true, .until = hst_now (t->h) + COLD_MS });
+  lmt_run (t, 2 * CLK_SECOND, 0);
+  unsigned messages = hst_messages (t->h, MSG_ROUTE_COLD);
+  CU_ASSERT (messages >= 1 && messages <= desc.entries + desc.workers - 1);
+  lmt_shutdown (t);
+}
+
 /* Guards against upstreams that are treated as cold where the settings or the
  * document do not call for it. */
 static void
@@ -265,6 +311,9 @@
     { "mint_is_lost", test_mint_is_lost },
     { "malformed_times_change_nothing", test_malformed_times_change_nothing },
     { "load_shifts_gradually", test_load_shifts_gradually },
+    { "callers_come_back_soon_when_the_mint_moves",
+      test_callers_come_back_soon_when_the_mint_moves },
+    { "news_is_told_once", test_news_is_told_once },
     { "off_changes_nothing", test_off_changes_nothing },
   };
   return tst_run ("cold_fleet", cases, sizeof cases / sizeof cases[0]);
