Tests: a failing upstream and a stated load, on whole nodes

Cause: the calls of rte_answer_status in onl_response.c and job_run.c were tested on no node, and that of rte_said_load in job_run.c was not either; a build without them passed. The hosted fleet gets a second customer, a fault of a part of the responses, stated loads, and the setting avoid_failing.

--- a/tests/hst.c
+++ b/tests/hst.c
@@ -13,6 +13,7 @@
 /** Interval at which a long poll checks for changes. */
 #define HST_WATCH_MS 5
 #define HST_KEY "key-acme"
+#define HST_SECOND_KEY "key-beta"
 
 /* -- time ------------------------------------------------------------------
  */
@@ -299,10 +300,10 @@
 {
   cfg_doc_t *p = &h->parts;
   *p = (cfg_doc_t){
-    .customers = talloc_zero_array (h, cfg_customer_t, 1),
-    .customer_count = 1,
-    .keys = talloc_zero_array (h, cfg_key_t, 1),
-    .key_count = 1,
+    .customers = talloc_zero_array (h, cfg_customer_t, 2),
+    .customer_count = h->desc.second_customer ? 2 : 1,
+    .keys = talloc_zero_array (h, cfg_key_t, 2),
+    .key_count = h->desc.second_customer ? 2 : 1,
     .deployments = talloc_zero_array (h, cfg_deployment_t, 1),
     .deployment_count = 1,
     .routes = talloc_zero_array (h, cfg_route_t, 2),
@@ -316,6 +317,11 @@
   p->keys[0] = (cfg_key_t){ .name = "acme-1",
                             .customer = "acme",
                             .sha256 = h->key_hash };
+  p->customers[1]
+      = (cfg_customer_t){ .name = "beta", .weight = 1, .unlimited = true };
+  p->keys[1] = (cfg_key_t){ .name = "beta-1",
+                            .customer = "beta",
+                            .sha256 = h->second_key_hash };
   p->deployments[0]
       = (cfg_deployment_t){ .name = "llm",
                             .kind = CFG_ENGINE,
@@ -348,12 +354,19 @@
                                                       : 1000 };
 }
 
-void
-hst_document_write (hst_t *h, const char *key)
+static void
+_hst_key_hash (char out[65], const char *key)
 {
   char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
-  g_strlcpy (h->key_hash, hash, sizeof h->key_hash);
+  g_strlcpy (out, hash, 65);
   g_free (hash);
+}
+
+void
+hst_document_write (hst_t *h, const char *key)
+{
+  _hst_key_hash (h->key_hash, key);
+  _hst_key_hash (h->second_key_hash, HST_SECOND_KEY);
   _hst_document_build (h);
   h->document_revision = ++h->revision;
   h->document.version += 3;
@@ -399,6 +412,7 @@
                       .refuse_late = h->desc.refuse_late,
                       .yield_late = h->desc.yield_late,
                       .preempt_once = h->desc.preempt_once,
+                      .avoid_failing = h->desc.avoid_failing,
                       .prompt_parts = _hst_prompt_parts,
                       .data_centres = data_centres },
       &st);
@@ -596,9 +610,28 @@
              : cnt_value (node_env (h->vm[vm].node)->cnt, name, "");
 }
 
+double
+hst_counter_sum (const hst_t *h, const char *name, const char *labels)
+{
+  double sum = 0;
+  for (size_t i = 0; i < h->vm_count; i++)
+    if (h->vm[i].node != NULL)
+      sum += cnt_value (node_env (h->vm[i].node)->cnt, name, labels);
+  return sum;
+}
+
 uint64_t
 hst_submit (hst_t *h, size_t vm, const char *id, size_t count)
 {
+  return hst_submit_as (h, vm, HST_KEY, id, count);
+}
+
+uint64_t
+hst_submit_as (hst_t *h, size_t vm, const char *key, const char *id,
+               size_t count)
+{
+  http_header_t bearer
+      = { "Authorization", talloc_asprintf (h, "Bearer %s", key) };
   GString *parts = g_string_new (NULL);
   for (size_t i = 0; i < h->item_part_count; i++)
     g_string_append_printf (parts, "%016llx,",
@@ -617,7 +650,7 @@
       = hst_request (h, vm,
                      &(ev_request_t){ .method = "POST",
                                       .path = "/rosters/x",
-                                      .headers = { .v = &hst_bearer, .n = 1 },
+                                      .headers = { .v = &bearer, .n = 1 },
                                       .meta = { .id = id },
                                       .job = { .op = EV_JOB_SUBMIT,
                                                .id = id,
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -56,6 +56,10 @@
   bool refuse_late;        /**< as in job_desc_t */
   bool yield_late;         /**< as in job_desc_t */
   bool preempt_once;       /**< as in job_desc_t */
+  bool avoid_failing;      /**< as in rte_desc_t */
+  bool second_customer;    /**< there is customer "beta" with key "key-beta",
+                                beside "acme" */
+  bool states_load;        /**< responses state the upstream's load */
 } hst_desc_t;
 
 /** The response that a caller has received so far. */
@@ -87,7 +91,9 @@
 /** A fault of an upstream. */
 typedef struct
 {
-  int status;   /**< status of every response; 0: 200 */
+  int status;             /**< status of responses; 0: 200 */
+  unsigned status_tenths; /**< of ten responses, how many have STATUS; 0:
+                               all; the others have 200 */
   bool not_run; /**< responses promise that the request has not run */
   /** The next response that starts with event 1 sends this many complete
    * events and breaks off within the following one; 0: none breaks off. */
@@ -150,6 +156,10 @@
 /** Submit job ID with COUNT items; returns the caller's number. */
 uint64_t hst_submit (hst_t *h, size_t vm, const char *id, size_t count);
 
+/** The same for the customer with API key KEY. */
+uint64_t hst_submit_as (hst_t *h, size_t vm, const char *key, const char *id,
+                        size_t count);
+
 /** Read the results of job ID from position AFTER on; returns the caller's
  * number. */
 uint64_t hst_results_read (hst_t *h, size_t vm, const char *id,
@@ -290,6 +300,9 @@
 /** Value of a counter without labels of VM's process. */
 double hst_counter (const hst_t *h, size_t vm, const char *name);
 
+/** Value of a counter with LABELS, summed over all VMs. */
+double hst_counter_sum (const hst_t *h, const char *name, const char *labels);
+
 /** All requests that upstreams have received, except reads of their load, in
  * the order of their times: hst_arrival_t. */
 const GArray *hst_arrivals (const hst_t *h);
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -90,6 +90,7 @@
   ev_document_t document;
   cfg_doc_t parts; /**< of the document */
   char key_hash[65];
+  char second_key_hash[65];
   hst_fault_t faults[HST_MAX];  /**< by upstream */
   clk_ms_t born[HST_MAX];       /**< starts of upstreams; 0: not told */
   const char *version[HST_MAX]; /**< of upstreams' software; NULL: not told */
--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -180,6 +180,29 @@
   h->last_call.headers = (http_headers_t){ 0 };
 }
 
+/* Status of the response to the request that UPSTREAM has just received. */
+static int
+_hst_status (const hst_t *h, size_t upstream)
+{
+  const hst_fault_t *fault = &h->faults[upstream];
+  /* Multiples of 3 visit all ten remainders, so that the responses with the
+   * fault's status are spread over the ten. */
+  bool fails = fault->status_tenths == 0
+               || 3 * h->received[upstream] % 10 < fault->status_tenths;
+  return fails && fault->status != 0 ? fault->status : 200;
+}
+
+/* What a response of UPSTREAM states of its load. */
+static ev_load_t
+_hst_load_stated (const hst_t *h, size_t upstream)
+{
+  if (!h->desc.states_load)
+    return (ev_load_t){ .kind = EV_LOAD_UNKNOWN };
+  return (ev_load_t){ .kind = EV_LOAD_STATED,
+                      .running = h->running[upstream],
+                      .slots = HST_SLOTS };
+}
+
 void
 hst_upstream_call (hst_t *h, size_t vm, const fx_upstream_t *u)
 {
@@ -210,7 +233,8 @@
                                              .fail = EV_FAIL_NOT_SENT } });
       return;
     }
-  head.upstream.status = fault->status == 0 ? 200 : fault->status;
+  head.upstream.status = _hst_status (h, at);
+  head.upstream.load = _hst_load_stated (h, at);
   head.upstream.not_run = fault->not_run;
   head.upstream.leaving = fault->says_leaving;
   head.upstream.close_delimited = fault->unframed;
