Router: the suspicion of an upstream that was not listed ends

Cause: an upstream that left the document while suspected, and while a request ran there, kept its suspicion. rte_failing_update judges listed upstreams only and rests 25 s after the last failure, so one that was listed again later stayed avoided until some upstream failed again. Change: a deployment that gets a suspected upstream is compared again. Measured: the new test of test_rte_failing fails without the change (suspected 1 s after it is listed again, 30 s after the last failure) and passes with it; test_rte_failing 6, test_rte all passed.

--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -365,6 +365,9 @@
       u->slots = dep != NULL ? dep->slots : 0;
       rte_deployment_t *d = _rte_deployment_get (r, c->deployment);
       g_ptr_array_add (d->upstreams, u);
+      /* One that was not listed may still be suspected, after all failures
+       * are forgotten. */
+      d->has_failing = d->has_failing || u->failing.suspected;
       rte_cold_upstream_set (r, env, u, d);
     }
   g_hash_table_iter_init (&iter, r->deployments);
--- a/tests/test_rte_failing.c
+++ b/tests/test_rte_failing.c
@@ -157,6 +157,32 @@
   talloc_free (f);
 }
 
+/* Guards against a suspicion that never ends: the upstream is missing from the
+ * document for longer than failures are remembered, while a request runs
+ * there. */
+static void
+test_suspicion_ends_while_unlisted (void)
+{
+  rtebed_t *f = bed (1);
+  for (int i = 0; i < 6; i++)
+    answer (f, 0, "u0", i % 2 ? "c1" : "c2", 500);
+  rtebed_run (f, 100);
+  CU_ASSERT_EQUAL (suspected (f, 0), 1);
+  rte_pick_t p;
+  TST_NEED (rte_pick (f->rte[0], f->env[0],
+                      &(rte_query_t){ .deployment = "d", .only = "u0" }, &p));
+  cfg_doc_t *doc = rtebed_document (f, NULL);
+  doc->upstreams++;
+  doc->upstream_count--;
+  rte_config_changed (f->rte[0], f->env[0], doc);
+  rtebed_run (f, 30 * CLK_SECOND);
+  rte_config_changed (f->rte[0], f->env[0], rtebed_document (f, NULL));
+  rtebed_run (f, CLK_SECOND);
+  CU_ASSERT_EQUAL (suspected (f, 0), 0);
+  rte_failed (f->rte[0], f->env[0], p.handle, RTE_FAIL_CANCELLED);
+  talloc_free (f);
+}
+
 /** Lets VM receive, from FROM, message SEQ with FAILED failures of u0 for each
  * of two customers, and GOOD successes. */
 static void
@@ -220,6 +246,7 @@
     { "probes", test_probes },
     { "the_last_upstream_is_used", test_the_last_upstream_is_used },
     { "new_start_is_not_suspected", test_new_start_is_not_suspected },
+    { "suspicion_ends_while_unlisted", test_suspicion_ends_while_unlisted },
     { "old_and_garbled_messages", test_old_and_garbled_messages },
   };
   return tst_run ("rte_failing", cases, sizeof cases / sizeof cases[0]);
