Router: failures are heard of from a VM whose numbers go back

Cause: messages on failures are numbered from the start of the process. After a restart with the clock set back, or a garbled number, the poller's sums were ignored as old until its clock had caught up, and so were a VM's counts at a poller that no other VM told of failures. Change: a number counts for as long as failures are remembered (25 s after the last message that was taken). Measured: the new test of test_rte_failing fails for both kinds of message without the change and passes with it; test_rte_failing 7 passed.

--- a/src/core/rte_failing.c
+++ b/src/core/rte_failing.c
@@ -118,6 +118,15 @@
     }
 }
 
+/** Whether KNOWN, which a peer has sent, is so old that the number of its
+ * message no longer counts: the peer may have started again after its clock
+ * was set back. */
+static bool
+_rte_failing_is_forgotten (const flr_counts_t *known, clk_ms_t now)
+{
+  return now - known->at > RTE_FAILING_MEMORY_MS;
+}
+
 /** The counts of all VMs but VM for U, which this VM polls.  VM is NULL: of
  * all. */
 static flr_counts_t
@@ -131,7 +140,7 @@
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
       const _rte_failing_vm_t *v = value;
-      if (now - v->counts.at > RTE_FAILING_MEMORY_MS)
+      if (_rte_failing_is_forgotten (&v->counts, now))
         g_hash_table_iter_remove (&iter);
       else if (vm == NULL || strcmp (vm, name) != 0)
         flr_merge (&sum, &v->counts, now);
@@ -286,7 +295,8 @@
                           const flr_counts_t *c)
 {
   _rte_failing_vm_t *v = _rte_failing_vm (u, vm, env->now);
-  if (v == NULL || seq <= v->seq)
+  if (v == NULL
+      || (seq <= v->seq && !_rte_failing_is_forgotten (&v->counts, env->now)))
     {
       cnt_add (env->cnt, "rts_route_failing_old_total", "", 1);
       return;
@@ -306,7 +316,8 @@
 {
   rte_failing_t *f = &u->failing;
   uint64_t from = _rte_hash (vm);
-  bool old = from == f->others_from && seq <= f->others_seq;
+  bool old = from == f->others_from && seq <= f->others_seq
+             && !_rte_failing_is_forgotten (&f->others, env->now);
   if (from != f->others_from && flr_has_failures (&f->others, env->now))
     old = flr_estimate (c, env->now).weight
           < flr_estimate (&f->others, env->now).weight;
--- a/tests/test_rte_failing.c
+++ b/tests/test_rte_failing.c
@@ -183,11 +183,11 @@
   talloc_free (f);
 }
 
-/** Lets VM receive, from FROM, message SEQ with FAILED failures of u0 for each
- * of two customers, and GOOD successes. */
+/** Lets VM receive, from FROM, message SEQ of KIND with FAILED failures of u0
+ * for each of two customers, and GOOD successes. */
 static void
-message (rtebed_t *f, int vm, const char *from, uint64_t seq, uint64_t failed,
-         uint64_t good, uint64_t customers)
+message_of (rtebed_t *f, int vm, uint16_t kind, const char *from, uint64_t seq,
+            uint64_t failed, uint64_t good, uint64_t customers)
 {
   mpk_writer_t w;
   mpk_writer_init (&w, f);
@@ -203,9 +203,17 @@
       mpk_put_uint (&w, i);
       mpk_put_uint (&w, failed * 1000);
     }
-  rte_message_received (
-      f->rte[vm], f->env[vm], from,
-      &(msg_t){ .kind = MSG_ROUTE_FAILING_SUMS, .body = mpk_done (&w) });
+  rte_message_received (f->rte[vm], f->env[vm], from,
+                        &(msg_t){ .kind = kind, .body = mpk_done (&w) });
+}
+
+/** The same for the sums that a poller sends. */
+static void
+message (rtebed_t *f, int vm, const char *from, uint64_t seq, uint64_t failed,
+         uint64_t good, uint64_t customers)
+{
+  message_of (f, vm, MSG_ROUTE_FAILING_SUMS, from, seq, failed, good,
+              customers);
 }
 
 /* Guards against a message that is old, foreign or garbled and changes what is
@@ -238,6 +246,33 @@
   talloc_free (f);
 }
 
+/* Guards against a VM that is not heard for ever: its process has started
+ * again after its clock was set back, so that the numbers of its messages are
+ * lower than before. */
+static void
+test_numbers_that_go_back (void)
+{
+  static const uint16_t kinds[]
+      = { MSG_ROUTE_FAILING, MSG_ROUTE_FAILING_SUMS };
+  uint64_t seq = (uint64_t)1 << 60;
+  for (size_t i = 0; i < 2; i++)
+    {
+      rtebed_t *f = bed (2);
+      int poller = rte_polls (f->rte[0], f->env[0], "u0") ? 0 : 1;
+      int vm = kinds[i] == MSG_ROUTE_FAILING ? poller : 1 - poller;
+      const char *from = f->env[1 - vm]->vm;
+      message_of (f, vm, kinds[i], from, seq, 3, 0, 2);
+      rtebed_run (f, 100);
+      CU_ASSERT_EQUAL (suspected (f, vm), 1);
+      rtebed_run (f, 30 * CLK_SECOND);
+      CU_ASSERT_EQUAL (suspected (f, vm), 0);
+      message_of (f, vm, kinds[i], from, seq / 2, 3, 0, 2);
+      rtebed_run (f, 300);
+      CU_ASSERT_EQUAL (suspected (f, vm), 1);
+      talloc_free (f);
+    }
+}
+
 int
 main (void)
 {
@@ -248,6 +283,7 @@
     { "new_start_is_not_suspected", test_new_start_is_not_suspected },
     { "suspicion_ends_while_unlisted", test_suspicion_ends_while_unlisted },
     { "old_and_garbled_messages", test_old_and_garbled_messages },
+    { "numbers_that_go_back", test_numbers_that_go_back },
   };
   return tst_run ("rte_failing", cases, sizeof cases / sizeof cases[0]);
 }
