Jobs: an item with one attempt left is no preferred probe

Cause: all items counted as requests that may be repeated, also those with one attempt left, which are given up when their response has a status of 500. They were preferred as probes of failing upstreams, and the cost of a failing upstream was that of a request that is sent again. Change: an item may be repeated if it has another attempt after this one. Measured: the new test of test_failing_nodes (items with one and with two attempts) fails without the change and passes with it; test_failing_nodes 4, test_hosted_jobs 19, test_job 10 passed.

--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -325,7 +325,8 @@
           .version = job_version_wanted (j, env, item),
           .crash = &crash,
           .batch = true,
-          .repeatable = true,
+          .repeatable
+          = job->rec->attempts == 0 || item->failures + 1 < job->rec->attempts,
           .skip_full = true,
           .yields = _job_item_yields (j, env, job, index, late),
           .reserved_slots = j->desc.spare_slots };
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -339,19 +339,20 @@
                                 .attempts = 2,
                                 .target_ms = 300,
                                 .deadline_ms = 5 * CLK_SECOND };
-  p->routes[1] = (cfg_route_t){ .method = "desk.example",
-                                .path = "/rosters/*",
-                                .deployment = "llm",
-                                .kind = CFG_ROUTE_JOBS,
-                                .idempotent = true,
-                                .unrecorded = true,
-                                .attempts = 3,
-                                .deadline_ms = 15 * CLK_SECOND,
-                                .job_due_ms = 18 * CLK_SECOND,
-                                .job_keep_ms = CLK_MINUTE,
-                                .waiting_tokens = h->desc.waiting_tokens > 0
-                                                      ? h->desc.waiting_tokens
-                                                      : 1000 };
+  p->routes[1] = (cfg_route_t){
+    .method = "desk.example",
+    .path = "/rosters/*",
+    .deployment = "llm",
+    .kind = CFG_ROUTE_JOBS,
+    .idempotent = true,
+    .unrecorded = true,
+    .attempts = h->desc.item_attempts > 0 ? h->desc.item_attempts : 3,
+    .deadline_ms = 15 * CLK_SECOND,
+    .job_due_ms = 18 * CLK_SECOND,
+    .job_keep_ms = CLK_MINUTE,
+    .waiting_tokens
+    = h->desc.waiting_tokens > 0 ? h->desc.waiting_tokens : 1000
+  };
 }
 
 static void
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -53,6 +53,7 @@
   double cold_slack;
   uint64_t waiting_tokens; /**< of a customer on the route of jobs; default
                                 1000 */
+  uint32_t item_attempts;  /**< of the route of jobs; default 3 */
   bool refuse_late;        /**< as in job_desc_t */
   bool yield_late;         /**< as in job_desc_t */
   bool preempt_once;       /**< as in job_desc_t */
--- a/tests/test_failing_nodes.c
+++ b/tests/test_failing_nodes.c
@@ -105,6 +105,32 @@
   failing_check (true, 10);
 }
 
+/* Guards against an item that is given up because it was preferred as a probe
+ * of a failing upstream, although it had only one attempt left. */
+static void
+test_the_last_attempt_of_an_item_is_no_preferred_probe (void)
+{
+  const char *name = "rts_route_failing_picks_total";
+  double again[3] = { 0 };
+  for (uint32_t attempts = 1; attempts <= 2; attempts++)
+    {
+      hst_t *h = hst_fleet (&(hst_desc_t){ .upstreams = UPSTREAMS,
+                                           .second_customer = true,
+                                           .avoid_failing = true,
+                                           .item_attempts = attempts });
+      double unused[UPSTREAMS];
+      hst_fault_set (h, 0, (hst_fault_t){ .status = 500 });
+      shares (h, 10000, true, unused);
+      again[attempts] = hst_counter_sum (h, name, "kind=\"probe\"");
+      CU_ASSERT (again[attempts]
+                     + hst_counter_sum (h, name, "kind=\"probe-once\"")
+                 > 0);
+      hst_shutdown (h);
+    }
+  CU_ASSERT_EQUAL (again[1], 0);
+  CU_ASSERT (again[2] > 0);
+}
+
 /* Guards against a load stated in a response to an item that does not reach
  * the router of the worker. */
 static void
@@ -124,6 +150,8 @@
     { "online_requests_avoid_a_failing_upstream",
       test_online_requests_avoid_a_failing_upstream },
     { "items_avoid_a_failing_upstream", test_items_avoid_a_failing_upstream },
+    { "the_last_attempt_of_an_item_is_no_preferred_probe",
+      test_the_last_attempt_of_an_item_is_no_preferred_probe },
     { "load_in_a_response_to_an_item_is_learned",
       test_load_in_a_response_to_an_item_is_learned },
   };
