Router: evacuated upstreams are not in the mean of the loads

Cause: news of a load approaches the mean of the VM's upstreams as it ages. Evacuated upstreams, and those that say that they are leaving, counted in it; nothing is sent to them, so their load falls to 0 and full upstreams looked half full when their load matters most. The line even-load called them idle. Change: the mean and the line leave out upstreams that get nothing new. Measured: of two upstreams, one evacuated and one that has stated 8 requests, the estimate after 1.5 s is 8.0 instead of 4.7.

--- a/src/core/rte_even.c
+++ b/src/core/rte_even.c
@@ -99,6 +99,14 @@
          && mbr_vm_count (r->desc.members) >= RTE_EVEN_VMS_MIN;
 }
 
+/** Whether this VM's requests are spread over U.  Upstreams that get nothing
+ * new are left out: their load says nothing of what the others have. */
+static bool
+_rte_even_uses (const rte_upstream_t *u, clk_ms_t now)
+{
+  return u->in_subset && !rte_gets_nothing_new (u, now);
+}
+
 double
 rte_even_mean (const rte_t *r, const env_t *env, const rte_deployment_t *d)
 {
@@ -108,7 +116,7 @@
     {
       rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
       lod_source_t source;
-      if (!u->in_subset)
+      if (!_rte_even_uses (u, env->now))
         continue;
       _rte_counted_take (r, u, env->now);
       uint32_t others
@@ -161,7 +169,7 @@
   for (guint i = 0; i < d->upstreams->len; i++)
     {
       rte_upstream_t *u = g_ptr_array_index (d->upstreams, i);
-      if (!u->in_subset)
+      if (!_rte_even_uses (u, env->now))
         continue;
       lod_estimate_t e = rte_even_estimate (r, env, d, u, mean);
       sum += e.load;
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -83,7 +83,8 @@
       EV_LOAD_MALFORMED);
 }
 
-/* A router of a VM alone, with upstreams u0 and u1 of four slots. */
+/* A router of a VM alone, with upstreams u0 in data centre x and u1 in y, of
+ * four slots. */
 typedef struct
 {
   env_t *env;
@@ -101,14 +102,15 @@
       f, &(rte_desc_t){ .members = mbr_setup (f, &(mbr_desc_t){ 0 }),
                         .even_load = even_load });
   char *text = talloc_strdup (f, "[data-centre x]\nowner = t\n"
+                                 "[data-centre y]\nowner = t\n"
                                  "[deployment d]\nowner = t\n"
                                  "kind = engine\nslots = 4\n");
   for (int i = 0; i < 2; i++)
     text = talloc_asprintf_append (text,
                                    "[upstream u%d]\nowner = t\n"
-                                   "deployment = d\ndata_centre = x\n"
+                                   "deployment = d\ndata_centre = %c\n"
                                    "address = 10.0.0.%d:80\n",
-                                   i, i);
+                                   i, 'x' + i, i);
   cfg_doc_t *doc = NULL;
   st_t st = { 0 };
   CU_ASSERT_EQUAL (cfg_doc_parse (f, buf_str (text), &doc, &st), ST_OK);
@@ -160,6 +162,33 @@
   talloc_free (f);
 }
 
+/* Guards against old news of a full upstream that approaches the load of
+ * evacuated ones, which are idle because nothing is sent to them. */
+static void
+test_evacuated_upstreams_are_not_in_the_mean (void)
+{
+  static const char *const evacuated[] = { "y", NULL };
+  ev_load_t full = { .kind = EV_LOAD_STATED, .running = 4, .waiting = 4 };
+  ev_load_t idle = { .kind = EV_LOAD_STATED };
+  ev_load_t none = { .kind = EV_LOAD_UNKNOWN };
+  fixture_t *f = fixture_setup (RTE_EVEN_ON);
+  (void)ask (f, NULL, &none);
+  f->env->now += 4000;
+  (void)ask (f, "u0", &full);
+  (void)ask (f, "u1", &idle);
+  rte_evacuated_set (f->rte, f->env, evacuated);
+  f->env->now += 1500;
+  CU_ASSERT_STRING_EQUAL (ask (f, NULL, &none), "u0");
+  CU_ASSERT_EQUAL (records (f, "even-load"), 2);
+  const char *last = "";
+  for (size_t i = 0; i < tln_count (f->env->tln); i++)
+    if (strcmp (tln_get (f->env->tln, i)->event, "even-load") == 0)
+      last = tln_get (f->env->tln, i)->detail;
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (last, "upstreams=1 fullest=8.0 mean=8.0 idle=0"));
+  talloc_free (f);
+}
+
 /* Guards against a VM of a small fleet that chooses in another way than
  * before. */
 static void
@@ -238,6 +267,8 @@
       test_three_or_four_figures_state_a_load },
     { "other_values_state_no_load", test_other_values_state_no_load },
     { "stated_load_is_avoided", test_stated_load_is_avoided },
+    { "evacuated_upstreams_are_not_in_the_mean",
+      test_evacuated_upstreams_are_not_in_the_mean },
     { "auto_is_off_in_a_small_fleet", test_auto_is_off_in_a_small_fleet },
     { "malformed_load_is_logged_once", test_malformed_load_is_logged_once },
     { "setting", test_setting },
