Tests: the setting avoid_failing, and choices with extreme costs

Cause: no test read [routing] avoid_failing, and none covered a draw by drain where weights are 0 or have no value. Change: test_setting of test_server_load covers both settings of the section; test_lod has a draw with costs from a probe's bonus to infinity and NaN. The draw had no fault.

--- a/tests/test_lod.c
+++ b/tests/test_lod.c
@@ -138,6 +138,31 @@
   CU_ASSERT_EQUAL (chosen[2], 0);
 }
 
+/* Guards against an index outside of the candidates, and against one that
+ * costs far more, where the weights of all are 0 or have no value. */
+static void
+test_choice_with_extreme_costs (void)
+{
+  const double costs[][3] = { { 0, 1e300, 1e300 },
+                              { -500, 6000, 1e9 },
+                              { -1e300, 0, 1e300 },
+                              { 10, INFINITY, INFINITY } };
+  GRand *rand = g_rand_new_with_seed (1);
+  for (size_t i = 0; i < sizeof costs / sizeof costs[0]; i++)
+    for (int k = 0; k < 100; k++)
+      {
+        lod_candidate_t v[3];
+        for (size_t c = 0; c < 3; c++)
+          v[c] = (lod_candidate_t){ .cost_ms = costs[i][c],
+                                    .drain = lod_drain (1e9, 8, 50) };
+        CU_ASSERT_EQUAL (lod_choose (v, 3, &rules, rand), 0);
+        for (size_t c = 0; c < 3; c++)
+          v[c].cost_ms = k % 2 == 0 ? INFINITY : NAN;
+        CU_ASSERT (lod_choose (v, 3, &rules, rand) < 3);
+      }
+  g_rand_free (rand);
+}
+
 int
 main (void)
 {
@@ -153,6 +178,7 @@
     { "expected_queue", test_expected_queue },
     { "choice_in_proportion_to_the_drain",
       test_choice_in_proportion_to_the_drain },
+    { "choice_with_extreme_costs", test_choice_with_extreme_costs },
   };
   return tst_run ("lod", cases, sizeof cases / sizeof cases[0]);
 }
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -1,6 +1,6 @@
 /** @file
  * The load that upstreams state in responses: its decoding by the platform's
- * codec, its way into the router, and the setting.
+ * codec, its way into the router, and the settings of section routing.
  */
 #include "core/rte.h"
 #include "io/set.h"
@@ -229,12 +229,17 @@
   {
     const char *line;
     int expected; /* rte_even_t; -1: refused */
+    bool avoid_failing;
   } cases[] = { { "", RTE_EVEN_AUTO },
                 { "even_load =", RTE_EVEN_AUTO },
                 { "even_load = auto", RTE_EVEN_AUTO },
                 { "even_load = on", RTE_EVEN_ON },
                 { "even_load = off", RTE_EVEN_OFF },
-                { "even_load = yes", -1 } };
+                { "even_load = yes", -1 },
+                { "avoid_failing =", RTE_EVEN_AUTO },
+                { "avoid_failing = off", RTE_EVEN_AUTO },
+                { "avoid_failing = on", RTE_EVEN_AUTO, true },
+                { "avoid_failing = yes", -1 } };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       void *ctx = talloc_new (NULL);
@@ -252,7 +257,10 @@
       const set_t *set = set_load (ctx, path, &faults);
       CU_ASSERT_EQUAL (set == NULL, cases[i].expected < 0);
       if (set != NULL)
-        CU_ASSERT_EQUAL ((int)set->even_load, cases[i].expected);
+        {
+          CU_ASSERT_EQUAL ((int)set->even_load, cases[i].expected);
+          CU_ASSERT_EQUAL (set->avoid_failing, cases[i].avoid_failing);
+        }
       (void)g_unlink (path);
       g_free (path);
       talloc_free (ctx);
