Router: no probe of a failing upstream where it would wait for a slot

Cause: the bonus of a probe (500 ms) is larger than the wait for one or two slots, so that a request was sent as a probe to a suspected upstream whose slots were all in use, and missed its target of 300 ms while others were idle. Requests that run there show the same. Change: a request is no probe where it would wait for a slot. Measured: with all four slots of the upstream in use and three others idle, the first request after a probe is due went there, now none of ten; the first of ten after the slots are free does.

--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -196,7 +196,7 @@
     c.cost_ms -= RTE_HOME_SHARE * (d->miss_ms - d->hit_ms);
   if ((u->state & RTE_BIT_SILENT) != 0)
     c.cost_ms += (double)r->desc.suspect_ms;
-  c.cost_ms += rte_failing_cost (query, u, env->now);
+  c.cost_ms += rte_failing_cost (query, u, c.queued, env->now);
   if (rte_limit_in_force (r, env, u) != NULL && !rte_cold_alone (r, env, u))
     c.cost_ms
         += rte_limit_has_spare (r, env, u) ? -RTE_SPARE_MS : RTE_LIMITED_MS;
--- a/src/core/rte_failing.c
+++ b/src/core/rte_failing.c
@@ -538,11 +538,11 @@
 
 double
 rte_failing_cost (const rte_query_t *query, const rte_upstream_t *u,
-                  clk_ms_t now)
+                  bool queued, clk_ms_t now)
 {
   if (!u->failing.suspected)
     return 0;
-  if (_rte_failing_probes (query, u, now))
+  if (!queued && _rte_failing_probes (query, u, now))
     return -RTE_PROBE_BONUS_MS;
   return u->failing.excess * (query->repeatable ? RTE_AGAIN_MS : RTE_LOST_MS);
 }
--- a/src/core/rte_int.h
+++ b/src/core/rte_int.h
@@ -573,9 +573,9 @@
                            const msg_t *msg, void *ctx);
 
 /** Added cost of U for QUERY by the expected loss; negative when QUERY is to
- * probe U. */
+ * probe U, which it is not if it would wait for a slot there (QUEUED). */
 double rte_failing_cost (const rte_query_t *query, const rte_upstream_t *u,
-                         clk_ms_t now);
+                         bool queued, clk_ms_t now);
 
 /** A request of QUERY is sent to U. */
 void rte_failing_picked (env_t *env, const rte_query_t *query,
--- a/tests/test_rte_failing.c
+++ b/tests/test_rte_failing.c
@@ -114,6 +114,33 @@
   talloc_free (f);
 }
 
+/* Guards against a probe that waits for a slot and misses its target, although
+ * the requests ahead of it show as much. */
+static void
+test_no_probe_where_requests_wait (void)
+{
+  rtebed_t *f = bed (1);
+  rte_pick_t p[4];
+  for (int i = 0; i < 6; i++)
+    answer (f, 0, "u0", i % 2 ? "c1" : "c2", 500);
+  rtebed_run (f, 100);
+  CU_ASSERT_EQUAL (suspected (f, 0), 1);
+  for (int i = 0; i < 4; i++)
+    {
+      TST_NEED (rte_pick (f->rte[0], f->env[0],
+                          &(rte_query_t){ .deployment = "d", .only = "u0" },
+                          &p[i]));
+      rte_first_byte (f->rte[0], f->env[0], p[i].handle);
+    }
+  rtebed_run (f, 1300);
+  CU_ASSERT_EQUAL (suspected (f, 0), 1);
+  CU_ASSERT_EQUAL (sent_to (f, 0, "u0", true, 10), 0);
+  for (int i = 0; i < 4; i++)
+    rte_finished (f->rte[0], f->env[0], p[i].handle);
+  CU_ASSERT_EQUAL (sent_to (f, 0, "u0", true, 10), 1);
+  talloc_free (f);
+}
+
 /* Guards against a suspicion that, with upstreams that are leaving or
  * suspected by failures of the connection, leaves none to send to. */
 static void
@@ -279,6 +306,7 @@
   static const tst_case_t cases[] = {
     { "vms_share_what_they_have_seen", test_vms_share_what_they_have_seen },
     { "probes", test_probes },
+    { "no_probe_where_requests_wait", test_no_probe_where_requests_wait },
     { "the_last_upstream_is_used", test_the_last_upstream_is_used },
     { "new_start_is_not_suspected", test_new_start_is_not_suspected },
     { "suspicion_ends_while_unlisted", test_suspicion_ends_while_unlisted },
