--- a/tests/hst_up.c
+++ b/tests/hst_up.c
@@ -251,12 +251,10 @@
       h, vm, HST_HEAD_MS + (deadly && h->crash.after_events == 0 ? 1 : 0),
       &head);
   sent->ev.upstream.headers
-      = _hst_response_headers (sent, fault, head.upstream.status,
-                               http_header_find (u->headers, "X-Request-Id"));
+      = _hst_response_headers (sent, fault, head.upstream.status, id);
   if (!fault->not_run || fault->no_id)
     {
-      g_ptr_array_add (
-          h->runs, g_strdup (http_header_find (u->headers, "X-Request-Id")));
+      g_ptr_array_add (h->runs, g_strdup (id));
       g_array_append_val (h->run_upstreams, at);
     }
   if (head.upstream.status != 200 && fault->endless == HST_ENDS)
--- a/tests/test_rte_failing.c
+++ b/tests/test_rte_failing.c
@@ -120,23 +120,25 @@
 test_no_probe_where_requests_wait (void)
 {
   rtebed_t *f = bed (1);
-  rte_pick_t p[4];
+  uint64_t handle[4];
   for (int i = 0; i < 6; i++)
     answer (f, 0, "u0", i % 2 ? "c1" : "c2", 500);
   rtebed_run (f, 100);
   CU_ASSERT_EQUAL (suspected (f, 0), 1);
   for (int i = 0; i < 4; i++)
     {
+      rte_pick_t p;
       TST_NEED (rte_pick (f->rte[0], f->env[0],
                           &(rte_query_t){ .deployment = "d", .only = "u0" },
-                          &p[i]));
-      rte_first_byte (f->rte[0], f->env[0], p[i].handle);
+                          &p));
+      handle[i] = p.handle;
+      rte_first_byte (f->rte[0], f->env[0], handle[i]);
     }
   rtebed_run (f, 1300);
   CU_ASSERT_EQUAL (suspected (f, 0), 1);
   CU_ASSERT_EQUAL (sent_to (f, 0, "u0", true, 10), 0);
   for (int i = 0; i < 4; i++)
-    rte_finished (f->rte[0], f->env[0], p[i].handle);
+    rte_finished (f->rte[0], f->env[0], handle[i]);
   CU_ASSERT_EQUAL (sent_to (f, 0, "u0", true, 10), 1);
   talloc_free (f);
 }
