--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -273,6 +273,19 @@
          && env->now - u->others_at < RTE_OTHERS_TTL_MS;
 }
 
+/** Whether U has room for QUERY; if not, PICK tells why. */
+static bool
+_rte_has_room (const rte_t *r, const env_t *env, const rte_query_t *query,
+               const rte_upstream_t *u, rte_pick_t *pick)
+{
+  bool full = _rte_full (r, env, query, u);
+  if (!full && !_rte_yields (env, query, u))
+    return true;
+  pick->full = true;
+  pick->yielded = pick->yielded || !full;
+  return false;
+}
+
 /** Asks for a token of PASSED, which has none, if it would have been preferred
  * to BEST; for one that is not saved up if it would be preferred with that. */
 static void
@@ -352,17 +365,8 @@
                  && u->online + u->batch == 0;
       if (!usable)
         continue;
-      if (_rte_full (r, env, query, u))
-        {
-          pick->full = true;
-          continue;
-        }
-      if (_rte_yields (env, query, u))
-        {
-          pick->full = true;
-          pick->yielded = true;
-          continue;
-        }
+      if (!_rte_has_room (r, env, query, u, pick))
+        continue;
       rte_candidate_t c = _rte_cost (r, env, d, query, u, home, &spread);
       if (!rte_limit_admits (r, env, u, query))
         {
