--- a/src/core/rte_choice.c
+++ b/src/core/rte_choice.c
@@ -196,7 +196,7 @@
     c.cost_ms -= RTE_HOME_SHARE * (d->miss_ms - d->hit_ms);
   if ((u->state & RTE_BIT_SILENT) != 0)
     c.cost_ms += (double)r->desc.suspect_ms;
-  c.cost_ms += rte_failing_cost (query, u, env->now);
+  c.cost_ms += rte_failing_cost (query, u, c.queued, env->now);
   if (rte_limit_in_force (r, env, u) != NULL && !rte_cold_alone (r, env, u))
     c.cost_ms
         += rte_limit_has_spare (r, env, u) ? -RTE_SPARE_MS : RTE_LIMITED_MS;
@@ -273,6 +273,19 @@
          && env->now - u->others_at < RTE_OTHERS_TTL_MS;
 }
 
+/** Whether U has room for QUERY; if not, PICK tells why. */
+static bool
+_rte_has_room (const rte_t *r, const env_t *env, const rte_query_t *query,
+               const rte_upstream_t *u, rte_pick_t *pick)
+{
+  bool full = _rte_full (r, env, query, u);
+  if (!full && !_rte_yields (env, query, u))
+    return true;
+  pick->full = true;
+  pick->yielded = pick->yielded || !full;
+  return false;
+}
+
 /** Asks for a token of PASSED, which has none, if it would have been preferred
  * to BEST; for one that is not saved up if it would be preferred with that. */
 static void
@@ -341,11 +354,7 @@
              && u->online + u->batch == 0;
   if (!usable)
     return false;
-  bool full = _rte_full (r, env, query, u);
-  bool yields = !full && _rte_yields (env, query, u);
-  pick->full = pick->full || full || yields;
-  pick->yielded = pick->yielded || yields;
-  return !full && !yields;
+  return _rte_has_room (r, env, query, u, pick);
 }
 
 /** The cheapest upstream of D, or if its requests are spread evenly, one at
--- a/tests/test_rte_failing.c
+++ b/tests/test_rte_failing.c
@@ -114,6 +114,35 @@
   talloc_free (f);
 }
 
+/* Guards against a probe that waits for a slot and misses its target, although
+ * the requests ahead of it show as much. */
+static void
+test_no_probe_where_requests_wait (void)
+{
+  rtebed_t *f = bed (1);
+  uint64_t handle[4];
+  for (int i = 0; i < 6; i++)
+    answer (f, 0, "u0", i % 2 ? "c1" : "c2", 500);
+  rtebed_run (f, 100);
+  CU_ASSERT_EQUAL (suspected (f, 0), 1);
+  for (int i = 0; i < 4; i++)
+    {
+      rte_pick_t p;
+      TST_NEED (rte_pick (f->rte[0], f->env[0],
+                          &(rte_query_t){ .deployment = "d", .only = "u0" },
+                          &p));
+      handle[i] = p.handle;
+      rte_first_byte (f->rte[0], f->env[0], handle[i]);
+    }
+  rtebed_run (f, 1300);
+  CU_ASSERT_EQUAL (suspected (f, 0), 1);
+  CU_ASSERT_EQUAL (sent_to (f, 0, "u0", true, 10), 0);
+  for (int i = 0; i < 4; i++)
+    rte_finished (f->rte[0], f->env[0], handle[i]);
+  CU_ASSERT_EQUAL (sent_to (f, 0, "u0", true, 10), 1);
+  talloc_free (f);
+}
+
 /* Guards against a suspicion that, with upstreams that are leaving or
  * suspected by failures of the connection, leaves none to send to. */
 static void
@@ -157,11 +186,37 @@
   talloc_free (f);
 }
 
-/** Lets VM receive, from FROM, message SEQ with FAILED failures of u0 for each
- * of two customers, and GOOD successes. */
+/* Guards against a suspicion that never ends: the upstream is missing from the
+ * document for longer than failures are remembered, while a request runs
+ * there. */
 static void
-message (rtebed_t *f, int vm, const char *from, uint64_t seq, uint64_t failed,
-         uint64_t good, uint64_t customers)
+test_suspicion_ends_while_unlisted (void)
+{
+  rtebed_t *f = bed (1);
+  for (int i = 0; i < 6; i++)
+    answer (f, 0, "u0", i % 2 ? "c1" : "c2", 500);
+  rtebed_run (f, 100);
+  CU_ASSERT_EQUAL (suspected (f, 0), 1);
+  rte_pick_t p;
+  TST_NEED (rte_pick (f->rte[0], f->env[0],
+                      &(rte_query_t){ .deployment = "d", .only = "u0" }, &p));
+  cfg_doc_t *doc = rtebed_document (f, NULL);
+  doc->upstreams++;
+  doc->upstream_count--;
+  rte_config_changed (f->rte[0], f->env[0], doc);
+  rtebed_run (f, 30 * CLK_SECOND);
+  rte_config_changed (f->rte[0], f->env[0], rtebed_document (f, NULL));
+  rtebed_run (f, CLK_SECOND);
+  CU_ASSERT_EQUAL (suspected (f, 0), 0);
+  rte_failed (f->rte[0], f->env[0], p.handle, RTE_FAIL_CANCELLED);
+  talloc_free (f);
+}
+
+/** Lets VM receive, from FROM, message SEQ of KIND with FAILED failures of u0
+ * for each of two customers, and GOOD successes. */
+static void
+message_of (rtebed_t *f, int vm, uint16_t kind, const char *from, uint64_t seq,
+            uint64_t failed, uint64_t good, uint64_t customers)
 {
   mpk_writer_t w;
   mpk_writer_init (&w, f);
@@ -177,9 +232,17 @@
       mpk_put_uint (&w, i);
       mpk_put_uint (&w, failed * 1000);
     }
-  rte_message_received (
-      f->rte[vm], f->env[vm], from,
-      &(msg_t){ .kind = MSG_ROUTE_FAILING_SUMS, .body = mpk_done (&w) });
+  rte_message_received (f->rte[vm], f->env[vm], from,
+                        &(msg_t){ .kind = kind, .body = mpk_done (&w) });
+}
+
+/** The same for the sums that a poller sends. */
+static void
+message (rtebed_t *f, int vm, const char *from, uint64_t seq, uint64_t failed,
+         uint64_t good, uint64_t customers)
+{
+  message_of (f, vm, MSG_ROUTE_FAILING_SUMS, from, seq, failed, good,
+              customers);
 }
 
 /* Guards against a message that is old, foreign or garbled and changes what is
@@ -212,15 +275,45 @@
   talloc_free (f);
 }
 
+/* Guards against a VM that is not heard for ever: its process has started
+ * again after its clock was set back, so that the numbers of its messages are
+ * lower than before. */
+static void
+test_numbers_that_go_back (void)
+{
+  static const uint16_t kinds[]
+      = { MSG_ROUTE_FAILING, MSG_ROUTE_FAILING_SUMS };
+  uint64_t seq = (uint64_t)1 << 60;
+  for (size_t i = 0; i < 2; i++)
+    {
+      rtebed_t *f = bed (2);
+      int poller = rte_polls (f->rte[0], f->env[0], "u0") ? 0 : 1;
+      int vm = kinds[i] == MSG_ROUTE_FAILING ? poller : 1 - poller;
+      const char *from = f->env[1 - vm]->vm;
+      message_of (f, vm, kinds[i], from, seq, 3, 0, 2);
+      rtebed_run (f, 100);
+      CU_ASSERT_EQUAL (suspected (f, vm), 1);
+      rtebed_run (f, 30 * CLK_SECOND);
+      CU_ASSERT_EQUAL (suspected (f, vm), 0);
+      message_of (f, vm, kinds[i], from, seq / 2, 3, 0, 2);
+      rtebed_run (f, 300);
+      CU_ASSERT_EQUAL (suspected (f, vm), 1);
+      talloc_free (f);
+    }
+}
+
 int
 main (void)
 {
   static const tst_case_t cases[] = {
     { "vms_share_what_they_have_seen", test_vms_share_what_they_have_seen },
     { "probes", test_probes },
+    { "no_probe_where_requests_wait", test_no_probe_where_requests_wait },
     { "the_last_upstream_is_used", test_the_last_upstream_is_used },
     { "new_start_is_not_suspected", test_new_start_is_not_suspected },
+    { "suspicion_ends_while_unlisted", test_suspicion_ends_while_unlisted },
     { "old_and_garbled_messages", test_old_and_garbled_messages },
+    { "numbers_that_go_back", test_numbers_that_go_back },
   };
   return tst_run ("rte_failing", cases, sizeof cases / sizeof cases[0]);
 }
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -1,6 +1,6 @@
 /** @file
  * The load that upstreams state in responses: its decoding by the platform's
- * codec, its way into the router, and the setting.
+ * codec, its way into the router, and the settings of section routing.
  */
 #include "core/rte.h"
 #include "platform/pfm.h"
@@ -82,7 +82,8 @@
       EV_LOAD_MALFORMED);
 }
 
-/* A router of a VM alone, with upstreams u0 and u1 of four slots. */
+/* A router of a VM alone, with upstreams u0 in data centre x and u1 in y, of
+ * four slots. */
 typedef struct
 {
   env_t *env;
@@ -100,14 +101,15 @@
       f, &(rte_desc_t){ .members = mbr_setup (f, &(mbr_desc_t){ 0 }),
                         .even_load = even_load });
   char *text = talloc_strdup (f, "[data-centre x]\nowner = t\n"
+                                 "[data-centre y]\nowner = t\n"
                                  "[deployment d]\nowner = t\n"
                                  "kind = engine\nslots = 4\n");
   for (int i = 0; i < 2; i++)
     text = talloc_asprintf_append (text,
                                    "[upstream u%d]\nowner = t\n"
-                                   "deployment = d\ndata_centre = x\n"
+                                   "deployment = d\ndata_centre = %c\n"
                                    "address = 10.0.0.%d:80\n",
-                                   i, i);
+                                   i, 'x' + i, i);
   cfg_doc_t *doc = NULL;
   st_t st = { 0 };
   CU_ASSERT_EQUAL (cfg_doc_parse (f, buf_str (text), &doc, &st), ST_OK);
@@ -159,6 +161,33 @@
   talloc_free (f);
 }
 
+/* Guards against old news of a full upstream that approaches the load of
+ * evacuated ones, which are idle because nothing is sent to them. */
+static void
+test_evacuated_upstreams_are_not_in_the_mean (void)
+{
+  static const char *const evacuated[] = { "y", NULL };
+  ev_load_t full = { .kind = EV_LOAD_STATED, .running = 4, .waiting = 4 };
+  ev_load_t idle = { .kind = EV_LOAD_STATED };
+  ev_load_t none = { .kind = EV_LOAD_UNKNOWN };
+  fixture_t *f = fixture_setup (RTE_EVEN_ON);
+  (void)ask (f, NULL, &none);
+  f->env->now += 4000;
+  (void)ask (f, "u0", &full);
+  (void)ask (f, "u1", &idle);
+  rte_evacuated_set (f->rte, f->env, evacuated);
+  f->env->now += 1500;
+  CU_ASSERT_STRING_EQUAL (ask (f, NULL, &none), "u0");
+  CU_ASSERT_EQUAL (records (f, "even-load"), 2);
+  const char *last = "";
+  for (size_t i = 0; i < tln_count (f->env->tln); i++)
+    if (strcmp (tln_get (f->env->tln, i)->event, "even-load") == 0)
+      last = tln_get (f->env->tln, i)->detail;
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (last, "upstreams=1 fullest=8.0 mean=8.0 idle=0"));
+  talloc_free (f);
+}
+
 /* Guards against a VM of a small fleet that chooses in another way than
  * before. */
 static void
@@ -199,12 +228,17 @@
   {
     const char *line;
     int expected; /* rte_even_t; -1: refused */
+    bool avoid_failing;
   } cases[] = { { "", RTE_EVEN_AUTO },
                 { "even_load =", RTE_EVEN_AUTO },
                 { "even_load = auto", RTE_EVEN_AUTO },
                 { "even_load = on", RTE_EVEN_ON },
                 { "even_load = off", RTE_EVEN_OFF },
-                { "even_load = yes", -1 } };
+                { "even_load = yes", -1 },
+                { "avoid_failing =", RTE_EVEN_AUTO },
+                { "avoid_failing = off", RTE_EVEN_AUTO },
+                { "avoid_failing = on", RTE_EVEN_AUTO, true },
+                { "avoid_failing = yes", -1 } };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       void *ctx = talloc_new (NULL);
@@ -214,7 +248,10 @@
           &faults);
       CU_ASSERT_EQUAL (set == NULL, cases[i].expected < 0);
       if (set != NULL)
-        CU_ASSERT_EQUAL ((int)set->even_load, cases[i].expected);
+        {
+          CU_ASSERT_EQUAL ((int)set->even_load, cases[i].expected);
+          CU_ASSERT_EQUAL (set->avoid_failing, cases[i].avoid_failing);
+        }
       talloc_free (ctx);
     }
 }
@@ -227,6 +264,8 @@
       test_three_or_four_figures_state_a_load },
     { "other_values_state_no_load", test_other_values_state_no_load },
     { "stated_load_is_avoided", test_stated_load_is_avoided },
+    { "evacuated_upstreams_are_not_in_the_mean",
+      test_evacuated_upstreams_are_not_in_the_mean },
     { "auto_is_off_in_a_small_fleet", test_auto_is_off_in_a_small_fleet },
     { "malformed_load_is_logged_once", test_malformed_load_is_logged_once },
     { "setting", test_setting },
