Tests: nodes do not serve before the list of evacuations

Cause: no test failed without dir_evacuations_known in node_informed.c. The platform's fault by prefix of names could not serve: all lists are read with an empty name.

Change: hst_evacuations_refuse refuses only the calls about evacuations. All VMs start with it while a data centre is evacuated: nothing is sent for 2 s, nothing reaches that data centre once the list can be read, and a VM whose list stays refused serves after the bounded wait.

With the condition cut out, all_start_without_the_list fails and the other 13 pass.

--- a/tests/hst.c
+++ b/tests/hst.c
@@ -227,6 +227,7 @@
 {
   ev_t ev = { .kind = EV_PLATFORM, .platform = { .call = e->call.call } };
   if (e->lost || h->vm[e->vm].down
+      || (h->evacuations_refused && e->call.op == FX_PLATFORM_EVACUATIONS)
       || (h->refused_prefix != NULL
           && g_str_has_prefix (e->call.name, h->refused_prefix)))
     ev.platform.code = ST_UNAVAILABLE;
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -188,6 +188,10 @@
  * NULL: none. */
 void hst_platform_refuse (hst_t *h, const char *prefix);
 
+/** While REFUSED, calls that read or watch the list of evacuated data centres,
+ * and no others, get ST_UNAVAILABLE. */
+void hst_evacuations_refuse (hst_t *h, bool refused);
+
 /** Number of calls that VM has made to the platform about names that begin
  * with NAME. */
 unsigned hst_call_count (const hst_t *h, size_t vm, const char *name);
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -87,6 +87,7 @@
   ev_object_t evacuations[HST_MAX]; /**< deleted: ended */
   size_t evacuation_count;
   uint64_t evacuation_revision; /**< of their last change */
+  bool evacuations_refused;     /**< calls about them fail */
   ev_document_t document;
   cfg_doc_t parts; /**< of the document */
   char key_hash[65];
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -234,6 +234,12 @@
   h->refused_prefix = prefix;
 }
 
+void
+hst_evacuations_refuse (hst_t *h, bool refused)
+{
+  h->evacuations_refused = refused;
+}
+
 void
 hst_compact (hst_t *h)
 {
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -404,6 +404,44 @@
   hst_shutdown (h);
 }
 
+/* Ends and starts all VMs of H while the platform refuses its list. */
+static void
+restart_without_list (hst_t *h)
+{
+  hst_evacuations_refuse (h, true);
+  for (size_t vm = 0; vm < 4; vm++)
+    hst_kill (h, vm);
+  hst_advance (h, CLK_SECOND);
+  for (size_t vm = 0; vm < 4; vm++)
+    hst_start (h, vm);
+}
+
+/* Guards against VMs that start to serve with the document, the VMs and links,
+ * but without the list, and against a wait for the list without an end. */
+static void
+test_all_start_without_the_list (void)
+{
+  hst_t *h = fleet ();
+  hst_evacuate (h, "north", true);
+  hst_advance (h, BOUND_MS);
+  clk_ms_t at = hst_now (h);
+  restart_without_list (h);
+  load (h, 2 * CLK_SECOND);
+  CU_ASSERT_EQUAL (arrivals (h, true, false, at), 0);
+  CU_ASSERT_EQUAL (arrivals (h, false, false, at), 0);
+  hst_evacuations_refuse (h, false);
+  load (h, 4 * CLK_SECOND);
+  CU_ASSERT (arrivals (h, false, false, at) > 0);
+  CU_ASSERT_EQUAL (arrivals (h, true, false, at), 0);
+  CU_ASSERT_EQUAL (arrivals (h, true, true, at), 0);
+  restart_without_list (h);
+  hst_advance (h, 4 * CLK_SECOND);
+  uint64_t c = hst_stream (h, 0, "key-acme", "r-bounded");
+  hst_advance (h, CLK_SECOND);
+  CU_ASSERT_EQUAL (hst_response (h, c)->status, 200);
+  hst_shutdown (h);
+}
+
 /* Guards against requests that wait, or run, when there is nowhere to send
  * them. */
 static void
@@ -473,6 +511,7 @@
     { "unknown_data_centre", test_unknown_data_centre },
     { "load_moves_and_returns", test_load_moves_and_returns },
     { "vm_starts_during_evacuation", test_vm_starts_during_evacuation },
+    { "all_start_without_the_list", test_all_start_without_the_list },
     { "all_evacuated", test_all_evacuated },
     { "router_excludes_everywhere", test_router_excludes_everywhere },
   };
