Directory: the reader hands on only what the platform has given

Cause: a reader that had a list of a peer with a higher revision put that list into its confirmations. Its followers took over the revision as the platform's, so after a garbled one they watched from there and missed all later changes; the reader itself had dropped the list by then.

Change: DIR_EVAC_HANDED carries the platform's list. A newer list of a peer still goes to all VMs as DIR_EVAC_LIST, which can be refuted.

--- a/src/core/dir_evac.c
+++ b/src/core/dir_evac.c
@@ -37,8 +37,8 @@
 /** What a message says. */
 typedef enum
 {
-  DIR_EVAC_LIST,   /**< the list of the sender; revision 0: it has none */
-  DIR_EVAC_HANDED, /**< the same, as the reader has just confirmed it */
+  DIR_EVAC_LIST,   /**< the list in force at the sender; revision 0: none */
+  DIR_EVAC_HANDED, /**< the list that the platform has just given the reader */
   DIR_EVAC_FAILED, /**< the reader cannot read the list */
 } _dir_evac_word_t;
 
@@ -266,7 +266,9 @@
 static buf_t
 _dir_evac_encode (const dir_t *d, void *ctx, _dir_evac_word_t word)
 {
-  const _dir_evac_list_t *list = _dir_evac_newest (d->evac);
+  /* Followers take over the revision of what is handed on. */
+  const _dir_evac_list_t *list
+      = word == DIR_EVAC_HANDED ? &d->evac->list : _dir_evac_newest (d->evac);
   GHashTableIter iter;
   void *name;
   mpk_writer_t w;
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -233,11 +233,11 @@
   dfb_shutdown (b);
 }
 
-/* Brings VM 0 a message of FROM with WORD, REVISION, COUNT and the name dc-0,
+/* Brings VM TO a message of FROM with WORD, REVISION, COUNT and the name dc-0,
  * without the last CUT bytes. */
 static void
-message (dfb_t *b, size_t from, uint64_t word, uint64_t revision,
-         uint64_t count, size_t cut)
+message_to (dfb_t *b, size_t to, size_t from, uint64_t word, uint64_t revision,
+            uint64_t count, size_t cut)
 {
   void *tmp = talloc_new (NULL);
   mpk_writer_t w;
@@ -248,10 +248,18 @@
   mpk_put_str (&w, buf_str ("dc-0"));
   buf_t body = mpk_done (&w);
   body.n = cut < body.n ? body.n - cut : 0;
-  dfb_message (b, 0, from, MSG_DIRECTORY_EVACUATIONS, body);
+  dfb_message (b, to, from, MSG_DIRECTORY_EVACUATIONS, body);
   talloc_free (tmp);
 }
 
+/* The same for VM 0. */
+static void
+message (dfb_t *b, size_t from, uint64_t word, uint64_t revision,
+         uint64_t count, size_t cut)
+{
+  message_to (b, 0, from, word, revision, count, cut);
+}
+
 /* Guards against an older list of a peer that replaces a newer one, against
  * torn, foreign and huge messages, and against a garbled revision that hides
  * all later changes. */
@@ -279,6 +287,23 @@
   dfb_shutdown (b);
 }
 
+/* Guards against a reader that hands on what only a peer has told as if the
+ * platform had said it. */
+static void
+test_garbled_revision_at_a_reader (void)
+{
+  dfb_t *b = setup (77, 3);
+  message_to (b, dfb_reader (b, 0), 1, 0, UINT64_MAX, 1, 0);
+  for (clk_ms_t ms = 0; ms < BOUND_MS; ms += 50)
+    {
+      dfb_run (b, 50);
+      CU_ASSERT (dfb_evacuations_behind (b) <= 1);
+    }
+  CU_ASSERT_EQUAL (dfb_evacuations_behind (b), 0);
+  check_change (b, 1, true, 0, "a reader had a garbled revision");
+  dfb_shutdown (b);
+}
+
 /* Guards against names that are no data centres of the fleet: they must not
  * be taken for one, nor fill the log. */
 static void
@@ -508,6 +533,7 @@
     { "platform_is_silent", test_platform_is_silent },
     { "history_is_lost", test_history_is_lost },
     { "bad_messages_change_nothing", test_bad_messages_change_nothing },
+    { "garbled_revision_at_a_reader", test_garbled_revision_at_a_reader },
     { "unknown_data_centre", test_unknown_data_centre },
     { "load_moves_and_returns", test_load_moves_and_returns },
     { "vm_starts_during_evacuation", test_vm_starts_during_evacuation },
