Directory: followers drop a peer's list that the reader does not confirm

Cause: a list of a peer is dropped when a later answer to a call of this VM does not confirm it. A follower makes no calls, so a list with a garbled revision stayed in force there, and hid all changes, for as long as the VM followed. It also answered each change with the garbled list.

Change: what the reader hands on counts as an answer to a call that was made at most dir_handed_ms ago: the reader hands on only answers that come in that time.

--- a/src/core/dir_evac.c
+++ b/src/core/dir_evac.c
@@ -337,18 +337,18 @@
 
 /* -- the platform --------------------------------------------------------- */
 
-/* Takes over NAMES as the platform's list at REVISION. */
+/* Takes over NAMES as the platform's list at REVISION, which was asked for at
+ * ASKED_AT or later. */
 static void
 _dir_evac_adopt (dir_t *d, env_t *env, GHashTable *names, uint64_t revision,
-                 const char *source)
+                 clk_ms_t asked_at, const char *source)
 {
   dir_evac_t *e = d->evac;
   g_hash_table_destroy (e->list.names);
   e->list = (_dir_evac_list_t){ .names = names, .revision = revision };
   e->older_reads = 0;
   d->revision[DIR_OP_EVACUATIONS] = revision;
-  if (e->peer.revision > revision
-      && e->peer_at < d->called_at[DIR_OP_EVACUATIONS])
+  if (e->peer.revision > revision && e->peer_at < asked_at)
     {
       tln_record (env->tln, env->now, MOD_DIRECTORY, "evacuations-refuted",
                   "peer_revision=%llu revision=%llu: the platform does not "
@@ -401,7 +401,8 @@
     return;
   GHashTable *names = e->page;
   e->page = _dir_evac_set ();
-  _dir_evac_adopt (d, env, names, e->page_revision, "platform");
+  _dir_evac_adopt (d, env, names, e->page_revision,
+                   d->called_at[DIR_OP_EVACUATIONS], "platform");
 }
 
 void
@@ -427,7 +428,8 @@
       g_hash_table_remove (names, reply->objects[i].name);
     else
       _dir_evac_object_add (d, env, names, reply->objects[i].name);
-  _dir_evac_adopt (d, env, names, reply->revision, "platform");
+  _dir_evac_adopt (d, env, names, reply->revision,
+                   d->called_at[DIR_OP_EVACUATIONS], "platform");
 }
 
 /* -- other VMs ------------------------------------------------------------ */
@@ -466,7 +468,8 @@
   else if (revision >= own)
     {
       d->handed_at[DIR_OP_EVACUATIONS] = env->now;
-      _dir_evac_adopt (d, env, g_hash_table_ref (names), revision, vm);
+      _dir_evac_adopt (d, env, g_hash_table_ref (names), revision,
+                       env->now - dir_handed_ms (d, DIR_OP_EVACUATIONS), vm);
     }
 }
 
--- a/src/core/dir_follow.c
+++ b/src/core/dir_follow.c
@@ -92,9 +92,8 @@
                                   : DIR_READER_WATCH_MS;
 }
 
-/** Longest time for which what was handed on of the list of OP counts. */
-static clk_ms_t
-_dir_handed_ms (const dir_t *d, dir_op_t op)
+clk_ms_t
+dir_handed_ms (const dir_t *d, dir_op_t op)
 {
   return _dir_reader_watch_ms (d, op) + DIR_HANDED_LATE_MS;
 }
@@ -217,7 +216,7 @@
 dir_follows (const dir_t *d, const env_t *env, dir_op_t op)
 {
   return d->revision[op] != 0 && d->handed_at[op] != CLK_NEVER
-         && env->now - d->handed_at[op] <= _dir_handed_ms (d, op)
+         && env->now - d->handed_at[op] <= dir_handed_ms (d, op)
          && !dir_is_reader (d, env);
 }
 
--- a/src/core/dir_int.h
+++ b/src/core/dir_int.h
@@ -96,6 +96,11 @@
 /** Whether this VM leaves the list of OP to the reader. */
 bool dir_follows (const dir_t *d, const env_t *env, dir_op_t op);
 
+/** Longest time for which what was handed on of the list of OP counts, and
+ * longest time from the reader's call to the message that hands on its answer.
+ */
+clk_ms_t dir_handed_ms (const dir_t *d, dir_op_t op);
+
 /** Whether the answer to the last call for the list of OP, which came just
  * now, says something of now. */
 bool dir_answer_is_timely (const dir_t *d, const env_t *env, dir_op_t op);
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -287,6 +287,21 @@
   dfb_shutdown (b);
 }
 
+/* Guards against a garbled revision that stays in force at a VM that follows a
+ * reader and makes no calls. */
+static void
+test_garbled_revision_at_a_follower (void)
+{
+  dfb_t *b = setup (77, 3);
+  size_t follower = dfb_reader (b, 0) == 0 ? 3 : 0;
+  message_to (b, follower, 1, 0, UINT64_MAX, 1, 0);
+  CU_ASSERT (dfb_is_evacuated (b, follower, 0));
+  dfb_run (b, BOUND_MS);
+  CU_ASSERT_EQUAL (dfb_evacuations_behind (b), 0);
+  check_change (b, 1, true, 0, "a follower had a garbled revision");
+  dfb_shutdown (b);
+}
+
 /* Guards against a reader that hands on what only a peer has told as if the
  * platform had said it. */
 static void
@@ -533,6 +548,7 @@
     { "platform_is_silent", test_platform_is_silent },
     { "history_is_lost", test_history_is_lost },
     { "bad_messages_change_nothing", test_bad_messages_change_nothing },
+    { "garbled_revision_at_a_follower", test_garbled_revision_at_a_follower },
     { "garbled_revision_at_a_reader", test_garbled_revision_at_a_reader },
     { "unknown_data_centre", test_unknown_data_centre },
     { "load_moves_and_returns", test_load_moves_and_returns },
