Router: an upstream is evacuated with the data centre that the list names

Cause: an upstream whose entry changes only its data centre stayed the same to the router, which kept the name of the first one. It got requests when its new data centre was evacuated, and none when the old one was.

Change: the router takes over the name. Places in the subset and pollers go by it too, as they do at a VM that starts with the new entry.

--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -121,6 +121,16 @@
   return d;
 }
 
+/** Notes that U, which is the same as before, is in data centre NAME. */
+static void
+_rte_data_centre_set (rte_upstream_t *u, const char *name)
+{
+  if (strcmp (u->data_centre, name) == 0)
+    return;
+  talloc_free (u->data_centre);
+  u->data_centre = talloc_strdup (u->strings, name);
+}
+
 static rte_upstream_t *
 _rte_upstream_get (rte_t *r, const cfg_upstream_t *c)
 {
@@ -128,7 +138,10 @@
   if (u != NULL && strcmp (u->address, c->address) == 0
       && strcmp (u->deployment, c->deployment) == 0 && u->born == c->born
       && g_strcmp0 (u->version, c->version) == 0)
-    return u;
+    {
+      _rte_data_centre_set (u, c->data_centre);
+      return u;
+    }
   if (u != NULL)
     g_hash_table_remove (r->by_name, u->name);
   tbl_id_t id = tbl_alloc (r->upstreams);
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -536,6 +536,28 @@
   talloc_free (f);
 }
 
+/* Guards against an upstream that the list moves to an evacuated data centre,
+ * or out of one, and that is still counted where it was. */
+static void
+test_upstream_changes_data_centre (void)
+{
+  static const char *const y[] = { "y", NULL };
+  rtebed_t *f = rtebed_setup (1);
+  rte_pick_t pick;
+  rte_query_t u0 = { .deployment = "d", .only = "u0" };
+  cfg_doc_t *doc = rtebed_document (f, NULL);
+  rtebed_run (f, 500);
+  rte_evacuated_set (f->rte[0], f->env[0], y);
+  CU_ASSERT (rte_pick (f->rte[0], f->env[0], &u0, &pick));
+  TST_NEED (strcmp (doc->upstreams[0].name, "u0") == 0);
+  doc->upstreams[0].data_centre = "y";
+  rte_config_changed (f->rte[0], f->env[0], doc);
+  CU_ASSERT (!rte_pick (f->rte[0], f->env[0], &u0, &pick));
+  rte_config_changed (f->rte[0], f->env[0], rtebed_document (f, NULL));
+  CU_ASSERT (rte_pick (f->rte[0], f->env[0], &u0, &pick));
+  talloc_free (f);
+}
+
 int
 main (void)
 {
@@ -556,6 +578,7 @@
     { "all_start_without_the_list", test_all_start_without_the_list },
     { "all_evacuated", test_all_evacuated },
     { "router_excludes_everywhere", test_router_excludes_everywhere },
+    { "upstream_changes_data_centre", test_upstream_changes_data_centre },
   };
   return tst_run ("evac", cases, sizeof cases / sizeof cases[0]);
 }
