Directory: read evacuations anew when the platform is behind what is known

Cause: answers to watches with a lower revision than the one that is known were ignored. A VM that had taken over a garbled revision in the name of its reader watched from there and missed all later changes, as after a restored store that does not refuse old revisions.

Change: unless the reader has handed on something since the call, such an answer has the list read anew.

--- a/src/core/dir_evac.c
+++ b/src/core/dir_evac.c
@@ -405,6 +405,22 @@
                    d->called_at[DIR_OP_EVACUATIONS], "platform");
 }
 
+/* A watch was answered with a REVISION before the one that is known.  The
+ * reader may have handed on all of it, and more, since the call.  If not, what
+ * is known is garbled, or the store was restored: the list is read anew. */
+static void
+_dir_evac_behind (dir_t *d, env_t *env, uint64_t revision)
+{
+  clk_ms_t handed_at = d->handed_at[DIR_OP_EVACUATIONS];
+  if (handed_at != CLK_NEVER && handed_at >= d->called_at[DIR_OP_EVACUATIONS])
+    return;
+  tln_record (env->tln, env->now, MOD_DIRECTORY, "evacuations-behind",
+              "revision=%llu known=%llu: the list is read anew",
+              (unsigned long long)revision,
+              (unsigned long long)d->revision[DIR_OP_EVACUATIONS]);
+  d->revision[DIR_OP_EVACUATIONS] = 0;
+}
+
 void
 dir_evac_replied (dir_t *d, env_t *env, const ev_platform_t *reply)
 {
@@ -414,9 +430,11 @@
       _dir_evac_page (d, env, reply);
       return;
     }
-  /* The reader may have handed on all of it, and more, since the call. */
   if (reply->revision < before)
-    return;
+    {
+      _dir_evac_behind (d, env, reply->revision);
+      return;
+    }
   GHashTable *names = _dir_evac_set ();
   GHashTableIter iter;
   void *name;
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -302,6 +302,20 @@
   dfb_shutdown (b);
 }
 
+/* Guards against a garbled revision in the name of a reader: the VM takes it
+ * for the platform's, watches from there and would miss all later changes. */
+static void
+test_garbled_revision_handed_on (void)
+{
+  dfb_t *b = setup (77, 3);
+  size_t reader = dfb_reader (b, 0);
+  message_to (b, reader == 0 ? 3 : 0, reader, 1, UINT64_MAX, 1, 0);
+  dfb_run (b, 2 * BOUND_MS);
+  CU_ASSERT_EQUAL (dfb_evacuations_behind (b), 0);
+  check_change (b, 1, true, 0, "a garbled revision was handed on");
+  dfb_shutdown (b);
+}
+
 /* Guards against a reader that hands on what only a peer has told as if the
  * platform had said it. */
 static void
@@ -572,6 +586,7 @@
     { "bad_messages_change_nothing", test_bad_messages_change_nothing },
     { "garbled_revision_at_a_follower", test_garbled_revision_at_a_follower },
     { "garbled_revision_at_a_reader", test_garbled_revision_at_a_reader },
+    { "garbled_revision_handed_on", test_garbled_revision_handed_on },
     { "unknown_data_centre", test_unknown_data_centre },
     { "load_moves_and_returns", test_load_moves_and_returns },
     { "vm_starts_during_evacuation", test_vm_starts_during_evacuation },
