Router: count excluded upstreams again when the list of upstreams changes

Cause: rts_route_evacuated_upstreams was set only when the evacuations changed.

Change: the counter is set with each new document too, once there has been an evacuation.

--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -316,11 +316,25 @@
          && g_strv_contains ((const char *const *)r->evacuated, data_centre);
 }
 
+/** Sets the counter of excluded upstreams, and returns their number. */
+static size_t
+_rte_excluded_count (const rte_t *r, env_t *env)
+{
+  size_t excluded = 0;
+  for (tbl_id_t id = tbl_next (r->upstreams, (tbl_id_t){ 0 }); id.id != 0;
+       id = tbl_next (r->upstreams, id))
+    {
+      const rte_upstream_t *u = tbl_get (r->upstreams, id);
+      excluded += u->evacuated && u->configured;
+    }
+  cnt_set (env->cnt, "rts_route_evacuated_upstreams", "", (double)excluded);
+  return excluded;
+}
+
 void
 rte_evacuated_set (rte_t *r, env_t *env, const char *const *names)
 {
   size_t n = g_strv_length ((char **)(uintptr_t)names);
-  size_t excluded = 0;
   talloc_free (r->evacuated);
   r->evacuated = talloc_zero_array (r, char *, n + 1);
   for (size_t i = 0; i < n; i++)
@@ -330,11 +344,10 @@
     {
       rte_upstream_t *u = tbl_get (r->upstreams, id);
       u->evacuated = _rte_in_evacuated (r, u->data_centre);
-      excluded += u->evacuated && u->configured;
     }
   tln_record (env->tln, env->now, MOD_ROUTE, "evacuated",
-              "data_centres=%zu upstreams=%zu", n, excluded);
-  cnt_set (env->cnt, "rts_route_evacuated_upstreams", "", (double)excluded);
+              "data_centres=%zu upstreams=%zu", n,
+              _rte_excluded_count (r, env));
 }
 
 bool
@@ -386,6 +399,8 @@
       _rte_subset_mark (r, env, value);
       _rte_versions_learn (value, env->now);
     }
+  if (r->evacuated != NULL)
+    (void)_rte_excluded_count (r, env);
   rte_crash_listed (r, env, doc);
   r->members_generation = 0;
   rte_pollers_update (r, env);
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -551,7 +551,8 @@
 }
 
 /* Guards against an upstream that the list moves to an evacuated data centre,
- * or out of one, and that is still counted where it was. */
+ * or out of one, and that is still counted where it was, also in the counter
+ * of excluded upstreams. */
 static void
 test_upstream_changes_data_centre (void)
 {
@@ -567,6 +568,8 @@
   doc->upstreams[0].data_centre = "y";
   rte_config_changed (f->rte[0], f->env[0], doc);
   CU_ASSERT (!rte_pick (f->rte[0], f->env[0], &u0, &pick));
+  CU_ASSERT_EQUAL (
+      cnt_value (f->env[0]->cnt, "rts_route_evacuated_upstreams", ""), 3);
   rte_config_changed (f->rte[0], f->env[0], rtebed_document (f, NULL));
   CU_ASSERT (rte_pick (f->rte[0], f->env[0], &u0, &pick));
   talloc_free (f);
