Directory: bound the evacuations also without the fleet's data centres

Cause: where the settings name no data centres, every name counted as one of the fleet, so the list had no bound, and beyond 256 names the other VMs would refuse it as malformed.

Change: the bound of 64 names beside the fleet's data centres holds there too.

--- a/src/core/dir_evac.c
+++ b/src/core/dir_evac.c
@@ -136,14 +136,14 @@
 }
 
 /* Adds NAME to NAMES.  Returns false when it is garbled, or one of too many
- * that are no data centres of the fleet. */
+ * that the settings do not name as data centres of the fleet. */
 static bool
 _dir_evac_name_add (const dir_t *d, GHashTable *names, const char *name)
 {
   if (name == NULL || name[0] == '\0' || strlen (name) > DIR_EVAC_NAME_MAX
       || (g_hash_table_size (names)
               >= d->data_centre_count + DIR_EVAC_FOREIGN_MAX
-          && !_dir_evac_is_ours (d, name)))
+          && (d->data_centre_count == 0 || !_dir_evac_is_ours (d, name))))
     return false;
   g_hash_table_add (names, g_strdup (name));
   return true;
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -353,6 +353,35 @@
   dfb_shutdown (b);
 }
 
+/* Guards against a list without bound, which other VMs would refuse as
+ * malformed, where the settings do not name the fleet's data centres. */
+static void
+test_names_are_bounded (void)
+{
+  void *ctx = talloc_new (NULL);
+  env_t *env = env_setup (ctx, &(env_desc_t){ .vm = "a", .data_centre = "x" });
+  mbr_t *members = mbr_setup (ctx, &(mbr_desc_t){ 0 });
+  dir_t *dir = dir_setup (
+      ctx, &(dir_desc_t){ .members = members, .evacuate_ms = BOUND_MS });
+  ev_object_t objects[1000] = { 0 };
+  ev_platform_t reply = { .revision = 3, .objects = objects };
+  for (; reply.object_count < G_N_ELEMENTS (objects); reply.object_count++)
+    objects[reply.object_count].name
+        = talloc_asprintf (ctx, "dc-%zu", reply.object_count);
+  dir_start (dir, env);
+  for (size_t i = 0; i < env->fx->count; i++)
+    if (env->fx->v[i].kind == FX_PLATFORM
+        && env->fx->v[i].platform.op == FX_PLATFORM_EVACUATIONS)
+      reply.call = env->fx->v[i].platform.call;
+  plt_done_t done;
+  TST_NEED (plt_reply (env, &reply, &done));
+  dir_platform_replied (dir, env, &done, &reply);
+  CU_ASSERT (dir_evacuations_known (dir));
+  CU_ASSERT_EQUAL (g_strv_length ((char **)(uintptr_t)dir_evacuated (dir)),
+                   64);
+  talloc_free (ctx);
+}
+
 /* -- nodes and router ------------------------------------------------------
  */
 
@@ -591,6 +620,7 @@
     { "garbled_revision_at_a_reader", test_garbled_revision_at_a_reader },
     { "garbled_revision_handed_on", test_garbled_revision_handed_on },
     { "unknown_data_centre", test_unknown_data_centre },
+    { "names_are_bounded", test_names_are_bounded },
     { "load_moves_and_returns", test_load_moves_and_returns },
     { "vm_starts_during_evacuation", test_vm_starts_during_evacuation },
     { "all_start_without_the_list", test_all_start_without_the_list },
