Directory: date a list of several pages by its first page

Cause: a list of a peer is refuted by a lower revision that was asked for after it came. A list of several pages has the revision of its first page, but counted from the call for its last one, so a newer list that came between them was dropped until the next watch was answered.

Change: the time of the call for the first page counts.

--- a/src/core/dir_evac.c
+++ b/src/core/dir_evac.c
@@ -52,18 +52,19 @@
 struct dir_evac
 {
   clk_ms_t watch_ms;
-  _dir_evac_list_t list; /**< of the platform */
-  _dir_evac_list_t peer; /**< of another VM; revision 0: none */
-  clk_ms_t peer_at;      /**< when it came */
-  GHashTable *page;      /**< names of the list that is being read */
-  uint64_t page_revision;
-  char *after;           /**< last name of the previous page; NULL: first */
-  unsigned older_reads;  /**< in a row */
-  clk_ms_t confirmed_at; /**< when the list was last known to be current */
-  const char **in_force; /**< data centres of the fleet, ends with NULL */
-  GHashTable *foreign;   /**< names that were logged */
-  bool changed;          /**< in_force is newer than dir_evacuations_changed
-                              has told */
+  _dir_evac_list_t list;   /**< of the platform */
+  _dir_evac_list_t peer;   /**< of another VM; revision 0: none */
+  clk_ms_t peer_at;        /**< when it came */
+  GHashTable *page;        /**< names of the list that is being read */
+  uint64_t page_revision;  /**< of its first page */
+  clk_ms_t page_called_at; /**< when that was asked for */
+  char *after;             /**< last name of the previous page; NULL: first */
+  unsigned older_reads;    /**< in a row */
+  clk_ms_t confirmed_at;   /**< when the list was last known to be current */
+  const char **in_force;   /**< data centres of the fleet, ends with NULL */
+  GHashTable *foreign;     /**< names that were logged */
+  bool changed;            /**< in_force is newer than dir_evacuations_changed
+                                has told */
 };
 
 static GHashTable *
@@ -388,6 +389,7 @@
     {
       g_hash_table_remove_all (e->page);
       e->page_revision = reply->revision;
+      e->page_called_at = d->called_at[DIR_OP_EVACUATIONS];
     }
   for (size_t i = 0; i < reply->object_count; i++)
     _dir_evac_object_add (d, env, e->page, reply->objects[i].name);
@@ -401,8 +403,8 @@
     return;
   GHashTable *names = e->page;
   e->page = _dir_evac_set ();
-  _dir_evac_adopt (d, env, names, e->page_revision,
-                   d->called_at[DIR_OP_EVACUATIONS], "platform");
+  _dir_evac_adopt (d, env, names, e->page_revision, e->page_called_at,
+                   "platform");
 }
 
 /* A watch was answered with a REVISION before the one that is known.  The
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -353,6 +353,38 @@
   dfb_shutdown (b);
 }
 
+/* Answers the last call for evacuations with REPLY. */
+static void
+answer (env_t *env, dir_t *dir, ev_platform_t *reply)
+{
+  plt_done_t done;
+  for (size_t i = 0; i < env->fx->count; i++)
+    if (env->fx->v[i].kind == FX_PLATFORM
+        && env->fx->v[i].platform.op == FX_PLATFORM_EVACUATIONS)
+      reply->call = env->fx->v[i].platform.call;
+  TST_NEED (plt_reply (env, reply, &done));
+  dir_platform_replied (dir, env, &done, reply);
+}
+
+/* Guards against the list of a peer that is dropped because a list lacks it
+ * whose first page is older. */
+static void
+test_peer_tells_between_pages (void)
+{
+  dfb_t *b = dfb_setup_evacuations (2, 1, BOUND_MS);
+  env_t *env = dfb_env (b, 0);
+  dir_t *dir = dfb_dir (b, 0);
+  ev_platform_t page = { .revision = 10, .continue_after = "dc-3" };
+  env->now++;
+  message (b, 1, 0, 12, 1, 0);
+  env->now++;
+  answer (env, dir, &page);
+  page.continue_after = NULL;
+  answer (env, dir, &page);
+  CU_ASSERT (dfb_is_evacuated (b, 0, 0));
+  dfb_shutdown (b);
+}
+
 /* Guards against a list without bound, which other VMs would refuse as
  * malformed, where the settings do not name the fleet's data centres. */
 static void
@@ -369,13 +401,7 @@
     objects[reply.object_count].name
         = talloc_asprintf (ctx, "dc-%zu", reply.object_count);
   dir_start (dir, env);
-  for (size_t i = 0; i < env->fx->count; i++)
-    if (env->fx->v[i].kind == FX_PLATFORM
-        && env->fx->v[i].platform.op == FX_PLATFORM_EVACUATIONS)
-      reply.call = env->fx->v[i].platform.call;
-  plt_done_t done;
-  TST_NEED (plt_reply (env, &reply, &done));
-  dir_platform_replied (dir, env, &done, &reply);
+  answer (env, dir, &reply);
   CU_ASSERT (dir_evacuations_known (dir));
   CU_ASSERT_EQUAL (g_strv_length ((char **)(uintptr_t)dir_evacuated (dir)),
                    64);
@@ -620,6 +646,7 @@
     { "garbled_revision_at_a_reader", test_garbled_revision_at_a_reader },
     { "garbled_revision_handed_on", test_garbled_revision_handed_on },
     { "unknown_data_centre", test_unknown_data_centre },
+    { "peer_tells_between_pages", test_peer_tells_between_pages },
     { "names_are_bounded", test_names_are_bounded },
     { "load_moves_and_returns", test_load_moves_and_returns },
     { "vm_starts_during_evacuation", test_vm_starts_during_evacuation },
