--- a/src/core/dir_evac.c
+++ b/src/core/dir_evac.c
@@ -37,8 +37,8 @@
 /** What a message says. */
 typedef enum
 {
-  DIR_EVAC_LIST,   /**< the list of the sender; revision 0: it has none */
-  DIR_EVAC_HANDED, /**< the same, as the reader has just confirmed it */
+  DIR_EVAC_LIST,   /**< the list in force at the sender; revision 0: none */
+  DIR_EVAC_HANDED, /**< the list that the platform has just given the reader */
   DIR_EVAC_FAILED, /**< the reader cannot read the list */
 } _dir_evac_word_t;
 
@@ -52,18 +52,19 @@
 struct dir_evac
 {
   clk_ms_t watch_ms;
-  _dir_evac_list_t list; /**< of the platform */
-  _dir_evac_list_t peer; /**< of another VM; revision 0: none */
-  clk_ms_t peer_at;      /**< when it came */
-  GHashTable *page;      /**< names of the list that is being read */
-  uint64_t page_revision;
-  char *after;           /**< last name of the previous page; NULL: first */
-  unsigned older_reads;  /**< in a row */
-  clk_ms_t confirmed_at; /**< when the list was last known to be current */
-  const char **in_force; /**< data centres of the fleet, ends with NULL */
-  GHashTable *foreign;   /**< names that were logged */
-  bool changed;          /**< in_force is newer than dir_evacuations_changed
-                              has told */
+  _dir_evac_list_t list;   /**< of the platform */
+  _dir_evac_list_t peer;   /**< of another VM; revision 0: none */
+  clk_ms_t peer_at;        /**< when it came */
+  GHashTable *page;        /**< names of the list that is being read */
+  uint64_t page_revision;  /**< of its first page */
+  clk_ms_t page_called_at; /**< when that was asked for */
+  char *after;             /**< last name of the previous page; NULL: first */
+  unsigned older_reads;    /**< in a row */
+  clk_ms_t confirmed_at;   /**< when the list was last known to be current */
+  const char **in_force;   /**< data centres of the fleet, ends with NULL */
+  GHashTable *foreign;     /**< names that were logged */
+  bool changed;            /**< in_force is newer than dir_evacuations_changed
+                                has told */
 };
 
 static GHashTable *
@@ -136,14 +137,14 @@
 }
 
 /* Adds NAME to NAMES.  Returns false when it is garbled, or one of too many
- * that are no data centres of the fleet. */
+ * that the settings do not name as data centres of the fleet. */
 static bool
 _dir_evac_name_add (const dir_t *d, GHashTable *names, const char *name)
 {
   if (name == NULL || name[0] == '\0' || strlen (name) > DIR_EVAC_NAME_MAX
       || (g_hash_table_size (names)
               >= d->data_centre_count + DIR_EVAC_FOREIGN_MAX
-          && !_dir_evac_is_ours (d, name)))
+          && (d->data_centre_count == 0 || !_dir_evac_is_ours (d, name))))
     return false;
   g_hash_table_add (names, g_strdup (name));
   return true;
@@ -266,7 +267,9 @@
 static buf_t
 _dir_evac_encode (const dir_t *d, void *ctx, _dir_evac_word_t word)
 {
-  const _dir_evac_list_t *list = _dir_evac_newest (d->evac);
+  /* Followers take over the revision of what is handed on. */
+  const _dir_evac_list_t *list
+      = word == DIR_EVAC_HANDED ? &d->evac->list : _dir_evac_newest (d->evac);
   GHashTableIter iter;
   void *name;
   mpk_writer_t w;
@@ -335,18 +338,18 @@
 
 /* -- the platform --------------------------------------------------------- */
 
-/* Takes over NAMES as the platform's list at REVISION. */
+/* Takes over NAMES as the platform's list at REVISION, which was asked for at
+ * ASKED_AT or later. */
 static void
 _dir_evac_adopt (dir_t *d, env_t *env, GHashTable *names, uint64_t revision,
-                 const char *source)
+                 clk_ms_t asked_at, const char *source)
 {
   dir_evac_t *e = d->evac;
   g_hash_table_destroy (e->list.names);
   e->list = (_dir_evac_list_t){ .names = names, .revision = revision };
   e->older_reads = 0;
   d->revision[DIR_OP_EVACUATIONS] = revision;
-  if (e->peer.revision > revision
-      && e->peer_at < d->called_at[DIR_OP_EVACUATIONS])
+  if (e->peer.revision > revision && e->peer_at < asked_at)
     {
       tln_record (env->tln, env->now, MOD_DIRECTORY, "evacuations-refuted",
                   "peer_revision=%llu revision=%llu: the platform does not "
@@ -386,6 +389,7 @@
     {
       g_hash_table_remove_all (e->page);
       e->page_revision = reply->revision;
+      e->page_called_at = d->called_at[DIR_OP_EVACUATIONS];
     }
   for (size_t i = 0; i < reply->object_count; i++)
     _dir_evac_object_add (d, env, e->page, reply->objects[i].name);
@@ -399,7 +403,24 @@
     return;
   GHashTable *names = e->page;
   e->page = _dir_evac_set ();
-  _dir_evac_adopt (d, env, names, e->page_revision, "platform");
+  _dir_evac_adopt (d, env, names, e->page_revision, e->page_called_at,
+                   "platform");
+}
+
+/* A watch was answered with a REVISION before the one that is known.  The
+ * reader may have handed on all of it, and more, since the call.  If not, what
+ * is known is garbled, or the store was restored: the list is read anew. */
+static void
+_dir_evac_behind (dir_t *d, env_t *env, uint64_t revision)
+{
+  clk_ms_t handed_at = d->handed_at[DIR_OP_EVACUATIONS];
+  if (handed_at != CLK_NEVER && handed_at >= d->called_at[DIR_OP_EVACUATIONS])
+    return;
+  tln_record (env->tln, env->now, MOD_DIRECTORY, "evacuations-behind",
+              "revision=%llu known=%llu: the list is read anew",
+              (unsigned long long)revision,
+              (unsigned long long)d->revision[DIR_OP_EVACUATIONS]);
+  d->revision[DIR_OP_EVACUATIONS] = 0;
 }
 
 void
@@ -411,9 +432,11 @@
       _dir_evac_page (d, env, reply);
       return;
     }
-  /* The reader may have handed on all of it, and more, since the call. */
   if (reply->revision < before)
-    return;
+    {
+      _dir_evac_behind (d, env, reply->revision);
+      return;
+    }
   GHashTable *names = _dir_evac_set ();
   GHashTableIter iter;
   void *name;
@@ -425,7 +448,8 @@
       g_hash_table_remove (names, reply->objects[i].name);
     else
       _dir_evac_object_add (d, env, names, reply->objects[i].name);
-  _dir_evac_adopt (d, env, names, reply->revision, "platform");
+  _dir_evac_adopt (d, env, names, reply->revision,
+                   d->called_at[DIR_OP_EVACUATIONS], "platform");
 }
 
 /* -- other VMs ------------------------------------------------------------ */
@@ -464,7 +488,8 @@
   else if (revision >= own)
     {
       d->handed_at[DIR_OP_EVACUATIONS] = env->now;
-      _dir_evac_adopt (d, env, g_hash_table_ref (names), revision, vm);
+      _dir_evac_adopt (d, env, g_hash_table_ref (names), revision,
+                       env->now - dir_handed_ms (d, DIR_OP_EVACUATIONS), vm);
     }
 }
 
--- a/tests/test_evac.c
+++ b/tests/test_evac.c
@@ -223,11 +223,11 @@
   dfb_shutdown (b);
 }
 
-/* Brings VM 0 a message of FROM with WORD, REVISION, COUNT and the name dc-0,
+/* Brings VM TO a message of FROM with WORD, REVISION, COUNT and the name dc-0,
  * without the last CUT bytes. */
 static void
-message (dfb_t *b, size_t from, uint64_t word, uint64_t revision,
-         uint64_t count, size_t cut)
+message_to (dfb_t *b, size_t to, size_t from, uint64_t word, uint64_t revision,
+            uint64_t count, size_t cut)
 {
   void *tmp = talloc_new (NULL);
   mpk_writer_t w;
@@ -238,10 +238,18 @@
   mpk_put_str (&w, buf_str ("dc-0"));
   buf_t body = mpk_done (&w);
   body.n = cut < body.n ? body.n - cut : 0;
-  dfb_message (b, 0, from, MSG_DIRECTORY_EVACUATIONS, body);
+  dfb_message (b, to, from, MSG_DIRECTORY_EVACUATIONS, body);
   talloc_free (tmp);
 }
 
+/* The same for VM 0. */
+static void
+message (dfb_t *b, size_t from, uint64_t word, uint64_t revision,
+         uint64_t count, size_t cut)
+{
+  message_to (b, 0, from, word, revision, count, cut);
+}
+
 /* Guards against an older list of a peer that replaces a newer one, against
  * torn, foreign and huge messages, and against a garbled revision that hides
  * all later changes. */
@@ -269,6 +277,52 @@
   dfb_shutdown (b);
 }
 
+/* Guards against a garbled revision that stays in force at a VM that follows a
+ * reader and makes no calls. */
+static void
+test_garbled_revision_at_a_follower (void)
+{
+  dfb_t *b = setup (77, 3);
+  size_t follower = dfb_reader (b, 0) == 0 ? 3 : 0;
+  message_to (b, follower, 1, 0, UINT64_MAX, 1, 0);
+  CU_ASSERT (dfb_is_evacuated (b, follower, 0));
+  dfb_run (b, BOUND_MS);
+  CU_ASSERT_EQUAL (dfb_evacuations_behind (b), 0);
+  check_change (b, 1, true, 0, "a follower had a garbled revision");
+  dfb_shutdown (b);
+}
+
+/* Guards against a garbled revision in the name of a reader: the VM takes it
+ * for the platform's, watches from there and would miss all later changes. */
+static void
+test_garbled_revision_handed_on (void)
+{
+  dfb_t *b = setup (77, 3);
+  size_t reader = dfb_reader (b, 0);
+  message_to (b, reader == 0 ? 3 : 0, reader, 1, UINT64_MAX, 1, 0);
+  dfb_run (b, 2 * BOUND_MS);
+  CU_ASSERT_EQUAL (dfb_evacuations_behind (b), 0);
+  check_change (b, 1, true, 0, "a garbled revision was handed on");
+  dfb_shutdown (b);
+}
+
+/* Guards against a reader that hands on what only a peer has told as if the
+ * platform had said it. */
+static void
+test_garbled_revision_at_a_reader (void)
+{
+  dfb_t *b = setup (77, 3);
+  message_to (b, dfb_reader (b, 0), 1, 0, UINT64_MAX, 1, 0);
+  for (clk_ms_t ms = 0; ms < BOUND_MS; ms += 50)
+    {
+      dfb_run (b, 50);
+      CU_ASSERT (dfb_evacuations_behind (b) <= 1);
+    }
+  CU_ASSERT_EQUAL (dfb_evacuations_behind (b), 0);
+  check_change (b, 1, true, 0, "a reader had a garbled revision");
+  dfb_shutdown (b);
+}
+
 /* Guards against names that are no data centres of the fleet: they must not
  * be taken for one, nor fill the log. */
 static void
@@ -289,6 +343,61 @@
   dfb_shutdown (b);
 }
 
+/* Answers the last call for evacuations with REPLY. */
+static void
+answer (env_t *env, dir_t *dir, ev_platform_t *reply)
+{
+  plt_done_t done;
+  for (size_t i = 0; i < env->fx->count; i++)
+    if (env->fx->v[i].kind == FX_PLATFORM
+        && env->fx->v[i].platform.op == FX_PLATFORM_EVACUATIONS)
+      reply->call = env->fx->v[i].platform.call;
+  TST_NEED (plt_reply (env, reply, &done));
+  dir_platform_replied (dir, env, &done, reply);
+}
+
+/* Guards against the list of a peer that is dropped because a list lacks it
+ * whose first page is older. */
+static void
+test_peer_tells_between_pages (void)
+{
+  dfb_t *b = dfb_setup_evacuations (2, 1, BOUND_MS);
+  env_t *env = dfb_env (b, 0);
+  dir_t *dir = dfb_dir (b, 0);
+  ev_platform_t page = { .revision = 10, .continue_after = "dc-3" };
+  env->now++;
+  message (b, 1, 0, 12, 1, 0);
+  env->now++;
+  answer (env, dir, &page);
+  page.continue_after = NULL;
+  answer (env, dir, &page);
+  CU_ASSERT (dfb_is_evacuated (b, 0, 0));
+  dfb_shutdown (b);
+}
+
+/* Guards against a list without bound, which other VMs would refuse as
+ * malformed, where the settings do not name the fleet's data centres. */
+static void
+test_names_are_bounded (void)
+{
+  void *ctx = talloc_new (NULL);
+  env_t *env = env_setup (ctx, &(env_desc_t){ .vm = "a", .data_centre = "x" });
+  mbr_t *members = mbr_setup (ctx, &(mbr_desc_t){ 0 });
+  dir_t *dir = dir_setup (
+      ctx, &(dir_desc_t){ .members = members, .evacuate_ms = BOUND_MS });
+  ev_object_t objects[1000] = { 0 };
+  ev_platform_t reply = { .revision = 3, .objects = objects };
+  for (; reply.object_count < G_N_ELEMENTS (objects); reply.object_count++)
+    objects[reply.object_count].name
+        = talloc_asprintf (ctx, "dc-%zu", reply.object_count);
+  dir_start (dir, env);
+  answer (env, dir, &reply);
+  CU_ASSERT (dir_evacuations_known (dir));
+  CU_ASSERT_EQUAL (g_strv_length ((char **)(uintptr_t)dir_evacuated (dir)),
+                   64);
+  talloc_free (ctx);
+}
+
 /* -- nodes and router ------------------------------------------------------
  */
 
@@ -394,6 +503,44 @@
   hst_shutdown (h);
 }
 
+/* Ends and starts all VMs of H while the platform refuses its list. */
+static void
+restart_without_list (hst_t *h)
+{
+  hst_evacuations_refuse (h, true);
+  for (size_t vm = 0; vm < 4; vm++)
+    hst_kill (h, vm);
+  hst_advance (h, CLK_SECOND);
+  for (size_t vm = 0; vm < 4; vm++)
+    hst_start (h, vm);
+}
+
+/* Guards against VMs that start to serve with the document, the VMs and links,
+ * but without the list, and against a wait for the list without an end. */
+static void
+test_all_start_without_the_list (void)
+{
+  hst_t *h = fleet ();
+  hst_evacuate (h, "north", true);
+  hst_advance (h, BOUND_MS);
+  clk_ms_t at = hst_now (h);
+  restart_without_list (h);
+  load (h, 2 * CLK_SECOND);
+  CU_ASSERT_EQUAL (arrivals (h, true, false, at), 0);
+  CU_ASSERT_EQUAL (arrivals (h, false, false, at), 0);
+  hst_evacuations_refuse (h, false);
+  load (h, 4 * CLK_SECOND);
+  CU_ASSERT (arrivals (h, false, false, at) > 0);
+  CU_ASSERT_EQUAL (arrivals (h, true, false, at), 0);
+  CU_ASSERT_EQUAL (arrivals (h, true, true, at), 0);
+  restart_without_list (h);
+  hst_advance (h, 4 * CLK_SECOND);
+  uint64_t c = hst_stream (h, 0, "key-acme", "r-bounded");
+  hst_advance (h, CLK_SECOND);
+  CU_ASSERT_EQUAL (hst_response (h, c)->status, 200);
+  hst_shutdown (h);
+}
+
 /* Guards against requests that wait, or run, when there is nowhere to send
  * them. */
 static void
@@ -448,6 +595,31 @@
   talloc_free (f);
 }
 
+/* Guards against an upstream that the list moves to an evacuated data centre,
+ * or out of one, and that is still counted where it was, also in the counter
+ * of excluded upstreams. */
+static void
+test_upstream_changes_data_centre (void)
+{
+  static const char *const y[] = { "y", NULL };
+  rtebed_t *f = rtebed_setup (1);
+  rte_pick_t pick;
+  rte_query_t u0 = { .deployment = "d", .only = "u0" };
+  cfg_doc_t *doc = rtebed_document (f, NULL);
+  rtebed_run (f, 500);
+  rte_evacuated_set (f->rte[0], f->env[0], y);
+  CU_ASSERT (rte_pick (f->rte[0], f->env[0], &u0, &pick));
+  TST_NEED (strcmp (doc->upstreams[0].name, "u0") == 0);
+  doc->upstreams[0].data_centre = "y";
+  rte_config_changed (f->rte[0], f->env[0], doc);
+  CU_ASSERT (!rte_pick (f->rte[0], f->env[0], &u0, &pick));
+  CU_ASSERT_EQUAL (
+      cnt_value (f->env[0]->cnt, "rts_route_evacuated_upstreams", ""), 3);
+  rte_config_changed (f->rte[0], f->env[0], rtebed_document (f, NULL));
+  CU_ASSERT (rte_pick (f->rte[0], f->env[0], &u0, &pick));
+  talloc_free (f);
+}
+
 int
 main (void)
 {
@@ -460,11 +632,18 @@
     { "platform_is_silent", test_platform_is_silent },
     { "history_is_lost", test_history_is_lost },
     { "bad_messages_change_nothing", test_bad_messages_change_nothing },
+    { "garbled_revision_at_a_follower", test_garbled_revision_at_a_follower },
+    { "garbled_revision_at_a_reader", test_garbled_revision_at_a_reader },
+    { "garbled_revision_handed_on", test_garbled_revision_handed_on },
     { "unknown_data_centre", test_unknown_data_centre },
+    { "peer_tells_between_pages", test_peer_tells_between_pages },
+    { "names_are_bounded", test_names_are_bounded },
     { "load_moves_and_returns", test_load_moves_and_returns },
     { "vm_starts_during_evacuation", test_vm_starts_during_evacuation },
+    { "all_start_without_the_list", test_all_start_without_the_list },
     { "all_evacuated", test_all_evacuated },
     { "router_excludes_everywhere", test_router_excludes_everywhere },
+    { "upstream_changes_data_centre", test_upstream_changes_data_centre },
   };
   return tst_run ("evac", cases, sizeof cases / sizeof cases[0]);
 }
