--- a/src/core/job.c
+++ b/src/core/job.c
@@ -446,6 +446,19 @@
   return true;
 }
 
+static void
+_job_runners_log (const job_set_t *j, env_t *env)
+{
+  char names[TLN_DETAIL_SIZE] = ""; /* longer lists are cut */
+  for (size_t i = 0; i < j->runner_count; i++)
+    {
+      g_strlcat (names, i > 0 ? "," : "", sizeof names);
+      g_strlcat (names, j->runners[i], sizeof names);
+    }
+  tln_record (env->tln, env->now, MOD_JOB, "runners", "count=%zu vms=%s",
+              j->runner_count, names);
+}
+
 void
 job_members_changed (job_set_t *j, env_t *env)
 {
@@ -455,7 +468,10 @@
   j->runners = NULL;
   _job_runners_find (j, env);
   if (!_job_runners_are (j, before, before_count))
-    j->runners_changed_at = env->now;
+    {
+      j->runners_changed_at = env->now;
+      _job_runners_log (j, env);
+    }
   talloc_free (tmp);
   for (tbl_id_t id = tbl_next (j->jobs, (tbl_id_t){ 0 }); id.id != 0;
        id = tbl_next (j->jobs, id))
