Membership: a VM of which nothing was heard is not up

What callers saw: after store machines had been replaced one by one, items of accepted jobs were not run by anybody while replicas were idle (LOST). Cause: in a grid a VM without a link counted as up until a report said that it was down. Reports are lost on VMs whose list does not have the VM yet, and none were sent by VMs that held a list below the size of a grid; new workers then counted machines that were gone as runners (vm-up by=nothing). Change: a VM without a link is up only by a report; heartbeats of a grid carry digests of the list and the reports, and VMs that differ exchange them; VMs that are not gone form a mesh or grid of their own. Why it works: a wrong belief needs a report now, reports of one incarnation have one order, and two linked VMs with the same list cannot go on holding different ones.

--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -78,6 +78,7 @@
 {
   mbr_entry_t *e = talloc_zero (m, mbr_entry_t);
   e->vm.name = talloc_strdup (e, vm->vm);
+  e->name_hash = own_hash_vm (vm->vm);
   e->vm.data_centre = talloc_strdup (e, vm->data_centre);
   e->vm.address = talloc_strdup (e, vm->address ? vm->address : "");
   e->vm.down_since = env->now;
@@ -86,6 +87,7 @@
     m->self = e;
   e->link_open = g_hash_table_remove (m->unlisted, vm->vm);
   e->received_at = env->now;
+  e->synced_at = CLK_NEVER;
   m->entries = talloc_realloc (m, m->entries, mbr_entry_t *, m->count + 1);
   m->entries[m->count++] = e;
   return e;
@@ -192,6 +194,7 @@
     return false;
   _mbr_order_store (m, vms, count);
   mbr_links_choose (m, env);
+  mbr_heartbeats_send (m, env);
   return true;
 }
 
@@ -248,6 +251,7 @@
                               .address = env->address });
   m->self->vm.worker = m->desc.worker;
   m->sorted = 1;
+  m->self->report = MBR_REPORTED_UP;
   mbr_entry_update (m, env, m->self);
   if (m->desc.self_register)
     _mbr_register (m, env, 0);
@@ -441,6 +445,7 @@
   switch (msg->kind)
     {
     case MSG_MEMBER_PING:
+      mbr_ping_received (m, env, vm, &r);
       break;
     case MSG_MEMBER_STATE:
       mbr_state_received (m, env, vm, &r);
--- a/src/core/mbr.h
+++ b/src/core/mbr.h
@@ -10,7 +10,8 @@
  * The platform's list of VMs may be seconds out of date.  A VM keeps the last
  * list while the platform is unavailable; a VM that starts without a list
  * requests one from a peer.  The state of the link to a VM shows whether that
- * VM is up; without a link, reports of peers do.  A small fleet is a full mesh
+ * VM is up; without a link, reports of peers do, and a VM of which nothing has
+ * been heard is not up.  A small fleet is a full mesh
  * of links.  In a large fleet the VMs of each data centre form a grid: a VM
  * keeps links to the VMs of its row and column, and to the VMs of the same
  * cell in the other data centres.  Messages to other VMs are relayed by one or
@@ -30,9 +31,11 @@
 /** Kinds of message. */
 typedef enum
 {
-  MSG_MEMBER_PING = MSG_MEMBER_FIRST, /**< empty: the sender is up */
-  MSG_MEMBER_STATE,        /**< name, up, incarnation: a report about a VM */
-  MSG_MEMBER_RELAY,        /**< to, from, remaining hops, kind, body */
+  MSG_MEMBER_PING
+  = MSG_MEMBER_FIRST, /**< the sender is up; empty, or in a grid digests of the
+                           names in its list and of its reports */
+  MSG_MEMBER_STATE,   /**< name, up, incarnation: a report about a VM */
+  MSG_MEMBER_RELAY,   /**< to, from, remaining hops, kind, body */
   MSG_MEMBER_LIST_REQUEST, /**< empty: request for the list */
   MSG_MEMBER_LIST,         /**< age in ms; then for each VM name,
                                data centre, address, leaving, worker */
--- a/src/core/mbr_int.h
+++ b/src/core/mbr_int.h
@@ -21,18 +21,34 @@
   MBR_TIMER_LIST_FIRST,
 };
 
+/* What reports say of a VM.  Of two reports of one incarnation the larger
+ * value holds. */
+typedef enum
+{
+  MBR_UNREPORTED, /* no report has come; without a link the VM is not up */
+  MBR_REPORTED_UP,
+  MBR_REPORTED_DOWN,
+  MBR_REPORTS, /* their number */
+} mbr_report_t;
+
 /* A VM of the list. */
 typedef struct
 {
   mbr_vm_t vm;
-  uint32_t row;            /* of the VM's cell in the grid */
-  uint32_t column;         /* of the VM's cell in the grid */
+  uint64_t name_hash;
+  uint32_t row_hash;       /* modulo the side of a grid: the VM's row in it */
+  uint32_t column_hash;    /* the same for its column */
+  uint32_t row;            /* of the VM's cell in the grid of the kept VMs */
+  uint32_t column;         /* of the VM's cell in the grid of the kept VMs */
+  bool gone;               /* has been down for long; the others are kept */
   bool link_wanted;        /* this VM keeps a link */
   bool link_open;          /* a link is open, whichever end opened it */
   bool silent;             /* link open, but no message for too long */
-  bool reported_down;      /* according to the newest report */
+  mbr_report_t report;     /* the newest */
   uint64_t incarnation;    /* of the newest report; 0: none yet */
   clk_ms_t received_at;    /* time of the last message from the VM */
+  clk_ms_t synced_at;      /* when all reports were last sent to the VM, as it
+                              held others; CLK_NEVER: never */
   clk_ms_t link_wanted_at; /* when link_wanted last changed */
 } mbr_entry_t;
 
@@ -63,6 +79,9 @@
   mbr_entry_t **order; /* entries in the order of the newest list */
   size_t order_count;
   mbr_entry_t *self;
+  uint32_t side;     /* of the grid of the VMs that are not gone */
+  uint32_t side_all; /* of the grid of all VMs of the list */
+  bool kept_mesh;    /* the VMs that are not gone are a full mesh */
   uint64_t generation;
   mbr_derived_t *derived;
   clk_ms_t poll_ms; /* current interval between reads of the list */
@@ -102,10 +121,22 @@
 /** Send heartbeats, and mark VMs down that were silent for too long. */
 void mbr_ping (mbr_t *m, env_t *env);
 
+/** Send a heartbeat to each VM with an open link; in a grid with digests of
+ * this VM's list and reports. */
+void mbr_heartbeats_send (mbr_t *m, env_t *env);
+
+/** Handle MSG_MEMBER_PING from VM: when its list is this VM's and its reports
+ * are not, send it all reports. */
+void mbr_ping_received (mbr_t *m, env_t *env, const char *vm, mpk_reader_t *r);
+
 /** Handle MSG_MEMBER_STATE from VM. */
 void mbr_state_received (mbr_t *m, env_t *env, const char *vm,
                          mpk_reader_t *r);
 
+/** Note which VMs have been down for so long that they count as gone; returns
+ * whether that has changed, so that links are to be chosen anew. */
+bool mbr_gone_update (mbr_t *m, const env_t *env);
+
 /** Choose the links to keep for the current list. */
 void mbr_links_choose (mbr_t *m, env_t *env);
 
--- a/src/core/mbr_state.c
+++ b/src/core/mbr_state.c
@@ -3,15 +3,22 @@
  *
  * A report names the incarnation of its VM.  A report of a newer incarnation
  * replaces one of an older incarnation; within one incarnation "down" replaces
- * "up".  Only the VM itself increments its incarnation, when a report says
- * that the VM is down.
+ * "up", and "up" replaces that none has come.  Only the VM itself increments
+ * its incarnation, when a report says that the VM is down.  Without a link and
+ * a report a VM is not up: that nobody says that it is down proves nothing, as
+ * the VMs that saw it go may not know this VM yet.
  *
- * A VM forwards a report only if the report changes the state, up or down,
- * that this VM holds.  This is enough: every VM that an older report reached
- * holds the state of that report.  A newer report of the opposite state
- * changes each of these VMs, so each of them forwards it, and it reaches them
- * all.  A VM that receives an outdated report replies with the newer one.  So
- * all VMs converge even if reports overtake each other.
+ * A VM forwards a report only if the report changes the state that this VM
+ * holds.  This is enough where all VMs know each other: every VM that an older
+ * report reached holds the state of that report.  A newer report of the
+ * opposite state changes each of these VMs, so each of them forwards it, and
+ * it reaches them all.  A VM that receives an outdated report replies with the
+ * newer one.  So all VMs converge even if reports overtake each other.
+ *
+ * Reports about a VM that the receiver's list does not have yet are lost, as
+ * are those of a link that breaks.  Heartbeats therefore carry digests of the
+ * list and of the reports; where the lists are equal and the reports are not,
+ * the receiver sends all of its reports.
  */
 #include "core/mbr_int.h"
 
@@ -26,6 +33,12 @@
 /* A VM whose link is not open after this time counts as down. */
 #define MBR_LINK_OPEN_TIMEOUT_MS (2 * CLK_SECOND)
 
+/* Shortest time between two transfers of all reports to one VM. */
+#define MBR_SYNC_MS (1 * CLK_SECOND)
+
+/* Largest incarnation that a report may name; a VM needs years for as many. */
+#define MBR_INCARNATION_MAX ((uint64_t)1 << 48)
+
 /* Largest number of open links to VMs that are not in the list. */
 #define MBR_UNLISTED_MAX 1024
 
@@ -44,13 +57,13 @@
     return "self";
   if (_mbr_is_linked (e))
     return "link";
-  return e->reported_down || e->incarnation > 0 ? "report" : "nothing";
+  return e->report == MBR_UNREPORTED ? "nothing" : "report";
 }
 
 void
 mbr_entry_update (mbr_t *m, env_t *env, mbr_entry_t *e)
 {
-  bool up = !e->reported_down;
+  bool up = e->report == MBR_REPORTED_UP;
   if (_mbr_is_linked (e))
     up = e->link_open && !e->silent;
   up = up || e->vm.self;
@@ -66,6 +79,49 @@
            up ? "state=\"up\"" : "state=\"down\"", 1);
 }
 
+/* ---- digests ---- */
+
+/* What two VMs compare; each part is a sum over the list, in any order. */
+typedef struct
+{
+  uint64_t names;
+  uint64_t reports;
+} _mbr_digest_t;
+
+static _mbr_digest_t
+_mbr_digest (const mbr_t *m)
+{
+  _mbr_digest_t d = { 0 };
+  for (size_t i = 0; i < m->count; i++)
+    {
+      const mbr_entry_t *e = m->entries[i];
+      d.names += e->name_hash;
+      d.reports += own_weight_hashed (
+          e->name_hash, e->incarnation * MBR_REPORTS + e->report);
+    }
+  return d;
+}
+
+static buf_t
+_mbr_ping_encode (const mbr_t *m, void *ctx)
+{
+  _mbr_digest_t d = _mbr_digest (m);
+  mpk_writer_t w;
+  mpk_writer_init (&w, ctx);
+  mpk_put_uint (&w, d.names);
+  mpk_put_uint (&w, d.reports);
+  return mpk_done (&w);
+}
+
+static void
+_mbr_digest_send (const mbr_t *m, env_t *env, const mbr_entry_t *to)
+{
+  void *tmp = talloc_new (NULL);
+  fx_peer_send (env->fx, to->vm.name, MSG_MEMBER_PING,
+                _mbr_ping_encode (m, tmp));
+  talloc_free (tmp);
+}
+
 /* ---- reports ---- */
 
 static buf_t
@@ -74,7 +130,7 @@
   mpk_writer_t w;
   mpk_writer_init (&w, ctx);
   mpk_put_str (&w, buf_str (about->vm.name));
-  mpk_put_uint (&w, !about->reported_down);
+  mpk_put_uint (&w, about->report == MBR_REPORTED_UP);
   mpk_put_uint (&w, about->incarnation);
   return mpk_done (&w);
 }
@@ -106,7 +162,7 @@
   talloc_free ((void *)(uintptr_t)body.p);
 }
 
-/* Send over a new link the reports that the other end may have missed. */
+/* Send over a new link the reports that the other end is likely to lack. */
 static void
 _mbr_reports_sync (mbr_t *m, env_t *env, const mbr_entry_t *to)
 {
@@ -115,17 +171,19 @@
   for (size_t i = 0; i < m->count; i++)
     {
       const mbr_entry_t *e = m->entries[i];
-      if (e->reported_down || e->vm.self || e == to)
+      bool about_end = e->vm.self || (e == to && e->report != MBR_UNREPORTED);
+      if (e->report == MBR_REPORTED_DOWN || about_end)
         _mbr_report_send (m, env, e, to->vm.name);
     }
+  _mbr_digest_send (m, env, to);
 }
 
 static void
 _mbr_down_broadcast (mbr_t *m, env_t *env, mbr_entry_t *e)
 {
-  if (e->reported_down)
+  if (e->report == MBR_REPORTED_DOWN)
     return;
-  e->reported_down = true;
+  e->report = MBR_REPORTED_DOWN;
   _mbr_report_broadcast (m, env, e, NULL);
 }
 
@@ -153,27 +211,73 @@
   bool up = mpk_get_uint (r) != 0;
   uint64_t incarnation = mpk_get_uint (r);
   mbr_entry_t *e = mpk_end (r) ? mbr_entry_find (m, name) : NULL;
-  if (e == NULL)
+  if (e == NULL || incarnation > MBR_INCARNATION_MAX)
     return;
   if (e->vm.self)
     {
       _mbr_self_report_received (m, env, vm, up, incarnation);
       return;
     }
-  if (incarnation < e->incarnation && up == e->reported_down)
+  mbr_report_t report = up ? MBR_REPORTED_UP : MBR_REPORTED_DOWN;
+  if (incarnation < e->incarnation && report != e->report)
     _mbr_report_send (m, env, e, vm);
-  bool newer = incarnation > e->incarnation;
-  bool now_down = incarnation == e->incarnation && !up && !e->reported_down;
-  if (!newer && !now_down)
+  if (incarnation < e->incarnation
+      || (incarnation == e->incarnation && report <= e->report))
     return;
-  bool changed = e->reported_down == up;
+  bool changed = report != e->report;
   e->incarnation = incarnation;
-  e->reported_down = !up;
+  e->report = report;
   mbr_entry_update (m, env, e);
   if (changed)
     _mbr_report_broadcast (m, env, e, vm);
 }
 
+/* ---- heartbeats with digests ---- */
+
+void
+mbr_heartbeats_send (mbr_t *m, env_t *env)
+{
+  void *tmp = talloc_new (m);
+  buf_t body = mbr_is_grid (m) ? _mbr_ping_encode (m, tmp) : (buf_t){ 0 };
+  for (size_t i = 0; i < m->count; i++)
+    if (m->entries[i]->link_open)
+      fx_peer_send (env->fx, m->entries[i]->vm.name, MSG_MEMBER_PING, body);
+  talloc_free (tmp);
+}
+
+/* Send all reports to E, and then the digests, so that E sends those that only
+ * E has. */
+static void
+_mbr_reports_exchange (mbr_t *m, env_t *env, mbr_entry_t *e)
+{
+  e->synced_at = env->now;
+  for (size_t i = 0; i < m->count; i++)
+    if (m->entries[i]->report != MBR_UNREPORTED)
+      _mbr_report_send (m, env, m->entries[i], e->vm.name);
+  _mbr_digest_send (m, env, e);
+  cnt_add (env->cnt, "rts_member_syncs_total", "", 1);
+}
+
+void
+mbr_ping_received (mbr_t *m, env_t *env, const char *vm, mpk_reader_t *r)
+{
+  mbr_entry_t *e = mbr_entry_find (m, vm);
+  if (e == NULL || !mbr_is_grid (m) || !mpk_more (r))
+    return;
+  _mbr_digest_t own = _mbr_digest (m);
+  uint64_t names = mpk_get_uint (r);
+  uint64_t reports = mpk_get_uint (r);
+  if (!mpk_end (r))
+    {
+      cnt_add (env->cnt, "rts_member_bad_messages_total", "", 1);
+      return;
+    }
+  bool pause
+      = e->synced_at != CLK_NEVER && env->now - e->synced_at < MBR_SYNC_MS;
+  if (names == own.names && reports != own.reports && !pause)
+    _mbr_reports_exchange (m, env, e);
+}
+
 /* ---- heartbeats ---- */
 
 static clk_ms_t
@@ -200,6 +304,9 @@
   /* After a suspension of this VM, missing heartbeats show nothing. */
   bool paused = env->now - m->pinged_at > 2 * period;
   m->pinged_at = env->now;
+  if (mbr_is_grid (m) && mbr_gone_update (m, env))
+    mbr_links_choose (m, env);
+  mbr_heartbeats_send (m, env);
   for (size_t i = 0; i < m->count; i++)
     {
       mbr_entry_t *e = m->entries[i];
@@ -208,7 +315,6 @@
         _mbr_down_broadcast (m, env, e);
       if (!e->link_open)
         continue;
-      fx_peer_send (env->fx, e->vm.name, MSG_MEMBER_PING, (buf_t){ 0 });
       if (paused)
         e->received_at = env->now;
       if (!e->silent
@@ -250,7 +356,7 @@
   e->silent = false;
   m->generation++;
   if (!mbr_is_grid (m))
-    e->reported_down = false;
+    e->report = MBR_REPORTED_UP;
   e->received_at = env->now;
   mbr_entry_update (m, env, e);
   _mbr_reports_sync (m, env, e);
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -405,6 +405,77 @@
   talloc_free (n);
 }
 
+/* The number of pairs of running VMs and listed ones of which the first holds
+ * a wrong state of the second. */
+static uint32_t
+_wrong_states (const net_t *n)
+{
+  uint32_t wrong = 0;
+  for (uint32_t i = 0; i < n->vm_count; i++)
+    for (uint32_t k = 0; n->vms[i].alive && k < n->vm_count; k++)
+      {
+        const mbr_vm_t *v = mbr_vm_find (n->vms[i].mbr, n->vms[k].name);
+        wrong += v != NULL && i != k && v->up != n->vms[k].alive;
+      }
+  return wrong;
+}
+
+/* A fleet of RUNNING VMs of which REPLACED are lost for good, one after the
+ * other, and replaced by others; the list keeps them all. */
+static net_t *
+_replaced_one_by_one (uint32_t running, uint32_t replaced, uint32_t seed)
+{
+  net_desc_t desc = _desc (running + replaced, 2);
+  desc.seed = seed;
+  net_t *n = net_setup (NULL, &desc);
+  for (uint32_t i = running; i < n->vm_count; i++)
+    {
+      net_kill_vm (n, i, true);
+      n->vms[i].listed = false;
+    }
+  net_run (n, 5000);
+  for (uint32_t i = 0; i < replaced; i++)
+    {
+      net_kill_vm (n, i, false);
+      net_run (n, n->now + 1000);
+      net_start_vm (n, running + i);
+      net_run (n, n->now + 4500);
+    }
+  return n;
+}
+
+/* Guards against VMs that are gone and count as up, as a VM that came later
+ * heard nothing of them: they were chosen to run jobs.  The fleet passes the
+ * size of a full mesh meanwhile; 10 replacements are those of review/1. */
+static void
+test_replaced_vms_are_down (void)
+{
+  static const uint32_t replaced[] = { 4, 5, 6, 7, 10, 20 };
+  for (size_t i = 0; i < sizeof replaced / sizeof replaced[0]; i++)
+    for (uint32_t seed = 1; seed <= 4; seed++)
+      {
+        net_t *n = _replaced_one_by_one (11, replaced[i], seed);
+        net_run (n, n->now + 15000);
+        CU_ASSERT_EQUAL (_wrong_states (n), 0);
+        talloc_free (n);
+      }
+}
+
+/* Guards against a grid in which most cells hold VMs that are gone, so that
+ * those that run have no links and do not hear of each other. */
+static void
+test_list_of_mostly_gone_vms (void)
+{
+  static const uint32_t replaced[] = { 40, 100 };
+  for (size_t i = 0; i < sizeof replaced / sizeof replaced[0]; i++)
+    {
+      net_t *n = _replaced_one_by_one (11, replaced[i], 1);
+      net_run (n, n->now + 15000);
+      CU_ASSERT_EQUAL (_wrong_states (n), 0);
+      talloc_free (n);
+    }
+}
+
 /* Guards against a list of several pages, as a large fleet has, of which the
  * VMs behind the first page count as gone; against a page that is missing. */
 static void
@@ -468,6 +539,8 @@
     { "grid_gone_before", test_grid_vm_down_at_start },
     { "grid_late_report", test_grid_late_report },
     { "grid_list_grows", test_grid_list_grows },
+    { "replaced_vms_are_down", test_replaced_vms_are_down },
+    { "list_of_mostly_gone_vms", test_list_of_mostly_gone_vms },
     { "list_of_several_pages", test_list_of_several_pages },
   };
   return tst_run ("mbr", cases, sizeof cases / sizeof cases[0]);
