Jobs: no refusal while a write is in flight; sockets before late timers

What callers saw: a VM that stood still while it stored a job answered 503, 'not run', and the job ran (REFUSED). Cause: at its time limit a submission forgot a write without an outcome; and after a pause timers that are due ran before the answers that lay in the sockets, in the node, the driver and the HTTP client. Change: a submission whose record is being written is answered 504. A driver whose timer is over 250 ms late sends what lies in its sockets first, for 100 ms at most (ev_t.behind); HTTP calls get 50 ms more. The same class: a repeat of a job that is being stored here is not refused; the end of a job that will still be written is answered 504; an idempotent request that may have run is refused with 502, not 503. Why it works: 503 needs that no write has had or can have an effect, and a limit ends nothing whose answer is there.

--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -276,6 +276,8 @@
 typedef struct
 {
   ev_kind_t kind;
+  bool behind; /**< further events came before now, while the driver stood
+                    still: timers that are due wait for them */
   union
   {
     ev_request_t request;          /**< EV_REQUEST */
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -187,6 +187,7 @@
   bool *part_due;          /**< whether a part has to be written (again) */
   uint32_t parts_stored;   /**< count of parts that have been written */
   bool record_due;         /**< whether the record has to be written (again) */
+  bool record_writing;     /**< a write of it is in progress */
   bool record_stored;      /**< by this submission or an earlier one */
   bool created;            /**< by this submission */
   uint64_t stored_version; /**< of the stored record; 0: not known */
--- a/src/core/job_read.c
+++ b/src/core/job_read.c
@@ -40,10 +40,20 @@
                       .code = code,
                       .message = status == 404 ? "no such job or item"
                                                : "it is not known now",
-                      .retry_after_ms = status == 503 ? CLK_SECOND / 2 : 0 });
+                      .run = status == 504 ? RPL_UNKNOWN : RPL_NOT_RUN,
+                      .retry_after_ms = status >= 500 ? CLK_SECOND / 2 : 0 });
   job_call_free (j, c);
 }
 
+/* Ends C, whose time is over.  An end that was asked for is still written when
+ * it can be, so that 503, which promises that nothing is done, is not true. */
+static void
+_job_call_give_up (job_set_t *j, env_t *env, job_call_t *c, const job_t *job)
+{
+  bool ends = c->op == EV_JOB_CANCEL && job != NULL && job->end_wanted;
+  _job_call_refuse (j, env, c, ends ? 504 : 503, "platform-unavailable");
+}
+
 /* -- the record ------------------------------------------------------------
  */
 
@@ -340,7 +350,7 @@
     return;
   job_t *job = job_find (j, c->id);
   if (env->now >= c->deadline)
-    _job_call_refuse (j, env, c, 503, "platform-unavailable");
+    _job_call_give_up (j, env, c, job);
   else if (env->now < c->retry_at)
     return;
   else if (job == NULL)
--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -186,6 +186,7 @@
 {
   char *name = talloc_asprintf (s->rec, JOB_RECORD_PREFIX "%s", s->rec->id);
   s->record_due = false;
+  s->record_writing = true;
   job_call_platform (
       j, env, JOB_OP_SUBMIT_RECORD, s->self, 0,
       &(plt_req_t){ .op = FX_PLATFORM_PUT, .name = name, .value = s->record });
@@ -206,11 +207,37 @@
   job_tick_arm (j, env);
 }
 
+/* What is known of the record of a submission. */
+typedef enum
+{
+  _JOB_RECORD_NOT_STORED, /* no write of it has had or can have an effect */
+  _JOB_RECORD_WRITING,    /* a write is in progress */
+  _JOB_RECORD_MAYBE,      /* the outcome of a write is unknown */
+  _JOB_RECORD_STORED,
+} _job_record_t;
+
+static _job_record_t
+_job_record_state (const job_submit_t *s)
+{
+  if (s->record_stored)
+    return _JOB_RECORD_STORED;
+  if (s->maybe_stored)
+    return _JOB_RECORD_MAYBE;
+  return s->record_writing ? _JOB_RECORD_WRITING : _JOB_RECORD_NOT_STORED;
+}
+
 /* Ends S.  The error tells the caller whether the record may be stored. */
 static void
 _job_submit_give_up (job_set_t *j, env_t *env, job_submit_t *s)
 {
-  bool maybe_stored = s->maybe_stored || s->record_stored;
+  static const char *const names[]
+      = { "not-stored", "writing", "maybe", "stored" };
+  _job_record_t state = _job_record_state (s);
+  bool maybe_stored = state != _JOB_RECORD_NOT_STORED;
+  tln_record (env->tln, env->now, MOD_JOB, "gives-up",
+              "job=%s record=%s parts=%u/%u late_ms=%lld", s->rec->id,
+              names[state], s->parts_stored, s->rec->parts,
+              (long long)(env->now - s->deadline));
   _job_refuse (env, s->caller, s->rec->id, maybe_stored ? 504 : 503,
                "platform-unavailable",
                maybe_stored ? RPL_UNKNOWN : RPL_NOT_RUN, CLK_SECOND);
@@ -288,6 +315,8 @@
       job_admit_read (j, env, s, reply);
       return;
     }
+  if (op->kind == JOB_OP_SUBMIT_RECORD)
+    s->record_writing = false;
   if (reply->code != ST_OK && reply->code != ST_CONFLICT)
     {
       _job_submit_failed (j, env, s, op, reply->code);
@@ -329,6 +358,21 @@
     job_submit_step (j, env, s);
 }
 
+/* Whether a submission of the job ID by CUSTOMER is in progress here: then the
+ * job may be stored and run, whatever becomes of another. */
+static bool
+_job_is_submitted (const job_set_t *j, const char *customer, const char *id)
+{
+  for (tbl_id_t s = tbl_next (j->submits, (tbl_id_t){ 0 }); s.id != 0;
+       s = tbl_next (j->submits, s))
+    {
+      const job_rec_t *rec = ((job_submit_t *)tbl_get (j->submits, s))->rec;
+      if (strcmp (rec->id, id) == 0 && strcmp (rec->customer, customer) == 0)
+        return true;
+    }
+  return false;
+}
+
 void
 job_submit (job_set_t *j, env_t *env, const char *customer,
             const cfg_route_t *route, const ev_request_t *req)
@@ -342,15 +386,15 @@
       return;
     }
   const job_t *known = job_find (j, id);
+  bool may_run = known != NULL || _job_is_submitted (j, customer, id);
   if (known != NULL && strcmp (known->rec->customer, customer) != 0)
     _job_refuse (env, req->caller, id, 409, "job-id-taken", RPL_NOT_RUN, 0);
   else if (known != NULL && job_was_accepted (known))
     _job_accepted (env, req->caller);
   else if (j->leaving)
-    _job_refuse (env, req->caller, id, known != NULL ? 504 : 503, "leaving",
-                 known != NULL ? RPL_UNKNOWN : RPL_NOT_RUN,
-                 RPL_RETRY_ELSEWHERE_MS);
-  else if (known == NULL && !_job_fits (j, customer, route, submitted))
+    _job_refuse (env, req->caller, id, may_run ? 504 : 503, "leaving",
+                 may_run ? RPL_UNKNOWN : RPL_NOT_RUN, RPL_RETRY_ELSEWHERE_MS);
+  else if (!may_run && !_job_fits (j, customer, route, submitted))
     _job_refuse (env, req->caller, id, 429, "too-much-waiting", RPL_NOT_RUN,
                  JOB_FULL_RETRY_MS);
   else
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -162,7 +162,7 @@
       node_mods_start (n);
       break;
     case EV_TIMER:
-      break; /* every step runs the due timers */
+      break; /* every step that is not behind runs the due timers */
     case EV_REQUEST:
       node_mods_request (n, &ev->request);
       break;
@@ -265,7 +265,10 @@
              (long long)now, (long long)n->env->now);
   n->env->now = now;
   fx_clear (n->env->fx);
-  _node_timers (n);
+  /* Time limits that are due after a pause would end what has its answer
+   * already. */
+  if (!ev->behind)
+    _node_timers (n);
   _node_event (n, ev);
   _node_drain (n);
   if (n->state == NODE_LEAVING && node_mods_idle (n))
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -220,7 +220,7 @@
   error.run = r->may_have_run ? RPL_UNKNOWN : RPL_NOT_RUN;
   /* Without a record, callers take 429 and 503 as a promise that the request
    * did not run. */
-  if (r->may_have_run && !r->idempotent && !r->recorded
+  if (r->may_have_run && !r->recorded
       && (error.status == 429 || error.status == 503))
     error.status = 502;
   g_snprintf (labels, sizeof labels, "code=\"%s\"", e->code);
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -39,6 +39,11 @@
   hcl_t *hcl;
   lnk_t *lnk;
   struct tevent_timer *timer;
+  clk_ms_t timer_at;     /**< time of the last FX_TIMER; CLK_NEVER: passed */
+  bool behind;           /**< events of the time in which the process stood
+                              still are being read; timers wait */
+  clk_ms_t behind_until; /**< they wait no longer */
+  bool event_seen;       /**< since the last check of BEHIND */
   struct tevent_immediate *step;
   bool step_scheduled;
   _drv_queued_t *first;
@@ -58,6 +63,13 @@
   return (clk_ms_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
+/* A timer that is later than this shows that the process stood still. */
+#define DRV_LATE_MS ((clk_ms_t)250)
+/* Timers wait for what lies in the sockets at most for the first time, and
+ * until nothing has come for the second. */
+#define DRV_BEHIND_MS ((clk_ms_t)100)
+#define DRV_BEHIND_IDLE_MS ((clk_ms_t)10)
+
 /* -- events --------------------------------------------------------------- */
 
 /* Callers of ready_hsv have ids above this value, those of hsv below. */
@@ -141,6 +153,7 @@
   _drv_event_copy (q, &q->ev);
   *d->last = q;
   d->last = &q->next;
+  d->event_seen = true;
   _drv_step_schedule (d);
   return q;
 }
@@ -287,6 +300,36 @@
 
 /* -- effects -------------------------------------------------------------- */
 
+static void _drv_on_timer (struct tevent_context *loop,
+                           struct tevent_timer *timer, struct timeval now,
+                           void *data);
+
+static void
+_drv_timer_start (drv_t *d, clk_ms_t ms)
+{
+  TALLOC_FREE (d->timer);
+  d->timer = tevent_add_timer (
+      d->desc.loop, d,
+      tevent_timeval_current_ofs ((uint32_t)(ms / 1000),
+                                  (uint32_t)(ms % 1000) * 1000),
+      _drv_on_timer, d);
+}
+
+/* Notes whether the process stood still past the time of the node's timer.
+ * What came meanwhile lies in the sockets, and the loop runs timers first. */
+static void
+_drv_behind_check (drv_t *d, clk_ms_t now)
+{
+  if (d->behind || d->timer_at == CLK_NEVER || now - d->timer_at < DRV_LATE_MS)
+    return;
+  d->behind = true;
+  d->behind_until = now + DRV_BEHIND_MS;
+  g_message ("stood still: the timer is %lld ms late; sockets are read first",
+             (long long)(now - d->timer_at));
+  d->event_seen = false;
+  _drv_timer_start (d, DRV_BEHIND_IDLE_MS);
+}
+
 static void
 _drv_on_timer (struct tevent_context *loop, struct tevent_timer *timer,
                struct timeval now, void *data)
@@ -296,19 +339,32 @@
   (void)now;
   drv_t *d = data;
   d->timer = NULL;
+  clk_ms_t at = drv_now ();
+  bool was_behind = d->behind;
+  _drv_behind_check (d, at);
+  if (!was_behind && d->behind)
+    return;
+  if (d->behind && d->event_seen && at < d->behind_until)
+    {
+      d->event_seen = false;
+      _drv_timer_start (d, DRV_BEHIND_IDLE_MS);
+      return;
+    }
+  d->behind = false;
+  if (d->timer_at != CLK_NEVER && d->timer_at > at)
+    _drv_timer_start (d, d->timer_at - at);
+  else
+    d->timer_at = CLK_NEVER;
   _drv_event_queue (d, &(ev_t){ .kind = EV_TIMER });
 }
 
 static void
 _drv_set_timer (drv_t *d, clk_ms_t at)
 {
-  clk_ms_t ms = clk_max (0, at - drv_now ());
-  TALLOC_FREE (d->timer);
-  d->timer = tevent_add_timer (
-      d->desc.loop, d,
-      tevent_timeval_current_ofs ((uint32_t)(ms / 1000),
-                                  (uint32_t)(ms % 1000) * 1000),
-      _drv_on_timer, d);
+  clk_ms_t now = drv_now ();
+  d->timer_at = clk_max (at, now);
+  if (!d->behind)
+    _drv_timer_start (d, d->timer_at - now);
 }
 
 /* Returns the server that received the request of CALLER. */
@@ -474,7 +530,10 @@
 _drv_step (drv_t *d, const ev_t *ev)
 {
   d->now = clk_max (d->now, drv_now ());
-  const fx_list_t *fx = node_step (d->node, d->now, ev);
+  _drv_behind_check (d, d->now);
+  ev_t event = *ev;
+  event.behind = d->behind;
+  const fx_list_t *fx = node_step (d->node, d->now, &event);
   for (size_t i = 0; i < fx->count; i++)
     _drv_effect_apply (d, &fx->v[i]);
   _drv_log_records (d);
@@ -558,6 +617,7 @@
   drv_t *d = talloc_zero (ctx, drv_t);
   d->desc = *desc;
   d->last = &d->first;
+  d->timer_at = CLK_NEVER;
   d->step = tevent_create_immediate (d);
   d->platform_calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   d->upstream_calls
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -19,8 +19,23 @@
  * a hundred blocks at once. */
 #define HCL_TURN_MAX ((size_t)64 << 10)
 
+/** A limit that ends a call this late shows that the process stood still.  The
+ * call's response may lie in its socket, and the loop runs timers first: the
+ * call gets the second time to read it. */
+#define HCL_LATE_MS 250
+#define HCL_LATE_READ_MS 50
+
 typedef struct _hcl_request _hcl_request_t;
 
+/** A time limit of a call. */
+typedef struct
+{
+  _hcl_request_t *request;
+  struct tevent_timer *timer; /**< NULL: there is no limit now */
+  gint64 at_us;               /**< on the monotonic clock */
+  bool extended;              /**< for what lies in the socket */
+} _hcl_limit_t;
+
 struct hcl
 {
   hcl_desc_t desc;
@@ -38,11 +53,11 @@
   uint64_t id;
   CURL *easy;
   struct curl_slist *request_headers;
-  const char *id_header;           /**< as in hcl_call_t */
-  const char *request_id;          /**< value of id_header in the request */
-  bool id_required;                /**< as in hcl_call_t */
-  struct tevent_timer *wait_timer; /**< first-byte limit, then stall limit */
-  struct tevent_timer *total_timer;
+  const char *id_header;   /**< as in hcl_call_t */
+  const char *request_id;  /**< value of id_header in the request */
+  bool id_required;        /**< as in hcl_call_t */
+  _hcl_limit_t wait_limit; /**< for the first byte, then for a stall */
+  _hcl_limit_t total_limit;
   clk_ms_t stall_ms;
   http_header_t *headers; /**< of the response */
   size_t header_count;
@@ -113,6 +128,8 @@
 
 /* -- time limits ---------------------------------------------------------- */
 
+static void _hcl_limit_arm (_hcl_limit_t *limit, clk_ms_t ms);
+
 static void
 _hcl_timed_out (struct tevent_context *loop, struct tevent_timer *timer,
                 struct timeval now, void *data)
@@ -120,7 +137,16 @@
   (void)loop;
   (void)timer;
   (void)now;
-  _hcl_request_t *r = data;
+  _hcl_limit_t *limit = data;
+  _hcl_request_t *r = limit->request;
+  gint64 late_us = g_get_monotonic_time () - limit->at_us;
+  limit->timer = NULL;
+  if (!limit->extended && late_us >= HCL_LATE_MS * 1000)
+    {
+      limit->extended = true;
+      _hcl_limit_arm (limit, HCL_LATE_READ_MS);
+      return;
+    }
   hcl_event_t e = { .kind = EV_UPSTREAM_FAIL,
                     .fail = EV_FAIL_TIMEOUT,
                     .text = r->head_received ? "response stalled"
@@ -129,20 +155,32 @@
   _hcl_remove (r);
 }
 
-static struct tevent_timer *
-_hcl_timer_start (_hcl_request_t *r, clk_ms_t ms)
+static void
+_hcl_limit_arm (_hcl_limit_t *limit, clk_ms_t ms)
 {
+  _hcl_request_t *r = limit->request;
   struct timeval at = tevent_timeval_current_ofs (
       (uint32_t)(ms / 1000), (uint32_t)(ms % 1000) * 1000);
-  return tevent_add_timer (r->client->desc.loop, r, at, _hcl_timed_out, r);
+  TALLOC_FREE (limit->timer);
+  limit->at_us = g_get_monotonic_time () + ms * 1000;
+  limit->timer
+      = tevent_add_timer (r->client->desc.loop, r, at, _hcl_timed_out, limit);
+}
+
+/* Sets LIMIT of R to MS from now; 0: none. */
+static void
+_hcl_limit_set (_hcl_request_t *r, _hcl_limit_t *limit, clk_ms_t ms)
+{
+  TALLOC_FREE (limit->timer);
+  *limit = (_hcl_limit_t){ .request = r };
+  if (ms > 0)
+    _hcl_limit_arm (limit, ms);
 }
 
 static void
-_hcl_stall_timer_restart (_hcl_request_t *r)
+_hcl_stall_limit_restart (_hcl_request_t *r)
 {
-  TALLOC_FREE (r->wait_timer);
-  if (r->stall_ms > 0 && !r->paused)
-    r->wait_timer = _hcl_timer_start (r, r->stall_ms);
+  _hcl_limit_set (r, &r->wait_limit, r->paused ? 0 : r->stall_ms);
 }
 
 /* -- libcurl's callbacks -------------------------------------------------- */
@@ -301,14 +339,14 @@
   if (!r->head_received)
     {
       _hcl_emit_head (r);
-      _hcl_stall_timer_restart (r);
+      _hcl_stall_limit_restart (r);
     }
   if (r->paused || !_hcl_turn_take (r, n))
     return CURL_WRITEFUNC_PAUSE;
   r->body_bytes += n;
   if (_hcl_body_is_too_large (r))
     return 0;
-  _hcl_stall_timer_restart (r);
+  _hcl_stall_limit_restart (r);
   hcl_event_t e = { .kind = EV_UPSTREAM_DATA, .data = { .p = p, .n = n } };
   _hcl_emit (r, &e);
   return n;
@@ -604,10 +642,8 @@
   _hcl_set_request (r, call);
   _hcl_set_headers (r, call->headers);
   _hcl_set_id (r, call);
-  if (call->first_byte_ms > 0)
-    r->wait_timer = _hcl_timer_start (r, call->first_byte_ms);
-  if (call->total_ms > 0)
-    r->total_timer = _hcl_timer_start (r, call->total_ms);
+  _hcl_limit_set (r, &r->wait_limit, call->first_byte_ms);
+  _hcl_limit_set (r, &r->total_limit, call->total_ms);
   g_hash_table_add (c->requests, r);
   c->has_new_calls = true;
   curl_multi_add_handle (c->multi, r->easy);
@@ -629,7 +665,7 @@
     return;
   r->paused = paused;
   if (r->head_received)
-    _hcl_stall_timer_restart (r);
+    _hcl_stall_limit_restart (r);
   if (!paused)
     curl_easy_pause (r->easy, CURLPAUSE_CONT);
 }
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -213,12 +213,32 @@
     }
 }
 
+/* Whether further events wait that came while VM stood still. */
+static bool
+_hst_is_behind (const hst_t *h, size_t vm)
+{
+  if (h->now != h->vm[vm].frozen_until)
+    return false;
+  for (const GList *l = h->events.head; l != NULL; l = l->next)
+    {
+      const hst_event_t *e = l->data;
+      if (e->at > h->now)
+        break;
+      if (e->vm == vm && e->incarnation == h->vm[vm].incarnation
+          && (e->is_call || e->ev.kind != EV_TIMER))
+        return true;
+    }
+  return false;
+}
+
 void
 hst_step (hst_t *h, size_t vm, const ev_t *ev)
 {
   if (h->vm[vm].node == NULL)
     return;
-  const fx_list_t *fx = node_step (h->vm[vm].node, h->now, ev);
+  ev_t event = *ev;
+  event.behind = _hst_is_behind (h, vm);
+  const fx_list_t *fx = node_step (h->vm[vm].node, h->now, &event);
   for (size_t i = 0; i < fx->count; i++)
     _hst_effect_apply (h, vm, &fx->v[i]);
 }
--- a/tests/test_drv.c
+++ b/tests/test_drv.c
@@ -316,6 +316,40 @@
   drvbed_shutdown (b);
 }
 
+/* Time for which the process stands still: longer than requests may take, but
+ * not than their callers wait. */
+#define PAUSE_MS (3 * CLK_SECOND + CLK_SECOND / 2)
+
+/* A response on UPSTREAM's connection comes while the process stands still,
+ * past the limits of its request to PATH. */
+static void
+response_during_a_pause (const char *path)
+{
+  drvbed_t *b = drvbed_setup (1);
+  TST_NEED (b != NULL);
+  drvbed_answer_t *a = drvbed_ask_at (b, "r-1", path);
+  drvbed_request_t *r = drvbed_await_request (b, 0, "r-1");
+  TST_NEED (r != NULL);
+  drvbed_serve (b, 0);
+  drvbed_respond (b, r);
+  g_usleep (PAUSE_MS * 1000);
+  CU_ASSERT (drvbed_await_answer (b, a));
+  CU_ASSERT (drvbed_is_own (a));
+  CU_ASSERT_EQUAL (drvbed_request_count (b, 0, "r-1"), 1);
+  drvbed_shutdown (b);
+}
+
+/* Guards against time limits that are due after a pause of the process and end
+ * a call whose response already lies in the socket: its caller got 504, or the
+ * request ran again. */
+static void
+test_response_in_the_socket_beats_the_time_limit (void)
+{
+  response_during_a_pause (DRVBED_STREAM);
+  response_during_a_pause (DRVBED_RESUMABLE);
+  response_during_a_pause (DRVBED_PLAIN);
+}
+
 int
 main (void)
 {
@@ -343,6 +377,8 @@
       test_bytes_after_a_response_half_chunked },
     { "head_that_breaks_off_is_no_response",
       test_head_that_breaks_off_is_no_response },
+    { "response_in_the_socket_beats_the_time_limit",
+      test_response_in_the_socket_beats_the_time_limit },
   };
   return tst_run ("drv", cases, sizeof cases / sizeof cases[0]);
 }
--- a/tests/test_hosted_jobs.c
+++ b/tests/test_hosted_jobs.c
@@ -300,6 +300,94 @@
   hst_shutdown (h);
 }
 
+/* Whether C was refused with a promise that nothing runs. */
+static bool
+_is_refused (hst_t *h, uint64_t c)
+{
+  int status = hst_response (h, c)->status;
+  return status == 429 || status == 503;
+}
+
+/* Guards against "not run" for a job whose record is being written: the VM
+ * stands still meanwhile, past its time limit for a submission, and the answer
+ * to the write waits when it goes on. */
+static void
+test_job_in_flight_is_not_refused (void)
+{
+  hst_t *h = hst_fleet (&(hst_desc_t){ 0 });
+  uint64_t c = hst_submit (h, 0, "j-1", 3);
+  hst_advance (h, 1);
+  hst_freeze (h, 0, 2300);
+  hst_advance (h, 5000);
+  CU_ASSERT_EQUAL (hst_response (h, c)->status, 202);
+  CU_ASSERT_EQUAL (hst_run_count (h, ""), 3);
+  hst_shutdown (h);
+}
+
+/* The same where the answer to the write comes after the time limit: a write
+ * that the platform refuses is repeated, and the last one is slow. */
+static void
+test_job_with_a_slow_write_is_not_refused (void)
+{
+  hst_t *h = hst_fleet (&(hst_desc_t){ 0 });
+  hst_platform_refuse (h, "jobs/");
+  uint64_t c = hst_submit (h, 0, "j-1", 3);
+  hst_advance (h, 1500);
+  hst_platform_slow (h, 550);
+  hst_advance (h, 300);
+  hst_platform_refuse (h, NULL);
+  hst_advance (h, 1500);
+  hst_platform_slow (h, 0);
+  hst_advance (h, 3000);
+  CU_ASSERT (hst_response (h, c)->ended);
+  if (hst_run_count (h, "") > 0)
+    CU_ASSERT_FALSE (_is_refused (h, c));
+  hst_shutdown (h);
+}
+
+/* Guards against 429 for a job whose first submission is still in progress at
+ * the same VM: the caller of that one has gone, and meanwhile the customer's
+ * limit is reached. */
+static void
+test_repeat_of_a_job_in_flight_is_not_refused (void)
+{
+  hst_t *h = hst_fleet (&(hst_desc_t){ .events = 2000 });
+  hst_platform_slow (h, 400);
+  (void)hst_submit (h, 0, "j-1", 20);
+  hst_advance (h, 10);
+  hst_platform_slow (h, 0);
+  uint64_t other = hst_submit (h, 0, "j-2", 90);
+  hst_advance (h, 100);
+  CU_ASSERT_EQUAL (hst_response (h, other)->status, 202);
+  uint64_t repeat = hst_submit (h, 0, "j-1", 20);
+  hst_advance (h, 3000);
+  CU_ASSERT (hst_run_count (h, "j-1-0") > 0);
+  CU_ASSERT_FALSE (_is_refused (h, repeat));
+  hst_shutdown (h);
+}
+
+/* Guards against 503, which says that nothing is done, for the end of a job
+ * that is ended all the same once the platform answers again. */
+static void
+test_end_of_a_job_is_not_refused (void)
+{
+  http_header_t key = { "Authorization", "Bearer " KEY };
+  hst_t *h = hst_fleet (&(hst_desc_t){ .events = 2000 });
+  (void)hst_submit (h, 0, "j-1", 5);
+  hst_advance (h, 500);
+  hst_platform_down (h, HST_MAX, true);
+  uint64_t end = hst_request (
+      h, 0,
+      &(ev_request_t){ .method = "DELETE",
+                       .path = "/v1/jobs/j-1",
+                       .headers = { &key, 1 },
+                       .job = { .op = EV_JOB_CANCEL, .id = "j-1" } });
+  hst_advance (h, 4000);
+  CU_ASSERT_EQUAL (hst_response (h, end)->status, 504);
+  hst_platform_down (h, HST_MAX, false);
+  hst_shutdown (h);
+}
+
 /* A VM that the platform does not serve accepts a job through a peer and reads
  * the job's results through a peer. */
 static void
@@ -412,6 +500,12 @@
       test_job_over_queue_limit_is_refused },
     { "job_is_refused_without_the_platform",
       test_job_is_refused_without_the_platform },
+    { "job_in_flight_is_not_refused", test_job_in_flight_is_not_refused },
+    { "job_with_a_slow_write_is_not_refused",
+      test_job_with_a_slow_write_is_not_refused },
+    { "repeat_of_a_job_in_flight_is_not_refused",
+      test_repeat_of_a_job_in_flight_is_not_refused },
+    { "end_of_a_job_is_not_refused", test_end_of_a_job_is_not_refused },
     { "job_through_a_peer", test_job_through_a_peer },
     { "worker_retires", test_worker_retires },
     { "items_are_preempted", test_items_are_preempted },
