Jobs: a result proves the bodies of its own object only

What callers saw: a job was answered 202 though the machine that took it first had lost power before all bodies were stored; 54 of 55 items never ran (LOST). Cause: any result counted as a proof that all bodies are stored. Evidence: no write in the store's log between the second submission and 202. Change: an object of bodies counts as stored if this VM has stored or read it or an item with a body in it is completed; a repeat writes the others first. A repeat whose items differ from the record's is answered 409. Why it works: 202 needs each object proven by itself.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -107,10 +107,33 @@
   return job->rec->ended || job->rec->result_count == job->rec->item_count;
 }
 
+/* A run that has completed its item had the item's body.  An item that was
+ * given up may never have had it, and one without a body needs none. */
+bool
+job_part_is_stored (const job_t *job, uint32_t part)
+{
+  const job_rec_t *rec = job->rec;
+  if (job->bodies_stored
+      || (job->bodies != NULL && job->bodies[part].p != NULL))
+    return true;
+  for (uint32_t i = 0; i < rec->result_count; i++)
+    {
+      const job_rec_item_t *item = &rec->items[rec->results[i].item];
+      if (rec->results[i].completed && item->length > 0 && item->part == part)
+        return true;
+    }
+  return false;
+}
+
 bool
 job_was_accepted (const job_t *job)
 {
-  return job->bodies_stored || job->rec->result_count > 0 || job->rec->ended;
+  if (job->bodies_stored || job_is_finished (job))
+    return true;
+  for (uint32_t i = 0; i < job->rec->parts; i++)
+    if (!job_part_is_stored (job, i))
+      return false;
+  return true;
 }
 
 /* Whether this VM has to run JOB. */
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -302,7 +302,10 @@
                         tbl_id_t owner, uint32_t index, const plt_req_t *req);
 void job_tick_arm (job_set_t *j, env_t *env);
 clk_ms_t job_unix_now (const job_set_t *j, const env_t *env);
-/** Whether this VM knows that JOB was accepted, with all its bodies. */
+/** Whether this VM knows that object PART of JOB's bodies is stored. */
+bool job_part_is_stored (const job_t *job, uint32_t part);
+/** Whether this VM knows that JOB was accepted, with all its bodies, or needs
+ * none of them any more. */
 bool job_was_accepted (const job_t *job);
 /** Whether JOB was ended or all its items have results. */
 bool job_is_finished (const job_t *job);
--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -293,7 +293,7 @@
               s->rec->customer, s->rec->item_count,
               (long long)(env->now - s->arrived), s->created ? "" : " again");
   cnt_add (env->cnt, "rts_job_accepted_total", "", 1);
-  job_t *job = NULL;
+  job_t *job = job_find (j, s->rec->id);
   if (s->stored_version > 0)
     job = job_record_apply (j, env, s->stored_version, s->record);
   if (job != NULL)
@@ -333,6 +333,41 @@
 /* -- a new job -------------------------------------------------------------
  */
 
+/* Whether the bodies of REC and KNOWN have the same places, so that those of
+ * REC may be stored for KNOWN. */
+static bool
+_job_is_same (const job_rec_t *rec, const job_rec_t *known)
+{
+  if (rec->item_count != known->item_count || rec->parts != known->parts)
+    return false;
+  for (uint32_t i = 0; i < rec->item_count; i++)
+    {
+      const job_rec_item_t *a = &rec->items[i];
+      const job_rec_item_t *b = &known->items[i];
+      if (strcmp (a->id, b->id) != 0 || a->part != b->part
+          || a->offset != b->offset || a->length != b->length)
+        return false;
+    }
+  return true;
+}
+
+/* S repeats the submission of KNOWN, whose record is stored: it writes those
+ * bodies of which this VM does not know that they are. */
+static void
+_job_submit_repeat (env_t *env, job_submit_t *s, const job_t *known)
+{
+  s->record_stored = true;
+  s->record_due = false;
+  for (uint32_t i = 0; i < s->rec->parts; i++)
+    {
+      s->part_due[i] = !job_part_is_stored (known, i);
+      s->parts_stored += !s->part_due[i];
+    }
+  tln_record (env->tln, env->now, MOD_JOB, "repeated",
+              "job=%s parts=%u known_stored=%u results=%u", s->rec->id,
+              s->rec->parts, s->parts_stored, known->rec->result_count);
+}
+
 static void
 _job_submit_begin (job_set_t *j, env_t *env, const char *customer,
                    const cfg_route_t *route, const ev_request_t *req)
@@ -350,6 +385,16 @@
   for (uint32_t i = 0; i < s->rec->parts; i++)
     s->part_due[i] = true;
   s->record_due = true;
+  const job_t *known = job_find (j, s->rec->id);
+  if (known != NULL && !_job_is_same (s->rec, known->rec))
+    {
+      _job_refuse (env, s->caller, s->rec->id, 409, "job-id-taken",
+                   RPL_NOT_RUN, 0);
+      _job_submit_free (j, s);
+      return;
+    }
+  if (known != NULL)
+    _job_submit_repeat (env, s, known);
   job_tick_arm (j, env);
   job_admit_begin (j, env, s);
   /* The runner may have answered, and the submission ended, if it is here. */
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -22,8 +22,8 @@
 /** A limit that ends a call this late shows that the process stood still.  The
  * call's response may lie in its socket, and the loop runs timers first: the
  * call gets the second time to read it. */
-#define HCL_LATE_MS 250
-#define HCL_LATE_READ_MS 50
+#define HCL_LATE_MS ((clk_ms_t)250)
+#define HCL_LATE_READ_MS ((clk_ms_t)50)
 
 typedef struct _hcl_request _hcl_request_t;
 
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -513,6 +513,148 @@
   env_shutdown (env);
 }
 
+/* Two bodies that do not fit into one object, and the same in small with an
+ * item that has none. */
+#define LARGE_BODY ((size_t)300 << 10)
+
+static char _large_body[LARGE_BODY];
+
+static const ev_job_item_t _large_items[]
+    = { { .id = "a", .target = "/q/1", .body = { _large_body, LARGE_BODY } },
+        { .id = "b", .target = "/q/1", .body = { _large_body, LARGE_BODY } } };
+
+static const ev_job_item_t _small_items[]
+    = { { .id = "a", .target = "/q/1" },
+        { .id = "b", .target = "/q/1", .body = { "b", 1 } } };
+
+/* Submits job j-1 with two ITEMS. */
+static void
+_submit_items (job_set_t *jobs, env_t *env, const ev_job_item_t *items)
+{
+  fx_clear (env->fx);
+  job_submit (jobs, env, "t1",
+              &(cfg_route_t){
+                  .method = "a.example", .path = "/q/*", .job_due_ms = 18000 },
+              &(ev_request_t){
+                  .caller = 1,
+                  .job = { .id = "j-1", .items = items, .item_count = 2 } });
+}
+
+/* The record that a VM writes for ITEMS, with RESULTS added; owned by CTX. */
+static buf_t
+_record_of (void *ctx, const ev_job_item_t *items, job_rec_result_t *results,
+            uint32_t result_count)
+{
+  env_t *env
+      = env_setup (ctx, &(env_desc_t){ .vm = "north-9", .data_centre = "n" });
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+  job_set_t *jobs = job_setup (env, &(job_desc_t){ .members = members });
+  _submit_items (jobs, env, items);
+  buf_t record = { 0 };
+  for (size_t i = 0; i < env->fx->count; i++)
+    {
+      const fx_platform_t *call = &env->fx->v[i].platform;
+      if (env->fx->v[i].kind == FX_PLATFORM
+          && strcmp (call->name, JOB_RECORD_PREFIX "j-1") == 0)
+        record = call->value;
+    }
+  job_rec_t *rec = job_rec_decode (ctx, record);
+  rec->results = results;
+  rec->result_count = result_count;
+  return job_rec_encode (ctx, rec);
+}
+
+/* Answers all writes of bodies that ENV has asked for, of objects that exist;
+ * returns their names. */
+static char *
+_bodies_exist (job_set_t *jobs, env_t *env)
+{
+  char *names = talloc_strdup (env, "");
+  uint64_t calls[8];
+  size_t n = 0;
+  for (size_t i = 0; i < env->fx->count && n < 8; i++)
+    if (env->fx->v[i].kind == FX_PLATFORM)
+      {
+        calls[n++] = env->fx->v[i].platform.call;
+        names = talloc_asprintf_append (names, "%s ",
+                                        env->fx->v[i].platform.name);
+      }
+  for (size_t i = 0; i < n; i++)
+    {
+      plt_done_t done;
+      ev_platform_t reply = { .call = calls[i], .code = ST_CONFLICT };
+      if (plt_reply (env, &reply, &done))
+        job_platform_replied (jobs, env, &done, &reply);
+    }
+  return names;
+}
+
+/* A VM that knows the record of ITEMS with RESULTS gets the job once more.
+ * Returns the names of the objects that it writes; the job is accepted after
+ * that and not before, at once if there are none. */
+static const char *
+_repeat (void *ctx, const ev_job_item_t *items, job_rec_result_t *results,
+         uint32_t result_count)
+{
+  env_t *env = env_setup (
+      ctx, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+  rte_t *routes = rte_setup (env, &(rte_desc_t){ .members = members });
+  job_set_t *jobs
+      = job_setup (env, &(job_desc_t){ .members = members, .routes = routes });
+  (void)job_record_apply (jobs, env, 7,
+                          _record_of (ctx, items, results, result_count));
+  _submit_items (jobs, env, items);
+  int before = _status (env);
+  char *names = _bodies_exist (jobs, env);
+  CU_ASSERT_EQUAL (before, names[0] == '\0' ? 202 : 0);
+  CU_ASSERT_EQUAL (_status (env), 202);
+  return names;
+}
+
+/* Guards against a job that is accepted although not all of its bodies are
+ * stored, as a result is taken for a proof that they are: the VM that stored
+ * the first bodies has lost power. */
+static void
+test_result_proves_its_own_bodies_only (void)
+{
+  void *ctx = talloc_new (NULL);
+  job_rec_result_t first[] = { { .item = 0, .completed = true } };
+  job_rec_result_t second[] = { { .item = 1, .completed = true } };
+  job_rec_result_t given_up[] = { { .item = 0 } };
+  job_rec_result_t both[]
+      = { { .item = 1, .completed = true }, { .item = 0 } };
+  CU_ASSERT_STRING_EQUAL (_repeat (ctx, _large_items, first, 1),
+                          "job-bodies/j-1/1 ");
+  CU_ASSERT_STRING_EQUAL (_repeat (ctx, _large_items, given_up, 1),
+                          "job-bodies/j-1/0 job-bodies/j-1/1 ");
+  CU_ASSERT_STRING_EQUAL (_repeat (ctx, _large_items, NULL, 0),
+                          "job-bodies/j-1/0 job-bodies/j-1/1 ");
+  CU_ASSERT_STRING_EQUAL (_repeat (ctx, _large_items, both, 2), "");
+  CU_ASSERT_STRING_EQUAL (_repeat (ctx, _small_items, second, 1), "");
+  CU_ASSERT_STRING_EQUAL (_repeat (ctx, _small_items, first, 1),
+                          "job-bodies/j-1/0 ");
+  talloc_free (ctx);
+}
+
+/* Guards against bodies of one job that are stored for another of the same id,
+ * and are then run for it. */
+static void
+test_repeat_with_other_items_is_refused (void)
+{
+  void *ctx = talloc_new (NULL);
+  env_t *env = env_setup (
+      ctx, &(env_desc_t){ .vm = "north-1", .data_centre = "north" });
+  mbr_t *members = mbr_setup (env, &(mbr_desc_t){ 0 });
+  job_set_t *jobs = job_setup (env, &(job_desc_t){ .members = members });
+  (void)job_record_apply (jobs, env, 7,
+                          _record_of (ctx, _large_items, NULL, 0));
+  _submit_items (jobs, env, _small_items);
+  CU_ASSERT_EQUAL (_status (env), 409);
+  CU_ASSERT_EQUAL (_write_count (env), 0);
+  talloc_free (ctx);
+}
+
 int
 main (void)
 {
@@ -532,6 +674,10 @@
       test_repeat_ends_the_question_of_the_first },
     { "job_is_accepted_without_a_valid_answer",
       test_job_is_accepted_without_a_valid_answer },
+    { "result_proves_its_own_bodies_only",
+      test_result_proves_its_own_bodies_only },
+    { "repeat_with_other_items_is_refused",
+      test_repeat_with_other_items_is_refused },
     { "paged_feed_resumes_from_first_revision",
       test_paged_feed_resumes_from_first_revision },
   };
