Jobs: a service without room holds up its own items only

What callers saw: after all replicas of one service were lost, no item of another, sound service was run until the first ones were given up (LOST). Cause: the pass over the items of a worker ended at the first without room. Evidence: all items of the sound service start within 7 ms of the others' end. Change: in a pass a deployment that had no room is passed over; items for all others go on. rts_job_no_room_total counts it. Why it works: no item waits for a deployment that it cannot go to.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -35,6 +35,7 @@
     sse_clear (&((job_run_t *)tbl_get (j->runs, id))->events);
   g_hash_table_destroy (j->by_id);
   g_hash_table_destroy (j->occupancy_seen);
+  g_ptr_array_free (j->full, TRUE);
   g_hash_table_destroy (j->paces);
   job_admit_clear (j);
   return 0;
@@ -55,6 +56,8 @@
   j->calls = tbl_setup (j, &(tbl_desc_t){ .size = sizeof (job_call_t) });
   j->ops = tbl_setup (j, &(tbl_desc_t){ .size = sizeof (job_op_t) });
   j->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  j->full = g_ptr_array_new_with_free_func (g_free);
+  j->route_epoch = 1;
   j->occupancy_seen
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   j->paces = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -427,6 +430,7 @@
 job_config_changed (job_set_t *j, env_t *env, const cfg_doc_t *doc)
 {
   j->doc = doc;
+  j->route_epoch++;
   job_pump (j, env);
 }
 
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -95,6 +95,9 @@
                             are not in failed_at, have had no room; CLK_NEVER:
                             they had */
   tbl_id_t run;        /**< job_run_t in JOB_ITEM_RUNNING */
+  const cfg_route_t *route; /**< of ROUTE_EPOCH; NULL: none */
+  uint64_t route_epoch;     /**< job_set.route_epoch of ROUTE; 0: not looked
+                                 up */
 } job_item_t;
 
 /** A VM that gets updates of a job for a while. */
@@ -254,6 +257,12 @@
   char *feed_after; /**< last name of the previous page; NULL: none */
   bool ticking;     /**< the tick timer is armed */
   bool leaving;     /**< a graceful shutdown has begun */
+  uint64_t
+      route_epoch; /**< number of the document whose routes are in force */
+  GPtrArray *full; /**< char *: deployments that have had no room in the pass
+                        of job_runs_start that is in progress */
+  const cfg_route_t *full_route; /**< a route all of whose deployments are in
+                                      FULL; NULL: none is known */
   GHashTable *occupancy_seen; /**< upstream -> update_count (rte_occupancy_t)
                                  of the last check for preemption */
   size_t text_bytes;          /**< of all cached texts */
@@ -390,6 +399,12 @@
 bool job_item_body (const job_t *job, const job_rec_item_t *item, buf_t *body);
 
 /* job_run.c */
+/** The route of item INDEX of JOB; NULL: none. */
+const cfg_route_t *job_item_route (const job_set_t *j, job_t *job,
+                                   uint32_t index);
+/** Whether item INDEX of JOB can only go to deployments that have had no room
+ * in this pass. */
+bool job_item_is_behind_full (job_set_t *j, job_t *job, uint32_t index);
 void job_runs_start (job_set_t *j, env_t *env);
 /** Preempts runs at upstreams with more batch items than free slots. */
 void job_runs_preempt (job_set_t *j, env_t *env);
--- a/src/core/job_order.c
+++ b/src/core/job_order.c
@@ -99,7 +99,8 @@
         continue;
       for (uint32_t i = 0; i < job->rec->item_count; i++)
         {
-          if (!_job_item_startable (env, job, i))
+          if (!_job_item_startable (env, job, i)
+              || job_item_is_behind_full (j, job, i))
             continue;
           _job_place_t place = _job_place (j, env, job, i);
           if (best != NULL && !_job_place_before (&place, &first))
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -149,7 +149,8 @@
  */
 
 static const cfg_route_t *
-_job_route (const job_set_t *j, const job_t *job, const job_rec_item_t *item)
+_job_route_find (const job_set_t *j, const job_t *job,
+                 const job_rec_item_t *item)
 {
   char *path
       = talloc_strndup (NULL, item->target, strcspn (item->target, "?"));
@@ -159,6 +160,73 @@
   return route;
 }
 
+const cfg_route_t *
+job_item_route (const job_set_t *j, job_t *job, uint32_t index)
+{
+  job_item_t *item = &job->items[index];
+  if (item->route_epoch != j->route_epoch)
+    {
+      item->route = _job_route_find (j, job, &job->rec->items[index]);
+      item->route_epoch = j->route_epoch;
+    }
+  return item->route;
+}
+
+static bool
+_job_is_full (const job_set_t *j, const char *deployment)
+{
+  for (guint i = 0; i < j->full->len; i++)
+    if (strcmp (g_ptr_array_index (j->full, i), deployment) == 0)
+      return true;
+  return false;
+}
+
+/* A deployment that gets a share of ROUTE and has had room in this pass; NULL:
+ * none. */
+static const char *
+_job_route_room (const job_set_t *j, const cfg_route_t *route)
+{
+  bool shared = false;
+  for (size_t i = 0; i < route->share_count; i++)
+    {
+      shared = shared || route->shares[i].weight > 0;
+      if (route->shares[i].weight > 0
+          && !_job_is_full (j, route->shares[i].deployment))
+        return route->shares[i].deployment;
+    }
+  return shared || _job_is_full (j, route->deployment) ? NULL
+                                                       : route->deployment;
+}
+
+/* The deployment for an item on ROUTE that is bound to none. */
+static const char *
+_job_deployment_pick (const job_set_t *j, env_t *env, const cfg_route_t *route)
+{
+  const char *picked
+      = cfg_route_deployment_pick (route, g_rand_double (env->rand));
+  const char *other
+      = _job_is_full (j, picked) ? _job_route_room (j, route) : NULL;
+  return other != NULL ? other : picked;
+}
+
+bool
+job_item_is_behind_full (job_set_t *j, job_t *job, uint32_t index)
+{
+  if (j->full->len == 0)
+    return false;
+  if (job->items[index].deployment != NULL)
+    return _job_is_full (j, job->items[index].deployment);
+  const cfg_route_t *route = job_item_route (j, job, index);
+  if (route == NULL)
+    return false;
+  if (route == j->full_route)
+    return true;
+  if (_job_route_room (j, route) != NULL)
+    return false;
+  j->full_route = route;
+  return true;
+}
+
 static uint64_t
 _job_upstream_call (env_t *env, const job_t *job, uint32_t index,
                     const rte_pick_t *pick, tbl_id_t run)
@@ -286,7 +354,9 @@
 typedef enum
 {
   _JOB_STARTED,
-  _JOB_NO_ROOM, /* at any upstream, or the call failed */
+  _JOB_NO_ROOM, /* at any upstream of the deployment, which is in
+                   job_set_t.full now */
+  _JOB_NO_CALL, /* this VM can make no further calls */
   _JOB_LATER,   /* no upstream of the item's version, or none that has not
                    failed it, has room */
 } _job_start_t;
@@ -329,6 +399,16 @@
   item->full_since = CLK_NEVER;
 }
 
+/* Notes that DEPLOYMENT has no room for items in this pass. */
+static void
+_job_full_add (job_set_t *j, env_t *env, const char *deployment)
+{
+  char *labels = g_strdup_printf ("deployment=\"%s\"", deployment);
+  cnt_add (env->cnt, "rts_job_no_room_total", labels, 1);
+  g_free (labels);
+  g_ptr_array_add (j->full, g_strdup (deployment));
+}
+
 /* Starts item INDEX. */
 static _job_start_t
 _job_start_item (job_set_t *j, env_t *env, job_t *job, uint32_t index,
@@ -343,10 +423,9 @@
   job_text_check_route (item, route);
   bool late = job_item_is_late (j, env, job, index);
   rte_query_t query
-      = { .deployment
-          = item->deployment != NULL
-                ? item->deployment
-                : cfg_route_deployment_pick (route, g_rand_double (env->rand)),
+      = { .deployment = item->deployment != NULL
+                            ? item->deployment
+                            : _job_deployment_pick (j, env, route),
           .version = job_version_wanted (j, env, item),
           .crash = &crash,
           .batch = true,
@@ -361,10 +440,13 @@
         crs_drop (j->desc.crashes, env, MOD_JOB, crash.tag);
       if (pick.yielded)
         _job_item_yielded (j, env, job, index);
-      else if (!late && j->desc.yield_late)
+      else if (!late && j->desc.yield_late && j->full->len == 0)
         rte_batch_wants (j->desc.routes, query.deployment);
       if (query.version == NULL && query.avoid_count == 0)
-        return _JOB_NO_ROOM;
+        {
+          _job_full_add (j, env, query.deployment);
+          return _JOB_NO_ROOM;
+        }
       if (query.version == NULL)
         {
           _job_avoided_full (env, job, index);
@@ -396,7 +478,7 @@
     {
       rte_failed (j->desc.routes, env, pick.handle, RTE_FAIL_CANCELLED);
       _job_run_free (j, run);
-      return _JOB_NO_ROOM;
+      return _JOB_NO_CALL;
     }
   rte_started (j->desc.routes, env, pick.handle);
   cnt_add (env->cnt, "rts_job_runs_total", "", 1);
@@ -440,10 +522,14 @@
     }
 }
 
+/* Starts items in their order.  A deployment without room takes no more of
+ * them in this pass; the items of all others go on. */
 void
 job_runs_start (job_set_t *j, env_t *env)
 {
   uint32_t index = 0;
+  g_ptr_array_set_size (j->full, 0);
+  j->full_route = NULL;
   rte_batch_wants (j->desc.routes, NULL);
   if (j->doc == NULL || j->leaving)
     return;
@@ -451,7 +537,7 @@
   for (job_t *job = job_order_next (j, env, &index); job != NULL;
        job = job_order_next (j, env, &index))
     {
-      const cfg_route_t *route = _job_route (j, job, &job->rec->items[index]);
+      const cfg_route_t *route = job_item_route (j, job, index);
       if (route == NULL)
         {
           if (job->route_missing_since == CLK_NEVER)
@@ -460,7 +546,7 @@
           continue;
         }
       job->route_missing_since = CLK_NEVER;
-      if (_job_start_item (j, env, job, index, route) == _JOB_NO_ROOM)
+      if (_job_start_item (j, env, job, index, route) == _JOB_NO_CALL)
         break;
     }
 }
--- a/tests/hst.c
+++ b/tests/hst.c
@@ -326,6 +326,9 @@
 /* -- set up ----------------------------------------------------------------
  */
 
+/* Path of the route of the second service's jobs, without its end. */
+#define HST_SECOND_PATH "/second/"
+
 static void
 _hst_document_build (hst_t *h)
 {
@@ -335,10 +338,10 @@
     .customer_count = h->desc.second_customer ? 2 : 1,
     .keys = talloc_zero_array (h, cfg_key_t, 2),
     .key_count = h->desc.second_customer ? 2 : 1,
-    .deployments = talloc_zero_array (h, cfg_deployment_t, 1),
-    .deployment_count = 1,
-    .routes = talloc_zero_array (h, cfg_route_t, 2),
-    .route_count = 2,
+    .deployments = talloc_zero_array (h, cfg_deployment_t, 2),
+    .deployment_count = h->desc.second_upstreams > 0 ? 2 : 1,
+    .routes = talloc_zero_array (h, cfg_route_t, 3),
+    .route_count = h->desc.second_upstreams > 0 ? 3 : 2,
   };
   p->customers[0] = (cfg_customer_t){ .name = "acme",
                                       .rate = h->desc.rate,
@@ -384,6 +387,11 @@
     .waiting_tokens
     = h->desc.waiting_tokens > 0 ? h->desc.waiting_tokens : 1000
   };
+  p->deployments[1] = p->deployments[0];
+  p->deployments[1].name = "second";
+  p->routes[2] = p->routes[1];
+  p->routes[2].path = HST_SECOND_PATH "*";
+  p->routes[2].deployment = "second";
 }
 
 static void
@@ -658,9 +666,10 @@
   return hst_submit_as (h, vm, HST_KEY, id, count);
 }
 
-uint64_t
-hst_submit_as (hst_t *h, size_t vm, const char *key, const char *id,
-               size_t count)
+/* Submits job ID with COUNT items, all to PATH. */
+static uint64_t
+_hst_submit_to (hst_t *h, size_t vm, const char *path, const char *key,
+                const char *id, size_t count)
 {
   http_header_t bearer
       = { "Authorization", talloc_asprintf (h, "Bearer %s", key) };
@@ -674,14 +683,14 @@
   ev_job_item_t *items = talloc_zero_array (h, ev_job_item_t, count);
   for (size_t i = 0; i < count; i++)
     items[i] = (ev_job_item_t){ .id = talloc_asprintf (h, "%s-%zu", id, i),
-                                .target = "/rosters/x",
+                                .target = path,
                                 .headers = { .v = headers, .n = 3 },
                                 .body = buf_str ("body"),
                                 .tokens = 10 };
   uint64_t caller
       = hst_request (h, vm,
                      &(ev_request_t){ .method = "POST",
-                                      .path = "/rosters/x",
+                                      .path = path,
                                       .headers = { .v = &bearer, .n = 1 },
                                       .meta = { .id = id },
                                       .job = { .op = EV_JOB_SUBMIT,
@@ -692,6 +701,19 @@
   return caller;
 }
 
+uint64_t
+hst_submit_as (hst_t *h, size_t vm, const char *key, const char *id,
+               size_t count)
+{
+  return _hst_submit_to (h, vm, "/rosters/x", key, id, count);
+}
+
+uint64_t
+hst_submit_second (hst_t *h, size_t vm, const char *id, size_t count)
+{
+  return _hst_submit_to (h, vm, HST_SECOND_PATH "x", HST_KEY, id, count);
+}
+
 uint64_t
 hst_results_read (hst_t *h, size_t vm, const char *id, uint64_t after)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -61,6 +61,9 @@
   bool second_customer;    /**< there is customer "beta" with key "key-beta",
                                 beside "acme" */
   bool states_load;        /**< responses state the upstream's load */
+  size_t second_upstreams; /**< of the upstreams, the last ones that are of a
+                                second service, whose items hst_submit_second
+                                submits; default 0 */
 } hst_desc_t;
 
 /** The response that a caller has received so far. */
@@ -157,6 +160,9 @@
 /** Submit job ID with COUNT items; returns the caller's number. */
 uint64_t hst_submit (hst_t *h, size_t vm, const char *id, size_t count);
 
+/** The same for items of the second service. */
+uint64_t hst_submit_second (hst_t *h, size_t vm, const char *id, size_t count);
+
 /** The same for the customer with API key KEY. */
 uint64_t hst_submit_as (hst_t *h, size_t vm, const char *key, const char *id,
                         size_t count);
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -122,7 +122,8 @@
   for (size_t i = 0; i < h->desc.upstreams; i++)
     v[i] = (ev_upstream_entry_t){
       .name = talloc_asprintf (ctx, "up-%zu", i),
-      .deployment = "llm",
+      .deployment
+      = i + h->desc.second_upstreams < h->desc.upstreams ? "llm" : "second",
       .data_centre
       = i + h->desc.far_upstreams < h->desc.upstreams ? "north" : "south",
       .address = talloc_asprintf (ctx, "10.0.0.%zu:80", i),
--- a/tests/test_hosted_jobs.c
+++ b/tests/test_hosted_jobs.c
@@ -404,6 +404,61 @@
   hst_shutdown (h);
 }
 
+/* Guards against items of a service without upstreams that hold up those of
+ * another, sound one at their worker, before they are late and after. */
+static void
+test_items_pass_those_of_a_lost_service (void)
+{
+  hst_t *h = hst_fleet (&(hst_desc_t){
+      .upstreams = 3, .second_upstreams = 2, .waiting_tokens = 100000 });
+  hst_unlisted_set (h, 0, true);
+  hst_born_set (h, 0, hst_now (h));
+  hst_advance (h, 1000);
+  (void)hst_submit (h, 0, "j-lost-0", 50);
+  (void)hst_submit (h, 1, "j-lost-1", 50);
+  hst_advance (h, 1000);
+  (void)hst_submit_second (h, 0, "j-sound-0", 30);
+  (void)hst_submit_second (h, 1, "j-sound-1", 30);
+  hst_advance (h, 6000);
+  CU_ASSERT_EQUAL (_complete_result_count (h, 0, "j-sound-0", 20), 30);
+  CU_ASSERT_EQUAL (_complete_result_count (h, 0, "j-sound-1", 20), 30);
+  /* Those of the first service are late now. */
+  hst_advance (h, 12000);
+  (void)hst_submit_second (h, 0, "j-sound-2", 30);
+  hst_advance (h, 6000);
+  CU_ASSERT_EQUAL (_complete_result_count (h, 0, "j-sound-2", 20), 30);
+  CU_ASSERT_EQUAL (hst_run_count (h, "j-lost-0-0"), 0);
+  hst_unlisted_set (h, 0, false);
+  hst_born_set (h, 0, hst_now (h));
+  hst_advance (h, 12000);
+  CU_ASSERT_EQUAL (_complete_result_count (h, 0, "j-lost-0", 20), 50);
+  hst_shutdown (h);
+}
+
+/* Guards against items of a service whose slots are all taken that hold up
+ * those of another one. */
+static void
+test_items_pass_those_of_a_full_service (void)
+{
+  hst_t *h = hst_fleet (&(hst_desc_t){ .upstreams = 2,
+                                       .second_upstreams = 1,
+                                       .waiting_tokens = 100000,
+                                       .events = 100,
+                                       .gap_ms = 50 });
+  /* Some of each for both workers. */
+  static const char *const full[] = { "f-0", "f-1", "f-2", "f-3" };
+  static const char *const sound[] = { "s-0", "s-1", "s-2", "s-3" };
+  for (size_t i = 0; i < 4; i++)
+    (void)hst_submit (h, 0, full[i], 50);
+  hst_advance (h, 500);
+  for (size_t i = 0; i < 4; i++)
+    (void)hst_submit_second (h, 0, sound[i], 1);
+  hst_advance (h, 8000);
+  for (size_t i = 0; i < 4; i++)
+    CU_ASSERT_EQUAL (_complete_result_count (h, 0, sound[i], 100), 1);
+  hst_shutdown (h);
+}
+
 /* A worker that is asked to retire reports that it has retired, and its jobs
  * continue at another worker. */
 static void
@@ -507,6 +562,10 @@
       test_repeat_of_a_job_in_flight_is_not_refused },
     { "end_of_a_job_is_not_refused", test_end_of_a_job_is_not_refused },
     { "job_through_a_peer", test_job_through_a_peer },
+    { "items_pass_those_of_a_lost_service",
+      test_items_pass_those_of_a_lost_service },
+    { "items_pass_those_of_a_full_service",
+      test_items_pass_those_of_a_full_service },
     { "worker_retires", test_worker_retires },
     { "items_are_preempted", test_items_are_preempted },
     { "burst_preempts_items_at_once", test_burst_preempts_items_at_once },
