Lists of the store: a value that cannot be read costs its entry alone

What callers saw: with one entry of another writer whose value the JSON parser refuses (nested too deeply, a number out of range), VMs that ran stopped following the list of upstreams, and one that started was ready and served nothing. Cause: a list or a watch's events are read as one text, which the parser refuses as a whole; every later read of it failed the same way. A document with such a value is not used in part.

--- a/tests/drvbed.h
+++ b/tests/drvbed.h
@@ -268,6 +268,11 @@
 /** Adds entry E to the list, or replaces the entry of its name. */
 void drvbed_list (drvbed_t *b, const drvbed_entry_t *e);
 
+/** Adds an entry NAME that has a member with the value RAW, which is borrowed
+ * and stands in the list's text as it is.  One value stands for all such
+ * entries. */
+void drvbed_list_odd (drvbed_t *b, const char *name, const char *raw);
+
 /** Removes the entry NAME. */
 void drvbed_unlist (drvbed_t *b, const char *name);
 
--- a/tests/drvbed_int.h
+++ b/tests/drvbed_int.h
@@ -80,6 +80,8 @@
   GPtrArray *answers; /* drvbed_answer_t; a call's id is the index */
   hsv_t *platform;
   bool silent;     /* the platform sends nothing */
+  const char *odd; /* text in place of DRVBED_ODD in all responses; NULL: none
+                    */
   json_t *objects; /* "KIND/NAME" -> object, as in the platform's responses */
   json_int_t revision;
   json_int_t lost;    /* there is no history before this revision */
--- a/tests/drvbed_platform.c
+++ b/tests/drvbed_platform.c
@@ -34,6 +34,24 @@
   talloc_free (r);
 }
 
+/* Value that drvbed_t.odd takes the place of, as it stands in a text. */
+#define DRVBED_ODD "@odd"
+
+/* The text of BODY, owned by CTX, with its odd value. */
+static char *
+_drvbed_text (const drvbed_t *b, void *ctx, const json_t *body)
+{
+  char *text = body == NULL ? NULL : json_dumps (body, JSON_COMPACT);
+  char **parts
+      = g_strsplit (text == NULL ? "{}" : text, "\"" DRVBED_ODD "\"", -1);
+  char *joined = g_strjoinv (b->odd == NULL ? "null" : b->odd, parts);
+  char *copy = talloc_strdup (ctx, joined);
+  g_free (joined);
+  g_strfreev (parts);
+  free (text);
+  return copy;
+}
+
 /* Responds with BODY, which this function frees; NULL: an empty object. */
 static void
 _drvbed_reply (drvbed_t *b, uint64_t caller, int status, json_t *body)
@@ -44,13 +62,10 @@
       return;
     }
   _drvbed_reply_t *r = talloc_zero (b->platform, _drvbed_reply_t);
-  char *text = body == NULL ? NULL : json_dumps (body, JSON_COMPACT);
   *r = (_drvbed_reply_t){ .server = b->platform,
                           .caller = caller,
                           .status = status,
-                          .body
-                          = talloc_strdup (r, text == NULL ? "{}" : text) };
-  free (text);
+                          .body = _drvbed_text (b, r, body) };
   json_decref (body);
   tevent_schedule_immediate (tevent_create_immediate (r), b->loop,
                              _drvbed_reply_send, r);
@@ -283,6 +298,17 @@
   json_decref (spec);
 }
 
+void
+drvbed_list_odd (drvbed_t *b, const char *name, const char *raw)
+{
+  b->odd = raw;
+  json_t *spec = json_pack ("{s:s, s:s, s:s, s:s, s:s}", "service", "llm",
+                            "address", "127.0.0.1:9", "zone", "north", "state",
+                            "ready", "odd", DRVBED_ODD);
+  (void)drvbed_store_put (b, DRVBED_UPSTREAM_KIND, name, spec);
+  json_decref (spec);
+}
+
 void
 drvbed_unlist (drvbed_t *b, const char *name)
 {
--- a/tests/test_drv.c
+++ b/tests/test_drv.c
@@ -316,6 +316,44 @@
   drvbed_shutdown (b);
 }
 
+/* Guards against one odd entry, of another writer, that takes the list of
+ * upstreams away: from a VM that runs, which stops following the list, and
+ * from one that starts, which is ready and serves nothing. */
+static void
+test_odd_entry_costs_itself_alone (void)
+{
+  static const char *const odd[]
+      = { "1e999", "12345678901234567890123456", "\"\\ud800\"" };
+  for (size_t i = 0; i < sizeof odd / sizeof odd[0]; i++)
+    {
+      drvbed_t *b = drvbed_setup_with (
+          &(drvbed_desc_t){ .upstreams = 2, .near = true });
+      TST_NEED (b != NULL);
+      drvbed_serve (b, 0);
+      drvbed_serve (b, 1);
+      drvbed_list_odd (b, "odd", odd[i]);
+      drvbed_list (b, &(drvbed_entry_t){ .name = "up-0",
+                                         .upstream = 0,
+                                         .state = "draining" });
+      drvbed_pass (b, CLK_SECOND);
+      unsigned before = drvbed_request_count (b, 0, NULL);
+      for (unsigned k = 0; k < 10; k++)
+        {
+          drvbed_answer_t *a = drvbed_ask (b, k % 2 ? "r-odd" : "r-even");
+          CU_ASSERT (drvbed_await_answer (b, a) && drvbed_is_own (a));
+        }
+      CU_ASSERT_EQUAL (drvbed_request_count (b, 0, NULL), before);
+      drvbed_list (b, &(drvbed_entry_t){ .name = "up-0", .upstream = 0 });
+      CU_ASSERT (drvbed_restart (b));
+      for (unsigned k = 0; k < 20; k++)
+        {
+          drvbed_answer_t *a = drvbed_ask (b, "r-again");
+          CU_ASSERT (drvbed_await_answer (b, a) && drvbed_is_own (a));
+        }
+      drvbed_shutdown (b);
+    }
+}
+
 /* Time for which the process stands still: longer than requests may take, but
  * not than their callers wait. */
 #define PAUSE_MS (3 * CLK_SECOND + CLK_SECOND / 2)
@@ -377,6 +415,7 @@
       test_bytes_after_a_response_half_chunked },
     { "head_that_breaks_off_is_no_response",
       test_head_that_breaks_off_is_no_response },
+    { "odd_entry_costs_itself_alone", test_odd_entry_costs_itself_alone },
     { "response_in_the_socket_beats_the_time_limit",
       test_response_in_the_socket_beats_the_time_limit },
   };
--- a/tests/test_pfm.c
+++ b/tests/test_pfm.c
@@ -305,12 +305,22 @@
   "{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","           \
   "\"state\":\"ready\",\"version\":" value "}"
 
-/* Text that other writers can store and that is not UTF-8, or has a NUL. */
+/* Values that other writers can store and that the JSON parser refuses: text
+ * that is not UTF-8 or has a NUL, numbers out of its range, what is no JSON.
+ */
 static const char *const unreadable[] = {
   "\"\xff\"",
   "\"a\\u0000b\"",
   "\"\\\"}\xc3\"",
   "[\"\xfe\",{}]",
+  "1e999",
+  "-1e999",
+  "[{\"a\":12345678901234567890123456}]",
+  "\"\\ud800\"",
+  "\"a\nb\"",
+  "\"\\x\"",
+  "007",
+  "nan",
 };
 
 /* Check the entries of a list or of events that consists of BEFORE, the spec
@@ -337,6 +347,139 @@
     }
 }
 
+/* Guards against an entry that is nested too deeply for the parser, and takes
+ * the whole list away or ends the process. */
+static void
+test_deep_entry_leaves_the_list (void)
+{
+  static const size_t depths[] = { 1900, 2047, 2100, 5000, 400000 };
+  for (size_t i = 0; i < sizeof depths / sizeof depths[0]; i++)
+    for (int object = 0; object < 2; object++)
+      {
+        void *ctx = talloc_new (NULL);
+        ev_platform_t reply = { 0 };
+        GString *deep = g_string_new (NULL);
+        for (size_t k = 0; k < depths[i]; k++)
+          g_string_append (deep, object ? "{\"]\":" : "[");
+        g_string_append (deep, "\"}]\\\"\"");
+        for (size_t k = 0; k < depths[i]; k++)
+          g_string_append_c (deep, object ? '}' : ']');
+        char *body = talloc_asprintf (
+            ctx,
+            "{\"items\":[{\"metadata\":{\"name\":\"i-1\"},\"spec\":" BAD_SPEC (
+                "%s") "},{\"metadata\":{\"name\":\"i-2\"},\"spec\":" GOOD_SPEC
+                      "}],\"hasMore\":false,\"currentRev\":12}",
+            deep->str);
+        pfm_object_response_decode (ctx, FX_PLATFORM_UPSTREAMS, "", 200,
+                                    buf_str (body), &reply);
+        CU_ASSERT_EQUAL (reply.code, ST_OK);
+        TST_NEED (reply.entry_count == 2);
+        CU_ASSERT_STRING_EQUAL (reply.entries[1].name, "i-2");
+        CU_ASSERT (!reply.entries[1].deleted);
+        g_string_free (deep, TRUE);
+        talloc_free (ctx);
+      }
+}
+
+/* Guards against an unreadable value in another list than that of upstreams:
+ * VMs, evacuated data centres, records, documents. */
+static void
+test_unreadable_value_in_any_list (void)
+{
+  static const fx_platform_op_t ops[]
+      = { FX_PLATFORM_VMS, FX_PLATFORM_EVACUATIONS, FX_PLATFORM_LIST,
+          FX_PLATFORM_DOCUMENT };
+  for (size_t i = 0; i < sizeof ops / sizeof ops[0]; i++)
+    for (size_t k = 0; k < sizeof unreadable / sizeof unreadable[0]; k++)
+      {
+        void *ctx = talloc_new (NULL);
+        ev_platform_t reply = { 0 };
+        char *body = talloc_asprintf (
+            ctx,
+            "{\"items\":[{\"metadata\":{\"name\":\"odd\"},\"spec\":%s},"
+            "{\"metadata\":{\"name\":\"main\"},\"spec\":%s}],"
+            "\"currentRev\":12}",
+            unreadable[k],
+            ops[i] == FX_PLATFORM_DOCUMENT ? DOCUMENT ("7", ROUTES)
+                                           : "\"z 10.0.0.1:80 entry\"");
+        pfm_object_response_decode (ctx, ops[i], "jobs/", 200, buf_str (body),
+                                    &reply);
+        CU_ASSERT_EQUAL (reply.code, ST_OK);
+        if (ops[i] == FX_PLATFORM_DOCUMENT)
+          CU_ASSERT (reply.document != NULL && reply.document->version == 7);
+        if (ops[i] == FX_PLATFORM_VMS)
+          CU_ASSERT (reply.vm_count == 1);
+        if (ops[i] == FX_PLATFORM_EVACUATIONS || ops[i] == FX_PLATFORM_LIST)
+          CU_ASSERT_EQUAL (reply.object_count, 2);
+        talloc_free (ctx);
+      }
+}
+
+/* Guards against a document that is used in part: a limit that cannot be read
+ * would count as none. */
+static void
+test_document_with_an_unreadable_limit (void)
+{
+  void *ctx = talloc_new (NULL);
+  ev_platform_t reply = { 0 };
+  pfm_object_response_decode (
+      ctx, FX_PLATFORM_DOCUMENT, "", 200,
+      buf_str ("{\"items\":[{\"metadata\":{\"name\":\"main\"},\"spec\":"
+               "{\"version\":7,\"routes\":[" ROUTES "],\"services\":[],"
+               "\"tenants\":[{\"name\":\"t1\",\"ratePerS\":1e999}]}}],"
+               "\"currentRev\":12}"),
+      &reply);
+  CU_ASSERT_EQUAL (reply.code, ST_OK);
+  CU_ASSERT_PTR_NULL (reply.document);
+  talloc_free (ctx);
+}
+
+/* Guards against an address or a start that is used after it was narrowed. */
+static void
+test_entry_with_numbers_out_of_range (void)
+{
+  static const char *const specs[] = {
+    "\"address\":\"10.0.0.1:65536\"",
+    "\"address\":\"10.0.0.1:0\"",
+    "\"address\":\"10.0.0.1:-80\"",
+    "\"address\":\"10.0.0.1:\"",
+    "\"address\":\":80\"",
+    "\"address\":\"10.0.0.1:80x\"",
+    "\"address\":\"10.0.0.1:4294967376\"",
+    "\"address\":\"10.0.0.1:80\",\"born\":9223372036854775807",
+  };
+  for (size_t i = 0; i < sizeof specs / sizeof specs[0]; i++)
+    {
+      void *ctx = talloc_new (NULL);
+      char *text = talloc_asprintf (
+          ctx, "{\"service\":\"s1\",\"zone\":\"z\",\"state\":\"ready\",%s}",
+          specs[i]);
+      json_t *spec = json_loads (text, 0, NULL);
+      CU_ASSERT (pfm_upstream_entry_decode (ctx, "i-1", spec).deleted);
+      json_decref (spec);
+      talloc_free (ctx);
+    }
+}
+
+/* Guards against numbers of the document that are narrowed unchecked. */
+static void
+test_document_numbers_out_of_range (void)
+{
+  void *ctx = talloc_new (NULL);
+  const cfg_doc_t *doc = _document (
+      ctx, "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"a\","
+           "\"pathPrefix\":\"/p/\",\"kind\":\"streaming\",\"timeoutMs\":1e300,"
+           "\"maxAttempts\":1e300,\"maxCount\":1e300,\"service\":\"s\"}],"
+           "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":1e300}}],"
+           "\"tenants\":[]}");
+  TST_NEED (doc != NULL);
+  CU_ASSERT (doc->routes[0].deadline_ms > CLK_HOUR);
+  CU_ASSERT (doc->routes[0].attempts >= 1000);
+  CU_ASSERT (doc->routes[0].waiting_tokens >= 1000000);
+  CU_ASSERT (doc->deployments[0].slots >= 1000);
+  talloc_free (ctx);
+}
+
 /* Guards against one entry with unreadable bytes that takes the whole list of
  * upstreams away. */
 static void
@@ -712,6 +855,13 @@
     { "object_responses", test_object_responses },
     { "response_about_other_object", test_response_about_other_object },
     { "lists", test_lists },
+    { "deep_entry_leaves_the_list", test_deep_entry_leaves_the_list },
+    { "unreadable_value_in_any_list", test_unreadable_value_in_any_list },
+    { "document_with_an_unreadable_limit",
+      test_document_with_an_unreadable_limit },
+    { "entry_with_numbers_out_of_range",
+      test_entry_with_numbers_out_of_range },
+    { "document_numbers_out_of_range", test_document_numbers_out_of_range },
     { "unreadable_entry_leaves_the_list",
       test_unreadable_entry_leaves_the_list },
     { "unreadable_entry_leaves_other_events",
