Streams: one version only counts once a new read of the list says so

What callers saw (reported by other operators; shown here by tests): a VM that was cut off or stood still while replicas of a new version joined took streams up that had begun there and went on at the old version (ORDER). Change: such a request waits for a read of the list that begins after it came, shared by all that wait; it goes on only if the list names no other version. Without an answer it is refused with 503, unrun. Why it works: a stream's upstream is listed before any VM sends to it, so a read that begins when the stream is taken up names its version.

--- a/src/core/node_mods.c
+++ b/src/core/node_mods.c
@@ -112,6 +112,7 @@
   n->stv = stv_setup (n, n->mbr);
   n->onl = onl_setup (n, &(onl_desc_t){ .members = n->mbr,
                                         .streams = n->stv,
+                                        .list_confirms = platform,
                                         .limits = n->lim,
                                         .keys = n->keys,
                                         .routes = n->rte,
@@ -271,8 +272,10 @@
     case MOD_PLATFORM:
       node_relay_done (n, done, reply);
       break;
-    case MOD_NODE:
     case MOD_ONLINE:
+      onl_platform_replied (n->onl, env, reply);
+      break;
+    case MOD_NODE:
     case MOD_ROUTE:
     case MOD_CREDIT:
     case MOD_ORDER:
--- a/src/core/onl.c
+++ b/src/core/onl.c
@@ -66,6 +66,7 @@
         g_byte_array_free (r->response.buffered, TRUE);
       sse_clear (&((onl_request_t *)tbl_get (o->requests, id))->events);
     }
+  onl_list_clear (&o->list);
   GHashTableIter iter;
   void *value;
   g_hash_table_iter_init (&iter, o->deployments);
@@ -92,6 +93,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   o->deployments = g_hash_table_new (g_str_hash, g_str_equal);
   o->leaving_since = CLK_NEVER;
+  onl_list_setup (&o->list);
   talloc_set_destructor (o, _onl_destroy);
   return o;
 }
--- a/src/core/onl.h
+++ b/src/core/onl.h
@@ -48,8 +48,11 @@
   lim_t *limits;
   key_set_t *keys;
   rte_t *routes;
-  crs_t *crashes; /**< NULL: nothing is kept away from upstreams */
-  stv_t *streams; /**< NULL: streams are not bound to versions */
+  crs_t *crashes;     /**< NULL: nothing is kept away from upstreams */
+  stv_t *streams;     /**< NULL: streams are not bound to versions */
+  bool list_confirms; /**< the platform lists the upstreams: that they have had
+                           one version only counts once a new read of the list
+                           says the same */
   idm_t *records;
   clk_ms_t queue_ms; /**< longest wait in the fair queue; default 2 s */
   clk_ms_t leave_ms; /**< time after onl_leave in which requests are still
@@ -72,6 +75,9 @@
 /** Start on a caller's request. */
 void onl_request (onl_t *o, env_t *env, const ev_request_t *req);
 
+/** Handle the platform's REPLY to a call of this module. */
+void onl_platform_replied (onl_t *o, env_t *env, const ev_platform_t *reply);
+
 /** Handle the caller's closing of its connection: its upstream call is
  * cancelled, unless an idempotency record waits for the outcome. */
 void onl_caller_gone (onl_t *o, env_t *env, uint64_t caller);
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -161,6 +161,17 @@
   onl_response_t response;
 } onl_request_t;
 
+/** The read of the list of upstreams that confirms that they have one
+ * version. */
+typedef struct
+{
+  GQueue *waiting;      /**< uint64_t: requests for the next read */
+  GQueue *reading;      /**< uint64_t: those for the one in progress, which
+                             began after they came */
+  GHashTable *versions; /**< set of "DEPLOYMENT VERSION" read so far; NULL: no
+                             read is in progress */
+} onl_list_t;
+
 struct onl
 {
   onl_desc_t desc;
@@ -172,6 +183,7 @@
   uint64_t sequence;       /**< number of the last request id made here */
   clk_ms_t leaving_since;  /**< time of onl_leave; CLK_NEVER: not leaving */
   bool queue_timer_armed;
+  onl_list_t list;
 };
 
 /* onl.c */
@@ -214,6 +226,8 @@
 onl_deployment_t *onl_deployment (onl_t *o, const char *name);
 
 /* onl_version.c: the version at which a stream began. */
+void onl_list_setup (onl_list_t *list);
+void onl_list_clear (onl_list_t *list);
 /** Note in R, which is being admitted on ROUTE, what it takes up. */
 void onl_take_up_fill (onl_t *o, onl_request_t *r, const cfg_route_t *route);
 
--- a/src/core/onl_version.c
+++ b/src/core/onl_version.c
@@ -72,18 +72,157 @@
                               .retry_after_ms = ONL_UNKNOWN_RETRY_MS });
 }
 
+/** The only version that the upstreams of R have had for long; NULL: they have
+ * had several, or it is not known. */
+static const char *
+_onl_sole_version (const onl_t *o, const env_t *env, const onl_request_t *r)
+{
+  return r->deployment_count == 1 ? rte_sole_version (
+             o->desc.routes, env, r->deployment->name, ONL_SOLE_MS)
+                                  : NULL;
+}
+
+/* -- the list, read anew ---------------------------------------------------
+ */
+
+void
+onl_list_setup (onl_list_t *list)
+{
+  list->waiting = g_queue_new ();
+  list->reading = g_queue_new ();
+}
+
+void
+onl_list_clear (onl_list_t *list)
+{
+  g_queue_free_full (list->waiting, g_free);
+  g_queue_free_full (list->reading, g_free);
+  if (list->versions != NULL)
+    g_hash_table_destroy (list->versions);
+}
+
+static void
+_onl_list_call (env_t *env, const char *after)
+{
+  plt_call (env, &(plt_req_t){ .mod = MOD_ONLINE,
+                               .op = FX_PLATFORM_UPSTREAMS,
+                               .name = "",
+                               .after = after });
+}
+
+/** Begin a read for the requests that wait, if none is in progress. */
+static void
+_onl_list_read (onl_t *o, env_t *env)
+{
+  onl_list_t *l = &o->list;
+  if (l->versions != NULL || g_queue_is_empty (l->waiting))
+    return;
+  GQueue *none = l->reading;
+  l->reading = l->waiting;
+  l->waiting = none;
+  l->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  _onl_list_call (env, NULL);
+}
+
+static char *
+_onl_list_key (const char *deployment, const char *version)
+{
+  return g_strdup_printf ("%s %s", deployment, version == NULL ? "" : version);
+}
+
+static void
+_onl_list_add (onl_list_t *l, const ev_platform_t *reply)
+{
+  for (size_t i = 0; i < reply->entry_count; i++)
+    {
+      const ev_upstream_entry_t *e = &reply->entries[i];
+      if (!e->deleted)
+        g_hash_table_add (l->versions,
+                          _onl_list_key (e->deployment, e->version));
+    }
+}
+
+/** Whether the list that was read names VERSION and no other for
+ * DEPLOYMENT. */
+static bool
+_onl_list_has_only (const onl_list_t *l, const char *deployment,
+                    const char *version)
+{
+  GHashTableIter iter;
+  gpointer key;
+  char *wanted = _onl_list_key (deployment, version);
+  size_t n = strlen (deployment);
+  bool only = g_hash_table_contains (l->versions, wanted);
+  g_hash_table_iter_init (&iter, l->versions);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (strncmp (key, deployment, n) == 0 && ((const char *)key)[n] == ' '
+        && strcmp (key, wanted) != 0)
+      only = false;
+  g_free (wanted);
+  return only;
+}
+
+/** Go on with R if the list that was read, if it was, says the same as this
+ * VM knows; refuse it otherwise. */
+static void
+_onl_list_decide (onl_t *o, env_t *env, onl_request_t *r, bool was_read)
+{
+  const char *sole = _onl_sole_version (o, env, r);
+  bool only = was_read && sole != NULL
+              && _onl_list_has_only (&o->list, r->deployment->name, sole);
+  tln_record (env->tln, env->now, MOD_ONLINE, "sole-version",
+              "request=%s version=%s read=%d only=%d", r->request_id,
+              sole == NULL ? "" : sole, was_read, only);
+  if (only)
+    _onl_bound (o, env, r, sole);
+  else
+    _onl_refuse_unknown (o, env, r);
+}
+
+void
+onl_platform_replied (onl_t *o, env_t *env, const ev_platform_t *reply)
+{
+  onl_list_t *l = &o->list;
+  bool good = reply->code == ST_OK;
+  if (good)
+    _onl_list_add (l, reply);
+  if (good && reply->continue_after != NULL)
+    {
+      _onl_list_call (env, reply->continue_after);
+      return;
+    }
+  for (uint64_t *tag = g_queue_pop_head (l->reading); tag != NULL;
+       tag = g_queue_pop_head (l->reading))
+    {
+      onl_request_t *r = onl_request_get (o, *tag);
+      g_free (tag);
+      if (r != NULL && r->state == ONL_BINDING)
+        _onl_list_decide (o, env, r, good);
+    }
+  g_hash_table_destroy (l->versions);
+  l->versions = NULL;
+  _onl_list_read (o, env);
+  onl_pump (o, env);
+}
+
 /** Handle that nobody knows how the stream began that R takes up: refuse R,
- * unless the upstreams have had one version all the while. */
+ * unless the upstreams have had one version all the while.  What this VM knows
+ * of them may be old: it may have stood still, or been cut off, while another
+ * version joined.  So a read of the list that begins now must say the same. */
 static void
 _onl_origin_unknown (onl_t *o, env_t *env, onl_request_t *r)
 {
-  const char *sole = r->deployment_count == 1 ? rte_sole_version (
-                         o->desc.routes, env, r->deployment->name, ONL_SOLE_MS)
-                                              : NULL;
-  if (sole != NULL)
+  const char *sole = _onl_sole_version (o, env, r);
+  if (sole == NULL)
+    _onl_refuse_unknown (o, env, r);
+  else if (!o->desc.list_confirms)
     _onl_bound (o, env, r, sole);
   else
-    _onl_refuse_unknown (o, env, r);
+    {
+      g_queue_push_tail (o->list.waiting,
+                         g_memdup2 (&r->id.id, sizeof r->id.id));
+      _onl_list_read (o, env);
+    }
 }
 
 void
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -340,6 +340,72 @@
   hst_shutdown (h);
 }
 
+/* A fleet that has had one version for long. */
+static hst_t *
+setup_sole (void)
+{
+  hst_t *h = setup (false);
+  for (size_t u = 0; u < UPSTREAMS; u++)
+    hst_version_set (h, u, "v1");
+  hst_advance (h, SOLE_MS);
+  return h;
+}
+
+/* Upstreams of version v2 join, of which VM 3 does not hear for AWAY_MS, and
+ * streams begin there.  They are taken up at VM 3 until it has heard. */
+static void
+check_out_of_step (hst_t *h, clk_ms_t away_ms)
+{
+  char begun[ID_SIZE];
+  char id[ID_SIZE];
+  uint64_t callers[STREAMS];
+  clk_ms_t back = hst_now (h) + away_ms;
+  for (size_t u = 1; u < UPSTREAMS; u += 2)
+    hst_version_set (h, u, "v2");
+  for (size_t u = 0; u < UPSTREAMS; u += 2)
+    hst_leaving_set (h, u, true);
+  hst_advance (h, LISTED_MS);
+  begin (h, 0);
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      callers[i]
+          = hst_take_up (h, 3, id_of (id, 't', i), id_of (begun, 'b', i), "3");
+      hst_advance (h, 50);
+    }
+  hst_advance (h, clk_max (back - hst_now (h), 0));
+  hst_isolate (h, 3, false);
+  hst_advance (h, ENDED_MS);
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      size_t next = hst_run_upstream (h, id_of (id, 't', i), 0);
+      CU_ASSERT (next == HST_MAX || strcmp (version_of (next), "v2") == 0);
+      CU_ASSERT (hst_response (h, callers[i])->ended);
+    }
+}
+
+/* Guards against streams of a new version that go on at the old one, at a VM
+ * that was cut off while the new one joined, and takes the old one for the
+ * only one that there has been. */
+static void
+test_vm_cut_off_in_a_release_joins_no_versions (void)
+{
+  hst_t *h = setup_sole ();
+  hst_isolate (h, 3, true);
+  check_out_of_step (h, 4 * CLK_SECOND);
+  hst_shutdown (h);
+}
+
+/* The same at a VM that stood still, and reads what its callers have sent
+ * before what the platform has. */
+static void
+test_vm_frozen_in_a_release_joins_no_versions (void)
+{
+  hst_t *h = setup_sole ();
+  hst_freeze (h, 3, 4 * CLK_SECOND);
+  check_out_of_step (h, 4 * CLK_SECOND);
+  hst_shutdown (h);
+}
+
 /* What a VM that has just started does not hear at first, and for how long. */
 typedef struct
 {
@@ -521,6 +587,10 @@
     { "without_versions_streams_go_on", test_without_versions_streams_go_on },
     { "sole_version_needs_no_knowledge",
       test_sole_version_needs_no_knowledge },
+    { "vm_cut_off_in_a_release_joins_no_versions",
+      test_vm_cut_off_in_a_release_joins_no_versions },
+    { "vm_frozen_in_a_release_joins_no_versions",
+      test_vm_frozen_in_a_release_joins_no_versions },
     { "started_vm_joins_no_versions", test_started_vm_joins_no_versions },
     { "text_of_an_item_stays_at_its_version",
       test_text_of_an_item_stays_at_its_version },
