--- a/tests/test_drv.c
+++ b/tests/test_drv.c
@@ -354,6 +354,74 @@
     }
 }
 
+/* When a faulty upstream writes an earlier refusal once more. */
+typedef enum
+{
+  WITH_THE_FIRST, /* in the same write */
+  WHILE_IDLE,     /* on the kept connection, before the next request */
+  TO_THE_NEXT,    /* as the answer to the next request */
+} again_t;
+
+/* Upstream 0 refuses r-1, which upstream 1 serves, and writes the refusal once
+ * more as AGAIN says; WITH_ID: the refusal has r-1's id.  Then r-2, to PATH,
+ * must neither be refused as not run nor run twice at the word of it. */
+static void
+repeat_refusal (const char *path, again_t again, bool with_id)
+{
+  drvbed_t *b = drvbed_setup (2);
+  TST_NEED (b != NULL);
+  drvbed_serve (b, 1);
+  const char *refusal = drvbed_reply (
+      b, &(drvbed_reply_t){ .id = with_id ? "r-1" : NULL, .status = 503 });
+  drvbed_answer_t *first = drvbed_ask_at (b, "r-1", path);
+  drvbed_request_t *r = drvbed_await_request (b, 0, "r-1");
+  TST_NEED (r != NULL);
+  char *twice = g_strconcat (
+      drvbed_reply (b, &(drvbed_reply_t){ .id = "r-1", .status = 503 }),
+      again == WITH_THE_FIRST ? refusal : "", NULL);
+  drvbed_send (r->conn, twice);
+  g_free (twice);
+  CU_ASSERT (drvbed_await_answer (b, first) && drvbed_is_own (first));
+  if (again == WHILE_IDLE)
+    drvbed_send (r->conn, refusal);
+  drvbed_pass (b, CLK_SECOND);
+  drvbed_answer_t *next = drvbed_ask_at (b, "r-2", path);
+  drvbed_pass (b, 200);
+  bool at_0 = drvbed_request_count (b, 0, "r-2") > 0;
+  drvbed_request_t *r2 = at_0 ? drvbed_await_request (b, 0, "r-2") : NULL;
+  CU_ASSERT (again != TO_THE_NEXT || r2 != NULL);
+  if (r2 != NULL && again == TO_THE_NEXT)
+    drvbed_send (r2->conn, refusal);
+  drvbed_pass (b, 300);
+  unsigned runs = drvbed_request_count (b, 0, "r-2")
+                  + drvbed_request_count (b, 1, "r-2");
+  if (r2 != NULL)
+    drvbed_respond (b, r2);
+  CU_ASSERT (drvbed_await_answer (b, next));
+  CU_ASSERT (next->status != 429 && next->status != 503);
+  /* Only a stream that may be resumed, or an idempotent request, runs at
+   * another upstream. */
+  if (strcmp (path, DRVBED_STREAM) == 0)
+    CU_ASSERT_EQUAL (runs, 1);
+  drvbed_shutdown (b);
+}
+
+/* Guards against an earlier refusal that a faulty upstream writes once more on
+ * a kept connection and that passes for the next request's: its caller is told
+ * that it has not run, or it runs at a second upstream. */
+static void
+test_refusal_written_again_refuses_nothing (void)
+{
+  static const char *const paths[]
+      = { DRVBED_STREAM, DRVBED_RESUMABLE, DRVBED_PLAIN };
+  for (size_t i = 0; i < sizeof paths / sizeof paths[0]; i++)
+    for (again_t again = WITH_THE_FIRST; again <= TO_THE_NEXT; again++)
+      {
+        repeat_refusal (paths[i], again, true);
+        repeat_refusal (paths[i], again, false);
+      }
+}
+
 /* Time for which the process stands still: longer than requests may take, but
  * not than their callers wait. */
 #define PAUSE_MS (3 * CLK_SECOND + CLK_SECOND / 2)
@@ -415,6 +483,8 @@
       test_bytes_after_a_response_half_chunked },
     { "head_that_breaks_off_is_no_response",
       test_head_that_breaks_off_is_no_response },
+    { "refusal_written_again_refuses_nothing",
+      test_refusal_written_again_refuses_nothing },
     { "odd_entry_costs_itself_alone", test_odd_entry_costs_itself_alone },
     { "response_in_the_socket_beats_the_time_limit",
       test_response_in_the_socket_beats_the_time_limit },
