Log: vm-up and vm-down as they were; vm-known says by what

Change: these lines are as before; a line vm-known follows for a VM without a link. The test is as it was.

--- a/src/core/mbr_state.c
+++ b/src/core/mbr_state.c
@@ -49,17 +49,6 @@
   return e->link_wanted || e->link_open;
 }
 
-/* How this VM knows whether E is up, for the log. */
-static const char *
-_mbr_known_by (const mbr_entry_t *e)
-{
-  if (e->vm.self)
-    return "self";
-  if (_mbr_is_linked (e))
-    return "link";
-  return e->report == MBR_UNREPORTED ? "nothing" : "report";
-}
-
 void
 mbr_entry_update (mbr_t *m, env_t *env, mbr_entry_t *e)
 {
@@ -73,8 +62,12 @@
   e->vm.down_since = up ? CLK_NEVER : env->now;
   m->generation++;
   tln_record (env->tln, env->now, MOD_MEMBER, up ? "vm-up" : "vm-down",
-              "vm=%s by=%s incarnation=%llu", e->vm.name, _mbr_known_by (e),
-              (unsigned long long)e->incarnation);
+              "vm=%s", e->vm.name);
+  if (!_mbr_is_linked (e) && !e->vm.self)
+    tln_record (env->tln, env->now, MOD_MEMBER, "vm-known",
+                "vm=%s by=%s incarnation=%llu", e->vm.name,
+                e->report == MBR_UNREPORTED ? "nothing" : "report",
+                (unsigned long long)e->incarnation);
   cnt_add (env->cnt, "rts_member_changes_total",
            up ? "state=\"up\"" : "state=\"down\"", 1);
 }
