Log: an entry that is missing and stays in use

Cause: the logs of the incident could not tell an entry that is kept on purpose from a list that came late. Change: one line, directory upstream-missing, with the failure it goes by and how long the entry is kept. Result: test_dir passes; no decision changes.

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -260,10 +260,17 @@
 _dir_entry_remove (dir_t *d, env_t *env, _dir_entry_t *e)
 {
   e->expires_at = _dir_removal_time (d, env);
-  if (e->expires_at > env->now)
-    tmr_arm (env->tmr, e->expires_at, MOD_DIRECTORY, DIR_OP_EXPIRY);
-  else
-    _dir_entry_drop (d, env, e);
+  if (e->expires_at <= env->now)
+    {
+      _dir_entry_drop (d, env, e);
+      return;
+    }
+  tln_record (env->tln, env->now, MOD_DIRECTORY, "upstream-missing",
+              "upstream=%s born=%llu failure_age_ms=%lld kept_ms=%lld",
+              e->upstream.name, (unsigned long long)e->upstream.born,
+              (long long)(env->now - d->failed_at),
+              (long long)(e->expires_at - env->now));
+  tmr_arm (env->tmr, e->expires_at, MOD_DIRECTORY, DIR_OP_EXPIRY);
 }
 
 static bool
