--- a/tests/hst.c
+++ b/tests/hst.c
@@ -42,14 +42,22 @@
   return e;
 }
 
+/* Time after which the driver ends the call C that gets no answer. */
+static clk_ms_t
+_hst_lost_ms (const fx_platform_t *c)
+{
+  return c->timeout_ms + (c->revision != 0 ? HST_WATCH_EXTRA_MS : 0);
+}
+
 static void
 _hst_platform_call (hst_t *h, size_t vm, const fx_platform_t *c)
 {
   clk_ms_t delay = h->platform_ms > 0 ? h->platform_ms : HST_PLATFORM_MS;
-  if (h->platform_silent)
-    delay = c->timeout_ms + (c->revision != 0 ? HST_WATCH_EXTRA_MS : 0);
+  bool lost = h->platform_silent || h->vm[vm].platform_cut;
+  if (lost)
+    delay = _hst_lost_ms (c);
   hst_event_t *e = hst_event_push (h, vm, delay, &(ev_t){ 0 });
-  e->lost = h->platform_silent;
+  e->lost = lost;
   e->is_call = true;
   e->call = *c;
   e->call.name = talloc_strdup (e, c->name == NULL ? "" : c->name);
@@ -243,10 +251,29 @@
     _hst_effect_apply (h, vm, &fx->v[i]);
 }
 
+/* Have the driver end the call of E at its limit. */
+static void
+_hst_platform_call_lose (hst_t *h, hst_event_t *e)
+{
+  clk_ms_t end = e->sent_at + _hst_lost_ms (&e->call);
+  hst_event_t *lost
+      = hst_event_push (h, e->vm, clk_max (end - h->now, 0), &(ev_t){ 0 });
+  lost->is_call = true;
+  lost->lost = true;
+  lost->call = e->call;
+  lost->sent_at = e->sent_at;
+  talloc_steal (lost, e->call.name);
+}
+
 /* Serve a platform call, or check a long poll without changes again later. */
 static void
 _hst_platform_call_serve (hst_t *h, hst_event_t *e)
 {
+  if (h->vm[e->vm].platform_cut && !e->lost)
+    {
+      _hst_platform_call_lose (h, e);
+      return;
+    }
   ev_t ev = { .kind = EV_PLATFORM, .platform = { .call = e->call.call } };
   if (e->lost || h->vm[e->vm].down
       || (h->evacuations_refused && e->call.op == FX_PLATFORM_EVACUATIONS)
@@ -740,6 +767,12 @@
       h->vm[i].down = down;
 }
 
+void
+hst_platform_cut (hst_t *h, size_t vm, bool cut)
+{
+  h->vm[vm].platform_cut = cut;
+}
+
 void
 hst_isolate (hst_t *h, size_t vm, bool isolated)
 {
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -198,6 +198,10 @@
  * time limit, watches a little after theirs. */
 void hst_platform_silent (hst_t *h, bool silent);
 
+/** While CUT, no byte passes between VM and the platform: calls and watches of
+ * that time, also those that have begun before, end at their time limits. */
+void hst_platform_cut (hst_t *h, size_t vm, bool cut);
+
 /** From now on the platform takes MS to serve a call; 0: the usual time. */
 void hst_platform_slow (hst_t *h, clk_ms_t ms);
 
--- a/tests/hst_int.h
+++ b/tests/hst_int.h
@@ -57,6 +57,7 @@
   uint64_t incarnation;
   bool isolated;            /**< it has no links to other VMs */
   bool down;                /**< the platform does not serve this VM */
+  bool platform_cut;        /**< no byte passes to or from the platform */
   bool retire;              /**< the VM is asked to retire */
   bool retired;             /**< the VM has reported that it has retired */
   clk_ms_t frozen_until;    /**< its process stands still until then */
--- a/tests/test_dir_follow.c
+++ b/tests/test_dir_follow.c
@@ -128,10 +128,11 @@
   check_reader_fault (DFB_CUT_OFF, "cut off");
 }
 
-/* A message about the upstreams. */
+/* A message about the upstreams of a reader whose last failed call is
+ * FAILED_AGE - 1 ms ago; 0: it has none. */
 static buf_t
-message (void *ctx, uint64_t from, uint64_t to, const char *name,
-         uint64_t flags)
+message_after_failure (void *ctx, uint64_t failed_age, uint64_t from,
+                       uint64_t to, const char *name, uint64_t flags)
 {
   mpk_writer_t w;
   mpk_writer_init (&w, ctx);
@@ -139,7 +140,7 @@
   mpk_put_uint (&w, 1);
   mpk_put_uint (&w, from);
   mpk_put_uint (&w, to);
-  mpk_put_uint (&w, 0);
+  mpk_put_uint (&w, failed_age);
   if (name != NULL)
     {
       mpk_put_str (&w, buf_str (name));
@@ -153,6 +154,32 @@
   return mpk_done (&w);
 }
 
+/* The same of a reader without a failed call. */
+static buf_t
+message (void *ctx, uint64_t from, uint64_t to, const char *name,
+         uint64_t flags)
+{
+  return message_after_failure (ctx, 0, from, to, name, flags);
+}
+
+/* Guards against a follower that keeps an upstream which has left in use, as
+ * its reader could not reach the platform for a moment. */
+static void
+test_trouble_of_the_reader_is_not_the_followers (void)
+{
+  dfb_t *b = setup (20, 2);
+  void *tmp = talloc_new (NULL);
+  size_t reader = dfb_reader (b, 0);
+  size_t vm = reader == 0 ? 2 : 0;
+  CU_ASSERT (dfb_knows (b, vm, 0));
+  dfb_message (b, vm, reader, MSG_DIRECTORY_HANDED,
+               message_after_failure (tmp, 100, 1, 1000, "up-0", 2));
+  (void)dir_changed (dfb_dir (b, vm), dfb_env (b, vm));
+  CU_ASSERT (!dfb_knows (b, vm, 0));
+  talloc_free (tmp);
+  dfb_shutdown (b);
+}
+
 /* Guards against an old or empty list of a peer undoing a newer one, and
  * against torn, foreign and huge ones. */
 static void
@@ -236,6 +263,8 @@
     { "reader_is_turned_away", test_reader_is_turned_away },
     { "reader_gets_no_answers", test_reader_gets_no_answers },
     { "reader_is_cut_off", test_reader_is_cut_off },
+    { "trouble_of_the_reader_is_not_the_followers",
+      test_trouble_of_the_reader_is_not_the_followers },
     { "bad_messages_change_nothing", test_bad_messages_change_nothing },
     { "cold_times_are_handed_on", test_cold_times_are_handed_on },
   };
