Directory: an entry that has gone is kept by the platform's absence only

Cause: an entry that disappears shortly after a failed call stays in use, as entries expire while the platform is away. What counted as a failed call said nothing of the platform: refusals of this VM's own breaker, calls on connections of the time before its return, one reader's trouble at all its followers; each later one prolonged the stay. Class: what this VM decides or suffers itself, taken for the state of others. Change: plt_away_at, the start of the last of several calls over a second that the platform did not serve, is at or before its return, for all or for this VM alone; the entry stays for 2.8 s from then. Calls from before the breaker opened do not open it again, and while the platform is away the list is tried twice a second, past the breaker. A reader's failures are its own.

--- a/src/core/dir.c
+++ b/src/core/dir.c
@@ -5,14 +5,14 @@
 
 #define DIR_WATCH_MS_DEFAULT (10 * CLK_SECOND)
 #define DIR_RETRY_MS_DEFAULT 250
-#define DIR_REREGISTER_MS_DEFAULT 2500
+#define DIR_REREGISTER_MS_DEFAULT 2800
 #define DIR_READ_INTERVAL_MS_DEFAULT 800
 #define DIR_FOLLOW_VMS_MIN_DEFAULT 17
+/** Mean pause between two reads of the list while the platform is away. */
+#define DIR_PROBE_MS 500
 /** Shortest time from a call to the next long poll for evacuations.  They
  * change rarely, and a longer gap would be missing from the bound. */
 #define DIR_EVAC_INTERVAL_MS 250
-/** The platform counts as disturbed for this long after a failed call. */
-#define DIR_DISTURBED_MS (3 * CLK_SECOND)
 
 /** Low bits of a tag, which hold the operation. */
 #define DIR_TAG_BITS 4
@@ -75,7 +75,6 @@
     d->desc.follow_vms_min = DIR_FOLLOW_VMS_MIN_DEFAULT;
   if (d->desc.evacuate_ms > 0)
     d->evac = dir_evac_setup (d, d->desc.evacuate_ms);
-  d->failed_at = CLK_NEVER;
   d->listed_at = CLK_NEVER;
   for (int op = 0; op < DIR_READ_NUM; op++)
     d->handed_at[op] = CLK_NEVER;
@@ -114,6 +113,15 @@
   return op == DIR_OP_UPSTREAMS ? d->after : NULL;
 }
 
+/* Whether the next read of the list of OP is to find out whether the platform
+ * is back. */
+static bool
+_dir_probes (const dir_t *d, const env_t *env, dir_op_t op)
+{
+  return op == DIR_OP_UPSTREAMS && d->revision[op] == 0
+         && plt_away_at (env->plt) != CLK_NEVER && !plt_available (env->plt);
+}
+
 void
 dir_read (dir_t *d, env_t *env, dir_op_t op)
 {
@@ -129,6 +137,7 @@
                                .name = "",
                                .revision = d->revision[op],
                                .after = _dir_after (d, op),
+                               .probe = _dir_probes (d, env, op),
                                .timeout_ms = d->revision[op] != 0
                                                  ? _dir_watch_ms (d, env, op)
                                                  : 0 });
@@ -237,9 +246,10 @@
 static clk_ms_t
 _dir_removal_time (const dir_t *d, const env_t *env)
 {
-  if (d->failed_at == CLK_NEVER || env->now - d->failed_at > DIR_DISTURBED_MS)
-    return env->now;
-  return clk_max (env->now, d->failed_at + d->desc.reregister_ms);
+  clk_ms_t away_at = plt_away_at (env->plt);
+  return away_at == CLK_NEVER
+             ? env->now
+             : clk_max (env->now, away_at + d->desc.reregister_ms);
 }
 
 /* Remove an entry at once. */
@@ -266,9 +276,9 @@
       return;
     }
   tln_record (env->tln, env->now, MOD_DIRECTORY, "upstream-missing",
-              "upstream=%s born=%llu failure_age_ms=%lld kept_ms=%lld",
+              "upstream=%s born=%llu away_age_ms=%lld kept_ms=%lld",
               e->upstream.name, (unsigned long long)e->upstream.born,
-              (long long)(env->now - d->failed_at),
+              (long long)(env->now - plt_away_at (env->plt)),
               (long long)(e->expires_at - env->now));
   tmr_arm (env->tmr, e->expires_at, MOD_DIRECTORY, DIR_OP_EXPIRY);
 }
@@ -444,15 +454,15 @@
   /* dir_pump reads everything again. */
   if (code == ST_STALE)
     return;
-  d->failed_at = env->now;
   dir_failure_hand_on (d, env, op);
   if (op == DIR_OP_UPSTREAMS)
     TALLOC_FREE (d->after);
   if (op == DIR_OP_EVACUATIONS)
     dir_evac_page_drop (d);
   cnt_add (env->cnt, "rts_directory_failures_total", "", 1);
-  tmr_arm (env->tmr, env->now + env_jitter (env, d->desc.retry_ms),
-           MOD_DIRECTORY, d->epoch << DIR_TAG_BITS | op);
+  clk_ms_t pause = _dir_probes (d, env, op) ? DIR_PROBE_MS : d->desc.retry_ms;
+  tmr_arm (env->tmr, env->now + env_jitter (env, pause), MOD_DIRECTORY,
+           d->epoch << DIR_TAG_BITS | op);
 }
 
 void
@@ -511,9 +521,30 @@
   dir_start (d, env);
 }
 
+/* While the platform is away, whether for all or for this VM alone, the watch
+ * of the upstreams would not hear of its return: read their list instead, so
+ * that this VM knows soon after it which upstreams have left. */
+static void
+_dir_probe_begin (dir_t *d, env_t *env)
+{
+  clk_ms_t away_at = plt_away_at (env->plt);
+  bool away = away_at != CLK_NEVER && !plt_available (env->plt)
+              && away_at >= d->called_at[DIR_OP_UPSTREAMS];
+  if (!away || d->idle[DIR_OP_UPSTREAMS] || d->revision[DIR_OP_UPSTREAMS] == 0)
+    return;
+  d->epoch++;
+  d->revision[DIR_OP_UPSTREAMS] = 0;
+  TALLOC_FREE (d->after);
+  dir_evac_page_drop (d);
+  tln_record (env->tln, env->now, MOD_DIRECTORY, "platform-away",
+              "away_age_ms=%lld", (long long)(env->now - away_at));
+  dir_start (d, env);
+}
+
 void
 dir_pump (dir_t *d, env_t *env)
 {
+  _dir_probe_begin (d, env);
   uint64_t stale = plt_stale_count (env->plt);
   if (stale == d->stale_count)
     {
--- a/src/core/dir.h
+++ b/src/core/dir.h
@@ -18,8 +18,8 @@
  * version is not higher than the one in force is ignored.  Peers send each
  * other their versions, so that a VM that the platform does not serve can
  * fetch the document from a peer.  An upstream that disappears from the list
- * shortly after a failed call to the platform stays in use until it has had
- * time to register again.  Times are in ms.
+ * shortly after the platform was away stays in use until it has had time to
+ * register again.  Times are in ms.
  */
 #ifndef RTS_DIR_H
 #define RTS_DIR_H
@@ -39,7 +39,7 @@
                                it */
   /** Reader to the other VMs of its data centre: u64 list (0 document, 1
    * upstreams), u64 whether it can be read, u64 revision before, u64 revision
-   * after, u64 age of the last failed call and 1, 0: none; then for each
+   * after, u64 not used, 0; then for each
    * upstream that has changed: str name, u64 flags (1 leaving, 2 deleted, 4
    * unusable, 8 cold time without a meaning; from bit 8 on the remaining cold
    * time in ms), str deployment, str data centre, str address, u64 start, str
@@ -74,8 +74,9 @@
   size_t follow_vms_min;
   /** Mean delay before a failed call is repeated; default 250 ms. */
   clk_ms_t retry_ms;
-  /** Time for upstreams to register again after the last failed call; default
-   * 2.5 s. */
+  /** Time for upstreams to register again after the platform was last known
+   * to be away; default 2.8 s.  A VM that was cut off itself uses upstreams
+   * that have left for that long after its return. */
   clk_ms_t reregister_ms;
   /** Time from a change of the evacuated data centres in the store until it
    * must have taken effect; 0: they are not read. */
--- a/src/core/dir_follow.c
+++ b/src/core/dir_follow.c
@@ -34,8 +34,6 @@
 #define DIR_ANSWER_LATE_MS ((clk_ms_t)600)
 /** Most upstreams in a message; a reader has no more in one page. */
 #define DIR_HANDED_MAX 4096
-/** Largest age in a message that is taken as it is. */
-#define DIR_AGE_MAX ((uint64_t)CLK_HOUR)
 /** Name by which the reader is chosen. */
 #define DIR_READER "reader"
 
@@ -58,8 +56,6 @@
   dir_op_t op;
   bool good;         /**< false: the reader cannot read it now */
   uint64_t from, to; /**< it has the changes after FROM, up to TO */
-  uint64_t
-      failed_age; /**< of the reader's last failed call, plus 1; 0: none */
 } _dir_handed_t;
 
 /* -- the reader ----------------------------------------------------------- */
@@ -163,7 +159,8 @@
   mpk_put_uint (&w, h->good);
   mpk_put_uint (&w, h->from);
   mpk_put_uint (&w, h->to);
-  mpk_put_uint (&w, h->failed_age);
+  /* Unused: the age of a failure of the reader's own. */
+  mpk_put_uint (&w, 0);
   for (size_t i = 0; reply != NULL && i < reply->entry_count; i++)
     _dir_entry_put (&w, &reply->entries[i]);
   buf_t body = mpk_done (&w);
@@ -191,10 +188,7 @@
           .good = true,
           /* A list that was read anew has no changes to hand on. */
           .from = before == 0 || changed ? now : before,
-          .to = now,
-          .failed_age = d->failed_at == CLK_NEVER
-                            ? 0
-                            : (uint64_t)(env->now - d->failed_at) + 1 };
+          .to = now };
   bool entries = op == DIR_OP_UPSTREAMS && before != 0;
   _dir_handed_send (d, env, &h, entries ? reply : NULL);
 }
@@ -315,10 +309,6 @@
 _dir_handed_apply (dir_t *d, env_t *env, const _dir_handed_t *h,
                    ev_platform_t *reply)
 {
-  clk_ms_t failed_at = env->now - (clk_ms_t)h->failed_age + 1;
-  if (h->failed_age > 0
-      && (d->failed_at == CLK_NEVER || failed_at > d->failed_at))
-    d->failed_at = failed_at;
   if (h->op == DIR_OP_UPSTREAMS)
     {
       reply->revision = h->to;
@@ -336,8 +326,7 @@
   _dir_handed_t h = { .good = mpk_get_uint (r) != 0 };
   h.from = mpk_get_uint (r);
   h.to = mpk_get_uint (r);
-  uint64_t failed_age = mpk_get_uint (r);
-  h.failed_age = MIN (failed_age, DIR_AGE_MAX);
+  (void)mpk_get_uint (r);
   ev_platform_t reply = { 0 };
   if (op > DIR_OP_UPSTREAMS || h.from > h.to || !_dir_entries_get (r, &reply)
       || sender == NULL || strcmp (sender->data_centre, env->data_centre) != 0)
--- a/src/core/dir_int.h
+++ b/src/core/dir_int.h
@@ -52,7 +52,6 @@
   uint64_t stale_count;     /**< plt_stale_count at the start of the epoch */
   GHashTable *entries;      /**< upstream name to _dir_entry_t */
   GQueue cold_news;   /**< char *: names of entries whose cold time is news */
-  clk_ms_t failed_at; /**< last failure of a call; CLK_NEVER: none */
   clk_ms_t listed_at; /**< last response with upstreams; CLK_NEVER: none */
   clk_ms_t handed_at[DIR_READ_NUM]; /**< when the reader last handed on what it
                                          knows; CLK_NEVER: it has not */
--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -18,6 +18,9 @@
 #define PLT_RELAY_TIMEOUT_MS 600
 #define PLT_RELAY_BREAKER_ERRORS 3
 #define PLT_WATCH_TIMEOUT_MS (30 * CLK_SECOND)
+/** The platform was away if calls this far apart were not served, and none
+ * between them. */
+#define PLT_AWAY_MS (1 * CLK_SECOND)
 
 /* A call in progress. */
 typedef struct
@@ -26,6 +29,7 @@
   plt_relay_t relay; /**< name NULL: not for relaying; name and value are
                           owned by the call */
   bool relayed;      /**< the call has been queued for a peer */
+  clk_ms_t started_at;
 } _plt_call_t;
 
 struct plt
@@ -39,6 +43,8 @@
   uint64_t stale_count;     /**< replies with ST_STALE */
   uint64_t recovered_count; /**< answered calls that followed failed ones */
   unsigned errors;          /**< consecutive failures */
+  clk_ms_t failing_since;   /**< start of the first call of those failures */
+  clk_ms_t away_at;         /**< plt_away_at */
   clk_ms_t breaker_open_until;
   plt_done_t *refused; /**< calls that plt_refused_pop returns */
   size_t refused_count;
@@ -67,6 +73,7 @@
   if (p->desc.breaker_ms == 0)
     p->desc.breaker_ms = PLT_BREAKER_MS_DEFAULT;
   p->tokens = p->desc.burst;
+  p->away_at = CLK_NEVER;
   p->calls = tbl_setup (p, &(tbl_desc_t){ .size = sizeof (_plt_call_t) });
   g_queue_init (&p->relays);
   talloc_set_destructor (p, _plt_destroy);
@@ -229,10 +236,11 @@
 {
   plt_t *p = env->plt;
   plt_done_t done = { .mod = req->mod, .tag = req->tag, .op = req->op };
-  bool breaker_open = env->now < p->breaker_open_until;
+  bool breaker_open = env->now < p->breaker_open_until && !req->probe;
   tbl_id_t id = tbl_alloc (p->calls);
   _plt_call_t *call = tbl_get (p->calls, id);
   call->done = done;
+  call->started_at = env->now;
   _plt_relay_prepare (p, call, id, req);
   if (breaker_open && _plt_relay_queue (p, call))
     return;
@@ -259,8 +267,21 @@
                                            .timeout_ms = timeout } });
 }
 
+/** Notes that the call that began at STARTED_AT was not served. */
 static void
-_plt_outcome_record (env_t *env, st_code_t code)
+_plt_failure_note (plt_t *p, clk_ms_t started_at)
+{
+  if (p->errors == 0)
+    p->failing_since = started_at;
+  p->errors++;
+  p->failing_since = clk_min (p->failing_since, started_at);
+  bool later = p->away_at == CLK_NEVER || started_at > p->away_at;
+  if (later && started_at - p->failing_since >= PLT_AWAY_MS)
+    p->away_at = started_at;
+}
+
+static void
+_plt_outcome_record (env_t *env, const _plt_call_t *call, st_code_t code)
 {
   plt_t *p = env->plt;
   p->stale_count += code == ST_STALE;
@@ -271,9 +292,11 @@
       p->breaker_open_until = 0;
       return;
     }
-  p->errors++;
+  _plt_failure_note (p, call->started_at);
   cnt_add (env->cnt, "rts_platform_errors_total", "", 1);
-  if (p->errors >= p->desc.breaker_errors)
+  /* A call from before the breaker has opened says nothing of now. */
+  if (p->errors >= p->desc.breaker_errors
+      && call->started_at >= p->breaker_open_until)
     p->breaker_open_until = env->now + env_jitter (env, p->desc.breaker_ms);
 }
 
@@ -288,7 +311,7 @@
   /* The outcome of a relayed call says nothing about this VM's own connection
    * to the platform. */
   if (!call->relayed)
-    _plt_outcome_record (env, reply->code);
+    _plt_outcome_record (env, call, reply->code);
   if (reply->code == ST_UNAVAILABLE && _plt_relay_queue (p, call))
     return false;
   *done = call->done;
@@ -326,3 +349,9 @@
 {
   return p->errors == 0;
 }
+
+clk_ms_t
+plt_away_at (const plt_t *p)
+{
+  return p->away_at;
+}
--- a/src/core/plt.h
+++ b/src/core/plt.h
@@ -58,6 +58,7 @@
   uint64_t revision;   /**< watch for changes after this one; 0: read now */
   const char *after;   /**< lists: start after this name; NULL: all */
   bool direct;         /**< never relayed through a peer */
+  bool probe;          /**< made also while the breaker is open */
   bool allow_stale;    /**< the result of the read may be seconds old */
   buf_t value;         /**< FX_PLATFORM_PUT */
   clk_ms_t timeout_ms; /**< 0: 2 s, or 600 ms once relaying is enabled, or
@@ -127,4 +128,11 @@
  * ST_UNAVAILABLE nor ST_UNKNOWN; true before the first call. */
 bool plt_available (const plt_t *p);
 
+/** When the platform was last known to be away: the start of the last of
+ * several calls that it did not serve, over a second or more without one that
+ * it served; CLK_NEVER: it never was.  Calls that were refused here say
+ * nothing of the platform.  It has not come back before that instant, neither
+ * for all nor for this VM alone. */
+clk_ms_t plt_away_at (const plt_t *p);
+
 #endif
--- a/tests/test_leaving_missing.c
+++ b/tests/test_leaving_missing.c
@@ -25,7 +25,7 @@
 #define REQUEST_MS 20
 #define WATCHED_MS (6 * CLK_SECOND)
 /* The cut begins at that many moments of a second. */
-#define PHASES 20
+#define PHASES 50
 #define PHASE_MS (CLK_SECOND / PHASES)
 
 static hst_t *
--- a/tests/test_plt.c
+++ b/tests/test_plt.c
@@ -87,6 +87,75 @@
   env_shutdown (env);
 }
 
+/* Ends call I of all that were sent; GOOD: the platform has served it. */
+static void
+_end (env_t *env, size_t i, bool good)
+{
+  plt_done_t done;
+  ev_platform_t reply = { .call = env->fx->v[i].platform.call,
+                          .code = good ? ST_OK : ST_UNAVAILABLE };
+  CU_ASSERT (plt_reply (env, &reply, &done));
+}
+
+/* Guards against a VM that does not try the platform for another second, as a
+ * call from before the breaker opened has ended now. */
+static void
+test_old_call_does_not_open_the_breaker_again (void)
+{
+  env_t *env = _env ();
+  CU_ASSERT_EQUAL (_calls (env, ERRORS + 1, false), ERRORS + 1);
+  for (size_t i = 0; i < ERRORS; i++)
+    _end (env, i, false);
+  CU_ASSERT_EQUAL (_calls (env, 1, false), 0);
+  env->now += 2 * CLK_SECOND;
+  _end (env, ERRORS, false);
+  CU_ASSERT_EQUAL (_calls (env, 1, false), 1);
+  env_shutdown (env);
+}
+
+/* Guards against a VM that takes what says nothing of the platform for its
+ * absence: one failed call, a call that was refused here, calls that were
+ * served meanwhile, a watch that began long ago. */
+static void
+test_away_by_failed_calls_only (void)
+{
+  env_t *env = _env ();
+  CU_ASSERT_EQUAL (_calls (env, 2, false), 2);
+  env->now += 3 * CLK_SECOND;
+  _end (env, 0, false);
+  CU_ASSERT_EQUAL (plt_away_at (env->plt), CLK_NEVER);
+  CU_ASSERT_EQUAL (_calls (env, 20, false), BURST);
+  CU_ASSERT_EQUAL (_refused (env), 20 - BURST);
+  CU_ASSERT_EQUAL (plt_away_at (env->plt), CLK_NEVER);
+  _end (env, 2, true);
+  _end (env, 1, false);
+  CU_ASSERT_EQUAL (plt_away_at (env->plt), CLK_NEVER);
+  _end (env, 3, true);
+  _end (env, 4, false);
+  CU_ASSERT_EQUAL (plt_away_at (env->plt), CLK_NEVER);
+  env_shutdown (env);
+}
+
+/* Guards against a moment that is later than the platform's return: that at
+ * which the last failed call ended. */
+static void
+test_away_since_the_start_of_the_last_failed_call (void)
+{
+  env_t *env = _env ();
+  CU_ASSERT_EQUAL (_calls (env, 1, false), 1);
+  env->now += 2 * CLK_SECOND;
+  clk_ms_t last_at = env->now;
+  CU_ASSERT_EQUAL (_calls (env, 1, false), 1);
+  env->now += CLK_SECOND;
+  CU_ASSERT_EQUAL (_calls (env, 1, false), 1);
+  _end (env, 0, false);
+  _end (env, 1, false);
+  CU_ASSERT_EQUAL (plt_away_at (env->plt), last_at);
+  _end (env, 2, true);
+  CU_ASSERT_EQUAL (plt_away_at (env->plt), last_at);
+  env_shutdown (env);
+}
+
 int
 main (void)
 {
@@ -95,6 +164,11 @@
       test_low_priority_reads_leave_the_reserve },
     { "breaker_refuses_at_once_and_closes_again",
       test_breaker_refuses_at_once_and_closes_again },
+    { "old_call_does_not_open_the_breaker_again",
+      test_old_call_does_not_open_the_breaker_again },
+    { "away_by_failed_calls_only", test_away_by_failed_calls_only },
+    { "away_since_the_start_of_the_last_failed_call",
+      test_away_since_the_start_of_the_last_failed_call },
   };
   return tst_run ("plt", cases, sizeof cases / sizeof cases[0]);
 }
