--- a/src/core/pth.c
+++ b/src/core/pth.c
@@ -335,7 +335,7 @@
                                         .total_ms = PTH_PROBE_MS });
       p->probes_open += probe->call != 0;
     }
-  cnt_add (env->cnt, "rts_path_probes_total", "", (double)p->probes_open);
+  cnt_add (env->cnt, "rts_path_probes_total", "", p->probes_open);
 }
 
 /** Looks whether this VM reaches the upstreams. */
