--- a/src/core/pth.c
+++ b/src/core/pth.c
@@ -42,6 +42,7 @@
 /** A VM that passes calls on. */
 typedef struct
 {
+  bool linked;            /**< there is a link to it */
   char *tunnel;           /**< its address; owned by the entry */
   bool cut_off;           /**< it does not reach the upstreams itself */
   uint32_t calls;         /**< of this VM, through it */
@@ -138,15 +139,17 @@
   talloc_free (tmp);
 }
 
+/** Sends the state to the VMs to which there are links. */
 static void
 _pth_state_send_all (const pth_t *p, env_t *env)
 {
-  for (size_t i = 0; i < mbr_vm_count (p->desc.members); i++)
-    {
-      const mbr_vm_t *vm = mbr_vm_get (p->desc.members, i);
-      if (!vm->self && vm->up)
-        _pth_state_send (p, env, vm->name);
-    }
+  GHashTableIter iter;
+  void *vm;
+  void *helper;
+  g_hash_table_iter_init (&iter, p->helpers);
+  while (g_hash_table_iter_next (&iter, &vm, &helper))
+    if (((const _pth_helper_t *)helper)->linked)
+      _pth_state_send (p, env, vm);
 }
 
 void
@@ -156,18 +159,30 @@
   _pth_state_send_all (p, env);
 }
 
+static _pth_helper_t *
+_pth_helper_get (pth_t *p, const char *vm)
+{
+  _pth_helper_t *h = g_hash_table_lookup (p->helpers, vm);
+  if (h != NULL)
+    return h;
+  h = talloc_zero (p, _pth_helper_t);
+  g_hash_table_insert (p->helpers, g_strdup (vm), h);
+  return h;
+}
+
 void
 pth_peer_up (pth_t *p, env_t *env, const char *vm)
 {
+  _pth_helper_get (p, vm)->linked = true;
   _pth_state_send (p, env, vm);
 }
 
 void
 pth_peer_down (pth_t *p, const char *vm)
 {
-  _pth_helper_t *h = g_hash_table_lookup (p->helpers, vm);
-  if (h != NULL)
-    TALLOC_FREE (h->tunnel);
+  _pth_helper_t *h = _pth_helper_get (p, vm);
+  h->linked = false;
+  TALLOC_FREE (h->tunnel);
 }
 
 void
@@ -184,12 +199,7 @@
       talloc_free (tmp);
       return;
     }
-  _pth_helper_t *h = g_hash_table_lookup (p->helpers, vm);
-  if (h == NULL)
-    {
-      h = talloc_zero (p, _pth_helper_t);
-      g_hash_table_insert (p->helpers, g_strdup (vm), h);
-    }
+  _pth_helper_t *h = _pth_helper_get (p, vm);
   TALLOC_FREE (h->tunnel);
   h->tunnel = tunnel.n > 0 ? buf_to_str (h, tunnel) : NULL;
   h->cut_off = cut_off;
