--- a/tests/test_leaving_missing.c
+++ b/tests/test_leaving_missing.c
@@ -111,6 +111,8 @@
   check_cut ("silent cut", hst_platform_cut);
 }
 
+/* Guards against the same where calls are refused at once, so that this VM's
+ * breaker opens. */
 static void
 test_left_behind_a_refusing_cut (void)
 {
