--- a/src/core/pth.c
+++ b/src/core/pth.c
@@ -258,13 +258,17 @@
   return _pth_helper_pick (p, env, tunnel);
 }
 
-/** VM has refused to help, or was not reached. */
+/** VM has refused to help, or was not reached, as UP says. */
 static void
-_pth_helper_refused (const pth_t *p, env_t *env, const char *vm)
+_pth_helper_refused (const pth_t *p, env_t *env, const char *vm,
+                     const ev_upstream_t *up)
 {
   _pth_helper_t *h = vm == NULL ? NULL : g_hash_table_lookup (p->helpers, vm);
   if (h != NULL)
     h->refused_until = env->now + PTH_REFUSED_MS;
+  tln_record (env->tln, env->now, MOD_PATH, "helper-refused", "vm=%s why=%s",
+              vm == NULL ? "" : vm,
+              up->tunnel == EV_TUNNEL_REFUSED ? "refused" : "unreached");
   cnt_add (env->cnt, "rts_path_refused_total", "", 1);
 }
 
@@ -364,8 +368,7 @@
   _pth_probes_send (p, env, FX_WAY_DIRECT);
 }
 
-/** This VM is cut off by the evidence of GOOD upstreams that another VM
- * reaches. */
+/** This VM is cut off: another one reaches upstreams that it does not. */
 static void
 _pth_cut_begin (pth_t *p, env_t *env)
 {
@@ -464,7 +467,7 @@
     }
   else if (ev->upstream.tunnel == EV_TUNNEL_REFUSED
            || ev->upstream.tunnel == EV_TUNNEL_UNREACHED)
-    _pth_helper_refused (p, env, ev->upstream.via);
+    _pth_helper_refused (p, env, ev->upstream.via, &ev->upstream);
   else
     p->probes_dead++;
   probe->call = 0;
@@ -553,7 +556,7 @@
     {
     case EV_TUNNEL_UNREACHED:
     case EV_TUNNEL_REFUSED:
-      _pth_helper_refused (p, env, via);
+      _pth_helper_refused (p, env, via, fail);
       return true;
     case EV_TUNNEL_UNKNOWN:
       return true;
--- a/src/core/pth.h
+++ b/src/core/pth.h
@@ -2,10 +2,11 @@
  * Paths (prefix pth_) from this VM to the upstreams: directly, or, while this
  * VM is cut off from them, through a VM that reaches them.
  *
- *   pth_t *p = pth_setup (ctx, &(pth_desc_t){ .members = m, .tunnel = "..."
- * }); env->pth = p;                     upc_call asks for the path of each
- * call if (pth_cut_ended_or_began (p)) ... pth_admit (p, env, open) another VM
- * asks this one to help
+ *   env->pth = pth_setup (ctx, &(pth_desc_t){ .members = m, ... });
+ *   via = pth_via (env->pth, env, FX_WAY_ANY, &tunnel);
+ *   ... upc_call and upc_event tell it of each call and its events
+ *   if (pth_cut_began (p, &since))
+ *     rte_forgive (rte, env, since);
  *
  * A VM helps by a *tunnel*: it connects to the upstream and passes the bytes
  * of one HTTP call on, as they come, both ways.  Everything that is decided
--- a/src/io/tun.c
+++ b/src/io/tun.c
@@ -19,10 +19,8 @@
 #define TUN_HEAD_MAX ((size_t)2048)
 /** Bytes that wait for one end of a tunnel. */
 #define TUN_BUFFER_SIZE ((size_t)16384)
-/** Time limit of a request for a tunnel, and of a connection to an upstream.
- */
-#define TUN_HEAD_MS (2 * CLK_SECOND)
-#define TUN_CONNECT_MS CLK_SECOND
+/** Time limit from the asking VM's connection until the tunnel is open. */
+#define TUN_OPEN_MS (3 * CLK_SECOND)
 /** Keep-alive: the first probe, the next ones, their number. */
 #define TUN_PROBE_IDLE_S 5
 #define TUN_PROBE_INTERVAL_S 2
@@ -393,7 +391,7 @@
   _tun_close_resets (sock, true);
   t->vm.buffer = talloc_array (t, char, TUN_BUFFER_SIZE);
   t->vm.fd = tevent_add_fd (loop, t, sock, TEVENT_FD_READ, _tun_on_vm, t);
-  clk_ms_t ms = TUN_HEAD_MS + TUN_CONNECT_MS;
+  clk_ms_t ms = TUN_OPEN_MS;
   t->timer = tevent_add_timer (
       loop, t, tevent_timeval_current_ofs ((uint32_t)(ms / CLK_SECOND), 0),
       _tun_on_limit, t);
