Review: large configurations in quick succession are not applied

A watch that brings more than 8 MiB counts as failed and is made again from the same revision, so that for 20 s all machines honour a key that was taken away. The store of common-2 forgets its history after 20 s now.

--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -413,6 +413,7 @@
   json_t *status;
   long long revision;
   bool deleted; /* an event of a deletion */
+  long long at; /* of an event */
 } object_t;
 
 #define STORE_MAX 20000
@@ -420,6 +421,9 @@
 static int object_count;
 static object_t *events[STORE_MAX * 4];
 static int event_count;
+static int event_first;         /* the first that is kept */
+static long long history_floor; /* revision of the last one that is not */
+static long long history_ms = 20000;
 static long long store_revision = 100;
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t store_changed = PTHREAD_COND_INITIALIZER;
@@ -452,7 +456,12 @@
   json_incref (e->spec);
   json_incref (e->status);
   e->deleted = deleted;
-  events[event_count++ % (STORE_MAX * 4)] = e;
+  e->at = mono_ms ();
+  if (event_count == STORE_MAX * 4)
+    exit (2);
+  events[event_count++] = e;
+  while (event_first < event_count && events[event_first]->at < e->at - history_ms)
+    history_floor = events[event_first++]->revision;
   pthread_cond_broadcast (&store_changed);
 }
 
@@ -603,8 +612,10 @@
     }
   for (;;)
     {
+      if (from < history_floor)
+        return NULL;
       json_t *list = json_array ();
-      for (int i = 0; i < event_count; i++)
+      for (int i = event_first; i < event_count; i++)
         if (events[i]->revision > from && strcmp (events[i]->kind, kind) == 0)
           json_array_append_new (list,
                                  json_pack ("{s:o,s:b}", "object",
@@ -660,9 +671,12 @@
   object_t *o = name[0] == '\0' ? NULL : store_find (kind, name);
   int status = 200;
   if (strcmp (m->method, "GET") == 0 && name[0] == '\0')
-    *out = query_number (m->target, "watch") >= 0
-               ? store_watch (kind, m->target)
-               : store_list (kind, m->target);
+    {
+      *out = query_number (m->target, "watch") >= 0
+                 ? store_watch (kind, m->target)
+                 : store_list (kind, m->target);
+      status = *out == NULL ? 410 : 200;
+    }
   else if (strcmp (m->method, "POST") == 0)
     {
       const char *n = json_string_value (json_object_get (meta, "name"));
