--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -409,8 +409,8 @@
 {
   char kind[32];
   char name[256];
-  json_t *spec;
-  json_t *status;
+  char *spec; /* JSON */
+  char *status;
   long long revision;
   bool deleted; /* an event of a deletion */
   long long at; /* of an event */
@@ -429,13 +429,39 @@
 static pthread_cond_t store_changed = PTHREAD_COND_INITIALIZER;
 static int store_port;
 
-static json_t *
-object_json (const object_t *o)
+/* A text that grows. */
+typedef struct
+{
+  char *p;
+  size_t n, size;
+} grow_t;
+
+static void
+grow (grow_t *g, const char *text)
 {
-  return json_pack ("{s:{s:s,s:I,s:I,s:[],s:b},s:O,s:O}", "metadata", "name",
-                    o->name, "revision", (json_int_t)o->revision, "created",
-                    (json_int_t)1, "finalizers", "deleting", 0, "spec",
-                    o->spec, "status", o->status);
+  size_t n = strlen (text);
+  if (g->n + n + 1 > g->size)
+    {
+      g->size = 2 * (g->n + n + 1);
+      g->p = realloc (g->p, g->size);
+    }
+  memcpy (g->p + g->n, text, n + 1);
+  g->n += n;
+}
+
+static void
+grow_object (grow_t *g, const object_t *o)
+{
+  char meta[512];
+  snprintf (meta, sizeof meta,
+            "{\"metadata\":{\"name\":\"%s\",\"revision\":%lld,\"created\":1,"
+            "\"finalizers\":[],\"deleting\":false},\"spec\":",
+            o->name, o->revision);
+  grow (g, meta);
+  grow (g, o->spec);
+  grow (g, ",\"status\":");
+  grow (g, o->status);
+  grow (g, "}");
 }
 
 static object_t *
@@ -453,8 +479,6 @@
 {
   object_t *e = malloc (sizeof *e);
   *e = *o;
-  json_incref (e->spec);
-  json_incref (e->status);
   e->deleted = deleted;
   e->at = mono_ms ();
   if (event_count == STORE_MAX * 4)
@@ -467,20 +491,22 @@
 
 /* Sets an object, under the lock; returns its revision. */
 static long long
-store_set (const char *kind, const char *name, json_t *spec)
+store_set (const char *kind, const char *name, json_t *value)
 {
   object_t *o = store_find (kind, name);
+  char *spec = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
+  json_decref (value);
   if (o == NULL)
     {
       o = calloc (1, sizeof *o);
       snprintf (o->kind, sizeof o->kind, "%s", kind);
       snprintf (o->name, sizeof o->name, "%s", name);
-      o->status = json_object ();
+      o->status = "{}";
       objects[object_count++] = o;
     }
-  else if (json_equal (o->spec, spec))
+  else if (strcmp (o->spec, spec) == 0)
     {
-      json_decref (spec);
+      free (spec);
       return o->revision;
     }
   /* Events share the specs: never changed in place, so never freed. */
@@ -568,39 +594,38 @@
   return strcmp ((*(object_t *const *)a)->name, (*(object_t *const *)b)->name);
 }
 
-static json_t *
-store_list (const char *kind, const char *target)
+static void
+store_list (const char *kind, const char *target, grow_t *out)
 {
-  char after[256] = "";
+  char after[256] = "", end[64];
   object_t **v = malloc (sizeof *v * (size_t)(object_count + 1));
   int n = 0;
-  json_t *items = json_array ();
   (void)query_text (target, "after", after, sizeof after);
   for (int i = 0; i < object_count; i++)
     if (strcmp (objects[i]->kind, kind) == 0
         && strcmp (objects[i]->name, after) > 0)
       v[n++] = objects[i];
   qsort (v, (size_t)n, sizeof *v, object_compare);
-  size_t bytes = 0;
   int k = 0;
-  for (; k < n && k < 500 && bytes < (1 << 20); k++)
+  grow (out, "{\"items\":[");
+  for (; k < n && k < 500 && out->n < (1 << 20); k++)
     {
-      json_t *o = object_json (v[k]);
-      char *text = json_dumps (o, JSON_COMPACT);
-      bytes += strlen (text);
-      free (text);
-      json_array_append_new (items, o);
+      grow (out, k > 0 ? "," : "");
+      grow_object (out, v[k]);
     }
   free (v);
-  return json_pack ("{s:o,s:b,s:I}", "items", items, "hasMore", k < n,
-                    "currentRev", (json_int_t)store_revision);
+  snprintf (end, sizeof end, "],\"hasMore\":%s,\"currentRev\":%lld}",
+            k < n ? "true" : "false", store_revision);
+  grow (out, end);
 }
 
-static json_t *
-store_watch (const char *kind, const char *target)
+/* false: the history is gone. */
+static bool
+store_watch (const char *kind, const char *target, grow_t *out)
 {
   long long from = query_number (target, "watch");
   long long wait = query_number (target, "waitMs");
+  char end[64];
   struct timespec at;
   clock_gettime (CLOCK_REALTIME, &at);
   at.tv_sec += wait / 1000;
@@ -610,32 +635,39 @@
       at.tv_sec++;
       at.tv_nsec -= 1000000000;
     }
-  for (;;)
+  for (bool timed_out = false;;)
     {
+      int n = 0;
       if (from < history_floor)
-        return NULL;
-      json_t *list = json_array ();
+        return false;
+      out->n = 0;
+      grow (out, "{\"events\":[");
       for (int i = event_first; i < event_count; i++)
         if (events[i]->revision > from && strcmp (events[i]->kind, kind) == 0)
-          json_array_append_new (list,
-                                 json_pack ("{s:o,s:b}", "object",
-                                            object_json (events[i]), "deleted",
-                                            events[i]->deleted));
-      if (json_array_size (list) > 0
-          || pthread_cond_timedwait (&store_changed, &store_lock, &at) != 0)
-        return json_pack ("{s:o,s:I}", "events", list, "currentRev",
-                          (json_int_t)store_revision);
-      json_decref (list);
+          {
+            grow (out, n++ > 0 ? ",{\"object\":" : "{\"object\":");
+            grow_object (out, events[i]);
+            grow (out, events[i]->deleted ? ",\"deleted\":true}"
+                                          : ",\"deleted\":false}");
+          }
+      if (n > 0 || timed_out)
+        {
+          snprintf (end, sizeof end, "],\"currentRev\":%lld}",
+                    store_revision);
+          grow (out, end);
+          return true;
+        }
+      timed_out
+          = pthread_cond_timedwait (&store_changed, &store_lock, &at) != 0;
     }
 }
 
 /* Under the lock; returns the status and sets *OUT. */
 static int
-store_call (const msg_t *m, json_t **out)
+store_call (const msg_t *m, const json_t *body, grow_t *out)
 {
   char kind[32] = "", name[256] = "", sub[16] = "";
   char path[2048];
-  *out = NULL;
   snprintf (path, sizeof path, "%s", m->target);
   path[strcspn (path, "?")] = '\0';
   const char *p = path + strlen ("/rattanspindle/objects/");
@@ -662,8 +694,6 @@
       if (*p == '/')
         snprintf (sub, sizeof sub, "%s", p + 1);
     }
-  json_t *body
-      = m->body_n > 0 ? json_loadb (m->body, m->body_n, 0, NULL) : NULL;
   json_t *meta = json_object_get (body, "metadata");
   json_int_t revision = json_integer_value (json_object_get (meta, "revision"));
   if (query_number (m->target, "revision") > 0)
@@ -672,10 +702,10 @@
   int status = 200;
   if (strcmp (m->method, "GET") == 0 && name[0] == '\0')
     {
-      *out = query_number (m->target, "watch") >= 0
-                 ? store_watch (kind, m->target)
-                 : store_list (kind, m->target);
-      status = *out == NULL ? 410 : 200;
+      if (query_number (m->target, "watch") < 0)
+        store_list (kind, m->target, out);
+      else if (!store_watch (kind, m->target, out))
+        status = 410;
     }
   else if (strcmp (m->method, "POST") == 0)
     {
@@ -699,7 +729,7 @@
     status = 409;
   else if (strcmp (m->method, "PUT") == 0 && strcmp (sub, "status") == 0)
     {
-      o->status = json_incref (json_object_get (body, "status"));
+      o->status = json_dumps (json_object_get (body, "status"), JSON_COMPACT);
       o->revision = ++store_revision;
       store_event (o, false);
     }
@@ -707,15 +737,14 @@
     store_set (kind, name, json_incref (json_object_get (body, "spec")));
   else if (strcmp (m->method, "DELETE") == 0)
     {
-      *out = object_json (o);
+      grow_object (out, o);
       store_remove (kind, name);
       o = NULL;
     }
-  if (*out == NULL && o != NULL)
-    *out = object_json (o);
-  if (*out == NULL)
-    *out = json_pack ("{s:s}", "error", "no such object");
-  json_decref (body);
+  if (out->n == 0 && o != NULL)
+    grow_object (out, o);
+  if (out->n == 0)
+    grow (out, "{\"error\":\"not there\"}");
   return status;
 }
 
@@ -729,16 +758,17 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   while (read_request (&in, &m))
     {
-      json_t *out = NULL;
+      grow_t out = { 0 };
+      json_t *body
+          = m.body_n > 0 ? json_loadb (m.body, m.body_n, 0, NULL) : NULL;
       sleep_ms (2);
       pthread_mutex_lock (&store_lock);
-      int status = store_call (&m, &out);
-      char *text = json_dumps (out, JSON_COMPACT);
-      json_decref (out);
+      int status = store_call (&m, body, &out);
       pthread_mutex_unlock (&store_lock);
+      json_decref (body);
       bool good = respond (fd, status, "Content-Type: application/json\r\n",
-                           text, strlen (text));
-      free (text);
+                           out.p, out.n);
+      free (out.p);
       msg_free (&m);
       if (!good)
         break;
