--- a/review/7/case.c
+++ b/review/7/case.c
@@ -112,7 +112,7 @@
                     "Model: m\r\nToken-Usage: 40,20\r\nTenant: rival\r\n"
                     "X-Rest: b"
                   : "another note");
-  sleep_ms (6000);
+  sleep_ms (2500);
   read_results (vms[0]->front, "plain");
   read_results (vms[0]->front, "second");
   return stand_verdict (foreign_id > 0 || foreign_tenant > 0,
