--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -130,16 +130,19 @@
 }
 
 /* A port for a process that is started later, below those that the system
- * gives to connections. */
+ * gives to connections; another one at each call. */
 static int
 free_port (void)
 {
-  static unsigned seed;
-  if (seed == 0)
-    seed = (unsigned)getpid () * 2654435761U + (unsigned)time (NULL);
+  static int next;
+  if (next == 0)
+    next = 12000
+           + (int)(((unsigned)getpid () * 2654435761U + (unsigned)time (NULL))
+                   % 20000);
   for (int i = 0; i < 1000; i++)
     {
-      int port = 12000 + rand_r (&seed) % 20000;
+      int port = next;
+      next = next < 31999 ? next + 1 : 12000;
       int fd = listen_any (&port);
       if (fd < 0)
         continue;
