A text counts as a result's only with the run that completed it

Cause: when another VM's record listed an item that waited here to be listed, the text that lay here was kept as the result's. The item had been given up here, and the text was what a broken run had left; the VM then ran the job again and handed that text to all others. The stored text was whole.

Change: an item that is given up drops its text. A text here is a result's only if a run here completed the item and the platform holds that text; where the platform says that one exists without showing it, readers read it. A log line tells when a VM's outcome is not the listed one.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -163,23 +163,36 @@
     job_tick_arm (j, env);
 }
 
+/* Gives an item of JOB the RESULT that the record lists.  Its text here is the
+ * result's only if a run here has completed the item and the platform holds
+ * that text. */
+static void
+_job_item_listed (job_set_t *j, env_t *env, job_t *job,
+                  const job_rec_result_t *result)
+{
+  job_item_t *item = &job->items[result->item];
+  bool pending = item->state == JOB_ITEM_LIST_PENDING;
+  if (pending && item->completed && item->text != NULL)
+    job_text_cache (j, job, result->item,
+                    (buf_t){ .p = item->text->str, .n = item->text->len });
+  if (pending && item->completed != result->completed)
+    tln_record (env->tln, env->now, MOD_JOB, "outcome-differs",
+                "job=%s item=%s listed=%s", job->rec->id,
+                job->rec->items[result->item].id,
+                result->completed ? "done" : "dead");
+  job_text_drop (item);
+  item->completed = result->completed;
+  item->state = JOB_ITEM_LISTED;
+}
+
 /* Updates the states of JOB's items from the record, which is authoritative.
  */
 static void
-_job_items_update (job_set_t *j, job_t *job)
+_job_items_update (job_set_t *j, env_t *env, job_t *job)
 {
   for (uint32_t i = 0; i < job->rec->result_count; i++)
-    {
-      job_item_t *item = &job->items[job->rec->results[i].item];
-      if (item->state == JOB_ITEM_LIST_PENDING && item->text != NULL)
-        job_text_cache (j, job, job->rec->results[i].item,
-                        (buf_t){ .p = item->text->str, .n = item->text->len });
-      if (item->text != NULL)
-        g_string_free (item->text, TRUE);
-      item->text = NULL;
-      item->completed = job->rec->results[i].completed;
-      item->state = JOB_ITEM_LISTED;
-    }
+    if (job->items[job->rec->results[i].item].state != JOB_ITEM_LISTED)
+      _job_item_listed (j, env, job, &job->rec->results[i]);
   job->waiting = 0;
   for (uint32_t i = 0; i < job->rec->item_count; i++)
     job->waiting += job->items[i].state == JOB_ITEM_WAITING;
@@ -278,7 +291,7 @@
     _job_rec_replace (j, job, rec);
   job->version = version;
   _job_runs_stop_needless (j, env, job);
-  _job_items_update (j, job);
+  _job_items_update (j, env, job);
   _job_runner_update (j, env, job);
   job_calls_step (j, env, job->rec->id);
   return job;
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -44,10 +44,12 @@
    * record: u64 version, u64 time of the follower as it was sent, str job:
    * this version was the newest. */
   MSG_JOB_CURRENT,
-  /** u64 item, str job: asks the runner for the text of a result. */
+  /** u64 item, str job: asks the runner for the text of a result.  Only VMs
+   * of earlier versions send it; they get MSG_JOB_TEXT. */
   MSG_JOB_TEXT_REQUEST,
   /** The response: u64 item, u64 1 if the text is at hand, else 0, str job,
-   * str text. */
+   * str text.  It is not used here: VMs of earlier versions also sent texts of
+   * runs that had broken off. */
   MSG_JOB_TEXT,
   /** u64 tag, u64 ms until it is due, u64 items, str path of the route, str
    * job: asks the runner how many items of a new job would be on time. */
@@ -55,6 +57,11 @@
   /** The answer: u64 tag, u64 items on time, u64 items ahead, u64 age of the
    * evidence in ms, u64 ms after which to try again, str job. */
   MSG_JOB_ADMITTED,
+  /** u64 item, str job: asks the runner for the text of a result, which a run
+   * has brought whole.  Earlier versions do not answer. */
+  MSG_JOB_WHOLE_TEXT_REQUEST,
+  /** The response, as in MSG_JOB_TEXT. */
+  MSG_JOB_WHOLE_TEXT,
 } job_msg_t;
 
 /** Settings of the module; a zero selects the default. */
--- a/src/core/job_follow.c
+++ b/src/core/job_follow.c
@@ -211,13 +211,15 @@
   mpk_writer_init (&w, tmp);
   mpk_put_uint (&w, item);
   mpk_put_str (&w, buf_str (job->rec->id));
-  fx_peer_send (env->fx, runner, MSG_JOB_TEXT_REQUEST, mpk_done (&w));
+  fx_peer_send (env->fx, runner, MSG_JOB_WHOLE_TEXT_REQUEST, mpk_done (&w));
   talloc_free (tmp);
   return true;
 }
 
+/* Answers VM's request for a text with a message of KIND. */
 static bool
-_job_text_requested (job_set_t *j, env_t *env, const char *vm, mpk_reader_t *r)
+_job_text_requested (job_set_t *j, env_t *env, const char *vm, uint16_t kind,
+                     mpk_reader_t *r)
 {
   uint64_t item = mpk_get_uint (r);
   const char *id = mpk_get_str (r).p;
@@ -234,7 +236,7 @@
   mpk_put_uint (&w, text.p != NULL);
   mpk_put_str (&w, buf_str (id));
   mpk_put_str (&w, text);
-  fx_peer_send (env->fx, vm, MSG_JOB_TEXT, mpk_done (&w));
+  fx_peer_send (env->fx, vm, kind, mpk_done (&w));
   talloc_free (tmp);
   return true;
 }
@@ -271,8 +273,10 @@
     case MSG_JOB_CURRENT:
       return _job_current_received (j, env, r);
     case MSG_JOB_TEXT_REQUEST:
-      return _job_text_requested (j, env, vm, r);
-    case MSG_JOB_TEXT:
+      return _job_text_requested (j, env, vm, MSG_JOB_TEXT, r);
+    case MSG_JOB_WHOLE_TEXT_REQUEST:
+      return _job_text_requested (j, env, vm, MSG_JOB_WHOLE_TEXT, r);
+    case MSG_JOB_WHOLE_TEXT:
       return _job_text_received (j, env, r);
     default:
       return false;
--- a/src/core/job_list.c
+++ b/src/core/job_list.c
@@ -179,6 +179,18 @@
 /* -- outcomes --------------------------------------------------------------
  */
 
+/* The text of ITEM exists, from this VM or another; the first write counts.
+ * REPLY may not show it. */
+static void
+_job_text_replace (job_item_t *item, const ev_platform_t *reply)
+{
+  g_string_free (item->text, TRUE);
+  item->text = NULL;
+  if (reply->object_count > 0 && reply->objects[0].value.p != NULL)
+    item->text = g_string_new_len (reply->objects[0].value.p,
+                                   (gssize)reply->objects[0].value.n);
+}
+
 static void
 _job_text_replied (job_set_t *j, env_t *env, job_t *job, uint32_t index,
                    const ev_platform_t *reply)
@@ -188,9 +200,8 @@
     return;
   if (reply->code == ST_OK || reply->code == ST_CONFLICT)
     {
-      /* The text exists, from this VM or another; the first write counts. */
-      if (reply->code == ST_CONFLICT && reply->object_count > 0)
-        g_string_assign (item->text, reply->objects[0].value.p);
+      if (reply->code == ST_CONFLICT)
+        _job_text_replace (item, reply);
       item->state = JOB_ITEM_LIST_PENDING;
       job_list_step (j, env, job);
       return;
@@ -223,7 +234,10 @@
       item->not_before = env->now;
     }
   else
-    item->state = JOB_ITEM_LIST_PENDING;
+    {
+      item->state = JOB_ITEM_LIST_PENDING;
+      job_text_drop (item);
+    }
   job_list_step (j, env, job);
 }
 
--- a/src/core/job_read.c
+++ b/src/core/job_read.c
@@ -194,7 +194,8 @@
 {
   job_t *job = job_find (j, c->id);
   c->pending_reads--;
-  if (reply->code == ST_OK && reply->object_count > 0 && job != NULL)
+  if (reply->code == ST_OK && reply->object_count > 0 && job != NULL
+      && reply->objects[0].value.p != NULL)
     job_text_cache (j, job, op->index, reply->objects[0].value);
   else
     {
