Nothing becomes part of a head unchecked

Cause: each road put its strings into heads by itself, and none checked them; paths were also part of a URL, which libcurl reads and normalises. Names, ids and paths of items did the same as values; online, white space before a colon, unequal lengths and unknown transfer codings passed or got no answer.

Change: core/hck says what may stand in a head. hcl_call asks it before any byte of any request leaves, on every road, and sends the target as it is. Where strings arrive their sender gets an error: 400 for a whole job, which names item and field, before anything is stored; 400 or 501 online; a customer or an entry whose name cannot be sent is ignored. What a VM of the version before has stored is listed as given up, without a run. In the users' protocol api_key in a query is no credential and is passed on. Records and messages are unchanged.

--- a/src/core/bat_parse.c
+++ b/src/core/bat_parse.c
@@ -1,4 +1,5 @@
 #include "core/bat_int.h"
+#include "core/hck.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -78,6 +79,11 @@
   if (route == NULL)
     return st_set (st, ST_INVALID, "line %u: no route for %.16s %.80s", line,
                    in.method, in.path);
+  hck_fault_t fault = hck_request (
+      &(hck_request_t){ .method = in.method, .target = in.path });
+  if (fault.part != NULL)
+    return st_set (st, ST_INVALID, "line %u: the %s %s", line, fault.part,
+                   fault.why);
   char *text = json_dumps (body, JSON_COMPACT);
   in.body = text;
   in.idempotent = route->idempotent;
--- a/src/core/bat_response.c
+++ b/src/core/bat_response.c
@@ -115,6 +115,9 @@
     case EV_FAIL_TIMEOUT:
       _bat_item_attempt_failed (b, env, h, i, 0, "no answer in time");
       return;
+    case EV_FAIL_UNSENDABLE:
+      _bat_item_fail (b, env, h, i, 0, u->text);
+      return;
     }
 }
 
@@ -179,7 +182,7 @@
     _bat_item_call_failed (b, env, h, s->item, &ev->upstream);
   else
     _bat_item_responded (b, env, h, s->item, s);
-  bool reached = !failed || ev->upstream.fail != EV_FAIL_NOT_SENT;
+  bool reached = !failed || !ev_fail_is_unsent (ev->upstream.fail);
   bat_inflight_free (b, env, s, reached);
   bat_pump (b, env);
 }
--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -39,11 +39,20 @@
 /** How far a failed upstream call got. */
 typedef enum
 {
-  EV_FAIL_NOT_SENT, /**< no byte of the request left this VM */
-  EV_FAIL_UNKNOWN,  /**< the request may have run, in full or in part */
-  EV_FAIL_TIMEOUT,  /**< a time limit passed; the request may have run */
+  EV_FAIL_NOT_SENT,   /**< no byte of the request left this VM */
+  EV_FAIL_UNKNOWN,    /**< the request may have run, in full or in part */
+  EV_FAIL_TIMEOUT,    /**< a time limit passed; the request may have run */
+  EV_FAIL_UNSENDABLE, /**< nothing was sent, as a part of the request may not
+                           stand in a head (hck.h); no fault of the upstream */
 } ev_fail_t;
 
+/** Whether FAIL says that no byte of the request left this VM. */
+static inline bool
+ev_fail_is_unsent (ev_fail_t fail)
+{
+  return fail == EV_FAIL_NOT_SENT || fail == EV_FAIL_UNSENDABLE;
+}
+
 /** Metadata of a request that the caller's protocol carries outside the body.
  * Zero and NULL mean that the caller did not give the value. */
 typedef struct
@@ -92,6 +101,8 @@
   const char *item; /**< BODY: item id */
   const ev_job_item_t *items; /**< SUBMIT; NULL: the body is malformed */
   size_t item_count;
+  const char *fault; /**< SUBMIT, without items: what is malformed, printable;
+                          NULL: the body as a whole */
 } ev_job_t;
 
 /** A caller's request. */
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -5,8 +5,9 @@
  * job.c keeps the jobs and passes replies on, job_feed.c reads the feed of
  * records, job_submit.c accepts jobs, job_admit.c refuses those that cannot
  * end in time, job_read.c responds to calls, job_run.c runs items in the order
- * of job_order.c, job_list.c gives results their positions, and job_follow.c
- * sends updates to peers.  A call is a caller's request about an existing job.
+ * of job_order.c, job_check.c says what may be sent, job_list.c gives results
+ * their positions, and job_follow.c sends updates to peers.  A call is a
+ * caller's request about an existing job.
  */
 #ifndef RTS_JOB_INT_H
 #define RTS_JOB_INT_H
@@ -331,6 +332,15 @@
 void job_feed_read (job_set_t *j, env_t *env);
 void job_feed_replied (job_set_t *j, env_t *env, const ev_platform_t *reply);
 
+/* job_check.c: why something may not be sent, as printable text; NULL: it may.
+ * Texts may be owned by CTX. */
+const char *job_item_fault (void *ctx, const char *id, const char *target,
+                            http_headers_t headers);
+/** The same for a whole submission, with the place of the fault. */
+const char *job_submitted_fault (void *ctx, const ev_job_t *submitted);
+/** The same for item INDEX of the record REC. */
+const char *job_stored_fault (void *ctx, const job_rec_t *rec, uint32_t index);
+
 /* job_submit.c */
 void job_submit (job_set_t *j, env_t *env, const char *customer,
                  const cfg_route_t *route, const ev_request_t *req);
--- a/src/core/job_rec.c
+++ b/src/core/job_rec.c
@@ -5,7 +5,6 @@
 #include <talloc.h>
 
 #define JOB_REC_VERSION 1
-#define JOB_HEADERS_MAX 64
 
 static void
 _job_rec_item_put (mpk_writer_t *w, const job_rec_item_t *item)
--- a/src/core/job_rec.h
+++ b/src/core/job_rec.h
@@ -22,6 +22,9 @@
 /** Most items of a job. */
 #define JOB_ITEMS_MAX 4096
 
+/** Most headers of an item. */
+#define JOB_HEADERS_MAX 64
+
 /** An item. */
 typedef struct
 {
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -409,6 +409,24 @@
   g_ptr_array_add (j->full, g_strdup (deployment));
 }
 
+/* Gives item INDEX up if it may not be sent, which an earlier version has
+ * accepted. */
+static bool
+_job_item_is_unsendable (job_set_t *j, env_t *env, job_t *job, uint32_t index)
+{
+  void *tmp = talloc_new (NULL);
+  const char *why = job_stored_fault (tmp, job->rec, index);
+  if (why != NULL)
+    {
+      tln_record (env->tln, env->now, MOD_JOB, "item-unsendable",
+                  "job=%s item=%u why=%s", job->rec->id, index, why);
+      job->waiting--;
+      job_outcome_set (j, env, job, index, false);
+    }
+  talloc_free (tmp);
+  return why != NULL;
+}
+
 /* Starts item INDEX. */
 static _job_start_t
 _job_start_item (job_set_t *j, env_t *env, job_t *job, uint32_t index,
@@ -537,6 +555,8 @@
   for (job_t *job = job_order_next (j, env, &index); job != NULL;
        job = job_order_next (j, env, &index))
     {
+      if (_job_item_is_unsendable (j, env, job, index))
+        continue;
       const cfg_route_t *route = job_item_route (j, job, index);
       if (route == NULL)
         {
@@ -800,6 +820,8 @@
 {
   if (up->path_failed)
     _job_run_end (j, env, run, RTE_FAIL_CANCELLED, "path");
+  else if (up->fail == EV_FAIL_UNSENDABLE)
+    _job_run_end (j, env, run, RTE_FAIL_CANCELLED, "unsendable");
   else if (up->fail == EV_FAIL_TIMEOUT)
     _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "timeout");
   else if (up->fail == EV_FAIL_NOT_SENT)
--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -29,6 +29,19 @@
   tbl_free (j->submits, s->self);
 }
 
+/* Refuses a submission whose caller should change it, as WHY says. */
+static void
+_job_refuse_malformed (env_t *env, uint64_t caller, const char *id,
+                       const char *why)
+{
+  tln_record (env->tln, env->now, MOD_JOB, "malformed", "job=%s why=%s",
+              id == NULL ? "" : id, why);
+  cnt_add (env->cnt, "rts_job_refused_total", "", 1);
+  rpl_error (
+      env, caller,
+      &(rpl_error_t){ .status = 400, .code = "bad-job", .message = why });
+}
+
 static void
 _job_refuse (env_t *env, uint64_t caller, const char *id, int status,
              const char *code, rpl_run_t run, clk_ms_t retry_after_ms)
@@ -424,13 +437,17 @@
 {
   const ev_job_t *submitted = &req->job;
   const char *id = submitted->id;
-  if (submitted->items == NULL || id == NULL || submitted->item_count == 0
-      || submitted->item_count > JOB_ITEMS_MAX)
-    {
-      _job_refuse (env, req->caller, id, 400, "bad-job", RPL_NOT_RUN, 0);
-      return;
-    }
-  const job_t *known = job_find (j, id);
+  const job_t *known = id == NULL ? NULL : job_find (j, id);
+  void *tmp = talloc_new (NULL);
+  /* An earlier version may have accepted what this one would not. */
+  const char *fault = known != NULL && submitted->items != NULL
+                          ? NULL
+                          : job_submitted_fault (tmp, submitted);
+  if (fault != NULL)
+    _job_refuse_malformed (env, req->caller, id, fault);
+  talloc_free (tmp);
+  if (fault != NULL)
+    return;
   bool may_run = known != NULL || _job_is_submitted (j, customer, id);
   if (known != NULL && strcmp (known->rec->customer, customer) != 0)
     _job_refuse (env, req->caller, id, 409, "job-id-taken", RPL_NOT_RUN, 0);
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -484,6 +484,8 @@
     return RTE_FAIL_CANCELLED;
   switch (up->fail)
     {
+    case EV_FAIL_UNSENDABLE:
+      return RTE_FAIL_CANCELLED;
     case EV_FAIL_TIMEOUT:
       return RTE_FAIL_TIMEOUT;
     case EV_FAIL_NOT_SENT:
@@ -508,7 +510,7 @@
 static void
 _onl_fail (onl_t *o, env_t *env, onl_request_t *r, const ev_upstream_t *up)
 {
-  bool may_have_run = up->fail != EV_FAIL_NOT_SENT || r->state != ONL_SENT;
+  bool may_have_run = !ev_fail_is_unsent (up->fail) || r->state != ONL_SENT;
   if (r->state == ONL_ANSWERING)
     {
       _onl_response_failed (o, env, r, onl_crash_fail (r, up->closed),
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -1,5 +1,6 @@
 #include "io/hcl.h"
 
+#include "core/hck.h"
 #include "io/hcl_socket.h"
 #include "io/tun.h"
 
@@ -74,6 +75,7 @@
   size_t turn_bytes; /**< of the body, passed on in this turn */
   bool turn_held;    /**< more has come, which waits for the turn's end */
   struct tevent_immediate *turn_end;
+  const char *unsendable; /**< why it is not sent; NULL: it is */
 };
 
 /* -- table ---------------------------------------------------------------- */
@@ -590,13 +592,22 @@
   talloc_free (c);
 }
 
+/* The line of header H, owned by CTX.  libcurl takes "NAME:" for a header that
+ * is not to be sent, and "NAME;" for one without a value. */
+static char *
+_hcl_header_line (void *ctx, const http_header_t *h)
+{
+  const char *value = h->value + strspn (h->value, " \t");
+  return value[0] == '\0' ? talloc_asprintf (ctx, "%s;", h->name)
+                          : talloc_asprintf (ctx, "%s: %s", h->name, value);
+}
+
 static void
 _hcl_set_headers (_hcl_request_t *r, http_headers_t headers)
 {
   for (size_t i = 0; i < headers.n; i++)
     {
-      char *line = talloc_asprintf (r, "%s: %s", headers.v[i].name,
-                                    headers.v[i].value);
+      char *line = _hcl_header_line (r, &headers.v[i]);
       r->request_headers = curl_slist_append (r->request_headers, line);
       talloc_free (line);
     }
@@ -650,9 +661,12 @@
 _hcl_set_request (_hcl_request_t *r, const hcl_call_t *call)
 {
   CURL *e = r->easy;
-  char *url = talloc_asprintf (r, "http://%s%s", call->address, call->path);
+  char *url = talloc_asprintf (r, "http://%s/", call->address);
   curl_easy_setopt (e, CURLOPT_URL, url);
   talloc_free (url);
+  /* As it is: libcurl would take dot segments out of a URL's path, and "@" for
+   * the end of a user's name. */
+  curl_easy_setopt (e, CURLOPT_REQUEST_TARGET, call->path);
   if (call->body.n > 0 || strcmp (call->method, "POST") == 0
       || strcmp (call->method, "PUT") == 0)
     {
@@ -685,6 +699,36 @@
   r->id_required = call->id_required;
 }
 
+/* Why CALL may not be sent, owned by R; NULL: it may. */
+static const char *
+_hcl_call_fault (_hcl_request_t *r, const hcl_call_t *call)
+{
+  hck_fault_t fault = hck_request (&(hck_request_t){
+      .method = call->method,
+      .address = call->address,
+      .target = call->path,
+      .headers = call->headers,
+      .sends = true,
+  });
+  if (fault.part == NULL && call->tunnel != NULL)
+    fault = hck_request (&(hck_request_t){ .address = call->tunnel });
+  return fault.part == NULL ? NULL : hck_describe (r, &fault);
+}
+
+static void
+_hcl_on_unsendable (struct tevent_context *loop, struct tevent_immediate *im,
+                    void *data)
+{
+  (void)loop;
+  (void)im;
+  _hcl_request_t *r = data;
+  hcl_event_t e = { .kind = EV_UPSTREAM_FAIL,
+                    .fail = EV_FAIL_UNSENDABLE,
+                    .text = r->unsendable };
+  _hcl_emit (r, &e);
+  _hcl_remove (r);
+}
+
 void
 hcl_call (hcl_t *c, const hcl_call_t *call)
 {
@@ -695,9 +739,20 @@
   r->stall_ms = call->stall_ms;
   r->body_max = call->body_max;
   r->framing_required = call->framing_required;
-  r->easy = curl_easy_init ();
   r->turn_end = tevent_create_immediate (r);
   talloc_set_destructor (r, _hcl_request_destroy);
+  r->unsendable = _hcl_call_fault (r, call);
+  if (r->unsendable != NULL)
+    {
+      g_message ("http call-not-sent: owner=%d id=%llu why=%s",
+                 (int)call->owner, (unsigned long long)call->id,
+                 r->unsendable);
+      g_hash_table_add (c->requests, r);
+      tevent_schedule_immediate (r->turn_end, c->desc.loop, _hcl_on_unsendable,
+                                 r);
+      return;
+    }
+  r->easy = curl_easy_init ();
   _hcl_set_connection (r, call);
   if (call->tunnel != NULL)
     _hcl_set_tunnel (r, call);
@@ -728,6 +783,6 @@
   r->paused = paused;
   if (r->head_received)
     _hcl_stall_limit_restart (r);
-  if (!paused)
+  if (!paused && r->easy != NULL)
     curl_easy_pause (r->easy, CURLPAUSE_CONT);
 }
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -19,6 +19,10 @@
  * turn of the loop, so that a handler that queues events can pause the call in
  * time.
  *
+ * The head of a request is checked (core/hck.h); one that does not pass fails
+ * with EV_FAIL_UNSENDABLE, and no byte of it is sent.  Its path and the values
+ * of its headers are sent as they are.
+ *
  * A connection serves call after call.  So that a call does not get bytes that
  * are not its own, a connection is not used again when bytes have arrived on
  * it before a call starts, or with a response whose id_header shows that it is
@@ -48,13 +52,13 @@
 {
   hcl_owner_t owner;
   uint64_t id;         /**< unique among its owner's calls in progress */
-  const char *address; /**< "IP:PORT" */
+  const char *address; /**< "HOST:PORT" */
   const char *tunnel;  /**< "IP:PORT" of the VM that makes the connection to
                             ADDRESS (tun.h); NULL: made directly.  Such a call
                             always has a connection of its own */
   const char *tunnel_proof; /**< with TUNNEL: as in tun.h */
   const char *method;
-  const char *path; /**< path and query */
+  const char *path; /**< path and query, sent as they are */
   http_headers_t headers;
   buf_t body;
   clk_ms_t connect_ms;    /**< time limit for a new connection; 0: 1 s */
--- a/src/io/hsv.c
+++ b/src/io/hsv.c
@@ -264,7 +264,7 @@
     r->too_large = true;
   if (s->bodies + n > s->desc.bodies_max)
     r->over_total = true;
-  if (r->too_large || r->over_total)
+  if (r->too_large || r->over_total || r->refused != NULL)
     return r->received <= 2 * s->desc.body_max;
   s->bodies += n;
   g_byte_array_append (r->body, (const guint8 *)bytes, (guint)n);
@@ -295,7 +295,8 @@
       r->is_http_1_0 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       r->method = talloc_strdup (r, method);
       r->path = talloc_strdup (r, url);
-      return MHD_YES;
+      hsv_head_check (r);
+      return r->unframed ? hsv_head_refuse (r) : MHD_YES;
     }
   if (*upload_size > 0)
     {
@@ -308,6 +309,8 @@
     }
   if (r->too_large || r->over_total)
     return _hsv_refuse_body (r);
+  if (r->refused != NULL)
+    return hsv_head_refuse (r);
   if (r->aborted && r->status == 0)
     return MHD_NO;
   if (r->status != 0)
--- a/src/io/hsv.h
+++ b/src/io/hsv.h
@@ -14,7 +14,9 @@
  * EV_CALLER_GONE when the caller closes before the end of the response; never
  * from within an hsv_reply function.  Replies to a caller that is gone are
  * ignored.  Data is borrowed in events and copied in replies.  Sizes are in
- * bytes.  A body that exceeds a limit gets a response without an event.  Links
+ * bytes.  A body that exceeds a limit gets a response without an event, and so
+ * does a head that may not be passed on (core/hck.h); then the connection is
+ * closed.  Links
  * between VMs use lnk.h instead.
  */
 #ifndef RTS_HSV_H
--- a/src/io/hsv_int.h
+++ b/src/io/hsv_int.h
@@ -1,6 +1,6 @@
 /** @file
- * State that the files of the HTTP server (hsv.c, hsv_check.c) share.  Other
- * modules use hsv.h instead.
+ * State that the files of the HTTP server (hsv.c, hsv_head.c, hsv_check.c)
+ * share.  Other modules use hsv.h instead.
  */
 #ifndef RTS_HSV_INT_H
 #define RTS_HSV_INT_H
@@ -28,6 +28,9 @@
   int status;          /**< 0 until hsv_reply_head */
   http_header_t *headers;
   size_t header_count;
+  const char *refused;  /**< why the head is refused; NULL: it is not */
+  int refused_status;   /**< with REFUSED */
+  bool unframed;        /**< with REFUSED: where the body ends is unclear */
   bool too_large;       /**< the body exceeds body_max */
   bool over_total;      /**< all bodies together would exceed bodies_max */
   bool response_queued; /**< the library has the response's head */
@@ -66,6 +69,15 @@
 /** Tells the handler that the caller of R has gone, once. */
 void hsv_gone_report (hsv_request_t *r);
 
+/* hsv_head.c */
+
+/** Checks the head of R, of which method and target are set, and sets what is
+ * refused of it. */
+void hsv_head_check (hsv_request_t *r);
+
+/** Responds to R that its head is refused, and closes after that. */
+enum MHD_Result hsv_head_refuse (hsv_request_t *r);
+
 /* hsv_socket.c */
 
 /** Descriptor of the connection of R. */
--- a/tests/hst.h
+++ b/tests/hst.h
@@ -238,6 +238,10 @@
  * key. */
 void hst_document_write (hst_t *h, const char *key);
 
+/** Write VALUE to the platform as object NAME, which does not exist yet, as
+ * another VM would. */
+void hst_object_write (hst_t *h, const char *name, buf_t value);
+
 /** Make the platform lose its history.  Watches of the document see no change
  * before they time out; other watches fail with ST_STALE. */
 void hst_compact (hst_t *h);
--- a/tests/hst_store.c
+++ b/tests/hst_store.c
@@ -247,3 +247,15 @@
   h->compacted = ++h->revision;
   h->document_watch_lost = true;
 }
+
+void
+hst_object_write (hst_t *h, const char *name, buf_t value)
+{
+  ev_platform_t reply = { 0 };
+  void *ctx = talloc_new (NULL);
+  _hst_put (
+      h, ctx,
+      &(fx_platform_t){ .op = FX_PLATFORM_PUT, .name = name, .value = value },
+      &reply);
+  talloc_free (ctx);
+}
