A run that brings nothing is repeated after a growing pause

An item whose answers bore a foreign id was sent thousands of times a second, and one whose path failed tens of thousands; its VM spun, was taken for dead, and the next one spun, so that other customers' jobs waited.

Cause: a pause was set where a run was refused or ended with a status; at twelve other failed ends there was none, and the item started again in the same step.

Change: every failed end goes through one function. A run that has brought no event has its item wait 50 ms, doubled with each further one up to 2 s; an event resets that. A text or a body that is not there is read again, and a result is written again beside a record that cannot be used, after a pause.

--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -85,9 +85,10 @@
   uint32_t failed_at_count; /**< of failed_at, at most JOB_FAILED_AT_MAX */
   uint64_t request_hash;    /**< crs_request_hash; 0: not known yet */
   bool has_ended_one;       /**< as in crs_query_t */
-  clk_ms_t not_before;      /**< earliest time of the next run or write */
-  GString *text;            /**< data of the events received; NULL: none */
-  uint64_t last_event;      /**< id of the last event received; 0: none */
+  uint32_t fruitless;  /**< last runs in a row that have brought nothing */
+  clk_ms_t not_before; /**< earliest time of the next run or write */
+  GString *text;       /**< data of the events received; NULL: none */
+  uint64_t last_event; /**< id of the last event received; 0: none */
   char *deployment;    /**< where TEXT began, if its upstreams have versions;
                             NULL: no event, or none has */
   char *version;       /**< DEPLOYMENT: of the software of TEXT's upstreams;
--- a/src/core/job_list.c
+++ b/src/core/job_list.c
@@ -150,6 +150,12 @@
     job->end_wanted = false;
   if (job->version != before)
     job_update_send (j, env, job);
+  /* A record that cannot be used stands in the way of every write. */
+  if (reply->objects[0].version > job->version)
+    {
+      job->write_retry = env->now + env_jitter (env, JOB_RETRY_MS);
+      job_tick_arm (j, env);
+    }
   job_list_step (j, env, job);
 }
 
--- a/src/core/job_read.c
+++ b/src/core/job_read.c
@@ -188,6 +188,16 @@
   return c->pending_reads > 0;
 }
 
+/* A read of an object for C has failed with CODE.  One that is not found is
+ * read at once without a stale answer, and then after a pause. */
+static void
+_job_call_read_failed (const env_t *env, job_call_t *c, st_code_t code)
+{
+  bool was_stale = code == ST_NOT_FOUND && !c->latest;
+  c->latest = true;
+  c->retry_at = env->now + (was_stale ? 0 : JOB_RETRY_MS);
+}
+
 static void
 _job_call_text_replied (job_set_t *j, env_t *env, job_call_t *c,
                         const job_op_t *op, const ev_platform_t *reply)
@@ -199,9 +209,7 @@
     job_text_cache (j, job, op->index, reply->objects[0].value);
   else
     {
-      c->latest = true;
-      c->retry_at
-          = env->now + (reply->code == ST_NOT_FOUND ? 0 : JOB_RETRY_MS);
+      _job_call_read_failed (env, c, reply->code);
     }
   if (c->pending_reads == 0)
     job_call_step (j, env, c);
@@ -297,9 +305,7 @@
   c->pending_reads--;
   if (reply->code != ST_OK || reply->object_count == 0 || item == NULL)
     {
-      c->latest = true; /* the next tick repeats the read */
-      c->retry_at
-          = env->now + (reply->code == ST_NOT_FOUND ? 0 : JOB_RETRY_MS);
+      _job_call_read_failed (env, c, reply->code); /* a tick repeats it */
       return;
     }
   buf_t part = reply->objects[0].value;
--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -24,6 +24,11 @@
 #define JOB_BODY_MISSING_MS (1 * CLK_SECOND)
 /** Pause of an item that failed, was not executed or has no route. */
 #define JOB_ITEM_RETRY_MS 200
+/** Pause of an item after its first run in a row that has brought nothing; it
+ * doubles with each further one up to the longest. */
+#define JOB_FRUITLESS_MS ((clk_ms_t)50)
+#define JOB_FRUITLESS_MS_MAX (2 * CLK_SECOND)
+#define JOB_FRUITLESS_DOUBLINGS 6
 /** Slots of an upstream that preemption keeps free while the upstream has
  * online requests.  When an item starts, job_desc_t.spare_slots applies
  * instead. */
@@ -87,6 +92,37 @@
   _job_run_free (j, run);
 }
 
+/* Has ITEM, whose run has failed, wait for its next one if the run has brought
+ * no event behind RESUMED_AFTER: whatever the cause, the next run may end so
+ * at once.  LEAST is the shortest pause. */
+static void
+_job_item_pause (env_t *env, job_item_t *item, uint64_t resumed_after,
+                 clk_ms_t least)
+{
+  if (item->last_event > resumed_after)
+    {
+      item->fruitless = 0;
+      item->not_before = clk_max (item->not_before, env->now + least);
+      return;
+    }
+  uint32_t doublings = MIN (item->fruitless, JOB_FRUITLESS_DOUBLINGS);
+  clk_ms_t pause
+      = clk_min (JOB_FRUITLESS_MS << doublings, JOB_FRUITLESS_MS_MAX);
+  item->fruitless++;
+  item->not_before = env->now + clk_max (env_jitter (env, pause), least);
+}
+
+/* Ends RUN, which has failed, as _job_run_end does; the item's next one waits,
+ * if this one has brought nothing, LEAST or longer. */
+static void
+_job_run_fail (job_set_t *j, env_t *env, job_run_t *run, rte_fail_t fail,
+               const char *why, clk_ms_t least)
+{
+  const job_t *job = tbl_get (j->jobs, run->job);
+  _job_item_pause (env, &job->items[run->item], run->resumed_after, least);
+  _job_run_end (j, env, run, fail, why);
+}
+
 void
 job_run_stop (job_set_t *j, env_t *env, job_item_t *item)
 {
@@ -652,16 +688,16 @@
   bool begins = item->text == NULL;
   if (!job_text_append (item, event))
     {
-      _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-missing");
+      _job_run_fail (j, env, run, RTE_FAIL_TRUNCATED, "event-missing", 0);
       return false;
     }
   if (begins)
     job_text_began (j, job, run);
   if (item->text->len <= JOB_TEXT_MAX && run->received <= JOB_RESPONSE_MAX)
     return true;
-  _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "text-too-large");
   /* Which part of it was the item's cannot be told. */
   job_text_drop (item);
+  _job_run_fail (j, env, run, RTE_FAIL_TRUNCATED, "text-too-large", 0);
   return false;
 }
 
@@ -670,9 +706,9 @@
 _job_refusal_data (job_set_t *j, env_t *env, job_run_t *run)
 {
   if (run->received > JOB_REFUSAL_MAX)
-    _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "refusal-too-large");
+    _job_run_fail (j, env, run, RTE_FAIL_TRUNCATED, "refusal-too-large", 0);
   else if (env->now - run->progress_at > JOB_EVENT_TIMEOUT_MS)
-    _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "refusal-too-slow");
+    _job_run_fail (j, env, run, RTE_FAIL_TIMEOUT, "refusal-too-slow", 0);
 }
 
 static void
@@ -694,9 +730,25 @@
       rte_progress (j->desc.routes, env, run->in_flight);
     }
   if (sse_is_too_large (&run->events))
-    _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "event-too-large");
+    _job_run_fail (j, env, run, RTE_FAIL_TRUNCATED, "event-too-large", 0);
   else if (env->now - run->progress_at > JOB_EVENT_TIMEOUT_MS)
-    _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "event-too-slow");
+    _job_run_fail (j, env, run, RTE_FAIL_TIMEOUT, "event-too-slow", 0);
+}
+
+/* Ends RUN, which its upstream has refused with STATUS and has not run.  One
+ * that is full now may soon have room. */
+static void
+_job_not_run (job_set_t *j, env_t *env, job_run_t *run, int status)
+{
+  const job_t *job = tbl_get (j->jobs, run->job);
+  rte_fail_t fail = rte_not_run_fail (status);
+  if (status != 429 && status != 503)
+    {
+      _job_run_fail (j, env, run, fail, "not-run", JOB_ITEM_RETRY_MS);
+      return;
+    }
+  job->items[run->item].not_before = env->now + JOB_ITEM_RETRY_MS;
+  _job_run_end (j, env, run, fail, "not-run");
 }
 
 static void
@@ -708,8 +760,7 @@
       tln_record (env->tln, env->now, MOD_JOB, "not-run",
                   "job=%s item=%s upstream=%s status=%d", job->rec->id,
                   job->rec->items[run->item].id, run->upstream, up->status);
-      job->items[run->item].not_before = env->now + JOB_ITEM_RETRY_MS;
-      _job_run_end (j, env, run, rte_not_run_fail (up->status), "not-run");
+      _job_not_run (j, env, run, up->status);
       return;
     }
   if (up->status >= 500)
@@ -744,7 +795,7 @@
                   int status)
 {
   job_item_t *item = &job->items[index];
-  item->not_before = env->now + JOB_ITEM_RETRY_MS;
+  _job_item_pause (env, item, item->last_event, JOB_ITEM_RETRY_MS);
   if (status == 500)
     item->failures++;
   tln_record (env->tln, env->now, MOD_JOB, "item-failed",
@@ -775,10 +826,10 @@
   int status = run->status;
   if (status == 200 && _job_run_is_cut (run, &job->items[index]))
     {
-      _job_run_end (j, env, run,
-                    run->close_delimited ? RTE_FAIL_CLOSED
-                                         : RTE_FAIL_TRUNCATED,
-                    "incomplete");
+      _job_run_fail (j, env, run,
+                     run->close_delimited ? RTE_FAIL_CLOSED
+                                          : RTE_FAIL_TRUNCATED,
+                     "incomplete", 0);
       return;
     }
   if (status == 200)
@@ -810,7 +861,7 @@
   const job_t *job = tbl_get (j->jobs, run->job);
   if (run->received == 0)
     job->items[run->item].has_ended_one = true;
-  _job_run_end (j, env, run, RTE_FAIL_CLOSED, "closed");
+  _job_run_fail (j, env, run, RTE_FAIL_CLOSED, "closed", 0);
 }
 
 /* Ends RUN, whose call has failed as UP says. */
@@ -819,17 +870,17 @@
                  const ev_upstream_t *up)
 {
   if (up->path_failed)
-    _job_run_end (j, env, run, RTE_FAIL_CANCELLED, "path");
+    _job_run_fail (j, env, run, RTE_FAIL_CANCELLED, "path", 0);
   else if (up->fail == EV_FAIL_UNSENDABLE)
-    _job_run_end (j, env, run, RTE_FAIL_CANCELLED, "unsendable");
+    _job_run_fail (j, env, run, RTE_FAIL_CANCELLED, "unsendable", 0);
   else if (up->fail == EV_FAIL_TIMEOUT)
-    _job_run_end (j, env, run, RTE_FAIL_TIMEOUT, "timeout");
+    _job_run_fail (j, env, run, RTE_FAIL_TIMEOUT, "timeout", 0);
   else if (up->fail == EV_FAIL_NOT_SENT)
-    _job_run_end (j, env, run, RTE_FAIL_UNSENT, "not-sent");
+    _job_run_fail (j, env, run, RTE_FAIL_UNSENT, "not-sent", 0);
   else if (up->closed)
     _job_run_closed (j, env, run);
   else
-    _job_run_end (j, env, run, RTE_FAIL_TRUNCATED, "broken");
+    _job_run_fail (j, env, run, RTE_FAIL_TRUNCATED, "broken", 0);
 }
 
 void
