The end of a job is no proof of its last result

Cause: a read without new results was answered at once where the record says that the job has ended. Results that were about to be listed are listed after the end; a VM that heard of the end from one peer and was cut off from the one that listed them had an old record, and asked nobody.

Change: unless all items have results, the platform is read before a caller is told that there is nothing; one read for each such call of an ended job.

Evidence: both tests of test_job_ended failed before and pass now.

--- a/src/core/job_read.c
+++ b/src/core/job_read.c
@@ -243,10 +243,18 @@
         (void)_job_call_texts_read (j, env, c, job);
       return;
     }
-  bool finished = job_is_finished (job) && c->after == job->rec->result_count;
+  bool all_listed = job->rec->result_count == job->rec->item_count;
+  bool finished = all_listed && c->after == job->rec->result_count;
+  /* What was about to be listed when the job ended is listed after that, and
+   * nobody runs the job who could confirm its record. */
+  if (job->rec->ended && !all_listed && !c->record_read)
+    {
+      _job_call_record_read (j, env, c);
+      return;
+    }
   bool certain = c->record_read || job_is_confirmed (j, env, c, job);
   bool waited = env->now >= c->wait_until;
-  if (finished || (certain && waited))
+  if (finished || job->rec->ended || (certain && waited))
     _job_results_reply (j, env, c, job);
   else if (c->after > job->rec->result_count
            || (waited && c->followed_at != 0
