An answer that ends before its request is sent is no whole answer

Another operator's report: a replica answered a long upload at once with a 200 without a length, sent a part and reset; the client got the part as complete.

Cause here: a replica that closes before it has read the request may send its end before the reset, if nothing unread lies at it; an answer that only a close ends was taken for whole then. A tunnel passed the end on and dropped the reset.

Change: such an answer fails if it ends before the request's body has left; a tunnel whose upstream ends while bytes for it wait resets.

Evidence: odd_answers/early_answer_that_is_reset_is_no_answer was red in three of six rows, direct and through a tunnel, and is green.

--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -70,10 +70,11 @@
   bool framing_required; /**< as in hcl_call_t */
   bool is_head;          /**< the method is HEAD: responses have no body */
   bool paused;
-  size_t body_max;   /**< as in hcl_call_t */
-  size_t body_bytes; /**< passed on so far */
-  size_t turn_bytes; /**< of the body, passed on in this turn */
-  bool turn_held;    /**< more has come, which waits for the turn's end */
+  size_t upload_size; /**< of the request's body, in bytes */
+  size_t body_max;    /**< as in hcl_call_t */
+  size_t body_bytes;  /**< passed on so far */
+  size_t turn_bytes;  /**< of the body, passed on in this turn */
+  bool turn_held;     /**< more has come, which waits for the turn's end */
   struct tevent_immediate *turn_end;
   const char *unsendable; /**< why it is not sent; NULL: it is */
 };
@@ -204,14 +205,26 @@
   return http_header_find (headers, "Content-Length") == NULL;
 }
 
-/* Whether the end of R's response proves that it is whole. */
+/* Whether all of R's body has left this process. */
+static bool
+_hcl_is_uploaded (const _hcl_request_t *r)
+{
+  curl_off_t sent = 0;
+  curl_easy_getinfo (r->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  return (size_t)sent >= r->upload_size;
+}
+
+/* Whether the end of R's response proves that it is whole.  A side that closes
+ * before it has read the request resets the connection, but its end may be
+ * seen first. */
 static bool
 _hcl_end_is_proof (const _hcl_request_t *r)
 {
   long status = 0;
   curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
-  return r->head_ended
-         && !(r->framing_required && _hcl_is_close_delimited (r, status));
+  if (!_hcl_is_close_delimited (r, status))
+    return r->head_ended;
+  return r->head_ended && !r->framing_required && _hcl_is_uploaded (r);
 }
 
 static void
@@ -737,6 +750,7 @@
   r->owner = call->owner;
   r->id = call->id;
   r->stall_ms = call->stall_ms;
+  r->upload_size = call->body.n;
   r->body_max = call->body_max;
   r->framing_required = call->framing_required;
   r->turn_end = tevent_create_immediate (r);
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -13,6 +13,9 @@
  * therefore sets fresh_connection.  Times are in milliseconds; everything that
  * an event points to is valid only within the handler.
  *
+ * A response without a length or chunks that ends before the request's body is
+ * sent fails the call: it may have been reset.
+ *
  * A response's head, with all heads before the final one and the trailer, is
  * bounded; beyond that the call fails and its connection is closed.  Its body
  * has a bound if the call sets one; DATA brings a small part of it in each
--- a/src/io/tun.c
+++ b/src/io/tun.c
@@ -182,7 +182,8 @@
     }
   if (t->upstream.ended && _tun_waiting (&t->upstream) == 0)
     {
-      _tun_close_resets (t->vm.sock, false);
+      /* An upstream that has not read all of the request resets. */
+      _tun_close_resets (t->vm.sock, _tun_waiting (&t->vm) > 0);
       talloc_free (t);
       return;
     }
