--- a/src/core/job_check.c
+++ b/src/core/job_check.c
@@ -26,10 +26,10 @@
 const char *
 job_submitted_fault (void *ctx, const ev_job_t *submitted)
 {
-  if (submitted->id == NULL || !hck_id_is_valid (submitted->id)
+  if (!hck_id_is_valid (submitted->id)
       || !g_utf8_validate (submitted->id, -1, NULL))
-    return "the job's id is missing, empty or not UTF-8, has a control "
-           "character, or white space around it";
+    return "the job's id is empty or not UTF-8, has a control character, or "
+           "white space around it";
   if (submitted->items == NULL)
     return submitted->fault != NULL ? submitted->fault
                                     : "the body is not the JSON of a job";
--- a/src/core/job_int.h
+++ b/src/core/job_int.h
@@ -337,7 +337,8 @@
  * Texts may be owned by CTX. */
 const char *job_item_fault (void *ctx, const char *id, const char *target,
                             http_headers_t headers);
-/** The same for a whole submission, with the place of the fault. */
+/** The same for a whole submission, which has an id, with the place of the
+ * fault. */
 const char *job_submitted_fault (void *ctx, const ev_job_t *submitted);
 /** The same for item INDEX of the record REC. */
 const char *job_stored_fault (void *ctx, const job_rec_t *rec, uint32_t index);
--- a/src/core/job_read.c
+++ b/src/core/job_read.c
@@ -208,9 +208,7 @@
       && reply->objects[0].value.p != NULL)
     job_text_cache (j, job, op->index, reply->objects[0].value);
   else
-    {
-      _job_call_read_failed (env, c, reply->code);
-    }
+    _job_call_read_failed (env, c, reply->code);
   if (c->pending_reads == 0)
     job_call_step (j, env, c);
 }
--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -34,8 +34,8 @@
 _job_refuse_malformed (env_t *env, uint64_t caller, const char *id,
                        const char *why)
 {
-  tln_record (env->tln, env->now, MOD_JOB, "malformed", "job=%s why=%s",
-              id == NULL ? "" : id, why);
+  tln_record (env->tln, env->now, MOD_JOB, "malformed", "job=%s why=%s", id,
+              why);
   cnt_add (env->cnt, "rts_job_refused_total", "", 1);
   rpl_error (
       env, caller,
@@ -431,23 +431,37 @@
   return false;
 }
 
+/* Refuses the job SUBMITTED, which has an id, and returns false if it may not
+ * be stored.  A VM of an earlier version may have accepted it: then it is no
+ * new one. */
+static bool
+_job_submitted_check (const job_set_t *j, env_t *env, uint64_t caller,
+                      const ev_job_t *submitted)
+{
+  if (job_find (j, submitted->id) != NULL && submitted->items != NULL)
+    return true;
+  void *tmp = talloc_new (NULL);
+  const char *why = job_submitted_fault (tmp, submitted);
+  if (why != NULL)
+    _job_refuse_malformed (env, caller, submitted->id, why);
+  talloc_free (tmp);
+  return why == NULL;
+}
+
 void
 job_submit (job_set_t *j, env_t *env, const char *customer,
             const cfg_route_t *route, const ev_request_t *req)
 {
   const ev_job_t *submitted = &req->job;
   const char *id = submitted->id;
-  const job_t *known = id == NULL ? NULL : job_find (j, id);
-  void *tmp = talloc_new (NULL);
-  /* An earlier version may have accepted what this one would not. */
-  const char *fault = known != NULL && submitted->items != NULL
-                          ? NULL
-                          : job_submitted_fault (tmp, submitted);
-  if (fault != NULL)
-    _job_refuse_malformed (env, req->caller, id, fault);
-  talloc_free (tmp);
-  if (fault != NULL)
+  if (id == NULL)
+    {
+      _job_refuse_malformed (env, req->caller, "", "the job has no id");
+      return;
+    }
+  if (!_job_submitted_check (j, env, req->caller, submitted))
     return;
+  const job_t *known = job_find (j, id);
   bool may_run = known != NULL || _job_is_submitted (j, customer, id);
   if (known != NULL && strcmp (known->rec->customer, customer) != 0)
     _job_refuse (env, req->caller, id, 409, "job-id-taken", RPL_NOT_RUN, 0);
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -758,9 +758,9 @@
   r->unsendable = _hcl_call_fault (r, call);
   if (r->unsendable != NULL)
     {
-      g_message ("http call-not-sent: owner=%d id=%llu why=%s",
-                 (int)call->owner, (unsigned long long)call->id,
-                 r->unsendable);
+      g_message ("http call-not-sent: to=%s id=%llu why=%s",
+                 call->owner == HCL_PLATFORM ? "platform" : "upstream",
+                 (unsigned long long)call->id, r->unsendable);
       g_hash_table_add (c->requests, r);
       tevent_schedule_immediate (r->turn_end, c->desc.loop, _hcl_on_unsendable,
                                  r);
--- a/tests/test_job_texts.c
+++ b/tests/test_job_texts.c
@@ -173,14 +173,15 @@
   CU_ASSERT_PTR_NULL (b.job->texts[0].p);
   receive (&b, MSG_JOB_WHOLE_TEXT, true, WHOLE);
   CU_ASSERT (buf_is (b.job->texts[0], WHOLE));
-  for (uint16_t kind = MSG_JOB_TEXT_REQUEST;
-       kind <= MSG_JOB_WHOLE_TEXT_REQUEST;
-       kind += MSG_JOB_WHOLE_TEXT_REQUEST - MSG_JOB_TEXT_REQUEST)
+  static const uint16_t kinds[][2]
+      = { { MSG_JOB_TEXT_REQUEST, MSG_JOB_TEXT },
+          { MSG_JOB_WHOLE_TEXT_REQUEST, MSG_JOB_WHOLE_TEXT } };
+  for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
     {
       fx_clear (b.env->fx);
-      receive (&b, kind, false, NULL);
+      receive (&b, kinds[i][0], false, NULL);
       TST_NEED (b.env->fx->count == 1);
-      CU_ASSERT_EQUAL (b.env->fx->v[0].peer.msg.kind, kind + 1);
+      CU_ASSERT_EQUAL (b.env->fx->v[0].peer.msg.kind, kinds[i][1]);
     }
   env_shutdown (b.env);
 }
