--- a/src/core/job_run.c
+++ b/src/core/job_run.c
@@ -24,10 +24,11 @@
 #define JOB_BODY_MISSING_MS (1 * CLK_SECOND)
 /** Pause of an item that failed, was not executed or has no route. */
 #define JOB_ITEM_RETRY_MS 200
-/** Pause of an item after its first run in a row that has brought nothing; it
- * doubles with each further one up to the longest. */
-#define JOB_FRUITLESS_MS ((clk_ms_t)50)
-#define JOB_FRUITLESS_MS_MAX (2 * CLK_SECOND)
+/** Pause of an item after its second run in a row that has brought nothing, or
+ * its first that has reached no upstream; it doubles with each further one up
+ * to the longest. */
+#define JOB_FRUITLESS_MS ((clk_ms_t)20)
+#define JOB_FRUITLESS_MS_MAX (1 * CLK_SECOND)
 #define JOB_FRUITLESS_DOUBLINGS 6
 /** Slots of an upstream that preemption keeps free while the upstream has
  * online requests.  When an item starts, job_desc_t.spare_slots applies
@@ -92,6 +93,17 @@
   _job_run_free (j, run);
 }
 
+/* The pause of ITEM after one more run that has brought nothing.  A first one
+ * may be that of an upstream which has just died. */
+static clk_ms_t
+_job_fruitless_pause (const job_item_t *item)
+{
+  if (item->fruitless == 0)
+    return 0;
+  uint32_t doublings = MIN (item->fruitless - 1, JOB_FRUITLESS_DOUBLINGS);
+  return clk_min (JOB_FRUITLESS_MS << doublings, JOB_FRUITLESS_MS_MAX);
+}
+
 /* Has ITEM, whose run has failed, wait for its next one if the run has brought
  * no event behind RESUMED_AFTER: whatever the cause, the next run may end so
  * at once.  LEAST is the shortest pause. */
@@ -105,11 +117,9 @@
       item->not_before = clk_max (item->not_before, env->now + least);
       return;
     }
-  uint32_t doublings = MIN (item->fruitless, JOB_FRUITLESS_DOUBLINGS);
-  clk_ms_t pause
-      = clk_min (JOB_FRUITLESS_MS << doublings, JOB_FRUITLESS_MS_MAX);
+  clk_ms_t pause = env_jitter (env, _job_fruitless_pause (item));
   item->fruitless++;
-  item->not_before = env->now + clk_max (env_jitter (env, pause), least);
+  item->not_before = env->now + clk_max (pause, least);
 }
 
 /* Ends RUN, which has failed, as _job_run_end does; the item's next one waits,
@@ -870,13 +880,14 @@
                  const ev_upstream_t *up)
 {
   if (up->path_failed)
-    _job_run_fail (j, env, run, RTE_FAIL_CANCELLED, "path", 0);
+    _job_run_fail (j, env, run, RTE_FAIL_CANCELLED, "path", JOB_FRUITLESS_MS);
   else if (up->fail == EV_FAIL_UNSENDABLE)
-    _job_run_fail (j, env, run, RTE_FAIL_CANCELLED, "unsendable", 0);
+    _job_run_fail (j, env, run, RTE_FAIL_CANCELLED, "unsendable",
+                   JOB_FRUITLESS_MS);
   else if (up->fail == EV_FAIL_TIMEOUT)
     _job_run_fail (j, env, run, RTE_FAIL_TIMEOUT, "timeout", 0);
   else if (up->fail == EV_FAIL_NOT_SENT)
-    _job_run_fail (j, env, run, RTE_FAIL_UNSENT, "not-sent", 0);
+    _job_run_fail (j, env, run, RTE_FAIL_UNSENT, "not-sent", JOB_FRUITLESS_MS);
   else if (up->closed)
     _job_run_closed (j, env, run);
   else
