--- a/review/common-3/world.c
+++ b/review/common-3/world.c
@@ -98,6 +98,9 @@
   vsnprintf (text, sizeof text, format, args);
   va_end (args);
   rec ("RESULT %d: %s", status, text);
+  pthread_mutex_lock (&record_lock);
+  record = NULL;
+  pthread_mutex_unlock (&record_lock);
   printf ("%s: %s\n",
           status == 0   ? "the rule held"
           : status == 1 ? "the rule was broken"
