--- a/review/14/case.c
+++ b/review/14/case.c
@@ -108,7 +108,7 @@
         }
       rec ("end of job %s: %d after %d runs of its items", id, status,
            runs[k]);
-      pause_ms (15);
+      pause_ms (45);
     }
   pause_ms (9000);
   int total = 0, jobs = 0;
