Figures from outside are bounded: a large burst ends no VM

Cause: the share of a VM, 1e9 tokens x 1e6 x 2^20 parts, overflowed 64 bits; the bucket got a negative content and an invariant ended the process. The same class stood elsewhere: conversions from double (times until a token for tiny rates, Deadline-Ms: nan), amounts in messages of other VMs, sums of items' tokens that wrap, refusals that outlive the limit that caused them.

A rate from 1e7 on is no limit.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 CFLAGS ?= -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
   -Wmissing-prototypes -Wno-missing-field-initializers
-SAN = -fsanitize=address,undefined -fno-sanitize-recover=all \
+SAN = -fsanitize=address,undefined,float-cast-overflow -fno-sanitize-recover=all \
   -fno-omit-frame-pointer
 CPPFLAGS += -D_GNU_SOURCE -DRTS_VERSION='"$(VERSION)"' -Isrc -I.
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
@@ -96,7 +96,8 @@
 
 build/fuzz/obj/%.o: %.c
 	@mkdir -p $(@D)
-	@clang -O1 -g -fsanitize=fuzzer-no-link,address,undefined $(CPPFLAGS) \
+	@clang -O1 -g -fsanitize=fuzzer-no-link,address,undefined,float-cast-overflow \
+	  -fno-sanitize-recover=all $(CPPFLAGS) \
 	  -Itests -std=gnu11 $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
 build/fuzz/obj/src/core/cht_data.o: $(CHARTS)
@@ -104,7 +105,7 @@
 build/fuzz/%: build/fuzz/obj/tests/%.o \
   $(patsubst %.c,build/fuzz/obj/%.o,$(CORE) src/io/frm.c \
     $(wildcard tests/flt*.c))
-	@clang -fsanitize=fuzzer,address,undefined -o $@ $^ $(PKG_LIBS)
+	@clang -fsanitize=fuzzer,address,undefined,float-cast-overflow -o $@ $^ $(PKG_LIBS)
 
 # The seed and the number of inputs are fixed, so that each run is the same.
 fuzz: $(FUZZERS)
--- a/src/core/cfg.h
+++ b/src/core/cfg.h
@@ -30,6 +30,14 @@
   const char *owner; /**< team */
 } cfg_data_centre_t;
 
+/** Largest figure of a customer's limit; a larger rate or burst counts as
+ * this.
+ */
+#define CFG_LIMIT_FIGURE_MAX 1e9
+/** A rate, in requests a second, that no fleet reaches: the users' platform
+ * means by it that there is no limit. */
+#define CFG_RATE_UNLIMITED 1e7
+
 /** [customer NAME] */
 typedef struct
 {
--- a/src/core/clk.h
+++ b/src/core/clk.h
@@ -21,6 +21,16 @@
 #define CLK_MINUTE (60 * CLK_SECOND)
 #define CLK_HOUR (60 * CLK_MINUTE)
 
+/** Returns MS as a duration: 0 if it is negative or no number, and MOST if it
+ * is larger. */
+static inline clk_ms_t
+clk_from_double (double ms, clk_ms_t most)
+{
+  if (!(ms > 0))
+    return 0;
+  return ms < (double)most ? (clk_ms_t)ms : most;
+}
+
 /** Returns the earlier or shorter of A and B. */
 static inline clk_ms_t
 clk_min (clk_ms_t a, clk_ms_t b)
--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -68,6 +68,13 @@
 /* -- the customer's waiting tokens -----------------------------------------
  */
 
+/* SUM and TOKENS, or the largest number if that is less. */
+static uint64_t
+_job_tokens_add (uint64_t sum, uint64_t tokens)
+{
+  return tokens > UINT64_MAX - sum ? UINT64_MAX : sum + tokens;
+}
+
 /* Tokens of CUSTOMER's items on ROUTE that have no results yet.  A record's
  * host is compared with route->method, which holds the host of a route that is
  * found by host. */
@@ -87,7 +94,7 @@
         continue;
       for (uint32_t i = 0; i < rec->item_count; i++)
         if (job->items[i].state != JOB_ITEM_LISTED)
-          sum += rec->items[i].tokens;
+          sum = _job_tokens_add (sum, rec->items[i].tokens);
     }
   return sum;
 }
@@ -100,8 +107,8 @@
   if (route->waiting_tokens == 0)
     return true;
   for (size_t i = 0; i < submitted->item_count; i++)
-    sum += submitted->items[i].tokens;
-  return sum + _job_waiting_tokens (j, customer, route)
+    sum = _job_tokens_add (sum, submitted->items[i].tokens);
+  return _job_tokens_add (sum, _job_waiting_tokens (j, customer, route))
          <= route->waiting_tokens;
 }
 
--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -21,6 +21,9 @@
 #define LIM_BACKOFF_MIN_MS 10
 #define LIM_BACKOFF_MAX_MS 320
 
+/* Longest time until a token that a caller is told. */
+#define LIM_REFILL_MAX_MS CLK_HOUR
+
 static int
 _lim_destroy (lim_t *l)
 {
@@ -72,14 +75,31 @@
   return g_hash_table_lookup (l->by_name, name);
 }
 
+/* The share of TOKENS, at most CFG_LIMIT_FIGURE_MAX, that has PARTS of all
+ * parts, in millionths of a token. */
+static int64_t
+_lim_share (double tokens, uint32_t parts)
+{
+  __extension__ typedef unsigned __int128 wide_t;
+  wide_t all = (uint64_t)(tokens * (double)LBK_TOKEN);
+  return (int64_t)(all * parts / LSH_PARTS_TOTAL);
+}
+
 static void
 _lim_apply_share (lim_t *l, env_t *env, lim_customer_t *c, clk_ms_t since)
 {
-  int64_t parts = lsh_parts (l->shares, env, c->name);
-  int64_t rate = (int64_t)(c->rate * (double)LBK_TOKEN);
-  int64_t burst = (int64_t)(c->burst * (double)LBK_TOKEN);
-  lbk_set_rate (c->bucket, since, rate * parts / LSH_PARTS_TOTAL,
-                burst * parts / LSH_PARTS_TOTAL);
+  uint32_t parts = lsh_parts (l->shares, env, c->name);
+  lbk_set_rate (c->bucket, since, _lim_share (c->rate, parts),
+                _lim_share (c->burst, parts));
+}
+
+/* FIGURE of a document, a rate or a burst, as the arithmetic here takes it. */
+static double
+_lim_figure (double figure)
+{
+  if (!(figure > 0))
+    return 0;
+  return figure < CFG_LIMIT_FIGURE_MAX ? figure : CFG_LIMIT_FIGURE_MAX;
 }
 
 void
@@ -124,6 +144,9 @@
     return;
   c->rate = rate;
   c->burst = burst;
+  /* What was refused by the limit before says nothing of this one. */
+  c->denied_until = 0;
+  c->backoff = 0;
   _lim_apply_share (l, env, c, env->now);
 }
 
@@ -145,7 +168,8 @@
       if (c == NULL)
         c = _lim_customer_add (l, from->name);
       c->config_number = l->config_number;
-      _lim_set_rate (l, env, c, from->rate, from->burst);
+      _lim_set_rate (l, env, c, _lim_figure (from->rate),
+                     _lim_figure (from->burst));
     }
   for (size_t i = 0; i < l->customer_count; i++)
     if (l->customers[i]->config_number != l->config_number)
@@ -202,7 +226,8 @@
     return CLK_MINUTE;
   if (missing <= 0)
     return 1;
-  return (clk_ms_t)(missing * CLK_SECOND / c->rate) + 1;
+  return clk_from_double (missing * CLK_SECOND / c->rate, LIM_REFILL_MAX_MS)
+         + 1;
 }
 
 /* A quarter of the time in which an empty bucket fills, so that buckets at
--- a/src/core/lim_peer.c
+++ b/src/core/lim_peer.c
@@ -88,6 +88,19 @@
 
 /* ---- messages received ---- */
 
+/* More than a bucket holds, in millionths of a token. */
+#define LIM_AMOUNT_MAX ((int64_t)CFG_LIMIT_FIGURE_MAX * LBK_TOKEN)
+
+/* An amount in a message: a VM of another version may send any. */
+static int64_t
+_lim_amount_get (mpk_reader_t *r)
+{
+  int64_t amount = mpk_get_int (r);
+  if (amount < 0)
+    return 0;
+  return amount < LIM_AMOUNT_MAX ? amount : LIM_AMOUNT_MAX;
+}
+
 /* Two VMs with waiting requests of the same customer would only exchange the
  * few tokens that they hold.  So such a VM lends only to VMs before it by
  * name. */
@@ -116,10 +129,10 @@
            mpk_reader_t *r)
 {
   uint64_t seq = mpk_get_uint (r);
-  int64_t need = mpk_get_int (r);
-  int64_t extra = mpk_get_int (r);
-  int64_t level = mpk_get_int (r);
-  int64_t full = mpk_get_int (r);
+  int64_t need = _lim_amount_get (r);
+  int64_t extra = _lim_amount_get (r);
+  int64_t level = _lim_amount_get (r);
+  int64_t full = _lim_amount_get (r);
   clk_ms_t life = mpk_get_int (r);
   if (!mpk_end (r) || c == NULL || life < 0 || life > l->desc.loan_ms
       || !_lim_may_lend (c, env, vm))
@@ -172,7 +185,7 @@
 {
   buf_t name = mpk_get_str (r);
   uint64_t seq = mpk_get_uint (r);
-  int64_t need = mpk_get_int (r);
+  int64_t need = _lim_amount_get (r);
   if (!mpk_end (r))
     return;
   lim_customer_t *c = lim_customer_find (l, name.p);
@@ -202,9 +215,9 @@
 {
   buf_t name = mpk_get_str (r);
   uint64_t seq = mpk_get_uint (r);
-  int64_t amount = mpk_get_int (r);
+  int64_t amount = _lim_amount_get (r);
   bool settle = mpk_get_uint (r) != 0;
-  int64_t level = mpk_get_int (r);
+  int64_t level = _lim_amount_get (r);
   lim_customer_t *c = mpk_end (r) ? lim_customer_find (l, name.p) : NULL;
   lim_token_request_t *request = c ? _lim_request_find (c, seq) : NULL;
   if (request == NULL || strcmp (request->vm, vm) != 0)
@@ -247,7 +260,7 @@
 _lim_offer_received (lim_t *l, env_t *env, const char *vm, mpk_reader_t *r)
 {
   buf_t name = mpk_get_str (r);
-  int64_t amount = mpk_get_int (r);
+  int64_t amount = _lim_amount_get (r);
   lim_customer_t *c = mpk_end (r) ? lim_customer_find (l, name.p) : NULL;
   if (c != NULL && !l->leaving)
     lim_tokens_request (l, env, c, vm, amount, 0, false);
--- a/src/core/onl_send.c
+++ b/src/core/onl_send.c
@@ -164,7 +164,9 @@
 {
   onl_deployment_t *d = r->deployment;
   double per_s = r->pick.limit_per_s;
-  clk_ms_t gap = per_s > 0 ? (clk_ms_t)((double)CLK_SECOND / per_s) : 0;
+  clk_ms_t gap = per_s > 0 ? clk_from_double ((double)CLK_SECOND / per_s,
+                                              ONL_LIMIT_RETRY_MS_MAX)
+                           : 0;
   d->turn_at = clk_max (d->turn_at, env->now + r->pick.limit_wait_ms)
                + env_jitter (env, clk_max (gap, ONL_LIMIT_GAP_MS_MIN));
   d->turn_at = clk_min (d->turn_at,
--- a/src/core/upl_mint.c
+++ b/src/core/upl_mint.c
@@ -69,7 +69,8 @@
 static int64_t
 _upl_millionths (double tokens)
 {
-  return (int64_t)(tokens * (double)LBK_TOKEN);
+  double bounded = tokens > 0 ? fmin (tokens, UPL_PER_S_MAX) : 0;
+  return (int64_t)(bounded * (double)LBK_TOKEN);
 }
 
 /** Has the bucket of CLASS mint PER_S, and save up BURST tokens. */
@@ -78,7 +79,7 @@
                  double burst)
 {
   lbk_set_rate (m->buckets[class], now, _upl_millionths (per_s),
-                _upl_millionths (fmin (burst, UPL_PER_S_MAX)));
+                _upl_millionths (burst));
 }
 
 upl_plan_t
--- a/tests/test_document_check.c
+++ b/tests/test_document_check.c
@@ -53,6 +53,14 @@
   { DOCUMENT ("7", ROUTE ("r1", "/p/", ""), SERVICE,
               "{\"name\":\"t1\",\"apiKeys\":[\"k\"],\"ratePerS\":5}"),
     PFM_CHECK_CONTRADICTION, "/tenants/0/burst" },
+  { DOCUMENT ("7", ROUTE ("r1", "/p/", ""), SERVICE,
+              "{\"name\":\"t1\",\"apiKeys\":[\"k\"],\"ratePerS\":1e7,"
+              "\"burst\":5}"),
+    PFM_CHECK_CONTRADICTION, "/tenants/0/ratePerS" },
+  { DOCUMENT ("7", ROUTE ("r1", "/p/", ""), SERVICE,
+              "{\"name\":\"t1\",\"apiKeys\":[\"k\"],\"ratePerS\":5,"
+              "\"burst\":1e10}"),
+    PFM_CHECK_CONTRADICTION, "/tenants/0/burst" },
   { DOCUMENT ("7",
               ROUTE ("r1", "/p/",
                      ",\"trafficSplit\":[{\"service\":\"s1\",\"weight\":1},"
--- a/tools/limnet.h
+++ b/tools/limnet.h
@@ -125,6 +125,9 @@
   uint32_t customers;
   double rate; /**< of an ordinary customer */
   double burst_seconds;
+  bool burst_given; /**< all have this burst, which may be too small for a
+                         bucket, and not that of burst_seconds */
+  double burst;
   double load;    /**< offered requests as a fraction of the rate */
   uint32_t large; /**< number of customers with ten times the rate */
   lim_desc_t limits;
@@ -725,6 +728,7 @@
       c->rate = i < n->desc.large ? 10 * n->desc.rate : n->desc.rate;
       c->burst = c->rate * n->desc.burst_seconds;
       c->burst = c->burst < 2 ? 2 : c->burst;
+      c->burst = n->desc.burst_given ? n->desc.burst : c->burst;
       c->offered = c->rate * n->desc.load;
       c->reference_level = c->admitted_level = c->lowest_level = c->burst;
       doc[i] = (cfg_customer_t){ .name = c->name,
