A burst too small for a bucket does not refuse what the rate allows

Callers saw: 429 for every request of a customer with a burst of 0, 0.5 or 1 beside a rate of 200, which owes them 200 a second.

Cause: the burst is the depth of the buckets of all VMs together. With 1 or less no VM ever holds a token, with few most of what is minted runs over.

--- a/src/core/lim.c
+++ b/src/core/lim.c
@@ -1,6 +1,7 @@
 #include "core/lim_int.h"
 #include "core/mpk.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
@@ -24,6 +25,12 @@
 /* Longest time until a token that a caller is told. */
 #define LIM_REFILL_MAX_MS CLK_HOUR
 
+/* Depth that buckets need: so many tokens, and those of so long.  It takes at
+ * most this part of the excess in a window. */
+#define LIM_DEPTH_MS 200
+#define LIM_DEPTH_REQUESTS 4
+#define LIM_DEPTH_EXCESS_PART (1.0 / 3)
+
 static int
 _lim_destroy (lim_t *l)
 {
@@ -90,7 +97,7 @@
 {
   uint32_t parts = lsh_parts (l->shares, env, c->name);
   lbk_set_rate (c->bucket, since, _lim_share (c->rate, parts),
-                _lim_share (c->burst, parts));
+                _lim_share (c->depth, parts));
 }
 
 /* FIGURE of a document, a rate or a burst, as the arithmetic here takes it. */
@@ -136,6 +143,18 @@
   return c;
 }
 
+/* The depth of the buckets of all VMs together for a RATE and a BURST, of
+ * which the settings allow EXCESS in a window.  The tokens of a smaller bucket
+ * lie in parts of less than one at the VMs, and most of them run over. */
+static double
+_lim_depth (double rate, double burst, double excess)
+{
+  if (rate <= 0)
+    return burst;
+  double wanted = fmax (rate * LIM_DEPTH_MS / CLK_SECOND, LIM_DEPTH_REQUESTS);
+  return fmax (burst, fmin (wanted, burst + LIM_DEPTH_EXCESS_PART * excess));
+}
+
 static void
 _lim_set_rate (lim_t *l, env_t *env, lim_customer_t *c, double rate,
                double burst)
@@ -144,6 +163,9 @@
     return;
   c->rate = rate;
   c->burst = burst;
+  double excess = lsl_excess (&l->desc.slack, rate, burst);
+  c->depth = _lim_depth (rate, burst, excess);
+  c->excess = excess - (c->depth - burst);
   /* What was refused by the limit before says nothing of this one. */
   c->denied_until = 0;
   c->backoff = 0;
@@ -237,7 +259,7 @@
 {
   if (c->rate <= 0)
     return LIM_BACKOFF_MAX_MS;
-  double fill = c->burst / c->rate * CLK_SECOND / 4;
+  double fill = c->depth / c->rate * CLK_SECOND / 4;
   return fill < LIM_BACKOFF_MAX_MS ? (clk_ms_t)fill : LIM_BACKOFF_MAX_MS;
 }
 
--- a/src/core/lim_excess.c
+++ b/src/core/lim_excess.c
@@ -27,7 +27,7 @@
   size_t entries = 0;
   for (size_t i = 0; i < mbr_vm_count (m); i++)
     entries += !mbr_vm_get (m, i)->worker;
-  return lsl_part (&l->desc.slack, c->rate, c->burst, entries);
+  return lsl_part_of (c->excess, entries);
 }
 
 bool
@@ -66,7 +66,7 @@
   if (!holds)
     return 0;
   size_t holders = LIM_HOLDERS * mbr_data_centre_count (l->desc.members);
-  double part = lsl_part (&l->desc.slack, c->rate, c->burst, holders);
+  double part = lsl_part_of (c->excess, holders);
   int64_t given = 0;
   while (given < need && lsl_take (&c->slack, &l->desc.slack, env->now, part))
     given += LBK_TOKEN;
--- a/src/core/lim_int.h
+++ b/src/core/lim_int.h
@@ -52,7 +52,10 @@
   char *name;
   uint64_t index; /* in lim's customers; also the tag of its timers */
   double rate;
-  double burst;
+  double burst;  /* of the document */
+  double depth;  /* of the buckets of all VMs together: the burst, or more
+                    where it is too small to work with */
+  double excess; /* requests in a window beyond rate and depth */
   lbk_t *bucket;
   lsl_t slack; /* uses of this VM's part, or of the part that it holds for its
                   data centre */
--- a/src/core/lim_slack.c
+++ b/src/core/lim_slack.c
@@ -5,13 +5,24 @@
 #define LSL_USED_FRACTION 0.85
 
 double
-lsl_part (const lsl_desc_t *desc, double rate, double burst, size_t vms)
+lsl_excess (const lsl_desc_t *desc, double rate, double burst)
 {
-  if (vms == 0 || desc->window_ms == 0)
+  if (desc->window_ms == 0)
     return 0;
   double allowed = rate * (double)desc->window_ms / CLK_SECOND + burst;
-  double excess = desc->overshoot * allowed + desc->requests;
-  return LSL_USED_FRACTION * excess / (double)vms;
+  return desc->overshoot * allowed + desc->requests;
+}
+
+double
+lsl_part_of (double excess, size_t vms)
+{
+  return vms == 0 ? 0 : LSL_USED_FRACTION * excess / (double)vms;
+}
+
+double
+lsl_part (const lsl_desc_t *desc, double rate, double burst, size_t vms)
+{
+  return lsl_part_of (lsl_excess (desc, rate, burst), vms);
 }
 
 bool
--- a/src/core/lim_slack.h
+++ b/src/core/lim_slack.h
@@ -43,7 +43,14 @@
   size_t count;
 } lsl_t;
 
-/** Requests in a window that each of VMS VMs may admit; 0 for no VMs. */
+/** The excess over RATE and BURST in a window, in requests. */
+double lsl_excess (const lsl_desc_t *desc, double rate, double burst);
+
+/** Requests in a window that each of VMS VMs may admit of EXCESS; 0 for no
+ * VMs. */
+double lsl_part_of (double excess, size_t vms);
+
+/** The same of the whole excess over RATE and BURST. */
 double lsl_part (const lsl_desc_t *desc, double rate, double burst,
                  size_t vms);
 
--- a/src/core/lim_source.c
+++ b/src/core/lim_source.c
@@ -97,7 +97,7 @@
 {
   const lim_source_t *source = &c->sources[i];
   double minters = (double)c->source_count + 1;
-  double full = c->burst / minters * (double)LBK_TOKEN;
+  double full = c->depth / minters * (double)LBK_TOKEN;
   if (source->level_at == CLK_NEVER)
     return (int64_t)full;
   double minted = (double)(now - source->level_at) / CLK_SECOND * c->rate
--- a/tests/test_limit_figures.c
+++ b/tests/test_limit_figures.c
@@ -118,6 +118,37 @@
     }
 }
 
+/* Load: a customer below a rate beside which its burst is too small for a
+ * bucket, in a small and in a large fleet.  Guards against all its requests
+ * being refused, as no VM ever holds a whole token. */
+static void
+test_small_bursts (void)
+{
+  static const double bursts[] = { 0, 0.5, 1, 2 };
+  static const uint32_t vms[] = { 3, 8, 250 };
+  for (size_t i = 0; i < sizeof bursts / sizeof bursts[0]; i++)
+    for (size_t k = 0; k < sizeof vms / sizeof vms[0]; k++)
+      {
+        cfg_customer_t c = { .rate = 200, .burst = bursts[i] };
+        CU_ASSERT (admitted_part (&c, vms[k], 100) > 0.98);
+      }
+}
+
+/* Load: the same customer at four times its rate.  Guards against a small
+ * burst that is passed by more than the settings allow (limit-never-over), and
+ * against less than the rate. */
+static void
+test_small_burst_over_the_rate (void)
+{
+  static const uint32_t vms[] = { 8, 250 };
+  for (size_t k = 0; k < sizeof vms / sizeof vms[0]; k++)
+    {
+      cfg_customer_t c = { .rate = 200, .burst = 0 };
+      double part = admitted_part (&c, vms[k], 800);
+      CU_ASSERT (part > 0.2 && part < 0.3);
+    }
+}
+
 /* A number that no double holds is not read as none. */
 static void
 test_number_beyond_all_is_not_read (void)
@@ -310,6 +341,8 @@
   static const tst_case_t cases[] = {
     { "rates_from_the_document", test_rates_from_the_document },
     { "large_bursts_from_the_document", test_large_bursts_from_the_document },
+    { "small_bursts", test_small_bursts },
+    { "small_burst_over_the_rate", test_small_burst_over_the_rate },
     { "number_beyond_all_is_not_read", test_number_beyond_all_is_not_read },
     { "tiny_rate_and_the_next_version", test_tiny_rate_and_the_next_version },
     { "amounts_in_messages", test_amounts_in_messages },
