--- a/tests/fuzz_document.c
+++ b/tests/fuzz_document.c
@@ -73,7 +73,7 @@
   for (uint64_t tag = 1; tag <= FUZZ_REQUESTS; tag++)
     {
       clk_ms_t retry = 0;
-      v.env->now += tag * CLK_SECOND / 4;
+      v.env->now += (clk_ms_t)tag * CLK_SECOND / 4;
       for (size_t i = 0; i < doc->customer_count; i++)
         (void)lim_admit (v.limits, v.env, v.members, doc->customers[i].name,
                          tag, &retry);
