A head is read by one strict rule; what breaks it is no response

What callers saw: a replica's answer with a spoilt head arrived as a whole 200 with the replica's signature, with bytes that were not its body: the first digits of "17x" as the length, the chunks' own lines, a foreign signature or id beside the own one.

Cause: several lax readers of one head. libcurl keeps the digits up to the first other byte and ignores what it does not know; hcl took any line with a colon; onl read the length once more and took one that it could not read for none. Nothing judged what upstreams answer.

Change: core/rhd reads each head line by line (RFC 9112, 2.2 to 7; RFC 9110, 5.5 and 8.6). hcl asks it for the final head, interim ones, trailers and a tunnel's answer before anything is passed on; a line that breaks the rule ends the call as one that may have run, malformed and not closed, with a log line "response-malformed", and the connection closes. upc and plt count (rts_upstream_malformed_total, rts_platform_malformed_total). The length is read there alone and handed on in the event. A tunnel's refusal counts only with its whole head; a request has left once the tunnel's head has ended.

--- a/src/core/ev.h
+++ b/src/core/ev.h
@@ -208,6 +208,8 @@
   bool close_delimited; /**< EV_UPSTREAM_HEAD: the body has neither a length
                              nor chunks and ends with its connection, so that
                              a body cut short may look complete */
+  bool has_length;      /**< EV_UPSTREAM_HEAD: the body has a length */
+  uint64_t length;      /**< with has_length: in bytes */
   uint16_t local_port;  /**< EV_UPSTREAM_HEAD: of the connection that the
                              response came on; 0: unknown */
   buf_t data;           /**< EV_UPSTREAM_DATA */
@@ -223,6 +225,8 @@
   bool refused;     /**< EV_FAIL_NOT_SENT: nothing listens at the address */
   bool closed;      /**< EV_UPSTREAM_FAIL: the upstream closed or reset the
                          connection before the response was complete */
+  bool malformed;   /**< EV_UPSTREAM_FAIL: bytes have come that are no
+                         response; nothing of what they say is used */
   const char *text; /**< EV_UPSTREAM_FAIL: description for logs */
 } ev_upstream_t;
 
@@ -281,6 +285,8 @@
                        longer has the history after the revision), UNAVAILABLE
                        (the call had no effect) or UNKNOWN (the call may have
                        had its effect) */
+  bool malformed; /**< bytes have come that are no response; nothing of what
+                       they say is used */
   const ev_object_t *objects; /**< GET, PUT: one; LIST, WATCH, EVACUATIONS:
                                   any number */
   size_t object_count;
--- a/src/core/onl_int.h
+++ b/src/core/onl_int.h
@@ -79,7 +79,7 @@
   int status;
   http_headers_t headers;
   bool stream;          /**< server-sent events, passed on as they arrive */
-  int64_t length;       /**< Content-Length in bytes; -1: none */
+  int64_t length;       /**< of the body, in bytes; -1: not announced */
   bool close_delimited; /**< as in ev_upstream_t */
   sse_place_t place;    /**< STREAM: where it stands */
   clk_ms_t event_at;    /**< STREAM: when its last whole event came */
--- a/src/core/onl_response.c
+++ b/src/core/onl_response.c
@@ -151,16 +151,12 @@
   return status == 502 || status == 503 || status == 504;
 }
 
-/** Length in bytes that the response's body must have; -1: unknown. */
-static int64_t
-_onl_length (const onl_request_t *r, http_headers_t headers)
+/** Note how the body behind the head UP of R's response ends. */
+static void
+_onl_framing_set (onl_request_t *r, const ev_upstream_t *up)
 {
-  const char *text = http_header_find (headers, "Content-Length");
-  if (text == NULL || strcmp (r->method, "HEAD") == 0)
-    return -1;
-  char *end = NULL;
-  long long n = strtoll (text, &end, 10);
-  return end != text && *end == '\0' && n >= 0 ? n : -1;
+  r->response.length = up->has_length ? (int64_t)up->length : -1;
+  r->response.close_delimited = up->close_delimited;
 }
 
 /** Handle a refusal with STATUS, with which the upstream promises that it did
@@ -197,8 +193,7 @@
     }
   r->response.status = up->status;
   r->response.stream = true;
-  r->response.length = _onl_length (r, up->headers);
-  r->response.close_delimited = up->close_delimited;
+  _onl_framing_set (r, up);
   tln_record (env->tln, env->now, MOD_ONLINE, "resumed",
               "request=%s upstream=%s version=%s after=%s", r->request_id,
               r->pick.upstream, r->pick.version == NULL ? "" : r->pick.version,
@@ -250,8 +245,7 @@
       = onl_response_headers (r->pool, up->headers, r->request_id);
   r->response.stream
       = onl_header_is (up->headers, "Content-Type", "text/event-stream");
-  r->response.length = _onl_length (r, up->headers);
-  r->response.close_delimited = up->close_delimited;
+  _onl_framing_set (r, up);
   r->response.buffered = r->response.stream ? NULL : g_byte_array_new ();
   onl_fire (o, env, r, ONL_EV_HEAD);
   if (r->response.stream)
@@ -459,8 +453,7 @@
   if (r->state != ONL_ANSWERING)
     _onl_response_broken (o, env, r, "it ended before the head");
   else if (response->length >= 0
-           && response->received != (uint64_t)response->length
-           && response->status != 204 && response->status != 304)
+           && response->received != (uint64_t)response->length)
     _onl_response_broken (o, env, r, "less came than was announced");
   else if (response->stream && r->has_end_marker
            && !_onl_stream_is_complete (response))
--- a/src/core/plt.c
+++ b/src/core/plt.c
@@ -308,6 +308,8 @@
   _plt_call_t *call = tbl_get (p->calls, id);
   if (call == NULL)
     return false;
+  if (reply->malformed)
+    cnt_add (env->cnt, "rts_platform_malformed_total", "", 1);
   /* The outcome of a relayed call says nothing about this VM's own connection
    * to the platform. */
   if (!call->relayed)
--- a/src/core/upc.c
+++ b/src/core/upc.c
@@ -21,6 +21,8 @@
   char *via;                      /**< VM through which it goes; NULL: none */
 } _upc_call_t;
 
+const char *const upc_once_headers[] = { UPC_ID_HEADER, NULL };
+
 struct upc
 {
   tbl_t *calls; /**< _upc_call_t */
@@ -194,6 +196,14 @@
               id == NULL ? "none" : id, call->address, head->local_port);
 }
 
+/* Counts EV if bytes have come that are no response. */
+static void
+_upc_malformed_count (env_t *env, const ev_t *ev)
+{
+  if (ev->kind == EV_UPSTREAM_FAIL && ev->upstream.malformed)
+    cnt_add (env->cnt, "rts_upstream_malformed_total", "", 1);
+}
+
 /* Replaces the event EV of CALL by a failure if it is a foreign head. */
 static void
 _upc_foreign_drop (env_t *env, const _upc_call_t *call, ev_t *ev)
@@ -239,6 +249,7 @@
   _upc_path_note (env, call, ev);
   /* That may have started calls. */
   call = tbl_get (env->upc->calls, id);
+  _upc_malformed_count (env, ev);
   _upc_foreign_drop (env, call, ev);
   if (ev->kind == EV_UPSTREAM_END || ev->kind == EV_UPSTREAM_FAIL)
     _upc_free (env, id);
--- a/src/core/upc.h
+++ b/src/core/upc.h
@@ -25,6 +25,9 @@
 /** Header with the id of a request. */
 #define UPC_ID_HEADER "X-Request-Id"
 
+/** Headers of a response that may not have two values, as in rhd_desc_t. */
+extern const char *const upc_once_headers[];
+
 struct env;
 
 /** Owner of a call. */
--- a/src/io/drv.c
+++ b/src/io/drv.c
@@ -229,6 +229,7 @@
   buf_t body
       = buf_copy (q, (buf_t){ .p = (char *)p->body->data, .n = p->body->len });
   const char *name = talloc_strdup (q, p->name);
+  reply->malformed = e->malformed;
   if (e->kind == EV_UPSTREAM_FAIL)
     reply->code = pcl_failure (p->op, e->fail);
   else if (d->desc.set->hosted)
@@ -275,12 +276,15 @@
                             .headers = e->headers,
                             .local_port = e->local_port,
                             .close_delimited = e->close_delimited,
+                            .has_length = e->has_length,
+                            .length = e->length,
                             .data = e->data,
                             .fail = e->fail,
                             .connected = e->connected,
                             .tunnel = e->tunnel,
                             .refused = e->refused,
                             .closed = e->closed,
+                            .malformed = e->malformed,
                             .text = e->text } };
   _drv_queued_t *q = _drv_event_queue (d, &ev);
   if (e->kind == EV_UPSTREAM_HEAD && d->desc.set->hosted)
@@ -402,6 +406,8 @@
     headers = pfm_upstream_encode (tmp, u);
   const char *path = d->desc.set->hosted ? pfm_upstream_path (u) : u->path;
   const char *id_header = d->desc.set->hosted ? PFM_ID_HEADER : UPC_ID_HEADER;
+  const char *const *once
+      = d->desc.set->hosted ? pfm_once_headers : upc_once_headers;
   const char *proof = u->tunnel == NULL
                           ? NULL
                           : tun_proof (tmp, d->desc.set->secret, u->tunnel);
@@ -420,7 +426,8 @@
                                    .total_ms = u->total_ms,
                                    .fresh_connection = u->fresh_connection,
                                    .id_header = id_header,
-                                   .id_required = u->proves_origin });
+                                   .id_required = u->proves_origin,
+                                   .once_headers = once });
   talloc_free (tmp);
   if (u->caller != 0)
     _drv_pause_if_full (d, u->caller, u->call);
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -1,6 +1,7 @@
 #include "io/hcl.h"
 
 #include "core/hck.h"
+#include "core/rhd.h"
 #include "io/hcl_socket.h"
 #include "io/tun.h"
 
@@ -53,6 +54,7 @@
   hcl_t *client;
   hcl_owner_t owner;
   uint64_t id;
+  const char *address; /**< as in hcl_call_t, for logs */
   CURL *easy;
   struct curl_slist *request_headers;
   struct curl_slist *tunnel_headers; /**< NULL: it goes through no tunnel */
@@ -62,13 +64,15 @@
   _hcl_limit_t wait_limit; /**< for the first byte, then for a stall */
   _hcl_limit_t total_limit;
   clk_ms_t stall_ms;
-  http_header_t *headers; /**< of the response */
-  size_t header_count;
+  rhd_t *head;           /**< reads the response's head and trailer */
+  rhd_t *tunnel_head;    /**< the same of the tunnel's; NULL: the tunnel is
+                              open, or there is none */
+  int tunnel_status;     /**< of the whole head of the tunnel; 0: none yet */
+  const char *malformed; /**< what of them breaks the rule; NULL: nothing */
   size_t head_bytes;     /**< of all lines so far, against HCL_HEAD_MAX */
   bool head_ended;       /**< further header lines are a trailer's */
   bool head_received;    /**< the head was emitted */
   bool framing_required; /**< as in hcl_call_t */
-  bool is_head;          /**< the method is HEAD: responses have no body */
   bool paused;
   size_t upload_size; /**< of the request's body, in bytes */
   size_t body_max;    /**< as in hcl_call_t */
@@ -191,20 +195,6 @@
 
 /* -- libcurl's callbacks -------------------------------------------------- */
 
-/* Whether the body of R's response, which has STATUS, ends with the connection
- * alone (RFC 9112, 6.3). */
-static bool
-_hcl_is_close_delimited (const _hcl_request_t *r, long status)
-{
-  http_headers_t headers = { .v = r->headers, .n = r->header_count };
-  if (r->is_head || status == 204 || status == 304)
-    return false;
-  const char *coding = http_header_find (headers, "Transfer-Encoding");
-  if (coding != NULL)
-    return strcasestr (coding, "chunked") == NULL;
-  return http_header_find (headers, "Content-Length") == NULL;
-}
-
 /* Whether all of R's body has left this process. */
 static bool
 _hcl_is_uploaded (const _hcl_request_t *r)
@@ -220,40 +210,41 @@
 static bool
 _hcl_end_is_proof (const _hcl_request_t *r)
 {
-  long status = 0;
-  curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
-  if (!_hcl_is_close_delimited (r, status))
+  if (!r->head_ended || !rhd_is_close_delimited (rhd_head (r->head)))
     return r->head_ended;
-  return r->head_ended && !r->framing_required && _hcl_is_uploaded (r);
+  return !r->framing_required && _hcl_is_uploaded (r);
 }
 
 static void
 _hcl_emit_head (_hcl_request_t *r)
 {
-  long status = 0;
+  const rhd_head_t *head = rhd_head (r->head);
   long port = 0;
-  curl_easy_getinfo (r->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (r->easy, CURLINFO_LOCAL_PORT, &port);
   long connections = 0;
   curl_easy_getinfo (r->easy, CURLINFO_NUM_CONNECTS, &connections);
   r->head_received = true;
   hcl_event_t e = { .kind = EV_UPSTREAM_HEAD,
-                    .status = (int)status,
+                    .status = head->status,
                     .local_port = (uint16_t)port,
                     .connected = connections > 0,
-                    .close_delimited = _hcl_is_close_delimited (r, status),
-                    .headers = { .v = r->headers, .n = r->header_count } };
+                    .close_delimited = rhd_is_close_delimited (head),
+                    .has_length = head->has_body && head->has_length,
+                    .length = head->length,
+                    .headers = head->headers };
   _hcl_emit (r, &e);
 }
 
+/* -- heads ---------------------------------------------------------------- */
+
 /* Whether the response's id_header shows that it is another request's. */
 static bool
 _hcl_response_is_foreign (const _hcl_request_t *r)
 {
-  http_headers_t headers = { .v = r->headers, .n = r->header_count };
   if (r->id_header == NULL)
     return false;
-  const char *id = http_header_find (headers, r->id_header);
+  const char *id
+      = http_header_find (rhd_head (r->head)->headers, r->id_header);
   return id == NULL ? r->id_required : strcmp (id, r->request_id) != 0;
 }
 
@@ -268,38 +259,52 @@
   curl_easy_setopt (r->easy, CURLOPT_FORBID_REUSE, once ? 1L : 0L);
 }
 
-/* Takes the N bytes at P, a line of a head or trailer. */
+/* Notes that bytes of R's response, or of its tunnel's, break the rule: WHY,
+ * owned by R. */
 static void
-_hcl_line (_hcl_request_t *r, const char *p, size_t n)
+_hcl_malformed_set (_hcl_request_t *r, const char *why)
 {
-  /* A status line begins a response, for instance the final one that follows
-   * 100 Continue. */
-  if (n >= 5 && strncmp (p, "HTTP/", 5) == 0)
-    {
-      TALLOC_FREE (r->headers);
-      r->header_count = 0;
-      r->head_ended = false;
-      return;
-    }
-  if (r->head_ended)
-    return;
-  const char *colon = memchr (p, ':', n);
-  if (colon == NULL)
+  r->malformed = why;
+  const char *from = r->owner == HCL_PLATFORM ? "platform" : "upstream";
+  g_message ("http response-malformed: from=%s id=%llu request=%s at=%s "
+             "why=%s",
+             r->tunnel_head != NULL ? "tunnel" : from,
+             (unsigned long long)r->id,
+             r->request_id == NULL ? "" : r->request_id, r->address, why);
+}
+
+/* Takes LINE of the answer of R's tunnel; false: it breaks the rule. */
+static bool
+_hcl_tunnel_line (_hcl_request_t *r, buf_t line)
+{
+  rhd_progress_t progress = rhd_push (r->tunnel_head, line);
+  if (progress == RHD_SPOILT)
+    _hcl_malformed_set (r, rhd_describe (r, r->tunnel_head));
+  if (progress == RHD_ENDED)
+    r->tunnel_status = rhd_head (r->tunnel_head)->status;
+  if (r->tunnel_status == TUN_OPEN)
+    TALLOC_FREE (r->tunnel_head);
+  return progress != RHD_SPOILT;
+}
+
+/* Takes LINE of a head or trailer of R's response; false: it breaks the rule.
+ */
+static bool
+_hcl_line (_hcl_request_t *r, buf_t line)
+{
+  switch (rhd_push (r->head, line))
     {
-      if (n > 0 && (p[0] == '\r' || p[0] == '\n'))
-        _hcl_on_head_end (r);
-      return;
+    case RHD_SPOILT:
+      _hcl_malformed_set (r, rhd_describe (r, r->head));
+      return false;
+    case RHD_ENDED:
+      _hcl_on_head_end (r);
+      return true;
+    case RHD_MORE:
+    case RHD_INTERIM:
+      return true;
     }
-  /* The array's size is a power of two. */
-  if ((r->header_count & (r->header_count - 1)) == 0)
-    r->headers
-        = talloc_realloc (r, r->headers, http_header_t,
-                          r->header_count > 0 ? 2 * r->header_count : 1);
-  http_header_t *h = &r->headers[r->header_count++];
-  h->name = talloc_strndup (r->headers, p, (size_t)(colon - p));
-  char *value
-      = talloc_strndup (r->headers, colon + 1, n - (size_t)(colon - p) - 1);
-  h->value = g_strstrip (value);
+  return true;
 }
 
 /* Less than the length given makes libcurl end the call and close. */
@@ -308,13 +313,17 @@
 {
   _hcl_request_t *r = data;
   size_t n = size * count;
+  buf_t line = { .p = p, .n = n };
   r->head_bytes += n;
   if (r->head_bytes > HCL_HEAD_MAX)
     return 0;
-  _hcl_line (r, p, n);
-  return n;
+  bool sound = r->tunnel_head != NULL ? _hcl_tunnel_line (r, line)
+                                      : _hcl_line (r, line);
+  return sound ? n : 0;
 }
 
+/* -- bodies --------------------------------------------------------------- */
+
 static void
 _hcl_on_turn_end (struct tevent_context *loop, struct tevent_immediate *im,
                   void *data)
@@ -391,7 +400,23 @@
     return "the head is too large";
   if (_hcl_body_is_too_large (r))
     return "the body is too large";
-  return curl_easy_strerror (code);
+  return r->malformed != NULL ? r->malformed : curl_easy_strerror (code);
+}
+
+/* Whether CODE says that libcurl itself takes what has come for no response:
+ * it reads a line before it passes it on. */
+static bool
+_hcl_is_no_response (CURLcode code)
+{
+  switch (code)
+    {
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_BAD_CONTENT_ENCODING:
+      return true;
+    default:
+      return false;
+    }
 }
 
 /* Whether CODE, of a call that was sent, says that the other side closed or
@@ -418,22 +443,18 @@
 _hcl_is_sent (const _hcl_request_t *r)
 {
   long sent = 0;
-  long answer = 0;
   curl_easy_getinfo (r->easy, CURLINFO_REQUEST_SIZE, &sent);
-  curl_easy_getinfo (r->easy, CURLINFO_HTTP_CONNECTCODE, &answer);
   /* The request for the tunnel counts among the bytes. */
-  return r->tunnel_headers != NULL ? answer == TUN_OPEN : sent > 0;
+  return r->tunnel_headers != NULL ? r->tunnel_head == NULL : sent > 0;
 }
 
 /* Why R got no connection through its tunnel. */
 static ev_tunnel_t
 _hcl_tunnel_failure (const _hcl_request_t *r)
 {
-  long answer = 0;
   if (r->tunnel_headers == NULL)
     return EV_TUNNEL_NONE;
-  curl_easy_getinfo (r->easy, CURLINFO_HTTP_CONNECTCODE, &answer);
-  switch (answer)
+  switch (r->tunnel_status)
     {
     case TUN_UNKNOWN:
       return EV_TUNNEL_UNKNOWN;
@@ -454,6 +475,8 @@
   /* libcurl takes a connection that closes within the head for a success. */
   if (code == CURLE_OK && !_hcl_end_is_proof (r))
     code = CURLE_PARTIAL_FILE;
+  if (_hcl_is_no_response (code) && r->malformed == NULL)
+    _hcl_malformed_set (r, curl_easy_strerror (code));
   if (code == CURLE_OK && !r->head_received)
     _hcl_emit_head (r);
   if (code != CURLE_OK)
@@ -464,6 +487,7 @@
       e.tunnel = sent ? EV_TUNNEL_NONE : _hcl_tunnel_failure (r);
       e.refused = !sent && code == CURLE_COULDNT_CONNECT;
       e.closed = sent && _hcl_is_closed (code);
+      e.malformed = sent && r->malformed != NULL;
       e.text = _hcl_failure_text (r, code);
     }
   _hcl_emit (r, &e);
@@ -662,7 +686,7 @@
   curl_easy_setopt (e, CURLOPT_HTTPPROXYTUNNEL, 1L);
   curl_easy_setopt (e, CURLOPT_HEADEROPT, (long)CURLHEADER_SEPARATE);
   curl_easy_setopt (e, CURLOPT_PROXYHEADER, r->tunnel_headers);
-  curl_easy_setopt (e, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+  r->tunnel_head = rhd_setup (r, &(rhd_desc_t){ .once = NULL });
   /* Whether a request has left can be told only for a new tunnel. */
   curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
@@ -688,8 +712,10 @@
       curl_easy_setopt (e, CURLOPT_COPYPOSTFIELDS,
                         call->body.n > 0 ? call->body.p : "");
     }
-  r->is_head = strcmp (call->method, "HEAD") == 0;
-  if (r->is_head)
+  bool is_head = strcmp (call->method, "HEAD") == 0;
+  r->head = rhd_setup (
+      r, &(rhd_desc_t){ .answers_head = is_head, .once = call->once_headers });
+  if (is_head)
     curl_easy_setopt (e, CURLOPT_NOBODY, 1L);
   curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, call->method);
   curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, _hcl_on_header);
@@ -750,6 +776,7 @@
   r->owner = call->owner;
   r->id = call->id;
   r->stall_ms = call->stall_ms;
+  r->address = talloc_strdup (r, call->address);
   r->upload_size = call->body.n;
   r->body_max = call->body_max;
   r->framing_required = call->framing_required;
--- a/src/io/hcl.h
+++ b/src/io/hcl.h
@@ -16,11 +16,13 @@
  * A response without a length or chunks that ends before the request's body is
  * sent fails the call: it may have been reset.
  *
- * A response's head, with all heads before the final one and the trailer, is
- * bounded; beyond that the call fails and its connection is closed.  Its body
- * has a bound if the call sets one; DATA brings a small part of it in each
- * turn of the loop, so that a handler that queues events can pause the call in
- * time.
+ * A response's head is read by one strict rule (core/rhd.h), with all heads
+ * before the final one, the trailer and the answer of a tunnel.  What breaks
+ * it is no response: nothing of it is passed on, the call fails as malformed
+ * and its connection is closed.  All these lines together are bounded; beyond
+ * that the call fails as well.  Its body has a bound if the call sets one;
+ * DATA brings a small part of it in each turn of the loop, so that a handler
+ * that queues events can pause the call in time.
  *
  * The head of a request is checked (core/hck.h); one that does not pass fails
  * with EV_FAIL_UNSENDABLE, and no byte of it is sent.  Its path and the values
@@ -78,6 +80,8 @@
   const char *id_header; /**< header of the request that its response may
                               repeat; NULL: none */
   bool id_required;      /**< its response must repeat it */
+  const char *const *once_headers; /**< as in rhd_desc_t, of the response;
+                                        borrowed until the call is over */
 } hcl_call_t;
 
 /** Progress of a call. */
@@ -91,12 +95,15 @@
   uint16_t local_port;    /**< HEAD: of the connection; 0: unknown */
   bool close_delimited;   /**< HEAD: the body has neither a length nor chunks,
                                and ends with the connection */
+  bool has_length;        /**< HEAD: as in ev_upstream_t */
+  uint64_t length;        /**< HEAD: the same */
   buf_t data;             /**< DATA: bytes of the body */
   ev_fail_t fail;         /**< FAIL */
   bool connected;         /**< HEAD: as in ev_upstream_t */
   ev_tunnel_t tunnel;     /**< FAIL: as in ev_upstream_t */
   bool refused;           /**< FAIL: as in ev_upstream_t */
   bool closed;            /**< FAIL: as in ev_upstream_t */
+  bool malformed;         /**< FAIL: as in ev_upstream_t */
   const char *text;       /**< FAIL: description for logs */
 } hcl_event_t;
 
--- a/tests/onlnet_up.c
+++ b/tests/onlnet_up.c
@@ -66,6 +66,8 @@
   head->headers[2] = (http_header_t){ "Content-Length",
                                       talloc_asprintf (head, "%zu", size) };
   head->ev.upstream.status = 200;
+  head->ev.upstream.has_length = !stream;
+  head->ev.upstream.length = size;
   head->ev.upstream.headers
       = (http_headers_t){ .v = head->headers, .n = stream ? 2 : 3 };
   upstream_data (n, delay + 2, vm, call, (buf_t){ .p = body, .n = sent / 2 });
--- a/tests/test_odd_answers.c
+++ b/tests/test_odd_answers.c
@@ -5,10 +5,8 @@
  */
 #include "drvbed.h"
 #include "flood.h"
-#include "io/hcl.h"
-#include "io/tun.h"
+#include "hclbed.h"
 #include "platform/pfm.h"
-#include "sock.h"
 #include "tst.h"
 
 #include <glib.h>
@@ -19,15 +17,12 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#define SECRET "a secret of the fleet"
-#define WAIT_US ((gint64)4 * G_USEC_PER_SEC)
 /* Larger than what the sockets' buffers hold. */
 #define UPLOAD ((size_t)16 << 20)
 /* Memory of the smallest VM, of which half must bear AT_ONCE answers. */
 #define VM_MEMORY ((size_t)110 << 20)
 #define AT_ONCE 16
 #define FLOOD_MAX ((size_t)16 << 20)
-#define BODY_MAX ((size_t)1 << 20)
 #define COUNT(table) (sizeof (table) / sizeof (table)[0])
 
 /* The sanitizer keeps 256 MB of freed memory by default, which would count as
@@ -40,147 +35,6 @@
   return "quarantine_size_mb=1:thread_local_quarantine_size_kb=64";
 }
 
-/* A client, tunnels, and a server whose bytes the test writes. */
-typedef struct
-{
-  struct tevent_context *loop;
-  hcl_t *client;
-  tun_t *tunnels;
-  char listen[32];  /* of the tunnels */
-  char address[32]; /* of the server */
-  int listener;
-  int status; /* of the last head; -1: none */
-  GString *body;
-  unsigned ended;
-  unsigned failed;
-} bed_t;
-
-static void
-on_response (void *data, const hcl_event_t *e)
-{
-  bed_t *b = data;
-  if (e->kind == EV_UPSTREAM_HEAD)
-    b->status = e->status;
-  if (e->kind == EV_UPSTREAM_DATA && b->body->len < BODY_MAX)
-    g_string_append_len (b->body, e->data.p, (gssize)e->data.n);
-  b->ended += e->kind == EV_UPSTREAM_END;
-  b->failed += e->kind == EV_UPSTREAM_FAIL;
-}
-
-static int
-admit (void *data, const char *address, size_t open)
-{
-  (void)data;
-  (void)address;
-  (void)open;
-  return TUN_OPEN;
-}
-
-static bed_t *
-bed_open (void)
-{
-  uint16_t port = 0;
-  st_t st = { 0 };
-  bed_t *b = talloc_zero (NULL, bed_t);
-  b->loop = tevent_context_init (b);
-  b->body = g_string_new (NULL);
-  b->listener = sock_listen (&port);
-  (void)snprintf (b->address, sizeof b->address, "127.0.0.1:%u", port);
-  (void)snprintf (b->listen, sizeof b->listen, "127.0.0.1:%u",
-                  sock_free_port ());
-  b->client = hcl_setup (
-      b->loop,
-      &(hcl_desc_t){ .loop = b->loop, .handler = on_response, .data = b });
-  b->tunnels = tun_setup (b->loop,
-                          &(tun_desc_t){ .loop = b->loop,
-                                         .listen = b->listen,
-                                         .secret = SECRET,
-                                         .admit = admit,
-                                         .data = b },
-                          &st);
-  return b;
-}
-
-static void
-bed_close (bed_t *b)
-{
-  close (b->listener);
-  TALLOC_FREE (b->client);
-  (void)g_string_free (b->body, TRUE);
-  talloc_free (b);
-}
-
-static void
-on_turn (struct tevent_context *loop, struct tevent_timer *timer,
-         struct timeval now, void *data)
-{
-  (void)loop;
-  (void)timer;
-  (void)now;
-  struct tevent_timer **limit = data;
-  *limit = NULL;
-}
-
-/* One turn of the loop, 2 ms at most. */
-static void
-turn (bed_t *b)
-{
-  struct tevent_timer *limit = NULL;
-  limit = tevent_add_timer (
-      b->loop, b->loop, tevent_timeval_current_ofs (0, 2000), on_turn, &limit);
-  (void)tevent_loop_once (b->loop);
-  talloc_free (limit);
-}
-
-/* Runs turns until COUNT calls are over, or the body has come. */
-static void
-await (bed_t *b, unsigned count, bool body)
-{
-  gint64 until = g_get_monotonic_time () + WAIT_US;
-  while (b->ended + b->failed < count && !(body && b->body->len > 0)
-         && g_get_monotonic_time () < until)
-    turn (b);
-}
-
-/* The next connection of the server, -1 if none comes. */
-static int
-accepted (bed_t *b)
-{
-  struct timeval short_wait = { .tv_usec = 1000 };
-  gint64 until = g_get_monotonic_time () + WAIT_US;
-  int fd = -1;
-  setsockopt (b->listener, SOL_SOCKET, SO_RCVTIMEO, &short_wait,
-              sizeof short_wait);
-  while (fd < 0 && g_get_monotonic_time () < until)
-    {
-      turn (b);
-      fd = accept (b->listener, NULL, NULL);
-    }
-  return fd;
-}
-
-static void
-call (bed_t *b, uint64_t id, bool tunnel, buf_t body)
-{
-  const http_header_t header = { "Request-Id", "r-1" };
-  b->status = -1;
-  b->ended = b->failed = id == 1 ? 0 : b->failed;
-  hcl_call (b->client,
-            &(hcl_call_t){ .id = id,
-                           .address = b->address,
-                           .method = "POST",
-                           .path = "/",
-                           .headers = { &header, 1 },
-                           .body = body,
-                           .first_byte_ms = 3000,
-                           .stall_ms = 2000,
-                           .total_ms = 3500,
-                           .body_max = BODY_MAX,
-                           .fresh_connection = true,
-                           .tunnel = tunnel ? b->listen : NULL,
-                           .tunnel_proof = tun_proof (b, SECRET, b->listen) });
-}
-
 #define HEAD(status)                                                          \
   "HTTP/1.1 " status "\r\nRequest-Id: r-1\r\nResponse-Signature: s\r\n"
 
@@ -193,13 +47,13 @@
   for (int tunnel = 0; tunnel < 2; tunnel++)
     for (int end = 0; end < 3; end++)
       {
-        bed_t *b = bed_open ();
-        call (b, 1, tunnel != 0, (buf_t){ .p = upload, .n = UPLOAD });
-        int fd = accepted (b);
+        hclbed_t *b = hclbed_open ();
+        hclbed_call (b, 1, tunnel != 0, (buf_t){ .p = upload, .n = UPLOAD });
+        int fd = hclbed_accepted (b);
         CU_ASSERT (fd >= 0);
         (void)send (fd, HEAD ("200 OK") "\r\npart",
                     strlen (HEAD ("200 OK") "\r\npart"), MSG_NOSIGNAL);
-        await (b, 1, true);
+        hclbed_await (b, 1, true);
         CU_ASSERT_STRING_EQUAL (b->body->str, "part");
         /* A reset; a close, which resets as well as soon as there are unread
          * bytes; the end that may be seen before that. */
@@ -210,14 +64,14 @@
           (void)shutdown (fd, SHUT_WR);
         else
           close (fd);
-        await (b, 1, false);
+        hclbed_await (b, 1, false);
         CU_ASSERT (b->failed == 1 && b->ended == 0);
         if (b->failed != 1 || b->ended != 0)
           (void)printf ("tunnel %d, end %d: %u failed, %u ended\n", tunnel,
                         end, b->failed, b->ended);
         if (end == 2)
           close (fd);
-        bed_close (b);
+        hclbed_close (b);
       }
   g_free (upload);
 }
@@ -233,13 +87,13 @@
       size_t size = sizes[i / 2];
       size_t got = 0;
       char bytes[4096];
-      bed_t *b = bed_open ();
-      call (b, 1, i % 2 == 1, (buf_t){ .p = upload, .n = size });
-      int fd = accepted (b);
+      hclbed_t *b = hclbed_open ();
+      hclbed_call (b, 1, i % 2 == 1, (buf_t){ .p = upload, .n = size });
+      int fd = hclbed_accepted (b);
       CU_ASSERT (fd >= 0);
       for (int turns = 0; turns < 2000 && got <= size; turns++)
         {
-          turn (b);
+          hclbed_turn (b);
           ssize_t n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
           const char *end
               = got == 0 && n > 0 ? g_strstr_len (bytes, n, "\r\n\r\n") : NULL;
@@ -251,10 +105,10 @@
       (void)send (fd, HEAD ("200 OK") "\r\nall",
                   strlen (HEAD ("200 OK") "\r\nall"), MSG_NOSIGNAL);
       close (fd);
-      await (b, 1, false);
+      hclbed_await (b, 1, false);
       CU_ASSERT (b->ended == 1 && b->failed == 0);
       CU_ASSERT_STRING_EQUAL (b->body->str, "all");
-      bed_close (b);
+      hclbed_close (b);
     }
   g_free (upload);
 }
@@ -283,9 +137,9 @@
   for (size_t i = 0; i < 2 * COUNT (rows); i++)
     {
       const char *row = rows[i / 2];
-      bed_t *b = bed_open ();
-      call (b, 1, i % 2 == 1, buf_str ("b"));
-      int fd = accepted (b);
+      hclbed_t *b = hclbed_open ();
+      hclbed_call (b, 1, i % 2 == 1, buf_str ("b"));
+      int fd = hclbed_accepted (b);
       CU_ASSERT (fd >= 0);
       char *text
           = talloc_asprintf (b,
@@ -294,7 +148,7 @@
                              row);
       (void)send (fd, text, strlen (text), MSG_NOSIGNAL);
       (void)shutdown (fd, SHUT_WR);
-      await (b, 1, false);
+      hclbed_await (b, 1, false);
       bool success = b->ended > 0 && b->status >= 200 && b->status < 300;
       CU_ASSERT_FALSE (success);
       CU_ASSERT (b->ended == 0 || strstr (row, "600") != NULL
@@ -302,7 +156,7 @@
       if (success)
         (void)printf ("%s: status %d, ended %u\n", row, b->status, b->ended);
       close (fd);
-      bed_close (b);
+      hclbed_close (b);
     }
 }
 
@@ -330,20 +184,20 @@
   };
   for (size_t i = 0; i < 2 * COUNT (rows); i++)
     {
-      bed_t *b = bed_open ();
+      hclbed_t *b = hclbed_open ();
       int fds[AT_ONCE];
       flood_t *floods[AT_ONCE];
       size_t growth = 0;
       for (unsigned k = 0; k < AT_ONCE; k++)
         {
-          call (b, k + 1, i % 2 == 1, buf_str ("b"));
-          fds[k] = accepted (b);
+          hclbed_call (b, k + 1, i % 2 == 1, buf_str ("b"));
+          fds[k] = hclbed_accepted (b);
           CU_ASSERT (fds[k] >= 0);
         }
       for (unsigned k = 0; k < AT_ONCE; k++)
         floods[k] = flood_start (b, b->loop, fds[k], rows[i / 2].first,
                                  rows[i / 2].block, FLOOD_MAX);
-      await (b, AT_ONCE, false);
+      hclbed_await (b, AT_ONCE, false);
       CU_ASSERT_EQUAL (b->failed, AT_ONCE);
       for (unsigned k = 0; k < AT_ONCE; k++)
         growth = MAX (growth, flood_growth (floods[k]));
@@ -356,7 +210,7 @@
           TALLOC_FREE (floods[k]);
           close (fds[k]);
         }
-      bed_close (b);
+      hclbed_close (b);
     }
 }
 
