A head that ends too early is no head

What callers saw: an empty line came too early, and the rest of the head, then the body, reached them as the body of a whole 200; a spoilt name of Transfer-Encoding brought the chunks' own lines.

Cause: such a head is sound in each of its lines; what shows it is the body, which nobody looked at.

Change: core/opn judges the first bytes of a body. Fields up to an empty line, one of which frames or describes a message, are a head's, unless the type is message/*. Behind a head with neither length, chunks nor "Connection: close" an empty line, the size of a chunk, or, without a type, any fields are too. Behind a length an empty line or other fields are, if bytes follow the body; an event stream with a length needs no such bytes. hcl holds back only what looks like a head's line. A trailer of events, left by a first chunk whose size became 0, breaks the rule. Sound answers without a length go on (test_close_delimited, unchanged).

--- /dev/null
+++ b/src/core/opn.c
@@ -0,0 +1,173 @@
+#include "core/opn.h"
+
+#include "core/hck.h"
+
+#include <glib.h>
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+
+/** Longest name of a field in an opening, in bytes. */
+#define OPN_NAME_MAX 64
+/** Most digits of a chunk's size. */
+#define OPN_SIZE_DIGITS_MAX 8
+
+/** Headers that frame or describe a message, or speak of its connection. */
+static const char *const describing[]
+    = { "Content-Length",   "Transfer-Encoding", "Content-Type",
+        "Content-Encoding", "Connection",        "Keep-Alive" };
+
+/** Fields of an event stream. */
+static const char *const event_fields[] = { "data", "event", "id", "retry" };
+
+/** What an opening looks like, whatever its head says. */
+typedef enum
+{
+  _OPN_UNDECIDED,
+  _OPN_OTHER,
+  _OPN_EMPTY_LINE,
+  _OPN_CHUNK,      /**< a line with the size of a chunk */
+  _OPN_FIELDS,     /**< fields up to an empty line */
+  _OPN_DESCRIBING, /**< the same, one of which describes a message */
+} _opn_look_t;
+
+static bool
+_opn_is_one_of (const char *const *names, size_t count, buf_t name)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strlen (names[i]) == name.n
+        && strncasecmp (names[i], name.p, name.n) == 0)
+      return true;
+  return false;
+}
+
+static bool
+_opn_is_token (buf_t name)
+{
+  char *s = g_strndup (name.p, name.n);
+  bool is = strlen (s) == name.n && hck_token_is_valid (s);
+  g_free (s);
+  return is;
+}
+
+/** Whether LINE, without its end, is the size of a chunk. */
+static bool
+_opn_is_size (buf_t line)
+{
+  size_t n = 0;
+  while (n < line.n && g_ascii_isxdigit (line.p[n]))
+    n++;
+  return n > 0 && n <= OPN_SIZE_DIGITS_MAX
+         && (n == line.n || line.p[n] == ';');
+}
+
+/** Whether a line that begins with the bytes PART may become a field or the
+ * size of a chunk. */
+static bool
+_opn_may_go_on (buf_t part)
+{
+  const char *colon = memchr (part.p, ':', part.n);
+  buf_t name = { .p = part.p,
+                 .n = colon == NULL ? part.n : (size_t)(colon - part.p) };
+  if (name.n > OPN_NAME_MAX)
+    return false;
+  /* A CR, whose LF is still to come. */
+  if (colon == NULL && name.n > 0 && name.p[name.n - 1] == '\r')
+    name.n--;
+  if (name.n == 0)
+    return colon == NULL;
+  if (colon != NULL
+      && _opn_is_one_of (event_fields, G_N_ELEMENTS (event_fields), name))
+    return false;
+  return _opn_is_token (name) || _opn_is_size (name);
+}
+
+/** Looks at BYTES; with ENDED no more come. */
+static _opn_look_t
+_opn_look (buf_t bytes, bool ended)
+{
+  _opn_look_t look = _OPN_EMPTY_LINE;
+  while (bytes.n > 0)
+    {
+      const char *lf = memchr (bytes.p, '\n', bytes.n);
+      if (lf == NULL)
+        return ended || !_opn_may_go_on (bytes) ? _OPN_OTHER : _OPN_UNDECIDED;
+      buf_t line = { .p = bytes.p, .n = (size_t)(lf - bytes.p) };
+      if (line.n == 0 || line.p[line.n - 1] != '\r')
+        return _OPN_OTHER;
+      line.n--;
+      if (line.n == 0)
+        return look;
+      const char *colon = memchr (line.p, ':', line.n);
+      if (colon == NULL)
+        return look == _OPN_EMPTY_LINE && _opn_is_size (line) ? _OPN_CHUNK
+                                                              : _OPN_OTHER;
+      buf_t name = { .p = line.p, .n = (size_t)(colon - line.p) };
+      if (!_opn_may_go_on (line) || name.n == 0)
+        return _OPN_OTHER;
+      if (_opn_is_one_of (describing, G_N_ELEMENTS (describing), name))
+        look = _OPN_DESCRIBING;
+      else if (look == _OPN_EMPTY_LINE)
+        look = _OPN_FIELDS;
+      bytes.n -= (size_t)(lf + 1 - bytes.p);
+      bytes.p = lf + 1;
+    }
+  if (!ended)
+    return _OPN_UNDECIDED;
+  return look == _OPN_DESCRIBING ? look : _OPN_OTHER;
+}
+
+/** Whether BYTES, which decide nothing yet, look like a head's: no text is
+ * held back at each of its words. */
+static bool
+_opn_is_held (buf_t bytes)
+{
+  if (memchr (bytes.p, ':', bytes.n) != NULL
+      || memchr (bytes.p, '\r', bytes.n) != NULL)
+    return true;
+  for (size_t i = 0; i < G_N_ELEMENTS (describing); i++)
+    if (bytes.n <= strlen (describing[i])
+        && strncasecmp (describing[i], bytes.p, bytes.n) == 0)
+      return true;
+  return false;
+}
+
+static bool
+_opn_type_is (const char *type, const char *start)
+{
+  return type != NULL
+         && g_ascii_strncasecmp (type, start, strlen (start)) == 0;
+}
+
+opn_verdict_t
+opn_judge (const rhd_head_t *head, buf_t bytes, bool ended)
+{
+  const char *type = http_header_find (head->headers, "Content-Type");
+  /* Lines of a head are no sizes of chunks. */
+  if (head->chunked)
+    return OPN_BODY;
+  /* Nothing says where such a body ends, nor that it ends its connection. */
+  bool unframed = rhd_is_close_delimited (head) && !head->closes;
+  bool last = ended || bytes.n >= OPN_BYTES_MAX;
+  opn_verdict_t weak
+      = _opn_type_is (type, "text/event-stream") && head->has_length
+            ? OPN_HEAD
+            : OPN_SUSPECT;
+  switch (_opn_look (bytes, last))
+    {
+    case _OPN_UNDECIDED:
+      return _opn_is_held (bytes) ? OPN_HOLD : OPN_PENDING;
+    case _OPN_OTHER:
+      return OPN_BODY;
+    case _OPN_CHUNK:
+      return unframed ? OPN_HEAD : OPN_BODY;
+    case _OPN_EMPTY_LINE:
+      return unframed ? OPN_HEAD : weak;
+    case _OPN_FIELDS:
+      return unframed && type == NULL ? OPN_HEAD : weak;
+    case _OPN_DESCRIBING:
+      /* The body of such a type may be a message itself. */
+      return _opn_type_is (type, "message/") ? OPN_SUSPECT : OPN_HEAD;
+    }
+  return OPN_BODY;
+}
--- a/src/core/rhd.c
+++ b/src/core/rhd.c
@@ -36,6 +36,11 @@
 /** Headers that may not have two values. */
 static const char *const once[] = { "Content-Type", NULL };
 
+/** Fields of an event stream, which the size of a chunk that is spoilt to 0
+ * makes a trailer. */
+static const char *const event_fields[]
+    = { "data", "event", "id", "retry", NULL };
+
 rhd_t *
 rhd_setup (void *ctx, const rhd_desc_t *desc)
 {
@@ -237,7 +242,8 @@
   http_header_t field = { .name = NULL };
   const char *why = text.n == 0 ? NULL : _rhd_field_split (h, text, &field);
   if (why == NULL && field.name != NULL
-      && (_rhd_is_framing (field.name) || _rhd_differs (h, &field)))
+      && (_rhd_is_framing (field.name) || _rhd_differs (h, &field)
+          || _rhd_is_one_of (event_fields, field.name)))
     why = "may not stand in a trailer";
   talloc_free ((void *)(uintptr_t)field.name);
   talloc_free ((void *)(uintptr_t)field.value);
--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -1,6 +1,7 @@
 #include "io/hcl.h"
 
 #include "core/hck.h"
+#include "core/opn.h"
 #include "core/rhd.h"
 #include "io/hcl_socket.h"
 #include "io/tun.h"
@@ -8,6 +9,7 @@
 #include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
 
 #define HCL_CONNECT_TIMEOUT_MS 1000L
@@ -72,7 +74,11 @@
   size_t head_bytes;     /**< of all lines so far, against HCL_HEAD_MAX */
   bool head_ended;       /**< further header lines are a trailer's */
   bool head_received;    /**< the head was emitted */
-  bool framing_required; /**< as in hcl_call_t */
+  GString *opening;      /**< first bytes of the body, until they are judged;
+                              NULL: none */
+  size_t opening_sent;   /**< bytes of it that were passed on */
+  opn_verdict_t opening_verdict; /**< the last one */
+  bool framing_required;         /**< as in hcl_call_t */
   bool paused;
   size_t upload_size; /**< of the request's body, in bytes */
   size_t body_max;    /**< as in hcl_call_t */
@@ -117,6 +123,8 @@
     }
   curl_slist_free_all (r->request_headers);
   curl_slist_free_all (r->tunnel_headers);
+  if (r->opening != NULL)
+    (void)g_string_free (r->opening, TRUE);
   return 0;
 }
 
@@ -359,20 +367,84 @@
   return r->body_max > 0 && r->body_bytes > r->body_max;
 }
 
+/* Judges the opening of R's body; with ENDED it is all of the body.  False: it
+ * belongs to the head. */
+static bool
+_hcl_opening_judge (_hcl_request_t *r, bool ended)
+{
+  buf_t bytes = { .p = r->opening->str, .n = r->opening->len };
+  r->opening_verdict = opn_judge (rhd_head (r->head), bytes, ended);
+  if (r->opening_verdict == OPN_HEAD)
+    _hcl_malformed_set (r, "the body begins with lines of a head");
+  /* Whether more follows shows in whether libcurl keeps the connection. */
+  if (r->opening_verdict == OPN_SUSPECT && r->tunnel_headers != NULL)
+    curl_easy_setopt (r->easy, CURLOPT_FORBID_REUSE, 0L);
+  return r->opening_verdict != OPN_HEAD;
+}
+
+/* Whether more bytes of R's body are needed to judge its opening. */
+static bool
+_hcl_is_opening (const _hcl_request_t *r)
+{
+  return r->opening_verdict == OPN_PENDING || r->opening_verdict == OPN_HOLD;
+}
+
+/* Passes on what is left of the opening of R's body, and frees it if it is
+ * judged. */
+static void
+_hcl_opening_emit (_hcl_request_t *r)
+{
+  if (r->opening == NULL)
+    return;
+  buf_t data = { .p = r->opening->str + r->opening_sent,
+                 .n = r->opening->len - r->opening_sent };
+  r->opening_sent = r->opening->len;
+  if (data.n > 0)
+    _hcl_emit (r, &(hcl_event_t){ .kind = EV_UPSTREAM_DATA, .data = data });
+  if (_hcl_is_opening (r))
+    return;
+  (void)g_string_free (r->opening, TRUE);
+  r->opening = NULL;
+}
+
+/* Takes the N bytes at P of a body whose opening is being judged, also for a
+ * paused call: the first byte must be in time.  Less than N ends the call. */
+static size_t
+_hcl_on_opening (_hcl_request_t *r, const char *p, size_t n)
+{
+  if (r->opening == NULL)
+    r->opening = g_string_new (NULL);
+  g_string_append_len (r->opening, p, (gssize)n);
+  r->body_bytes += n;
+  if (_hcl_body_is_too_large (r) || !_hcl_opening_judge (r, false))
+    return 0;
+  if (r->opening_verdict == OPN_HOLD)
+    return n;
+  if (!r->head_received)
+    _hcl_emit_head (r);
+  _hcl_stall_limit_restart (r);
+  if (r->paused)
+    {
+      /* libcurl brings the same bytes again. */
+      g_string_truncate (r->opening, r->opening->len - n);
+      r->body_bytes -= n;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+  _hcl_opening_emit (r);
+  return n;
+}
+
 /* Less than the length given makes libcurl end the call and close. */
 static size_t
 _hcl_on_body (char *p, size_t size, size_t count, void *data)
 {
   _hcl_request_t *r = data;
   size_t n = size * count;
-  /* Also for a paused call, whose first byte is in time. */
-  if (!r->head_received)
-    {
-      _hcl_emit_head (r);
-      _hcl_stall_limit_restart (r);
-    }
+  if (_hcl_is_opening (r) && !(r->paused && r->head_received))
+    return _hcl_on_opening (r, p, n);
   if (r->paused || !_hcl_turn_take (r, n))
     return CURL_WRITEFUNC_PAUSE;
+  _hcl_opening_emit (r);
   r->body_bytes += n;
   if (_hcl_body_is_too_large (r))
     return 0;
@@ -382,15 +454,44 @@
   return n;
 }
 
-/* The connection of the complete request R, unless libcurl has closed it, may
- * serve the next one. */
+/* Whether bytes have come behind the body of the complete request R: libcurl
+ * then closes a connection that its response keeps. */
+static bool
+_hcl_has_more (const _hcl_request_t *r)
+{
+  curl_socket_t sock = CURL_SOCKET_BAD;
+  curl_easy_getinfo (r->easy, CURLINFO_ACTIVESOCKET, &sock);
+  if (rhd_head (r->head)->closes)
+    return false;
+  return sock == CURL_SOCKET_BAD || hcl_socket_has_bytes (sock);
+}
+
+/* What the end of R's body, which libcurl takes for complete, says of its
+ * opening. */
+static void
+_hcl_opening_end (_hcl_request_t *r)
+{
+  if (_hcl_is_opening (r) && r->opening != NULL)
+    (void)_hcl_opening_judge (r, true);
+  if (r->opening_verdict == OPN_SUSPECT && rhd_head (r->head)->has_length
+      && _hcl_has_more (r))
+    _hcl_malformed_set (r, "the body begins with lines of a head, and bytes "
+                           "follow it");
+}
+
+/* The connection of R, which is over, may serve the next call, unless libcurl
+ * has closed it or the response is none. */
 static void
-_hcl_connection_idle (const _hcl_request_t *r)
+_hcl_connection_end (const _hcl_request_t *r)
 {
   curl_socket_t sock = CURL_SOCKET_BAD;
   curl_easy_getinfo (r->easy, CURLINFO_ACTIVESOCKET, &sock);
-  if (sock != CURL_SOCKET_BAD)
+  if (sock == CURL_SOCKET_BAD)
+    return;
+  if (r->malformed == NULL && r->tunnel_headers == NULL)
     hcl_socket_idle (r->client->sockets, sock);
+  else
+    (void)shutdown (sock, SHUT_RDWR);
 }
 
 static const char *
@@ -470,15 +571,21 @@
 static void
 _hcl_finish (_hcl_request_t *r, CURLcode code)
 {
-  _hcl_connection_idle (r);
   hcl_event_t e = { .kind = EV_UPSTREAM_END };
   /* libcurl takes a connection that closes within the head for a success. */
   if (code == CURLE_OK && !_hcl_end_is_proof (r))
     code = CURLE_PARTIAL_FILE;
   if (_hcl_is_no_response (code) && r->malformed == NULL)
     _hcl_malformed_set (r, curl_easy_strerror (code));
+  if (code == CURLE_OK)
+    _hcl_opening_end (r);
+  if (code == CURLE_OK && r->malformed != NULL)
+    code = CURLE_WEIRD_SERVER_REPLY;
+  _hcl_connection_end (r);
   if (code == CURLE_OK && !r->head_received)
     _hcl_emit_head (r);
+  if (code == CURLE_OK)
+    _hcl_opening_emit (r);
   if (code != CURLE_OK)
     {
       bool sent = _hcl_is_sent (r);
@@ -824,6 +931,9 @@
   r->paused = paused;
   if (r->head_received)
     _hcl_stall_limit_restart (r);
-  if (!paused && r->easy != NULL)
-    curl_easy_pause (r->easy, CURLPAUSE_CONT);
+  if (paused || r->easy == NULL)
+    return;
+  if (r->head_received && r->opening_verdict != OPN_HOLD)
+    _hcl_opening_emit (r);
+  curl_easy_pause (r->easy, CURLPAUSE_CONT);
 }
--- a/src/io/hcl_socket.c
+++ b/src/io/hcl_socket.c
@@ -97,6 +97,13 @@
       }
 }
 
+bool
+hcl_socket_has_bytes (int sock)
+{
+  int bytes = 0;
+  return ioctl (sock, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 void
 hcl_socket_idle (hcl_sockets_t *s, int sock)
 {
@@ -111,9 +118,8 @@
 static void
 _hcl_idle_shutdown (int sock)
 {
-  int bytes = 0;
-  if (ioctl (sock, FIONREAD, &bytes) == 0 && bytes > 0)
-    g_info ("http connection-dropped: why=bytes-while-idle bytes=%d", bytes);
+  if (hcl_socket_has_bytes (sock))
+    g_info ("http connection-dropped: why=bytes-while-idle");
   (void)shutdown (sock, SHUT_RDWR);
 }
 
--- a/src/io/hcl_socket.h
+++ b/src/io/hcl_socket.h
@@ -18,6 +18,7 @@
 #ifndef RTS_HCL_SOCKET_H
 #define RTS_HCL_SOCKET_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <tevent.h>
 
@@ -49,6 +50,9 @@
  */
 void hcl_socket_idle (hcl_sockets_t *s, int sock);
 
+/** Whether bytes that nobody has read lie in SOCK. */
+bool hcl_socket_has_bytes (int sock);
+
 /** Shuts down the idle sockets that have received bytes or their end. */
 void hcl_sockets_check (hcl_sockets_t *s);
 
