An answer in an encoding that nobody asked for is none

What callers saw: "Content-Encoding: gzip" beside an upstream's answer reached them with a 200; by the users' rule such a response is not the upstream's body.

Cause: no request asks for an encoding (Accept-Encoding is not passed on), and nothing looked whether an answer has one.

Change: a head with Content-Encoding breaks the rule of core/rhd.

--- a/src/core/rhd.c
+++ b/src/core/rhd.c
@@ -196,6 +196,8 @@
     why = _rhd_length_read (h, field->value);
   else if (strcasecmp (field->name, "Transfer-Encoding") == 0)
     why = _rhd_coding_read (h, field->value);
+  else if (strcasecmp (field->name, "Content-Encoding") == 0)
+    why = "is an encoding that nobody asked for";
   else if (strcasecmp (field->name, "Connection") == 0)
     _rhd_connection_read (h, field->value);
   else if (strcasecmp (field->name, "Keep-Alive") == 0)
--- a/src/core/rhd.h
+++ b/src/core/rhd.h
@@ -1,6 +1,7 @@
 /** @file
  * Heads of responses (prefix rhd_): the one reading of the head and the
- * trailer of an HTTP response (RFC 9112, 2.2 to 7; RFC 9110, 5.5 and 8.6).
+ * trailer of an HTTP response (RFC 9112, 2.2 to 7; RFC 9110, 5.5, 8.4
+ * and 8.6).
  *
  *   rhd_t *h = rhd_setup (ctx, &(rhd_desc_t){ .once = names });
  *   for each line, with its line end:
@@ -10,9 +11,10 @@
  * Use it for each head that comes from elsewhere, before anything in it is
  * used: a head that breaks the rule is no response, whatever it says.  The
  * rule is strict where the standard lets a recipient guess, so that other
- * readers of a head that passes have one meaning left.  It accepts names in
- * any case, white space around values, bytes above 127 in values, a status
- * line without a reason, interim responses, and responses that end with their
+ * readers of a head that passes have one meaning left.  Requests ask for no
+ * encoding, so that a response with one is none.  It accepts names in any
+ * case, white space around values, bytes above 127 in values, a status line
+ * without a reason, interim responses, and responses that end with their
  * connection.  The module does no I/O and keeps only the current head.
  */
 #ifndef RTS_RHD_H
--- a/tests/test_spoilt_heads.c
+++ b/tests/test_spoilt_heads.c
@@ -114,6 +114,16 @@
     "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n" OWN LENGTH END },
 };
 
+/* Encodings, which no request asks for. */
+static const row_t encoded[] = {
+  { "gzip", OWN "Content-Encoding: gzip\r\n" LENGTH END },
+  { "identity", OWN "content-encoding: identity\r\n" LENGTH END },
+  { "no name of an encoding", OWN "Content-Encoding:\r\n" CHUNKS END,
+    IN_CHUNKS },
+  { "gzip, ended by its connection",
+    OWN "Content-Encoding: gzip\r\nConnection: close\r\n" END },
+};
+
 /* Heads that end too early, so that the body shows it alone. */
 static const row_t early[] = {
   { "empty line before the length", OWN END LENGTH END },
@@ -439,6 +449,16 @@
   vm_check_rows (early, COUNT (early), false);
 }
 
+/* The same for an answer in an encoding that nobody asked for: it is not the
+ * upstream's body. */
+static void
+test_encoded_answer_is_none (void)
+{
+  for (size_t i = 0; i < 2 * COUNT (encoded); i++)
+    client_check (&encoded[i / 2], i % 2 == 1, false);
+  vm_check_rows (encoded, COUNT (encoded), false);
+}
+
 /* Guards against a rule that refuses what the standard allows. */
 static void
 test_sound_head_is_an_answer (void)
@@ -467,6 +487,7 @@
     { "client_takes_no_spoilt_head", test_client_takes_no_spoilt_head },
     { "client_takes_no_early_end", test_client_takes_no_early_end },
     { "early_empty_line_is_no_answer", test_early_empty_line_is_no_answer },
+    { "encoded_answer_is_none", test_encoded_answer_is_none },
     { "client_takes_sound_heads", test_client_takes_sound_heads },
     { "spoilt_head_is_no_answer", test_spoilt_head_is_no_answer },
     { "sound_head_is_an_answer", test_sound_head_is_an_answer },
