A broken chunk or trailer is no end of an upstream

What was seen: behind a sound head, a chunk's size that is none came as a failure of the socket, and counted as an upstream that had closed: its request became one that may end upstreams.

Cause: libcurl reports both with one code; only a failure of the socket has an errno.

Change: without one, behind a head, it is a malformed response, as is a trailer's line that libcurl's own reader refuses. A malformed response is never a close.

Evidence: spoilt_heads/spoilt_trailer_is_no_close, directly and through a tunnel; the rows of the trailer without a colon were red before.

--- a/src/io/hcl.c
+++ b/src/io/hcl.c
@@ -507,14 +507,19 @@
 /* Whether CODE says that libcurl itself takes what has come for no response:
  * it reads a line before it passes it on. */
 static bool
-_hcl_is_no_response (CURLcode code)
+_hcl_is_no_response (const _hcl_request_t *r, CURLcode code)
 {
+  long errnum = 0;
+  curl_easy_getinfo (r->easy, CURLINFO_OS_ERRNO, &errnum);
   switch (code)
     {
     case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_UNSUPPORTED_PROTOCOL:
     case CURLE_BAD_CONTENT_ENCODING:
+    case CURLE_BAD_FUNCTION_ARGUMENT: /* a trailer's line without a colon */
       return true;
+    case CURLE_RECV_ERROR: /* without one of the socket: in a chunk */
+      return r->head_ended && errnum == 0;
     default:
       return false;
     }
@@ -575,7 +580,7 @@
   /* libcurl takes a connection that closes within the head for a success. */
   if (code == CURLE_OK && !_hcl_end_is_proof (r))
     code = CURLE_PARTIAL_FILE;
-  if (_hcl_is_no_response (code) && r->malformed == NULL)
+  if (_hcl_is_no_response (r, code) && r->malformed == NULL)
     _hcl_malformed_set (r, curl_easy_strerror (code));
   if (code == CURLE_OK)
     _hcl_opening_end (r);
@@ -593,7 +598,7 @@
       e.fail = sent ? EV_FAIL_UNKNOWN : EV_FAIL_NOT_SENT;
       e.tunnel = sent ? EV_TUNNEL_NONE : _hcl_tunnel_failure (r);
       e.refused = !sent && code == CURLE_COULDNT_CONNECT;
-      e.closed = sent && _hcl_is_closed (code);
+      e.closed = sent && r->malformed == NULL && _hcl_is_closed (code);
       e.malformed = sent && r->malformed != NULL;
       e.text = _hcl_failure_text (r, code);
     }
--- a/tests/test_spoilt_heads.c
+++ b/tests/test_spoilt_heads.c
@@ -161,6 +161,8 @@
   { "a trailer with white space before its colon",
     "$H\r\n$B\r\n0\r\nX-Note : a\r\n\r\n" },
   { "a length in the trailer", "$H\r\n$B\r\n0\r\nContent-Length: 3\r\n\r\n" },
+  { "no size of a chunk", "size\r\n$B\r\n0\r\n\r\n" },
+  { "a chunk without its end", "1\r\n$B\r\n0\r\n\r\n" },
   { "another id in the trailer",
     "$H\r\n$B\r\n0\r\nRequest-Id: foreign\r\n\r\n" },
 };
@@ -442,6 +444,21 @@
   vm_check_rows (spoilt, COUNT (spoilt), false);
 }
 
+/* Guards against a spoilt chunk or trailer that passes for a close, which
+ * would count as an upstream that ended. */
+static void
+test_spoilt_trailer_is_no_close (void)
+{
+  for (size_t i = 0; i < 2 * COUNT (spoilt_trailers); i++)
+    {
+      char *head = talloc_asprintf (NULL, OWN CHUNKS END "%s",
+                                    spoilt_trailers[i / 2].bytes);
+      row_t row = { spoilt_trailers[i / 2].what, head, .at_end = true };
+      client_check (&row, i % 2 == 1, false);
+      talloc_free (head);
+    }
+}
+
 /* The same for an empty line that comes too early. */
 static void
 test_early_empty_line_is_no_answer (void)
@@ -488,6 +505,7 @@
     { "client_takes_no_early_end", test_client_takes_no_early_end },
     { "early_empty_line_is_no_answer", test_early_empty_line_is_no_answer },
     { "encoded_answer_is_none", test_encoded_answer_is_none },
+    { "spoilt_trailer_is_no_close", test_spoilt_trailer_is_no_close },
     { "client_takes_sound_heads", test_client_takes_sound_heads },
     { "spoilt_head_is_no_answer", test_spoilt_head_is_no_answer },
     { "sound_head_is_an_answer", test_sound_head_is_an_answer },
