Other readers of answers use nothing of a spoilt head

The path's own probes had a fault of the rule's making: a malformed answer is a failure now, and counted as an upstream out of reach, though bytes had come. It counts as heard, as its head did before. Read, without a test of its own.

--- a/src/core/pth.c
+++ b/src/core/pth.c
@@ -460,7 +460,7 @@
   if (ev->kind == EV_UPSTREAM_DATA || ev->kind == EV_UPSTREAM_END)
     return;
   /* Whatever it answers: it has been reached. */
-  if (ev->kind == EV_UPSTREAM_HEAD)
+  if (ev->kind == EV_UPSTREAM_HEAD || ev->upstream.malformed)
     {
       upc_cancel (env, probe->call);
       p->probes_good++;
@@ -575,7 +575,8 @@
   bool unsent = ev->kind == EV_UPSTREAM_FAIL && up->fail == EV_FAIL_NOT_SENT;
   if (via != NULL)
     return unsent && _pth_tunnel_failed (p, env, via, up);
-  if (ev->kind == EV_UPSTREAM_HEAD || ev->kind == EV_UPSTREAM_DATA)
+  if (ev->kind == EV_UPSTREAM_HEAD || ev->kind == EV_UPSTREAM_DATA
+      || up->malformed)
     p->heard_at = env->now;
   /* Connections of before may live on behind the cut. */
   if (ev->kind == EV_UPSTREAM_HEAD && up->connected && p->state == PTH_DIRECT)
