An empty line that is moved up is seen without one behind the fields

What callers saw: where the empty line had moved before the last lines of a head, in place of a second one, these came as the first lines of a whole 200.

Cause: of several fields without an empty line behind them, core/opn took only the first one for a sign, and of two that describe a message neither.

Change: fields, one of which describes a message, are a head's also without an empty line, where nothing frames the body or no type was given; not for message/*. Names that only heads of upstreams have are held back until they are whole, as the others are.

--- a/src/core/opn.c
+++ b/src/core/opn.c
@@ -28,8 +28,7 @@
   _OPN_EMPTY_LINE,
   _OPN_CHUNK,           /**< a line with the size of a chunk */
   _OPN_FIELD_LINE,      /**< fields, behind which no empty line stands */
-  _OPN_DESCRIBING_LINE, /**< the same, the first of which describes a message
-                         */
+  _OPN_DESCRIBING_LINE, /**< the same, one of which describes a message */
   _OPN_FIELDS,          /**< fields up to an empty line */
   _OPN_DESCRIBING,      /**< the same, one of which describes a message */
   _OPN_KNOWN, /**< fields, the first of which only heads of upstreams have */
@@ -86,21 +85,28 @@
   return _opn_is_token (name) || _opn_is_size (name);
 }
 
+static size_t
+_opn_count (const char *const *names)
+{
+  size_t count = 0;
+  while (names != NULL && names[count] != NULL)
+    count++;
+  return count;
+}
+
 /** What the field NAME makes of an opening that has looked like LOOK so far;
  * _OPN_EMPTY_LINE: it is the first one. */
 static _opn_look_t
 _opn_field_add (_opn_look_t look, buf_t name, const char *const *known)
 {
-  size_t count = 0;
-  while (known != NULL && known[count] != NULL)
-    count++;
-  if (look == _OPN_EMPTY_LINE && _opn_is_one_of (known, count, name))
+  if (look == _OPN_EMPTY_LINE
+      && _opn_is_one_of (known, _opn_count (known), name))
     return _OPN_KNOWN;
   if (look == _OPN_KNOWN)
     return look;
   if (!_opn_is_one_of (describing, G_N_ELEMENTS (describing), name))
     return look == _OPN_EMPTY_LINE ? _OPN_FIELD_LINE : look;
-  return look == _OPN_EMPTY_LINE ? _OPN_DESCRIBING_LINE : _OPN_DESCRIBING;
+  return _OPN_DESCRIBING_LINE;
 }
 
 /** The name of the field LINE, without its end; N is 0: it is no field. */
@@ -128,20 +134,11 @@
     }
 }
 
-/** What fields that look like LOOK are without one; a later field that
- * describes a message counts only with it. */
+/** What fields that look like LOOK are without one. */
 static _opn_look_t
 _opn_break (_opn_look_t look)
 {
-  switch (look)
-    {
-    case _OPN_EMPTY_LINE:
-      return _OPN_OTHER;
-    case _OPN_DESCRIBING:
-      return _OPN_FIELD_LINE;
-    default:
-      return look;
-    }
+  return look == _OPN_EMPTY_LINE ? _OPN_OTHER : look;
 }
 
 /** Looks at BYTES; with ENDED no more come.  KNOWN is as for opn_judge. */
@@ -173,21 +170,28 @@
   return ended ? _opn_break (look) : _OPN_UNDECIDED;
 }
 
-/** Whether BYTES, which decide nothing yet, look like a head's: no text is
- * held back at each of its words. */
+/** Whether BYTES are the start of one of the COUNT NAMES. */
 static bool
-_opn_is_held (buf_t bytes)
+_opn_begins_one_of (const char *const *names, size_t count, buf_t bytes)
 {
-  if (memchr (bytes.p, ':', bytes.n) != NULL
-      || memchr (bytes.p, '\r', bytes.n) != NULL)
-    return true;
-  for (size_t i = 0; i < G_N_ELEMENTS (describing); i++)
-    if (bytes.n <= strlen (describing[i])
-        && strncasecmp (describing[i], bytes.p, bytes.n) == 0)
+  for (size_t i = 0; i < count; i++)
+    if (bytes.n <= strlen (names[i])
+        && strncasecmp (names[i], bytes.p, bytes.n) == 0)
       return true;
   return false;
 }
 
+/** Whether BYTES, which decide nothing yet, look like a head's: no text is
+ * held back at each of its words. */
+static bool
+_opn_is_held (buf_t bytes, const char *const *known)
+{
+  return memchr (bytes.p, ':', bytes.n) != NULL
+         || memchr (bytes.p, '\r', bytes.n) != NULL
+         || _opn_begins_one_of (describing, G_N_ELEMENTS (describing), bytes)
+         || _opn_begins_one_of (known, _opn_count (known), bytes);
+}
+
 static bool
 _opn_type_is (const char *type, const char *start)
 {
@@ -205,6 +209,8 @@
     return OPN_BODY;
   /* Nothing says where such a body ends, nor that it ends its connection. */
   bool unframed = rhd_is_close_delimited (head) && !head->closes;
+  /* The body of such a type may be a message itself. */
+  bool is_message = _opn_type_is (type, "message/");
   bool last = ended || bytes.n >= OPN_BYTES_MAX;
   opn_verdict_t weak
       = _opn_type_is (type, "text/event-stream") && head->has_length
@@ -213,7 +219,7 @@
   switch (_opn_look (bytes, last, known))
     {
     case _OPN_UNDECIDED:
-      return _opn_is_held (bytes) ? OPN_HOLD : OPN_PENDING;
+      return _opn_is_held (bytes, known) ? OPN_HOLD : OPN_PENDING;
     case _OPN_OTHER:
       return OPN_BODY;
     case _OPN_CHUNK:
@@ -223,14 +229,13 @@
     case _OPN_FIELD_LINE:
       return head->has_length ? weak : OPN_BODY;
     case _OPN_DESCRIBING_LINE:
-      return unframed || type == NULL ? OPN_HEAD : weak;
+      return (unframed || type == NULL) && !is_message ? OPN_HEAD : weak;
     case _OPN_FIELDS:
       return unframed && type == NULL ? OPN_HEAD : weak;
     case _OPN_KNOWN:
       return OPN_HEAD;
     case _OPN_DESCRIBING:
-      /* The body of such a type may be a message itself. */
-      return _opn_type_is (type, "message/") ? OPN_SUSPECT : OPN_HEAD;
+      return is_message ? OPN_SUSPECT : OPN_HEAD;
     }
   return OPN_BODY;
 }
--- a/tests/test_spoilt_heads.c
+++ b/tests/test_spoilt_heads.c
@@ -141,6 +141,13 @@
     STATUS ID SIGNATURE END "X-Note: a\r\n" END },
   { "empty line before the length and another line",
     OWN END "X-Note: a\r\n" LENGTH END },
+  { "the empty line moved before the length", OWN END LENGTH },
+  { "the empty line moved before the type",
+    STATUS ID SIGNATURE END TYPE LENGTH },
+  { "the empty line moved before another line and the length",
+    OWN END "X-Note: a\r\n" LENGTH },
+  { "the empty line moved before the type and chunks",
+    STATUS ID SIGNATURE END TYPE CHUNKS, IN_CHUNKS },
   { "empty line before Connection: close",
     OWN END "Connection: close\r\n" END },
   { "empty line behind a length and before another line",
@@ -355,7 +362,7 @@
     from--;
   gssize to = at + (gssize)strcspn (head->str + at, "\n") + 1;
   char *line = g_strndup (head->str + from, (gsize)(to - from));
-  switch (g_rand_int_range (rand, 0, 8))
+  switch (g_rand_int_range (rand, 0, 9))
     {
     case 0:
       head->str[at] = byte;
@@ -379,6 +386,10 @@
       g_string_erase (head, from, to - from);
       g_string_append (head, line);
       break;
+    case 7: /* the empty line is moved before it */
+      g_string_truncate (head, head->len - 2);
+      g_string_insert (head, MIN (from, (gssize)head->len), "\r\n");
+      break;
     default: /* an empty line before it */
       g_string_insert (head, from, "\r\n");
       break;
